--- /dev/null
+++ b/features/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Share what the features' steps need."""
--- /dev/null
+++ b/packages/cli/src/mimosaspur_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Offer the command line for operators."""
--- /dev/null
+++ b/packages/cli/src/mimosaspur_cli/bundlecommands.py
@@ -0,0 +1,151 @@
+"""Offer the commands on bundles."""
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+
+from mimosaspur_cli import bundleoperations
+from mimosaspur_cli.options import AsJson
+from mimosaspur_cli.options import ObjectApi
+from mimosaspur_cli.options import Operator
+from mimosaspur_cli.options import platform_at
+from mimosaspur_cli.options import require_operator
+from mimosaspur_cli.output import finish
+from mimosaspur_cli.output import lines
+from mimosaspur_cli.output import table
+from mimosaspur_cli.output import time_text
+from mimosaspur_cli.output import to_json
+from mimosaspur_coordination.bundlestatus import BundleStatus
+from mimosaspur_coordination.bundlestatus import Difference
+from mimosaspur_coordination.bundlestatus import WaitingBundle
+from mimosaspur_coordination.rolls import RollResult
+from mimosaspur_state.records import Approval
+from mimosaspur_state.records import WrittenBundle
+
+INDENT = 2
+
+app = typer.Typer(help="Write, approve and roll bundles.", no_args_is_help=True)
+
+Name = Annotated[str, typer.Argument(help="The bundle's name.")]
+File = Annotated[Path, typer.Argument(help="A bundle as JSON with comments.")]
+WithoutFitCheck = Annotated[
+    bool,
+    typer.Option("--without-fit-check", help="Roll although no target's status is known."),
+]
+
+
+@app.command()
+def write(
+    file: File, object_api: ObjectApi = "", operator: Operator = "", as_json: AsJson = False
+) -> None:
+    """Write a bundle; it is not in force until it is approved and rolled."""
+    platform = platform_at(object_api)
+    finish(bundleoperations.write(platform, file, require_operator(operator)), as_json=as_json)
+
+
+@app.command()
+def approve(
+    name: Name, object_api: ObjectApi = "", operator: Operator = "", as_json: AsJson = False
+) -> None:
+    """Approve a bundle that another operator wrote."""
+    platform = platform_at(object_api)
+    finish(bundleoperations.approve(platform, name, require_operator(operator)), as_json=as_json)
+
+
+@app.command()
+def roll(
+    name: Name,
+    object_api: ObjectApi = "",
+    operator: Operator = "",
+    without_fit_check: WithoutFitCheck = False,
+    as_json: AsJson = False,
+) -> None:
+    """Put an approved bundle in force."""
+    platform = platform_at(object_api)
+    result = bundleoperations.roll(
+        platform, name, require_operator(operator), without_fit_check=without_fit_check
+    )
+    finish(result, as_json=as_json)
+
+
+@app.command()
+def show(
+    name: Annotated[str, typer.Argument(help="A bundle; the one in force if left out.")] = "",
+    object_api: ObjectApi = "",
+    as_json: AsJson = False,
+) -> None:
+    """Show a written bundle."""
+    finish(bundleoperations.show(platform_at(object_api), name), as_json=as_json)
+
+
+@app.command()
+def diff(
+    first: Annotated[str, typer.Argument(help="A bundle.")],
+    second: Annotated[str, typer.Argument(help="Another bundle.")] = "",
+    object_api: ObjectApi = "",
+    as_json: AsJson = False,
+) -> None:
+    """Show what changes from the first bundle to the second, or from the one in force to one."""
+    finish(bundleoperations.diff(platform_at(object_api), first, second), as_json=as_json)
+
+
+@app.command()
+def status(object_api: ObjectApi = "", as_json: AsJson = False) -> None:
+    """Show what is in force, and what is written or approved but not rolled."""
+    finish(bundleoperations.status(platform_at(object_api)), as_json=as_json)
+
+
+@lines.register
+def _(value: WrittenBundle) -> list[str]:
+    bundle = msgspec.json.format(to_json(value.bundle), indent=INDENT)
+    written = f"Written by {value.operator} at {time_text(value.at_ms)}."
+    return [*bundle.splitlines(), written, f"Digest {value.digest}."]
+
+
+@lines.register
+def _(value: Approval) -> list[str]:
+    return [f"Approved by {value.operator} at {time_text(value.at_ms)}.", f"Digest {value.digest}."]
+
+
+@lines.register
+def _(value: RollResult) -> list[str]:
+    roll = value.roll
+    told = f"{roll.bundle} is in force as generation {roll.generation}"
+    if value.already:
+        return [f"{told} already; {roll.operator} rolled it at {time_text(roll.at_ms)}."]
+    return [f"{told}."]
+
+
+@lines.register
+def _(value: BundleStatus) -> list[str]:
+    roll = value.current
+    if roll is None:
+        return ["No bundle is in force.", *_waiting(value.waiting)]
+    return [
+        f"In force: generation {roll.generation}, bundle {roll.bundle}.",
+        f"Rolled by {roll.operator} at {time_text(roll.at_ms)}.",
+        *_waiting(value.waiting),
+    ]
+
+
+@lines.register
+def _(value: Difference) -> list[str]:
+    if value.before is None:
+        return [f"+ {value.entry}: {to_json(value.after)}"]
+    if value.after is None:
+        return [f"- {value.entry}: {to_json(value.before)}"]
+    return [f"~ {value.entry} {value.field}: {to_json(value.before)} -> {to_json(value.after)}"]
+
+
+def _waiting(bundles: list[WaitingBundle]) -> list[str]:
+    if not bundles:
+        return ["No bundle waits."]
+    rows = [["not rolled", "written by", "approved by", "against", ""]]
+    for bundle in bundles:
+        note = "superseded, write it again" if bundle.superseded else ""
+        approved_by = bundle.approved_by or "-"
+        against = str(bundle.base_generation)
+        rows.append([bundle.name, bundle.written_by, approved_by, against, note])
+    return table(rows)
--- /dev/null
+++ b/packages/cli/src/mimosaspur_cli/bundleoperations.py
@@ -0,0 +1,78 @@
+"""Carry out operators' steps on bundles."""
+
+from pathlib import Path
+
+from expression import Result
+
+from mimosaspur_cli.bundlefile import read_bundle_file
+from mimosaspur_cli.platform import Platform
+from mimosaspur_cli.platform import attempt
+from mimosaspur_coordination import bundlestatus
+from mimosaspur_coordination import rolls
+from mimosaspur_coordination.bundlestatus import BundleStatus
+from mimosaspur_coordination.bundlestatus import Difference
+from mimosaspur_coordination.rolls import RollResult
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_state.records import Approval
+from mimosaspur_state.records import WrittenBundle
+
+
+def write(platform: Platform, path: Path, operator: str) -> Result[WrittenBundle, MimosaspurError]:
+    """Write the bundle that a file holds."""
+
+    def do() -> WrittenBundle:
+        bundle = read_bundle_file(path)
+        return rolls.write_bundle(platform.store, platform.clock, bundle, operator=operator)
+
+    return attempt(do)
+
+
+def approve(platform: Platform, name: str, operator: str) -> Result[Approval, MimosaspurError]:
+    """Approve a written bundle."""
+    return attempt(lambda: rolls.approve(platform.store, platform.clock, name, operator=operator))
+
+
+def roll(
+    platform: Platform, name: str, operator: str, *, without_fit_check: bool
+) -> Result[RollResult, MimosaspurError]:
+    """Roll an approved bundle."""
+    return attempt(
+        lambda: rolls.roll(
+            platform.store,
+            platform.clock,
+            name,
+            operator=operator,
+            without_fit_check=without_fit_check,
+        )
+    )
+
+
+def show(platform: Platform, name: str) -> Result[WrittenBundle, MimosaspurError]:
+    """Return a written bundle; the one in force if no name is given."""
+    return attempt(lambda: _find(platform, name))
+
+
+def diff(platform: Platform, first: str, second: str) -> Result[list[Difference], MimosaspurError]:
+    """Compare two written bundles; one alone is compared with the one in force."""
+
+    def do() -> list[Difference]:
+        before = _find(platform, first if second else "")
+        after = _find(platform, second or first)
+        return bundlestatus.diff(before.bundle, after.bundle)
+
+    return attempt(do)
+
+
+def status(platform: Platform) -> Result[BundleStatus, MimosaspurError]:
+    """Return what is in force and what waits."""
+    return attempt(lambda: bundlestatus.status(platform.store))
+
+
+def _find(platform: Platform, name: str) -> WrittenBundle:
+    if name:
+        return rolls.read_bundle(platform.store, name)
+    head, _ = rolls.read_head(platform.store)
+    if head is None:
+        raise MimosaspurError(ResultCode.UNKNOWN_BUNDLE, "No bundle is in force yet.")
+    return rolls.read_bundle(platform.store, head.current.bundle)
--- /dev/null
+++ b/packages/cli/src/mimosaspur_cli/main.py
@@ -0,0 +1,111 @@
+"""Run the operators' command line."""
+
+import sys
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from mimosaspur_cli import bundlecommands
+from mimosaspur_cli import instancecommands
+from mimosaspur_cli import placementcommands
+from mimosaspur_cli.exitcodes import ExitCode
+from mimosaspur_cli.options import AsJson
+from mimosaspur_cli.options import ObjectApi
+from mimosaspur_cli.options import platform_at
+from mimosaspur_cli.output import finish
+from mimosaspur_cli.output import lines
+from mimosaspur_cli.output import time_text
+from mimosaspur_cli.platform import attempt
+from mimosaspur_coordination import audit as trail
+from mimosaspur_coordination.audit import AuditedStep
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_state.settings import load_settings
+
+DEFAULT_LIMIT = 50
+
+app = typer.Typer(
+    help="Drive mimosaspur: write, approve and roll bundles, and plan departures.",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+)
+settings_app = typer.Typer(help="Check settings.", no_args_is_help=True)
+app.add_typer(bundlecommands.app, name="bundle")
+app.add_typer(instancecommands.app, name="instance")
+app.add_typer(placementcommands.app, name="placement")
+app.add_typer(settings_app, name="settings")
+
+
+@dataclass(slots=True, frozen=True)
+class CheckedSettings:
+    """Tell that a settings file is good, and for which role."""
+
+    file: str
+    role: str
+
+
+@app.command()
+def audit(
+    limit: Annotated[int, typer.Option("--limit", min=1, help="How many steps.")] = DEFAULT_LIMIT,
+    object_api: ObjectApi = "",
+    as_json: AsJson = False,
+) -> None:
+    """Show operators' steps, newest first, and what became of them."""
+    platform = platform_at(object_api)
+    finish(attempt(lambda: trail.read(platform.store, limit)), as_json=as_json)
+
+
+@settings_app.callback()
+def settings() -> None:
+    """Check settings."""
+
+
+@settings_app.command()
+def check(
+    files: Annotated[list[Path], typer.Argument(help="Settings files.")],
+    as_json: AsJson = False,
+) -> None:
+    """Check settings files without starting anything."""
+    failed = False
+    for file in files:
+        try:
+            finish(attempt(partial(_check_file, file)), as_json=as_json)
+        except typer.Exit:
+            # The other files are checked too, so that one run tells of every fault.
+            failed = True
+    if failed:
+        raise typer.Exit(ExitCode.BAD_INPUT)
+
+
+def _check_file(file: Path) -> CheckedSettings:
+    return CheckedSettings(str(file), load_settings(file).role.value)
+
+
+@lines.register
+def _(value: CheckedSettings) -> list[str]:
+    return [f"{value.file}: good settings for the role {value.role}"]
+
+
+@lines.register
+def _(value: AuditedStep) -> list[str]:
+    told = f"{time_text(value.at_ms)}  {value.operator}  {value.action} {value.subject}"
+    return [f"{told}: {value.outcome}" + (f" ({value.detail})" if value.detail else "")]
+
+
+def main() -> None:
+    """Run one command and exit with its code."""
+    try:
+        app(prog_name="mimosaspur")
+    except Exception as error:  # noqa: BLE001  # whatever goes wrong must end as our exit code
+        internal = MimosaspurError(ResultCode.INTERNAL, f"{type(error).__name__}: {error}")
+        sys.stderr.write(f"error {internal.code.value} ({internal.code.name}): {internal}\n")
+        sys.exit(ExitCode.INTERNAL)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/cli/src/mimosaspur_cli/options.py
@@ -0,0 +1,48 @@
+"""Define the options that many commands share."""
+
+from typing import Annotated
+
+import typer
+
+from mimosaspur_cli.output import usage
+from mimosaspur_cli.platform import Platform
+from mimosaspur_cli.platform import connect
+
+OBJECT_API_VARIABLE = "MIMOSASPUR_OBJECT_API"
+INSTANCE_LIST_VARIABLE = "MIMOSASPUR_INSTANCE_LIST"
+OPERATOR_VARIABLE = "MIMOSASPUR_OPERATOR"
+
+ObjectApi = Annotated[
+    str,
+    typer.Option("--object-api", envvar=OBJECT_API_VARIABLE, help="The object API's ip:port."),
+]
+InstanceList = Annotated[
+    str,
+    typer.Option(
+        "--instance-list",
+        envvar=INSTANCE_LIST_VARIABLE,
+        help="The instance list's ip:port; the object API's if not given.",
+    ),
+]
+Operator = Annotated[
+    str,
+    typer.Option("--operator", envvar=OPERATOR_VARIABLE, help="Who takes this step."),
+]
+AsJson = Annotated[bool, typer.Option("--json", help="Print JSON for programs.")]
+
+
+def platform_at(object_api: str, instance_list: str = "") -> Platform:
+    """Return the platform at the given addresses, or exit with what is wrong with them."""
+    if not object_api:
+        usage(f"give --object-api ip:port or set {OBJECT_API_VARIABLE}")
+    try:
+        return connect(object_api, instance_list)
+    except ValueError as error:
+        usage(f"{error}; give ip:port")
+
+
+def require_operator(operator: str) -> str:
+    """Return the operator's name, or exit if there is none."""
+    if not operator.strip():
+        usage(f"give --operator NAME or set {OPERATOR_VARIABLE}; changes are made by name")
+    return operator.strip()
--- /dev/null
+++ b/packages/cli/src/mimosaspur_cli/placements.py
@@ -0,0 +1,83 @@
+"""Read where models are placed."""
+
+from dataclasses import dataclass
+
+from mimosaspur_coordination.regions import region_of
+from mimosaspur_coordination.regions import statuses_by_region
+from mimosaspur_coordination.rolls import read_bundle
+from mimosaspur_coordination.rolls import read_head
+from mimosaspur_state.objects import ObjectStore
+from mimosaspur_state.placement import PlacementRecord
+from mimosaspur_state.placement import ReplicaState
+from mimosaspur_state.placement import placement_from_value
+
+ALL_PLACEMENTS = "placement/"
+
+
+@dataclass(slots=True, frozen=True)
+class Placement:
+    """Hold one model's placement record and its region."""
+
+    region: str
+    record: PlacementRecord
+
+
+@dataclass(slots=True, frozen=True)
+class RegionCounts:
+    """Count a region's replicas by state, and name what the bundle wants that is not ready."""
+
+    region: str
+    models: int
+    load: int
+    ready: int
+    leaving: int
+    without_ready: list[str]
+
+
+@dataclass(slots=True, frozen=True)
+class PlacementView:
+    """Hold the placements and their counts."""
+
+    placements: list[Placement]
+    counts: list[RegionCounts]
+
+
+def read_placements(store: ObjectStore) -> list[Placement]:
+    """Return every region's placement records, by key."""
+    return [
+        Placement(region_of(item.key), placement_from_value(item.value))
+        for item in store.list(ALL_PLACEMENTS).objects
+    ]
+
+
+def view(store: ObjectStore, model: str) -> PlacementView:
+    """Return the placements of one model, or of all, and the counts over them."""
+    placements = read_placements(store)
+    if model:
+        placements = [item for item in placements if item.record.model == model]
+    wanted = _wanted(store, model)
+    # A region whose targets report, but where nothing is placed, lacks every model.
+    regions = sorted({*statuses_by_region(store), *(item.region for item in placements)})
+    return PlacementView(placements, [_count(region, placements, wanted) for region in regions])
+
+
+def _wanted(store: ObjectStore, model: str) -> set[str]:
+    head, _ = read_head(store)
+    if head is None:
+        return set()
+    bundle = read_bundle(store, head.current.bundle).bundle
+    return {entry.name for entry in bundle.models if model in ("", entry.name)}
+
+
+def _count(region: str, placements: list[Placement], wanted: set[str]) -> RegionCounts:
+    records = [item.record for item in placements if item.region == region]
+    states = [replica.state for record in records for replica in record.replicas]
+    reachable = {record.model for record in records if record.ready()}
+    return RegionCounts(
+        region=region,
+        models=len(records),
+        load=states.count(ReplicaState.LOAD),
+        ready=states.count(ReplicaState.READY),
+        leaving=states.count(ReplicaState.LEAVING),
+        without_ready=sorted(wanted - reachable),
+    )
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordinate leases and moves between instances."""
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/admission.py
@@ -0,0 +1,149 @@
+"""Admit requests at a target by deadline and priority, and give up at once on the rest."""
+
+import heapq
+import itertools
+import threading
+from dataclasses import dataclass
+from dataclasses import field
+
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.clock import Deadline
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.errors import MimosaspurError
+
+SMOOTHING = 0.2
+SHORTEST_RETRY_MS = 200
+
+
+@dataclass(slots=True, order=True)
+class Ticket:
+    """Stand for a request in the queue; lower sorts first."""
+
+    priority: int
+    deadline_at_ms: int
+    sequence: int
+    cancelled: threading.Event = field(compare=False)
+    granted: bool = field(default=False, compare=False)
+
+
+class AdmissionQueue:
+    """Bound what runs and what waits at one target.
+
+    A request is refused when the queue is full or its deadline can't be met, when it comes or
+    as soon as that is known while it waits. The prediction counts those ahead of it and the
+    time that requests have taken lately.
+    """
+
+    def __init__(
+        self, clock: Clock, *, slots: int, limit: int, service_time_ms: int, naive: bool = False
+    ) -> None:
+        self.clock = clock
+        self.slots = slots
+        self.limit = limit
+        self.naive = naive
+        self.service_time_ms = float(service_time_ms)
+        self.active = 0
+        self.waiting: list[Ticket] = []
+        self.sequence = itertools.count()
+        self.closed = False
+        self.changed = threading.Condition()
+
+    def enter(self, priority: int, deadline: Deadline, cancelled: threading.Event) -> Ticket:
+        """Wait for a slot and take it; raise MimosaspurError (not run) when given up on."""
+        with self.changed:
+            ticket = Ticket(priority, deadline.at_ms, next(self.sequence), cancelled)
+            self._check_open()
+            if self.active < self.slots and not self.waiting:
+                self.active += 1
+                ticket.granted = True
+                return ticket
+            self._check_room(ticket, deadline)
+            heapq.heappush(self.waiting, ticket)
+            self._await_grant(ticket, deadline)
+            return ticket
+
+    def leave(self, ticket: Ticket, took_ms: int | None) -> None:
+        """Give the slot back; took_ms is the running time of a request that ended well."""
+        with self.changed:
+            if not ticket.granted:
+                return
+            ticket.granted = False
+            self.active -= 1
+            if took_ms is not None:
+                self.service_time_ms += SMOOTHING * (took_ms - self.service_time_ms)
+            self._grant()
+            self.changed.notify_all()
+
+    def wake(self) -> None:
+        """Have those that wait look at whether their callers are gone."""
+        with self.changed:
+            self.changed.notify_all()
+
+    def close(self) -> None:
+        """Refuse all that comes from now on; what waits still runs."""
+        with self.changed:
+            self.closed = True
+
+    def idle(self) -> bool:
+        """Tell whether nothing runs or waits."""
+        with self.changed:
+            return self.active == 0 and not self.waiting
+
+    def predicted_wait_ms(self, priority: int) -> int:
+        """Predict the wait of a request of this priority that came now."""
+        with self.changed:
+            return self._wait_behind(sum(1 for other in self.waiting if other.priority <= priority))
+
+    def _check_open(self) -> None:
+        if self.closed:
+            raise MimosaspurError(ResultCode.DRAINING, retry_after_ms=SHORTEST_RETRY_MS)
+
+    def _check_room(self, ticket: Ticket, deadline: Deadline) -> None:
+        if len(self.waiting) >= self.limit:
+            wait_ms = self._wait_behind(len(self.waiting))
+            raise MimosaspurError(ResultCode.QUEUE_FULL, retry_after_ms=self._retry(wait_ms))
+        if not self.naive:
+            self._check_reachable(ticket, deadline)
+
+    def _check_reachable(self, ticket: Ticket, deadline: Deadline) -> None:
+        ahead = sum(1 for other in self.waiting if other < ticket)
+        needed_ms = self._wait_behind(ahead) + self.service_time_ms
+        short_ms = int(needed_ms - deadline.left_ms())
+        if short_ms > 0:
+            raise MimosaspurError(
+                ResultCode.DEADLINE_UNREACHABLE,
+                f"It needs {int(needed_ms)} ms and has {deadline.left_ms()} ms.",
+                retry_after_ms=self._retry(short_ms),
+            )
+
+    def _await_grant(self, ticket: Ticket, deadline: Deadline) -> None:
+        while not ticket.granted:
+            try:
+                self._check_waiting(ticket, deadline)
+            except MimosaspurError:
+                self.waiting.remove(ticket)
+                heapq.heapify(self.waiting)
+                raise
+            self.changed.wait(deadline.left_s())
+
+    def _check_waiting(self, ticket: Ticket, deadline: Deadline) -> None:
+        if ticket.cancelled.is_set():
+            raise MimosaspurError(ResultCode.CANCELLED)
+        if deadline.passed():
+            raise MimosaspurError(ResultCode.DEADLINE_UNREACHABLE, retry_after_ms=SHORTEST_RETRY_MS)
+        if not self.naive:
+            self._check_reachable(ticket, deadline)
+
+    def _grant(self) -> None:
+        while self.waiting and self.active < self.slots:
+            ticket = heapq.heappop(self.waiting)
+            ticket.granted = True
+            self.active += 1
+
+    def _wait_behind(self, ahead: int) -> int:
+        if self.active < self.slots:
+            return 0
+        return int((ahead + 1) * self.service_time_ms / max(1, self.slots))
+
+    def _retry(self, wait_ms: int) -> int:
+        return max(SHORTEST_RETRY_MS, wait_ms)
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/audit.py
@@ -0,0 +1,160 @@
+"""Keep the audit trail: what each operator asked for, and what became of it."""
+
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from typing import TypeVar
+
+from mimosaspur_coordination.settle import Settlement
+from mimosaspur_coordination.settle import create_settled
+from mimosaspur_coordination.settle import read_settled
+from mimosaspur_state import keys
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_state.errors import StoreUnavailable
+from mimosaspur_state.log import log
+from mimosaspur_state.objects import ObjectStore
+from mimosaspur_state.records import AuditRecord
+from mimosaspur_state.records import Head
+from mimosaspur_state.records import Roll
+
+T = TypeVar("T")
+
+FILLED_IN = "filled in from the history of rolls"
+
+
+class Action(Enum):
+    """Name the steps of operators."""
+
+    WRITE = "write"
+    APPROVE = "approve"
+    ROLL = "roll"
+    DRAIN = "drain"
+    UNDRAIN = "undrain"
+
+
+class StepOutcome(Enum):
+    """Name what is recorded of a step."""
+
+    ASKED = "asked"
+    DONE = "done"
+    REFUSED = "refused"
+
+
+@dataclass(slots=True, frozen=True)
+class Step:
+    """Describe a step before it is taken."""
+
+    operator: str
+    action: Action
+    subject: str
+    detail: str = ""
+    step_id: str = field(default_factory=lambda: uuid.uuid4().hex)
+
+
+@dataclass(slots=True, frozen=True)
+class AuditedStep:
+    """Hold a recorded step; outcome stays asked while nothing tells what became of it."""
+
+    step_id: str
+    at_ms: int
+    operator: str
+    action: str
+    subject: str
+    outcome: str
+    detail: str
+
+
+def take(store: ObjectStore, clock: Clock, step: Step, do: Callable[[], T]) -> T:
+    """Record that a step is asked for, take it, and record its outcome.
+
+    Raise StoreUnavailable, with the step not taken, if the first record can't be written.
+    """
+    append(store, clock, step, StepOutcome.ASKED, step.detail)
+    try:
+        result = do()
+    except MimosaspurError as error:
+        if error.code is not ResultCode.OUTCOME_UNSETTLED:
+            detail = f"{error.code.value} {error.code.name}: {error.detail}"
+            _append_if_possible(store, clock, step, StepOutcome.REFUSED, detail)
+        raise
+    _append_if_possible(store, clock, step, StepOutcome.DONE, "")
+    return result
+
+
+def append(store: ObjectStore, clock: Clock, step: Step, outcome: StepOutcome, detail: str) -> None:
+    """Write one audit record; raise StoreUnavailable unless it is surely written."""
+    record = AuditRecord(
+        record_id=f"{step.step_id}-{outcome.value}",
+        at_ms=clock.wall_ms(),
+        operator=step.operator,
+        action=step.action.value,
+        subject=step.subject,
+        outcome=outcome.value,
+        detail=detail,
+    )
+    value = record.to_value()
+    key = keys.audit(record.at_ms, record.record_id)
+    settled = create_settled(store, key, value, lambda stored: bool(stored == value))
+    if settled.settlement is not Settlement.DONE:
+        raise StoreUnavailable("the audit record could not be written")
+
+
+def read(store: ObjectStore, limit: int) -> list[AuditedStep]:
+    """Return the newest steps, newest first, with missing outcomes of rolls filled in."""
+    records = [AuditRecord.from_value(item.value) for item in store.list(keys.AUDIT).objects]
+    outcomes = {_step_id(record): record for record in records if not _is_asked(record)}
+    asked = [record for record in records if _is_asked(record)]
+    newest = list(reversed(asked))[:limit]
+    rolls = _rolls_by_id(store)
+    return [_audited(record, outcomes, rolls) for record in newest]
+
+
+def _audited(
+    asked: AuditRecord, outcomes: dict[str, AuditRecord], rolls: dict[str, Roll]
+) -> AuditedStep:
+    step_id = _step_id(asked)
+    known = outcomes.get(step_id)
+    outcome = known.outcome if known else asked.outcome
+    details = [asked.detail, known.detail if known else ""]
+    if known is None and step_id in rolls:
+        outcome = StepOutcome.DONE.value
+        details.append(FILLED_IN)
+    return AuditedStep(
+        step_id=step_id,
+        at_ms=asked.at_ms,
+        operator=asked.operator,
+        action=asked.action,
+        subject=asked.subject,
+        outcome=outcome,
+        detail="; ".join(detail for detail in details if detail),
+    )
+
+
+def _rolls_by_id(store: ObjectStore) -> dict[str, Roll]:
+    stored = read_settled(store, keys.HEAD)
+    if stored is None:
+        return {}
+    head = Head.from_value(stored.value)
+    return {roll.roll_id: roll for roll in (head.current, *head.history)}
+
+
+def _step_id(record: AuditRecord) -> str:
+    return record.record_id.rpartition("-")[0]
+
+
+def _is_asked(record: AuditRecord) -> bool:
+    return record.outcome == StepOutcome.ASKED.value
+
+
+def _append_if_possible(
+    store: ObjectStore, clock: Clock, step: Step, outcome: StepOutcome, detail: str
+) -> None:
+    # The step stands whatever becomes of this record; a reader fills it in where it can.
+    try:
+        append(store, clock, step, outcome, detail)
+    except StoreUnavailable as error:
+        log("AUDIT", "Outcome of a step is not recorded.", step=step.step_id, error=str(error))
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/demand.py
@@ -0,0 +1,70 @@
+"""Work out from demand how many replicas a model should have."""
+
+from collections.abc import Iterable
+
+from mimosaspur_coordination.view import DemandSum
+from mimosaspur_coordination.view import PlannerView
+from mimosaspur_state.bundle import ModelEntry
+from mimosaspur_state.placement import Replica
+from mimosaspur_state.records import DemandReport
+
+LOW_WINDOWS = 3
+LOW_SHARE = 0.5
+
+
+def sum_reports(reports: Iterable[DemandReport], window_ms: int) -> dict[str, DemandSum]:
+    """Add up what entries report for each model, each scaled to one window."""
+    requests: dict[str, float] = {}
+    refused: dict[str, float] = {}
+    for report in reports:
+        scale = window_ms / max(1, report.window_ms)
+        for name, demand in report.models.items():
+            requests[name] = requests.get(name, 0) + demand.requests * scale
+            refused[name] = refused.get(name, 0) + demand.refused * scale
+    return {name: DemandSum(round(requests[name]), round(refused[name])) for name in requests}
+
+
+def carried(view: PlannerView, replicas: Iterable[Replica]) -> float:
+    """Return the requests that replicas carry in a window if they have their targets alone."""
+    slots = sum(view.alive[item.target].slots for item in replicas if item.target in view.alive)
+    return slots * view.window_ms / max(1, view.service_time_ms)
+
+
+def unserved(view: PlannerView, entry: ModelEntry, ready: list[Replica]) -> float:
+    """Return the requests of a window that the ready replicas refuse or can't carry."""
+    demand = view.demand.get(entry.name, DemandSum())
+    return max(demand.refused, demand.requests - carried(view, ready))
+
+
+def is_low(view: PlannerView, entry: ModelEntry, ready: list[Replica]) -> bool:
+    """Tell whether demand is below half of what one fewer replica carries."""
+    demand = view.demand.get(entry.name, DemandSum())
+    if demand.refused or len(ready) <= entry.replicas:
+        return False
+    return demand.requests < LOW_SHARE * carried(view, ready[:-1])
+
+
+def settled(view: PlannerView, target: str) -> bool:
+    """Tell whether a target has not changed for a window, so that demand shows the change."""
+    changed_ms = view.changed_ms.get(target)
+    return changed_ms is None or view.now_ms - changed_ms >= view.window_ms
+
+
+class LowWindows:
+    """Count for each model the windows in a row in which its demand was low."""
+
+    def __init__(self) -> None:
+        self.counts: dict[str, int] = {}
+        self.counted_ms: int | None = None
+
+    def count(self, view: PlannerView) -> dict[str, int]:
+        """Count the view's window if one has passed since the last; return the counts."""
+        if self.counted_ms is not None and view.now_ms - self.counted_ms < view.window_ms:
+            return self.counts
+        self.counted_ms = view.now_ms
+        for name, entry in view.index.models.items():
+            placed = view.placed.get(name)
+            ready = placed.record.ready() if placed else []
+            low = is_low(view, entry, ready)
+            self.counts[name] = self.counts.get(name, 0) + 1 if low else 0
+        return self.counts
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/demandcount.py
@@ -0,0 +1,41 @@
+"""Count callers' demand at an entry, over a window of a few buckets."""
+
+import threading
+from collections import Counter
+from collections import deque
+
+from mimosaspur_state.records import ModelDemand
+
+BUCKETS = 5
+
+
+class DemandCounter:
+    """Sum requests and refusals of each model over the newest buckets."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.requests: deque[Counter[str]] = deque([Counter()], maxlen=BUCKETS)
+        self.refusals: deque[Counter[str]] = deque([Counter()], maxlen=BUCKETS)
+
+    def request(self, model: str) -> None:
+        """Count a request."""
+        with self.lock:
+            self.requests[-1][model] += 1
+
+    def refused(self, model: str) -> None:
+        """Count a request that was refused as not run."""
+        with self.lock:
+            self.refusals[-1][model] += 1
+
+    def turn(self) -> None:
+        """Begin a new bucket and forget the oldest."""
+        with self.lock:
+            self.requests.append(Counter())
+            self.refusals.append(Counter())
+
+    def window(self) -> dict[str, ModelDemand]:
+        """Return the sums of the models that had any demand."""
+        with self.lock:
+            requests = sum(self.requests, Counter[str]())
+            refusals = sum(self.refusals, Counter[str]())
+        return {model: ModelDemand(requests[model], refusals[model]) for model in sorted(requests)}
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/fit.py
@@ -0,0 +1,168 @@
+"""Check before a roll that a bundle fits and can be reached without breaking a model."""
+
+from collections.abc import Iterable
+
+from mimosaspur_coordination.packing import Bin
+from mimosaspur_coordination.packing import Need
+from mimosaspur_coordination.packing import largest_first
+from mimosaspur_coordination.packing import pack
+from mimosaspur_coordination.rehearsal import Rehearsal
+from mimosaspur_state.bundle import Bundle
+from mimosaspur_state.bundle import ModelEntry
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_state.records import TargetStatus
+from mimosaspur_state.settings import TargetKind
+
+NO_ROOM_BESIDE = "there is no room beside what is in force, also with one other model moved"
+
+
+class Packing:
+    """Hold which target carries which need, and the room left."""
+
+    def __init__(self, bins: list[Bin]) -> None:
+        self.bins = bins
+        self.held: dict[str, tuple[Need, Bin]] = {}
+
+    def add(self, need: Need) -> bool:
+        """Place a need on the first target with room; return False if there is none."""
+        for room in self.bins:
+            if room.allows(need) and room.take(need):
+                self.held[need.model] = (need, room)
+                return True
+        return False
+
+    def remove(self, model: str) -> None:
+        """Give back what a model holds."""
+        need, room = self.held.pop(model)
+        room.give_back(need)
+
+    def replace(self, need: Need) -> bool:
+        """Place the new version of a model beside the old one, then remove the old one."""
+        old = self.held.pop(need.model, None)
+        if not self.add(need) and not self._add_by_move(need):
+            return False
+        if old:
+            old[1].give_back(old[0])
+        return True
+
+    def grow(self, extra: Need, grown: Need) -> bool:
+        """Add new adapters beside what a model holds, then remove its old adapters."""
+        need, room = self.held[extra.model]
+        if not room.take(extra):
+            return False
+        room.give_back(need)
+        room.give_back(extra)
+        room.hold(grown)
+        self.held[extra.model] = (grown, room)
+        return True
+
+    def _add_by_move(self, need: Need) -> bool:
+        for model in list(self.held):
+            moved, origin = self.held[model]
+            if not origin.allows(need):
+                continue
+            for room in self.bins:
+                if room is origin or not room.allows(moved) or not room.fits(moved):
+                    continue
+                trial = origin.copy()
+                trial.give_back(moved)
+                if trial.take(need):
+                    room.take(moved)
+                    origin.free_mb = trial.free_mb
+                    self.held[model] = (moved, room)
+                    self.held[need.model] = (need, origin)
+                    return True
+        return False
+
+
+def check_fit(bundle: Bundle, in_force: Bundle | None, targets: list[TargetStatus]) -> None:
+    """Raise BUNDLE_DOES_NOT_FIT if it lacks memory, or room to make before break."""
+    bins = _bins(targets)
+    lacking = pack(bins, _needs(bundle.models))
+    if lacking:
+        raise _does_not_fit(lacking, bins, "the models together need more than there is")
+    if in_force is None:
+        return
+    if any(status.residents for status in targets):
+        # What targets report is truer than how the bundle in force would be packed.
+        stuck = Rehearsal(bundle, in_force, targets).unready()
+        if stuck:
+            raise _does_not_fit(Need.of(stuck), _bins(targets, free=True), NO_ROOM_BESIDE)
+        return
+    packing = Packing(_bins(targets))
+    for need in largest_first(_needs(in_force.models)):
+        # What does not fit now is not held now, so it needs no room beside its new version.
+        packing.add(need)
+    _walk(packing, bundle, in_force)
+
+
+def _walk(packing: Packing, bundle: Bundle, in_force: Bundle) -> None:
+    old = {model.name: model for model in in_force.models}
+    new = {model.name: model for model in bundle.models}
+    for name in old.keys() - new.keys():
+        if name in packing.held:
+            packing.remove(name)
+    grown = [model for model in new.values() if _grows(old.get(model.name), model, packing)]
+    for model in grown:
+        extra = _added(old[model.name], model)
+        if extra and not packing.grow(extra, Need.of(model)):
+            raise _does_not_fit(extra, [packing.held[model.name][1]], NO_ROOM_BESIDE)
+    for need in _in_order(packing, [model for model in new.values() if model not in grown]):
+        if not packing.replace(need):
+            raise _does_not_fit(need, packing.bins, NO_ROOM_BESIDE)
+
+
+def _in_order(packing: Packing, changed: list[ModelEntry]) -> Iterable[Need]:
+    """Yield what fits now first: each change may give room to the next."""
+    waiting = list(largest_first(_needs(changed)))
+    while waiting:
+        fitting = (
+            need
+            for need in waiting
+            if any(room.allows(need) and room.fits(need) for room in packing.bins)
+        )
+        need = next(fitting, waiting[0])
+        waiting.remove(need)
+        yield need
+
+
+def _grows(old: ModelEntry | None, new: ModelEntry, packing: Packing) -> bool:
+    """Tell whether a replica stays and at most its adapters change."""
+    return old is not None and old.version == new.version and new.name in packing.held
+
+
+def _added(old: ModelEntry, new: ModelEntry) -> Need | None:
+    held = {adapter.resident() for adapter in old.adapters}
+    added = [item.memory_mb for item in new.adapters if item.resident() not in held]
+    return Need(new.name, sum(added), new.accelerators, new.domains) if added else None
+
+
+def _needs(models: Iterable[ModelEntry]) -> list[Need]:
+    return [Need.of(model) for model in models]
+
+
+def _bins(targets: list[TargetStatus], *, free: bool = False) -> list[Bin]:
+    engines = [status for status in targets if status.kind == TargetKind.ENGINE.value]
+    engines.sort(key=lambda status: status.instance)
+    return [
+        Bin(
+            status.instance,
+            status.failure_domain,
+            status.capacity_mb,
+            list(status.free_mb if free else status.capacity_mb),
+        )
+        for status in engines
+    ]
+
+
+def _does_not_fit(need: Need, bins: list[Bin], why: str) -> MimosaspurError:
+    allowed = [room for room in bins if room.allows(need)]
+    free = [sorted(room.free_mb, reverse=True)[: need.accelerators] for room in allowed]
+    best = max((room for room in free if len(room) == need.accelerators), key=min, default=[0])
+    missing_mb = max(0, need.memory_mb - min(best))
+    detail = (
+        f"{need.model!r} needs {need.memory_mb} MB on each of {need.accelerators} accelerators"
+        f" of one target; at least {missing_mb} MB on each are missing: {why}."
+    )
+    return MimosaspurError(ResultCode.BUNDLE_DOES_NOT_FIT, detail)
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/generation.py
@@ -0,0 +1,115 @@
+"""Hold the bundle in force and never go back to an older one."""
+
+import json
+import threading
+import zlib
+from collections.abc import Callable
+
+from mimosaspur_state import keys
+from mimosaspur_state.bundle import Bundle
+from mimosaspur_state.bundle import BundleIndex
+from mimosaspur_state.bundle import bundle_from_value
+from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_state.errors import StoreUnavailable
+from mimosaspur_state.log import log
+from mimosaspur_state.objects import ObjectStore
+from mimosaspur_state.objects import StoredObject
+from mimosaspur_state.records import Head
+from mimosaspur_state.records import WrittenBundle
+
+RETRY_PAUSE_S = 0.2
+PART = "BUNDLE"
+
+
+class BundleHolder:
+    """Hold the newest bundle that this process has been shown."""
+
+    def __init__(self) -> None:
+        self.index: BundleIndex | None = None
+        self.lock = threading.Lock()
+        self.changed = threading.Condition(self.lock)
+        self.listeners: list[Callable[[BundleIndex], None]] = []
+
+    def current(self) -> BundleIndex | None:
+        """Return the bundle in force here, or None before the first."""
+        return self.index
+
+    def generation(self) -> int:
+        """Return the generation in force here, 0 before the first."""
+        return self.index.generation if self.index else 0
+
+    def offer(self, generation: int, bundle: Bundle) -> bool:
+        """Put a bundle in force if it is newer; tell whether it was."""
+        index = BundleIndex.build(generation, bundle)
+        with self.lock:
+            if generation <= self.generation():
+                return False
+            self.index = index
+            self.changed.notify_all()
+        log(PART, "Put a bundle in force.", generation=generation, bundle=bundle.name)
+        for listener in self.listeners:
+            listener(index)
+        return True
+
+    def wait_for(self, generation: int, timeout_s: float) -> bool:
+        """Wait until a generation or a newer one is in force; tell whether it is."""
+        with self.lock:
+            return self.changed.wait_for(lambda: self.generation() >= generation, timeout_s)
+
+    def pack(self) -> tuple[int, bytes] | None:
+        """Return the generation and the bundle packed for a peer."""
+        index = self.index
+        if index is None:
+            return None
+        return index.generation, zlib.compress(json.dumps(index.bundle.to_value()).encode())
+
+    def unpack(self, generation: int, packed: bytes) -> bool:
+        """Take a peer's bundle; tell whether it was newer and well formed."""
+        try:
+            bundle = bundle_from_value(json.loads(zlib.decompress(packed)))
+        except (zlib.error, ValueError, MimosaspurError) as error:
+            log(PART, "Dropped a peer's bundle that can't be read.", error=str(error))
+            return False
+        return self.offer(generation, bundle)
+
+
+class BundleFetcher:
+    """Follow the head object and fetch the bundle that it names."""
+
+    def __init__(self, store: ObjectStore, holder: BundleHolder) -> None:
+        self.store = store
+        self.holder = holder
+        self.wanted: Head | None = None
+        self.wake = threading.Event()
+
+    def head_changed(self, item: StoredObject) -> None:
+        """Take note of a change under the mirror's prefixes."""
+        if item.key == keys.HEAD and item.value is not None:
+            self.wanted = Head.from_value(item.value)
+            self.wake.set()
+
+    def run(self, stop: threading.Event) -> None:
+        """Fetch whatever the head names until told to stop."""
+        while not stop.is_set():
+            self.wake.wait(1)
+            self.wake.clear()
+            head = self.wanted
+            if head and head.current.generation > self.holder.generation():
+                self._fetch(head, stop)
+
+    def _fetch(self, head: Head, stop: threading.Event) -> None:
+        roll = head.current
+        try:
+            stored = self.store.get(keys.bundle(roll.bundle))
+        except StoreUnavailable:
+            stop.wait(RETRY_PAUSE_S)
+            self.wake.set()
+            return
+        if stored is None:
+            log(PART, "The head names a bundle that is absent.", bundle=roll.bundle)
+            return
+        written = WrittenBundle.from_value(stored.value)
+        if written.digest != roll.digest:
+            log(PART, "The bundle is not the one that was rolled.", bundle=roll.bundle)
+            return
+        self.holder.offer(roll.generation, written.bundle)
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/hints.py
@@ -0,0 +1,54 @@
+"""Remember what an entry was last told of each target; all of it may be stale."""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from mimosaspur_state.load import Load
+
+UNREACHABLE_PAUSE_MS = 1000
+
+
+@dataclass(slots=True)
+class TargetHint:
+    """Hold what is known of one target; `own` counts this entry's attempts there."""
+
+    name: str
+    address: str
+    failure_domain: str
+    own: int = 0
+    own_at_report: int = 0
+    load: Load | None = None
+    load_at_ms: int = 0
+    draining: bool = False
+    leaving: bool = False
+    residents: frozenset[str] = field(default_factory=frozenset)
+    lost_at_ms: int | None = None
+
+    def connected(self, draining: bool, residents: tuple[str, ...]) -> None:
+        """Take in what a target says when a connection opens."""
+        self.draining = draining
+        self.residents = frozenset(residents)
+        self.lost_at_ms = None
+
+    def report(self, load: Load, draining: bool, now_ms: int) -> None:
+        """Take in a load report."""
+        self.load = load
+        self.load_at_ms = now_ms
+        self.draining = draining
+        self.own_at_report = self.own
+
+    def lost(self, now_ms: int) -> None:
+        """Note that the connection broke or could not be made."""
+        self.lost_at_ms = now_ms
+        self.draining = False
+
+    def reachable(self, now_ms: int) -> bool:
+        """Tell whether it is worth trying now."""
+        return self.lost_at_ms is None or now_ms - self.lost_at_ms > UNREACHABLE_PAUSE_MS
+
+    def pressure(self) -> float:
+        """Estimate its load for comparison; requests for each slot, own ones since counted in."""
+        if self.load is None:
+            return float(self.own)
+        others = self.load.active + self.load.queued - self.own_at_report
+        return (max(0, others) + self.own) / max(1, self.load.slots)
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/orders.py
@@ -0,0 +1,173 @@
+"""Decide an engine's next orders from the bundle, the placement and the engine's report."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from mimosaspur_state.bundle import LOWEST_PRIORITY
+from mimosaspur_state.bundle import BundleIndex
+from mimosaspur_state.bundle import ModelEntry
+from mimosaspur_state.engine import EngineState
+from mimosaspur_state.engine import Resident
+from mimosaspur_state.engine import ResidentKind
+from mimosaspur_state.engine import ResidentState
+from mimosaspur_state.ledger import MemoryLedger
+from mimosaspur_state.objects import StoredObject
+from mimosaspur_state.placement import PlacementRecord
+from mimosaspur_state.placement import ReplicaState
+
+
+@dataclass(slots=True, frozen=True)
+class Held:
+    """Join a replica on this target with its record and, at the served version, its entry."""
+
+    item: StoredObject
+    record: PlacementRecord
+    version: str
+    state: ReplicaState
+    entry: ModelEntry | None
+
+    def base(self) -> str:
+        """Return the engine's name for its base."""
+        return f"{self.record.model}@{self.version}"
+
+    def adapters(self) -> list[str]:
+        """Return the engine's names for the adapters it must have."""
+        return [item.resident() for item in self.entry.adapters] if self.entry else []
+
+
+@dataclass(slots=True, frozen=True)
+class Load:
+    """Say what to load next for a replica; an adapter goes where its base is."""
+
+    resident: str
+    base: str | None
+    memory_mb: int
+    count: int
+    headroom_mb: int = 0
+
+    def kind(self) -> ResidentKind:
+        """Return the kind that an order names."""
+        return ResidentKind.ADAPTER if self.base else ResidentKind.MODEL
+
+
+def held_here(
+    records: Iterable[tuple[StoredObject, PlacementRecord]], target: str, index: BundleIndex
+) -> list[Held]:
+    """Return the replicas on a target, the most urgent models first."""
+    found = []
+    for item, record in records:
+        served = index.models.get(record.model)
+        for replica in record.on(target):
+            entry = served if served and served.version == replica.version else None
+            found.append(Held(item, record, replica.version, replica.state, entry))
+    return sorted(found, key=_urgency)
+
+
+def whole(held: Held, report: EngineState) -> bool:
+    """Tell whether a replica's base and all its adapters are ready."""
+    if held.entry is None or not report.ready(held.base()):
+        return False
+    return all(_adapter_ready(report, name, held.base()) for name in held.adapters())
+
+
+def next_load(held: Held, report: EngineState) -> Load | None:
+    """Return what a staying replica needs next: its base, then its adapters one by one."""
+    entry = held.entry
+    if entry is None or held.state is ReplicaState.LEAVING:
+        return None
+    if report.resident(held.base()) is None:
+        headroom_mb = entry.total_mb() - entry.memory_mb
+        return Load(held.base(), None, entry.memory_mb, entry.accelerators, headroom_mb)
+    if not report.ready(held.base()) or _loading_adapter(report, held.base()):
+        return None
+    for adapter in entry.adapters:
+        if report.resident(adapter.resident()) is None:
+            return Load(adapter.resident(), held.base(), adapter.memory_mb, entry.accelerators)
+    return None
+
+
+def promised_mb(helds: Iterable[Held], ledger: MemoryLedger) -> list[int]:
+    """Return the memory on each accelerator that adapters of bases loaded here still need."""
+    promised = [0] * len(ledger.capacity_mb())
+    for held in helds:
+        if held.entry is None or held.state is ReplicaState.LEAVING:
+            continue
+        missing = [it for it in held.entry.adapters if not ledger.counts(it.resident())]
+        for index in ledger.accelerators(held.base()):
+            promised[index] += sum(adapter.memory_mb for adapter in missing)
+    return promised
+
+
+def models_ready(records: Iterable[PlacementRecord], index: BundleIndex) -> set[str]:
+    """Return the models that have a READY replica of the served version anywhere."""
+    found = set()
+    for record in records:
+        entry = index.models.get(record.model)
+        if entry and any(replica.version == entry.version for replica in record.ready()):
+            found.add(record.model)
+    return found
+
+
+def unwanted(
+    helds: list[Held], report: EngineState, index: BundleIndex, elsewhere: set[str]
+) -> list[Resident]:
+    """Return ready residents that no replica here needs, adapters before their bases."""
+    adapters = []
+    bases = []
+    wanted_bases = {held.base() for held in helds}
+    for item in report.residents:
+        if item.state is not ResidentState.READY:
+            continue
+        if item.kind is ResidentKind.MODEL and item.id not in wanted_bases:
+            bases.append(item)
+        if item.kind is not ResidentKind.ADAPTER:
+            continue
+        if not _adapter_needed(item, helds, report, index, elsewhere):
+            adapters.append(item)
+    return adapters + bases
+
+
+def residents_of(held: Held, report: EngineState) -> list[str]:
+    """Return the resident ids that make up a replica: its base and what sits on it."""
+    on_it = [item.id for item in report.residents if item.base == held.base()]
+    return [held.base(), *on_it]
+
+
+def _urgency(held: Held) -> tuple[int, str, str]:
+    # A replica outside the bundle needs no load, so its place in the order is free.
+    priority = held.entry.priority if held.entry else LOWEST_PRIORITY
+    return priority, held.record.model, held.version
+
+
+def _adapter_needed(
+    adapter: Resident,
+    helds: list[Held],
+    report: EngineState,
+    index: BundleIndex,
+    elsewhere: set[str],
+) -> bool:
+    holder = next((held for held in helds if held.base() == adapter.base), None)
+    if holder is None:
+        return False
+    # An older version's adapters serve with it until it has left.
+    if holder.entry is None or adapter.id in holder.adapters():
+        return True
+    name = adapter.id.rpartition("@")[0]
+    served = index.served.get(name)
+    if served is None:
+        return False
+    if served.model.name == holder.entry.name:
+        return not report.ready(served.resident())
+    # It moved to another model: that one is READY only with all its adapters.
+    return served.model.name not in elsewhere
+
+
+def _adapter_ready(report: EngineState, name: str, base: str) -> bool:
+    found = report.resident(name)
+    return found is not None and found.base == base and report.ready(name)
+
+
+def _loading_adapter(report: EngineState, base: str) -> bool:
+    return any(
+        item.base == base and item.state is ResidentState.LOADING for item in report.residents
+    )
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/regions.py
@@ -0,0 +1,42 @@
+"""Read what every region's targets report, for checks that an operator's step needs."""
+
+from urllib.parse import unquote
+
+from mimosaspur_coordination.fit import check_fit
+from mimosaspur_state.bundle import Bundle
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_state.objects import ObjectStore
+from mimosaspur_state.records import TargetStatus
+
+ALL_STATUSES = "status/"
+
+
+def statuses_by_region(store: ObjectStore) -> dict[str, list[TargetStatus]]:
+    """Return the last known status of every target, by region."""
+    found: dict[str, list[TargetStatus]] = {}
+    for item in store.list(ALL_STATUSES).objects:
+        region = region_of(item.key)
+        found.setdefault(region, []).append(TargetStatus.from_value(item.value))
+    return found
+
+
+def region_of(key: str) -> str:
+    """Return the region that a key names in its second segment."""
+    return unquote(key.split("/")[1])
+
+
+def check_fit_everywhere(
+    store: ObjectStore, bundle: Bundle, in_force: Bundle | None, *, may_be_unknown: bool
+) -> None:
+    """Raise BUNDLE_DOES_NOT_FIT unless every region has room, each planned by itself."""
+    regions = statuses_by_region(store)
+    if not regions and not may_be_unknown:
+        detail = "No target's status is known. Start targets, or roll --without-fit-check."
+        raise MimosaspurError(ResultCode.BUNDLE_DOES_NOT_FIT, detail)
+    for region, targets in regions.items():
+        try:
+            check_fit(bundle, in_force, targets)
+        except MimosaspurError as error:
+            detail = f"In region {region!r}: {error.detail}"
+            raise MimosaspurError(error.code, detail) from error
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/steps.py
@@ -0,0 +1,70 @@
+"""Take away replicas: unwanted, dead, stuck, of old versions and on targets that leave."""
+
+from mimosaspur_coordination.draft import Draft
+from mimosaspur_coordination.packing import Need
+from mimosaspur_state.bundle import ModelEntry
+from mimosaspur_state.placement import Replica
+from mimosaspur_state.placement import ReplicaState
+
+
+def retire_unwanted(draft: Draft) -> None:
+    """Take away the models that the bundle in force no longer names."""
+    for model in list(draft.records):
+        if model in draft.view.index.models:
+            continue
+        if not draft.records[model].replicas:
+            draft.change(model, draft.records[model], "the bundle no longer names it")
+        for replica in draft.records[model].replicas:
+            if replica.state is ReplicaState.LOAD or not draft.live(replica):
+                draft.drop(model, replica, "the bundle no longer names it")
+            elif replica.state is ReplicaState.READY:
+                draft.leave(model, replica, "the bundle no longer names it")
+
+
+def drop_dead(draft: Draft, entry: ModelEntry) -> None:
+    """Drop replicas of dead targets: loads at once, others once a replacement is ready."""
+    replaced = bool(draft.good(entry))
+    for replica in draft.record(entry.name).replicas:
+        if draft.live(replica):
+            continue
+        if replica.state is ReplicaState.LOAD or replaced:
+            draft.drop(entry.name, replica, f"target {replica.target} is not alive")
+
+
+def drop_useless_loads(draft: Draft, entry: ModelEntry) -> None:
+    """Drop loads of other versions, on targets that leave, and those that take too long."""
+    for replica in draft.loads(entry.name):
+        if replica.version != entry.version:
+            draft.drop(entry.name, replica, f"version {replica.version} is no longer wanted")
+        elif not draft.stays(replica):
+            draft.drop(entry.name, replica, f"target {replica.target} is leaving")
+        elif _is_stuck(draft, entry, replica):
+            draft.drop(entry.name, replica, f"target {replica.target} did not load it in time")
+
+
+def retire_outgoing(draft: Draft, entry: ModelEntry) -> None:
+    """Have replicas of old versions and on leaving targets go, never before one replaces them."""
+    good = draft.good(entry)
+    if not good:
+        return
+    ready = draft.live_ready(entry.name)
+    outgoing = [replica for replica in ready if replica not in good]
+    # Those on leaving targets go first: their instances wait for it.
+    outgoing.sort(key=draft.stays)
+    surplus = len(ready) - entry.replicas
+    if surplus <= 0 and outgoing and not _can_add(draft, entry):
+        surplus = 1
+    for replica in outgoing[: max(0, surplus)]:
+        draft.leave(entry.name, replica, f"a replacement for {replica.target} is ready")
+
+
+def _is_stuck(draft: Draft, entry: ModelEntry, replica: Replica) -> bool:
+    view = draft.view
+    since_ms = view.loading_since_ms.get((entry.name, replica.target, replica.version))
+    return since_ms is not None and view.now_ms - since_ms >= view.load_timeout_ms
+
+
+def _can_add(draft: Draft, entry: ModelEntry) -> bool:
+    """Tell whether another replica is on its way or finds room."""
+    need = Need.of(entry)
+    return bool(draft.loads(entry.name)) or any(room.fits(need) for room in draft.candidates(entry))
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Run an instance as a daemon."""
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/application.py
@@ -0,0 +1,59 @@
+"""Own a process's tasks and clean up after them."""
+
+import signal
+import threading
+from collections.abc import Callable
+
+from mimosaspur_state.log import log
+
+PART = "APP"
+TASK_END_S = 3.0
+
+Task = Callable[[threading.Event], None]
+Hook = Callable[[], None]
+
+
+class Application:
+    """Start tasks, wait for a signal, then call the stop hooks, the newest first."""
+
+    def __init__(self) -> None:
+        self.stop = threading.Event()
+        self.asked_to_stop = threading.Event()
+        self.tasks: list[threading.Thread] = []
+        self.stop_hooks: list[Hook] = []
+
+    def spawn(self, name: str, task: Task) -> None:
+        """Run a task until the application stops; a task that fails stops the application."""
+        thread = threading.Thread(target=self._run, args=(name, task), name=name, daemon=True)
+        self.tasks.append(thread)
+        thread.start()
+
+    def on_stop(self, hook: Hook) -> None:
+        """Call a hook when the application is asked to stop."""
+        self.stop_hooks.append(hook)
+
+    def handle_signals(self) -> None:
+        """Take SIGTERM and SIGINT as the order for a graceful shutdown."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.asked_to_stop.set())
+
+    def run(self) -> None:
+        """Wait for the order to stop and carry it out."""
+        # A signal handler only runs between waits of the main thread, so the waits are bounded.
+        while not self.asked_to_stop.wait(1):
+            continue
+        log(PART, "Stops gracefully.")
+        for hook in reversed(self.stop_hooks):
+            hook()
+        self.stop.set()
+        for thread in self.tasks:
+            thread.join(TASK_END_S)
+        log(PART, "Stopped.")
+
+    def _run(self, name: str, task: Task) -> None:
+        try:
+            task(self.stop)
+        except Exception as error:
+            log(PART, "A task failed.", task=name, error=repr(error))
+            self.asked_to_stop.set()
+            raise
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/behind.py
@@ -0,0 +1,197 @@
+"""Tell apart what may stand behind a target: a model engine or a plain service."""
+
+import threading
+from collections.abc import Callable
+from typing import Protocol
+
+from mimosaspur_coordination.carriers import Carriers
+from mimosaspur_coordination.directory import service_resident
+from mimosaspur_coordination.generation import BundleHolder
+from mimosaspur_coordination.mirror import Mirror
+from mimosaspur_daemon.engine_keeper import EngineKeeper
+from mimosaspur_daemon.engine_situation import ServingSide
+from mimosaspur_daemon.runners import EngineRunner
+from mimosaspur_daemon.runners import ServiceRunner
+from mimosaspur_daemon.serving import Runner
+from mimosaspur_daemon.serving import Serving
+from mimosaspur_state import keys
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.metrics import Metrics
+from mimosaspur_state.objects import ObjectStore
+from mimosaspur_state.settings import Settings
+from mimosaspur_state.settings import TargetSettings
+from mimosaspur_transport.chat import EngineChat
+from mimosaspur_transport.engine import EngineAdmin
+from mimosaspur_transport.plainservice import PlainService
+
+REGISTER_S = 1.0
+
+
+class Behind(Protocol):
+    """Hold what the role target needs of what stands behind it."""
+
+    runner: Runner
+    on_change: list[Callable[[], None]]
+
+    def attach(self, serving: Serving) -> None:
+        """Connect with the serving side, before `run`."""
+        ...
+
+    def residents(self) -> tuple[str, ...]:
+        """Return what can be served now."""
+        ...
+
+    def free_mb(self) -> tuple[int, ...]:
+        """Return the memory left on each accelerator."""
+        ...
+
+    def capacity_mb(self) -> tuple[int, ...]:
+        """Return the memory of each accelerator."""
+        ...
+
+    def run(self, stop: threading.Event) -> None:
+        """Keep it as placement asks until told to stop."""
+        ...
+
+    def gone(self) -> bool:
+        """Tell whether nothing depends on this target any more."""
+        ...
+
+    def leave(self) -> bool:
+        """Move off placement as far as this target decides that; tell whether it is off."""
+        ...
+
+    def stay(self) -> None:
+        """Take back `leave`."""
+        ...
+
+
+class EngineBehind:
+    """Keep a model engine."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        target: TargetSettings,
+        store: ObjectStore,
+        mirror: Mirror,
+        holder: BundleHolder,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        incarnation: str,
+    ) -> None:
+        self.settings = settings
+        self.target = target
+        self.store = store
+        self.mirror = mirror
+        self.holder = holder
+        self.clock = clock
+        self.metrics = metrics
+        self.incarnation = incarnation
+        self.admin = EngineAdmin(target.address, settings.platform.timeout_ms)
+        chat = EngineChat(target.address, slots=target.slots, silent_ms=target.silent_ms)
+        self.runner: Runner = EngineRunner(chat, clock)
+        self.on_change: list[Callable[[], None]] = []
+        self.keeper: EngineKeeper | None = None
+
+    def attach(self, serving: Serving) -> None:
+        """Connect with the serving side, before `run`."""
+        self.keeper = EngineKeeper(
+            self.settings,
+            self.store,
+            self.admin,
+            self.clock,
+            self.mirror,
+            self.holder.current,
+            self.metrics,
+            serving=ServingSide(serving.using, serving.close, serving.reopen),
+            incarnation=self.incarnation,
+        )
+        self.keeper.on_change = self.on_change
+
+    def residents(self) -> tuple[str, ...]:
+        """Return what can be served now."""
+        return self.keeper.ready_residents() if self.keeper else ()
+
+    def free_mb(self) -> tuple[int, ...]:
+        """Return the memory left on each accelerator."""
+        return self.keeper.free_mb() if self.keeper else ()
+
+    def capacity_mb(self) -> tuple[int, ...]:
+        """Return the memory of each accelerator."""
+        return self.keeper.capacity_mb() if self.keeper else ()
+
+    def run(self, stop: threading.Event) -> None:
+        """Keep the engine as placement asks until told to stop."""
+        assert self.keeper is not None
+        self.keeper.run(stop)
+
+    def gone(self) -> bool:
+        """Tell whether no placement record names this target."""
+        own = self.settings.instance.name
+        records = self.mirror.under(keys.placements(self.settings.instance.region))
+        return not any(
+            replica["target"] == own for item in records for replica in item.value["replicas"]
+        )
+
+    def leave(self) -> bool:
+        """Wait for the planner, which moves the models first."""
+        return self.gone()
+
+    def stay(self) -> None:
+        """Wait for the planner, which may place models here again."""
+
+
+class ServiceBehind:
+    """Keep a plain service registered as carried by this target."""
+
+    def __init__(
+        self, settings: Settings, target: TargetSettings, store: ObjectStore, mirror: Mirror
+    ) -> None:
+        self.resident = service_resident(target.service)
+        self.runner: Runner = ServiceRunner(PlainService(target.address))
+        self.on_change: list[Callable[[], None]] = []
+        self.carriers = Carriers(
+            store,
+            mirror,
+            key=keys.carrier(settings.instance.region, target.service),
+            service=target.service,
+            target=settings.instance.name,
+        )
+        self.leaving = False
+
+    def attach(self, serving: Serving) -> None:
+        """Need nothing of the serving side."""
+
+    def residents(self) -> tuple[str, ...]:
+        """Return what can be served now."""
+        return (self.resident,)
+
+    def free_mb(self) -> tuple[int, ...]:
+        """Return nothing: a plain service has no accelerators."""
+        return ()
+
+    def capacity_mb(self) -> tuple[int, ...]:
+        """Return nothing: a plain service has no accelerators."""
+        return ()
+
+    def run(self, stop: threading.Event) -> None:
+        """Keep the service registered until told to stop."""
+        while not stop.is_set():
+            if not self.leaving:
+                self.carriers.register()
+            stop.wait(REGISTER_S)
+
+    def gone(self) -> bool:
+        """Tell whether the record no longer names this target."""
+        return not self.carriers.registered()
+
+    def leave(self) -> bool:
+        """Take this target off the record if another one carries the service."""
+        self.leaving = True
+        return self.carriers.withdraw()
+
+    def stay(self) -> None:
+        """Register again."""
+        self.leaving = False
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/dispatcher.py
@@ -0,0 +1,282 @@
+"""Have callers' requests run at targets, trying another only after "not run"."""
+
+import queue
+from collections.abc import Callable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from dataclasses import field
+
+from mimosaspur_coordination.demandcount import DemandCounter
+from mimosaspur_coordination.directory import Directory
+from mimosaspur_coordination.generation import BundleHolder
+from mimosaspur_coordination.ports import Answer
+from mimosaspur_coordination.ports import ModelCard
+from mimosaspur_coordination.retry import RetryBudget
+from mimosaspur_coordination.routing import Candidate
+from mimosaspur_coordination.routing import Router
+from mimosaspur_daemon.links import Links
+from mimosaspur_protocol.messages import Chunk
+from mimosaspur_protocol.messages import End
+from mimosaspur_protocol.messages import Failed
+from mimosaspur_protocol.messages import Refused
+from mimosaspur_protocol.messages import Started
+from mimosaspur_protocol.messages import Submit
+from mimosaspur_state.bundle import BundleIndex
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.clock import Deadline
+from mimosaspur_state.codes import Outcome
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_state.metrics import Metrics
+from mimosaspur_state.requests import Kind
+from mimosaspur_state.requests import Work
+from mimosaspur_transport.targetlink import Attempt
+from mimosaspur_transport.targetlink import Event
+from mimosaspur_transport.targetlink import TargetLink
+
+GONE_POLL_S = 0.2
+CATCH_UP_S = 1.0
+DEFAULT_RETRY_MS = 1000
+MAX_ATTEMPTS = 8
+
+
+@dataclass(slots=True)
+class Journey:
+    """Follow one request over its attempts."""
+
+    work: Work
+    deadline: Deadline
+    gone: Callable[[], bool]
+    attempts: int = 0
+    tried: set[str] = field(default_factory=set)
+    last_refusal: Refused | None = None
+    retry_after_ms: int | None = None
+    # After an attempt whose outcome is unknown, no refusal may say "not run" any more.
+    may_have_run: bool = False
+
+
+class EntryDispatcher:
+    """Serve callers' requests through the targets of this region."""
+
+    def __init__(
+        self,
+        *,
+        holder: BundleHolder,
+        directory: Directory,
+        router: Router,
+        links: Links,
+        budget: RetryBudget,
+        demand: DemandCounter,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.holder = holder
+        self.directory = directory
+        self.router = router
+        self.links = links
+        self.budget = budget
+        self.demand = demand
+        self.clock = clock
+        self.metrics = metrics
+        self.stopping = False
+
+    def dispatch(self, work: Work, deadline_ms: int, gone: Callable[[], bool]) -> Answer:
+        """Have a request run and return its answer; raise MimosaspurError."""
+        self.budget.earn()
+        journey = Journey(work, Deadline(self.clock, deadline_ms), gone)
+        model = self._model_of(work)
+        self.demand.request(model)
+        began_ms = self.clock.now_ms()
+        try:
+            answer = self._try_targets(journey)
+        except MimosaspurError as error:
+            self.metrics.count(f"entry.result.{error.code.name.lower()}")
+            if error.outcome is Outcome.NOT_RUN:
+                self.demand.refused(model)
+            raise
+        self.metrics.timing("entry.first", self.clock.now_ms() - began_ms)
+        return answer
+
+    def models(self) -> list[ModelCard]:
+        """Return what the bundle in force serves."""
+        index = self.holder.current()
+        if index is None:
+            return []
+        return [
+            ModelCard(
+                name,
+                served.adapter.version if served.adapter else served.model.version,
+                served.model.name if served.adapter else "",
+            )
+            for name, served in sorted(index.served.items())
+        ]
+
+    def ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return self.holder.current() is not None and not self.stopping
+
+    def _index(self) -> BundleIndex:
+        index = self.holder.current()
+        if index is None:
+            raise MimosaspurError(ResultCode.NO_BUNDLE, retry_after_ms=DEFAULT_RETRY_MS)
+        return index
+
+    def _model_of(self, work: Work) -> str:
+        index = self._index()
+        if work.kind is Kind.SERVICE:
+            if work.name not in index.services:
+                raise MimosaspurError(ResultCode.UNKNOWN_SERVICE, f"It is {work.name!r}.")
+            return work.name
+        served = index.served.get(work.name)
+        if served is None:
+            raise MimosaspurError(ResultCode.UNKNOWN_MODEL, f"It is {work.name!r}.")
+        return served.model.name
+
+    def _candidates(self, index: BundleIndex, work: Work) -> list[Candidate]:
+        if work.kind is Kind.SERVICE:
+            return self.directory.for_service(work.name)
+        served = index.served.get(work.name)
+        if served is None:
+            raise MimosaspurError(ResultCode.UNKNOWN_MODEL, f"It is {work.name!r}.")
+        return self.directory.for_model(served)
+
+    def _try_targets(self, journey: Journey) -> Answer:
+        while True:
+            index = self._index()
+            candidate = self._choose(index, journey)
+            link = self.links.to(candidate.hint)
+            attempt = self._submit(journey, index, candidate, link)
+            if attempt is None:
+                journey.tried.add(candidate.hint.name)
+                continue
+            answer = self._first_event(journey, attempt, link, candidate)
+            if answer:
+                return answer
+            self._check_retry(journey)
+
+    def _choose(self, index: BundleIndex, journey: Journey) -> Candidate:
+        candidates = self._candidates(index, journey.work)
+        candidate = self.router.choose(
+            candidates,
+            tried=journey.tried,
+            prefix=journey.work.prefix,
+            now_ms=self.clock.now_ms(),
+        )
+        if candidate:
+            return candidate
+        raise _refused(journey)
+
+    def _submit(
+        self, journey: Journey, index: BundleIndex, candidate: Candidate, link: TargetLink
+    ) -> Attempt | None:
+        journey.attempts += 1
+        left_ms = journey.deadline.left_ms()
+        if left_ms == 0:
+            raise _refused(journey, ResultCode.DEADLINE_UNREACHABLE)
+        submit = Submit(
+            journey.attempts, index.generation, left_ms, candidate.resident, journey.work
+        )
+        return link.submit(submit, wait_ms=min(left_ms, self.links.settings.connect_ms))
+
+    def _first_event(
+        self, journey: Journey, attempt: Attempt, link: TargetLink, candidate: Candidate
+    ) -> Answer | None:
+        """Return the answer once it has begun, or None when another target may be tried."""
+        try:
+            event = self._next(journey, attempt)
+            if isinstance(event, Started):
+                chunks = self._chunks(journey, attempt, link)
+                return Answer(event.status, event.content_type, event.replayed, chunks)
+        except BaseException:
+            link.finish(attempt)
+            raise
+        link.finish(attempt)
+        if isinstance(event, Refused):
+            self._note_refusal(journey, event, candidate)
+            return None
+        assert isinstance(event, Failed)
+        journey.tried.add(candidate.hint.name)
+        journey.may_have_run = True
+        if not journey.work.idempotent:
+            raise _failure(event)
+        return None
+
+    def _note_refusal(self, journey: Journey, refusal: Refused, candidate: Candidate) -> None:
+        self.metrics.count(f"entry.refused.{refusal.code.name.lower()}")
+        journey.last_refusal = refusal
+        if refusal.code is ResultCode.STALE_GENERATION:
+            self.holder.wait_for(self.holder.generation() + 1, CATCH_UP_S)
+            return
+        if refusal.code is ResultCode.DRAINING:
+            candidate.hint.draining = True
+        if refusal.code in _FINAL_REFUSALS:
+            raise _refused(journey)
+        journey.tried.add(candidate.hint.name)
+        known = journey.retry_after_ms
+        journey.retry_after_ms = min(known or refusal.retry_after_ms, refusal.retry_after_ms)
+
+    def _check_retry(self, journey: Journey) -> None:
+        if journey.attempts >= MAX_ATTEMPTS or not self.budget.spend():
+            raise _refused(journey, ResultCode.RETRIES_EXHAUSTED)
+
+    def _next(self, journey: Journey, attempt: Attempt) -> Event:
+        while True:
+            try:
+                return attempt.events.get(timeout=GONE_POLL_S)
+            except queue.Empty:
+                self._check_patience(journey)
+
+    def _check_patience(self, journey: Journey) -> None:
+        if journey.gone():
+            raise MimosaspurError(ResultCode.CANCELLED, outcome=Outcome.UNKNOWN)
+        if journey.deadline.passed():
+            raise MimosaspurError(ResultCode.DEADLINE_PASSED, outcome=Outcome.UNKNOWN)
+
+    def _chunks(self, journey: Journey, attempt: Attempt, link: TargetLink) -> Iterator[bytes]:
+        try:
+            while True:
+                event = self._next_chunk(journey, attempt)
+                if isinstance(event, Chunk):
+                    yield event.data
+                elif isinstance(event, End):
+                    return
+                elif isinstance(event, Failed):
+                    raise _failure(event)
+        finally:
+            link.finish(attempt)
+
+    def _next_chunk(self, journey: Journey, attempt: Attempt) -> Event:
+        while True:
+            try:
+                return attempt.events.get(timeout=GONE_POLL_S)
+            except queue.Empty:
+                if journey.gone():
+                    raise MimosaspurError(ResultCode.CANCELLED, outcome=Outcome.UNKNOWN) from None
+
+
+# Another target would say the same.
+_FINAL_REFUSALS = frozenset(
+    {
+        ResultCode.KEY_REUSED,
+        ResultCode.CLAIM_IN_PROGRESS,
+        ResultCode.PLATFORM_DOWN,
+        ResultCode.CLAIM_RATE,
+        ResultCode.CANCELLED,
+    }
+)
+
+
+def _refused(journey: Journey, code: ResultCode | None = None) -> MimosaspurError:
+    refusal = journey.last_refusal
+    if refusal and code in (None, ResultCode.RETRIES_EXHAUSTED):
+        code = refusal.code
+    return MimosaspurError(
+        code or ResultCode.NO_READY_TARGET,
+        refusal.detail if refusal else "",
+        retry_after_ms=journey.retry_after_ms or DEFAULT_RETRY_MS,
+        outcome=Outcome.UNKNOWN if journey.may_have_run else Outcome.NOT_RUN,
+    )
+
+
+def _failure(event: Failed) -> MimosaspurError:
+    return MimosaspurError(event.code, event.detail, outcome=event.outcome)
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/engine_keeper.py
@@ -0,0 +1,287 @@
+"""Keep the engine's memory: the one task that gives a target's engine its orders."""
+
+import threading
+import uuid
+from collections.abc import Callable
+from functools import partial
+
+import msgspec
+
+from mimosaspur_coordination import orders
+from mimosaspur_coordination import replicas
+from mimosaspur_coordination.engineport import EnginePort
+from mimosaspur_coordination.mirror import Mirror
+from mimosaspur_coordination.orders import Held
+from mimosaspur_daemon.engine_orders import OrderSender
+from mimosaspur_daemon.engine_right import OrderRight
+from mimosaspur_daemon.engine_situation import ServingSide
+from mimosaspur_daemon.engine_situation import Situation
+from mimosaspur_daemon.engine_situation import records_of
+from mimosaspur_daemon.engine_situation import situation_of
+from mimosaspur_state import keys
+from mimosaspur_state.bundle import BundleIndex
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.engine import EngineState
+from mimosaspur_state.engine import Resident
+from mimosaspur_state.engine import ResidentState
+from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_state.errors import StoreUnavailable
+from mimosaspur_state.ledger import MemoryLedger
+from mimosaspur_state.log import log
+from mimosaspur_state.metrics import Metrics
+from mimosaspur_state.objects import ObjectStore
+from mimosaspur_state.placement import PlacementRecord
+from mimosaspur_state.placement import ReplicaState
+from mimosaspur_state.placement import placement_from_value
+from mimosaspur_state.settings import Settings
+from mimosaspur_state.settings import TargetSettings
+
+PART = "ENGINE"
+PAUSE_POLLS = 2
+PAUSE_EXTRA_MS = 1000
+MS_PER_SECOND = 1000
+
+
+class EngineKeeper:
+    """Bring the engine to what placement asks of it; public reads are safe from any thread.
+
+    Start `run` only once the target's listen address is bound: from then on no predecessor runs.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: ObjectStore,
+        engine: EnginePort,
+        clock: Clock,
+        mirror_placements: Mirror,
+        current_bundle: Callable[[], BundleIndex | None],
+        metrics: Metrics,
+        *,
+        serving: ServingSide,
+        incarnation: str = "",
+    ) -> None:
+        if settings.target is None:
+            raise ValueError("an engine keeper needs the settings section target")
+        self.target: TargetSettings = settings.target
+        self.name = settings.instance.name
+        self.region = settings.instance.region
+        self.store = store
+        self.clock = clock
+        self.mirror = mirror_placements
+        self.current_bundle = current_bundle
+        self.metrics = metrics
+        self.serving = serving
+        self.longest_pause_ms = PAUSE_POLLS * self.target.poll_ms + PAUSE_EXTRA_MS
+        self.ledger = MemoryLedger(longest_order_delay_ms=self.target.longest_order_delay_ms)
+        self.sender = OrderSender(
+            engine, self.ledger, clock, longest_pause_ms=self.longest_pause_ms
+        )
+        self.right = OrderRight(
+            store,
+            self.sender,
+            clock,
+            target=self.name,
+            incarnation=incarnation or uuid.uuid4().hex,
+            settings=self.target,
+        )
+        self.on_change: list[Callable[[], None]] = []
+        self.closed: set[str] = set()
+        self.wake = threading.Event()
+        self._ready: tuple[str, ...] = ()
+        self._free_mb: tuple[int, ...] = ()
+        self._capacity_mb: tuple[int, ...] = ()
+        self._round_ended_ms = clock.now_ms()
+        self._store_answers = True
+        self.mirror.listeners.append(lambda item: self.wake.set())
+
+    def ready_residents(self) -> tuple[str, ...]:
+        """Return the ids of models and adapters that may be used now, sorted."""
+        return self._ready
+
+    def free_mb(self) -> tuple[int, ...]:
+        """Return the memory left on each accelerator; empty before the first report."""
+        return self._free_mb
+
+    def capacity_mb(self) -> tuple[int, ...]:
+        """Return the memory of each accelerator; empty before the first report."""
+        return self._capacity_mb
+
+    def run(self, stop: threading.Event) -> None:
+        """Go round every poll_ms, or sooner when placement changes, until told to stop."""
+        self.right.start()
+        while not stop.is_set():
+            try:
+                self.round()
+            except (MimosaspurError, msgspec.ValidationError) as error:
+                # The task must outlive one object that it can't read or write.
+                log(PART, "A round ended early.", error=str(error))
+            self.wake.wait(self.target.poll_ms / MS_PER_SECOND)
+            self.wake.clear()
+
+    def round(self) -> None:
+        """Read the engine's report, then settle records and give the orders that fit."""
+        if self.clock.now_ms() - self._round_ended_ms > self.longest_pause_ms:
+            self.right.doubt()
+        report = self.sender.read()
+        if report is not None:
+            self._publish(report)
+            self._act(report)
+            self._publish(report)
+        else:
+            self.metrics.count("engine.unanswered")
+        self._round_ended_ms = self.clock.now_ms()
+
+    def _act(self, report: EngineState) -> None:
+        if not self.right.held(report):
+            return
+        # A predecessor is fenced off even before there is a bundle to act by.
+        cleared = self.right.cleared(report)
+        situation = self._situation(report)
+        if situation is None:
+            return
+        self._store_answers = True
+        # Loads come first: they need no store, and a store that is silent takes its time.
+        if cleared:
+            self._reopen(situation)
+            self._load(situation)
+        self._mark_lost(situation)
+        if cleared:
+            self._mark_ready(situation)
+            self._leave(situation)
+            self._unload(situation)
+
+    def _situation(self, report: EngineState) -> Situation | None:
+        index = self.current_bundle()
+        if index is None or not self.mirror.listed.is_set():
+            return None
+        records = records_of(self.mirror, self.region)
+        return situation_of(report, index, records, self.name)
+
+    def _mark_lost(self, situation: Situation) -> None:
+        for held in situation.helds:
+            lost = held.state is not ReplicaState.LOAD
+            if not lost or situation.report.ready(held.base()):
+                continue
+            log(PART, "The engine lost a replica.", resident=held.base())
+            self._stored(replicas.mark_lost, held)
+
+    def _mark_ready(self, situation: Situation) -> None:
+        for held in situation.helds:
+            if held.state is not ReplicaState.LOAD or not orders.whole(held, situation.report):
+                continue
+            if any(self._unload_pending(name) for name in (held.base(), *held.adapters())):
+                continue
+            self._stored(replicas.mark_ready, held)
+
+    def _stored(self, change: Callable[..., object], held: Held) -> bool:
+        """Make a change in the store; an unsettled one is taken up again in the next round."""
+        learn = self.mirror.learn
+        if not self._store_answers:
+            return False
+        try:
+            return bool(change(self.store, held.item, self.name, held.version, learn=learn))
+        except StoreUnavailable as error:
+            log(PART, "The object API did not settle a change.", error=str(error))
+            self._store_answers = False
+            return False
+
+    def _leave(self, situation: Situation) -> None:
+        for held in situation.helds:
+            if held.state is not ReplicaState.LEAVING or not self._store_answers:
+                continue
+            if not replicas.replaced(held.record, self.name, held.version, situation.index):
+                continue
+            self._leave_one(held, situation)
+
+    def _leave_one(self, held: Held, situation: Situation) -> None:
+        parts = orders.residents_of(held, situation.report)
+        for name in parts:
+            self._close(name)
+        left = self._stored(partial(replicas.leave, index=situation.index), held)
+        if left:
+            log(PART, "A replica left.", resident=held.base())
+            self.wake.set()
+            return
+        # It stays the one that callers need until a replacement is ready.
+        for name in parts:
+            self._open(name)
+
+    def _reopen(self, situation: Situation) -> None:
+        leaving = {item.id for item in situation.unwanted}
+        leaving.update(
+            item.id for item in situation.report.residents if item.state is ResidentState.UNLOADING
+        )
+        for held in situation.helds:
+            if held.state is ReplicaState.LEAVING:
+                leaving.update(orders.residents_of(held, situation.report))
+        for name in self.closed - leaving:
+            if not self._unload_pending(name):
+                self._open(name)
+
+    def _load(self, situation: Situation) -> None:
+        # No store was asked since the report, so only a pause can have made it old.
+        if not self.sender.fresh():
+            self.right.doubt()
+        for held in situation.helds:
+            step = orders.next_load(held, situation.report)
+            if step is None or not self.sender.fresh():
+                continue
+            promised_mb = orders.promised_mb(situation.helds, self.ledger)
+            if not self.sender.load(step, promised_mb):
+                self.metrics.count("engine.load_waits")
+
+    def _unload(self, situation: Situation) -> None:
+        bases = {item.base for item in situation.report.residents}
+        for item in situation.unwanted:
+            if item.id not in self.closed and self._confirmed(item, situation):
+                self._close(item.id)
+            if item.id not in self.closed or item.id in bases or self.serving.in_use(item.id):
+                continue
+            if self._confirmed(item, situation) and self.sender.fresh():
+                self.sender.unload(item.id)
+
+    def _confirmed(self, item: Resident, situation: Situation) -> bool:
+        """Tell whether the record itself, not the mirror's copy, lets a resident go."""
+        base = item.base or item.id
+        if item.base and any(held.base() == base for held in situation.helds):
+            return True
+        if not self._store_answers:
+            return False
+        model, _, version = base.rpartition("@")
+        try:
+            found = self.store.get(keys.placement(self.region, model))
+        except StoreUnavailable:
+            self._store_answers = False
+            return False
+        record = placement_from_value(found.value) if found else PlacementRecord(model, 0)
+        if found:
+            self.mirror.learn(found)
+        if any(replica.version == version for replica in record.on(self.name)):
+            return False
+        entry = situation.index.models.get(model)
+        if entry is None or entry.version != version:
+            return True
+        return replicas.replaced(record, self.name, version, situation.index)
+
+    def _unload_pending(self, name: str) -> bool:
+        return self.ledger.unsettled(name) is not None
+
+    def _close(self, name: str) -> None:
+        self.closed.add(name)
+        self.serving.close(name)
+
+    def _open(self, name: str) -> None:
+        self.closed.discard(name)
+        self.serving.reopen(name)
+
+    def _publish(self, report: EngineState) -> None:
+        ready = [item.id for item in report.residents if report.ready(item.id)]
+        usable = tuple(sorted(set(ready) - self.closed))
+        self._free_mb = self.ledger.free_mb()
+        self._capacity_mb = report.capacity_mb
+        if usable == self._ready:
+            return
+        self._ready = usable
+        for listener in self.on_change:
+            listener()
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/engine_orders.py
@@ -0,0 +1,199 @@
+"""Send an engine its orders, each held in the memory ledger until a report settles it."""
+
+import uuid
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from mimosaspur_coordination.engineport import EnginePort
+from mimosaspur_coordination.orders import Load
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.engine import EngineOrder
+from mimosaspur_state.engine import EngineState
+from mimosaspur_state.engine import EngineUnavailable
+from mimosaspur_state.engine import OrderFenced
+from mimosaspur_state.engine import OrderKind
+from mimosaspur_state.engine import OrderOutcome
+from mimosaspur_state.engine import OrderRefused
+from mimosaspur_state.engine import OrderState
+from mimosaspur_state.ledger import MemoryLedger
+from mimosaspur_state.log import log
+
+PART = "ENGINE"
+FIRST_PAUSE_MS = 500
+LONGEST_PAUSE_MS = 10_000
+
+
+@dataclass(slots=True)
+class Retry:
+    """Say when an order that failed may be given again."""
+
+    pause_ms: int
+    at_ms: int
+
+
+class OrderSender:
+    """Give one engine its orders and read its reports; used by one task only."""
+
+    __slots__ = (
+        "clock",
+        "ended",
+        "engine",
+        "fenced_out",
+        "ledger",
+        "longest_pause_ms",
+        "orders",
+        "retries",
+        "token",
+    )
+
+    def __init__(
+        self, engine: EnginePort, ledger: MemoryLedger, clock: Clock, *, longest_pause_ms: int
+    ) -> None:
+        self.engine = engine
+        self.ledger = ledger
+        self.clock = clock
+        self.longest_pause_ms = longest_pause_ms
+        self.token = 0
+        self.fenced_out = False
+        self.orders: dict[str, EngineOrder] = {}
+        self.ended: set[str] = set()
+        self.retries: dict[str, Retry] = {}
+
+    def read(self) -> EngineState | None:
+        """Read the engine's report and settle the ledger by it; None when it didn't answer."""
+        asked_at_ms = self.clock.now_ms()
+        try:
+            report = self.engine.state()
+        except EngineUnavailable as error:
+            log(PART, "The engine did not report.", error=str(error))
+            return None
+        for lost in self.ledger.settle(report, asked_at_ms=asked_at_ms):
+            log(PART, "Gave an order up as lost.", order=lost.order_id, resident=lost.resident)
+        self._note_outcomes(report)
+        return report
+
+    def fresh(self) -> bool:
+        """Tell whether the last report is young enough to order by; a pause makes it old."""
+        return self.clock.now_ms() - self.ledger.asked_at_ms <= self.longest_pause_ms
+
+    def fence(self) -> None:
+        """Have the engine refuse every order with an older token."""
+        self._send(EngineOrder(uuid.uuid4().hex, self.token, OrderKind.FENCE))
+
+    def load(self, step: Load, promised_mb: Sequence[int]) -> bool:
+        """Order a load that fits, or repeat one whose outcome is unknown; tell if it was sent."""
+        if self._repeated(step.resident):
+            return True
+        if self._must_wait(step.resident):
+            return False
+        order_id = uuid.uuid4().hex
+        chosen = self._reserve(order_id, step, promised_mb)
+        if chosen is None:
+            return False
+        order = EngineOrder(
+            order_id,
+            self.token,
+            OrderKind.LOAD,
+            step.resident,
+            step.base,
+            step.kind(),
+            step.memory_mb,
+            chosen,
+        )
+        self._send(order)
+        return True
+
+    def unload(self, resident: str) -> bool:
+        """Order an unload, or repeat an order whose outcome is unknown; tell if it was sent."""
+        if self._repeated(resident):
+            return True
+        if self._must_wait(resident):
+            return False
+        order = EngineOrder(uuid.uuid4().hex, self.token, OrderKind.UNLOAD, resident)
+        self.ledger.hold_unload(order.order_id, resident, now_ms=self.clock.now_ms())
+        self._send(order)
+        return True
+
+    def _reserve(
+        self, order_id: str, step: Load, promised_mb: Sequence[int]
+    ) -> tuple[int, ...] | None:
+        now_ms = self.clock.now_ms()
+        if step.base:
+            place = self.ledger.accelerators(step.base)
+            return self.ledger.try_reserve_on(
+                order_id, step.resident, step.memory_mb, place, now_ms=now_ms
+            )
+        return self.ledger.try_reserve(
+            order_id,
+            step.resident,
+            step.memory_mb,
+            step.count,
+            now_ms=now_ms,
+            headroom_mb=step.headroom_mb,
+            keep_free_mb=promised_mb,
+        )
+
+    def _repeated(self, resident: str) -> bool:
+        held = self.ledger.unsettled(resident)
+        if held is None or held.order_id not in self.orders:
+            return False
+        # The same order is never done twice, so repeating it settles its outcome.
+        self._send(self.orders[held.order_id])
+        return True
+
+    def _must_wait(self, resident: str) -> bool:
+        retry = self.retries.get(resident)
+        return retry is not None and self.clock.now_ms() < retry.at_ms
+
+    def _send(self, order: EngineOrder) -> None:
+        if self.fenced_out:
+            return
+        self.orders[order.order_id] = order
+        answered = False
+        try:
+            self.engine.order(order)
+            answered = True
+            log(
+                PART,
+                "Gave the engine an order.",
+                order=order.order_id,
+                kind=order.kind.value,
+                resident=order.id,
+            )
+        except EngineUnavailable as error:
+            log(PART, "An order's outcome is unknown.", order=order.order_id, error=str(error))
+        except OrderFenced as error:
+            self.fenced_out = True
+            self.ledger.refused(order.order_id)
+            log(PART, "A successor owns the engine; giving no more orders.", newest=error.newest)
+        except OrderRefused as error:
+            self.ledger.refused(order.order_id)
+            self._pause(order.id)
+            log(PART, "The engine refused an order.", order=order.order_id, error=str(error))
+        self.ledger.sent(order.order_id, at_ms=self.clock.now_ms(), answered=answered)
+
+    def _note_outcomes(self, report: EngineState) -> None:
+        for order_id, order in list(self.orders.items()):
+            known = report.order(order_id)
+            if known and known.state is not OrderOutcome.RUNNING and order_id not in self.ended:
+                self.ended.add(order_id)
+                self._note_end(order, known)
+            running = known is not None and known.state is OrderOutcome.RUNNING
+            if order_id not in self.ledger.held and not running:
+                del self.orders[order_id]
+                self.ended.discard(order_id)
+
+    def _note_end(self, order: EngineOrder, known: OrderState) -> None:
+        if known.state is OrderOutcome.FAILED:
+            self._note_failure(order, known.detail)
+        else:
+            self.retries.pop(order.id, None)
+
+    def _note_failure(self, order: EngineOrder, detail: str) -> None:
+        log(PART, "An order failed.", order=order.order_id, resident=order.id, detail=detail)
+        self._pause(order.id)
+
+    def _pause(self, resident: str) -> None:
+        last = self.retries.get(resident)
+        pause_ms = min(2 * last.pause_ms, LONGEST_PAUSE_MS) if last else FIRST_PAUSE_MS
+        self.retries[resident] = Retry(pause_ms, self.clock.now_ms() + pause_ms)
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/entryrole.py
@@ -0,0 +1,133 @@
+"""Put the role entry together."""
+
+import random
+import threading
+import uuid
+
+from mimosaspur_coordination.demandcount import DemandCounter
+from mimosaspur_coordination.directory import Directory
+from mimosaspur_coordination.generation import BundleFetcher
+from mimosaspur_coordination.generation import BundleHolder
+from mimosaspur_coordination.mirror import Mirror
+from mimosaspur_coordination.retry import RetryBudget
+from mimosaspur_coordination.routing import Router
+from mimosaspur_daemon.application import Application
+from mimosaspur_daemon.dispatcher import EntryDispatcher
+from mimosaspur_daemon.links import Links
+from mimosaspur_daemon.platform import open_instance_list
+from mimosaspur_daemon.platform import open_store
+from mimosaspur_daemon.reports import DemandReporter
+from mimosaspur_state import keys
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.errors import StoreUnavailable
+from mimosaspur_state.log import log
+from mimosaspur_state.metrics import Metrics
+from mimosaspur_state.settings import Policy
+from mimosaspur_state.settings import Settings
+from mimosaspur_transport.callers import CallerServer
+
+PART = "ENTRY"
+STOP_GRACE_MS = 30_000
+# An entry that starts in an outage asks this many targets for the bundle and what they hold.
+ASKED_IN_OUTAGE = 64
+
+
+class EntryRole:
+    """Own everything that the role entry runs."""
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        assert settings.entry is not None
+        self.settings = settings
+        self.clock = clock
+        self.incarnation = uuid.uuid4().hex
+        self.store = open_store(settings, clock)
+        self.instance_list = open_instance_list(settings, clock)
+        self.metrics = Metrics(settings.statsd, instance=settings.instance.name)
+        self.holder = BundleHolder()
+        region = settings.instance.region
+        prefixes = (keys.HEAD, keys.placements(region), keys.carriers(region))
+        self.mirror = Mirror(self.store, prefixes, wait_ms=settings.platform.watch_ms)
+        self.fetcher = BundleFetcher(self.store, self.holder)
+        self.mirror.listeners.append(self.fetcher.head_changed)
+        self.directory = Directory(self.mirror, region=region)
+        self.demand = DemandCounter()
+        self.links = Links(
+            instance=settings.instance.name,
+            incarnation=self.incarnation,
+            settings=settings.peers,
+            idle_ms=settings.entry.peer_idle_ms,
+            clock=clock,
+            holder=self.holder,
+        )
+        self.dispatcher = self._dispatcher()
+        self.server = CallerServer(settings.entry, self.dispatcher, clock, self.metrics)
+
+    def start(self, app: Application) -> str:
+        """Start all tasks; return the address that callers reach."""
+        app.spawn("mirror", self.mirror.run)
+        app.spawn("bundles", self.fetcher.run)
+        app.spawn("instances", self.follow_instances)
+        app.spawn("demand", DemandReporter(self.store, self.settings, self.demand).run)
+        assert self.settings.entry is not None
+        if self.settings.entry.planner:
+            self._start_planner(app)
+        self.server.start()
+        app.on_stop(self.shut_down)
+        return self.server.address
+
+    def shut_down(self) -> None:
+        """Take nothing new, let answers end, then close the links."""
+        self.dispatcher.stopping = True
+        self.server.stop(STOP_GRACE_MS)
+        self.links.stop()
+
+    def follow_instances(self, stop: threading.Event) -> None:
+        """Read the instance list until told to stop."""
+        pause_s = self.settings.platform.instance_list_ms / 1000
+        while not stop.is_set():
+            self._read_instances()
+            stop.wait(pause_s)
+
+    def _read_instances(self) -> None:
+        try:
+            instances = self.instance_list.instances()
+        except StoreUnavailable as error:
+            log(PART, "Could not read the instance list.", error=str(error))
+            return
+        self.directory.update(instances)
+        if not self.mirror.reachable:
+            self._ask_targets()
+
+    def _ask_targets(self) -> None:
+        hints = list(self.directory.hints.values())
+        random.shuffle(hints)
+        for hint in hints[:ASKED_IN_OUTAGE]:
+            self.links.to(hint).connect_soon()
+
+    def _dispatcher(self) -> EntryDispatcher:
+        entry = self.settings.entry
+        assert entry is not None
+        router = Router(
+            failure_domain=self.settings.instance.failure_domain,
+            random_source=random.Random(),
+            naive=self.settings.policy is Policy.NAIVE,
+        )
+        return EntryDispatcher(
+            holder=self.holder,
+            directory=self.directory,
+            router=router,
+            links=self.links,
+            budget=RetryBudget(ratio=entry.retry_ratio, burst=entry.retry_burst),
+            demand=self.demand,
+            clock=self.clock,
+            metrics=self.metrics,
+        )
+
+    def _start_planner(self, app: Application) -> None:
+        # Only an entry that may plan pays for the planner's code.
+        from mimosaspur_daemon.planner_duty import PlannerDuty
+
+        duty = PlannerDuty(
+            self.store, self.settings, self.incarnation, self.clock, self.holder.current
+        )
+        app.spawn("planner", duty.run)
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/ownrecord.py
@@ -0,0 +1,42 @@
+"""Keep one record that only this instance writes."""
+
+from mimosaspur_state.errors import StoreUnavailable
+from mimosaspur_state.errors import VersionConflict
+from mimosaspur_state.objects import ABSENT
+from mimosaspur_state.objects import ObjectStore
+from mimosaspur_state.records import Record
+
+
+class OwnRecord:
+    """Write a record by conditional updates, taking over what a predecessor left."""
+
+    __slots__ = ("key", "store", "version")
+
+    def __init__(self, store: ObjectStore, key: str) -> None:
+        self.store = store
+        self.key = key
+        self.version = ABSENT
+
+    def write(self, record: Record) -> bool:
+        """Write it; tell whether that is known to have worked."""
+        value = record.to_value()
+        try:
+            if self.version == ABSENT:
+                self.version = self.store.create(self.key, value)
+            else:
+                self.version = self.store.update(self.key, value, self.version)
+        except VersionConflict as conflict:
+            # An earlier write of ours whose answer was lost, or a predecessor's record.
+            self.version = conflict.version
+            return False
+        except StoreUnavailable:
+            return False
+        return True
+
+    def remove(self) -> None:
+        """Delete it if that can be done now."""
+        try:
+            self.store.delete(self.key, self.version)
+        except (StoreUnavailable, VersionConflict):
+            return
+        self.version = ABSENT
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/planner_duty.py
@@ -0,0 +1,205 @@
+"""Plan a region while this entry holds the duty."""
+
+import threading
+from collections.abc import Callable
+from random import Random
+
+from mimosaspur_coordination.buckets import TokenBucket
+from mimosaspur_coordination.lease import DutyLease
+from mimosaspur_coordination.mirror import Mirror
+from mimosaspur_coordination.naive import plan_naively
+from mimosaspur_coordination.planner import plan
+from mimosaspur_coordination.view import PlannerView
+from mimosaspur_coordination.view import RecordChange
+from mimosaspur_daemon.planner_watch import PlannerWatch
+from mimosaspur_state import keys
+from mimosaspur_state.bundle import BundleIndex
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.errors import StoreUnavailable
+from mimosaspur_state.errors import VersionConflict
+from mimosaspur_state.log import log
+from mimosaspur_state.metrics import Metrics
+from mimosaspur_state.objects import ABSENT
+from mimosaspur_state.objects import ObjectStore
+from mimosaspur_state.objects import StoredObject
+from mimosaspur_state.placement import PlacementRecord
+from mimosaspur_state.placement import Replica
+from mimosaspur_state.placement import ReplicaState
+from mimosaspur_state.settings import Policy
+from mimosaspur_state.settings import Settings
+
+PART = "PLANNER"
+RENEWALS = 3
+MS_PER_SECOND = 1000
+
+Current = Callable[[], BundleIndex | None]
+
+
+class PlannerDuty:
+    """Take the lease, follow the region while holding it, and write the moves decided."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        settings: Settings,
+        incarnation: str,
+        clock: Clock,
+        current: Current,
+        *,
+        metrics: Metrics | None = None,
+        random: Random | None = None,
+    ) -> None:
+        self.store = store
+        self.settings = settings
+        self.clock = clock
+        self.current = current
+        self.metrics = metrics or Metrics()
+        self.random = random or Random()
+        self.region = settings.instance.region
+        self.lease = DutyLease(
+            store,
+            keys.planner_lease(self.region),
+            settings.instance.name,
+            incarnation,
+            clock,
+            settings.planner.lease_ms,
+        )
+        self.bucket = TokenBucket(settings.weight_store.loads_per_second, clock=clock)
+        self.watch: PlannerWatch | None = None
+        self.watch_stop = threading.Event()
+        self.holds = False
+        self.asked_ms: int | None = None
+        self.held_ms = 0
+        self.unsettled: set[str] = set()
+
+    def run(self, stop: threading.Event) -> None:
+        """Plan every interval until told to stop."""
+        try:
+            while not stop.wait(self.settings.planner.interval_ms / MS_PER_SECOND):
+                self.tick()
+        finally:
+            self._stop_watching()
+            if self.holds:
+                self.lease.release()
+
+    def tick(self) -> None:
+        """Renew or ask for the lease when due, and make one planning pass if we hold it."""
+        self._ask()
+        index = self.current()
+        watch = self.watch
+        if not self.holds or watch is None or index is None:
+            return
+        # A copy that may be behind by an outage would move what is well where it is.
+        if not watch.mirror.listed.is_set() or not watch.mirror.reachable:
+            return
+        if self._settle(watch.mirror):
+            self._plan(watch, index)
+
+    def _ask(self) -> None:
+        now_ms = self.clock.now_ms()
+        lease_ms = self.settings.planner.lease_ms
+        if self.asked_ms is not None and now_ms - self.asked_ms < lease_ms // RENEWALS:
+            return
+        self.asked_ms = now_ms
+        self.holds = self.lease.hold()
+        if self.holds:
+            self.held_ms = now_ms
+            self._start_watching()
+        elif now_ms - self.held_ms >= lease_ms:
+            # One lost answer must not cost the graces that run: only a lost lease does.
+            self._stop_watching()
+
+    def _start_watching(self) -> None:
+        if self.watch is not None:
+            return
+        log(PART, "Took up the planner duty.", region=self.region)
+        prefixes = (
+            keys.placements(self.region),
+            keys.statuses(self.region),
+            keys.demands(self.region),
+            keys.DRAINS,
+        )
+        mirror = Mirror(self.store, prefixes, wait_ms=self.settings.platform.watch_ms)
+        self.watch = PlannerWatch(mirror, self.settings)
+        self.watch_stop = threading.Event()
+        thread = threading.Thread(
+            target=mirror.run, args=(self.watch_stop,), name="planner-mirror", daemon=True
+        )
+        thread.start()
+
+    def _stop_watching(self) -> None:
+        if self.watch is None:
+            return
+        log(PART, "Gave up the planner duty.", region=self.region)
+        self.watch_stop.set()
+        self.watch = None
+        self.unsettled.clear()
+
+    def _settle(self, mirror: Mirror) -> bool:
+        """Read back records whose write had no answer; tell whether all are known."""
+        for key in sorted(self.unsettled):
+            try:
+                found = self.store.get(key)
+            except StoreUnavailable:
+                return False
+            if found:
+                mirror.learn(found)
+            self.unsettled.discard(key)
+        return True
+
+    def _plan(self, watch: PlannerWatch, index: BundleIndex) -> None:
+        view = watch.view(index, self.clock.now_ms())
+        for change in self._decide(view):
+            key = keys.placement(self.region, change.model)
+            try:
+                version = self._write(key, change)
+            except VersionConflict:
+                # Someone changed it since; the next pass sees how.
+                continue
+            except StoreUnavailable:
+                self.unsettled.add(key)
+                return
+            value = change.new.to_value() if change.new else None
+            watch.mirror.learn(StoredObject(key, version, value))
+            placed = view.placed.get(change.model)
+            self._report(change, placed.record if placed else None)
+
+    def _decide(self, view: PlannerView) -> list[RecordChange]:
+        if self.settings.policy is Policy.NAIVE:
+            return plan_naively(view, self.bucket, self.random)
+        return plan(view, self.bucket)
+
+    def _write(self, key: str, change: RecordChange) -> int:
+        if change.new is None:
+            self.store.delete(key, change.record_version)
+            return change.record_version
+        if change.record_version == ABSENT:
+            return self.store.create(key, change.new.to_value())
+        return self.store.update(key, change.new.to_value(), change.record_version)
+
+    def _report(self, change: RecordChange, old: PlacementRecord | None) -> None:
+        before = set(old.replicas) if old else set()
+        after = set(change.new.replicas) if change.new else set()
+        loads = [item for item in after - before if item.state is ReplicaState.LOAD]
+        stayed = {(item.target, item.version) for item in after if not _leaves(item)}
+        unloads = [
+            item
+            for item in before
+            if not _leaves(item) and (item.target, item.version) not in stayed
+        ]
+        if loads:
+            self.metrics.count("moves.load", len(loads))
+        if unloads:
+            self.metrics.count("moves.unload", len(unloads))
+        log(
+            PART,
+            "Changed a placement record.",
+            model=change.model,
+            reason=change.reason,
+            loads=[item.target for item in loads],
+            unloads=[item.target for item in unloads],
+        )
+
+
+def _leaves(replica: Replica) -> bool:
+    return replica.state is ReplicaState.LEAVING
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/planner_watch.py
@@ -0,0 +1,141 @@
+"""Turn the planner's copy of a region's objects into the view that it decides from."""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from mimosaspur_coordination.demand import LowWindows
+from mimosaspur_coordination.demand import sum_reports
+from mimosaspur_coordination.mirror import Mirror
+from mimosaspur_coordination.view import DEFAULT_LOAD_TIMEOUT_MS
+from mimosaspur_coordination.view import DEFAULT_SERVICE_TIME_MS
+from mimosaspur_coordination.view import LoadKey
+from mimosaspur_coordination.view import Placed
+from mimosaspur_coordination.view import PlannerView
+from mimosaspur_state import keys
+from mimosaspur_state.bundle import BundleIndex
+from mimosaspur_state.bundle import ModelEntry
+from mimosaspur_state.placement import Replica
+from mimosaspur_state.placement import ReplicaState
+from mimosaspur_state.placement import placement_from_value
+from mimosaspur_state.records import DemandReport
+from mimosaspur_state.records import TargetStatus
+from mimosaspur_state.settings import Settings
+
+
+@dataclass(slots=True)
+class Beats:
+    """Remember when each object was last seen to change, on our own clock."""
+
+    grace_ms: int
+    seen: dict[str, tuple[int, int]] = field(default_factory=dict)
+
+    def alive(self, key: str, version: int, now_ms: int) -> bool:
+        """Note an object's version; tell whether it changed within the grace."""
+        known = self.seen.get(key)
+        if known is None or known[0] != version:
+            self.seen[key] = (version, now_ms)
+            return True
+        return now_ms - known[1] < self.grace_ms
+
+
+class PlannerWatch:
+    """Follow a region while we plan it; a new one gives every target the full grace."""
+
+    def __init__(
+        self,
+        mirror: Mirror,
+        settings: Settings,
+        *,
+        load_timeout_ms: int = DEFAULT_LOAD_TIMEOUT_MS,
+        service_time_ms: int = DEFAULT_SERVICE_TIME_MS,
+    ) -> None:
+        self.mirror = mirror
+        self.settings = settings
+        self.region = settings.instance.region
+        self.load_timeout_ms = load_timeout_ms
+        self.service_time_ms = service_time_ms
+        self.statuses = Beats(settings.planner.status_grace_ms)
+        self.reports = Beats(settings.planner.demand_window_ms)
+        self.low = LowWindows()
+        self.replicas: set[Replica] | None = None
+        self.changed_ms: dict[str, int] = {}
+        self.loading_since_ms: dict[LoadKey, int] = {}
+        self.failed_ms: dict[tuple[str, str], int] = {}
+        self.former: dict[str, ModelEntry] = {}
+
+    def view(self, index: BundleIndex, now_ms: int) -> PlannerView:
+        """Return this moment's view."""
+        self.former.update({entry.resident(): entry for entry in index.models.values()})
+        placed = self._placed()
+        self._note_changes(placed, now_ms)
+        self._note_loads(placed, now_ms)
+        alive = self._alive(now_ms)
+        planner = self.settings.planner
+        view = PlannerView(
+            index=index,
+            placed=placed,
+            alive=alive,
+            now_ms=now_ms,
+            draining=self._draining(alive),
+            former=self.former,
+            demand=sum_reports(self._reports(now_ms), planner.demand_window_ms),
+            changed_ms=self.changed_ms,
+            loading_since_ms=self.loading_since_ms,
+            failed_ms=self.failed_ms,
+            at_once=self.settings.weight_store.at_once,
+            move_cost=planner.move_cost,
+            window_ms=planner.demand_window_ms,
+            service_time_ms=self.service_time_ms,
+            load_timeout_ms=self.load_timeout_ms,
+        )
+        view.low_windows = self.low.count(view)
+        return view
+
+    def _placed(self) -> dict[str, Placed]:
+        found = self.mirror.under(keys.placements(self.region))
+        placed = [Placed(placement_from_value(item.value), item.version) for item in found]
+        return {item.record.model: item for item in placed}
+
+    def _alive(self, now_ms: int) -> dict[str, TargetStatus]:
+        alive = {}
+        for item in self.mirror.under(keys.statuses(self.region)):
+            if self.statuses.alive(item.key, item.version, now_ms):
+                status = TargetStatus.from_value(item.value)
+                alive[status.instance] = status
+        return alive
+
+    def _draining(self, alive: dict[str, TargetStatus]) -> frozenset[str]:
+        said = {name for name, status in alive.items() if status.draining}
+        ordered = {name for name in alive if self.mirror.get(keys.drain(name))}
+        return frozenset(said | ordered)
+
+    def _reports(self, now_ms: int) -> list[DemandReport]:
+        found = self.mirror.under(keys.demands(self.region))
+        return [
+            DemandReport.from_value(item.value)
+            for item in found
+            if self.reports.alive(item.key, item.version, now_ms)
+        ]
+
+    def _note_changes(self, placed: dict[str, Placed], now_ms: int) -> None:
+        replicas = {replica for item in placed.values() for replica in item.record.replicas}
+        if self.replicas is not None:
+            for replica in replicas ^ self.replicas:
+                self.changed_ms[replica.target] = now_ms
+        self.replicas = replicas
+
+    def _note_loads(self, placed: dict[str, Placed], now_ms: int) -> None:
+        loading = {
+            (name, replica.target, replica.version)
+            for name, item in placed.items()
+            for replica in item.record.replicas
+            if replica.state is ReplicaState.LOAD
+        }
+        for key in self.loading_since_ms.keys() - loading:
+            if now_ms - self.loading_since_ms.pop(key) >= self.load_timeout_ms:
+                self.failed_ms[key[:2]] = now_ms
+        for key in loading - self.loading_since_ms.keys():
+            self.loading_since_ms[key] = now_ms
+        for pair, failed_ms in list(self.failed_ms.items()):
+            if now_ms - failed_ms >= self.load_timeout_ms:
+                del self.failed_ms[pair]
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/reports.py
@@ -0,0 +1,78 @@
+"""Write an instance's reports to the planner."""
+
+import threading
+from collections.abc import Callable
+
+from mimosaspur_coordination.demandcount import BUCKETS
+from mimosaspur_coordination.demandcount import DemandCounter
+from mimosaspur_daemon.ownrecord import OwnRecord
+from mimosaspur_state import keys
+from mimosaspur_state.objects import ObjectStore
+from mimosaspur_state.records import DemandReport
+from mimosaspur_state.records import TargetStatus
+from mimosaspur_state.settings import Settings
+
+# How often a target looks at whether its status has changed.
+LOOK_S = 0.5
+
+
+class DemandReporter:
+    """Write an entry's demand whenever it changed."""
+
+    def __init__(self, store: ObjectStore, settings: Settings, demand: DemandCounter) -> None:
+        self.settings = settings
+        self.demand = demand
+        key = keys.demand(settings.instance.region, settings.instance.name)
+        self.record = OwnRecord(store, key)
+
+    def run(self, stop: threading.Event) -> None:
+        """Report until told to stop."""
+        interval_ms = self.settings.planner.demand_report_ms
+        window_ms = self.settings.planner.demand_window_ms
+        turn_every = max(1, window_ms // BUCKETS // interval_ms)
+        beat = 0
+        told = None
+        while not stop.wait(interval_ms / 1000):
+            beat += 1
+            if beat % turn_every == 0:
+                self.demand.turn()
+            models = self.demand.window()
+            report = DemandReport(self.settings.instance.name, window_ms, models, beat)
+            if models != told and self.record.write(report):
+                told = models
+
+
+class StatusReporter:
+    """Write a target's status on change and as a sign of life."""
+
+    def __init__(
+        self, store: ObjectStore, settings: Settings, make: Callable[[int], TargetStatus]
+    ) -> None:
+        self.make = make
+        assert settings.target is not None
+        self.interval_s = settings.target.status_ms / 1000
+        key = keys.status(settings.instance.region, settings.instance.name)
+        self.record = OwnRecord(store, key)
+        self.wake = threading.Event()
+
+    def changed(self) -> None:
+        """Have the status written soon."""
+        self.wake.set()
+
+    def run(self, stop: threading.Event) -> None:
+        """Report until told to stop."""
+        beat = 0
+        told: TargetStatus | None = None
+        quiet_s = 0.0
+        while not stop.is_set():
+            self.wake.wait(LOOK_S)
+            self.wake.clear()
+            quiet_s += LOOK_S
+            status = self.make(beat)
+            if told == status and quiet_s < self.interval_s:
+                continue
+            beat += 1
+            status = self.make(beat)
+            if self.record.write(status):
+                told = status
+                quiet_s = 0.0
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/runners.py
@@ -0,0 +1,118 @@
+"""Run admitted requests at an engine or a plain service."""
+
+from collections.abc import Iterator
+
+from mimosaspur_daemon.attempts import RunningAttempt
+from mimosaspur_daemon.serving import run_id
+from mimosaspur_protocol.sse import DONE_EVENT
+from mimosaspur_protocol.sse import EngineEvent
+from mimosaspur_protocol.sse import WholeAnswer
+from mimosaspur_protocol.sse import event_for_caller
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.clock import Deadline
+from mimosaspur_state.codes import Outcome
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_transport.chat import EngineChat
+from mimosaspur_transport.chat import EngineRejected
+from mimosaspur_transport.plainservice import PlainService
+
+OK = 200
+EVENT_STREAM = "text/event-stream"
+JSON = "application/json"
+
+
+class EngineRunner:
+    """Run chat requests; the engine always streams, so that silence shows at once."""
+
+    def __init__(self, chat: EngineChat, clock: Clock) -> None:
+        self.chat = chat
+        self.clock = clock
+
+    def run(self, attempt: RunningAttempt, deadline: Deadline) -> None:
+        """Run a request and write its answer."""
+        submit = attempt.submit
+        events = self.chat.stream(submit.work, run_id(attempt), submit.resident)
+        try:
+            self._write(attempt, events, deadline)
+        except EngineRejected as error:
+            attempt.start(error.status, error.content_type)
+            attempt.add(error.body)
+
+    def adopt(self, attempt: RunningAttempt) -> None:
+        """Fetch from the engine what a predecessor of this process began."""
+        deadline = Deadline(self.clock, attempt.submit.deadline_ms)
+        self._write(attempt, self.chat.adopt(run_id(attempt)), deadline)
+
+    def cancel(self, attempt: RunningAttempt) -> None:
+        """End the work at the engine."""
+        self.chat.cancel(run_id(attempt))
+
+    def _write(
+        self, attempt: RunningAttempt, events: Iterator[EngineEvent], deadline: Deadline
+    ) -> None:
+        watched = self._watch(attempt, events, deadline)
+        name = attempt.submit.work.name
+        if attempt.submit.work.stream:
+            _write_stream(attempt, watched, name)
+        else:
+            _write_whole(attempt, watched, name)
+
+    def _watch(
+        self, attempt: RunningAttempt, events: Iterator[EngineEvent], deadline: Deadline
+    ) -> Iterator[EngineEvent]:
+        # A stream that has begun is never cut at the deadline; a whole answer is useless then.
+        bounded = not attempt.submit.work.stream
+        for event in events:
+            if attempt.cancelled.is_set():
+                raise self._give_up(attempt, ResultCode.CANCELLED)
+            if bounded and deadline.passed():
+                raise self._give_up(attempt, ResultCode.DEADLINE_PASSED)
+            yield event
+
+    def _give_up(self, attempt: RunningAttempt, code: ResultCode) -> MimosaspurError:
+        self.cancel(attempt)
+        return MimosaspurError(code, outcome=Outcome.UNKNOWN)
+
+
+class ServiceRunner:
+    """Run calls to the plain service beside this process."""
+
+    def __init__(self, service: PlainService) -> None:
+        self.service = service
+
+    def run(self, attempt: RunningAttempt, deadline: Deadline) -> None:
+        """Run a call and write its answer."""
+        work = attempt.submit.work
+        answer = self.service.call(work, work.request_id, deadline.left_ms())
+        attempt.start(answer.status, answer.content_type)
+        attempt.add(answer.body)
+
+    def adopt(self, attempt: RunningAttempt) -> None:
+        """Say that nobody can tell whether the call ran."""
+        raise MimosaspurError(
+            ResultCode.OUTCOME_UNKNOWN,
+            "The process beside the service was replaced.",
+            outcome=Outcome.UNKNOWN,
+        )
+
+    def cancel(self, attempt: RunningAttempt) -> None:
+        """Do nothing: a plain service can't take a call back."""
+
+
+def _write_stream(attempt: RunningAttempt, events: Iterator[EngineEvent], name: str) -> None:
+    for event in events:
+        if attempt.started is None:
+            attempt.start(OK, EVENT_STREAM)
+        attempt.add(event_for_caller(event.data, name))
+    if attempt.started is None:
+        attempt.start(OK, EVENT_STREAM)
+    attempt.add(DONE_EVENT)
+
+
+def _write_whole(attempt: RunningAttempt, events: Iterator[EngineEvent], name: str) -> None:
+    whole = WholeAnswer()
+    for event in events:
+        whole.add(event.data)
+    attempt.start(OK, JSON)
+    attempt.add(whole.body(name))
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/targetrole.py
@@ -0,0 +1,144 @@
+"""Put the role target together."""
+
+import uuid
+
+from mimosaspur_coordination.admission import AdmissionQueue
+from mimosaspur_coordination.claims import Claims
+from mimosaspur_coordination.generation import BundleFetcher
+from mimosaspur_coordination.generation import BundleHolder
+from mimosaspur_coordination.mirror import Mirror
+from mimosaspur_daemon.application import Application
+from mimosaspur_daemon.attempts import AttemptRegistry
+from mimosaspur_daemon.behind import Behind
+from mimosaspur_daemon.behind import EngineBehind
+from mimosaspur_daemon.behind import ServiceBehind
+from mimosaspur_daemon.departure import Departure
+from mimosaspur_daemon.platform import open_store
+from mimosaspur_daemon.reports import StatusReporter
+from mimosaspur_daemon.serving import Serving
+from mimosaspur_daemon.targetserver import TargetServer
+from mimosaspur_state import keys
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.metrics import Metrics
+from mimosaspur_state.records import TargetStatus
+from mimosaspur_state.settings import Policy
+from mimosaspur_state.settings import Settings
+from mimosaspur_state.settings import TargetKind
+from mimosaspur_state.settings import TargetSettings
+
+
+class TargetRole:
+    """Own everything that the role target runs."""
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        assert settings.target is not None
+        self.settings = settings
+        self.target: TargetSettings = settings.target
+        self.clock = clock
+        self.incarnation = uuid.uuid4().hex
+        self.store = open_store(settings, clock)
+        self.metrics = Metrics(settings.statsd, instance=settings.instance.name)
+        self.holder = BundleHolder()
+        self.mirror = self._mirror()
+        self.fetcher = BundleFetcher(self.store, self.holder)
+        self.mirror.listeners.append(self.fetcher.head_changed)
+        self.queue = self._queue()
+        self.behind = self._behind()
+        self.serving = self._serving()
+        self.behind.attach(self.serving)
+        self.registry = AttemptRegistry(clock, keep_ms=self.target.keep_answer_ms)
+        self.server = TargetServer(
+            settings,
+            self.target,
+            incarnation=self.incarnation,
+            clock=clock,
+            holder=self.holder,
+            serving=self.serving,
+            registry=self.registry,
+            residents=self.behind.residents,
+        )
+        self.departure = Departure(settings, self.mirror, self.serving, self.server, self.behind)
+        self.status = StatusReporter(self.store, settings, self.make_status)
+        self.address = ""
+
+    def start(self, app: Application) -> str:
+        """Start all tasks; return the address that entries reach."""
+        # Binding comes first: from then on no predecessor runs on this instance.
+        self.address = self.server.bind()
+        self.behind.on_change.append(self.server.announce_residents)
+        self.behind.on_change.append(self.status.changed)
+        self.holder.listeners.append(lambda index: self.server.announce_generation())
+        self.mirror.listeners.append(lambda item: self.departure.wake.set())
+        self.departure.on_change.append(self.status.changed)
+        app.spawn("mirror", self.mirror.run)
+        app.spawn("bundles", self.fetcher.run)
+        app.spawn("behind", self.behind.run)
+        app.spawn("server", self.server.run)
+        app.spawn("sweep", self.server.sweep)
+        app.spawn("departure", self.departure.run)
+        app.spawn("status", self.status.run)
+        app.on_stop(self.departure.shut_down)
+        return self.address
+
+    def make_status(self, beat: int) -> TargetStatus:
+        """Describe this target to the planner."""
+        instance = self.settings.instance
+        load = self.serving.load()
+        return TargetStatus(
+            instance=instance.name,
+            incarnation=self.incarnation,
+            kind=self.target.kind.value,
+            service=self.target.service,
+            failure_domain=instance.failure_domain,
+            address=self.address,
+            capacity_mb=self.behind.capacity_mb(),
+            free_mb=self.behind.free_mb(),
+            residents=self.behind.residents(),
+            draining=self.departure.leaving(),
+            active=load.active,
+            queued=load.queued,
+            slots=load.slots,
+            beat=beat,
+        )
+
+    def _mirror(self) -> Mirror:
+        region = self.settings.instance.region
+        placed = keys.placements(region)
+        if self.target.kind is TargetKind.SERVICE:
+            placed = keys.carrier(region, self.target.service)
+        prefixes = (keys.HEAD, placed, keys.drain(self.settings.instance.name))
+        return Mirror(self.store, prefixes, wait_ms=self.settings.platform.watch_ms)
+
+    def _queue(self) -> AdmissionQueue:
+        return AdmissionQueue(
+            self.clock,
+            slots=self.target.slots,
+            limit=self.target.queue,
+            service_time_ms=self.target.service_time_ms,
+            naive=self.settings.policy is Policy.NAIVE,
+        )
+
+    def _behind(self) -> Behind:
+        if self.target.kind is TargetKind.SERVICE:
+            return ServiceBehind(self.settings, self.target, self.store, self.mirror)
+        return EngineBehind(
+            self.settings,
+            self.target,
+            self.store,
+            self.mirror,
+            self.holder,
+            clock=self.clock,
+            metrics=self.metrics,
+            incarnation=self.incarnation,
+        )
+
+    def _serving(self) -> Serving:
+        return Serving(
+            queue=self.queue,
+            claims=Claims(self.store, self.clock, target=self.settings.instance.name),
+            holder=self.holder,
+            runner=self.behind.runner,
+            clock=self.clock,
+            metrics=self.metrics,
+            residents=self.behind.residents,
+        )
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/targetserver.py
@@ -0,0 +1,237 @@
+"""Serve the entries' connections at a target: one task for each."""
+
+import socket
+import threading
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+from mimosaspur_coordination.generation import BundleHolder
+from mimosaspur_daemon.attempts import AttemptRegistry
+from mimosaspur_daemon.attempts import RunningAttempt
+from mimosaspur_daemon.serving import Serving
+from mimosaspur_protocol.codec import ProtocolError
+from mimosaspur_protocol.messages import BundleOffer
+from mimosaspur_protocol.messages import BundleWanted
+from mimosaspur_protocol.messages import Cancel
+from mimosaspur_protocol.messages import Draining
+from mimosaspur_protocol.messages import Hello
+from mimosaspur_protocol.messages import Message
+from mimosaspur_protocol.messages import Ping
+from mimosaspur_protocol.messages import Pong
+from mimosaspur_protocol.messages import Residents
+from mimosaspur_protocol.messages import Resume
+from mimosaspur_protocol.messages import Submit
+from mimosaspur_protocol.messages import Welcome
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_state.log import log
+from mimosaspur_state.settings import Settings
+from mimosaspur_state.settings import TargetSettings
+from mimosaspur_transport.wire import ConnectionLost
+from mimosaspur_transport.wire import Wire
+from mimosaspur_transport.wire import listen
+
+PART = "TARGET"
+ACCEPT_POLL_S = 0.5
+# An entry beats every second; one that has not for this long is gone for good.
+SILENT_BEATS = 10
+
+
+class EntryConnection:
+    """Hold one entry's connection and its place among that entry's connections."""
+
+    __slots__ = ("entry", "number", "superseded", "wire")
+
+    def __init__(self, wire: Wire) -> None:
+        self.wire = wire
+        self.entry = ""
+        self.number = 0
+        self.superseded = False
+
+
+class TargetServer:
+    """Accept entries and carry their messages to the serving side and back."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        target: TargetSettings,
+        *,
+        incarnation: str,
+        clock: Clock,
+        holder: BundleHolder,
+        serving: Serving,
+        registry: AttemptRegistry,
+        residents: Callable[[], tuple[str, ...]],
+    ) -> None:
+        self.settings = settings
+        self.target = target
+        self.incarnation = incarnation
+        self.clock = clock
+        self.holder = holder
+        self.serving = serving
+        self.registry = registry
+        self.residents = residents
+        self.socket: socket.socket | None = None
+        self.lock = threading.Lock()
+        self.newest: dict[str, EntryConnection] = {}
+
+    def bind(self) -> str:
+        """Listen alone on the settings' address; raise OSError when it is taken."""
+        self.socket = listen(self.target.listen)
+        self.socket.settimeout(ACCEPT_POLL_S)
+        host, port = self.socket.getsockname()
+        return f"{host}:{port}"
+
+    def run(self, stop: threading.Event) -> None:
+        """Accept connections until told to stop."""
+        assert self.socket is not None
+        with self.socket:
+            while not stop.is_set():
+                try:
+                    sock, _ = self.socket.accept()
+                except TimeoutError:
+                    continue
+                wire = Wire(sock, send_timeout_ms=self.settings.peers.silent_ms)
+                threading.Thread(target=self._serve, args=(wire,), daemon=True).start()
+
+    def sweep(self, stop: threading.Event) -> None:
+        """Let go of answers that nobody fetches until told to stop."""
+        while not stop.wait(1):
+            self.registry.sweep()
+
+    def announce_draining(self) -> None:
+        """Tell every entry to send nothing new."""
+        self._broadcast(Draining(self.settings.instance.name))
+
+    def announce_residents(self) -> None:
+        """Tell every entry what can be served now."""
+        self._broadcast(Residents(self.residents()))
+
+    def announce_generation(self) -> None:
+        """Hand the bundle just put in force to every connected entry."""
+        packed = self.holder.pack()
+        if packed:
+            self._broadcast(BundleOffer(*packed))
+
+    def _broadcast(self, message: Message) -> None:
+        with self.lock:
+            connections = list(self.newest.values())
+        for connection in connections:
+            try:
+                connection.wire.send(message)
+            except ConnectionLost:
+                continue  # Its own task notices and ends.
+
+    def _serve(self, wire: Wire) -> None:
+        connection = EntryConnection(wire)
+        beat_ms = self.settings.peers.heartbeat_ms * SILENT_BEATS
+        wire.sock.settimeout(beat_ms / 1000)
+        try:
+            while True:
+                for message in wire.receive():
+                    self._handle(message, connection)
+        except (ConnectionLost, TimeoutError) as error:
+            log(PART, "Lost an entry's connection.", entry=connection.entry, error=str(error))
+        except ProtocolError as error:
+            log(PART, "Closed a connection.", entry=connection.entry, error=str(error))
+        finally:
+            self._end(connection)
+
+    def _end(self, connection: EntryConnection) -> None:
+        connection.wire.close()
+        with self.lock:
+            if self.newest.get(connection.entry) is connection:
+                del self.newest[connection.entry]
+        self.registry.detach(connection.wire)
+
+    @singledispatchmethod
+    def _handle(self, message: Message, connection: EntryConnection) -> None:
+        raise ProtocolError(f"unexpected {type(message).__name__} from an entry")
+
+    @_handle.register
+    def _(self, message: Hello, connection: EntryConnection) -> None:
+        connection.entry = f"{message.instance}/{message.incarnation}"
+        connection.number = message.connection
+        with self.lock:
+            older = self.newest.get(connection.entry)
+            if older and older.number >= connection.number:
+                raise ProtocolError("a newer connection of this entry is open")
+            if older:
+                older.superseded = True
+            self.newest[connection.entry] = connection
+        if older:
+            older.wire.close()
+        connection.wire.send(
+            Welcome(
+                self.settings.instance.name,
+                self.incarnation,
+                self.holder.generation(),
+                self.serving.draining,
+                self.residents(),
+            )
+        )
+        self._compare(message.generation, connection)
+
+    @_handle.register
+    def _(self, message: Submit, connection: EntryConnection) -> None:
+        attempt = RunningAttempt(
+            message, connection.wire, self.clock, limit=self.target.answer_bytes
+        )
+        with self.lock:
+            # Resume on a newer connection may have been answered "never came" already.
+            if connection.superseded or not self.registry.add(attempt):
+                return
+        self._compare(message.generation, connection)
+        self.serving.begin(attempt)
+
+    @_handle.register
+    def _(self, message: Resume, connection: EntryConnection) -> None:
+        submit = message.submit
+        known = self.registry.get((submit.work.request_id, submit.attempt))
+        if known:
+            known.resume(connection.wire, message.offset)
+            return
+        attempt = RunningAttempt(
+            submit, connection.wire, self.clock, limit=self.target.answer_bytes
+        )
+        if message.incarnation == self.incarnation:
+            # Older connections of this entry are shut out, so it can't come any more.
+            attempt.fail(MimosaspurError(ResultCode.NOT_READY_HERE, "It never came."))
+            return
+        self.registry.add(attempt)
+        self.serving.adopt(attempt)
+
+    @_handle.register
+    def _(self, message: Cancel, connection: EntryConnection) -> None:
+        attempt = self.registry.get((message.request_id, message.attempt))
+        if attempt:
+            self.serving.cancel(attempt)
+
+    @_handle.register
+    def _(self, message: Ping, connection: EntryConnection) -> None:
+        connection.wire.send(
+            Pong(
+                message.sequence,
+                self.holder.generation(),
+                self.serving.draining,
+                self.serving.load(),
+            )
+        )
+        self._compare(message.generation, connection)
+
+    @_handle.register
+    def _(self, message: BundleWanted, connection: EntryConnection) -> None:
+        packed = self.holder.pack()
+        if packed and packed[0] > message.have:
+            connection.wire.send(BundleOffer(*packed))
+
+    @_handle.register
+    def _(self, message: BundleOffer, connection: EntryConnection) -> None:
+        self.holder.unpack(message.generation, message.packed)
+
+    def _compare(self, theirs: int, connection: EntryConnection) -> None:
+        own = self.holder.generation()
+        if theirs > own:
+            connection.wire.send(BundleWanted(own))
--- /dev/null
+++ b/packages/load/src/mimosaspur_load/__init__.py
@@ -0,0 +1,1 @@
+"""Generate load and measure the answers."""
--- /dev/null
+++ b/packages/protocol/src/mimosaspur_protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Define the messages that callers and instances exchange."""
--- /dev/null
+++ b/packages/protocol/src/mimosaspur_protocol/callerapi.py
@@ -0,0 +1,257 @@
+"""Read a caller's HTTP request into work, and shape what a caller is told."""
+
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import unquote
+
+import msgspec
+
+from mimosaspur_state.codes import CODE_TABLE
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_state.requests import Kind
+from mimosaspur_state.requests import Work
+
+CHAT_PATH = "/v1/chat/completions"
+SERVICES_PREFIX = "/services/"
+
+KEY_HEADER = "idempotency-key"
+IDEMPOTENT_HEADER = "x-mimosaspur-idempotent"
+DEADLINE_HEADER = "x-deadline-ms"
+PRIORITY_HEADER = "x-priority"
+
+SAFE_METHODS = frozenset({"GET", "HEAD"})
+DEFAULT_PRIORITY = 5
+LAST_PRIORITY = 9
+PREFIX_LENGTH = 64
+DEFAULT_RETRY_MS = 1000
+MS_PER_SECOND = 1000
+
+_KEY = re.compile(r"[\x21-\x7e]{1,255}")
+_NUMBER = re.compile(r"[0-9]{1,9}")
+_BOOLEANS = {"true": True, "false": False}
+
+
+@dataclass(slots=True, frozen=True)
+class CallerRequest:
+    """Hold a caller's request; target is as sent, header names are in lower case."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Deadlines:
+    """Bound the deadlines that callers may ask for, in milliseconds."""
+
+    default_ms: int
+    max_ms: int
+
+
+@dataclass(slots=True, frozen=True)
+class ParsedWork:
+    """Hold work ready to dispatch and the caller's deadline in milliseconds."""
+
+    work: Work
+    deadline_ms: int
+
+
+def is_work(method: str, target: str) -> bool:
+    """Tell whether a request asks for work rather than for the entry's state."""
+    path = target.partition("?")[0]
+    if path == CHAT_PATH:
+        return method == "POST"
+    name, slash, _ = path.removeprefix(SERVICES_PREFIX).partition("/")
+    return path.startswith(SERVICES_PREFIX) and bool(name and slash)
+
+
+def parse_work(request: CallerRequest, deadlines: Deadlines) -> ParsedWork:
+    """Check a request that is_work accepts; raise MimosaspurError."""
+    deadline_ms = _deadline_ms(request.headers, deadlines)
+    if request.target.partition("?")[0] == CHAT_PATH:
+        return ParsedWork(_chat(request), deadline_ms)
+    return ParsedWork(_service(request), deadline_ms)
+
+
+def error_body(error: MimosaspurError, request_id: str) -> dict[str, Any]:
+    """Return the body that tells a caller of an error."""
+    body: dict[str, Any] = {
+        "message": str(error),
+        "type": _error_type(error.code),
+        "code": int(error.code),
+        "name": error.code.name,
+        "outcome": error.outcome.value,
+        "request_id": request_id,
+    }
+    retry_ms = retry_after_ms(error)
+    if retry_ms is not None:
+        body["retry_after_ms"] = retry_ms
+    return {"error": body}
+
+
+def retry_after_ms(error: MimosaspurError) -> int | None:
+    """Return when to come back in milliseconds, or None when that wouldn't help."""
+    if error.retry_after_ms is not None:
+        return error.retry_after_ms
+    if CODE_TABLE[error.code].next_step.startswith("Try"):
+        return DEFAULT_RETRY_MS
+    return None
+
+
+def retry_after_s(error: MimosaspurError) -> int | None:
+    """Return retry_after_ms in whole seconds, rounded up, at least one."""
+    retry_ms = retry_after_ms(error)
+    if retry_ms is None:
+        return None
+    return max(1, -(-retry_ms // MS_PER_SECOND))
+
+
+def _chat(request: CallerRequest) -> Work:
+    body = _json_object(request.body)
+    model = body.get("model")
+    if not isinstance(model, str) or not model:
+        raise _bad_request('"model" must be a non-empty string.')
+    messages = _messages(body.get("messages"))
+    _check_max_tokens(body.get("max_tokens"))
+    return Work(
+        request_id=request.request_id,
+        kind=Kind.CHAT,
+        name=model,
+        method=request.method,
+        path=CHAT_PATH,
+        content_type=request.headers.get("content-type", "application/json"),
+        body=request.body,
+        stream=_stream(body.get("stream")),
+        priority=_priority(request.headers),
+        idempotent=_idempotent(request.headers, default=True),
+        idempotency_key=_key(request.headers),
+        prefix=_prefix(messages[0]),
+    )
+
+
+def _service(request: CallerRequest) -> Work:
+    if not request.target.isascii():
+        raise _bad_request("The path must be percent-encoded ASCII.")
+    rest = request.target.removeprefix(SERVICES_PREFIX)
+    name, _, path = rest.partition("/")
+    return Work(
+        request_id=request.request_id,
+        kind=Kind.SERVICE,
+        name=unquote(name),
+        method=request.method,
+        path=f"/{path}",
+        content_type=request.headers.get("content-type", ""),
+        body=request.body,
+        stream=False,
+        priority=_priority(request.headers),
+        idempotent=_idempotent(request.headers, default=request.method in SAFE_METHODS),
+        idempotency_key=_key(request.headers),
+        prefix="",
+    )
+
+
+def _json_object(body: bytes) -> dict[str, Any]:
+    try:
+        value = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        raise MimosaspurError(ResultCode.MALFORMED_JSON, f"{error}.") from error
+    if not isinstance(value, dict):
+        raise MimosaspurError(ResultCode.MALFORMED_JSON, "The body must be a JSON object.")
+    return value
+
+
+def _messages(value: object) -> list[dict[str, Any]]:
+    if not isinstance(value, list) or not value:
+        raise _bad_request('"messages" must be a non-empty list.')
+    for number, message in enumerate(value):
+        if not isinstance(message, dict):
+            raise _bad_request(f'"messages[{number}]" must be an object.')
+        if not isinstance(message.get("role"), str):
+            raise _bad_request(f'"messages[{number}].role" must be a string.')
+        if not isinstance(message.get("content"), str | list):
+            raise _bad_request(f'"messages[{number}].content" must be a string or a list.')
+    return value
+
+
+def _stream(value: object) -> bool:
+    if value is None:
+        return False
+    if not isinstance(value, bool):
+        raise _bad_request('"stream" must be true or false.')
+    return value
+
+
+def _check_max_tokens(value: object) -> None:
+    if value is None:
+        return
+    # A bool is an int to Python, but not to a caller.
+    if isinstance(value, bool) or not isinstance(value, int) or value < 1:
+        raise _bad_request('"max_tokens" must be a whole number above 0.')
+
+
+def _prefix(message: dict[str, Any]) -> str:
+    content = message["content"]
+    if isinstance(content, str):
+        return content[:PREFIX_LENGTH]
+    for part in content:
+        if isinstance(part, dict) and isinstance(part.get("text"), str):
+            return str(part["text"][:PREFIX_LENGTH])
+    return ""
+
+
+def _key(headers: Mapping[str, str]) -> str:
+    key = headers.get(KEY_HEADER)
+    if key is None:
+        return ""
+    if not _KEY.fullmatch(key):
+        raise _bad_header("Idempotency-Key must be 1 to 255 visible ASCII characters.")
+    return key
+
+
+def _idempotent(headers: Mapping[str, str], *, default: bool) -> bool:
+    text = headers.get(IDEMPOTENT_HEADER)
+    if text is not None and text not in _BOOLEANS:
+        raise _bad_header("X-Mimosaspur-Idempotent must be true or false.")
+    # A key asks for at most one run, whatever else the caller says.
+    if KEY_HEADER in headers:
+        return False
+    return default if text is None else _BOOLEANS[text]
+
+
+def _deadline_ms(headers: Mapping[str, str], deadlines: Deadlines) -> int:
+    text = headers.get(DEADLINE_HEADER)
+    if text is None:
+        return min(deadlines.default_ms, deadlines.max_ms)
+    if not _NUMBER.fullmatch(text) or not 1 <= int(text) <= deadlines.max_ms:
+        raise _bad_header(f"X-Deadline-Ms must be a whole number from 1 to {deadlines.max_ms}.")
+    return int(text)
+
+
+def _priority(headers: Mapping[str, str]) -> int:
+    text = headers.get(PRIORITY_HEADER)
+    if text is None:
+        return DEFAULT_PRIORITY
+    if not _NUMBER.fullmatch(text) or int(text) > LAST_PRIORITY:
+        raise _bad_header(f"X-Priority must be a whole number from 0 to {LAST_PRIORITY}.")
+    return int(text)
+
+
+def _bad_request(detail: str) -> MimosaspurError:
+    return MimosaspurError(ResultCode.BAD_REQUEST, detail)
+
+
+def _bad_header(detail: str) -> MimosaspurError:
+    return MimosaspurError(ResultCode.BAD_HEADER, detail)
+
+
+def _error_type(code: ResultCode) -> str:
+    if code < ResultCode.QUEUE_FULL:
+        return "invalid_request_error"
+    if code < ResultCode.OUTCOME_UNKNOWN:
+        return "unavailable_error"
+    return "server_error"
--- /dev/null
+++ b/packages/protocol/src/mimosaspur_protocol/codec.py
@@ -0,0 +1,54 @@
+"""Turn messages into msgpack frames and back."""
+
+from collections.abc import Iterator
+from typing import cast
+
+import msgpack
+import msgspec
+
+from mimosaspur_protocol.messages import MESSAGE_TYPES
+from mimosaspur_protocol.messages import Message
+
+MAX_FRAME_BYTES = 16_000_000
+
+_NUMBER_OF: dict[type, int] = {kind: number for number, kind in enumerate(MESSAGE_TYPES)}
+
+
+class ProtocolError(Exception):
+    """Say that the other end sent what no version of ours sends."""
+
+
+def encode(message: Message) -> bytes:
+    """Return a message's frame: its type number and its fields."""
+    fields = msgspec.to_builtins(message, builtin_types=(bytes,))
+    return msgpack.packb([_NUMBER_OF[type(message)], fields])
+
+
+class Decoder:
+    """Cut a stream of bytes into messages."""
+
+    __slots__ = ("unpacker",)
+
+    def __init__(self) -> None:
+        self.unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES, raw=False)
+
+    def feed(self, data: bytes) -> Iterator[Message]:
+        """Yield the messages that are whole now; raise ProtocolError."""
+        try:
+            self.unpacker.feed(data)
+            for frame in self.unpacker:
+                yield _message(frame)
+        except (ValueError, msgpack.exceptions.UnpackException, msgpack.BufferFull) as error:
+            raise ProtocolError(f"bad frame: {error}") from error
+
+
+def _message(frame: object) -> Message:
+    if not isinstance(frame, list) or len(frame) != 2:
+        raise ProtocolError("a frame is a type number and fields")
+    number, fields = frame
+    if not isinstance(number, int) or not 0 <= number < len(MESSAGE_TYPES):
+        raise ProtocolError(f"unknown message type {number!r}")
+    try:
+        return cast(Message, msgspec.convert(fields, MESSAGE_TYPES[number]))
+    except msgspec.ValidationError as error:
+        raise ProtocolError(f"{MESSAGE_TYPES[number].__name__}: {error}") from error
--- /dev/null
+++ b/packages/state/src/mimosaspur_state/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the records that instances keep."""
--- /dev/null
+++ b/packages/state/src/mimosaspur_state/ledger.py
@@ -0,0 +1,175 @@
+"""Count the memory of one engine's accelerators, with every order whose outcome is unknown."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from mimosaspur_state.engine import EngineState
+from mimosaspur_state.engine import OrderKind
+
+
+@dataclass(slots=True)
+class HeldOrder:
+    """Hold an order until a report settles it; an unload has no memory of its own."""
+
+    order_id: str
+    kind: OrderKind
+    resident: str
+    memory_mb: int
+    accelerators: tuple[int, ...]
+    sent_at_ms: int
+    lost_answer: bool = False
+
+
+class MemoryLedger:
+    """Add up residents as reported and orders that the report doesn't show yet.
+
+    Not safe for use by several threads: its one owner gives the orders and reads the reports.
+    """
+
+    __slots__ = ("asked_at_ms", "held", "longest_order_delay_ms", "report")
+
+    def __init__(self, *, longest_order_delay_ms: int) -> None:
+        self.longest_order_delay_ms = longest_order_delay_ms
+        self.held: dict[str, HeldOrder] = {}
+        self.report: EngineState | None = None
+        self.asked_at_ms = 0
+
+    def settle(self, report: EngineState, *, asked_at_ms: int) -> list[HeldOrder]:
+        """Take in a whole report by when it was asked for; return the orders given up as lost."""
+        if self.report is not None and asked_at_ms < self.asked_at_ms:
+            return []
+        self.report = report
+        self.asked_at_ms = asked_at_ms
+        lost = []
+        for order in list(self.held.values()):
+            if asked_at_ms < order.sent_at_ms:
+                continue
+            expired = asked_at_ms - order.sent_at_ms >= self.longest_order_delay_ms
+            shown = self.shows(order)
+            # A copy without an answer may still be on its way, to a restarted engine even.
+            if expired or (shown and not order.lost_answer):
+                del self.held[order.order_id]
+                if not shown:
+                    lost.append(order)
+        return lost
+
+    def shows(self, order: HeldOrder) -> bool:
+        """Tell whether the last report tells what became of an order."""
+        if self.report is None:
+            return False
+        if self.report.order(order.order_id) is not None:
+            return True
+        return any(item.order_id == order.order_id for item in self.report.residents)
+
+    def unsettled(self, resident: str) -> HeldOrder | None:
+        """Return an order on this resident that the last report doesn't show."""
+        for order in self.held.values():
+            if order.resident == resident and not self.shows(order):
+                return order
+        return None
+
+    def try_reserve(
+        self,
+        order_id: str,
+        resident: str,
+        memory_mb: int,
+        count: int,
+        *,
+        now_ms: int,
+        headroom_mb: int = 0,
+        keep_free_mb: Sequence[int] = (),
+    ) -> tuple[int, ...] | None:
+        """Hold memory on the fullest accelerators where it fits; None if it fits on too few.
+
+        headroom_mb must be free there besides; keep_free_mb, by accelerator, is promised already.
+        """
+        free = self._free_besides(keep_free_mb)
+        fitting = [index for index, mb in enumerate(free) if mb >= memory_mb + headroom_mb]
+        if len(fitting) < count:
+            return None
+        chosen = tuple(sorted(sorted(fitting, key=lambda index: free[index])[:count]))
+        self.held[order_id] = HeldOrder(
+            order_id, OrderKind.LOAD, resident, memory_mb, chosen, now_ms
+        )
+        return chosen
+
+    def try_reserve_on(
+        self,
+        order_id: str,
+        resident: str,
+        memory_mb: int,
+        accelerators: tuple[int, ...],
+        *,
+        now_ms: int,
+    ) -> tuple[int, ...] | None:
+        """Hold memory on just these accelerators; None if it doesn't fit on all of them."""
+        free = self.free_mb()
+        if not accelerators or any(free[index] < memory_mb for index in accelerators):
+            return None
+        self.held[order_id] = HeldOrder(
+            order_id, OrderKind.LOAD, resident, memory_mb, accelerators, now_ms
+        )
+        return accelerators
+
+    def hold_unload(self, order_id: str, resident: str, *, now_ms: int) -> None:
+        """Remember an unload; its memory is free only when a report no longer shows it."""
+        self.held[order_id] = HeldOrder(order_id, OrderKind.UNLOAD, resident, 0, (), now_ms)
+
+    def sent(self, order_id: str, *, at_ms: int, answered: bool) -> None:
+        """Note when the last try to send an order ended."""
+        order = self.held.get(order_id)
+        if order is None:
+            return
+        order.lost_answer = order.lost_answer or not answered
+        order.sent_at_ms = at_ms
+
+    def refused(self, order_id: str) -> None:
+        """Free an order that surely took no effect, unless an earlier copy may still."""
+        order = self.held.get(order_id)
+        if order and not order.lost_answer:
+            del self.held[order_id]
+
+    def accelerators(self, resident: str) -> tuple[int, ...]:
+        """Return where a resident is or is ordered to be, empty if nowhere."""
+        shown = self.report.resident(resident) if self.report else None
+        if shown:
+            return shown.accelerators
+        order = self.unsettled(resident)
+        return order.accelerators if order else ()
+
+    def counts(self, resident: str) -> bool:
+        """Tell whether a resident's memory is counted already."""
+        return bool(self.accelerators(resident))
+
+    def capacity_mb(self) -> tuple[int, ...]:
+        """Return the memory of each accelerator as reported."""
+        return self.report.capacity_mb if self.report else ()
+
+    def used_mb(self) -> tuple[int, ...]:
+        """Return the memory counted on each accelerator."""
+        used = [0] * len(self.capacity_mb())
+        if self.report is None:
+            return ()
+        for item in self.report.residents:
+            for index in item.accelerators:
+                used[index] += item.memory_mb
+        for order in self.held.values():
+            if not self._counted_as_resident(order):
+                for index in order.accelerators:
+                    used[index] += order.memory_mb
+        return tuple(used)
+
+    def free_mb(self) -> tuple[int, ...]:
+        """Return the memory left on each accelerator, never below zero."""
+        pairs = zip(self.capacity_mb(), self.used_mb(), strict=True)
+        return tuple(max(0, capacity - used) for capacity, used in pairs)
+
+    def _counted_as_resident(self, order: HeldOrder) -> bool:
+        if self.report is None:
+            return False
+        # An engine holds a resident once, so a second load of it takes no more memory.
+        return self.report.resident(order.resident) is not None or self.shows(order)
+
+    def _free_besides(self, keep_free_mb: Sequence[int]) -> list[int]:
+        kept = list(keep_free_mb) or [0] * len(self.capacity_mb())
+        return [free - keep for free, keep in zip(self.free_mb(), kept, strict=True)]
--- /dev/null
+++ b/packages/transport/src/mimosaspur_transport/__init__.py
@@ -0,0 +1,1 @@
+"""Carry protocol messages over connections."""
--- /dev/null
+++ b/packages/transport/src/mimosaspur_transport/callers.py
@@ -0,0 +1,225 @@
+"""Serve callers over HTTP."""
+
+import threading
+from collections.abc import Iterable
+from collections.abc import Iterator
+from typing import Any
+from wsgiref.types import StartResponse
+from wsgiref.types import WSGIEnvironment
+
+import msgspec
+
+from mimosaspur_coordination.ports import Answer
+from mimosaspur_coordination.ports import Dispatcher
+from mimosaspur_protocol.callerapi import Deadlines
+from mimosaspur_protocol.callerapi import error_body
+from mimosaspur_protocol.callerapi import is_work
+from mimosaspur_protocol.callerapi import parse_work
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.clock import Deadline
+from mimosaspur_state.codes import Outcome
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_state.log import log
+from mimosaspur_state.metrics import Metrics
+from mimosaspur_state.settings import EntrySettings
+from mimosaspur_state.settings import split_address
+from mimosaspur_transport.exchange import Exchange
+from mimosaspur_transport.exchange import answer_headers
+from mimosaspur_transport.exchange import close_chunks
+from mimosaspur_transport.exchange import internal_error
+from mimosaspur_transport.gateway import MS_PER_SECOND
+from mimosaspur_transport.gateway import CallerHttpServer
+
+EVENT_STREAM = "text/event-stream"
+OK = 200
+UNAVAILABLE = 503
+# What workers still need after the grace to notice that their answers are given up.
+ABORT_S = 1
+
+
+class CallerServer:
+    """Accept callers, bound the work in flight, and hand it to the dispatcher."""
+
+    def __init__(
+        self, settings: EntrySettings, dispatcher: Dispatcher, clock: Clock, metrics: Metrics
+    ) -> None:
+        self.settings = settings
+        self.dispatcher = dispatcher
+        self.clock = clock
+        self.metrics = metrics
+        self.deadlines = Deadlines(settings.default_deadline_ms, settings.max_deadline_ms)
+        self.in_flight = 0
+        self.changed = threading.Condition()
+        self.http = CallerHttpServer(
+            split_address(settings.listen),
+            self._answer,
+            workers=settings.workers,
+            timeout_s=settings.caller_timeout_ms / MS_PER_SECOND,
+        )
+        self.thread = threading.Thread(target=self.http.serve, name="callers", daemon=True)
+
+    @property
+    def address(self) -> str:
+        """Return the bound address as ip:port."""
+        host, port = self.http.bind_addr
+        return f"{host}:{port}"
+
+    def start(self) -> None:
+        """Bind and begin to serve; raise OSError."""
+        self.http.prepare()
+        self.thread.start()
+        log("ENTRY", "Serving callers.", address=self.address)
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket; answers under way go on."""
+        self.http.stop_accepting()
+
+    def stop(self, grace_ms: int) -> None:
+        """Let answers under way end within the grace, then give them up and stop."""
+        self.stop_accepting()
+        deadline = Deadline(self.clock, grace_ms)
+        with self.changed:
+            self.changed.wait_for(lambda: self.in_flight == 0, deadline.left_s())
+            left = self.in_flight
+        log("ENTRY", "Stopped serving callers.", given_up=left)
+        self.http.aborting.set()
+        self.http.shutdown_timeout = ABORT_S
+        self.http.stop()
+        self.thread.join()
+
+    def take_slot(self) -> None:
+        """Count a work request in; raise MimosaspurError when there are too many."""
+        with self.changed:
+            if self.in_flight >= self.settings.max_in_flight:
+                detail = f"The entry has {self.in_flight} requests in flight."
+                raise MimosaspurError(ResultCode.QUEUE_FULL, detail)
+            self.in_flight += 1
+            self.metrics.gauge("entry.in_flight", self.in_flight)
+
+    def free_slot(self) -> None:
+        """Count a work request out."""
+        with self.changed:
+            self.in_flight -= 1
+            self.metrics.gauge("entry.in_flight", self.in_flight)
+            self.changed.notify_all()
+
+    def _answer(self, environ: WSGIEnvironment, start: StartResponse) -> Iterable[bytes]:
+        exchange = Exchange(environ, start)
+        try:
+            if is_work(exchange.method, exchange.target):
+                return self._work(exchange)
+            return self._state(exchange)
+        except MimosaspurError as error:
+            self.metrics.count(f"entry.errors.{error.code.name.lower()}")
+            return exchange.error(error)
+        except Exception as error:  # noqa: BLE001  a caller is told of any fault of ours
+            log("ENTRY", "Request failed.", request_id=exchange.request_id, error=repr(error))
+            return exchange.error(internal_error())
+
+    def _state(self, exchange: Exchange) -> Iterable[bytes]:
+        if exchange.method not in ("GET", "HEAD"):
+            raise MimosaspurError(ResultCode.NOT_FOUND)
+        match exchange.target.partition("?")[0]:
+            case "/healthz":
+                return exchange.json(OK, {"alive": True})
+            case "/readyz":
+                ready = self.dispatcher.ready() and not self.http.closing
+                return exchange.json(OK if ready else UNAVAILABLE, {"ready": ready})
+            case "/v1/models":
+                return exchange.json(OK, self._models())
+            case _:
+                raise MimosaspurError(ResultCode.NOT_FOUND)
+
+    def _models(self) -> dict[str, Any]:
+        cards = [
+            {
+                "id": card.name,
+                "object": "model",
+                "created": 0,
+                "owned_by": "mimosaspur",
+                "version": card.version,
+                "base": card.base,
+            }
+            for card in self.dispatcher.models()
+        ]
+        return {"object": "list", "data": cards}
+
+    def _work(self, exchange: Exchange) -> Iterable[bytes]:
+        self.take_slot()
+        began_ms = self.clock.now_ms()
+        streaming = False
+        try:
+            request = exchange.read(self.settings.max_body_bytes, self._body_deadline())
+            parsed = parse_work(request, self.deadlines)
+            gone = exchange.caller.gone
+            answer = self.dispatcher.dispatch(parsed.work, parsed.deadline_ms, gone)
+            if not parsed.work.stream:
+                return exchange.whole(answer)
+            body = StreamBody(self, exchange, answer)
+            streaming = True
+            return body
+        finally:
+            self.metrics.timing("entry.first_ms", self.clock.now_ms() - began_ms)
+            if not streaming:
+                self.free_slot()
+
+    def _body_deadline(self) -> Deadline:
+        return Deadline(self.clock, self.settings.caller_timeout_ms)
+
+
+class StreamBody:
+    """Pass an answer on as it comes; a cut one ends without the mark of a whole one."""
+
+    __slots__ = ("chunks", "closed", "content_type", "exchange", "first", "is_cut", "server")
+
+    def __init__(self, server: CallerServer, exchange: Exchange, answer: Answer) -> None:
+        self.server = server
+        self.exchange = exchange
+        self.content_type = answer.content_type
+        self.chunks = answer.chunks
+        self.closed = False
+        self.is_cut = False
+        # Until the first chunk is here, a failure can still be a plain error response.
+        try:
+            self.first = next(self.chunks, b"")
+            exchange.begin(answer.status, answer_headers(answer))
+        except BaseException:
+            close_chunks(self.chunks)
+            raise
+
+    def __iter__(self) -> Iterator[bytes]:
+        try:
+            yield self.first
+            for chunk in self.chunks:
+                if self.exchange.caller.gone():
+                    self._cut(MimosaspurError(ResultCode.CANCELLED, outcome=Outcome.UNKNOWN))
+                    return
+                yield chunk
+        except MimosaspurError as error:
+            yield self._cut(error)
+        except Exception as error:  # noqa: BLE001  a caller is told of any fault of ours
+            log("ENTRY", "Stream failed.", request_id=self.exchange.request_id, error=repr(error))
+            yield self._cut(internal_error())
+
+    def close(self) -> None:
+        """End the work behind the answer and free its slot."""
+        if self.closed:
+            return
+        self.closed = True
+        # Only now is the last event written, in the encoding that the answer began with.
+        if self.is_cut:
+            self.exchange.caller.cut()
+        try:
+            close_chunks(self.chunks)
+        finally:
+            self.server.free_slot()
+
+    def _cut(self, error: MimosaspurError) -> bytes:
+        request_id = self.exchange.request_id
+        log("ENTRY", "Cut a stream.", request_id=request_id, code=int(error.code))
+        self.server.metrics.count("entry.streams_cut")
+        self.is_cut = True
+        if not self.content_type.startswith(EVENT_STREAM):
+            return b""
+        return b"data: " + msgspec.json.encode(error_body(error, request_id)) + b"\n\n"
--- /dev/null
+++ b/packages/transport/src/mimosaspur_transport/engine.py
@@ -0,0 +1,83 @@
+"""Speak to a model engine's administration over HTTP."""
+
+from http import HTTPStatus
+from typing import TypeVar
+
+import msgspec
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from mimosaspur_state.engine import EngineLoad
+from mimosaspur_state.engine import EngineOrder
+from mimosaspur_state.engine import EngineState
+from mimosaspur_state.engine import EngineUnavailable
+from mimosaspur_state.engine import OrderFenced
+from mimosaspur_state.engine import OrderRefused
+from mimosaspur_state.engine import OrderState
+from mimosaspur_state.settings import split_address
+
+MS_PER_SECOND = 1000
+
+AnswerT = TypeVar("AnswerT")
+
+
+class _Fencing(msgspec.Struct, frozen=True):
+    """Hold the body of a refusal by fencing token."""
+
+    fencing: int
+
+
+class EngineAdmin:
+    """Ask and order one engine; never sends a call twice by itself."""
+
+    __slots__ = ("pool",)
+
+    def __init__(self, address: str, timeout_ms: int) -> None:
+        host, port = split_address(address)
+        timeout = urllib3.Timeout(total=timeout_ms / MS_PER_SECOND)
+        self.pool = urllib3.HTTPConnectionPool(
+            host, port, maxsize=1, timeout=timeout, retries=False
+        )
+
+    def close(self) -> None:
+        """Close the idle connection."""
+        self.pool.close()
+
+    def state(self) -> EngineState:
+        """Return the engine's whole report; raise EngineUnavailable."""
+        return _decoded(self._call("GET", "/admin/state"), EngineState)
+
+    def load(self) -> EngineLoad:
+        """Return the engine's view of its load; raise EngineUnavailable."""
+        return _decoded(self._call("GET", "/admin/load"), EngineLoad)
+
+    def order(self, order: EngineOrder) -> OrderState:
+        """Give an order; raise EngineUnavailable, OrderFenced or OrderRefused."""
+        response = self._call("POST", "/admin/orders", msgspec.json.encode(order))
+        if response.status == HTTPStatus.CONFLICT:
+            raise OrderFenced(_body(response, _Fencing).fencing)
+        if response.status == HTTPStatus.BAD_REQUEST:
+            raise OrderRefused(response.data.decode(errors="replace"))
+        return _decoded(response, OrderState)
+
+    def _call(self, method: str, path: str, body: bytes | None = None) -> urllib3.BaseHTTPResponse:
+        headers = {"Content-Type": "application/json"} if body else {}
+        try:
+            return self.pool.request(
+                method, path, body=body, headers=headers, retries=False, redirect=False
+            )
+        except (HTTPError, OSError) as error:
+            raise EngineUnavailable(f"{method} {path}: {error}") from error
+
+
+def _decoded(response: urllib3.BaseHTTPResponse, kind: type[AnswerT]) -> AnswerT:
+    if response.status not in (HTTPStatus.OK, HTTPStatus.ACCEPTED):
+        raise EngineUnavailable(f"the engine answered with status {response.status}")
+    return _body(response, kind)
+
+
+def _body(response: urllib3.BaseHTTPResponse, kind: type[AnswerT]) -> AnswerT:
+    try:
+        return msgspec.json.decode(response.data, type=kind)
+    except msgspec.MsgspecError as error:
+        raise EngineUnavailable(f"the engine's answer is unreadable: {error}") from error
--- /dev/null
+++ b/packages/transport/src/mimosaspur_transport/exchange.py
@@ -0,0 +1,112 @@
+"""Answer one request of a caller."""
+
+import uuid
+from collections.abc import Iterable
+from collections.abc import Iterator
+from http.client import responses
+from wsgiref.types import StartResponse
+from wsgiref.types import WSGIEnvironment
+
+import msgspec
+
+from mimosaspur_coordination.ports import Answer
+from mimosaspur_protocol.callerapi import CallerRequest
+from mimosaspur_protocol.callerapi import error_body
+from mimosaspur_protocol.callerapi import retry_after_s
+from mimosaspur_state.clock import Deadline
+from mimosaspur_state.codes import CODE_TABLE
+from mimosaspur_state.codes import Outcome
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_transport.gateway import CALLER_KEY
+from mimosaspur_transport.gateway import CallerConnection
+
+JSON = "application/json"
+BODILESS = frozenset({204, 304})
+
+Headers = list[tuple[str, str]]
+
+
+class Exchange:
+    """Hold one request of a caller and answer it."""
+
+    __slots__ = ("caller", "environ", "method", "request_id", "start", "target")
+
+    def __init__(self, environ: WSGIEnvironment, start: StartResponse) -> None:
+        self.environ = environ
+        self.start = start
+        self.caller: CallerConnection = environ[CALLER_KEY]
+        self.method: str = environ["REQUEST_METHOD"]
+        self.target: str = environ["REQUEST_URI"]
+        self.request_id = uuid.uuid4().hex
+
+    def read(self, max_bytes: int, deadline: Deadline) -> CallerRequest:
+        """Read the request with its body; raise MimosaspurError."""
+        headers = {
+            name.removeprefix("HTTP_").replace("_", "-").lower(): value
+            for name, value in self.environ.items()
+            if name.startswith("HTTP_") or name == "CONTENT_TYPE"
+        }
+        body = self.caller.read_body(max_bytes, deadline)
+        return CallerRequest(self.request_id, self.method, self.target, headers, body)
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Set the status and headers of the answer."""
+        self.caller.skip_body()
+        phrase = responses.get(status, "Unnamed")
+        self.start(f"{status} {phrase}", [("X-Request-Id", self.request_id), *headers])
+
+    def send(self, status: int, headers: Headers, body: bytes) -> Iterable[bytes]:
+        """Answer with a body of known length."""
+        if status not in BODILESS:
+            headers = [*headers, ("Content-Length", str(len(body)))]
+        self.begin(status, headers)
+        if status in BODILESS or self.method == "HEAD":
+            return []
+        return [body]
+
+    def json(self, status: int, value: object, headers: Headers | None = None) -> Iterable[bytes]:
+        """Answer with JSON."""
+        body = msgspec.json.encode(value)
+        return self.send(status, [("Content-Type", JSON), *(headers or [])], body)
+
+    def error(self, error: MimosaspurError) -> Iterable[bytes]:
+        """Answer with a numbered error."""
+        headers = []
+        retry_s = retry_after_s(error)
+        if retry_s is not None:
+            headers.append(("Retry-After", str(retry_s)))
+        status = CODE_TABLE[error.code].http_status
+        return self.json(status, error_body(error, self.request_id), headers)
+
+    def whole(self, answer: Answer) -> Iterable[bytes]:
+        """Collect an answer and send it; raise MimosaspurError when it can't be completed."""
+        pieces = []
+        try:
+            for chunk in answer.chunks:
+                if self.caller.gone():
+                    raise MimosaspurError(ResultCode.CANCELLED, outcome=Outcome.UNKNOWN)
+                pieces.append(chunk)
+        finally:
+            close_chunks(answer.chunks)
+        return self.send(answer.status, answer_headers(answer), b"".join(pieces))
+
+
+def answer_headers(answer: Answer) -> Headers:
+    """Return the headers that an answer gives by itself."""
+    headers = [("Content-Type", answer.content_type)] if answer.content_type else []
+    if answer.replayed:
+        headers.append(("Idempotent-Replayed", "true"))
+    return headers
+
+
+def close_chunks(chunks: Iterator[bytes]) -> None:
+    """Close an answer's chunks if they can be closed."""
+    close = getattr(chunks, "close", None)
+    if close is not None:
+        close()
+
+
+def internal_error() -> MimosaspurError:
+    """Return the error that stands for a fault of ours."""
+    return MimosaspurError(ResultCode.INTERNAL, outcome=Outcome.UNKNOWN)
--- /dev/null
+++ b/packages/transport/src/mimosaspur_transport/gateway.py
@@ -0,0 +1,275 @@
+"""Fit cheroot to callers that go silent, leave early or send too much."""
+
+import math
+import re
+import select
+import selectors
+import socket
+import threading
+from typing import Any
+
+from cheroot import server
+from cheroot import wsgi
+
+from mimosaspur_state.clock import Deadline
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_state.log import log
+
+CALLER_KEY = "mimosaspur.caller"
+
+MAX_HEADER_BYTES = 32_768
+MAX_IDLE_CONNECTIONS = 1024
+MAX_CHUNK_LINE = 256
+MAX_TRAILER_LINES = 64
+READ_BYTES = 65_536
+LINGER_READS = 32
+LINGER_S = 0.5
+MS_PER_SECOND = 1000
+
+_LENGTH = re.compile(r"[0-9]{1,18}")
+_CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,8}")
+
+
+class CallerConnection:
+    """Let the application read a request's body and steer its connection."""
+
+    __slots__ = ("body_read", "request")
+
+    def __init__(self, request: Any) -> None:
+        self.request = request
+        self.body_read = False
+
+    def gone(self) -> bool:
+        """Tell whether the caller has left, or the server gives up its answers."""
+        if self.request.server.aborting.is_set():
+            return True
+        sock = self.request.conn.socket
+        try:
+            readable, _, _ = select.select([sock], [], [], 0)
+            # Data that waits is the caller's next request, so it is only looked at.
+            return bool(readable) and sock.recv(1, socket.MSG_PEEK) == b""
+        except (OSError, ValueError):
+            return True
+
+    def cut(self) -> None:
+        """Close the connection after this answer without the mark of a whole one."""
+        self.request.chunked_write = False
+        self.request.close_connection = True
+
+    def skip_body(self) -> None:
+        """Leave an unread body unread; the connection closes after the answer."""
+        if self.body_read or not self._has_body():
+            return
+        self.request.close_connection = True
+        self.request.conn.unread = True
+
+    def read_body(self, max_bytes: int, deadline: Deadline) -> bytes:
+        """Return the request's body; raise MimosaspurError."""
+        try:
+            body = self._read_body(max_bytes, deadline)
+        except OSError as error:
+            raise _incomplete() from error
+        self.body_read = True
+        # cheroot would wait for the body a second time.
+        self.request.rfile.remaining = 0
+        return body
+
+    def _has_body(self) -> bool:
+        return bool(self.request.chunked_read) or self._length_text() != "0"
+
+    def _length_text(self) -> str:
+        value: bytes = self.request.inheaders.get(b"Content-Length", b"0")
+        return value.decode("latin-1")
+
+    def _read_body(self, max_bytes: int, deadline: Deadline) -> bytes:
+        if self.request.chunked_read:
+            if b"Content-Length" in self.request.inheaders:
+                raise _bad_length("Send Content-Length or Transfer-Encoding, not both.")
+            return self._read_chunked(max_bytes, deadline)
+        text = self._length_text()
+        if not _LENGTH.fullmatch(text):
+            raise _bad_length("Content-Length must be a whole number.")
+        if int(text) > max_bytes:
+            raise _too_large(max_bytes)
+        return self._read_exactly(int(text), deadline)
+
+    def _read_exactly(self, length: int, deadline: Deadline) -> bytes:
+        pieces = []
+        left = length
+        while left:
+            piece: bytes = self.request.conn.rfile.read1(min(left, READ_BYTES))
+            if not piece or deadline.passed():
+                raise _incomplete()
+            pieces.append(piece)
+            left -= len(piece)
+        return b"".join(pieces)
+
+    def _read_chunked(self, max_bytes: int, deadline: Deadline) -> bytes:
+        body = bytearray()
+        while size := self._chunk_size():
+            if len(body) + size > max_bytes:
+                raise _too_large(max_bytes)
+            body += self._read_exactly(size, deadline)
+            if self._line() != b"\r\n":
+                raise _incomplete()
+        self._skip_trailers()
+        return bytes(body)
+
+    def _chunk_size(self) -> int:
+        text = self._line().split(b";")[0].strip()
+        if not _CHUNK_SIZE.fullmatch(text):
+            raise _incomplete()
+        return int(text, 16)
+
+    def _skip_trailers(self) -> None:
+        # Left unread, they would hide from `gone` that the caller has left.
+        for _ in range(MAX_TRAILER_LINES):
+            if self._line() == b"\r\n":
+                return
+        raise _incomplete()
+
+    def _line(self) -> bytes:
+        line: bytes = self.request.conn.rfile.readline(MAX_CHUNK_LINE)
+        if not line.endswith(b"\r\n"):
+            raise _incomplete()
+        return line
+
+
+class CallerGateway(wsgi.Gateway_10):
+    """Put the caller's connection into the environment."""
+
+    def get_environ(self) -> Any:
+        """Return the WSGI environment."""
+        environ: dict[str, Any] = super().get_environ()  # type: ignore[no-untyped-call]
+        environ[CALLER_KEY] = CallerConnection(self.req)
+        return environ
+
+
+class CallerSocket(server.HTTPConnection):
+    """Set up an accepted connection, and close it so that the last answer arrives."""
+
+    def __init__(self, http_server: Any, sock: socket.socket, *rest: Any) -> None:
+        super().__init__(http_server, sock, *rest)
+        self.unread = False
+        timeout_s = max(1, int(http_server.timeout))
+        user_timeout_ms = int(http_server.timeout * MS_PER_SECOND)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, timeout_s)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, timeout_s)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.unread:
+            self._linger()
+        super().close()
+
+    def _linger(self) -> None:
+        # Closing on unread data resets the connection, and the caller loses the answer.
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            self.socket.settimeout(LINGER_S)
+            for _ in range(LINGER_READS):
+                if not self.socket.recv(READ_BYTES):
+                    return
+        except OSError:
+            return
+
+
+class Waker:
+    """Stand among the connections as one that always has something to read."""
+
+    __slots__ = ("far", "last_used", "near")
+
+    def __init__(self) -> None:
+        self.near, self.far = socket.socketpair()
+        self.far.close()
+        self.last_used = math.inf
+
+    def close(self) -> None:
+        """Close the sockets."""
+        self.near.close()
+
+
+class CallerHttpServer(wsgi.Server):
+    """Keep silent connections off the workers, and close the listening socket early."""
+
+    ConnectionClass = CallerSocket
+    keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
+    max_request_header_size = MAX_HEADER_BYTES
+
+    # cheroot's stubs leave these two out.
+    _connections: Any
+    _unservicable_conns: Any
+
+    def __init__(
+        self, address: tuple[str, int], app: Any, *, workers: int, timeout_s: float
+    ) -> None:
+        super().__init__(address, app, numthreads=workers, request_queue_size=socket.SOMAXCONN)
+        self.gateway = CallerGateway
+        self.timeout = timeout_s
+        self.workers = workers
+        self.closing = False
+        self.aborting = threading.Event()
+
+    @property
+    def can_add_keepalive_connection(self) -> bool:
+        """Tell whether a connection may stay open after its answer."""
+        return not self.closing and bool(super().can_add_keepalive_connection)
+
+    def process_conn(self, conn: Any) -> None:
+        """Hand a connection to a worker once its caller has sent something."""
+        if isinstance(conn, Waker):
+            return
+        if conn.last_used is None:
+            self._watch(conn)
+        elif self.requests.qsize >= self.workers:
+            self._unservicable_conns.put(conn)
+        else:
+            self.requests.put(conn)
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket; open connections are still served."""
+        listener = self.socket
+        if self.closing or listener is None:
+            return
+        self.closing = True
+        self._connections._selector.unregister(listener.fileno())
+        self.socket = None
+        listener.close()
+
+    def stop(self) -> None:
+        """Stop serving, and end the workers."""
+        if not self.ready:
+            return
+        # Without a wake, the selector's thread would notice only at its next look round.
+        waker = Waker()
+        self._connections._stop_requested = True
+        self._connections._selector.register(waker.near, selectors.EVENT_READ, data=waker)
+        super().stop()
+        waker.close()
+
+    def error_log(self, msg: str = "", level: int = 0, traceback: bool = False) -> None:
+        """Send cheroot's messages to our log."""
+        log("ENTRY", "HTTP server reported.", report=str(msg), level=level)
+
+    def _watch(self, conn: Any) -> None:
+        if super().can_add_keepalive_connection:
+            self._connections.put(conn)
+        else:
+            conn.close()
+
+
+def _too_large(max_bytes: int) -> MimosaspurError:
+    return MimosaspurError(ResultCode.BODY_TOO_LARGE, f"The limit is {max_bytes} bytes.")
+
+
+def _bad_length(detail: str) -> MimosaspurError:
+    return MimosaspurError(ResultCode.BAD_HEADER, detail)
+
+
+def _incomplete() -> MimosaspurError:
+    detail = "The body did not come whole and in time."
+    return MimosaspurError(ResultCode.BAD_REQUEST, detail)
--- /dev/null
+++ b/packages/transport/src/mimosaspur_transport/instancelist.py
@@ -0,0 +1,54 @@
+"""Read the platform's instance list."""
+
+import msgspec
+
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.errors import StoreUnavailable
+from mimosaspur_state.instances import Instance
+from mimosaspur_transport.jsonhttp import JsonHttp
+
+OK = 200
+LEAVING = "leaving"
+
+
+class _Listed(msgspec.Struct, frozen=True):
+    name: str
+    role: str
+    address: str
+    region: str
+    failure_domain: str
+    state: str
+
+    def instance(self) -> Instance:
+        return Instance(
+            name=self.name,
+            role=self.role,
+            address=self.address,
+            region=self.region,
+            failure_domain=self.failure_domain,
+            leaving=self.state == LEAVING,
+        )
+
+
+class _Listing(msgspec.Struct, frozen=True):
+    instances: list[_Listed]
+
+
+class InstanceListClient:
+    """Reach the instance list; every wait ends."""
+
+    __slots__ = ("http",)
+
+    def __init__(self, address: str, *, caller: str, timeout_ms: int, clock: Clock) -> None:
+        self.http = JsonHttp(address, caller=caller, timeout_ms=timeout_ms, clock=clock)
+
+    def instances(self) -> list[Instance]:
+        """Return the listed instances, which lag; raise StoreUnavailable."""
+        reply = self.http.call("GET", "/instances")
+        if reply.status != OK:
+            raise StoreUnavailable(f"the instance list answered with status {reply.status}")
+        try:
+            listing = msgspec.convert(reply.value, _Listing)
+        except msgspec.ValidationError as error:
+            raise StoreUnavailable(f"the instance list can't be read: {error}") from error
+        return [listed.instance() for listed in listing.instances]
--- /dev/null
+++ b/packages/transport/src/mimosaspur_transport/jsonhttp.py
@@ -0,0 +1,119 @@
+"""Make bounded JSON calls over HTTP to the platform."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.clock import Deadline
+from mimosaspur_state.errors import StoreUnavailable
+from mimosaspur_state.settings import split_address
+
+CALLER_HEADER = "X-Caller"
+TOO_MANY = 429
+FIRST_OUTAGE_STATUS = 500
+READ_BYTES = 65_536
+IDLE_CONNECTIONS = 8
+MS_PER_SECOND = 1000
+
+
+@dataclass(slots=True, frozen=True)
+class JsonReply:
+    """Hold an answer's status and JSON body."""
+
+    status: int
+    value: Any
+
+
+class JsonHttp:
+    """Call one address; raise StoreUnavailable when no usable answer comes in time."""
+
+    __slots__ = ("address", "clock", "headers", "pool", "timeout_ms")
+
+    def __init__(self, address: str, *, caller: str, timeout_ms: int, clock: Clock) -> None:
+        split_address(address)
+        self.address = address
+        self.timeout_ms = timeout_ms
+        self.clock = clock
+        self.headers = {CALLER_HEADER: caller}
+        self.pool = self._new_pool()
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        headers: dict[str, str] | None = None,
+        value: object = None,
+        extra_ms: int = 0,
+    ) -> JsonReply:
+        """Make one call; extra_ms is how long the other side may wait of its own will."""
+        deadline = Deadline(self.clock, self.timeout_ms + extra_ms)
+        pool = self.pool
+        try:
+            reply = self._exchange(pool, deadline, method, path, headers or {}, value)
+        except (HTTPError, OSError, ValueError) as error:
+            # The other idle connections may have gone silent too, so none is used again.
+            if self.pool is pool:
+                self.pool = self._new_pool()
+            raise StoreUnavailable(f"{method} {self.address}{path}: {error}") from error
+        if reply.status == TOO_MANY or reply.status >= FIRST_OUTAGE_STATUS:
+            raise StoreUnavailable(f"{method} {self.address}{path}: status {reply.status}")
+        return reply
+
+    def _exchange(
+        self,
+        pool: urllib3.HTTPConnectionPool,
+        deadline: Deadline,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        value: object,
+    ) -> JsonReply:
+        body = None if value is None else json.dumps(value).encode()
+        left_s = deadline.left_s()
+        response = pool.urlopen(
+            method,
+            path,
+            body=body,
+            headers={**self.headers, **headers},
+            retries=False,
+            redirect=False,
+            timeout=urllib3.Timeout(
+                connect=min(left_s, self.timeout_ms / MS_PER_SECOND), read=left_s
+            ),
+            preload_content=False,
+        )
+        data = _read_all(response, deadline)
+        return JsonReply(response.status, _decoded(response.status, data))
+
+    def _new_pool(self) -> urllib3.HTTPConnectionPool:
+        host, port = split_address(self.address)
+        return urllib3.HTTPConnectionPool(host, port, maxsize=IDLE_CONNECTIONS, block=False)
+
+
+def _read_all(response: urllib3.BaseHTTPResponse, deadline: Deadline) -> bytes:
+    parts: list[bytes] = []
+    whole = False
+    try:
+        # The socket's timeout bounds one read only; a trickle must end too.
+        while part := response.read1(READ_BYTES):
+            parts.append(part)
+            if deadline.passed():
+                raise TimeoutError("the answer did not end in time")
+        whole = True
+    finally:
+        if whole:
+            response.release_conn()
+        else:
+            response.close()
+    return b"".join(parts)
+
+
+def _decoded(status: int, data: bytes) -> object:
+    if status >= FIRST_OUTAGE_STATUS or status == TOO_MANY:
+        return None
+    return json.loads(data) if data else None
