--- /dev/null
+++ b/packages/transport/src/mimosaspur_transport/objectapi.py
@@ -0,0 +1,152 @@
+"""Speak to the platform's object API."""
+
+from typing import TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+
+from mimosaspur_coordination.buckets import TokenBucket
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.clock import Deadline
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_state.errors import RevisionTooOld
+from mimosaspur_state.errors import StoreUnavailable
+from mimosaspur_state.errors import VersionConflict
+from mimosaspur_state.objects import ABSENT
+from mimosaspur_state.objects import Snapshot
+from mimosaspur_state.objects import StoredObject
+from mimosaspur_transport.jsonhttp import JsonHttp
+from mimosaspur_transport.jsonhttp import JsonReply
+
+ReadT = TypeVar("ReadT")
+
+PAGE_LIMIT = 200
+OK = 200
+NOT_FOUND = 404
+TOO_OLD = 410
+CONDITION_FAILED = 412
+
+
+class _Page(msgspec.Struct, frozen=True):
+    revision: int
+    objects: list[StoredObject]
+    more: bool
+
+
+class _Changes(msgspec.Struct, frozen=True):
+    revision: int
+    events: list[StoredObject]
+
+
+class _Version(msgspec.Struct, frozen=True):
+    version: int
+
+
+class HttpObjectStore:
+    """Reach the object API within a rate; every wait ends, connections that failed do too."""
+
+    __slots__ = ("clock", "http", "reads", "timeout_ms", "writes")
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        caller: str,
+        timeout_ms: int,
+        clock: Clock,
+        reads_per_second: float,
+        writes_per_second: float,
+    ) -> None:
+        self.http = JsonHttp(address, caller=caller, timeout_ms=timeout_ms, clock=clock)
+        self.timeout_ms = timeout_ms
+        self.clock = clock
+        self.reads = TokenBucket(reads_per_second, clock=clock)
+        self.writes = TokenBucket(writes_per_second, clock=clock)
+
+    def get(self, key: str) -> StoredObject | None:
+        """Return the object, or None if it is absent."""
+        self._token(self.reads)
+        reply = self.http.call("GET", _path(key))
+        if reply.status == NOT_FOUND:
+            return None
+        return _read(reply, StoredObject)
+
+    def list(self, prefix: str) -> Snapshot:
+        """Return every object whose key starts with the prefix, page by page."""
+        objects: list[StoredObject] = []
+        first: int | None = None
+        more = True
+        while more:
+            after = objects[-1].key if objects else ""
+            page = self._page(prefix, after)
+            objects.extend(page.objects)
+            more = page.more and bool(page.objects)
+            # Pages are taken one after the other; only the first revision holds for all.
+            first = page.revision if first is None else first
+        return Snapshot(first or 0, objects)
+
+    def create(self, key: str, value: object) -> int:
+        """Create the object and return its version; raise VersionConflict if it exists."""
+        return self._put(key, value, {"If-None-Match": "*"})
+
+    def update(self, key: str, value: object, version: int) -> int:
+        """Replace the object at this version; raise VersionConflict at another one."""
+        return self._put(key, value, _if_match(version))
+
+    def delete(self, key: str, version: int) -> None:
+        """Delete the object at this version; raise VersionConflict at another one."""
+        self._token(self.writes)
+        reply = self.http.call("DELETE", _path(key), headers=_if_match(version))
+        if reply.status == NOT_FOUND:
+            raise VersionConflict(key, ABSENT)
+        self._version(key, reply)
+
+    def watch(self, prefixes: tuple[str, ...], since: int, wait_ms: int) -> Snapshot:
+        """Return the changes after a revision, empty after wait_ms; may raise RevisionTooOld."""
+        self._token(self.reads)
+        pairs = [("prefix", prefix) for prefix in prefixes]
+        query = urlencode([*pairs, ("since", str(since)), ("wait_ms", str(wait_ms))])
+        reply = self.http.call("GET", f"/watch?{query}", extra_ms=wait_ms)
+        if reply.status == TOO_OLD:
+            raise RevisionTooOld(f"revision {since} is too old")
+        changes = _read(reply, _Changes)
+        return Snapshot(changes.revision, changes.events)
+
+    def _page(self, prefix: str, after: str) -> _Page:
+        self._token(self.reads)
+        query = urlencode({"prefix": prefix, "after": after, "limit": PAGE_LIMIT})
+        return _read(self.http.call("GET", f"/objects?{query}"), _Page)
+
+    def _put(self, key: str, value: object, condition: dict[str, str]) -> int:
+        self._token(self.writes)
+        headers = {**condition, "Content-Type": "application/json"}
+        return self._version(key, self.http.call("PUT", _path(key), headers=headers, value=value))
+
+    def _version(self, key: str, reply: JsonReply) -> int:
+        version = _read(reply, _Version, also=CONDITION_FAILED).version
+        if reply.status == CONDITION_FAILED:
+            raise VersionConflict(key, version)
+        return version
+
+    def _token(self, bucket: TokenBucket) -> None:
+        if not bucket.acquire(Deadline(self.clock, self.timeout_ms)):
+            raise StoreUnavailable("our own rate for the object API is used up; nothing was sent")
+
+
+def _path(key: str) -> str:
+    return f"/objects/{key}"
+
+
+def _if_match(version: int) -> dict[str, str]:
+    return {"If-Match": f'"{version}"'}
+
+
+def _read(reply: JsonReply, kind: type[ReadT], *, also: int = OK) -> ReadT:
+    if reply.status not in (OK, also):
+        detail = f"The object API refused the call with status {reply.status}: {reply.value}."
+        raise MimosaspurError(ResultCode.INTERNAL, detail)
+    try:
+        return msgspec.convert(reply.value, kind)
+    except msgspec.ValidationError as error:
+        raise StoreUnavailable(f"the object API's answer can't be read: {error}") from error
--- /dev/null
+++ b/packages/transport/src/mimosaspur_transport/plainservice.py
@@ -0,0 +1,60 @@
+"""Call a plain service, never twice."""
+
+from dataclasses import dataclass
+
+import urllib3
+
+from mimosaspur_state.codes import Outcome
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_state.requests import Work
+from mimosaspur_state.settings import split_address
+
+CONNECT_S = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceAnswer:
+    """Hold a plain service's whole answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class PlainService:
+    """Reach the service beside this process, each call on a connection of its own.
+
+    A kept connection may have gone silent: what was sent on it could then neither be proved
+    run nor not run.
+    """
+
+    def __init__(self, address: str) -> None:
+        host, port = split_address(address)
+        self.pool = urllib3.HTTPConnectionPool(host, port, retries=False)
+
+    def call(self, work: Work, run_id: str, timeout_ms: int) -> ServiceAnswer:
+        """Run a request; raise MimosaspurError saying whether it may have run."""
+        timeout = urllib3.Timeout(connect=CONNECT_S, read=timeout_ms / 1000)
+        headers = {"X-Request-Id": run_id, "Connection": "close"}
+        if work.content_type:
+            headers["Content-Type"] = work.content_type
+        try:
+            response = self.pool.request(
+                work.method,
+                work.path,
+                body=work.body or None,
+                headers=headers,
+                timeout=timeout,
+                redirect=False,
+            )
+        except urllib3.exceptions.NewConnectionError as error:
+            raise MimosaspurError(ResultCode.NO_READY_TARGET, "The service is down.") from error
+        except urllib3.exceptions.ConnectTimeoutError as error:
+            raise MimosaspurError(ResultCode.NO_READY_TARGET, "The service is down.") from error
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise MimosaspurError(
+                ResultCode.OUTCOME_UNKNOWN, f"{error}.", outcome=Outcome.UNKNOWN
+            ) from error
+        content_type = response.headers.get("Content-Type", "application/octet-stream")
+        return ServiceAnswer(response.status, content_type, response.data)
--- /dev/null
+++ b/packages/transport/src/mimosaspur_transport/targetlink.py
@@ -0,0 +1,321 @@
+"""Keep an entry's connection to one target and the attempts that run over it."""
+
+import contextlib
+import itertools
+import queue
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from functools import singledispatchmethod
+
+from mimosaspur_coordination.generation import BundleHolder
+from mimosaspur_coordination.hints import TargetHint
+from mimosaspur_protocol.codec import ProtocolError
+from mimosaspur_protocol.messages import BundleOffer
+from mimosaspur_protocol.messages import BundleWanted
+from mimosaspur_protocol.messages import Cancel
+from mimosaspur_protocol.messages import Chunk
+from mimosaspur_protocol.messages import Draining
+from mimosaspur_protocol.messages import End
+from mimosaspur_protocol.messages import Failed
+from mimosaspur_protocol.messages import Hello
+from mimosaspur_protocol.messages import Message
+from mimosaspur_protocol.messages import Ping
+from mimosaspur_protocol.messages import Pong
+from mimosaspur_protocol.messages import Refused
+from mimosaspur_protocol.messages import Residents
+from mimosaspur_protocol.messages import Resume
+from mimosaspur_protocol.messages import Started
+from mimosaspur_protocol.messages import Submit
+from mimosaspur_protocol.messages import Welcome
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.codes import Outcome
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.log import log
+from mimosaspur_state.settings import PeerSettings
+from mimosaspur_transport.wire import ConnectionLost
+from mimosaspur_transport.wire import Wire
+from mimosaspur_transport.wire import connect
+
+PART = "LINK"
+RECONNECT_PAUSE_S = 0.1
+
+Event = Started | Chunk | End | Refused | Failed
+
+
+@dataclass(slots=True)
+class Attempt:
+    """Follow one attempt's answer; frames that don't continue it are dropped."""
+
+    submit: Submit
+    incarnation: str
+    events: "queue.SimpleQueue[Event]" = field(default_factory=queue.SimpleQueue)
+    offset: int = 0
+    started: bool = False
+    ended: bool = False
+
+    def take(self, event: Event) -> None:
+        """Pass on an event if it is the next one of this answer."""
+        if self.ended:
+            return
+        if isinstance(event, Started):
+            if self.started:
+                return
+            self.started = True
+        elif isinstance(event, Chunk):
+            if event.offset != self.offset:
+                return
+            self.offset += len(event.data)
+        elif isinstance(event, End) and event.total != self.offset:
+            event = _cut(self, f"It ended at {event.total} bytes, {self.offset} came.")
+        self.ended = isinstance(event, End | Refused | Failed)
+        self.events.put(event)
+
+
+class TargetLink:
+    """Own the connection to one target: one task connects, reads and beats.
+
+    A connection that is silent is replaced by a new one, on which every attempt is resumed at
+    its offset. The link closes itself when it has been idle.
+    """
+
+    def __init__(
+        self,
+        hint: TargetHint,
+        *,
+        instance: str,
+        incarnation: str,
+        settings: PeerSettings,
+        idle_ms: int,
+        clock: Clock,
+        holder: BundleHolder,
+        on_residents: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.hint = hint
+        self.instance = instance
+        self.incarnation = incarnation
+        self.settings = settings
+        self.idle_ms = idle_ms
+        self.clock = clock
+        self.holder = holder
+        self.on_residents = on_residents
+        self.lock = threading.Lock()
+        self.changed = threading.Condition(self.lock)
+        self.attempts: dict[tuple[str, int], Attempt] = {}
+        self.wire: Wire | None = None
+        self.target_incarnation = ""
+        self.connections = itertools.count(1)
+        self.pings = itertools.count(1)
+        self.running = False
+        self.stopped = False
+        self.failures = 0
+        self.used_at_ms = clock.now_ms()
+
+    def submit(self, submit: Submit, *, wait_ms: int) -> Attempt | None:
+        """Send a request; None means that it was never sent, so it was not run."""
+        wire = self._connected(wait_ms)
+        if wire is None:
+            return None
+        attempt = Attempt(submit, self.target_incarnation)
+        key = (submit.work.request_id, submit.attempt)
+        with self.lock:
+            if self.wire is not wire:
+                return None
+            self.attempts[key] = attempt
+            self.hint.own += 1
+        try:
+            wire.send(submit)
+        except ConnectionLost:
+            # Part of it may have arrived: the next connection settles it by Resume.
+            wire.close()
+        return attempt
+
+    def finish(self, attempt: Attempt) -> None:
+        """Forget an attempt; one that has not ended is cancelled at the target."""
+        key = (attempt.submit.work.request_id, attempt.submit.attempt)
+        with self.lock:
+            if self.attempts.pop(key, None) is None:
+                return
+            self.hint.own -= 1
+            wire = self.wire
+            self.used_at_ms = self.clock.now_ms()
+        if attempt.ended or wire is None:
+            return
+        # On a lost connection the target cancels by itself what is not resumed in time.
+        with contextlib.suppress(ConnectionLost):
+            wire.send(Cancel(*key))
+
+    def connect_soon(self) -> None:
+        """Start connecting without waiting for it."""
+        with self.lock:
+            self._start()
+
+    def stop(self) -> None:
+        """Close the link for good."""
+        with self.lock:
+            self.stopped = True
+            wire = self.wire
+            self.changed.notify_all()
+        if wire:
+            wire.close()
+
+    def _connected(self, wait_ms: int) -> Wire | None:
+        with self.lock:
+            self.used_at_ms = self.clock.now_ms()
+            self._start()
+            failures = self.failures
+            self.changed.wait_for(
+                lambda: self.wire is not None or self.failures > failures or self.stopped,
+                wait_ms / 1000,
+            )
+            return self.wire
+
+    def _start(self) -> None:
+        if self.running or self.stopped:
+            return
+        self.running = True
+        threading.Thread(target=self._run, name=f"link-{self.hint.name}", daemon=True).start()
+
+    def _run(self) -> None:
+        lost_at_ms = self.clock.now_ms()
+        while self._wanted():
+            try:
+                self._serve_connection()
+                lost_at_ms = self.clock.now_ms()
+            except (ConnectionLost, ProtocolError, TimeoutError) as error:
+                if self._lost():
+                    lost_at_ms = self.clock.now_ms()
+                log(PART, "Lost a connection.", target=self.hint.name, error=str(error))
+            if self.clock.now_ms() - lost_at_ms > 2 * self.settings.silent_ms:
+                self._fail_all()
+            if not self.attempts:
+                break
+            threading.Event().wait(RECONNECT_PAUSE_S)
+        self._end()
+
+    def _wanted(self) -> bool:
+        return not self.stopped
+
+    def _end(self) -> None:
+        with self.lock:
+            self.running = False
+            # An attempt that came while this task was ending needs a new one.
+            if self.attempts and not self.stopped:
+                self._start()
+
+    def _serve_connection(self) -> None:
+        wire = connect(
+            self.hint.address,
+            connect_ms=self.settings.connect_ms,
+            send_timeout_ms=self.settings.silent_ms,
+        )
+        try:
+            self._greet(wire)
+            self._read(wire)
+        finally:
+            wire.close()
+
+    def _greet(self, wire: Wire) -> None:
+        number = next(self.connections)
+        wire.send(Hello(self.instance, self.incarnation, number, self.holder.generation()))
+        messages = list(wire.receive())
+        if not messages or not isinstance(messages[0], Welcome):
+            raise ProtocolError("the target did not answer Hello with Welcome")
+        welcome = messages[0]
+        with self.lock:
+            self.wire = wire
+            self.target_incarnation = welcome.incarnation
+            pending = list(self.attempts.values())
+            self.hint.connected(welcome.draining, welcome.residents)
+            self.changed.notify_all()
+        self.on_residents()
+        self._compare(wire, welcome.generation)
+        for attempt in pending:
+            wire.send(Resume(attempt.incarnation, attempt.offset, attempt.submit))
+        for message in messages[1:]:
+            self._handle(message, wire)
+
+    def _read(self, wire: Wire) -> None:
+        wire.sock.settimeout(self.settings.heartbeat_ms / 1000)
+        heard_at_ms = pinged_at_ms = self.clock.now_ms()
+        while True:
+            try:
+                for message in wire.receive():
+                    self._handle(message, wire)
+                heard_at_ms = self.clock.now_ms()
+            except TimeoutError:
+                pass
+            now_ms = self.clock.now_ms()
+            if now_ms - heard_at_ms > self.settings.silent_ms:
+                raise ConnectionLost("the connection is silent")
+            if now_ms - pinged_at_ms >= self.settings.heartbeat_ms:
+                pinged_at_ms = now_ms
+                wire.send(Ping(next(self.pings), self.holder.generation()))
+            if self._idle(now_ms):
+                raise ConnectionLost("the connection is idle")
+
+    def _idle(self, now_ms: int) -> bool:
+        with self.lock:
+            return not self.attempts and now_ms - self.used_at_ms > self.idle_ms
+
+    def _lost(self) -> bool:
+        with self.lock:
+            was_connected = self.wire is not None
+            self.wire = None
+            self.failures += 1
+            self.hint.lost(self.clock.now_ms())
+            self.changed.notify_all()
+            return was_connected
+
+    def _fail_all(self) -> None:
+        with self.lock:
+            attempts = list(self.attempts.values())
+        for attempt in attempts:
+            attempt.take(_cut(attempt, "The target can't be reached."))
+
+    @singledispatchmethod
+    def _handle(self, message: Message, wire: Wire) -> None:
+        raise ProtocolError(f"unexpected {type(message).__name__} from a target")
+
+    @_handle.register
+    def _(self, message: Started | Chunk | End | Refused | Failed, wire: Wire) -> None:
+        with self.lock:
+            attempt = self.attempts.get((message.request_id, message.attempt))
+        if attempt:
+            attempt.take(message)
+
+    @_handle.register
+    def _(self, message: Pong, wire: Wire) -> None:
+        self.hint.report(message.load, message.draining, self.clock.now_ms())
+        self._compare(wire, message.generation)
+
+    @_handle.register
+    def _(self, message: Draining, wire: Wire) -> None:
+        self.hint.draining = True
+
+    @_handle.register
+    def _(self, message: Residents, wire: Wire) -> None:
+        self.hint.residents = frozenset(message.residents)
+        self.on_residents()
+
+    @_handle.register
+    def _(self, message: BundleWanted, wire: Wire) -> None:
+        packed = self.holder.pack()
+        if packed and packed[0] > message.have:
+            wire.send(BundleOffer(*packed))
+
+    @_handle.register
+    def _(self, message: BundleOffer, wire: Wire) -> None:
+        self.holder.unpack(message.generation, message.packed)
+
+    def _compare(self, wire: Wire, theirs: int) -> None:
+        own = self.holder.generation()
+        if theirs > own:
+            wire.send(BundleWanted(own))
+
+
+def _cut(attempt: Attempt, detail: str) -> Failed:
+    work = attempt.submit.work
+    code = ResultCode.ANSWER_CUT if attempt.started else ResultCode.OUTCOME_UNKNOWN
+    return Failed(work.request_id, attempt.submit.attempt, code, detail, Outcome.UNKNOWN)
--- /dev/null
+++ b/standins/src/mimosaspur_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the outside systems of mimosaspur in its tests."""
--- /dev/null
+++ b/standins/src/mimosaspur_standins/objectapi.py
@@ -0,0 +1,216 @@
+"""Stand in for the object API and the instance list."""
+
+import threading
+from collections import Counter
+from collections import deque
+from dataclasses import asdict
+from typing import Any
+
+from .base import StandIn
+from .base import now_ms
+from .counting import SecondWindow
+from .messages import Reply
+from .messages import Request
+from .objects import ObjectStore
+
+MAX_VALUE_BYTES = 1_000_000
+MAX_SNAPSHOTS = 1000
+DEFAULT_LIMIT = 500
+NO_CALLER = "none"
+
+Instance = dict[str, Any]
+
+
+def kind_of(request: Request) -> str:
+    """Tell the kind of a call: read, write, watch, or other (the harness, the instance list)."""
+    if request.path == "/watch":
+        return "watch"
+    if not request.path.startswith("/objects"):
+        return "other"
+    return "read" if request.method == "GET" else "write"
+
+
+class CallCounts:
+    """Count calls by kind and by caller, and those of the busiest second."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.by_kind: Counter[str] = Counter()
+        self.by_caller: dict[str, Counter[str]] = {}
+        self.refused = 0
+        self.seconds = SecondWindow()
+
+    def add(self, kind: str, caller: str) -> None:
+        """Count a call."""
+        with self.lock:
+            self.by_kind[kind] += 1
+            self.by_caller.setdefault(caller, Counter())[kind] += 1
+            if kind != "other":
+                self.seconds.add()
+
+    def report(self) -> dict[str, Any]:
+        """Give all counts."""
+        with self.lock:
+            return {
+                "by_kind": dict(self.by_kind),
+                "by_caller": {name: dict(kinds) for name, kinds in self.by_caller.items()},
+                "peak_per_second": self.seconds.peak,
+                "refused": self.refused,
+            }
+
+
+class InstanceList:
+    """Keep the instances and show them as they were `lag_ms` ago."""
+
+    def __init__(self, *, lag_ms: float) -> None:
+        self.lock = threading.Lock()
+        self.lag_ms = lag_ms
+        self.instances: dict[str, Instance] = {}
+        self.snapshots: deque[tuple[float, list[Instance]]] = deque(maxlen=MAX_SNAPSHOTS)
+
+    def put(self, name: str, instance: Instance | None) -> None:
+        """Add or change an instance; None takes it away."""
+        with self.lock:
+            if instance is None:
+                self.instances.pop(name, None)
+            else:
+                self.instances[name] = {**instance, "name": name}
+            self.snapshots.append((now_ms(), list(self.instances.values())))
+
+    def shown(self) -> list[Instance]:
+        """Give the lagging list."""
+        with self.lock:
+            seen_until = now_ms() - self.lag_ms
+            for at_ms, snapshot in reversed(self.snapshots):
+                if at_ms <= seen_until:
+                    return snapshot
+        return []
+
+
+class ObjectApi(StandIn):
+    """Serve objects, watches and the instance list."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: str,
+        writes_per_second: int = 0,
+        reads_per_second: int = 0,
+        lag_ms: float = 0,
+    ) -> None:
+        super().__init__(name=name, address=address)
+        self.store = ObjectStore()
+        self.counts = CallCounts()
+        self.list = InstanceList(lag_ms=lag_ms)
+        self.limits = {"write": writes_per_second, "read": reads_per_second}
+        self.windows = {"write": SecondWindow(), "read": SecondWindow()}
+        self.route("GET", "/objects/*", self.get)
+        self.route("PUT", "/objects/*", self.put)
+        self.route("DELETE", "/objects/*", self.delete)
+        self.route("GET", "/objects", self.page)
+        self.route("GET", "/watch", self.watch)
+        self.route("GET", "/instances", self.instances)
+        self.route("PUT", "/instances/*", self.put_instance)
+        self.route("DELETE", "/instances/*", self.delete_instance)
+        self.route("POST", "/lag", self.set_lag)
+        self.route("GET", "/counts", lambda request: Reply(value=self.counts.report()))
+        self.route("DELETE", "/counts", self.reset_counts)
+
+    def observe(self, request: Request) -> None:
+        """Count each call."""
+        self.counts.add(kind_of(request), request.headers.get("X-Caller", NO_CALLER))
+
+    def answer(self, request: Request) -> Reply:
+        """Do a request that is within the rate."""
+        kind = kind_of(request)
+        # A watch takes from the reads' rate: each call counts as one.
+        limited = "read" if kind == "watch" else kind
+        if limited in self.limits and not self.within_rate(limited):
+            return Reply(429, {"error": "over the rate, try again later"})
+        return super().answer(request)
+
+    def within_rate(self, kind: str) -> bool:
+        """Tell whether the rate has room for a call, and take it."""
+        with self.counts.lock:
+            allowed = self.windows[kind].allow(self.limits[kind])
+            self.counts.refused += not allowed
+            return allowed
+
+    def get(self, request: Request) -> Reply:
+        """Give an object."""
+        found = self.store.get(request.rest)
+        return Reply(value=asdict(found)) if found else Reply(404, {"error": "no such object"})
+
+    def put(self, request: Request) -> Reply:
+        """Create or update an object."""
+        if len(request.body) > MAX_VALUE_BYTES:
+            return Reply(413, {"error": f"send at most {MAX_VALUE_BYTES} bytes"})
+        expected = expected_version(request)
+        if expected is None:
+            return Reply(428, {"error": "send If-Match or If-None-Match: *"})
+        done, version = self.store.put(request.rest, request.value(), expected)
+        return Reply(200 if done else 412, {"version": version})
+
+    def delete(self, request: Request) -> Reply:
+        """Delete an object."""
+        expected = expected_version(request)
+        if not expected:
+            return Reply(428, {"error": "send If-Match"})
+        done, version = self.store.delete(request.rest, expected)
+        if not done and version == 0:
+            return Reply(404, {"error": "no such object"})
+        return Reply(200 if done else 412, {"version": version})
+
+    def page(self, request: Request) -> Reply:
+        """Give one page of objects."""
+        limit = request.number("limit", DEFAULT_LIMIT)
+        revision, page, more = self.store.listing(
+            request.first("prefix"), request.first("after"), limit
+        )
+        objects = [asdict(change) for change in page]
+        return Reply(value={"revision": revision, "objects": objects, "more": more})
+
+    def watch(self, request: Request) -> Reply:
+        """Wait for changes."""
+        prefixes = tuple(request.query.get("prefix", [""]))
+        found = self.store.watch(prefixes, request.number("since"), request.number("wait_ms"))
+        if found is None:
+            return Reply(410, {"error": "revision too old, list again"})
+        events = [asdict(change) for change in found[1]]
+        return Reply(value={"revision": found[0], "events": events})
+
+    def instances(self, request: Request) -> Reply:
+        """Give the instance list."""
+        return Reply(value={"instances": self.list.shown()})
+
+    def put_instance(self, request: Request) -> Reply:
+        """Add or change an instance for the harness."""
+        self.list.put(request.name, request.mapping())
+        return Reply()
+
+    def delete_instance(self, request: Request) -> Reply:
+        """Take an instance away for the harness."""
+        self.list.put(request.name, None)
+        return Reply()
+
+    def set_lag(self, request: Request) -> Reply:
+        """Set how far the instance list lags."""
+        self.list.lag_ms = float(request.mapping()["lag_ms"])
+        return Reply()
+
+    def reset_counts(self, request: Request) -> Reply:
+        """Start all counts anew."""
+        self.counts = CallCounts()
+        return Reply()
+
+
+def expected_version(request: Request) -> int | None:
+    """Give the version that a write expects: 0 to create, None without a condition."""
+    match = request.headers.get("If-Match")
+    if match is not None:
+        version = int(match.strip().strip('"'))
+        if version <= 0:
+            raise ValueError("If-Match takes a version above 0")
+        return version
+    return 0 if request.headers.get("If-None-Match", "").strip() == "*" else None
--- /dev/null
+++ b/standins/src/mimosaspur_standins/objects.py
@@ -0,0 +1,97 @@
+"""Keep versioned objects and the log of their changes."""
+
+import threading
+from collections import deque
+from dataclasses import dataclass
+
+from .base import MS_PER_SECOND
+from .base import now_ms
+
+MAX_EVENTS = 10_000
+
+
+@dataclass(slots=True)
+class Change:
+    """Hold the newest value of a key; None as an event's value is a deletion."""
+
+    key: str
+    version: int
+    value: object
+
+
+class ObjectStore:
+    """Create, update, delete, list and watch objects."""
+
+    def __init__(self) -> None:
+        self.changed = threading.Condition()
+        self.revision = 0
+        self.objects: dict[str, Change] = {}
+        self.events: deque[Change] = deque(maxlen=MAX_EVENTS)
+
+    def get(self, key: str) -> Change | None:
+        """Give an object."""
+        with self.changed:
+            return self.objects.get(key)
+
+    def version(self, key: str) -> int:
+        """Tell the version of a key, 0 when it is absent."""
+        found = self.get(key)
+        return found.version if found else 0
+
+    def put(self, key: str, value: object, expected: int) -> tuple[bool, int]:
+        """Write if the version is the expected one (0 creates); tell success and version."""
+        with self.changed:
+            if self.version(key) != expected:
+                return False, self.version(key)
+            self.note(key, value)
+            self.objects[key] = self.events[-1]
+            return True, self.revision
+
+    def delete(self, key: str, expected: int) -> tuple[bool, int]:
+        """Delete if the version is the expected one; tell success and version."""
+        with self.changed:
+            if self.version(key) != expected:
+                return False, self.version(key)
+            del self.objects[key]
+            self.note(key, None)
+            return True, self.revision
+
+    def note(self, key: str, value: object) -> None:
+        """Log a change and wake the watches; the caller holds the lock."""
+        self.revision += 1
+        self.events.append(Change(key, self.revision, value))
+        self.changed.notify_all()
+
+    def listing(self, prefix: str, after: str, limit: int) -> tuple[int, list[Change], bool]:
+        """Give revision, one page by key, and whether there is more."""
+        with self.changed:
+            keys = sorted(key for key in self.objects if key.startswith(prefix) and key > after)
+            page = [self.objects[key] for key in keys[:limit]]
+            return self.revision, page, len(keys) > limit
+
+    def watch(
+        self, prefixes: tuple[str, ...], since: int, wait_ms: int
+    ) -> tuple[int, list[Change]] | None:
+        """Wait for changes after a revision; give None when it is too old to tell."""
+        deadline = now_ms() + wait_ms
+        scanned = since
+        with self.changed:
+            while True:
+                if scanned < self.revision - len(self.events):
+                    return None
+                fresh = self.fresh(prefixes, scanned)
+                left = deadline - now_ms()
+                if fresh or left <= 0:
+                    return self.revision, fresh
+                scanned = max(scanned, self.revision)
+                self.changed.wait(left / MS_PER_SECOND)
+
+    def fresh(self, prefixes: tuple[str, ...], since: int) -> list[Change]:
+        """Find the changes after a revision; the caller holds the lock."""
+        found = []
+        for event in reversed(self.events):
+            if event.version <= since:
+                break
+            if event.key.startswith(prefixes):
+                found.append(event)
+        return found[::-1]
--- /dev/null
+++ b/standins/src/mimosaspur_standins/relay.py
@@ -0,0 +1,94 @@
+"""Relay TCP between two of our addresses and break it on order."""
+
+import socket
+import threading
+
+from .base import MAX_BACKLOG
+from .base import StandIn
+from .base import split_address
+from .links import Link
+from .messages import Reply
+from .messages import Request
+
+MODES = ("pass", "freeze", "freeze_answers", "cut", "refuse")
+
+
+class Relay(StandIn):
+    """Relay connections; the HTTP part is the control."""
+
+    def __init__(self, *, name: str, address: str, control: str, to: str) -> None:
+        super().__init__(name=name, address=control)
+        self.to = split_address(to)
+        self.lock = threading.Lock()
+        self.links: set[Link] = set()
+        self.mode = "pass"
+        self.delay = 0.0
+        self.listener = socket.create_server(split_address(address), backlog=MAX_BACKLOG)
+        self.route("POST", "/mode", self.set_mode)
+        self.route("GET", "/mode", self.show_mode)
+        self.route("POST", "/delay", self.set_delay)
+
+    def start(self) -> None:
+        """Serve control and relay in the background."""
+        super().start()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def announcement(self) -> dict[str, str]:
+        """Give the relayed address and the control's."""
+        host, port = self.listener.getsockname()
+        return {"name": self.name, "address": f"{host}:{port}", "control": self.address}
+
+    def accept(self) -> None:
+        """Take connections for ever."""
+        while True:
+            near, _ = self.listener.accept()
+            link = Link(near, delay_ms=lambda: self.delay, forget=self.forget)
+            with self.lock:
+                refused = self.mode == "refuse"
+                if not refused:
+                    self.links.add(link)
+            if refused:
+                link.cut()
+            else:
+                threading.Thread(target=link.open, args=(self.to,), daemon=True).start()
+
+    def forget(self, link: Link) -> None:
+        """Drop a link that is over."""
+        with self.lock:
+            self.links.discard(link)
+
+    def set_mode(self, request: Request) -> Reply:
+        """Break what is open now; only `refuse` and `pass` say something of what comes."""
+        mode = request.mapping()["mode"]
+        if mode not in MODES:
+            raise ValueError(f"mode must be one of {', '.join(MODES)}")
+        with self.lock:
+            self.mode = mode
+            for link in self.links:
+                strike(link, mode)
+            if mode in ("cut", "refuse"):
+                self.links.clear()
+        return self.show_mode(request)
+
+    def show_mode(self, request: Request) -> Reply:
+        """Tell the mode and how many links there are."""
+        with self.lock:
+            frozen = sum(link.frozen() for link in self.links)
+            return Reply(value={"mode": self.mode, "open": len(self.links), "frozen": frozen})
+
+    def set_delay(self, request: Request) -> Reply:
+        """Delay each direction."""
+        self.delay = float(request.mapping()["ms"])
+        return Reply()
+
+
+def strike(link: Link, mode: str) -> None:
+    """Do to one open link what a mode says."""
+    match mode:
+        case "freeze":
+            link.asks.silent = True
+            link.answers.silent = True
+        case "freeze_answers":
+            link.answers.silent = True
+        case "cut" | "refuse":
+            link.cut()
--- /dev/null
+++ b/standins/src/mimosaspur_standins/residents.py
@@ -0,0 +1,225 @@
+"""Obey the engine's orders and watch over the memory of its accelerators."""
+
+import http.client
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+from .base import MS_PER_SECOND
+from .base import sleep_ms
+from .base import split_address
+from .orders import OlderFencingError
+from .orders import Order
+from .orders import Resident
+
+SHOWN_ORDERS = 200
+WEIGHT_TRIES = 4
+WEIGHT_PAUSE_MS = 250
+
+
+class Residents:
+    """Load and unload residents; `weights` is the store's address, or loading takes `load_ms`."""
+
+    def __init__(
+        self,
+        *,
+        capacity_mb: list[int],
+        weights: str | None,
+        load_ms: float,
+        unload_ms: float,
+        ignore_fencing: bool,
+        forget: Callable[[str], None],
+    ) -> None:
+        self.capacity_mb = capacity_mb
+        self.weights = weights
+        self.load_ms = load_ms
+        self.unload_ms = unload_ms
+        self.ignore_fencing = ignore_fencing
+        self.forget = forget
+        self.engine_id = uuid.uuid4().hex
+        self.changed = threading.Condition()
+        self.fencing = 0
+        self.residents: dict[str, Resident] = {}
+        self.orders: dict[str, Order] = {}
+        self.max_used_mb = [0] * len(capacity_mb)
+        self.overcommitted = False
+        self.loads = 0
+        self.unloads = 0
+
+    def obey(self, order: Order) -> Order:
+        """Start an order, once; raise ValueError or OlderFencingError."""
+        with self.changed:
+            known = self.orders.get(order.order_id)
+            if known is not None:
+                return known
+            order.check(len(self.capacity_mb))
+            if order.fencing < self.fencing and not self.ignore_fencing:
+                raise OlderFencingError
+            self.fencing = max(self.fencing, order.fencing)
+            order.at_ms = int(time.time() * MS_PER_SECOND)
+            self.orders[order.order_id] = order
+            self.apply(order)
+            return order
+
+    def apply(self, order: Order) -> None:
+        """Take the first step of an order; the caller holds the lock."""
+        match order.kind:
+            case "fence":
+                order.end("done")
+            case "load":
+                self.begin_load(order)
+            case "unload":
+                self.begin_unload(order)
+
+    def begin_load(self, order: Order) -> None:
+        """Take the memory of a load and start loading."""
+        present = self.residents.get(order.id)
+        if present is not None:
+            ready = present.state == "ready"
+            order.end("done" if ready else "failed", f"already {present.state}")
+            return
+        if order.base is not None and not self.ready(order.base):
+            order.end("failed", f"base {order.base} is not ready")
+            return
+        resident = Resident(
+            order.id,
+            order.base,
+            order.resident_kind,
+            order.memory_mb,
+            order.accelerators,
+            order.order_id,
+        )
+        self.residents[order.id] = resident
+        self.sum_memory()
+        threading.Thread(target=self.load, args=(order, resident), daemon=True).start()
+
+    def begin_unload(self, order: Order) -> None:
+        """Stop new work on a resident and start unloading."""
+        resident = self.residents.get(order.id)
+        if resident is None:
+            order.end("done", "not resident")
+        elif resident.state == "unloading":
+            order.end("failed", "already unloading")
+        elif any(other.base == order.id for other in self.residents.values()):
+            order.end("failed", "adapters of it are resident, unload them first")
+        else:
+            resident.state = "unloading"
+            threading.Thread(target=self.unload, args=(order, resident), daemon=True).start()
+
+    def load(self, order: Order, resident: Resident) -> None:
+        """Bring the weights in."""
+        problem = self.fetch(resident)
+        with self.changed:
+            resident.users -= 1
+            if resident.state == "unloading":
+                problem = "unloaded while loading"
+            elif problem:
+                del self.residents[resident.id]
+            else:
+                resident.state = "ready"
+                self.loads += 1
+            order.end("failed" if problem else "done", problem)
+            self.sum_memory()
+            self.changed.notify_all()
+
+    def unload(self, order: Order, resident: Resident) -> None:
+        """Wait for the end of all work on a resident, then free its memory."""
+        with self.changed:
+            self.changed.wait_for(lambda: resident.users == 0)
+        sleep_ms(self.unload_ms)
+        self.forget(resident.id)
+        with self.changed:
+            del self.residents[resident.id]
+            self.unloads += 1
+            order.end("done")
+            self.sum_memory()
+
+    def fetch(self, resident: Resident) -> str:
+        """Read the weights; give the problem, empty when there is none."""
+        if self.weights is None:
+            sleep_ms(self.load_ms)
+            return ""
+        problem = ""
+        for _ in range(WEIGHT_TRIES):
+            try:
+                status = read_weights(self.weights, resident)
+            except (OSError, http.client.HTTPException) as error:
+                return f"weight store: {error!r}"
+            if status == http.HTTPStatus.OK:
+                return ""
+            problem = f"weight store answered {status}"
+            sleep_ms(WEIGHT_PAUSE_MS)
+        return problem
+
+    def sum_memory(self) -> None:
+        """Note the sum on each accelerator; the caller holds the lock."""
+        for index, capacity in enumerate(self.capacity_mb):
+            on_it = (item for item in self.residents.values() if index in item.accelerators)
+            used = sum(item.memory_mb for item in on_it)
+            self.max_used_mb[index] = max(self.max_used_mb[index], used)
+            self.overcommitted = self.overcommitted or used > capacity
+
+    def ready(self, name: str) -> bool:
+        """Tell whether a model or adapter can work; the caller holds the lock."""
+        found = self.residents.get(name)
+        return found is not None and found.state == "ready" and found.kind != "import"
+
+    def acquire(self, name: str) -> Resident | None:
+        """Hold a ready resident for a piece of work; None when it isn't ready."""
+        with self.changed:
+            if not self.ready(name):
+                return None
+            self.residents[name].users += 1
+            return self.residents[name]
+
+    def release(self, resident: Resident) -> None:
+        """End a hold."""
+        with self.changed:
+            resident.users -= 1
+            self.changed.notify_all()
+
+    def state(self) -> dict[str, Any]:
+        """Give the published state."""
+        with self.changed:
+            orders = list(self.orders.values())[-SHOWN_ORDERS:]
+            return {
+                "engine_id": self.engine_id,
+                "fencing": self.fencing,
+                "capacity_mb": self.capacity_mb,
+                "residents": [resident.shown() for resident in self.residents.values()],
+                "orders": [
+                    {"order_id": order.order_id, "state": order.state, "detail": order.detail}
+                    for order in orders
+                ],
+            }
+
+    def log(self) -> dict[str, Any]:
+        """Give what a harness checks."""
+        with self.changed:
+            return {
+                "max_used_mb": list(self.max_used_mb),
+                "overcommitted": self.overcommitted,
+                "orders": [
+                    {key: getattr(order, key) for key in ("order_id", "kind", "id", "at_ms")}
+                    for order in self.orders.values()
+                ],
+                "loads": self.loads,
+                "unloads": self.unloads,
+            }
+
+
+def read_weights(address: str, resident: Resident) -> int:
+    """Ask the weight store once; give the status."""
+    host, port = split_address(address)
+    connection = http.client.HTTPConnection(host, port)
+    try:
+        path = f"/weights/{quote(resident.id, safe='')}?memory_mb={resident.memory_mb}"
+        connection.request("GET", path)
+        answer = connection.getresponse()
+        answer.read()
+        return answer.status
+    finally:
+        connection.close()
