--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 TYPED := $(shell for folder in $(CODE); do find $$folder -name '*.py' | grep -q . && echo $$folder; done)
 
 .DEFAULT_GOAL := test
-.PHONY: venv lint test scenarios demo measure format clean
+.PHONY: venv lint test scenarios demo measure reference format clean
 
 venv: $(STAMP)
 
@@ -53,6 +53,10 @@
 measure: $(MEASURE_STAMP)
 	$(BIN)/python -m mimosaspur_load $(ARGS)
 
+# The pages made from the code are committed; features/reference.feature checks them.
+reference: venv
+	$(BIN)/python tools/reference.py
+
 format: venv
 	$(BIN)/ruff check --fix $(CODE)
 	$(BIN)/black --quiet $(CODE)
--- a/features/harness/caller.py
+++ b/features/harness/caller.py
@@ -1,7 +1,9 @@
 """Call an entry as a caller does."""
 
+import contextlib
 import http.client
 import json
+import socket
 import threading
 from dataclasses import dataclass
 from dataclasses import field
@@ -78,8 +80,11 @@
 
     def leave(self) -> None:
         """Close the caller's connection at once."""
-        if self.connection.sock:
-            self.connection.sock.close()
+        sock = self.connection.sock
+        if sock:
+            # Closing alone sends nothing while the reading thread still uses the socket.
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
         self.connection.close()
 
     def _run(self) -> None:
--- /dev/null
+++ b/features/platform.feature
@@ -0,0 +1,21 @@
+Feature: The platform's faults
+  The object API may be slow, out, hung or over its rate: callers are served meanwhile, and the
+  system catches up after it.
+
+  Scenario Outline: Callers are served while the object API is <fault> for <seconds> s
+    Given a platform site with two entries that serves "a@1:300:r2 b@1:300"
+    When the platform's API is <fault> for <seconds> s while every name is sampled
+    Then none of the platform samples failed
+    When the platform site rolls "a@2:300:r2 b@1:300"
+    Then the platform site holds just that within 10 s
+
+    Examples:
+      | fault | seconds |
+      | error | 10      |
+      | hang  | 10      |
+
+  Scenario: A bundle is rolled while the object API is slow
+    Given a platform site with two entries that serves "a@1:300:r2 b@1:300"
+    When the platform's API is slow
+    And the platform site rolls "a@2:300:r2 b@1:300" while every name is sampled
+    Then none of the platform samples failed
--- a/features/steps/callers_world.py
+++ b/features/steps/callers_world.py
@@ -62,6 +62,10 @@
         """Return two models."""
         return [ModelCard("llama", "1", ""), ModelCard("llama-es", "2", "llama")]
 
+    def generation(self) -> int:
+        """Return the generation in force."""
+        return 1
+
     def ready(self) -> bool:
         """Tell what the test set."""
         return self.is_ready
--- /dev/null
+++ b/features/steps/drain_steps.py
@@ -0,0 +1,356 @@
+"""Steps of orders to leave and of planned stops."""
+
+import http.client
+import os
+import subprocess
+import time
+from functools import partial
+from threading import Thread
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+
+from drain_world import TogetherProcesses
+from drain_world import Traffic
+from drain_world import ask
+from drain_world import holders
+from drain_world import runs
+from harness.caller import chat_call
+from harness.caller import service_call
+from harness.control import add_fault
+from harness.control import call
+from harness.control import clear_faults
+from harness.control import wait_for
+from harness.operators import COMMAND
+from harness.site import Site
+from harness.site import model
+from mimosaspur_standins.answers import expected_answer
+from mimosaspur_state import keys
+from mimosaspur_state.records import DrainOrder
+
+ENTRIES = ("entry-0", "entry-1")
+TARGETS = ("model-0", "model-1", "model-2")
+STREAM_TOKENS = 300
+NEARLY_ALL = 290
+TOKEN_MS = 10
+QUIET_S = 3.0
+COMMAND_S = 20.0
+EXIT_S = 15.0
+MORE_REQUESTS = 30
+
+
+@given('a drain site of three model targets with "notes" twice and "dispatch" once')
+def start_drain_site(context: Context) -> None:
+    site = _site(context)
+    options = ("--token-ms", str(TOKEN_MS))
+    for name in TARGETS:
+        site.model_target(name, relay=True, engine_options=options)
+    for name in ENTRIES:
+        site.entry(name)
+    site.await_targets()
+    site.roll("first", [model("notes", replicas=2), model("dispatch")])
+    for name in ENTRIES:
+        site.await_served(name, "notes", "dispatch")
+    wait_for(lambda: len(holders(site, "notes", "ready")) == 2, "two replicas of notes")
+
+
+@given('a drain site with the service "{service}" on {targets}')
+def start_service_site(context: Context, service: str, targets: str) -> None:
+    site = _site(context)
+    for number in range(1 if targets == "one target" else 2):
+        site.service_target(f"carrier-{number}", service)
+    site.entry("entry-0")
+    site.await_targets()
+    site.roll("first", [], (service,))
+    address = site.daemons["entry-0"].public
+    wait_for(lambda: service_call(address, service, "x").wait().status == 200, "the service")
+    expected = sum(1 for name in site.daemons if name.startswith("carrier"))
+    wait_for(lambda: len(_carriers(site, service)) == expected, "all carriers registered")
+    if "died" in targets:
+        site.kill("carrier-1")
+
+
+@given('requests for "{name}" run through both drain entries')
+def run_requests(context: Context, name: str) -> None:
+    site = context.site
+    context.traffic = [Traffic(site.daemons[entry].public, name).start() for entry in ENTRIES]
+
+
+@given('requests for the service "{service}" run')
+def run_service_requests(context: Context, service: str) -> None:
+    address = context.site.daemons["entry-0"].public
+    context.traffic = [Traffic(address, service, service=True).start()]
+
+
+@given("the drain site's instance list lags by {seconds:d} s")
+def lag_list(context: Context, seconds: int) -> None:
+    site = context.site
+    call(site.api, "POST", "/lag", {"lag_ms": seconds * 1000})
+    # The stand-in shows what was there that long ago, so the start must be as old.
+    wait_for(
+        lambda: len(call(site.api, "GET", "/instances")["instances"]) == len(site.daemons),
+        "the lagging list shows all",
+    )
+    for name in ENTRIES:
+        site.await_served(name, "notes", "dispatch")
+
+
+@given("no drain target's engine hears of loads")
+def lose_loads(context: Context) -> None:
+    for engine in context.site.engines.values():
+        add_fault(engine.address, "drop", match="POST /admin/orders")
+
+
+@given('a stream of "{name}" is in flight at its target')
+def begin_stream(context: Context, name: str) -> None:
+    site = context.site
+    address = site.daemons["entry-0"].public
+    context.stream_name = name
+    context.stream = chat_call(address, name, "long", max_tokens=STREAM_TOKENS, stream=True)
+    wait_for(lambda: b"data" in context.stream.reply.body, "the stream begins")
+    request_id = context.stream.reply.headers["x-request-id"]
+    logs = {target: site.engine_log(target)["runs"] for target in holders(site, name)}
+    context.stream_target = next(
+        target for target, seen in logs.items() if any(key.startswith(request_id) for key in seen)
+    )
+
+
+@given('a kept connection to "{entry}"')
+def keep_connection(context: Context, entry: str) -> None:
+    host, _, port = context.site.daemons[entry].public.rpartition(":")
+    context.kept = http.client.HTTPConnection(host, int(port), timeout=5)
+    assert _kept_status(context) == 200
+
+
+@when('an operator orders a target of "{name}" to leave by the {means}, {fault}')
+def order_holder(context: Context, name: str, means: str, fault: str) -> None:
+    site = context.site
+    held = sorted(holders(site, name, "ready"))
+    stream = getattr(context, "stream_target", "")
+    target = stream if stream in held else held[0]
+    if fault == "orders to engines get lost":
+        for engine in site.engines.values():
+            add_fault(engine.address, "drop", match="POST /admin/orders", count=2)
+    if fault == "its connections are silent":
+        site.relays[target].mode("freeze")
+    _order(context, target, by_command=means == "command")
+    if fault == "the object API goes down":
+        add_fault(site.api, "error", status=503)
+
+
+@when('an operator orders "{name}" to leave')
+def order_named(context: Context, name: str) -> None:
+    _order(context, name)
+
+
+@when("the operator takes the order back")
+def take_back(context: Context) -> None:
+    store, key = context.site.store(), keys.drain(context.drained)
+    found = store.get(key)
+    assert found
+    store.delete(key, found.version)
+
+
+@when('both targets of "{name}" are ordered to leave at the same moment')
+def order_both(context: Context, name: str) -> None:
+    context.leaving = sorted(holders(context.site, name, "ready"))
+    assert len(context.leaving) == 2, context.leaving
+    threads = [Thread(target=_order, args=(context, target)) for target in context.leaving]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@when("the target of the stream is stopped, {fault}")
+def stop_target(context: Context, fault: str) -> None:
+    context.stopped = context.stream_target
+    if fault.endswith("just before the end"):
+        reply = context.stream.reply
+        wait_for(lambda: reply.body.count(b"data") > NEARLY_ALL, "nearly the whole stream")
+    if fault.startswith("its connections are silent"):
+        context.site.relays[context.stopped].mode("freeze")
+    context.site.terminate(context.stopped)
+
+
+@when("the process of the stream is replaced and its successor is stopped")
+def replace_and_stop(context: Context) -> None:
+    context.stopped = context.stream_target
+    context.site.kill(context.stopped)
+    context.site.restart(context.stopped)
+    had = len(context.stream.reply.body)
+    wait_for(lambda: len(context.stream.reply.body) > had, "the successor goes on")
+    context.site.terminate(context.stopped)
+
+
+@when("the entry of the stream is stopped")
+def stop_entry(context: Context) -> None:
+    context.stopped = "entry-0"
+    context.site.terminate("entry-0")
+
+
+@when('"{name}" registers for "{service}"')
+def register_carrier(context: Context, name: str, service: str) -> None:
+    context.site.service_target(name, service)
+    wait_for(lambda: name in _carriers(context.site, service), f"{name} registers")
+    context.ordered_at = time.monotonic()
+
+
+@then("{seconds:d} s after the order the target gets no new work")
+def check_quiet(context: Context, seconds: int) -> None:
+    site, target = context.site, context.drained
+    end = context.ordered_at + seconds
+    # The measure is the order's age, so this is the time that may pass, not a wait for a race.
+    wait_for(lambda: time.monotonic() >= end, "the order's age", bound_s=seconds + 1)
+    before = runs(site, target)
+    sent = [traffic.sent for traffic in context.traffic]
+    for traffic, had in zip(context.traffic, sent, strict=True):
+        wait_for(lambda t=traffic, h=had: t.sent > h + MORE_REQUESTS, "more requests")  # type: ignore[misc]
+    after = runs(site, target)
+    assert after == before, f"{after - before} requests ran on {target} after {seconds} s"
+
+
+@then("the target has left the drain site")
+def check_left(context: Context) -> None:
+    site, target = context.site, context.drained
+    _await_off(site, target)
+    status = site.store().get(keys.status("alajuela", target))
+    assert status and status.value["draining"], status
+
+
+@then("the target has left the drain site once {what}")
+def check_left_later(context: Context, what: str) -> None:
+    for address in (context.site.api, *(e.address for e in context.site.engines.values())):
+        clear_faults(address)
+    check_left(context)
+
+
+@then('the third target holds "{name}" before either lets go')
+def check_third(context: Context, name: str) -> None:
+    site = context.site
+    third = next(target for target in TARGETS if target not in context.leaving)
+
+    def let_go() -> bool:
+        held = holders(site, name)
+        if not set(context.leaving) <= held:
+            assert third in holders(site, name, "ready"), site.replicas(name)
+        return not set(context.leaving) & held
+
+    wait_for(let_go, "both let go")
+
+
+@then('the target still serves "{name}" and gets new work')
+def check_stays(context: Context, name: str) -> None:
+    site, target = context.site, context.drained
+    assert holders(site, name) == {target}, site.replicas(name)
+    for engine in site.engines.values():
+        clear_faults(engine.address)
+    before = runs(site, target)
+    wait_for(lambda: runs(site, target) > before, "new work at the target")
+
+
+@then("no request of the drain failed")
+def check_no_failure(context: Context) -> None:
+    for traffic in context.traffic:
+        traffic.stop()
+        assert traffic.sent > 0
+        assert not traffic.failures, (traffic.sent, traffic.failures[:3])
+
+
+@then("the stream in flight ended whole")
+def check_stream(context: Context) -> None:
+    reply = context.stream.wait()
+    assert reply.whole(), (reply.status, reply.broken, reply.body[-200:])
+    wanted = expected_answer(f"{context.stream_name}@1", "long", STREAM_TOKENS)
+    assert reply.text() == wanted
+
+
+@then("the stopped process exits with 0")
+def check_exit(context: Context) -> None:
+    started = context.site.daemons[context.stopped].started
+    assert started.process.wait(EXIT_S) == 0, started.error_text()[-2000:]
+
+
+@then("it refuses new connections and is not ready on the kept one")
+def check_entry_closed(context: Context) -> None:
+    address = context.site.daemons[context.stopped].public
+
+    def refused() -> bool:
+        try:
+            ask(address, "/readyz")
+        except ConnectionRefusedError:
+            return True
+        return False
+
+    wait_for(refused, "new connections refused")
+    assert not context.stream.reply.whole(), "the stream ended before the check"
+    assert _kept_status(context) == 503
+
+
+@then('"{name}" tells the balancer that it is {state}')
+def check_ready(context: Context, name: str, state: str) -> None:
+    wanted = 200 if state == "ready" else 503
+    address = context.site.daemons[name].public
+    wait_for(lambda: ask(address, "/readyz")[0] == wanted, f"{name} is {state}", bound_s=3)
+
+
+@then('"{name}" still serves "{service}" {seconds:d} s later')
+def check_still(context: Context, name: str, service: str, seconds: int) -> None:
+    end = context.ordered_at + seconds
+    wait_for(lambda: time.monotonic() >= end, "the order's age", bound_s=seconds + 1)
+    assert name in _carriers(context.site, service), "it took itself off"
+    before = runs(context.site, name)
+    wait_for(lambda: runs(context.site, name) > before, f"new work at {name}", bound_s=3)
+
+
+def _site(context: Context) -> Site:
+    context.processes = TogetherProcesses()
+    site = context.site = Site(context.processes)
+    site.begin()
+    return site
+
+
+def _order(context: Context, target: str, *, by_command: bool = False) -> None:
+    site = context.site
+    context.drained = target
+    if by_command:
+        command = [*COMMAND, "instance", "drain", target, "--reason", "new host"]
+        told = {"MIMOSASPUR_OBJECT_API": site.api, "MIMOSASPUR_OPERATOR": "ana"}
+        done = subprocess.run(
+            command, env={**os.environ, **told}, capture_output=True, timeout=COMMAND_S, check=False
+        )
+        assert done.returncode == 0, done.stderr
+    else:
+        site.store().create(keys.drain(target), DrainOrder("ana", "new host", 0).to_value())
+    context.ordered_at = time.monotonic()
+    site.list_instance(site.daemons[target], state="leaving")
+
+
+def _await_off(site: Site, target: str) -> None:
+    names = ("notes", "dispatch")
+
+    def off() -> bool:
+        placed = any(target in holders(site, n, "load", "ready", "leaving") for n in names)
+        return not placed and target not in _carriers(site, "bookings")
+
+    wait_for(off, f"no record names {target}")
+    wait_for(partial(_drains, site, target), f"{target} drains")
+
+
+def _drains(site: Site, target: str) -> bool:
+    status = site.store().get(keys.status("alajuela", target))
+    return bool(status and status.value["draining"])
+
+
+def _carriers(site: Site, service: str) -> set[str]:
+    found = site.store().get(keys.carrier("alajuela", service))
+    return {replica["target"] for replica in found.value["replicas"]} if found else set()
+
+
+def _kept_status(context: Context) -> int:
+    context.kept.request("GET", "/readyz")
+    response = context.kept.getresponse()
+    response.read()
+    return int(response.status)
--- /dev/null
+++ b/features/steps/drain_world.py
@@ -0,0 +1,130 @@
+"""Keep requests running and look at processes while a site changes under them."""
+
+import http.client
+import json
+import threading
+import uuid
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from harness.caller import Reply
+from harness.caller import chat_call
+from harness.caller import service_call
+from harness.processes import Processes
+from harness.site import Site
+from mimosaspur_protocol.messages import Hello
+from mimosaspur_protocol.messages import Welcome
+from mimosaspur_standins.answers import expected_answer
+from mimosaspur_transport.wire import ConnectionLost
+from mimosaspur_transport.wire import connect
+
+TOKENS = 3
+END_S = 30.0
+PAUSE_S = 0.01
+PROBE_MS = 2000
+VERSIONS = 30
+
+
+class TogetherProcesses(Processes):
+    """End a scenario's processes all at once, since each takes its time to stop."""
+
+    def close(self) -> None:
+        """Ask all to stop before waiting for any."""
+        for started in self.started:
+            if started.process.poll() is None:
+                started.process.kill()
+        super().close()
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Send one request after another until stopped; versions are those that answered."""
+
+    address: str
+    name: str
+    service: bool = False
+    sent: int = 0
+    failures: list[Any] = field(default_factory=list)
+    versions: list[int] = field(default_factory=list)
+    over: threading.Event = field(default_factory=threading.Event)
+    thread: threading.Thread | None = None
+
+    def start(self) -> "Traffic":
+        """Begin."""
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.thread.start()
+        return self
+
+    def stop(self) -> None:
+        """End after the request under way."""
+        self.over.set()
+        assert self.thread
+        self.thread.join(END_S)
+        assert not self.thread.is_alive(), "a request does not end"
+
+    def _run(self) -> None:
+        while not self.over.wait(PAUSE_S):
+            content = f"{self.address} {self.sent}"
+            self.sent += 1
+            if self.service:
+                reply = service_call(self.address, self.name, content).wait()
+                good = reply.status == 200 and reply.json()["echo"] == content
+            else:
+                reply = chat_call(self.address, self.name, content, max_tokens=TOKENS).wait()
+                good = reply.whole() and self._versioned(reply, content)
+            if not good:
+                self.failures.append((reply.status, reply.body, reply.broken))
+
+    def _versioned(self, reply: Reply, content: str) -> bool:
+        for version in range(VERSIONS):
+            if reply.text() == expected_answer(f"{self.name}@{version}", content, TOKENS):
+                self.versions.append(version)
+                return True
+        return False
+
+
+def runs(site: Site, target: str) -> int:
+    """Return how many requests a target's engine or service has run."""
+    if target in site.services:
+        return sum(site.service_log(target)["by_body"].values())
+    return sum(site.engine_log(target)["runs"].values())
+
+
+def holders(site: Site, model: str, *states: str) -> set[str]:
+    """Return the targets that hold a model in one of these states."""
+    found = site.replicas(model).items()
+    return {key.split()[0] for key, state in found if state in (states or ("ready", "leaving"))}
+
+
+def generation(site: Site, name: str) -> int:
+    """Ask a process for its generation, an entry over HTTP and a target as a peer does."""
+    daemon = site.daemons[name]
+    if daemon.role == "entry":
+        return int(ask(daemon.address, "/healthz")[1]["generation"])
+    try:
+        wire = connect(daemon.address, connect_ms=PROBE_MS, send_timeout_ms=PROBE_MS)
+    except ConnectionLost:
+        return -1
+    try:
+        wire.send(Hello("probe", uuid.uuid4().hex, 1, 0))
+        for message in wire.receive():
+            if isinstance(message, Welcome):
+                return message.generation
+    except (ConnectionLost, TimeoutError):
+        return -1
+    finally:
+        wire.close()
+    return -1
+
+
+def ask(address: str, path: str) -> tuple[int, Any]:
+    """Return the status and the JSON that an entry gives at a path."""
+    host, _, port = address.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=PROBE_MS / 1000)
+    try:
+        connection.request("GET", path)
+        response = connection.getresponse()
+        return response.status, json.loads(response.read())
+    finally:
+        connection.close()
--- /dev/null
+++ b/features/steps/frames_steps.py
@@ -0,0 +1,327 @@
+"""Steps that play one side of the protocol between entries and targets."""
+
+import contextlib
+import queue
+import socket
+import threading
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+from hypothesis import given as given_any
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from mimosaspur_coordination.generation import BundleHolder
+from mimosaspur_coordination.hints import TargetHint
+from mimosaspur_daemon.attempts import AttemptRegistry
+from mimosaspur_daemon.attempts import RunningAttempt
+from mimosaspur_daemon.targetserver import EntryConnection
+from mimosaspur_daemon.targetserver import TargetServer
+from mimosaspur_protocol.codec import ProtocolError
+from mimosaspur_protocol.messages import Chunk
+from mimosaspur_protocol.messages import End
+from mimosaspur_protocol.messages import Failed
+from mimosaspur_protocol.messages import Hello
+from mimosaspur_protocol.messages import Message
+from mimosaspur_protocol.messages import Ping
+from mimosaspur_protocol.messages import Pong
+from mimosaspur_protocol.messages import Refused
+from mimosaspur_protocol.messages import Residents
+from mimosaspur_protocol.messages import Resume
+from mimosaspur_protocol.messages import Started
+from mimosaspur_protocol.messages import Submit
+from mimosaspur_protocol.messages import Welcome
+from mimosaspur_state.clock import SystemClock
+from mimosaspur_state.codes import Outcome
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.load import Load
+from mimosaspur_state.requests import Kind
+from mimosaspur_state.requests import Work
+from mimosaspur_state.settings import PeerSettings
+from mimosaspur_state.settings import settings_from_text
+from mimosaspur_transport.attempt import Attempt
+from mimosaspur_transport.attempt import Event
+from mimosaspur_transport.targetlink import TargetLink
+from mimosaspur_transport.wire import ConnectionLost
+from mimosaspur_transport.wire import Wire
+
+ANSWER = b"0123456789"
+KEY = ("r1", 1)
+WORK = Work("r1", Kind.CHAT, "m", "POST", "/", "", b"{}", False, 5, False, "", "")
+SUBMIT = Submit(1, 0, 60_000, "m@1", WORK)
+KEEP_MS = 1000
+SILENT_MS = 300
+HEARTBEAT_MS = 50
+BOUND_S = 5.0
+SERVER_TEXT = """{
+  "role": "target",
+  "instance": {"name": "t", "region": "r", "failure_domain": "d"},
+  "platform": {"object_api": "127.0.0.1:1", "instance_list": "127.0.0.1:1"},
+  "target": {"listen": "127.0.0.1:0", "kind": "engine", "address": "127.0.0.1:1"}
+}"""
+
+PIECES = st.tuples(st.integers(0, len(ANSWER)), st.integers(0, len(ANSWER))).map(
+    lambda span: Chunk(*KEY, min(span), ANSWER[min(span) : max(span)])
+)
+FRAMES: st.SearchStrategy[Event] = st.one_of(
+    PIECES,
+    PIECES,
+    st.just(Started(*KEY, 200, "text/plain", False)),
+    st.just(End(*KEY, len(ANSWER))),
+    st.just(Failed(*KEY, ResultCode.ENGINE_ERROR, "", Outcome.UNKNOWN)),
+)
+
+
+@then("an attempt takes in any frames as a naive reassembly does")
+def check_frames(context: Context) -> None:
+    @settings(derandomize=True, database=None, max_examples=2000, deadline=None)
+    @given_any(st.lists(FRAMES, max_size=14))
+    def check(frames: list[Event]) -> None:
+        attempt = Attempt(SUBMIT, "i")
+        for frame in frames:
+            attempt.take(frame)
+        passed = drained(attempt)
+        data = b"".join(event.data for event in passed if isinstance(event, Chunk))
+        ends = [event for event in passed if isinstance(event, End | Failed)]
+        assert (data, [type(end) for end in ends]) == reassembled(frames), passed
+        assert not ends or passed[-1:] == ends, "nothing may follow the end"
+
+    check()
+
+
+def drained(attempt: Attempt) -> list[Event]:
+    """Return what an attempt has passed on."""
+    events: list[Event] = []
+    while not attempt.events.empty():
+        events.append(attempt.events.get())
+    return events
+
+
+def reassembled(frames: list[Event]) -> tuple[bytes, list[type]]:
+    """Put the bytes together one by one."""
+    data: list[int] = []
+    for frame in frames:
+        if isinstance(frame, Failed):
+            return bytes(data), [Failed]
+        if isinstance(frame, End):
+            return bytes(data), [End if len(data) == frame.total else Failed]
+        if isinstance(frame, Chunk):
+            for position, byte in enumerate(frame.data, frame.offset):
+                if position == len(data):
+                    data.append(byte)
+    return bytes(data), []
+
+
+class HandClock(SystemClock):
+    """Add what a step says to the machine's clock."""
+
+    def __init__(self) -> None:
+        self.added_ms = 0
+
+    def now_ms(self) -> int:
+        """Return monotonic time."""
+        return super().now_ms() + self.added_ms
+
+
+class FakeServing:
+    """Remember the attempts that begin."""
+
+    draining = False
+
+    def __init__(self) -> None:
+        self.begun: list[RunningAttempt] = []
+
+    def begin(self, attempt: RunningAttempt) -> None:
+        """Begin an attempt."""
+        self.begun.append(attempt)
+
+
+@given("a target's server for an entry's connections 1 and 2")
+def start_server(context: Context) -> None:
+    parsed = settings_from_text(SERVER_TEXT, file="test")
+    assert parsed.target
+    context.clock = HandClock()
+    context.serving = FakeServing()
+    context.registry = AttemptRegistry(context.clock, keep_ms=KEEP_MS)
+    context.server = TargetServer(
+        parsed,
+        parsed.target,
+        incarnation="i",
+        clock=context.clock,
+        holder=BundleHolder(),
+        serving=context.serving,
+        registry=context.registry,
+        residents=tuple,
+    )
+    context.connections = {}
+    context.far = {}
+
+
+def open_connection(context: Context, number: int) -> None:
+    """Open an entry's connection and have the server greet it."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        far = socket.create_connection(listener.getsockname())
+        near, _ = listener.accept()
+    context.connections[number] = EntryConnection(Wire(near, send_timeout_ms=SILENT_MS))
+    context.far[number] = Wire(far, send_timeout_ms=SILENT_MS)
+    handle(context, number, Hello("e", "x", number, 0))
+
+
+def handle(context: Context, number: int, message: Message) -> None:
+    """Have the server handle what came on a connection, as its task does."""
+    context.server._handle(message, context.connections[number])
+
+
+@when("on the server, {steps}")
+def play(context: Context, steps: str) -> None:
+    open_connection(context, 1)
+    for step in steps.split(", "):
+        match step.split():
+            case ["submit", "on", number]:
+                handle(context, int(number), SUBMIT)
+            case ["resume", "on", number]:
+                if int(number) not in context.connections:
+                    open_connection(context, int(number))
+                handle(context, int(number), Resume("i", 0, SUBMIT))
+            case ["answered"]:
+                answer_all(context.serving)
+            case ["forgotten"]:
+                context.clock.added_ms += KEEP_MS + 1
+                context.registry.sweep()
+
+
+def answer_all(serving: FakeServing) -> None:
+    """Make the answers of all that began."""
+    for attempt in serving.begun:
+        attempt.start(200, "text/plain")
+        attempt.add(ANSWER)
+        attempt.end()
+
+
+def received(context: Context, number: int) -> list[Message]:
+    """Return what came to the entry on a connection."""
+    wire = context.far[number]
+    messages: list[Message] = []
+    while not messages or not isinstance(messages[-1], End | Failed | Refused):
+        messages += wire.receive()
+    return messages
+
+
+@then("it began once and the answer comes on connection {number:d}")
+def check_on(context: Context, number: int) -> None:
+    messages = received(context, number)
+    assert len(context.serving.begun) == 1, context.serving.begun
+    data = [message.data for message in messages if isinstance(message, Chunk)]
+    assert (data, messages[-1]) == ([ANSWER], End(*KEY, len(ANSWER))), messages
+
+
+@then("it began once and connection {number:d} is told that the outcome is unknown")
+def check_told_unknown(context: Context, number: int) -> None:
+    last = received(context, number)[-1]
+    assert isinstance(last, Failed) and last.outcome is Outcome.UNKNOWN, last
+    assert len(context.serving.begun) == 1, context.serving.begun
+
+
+@then("on the server, an older connection that says Hello again is refused")
+def check_refused(context: Context) -> None:
+    try:
+        handle(context, 1, Hello("e", "x", 1, 0))
+    except ProtocolError:
+        return
+    raise AssertionError("an older connection was let in")
+
+
+class ScriptedTarget:
+    """Play a target whose first connection has a bad habit."""
+
+    def __init__(self, habit: str) -> None:
+        self.habit = habit
+        self.socket = socket.create_server(("127.0.0.1", 0))
+        host, port = self.socket.getsockname()
+        self.address = f"{host}:{port}"
+        self.opened = 0
+        self.over = threading.Event()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while not self.over.is_set():
+            sock, _ = self.socket.accept()
+            self.opened += 1
+            wire = Wire(sock, send_timeout_ms=10 * SILENT_MS)
+            threading.Thread(target=self._serve, args=(wire, self.opened), daemon=True).start()
+
+    def _serve(self, wire: Wire, number: int) -> None:
+        habit = self.habit if number == 1 else ""
+        with contextlib.suppress(ConnectionLost, TimeoutError):
+            while True:
+                for message in wire.receive():
+                    self._answer(message, wire, habit)
+
+    def _answer(self, message: Message, wire: Wire, habit: str) -> None:
+        if isinstance(message, Hello):
+            if habit == "announces before it welcomes":
+                wire.send(Residents(("m@1",)))
+            wire.send(Welcome("t", "i", 0, False, ("m@1",)))
+        elif isinstance(message, Submit | Resume):
+            offset = message.offset if isinstance(message, Resume) else 0
+            self._stream(wire, offset, habit)
+        elif isinstance(message, Ping) and habit != "streams and never answers a Ping":
+            wire.send(Pong(message.sequence, 0, False, Load(0, 0, 1, 0)))
+
+    def _stream(self, wire: Wire, offset: int, habit: str) -> None:
+        if offset == 0:
+            wire.send(Started(*KEY, 200, "text/plain", False))
+        match habit:
+            case "streams and never answers a Ping":
+                threading.Thread(target=self._trickle, args=(wire,), daemon=True).start()
+            case "ends in the middle":
+                wire.send(Chunk(*KEY, 0, ANSWER[:4]))
+                wire.close()
+            case _:
+                wire.send(Chunk(*KEY, offset, ANSWER[offset:]))
+                wire.send(End(*KEY, len(ANSWER)))
+
+    def _trickle(self, wire: Wire) -> None:
+        # A piece that says nothing new, again and again, as a long answer's pieces come.
+        with contextlib.suppress(ConnectionLost):
+            while not self.over.wait(HEARTBEAT_MS / 1000):
+                wire.send(Chunk(*KEY, 0, ANSWER[:4]))
+
+
+@given("a scripted target whose first connection {habit}")
+def start_scripted(context: Context, habit: str) -> None:
+    context.target = ScriptedTarget(habit)
+
+
+@when("an entry's link submits a request")
+def submit(context: Context) -> None:
+    context.link = TargetLink(
+        TargetHint("t", context.target.address, "d"),
+        instance="e",
+        incarnation="x",
+        settings=PeerSettings(heartbeat_ms=HEARTBEAT_MS, silent_ms=SILENT_MS),
+        idle_ms=30_000,
+        clock=SystemClock(),
+        holder=BundleHolder(),
+    )
+    context.attempt = context.link.submit(SUBMIT, wait_ms=2000)
+
+
+@then("the answer comes whole over connection {number:d}")
+def check_link(context: Context, number: int) -> None:
+    assert context.attempt, "nothing was sent"
+    data = b""
+    event: Event | None = None
+    try:
+        while not isinstance(event, End | Failed | Refused):
+            event = context.attempt.events.get(timeout=BOUND_S)
+            data += event.data if isinstance(event, Chunk) else b""
+    except queue.Empty:
+        raise AssertionError(f"no end came, only {data!r}") from None
+    finally:
+        context.target.over.set()
+        context.link.stop()
+    assert (data, event) == (ANSWER, End(*KEY, len(ANSWER)))
+    assert context.target.opened == number, context.target.opened
--- /dev/null
+++ b/features/steps/memory_replay.py
@@ -0,0 +1,167 @@
+"""Compare the memory ledger with a naive replay of random histories."""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from hypothesis import HealthCheck
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from mimosaspur_state.engine import EngineState
+from mimosaspur_state.engine import OrderOutcome
+from mimosaspur_state.engine import OrderState
+from mimosaspur_state.engine import Resident
+from mimosaspur_state.engine import ResidentKind
+from mimosaspur_state.engine import ResidentState
+from mimosaspur_state.ledger import MemoryLedger
+
+DELAY_MS = 100
+CAPACITY_MB = (1000, 700)
+NAMES = ("a@1", "b@1", "c@1")
+
+
+@dataclass(slots=True, frozen=True)
+class Order:
+    """Remember one order of a history."""
+
+    order_id: str
+    resident: str
+    memory_mb: int
+    place: tuple[int, ...]
+    tries: list[tuple[int, bool]]
+
+
+@dataclass(slots=True)
+class History:
+    """Keep everything that happened; every sum is made anew from the whole of it."""
+
+    orders: list[Order] = field(default_factory=list)
+    reports: list[tuple[int, EngineState]] = field(default_factory=list)
+
+    def free_mb(self) -> tuple[int, ...]:
+        """Add up what the last report shows and what no report has settled."""
+        asked = max(at for at, _ in self.reports)
+        last = [report for at, report in self.reports if at == asked][-1]
+        free = list(last.capacity_mb)
+        for resident in last.residents:
+            for index in resident.accelerators:
+                free[index] -= resident.memory_mb
+        for order in self.orders:
+            shown = shows(last, order) or last.resident(order.resident) is not None
+            if not shown and not self.settled(order):
+                for index in order.place:
+                    free[index] -= order.memory_mb
+        return tuple(max(0, mb) for mb in free)
+
+    def settled(self, order: Order) -> bool:
+        """Tell whether a report settled an order, in the order in which reports came."""
+        sent_ms = max(at for at, _ in order.tries)
+        all_answered = all(answered for _, answered in order.tries)
+        newest = -1
+        for asked, report in self.reports:
+            if asked < newest:
+                continue
+            newest = asked
+            if asked - sent_ms >= DELAY_MS:
+                return True
+            if asked >= sent_ms and all_answered and shows(report, order):
+                return True
+        return False
+
+
+def shows(report: EngineState, order: Order) -> bool:
+    """Tell whether a report shows an order."""
+    if any(known.order_id == order.order_id for known in report.orders):
+        return True
+    return any(resident.order_id == order.order_id for resident in report.residents)
+
+
+def reported(data: strategies.DataObject, history: History) -> EngineState:
+    """Make up a report: any orders done, any residents there, ours or not."""
+    known = []
+    residents = {}
+    for order in history.orders:
+        if data.draw(strategies.booleans()):
+            known.append(OrderState(order.order_id, OrderOutcome.DONE))
+        if data.draw(strategies.booleans()):
+            residents[order.resident] = resident(order.resident, order.memory_mb, order.place)
+    if data.draw(strategies.booleans()):
+        residents["import@1"] = resident("import@1", 50, (0,))
+    return EngineState("engine", 1, CAPACITY_MB, tuple(residents.values()), tuple(known))
+
+
+def resident(name: str, memory_mb: int, place: tuple[int, ...]) -> Resident:
+    """Make up a resident."""
+    kind = ResidentKind.MODEL
+    return Resident(name, None, kind, memory_mb, place, ResidentState.READY, "")
+
+
+def replay(data: strategies.DataObject) -> None:
+    """Let random things happen to a ledger and compare its sums after each."""
+    ledger = MemoryLedger(longest_order_delay_ms=DELAY_MS)
+    history = History()
+    now_ms = 1
+    take_in(ledger, history, EngineState("engine", 1, CAPACITY_MB), now_ms)
+    for number in range(data.draw(strategies.integers(1, 20))):
+        now_ms += data.draw(strategies.integers(0, 60))
+        if data.draw(strategies.booleans()):
+            asked = now_ms - data.draw(strategies.integers(0, 40))
+            take_in(ledger, history, reported(data, history), max(1, asked))
+        else:
+            send(data, ledger, history, f"order-{number}", now_ms)
+        assert ledger.free_mb() == history.free_mb(), (ledger, history)
+
+
+def take_in(ledger: MemoryLedger, history: History, report: EngineState, asked_ms: int) -> None:
+    """Give a report to both."""
+    history.reports.append((asked_ms, report))
+    ledger.settle(report, asked_at_ms=asked_ms)
+
+
+def send(
+    data: strategies.DataObject,
+    ledger: MemoryLedger,
+    history: History,
+    order_id: str,
+    now_ms: int,
+) -> None:
+    """Reserve and send an order, or repeat one that is held."""
+    answered = data.draw(strategies.booleans())
+    held = [order for order in history.orders if order.order_id in ledger.held]
+    repeats: bool = data.draw(strategies.booleans())
+    if held and repeats:
+        again = held[data.draw(strategies.integers(0, len(held) - 1))]
+        again.tries.append((now_ms, answered))
+        ledger.sent(again.order_id, at_ms=now_ms, answered=answered)
+        return
+    name = data.draw(strategies.sampled_from(NAMES))
+    memory_mb = data.draw(strategies.integers(1, 600))
+    count = data.draw(strategies.integers(1, 2))
+    free = history.free_mb()
+    place = ledger.try_reserve(order_id, name, memory_mb, count, now_ms=now_ms)
+    fitting = [index for index, mb in enumerate(free) if mb >= memory_mb]
+    assert (place is not None) == (len(fitting) >= count), (free, memory_mb, count)
+    if place is None:
+        return
+    assert len(place) == count
+    assert set(place) <= set(fitting), (place, free, memory_mb)
+    ledger.sent(order_id, at_ms=now_ms, answered=answered)
+    history.orders.append(Order(order_id, name, memory_mb, place, [(now_ms, answered)]))
+
+
+def check_histories(count: int) -> None:
+    """Check so many histories, the same ones on every run."""
+
+    @settings(
+        max_examples=count,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(strategies.data())
+    def check(data: strategies.DataObject) -> None:
+        replay(data)
+
+    check()
--- /dev/null
+++ b/features/steps/memory_steps.py
@@ -0,0 +1,273 @@
+"""Check the engine keeper and its memory ledger against lost, late and repeated orders."""
+
+import time
+
+from behave import given
+from behave import step
+from behave import then
+from behave import when
+from behave.runner import Context
+
+from memory_replay import check_histories
+from memory_world import REGION
+from memory_world import TARGET
+from memory_world import UNTIL_CLEARED
+from memory_world import MemoryWorld
+from memory_world import add_fault
+from memory_world import call
+from memory_world import stays
+from memory_world import wait_for
+from mimosaspur_coordination.fencing import take_token
+from mimosaspur_state import keys
+from mimosaspur_state.placement import ReplicaState
+
+ORDERS = "POST /admin/orders"
+ARRIVAL_MARGIN_MS = 100
+IMPORT = "brought@1"
+
+
+def names(text: str) -> list[str]:
+    return sorted(name.strip() for name in text.split(",") if name.strip())
+
+
+def numbers(text: str) -> list[int]:
+    return [int(number) for number in text.split(",")]
+
+
+def now_ms() -> float:
+    return time.monotonic() * 1000
+
+
+@given("the engine {fencing} fencing tokens and has accelerators of {sizes} MB")
+def start_stand_ins(context: Context, fencing: str, sizes: str) -> None:
+    world = MemoryWorld(context, capacity_mb=numbers(sizes), checks=fencing == "checks")
+    context.memory = world
+    context.add_cleanup(world.close)
+    world.start_api()
+    world.start_engine()
+
+
+@given("the keeper's longest order delay is {ms:d} ms")
+def set_delay(context: Context, ms: int) -> None:
+    context.memory.delay_ms = ms
+
+
+@given("the engine takes {ms:d} ms for a load")
+def set_load_time(context: Context, ms: int) -> None:
+    context.memory.load_ms = ms
+    context.memory.restart_engine()
+
+
+@given("the engine holds an import of {mb:d} MB")
+def hold_import(context: Context, mb: int) -> None:
+    order = {"order_id": "import", "fencing": 0, "kind": "load", "id": IMPORT, "base": None}
+    order |= {"resident_kind": "import", "memory_mb": mb, "accelerators": [0]}
+    call(context.memory.engine, "POST", "/admin/orders", order)
+
+
+@when("the engine's orders suffer {fault} of {ms:d} ms")
+def orders_suffer(context: Context, fault: str, ms: int) -> None:
+    context.memory.late_ms = ms
+    add_fault(context.memory.engine, kind=fault, match=ORDERS, count=UNTIL_CLEARED, delay_ms=ms)
+
+
+@when("the engine's next order suffers {fault} of {ms:d} ms")
+def next_order_suffers(context: Context, fault: str, ms: int) -> None:
+    context.memory.late_ms = ms
+    add_fault(context.memory.engine, kind=fault, match=ORDERS, count=1, delay_ms=ms)
+
+
+@when("the engine's orders have suffered it")
+def orders_suffered(context: Context) -> None:
+    address = context.memory.engine
+    wait_for(
+        lambda: any(it["struck"] for it in call(address, "GET", "/faults")["faults"]),
+        "an order is struck by the fault",
+    )
+    context.memory.struck_ms = now_ms()
+
+
+@when("the keeper's bundle has version {version} of the adapters")
+def change_adapters(context: Context, version: str) -> None:
+    world: MemoryWorld = context.memory
+    for model in list(world.models.values()):
+        sizes = [adapter.memory_mb for adapter in model.adapters]
+        world.serve(model.resident(), model.memory_mb, sizes, changed=version)
+
+
+@then('the engine had "{first}" ready before it unloaded "{second}"')
+def ready_before(context: Context, first: str, second: str) -> None:
+    world: MemoryWorld = context.memory
+    at_ms = {(order["kind"], order["id"]): order["at_ms"] for order in world.log()["orders"]}
+    gap_ms = at_ms["unload", second] - at_ms["load", first]
+    assert gap_ms >= world.load_ms, f"the unload came {gap_ms} ms after the load's order"
+
+
+@when("the engine's orders suffer nothing")
+def orders_suffer_nothing(context: Context) -> None:
+    call(context.memory.engine, "DELETE", "/faults")
+    # The last order that a fault struck came before this.
+    context.memory.struck_ms = now_ms()
+
+
+@then("the engine's late order has arrived")
+def late_order_arrived(context: Context) -> None:
+    arrived_ms = context.memory.struck_ms + context.memory.late_ms + ARRIVAL_MARGIN_MS
+    wait_for(lambda: now_ms() > arrived_ms, "the late order's time is over")
+
+
+@step('the keeper\'s target is to load "{resident}" of {mb:d} MB')
+def load_model(context: Context, resident: str, mb: int) -> None:
+    load_with_adapters(context, resident, mb, "")
+
+
+@step('the keeper\'s target is to load "{resident}" of {mb:d} MB too')
+def load_model_too(context: Context, resident: str, mb: int) -> None:
+    load_with_adapters(context, resident, mb, "")
+
+
+@step('the keeper\'s target is to load "{resident}" of {mb:d} MB with adapters of {sizes} MB')
+def load_with_adapters(context: Context, resident: str, mb: int, sizes: str) -> None:
+    context.memory.serve(resident, mb, numbers(sizes) if sizes else [])
+    context.memory.place(resident, ReplicaState.LOAD)
+
+
+@step('the keeper\'s target is to load "{resident}" of {mb:d} MB instead')
+def load_instead(context: Context, resident: str, mb: int) -> None:
+    world: MemoryWorld = context.memory
+    former = list(world.models)
+    world.models.clear()
+    world.serve(resident, mb, [])
+    for name in former:
+        kept = [item for item in world.record(name).replicas if item.target == TARGET]
+        for replica in kept:
+            world.write(world.record(name).without(TARGET, replica.version))
+    world.place(resident, ReplicaState.LOAD)
+
+
+@when("the keeper starts")
+def start_keeper(context: Context) -> None:
+    world: MemoryWorld = context.memory
+    world.start_keeper()
+    sender = world.keeper.sender
+    wait_for(lambda: sender.token > 0, "the keeper takes a fencing token")
+    if world.checks:
+        wait_for(
+            lambda: call(world.engine, "GET", "/admin/state")["fencing"] >= sender.token,
+            "the keeper fences its predecessor off",
+        )
+
+
+@when("the keeper starts without a token")
+def start_without_token(context: Context) -> None:
+    context.memory.start_keeper()
+
+
+@when("the keeper is killed")
+def kill_keeper(context: Context) -> None:
+    context.memory.keepers[-1].kill()
+
+
+@when("the keeper has paused for {ms:d} ms")
+def pause_keeper(context: Context, ms: int) -> None:
+    context.memory.clock.paused_ms += ms
+
+
+@when("the keeper's successor takes a token")
+def successor_takes_token(context: Context) -> None:
+    take_token(context.memory.store, TARGET, "successor")
+
+
+@when("the keeper goes on")
+def go_on(context: Context) -> None:
+    assert not context.memory.keepers[-1].stop.is_set()
+
+
+@when('the engine is loading "{resident}"')
+def engine_loads(context: Context, resident: str) -> None:
+    world: MemoryWorld = context.memory
+    wait_for(lambda: world.residents().get(resident) == "loading", f"{resident} is loading")
+
+
+@when("the engine restarts")
+def restart_engine(context: Context) -> None:
+    world: MemoryWorld = context.memory
+    world.restart_engine()
+
+
+@then('the keeper makes "{resident}" ready')
+def made_ready(context: Context, resident: str) -> None:
+    world: MemoryWorld = context.memory
+    wait_for(lambda: world.state_here(resident) is ReplicaState.READY, f"{resident} is READY")
+    world.loaded_at = world.store.list(keys.placements(REGION)).revision
+    assert resident in world.keeper.ready_residents(), world.keeper.ready_residents()
+
+
+@then('the engine has only "{wanted}" resident')
+@then('the engine has only "" resident')
+def only_resident(context: Context, wanted: str = "") -> None:
+    world: MemoryWorld = context.memory
+    ready = dict.fromkeys(names(wanted), "ready")
+    wait_for(lambda: world.residents() == ready, f"only {wanted!r} is resident")
+
+
+@then('the engine has "{wanted}" resident for {ms:d} ms')
+@then('the engine has "" resident for {ms:d} ms')
+def stays_resident(context: Context, ms: int, wanted: str = "") -> None:
+    world: MemoryWorld = context.memory
+    ready = dict.fromkeys(names(wanted), "ready")
+    stays(lambda: world.residents() == ready, ms, f"{wanted} did not stay resident")
+
+
+@then("the engine loaded {count:d} times")
+def load_count(context: Context, count: int) -> None:
+    assert context.memory.log()["loads"] == count, context.memory.log()
+
+
+@then("the engine was never overcommitted")
+def never_overcommitted(context: Context) -> None:
+    context.memory.check_memory()
+
+
+@then("the keeper reports {mb:d} MB free on accelerator {index:d}")
+def reports_free(context: Context, mb: int, index: int) -> None:
+    keeper = context.memory.keeper
+    wait_for(
+        lambda: keeper.free_mb()[index : index + 1] == (mb,),
+        f"{mb} MB free on accelerator {index}",
+    )
+
+
+@then('the keeper reports "{model}" with {mb:d} MB on accelerator {index:d}')
+def reports_layout(context: Context, model: str, mb: int, index: int) -> None:
+    keeper = context.memory.keeper
+    wait_for(
+        lambda: (keeper.layout(), keeper.held_mb()) == ({model: (index,)}, {model: mb}),
+        f"{model} with {mb} MB on accelerator {index}",
+    )
+
+
+@when('the keeper\'s serving side has {count:d} request on "{resident}"')
+@when('the keeper\'s serving side has {count:d} requests on "{resident}"')
+def set_requests(context: Context, count: int, resident: str) -> None:
+    context.memory.serving.requests[resident] = count
+
+
+@then('the keeper has "{wanted}" usable for {ms:d} ms')
+@then('the keeper has "" usable for {ms:d} ms')
+def stays_usable(context: Context, ms: int, wanted: str = "") -> None:
+    keeper = context.memory.keeper
+    expected = tuple(names(wanted))
+    wait_for(lambda: keeper.ready_residents() == expected, f"{wanted!r} is usable")
+    stays(lambda: keeper.ready_residents() == expected, ms, f"{wanted!r} did not stay usable")
+
+
+@then("the keeper before it gives no more orders")
+def fenced_out(context: Context) -> None:
+    former = context.memory.keepers[0].keeper
+    wait_for(lambda: former.sender.fenced_out, "the former keeper stops its orders")
+
+
+@then("the keeper's ledger agrees with a naive replay of {count:d} random histories")
+def ledger_agrees(context: Context, count: int) -> None:
+    check_histories(count)
--- /dev/null
+++ b/features/steps/memory_store_steps.py
@@ -0,0 +1,82 @@
+"""Check what the engine keeper makes of placement records and of the object API's faults."""
+
+from behave import given
+from behave import step
+from behave import then
+from behave import when
+from behave.runner import Context
+
+from memory_world import OTHER
+from memory_world import REGION
+from memory_world import UNTIL_CLEARED
+from memory_world import MemoryWorld
+from memory_world import add_fault
+from memory_world import call
+from memory_world import wait_for
+from mimosaspur_state import keys
+from mimosaspur_state.placement import ReplicaState
+
+
+@given("the keeper's next write of {kind} suffers {fault}")
+def write_suffers(context: Context, kind: str, fault: str) -> None:
+    add_fault(context.memory.api, kind=fault, match=f"PUT /objects/{kind}", count=1)
+
+
+@step("the keeper's object API suffers {fault}")
+def store_suffers(context: Context, fault: str) -> None:
+    for match in (" /objects", " /watch"):
+        add_fault(context.memory.api, kind=fault, match=match, count=UNTIL_CLEARED)
+
+
+@given("the keeper's token can't be had")
+def token_out(context: Context) -> None:
+    add_fault(context.memory.api, kind="error", match="/objects/fencing", count=UNTIL_CLEARED)
+
+
+@when("the keeper's object API is back")
+def store_is_back(context: Context) -> None:
+    call(context.memory.api, "DELETE", "/faults")
+
+
+@then("the keeper's write has suffered it")
+def write_suffered(context: Context) -> None:
+    faults = call(context.memory.api, "GET", "/faults")["faults"]
+    assert [fault["struck"] for fault in faults] == [1], faults
+
+
+@then('the keeper turns "{resident}" back to load')
+def turned_back(context: Context, resident: str) -> None:
+    world: MemoryWorld = context.memory
+    prefixes = (keys.placements(REGION),)
+    changes = world.store.watch(prefixes, world.loaded_at, 5000).objects
+    assert changes, "the record did not change"
+    assert changes[0].value["replicas"][0]["state"] == "load", changes[0]
+
+
+@then("the keeper's fencing token is {token:d}")
+def token_is(context: Context, token: int) -> None:
+    assert context.memory.keeper.sender.token == token
+
+
+@when('the keeper\'s replica "{resident}" is to leave')
+def is_to_leave(context: Context, resident: str) -> None:
+    context.memory.place(resident, ReplicaState.LEAVING)
+
+
+@when('the keeper learns of "{resident}" ready on another target')
+def ready_elsewhere(context: Context, resident: str) -> None:
+    context.memory.place(resident, ReplicaState.READY, target=OTHER)
+
+
+@then('the keeper takes "{resident}" out of the record')
+def taken_out(context: Context, resident: str) -> None:
+    world: MemoryWorld = context.memory
+    wait_for(lambda: world.state_here(resident) is None, f"{resident} is out of the record")
+
+
+@when("the keeper knows no bundle and its records are gone")
+def no_bundle(context: Context) -> None:
+    world: MemoryWorld = context.memory
+    world.index = None
+    for item in world.store.list(keys.placements(REGION)).objects:
+        world.store.delete(item.key, item.version)
--- /dev/null
+++ b/features/steps/memory_world.py
@@ -0,0 +1,277 @@
+"""Run an engine keeper in this process against stand-in processes."""
+
+import http.client
+import json
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from behave.runner import Context
+
+from mimosaspur_coordination.mirror import Mirror
+from mimosaspur_daemon.engine_keeper import EngineKeeper
+from mimosaspur_daemon.engine_situation import ServingSide
+from mimosaspur_state import keys
+from mimosaspur_state.bundle import AdapterEntry
+from mimosaspur_state.bundle import Bundle
+from mimosaspur_state.bundle import BundleIndex
+from mimosaspur_state.bundle import ModelEntry
+from mimosaspur_state.clock import SystemClock
+from mimosaspur_state.metrics import Metrics
+from mimosaspur_state.placement import PlacementRecord
+from mimosaspur_state.placement import Replica
+from mimosaspur_state.placement import ReplicaState
+from mimosaspur_state.placement import placement_from_value
+from mimosaspur_state.settings import Settings
+from mimosaspur_state.settings import settings_from_text
+from mimosaspur_transport.engine import EngineAdmin
+from mimosaspur_transport.objectapi import HttpObjectStore
+
+BOUND_S = 10.0
+POLL_S = 0.01
+POLL_MS = 40
+REGION = "alajuela"
+TARGET = "target-1"
+OTHER = "target-2"
+ENGINE_TIMEOUT_MS = 1000
+STORE_TIMEOUT_MS = 1000
+WATCH_MS = 1000
+RATE = 1000.0
+UNTIL_CLEARED = -1
+
+
+def wait_for(condition: Callable[[], bool], what: str) -> None:
+    """Wait on a condition within the bound; fail naming it."""
+    end = time.monotonic() + BOUND_S
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError(f"not within {BOUND_S} s: {what}")
+        time.sleep(POLL_S)
+
+
+def stays(condition: Callable[[], bool], ms: int, what: str) -> None:
+    """Check that a condition holds over a time."""
+    end = time.monotonic() + ms / 1000
+    while time.monotonic() < end:
+        assert condition(), what
+        time.sleep(POLL_S)
+
+
+def call(address: str, method: str, path: str, value: Any = None) -> Any:
+    """Ask a stand-in over HTTP and return its JSON."""
+    host, _, port = address.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=BOUND_S)
+    try:
+        body = None if value is None else json.dumps(value)
+        connection.request(method, path, body, {"Content-Type": "application/json"})
+        return json.loads(connection.getresponse().read())
+    finally:
+        connection.close()
+
+
+def add_fault(address: str, **fault: Any) -> None:
+    """Order a fault of a stand-in."""
+    call(address, "POST", "/faults", fault)
+
+
+@dataclass(slots=True)
+class Running:
+    """Hold a keeper and the threads that drive it."""
+
+    keeper: EngineKeeper
+    stop: threading.Event
+    threads: list[threading.Thread]
+
+    def kill(self) -> None:
+        """End it without any farewell."""
+        self.stop.set()
+        self.keeper.wake.set()
+        self.threads[0].join(BOUND_S)
+
+
+class PausedClock(SystemClock):
+    """Jump ahead, as the clock does for a process that was paused."""
+
+    __slots__ = ("paused_ms",)
+
+    def __init__(self) -> None:
+        self.paused_ms = 0
+
+    def now_ms(self) -> int:
+        """Return monotonic time with the pauses."""
+        return super().now_ms() + self.paused_ms
+
+
+@dataclass(slots=True)
+class Serving:
+    """Stand in for the serving side."""
+
+    requests: dict[str, int] = field(default_factory=dict)
+    closed: set[str] = field(default_factory=set)
+
+    def side(self) -> ServingSide:
+        """Return what the keeper is given."""
+        return ServingSide(
+            lambda name: self.requests.get(name, 0), self.closed.add, self.closed.discard
+        )
+
+
+@dataclass(slots=True)
+class MemoryWorld:
+    """Hold one scenario's stand-ins, records and keepers."""
+
+    context: Context
+    capacity_mb: list[int] = field(default_factory=lambda: [1000])
+    checks: bool = True
+    delay_ms: int = 500
+    load_ms: int = 30
+    engine: str = ""
+    engine_process: Any = None
+    api: str = ""
+    store: HttpObjectStore = field(init=False)
+    models: dict[str, ModelEntry] = field(default_factory=dict)
+    index: BundleIndex | None = None
+    keepers: list[Running] = field(default_factory=list)
+    serving: Serving = field(default_factory=Serving)
+    clock: PausedClock = field(default_factory=PausedClock)
+    struck_ms: float = 0
+    late_ms: int = 0
+    loaded_at: int = 0
+
+    def start_api(self) -> None:
+        """Start the object API."""
+        self.api = self.context.processes.start_stand_in("objectapi").address
+        self.store = self.new_store("harness")
+
+    def start_engine(self) -> None:
+        """Start the engine, at its former address if it had one."""
+        options = [f"--capacity-mb={mb}" for mb in self.capacity_mb]
+        options += [f"--load-ms={self.load_ms}", f"--address={self.engine or '127.0.0.1:0'}"]
+        if not self.checks:
+            options.append("--ignore-fencing")
+        self.engine_process = self.context.processes.start_stand_in("engine", *options)
+        self.engine = self.engine_process.address
+
+    def restart_engine(self) -> None:
+        """End the engine and start it anew at its address; its log starts anew too."""
+        self.check_memory()
+        self.context.processes.stop(self.engine_process)
+        self.start_engine()
+
+    def check_memory(self) -> None:
+        """Check the engine's own sums."""
+        log = self.log()
+        sums = f"at most {log['max_used_mb']} of {self.capacity_mb} MB"
+        assert not log["overcommitted"], f"the engine was overcommitted: {sums}"
+
+    def new_store(self, caller: str) -> HttpObjectStore:
+        """Return a way to the object API."""
+        return HttpObjectStore(
+            self.api,
+            caller=caller,
+            timeout_ms=STORE_TIMEOUT_MS,
+            clock=SystemClock(),
+            reads_per_second=RATE,
+            writes_per_second=RATE,
+        )
+
+    def settings(self) -> Settings:
+        """Return the target's settings."""
+        value = {
+            "role": "target",
+            "instance": {"name": TARGET, "region": REGION, "failure_domain": "hangar-oeste"},
+            "platform": {"object_api": self.api, "instance_list": self.api},
+            "target": {
+                "listen": "127.0.0.1:0",
+                "kind": "engine",
+                "address": self.engine,
+                "checks_fencing": self.checks,
+                "longest_order_delay_ms": self.delay_ms,
+                "poll_ms": POLL_MS,
+            },
+        }
+        return settings_from_text(json.dumps(value), file="memory.feature")
+
+    def start_keeper(self) -> None:
+        """Start a keeper with its mirror."""
+        store = self.new_store(TARGET)
+        mirror = Mirror(store, (keys.placements(REGION),), wait_ms=WATCH_MS)
+        keeper = EngineKeeper(
+            self.settings(),
+            store,
+            EngineAdmin(self.engine, ENGINE_TIMEOUT_MS),
+            self.clock,
+            mirror,
+            lambda: self.index,
+            Metrics(),
+            serving=self.serving.side(),
+        )
+        stop = threading.Event()
+        runs = (keeper.run, mirror.run)
+        threads = [threading.Thread(target=run, args=(stop,), daemon=True) for run in runs]
+        self.keepers.append(Running(keeper, stop, threads))
+        for thread in threads:
+            thread.start()
+
+    @property
+    def keeper(self) -> EngineKeeper:
+        """Return the newest keeper."""
+        return self.keepers[-1].keeper
+
+    def close(self) -> None:
+        """End all keepers."""
+        for running in self.keepers:
+            running.kill()
+
+    def serve(
+        self, resident: str, memory_mb: int, adapters_mb: list[int], *, changed: str = "1"
+    ) -> None:
+        """Put a model in the bundle in force."""
+        name, _, version = resident.partition("@")
+        adapters = tuple(
+            AdapterEntry(f"{name}-x{number}", changed, mb)
+            for number, mb in enumerate(adapters_mb, start=1)
+        )
+        self.models[name] = ModelEntry(name, version, memory_mb, adapters=adapters)
+        generation = self.index.generation + 1 if self.index else 1
+        bundle = Bundle("memory", tuple(self.models.values()))
+        self.index = BundleIndex.build(generation, bundle)
+
+    def record(self, name: str) -> PlacementRecord:
+        """Read a model's placement record."""
+        item = self.store.get(keys.placement(REGION, name))
+        return placement_from_value(item.value) if item else PlacementRecord(name, 1)
+
+    def place(self, resident: str, state: ReplicaState, *, target: str = TARGET) -> None:
+        """Write a replica into its model's record."""
+        name, _, version = resident.partition("@")
+        self.write(self.record(name).with_replica(Replica(target, version, state)))
+
+    def write(self, record: PlacementRecord) -> None:
+        """Write a record whatever its version."""
+        key = keys.placement(REGION, record.model)
+        item = self.store.get(key)
+        if item is None:
+            self.store.create(key, record.to_value())
+        else:
+            self.store.update(key, record.to_value(), item.version)
+
+    def state_here(self, resident: str) -> ReplicaState | None:
+        """Return the state of this target's replica in the record."""
+        name, _, version = resident.partition("@")
+        for replica in self.record(name).on(TARGET):
+            if replica.version == version:
+                return replica.state
+        return None
+
+    def residents(self) -> dict[str, str]:
+        """Return the engine's models and adapters with their states."""
+        found = call(self.engine, "GET", "/admin/state")["residents"]
+        return {item["id"]: item["state"] for item in found if item["kind"] != "import"}
+
+    def log(self) -> Any:
+        """Return what the engine notes for us."""
+        return call(self.engine, "GET", "/log")
--- /dev/null
+++ b/features/steps/planner_steps.py
@@ -0,0 +1,232 @@
+"""State what the planner decides, case by case and in any order of events."""
+
+import re
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+
+from mimosaspur_coordination.fit import check_fit
+from mimosaspur_coordination.planner import plan
+from mimosaspur_coordination.view import DemandSum
+from mimosaspur_coordination.view import Placed
+from mimosaspur_coordination.view import PlannerView
+from mimosaspur_coordination.view import RecordChange
+from mimosaspur_state.bundle import AdapterEntry
+from mimosaspur_state.bundle import Bundle
+from mimosaspur_state.bundle import BundleIndex
+from mimosaspur_state.bundle import ModelEntry
+from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_state.placement import PlacementRecord
+from mimosaspur_state.placement import Replica
+from mimosaspur_state.placement import ReplicaState
+from mimosaspur_state.records import TargetStatus
+from planner_target import target_status
+from planner_world import Tokens
+
+GB = 1000
+NOW_MS = 1_000_000
+GENERATION = 7
+WINDOW_MS = 10_000
+OPTIONS = {"r": "replicas", "m": "max_replicas", "p": "priority", "x": "accelerators"}
+
+
+def read_bundle(text: str) -> Bundle:
+    return Bundle("tested", tuple(read_model(part) for part in text.split()))
+
+
+def read_model(text: str) -> ModelEntry:
+    resident, gigabytes, *options = text.split(":")
+    name, version = resident.split("@")
+    extra: dict[str, Any] = {}
+    for option in options:
+        if option[0] == "d":
+            extra["domains"] = (option[1:],)
+        elif option[0] == "a":
+            extra["adapters"] = (*extra.get("adapters", ()), read_adapter(option[1:]))
+        else:
+            extra[OPTIONS[option[0]]] = int(option[1:])
+    return ModelEntry(name, version, int(gigabytes) * GB, **extra)
+
+
+def read_adapter(text: str) -> AdapterEntry:
+    name, version, gigabytes = text.split(".")
+    return AdapterEntry(name, version, int(gigabytes) * GB)
+
+
+def read_target(text: str) -> tuple[TargetStatus, str]:
+    name, domain, sizes, *mark = text.split(":")
+    capacity = tuple(int(size) * GB for size in sizes.split("/"))
+    said = mark[0] if mark else ""
+    kind = "service" if said == "service" else "engine"
+    return target_status(name, capacity, domain=domain, kind=kind), said
+
+
+@given('a plan for the targets "{text}"')
+def step_targets(context: Context, text: str) -> None:
+    context.targets = [read_target(part) for part in text.split()]
+    context.view = PlannerView(
+        index=BundleIndex.build(GENERATION, Bundle("none", ())),
+        placed={},
+        alive={status.instance: status for status, said in context.targets if said != "dead"},
+        now_ms=NOW_MS,
+        draining=frozenset(s.instance for s, said in context.targets if said == "draining"),
+        window_ms=WINDOW_MS,
+    )
+    context.failed_before = [
+        status.instance for status, said in context.targets if said == "failed"
+    ]
+    context.tokens = 99
+
+
+@given('a plan for the bundle "{text}"')
+def step_bundle(context: Context, text: str) -> None:
+    view = context.view
+    view.index = BundleIndex.build(GENERATION, read_bundle(text))
+    view.failed_ms = {
+        (name, target): 0 for name in view.index.models for target in context.failed_before
+    }
+
+
+@given('a plan whose records hold ""')
+def step_no_records(context: Context) -> None:
+    context.view.placed = {}
+
+
+@given('a plan whose records hold "{text}"')
+def step_records(context: Context, text: str) -> None:
+    view = context.view
+    for part in text.split():
+        model, version, target, state = re.split("[@/:]", part)
+        known = view.placed.get(model)
+        record = known.record if known else PlacementRecord(model, GENERATION)
+        if state != "none":
+            replica = Replica(target, version, ReplicaState(state))
+            record = record.with_replica(replica)
+            if state != "load" and target in view.alive:
+                view.alive[target] = with_resident(view, target, model, version)
+        view.placed[model] = Placed(record, len(model))
+
+
+def with_resident(view: PlannerView, target: str, model: str, version: str) -> TargetStatus:
+    status = view.alive[target]
+    free = list(status.free_mb)
+    entry = view.index.models.get(model)
+    for index in range(entry.accelerators if entry else 0):
+        free[index] -= entry.memory_mb if entry else 0
+    resident = f"{model}@{version}"
+    layout = {**status.layout, resident: tuple(range(entry.accelerators if entry else 0))}
+    residents = (*status.residents, resident)
+    return msgspec.structs.replace(status, free_mb=tuple(free), residents=residents, layout=layout)
+
+
+@given('a plan where the engine of "{target}" is silent')
+def step_silent(context: Context, target: str) -> None:
+    status = context.view.alive[target]
+    context.view.alive[target] = msgspec.structs.replace(status, capacity_mb=(), free_mb=())
+
+
+@given("a plan with {at_once:d} loads at once and {tokens:d} tokens")
+def step_limits(context: Context, at_once: int, tokens: int) -> None:
+    context.view.at_once = at_once
+    context.tokens = tokens
+
+
+@given(
+    'a plan where "{model}" has {requests:d} requests and {refused:d} refused,'
+    " and {low:d} low windows"
+)
+def step_demand(context: Context, model: str, requests: int, refused: int, low: int) -> None:
+    context.view.demand[model] = DemandSum(requests, refused)
+    context.view.low_windows[model] = low
+
+
+@given('a plan where "{target}" changed {ago:d} ms ago')
+def step_changed(context: Context, target: str, ago: int) -> None:
+    context.view.changed_ms[target] = NOW_MS - ago
+
+
+@given('a plan where "{model}" has been loading on "{target}" for {ms:d} ms of {bound:d}')
+def step_loading(context: Context, model: str, target: str, ms: int, bound: int) -> None:
+    context.view.loading_since_ms[(model, target, "1")] = NOW_MS - ms
+    context.view.load_timeout_ms = bound
+
+
+@given("a plan whose records are of a newer generation")
+def step_newer(context: Context) -> None:
+    for model, placed in context.view.placed.items():
+        record = msgspec.structs.replace(placed.record, generation=GENERATION + 1)
+        context.view.placed[model] = replace(placed, record=record)
+
+
+@when("the planner decides")
+def step_decide(context: Context) -> None:
+    context.changes = plan(context.view, Tokens(context.tokens))
+
+
+@then('the planner writes ""')
+def step_writes_nothing(context: Context) -> None:
+    check_written(context, "")
+
+
+@then('the planner writes "{text}"')
+def step_writes(context: Context, text: str) -> None:
+    check_written(context, text)
+
+
+def check_written(context: Context, text: str) -> None:
+    found = [mark for change in context.changes for mark in marks(context.view, change)]
+    assert sorted(found) == sorted(text.split()), f"{found}, not {text}: {context.changes}"
+
+
+@then("the planner starts {count:d} loads")
+def step_loads(context: Context, count: int) -> None:
+    found = [mark for change in context.changes for mark in marks(context.view, change)]
+    assert len([mark for mark in found if "+" in mark]) == count, found
+
+
+def marks(view: PlannerView, change: RecordChange) -> list[str]:
+    placed = view.placed.get(change.model)
+    assert change.record_version == (placed.version if placed else 0)
+    if change.new is None:
+        return [f"{change.model}#"]
+    assert change.new.generation == GENERATION
+    old = set(placed.record.replicas) if placed else set()
+    new = set(change.new.replicas)
+    added = {item.target: item for item in new - old}
+    signs = {ReplicaState.LOAD: "+", ReplicaState.LEAVING: "-"}
+    found = [f"{change.model}{signs[item.state]}{name}" for name, item in added.items()]
+    gone = {(item.target, item.version) for item in old} - {(i.target, i.version) for i in new}
+    return found + [f"{change.model}!{target}" for target, _ in gone]
+
+
+@when('a plan from "" to "{bundle}" is checked')
+def step_check_first(context: Context, bundle: str) -> None:
+    context.said = said_by_check(context, None, bundle)
+
+
+@when('a plan from "{in_force}" to "{bundle}" is checked')
+def step_check(context: Context, in_force: str, bundle: str) -> None:
+    context.said = said_by_check(context, read_bundle(in_force), bundle)
+
+
+def said_by_check(context: Context, in_force: Bundle | None, bundle: str) -> str:
+    try:
+        check_fit(read_bundle(bundle), in_force, [status for status, _ in context.targets])
+    except MimosaspurError as error:
+        return str(error)
+    return ""
+
+
+@then('a plan check says ""')
+def step_check_silent(context: Context) -> None:
+    assert not context.said, context.said
+
+
+@then('a plan check says "{text}"')
+def step_check_says(context: Context, text: str) -> None:
+    assert text in context.said, context.said or "it fits"
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,277 @@
+"""Steps of the platform's faults and of the planner duty under them."""
+
+import time
+from functools import partial
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+
+from harness.control import add_fault
+from harness.control import call
+from harness.control import clear_faults
+from harness.control import struck
+from harness.control import wait_for
+from harness.site import REGION
+from harness.site import Site
+from mimosaspur_state import keys
+from reach_world import Sampler
+from reach_world import bundle_of
+from reach_world import engine_logs
+from reach_world import names_of
+from reach_world import residents_of
+from reach_world import rolled
+
+SLOW_MS = 800
+LATE_MS = 4500
+DEFAULT_WATCH_MS = 10_000
+DEFAULT_STATUS_MS = 5000
+KINDS = ("read", "write", "watch")
+
+
+@given('a platform site with two entries that serves "{bundle}"')
+def start_platform_site(context: Context, bundle: str) -> None:
+    site = Site(context.processes)
+    context.site = site
+    site.begin()
+    for number in range(2):
+        site.model_target(f"model-{number}")
+    for number in range(2):
+        site.entry(f"entry-{number}")
+    site.await_targets()
+    site.roll("first", bundle_of(bundle))
+    context.bundle = bundle
+    context.names = names_of(bundle)
+    for name in ("entry-0", "entry-1"):
+        site.await_served(name, *context.names)
+    wait_for(partial(rolled, site, bundle), "the first bundle's replicas")
+
+
+@when("the platform's API is {fault} for {seconds:d} s while every name is sampled")
+def break_api(context: Context, fault: str, seconds: int) -> None:
+    samplers = _sample_all(context, context.bundle)
+    add_fault(context.site.api, fault)
+    time.sleep(seconds)
+    assert struck(context.site.api) > 0
+    clear_faults(context.site.api)
+    _stop_all(context, samplers)
+
+
+@when("the platform's API is slow")
+def slow_api(context: Context) -> None:
+    add_fault(context.site.api, "slow", delay_ms=SLOW_MS)
+
+
+@when('the platform site rolls "{bundle}" while every name is sampled')
+def roll_sampled(context: Context, bundle: str) -> None:
+    samplers = _sample_all(context, bundle)
+    roll_platform(context, bundle)
+    site, rolled_at = context.site, time.monotonic()
+    # Asking the records would be slow too, so the engines alone tell when it is done.
+    wanted = set(residents_of(bundle).values())
+    wait_for(lambda: _resident(site) == wanted, "the roll in a slow API", bound_s=30)
+    print(f"MEASURED slow roll done after {time.monotonic() - rolled_at:.1f} s")
+    _stop_all(context, samplers)
+
+
+@then("none of the platform samples failed")
+def check_platform_samples(context: Context) -> None:
+    for sampler in context.samplers:
+        assert all(count > 10 for count in sampler.asked.values()), sampler.asked
+        assert not sampler.failures, (sampler.entry, sampler.asked, sampler.failures[:5])
+
+
+@when('the platform site rolls "{bundle}"')
+def roll_platform(context: Context, bundle: str) -> None:
+    context.rolled_at = time.monotonic()
+    context.site.roll("second", bundle_of(bundle))
+    context.bundle = bundle
+
+
+@then("the platform site holds just that within {bound:d} s")
+def check_rolled(context: Context, bound: int) -> None:
+    site = context.site
+    held = partial(rolled, site, context.bundle)
+    wait_for(held, f"{context.bundle}; {_resident(site)}", bound_s=bound)
+    print(f"MEASURED rolled after {time.monotonic() - context.rolled_at:.1f} s")
+
+
+@then('the platform site holds just "{bundle}" within {bound:d} s')
+def check_holds(context: Context, bundle: str, bound: int) -> None:
+    running = {name: it for name, it in context.site.engines.items() if it.process.poll() is None}
+    context.site.engines = running
+    wait_for(partial(rolled, context.site, bundle), bundle, bound_s=bound)
+
+
+@when('the platform\'s API answers 429 to "{calls}" for {seconds:d} s')
+def refuse_calls(context: Context, calls: str, seconds: int) -> None:
+    site = context.site
+    add_fault(site.api, "error", match=f" {calls}", status=429)
+    _count(context, seconds)
+    clear_faults(site.api)
+
+
+@then("no platform caller made more than {bound:g} calls a second meanwhile")
+def check_rates(context: Context, bound: float) -> None:
+    print(f"MEASURED calls a second {context.rates}")
+    over = {name: rate for name, rate in context.rates.items() if rate > bound}
+    assert not over, over
+
+
+@given("the platform site's daemons run on their default timing")
+def use_default_timing(context: Context) -> None:
+    site = context.site
+    for name, daemon in site.daemons.items():
+        settings = daemon.settings
+        settings["platform"]["watch_ms"] = DEFAULT_WATCH_MS
+        settings["planner"] = {}
+        if daemon.role == "target":
+            settings["target"]["status_ms"] = DEFAULT_STATUS_MS
+        site.kill(name)
+        site.restart(name)
+    for name in ("entry-0", "entry-1"):
+        site.await_served(name, *context.names)
+    wait_for(lambda: _planning(site) in site.daemons, "an entry plans", bound_s=15)
+
+
+@when("the platform site is idle for {seconds:d} s")
+def stay_idle(context: Context, seconds: int) -> None:
+    site = context.site
+    # The lease that a killed entry held runs out first; the new holder lists before it watches.
+    for _ in range(2):
+        wait_for(partial(_beat_after, site, _beat(site)), "a beat of the planner", bound_s=20)
+    context.planning = _planning(site)
+    _count(context, seconds)
+
+
+@then(
+    "a platform target made at most {target:g} calls a second, an entry {entry:g}, "
+    "and the planning one {planner:g}"
+)
+def check_idle(context: Context, target: float, entry: float, planner: float) -> None:
+    print(f"MEASURED calls a second {context.rates}, {context.planning} plans")
+    for name, daemon in context.site.daemons.items():
+        bound = target if daemon.role == "target" else entry
+        bound = planner if name == context.planning else bound
+        assert context.rates.get(name, 0) <= bound, (name, context.rates)
+
+
+@when('the planning entry is paused with a late write while the site rolls "{bundle}"')
+def pause_with_late_write(context: Context, bundle: str) -> None:
+    site = context.site
+    context.former = _planning(site)
+    add_fault(site.api, "late", match="PUT /objects/placement", count=1, delay_ms=LATE_MS)
+    roll_platform(context, bundle)
+    wait_for(lambda: struck(site.api) == 1, "a write of the planning entry")
+    site.pause(context.former)
+    context.lost_at = time.monotonic()
+
+
+@when('the planning entry is killed while the site rolls "{bundle}"')
+def kill_planning(context: Context, bundle: str) -> None:
+    site = context.site
+    context.former = _planning(site)
+    site.kill(context.former)
+    context.lost_at = time.monotonic()
+    roll_platform(context, bundle)
+
+
+@when('the planning entry is paused while the holder of "{name}" is killed with its engine')
+def pause_and_kill(context: Context, name: str) -> None:
+    site = context.site
+    context.former = _planning(site)
+    site.pause(context.former)
+    context.lost_at = time.monotonic()
+    (found,) = site.replicas(name)
+    target = found.split()[0]
+    site.kill(target)
+    site.engines[target].process.kill()
+    site.engines[target].process.wait(5)
+    context.entry = next(it for it in ("entry-0", "entry-1") if it != context.former)
+
+
+@then("another entry plans within {bound:d} s")
+def check_successor(context: Context, bound: int) -> None:
+    site = context.site
+    wait_for(lambda: _planning(site) != context.former, "another plans", bound_s=bound)
+    print(f"MEASURED another plans after {time.monotonic() - context.lost_at:.1f} s")
+
+
+@when("the planning entry that was paused goes on")
+def resume_planning(context: Context) -> None:
+    context.versions = _versions(context)
+    context.site.go_on(context.former)
+
+
+@then("its late writes changed nothing and each resident was loaded once")
+def check_late_write(context: Context) -> None:
+    site = context.site
+    late_s = context.lost_at + LATE_MS / 1000 + 1.0 - time.monotonic()
+    # The late write arrives at a known time; the site must hold the same after it.
+    time.sleep(max(1.0, late_s))
+    assert rolled(site, context.bundle), (context.bundle, _resident(site))
+    assert _versions(context) == context.versions, (context.versions, site.replicas("a"))
+    loaded = [
+        it["id"]
+        for log in engine_logs(site).values()
+        for it in log["orders"]
+        if it["kind"] == "load"
+    ]
+    assert sorted(loaded) == ["a@1", "a@2", "b@1"], loaded
+
+
+def _planning(site: Site) -> str:
+    found = site.store().get(keys.planner_lease(REGION))
+    return str(found.value["holder"]) if found else ""
+
+
+def _versions(context: Context) -> dict[str, int]:
+    store = context.site.store()
+    found = {name: store.get(keys.placement(REGION, name)) for name in context.names}
+    return {name: item.version for name, item in found.items() if item}
+
+
+def _beat(site: Site) -> int:
+    found = site.store().get(keys.planner_lease(REGION))
+    return found.version if found else 0
+
+
+def _beat_after(site: Site, version: int) -> bool:
+    return _beat(site) > version
+
+
+def _resident(site: Site) -> set[str]:
+    found = set()
+    for engine in site.engines.values():
+        residents = call(engine.address, "GET", "/admin/state")["residents"]
+        found |= {item["id"] for item in residents}
+    return found
+
+
+def _sample_all(context: Context, bundle: str) -> list[Sampler]:
+    first, second = residents_of(context.bundle), residents_of(bundle)
+    may_be = {name: {first[name], second[name]} for name in second}
+    samplers = [Sampler(context.site, entry, may_be) for entry in ("entry-0", "entry-1")]
+    for sampler in samplers:
+        sampler.start()
+    return samplers
+
+
+def _stop_all(context: Context, samplers: list[Sampler]) -> None:
+    for sampler in samplers:
+        sampler.stop()
+    context.samplers = samplers
+
+
+def _count(context: Context, seconds: int) -> None:
+    site = context.site
+    call(site.api, "DELETE", "/counts")
+    time.sleep(seconds)
+    counted = call(site.api, "GET", "/counts")["by_caller"]
+    print(f"MEASURED calls {counted}")
+    context.rates = {
+        name: round(sum(kinds.get(kind, 0) for kind in KINDS) / seconds, 2)
+        for name, kinds in counted.items()
+        if name in site.daemons
+    }
--- /dev/null
+++ b/features/steps/reachability_steps.py
@@ -0,0 +1,312 @@
+"""Steps of reachability: rolls without spare room, losses, and the weight store's limits."""
+
+import threading
+import time
+from collections.abc import Callable
+from functools import partial
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+
+from harness.control import add_fault
+from harness.control import call
+from harness.control import clear_faults
+from harness.control import struck
+from harness.control import wait_for
+from harness.site import QUICK_PLANNER
+from harness.site import REGION
+from harness.site import Site
+from mimosaspur_coordination import replicas
+from mimosaspur_state import keys
+from mimosaspur_state.bundle import Bundle
+from mimosaspur_state.bundle import BundleIndex
+from mimosaspur_state.bundle import bundle_from_value
+from mimosaspur_state.objects import StoredObject
+from mimosaspur_state.placement import PlacementRecord
+from mimosaspur_state.placement import Replica
+from mimosaspur_state.placement import ReplicaState
+from mimosaspur_state.placement import placement_from_value
+from reach_world import Sampler
+from reach_world import bundle_of
+from reach_world import engine_logs
+from reach_world import names_of
+from reach_world import residents_of
+from reach_world import rolled
+
+MS_PER_SECOND = 1000
+SETTLED_S = 20.0
+SLOW_MS = 150
+OUTAGE_S = 4.0
+LONGEST_DELAY_MS = 1800
+LATE_ORDER_MS = 1500
+FEWEST_SAMPLES = 5
+LOAD_MS = 400
+PAIR = ("t1", "t2")
+
+
+def start_reach_site(
+    context: Context, engines: str, *, policy: str = "normal", rate: int = 50, at_once: int = 6
+) -> None:
+    """Start one entry and a target for each engine."""
+    site = Site(context.processes)
+    context.site = site
+    site.begin()
+    if at_once < 6:
+        options = ("--loads-per-second", str(rate), "--at-once", str(at_once))
+        slow = (*options, "--ms-per-gb", "5000")
+        site.weights = context.processes.start_stand_in("weightstore", *slow).address
+    for number, mb in enumerate(engines.split(", ")):
+        site.model_target(f"model-{number}", engine_options=("--capacity-mb", mb))
+    limits = {"loads_per_second": rate, "at_once": at_once}
+    settings = {"policy": policy, "weight_store": limits, "planner": QUICK_PLANNER}
+    site.entry("entry-0", settings=settings)
+    site.await_targets()
+
+
+@given("a reach site with engines of {engines} MB and the policy {policy}")
+def start_with_policy(context: Context, engines: str, policy: str) -> None:
+    start_reach_site(context, engines, policy=policy)
+
+
+@given("a reach site with engines of {engines} MB, {rate:d} loads a second and {at_once:d} at once")
+def start_with_limits(context: Context, engines: str, rate: int, at_once: int) -> None:
+    start_reach_site(context, engines, rate=rate, at_once=at_once)
+    context.at_once = at_once
+
+
+@given("a reach site of two {mb:d} MB engines that ignore fencing tokens")
+def start_ignoring(context: Context, mb: int) -> None:
+    site = Site(context.processes)
+    context.site = site
+    site.begin()
+    for number in range(2):
+        options = ("--capacity-mb", str(mb), "--ignore-fencing")
+        site.model_target(
+            f"model-{number}",
+            engine_options=options,
+            checks_fencing=False,
+            longest_order_delay_ms=LONGEST_DELAY_MS,
+        )
+    site.entry("entry-0")
+    site.await_targets()
+
+
+@given('the reach site serves "{bundle}"')
+def serve_bundle(context: Context, bundle: str) -> None:
+    context.site.roll("first", bundle_of(bundle))
+    context.names = names_of(bundle)
+    context.bundle = bundle
+    context.site.await_served("entry-0", *context.names)
+
+
+@when('every name is sampled while the reach site rolls "{bundle}"')
+def sample_a_roll(context: Context, bundle: str) -> None:
+    site = context.site
+    first, second = residents_of(context.bundle), residents_of(bundle)
+    # A name that only the new bundle has is not there before it is loaded.
+    may_be = {name: {first[name], it} for name, it in second.items() if name in first}
+    sampler = Sampler(site, "entry-0", may_be)
+    context.sampler = sampler
+    # Loads take their time, so that a gap shows in the samples.
+    add_fault(site.weights, "slow", match="/weights/", delay_ms=LOAD_MS)
+    sampler.start()
+    site.roll("second", bundle_of(bundle))
+    try:
+        wait_for(partial(rolled, site, bundle), "the roll's end", bound_s=SETTLED_S)
+        enough = partial(sampler.asked_more_than, FEWEST_SAMPLES)
+        wait_for(enough, "samples of every name")
+    finally:
+        sampler.stop()
+
+
+@then("{failures} of the reach samples failed")
+def check_samples(context: Context, failures: str) -> None:
+    sampler = context.sampler
+    failed = (sampler.asked, len(sampler.failures), sampler.failures[:5])
+    assert bool(sampler.failures) == (failures == "some"), failed
+
+
+@then("no reach engine was overcommitted")
+def check_memory(context: Context) -> None:
+    logs = engine_logs(context.site)
+    found = {name: log["max_used_mb"] for name, log in logs.items() if log["overcommitted"]}
+    assert not found, found
+
+
+@when('the reach site\'s holder of "{name}" suffers {loss}')
+def lose_holder(context: Context, name: str, loss: str) -> None:
+    site = context.site
+    (found,) = site.replicas(name)
+    target = found.split()[0]
+    context.lost_at = time.monotonic()
+    outage = "outage" in loss
+    if outage:
+        add_fault(site.api, "error", match="/objects")
+        add_fault(site.api, "error", match="/watch")
+    if loss.startswith(("its process", "both")):
+        site.kill(target)
+    if loss.startswith(("its engine", "both")):
+        _kill_engine(site, target)
+    if loss.startswith(("its engine restarted", "both restarted")):
+        address = site.engines[target].address
+        site.engine(target, address=address)
+    if loss.startswith(("its process restarted", "both restarted")):
+        site.restart(target)
+    if outage:
+        time.sleep(OUTAGE_S)
+        clear_faults(site.api)
+
+
+@then("the reach site serves all names again within {bound:d} s")
+def check_served_again(context: Context, bound: int) -> None:
+    site = context.site
+    entry = getattr(context, "entry", "entry-0")
+    for name in context.names:
+        left_s = context.lost_at + bound - time.monotonic()
+        what = f"{name} after {bound} s; records {site.replicas(name)}"
+        wait_for(partial(site.serves, entry, name), what, bound_s=left_s)
+    print(f"MEASURED served again after {time.monotonic() - context.lost_at:.1f} s")
+
+
+@when("the reach site loses the holders in one failure domain at once")
+def lose_domain(context: Context) -> None:
+    site = context.site
+    lost = ("model-0", "model-1")
+    held = {name: site.replicas(name) for name in context.names}
+    context.lost = [
+        name for name, found in held.items() if any(key.split()[0] in lost for key in found)
+    ]
+    context.loads_before = {name: len(site.engine_log(name)["orders"]) for name in site.engines}
+    for target in lost:
+        site.kill(target)
+        _kill_engine(site, target)
+    context.lost_at = time.monotonic()
+
+
+@then("the reach site's loads followed priority, {at_once:d} at once")
+def check_priority(context: Context, at_once: int) -> None:
+    orders = []
+    for name, log in engine_logs(context.site).items():
+        orders += log["orders"][context.loads_before[name] :]
+    orders = sorted((it for it in orders if it["kind"] == "load"), key=lambda it: it["at_ms"])
+    loaded = [order["id"].partition("@")[0] for order in orders]
+    # Names are in the order of priority; loads given together may swap.
+    ranks = [sorted(context.lost).index(name) for name in loaded]
+    assert len(ranks) > at_once, (context.lost, loaded)
+    assert all(abs(rank - place) < at_once for place, rank in enumerate(ranks)), loaded
+
+
+@then("the weight store refused none and had at most {at_once:d} at once")
+def check_weight_store(context: Context, at_once: int) -> None:
+    counts = call(context.site.weights, "GET", "/counts")
+    assert counts["refused"] == 0 and counts["peak_at_once"] <= at_once, counts
+
+
+@when('the reach site rolls "{bundle}"')
+def roll_first(context: Context, bundle: str) -> None:
+    context.lost_at = time.monotonic()
+    context.names = names_of(bundle)
+    context.site.roll("rolled bundle", bundle_of(bundle))
+
+
+@when('orders suffer {fault} in a reach roll of "{second}", {event}, and "{third}" follows')
+def roll_with_bad_orders(context: Context, second: str, fault: str, event: str, third: str) -> None:
+    site = context.site
+    for engine in site.engines.values():
+        match = "POST /admin/orders"
+        add_fault(engine.address, fault, match=match, count=1, delay_ms=LATE_ORDER_MS)
+    site.roll("second", bundle_of(second))
+    for name, engine in site.engines.items():
+        wait_for(partial(_struck_by, engine.address, 1), f"an order to {name} suffers {fault}")
+    if event == "its processes restart":
+        for name in site.engines:
+            site.kill(name)
+    context.lost_at = time.monotonic()
+    site.roll("third", bundle_of(third))
+    context.names = names_of(third)
+    context.bundle = third
+    if event == "its processes restart":
+        for name in site.engines:
+            site.restart(name)
+
+
+@then("the reach engines took the late orders and hold just the bundle")
+def check_late_orders(context: Context) -> None:
+    time.sleep(max(0.0, context.lost_at + LATE_ORDER_MS / MS_PER_SECOND - time.monotonic()))
+    wait_for(partial(rolled, context.site, context.bundle), f"just {context.bundle}")
+
+
+@given("a placement record whose copies at two targets say that {copies}")
+def prepare_record(context: Context, copies: str) -> None:
+    site = Site(context.processes)
+    context.site = site
+    site.begin()
+    others = (Replica("t3", "1", ReplicaState.READY),) if "third" in copies else ()
+    alone = copies == "the other one stays"
+    key = keys.placement(REGION, "a")
+    record = PlacementRecord("a", 1, (*_leaving("t2"), *_leaving("t1"), *others))
+    if alone:
+        record = PlacementRecord("a", 1, (*_leaving("t1"), _ready("t2")))
+    version = site.store().create(key, record.to_value())
+    context.copies = {target: StoredObject(key, version, record.to_value()) for target in PAIR}
+    if alone:
+        # The copy that a paused planner's write would have made, had it not been refused.
+        wrong = PlacementRecord("a", 1, (_ready("t1"), *_leaving("t2")))
+        context.copies["t2"] = StoredObject(key, version, wrong.to_value())
+
+
+@when("both targets try to leave it at once while the API's answers are {fault}")
+def leave_at_once(context: Context, fault: str) -> None:
+    api = context.site.api
+    if fault == "slow":
+        add_fault(api, "slow", match="/objects", delay_ms=SLOW_MS)
+    else:
+        add_fault(api, "lose_answer", match="PUT /objects", count=1)
+    context.left = {}
+    threads = [threading.Thread(target=_leave, args=(context, target)) for target in PAIR]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert struck(api) > 0 or not any(context.left.values())
+    clear_faults(api)
+
+
+@then(
+    "{left:d} of the two targets left and the record keeps a ready replica unless {nobody:d} is 0"
+)
+def check_left(context: Context, left: int, nobody: int) -> None:
+    record = placement_from_value(context.site.store().get(keys.placement(REGION, "a")).value)
+    assert sum(context.left.values()) == left, (context.left, record)
+    assert bool(record.ready()) == bool(nobody), record
+    gone = {target for target in PAIR if not record.on(target)}
+    assert gone == {target for target, out in context.left.items() if out}, (gone, context.left)
+
+
+def _leave(context: Context, target: str) -> None:
+    value = {"name": "one", "models": [{"name": "a", "version": "1", "memory_mb": 1}]}
+    bundle: Bundle = bundle_from_value(value)
+    leave: Callable[..., bool] = partial(
+        replicas.leave, index=BundleIndex.build(1, bundle), learn=lambda item: None
+    )
+    context.left[target] = leave(context.site.store(), context.copies[target], target, "1")
+
+
+def _leaving(target: str) -> tuple[Replica]:
+    return (Replica(target, "1", ReplicaState.LEAVING),)
+
+
+def _ready(target: str) -> Replica:
+    return Replica(target, "1", ReplicaState.READY)
+
+
+def _struck_by(address: str, count: int) -> bool:
+    return struck(address) >= count
+
+
+def _kill_engine(site: Site, name: str) -> None:
+    process = site.engines[name].process
+    process.kill()
+    process.wait(5)
--- /dev/null
+++ b/features/steps/silence_steps.py
@@ -0,0 +1,264 @@
+"""Steps that make open connections silent for good while new ones work."""
+
+import http.client
+import json
+import socket
+import time
+from collections.abc import Callable
+from functools import partial
+
+from behave import given
+from behave import then
+from behave.model import Row
+from behave.runner import Context
+
+from harness.caller import Call
+from harness.caller import Reply
+from harness.caller import chat_call
+from harness.caller import service_call
+from harness.control import add_fault
+from harness.control import clear_faults
+from harness.control import wait_for
+from harness.site import Daemon
+from harness.site import Site
+from harness.site import model
+from mimosaspur_standins.answers import expected_answer
+
+SERVICE = "bookings"
+TOKENS = 20
+LEAVING = 14
+CALLER_TIMEOUT_MS = 800
+MAX_IN_FLIGHT = 3
+BOOKING_MS = 600
+HUGE = 20_000
+SMALL_BUFFER = 4096
+
+
+@given("a site whose every connection runs through a relay")
+def start_relayed_site(context: Context) -> None:
+    site = Site(context.processes)
+    context.site = site
+    site.begin()
+    api = site.relay("api", site.api).address
+    for number in range(2):
+        site.model_target(
+            f"model-{number}",
+            engine_options=("--token-ms", "1", "--slots", "32"),
+            engine_relay=True,
+            relay=True,
+            api=api,
+            silent_ms=600,
+            slots=16,
+        )
+    options = ("--work-ms", str(BOOKING_MS))
+    site.service_target(
+        "dispatch-0", SERVICE, options=options, service_relay=True, relay=True, api=api
+    )
+    # One entry alone faces silent callers, so its few workers can be counted.
+    site.entry(
+        "entry-0",
+        api=api,
+        caller_timeout_ms=CALLER_TIMEOUT_MS,
+        max_in_flight=MAX_IN_FLIGHT,
+        workers=6,
+    )
+    site.entry("entry-1", api=api)
+    site.await_targets()
+    site.roll("first", [model("notes", replicas=2)], (SERVICE,))
+    for entry in ("entry-0", "entry-1"):
+        site.await_served(entry, "notes")
+
+
+@then("silent callers leave room for others and are let go of:")
+def check_silent_callers(context: Context) -> None:
+    site = context.site
+    entry = site.daemons["entry-0"]
+    for row in table_of(context):
+        silence = row["silence"]
+        callers = [SILENT_CALLERS[silence](entry) for _ in range(MAX_IN_FLIGHT - 1)]
+        check_served(site, "entry-0", "notes@1", silence)
+        callers.append(SILENT_CALLERS[silence](entry))
+        # All slots are free at the same time again only if every silent caller is let go of.
+        wait_for(partial(serves_at_once, site, MAX_IN_FLIGHT), f"{silence}: room for all again")
+        for sock in callers:
+            sock.close()
+
+
+def table_of(context: Context) -> list[Row]:
+    """Return the rows of a step's table."""
+    assert context.table, "the step needs a table"
+    return list(context.table)
+
+
+def serves_at_once(site: Site, count: int) -> bool:
+    """Tell whether an entry serves so many callers together."""
+    address = site.daemons["entry-0"].public
+    calls = [chat_call(address, "notes", f"at once {n}", max_tokens=300) for n in range(count)]
+    return all(call.wait().whole() for call in calls)
+
+
+def check_served(site: Site, entry: str, resident: str, case: str) -> None:
+    """Check that one request gets its whole answer."""
+    name = resident.partition("@")[0]
+    reply = chat_call(site.daemons[entry].public, name, case, max_tokens=TOKENS).wait()
+    assert reply.whole(), (case, reply.status, reply.body)
+    assert reply.text() == expected_answer(resident, case, TOKENS), (case, reply.text())
+
+
+def send_and_stop(data: bytes, entry: Daemon) -> socket.socket:
+    """Connect as a caller, send some bytes and do nothing more."""
+    host, _, port = entry.public.rpartition(":")
+    sock = socket.socket()
+    # So little room that the answer soon has nowhere to go.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+    sock.connect((host, int(port)))
+    sock.sendall(data)
+    return sock
+
+
+def chat_bytes(tokens: int) -> bytes:
+    """Return a chat request as it is sent."""
+    message = {"role": "user", "content": "silent"}
+    value = {"model": "notes", "messages": [message], "max_tokens": tokens, "stream": True}
+    body = json.dumps(value).encode()
+    head = f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+SILENT_CALLERS: dict[str, Callable[[Daemon], socket.socket]] = {
+    "half a request line": partial(send_and_stop, b"POST /v1/ch"),
+    "half a body": partial(send_and_stop, chat_bytes(TOKENS)[:-9]),
+    "not reading its answer": partial(send_and_stop, chat_bytes(HUGE)),
+}
+
+
+@then("after each silence a new request is served within {seconds:d} s:")
+def check_after_silence(context: Context, seconds: int) -> None:
+    for row in table_of(context):
+        SILENCES[row["silence"]](context.site)
+        began_s = time.monotonic()
+        check_served(context.site, "entry-1", "notes@1", row["silence"])
+        took_s = time.monotonic() - began_s
+        assert took_s < seconds, (row["silence"], took_s)
+
+
+def freeze(site: Site, *names: str) -> None:
+    """Make the open connections through relays silent; new ones work."""
+    for name in names:
+        site.relays[name].mode("freeze")
+        site.relays[name].mode("pass")
+
+
+def freeze_targets(site: Site) -> None:
+    freeze(site, "model-0", "model-1")
+
+
+def freeze_engines(site: Site) -> None:
+    leave_idle_connections(site)
+    freeze(site, "engine of model-0", "engine of model-1")
+
+
+def leave_idle_connections(site: Site) -> None:
+    """Have several cancellations made together, as callers that leave together cause."""
+    for engine in site.engines.values():
+        add_fault(engine.address, "slow", match="DELETE", delay_ms=300)
+    address = site.daemons["entry-1"].public
+    wanted = cancelled_runs(site) + LEAVING
+    calls = [
+        chat_call(address, "notes", f"leaving {n}", max_tokens=HUGE, stream=True)
+        for n in range(LEAVING)
+    ]
+    for call in calls:
+        wait_for(partial(has_begun, call), "the answer begins")
+    for call in calls:
+        call.connection.sock.shutdown(socket.SHUT_RDWR)
+        call.leave()
+    wait_for(lambda: cancelled_runs(site) >= wanted, f"{LEAVING} more cancelled runs")
+    for engine in site.engines.values():
+        clear_faults(engine.address)
+
+
+def has_begun(call: Call) -> bool:
+    """Tell whether some of an answer has come."""
+    return bool(call.reply.body)
+
+
+def cancelled_runs(site: Site) -> int:
+    """Count the runs that the engines cancelled."""
+    return sum(len(site.engine_log(name)["cancelled"]) for name in site.engines)
+
+
+def freeze_all(site: Site) -> None:
+    freeze(site, *site.relays)
+
+
+SILENCES = {
+    "the entry's to the targets": freeze_targets,
+    "the targets' to their engines, many idle": freeze_engines,
+    "all of the site's": freeze_all,
+}
+
+
+@then("a bundle rolled while all open connections are silent is soon in force")
+def check_rolled(context: Context) -> None:
+    site = context.site
+    freeze_all(site)
+    site.roll("second", [model("notes", replicas=2), model("quiz")], (SERVICE,))
+    for entry in ("entry-0", "entry-1"):
+        site.await_served(entry, "quiz")
+
+
+@then("a booking runs once, whatever happens while it runs:")
+def check_bookings(context: Context) -> None:
+    site = context.site
+    address = site.daemons["entry-1"].public
+    wait_for(partial(knows_service, address), f"the entry knows {SERVICE}")
+    for row in table_of(context):
+        silence = row["silence"]
+        call = service_call(address, SERVICE, silence, headers={"X-Deadline-Ms": "4000"})
+        wait_for(partial(has_run, site, silence), f"{silence}: the booking runs")
+        BOOKING_FAULTS[silence](site)
+        check_booking(call.wait(), silence, row["told"])
+        assert booked(site, silence) == 1, (silence, booked(site, silence))
+
+
+def knows_service(address: str) -> bool:
+    """Tell whether an entry reaches the service."""
+    return bool(service_call(address, SERVICE, "ping").wait().status == http.client.OK)
+
+
+def check_booking(reply: Reply, silence: str, told: str) -> None:
+    """Check what the caller is told of a booking that ran."""
+    if told == "unknown":
+        assert reply.error()["outcome"] == "unknown", (silence, reply.body)
+    else:
+        assert reply.status == http.client.OK, (silence, reply.body)
+        assert reply.json()["echo"] == silence, reply.body
+
+
+def booked(site: Site, body: str) -> int:
+    """Return how often a booking ran."""
+    return int(site.service_log("dispatch-0")["by_body"].get(body, 0))
+
+
+def has_run(site: Site, body: str) -> bool:
+    """Tell whether a booking has begun to run."""
+    return booked(site, body) > 0
+
+
+def cut(site: Site, name: str) -> None:
+    site.relays[name].mode("cut")
+    site.relays[name].mode("pass")
+
+
+def freeze_then_cut(site: Site) -> None:
+    freeze(site, "dispatch-0")
+    cut(site, "dispatch-0")
+
+
+BOOKING_FAULTS: dict[str, Callable[[Site], None]] = {
+    "the service's connection freezes": lambda site: freeze(site, "service of dispatch-0"),
+    "the entry's connection freezes": lambda site: freeze(site, "dispatch-0"),
+    "the service's connection is cut": lambda site: cut(site, "service of dispatch-0"),
+    "the entry's connection freezes and is cut then": freeze_then_cut,
+}
--- a/packages/coordination/src/mimosaspur_coordination/admission.py
+++ b/packages/coordination/src/mimosaspur_coordination/admission.py
@@ -84,6 +84,11 @@
         with self.changed:
             self.closed = True
 
+    def open(self) -> None:
+        """Admit again."""
+        with self.changed:
+            self.closed = False
+
     def idle(self) -> bool:
         """Tell whether nothing runs or waits."""
         with self.changed:
--- a/packages/coordination/src/mimosaspur_coordination/buckets.py
+++ b/packages/coordination/src/mimosaspur_coordination/buckets.py
@@ -24,15 +24,15 @@
         self.filled_at_ms = clock.now_ms()
         self.lock = threading.Lock()
 
-    def take(self) -> bool:
-        """Take a token if there is one now."""
+    def take(self, n: int = 1) -> bool:
+        """Take n tokens if there is one now; the rest is owed, so that the average holds."""
         with self.lock:
             if self.per_second <= NO_LIMIT:
                 return True
             self._fill()
             if self.tokens < 1:
                 return False
-            self.tokens -= 1
+            self.tokens -= n
             return True
 
     def wait_ms(self) -> int:
--- a/packages/coordination/src/mimosaspur_coordination/carriers.py
+++ b/packages/coordination/src/mimosaspur_coordination/carriers.py
@@ -1,6 +1,7 @@
 """Record which targets carry a plain service."""
 
 from mimosaspur_coordination.mirror import Mirror
+from mimosaspur_state import keys
 from mimosaspur_state.errors import StoreUnavailable
 from mimosaspur_state.errors import VersionConflict
 from mimosaspur_state.objects import ABSENT
@@ -18,13 +19,21 @@
     """Put this target on a service's record, and take it off while another one stays."""
 
     def __init__(
-        self, store: ObjectStore, mirror: Mirror, *, key: str, service: str, target: str
+        self,
+        store: ObjectStore,
+        mirror: Mirror,
+        *,
+        region: str,
+        service: str,
+        target: str,
     ) -> None:
         self.store = store
         self.mirror = mirror
-        self.key = key
+        self.region = region
+        self.key = keys.carrier(region, service)
         self.service = service
         self.target = target
+        self.first_seen: dict[str, int] = {}
 
     def registered(self) -> bool:
         """Tell whether the local copy of the record names this target."""
@@ -32,6 +41,8 @@
 
     def register(self) -> bool:
         """Name this target as ready; tell whether it is."""
+        # Whether the others live is asked anew with every order to leave.
+        self.first_seen.clear()
         if not self.mirror.listed.is_set():
             return False
         record = self._record()
@@ -41,15 +52,26 @@
         return self._write(record.with_replica(replica))
 
     def withdraw(self) -> bool:
-        """Take this target off if another one stays; tell whether it is off."""
+        """Take this target off if a living one stays; tell whether it is off."""
         record = self._record()
         if not record.on(self.target):
             return True
         others = [replica for replica in record.ready() if replica.target != self.target]
-        if not others:
+        # A carrier that died stays on the record, since nobody else takes it off.
+        if not any(self._beats(replica.target) for replica in others):
             return False
         return self._write(record.without(self.target, SERVICE_VERSION))
 
+    def _beats(self, target: str) -> bool:
+        """Tell whether a target has written its status since it was first looked at."""
+        try:
+            status = self.store.get(keys.status(self.region, target))
+        except StoreUnavailable:
+            return False
+        if status is None:
+            return False
+        return status.version > self.first_seen.setdefault(target, status.version)
+
     def _record(self) -> PlacementRecord:
         item = self.mirror.get(self.key)
         if item is None:
--- a/packages/coordination/src/mimosaspur_coordination/claims.py
+++ b/packages/coordination/src/mimosaspur_coordination/claims.py
@@ -3,8 +3,11 @@
 import base64
 import hashlib
 
+from mimosaspur_coordination.abandonedclaims import AbandonedClaims
+from mimosaspur_coordination.buckets import TokenBucket
 from mimosaspur_state import keys
 from mimosaspur_state.clock import Clock
+from mimosaspur_state.clock import Deadline
 from mimosaspur_state.codes import Outcome
 from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.errors import MimosaspurError
@@ -20,6 +23,11 @@
 KEPT_BODY_BYTES = 256_000
 RETRY_AFTER_MS = 1000
 SETTLE_TRIES = 3
+SETTLE_MS = 1000
+# What two instances' clocks may differ by, and a claim's last write may take.
+CLOCK_SKEW_MS = 5000
+# Each claim is written twice: when it is taken and when it is finished.
+WRITES_PER_CLAIM = 2
 PART = "CLAIMS"
 
 
@@ -41,13 +49,24 @@
     unclaimed would let a retry through another entry run it again.
     """
 
-    def __init__(self, store: ObjectStore, clock: Clock, *, target: str) -> None:
+    def __init__(
+        self, store: ObjectStore, clock: Clock, *, target: str, writes_per_second: float = 0
+    ) -> None:
         self.store = store
         self.clock = clock
         self.target = target
-
-    def take(self, work: Work, attempt_id: str) -> HeldClaim | Claim:
-        """Return the right to run, or a finished claim whose answer is to be replayed."""
+        per_second = writes_per_second / WRITES_PER_CLAIM
+        self.rate = TokenBucket(per_second, clock=clock, burst=per_second)
+        self.down = Deadline(clock, 0)
+        self.abandoned = AbandonedClaims(store, clock)
+
+    def take(self, work: Work, attempt_id: str, deadline_ms: int) -> HeldClaim | Claim:
+        """Return the right to run, or a finished claim whose answer is to be replayed.
+
+        Raise MimosaspurError when there is neither; deadline_ms is the time left to run.
+        """
+        self._check_reachable()
+        self._check_rate()
         key = keys.claim(work.idempotency_key)
         claim = Claim(
             attempt_id=attempt_id,
@@ -55,13 +74,9 @@
             target=self.target,
             state=ClaimState.CLAIMED,
             at_ms=self.clock.wall_ms(),
+            deadline_ms=deadline_ms,
         )
-        try:
-            return HeldClaim(key, self.store.create(key, claim.to_value()), claim)
-        except VersionConflict:
-            return self._found(self._read(key), claim)
-        except StoreUnavailable:
-            return self._settle(key, claim)
+        return self._create(key, claim)
 
     def finish(self, held: HeldClaim, status: int, content_type: str, body: bytes) -> None:
         """Keep the answer for later requests with the same key."""
@@ -70,11 +85,12 @@
             attempt_id=held.claim.attempt_id,
             request_digest=held.claim.request_digest,
             target=self.target,
-            state=ClaimState.DONE if len(kept) == len(body) else ClaimState.UNKNOWN,
+            state=ClaimState.DONE,
             at_ms=self.clock.wall_ms(),
             status=status,
             content_type=content_type,
             body=base64.b64encode(kept).decode(),
+            kept=len(kept) == len(body),
         )
         self._write(held, done)
 
@@ -83,8 +99,7 @@
         try:
             self.store.delete(held.key, held.version)
         except (StoreUnavailable, VersionConflict):
-            # The claim stays: a retry is told that the outcome is unknown, which is safe.
-            log(PART, "Could not release a claim.", key=held.key)
+            self.abandoned.add(held.key, held.claim)
 
     def mark_unknown(self, held: HeldClaim) -> None:
         """Tell later requests with this key that nobody knows whether it ran."""
@@ -113,24 +128,45 @@
         # The claim stays as it is, which later requests are told as an unknown outcome.
         log(PART, "Could not finish a claim.", key=held.key)
 
-    def _settle(self, key: str, claim: Claim) -> HeldClaim | Claim:
-        for _ in range(SETTLE_TRIES):
+    def _check_reachable(self) -> None:
+        # Only one second's requests wait for a silent API to time out; the rest hear at once.
+        if not self.down.passed():
+            raise _platform_down()
+
+    def _check_rate(self) -> None:
+        if not self.rate.take():
+            retry_ms = max(RETRY_AFTER_MS, self.rate.wait_ms())
+            raise MimosaspurError(ResultCode.CLAIM_RATE, retry_after_ms=retry_ms)
+
+    def _create(self, key: str, claim: Claim) -> HeldClaim | Claim:
+        patience = Deadline(self.clock, SETTLE_MS)
+        for number in range(SETTLE_TRIES):
             try:
-                found = self.store.get(key)
+                return HeldClaim(key, self.store.create(key, claim.to_value()), claim)
+            except VersionConflict:
+                # It may be our own, from a try whose answer was lost.
+                return self._found(self._read(key, claim), claim)
             except StoreUnavailable:
-                continue
-            if found is not None:
-                return self._found(found, claim)
-            break
-        raise MimosaspurError(ResultCode.PLATFORM_DOWN, retry_after_ms=RETRY_AFTER_MS)
+                # A second try goes over a new connection, so it tells silence from an outage.
+                if number and patience.passed():
+                    break
+        raise self._give_up(key, claim)
+
+    def _read(self, key: str, claim: Claim) -> StoredObject | None:
+        patience = Deadline(self.clock, SETTLE_MS)
+        for number in range(SETTLE_TRIES):
+            try:
+                return self.store.get(key)
+            except StoreUnavailable:
+                # A second try goes over a new connection, so it tells silence from an outage.
+                if number and patience.passed():
+                    break
+        raise self._give_up(key, claim)
 
-    def _read(self, key: str) -> StoredObject | None:
-        try:
-            return self.store.get(key)
-        except StoreUnavailable as error:
-            raise MimosaspurError(
-                ResultCode.PLATFORM_DOWN, retry_after_ms=RETRY_AFTER_MS
-            ) from error
+    def _give_up(self, key: str, claim: Claim) -> MimosaspurError:
+        self.abandoned.add(key, claim)
+        self.down = Deadline(self.clock, RETRY_AFTER_MS)
+        return _platform_down()
 
     def _found(self, found: StoredObject | None, own: Claim) -> HeldClaim | Claim:
         if found is None:
@@ -141,9 +177,11 @@
             return HeldClaim(found.key, found.version, claim)
         if claim.request_digest != own.request_digest:
             raise MimosaspurError(ResultCode.KEY_REUSED)
+        if claim.state is ClaimState.DONE and not claim.kept:
+            raise MimosaspurError(ResultCode.ANSWER_NOT_KEPT, outcome=Outcome.DONE)
         if claim.state is ClaimState.DONE:
             return claim
-        if claim.state is ClaimState.UNKNOWN:
+        if claim.state is ClaimState.UNKNOWN or is_over(claim, self.clock.wall_ms()):
             raise MimosaspurError(ResultCode.OUTCOME_UNKNOWN, outcome=Outcome.UNKNOWN)
         raise MimosaspurError(
             ResultCode.CLAIM_IN_PROGRESS,
@@ -153,6 +191,11 @@
         )
 
 
+def is_over(claim: Claim, wall_ms: int) -> bool:
+    """Tell whether whoever took a claim must have ended its run by this time."""
+    return wall_ms > claim.at_ms + claim.deadline_ms + CLOCK_SKEW_MS
+
+
 def answer_body(claim: Claim) -> bytes:
     """Return the answer kept in a finished claim."""
     return base64.b64decode(claim.body)
@@ -165,3 +208,7 @@
         content.update(part.encode() + b"\0")
     content.update(work.body)
     return content.hexdigest()
+
+
+def _platform_down() -> MimosaspurError:
+    return MimosaspurError(ResultCode.PLATFORM_DOWN, retry_after_ms=RETRY_AFTER_MS)
--- a/packages/coordination/src/mimosaspur_coordination/demand.py
+++ b/packages/coordination/src/mimosaspur_coordination/demand.py
@@ -1,5 +1,6 @@
 """Work out from demand how many replicas a model should have."""
 
+from collections import defaultdict
 from collections.abc import Iterable
 
 from mimosaspur_coordination.view import DemandSum
@@ -14,14 +15,14 @@
 
 def sum_reports(reports: Iterable[DemandReport], window_ms: int) -> dict[str, DemandSum]:
     """Add up what entries report for each model, each scaled to one window."""
-    requests: dict[str, float] = {}
-    refused: dict[str, float] = {}
+    requests: dict[str, float] = defaultdict(float)
+    refused: dict[str, float] = defaultdict(float)
     for report in reports:
         scale = window_ms / max(1, report.window_ms)
         for name, demand in report.models.items():
-            requests[name] = requests.get(name, 0) + demand.requests * scale
-            refused[name] = refused.get(name, 0) + demand.refused * scale
-    return {name: DemandSum(round(requests[name]), round(refused[name])) for name in requests}
+            requests[name] += demand.requests * scale
+            refused[name] += demand.refused * scale
+    return {name: DemandSum(round(asked), round(refused[name])) for name, asked in requests.items()}
 
 
 def carried(view: PlannerView, replicas: Iterable[Replica]) -> float:
--- a/packages/coordination/src/mimosaspur_coordination/directory.py
+++ b/packages/coordination/src/mimosaspur_coordination/directory.py
@@ -9,6 +9,7 @@
 from mimosaspur_state import keys
 from mimosaspur_state.bundle import Served
 from mimosaspur_state.instances import Instance
+from mimosaspur_state.objects import StoredObject
 from mimosaspur_state.placement import PlacementRecord
 from mimosaspur_state.placement import placement_from_value
 
@@ -22,6 +23,7 @@
         self.mirror = mirror
         self.region = region
         self.hints: dict[str, TargetHint] = {}
+        self.listed_leaving: set[str] = set()
         self.lock = threading.Lock()
 
     def update(self, instances: list[Instance]) -> list[TargetHint]:
@@ -40,13 +42,20 @@
                     hint = TargetHint(instance.name, instance.address, instance.failure_domain)
                     self.hints = {**self.hints, instance.name: hint}
                     new.append(hint)
-                hint.leaving = instance.leaving
+            self.listed_leaving = {instance.name for instance in instances if instance.leaving}
             listed = {instance.name for instance in instances}
             self.hints = {
                 name: hint for name, hint in self.hints.items() if name in listed or hint.own > 0
             }
+            self._mark_leaving()
         return new
 
+    def follow_drains(self, item: StoredObject) -> None:
+        """Take in a change of an operator's order to leave, long before the list shows it."""
+        if item.key.startswith(keys.DRAINS):
+            with self.lock:
+                self._mark_leaving()
+
     def for_model(self, served: Served) -> list[Candidate]:
         """Return the targets that may hold a served model or adapter."""
         record = self.record(keys.placement(self.region, served.model.name))
@@ -68,6 +77,11 @@
         item = self.mirror.get(key)
         return placement_from_value(item.value) if item else None
 
+    def _mark_leaving(self) -> None:
+        for name, hint in self.hints.items():
+            ordered = self.mirror.get(keys.drain(name)) is not None
+            hint.leaving = ordered or name in self.listed_leaving
+
 
 def service_resident(name: str) -> str:
     """Return how a target names a plain service among its residents."""
--- a/packages/coordination/src/mimosaspur_coordination/draft.py
+++ b/packages/coordination/src/mimosaspur_coordination/draft.py
@@ -1,9 +1,15 @@
 """Collect the changes of one planning pass."""
 
+from collections.abc import Iterator
+from functools import cached_property
 from typing import Protocol
 
+from mimosaspur_coordination.growth import is_cramped
+from mimosaspur_coordination.growth import missing_adapters
 from mimosaspur_coordination.layout import Layout
-from mimosaspur_coordination.layout import find_layout
+from mimosaspur_coordination.layout import accelerators_of
+from mimosaspur_coordination.layout import layout_of
+from mimosaspur_coordination.offers import Offer
 from mimosaspur_coordination.packing import Bin
 from mimosaspur_coordination.packing import Need
 from mimosaspur_coordination.view import PlannerView
@@ -20,8 +26,8 @@
 class Bucket(Protocol):
     """Bound a rate."""
 
-    def take(self) -> bool:
-        """Take one token; return False if there is none."""
+    def take(self, n: int = 1) -> bool:
+        """Take n tokens; return False if there is none now."""
         ...
 
 
@@ -37,14 +43,50 @@
         self.bucket = bucket
         self.records = {name: placed.record for name, placed in view.placed.items()}
         self.reasons: dict[str, list[str]] = {}
-        self.bins = {
-            status.instance: _bin_of(status)
-            for status in sorted(view.alive.values(), key=lambda item: item.instance)
-            if status.kind == TargetKind.ENGINE.value
-        }
         loading = sum(len(_loads(record)) for record in self.records.values())
         self.loads_left = max(0, view.at_once - loading)
-        self._hold_promised()
+        self.most_free: dict[tuple[int, tuple[str, ...]], int] = {}
+        self.layouts: dict[str, Layout] = {}
+        self.offers: dict[str, Offer] = {}
+
+    @cached_property
+    def bins(self) -> dict[str, Bin]:
+        """Hold the room of each target, without what this pass gives up."""
+        bins = {
+            status.instance: Bin.of(status)
+            for status in sorted(self.view.alive.values(), key=lambda item: item.instance)
+            if status.kind == TargetKind.ENGINE.value
+        }
+        for model, placed in self.view.placed.items():
+            entry = self.view.index.models.get(model)
+            if entry:
+                self._hold_promised(bins, entry, placed.record)
+        return bins
+
+    @cached_property
+    def models_on(self) -> dict[str, set[str]]:
+        """Hold by target the models whose record names it, or named it in this pass."""
+        found: dict[str, set[str]] = {}
+        for model, record in self.records.items():
+            for replica in record.replicas:
+                found.setdefault(replica.target, set()).add(model)
+        return found
+
+    @cached_property
+    def unwanted_on(self) -> set[str]:
+        """Hold the targets with models that the bundle doesn't name, as first asked for."""
+        unwanted = self.records.keys() - self.view.index.models.keys()
+        return {item.target for model in unwanted for item in self.records[model].replicas}
+
+    @cached_property
+    def busy(self) -> set[str]:
+        """Hold the targets that load a model's only replica, as first asked for in this pass."""
+        return {
+            replica.target
+            for model, record in self.records.items()
+            if (loads := _loads(record)) and not self._served(model)
+            for replica in loads
+        }
 
     def record(self, model: str) -> PlacementRecord:
         """Return a model's record as this pass leaves it."""
@@ -66,41 +108,62 @@
     def good(self, entry: ModelEntry) -> list[Replica]:
         """Return the ready replicas of the wanted version on targets that stay."""
         ready = self.record(entry.name).ready()
-        return [item for item in ready if item.version == entry.version and self.stays(item)]
+        return [
+            item
+            for item in ready
+            if item.version == entry.version and self.stays(item) and not self._cramped(entry, item)
+        ]
 
     def loads(self, model: str) -> list[Replica]:
         """Return the replicas that are being loaded."""
         return _loads(self.record(model))
 
-    def candidates(self, entry: ModelEntry) -> list[Bin]:
-        """Return the targets that may get a replica of this entry, whatever their room."""
+    def candidates(self, entry: ModelEntry) -> Iterator[Bin]:
+        """Yield the targets that may get a replica of this entry, whatever their room."""
         need = Need.of(entry)
         taken = {item.target for item in self.record(entry.name).replicas if _same(item, entry)}
-        return [
-            room
-            for name, room in self.bins.items()
-            if name not in self.view.draining and name not in taken and room.allows(need)
-        ]
+        for name, room in self.bins.items():
+            if name not in self.view.draining and name not in taken and room.allows(need):
+                yield room
+
+    def fitting(self, entry: ModelEntry) -> list[Bin]:
+        """Return the candidates that have room."""
+        need = Need.of(entry)
+        if not self._may_fit(need):
+            return []
+        return [room for room in self.candidates(entry) if room.fits(need)]
+
+    def has_room(self, entry: ModelEntry) -> bool:
+        """Tell whether any candidate has room."""
+        need = Need.of(entry)
+        return self._may_fit(need) and any(room.fits(need) for room in self.candidates(entry))
 
     def held(self, entry: ModelEntry, replica: Replica) -> Need:
         """Return what a replica of an entry takes, whatever its version."""
-        former = self.view.former.get(f"{entry.name}@{replica.version}", entry)
-        return Need.of(entry if replica.version == entry.version else former)
+        resident = f"{entry.name}@{replica.version}"
+        former = self.view.former.get(resident, entry)
+        shape = entry if replica.version == entry.version else former
+        status = self.view.alive.get(replica.target)
+        if status is None or resident not in status.held_mb:
+            return Need.of(shape)
+        chosen = accelerators_of(status, resident)
+        return Need(entry.name, status.held_mb[resident], len(chosen) or shape.accelerators)
 
     def layout(self, target: str) -> Layout:
         """Return the accelerators by resident of one target, as far as they are known."""
-        status = self.view.alive[target]
-        entries = {entry.resident(): entry for entry in self.view.index.models.values()}
-        known = {**self.view.former, **entries}
-        needs = {name: Need.of(known[name]) for name in status.residents if name in known}
-        pairs = zip(status.capacity_mb, status.free_mb, strict=True)
-        return find_layout([capacity - free for capacity, free in pairs], needs)
-
-    def may_load(self) -> bool:
+        if target not in self.layouts:
+            status = self.view.alive[target]
+            known = {name: self._entry_of(name) for name in status.residents}
+            needs = {name: Need.of(entry) for name, entry in known.items() if entry}
+            self.layouts[target] = layout_of(status, needs)
+        return self.layouts[target]
+
+    def may_load(self, entry: ModelEntry) -> bool:
         """Take the right to start one load; return False if the weight store's limits say no."""
         if self.loads_left == 0:
             return False
-        if not self.bucket.take():
+        # The target reads the weights of the model and of each adapter, one after the other.
+        if not self.bucket.take(1 + len(entry.adapters)):
             self.loads_left = 0
             return False
         self.loads_left -= 1
@@ -108,11 +171,12 @@
 
     def load(self, entry: ModelEntry, target: str, reason: str) -> bool:
         """Have a target load the entry; return False if the limits say not now."""
-        if not self.may_load():
+        if not self.may_load(entry):
             return False
         replica = Replica(target, entry.version, ReplicaState.LOAD)
         self.change(entry.name, self.record(entry.name).with_replica(replica), reason)
         self.bins[target].hold(Need.of(entry))
+        self.models_on.setdefault(target, set()).add(entry.name)
         return True
 
     def leave(self, model: str, replica: Replica, reason: str) -> None:
@@ -127,6 +191,8 @@
 
     def change(self, model: str, record: PlacementRecord, reason: str) -> None:
         """Put a changed record in place of a model's former one."""
+        for replica in (*self.record(model).replicas, *record.replicas):
+            self.offers.pop(replica.target, None)
         generation = self.view.index.generation
         self.records[model] = PlacementRecord(model, generation, record.replicas)
         self.reasons.setdefault(model, []).append(reason)
@@ -147,20 +213,42 @@
         unwanted = model not in self.view.index.models
         return None if unwanted and not record.replicas else record
 
-    def _hold_promised(self) -> None:
-        for model, record in self.records.items():
-            entry = self.view.index.models.get(model)
-            for replica in record.replicas:
-                room = self.bins.get(replica.target)
-                if room and entry and replica.version == entry.version:
-                    residents = self.view.alive[replica.target].residents
-                    missing_mb = _missing_mb(entry, residents)
-                    if missing_mb:
-                        room.hold(Need(model, missing_mb, entry.accelerators))
-
-
-def _bin_of(status: TargetStatus) -> Bin:
-    return Bin(status.instance, status.failure_domain, status.capacity_mb, list(status.free_mb))
+    def _hold_promised(
+        self, bins: dict[str, Bin], entry: ModelEntry, record: PlacementRecord
+    ) -> None:
+        for replica in record.replicas:
+            room = bins.get(replica.target)
+            if room is None or replica.version != entry.version:
+                continue
+            status = self.view.alive[replica.target]
+            missing_mb = _missing_mb(entry, status)
+            if missing_mb:
+                # Also a cramped replica takes its adapters as soon as there is room.
+                need = Need(entry.name, missing_mb, entry.accelerators)
+                room.hold(need, accelerators_of(status, entry.resident()))
+
+    def _cramped(self, entry: ModelEntry, replica: Replica) -> bool:
+        status = self.view.alive[replica.target]
+        return bool(entry.adapters) and is_cramped(self.view.index, entry, status)
+
+    def _served(self, model: str) -> bool:
+        entry = self.view.index.models.get(model)
+        return entry is None or bool(self.good(entry))
+
+    def _entry_of(self, resident: str) -> ModelEntry | None:
+        entry = self.view.index.models.get(resident.rpartition("@")[0])
+        if entry and entry.resident() == resident:
+            return entry
+        return self.view.former.get(resident)
+
+    def _may_fit(self, need: Need) -> bool:
+        """Tell quickly that no target has room: in one pass, room only gets less."""
+        key = (need.accelerators, need.domains)
+        if key not in self.most_free:
+            rooms = [room for name, room in self.bins.items() if name not in self.view.draining]
+            free = [room.free_on(need.accelerators) for room in rooms if room.allows(need)]
+            self.most_free[key] = max(free, default=0)
+        return need.memory_mb <= self.most_free[key]
 
 
 def _loads(record: PlacementRecord) -> list[Replica]:
@@ -171,7 +259,8 @@
     return replica.version == entry.version
 
 
-def _missing_mb(entry: ModelEntry, residents: tuple[str, ...]) -> int:
-    base = 0 if entry.resident() in residents else entry.memory_mb
-    absent = [item.memory_mb for item in entry.adapters if item.resident() not in residents]
-    return base + sum(absent)
+def _missing_mb(entry: ModelEntry, status: TargetStatus) -> int:
+    base = 0 if entry.resident() in status.residents else entry.memory_mb
+    if not entry.adapters:
+        return base
+    return base + sum(item.memory_mb for item in missing_adapters(entry, status))
--- a/packages/coordination/src/mimosaspur_coordination/fit.py
+++ b/packages/coordination/src/mimosaspur_coordination/fit.py
@@ -7,6 +7,7 @@
 from mimosaspur_coordination.packing import largest_first
 from mimosaspur_coordination.packing import pack
 from mimosaspur_coordination.rehearsal import Rehearsal
+from mimosaspur_coordination.view import DEFAULT_AT_ONCE
 from mimosaspur_state.bundle import Bundle
 from mimosaspur_state.bundle import ModelEntry
 from mimosaspur_state.codes import ResultCode
@@ -14,6 +15,9 @@
 from mimosaspur_state.records import TargetStatus
 from mimosaspur_state.settings import TargetKind
 
+REHEARSED_AT_ONCE = (DEFAULT_AT_ONCE, 2, 1)
+"""Rehearse with so many loads at once: which are ready first decides what room is left."""
+
 NO_ROOM_BESIDE = "there is no room beside what is in force, also with one other model moved"
 
 
@@ -47,10 +51,11 @@
         return True
 
     def grow(self, extra: Need, grown: Need) -> bool:
-        """Add new adapters beside what a model holds, then remove its old adapters."""
+        """Add adapters beside what a model holds, or else replace it; then remove the old."""
         need, room = self.held[extra.model]
         if not room.take(extra):
-            return False
+            # The replica can't take it in where it is, so a whole one replaces it elsewhere.
+            return self.replace(grown)
         room.give_back(need)
         room.give_back(extra)
         room.hold(grown)
@@ -86,9 +91,10 @@
         return
     if any(status.residents for status in targets):
         # What targets report is truer than how the bundle in force would be packed.
-        stuck = Rehearsal(bundle, in_force, targets).unready()
-        if stuck:
-            raise _does_not_fit(Need.of(stuck), _bins(targets, free=True), NO_ROOM_BESIDE)
+        for at_once in REHEARSED_AT_ONCE:
+            stuck = Rehearsal(bundle, in_force, targets, at_once=at_once).unready()
+            if stuck:
+                raise _does_not_fit(Need.of(stuck), _bins(targets, free=True), NO_ROOM_BESIDE)
         return
     packing = Packing(_bins(targets))
     for need in largest_first(_needs(in_force.models)):
@@ -107,7 +113,7 @@
     for model in grown:
         extra = _added(old[model.name], model)
         if extra and not packing.grow(extra, Need.of(model)):
-            raise _does_not_fit(extra, [packing.held[model.name][1]], NO_ROOM_BESIDE)
+            raise _does_not_fit(extra, packing.bins, NO_ROOM_BESIDE)
     for need in _in_order(packing, [model for model in new.values() if model not in grown]):
         if not packing.replace(need):
             raise _does_not_fit(need, packing.bins, NO_ROOM_BESIDE)
--- a/packages/coordination/src/mimosaspur_coordination/generation.py
+++ b/packages/coordination/src/mimosaspur_coordination/generation.py
@@ -18,6 +18,7 @@
 from mimosaspur_state.records import WrittenBundle
 
 RETRY_PAUSE_S = 0.2
+ASK_AGAIN_MS = 500
 PART = "BUNDLE"
 
 
@@ -29,6 +30,7 @@
         self.lock = threading.Lock()
         self.changed = threading.Condition(self.lock)
         self.listeners: list[Callable[[BundleIndex], None]] = []
+        self.asked = (0, 0)
 
     def current(self) -> BundleIndex | None:
         """Return the bundle in force here, or None before the first."""
@@ -56,6 +58,17 @@
         with self.lock:
             return self.changed.wait_for(lambda: self.generation() >= generation, timeout_s)
 
+    def should_ask(self, generation: int, now_ms: int) -> bool:
+        """Tell whether to ask a peer that is ahead; one of many peers is asked at a time."""
+        with self.lock:
+            if generation <= self.generation():
+                return False
+            asked, at_ms = self.asked
+            if generation <= asked and now_ms - at_ms < ASK_AGAIN_MS:
+                return False
+            self.asked = (generation, now_ms)
+            return True
+
     def pack(self) -> tuple[int, bytes] | None:
         """Return the generation and the bundle packed for a peer."""
         index = self.index
--- a/packages/coordination/src/mimosaspur_coordination/hints.py
+++ b/packages/coordination/src/mimosaspur_coordination/hints.py
@@ -22,14 +22,21 @@
     draining: bool = False
     leaving: bool = False
     residents: frozenset[str] = field(default_factory=frozenset)
+    # An open connection goes before the records; what one told that is closed may be older.
+    live: bool = False
     lost_at_ms: int | None = None
 
     def connected(self, draining: bool, residents: tuple[str, ...]) -> None:
         """Take in what a target says when a connection opens."""
         self.draining = draining
         self.residents = frozenset(residents)
+        self.live = True
         self.lost_at_ms = None
 
+    def closed(self) -> None:
+        """Note that the connection was closed for want of work."""
+        self.live = False
+
     def report(self, load: Load, draining: bool, now_ms: int) -> None:
         """Take in a load report."""
         self.load = load
@@ -39,6 +46,7 @@
 
     def lost(self, now_ms: int) -> None:
         """Note that the connection broke or could not be made."""
+        self.live = False
         self.lost_at_ms = now_ms
         self.draining = False
 
--- a/packages/coordination/src/mimosaspur_coordination/layout.py
+++ b/packages/coordination/src/mimosaspur_coordination/layout.py
@@ -1,21 +1,40 @@
-"""Work out which accelerators of a target hold which resident."""
+"""Tell which accelerators of a target hold which resident."""
 
 from collections.abc import Mapping
 from collections.abc import Sequence
 from itertools import combinations
 
+from mimosaspur_coordination.packing import Bin
 from mimosaspur_coordination.packing import Need
+from mimosaspur_state.records import TargetStatus
 
 MOST_RESIDENTS = 12
 
-Layout = dict[str, tuple[int, ...]]
+Layout = Mapping[str, tuple[int, ...]]
+
+
+def layout_of(status: TargetStatus, needs: Mapping[str, Need]) -> Layout:
+    """Return accelerators by resident as the target reports them, or else worked out."""
+    if status.layout:
+        return {name: accelerators_of(status, name) for name in status.layout}
+    room = Bin.of(status)
+    pairs = zip(room.capacity_mb, room.free_mb, strict=True)
+    return find_layout([capacity - free for capacity, free in pairs], needs)
+
+
+def accelerators_of(status: TargetStatus, resident: str) -> tuple[int, ...]:
+    """Return where a target says that a resident is; empty if it doesn't say.
+
+    An engine that is silent for a moment has no accelerators in its target's status.
+    """
+    chosen = status.layout.get(resident, ())
+    return chosen if all(index < len(status.free_mb) for index in chosen) else ()
 
 
 def find_layout(used_mb: Sequence[int], needs: Mapping[str, Need]) -> Layout:
     """Return accelerators by resident that explain the memory in use; empty if none do.
 
-    Targets report how much each accelerator has free, not by what. Residents of one size may
-    stand in each other's place here, which matters to nobody.
+    This is a guess for targets that don't report their layout: several may explain the same use.
     """
     if len(needs) > MOST_RESIDENTS:
         return {}
@@ -23,7 +42,9 @@
     return _explain(list(used_mb), ordered) or {}
 
 
-def _explain(used_mb: list[int], needs: list[tuple[str, Need]]) -> Layout | None:
+def _explain(
+    used_mb: list[int], needs: list[tuple[str, Need]]
+) -> dict[str, tuple[int, ...]] | None:
     if not needs:
         return None if any(used_mb) else {}
     (resident, need), rest = needs[0], needs[1:]
--- a/packages/coordination/src/mimosaspur_coordination/mirror.py
+++ b/packages/coordination/src/mimosaspur_coordination/mirror.py
@@ -11,6 +11,7 @@
 
 FIRST_PAUSE_MS = 100
 LONGEST_PAUSE_MS = 2000
+MS_PER_SECOND = 1000
 
 Listener = Callable[[StoredObject], None]
 
@@ -22,10 +23,15 @@
     versions. An object's version never goes back, whatever the order of answers.
     """
 
-    def __init__(self, store: ObjectStore, prefixes: tuple[str, ...], *, wait_ms: int) -> None:
+    def __init__(
+        self, store: ObjectStore, prefixes: tuple[str, ...], *, wait_ms: int, pace_ms: int = 0
+    ) -> None:
         self.store = store
         self.prefixes = prefixes
         self.wait_ms = wait_ms
+        # Each watch counts as a call, so who can wait gathers changes for this long.
+        self.pace_ms = pace_ms
+        self.pause_ms = FIRST_PAUSE_MS
         self.objects: dict[str, StoredObject] = {}
         self.listeners: list[Listener] = []
         self.lock = threading.Lock()
@@ -48,19 +54,14 @@
         self._apply(item)
 
     def run(self, stop: threading.Event) -> None:
-        """List, then watch, until told to stop; start over whenever the watch loses track."""
-        pause_ms = FIRST_PAUSE_MS
+        """List, then watch, until told to stop; list again when the watch loses track."""
         while not stop.is_set():
             try:
-                revision = self._list()
-                pause_ms = FIRST_PAUSE_MS
-                self._follow(revision, stop)
+                self._follow(self._list(), stop)
             except RevisionTooOld:
                 continue
             except StoreUnavailable:
-                self.reachable = False
-                stop.wait(pause_ms / 1000)
-                pause_ms = min(2 * pause_ms, LONGEST_PAUSE_MS)
+                self._pause(stop)
 
     def _list(self) -> int:
         snapshots = [self.store.list(prefix) for prefix in self.prefixes]
@@ -86,11 +87,30 @@
             self._apply(StoredObject(item.key, oldest, None))
 
     def _follow(self, revision: int, stop: threading.Event) -> None:
+        wait_ms = self.wait_ms
         while not stop.is_set():
-            changes = self.store.watch(self.prefixes, revision, self.wait_ms)
+            try:
+                changes = self.store.watch(self.prefixes, revision, wait_ms)
+            except StoreUnavailable:
+                # The copy still stands: to watch on is one call, to list again is many.
+                self._pause(stop)
+                # An answer at once tells that the store is back; a wait would hide it.
+                wait_ms = 0
+                continue
+            self.reachable = True
+            if wait_ms:
+                self.pause_ms = FIRST_PAUSE_MS
+            wait_ms = self.wait_ms
             for item in changes.objects:
                 self._apply(item)
             revision = max(revision, changes.revision)
+            if self.pace_ms:
+                stop.wait(self.pace_ms / MS_PER_SECOND)
+
+    def _pause(self, stop: threading.Event) -> None:
+        self.reachable = False
+        stop.wait(self.pause_ms / MS_PER_SECOND)
+        self.pause_ms = min(2 * self.pause_ms, LONGEST_PAUSE_MS)
 
     def _apply(self, item: StoredObject) -> None:
         with self.lock:
--- a/packages/coordination/src/mimosaspur_coordination/orders.py
+++ b/packages/coordination/src/mimosaspur_coordination/orders.py
@@ -158,7 +158,9 @@
         return False
     if served.model.name == holder.entry.name:
         return not report.ready(served.resident())
-    # It moved to another model: that one is READY only with all its adapters.
+    if any(held.base() == served.model.resident() for held in helds):
+        # A replica that was READY before the bundle changed loads its new adapters still.
+        return not report.ready(served.resident())
     return served.model.name not in elsewhere
 
 
--- a/packages/coordination/src/mimosaspur_coordination/packing.py
+++ b/packages/coordination/src/mimosaspur_coordination/packing.py
@@ -3,8 +3,10 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
+from heapq import nlargest
 
 from mimosaspur_state.bundle import ModelEntry
+from mimosaspur_state.records import TargetStatus
 
 
 @dataclass(slots=True, frozen=True)
@@ -35,6 +37,14 @@
     capacity_mb: tuple[int, ...]
     free_mb: list[int]
 
+    @classmethod
+    def of(cls, status: TargetStatus) -> "Bin":
+        """Return the room that a target reports; none if its report is not of one moment."""
+        whole = len(status.capacity_mb) == len(status.free_mb)
+        capacity_mb = status.capacity_mb if whole else ()
+        free_mb = list(status.free_mb) if whole else []
+        return cls(status.instance, status.failure_domain, capacity_mb, free_mb)
+
     def copy(self) -> "Bin":
         """Return a copy to try things on."""
         return Bin(self.target, self.domain, self.capacity_mb, list(self.free_mb))
@@ -45,7 +55,7 @@
 
     def fits(self, need: Need) -> bool:
         """Tell whether the need finds room here."""
-        return choose_accelerators(self.free_mb, need.memory_mb, need.accelerators) is not None
+        return sum(free >= need.memory_mb for free in self.free_mb) >= need.accelerators
 
     def take(self, need: Need) -> bool:
         """Take the room for the need; return False and change nothing if there is none."""
@@ -56,11 +66,11 @@
             self.free_mb[index] -= need.memory_mb
         return True
 
-    def hold(self, need: Need) -> None:
+    def hold(self, need: Need, chosen: tuple[int, ...] = ()) -> None:
         """Count out room that is promised already, wherever it may be, even below zero."""
-        if self.take(need):
+        if not chosen and self.take(need):
             return
-        for index in _fullest_last(self.free_mb)[: need.accelerators]:
+        for index in chosen or _fullest_last(self.free_mb)[: need.accelerators]:
             self.free_mb[index] -= need.memory_mb
 
     def give_back(self, need: Need, chosen: tuple[int, ...] = ()) -> None:
@@ -75,6 +85,12 @@
         for index in holders[: need.accelerators]:
             self.free_mb[index] += need.memory_mb
 
+    def free_on(self, accelerators: int) -> int:
+        """Return the most memory that is free on each of so many accelerators."""
+        if len(self.free_mb) < accelerators:
+            return 0
+        return sorted(self.free_mb, reverse=True)[accelerators - 1]
+
     def total_free(self) -> int:
         """Return the free memory of all accelerators."""
         return sum(self.free_mb)
@@ -91,6 +107,11 @@
     return tuple(fitting[:accelerators])
 
 
+def hardest(needs: Iterable[Need], count: int) -> list[Need]:
+    """Return so many of the needs that are the hardest to place, the hardest first."""
+    return nlargest(count, needs, key=lambda item: (item.size(), item.model))
+
+
 def largest_first(needs: Iterable[Need]) -> list[Need]:
     """Return needs in the order in which to pack them."""
     return sorted(needs, key=lambda item: (item.size(), item.model), reverse=True)
--- a/packages/coordination/src/mimosaspur_coordination/planner.py
+++ b/packages/coordination/src/mimosaspur_coordination/planner.py
@@ -1,5 +1,10 @@
 """Decide which target is to hold which model."""
 
+from collections.abc import Iterator
+from itertools import chain
+
+from mimosaspur_coordination.calm import restless
+from mimosaspur_coordination.calm import stirred
 from mimosaspur_coordination.demand import LOW_WINDOWS
 from mimosaspur_coordination.demand import settled
 from mimosaspur_coordination.demand import unserved
@@ -7,6 +12,7 @@
 from mimosaspur_coordination.draft import Draft
 from mimosaspur_coordination.packing import Bin
 from mimosaspur_coordination.packing import Need
+from mimosaspur_coordination.packing import hardest
 from mimosaspur_coordination.packing import pack
 from mimosaspur_coordination.room import give_room
 from mimosaspur_coordination.steps import drop_dead
@@ -19,6 +25,8 @@
 from mimosaspur_state.bundle import ModelEntry
 
 TRIED_TARGETS = 4
+LOOK_AHEAD = 24
+"""Look this far ahead at the hardest to place: all of them would cost the square of the models."""
 
 
 def plan(view: PlannerView, bucket: Bucket) -> list[RecordChange]:
@@ -27,7 +35,7 @@
         # Another planner knows a newer bundle: ours would undo its moves.
         return []
     draft = Draft(view, bucket)
-    entries = sorted(view.index.models.values(), key=lambda entry: _urgency(draft, entry))
+    entries = _by_urgency(draft, restless(view))
     waits = _load_missing(draft, entries)
     retire_unwanted(draft)
     for entry in entries:
@@ -37,10 +45,14 @@
     if not waits:
         # Room that a model without any replica waits for must not go to a second replica.
         _fill_up(draft, entries)
-        _follow_demand(draft, entries)
+        _follow_demand(draft, _by_urgency(draft, stirred(view)))
     return draft.changes()
 
 
+def _by_urgency(draft: Draft, entries: list[ModelEntry]) -> list[ModelEntry]:
+    return sorted(entries, key=lambda entry: _urgency(draft, entry))
+
+
 def _urgency(draft: Draft, entry: ModelEntry) -> tuple[bool, int, int, str]:
     serves = bool(draft.live_ready(entry.name))
     demand = draft.view.demand.get(entry.name, DemandSum())
@@ -51,30 +63,39 @@
     """Load what has no replica of the wanted version; tell whether one waits for room."""
     missing = [entry for entry in entries if not draft.good(entry) and not _coming(draft, entry)]
     waits = False
+    held_back: list[ModelEntry] = []
     for position, entry in enumerate(missing):
-        rest = [Need.of(later) for later in missing[position + 1 :]]
-        room = best_room(draft, entry, rest)
-        if room and _blocks(draft, entry, room, rest):
-            # All fit only if a larger one is placed first: a load's time is less than never.
-            waits = True
-        elif room:
-            waits |= not draft.load(entry, room.target, "no replica of this version is ready")
-        else:
+        if not draft.has_room(entry):
             waits |= give_room(draft, entry)
+        elif draft.loads_left == 0:
+            waits = True
+        elif not _load_first(draft, entry, [*missing[position + 1 :], *held_back]):
+            waits = True
+            held_back.append(entry)
     return waits
 
 
-def best_room(draft: Draft, entry: ModelEntry, rest: list[Need]) -> Bin | None:
-    """Return the best target with room, one that leaves room for the rest where possible."""
+def _load_first(draft: Draft, entry: ModelEntry, later: list[ModelEntry]) -> bool:
+    """Load a model's first replica; return False if it has to wait."""
+    rest = hardest([Need.of(other) for other in later], LOOK_AHEAD)
+    room, leaves_room = best_room(draft, entry, rest)
+    if not leaves_room and pack(_bins(draft), [Need.of(entry), *rest]) is None:
+        # All fit only if a larger one is placed first: a load's time is less than never.
+        return False
+    return draft.load(entry, room.target, "no replica of this version is ready")
+
+
+def best_room(draft: Draft, entry: ModelEntry, rest: list[Need]) -> tuple[Bin, bool]:
+    """Return the best target with room, and whether it leaves room for the rest.
+
+    At least one target must have room.
+    """
     need = Need.of(entry)
-    fitting = [room for room in draft.candidates(entry) if room.fits(need)]
-    fitting.sort(key=lambda room: _preference(draft, entry, room))
-    if not rest or len(fitting) < 2:
-        return fitting[0] if fitting else None
-    for room in [*fitting[:TRIED_TARGETS], *_first_fit(draft, fitting, need, rest)]:
+    fitting = _best_first(draft, entry, draft.fitting(entry))
+    for room in chain(fitting[:TRIED_TARGETS], _first_fit(draft, fitting, need, rest)):
         if _leaves_room(draft, room, need, rest):
-            return room
-    return fitting[0]
+            return room, True
+    return fitting[0], False
 
 
 def best_spare_room(draft: Draft, entry: ModelEntry) -> Bin | None:
@@ -83,55 +104,48 @@
     A target that still loads a model's only replica gets none: it lays out its accelerators
     in the order in which it sees its loads, and the further one could come in the way.
     """
-    busy = {
-        replica.target
-        for other in draft.view.index.models.values()
-        if not draft.good(other)
-        for replica in draft.loads(other.name)
-    }
-    need = Need.of(entry)
-    fitting = [
-        room for room in draft.candidates(entry) if room.target not in busy and room.fits(need)
-    ]
-    return min(fitting, key=lambda room: _preference(draft, entry, room), default=None)
+    fitting = [room for room in draft.fitting(entry) if room.target not in draft.busy]
+    return next(iter(_best_first(draft, entry, fitting)), None)
 
 
-def _preference(draft: Draft, entry: ModelEntry, room: Bin) -> tuple[bool, int, int, str]:
-    failed = (entry.name, room.target) in draft.view.failed_ms
+def _best_first(draft: Draft, entry: ModelEntry, rooms: list[Bin]) -> list[Bin]:
     record = draft.record(entry.name)
     targets = [item.target for item in record.replicas if item.target in draft.bins]
     domains = [draft.bins[target].domain for target in targets]
-    return (failed, domains.count(room.domain), -room.total_free(), room.target)
+
+    def preference(room: Bin) -> tuple[bool, int, int, str]:
+        failed = (entry.name, room.target) in draft.view.failed_ms
+        return (failed, domains.count(room.domain), -room.total_free(), room.target)
+
+    return sorted(rooms, key=preference)
 
 
-def _first_fit(draft: Draft, fitting: list[Bin], need: Need, rest: list[Need]) -> list[Bin]:
-    """Return the target that packing all by size gives this need."""
-    bins = [room.copy() for room in draft.bins.values() if room.target not in draft.view.draining]
+def _first_fit(draft: Draft, fitting: list[Bin], need: Need, rest: list[Need]) -> Iterator[Bin]:
+    """Yield the target that packing all by size gives this need, worked out only when asked."""
+    bins = _bins(draft)
     larger = [other for other in rest if (other.size(), other.model) > (need.size(), need.model)]
     if pack(bins, larger) is not None:
-        return []
+        return
     names = {room.target: room for room in fitting}
     first = next((room for room in bins if room.target in names and room.fits(need)), None)
-    return [names[first.target]] if first else []
-
-
-def _blocks(draft: Draft, entry: ModelEntry, chosen: Bin, rest: list[Need]) -> bool:
-    """Tell whether all would fit, but not with this entry on the chosen target first."""
-    need = Need.of(entry)
-    if not rest or _leaves_room(draft, chosen, need, rest):
-        return False
-    bins = [room.copy() for room in draft.bins.values() if room.target not in draft.view.draining]
-    return pack(bins, [need, *rest]) is None
+    if first:
+        yield names[first.target]
 
 
 def _leaves_room(draft: Draft, chosen: Bin, need: Need, rest: list[Need]) -> bool:
-    bins = [room.copy() for room in draft.bins.values() if room.target not in draft.view.draining]
+    if not rest:
+        return True
+    bins = _bins(draft)
     for room in bins:
         if room.target == chosen.target:
             room.take(need)
     return pack(bins, rest) is None
 
 
+def _bins(draft: Draft) -> list[Bin]:
+    return [room.copy() for name, room in draft.bins.items() if name not in draft.view.draining]
+
+
 def _coming(draft: Draft, entry: ModelEntry) -> bool:
     loads = draft.loads(entry.name)
     return any(item.version == entry.version and draft.stays(item) for item in loads)
@@ -145,6 +159,8 @@
 def _fill_up(draft: Draft, entries: list[ModelEntry]) -> None:
     """Load up to the replicas that the bundle names."""
     for entry in entries:
+        if draft.loads_left == 0:
+            return
         if not draft.good(entry) or _count(draft, entry) >= entry.replicas:
             continue
         room = best_spare_room(draft, entry)
--- a/packages/coordination/src/mimosaspur_coordination/ports.py
+++ b/packages/coordination/src/mimosaspur_coordination/ports.py
@@ -42,6 +42,10 @@
         """Return what the bundle in force serves."""
         ...
 
+    def generation(self) -> int:
+        """Return the generation in force here, 0 before the first."""
+        ...
+
     def ready(self) -> bool:
         """Tell whether callers may be sent here."""
         ...
--- a/packages/coordination/src/mimosaspur_coordination/rehearsal.py
+++ b/packages/coordination/src/mimosaspur_coordination/rehearsal.py
@@ -1,13 +1,11 @@
 """Rehearse a roll from what targets report, with the planner itself deciding the moves."""
 
-from mimosaspur_coordination.layout import Layout
-from mimosaspur_coordination.layout import find_layout
-from mimosaspur_coordination.packing import Bin
-from mimosaspur_coordination.packing import Need
-from mimosaspur_coordination.packing import choose_accelerators
 from mimosaspur_coordination.planner import plan
+from mimosaspur_coordination.rehearsedtarget import RehearsedTarget
+from mimosaspur_coordination.view import DEFAULT_AT_ONCE
 from mimosaspur_coordination.view import Placed
 from mimosaspur_coordination.view import PlannerView
+from mimosaspur_coordination.view import RecordChange
 from mimosaspur_state.bundle import Bundle
 from mimosaspur_state.bundle import BundleIndex
 from mimosaspur_state.bundle import ModelEntry
@@ -17,111 +15,116 @@
 from mimosaspur_state.records import TargetStatus
 
 ROUNDS = 200
+ROUNDS_FOR_EACH_MODEL = 4
 STEP_MS = 1000
 
 
 class _Unlimited:
     """Give a token whenever asked."""
 
-    def take(self) -> bool:
+    def take(self, n: int = 1) -> bool:
         """Take a token."""
         return True
 
 
 class Rehearsal:
-    """Stand in for targets that do at once what the planner asks of them."""
-
-    def __init__(self, bundle: Bundle, in_force: Bundle, targets: list[TargetStatus]) -> None:
+    """Run a roll on targets that do at once what the planner asks of them."""
+
+    def __init__(
+        self,
+        bundle: Bundle,
+        in_force: Bundle,
+        targets: list[TargetStatus],
+        *,
+        at_once: int = DEFAULT_AT_ONCE,
+    ) -> None:
         self.index = BundleIndex.build(1, bundle)
-        self.statuses = {status.instance: status for status in targets}
-        self.bins = {name: _bin(status) for name, status in self.statuses.items()}
-        self.entries = {entry.resident(): entry for entry in (*in_force.models, *bundle.models)}
-        self.held: dict[tuple[str, str], tuple[Need, tuple[int, ...]]] = {}
-        self.records: dict[str, PlacementRecord] = {}
-        for status in targets:
-            layout = self._layout(status)
-            for resident in status.residents:
-                self._find(status.instance, resident, layout.get(resident, ()))
+        self.at_once = at_once
+        # What is on targets now is as the bundle in force names it.
+        self.known = {entry.resident(): entry for entry in (*bundle.models, *in_force.models)}
+        self.targets = {item.instance: RehearsedTarget(item, self.known) for item in targets}
+        self.draining = frozenset(item.instance for item in targets if item.draining)
+        self.placed: dict[str, Placed] = {}
+        for name, target in self.targets.items():
+            for resident in target.held:
+                model, _, version = resident.rpartition("@")
+                self._put(model, Replica(name, version, ReplicaState.READY))
 
     def unready(self) -> ModelEntry | None:
         """Run the roll; return a model that never gets its new version ready, or None."""
-        for step in range(ROUNDS):
+        waiting: list[ModelEntry] = []
+        for step in range(ROUNDS + ROUNDS_FOR_EACH_MODEL * len(self.index.models)):
             changes = plan(self._view(step * STEP_MS), _Unlimited())
             waiting = [entry for entry in self.index.models.values() if not self._ready(entry)]
             if not waiting:
                 return None
-            if not changes:
-                return waiting[0]
             for change in changes:
-                if change.new is None:
-                    self.records.pop(change.model)
-                else:
-                    self.records[change.model] = change.new
-            self._answer()
-        return waiting[0]
-
-    def _layout(self, status: TargetStatus) -> Layout:
-        known = [name for name in status.residents if name in self.entries]
-        needs = {name: Need.of(self.entries[name]) for name in known}
-        pairs = zip(status.capacity_mb, status.free_mb, strict=True)
-        return find_layout([capacity - free for capacity, free in pairs], needs)
-
-    def _find(self, target: str, resident: str, chosen: tuple[int, ...]) -> None:
-        entry = self.entries.get(resident)
-        if entry is None:
-            return
-        record = self.records.get(entry.name, PlacementRecord(entry.name, 0))
-        replica = Replica(target, entry.version, ReplicaState.READY)
-        self.records[entry.name] = record.with_replica(replica)
-        self.held[(target, resident)] = (Need.of(entry), chosen)
+                self._write(change)
+            answered = self._answer()
+            if not changes and not answered:
+                break
+        return waiting[0] if waiting else None
 
     def _view(self, now_ms: int) -> PlannerView:
-        for name, status in self.statuses.items():
-            residents = [resident for target, resident in self.held if target == name]
-            adapters = [
-                adapter.resident()
-                for resident in residents
-                for adapter in self.entries[resident].adapters
-            ]
-            self.statuses[name] = TargetStatus.from_value(
-                {
-                    **status.to_value(),
-                    "free_mb": list(self.bins[name].free_mb),
-                    "residents": residents + adapters,
-                }
-            )
         return PlannerView(
             index=self.index,
-            placed={name: Placed(record, 1) for name, record in self.records.items()},
-            alive=self.statuses,
+            placed=self.placed,
+            alive={name: target.status for name, target in self.targets.items()},
             now_ms=now_ms,
-            draining=frozenset(n for n, status in self.statuses.items() if status.draining),
-            former=self.entries,
+            draining=self.draining,
+            former=self.known,
+            at_once=self.at_once,
         )
 
     def _ready(self, entry: ModelEntry) -> bool:
-        record = self.records.get(entry.name)
-        ready = record.ready() if record else []
-        return any(replica.version == entry.version for replica in ready)
-
-    def _answer(self) -> None:
-        for name, record in self.records.items():
-            for replica in record.replicas:
-                resident = f"{name}@{replica.version}"
-                key = (replica.target, resident)
-                if replica.state is ReplicaState.LEAVING:
-                    self.bins[replica.target].give_back(*self.held.pop(key))
-                    record = record.without(replica.target, replica.version)
-                elif replica.state is ReplicaState.LOAD:
-                    need = Need.of(self.entries[resident])
-                    free_mb = self.bins[replica.target].free_mb
-                    chosen = choose_accelerators(free_mb, need.memory_mb, need.accelerators)
-                    if chosen and self.bins[replica.target].take(need):
-                        self.held[key] = (need, chosen)
-                        ready = Replica(replica.target, replica.version, ReplicaState.READY)
-                        record = record.with_replica(ready)
-            self.records[name] = record
-
-
-def _bin(status: TargetStatus) -> Bin:
-    return Bin(status.instance, status.failure_domain, status.capacity_mb, list(status.free_mb))
+        placed = self.placed.get(entry.name)
+        ready = placed.record.ready() if placed else []
+        return any(
+            replica.version == entry.version and self.targets[replica.target].whole(entry)
+            for replica in ready
+        )
+
+    def _write(self, change: RecordChange) -> None:
+        if change.new is None:
+            self.placed.pop(change.model)
+        else:
+            self.placed[change.model] = Placed(change.new, 1)
+
+    def _put(self, model: str, replica: Replica) -> None:
+        placed = self.placed.get(model)
+        record = placed.record if placed else PlacementRecord(model, 0)
+        self.placed[model] = Placed(record.with_replica(replica), 1)
+
+    def _answer(self) -> bool:
+        """Have targets do what records ask; tell whether anything came of it."""
+        asked = [
+            (model, replica)
+            for model, placed in self.placed.items()
+            for replica in placed.record.replicas
+        ]
+        # Targets load before they unload: what leaves still takes its room then.
+        asked.sort(key=lambda item: item[1].state is ReplicaState.LEAVING)
+        return sum(self._answer_one(model, replica) for model, replica in asked) > 0
+
+    def _answer_one(self, model: str, replica: Replica) -> bool:
+        target = self.targets[replica.target]
+        entry = self.index.models.get(model)
+        if replica.state is ReplicaState.LEAVING:
+            target.unload(f"{model}@{replica.version}")
+            rest = self.placed[model].record.without(replica.target, replica.version)
+            self.placed[model] = Placed(rest, 1)
+            return True
+        if entry is None or replica.version != entry.version:
+            return False
+        if replica.state is ReplicaState.READY:
+            return target.grow(entry, self._goes)
+        if not target.load(entry, self.index.models):
+            return False
+        self._put(model, Replica(replica.target, replica.version, ReplicaState.READY))
+        return True
+
+    def _goes(self, adapter: str, holder: ModelEntry) -> bool:
+        served = self.index.served.get(adapter)
+        if served is None:
+            return True
+        return served.model.name != holder.name and self._ready(served.model)
--- a/packages/coordination/src/mimosaspur_coordination/room.py
+++ b/packages/coordination/src/mimosaspur_coordination/room.py
@@ -4,6 +4,7 @@
 from dataclasses import field
 
 from mimosaspur_coordination.draft import Draft
+from mimosaspur_coordination.offers import Offer
 from mimosaspur_coordination.packing import Bin
 from mimosaspur_coordination.packing import Need
 from mimosaspur_state.bundle import ModelEntry
@@ -29,7 +30,10 @@
     if _unwanted_leave(draft, entry):
         # Their room comes without any move; a target that never gives it stops being alive.
         return True
-    ways = [way for room in draft.candidates(entry) if (way := _way(draft, entry, room))]
+    tries = [_Try(draft, entry, room) for room in draft.candidates(entry)]
+    ways = [tried.way for tried in tries if tried.by_surplus()]
+    # A way without moves always costs less, and is far quicker to find.
+    ways = ways or [tried.way for tried in tries if tried.by_moves()]
     if not ways:
         return False
     way = min(ways, key=Way.cost)
@@ -42,73 +46,97 @@
 
 
 def _unwanted_leave(draft: Draft, entry: ModelEntry) -> bool:
-    targets = {room.target for room in draft.candidates(entry)}
-    unwanted = [name for name in draft.records if name not in draft.view.index.models]
-    return any(
-        replica.target in targets for name in unwanted for replica in draft.records[name].replicas
-    )
-
+    return any(room.target in draft.unwanted_on for room in draft.candidates(entry))
+
+
+class _Try:
+    """Look for a way to give room to an entry on one target."""
+
+    def __init__(self, draft: Draft, entry: ModelEntry, room: Bin) -> None:
+        self.draft = draft
+        self.need = Need.of(entry)
+        self.offer = _offer(draft, room)
+        self.trial = self.offer.stages[-1]
+        self.way = Way()
+        self.others: dict[str, Bin] = {}
+
+    def by_surplus(self) -> bool:
+        """Try with what leaves anyway and replicas that aren't needed."""
+        count = self.offer.enough(self.need)
+        self.way.surplus = self.offer.surplus[:count]
+        return count is not None
+
+    def by_moves(self) -> bool:
+        """Try with moves besides; `by_surplus` must have failed before."""
+        self.trial = self.trial.copy()
+        for held, replica in self.offer.residents:
+            if replica.state is not ReplicaState.READY or _spare(self.draft, held, replica):
+                continue
+            if self._move(held, replica):
+                _give_back(self.draft, self.trial, held, replica)
+                if self.trial.fits(self.need):
+                    return True
+        return False
 
-def _way(draft: Draft, entry: ModelEntry, room: Bin) -> Way | None:
-    need = Need.of(entry)
-    trial = room.copy()
-    way = Way()
+    def _move(self, held: ModelEntry, replica: Replica) -> bool:
+        if self.draft.loads(held.name):
+            self.way.moving += 1
+            return True
+        if replica.version != held.version:
+            # It is being replaced itself; its own turn will move it.
+            return False
+        target = self._elsewhere(held)
+        if target is not None:
+            self.way.moves.append((held, target))
+        return target is not None
+
+    def _elsewhere(self, held: ModelEntry) -> str | None:
+        need = Need.of(held)
+        names = [room.target for room in self.draft.fitting(held)]
+        rooms = [self.others.get(name, self.draft.bins[name]) for name in names]
+        fitting = [item for item in rooms if item.target != self.trial.target and item.fits(need)]
+        best = min(fitting, key=lambda item: (item.total_free(), item.target), default=None)
+        if best is None:
+            return None
+        self.others[best.target] = best.copy()
+        self.others[best.target].take(need)
+        return best.target
+
+
+def _offer(draft: Draft, room: Bin) -> Offer:
+    if room.target not in draft.offers:
+        draft.offers[room.target] = _work_out(draft, room)
+    return draft.offers[room.target]
+
+
+def _work_out(draft: Draft, room: Bin) -> Offer:
     residents = _residents(draft, room.target)
-    layout = draft.layout(room.target)
+    trial = room.copy()
     for held, replica in residents:
         if replica.state is ReplicaState.LEAVING:
-            trial.give_back(draft.held(held, replica), layout.get(_resident(replica, held), ()))
-    if trial.fits(need):
-        return way
+            _give_back(draft, trial, held, replica)
+    offer = Offer(residents, [], [trial])
     for held, replica in residents:
         if _spare(draft, held, replica):
-            trial.give_back(draft.held(held, replica), layout.get(_resident(replica, held), ()))
-            way.surplus.append((held.name, replica))
-            if trial.fits(need):
-                return way
-    return _way_by_moves(draft, need, trial, way, residents)
-
-
-def _way_by_moves(
-    draft: Draft,
-    need: Need,
-    trial: Bin,
-    way: Way,
-    residents: list[tuple[ModelEntry, Replica]],
-) -> Way | None:
-    layout = draft.layout(trial.target)
-    others = {name: item.copy() for name, item in draft.bins.items()}
-    for held, replica in residents:
-        if replica.state is not ReplicaState.READY or _spare(draft, held, replica):
-            continue
-        if draft.loads(held.name):
-            way.moving += 1
-        elif replica.version != held.version:
-            # It is being replaced itself; its own turn will move it.
-            continue
-        else:
-            target = _elsewhere(draft, held, others, trial.target)
-            if target is None:
-                continue
-            way.moves.append((held, target))
-        trial.give_back(draft.held(held, replica), layout.get(_resident(replica, held), ()))
-        if trial.fits(need):
-            return way
-    return None
+            trial = trial.copy()
+            _give_back(draft, trial, held, replica)
+            offer.surplus.append((held.name, replica))
+            offer.stages.append(trial)
+    return offer
 
 
-def _elsewhere(draft: Draft, entry: ModelEntry, others: dict[str, Bin], target: str) -> str | None:
-    need = Need.of(entry)
-    names = [room.target for room in draft.candidates(entry) if room.target != target]
-    names.sort(key=lambda name: (others[name].total_free(), name))
-    return next((name for name in names if others[name].take(need)), None)
+def _give_back(draft: Draft, trial: Bin, held: ModelEntry, replica: Replica) -> None:
+    chosen = draft.layout(trial.target).get(f"{held.name}@{replica.version}", ())
+    trial.give_back(draft.held(held, replica), chosen)
 
 
 def _residents(draft: Draft, target: str) -> list[tuple[ModelEntry, Replica]]:
     """Return the replicas on a target, the largest first; old versions count as the new."""
+    models = draft.view.index.models
     found = [
-        (entry, replica)
-        for name, entry in draft.view.index.models.items()
+        (models[name], replica)
+        for name in draft.models_on.get(target, ())
+        if name in models
         for replica in draft.record(name).on(target)
     ]
     found.sort(key=lambda item: (Need.of(item[0]).size(), item[0].name), reverse=True)
@@ -122,7 +150,3 @@
     good = draft.good(entry)
     others = [item for item in draft.live_ready(entry.name) if item != replica]
     return len(good) > 1 if replica in good else bool(others)
-
-
-def _resident(replica: Replica, entry: ModelEntry) -> str:
-    return f"{entry.name}@{replica.version}"
--- a/packages/coordination/src/mimosaspur_coordination/routing.py
+++ b/packages/coordination/src/mimosaspur_coordination/routing.py
@@ -27,40 +27,63 @@
     record: PlacementRecord | None,
     hints: dict[str, TargetHint],
 ) -> list[Candidate]:
-    """Return who may hold it: those with the wanted version, or else with an older one."""
+    """Return who may hold it: those with the wanted version, or else with the newest older one."""
     wanted = served.resident()
     current: list[Candidate] = []
     older: list[Candidate] = []
-    for name, hint in hints.items():
+    for hint in hints.values():
         resident = _held(served, record, hint)
         if resident == wanted:
             current.append(Candidate(hint, resident))
         elif resident:
-            older.append(Candidate(hints[name], resident))
-    return current or older
+            older.append(Candidate(hint, resident))
+    return current or _newest(older, _placed(served, record))
 
 
 def _held(served: Served, record: PlacementRecord | None, hint: TargetHint) -> str | None:
     wanted = served.resident()
     if wanted in hint.residents:
         return wanted
-    # What the target itself said goes before the record, which may be older.
-    older = _older_resident(wanted, hint)
-    if hint.residents:
-        return older
-    for replica in record.on(hint.name) if record else []:
-        if replica.state is ReplicaState.LOAD:
-            continue
-        if replica.version == served.model.version:
-            return wanted
-        if served.adapter is None:
-            return f"{served.model.name}@{replica.version}"
-    return None
-
-
-def _older_resident(wanted: str, hint: TargetHint) -> str | None:
+    placed = _placed(served, record, hint.name)
+    # What a connected target says goes before the record; what it said earlier may be older.
+    if wanted in placed and not (hint.residents and hint.live):
+        return wanted
     prefix = wanted.rpartition("@")[0] + "@"
-    return next((name for name in hint.residents if name.startswith(prefix)), None)
+    said = [name for name in hint.residents if name.startswith(prefix)]
+    if hint.residents:
+        return max(said, key=lambda name: _rank(name, placed), default=None)
+    return placed[-1] if placed else None
+
+
+def _newest(older: list[Candidate], placed: list[str]) -> list[Candidate]:
+    # Two old versions may both be ready when rolls follow each other closely.
+    rank = max((_rank(candidate.resident, placed) for candidate in older), default=0)
+    return [candidate for candidate in older if _rank(candidate.resident, placed) == rank]
+
+
+def _rank(resident: str, placed: list[str]) -> int:
+    return placed.index(resident) if resident in placed else -1
+
+
+def _placed(served: Served, record: PlacementRecord | None, target: str = "") -> list[str]:
+    """Return the residents by a record, of one target or all, the newest last.
+
+    A replica that becomes ready is put last in its record, and one that leaves is replaced.
+    """
+    ready: dict[str, None] = {}
+    leaving: dict[str, None] = {}
+    for replica in record.serving() if record else []:
+        resident = _resident(served, replica.version)
+        if resident and target in ("", replica.target):
+            (ready if replica.state is ReplicaState.READY else leaving)[resident] = None
+    return [*(name for name in leaving if name not in ready), *ready]
+
+
+def _resident(served: Served, version: str) -> str | None:
+    if version == served.model.version:
+        return served.resident()
+    # A record tells nothing of the versions of a model's adapters.
+    return None if served.adapter else f"{served.model.name}@{version}"
 
 
 class Router:
--- a/packages/coordination/src/mimosaspur_coordination/steps.py
+++ b/packages/coordination/src/mimosaspur_coordination/steps.py
@@ -1,7 +1,6 @@
 """Take away replicas: unwanted, dead, stuck, of old versions and on targets that leave."""
 
 from mimosaspur_coordination.draft import Draft
-from mimosaspur_coordination.packing import Need
 from mimosaspur_state.bundle import ModelEntry
 from mimosaspur_state.placement import Replica
 from mimosaspur_state.placement import ReplicaState
@@ -17,7 +16,7 @@
         for replica in draft.records[model].replicas:
             if replica.state is ReplicaState.LOAD or not draft.live(replica):
                 draft.drop(model, replica, "the bundle no longer names it")
-            elif replica.state is ReplicaState.READY:
+            elif replica.state is ReplicaState.READY and not _hands_over(draft, model, replica):
                 draft.leave(model, replica, "the bundle no longer names it")
 
 
@@ -43,7 +42,7 @@
 
 
 def retire_outgoing(draft: Draft, entry: ModelEntry) -> None:
-    """Have replicas of old versions and on leaving targets go, never before one replaces them."""
+    """Have old, cramped and leaving targets' replicas go, never before one replaces them."""
     good = draft.good(entry)
     if not good:
         return
@@ -58,6 +57,19 @@
         draft.leave(entry.name, replica, f"a replacement for {replica.target} is ready")
 
 
+def _hands_over(draft: Draft, model: str, replica: Replica) -> bool:
+    """Tell whether another model takes over an adapter of it, and is not ready with it yet."""
+    former = draft.view.former.get(f"{model}@{replica.version}")
+    for adapter in former.adapters if former else ():
+        served = draft.view.index.served.get(adapter.name)
+        # An engine can't hold one resident twice: the same version waits until this one left.
+        if served is None or served.resident() == adapter.resident():
+            continue
+        if not draft.good(served.model) and _can_add(draft, served.model):
+            return True
+    return False
+
+
 def _is_stuck(draft: Draft, entry: ModelEntry, replica: Replica) -> bool:
     view = draft.view
     since_ms = view.loading_since_ms.get((entry.name, replica.target, replica.version))
@@ -66,5 +78,4 @@
 
 def _can_add(draft: Draft, entry: ModelEntry) -> bool:
     """Tell whether another replica is on its way or finds room."""
-    need = Need.of(entry)
-    return bool(draft.loads(entry.name)) or any(room.fits(need) for room in draft.candidates(entry))
+    return bool(draft.loads(entry.name)) or draft.has_room(entry)
--- a/packages/daemon/src/mimosaspur_daemon/application.py
+++ b/packages/daemon/src/mimosaspur_daemon/application.py
@@ -1,13 +1,16 @@
 """Own a process's tasks and clean up after them."""
 
+import queue
 import signal
 import threading
+import time
 from collections.abc import Callable
 
 from mimosaspur_state.log import log
 
 PART = "APP"
-TASK_END_S = 3.0
+# Long enough to give a lease back; a task in a long watch ends with the process.
+TASKS_END_S = 0.5
 
 Task = Callable[[threading.Event], None]
 Hook = Callable[[], None]
@@ -18,7 +21,8 @@
 
     def __init__(self) -> None:
         self.stop = threading.Event()
-        self.asked_to_stop = threading.Event()
+        # A signal handler may run while this thread holds an event's lock; a put can't block.
+        self.asked_to_stop: queue.SimpleQueue[None] = queue.SimpleQueue()
         self.tasks: list[threading.Thread] = []
         self.stop_hooks: list[Hook] = []
 
@@ -35,19 +39,18 @@
     def handle_signals(self) -> None:
         """Take SIGTERM and SIGINT as the order for a graceful shutdown."""
         for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: self.asked_to_stop.set())
+            signal.signal(number, lambda *_: self.asked_to_stop.put(None))
 
     def run(self) -> None:
         """Wait for the order to stop and carry it out."""
-        # A signal handler only runs between waits of the main thread, so the waits are bounded.
-        while not self.asked_to_stop.wait(1):
-            continue
+        self.asked_to_stop.get()
         log(PART, "Stops gracefully.")
         for hook in reversed(self.stop_hooks):
             hook()
         self.stop.set()
+        end = time.monotonic() + TASKS_END_S
         for thread in self.tasks:
-            thread.join(TASK_END_S)
+            thread.join(max(0, end - time.monotonic()))
         log(PART, "Stopped.")
 
     def _run(self, name: str, task: Task) -> None:
@@ -55,5 +58,5 @@
             task(self.stop)
         except Exception as error:
             log(PART, "A task failed.", task=name, error=repr(error))
-            self.asked_to_stop.set()
+            self.asked_to_stop.put(None)
             raise
--- a/packages/daemon/src/mimosaspur_daemon/attempts.py
+++ b/packages/daemon/src/mimosaspur_daemon/attempts.py
@@ -17,6 +17,8 @@
 from mimosaspur_transport.wire import Wire
 
 DEFAULT_RETRY_MS = 1000
+# No caller waits longer than this for an answer to begin.
+REMEMBER_MS = 900_000
 
 AttemptKey = tuple[str, int]
 
@@ -24,9 +26,12 @@
 class RunningAttempt:
     """Hold one attempt's answer and send it over whichever connection is the newest."""
 
-    def __init__(self, submit: Submit, wire: Wire, clock: Clock, *, limit: int) -> None:
+    def __init__(
+        self, submit: Submit, wire: Wire, clock: Clock, *, limit: int, connection: int = 0
+    ) -> None:
         self.submit = submit
         self.wire: Wire | None = wire
+        self.connection = connection
         self.clock = clock
         self.limit = limit
         self.lock = threading.Lock()
@@ -77,9 +82,13 @@
                 final = Failed(request_id, attempt, error.code, error.detail, error.outcome)
             self._finish(final)
 
-    def resume(self, wire: Wire, offset: int) -> None:
+    def resume(self, wire: Wire, offset: int, *, connection: int) -> None:
         """Send what follows an offset over a new connection, and all that comes after."""
         with self.lock:
+            # The task of an older connection may come late, when this process was paused.
+            if connection < self.connection:
+                return
+            self.connection = connection
             self.wire = wire
             self.detached_at_ms = None
             if self.started:
@@ -127,6 +136,7 @@
         self.keep_ms = keep_ms
         self.lock = threading.Lock()
         self.attempts: dict[AttemptKey, RunningAttempt] = {}
+        self.dropped: dict[AttemptKey, int] = {}
 
     def add(self, attempt: RunningAttempt) -> bool:
         """Register an attempt; tell whether it is new."""
@@ -141,6 +151,15 @@
         with self.lock:
             return self.attempts.get(key)
 
+    def knew(self, key: AttemptKey) -> bool:
+        """Tell whether an attempt was here that may have run and has been dropped."""
+        with self.lock:
+            return key in self.dropped
+
+    def release(self, attempt: RunningAttempt) -> None:
+        """Let go of an ended attempt whose entry needs it no more."""
+        self._drop(attempt, self.clock.now_ms())
+
     def detach(self, wire: Wire) -> None:
         """Note that a connection is gone."""
         for attempt in self._all():
@@ -153,10 +172,24 @@
             ended_ms = attempt.ended_at_ms
             detached_ms = attempt.detached_at_ms
             if ended_ms is not None and now_ms - ended_ms > self.keep_ms:
-                with self.lock:
-                    self.attempts.pop(attempt.key(), None)
+                self._drop(attempt, now_ms)
             elif detached_ms is not None and now_ms - detached_ms > self.keep_ms:
                 attempt.cancelled.set()
+        self._forget(now_ms)
+
+    def _drop(self, attempt: RunningAttempt, now_ms: int) -> None:
+        with self.lock:
+            self.attempts.pop(attempt.key(), None)
+            if not isinstance(attempt.final, Refused):
+                self.dropped[attempt.key()] = now_ms
+
+    def _forget(self, now_ms: int) -> None:
+        with self.lock:
+            # The oldest come first.
+            for key, dropped_ms in list(self.dropped.items()):
+                if now_ms - dropped_ms <= REMEMBER_MS:
+                    return
+                del self.dropped[key]
 
     def _all(self) -> list[RunningAttempt]:
         with self.lock:
--- a/packages/daemon/src/mimosaspur_daemon/behind.py
+++ b/packages/daemon/src/mimosaspur_daemon/behind.py
@@ -49,6 +49,14 @@
         """Return the memory of each accelerator."""
         ...
 
+    def layout(self) -> dict[str, tuple[int, ...]]:
+        """Return the accelerators of each model that takes memory."""
+        ...
+
+    def held_mb(self) -> dict[str, int]:
+        """Return each model's memory with its adapters on each accelerator."""
+        ...
+
     def run(self, stop: threading.Event) -> None:
         """Keep it as placement asks until told to stop."""
         ...
@@ -90,7 +98,7 @@
         self.metrics = metrics
         self.incarnation = incarnation
         self.admin = EngineAdmin(target.address, settings.platform.timeout_ms)
-        chat = EngineChat(target.address, slots=target.slots, silent_ms=target.silent_ms)
+        chat = EngineChat(target.address, silent_ms=target.silent_ms)
         self.runner: Runner = EngineRunner(chat, clock)
         self.on_change: list[Callable[[], None]] = []
         self.keeper: EngineKeeper | None = None
@@ -122,6 +130,14 @@
         """Return the memory of each accelerator."""
         return self.keeper.capacity_mb() if self.keeper else ()
 
+    def layout(self) -> dict[str, tuple[int, ...]]:
+        """Return the accelerators of each model that takes memory."""
+        return self.keeper.layout() if self.keeper else {}
+
+    def held_mb(self) -> dict[str, int]:
+        """Return each model's memory with its adapters on each accelerator."""
+        return self.keeper.held_mb() if self.keeper else {}
+
     def run(self, stop: threading.Event) -> None:
         """Keep the engine as placement asks until told to stop."""
         assert self.keeper is not None
@@ -155,7 +171,7 @@
         self.carriers = Carriers(
             store,
             mirror,
-            key=keys.carrier(settings.instance.region, target.service),
+            region=settings.instance.region,
             service=target.service,
             target=settings.instance.name,
         )
@@ -176,6 +192,14 @@
         """Return nothing: a plain service has no accelerators."""
         return ()
 
+    def layout(self) -> dict[str, tuple[int, ...]]:
+        """Return nothing: a plain service has no accelerators."""
+        return {}
+
+    def held_mb(self) -> dict[str, int]:
+        """Return nothing: a plain service has no accelerators."""
+        return {}
+
     def run(self, stop: threading.Event) -> None:
         """Keep the service registered until told to stop."""
         while not stop.is_set():
--- a/packages/daemon/src/mimosaspur_daemon/departure.py
+++ b/packages/daemon/src/mimosaspur_daemon/departure.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from mimosaspur_coordination.mirror import Mirror
+from mimosaspur_daemon.attempts import AttemptRegistry
 from mimosaspur_daemon.behind import Behind
 from mimosaspur_daemon.serving import Serving
 from mimosaspur_daemon.targetserver import TargetServer
@@ -30,6 +31,7 @@
         serving: Serving,
         server: TargetServer,
         behind: Behind,
+        registry: AttemptRegistry,
     ) -> None:
         self.name = settings.instance.name
         assert settings.target is not None
@@ -38,13 +40,21 @@
         self.serving = serving
         self.server = server
         self.behind = behind
+        self.registry = registry
+        # What it takes an entry to find its connection silent and to ask over a new one.
+        self.linger_ms = settings.peers.silent_ms + settings.peers.connect_ms
         self.wake = threading.Event()
         self.on_change: list[Callable[[], None]] = []
         self.ordered = False
+        self.shutting_down = False
 
     def leaving(self) -> bool:
-        """Tell whether this target has been ordered to leave or is shutting down."""
-        return self.ordered or self.serving.draining
+        """Tell whether an operator has ordered this target to leave.
+
+        A shutdown alone does not count: the process mostly comes back within the planner's
+        grace, and moving its models meanwhile would cost more than it earns.
+        """
+        return self.ordered
 
     def run(self, stop: threading.Event) -> None:
         """Watch for the order until told to stop."""
@@ -55,26 +65,41 @@
 
     def shut_down(self) -> None:
         """Refuse new work at once and wait for what runs, for the grace at the longest."""
+        self.shutting_down = True
         self._drain()
         clock = self.serving.clock
         end_ms = clock.now_ms() + self.grace_ms
         pause = threading.Event()
-        while not self.serving.queue.idle() and clock.now_ms() < end_ms:
+        while not self._delivered() and clock.now_ms() < end_ms:
             pause.wait(IDLE_POLL_S)
-        if not self.serving.queue.idle():
+        if not self._delivered():
             log(PART, "Stopped before all requests had ended; the grace is over.")
 
+    def _delivered(self) -> bool:
+        """Tell whether all answers have ended and could be fetched even after a silence."""
+        # The queue doesn't count what was taken over from a predecessor; the registry does.
+        with self.registry.lock:
+            ended_ms = [attempt.ended_at_ms for attempt in self.registry.attempts.values()]
+        oldest_ms = self.serving.clock.now_ms() - self.linger_ms
+        answered = all(at_ms is not None and at_ms <= oldest_ms for at_ms in ended_ms)
+        return answered and self.serving.queue.idle()
+
     def _look(self) -> None:
         ordered = self.mirror.get(keys.drain(self.name)) is not None
         if ordered != self.ordered:
             self.ordered = ordered
             log(PART, "Ordered to leave." if ordered else "Ordered to stay.")
             if not ordered:
-                self.behind.stay()
+                self._stay()
             self._tell()
         if ordered and not self.serving.draining and self.behind.leave():
             self._drain()
 
+    def _stay(self) -> None:
+        self.behind.stay()
+        if not self.shutting_down:
+            self.serving.undrain()
+
     def _drain(self) -> None:
         if self.serving.draining:
             return
