--- a/packages/daemon/src/mimosaspur_daemon/dispatcher.py
+++ b/packages/daemon/src/mimosaspur_daemon/dispatcher.py
@@ -1,10 +1,9 @@
 """Have callers' requests run at targets, trying another only after "not run"."""
 
 import queue
+import threading
 from collections.abc import Callable
 from collections.abc import Iterator
-from dataclasses import dataclass
-from dataclasses import field
 
 from mimosaspur_coordination.demandcount import DemandCounter
 from mimosaspur_coordination.directory import Directory
@@ -14,6 +13,12 @@
 from mimosaspur_coordination.retry import RetryBudget
 from mimosaspur_coordination.routing import Candidate
 from mimosaspur_coordination.routing import Router
+from mimosaspur_daemon.journey import DEFAULT_RETRY_MS
+from mimosaspur_daemon.journey import FINAL_REFUSALS
+from mimosaspur_daemon.journey import Journey
+from mimosaspur_daemon.journey import failure
+from mimosaspur_daemon.journey import refused
+from mimosaspur_daemon.journey import truthful
 from mimosaspur_daemon.links import Links
 from mimosaspur_protocol.messages import Chunk
 from mimosaspur_protocol.messages import End
@@ -30,31 +35,16 @@
 from mimosaspur_state.metrics import Metrics
 from mimosaspur_state.requests import Kind
 from mimosaspur_state.requests import Work
-from mimosaspur_transport.targetlink import Attempt
-from mimosaspur_transport.targetlink import Event
+from mimosaspur_transport.attempt import Attempt
+from mimosaspur_transport.attempt import Event
 from mimosaspur_transport.targetlink import TargetLink
 
 GONE_POLL_S = 0.2
 CATCH_UP_S = 1.0
-DEFAULT_RETRY_MS = 1000
+READY_POLL_S = 0.1
 MAX_ATTEMPTS = 8
 
 
-@dataclass(slots=True)
-class Journey:
-    """Follow one request over its attempts."""
-
-    work: Work
-    deadline: Deadline
-    gone: Callable[[], bool]
-    attempts: int = 0
-    tried: set[str] = field(default_factory=set)
-    last_refusal: Refused | None = None
-    retry_after_ms: int | None = None
-    # After an attempt whose outcome is unknown, no refusal may say "not run" any more.
-    may_have_run: bool = False
-
-
 class EntryDispatcher:
     """Serve callers' requests through the targets of this region."""
 
@@ -69,6 +59,8 @@
         demand: DemandCounter,
         clock: Clock,
         metrics: Metrics,
+        wait_ready_ms: int,
+        most_waiting: int,
     ) -> None:
         self.holder = holder
         self.directory = directory
@@ -78,6 +70,8 @@
         self.demand = demand
         self.clock = clock
         self.metrics = metrics
+        self.wait_ready_ms = wait_ready_ms
+        self.waiters = threading.BoundedSemaphore(max(1, most_waiting))
         self.stopping = False
 
     def dispatch(self, work: Work, deadline_ms: int, gone: Callable[[], bool]) -> Answer:
@@ -89,11 +83,12 @@
         began_ms = self.clock.now_ms()
         try:
             answer = self._try_targets(journey)
-        except MimosaspurError as error:
+        except MimosaspurError as found:
+            error = truthful(journey, found)
             self.metrics.count(f"entry.result.{error.code.name.lower()}")
             if error.outcome is Outcome.NOT_RUN:
                 self.demand.refused(model)
-            raise
+            raise error from found
         self.metrics.timing("entry.first", self.clock.now_ms() - began_ms)
         return answer
 
@@ -111,6 +106,10 @@
             for name, served in sorted(index.served.items())
         ]
 
+    def generation(self) -> int:
+        """Return the generation in force here, 0 before the first."""
+        return self.holder.generation()
+
     def ready(self) -> bool:
         """Tell whether callers may be sent here."""
         return self.holder.current() is not None and not self.stopping
@@ -144,6 +143,9 @@
         while True:
             index = self._index()
             candidate = self._choose(index, journey)
+            if candidate is None:
+                self._wait_for_target(journey)
+                continue
             link = self.links.to(candidate.hint)
             attempt = self._submit(journey, index, candidate, link)
             if attempt is None:
@@ -154,17 +156,34 @@
                 return answer
             self._check_retry(journey)
 
-    def _choose(self, index: BundleIndex, journey: Journey) -> Candidate:
-        candidates = self._candidates(index, journey.work)
-        candidate = self.router.choose(
-            candidates,
+    def _choose(self, index: BundleIndex, journey: Journey) -> Candidate | None:
+        return self.router.choose(
+            self._candidates(index, journey.work),
             tried=journey.tried,
             prefix=journey.work.prefix,
             now_ms=self.clock.now_ms(),
         )
-        if candidate:
-            return candidate
-        raise _refused(journey)
+
+    def _wait_for_target(self, journey: Journey) -> None:
+        """Wait a little for a target to be ready; raise the refusal when that is over.
+
+        A target that is replaced is back in a second: far less than a deadline mostly leaves.
+        Few may wait at once, so that an unreachable model can't take the places of others.
+        """
+        if journey.wait_end is None:
+            wait_ms = min(self.wait_ready_ms, journey.deadline.left_ms() // 2)
+            journey.wait_end = Deadline(self.clock, wait_ms)
+        if journey.wait_end.passed() or not journey.may_wait():
+            raise refused(journey)
+        if not self.waiters.acquire(blocking=False):
+            raise refused(journey)
+        try:
+            threading.Event().wait(READY_POLL_S)
+        finally:
+            self.waiters.release()
+        if journey.gone():
+            raise MimosaspurError(ResultCode.CANCELLED)
+        journey.tried.clear()
 
     def _submit(
         self, journey: Journey, index: BundleIndex, candidate: Candidate, link: TargetLink
@@ -172,7 +191,8 @@
         journey.attempts += 1
         left_ms = journey.deadline.left_ms()
         if left_ms == 0:
-            raise _refused(journey, ResultCode.DEADLINE_UNREACHABLE)
+            raise refused(journey, ResultCode.DEADLINE_UNREACHABLE)
+        journey.generation = index.generation
         submit = Submit(
             journey.attempts, index.generation, left_ms, candidate.resident, journey.work
         )
@@ -197,27 +217,39 @@
         assert isinstance(event, Failed)
         journey.tried.add(candidate.hint.name)
         journey.may_have_run = True
-        if not journey.work.idempotent:
-            raise _failure(event)
+        # A deadline that has passed here has passed everywhere.
+        if not journey.work.idempotent or event.code is ResultCode.DEADLINE_PASSED:
+            raise failure(event)
         return None
 
     def _note_refusal(self, journey: Journey, refusal: Refused, candidate: Candidate) -> None:
         self.metrics.count(f"entry.refused.{refusal.code.name.lower()}")
         journey.last_refusal = refusal
         if refusal.code is ResultCode.STALE_GENERATION:
-            self.holder.wait_for(self.holder.generation() + 1, CATCH_UP_S)
+            self.holder.wait_for(journey.generation + 1, CATCH_UP_S)
             return
         if refusal.code is ResultCode.DRAINING:
             candidate.hint.draining = True
-        if refusal.code in _FINAL_REFUSALS:
-            raise _refused(journey)
-        journey.tried.add(candidate.hint.name)
         known = journey.retry_after_ms
         journey.retry_after_ms = min(known or refusal.retry_after_ms, refusal.retry_after_ms)
+        if refusal.code in FINAL_REFUSALS:
+            raise refused(journey)
+        if not self._may_hold_newer(refusal, candidate, journey):
+            journey.tried.add(candidate.hint.name)
+
+    def _may_hold_newer(self, refusal: Refused, candidate: Candidate, journey: Journey) -> bool:
+        """Tell whether a target refused only the older version that was asked of it."""
+        index = self.holder.current()
+        served = index.served.get(journey.work.name) if index else None
+        older = served is not None and served.resident() != candidate.resident
+        return older and refusal.code is ResultCode.NOT_READY_HERE
 
     def _check_retry(self, journey: Journey) -> None:
-        if journey.attempts >= MAX_ATTEMPTS or not self.budget.spend():
-            raise _refused(journey, ResultCode.RETRIES_EXHAUSTED)
+        refusal = journey.last_refusal
+        # Being behind is nobody's load: it costs no retry of the budget.
+        free = refusal is not None and refusal.code is ResultCode.STALE_GENERATION
+        if journey.attempts >= MAX_ATTEMPTS or not (free or self.budget.spend()):
+            raise refused(journey, ResultCode.RETRIES_EXHAUSTED)
 
     def _next(self, journey: Journey, attempt: Attempt) -> Event:
         while True:
@@ -241,7 +273,7 @@
                 elif isinstance(event, End):
                     return
                 elif isinstance(event, Failed):
-                    raise _failure(event)
+                    raise failure(event)
         finally:
             link.finish(attempt)
 
@@ -252,31 +284,3 @@
             except queue.Empty:
                 if journey.gone():
                     raise MimosaspurError(ResultCode.CANCELLED, outcome=Outcome.UNKNOWN) from None
-
-
-# Another target would say the same.
-_FINAL_REFUSALS = frozenset(
-    {
-        ResultCode.KEY_REUSED,
-        ResultCode.CLAIM_IN_PROGRESS,
-        ResultCode.PLATFORM_DOWN,
-        ResultCode.CLAIM_RATE,
-        ResultCode.CANCELLED,
-    }
-)
-
-
-def _refused(journey: Journey, code: ResultCode | None = None) -> MimosaspurError:
-    refusal = journey.last_refusal
-    if refusal and code in (None, ResultCode.RETRIES_EXHAUSTED):
-        code = refusal.code
-    return MimosaspurError(
-        code or ResultCode.NO_READY_TARGET,
-        refusal.detail if refusal else "",
-        retry_after_ms=journey.retry_after_ms or DEFAULT_RETRY_MS,
-        outcome=Outcome.UNKNOWN if journey.may_have_run else Outcome.NOT_RUN,
-    )
-
-
-def _failure(event: Failed) -> MimosaspurError:
-    return MimosaspurError(event.code, event.detail, outcome=event.outcome)
--- a/packages/daemon/src/mimosaspur_daemon/engine_keeper.py
+++ b/packages/daemon/src/mimosaspur_daemon/engine_keeper.py
@@ -18,6 +18,7 @@
 from mimosaspur_daemon.engine_situation import Situation
 from mimosaspur_daemon.engine_situation import records_of
 from mimosaspur_daemon.engine_situation import situation_of
+from mimosaspur_daemon.engine_situation import still_to_come
 from mimosaspur_state import keys
 from mimosaspur_state.bundle import BundleIndex
 from mimosaspur_state.clock import Clock
@@ -91,8 +92,11 @@
         self._ready: tuple[str, ...] = ()
         self._free_mb: tuple[int, ...] = ()
         self._capacity_mb: tuple[int, ...] = ()
+        self._layout: dict[str, tuple[int, ...]] = {}
+        self._held_mb: dict[str, int] = {}
         self._round_ended_ms = clock.now_ms()
         self._store_answers = True
+        self._unwanted: set[str] = set()
         self.mirror.listeners.append(lambda item: self.wake.set())
 
     def ready_residents(self) -> tuple[str, ...]:
@@ -107,6 +111,14 @@
         """Return the memory of each accelerator; empty before the first report."""
         return self._capacity_mb
 
+    def layout(self) -> dict[str, tuple[int, ...]]:
+        """Return the accelerators of each model that takes memory; don't change it."""
+        return self._layout
+
+    def held_mb(self) -> dict[str, int]:
+        """Return each model's memory with its adapters on each accelerator; don't change it."""
+        return self._held_mb
+
     def run(self, stop: threading.Event) -> None:
         """Go round every poll_ms, or sooner when placement changes, until told to stop."""
         self.right.start()
@@ -130,6 +142,10 @@
             self._publish(report)
         else:
             self.metrics.count("engine.unanswered")
+            if not self.sender.fresh():
+                # The status says so by this: the planner counts on no engine that is silent.
+                self._free_mb = self._capacity_mb = ()
+                self._layout, self._held_mb = {}, {}
         self._round_ended_ms = self.clock.now_ms()
 
     def _act(self, report: EngineState) -> None:
@@ -233,7 +249,9 @@
 
     def _unload(self, situation: Situation) -> None:
         bases = {item.base for item in situation.report.residents}
-        for item in situation.unwanted:
+        known, self._unwanted = self._unwanted, {item.id for item in situation.unwanted}
+        # Entries must hear first of what replaces it: what is new here waits for a round.
+        for item in (item for item in situation.unwanted if item.id in known):
             if item.id not in self.closed and self._confirmed(item, situation):
                 self._close(item.id)
             if item.id not in self.closed or item.id in bases or self.serving.in_use(item.id):
@@ -245,7 +263,7 @@
         """Tell whether the record itself, not the mirror's copy, lets a resident go."""
         base = item.base or item.id
         if item.base and any(held.base() == base for held in situation.helds):
-            return True
+            return not still_to_come(item, situation, self.store, self.region)
         if not self._store_answers:
             return False
         model, _, version = base.rpartition("@")
@@ -280,6 +298,9 @@
         usable = tuple(sorted(set(ready) - self.closed))
         self._free_mb = self.ledger.free_mb()
         self._capacity_mb = report.capacity_mb
+        ordered = self.ledger.ordered()
+        self._layout = {**{it.resident: it.accelerators for it in ordered}, **report.layout()}
+        self._held_mb = {**{it.resident: it.memory_mb for it in ordered}, **report.held_mb()}
         if usable == self._ready:
             return
         self._ready = usable
--- a/packages/daemon/src/mimosaspur_daemon/entryrole.py
+++ b/packages/daemon/src/mimosaspur_daemon/entryrole.py
@@ -22,6 +22,7 @@
 from mimosaspur_state.errors import StoreUnavailable
 from mimosaspur_state.log import log
 from mimosaspur_state.metrics import Metrics
+from mimosaspur_state.objects import StoredObject
 from mimosaspur_state.settings import Policy
 from mimosaspur_state.settings import Settings
 from mimosaspur_transport.callers import CallerServer
@@ -30,6 +31,8 @@
 STOP_GRACE_MS = 30_000
 # An entry that starts in an outage asks this many targets for the bundle and what they hold.
 ASKED_IN_OUTAGE = 64
+# Of the requests in flight, one in this many may wait for a target to be ready.
+WAITING_SHARE = 4
 
 
 class EntryRole:
@@ -45,11 +48,12 @@
         self.metrics = Metrics(settings.statsd, instance=settings.instance.name)
         self.holder = BundleHolder()
         region = settings.instance.region
-        prefixes = (keys.HEAD, keys.placements(region), keys.carriers(region))
+        prefixes = (keys.HEAD, keys.placements(region), keys.carriers(region), keys.DRAINS)
         self.mirror = Mirror(self.store, prefixes, wait_ms=settings.platform.watch_ms)
         self.fetcher = BundleFetcher(self.store, self.holder)
         self.mirror.listeners.append(self.fetcher.head_changed)
         self.directory = Directory(self.mirror, region=region)
+        self.mirror.listeners.append(self.directory.follow_drains)
         self.demand = DemandCounter()
         self.links = Links(
             instance=settings.instance.name,
@@ -61,6 +65,8 @@
         )
         self.dispatcher = self._dispatcher()
         self.server = CallerServer(settings.entry, self.dispatcher, clock, self.metrics)
+        self.shutting_down = False
+        self.mirror.listeners.append(self.follow_drain)
 
     def start(self, app: Application) -> str:
         """Start all tasks; return the address that callers reach."""
@@ -77,10 +83,16 @@
 
     def shut_down(self) -> None:
         """Take nothing new, let answers end, then close the links."""
+        self.shutting_down = True
         self.dispatcher.stopping = True
         self.server.stop(STOP_GRACE_MS)
         self.links.stop()
 
+    def follow_drain(self, item: StoredObject) -> None:
+        """Have the balancer send no callers here while an operator's order to leave stands."""
+        if item.key == keys.drain(self.settings.instance.name):
+            self.dispatcher.stopping = self.shutting_down or item.value is not None
+
     def follow_instances(self, stop: threading.Event) -> None:
         """Read the instance list until told to stop."""
         pause_s = self.settings.platform.instance_list_ms / 1000
@@ -90,11 +102,10 @@
 
     def _read_instances(self) -> None:
         try:
-            instances = self.instance_list.instances()
+            self.directory.update(self.instance_list.instances())
         except StoreUnavailable as error:
             log(PART, "Could not read the instance list.", error=str(error))
-            return
-        self.directory.update(instances)
+        # The list may be down together with the object API: the targets known so far remain.
         if not self.mirror.reachable:
             self._ask_targets()
 
@@ -107,10 +118,11 @@
     def _dispatcher(self) -> EntryDispatcher:
         entry = self.settings.entry
         assert entry is not None
+        naive = self.settings.policy is Policy.NAIVE
         router = Router(
             failure_domain=self.settings.instance.failure_domain,
             random_source=random.Random(),
-            naive=self.settings.policy is Policy.NAIVE,
+            naive=naive,
         )
         return EntryDispatcher(
             holder=self.holder,
@@ -121,13 +133,29 @@
             demand=self.demand,
             clock=self.clock,
             metrics=self.metrics,
+            wait_ready_ms=0 if naive else entry.wait_ready_ms,
+            most_waiting=entry.max_in_flight // WAITING_SHARE,
         )
 
     def _start_planner(self, app: Application) -> None:
         # Only an entry that may plan pays for the planner's code.
+        from mimosaspur_coordination.claimsweep import ClaimSweep
         from mimosaspur_daemon.planner_duty import PlannerDuty
 
         duty = PlannerDuty(
-            self.store, self.settings, self.incarnation, self.clock, self.holder.current
+            self.store,
+            self.settings,
+            self.incarnation,
+            self.clock,
+            self.holder.current,
+            metrics=self.metrics,
         )
         app.spawn("planner", duty.run)
+        sweep = ClaimSweep(
+            self.store,
+            self.clock,
+            keep_ms=self.settings.planner.claim_keep_ms,
+            per_second=self.settings.planner.claims_swept_per_second,
+            is_on_duty=lambda: duty.holds,
+        )
+        app.spawn("claimsweep", sweep.run)
--- a/packages/daemon/src/mimosaspur_daemon/planner_duty.py
+++ b/packages/daemon/src/mimosaspur_daemon/planner_duty.py
@@ -30,6 +30,7 @@
 
 PART = "PLANNER"
 RENEWALS = 3
+PAUSE_FOR_PASS = 4
 MS_PER_SECOND = 1000
 
 Current = Callable[[], BundleIndex | None]
@@ -64,24 +65,29 @@
             clock,
             settings.planner.lease_ms,
         )
-        self.bucket = TokenBucket(settings.weight_store.loads_per_second, clock=clock)
+        self.bucket = self._weight_store_bucket()
         self.watch: PlannerWatch | None = None
         self.watch_stop = threading.Event()
         self.holds = False
         self.asked_ms: int | None = None
         self.held_ms = 0
+        self.took_ms = 0
         self.unsettled: set[str] = set()
 
     def run(self, stop: threading.Event) -> None:
         """Plan every interval until told to stop."""
         try:
-            while not stop.wait(self.settings.planner.interval_ms / MS_PER_SECOND):
+            while not stop.wait(self._pause_ms() / MS_PER_SECOND):
                 self.tick()
         finally:
             self._stop_watching()
             if self.holds:
                 self.lease.release()
 
+    def _pause_ms(self) -> int:
+        # A long pass, as after a failure domain is lost, must not take the callers' processor.
+        return max(self.settings.planner.interval_ms, PAUSE_FOR_PASS * self.took_ms)
+
     def tick(self) -> None:
         """Renew or ask for the lease when due, and make one planning pass if we hold it."""
         self._ask()
@@ -95,6 +101,12 @@
         if self._settle(watch.mirror):
             self._plan(watch, index)
 
+    def _weight_store_bucket(self) -> TokenBucket:
+        rate = self.settings.weight_store.loads_per_second
+        # What comes between two passes must not be lost, or the rate is never reached.
+        burst = rate * self.settings.planner.interval_ms / MS_PER_SECOND
+        return TokenBucket(rate, clock=self.clock, burst=burst)
+
     def _ask(self) -> None:
         now_ms = self.clock.now_ms()
         lease_ms = self.settings.planner.lease_ms
@@ -119,7 +131,13 @@
             keys.demands(self.region),
             keys.DRAINS,
         )
-        mirror = Mirror(self.store, prefixes, wait_ms=self.settings.platform.watch_ms)
+        mirror = Mirror(
+            self.store,
+            prefixes,
+            wait_ms=self.settings.platform.watch_ms,
+            # Each target's beat would end a watch, and we look only once an interval.
+            pace_ms=self.settings.planner.interval_ms,
+        )
         self.watch = PlannerWatch(mirror, self.settings)
         self.watch_stop = threading.Event()
         thread = threading.Thread(
@@ -148,8 +166,11 @@
         return True
 
     def _plan(self, watch: PlannerWatch, index: BundleIndex) -> None:
-        view = watch.view(index, self.clock.now_ms())
-        for change in self._decide(view):
+        began_ms = self.clock.now_ms()
+        view = watch.view(index, began_ms)
+        changes = self._decide(view)
+        self.took_ms = self.clock.now_ms() - began_ms
+        for change in changes:
             key = keys.placement(self.region, change.model)
             try:
                 version = self._write(key, change)
--- a/packages/daemon/src/mimosaspur_daemon/planner_watch.py
+++ b/packages/daemon/src/mimosaspur_daemon/planner_watch.py
@@ -20,6 +20,9 @@
 from mimosaspur_state.records import DemandReport
 from mimosaspur_state.records import TargetStatus
 from mimosaspur_state.settings import Settings
+from mimosaspur_state.settings import TargetKind
+
+ENGINE_SILENT = 0
 
 
 @dataclass(slots=True)
@@ -85,12 +88,16 @@
             at_once=self.settings.weight_store.at_once,
             move_cost=planner.move_cost,
             window_ms=planner.demand_window_ms,
-            service_time_ms=self.service_time_ms,
+            service_time_ms=self._service_time_ms(alive),
             load_timeout_ms=self.load_timeout_ms,
         )
         view.low_windows = self.low.count(view)
         return view
 
+    def _service_time_ms(self, alive: dict[str, TargetStatus]) -> int:
+        told = sorted(item.service_time_ms for item in alive.values() if item.service_time_ms)
+        return told[len(told) // 2] if told else self.service_time_ms
+
     def _placed(self) -> dict[str, Placed]:
         found = self.mirror.under(keys.placements(self.region))
         placed = [Placed(placement_from_value(item.value), item.version) for item in found]
@@ -99,8 +106,10 @@
     def _alive(self, now_ms: int) -> dict[str, TargetStatus]:
         alive = {}
         for item in self.mirror.under(keys.statuses(self.region)):
-            if self.statuses.alive(item.key, item.version, now_ms):
-                status = TargetStatus.from_value(item.value)
+            status = TargetStatus.from_value(item.value)
+            # Beats of a target whose engine is silent don't count: what it held is lost too.
+            version = item.version if _has_engine_or_service(status) else ENGINE_SILENT
+            if self.statuses.alive(item.key, version, now_ms):
                 alive[status.instance] = status
         return alive
 
@@ -139,3 +148,7 @@
         for pair, failed_ms in list(self.failed_ms.items()):
             if now_ms - failed_ms >= self.load_timeout_ms:
                 del self.failed_ms[pair]
+
+
+def _has_engine_or_service(status: TargetStatus) -> bool:
+    return status.kind != TargetKind.ENGINE.value or bool(status.capacity_mb)
--- a/packages/daemon/src/mimosaspur_daemon/reports.py
+++ b/packages/daemon/src/mimosaspur_daemon/reports.py
@@ -3,6 +3,8 @@
 import threading
 from collections.abc import Callable
 
+import msgspec
+
 from mimosaspur_coordination.demandcount import BUCKETS
 from mimosaspur_coordination.demandcount import DemandCounter
 from mimosaspur_daemon.ownrecord import OwnRecord
@@ -68,11 +70,15 @@
             self.wake.wait(LOOK_S)
             self.wake.clear()
             quiet_s += LOOK_S
-            status = self.make(beat)
-            if told == status and quiet_s < self.interval_s:
+            if told == _lasting(self.make(0)) and quiet_s < self.interval_s:
                 continue
             beat += 1
             status = self.make(beat)
             if self.record.write(status):
-                told = status
+                told = _lasting(status)
                 quiet_s = 0.0
+
+
+def _lasting(status: TargetStatus) -> TargetStatus:
+    """Leave out what changes with every request: it is not worth a write of its own."""
+    return msgspec.structs.replace(status, active=0, queued=0, service_time_ms=0, beat=0)
--- a/packages/daemon/src/mimosaspur_daemon/runners.py
+++ b/packages/daemon/src/mimosaspur_daemon/runners.py
@@ -1,5 +1,6 @@
 """Run admitted requests at an engine or a plain service."""
 
+import threading
 from collections.abc import Iterator
 
 from mimosaspur_daemon.attempts import RunningAttempt
@@ -45,8 +46,9 @@
         self._write(attempt, self.chat.adopt(run_id(attempt)), deadline)
 
     def cancel(self, attempt: RunningAttempt) -> None:
-        """End the work at the engine."""
-        self.chat.cancel(run_id(attempt))
+        """End the work at the engine without waiting for it."""
+        # Who cancels also reads an entry's connection, and the engine's may be silent.
+        threading.Thread(target=self.chat.cancel, args=(run_id(attempt),), daemon=True).start()
 
     def _write(
         self, attempt: RunningAttempt, events: Iterator[EngineEvent], deadline: Deadline
--- a/packages/daemon/src/mimosaspur_daemon/serving.py
+++ b/packages/daemon/src/mimosaspur_daemon/serving.py
@@ -87,6 +87,11 @@
         self.draining = True
         self.queue.close()
 
+    def undrain(self) -> None:
+        """Take new work again."""
+        self.draining = False
+        self.queue.open()
+
     def close(self, resident: str) -> None:
         """Refuse new requests for a resident that is about to be unloaded."""
         with self.lock:
@@ -132,7 +137,9 @@
             self.runner.adopt(attempt)
             attempt.end()
             if attempt.submit.work.idempotency_key:
-                held = self.claims.take(attempt.submit.work, run_id(attempt))
+                held = self.claims.take(
+                    attempt.submit.work, run_id(attempt), attempt.submit.deadline_ms
+                )
                 self._finish_claim(attempt, held)
         except MimosaspurError as error:
             self._fail(attempt, error)
@@ -178,7 +185,7 @@
             self.runner.run(attempt, deadline)
             attempt.end()
             return
-        held = self.claims.take(work, run_id(attempt))
+        held = self.claims.take(work, run_id(attempt), deadline.left_ms())
         if isinstance(held, Claim):
             _replay(attempt, held)
             return
--- a/packages/daemon/src/mimosaspur_daemon/targetrole.py
+++ b/packages/daemon/src/mimosaspur_daemon/targetrole.py
@@ -57,7 +57,9 @@
             registry=self.registry,
             residents=self.behind.residents,
         )
-        self.departure = Departure(settings, self.mirror, self.serving, self.server, self.behind)
+        self.departure = Departure(
+            settings, self.mirror, self.serving, self.server, self.behind, self.registry
+        )
         self.status = StatusReporter(self.store, settings, self.make_status)
         self.address = ""
 
@@ -75,6 +77,7 @@
         app.spawn("behind", self.behind.run)
         app.spawn("server", self.server.run)
         app.spawn("sweep", self.server.sweep)
+        app.spawn("claims", self.serving.claims.abandoned.run)
         app.spawn("departure", self.departure.run)
         app.spawn("status", self.status.run)
         app.on_stop(self.departure.shut_down)
@@ -99,6 +102,8 @@
             queued=load.queued,
             slots=load.slots,
             beat=beat,
+            service_time_ms=int(self.queue.service_time_ms),
+            generation=self.holder.generation(),
         )
 
     def _mirror(self) -> Mirror:
@@ -135,7 +140,12 @@
     def _serving(self) -> Serving:
         return Serving(
             queue=self.queue,
-            claims=Claims(self.store, self.clock, target=self.settings.instance.name),
+            claims=Claims(
+                self.store,
+                self.clock,
+                target=self.settings.instance.name,
+                writes_per_second=self.settings.platform.writes_per_second,
+            ),
             holder=self.holder,
             runner=self.behind.runner,
             clock=self.clock,
--- a/packages/daemon/src/mimosaspur_daemon/targetserver.py
+++ b/packages/daemon/src/mimosaspur_daemon/targetserver.py
@@ -14,6 +14,7 @@
 from mimosaspur_protocol.messages import BundleWanted
 from mimosaspur_protocol.messages import Cancel
 from mimosaspur_protocol.messages import Draining
+from mimosaspur_protocol.messages import Generation
 from mimosaspur_protocol.messages import Hello
 from mimosaspur_protocol.messages import Message
 from mimosaspur_protocol.messages import Ping
@@ -23,6 +24,7 @@
 from mimosaspur_protocol.messages import Submit
 from mimosaspur_protocol.messages import Welcome
 from mimosaspur_state.clock import Clock
+from mimosaspur_state.codes import Outcome
 from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.errors import MimosaspurError
 from mimosaspur_state.log import log
@@ -110,10 +112,8 @@
         self._broadcast(Residents(self.residents()))
 
     def announce_generation(self) -> None:
-        """Hand the bundle just put in force to every connected entry."""
-        packed = self.holder.pack()
-        if packed:
-            self._broadcast(BundleOffer(*packed))
+        """Tell every entry the generation; whoever is behind asks one of us for the bundle."""
+        self._broadcast(Generation(self.holder.generation()))
 
     def _broadcast(self, message: Message) -> None:
         with self.lock:
@@ -176,37 +176,36 @@
 
     @_handle.register
     def _(self, message: Submit, connection: EntryConnection) -> None:
-        attempt = RunningAttempt(
-            message, connection.wire, self.clock, limit=self.target.answer_bytes
-        )
-        with self.lock:
-            # Resume on a newer connection may have been answered "never came" already.
-            if connection.superseded or not self.registry.add(attempt):
-                return
-        self._compare(message.generation, connection)
-        self.serving.begin(attempt)
+        attempt = self._attempt(message, connection)
+        if self._register(attempt, connection):
+            self._compare(message.generation, connection)
+            self.serving.begin(attempt)
 
     @_handle.register
     def _(self, message: Resume, connection: EntryConnection) -> None:
         submit = message.submit
         known = self.registry.get((submit.work.request_id, submit.attempt))
         if known:
-            known.resume(connection.wire, message.offset)
+            known.resume(connection.wire, message.offset, connection=connection.number)
             return
-        attempt = RunningAttempt(
-            submit, connection.wire, self.clock, limit=self.target.answer_bytes
-        )
-        if message.incarnation == self.incarnation:
-            # Older connections of this entry are shut out, so it can't come any more.
-            attempt.fail(MimosaspurError(ResultCode.NOT_READY_HERE, "It never came."))
+        attempt = self._attempt(submit, connection)
+        if self.registry.knew(attempt.key()):
+            attempt.fail(_dropped())
+        elif not self._register(attempt, connection):
             return
-        self.registry.add(attempt)
-        self.serving.adopt(attempt)
+        elif message.incarnation == self.incarnation:
+            # It never came, and older connections are shut out, so it can't come twice.
+            self._compare(submit.generation, connection)
+            self.serving.begin(attempt)
+        else:
+            self.serving.adopt(attempt)
 
     @_handle.register
     def _(self, message: Cancel, connection: EntryConnection) -> None:
         attempt = self.registry.get((message.request_id, message.attempt))
-        if attempt:
+        if attempt and attempt.final:
+            self.registry.release(attempt)
+        elif attempt:
             self.serving.cancel(attempt)
 
     @_handle.register
@@ -231,7 +230,28 @@
     def _(self, message: BundleOffer, connection: EntryConnection) -> None:
         self.holder.unpack(message.generation, message.packed)
 
+    def _attempt(self, submit: Submit, connection: EntryConnection) -> RunningAttempt:
+        return RunningAttempt(
+            submit,
+            connection.wire,
+            self.clock,
+            limit=self.target.answer_bytes,
+            connection=connection.number,
+        )
+
+    def _register(self, attempt: RunningAttempt, connection: EntryConnection) -> bool:
+        """Tell whether an attempt may begin: once, and never from a connection shut out."""
+        with self.lock:
+            return not connection.superseded and self.registry.add(attempt)
+
     def _compare(self, theirs: int, connection: EntryConnection) -> None:
-        own = self.holder.generation()
-        if theirs > own:
-            connection.wire.send(BundleWanted(own))
+        if self.holder.should_ask(theirs, self.clock.now_ms()):
+            connection.wire.send(BundleWanted(self.holder.generation()))
+
+
+def _dropped() -> MimosaspurError:
+    return MimosaspurError(
+        ResultCode.OUTCOME_UNKNOWN,
+        "Its answer waited for target.keep_answer_ms and was dropped.",
+        outcome=Outcome.UNKNOWN,
+    )
--- a/packages/protocol/src/mimosaspur_protocol/messages.py
+++ b/packages/protocol/src/mimosaspur_protocol/messages.py
@@ -60,7 +60,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Cancel:
-    """Say that nobody waits for the answer any more."""
+    """Say that nobody waits for the answer any more: the entry has it whole, or gave it up."""
 
     request_id: str
     attempt: int
@@ -165,6 +165,13 @@
     packed: bytes = field(repr=False)
 
 
+@dataclass(slots=True, frozen=True)
+class Generation:
+    """Tell an entry that a generation is in force here."""
+
+    generation: int
+
+
 MESSAGE_TYPES: tuple[type, ...] = (
     Hello,
     Welcome,
@@ -182,6 +189,7 @@
     Residents,
     BundleWanted,
     BundleOffer,
+    Generation,
 )
 
 Message = (
@@ -201,4 +209,5 @@
     | Residents
     | BundleWanted
     | BundleOffer
+    | Generation
 )
--- a/packages/state/src/mimosaspur_state/codes.py
+++ b/packages/state/src/mimosaspur_state/codes.py
@@ -42,6 +42,7 @@
     DEADLINE_PASSED = 3003
     ENGINE_ERROR = 3004
     CANCELLED = 3005
+    ANSWER_NOT_KEPT = 3006
     INTERNAL = 3999
 
     BAD_BUNDLE = 4001
@@ -129,6 +130,11 @@
         502, "The engine or service answered with an error.", "See the message."
     ),
     ResultCode.CANCELLED: CodeInfo(499, "The caller went away.", "Nothing to do."),
+    ResultCode.ANSWER_NOT_KEPT: CodeInfo(
+        409,
+        "The request with this Idempotency-Key ran; its answer was too large to keep.",
+        "Don't send it again; look at the service for what it did.",
+    ),
     ResultCode.INTERNAL: CodeInfo(500, "A fault of ours.", "Report it with the request id."),
     ResultCode.BAD_BUNDLE: CodeInfo(400, "The bundle is not well formed.", _FIX_BUNDLE),
     ResultCode.BUNDLE_DOES_NOT_FIT: CodeInfo(
--- a/packages/state/src/mimosaspur_state/engine.py
+++ b/packages/state/src/mimosaspur_state/engine.py
@@ -73,6 +73,22 @@
         """Return a resident by id, or None."""
         return next((item for item in self.residents if item.id == name), None)
 
+    def models(self) -> list[Resident]:
+        """Return the models, of any state, without adapters and imports."""
+        return [item for item in self.residents if item.kind is ResidentKind.MODEL]
+
+    def layout(self) -> dict[str, tuple[int, ...]]:
+        """Return the accelerators of each model."""
+        return {item.id: item.accelerators for item in self.models()}
+
+    def held_mb(self) -> dict[str, int]:
+        """Return the memory of each model with what sits on it, on each of its accelerators."""
+        held = {item.id: item.memory_mb for item in self.models()}
+        for item in self.residents:
+            if item.base in held:
+                held[item.base] += item.memory_mb
+        return held
+
     def order(self, order_id: str) -> OrderState | None:
         """Return what became of an order, or None if the engine doesn't show it."""
         return next((item for item in self.orders if item.order_id == order_id), None)
--- a/packages/state/src/mimosaspur_state/ledger.py
+++ b/packages/state/src/mimosaspur_state/ledger.py
@@ -141,6 +141,11 @@
         """Tell whether a resident's memory is counted already."""
         return bool(self.accelerators(resident))
 
+    def ordered(self) -> list[HeldOrder]:
+        """Return the loads whose memory is held though the last report doesn't show them."""
+        loads = [order for order in self.held.values() if order.kind is OrderKind.LOAD]
+        return [order for order in loads if not self._counted_as_resident(order)]
+
     def capacity_mb(self) -> tuple[int, ...]:
         """Return the memory of each accelerator as reported."""
         return self.report.capacity_mb if self.report else ()
--- a/packages/state/src/mimosaspur_state/records.py
+++ b/packages/state/src/mimosaspur_state/records.py
@@ -82,7 +82,11 @@
 
 
 class TargetStatus(Record, frozen=True):
-    """Report a target to the planner; beat grows with every write."""
+    """Report a target to the planner; beat grows with every write.
+
+    Layout and held_mb give, by model in memory, its accelerators and its memory with all its
+    adapters on each of them. A target of an older version reports neither.
+    """
 
     instance: str
     incarnation: str
@@ -98,6 +102,10 @@
     queued: int
     slots: int
     beat: int
+    generation: int = 0
+    service_time_ms: int = 0
+    layout: dict[str, tuple[int, ...]] = {}
+    held_mb: dict[str, int] = {}
 
 
 class ModelDemand(Record, frozen=True):
@@ -140,7 +148,11 @@
 
 
 class Claim(Record, frozen=True):
-    """Give one attempt the sole right to run a keyed request, and keep its answer."""
+    """Give one attempt the sole right to run a keyed request, and keep its answer.
+
+    deadline_ms is the time that the request had left at at_ms. kept is False for an answer
+    too large to keep.
+    """
 
     attempt_id: str
     request_digest: str
@@ -150,3 +162,5 @@
     status: int = 0
     content_type: str = ""
     body: str = ""
+    deadline_ms: int = 0
+    kept: bool = True
--- a/packages/state/src/mimosaspur_state/settings.py
+++ b/packages/state/src/mimosaspur_state/settings.py
@@ -82,6 +82,7 @@
     retry_ratio: float = 0.2
     retry_burst: int = 10
     peer_idle_ms: int = 30_000
+    wait_ready_ms: int = 2000
     planner: bool = True
 
 
@@ -94,6 +95,8 @@
     move_cost: float = 20
     demand_window_ms: int = 30_000
     demand_report_ms: int = 2000
+    claim_keep_ms: int = 86_400_000
+    claims_swept_per_second: int = 10
 
 
 class TargetSettings(_Checked, frozen=True):
--- a/packages/transport/src/mimosaspur_transport/callers.py
+++ b/packages/transport/src/mimosaspur_transport/callers.py
@@ -122,7 +122,8 @@
             raise MimosaspurError(ResultCode.NOT_FOUND)
         match exchange.target.partition("?")[0]:
             case "/healthz":
-                return exchange.json(OK, {"alive": True})
+                generation = self.dispatcher.generation()
+                return exchange.json(OK, {"alive": True, "generation": generation})
             case "/readyz":
                 ready = self.dispatcher.ready() and not self.http.closing
                 return exchange.json(OK if ready else UNAVAILABLE, {"ready": ready})
--- a/packages/transport/src/mimosaspur_transport/chat.py
+++ b/packages/transport/src/mimosaspur_transport/chat.py
@@ -38,14 +38,15 @@
 
 
 class EngineChat:
-    """Stream one engine's answers."""
+    """Stream one engine's answers, each call on a connection of its own.
 
-    def __init__(self, address: str, *, slots: int, silent_ms: int) -> None:
-        host, port = split_address(address)
-        timeout = urllib3.Timeout(connect=CONNECT_S, read=silent_ms / 1000)
-        self.pool = urllib3.HTTPConnectionPool(
-            host, port, timeout=timeout, maxsize=slots, retries=False
-        )
+    A kept connection may have gone silent: a request sent on it never comes, and the engine
+    can't resume a stream that it never began.
+    """
+
+    def __init__(self, address: str, *, silent_ms: int) -> None:
+        self.host, self.port = split_address(address)
+        self.timeout = urllib3.Timeout(connect=CONNECT_S, read=silent_ms / 1000)
 
     def stream(self, work: Work, stream_id: str, resident: str) -> Iterator[EngineEvent]:
         """Yield the answer's events up to the one before its end mark.
@@ -76,7 +77,7 @@
         """Tell the engine that nobody waits for a stream."""
         # Without an answer the engine ends the work by itself at max_tokens.
         with contextlib.suppress(urllib3.exceptions.HTTPError):
-            self.pool.request("DELETE", _path(stream_id), timeout=CONNECT_S)
+            self._call("DELETE", _path(stream_id)).close()
 
     def _begin(self, work: Work, stream_id: str, resident: str) -> urllib3.BaseHTTPResponse:
         body = msgspec.json.decode(work.body)
@@ -88,12 +89,8 @@
             "X-Priority": str(work.priority),
         }
         try:
-            response = self.pool.request(
-                "POST",
-                "/v1/chat/completions",
-                body=msgspec.json.encode(body),
-                headers=headers,
-                preload_content=False,
+            response = self._call(
+                "POST", "/v1/chat/completions", headers, msgspec.json.encode(body)
             )
         except urllib3.exceptions.NewConnectionError as error:
             raise MimosaspurError(ResultCode.NO_READY_TARGET, "The engine is down.") from error
@@ -104,9 +101,13 @@
         return response
 
     def _resume(self, stream_id: str, last: int) -> Iterator[EngineEvent]:
-        for _ in range(MAX_RESUMES):
+        tries_left = MAX_RESUMES
+        while tries_left:
+            tries_left -= 1
             try:
                 for event in _events(self._reopen(stream_id, last)):
+                    # A long stream may break any number of times as long as it gets on.
+                    tries_left = MAX_RESUMES
                     last = event.number or last
                     if event.data == DONE:
                         return
@@ -117,21 +118,29 @@
 
     def _reopen(self, stream_id: str, last: int) -> urllib3.BaseHTTPResponse:
         try:
-            response = self.pool.request(
-                "GET",
-                _path(stream_id),
-                headers={"Last-Event-ID": str(last)},
-                preload_content=False,
-            )
+            response = self._call("GET", _path(stream_id), {"Last-Event-ID": str(last)})
         except urllib3.exceptions.NewConnectionError as error:
             raise _cut("The engine is down.") from error
         except urllib3.exceptions.HTTPError as error:
             raise _Broken from error
         if response.status != OK:
-            response.drain_conn()
+            response.close()
             raise _cut("The engine does not know the stream any more.")
         return response
 
+    def _call(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> urllib3.BaseHTTPResponse:
+        pool = urllib3.HTTPConnectionPool(
+            self.host, self.port, timeout=self.timeout, maxsize=1, retries=False
+        )
+        sent = {**(headers or {}), "Connection": "close"}
+        return pool.request(method, path, body=body, headers=sent, preload_content=False)
+
 
 def _events(response: urllib3.BaseHTTPResponse) -> Iterator[EngineEvent]:
     reader = EventReader()
--- a/packages/transport/src/mimosaspur_transport/objectapi.py
+++ b/packages/transport/src/mimosaspur_transport/objectapi.py
@@ -86,6 +86,11 @@
             first = page.revision if first is None else first
         return Snapshot(first or 0, objects)
 
+    def page(self, prefix: str, *, after: str, limit: int) -> Snapshot:
+        """Return the first objects by key after a key, none at the end."""
+        found = self._page(prefix, after, limit)
+        return Snapshot(found.revision, found.objects)
+
     def create(self, key: str, value: object) -> int:
         """Create the object and return its version; raise VersionConflict if it exists."""
         return self._put(key, value, {"If-None-Match": "*"})
@@ -113,9 +118,9 @@
         changes = _read(reply, _Changes)
         return Snapshot(changes.revision, changes.events)
 
-    def _page(self, prefix: str, after: str) -> _Page:
+    def _page(self, prefix: str, after: str, limit: int = PAGE_LIMIT) -> _Page:
         self._token(self.reads)
-        query = urlencode({"prefix": prefix, "after": after, "limit": PAGE_LIMIT})
+        query = urlencode({"prefix": prefix, "after": after, "limit": limit})
         return _read(self.http.call("GET", f"/objects?{query}"), _Page)
 
     def _put(self, key: str, value: object, condition: dict[str, str]) -> int:
--- a/packages/transport/src/mimosaspur_transport/plainservice.py
+++ b/packages/transport/src/mimosaspur_transport/plainservice.py
@@ -35,6 +35,8 @@
 
     def call(self, work: Work, run_id: str, timeout_ms: int) -> ServiceAnswer:
         """Run a request; raise MimosaspurError saying whether it may have run."""
+        if timeout_ms <= 0:
+            raise MimosaspurError(ResultCode.DEADLINE_UNREACHABLE)
         timeout = urllib3.Timeout(connect=CONNECT_S, read=timeout_ms / 1000)
         headers = {"X-Request-Id": run_id, "Connection": "close"}
         if work.content_type:
--- a/packages/transport/src/mimosaspur_transport/targetlink.py
+++ b/packages/transport/src/mimosaspur_transport/targetlink.py
@@ -2,11 +2,8 @@
 
 import contextlib
 import itertools
-import queue
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
 from functools import singledispatchmethod
 
 from mimosaspur_coordination.generation import BundleHolder
@@ -19,58 +16,33 @@
 from mimosaspur_protocol.messages import Draining
 from mimosaspur_protocol.messages import End
 from mimosaspur_protocol.messages import Failed
+from mimosaspur_protocol.messages import Generation
 from mimosaspur_protocol.messages import Hello
 from mimosaspur_protocol.messages import Message
 from mimosaspur_protocol.messages import Ping
 from mimosaspur_protocol.messages import Pong
 from mimosaspur_protocol.messages import Refused
 from mimosaspur_protocol.messages import Residents
-from mimosaspur_protocol.messages import Resume
 from mimosaspur_protocol.messages import Started
 from mimosaspur_protocol.messages import Submit
 from mimosaspur_protocol.messages import Welcome
 from mimosaspur_state.clock import Clock
-from mimosaspur_state.codes import Outcome
-from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.log import log
 from mimosaspur_state.settings import PeerSettings
+from mimosaspur_transport.attempt import Attempt
+from mimosaspur_transport.attempt import cut
 from mimosaspur_transport.wire import ConnectionLost
 from mimosaspur_transport.wire import Wire
 from mimosaspur_transport.wire import connect
 
 PART = "LINK"
 RECONNECT_PAUSE_S = 0.1
+# A connection without work beats this many times slower: it has nothing to lose.
+IDLE_BEATS = 5
 
-Event = Started | Chunk | End | Refused | Failed
 
-
-@dataclass(slots=True)
-class Attempt:
-    """Follow one attempt's answer; frames that don't continue it are dropped."""
-
-    submit: Submit
-    incarnation: str
-    events: "queue.SimpleQueue[Event]" = field(default_factory=queue.SimpleQueue)
-    offset: int = 0
-    started: bool = False
-    ended: bool = False
-
-    def take(self, event: Event) -> None:
-        """Pass on an event if it is the next one of this answer."""
-        if self.ended:
-            return
-        if isinstance(event, Started):
-            if self.started:
-                return
-            self.started = True
-        elif isinstance(event, Chunk):
-            if event.offset != self.offset:
-                return
-            self.offset += len(event.data)
-        elif isinstance(event, End) and event.total != self.offset:
-            event = _cut(self, f"It ended at {event.total} bytes, {self.offset} came.")
-        self.ended = isinstance(event, End | Refused | Failed)
-        self.events.put(event)
+class _Idle(Exception):
+    """Say that a connection has had no work for long enough to be closed."""
 
 
 class TargetLink:
@@ -107,8 +79,10 @@
         self.target_incarnation = ""
         self.connections = itertools.count(1)
         self.pings = itertools.count(1)
+        self.unanswered_since_ms: int | None = None
         self.running = False
         self.stopped = False
+        self.waiting = 0
         self.failures = 0
         self.used_at_ms = clock.now_ms()
 
@@ -117,7 +91,7 @@
         wire = self._connected(wait_ms)
         if wire is None:
             return None
-        attempt = Attempt(submit, self.target_incarnation)
+        attempt = Attempt(submit, self.target_incarnation, self.clock.now_ms())
         key = (submit.work.request_id, submit.attempt)
         with self.lock:
             if self.wire is not wire:
@@ -132,7 +106,7 @@
         return attempt
 
     def finish(self, attempt: Attempt) -> None:
-        """Forget an attempt; one that has not ended is cancelled at the target."""
+        """Forget an attempt; the target lets go of its answer, or cancels what still runs."""
         key = (attempt.submit.work.request_id, attempt.submit.attempt)
         with self.lock:
             if self.attempts.pop(key, None) is None:
@@ -140,9 +114,9 @@
             self.hint.own -= 1
             wire = self.wire
             self.used_at_ms = self.clock.now_ms()
-        if attempt.ended or wire is None:
+        if wire is None:
             return
-        # On a lost connection the target cancels by itself what is not resumed in time.
+        # On a lost connection the target lets go by itself of what is not resumed in time.
         with contextlib.suppress(ConnectionLost):
             wire.send(Cancel(*key))
 
@@ -165,10 +139,12 @@
             self.used_at_ms = self.clock.now_ms()
             self._start()
             failures = self.failures
+            self.waiting += 1
             self.changed.wait_for(
                 lambda: self.wire is not None or self.failures > failures or self.stopped,
                 wait_ms / 1000,
             )
+            self.waiting -= 1
             return self.wire
 
     def _start(self) -> None:
@@ -183,6 +159,8 @@
             try:
                 self._serve_connection()
                 lost_at_ms = self.clock.now_ms()
+            except _Idle:
+                self._forget_wire()
             except (ConnectionLost, ProtocolError, TimeoutError) as error:
                 if self._lost():
                     lost_at_ms = self.clock.now_ms()
@@ -200,8 +178,8 @@
     def _end(self) -> None:
         with self.lock:
             self.running = False
-            # An attempt that came while this task was ending needs a new one.
-            if self.attempts and not self.stopped:
+            # Whoever came while this task was ending needs a new one.
+            if (self.attempts or self.waiting) and not self.stopped:
                 self._start()
 
     def _serve_connection(self) -> None:
@@ -219,10 +197,7 @@
     def _greet(self, wire: Wire) -> None:
         number = next(self.connections)
         wire.send(Hello(self.instance, self.incarnation, number, self.holder.generation()))
-        messages = list(wire.receive())
-        if not messages or not isinstance(messages[0], Welcome):
-            raise ProtocolError("the target did not answer Hello with Welcome")
-        welcome = messages[0]
+        welcome, others = _await_welcome(wire)
         with self.lock:
             self.wire = wire
             self.target_incarnation = welcome.incarnation
@@ -232,33 +207,51 @@
         self.on_residents()
         self._compare(wire, welcome.generation)
         for attempt in pending:
-            wire.send(Resume(attempt.incarnation, attempt.offset, attempt.submit))
-        for message in messages[1:]:
+            wire.send(attempt.resume(self.clock.now_ms()))
+        for message in others:
             self._handle(message, wire)
 
     def _read(self, wire: Wire) -> None:
         wire.sock.settimeout(self.settings.heartbeat_ms / 1000)
-        heard_at_ms = pinged_at_ms = self.clock.now_ms()
+        self.unanswered_since_ms = None
+        pinged_at_ms = self.clock.now_ms()
         while True:
             try:
                 for message in wire.receive():
                     self._handle(message, wire)
-                heard_at_ms = self.clock.now_ms()
             except TimeoutError:
                 pass
             now_ms = self.clock.now_ms()
-            if now_ms - heard_at_ms > self.settings.silent_ms:
-                raise ConnectionLost("the connection is silent")
-            if now_ms - pinged_at_ms >= self.settings.heartbeat_ms:
+            self._check_silence(now_ms)
+            if now_ms - pinged_at_ms >= self._beat_ms():
                 pinged_at_ms = now_ms
-                wire.send(Ping(next(self.pings), self.holder.generation()))
+                self._ping(wire, now_ms)
             if self._idle(now_ms):
-                raise ConnectionLost("the connection is idle")
+                raise _Idle
+
+    def _beat_ms(self) -> int:
+        return self.settings.heartbeat_ms * (1 if self.attempts else IDLE_BEATS)
+
+    def _ping(self, wire: Wire, now_ms: int) -> None:
+        if self.unanswered_since_ms is None:
+            self.unanswered_since_ms = now_ms
+        wire.send(Ping(next(self.pings), self.holder.generation()))
+
+    def _check_silence(self, now_ms: int) -> None:
+        # Only a Pong proves both directions: answers may come while nothing gets there.
+        since_ms = self.unanswered_since_ms
+        if since_ms is not None and now_ms - since_ms > self.settings.silent_ms:
+            raise ConnectionLost("the connection is silent")
 
     def _idle(self, now_ms: int) -> bool:
         with self.lock:
             return not self.attempts and now_ms - self.used_at_ms > self.idle_ms
 
+    def _forget_wire(self) -> None:
+        with self.lock:
+            self.wire = None
+            self.hint.closed()
+
     def _lost(self) -> bool:
         with self.lock:
             was_connected = self.wire is not None
@@ -272,7 +265,7 @@
         with self.lock:
             attempts = list(self.attempts.values())
         for attempt in attempts:
-            attempt.take(_cut(attempt, "The target can't be reached."))
+            attempt.take(cut(attempt, "The target can't be reached."))
 
     @singledispatchmethod
     def _handle(self, message: Message, wire: Wire) -> None:
@@ -287,6 +280,7 @@
 
     @_handle.register
     def _(self, message: Pong, wire: Wire) -> None:
+        self.unanswered_since_ms = None
         self.hint.report(message.load, message.draining, self.clock.now_ms())
         self._compare(wire, message.generation)
 
@@ -299,6 +293,10 @@
         self.hint.residents = frozenset(message.residents)
         self.on_residents()
 
+    @_handle.register
+    def _(self, message: Generation, wire: Wire) -> None:
+        self._compare(wire, message.generation)
+
     @_handle.register
     def _(self, message: BundleWanted, wire: Wire) -> None:
         packed = self.holder.pack()
@@ -310,12 +308,18 @@
         self.holder.unpack(message.generation, message.packed)
 
     def _compare(self, wire: Wire, theirs: int) -> None:
-        own = self.holder.generation()
-        if theirs > own:
-            wire.send(BundleWanted(own))
-
-
-def _cut(attempt: Attempt, detail: str) -> Failed:
-    work = attempt.submit.work
-    code = ResultCode.ANSWER_CUT if attempt.started else ResultCode.OUTCOME_UNKNOWN
-    return Failed(work.request_id, attempt.submit.attempt, code, detail, Outcome.UNKNOWN)
+        if self.holder.should_ask(theirs, self.clock.now_ms()):
+            wire.send(BundleWanted(self.holder.generation()))
+
+
+def _await_welcome(wire: Wire) -> tuple[Welcome, list[Message]]:
+    """Return Welcome and what came with it: it may come in pieces, or after an announcement."""
+    others: list[Message] = []
+    welcome: Welcome | None = None
+    while welcome is None:
+        for message in wire.receive():
+            if isinstance(message, Welcome):
+                welcome = message
+            else:
+                others.append(message)
+    return welcome, others
--- a/standins/src/mimosaspur_standins/base.py
+++ b/standins/src/mimosaspur_standins/base.py
@@ -46,6 +46,7 @@
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
     wbufsize = -1
+    sent_bytes = 0
     server: "Server"
 
     def log_message(self, template: str, *args: object) -> None:
@@ -59,10 +60,12 @@
         if request.path not in NEVER_STRUCK:
             stand_in.observe(request)
             fault = stand_in.faults.strike(f"{self.command} {self.path}")
+        self.sent_bytes = 0
         if fault is None:
             self.send(stand_in.answer(request))
         else:
             self.suffer(fault, request)
+        stand_in.account(request, self.sent_bytes)
 
     # http.server sets these names.
     do_GET = serve
@@ -135,6 +138,7 @@
     def send_whole(self, reply: Reply) -> None:
         """Send a JSON answer."""
         body = json.dumps(reply.value).encode()
+        self.sent_bytes = len(body)
         self.send_response(reply.status)
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(body)))
@@ -204,6 +208,9 @@
     def observe(self, request: Request) -> None:
         """See each request before any fault strikes it."""
 
+    def account(self, request: Request, sent_bytes: int) -> None:
+        """See the size of each whole answer's body after it is sent."""
+
     def route(self, method: str, path: str, handle: Handle) -> None:
         """Add a route; the first that fits answers; a path ending in `*` fits any rest."""
         self.routes.append((method, path, handle))
--- a/standins/src/mimosaspur_standins/objectapi.py
+++ b/standins/src/mimosaspur_standins/objectapi.py
@@ -31,12 +31,13 @@
 
 
 class CallCounts:
-    """Count calls by kind and by caller, and those of the busiest second."""
+    """Count calls and bodies' bytes by kind and by caller, and the busiest second's calls."""
 
     def __init__(self) -> None:
         self.lock = threading.Lock()
         self.by_kind: Counter[str] = Counter()
         self.by_caller: dict[str, Counter[str]] = {}
+        self.bytes_by_caller: dict[str, Counter[str]] = {}
         self.refused = 0
         self.seconds = SecondWindow()
 
@@ -48,12 +49,22 @@
             if kind != "other":
                 self.seconds.add()
 
+    def add_bytes(self, caller: str, *, received: int, sent: int) -> None:
+        """Count the bytes of the bodies of a call."""
+        with self.lock:
+            counter = self.bytes_by_caller.setdefault(caller, Counter())
+            counter["received"] += received
+            counter["sent"] += sent
+
     def report(self) -> dict[str, Any]:
         """Give all counts."""
         with self.lock:
             return {
                 "by_kind": dict(self.by_kind),
                 "by_caller": {name: dict(kinds) for name, kinds in self.by_caller.items()},
+                "bytes_by_caller": {
+                    name: dict(sizes) for name, sizes in self.bytes_by_caller.items()
+                },
                 "peak_per_second": self.seconds.peak,
                 "refused": self.refused,
             }
@@ -121,6 +132,11 @@
         """Count each call."""
         self.counts.add(kind_of(request), request.headers.get("X-Caller", NO_CALLER))
 
+    def account(self, request: Request, sent_bytes: int) -> None:
+        """Count the bytes of each call's bodies; headers are left out."""
+        caller = request.headers.get("X-Caller", NO_CALLER)
+        self.counts.add_bytes(caller, received=len(request.body), sent=sent_bytes)
+
     def answer(self, request: Request) -> Reply:
         """Do a request that is within the rate."""
         kind = kind_of(request)
--- a/standins/src/mimosaspur_standins/weightstore.py
+++ b/standins/src/mimosaspur_standins/weightstore.py
@@ -66,6 +66,13 @@
         self.finished = 0
         self.route("GET", "/weights/*", self.load)
         self.route("GET", "/counts", self.report)
+        self.route("POST", "/limits", self.set_limits)
+
+    def set_limits(self, request: Request) -> Reply:
+        """Change the rate for the harness; 0 is no limit."""
+        with self.lock:
+            self.loads_per_second = int(request.mapping()["loads_per_second"])
+        return Reply()
 
     def load(self, request: Request) -> Reply:
         """Serve one load."""
