--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 MEASURE_STAMP := $(VENV)/.installed-measure
-JOBS ?= 4
+JOBS ?= 6
 ARGS ?=
 
 PACKAGES := $(patsubst %/pyproject.toml,%,$(wildcard packages/*/pyproject.toml standins/pyproject.toml))
--- a/features/environment.py
+++ b/features/environment.py
@@ -3,12 +3,14 @@
 from behave.model import Scenario
 from behave.runner import Context
 
-from harness.processes import Processes
+from mimosaspur_load.processes import Processes
+
+ANNOUNCE_S = 15.0
 
 
 def before_scenario(context: Context, scenario: Scenario) -> None:
     """Prepare the scenario's processes."""
-    context.processes = Processes()
+    context.processes = Processes(announce_s=ANNOUNCE_S)
 
 
 def after_scenario(context: Context, scenario: Scenario) -> None:
--- a/features/steps/atmostonce_world.py
+++ b/features/harness/atmostonce_world.py
@@ -4,9 +4,6 @@
 from dataclasses import dataclass
 from dataclasses import field
 from functools import partial
-from socket import SHUT_RDWR
-from threading import Thread
-from time import monotonic
 
 from harness.caller import Call
 from harness.caller import Reply
@@ -14,6 +11,7 @@
 from harness.control import wait_for
 from harness.site import REGION
 from harness.site import Site
+from mimosaspur_load.processes import kill
 from mimosaspur_state import keys
 
 SERVICE = "bookings"
@@ -26,36 +24,19 @@
 
 @dataclass(slots=True)
 class Booking:
-    """Hold one call to the service, when it was made and how long it took."""
+    """Hold one call to the service and what it asks for."""
 
     body: str
     call: Call
-    sent_at: float
-    took_ms: float = 0.0
-    timer: Thread | None = None
-
-    def watch(self) -> "Booking":
-        """Take the time until the reply has ended."""
-        self.timer = Thread(target=self._time, daemon=True)
-        self.timer.start()
-        return self
 
     def wait(self) -> Reply:
         """Return the reply once it has ended."""
-        reply = self.call.wait()
-        assert self.timer
-        self.timer.join()
-        return reply
+        return self.call.wait()
 
     def leave(self) -> None:
-        """Close the caller's connection, which its reading thread still holds open."""
-        sock = self.call.connection.sock
-        assert sock
-        sock.shutdown(SHUT_RDWR)
-
-    def _time(self) -> None:
-        self.call.thread.join()
-        self.took_ms = (monotonic() - self.sent_at) * MS
+        """Close the caller's connection."""
+        assert self.call.connection.sock
+        self.call.leave()
 
 
 @dataclass(slots=True)
@@ -74,9 +55,8 @@
         if key:
             headers["Idempotency-Key"] = key
         address = self.site.daemons[entry].public
-        sent_at = monotonic()
         call = service_call(address, SERVICE, body, headers=headers)
-        made = Booking(body, call, sent_at).watch()
+        made = Booking(body, call)
         self.bookings.append(made)
         return made
 
@@ -126,9 +106,7 @@
         for name in list(self.living_services()):
             for body, count in self.site.service_log(name)["by_body"].items():
                 self.runs_of_the_dead[body] = self.runs_of_the_dead.get(body, 0) + count
-            process = self.site.services[name].process
-            process.kill()
-            process.wait(5)
+            kill(self.site.services[name])
 
     def start_services(self) -> None:
         """Start the services at their former addresses."""
--- a/features/harness/caller.py
+++ b/features/harness/caller.py
@@ -5,11 +5,13 @@
 import json
 import socket
 import threading
+import time
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Any
 
 CALL_S = 40.0
+MS_PER_S = 1000
 DONE = "[DONE]"
 
 
@@ -69,6 +71,8 @@
         self.connection = http.client.HTTPConnection(host, int(port), timeout=CALL_S)
         self.request = (method, path, body, headers)
         self.reply = Reply()
+        self.sent_at = time.monotonic()
+        self.ended_at = 0.0
         self.thread = threading.Thread(target=self._run, daemon=True)
         self.thread.start()
 
@@ -78,6 +82,11 @@
         assert not self.thread.is_alive(), f"no end to {self.request[:2]}"
         return self.reply
 
+    def took_ms(self) -> float:
+        """Return how long it took until the reply had ended."""
+        self.wait()
+        return (self.ended_at - self.sent_at) * MS_PER_S
+
     def leave(self) -> None:
         """Close the caller's connection at once."""
         sock = self.connection.sock
@@ -100,6 +109,7 @@
             self.reply.broken = True
         finally:
             self.connection.close()
+            self.ended_at = time.monotonic()
 
 
 def chat_call(
--- a/features/steps/callers_world.py
+++ b/features/harness/callers_world.py
@@ -4,15 +4,16 @@
 import json
 import socket
 import threading
-import time
 from collections.abc import Callable
 from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
 from typing import Any
 
 from behave.runner import Context
 
+from harness import control
 from mimosaspur_coordination.ports import Answer
 from mimosaspur_coordination.ports import ModelCard
 from mimosaspur_state.codes import Outcome
@@ -32,6 +33,9 @@
 GOOD_BODY = json.dumps(GOOD).encode()
 LAST = b"data: [DONE]\n\n"
 NONE = "(none)"
+LATE = "the condition did not come true in time"
+
+wait_for = partial(control.wait_for, what=LATE, bound_s=BOUND_S, poll_s=POLL_S)
 
 
 @dataclass(slots=True)
@@ -100,13 +104,6 @@
     return b"".join(chunk(number) for number in range(chunks))
 
 
-def wait_for(condition: Callable[[], bool], bound_s: float = BOUND_S) -> None:
-    end = time.monotonic() + bound_s
-    while not condition():
-        assert time.monotonic() < end, "the condition did not come true in time"
-        time.sleep(POLL_S)
-
-
 def dial(context: Context) -> socket.socket:
     host, port = context.callers.address.split(":")
     sock = socket.create_connection((host, int(port)), timeout=BOUND_S)
--- a/features/harness/control.py
+++ b/features/harness/control.py
@@ -1,36 +1,40 @@
 """Ask stand-ins, order their faults, and wait on conditions."""
 
-import http.client
-import json
 import time
 from collections.abc import Callable
+from functools import partial
+from threading import Thread
 from typing import Any
 
+from mimosaspur_load import control
+
 BOUND_S = 20.0
 POLL_S = 0.02
 CALL_S = 10.0
 UNTIL_CLEARED = -1
 
 
-def wait_for(condition: Callable[[], bool], what: str, *, bound_s: float = BOUND_S) -> None:
+call = partial(control.call, timeout_s=CALL_S)
+
+
+def wait_for(
+    condition: Callable[[], bool], what: str, *, bound_s: float = BOUND_S, poll_s: float = POLL_S
+) -> None:
     """Wait on a condition within a bound; fail naming it."""
     end = time.monotonic() + bound_s
     while not condition():
         if time.monotonic() > end:
             raise AssertionError(f"not within {bound_s} s: {what}")
-        time.sleep(POLL_S)
-
-
-def call(address: str, method: str, path: str, value: Any = None) -> Any:
-    """Ask a stand-in over HTTP and return its JSON."""
-    host, _, port = address.rpartition(":")
-    connection = http.client.HTTPConnection(host, int(port), timeout=CALL_S)
-    try:
-        body = None if value is None else json.dumps(value)
-        connection.request(method, path, body, {"Content-Type": "application/json"})
-        return json.loads(connection.getresponse().read())
-    finally:
-        connection.close()
+        time.sleep(poll_s)
+
+
+def at_once(*acts: Callable[[], None]) -> None:
+    """Run acts in threads of their own, begun together, until the last has ended."""
+    threads = [Thread(target=act) for act in acts]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
 
 
 def add_fault(address: str, kind: str, **fault: Any) -> None:
--- a/features/steps/drain_world.py
+++ b/features/harness/drain_world.py
@@ -2,41 +2,31 @@
 
 import http.client
 import json
-import threading
 import uuid
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
 from typing import Any
 
 from harness.caller import Reply
 from harness.caller import chat_call
 from harness.caller import service_call
-from harness.processes import Processes
+from harness.control import wait_for
+from harness.site import REGION
 from harness.site import Site
+from harness.steady import Steady
 from mimosaspur_protocol.messages import Hello
 from mimosaspur_protocol.messages import Welcome
 from mimosaspur_standins.answers import expected_answer
+from mimosaspur_state import keys
 from mimosaspur_transport.wire import ConnectionLost
 from mimosaspur_transport.wire import connect
 
 TOKENS = 3
-END_S = 30.0
-PAUSE_S = 0.01
 PROBE_MS = 2000
 VERSIONS = 30
 
 
-class TogetherProcesses(Processes):
-    """End a scenario's processes all at once, since each takes its time to stop."""
-
-    def close(self) -> None:
-        """Ask all to stop before waiting for any."""
-        for started in self.started:
-            if started.process.poll() is None:
-                started.process.kill()
-        super().close()
-
-
 @dataclass(slots=True)
 class Traffic:
     """Send one request after another until stopped; versions are those that answered."""
@@ -47,34 +37,29 @@
     sent: int = 0
     failures: list[Any] = field(default_factory=list)
     versions: list[int] = field(default_factory=list)
-    over: threading.Event = field(default_factory=threading.Event)
-    thread: threading.Thread | None = None
+    steady: Steady | None = None
 
     def start(self) -> "Traffic":
         """Begin."""
-        self.thread = threading.Thread(target=self._run, daemon=True)
-        self.thread.start()
+        self.steady = Steady(self._ask)
         return self
 
     def stop(self) -> None:
         """End after the request under way."""
-        self.over.set()
-        assert self.thread
-        self.thread.join(END_S)
-        assert not self.thread.is_alive(), "a request does not end"
-
-    def _run(self) -> None:
-        while not self.over.wait(PAUSE_S):
-            content = f"{self.address} {self.sent}"
-            self.sent += 1
-            if self.service:
-                reply = service_call(self.address, self.name, content).wait()
-                good = reply.status == 200 and reply.json()["echo"] == content
-            else:
-                reply = chat_call(self.address, self.name, content, max_tokens=TOKENS).wait()
-                good = reply.whole() and self._versioned(reply, content)
-            if not good:
-                self.failures.append((reply.status, reply.body, reply.broken))
+        assert self.steady
+        self.steady.stop()
+
+    def _ask(self) -> None:
+        content = f"{self.address} {self.sent}"
+        self.sent += 1
+        if self.service:
+            reply = service_call(self.address, self.name, content).wait()
+            good = reply.status == 200 and reply.json()["echo"] == content
+        else:
+            reply = chat_call(self.address, self.name, content, max_tokens=TOKENS).wait()
+            good = reply.whole() and self._versioned(reply, content)
+        if not good:
+            self.failures.append((reply.status, reply.body, reply.broken))
 
     def _versioned(self, reply: Reply, content: str) -> bool:
         for version in range(VERSIONS):
@@ -97,6 +82,29 @@
     return {key.split()[0] for key, state in found if state in (states or ("ready", "leaving"))}
 
 
+def carriers(site: Site, service: str) -> set[str]:
+    """Return the targets that the record of a service names."""
+    found = site.store().get(keys.carrier(REGION, service))
+    return {replica["target"] for replica in found.value["replicas"]} if found else set()
+
+
+def await_off(site: Site, target: str) -> None:
+    """Wait until a target has left all records and says that it drains."""
+    names = ("notes", "dispatch")
+
+    def off() -> bool:
+        placed = any(target in holders(site, n, "load", "ready", "leaving") for n in names)
+        return not placed and target not in carriers(site, "bookings")
+
+    wait_for(off, f"no record names {target}")
+    wait_for(partial(_drains, site, target), f"{target} drains")
+
+
+def _drains(site: Site, target: str) -> bool:
+    status = site.store().get(keys.status(REGION, target))
+    return bool(status and status.value["draining"])
+
+
 def generation(site: Site, name: str) -> int:
     """Ask a process for its generation, an entry over HTTP and a target as a peer does."""
     daemon = site.daemons[name]
--- /dev/null
+++ b/features/harness/frames_world.py
@@ -0,0 +1,108 @@
+"""Stand in for both sides of the protocol between entries and targets."""
+
+import contextlib
+import socket
+import threading
+
+from mimosaspur_daemon.attempts import RunningAttempt
+from mimosaspur_protocol.messages import Chunk
+from mimosaspur_protocol.messages import End
+from mimosaspur_protocol.messages import Hello
+from mimosaspur_protocol.messages import Message
+from mimosaspur_protocol.messages import Ping
+from mimosaspur_protocol.messages import Pong
+from mimosaspur_protocol.messages import Residents
+from mimosaspur_protocol.messages import Resume
+from mimosaspur_protocol.messages import Started
+from mimosaspur_protocol.messages import Submit
+from mimosaspur_protocol.messages import Welcome
+from mimosaspur_state.clock import SystemClock
+from mimosaspur_state.load import Load
+from mimosaspur_transport.wire import ConnectionLost
+from mimosaspur_transport.wire import Wire
+
+ANSWER = b"0123456789"
+KEY = ("r1", 1)
+SILENT_MS = 300
+HEARTBEAT_MS = 50
+
+
+class HandClock(SystemClock):
+    """Add what a step says to the machine's clock."""
+
+    def __init__(self) -> None:
+        self.added_ms = 0
+
+    def now_ms(self) -> int:
+        """Return monotonic time."""
+        return super().now_ms() + self.added_ms
+
+
+class FakeServing:
+    """Remember the attempts that begin."""
+
+    draining = False
+
+    def __init__(self) -> None:
+        self.begun: list[RunningAttempt] = []
+
+    def begin(self, attempt: RunningAttempt) -> None:
+        """Begin an attempt."""
+        self.begun.append(attempt)
+
+
+class ScriptedTarget:
+    """Play a target whose first connection has a bad habit."""
+
+    def __init__(self, habit: str) -> None:
+        self.habit = habit
+        self.socket = socket.create_server(("127.0.0.1", 0))
+        host, port = self.socket.getsockname()
+        self.address = f"{host}:{port}"
+        self.opened = 0
+        self.over = threading.Event()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while not self.over.is_set():
+            sock, _ = self.socket.accept()
+            self.opened += 1
+            wire = Wire(sock, send_timeout_ms=10 * SILENT_MS)
+            threading.Thread(target=self._serve, args=(wire, self.opened), daemon=True).start()
+
+    def _serve(self, wire: Wire, number: int) -> None:
+        habit = self.habit if number == 1 else ""
+        with contextlib.suppress(ConnectionLost, TimeoutError):
+            while True:
+                for message in wire.receive():
+                    self._answer(message, wire, habit)
+
+    def _answer(self, message: Message, wire: Wire, habit: str) -> None:
+        if isinstance(message, Hello):
+            if habit == "announces before it welcomes":
+                wire.send(Residents(("m@1",)))
+            wire.send(Welcome("t", "i", 0, False, ("m@1",)))
+        elif isinstance(message, Submit | Resume):
+            offset = message.offset if isinstance(message, Resume) else 0
+            self._stream(wire, offset, habit)
+        elif isinstance(message, Ping) and habit != "streams and never answers a Ping":
+            wire.send(Pong(message.sequence, 0, False, Load(0, 0, 1, 0)))
+
+    def _stream(self, wire: Wire, offset: int, habit: str) -> None:
+        if offset == 0:
+            wire.send(Started(*KEY, 200, "text/plain", False))
+        match habit:
+            case "streams and never answers a Ping":
+                threading.Thread(target=self._trickle, args=(wire,), daemon=True).start()
+            case "ends in the middle":
+                wire.send(Chunk(*KEY, 0, ANSWER[:4]))
+                wire.close()
+            case _:
+                wire.send(Chunk(*KEY, offset, ANSWER[offset:]))
+                wire.send(End(*KEY, len(ANSWER)))
+
+    def _trickle(self, wire: Wire) -> None:
+        # A piece that says nothing new, again and again, as a long answer's pieces come.
+        with contextlib.suppress(ConnectionLost):
+            while not self.over.wait(HEARTBEAT_MS / 1000):
+                wire.send(Chunk(*KEY, 0, ANSWER[:4]))
--- a/features/steps/memory_world.py
+++ b/features/harness/memory_world.py
@@ -1,19 +1,22 @@
 """Run an engine keeper in this process against stand-in processes."""
 
-import http.client
 import json
 import threading
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
 from typing import Any
 
 from behave.runner import Context
 
+from harness import control
+from harness.control import call
 from mimosaspur_coordination.mirror import Mirror
 from mimosaspur_daemon.engine_keeper import EngineKeeper
 from mimosaspur_daemon.engine_situation import ServingSide
+from mimosaspur_load.processes import stop_gracefully
 from mimosaspur_state import keys
 from mimosaspur_state.bundle import AdapterEntry
 from mimosaspur_state.bundle import Bundle
@@ -40,16 +43,9 @@
 STORE_TIMEOUT_MS = 1000
 WATCH_MS = 1000
 RATE = 1000.0
-UNTIL_CLEARED = -1
 
 
-def wait_for(condition: Callable[[], bool], what: str) -> None:
-    """Wait on a condition within the bound; fail naming it."""
-    end = time.monotonic() + BOUND_S
-    while not condition():
-        if time.monotonic() > end:
-            raise AssertionError(f"not within {BOUND_S} s: {what}")
-        time.sleep(POLL_S)
+wait_for = partial(control.wait_for, bound_s=BOUND_S, poll_s=POLL_S)
 
 
 def stays(condition: Callable[[], bool], ms: int, what: str) -> None:
@@ -60,23 +56,6 @@
         time.sleep(POLL_S)
 
 
-def call(address: str, method: str, path: str, value: Any = None) -> Any:
-    """Ask a stand-in over HTTP and return its JSON."""
-    host, _, port = address.rpartition(":")
-    connection = http.client.HTTPConnection(host, int(port), timeout=BOUND_S)
-    try:
-        body = None if value is None else json.dumps(value)
-        connection.request(method, path, body, {"Content-Type": "application/json"})
-        return json.loads(connection.getresponse().read())
-    finally:
-        connection.close()
-
-
-def add_fault(address: str, **fault: Any) -> None:
-    """Order a fault of a stand-in."""
-    call(address, "POST", "/faults", fault)
-
-
 @dataclass(slots=True)
 class Running:
     """Hold a keeper and the threads that drive it."""
@@ -158,7 +137,7 @@
     def restart_engine(self) -> None:
         """End the engine and start it anew at its address; its log starts anew too."""
         self.check_memory()
-        self.context.processes.stop(self.engine_process)
+        stop_gracefully(self.engine_process)
         self.start_engine()
 
     def check_memory(self) -> None:
--- a/features/harness/operators.py
+++ b/features/harness/operators.py
@@ -10,8 +10,8 @@
 
 import urllib3
 
-from harness.processes import Processes
-from harness.processes import Started
+from mimosaspur_load.processes import Processes
+from mimosaspur_load.processes import Started
 
 COMMAND = (sys.executable, "-m", "mimosaspur_cli.main")
 COMMAND_S = 60.0
--- a/features/steps/planner_world.py
+++ b/features/harness/planner_world.py
@@ -1,5 +1,7 @@
 """Stand in for a region whose targets answer the planner in any order."""
 
+from harness.planner_target import SimTarget
+from harness.planner_target import any_packing
 from mimosaspur_coordination.packing import Need
 from mimosaspur_coordination.packing import choose_accelerators
 from mimosaspur_coordination.planner import plan
@@ -13,8 +15,6 @@
 from mimosaspur_state.placement import PlacementRecord
 from mimosaspur_state.placement import Replica
 from mimosaspur_state.placement import ReplicaState
-from planner_target import SimTarget
-from planner_target import any_packing
 
 STEP_MS = 1000
 LOAD_TIMEOUT_MS = 40_000
--- a/features/steps/reach_world.py
+++ b/features/harness/reach_world.py
@@ -1,19 +1,21 @@
 """Sample every served name of a site while something happens to it."""
 
-import threading
 import time
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
 from typing import Any
 
 from harness.caller import chat_call
 from harness.control import call
 from harness.site import Site
 from harness.site import model
+from harness.steady import Steady
 from mimosaspur_standins.answers import expected_answer
 
 SAMPLE_TOKENS = 2
 PAUSE_S = 0.02
+LONGEST_CALL_S = 60.0
 
 
 def bundle_of(text: str) -> list[dict[str, Any]]:
@@ -62,40 +64,39 @@
     site: Site
     entry: str
     may_be: dict[str, set[str]]
-    stopped: threading.Event = field(default_factory=threading.Event)
-    threads: list[threading.Thread] = field(default_factory=list)
+    steadies: list[Steady] = field(default_factory=list)
     asked: dict[str, int] = field(default_factory=dict)
     failures: list[str] = field(default_factory=list)
+    began: float = 0.0
 
     def start(self) -> None:
         """Start one task for each name."""
+        self.began = time.monotonic()
+        self.asked = dict.fromkeys(self.may_be, 0)
         for name in self.may_be:
-            self.asked[name] = 0
-            self.threads.append(threading.Thread(target=self._sample, args=(name,), daemon=True))
-        for thread in self.threads:
-            thread.start()
+            ask = partial(self._ask, name)
+            self.steadies.append(Steady(ask, pause_s=PAUSE_S, end_s=LONGEST_CALL_S))
 
     def stop(self) -> None:
         """End the samples; return when the last answer is in."""
-        self.stopped.set()
-        for thread in self.threads:
-            thread.join()
+        for steady in self.steadies:
+            steady.over.set()
+        for steady in self.steadies:
+            steady.stop()
 
     def asked_more_than(self, count: int) -> bool:
         """Tell whether each name was asked for more often."""
         return min(self.asked.values()) > count
 
-    def _sample(self, name: str) -> None:
+    def _ask(self, name: str) -> None:
         address = self.site.daemons[self.entry].public
-        began = time.monotonic()
-        while not self.stopped.wait(PAUSE_S):
-            self.asked[name] += 1
-            content = f"{name} {self.asked[name]}"
-            reply = chat_call(address, name, content, max_tokens=SAMPLE_TOKENS).wait()
-            wanted = [expected_answer(it, content, SAMPLE_TOKENS) for it in self.may_be[name]]
-            if not reply.whole() or reply.text() not in wanted:
-                at_ms = round((time.monotonic() - began) * 1000)
-                self.failures.append(f"{at_ms} ms {name}: {reply.status} {reply.body[:200]!r}")
+        self.asked[name] += 1
+        content = f"{name} {self.asked[name]}"
+        reply = chat_call(address, name, content, max_tokens=SAMPLE_TOKENS).wait()
+        wanted = [expected_answer(it, content, SAMPLE_TOKENS) for it in self.may_be[name]]
+        if not reply.whole() or reply.text() not in wanted:
+            at_ms = round((time.monotonic() - self.began) * 1000)
+            self.failures.append(f"{at_ms} ms {name}: {reply.status} {reply.body[:200]!r}")
 
 
 def engine_logs(site: Site) -> dict[str, Any]:
--- a/features/harness/site.py
+++ b/features/harness/site.py
@@ -10,12 +10,17 @@
 from pathlib import Path
 from typing import Any
 
+from behave.runner import Context
+
 from harness.caller import chat_call
 from harness.control import call
 from harness.control import wait_for
-from harness.processes import Processes
-from harness.processes import Started
+from harness.site_parts import Daemon
+from harness.site_parts import Relay
 from mimosaspur_coordination import rolls
+from mimosaspur_load.processes import Processes
+from mimosaspur_load.processes import Started
+from mimosaspur_load.processes import kill
 from mimosaspur_state import keys
 from mimosaspur_state.bundle import bundle_from_value
 from mimosaspur_state.clock import SystemClock
@@ -29,35 +34,6 @@
 QUICK_PEERS = {"heartbeat_ms": 200, "silent_ms": 800, "connect_ms": 500}
 
 
-@dataclass(slots=True)
-class Relay:
-    """Stand between two processes."""
-
-    address: str
-    control: str
-
-    def mode(self, mode: str) -> None:
-        """Set the mode: pass, freeze, freeze_answers, cut or refuse."""
-        call(self.control, "POST", "/mode", {"mode": mode})
-
-
-@dataclass(slots=True)
-class Daemon:
-    """Hold one of our processes and how to start it again."""
-
-    name: str
-    role: str
-    domain: str
-    settings: dict[str, Any]
-    started: Started
-    public: str
-
-    @property
-    def address(self) -> str:
-        """Return the address that the process itself listens on."""
-        return self.started.address
-
-
 @dataclass(slots=True)
 class Site:
     """Start, break and mend a site; everything ends with the scenario."""
@@ -151,9 +127,11 @@
 
     def kill(self, name: str) -> None:
         """Kill a daemon without any farewell."""
-        process = self.daemons[name].started.process
-        process.kill()
-        process.wait(5)
+        kill(self.daemons[name].started)
+
+    def kill_engine(self, name: str) -> None:
+        """Kill an engine without any farewell."""
+        kill(self.engines[name])
 
     def terminate(self, name: str) -> None:
         """Ask a daemon for a graceful shutdown, without waiting for it."""
@@ -180,15 +158,30 @@
 
     def roll(self, name: str, models: list[dict[str, Any]], services: tuple[str, ...] = ()) -> int:
         """Write, approve and roll a bundle; return its generation."""
+        self.write(name, models, services)
+        return self.put_in_force(name).roll.generation
+
+    def write(
+        self,
+        name: str,
+        models: list[dict[str, Any]],
+        services: tuple[str, ...] = (),
+        *,
+        operator: str = "ana",
+    ) -> None:
+        """Write a bundle and have it approved."""
         value = {
             "name": name,
             "models": models,
             "services": [{"name": service} for service in services],
         }
         store, clock = self.store(), SystemClock()
-        rolls.write_bundle(store, clock, bundle_from_value(value), operator="ana")
+        rolls.write_bundle(store, clock, bundle_from_value(value), operator=operator)
         rolls.approve(store, clock, name, operator="luis")
-        return rolls.roll(store, clock, name, operator="ana").roll.generation
+
+    def put_in_force(self, name: str, *, operator: str = "ana") -> rolls.RollResult:
+        """Roll a bundle that has been approved."""
+        return rolls.roll(self.store(), SystemClock(), name, operator=operator)
 
     def await_targets(self) -> None:
         """Wait until every target has reported its memory."""
@@ -196,9 +189,8 @@
 
         def reported() -> bool:
             found = self.store().list(keys.statuses(REGION)).objects
-            return sum(
-                1 for item in found if item.value["capacity_mb"] or item.value["service"]
-            ) >= (expected)
+            told = [item for item in found if item.value["capacity_mb"] or item.value["service"]]
+            return len(told) >= expected
 
         wait_for(reported, "every target's status")
 
@@ -286,6 +278,14 @@
         return self.processes.start([*DAEMON, "--settings", str(path)])
 
 
+def begin_site(context: Context) -> Site:
+    """Start the platform's stand-ins of a scenario's site."""
+    site = Site(context.processes)
+    context.site = site
+    site.begin()
+    return site
+
+
 def model(name: str, *, version: str = "1", mb: int = 100, **entry: Any) -> dict[str, Any]:
     """Describe a model for a bundle."""
     return {"name": name, "version": version, "memory_mb": mb, **entry}
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -1,6 +1,5 @@
 """Steps that break connections and processes in the middle of answers."""
 
-import socket
 from collections.abc import Callable
 from collections.abc import Sequence
 from functools import partial
@@ -8,15 +7,17 @@
 from behave import given
 from behave import then
 from behave import when
-from behave.model import Row
 from behave.runner import Context
 
 from harness.caller import Call
 from harness.caller import Reply
 from harness.caller import chat_call
 from harness.control import wait_for
+from harness.site import QUICK_PEERS
 from harness.site import Site
+from harness.site import begin_site
 from harness.site import model
+from harness.tables import table_of
 from mimosaspur_standins.answers import expected_answer
 
 MODEL = "notes"
@@ -28,15 +29,12 @@
 KEEP_ANSWER_MS = 4000
 ENGINE_SILENT_MS = 600
 # A restarted process needs up to a few seconds on a busy machine.
-PEERS = {"heartbeat_ms": 200, "silent_ms": 800, "connect_ms": 500}
-PATIENT_PEERS = {**PEERS, "silent_ms": 1500}
+PATIENT_PEERS = {**QUICK_PEERS, "silent_ms": 1500}
 
 
 @given('a site for long answers with two entries and the target "{target}"')
 def start_long_site(context: Context, target: str) -> None:
-    site = Site(context.processes)
-    context.site = site
-    site.begin()
+    site = begin_site(context)
     start_long_target(site, target)
     for number in range(2):
         site.entry(f"entry-{number}", settings={"peers": PATIENT_PEERS})
@@ -86,12 +84,6 @@
         assert len(new_runs(context)) == 1, (row.cells, new_runs(context))
 
 
-def table_of(context: Context) -> list[Row]:
-    """Return the rows of a step's table."""
-    assert context.table, "the step needs a table"
-    return list(context.table)
-
-
 def ask_and_break(context: Context, kind: str, fault: str, tokens: int) -> None:
     """Ask for an answer of so many tokens and break something in its middle."""
     context.call = long_call(context.site, "entry-0", CONTENT, kind == "streamed", tokens=tokens)
@@ -140,13 +132,11 @@
 
 
 def target_mode(context: Context, call: Call, mode: str) -> None:
-    context.site.relays["model-0"].mode(mode)
-    context.site.relays["model-0"].mode("pass")
+    context.site.relays["model-0"].strike(mode)
 
 
 def engine_mode(context: Context, call: Call, mode: str) -> None:
-    context.site.relays["engine of model-0"].mode(mode)
-    context.site.relays["engine of model-0"].mode("pass")
+    context.site.relays["engine of model-0"].strike(mode)
 
 
 def cut_twice(context: Context, call: Call) -> None:
@@ -179,13 +169,11 @@
     site = context.site
     running = new_runs(context)
     name = next(name for name in site.engines if running & set(site.engine_log(name)["runs"]))
-    site.engines[name].process.kill()
-    site.engines[name].process.wait(5)
+    site.kill_engine(name)
 
 
 def leave(context: Context, call: Call) -> None:
-    # The reading thread holds the socket open, so closing it alone tells the entry nothing.
-    call.connection.sock.shutdown(socket.SHUT_RDWR)
+    assert call.connection.sock
     call.leave()
 
 
--- a/features/steps/atmostonce_key_steps.py
+++ b/features/steps/atmostonce_key_steps.py
@@ -8,16 +8,17 @@
 from behave import when
 from behave.runner import Context
 
-from atmostonce_world import ENTRIES
-from atmostonce_world import TARGETS
-from atmostonce_world import Desk
-from atmostonce_world import told_of
+from harness.atmostonce_world import ENTRIES
+from harness.atmostonce_world import TARGETS
+from harness.atmostonce_world import Desk
+from harness.atmostonce_world import told_of
 from harness.caller import Reply
 from harness.control import UNTIL_CLEARED
 from harness.control import add_fault
 from harness.control import clear_faults
 from harness.control import struck
 from harness.control import wait_for
+from harness.tables import table_of
 from mimosaspur_coordination.claimsweep import ClaimSweep
 from mimosaspur_state import keys
 from mimosaspur_state.clock import SystemClock
@@ -27,7 +28,6 @@
 AT_ONCE_MS = 1000
 PATIENCE_S = 1.6
 DAY_MS = 86_400_000
-PER_STEP = 10
 OPTIONS: dict[str, dict[str, Any]] = {"slow": {"delay_ms": SLOW_MS}}
 
 
@@ -109,15 +109,14 @@
 
 @then("keyed bookings are refused so under each outage of the claims, and run once after it:")
 def check_outages(context: Context) -> None:
-    assert context.table is not None
     desk = context.desk
-    for row in context.table:
+    for row in table_of(context):
         order_claims_fault(context, row["fault"])
         for key in ("first", "second"):
             desk.book(f"{key} {row['fault']}", key=f"{key}-{row['fault']}").wait()
             check_error(desk.last(), "PLATFORM_DOWN", "not_run")
             assert int(desk.last().headers["retry-after"]) >= 1
-            took_ms = desk.bookings[-1].took_ms
+            took_ms = desk.bookings[-1].call.took_ms()
             assert took_ms <= int(row[key]), (row["fault"], key, took_ms)
         order_claims_fault(context, "nothing")
         for key in ("first", "second"):
@@ -164,7 +163,7 @@
     store = desk.site.store()
     wait_for(lambda: store.get(keys.claim("k")) is not None, "the claim stands")
     desk.last()
-    wait_for(lambda: monotonic() > desk.bookings[-1].sent_at + PATIENCE_S, "the deadline")
+    wait_for(lambda: monotonic() > desk.bookings[-1].call.sent_at + PATIENCE_S, "the deadline")
 
 
 @when("the frozen targets go on")
@@ -205,7 +204,7 @@
     for booking, reply in refused:
         check_error(reply, name, "not_run")
         assert reply.headers["retry-after"]
-        assert booking.took_ms < AT_ONCE_MS, booking.took_ms
+        assert booking.call.took_ms() < AT_ONCE_MS, booking.call.took_ms()
 
 
 @when("the second target is killed")
@@ -217,7 +216,7 @@
 def check_all_refused(context: Context, name: str) -> None:
     for booking in context.group:
         check_error(booking.wait(), name, "not_run")
-        assert booking.took_ms < AT_ONCE_MS, booking.took_ms
+        assert booking.call.took_ms() < AT_ONCE_MS, booking.call.took_ms()
 
 
 @then("each that was answered ran once and no other")
--- a/features/steps/atmostonce_steps.py
+++ b/features/steps/atmostonce_steps.py
@@ -9,20 +9,21 @@
 from behave import when
 from behave.runner import Context
 
-from atmostonce_world import DEADLINE_MS
-from atmostonce_world import ENTRIES
-from atmostonce_world import MS
-from atmostonce_world import SERVICE
-from atmostonce_world import TARGETS
-from atmostonce_world import WORK_MS
-from atmostonce_world import Desk
-from atmostonce_world import told_of
+from harness.atmostonce_world import DEADLINE_MS
+from harness.atmostonce_world import ENTRIES
+from harness.atmostonce_world import MS
+from harness.atmostonce_world import SERVICE
+from harness.atmostonce_world import TARGETS
+from harness.atmostonce_world import WORK_MS
+from harness.atmostonce_world import Desk
+from harness.atmostonce_world import told_of
 from harness.control import UNTIL_CLEARED
 from harness.control import add_fault
 from harness.control import clear_faults
 from harness.control import struck
 from harness.control import wait_for
-from harness.site import Site
+from harness.site import begin_site
+from harness.tables import table_of
 
 CLAIMS = "PUT /objects/claims"
 SLOW_MS = 600
@@ -41,9 +42,8 @@
 
 def start(context: Context, *, service_relay: bool) -> None:
     """Start the site; a relay can't say that nothing listens behind it."""
-    site = Site(context.processes)
+    site = begin_site(context)
     context.desk = Desk(site)
-    site.begin()
     for name in TARGETS:
         work = ("--work-ms", str(WORK_MS))
         site.service_target(
@@ -106,7 +106,7 @@
 
 
 def _past_deadline(desk: Desk) -> bool:
-    return monotonic() > desk.bookings[-1].sent_at + DEADLINE_MS / MS
+    return monotonic() > desk.bookings[-1].call.sent_at + DEADLINE_MS / MS
 
 
 def _pause_targets(desk: Desk) -> None:
@@ -167,8 +167,7 @@
 @then("bookings with a key and without one end so under each fault:")
 def check_faults(context: Context) -> None:
     wrong = []
-    assert context.table is not None
-    for number, row in enumerate(context.table):
+    for number, row in enumerate(table_of(context)):
         try:
             _check_fault(context.desk, f"{number}", row["when"], row["fault"], row["told"])
         except AssertionError as error:
--- a/features/steps/callers_then_steps.py
+++ b/features/steps/callers_then_steps.py
@@ -7,15 +7,15 @@
 from behave import then
 from behave.runner import Context
 
-from callers_world import BOUND_S
-from callers_world import CALLER_TIMEOUT_MS
-from callers_world import LAST
-from callers_world import NONE
-from callers_world import ask
-from callers_world import dial
-from callers_world import error_of
-from callers_world import expected
-from callers_world import wait_for
+from harness.callers_world import BOUND_S
+from harness.callers_world import CALLER_TIMEOUT_MS
+from harness.callers_world import LAST
+from harness.callers_world import NONE
+from harness.callers_world import ask
+from harness.callers_world import dial
+from harness.callers_world import error_of
+from harness.callers_world import expected
+from harness.callers_world import wait_for
 from mimosaspur_state.codes import ResultCode
 
 
--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -1,30 +1,31 @@
 """Steps of orders to leave and of planned stops."""
 
-import http.client
 import os
 import subprocess
 import time
 from functools import partial
-from threading import Thread
 
 from behave import given
 from behave import then
 from behave import when
 from behave.runner import Context
 
-from drain_world import TogetherProcesses
-from drain_world import Traffic
-from drain_world import ask
-from drain_world import holders
-from drain_world import runs
 from harness.caller import chat_call
 from harness.caller import service_call
 from harness.control import add_fault
+from harness.control import at_once
 from harness.control import call
 from harness.control import clear_faults
 from harness.control import wait_for
+from harness.drain_world import Traffic
+from harness.drain_world import ask
+from harness.drain_world import await_off
+from harness.drain_world import carriers
+from harness.drain_world import holders
+from harness.drain_world import runs
 from harness.operators import COMMAND
-from harness.site import Site
+from harness.site import REGION
+from harness.site import begin_site
 from harness.site import model
 from mimosaspur_standins.answers import expected_answer
 from mimosaspur_state import keys
@@ -33,17 +34,14 @@
 ENTRIES = ("entry-0", "entry-1")
 TARGETS = ("model-0", "model-1", "model-2")
 STREAM_TOKENS = 300
-NEARLY_ALL = 290
 TOKEN_MS = 10
-QUIET_S = 3.0
 COMMAND_S = 20.0
-EXIT_S = 15.0
 MORE_REQUESTS = 30
 
 
 @given('a drain site of three model targets with "notes" twice and "dispatch" once')
 def start_drain_site(context: Context) -> None:
-    site = _site(context)
+    site = begin_site(context)
     options = ("--token-ms", str(TOKEN_MS))
     for name in TARGETS:
         site.model_target(name, relay=True, engine_options=options)
@@ -58,7 +56,7 @@
 
 @given('a drain site with the service "{service}" on {targets}')
 def start_service_site(context: Context, service: str, targets: str) -> None:
-    site = _site(context)
+    site = begin_site(context)
     for number in range(1 if targets == "one target" else 2):
         site.service_target(f"carrier-{number}", service)
     site.entry("entry-0")
@@ -67,7 +65,7 @@
     address = site.daemons["entry-0"].public
     wait_for(lambda: service_call(address, service, "x").wait().status == 200, "the service")
     expected = sum(1 for name in site.daemons if name.startswith("carrier"))
-    wait_for(lambda: len(_carriers(site, service)) == expected, "all carriers registered")
+    wait_for(lambda: len(carriers(site, service)) == expected, "all carriers registered")
     if "died" in targets:
         site.kill("carrier-1")
 
@@ -117,13 +115,6 @@
     )
 
 
-@given('a kept connection to "{entry}"')
-def keep_connection(context: Context, entry: str) -> None:
-    host, _, port = context.site.daemons[entry].public.rpartition(":")
-    context.kept = http.client.HTTPConnection(host, int(port), timeout=5)
-    assert _kept_status(context) == 200
-
-
 @when('an operator orders a target of "{name}" to leave by the {means}, {fault}')
 def order_holder(context: Context, name: str, means: str, fault: str) -> None:
     site = context.site
@@ -157,44 +148,13 @@
 def order_both(context: Context, name: str) -> None:
     context.leaving = sorted(holders(context.site, name, "ready"))
     assert len(context.leaving) == 2, context.leaving
-    threads = [Thread(target=_order, args=(context, target)) for target in context.leaving]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-
-
-@when("the target of the stream is stopped, {fault}")
-def stop_target(context: Context, fault: str) -> None:
-    context.stopped = context.stream_target
-    if fault.endswith("just before the end"):
-        reply = context.stream.reply
-        wait_for(lambda: reply.body.count(b"data") > NEARLY_ALL, "nearly the whole stream")
-    if fault.startswith("its connections are silent"):
-        context.site.relays[context.stopped].mode("freeze")
-    context.site.terminate(context.stopped)
-
-
-@when("the process of the stream is replaced and its successor is stopped")
-def replace_and_stop(context: Context) -> None:
-    context.stopped = context.stream_target
-    context.site.kill(context.stopped)
-    context.site.restart(context.stopped)
-    had = len(context.stream.reply.body)
-    wait_for(lambda: len(context.stream.reply.body) > had, "the successor goes on")
-    context.site.terminate(context.stopped)
-
-
-@when("the entry of the stream is stopped")
-def stop_entry(context: Context) -> None:
-    context.stopped = "entry-0"
-    context.site.terminate("entry-0")
+    at_once(*(partial(_order, context, target) for target in context.leaving))
 
 
 @when('"{name}" registers for "{service}"')
 def register_carrier(context: Context, name: str, service: str) -> None:
     context.site.service_target(name, service)
-    wait_for(lambda: name in _carriers(context.site, service), f"{name} registers")
+    wait_for(lambda: name in carriers(context.site, service), f"{name} registers")
     context.ordered_at = time.monotonic()
 
 
@@ -215,8 +175,8 @@
 @then("the target has left the drain site")
 def check_left(context: Context) -> None:
     site, target = context.site, context.drained
-    _await_off(site, target)
-    status = site.store().get(keys.status("alajuela", target))
+    await_off(site, target)
+    status = site.store().get(keys.status(REGION, target))
     assert status and status.value["draining"], status
 
 
@@ -267,28 +227,6 @@
     assert reply.text() == wanted
 
 
-@then("the stopped process exits with 0")
-def check_exit(context: Context) -> None:
-    started = context.site.daemons[context.stopped].started
-    assert started.process.wait(EXIT_S) == 0, started.error_text()[-2000:]
-
-
-@then("it refuses new connections and is not ready on the kept one")
-def check_entry_closed(context: Context) -> None:
-    address = context.site.daemons[context.stopped].public
-
-    def refused() -> bool:
-        try:
-            ask(address, "/readyz")
-        except ConnectionRefusedError:
-            return True
-        return False
-
-    wait_for(refused, "new connections refused")
-    assert not context.stream.reply.whole(), "the stream ended before the check"
-    assert _kept_status(context) == 503
-
-
 @then('"{name}" tells the balancer that it is {state}')
 def check_ready(context: Context, name: str, state: str) -> None:
     wanted = 200 if state == "ready" else 503
@@ -300,18 +238,11 @@
 def check_still(context: Context, name: str, service: str, seconds: int) -> None:
     end = context.ordered_at + seconds
     wait_for(lambda: time.monotonic() >= end, "the order's age", bound_s=seconds + 1)
-    assert name in _carriers(context.site, service), "it took itself off"
+    assert name in carriers(context.site, service), "it took itself off"
     before = runs(context.site, name)
     wait_for(lambda: runs(context.site, name) > before, f"new work at {name}", bound_s=3)
 
 
-def _site(context: Context) -> Site:
-    context.processes = TogetherProcesses()
-    site = context.site = Site(context.processes)
-    site.begin()
-    return site
-
-
 def _order(context: Context, target: str, *, by_command: bool = False) -> None:
     site = context.site
     context.drained = target
@@ -326,31 +257,3 @@
         site.store().create(keys.drain(target), DrainOrder("ana", "new host", 0).to_value())
     context.ordered_at = time.monotonic()
     site.list_instance(site.daemons[target], state="leaving")
-
-
-def _await_off(site: Site, target: str) -> None:
-    names = ("notes", "dispatch")
-
-    def off() -> bool:
-        placed = any(target in holders(site, n, "load", "ready", "leaving") for n in names)
-        return not placed and target not in _carriers(site, "bookings")
-
-    wait_for(off, f"no record names {target}")
-    wait_for(partial(_drains, site, target), f"{target} drains")
-
-
-def _drains(site: Site, target: str) -> bool:
-    status = site.store().get(keys.status("alajuela", target))
-    return bool(status and status.value["draining"])
-
-
-def _carriers(site: Site, service: str) -> set[str]:
-    found = site.store().get(keys.carrier("alajuela", service))
-    return {replica["target"] for replica in found.value["replicas"]} if found else set()
-
-
-def _kept_status(context: Context) -> int:
-    context.kept.request("GET", "/readyz")
-    response = context.kept.getresponse()
-    response.read()
-    return int(response.status)
--- /dev/null
+++ b/features/steps/drain_stops_steps.py
@@ -0,0 +1,77 @@
+"""Steps of planned stops of targets and entries."""
+
+import http.client
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+
+from harness.control import wait_for
+from harness.drain_world import ask
+
+NEARLY_ALL = 290
+EXIT_S = 15.0
+
+
+@given('a kept connection to "{entry}"')
+def keep_connection(context: Context, entry: str) -> None:
+    host, _, port = context.site.daemons[entry].public.rpartition(":")
+    context.kept = http.client.HTTPConnection(host, int(port), timeout=5)
+    assert _kept_status(context) == 200
+
+
+@when("the target of the stream is stopped, {fault}")
+def stop_target(context: Context, fault: str) -> None:
+    context.stopped = context.stream_target
+    if fault.endswith("just before the end"):
+        reply = context.stream.reply
+        wait_for(lambda: reply.body.count(b"data") > NEARLY_ALL, "nearly the whole stream")
+    if fault.startswith("its connections are silent"):
+        context.site.relays[context.stopped].mode("freeze")
+    context.site.terminate(context.stopped)
+
+
+@when("the process of the stream is replaced and its successor is stopped")
+def replace_and_stop(context: Context) -> None:
+    context.stopped = context.stream_target
+    context.site.kill(context.stopped)
+    context.site.restart(context.stopped)
+    had = len(context.stream.reply.body)
+    wait_for(lambda: len(context.stream.reply.body) > had, "the successor goes on")
+    context.site.terminate(context.stopped)
+
+
+@when("the entry of the stream is stopped")
+def stop_entry(context: Context) -> None:
+    context.stopped = "entry-0"
+    context.site.terminate("entry-0")
+
+
+@then("the stopped process exits with 0")
+def check_exit(context: Context) -> None:
+    started = context.site.daemons[context.stopped].started
+    assert started.process.wait(EXIT_S) == 0, started.error_text()[-2000:]
+
+
+@then("it refuses new connections and is not ready on the kept one")
+def check_entry_closed(context: Context) -> None:
+    address = context.site.daemons[context.stopped].public
+
+    def refused() -> bool:
+        try:
+            ask(address, "/readyz")
+        except ConnectionRefusedError:
+            return True
+        return False
+
+    wait_for(refused, "new connections refused")
+    assert not context.stream.reply.whole(), "the stream ended before the check"
+    assert _kept_status(context) == 503
+
+
+def _kept_status(context: Context) -> int:
+    context.kept.request("GET", "/readyz")
+    response = context.kept.getresponse()
+    response.read()
+    return int(response.status)
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -8,15 +8,15 @@
 from behave import when
 from behave.runner import Context
 
-from memory_replay import check_histories
-from memory_world import REGION
-from memory_world import TARGET
-from memory_world import UNTIL_CLEARED
-from memory_world import MemoryWorld
-from memory_world import add_fault
-from memory_world import call
-from memory_world import stays
-from memory_world import wait_for
+from harness.control import UNTIL_CLEARED
+from harness.control import add_fault
+from harness.control import call
+from harness.memory_replay import check_histories
+from harness.memory_world import REGION
+from harness.memory_world import TARGET
+from harness.memory_world import MemoryWorld
+from harness.memory_world import stays
+from harness.memory_world import wait_for
 from mimosaspur_coordination.fencing import take_token
 from mimosaspur_state import keys
 from mimosaspur_state.placement import ReplicaState
@@ -68,13 +68,13 @@
 @when("the engine's orders suffer {fault} of {ms:d} ms")
 def orders_suffer(context: Context, fault: str, ms: int) -> None:
     context.memory.late_ms = ms
-    add_fault(context.memory.engine, kind=fault, match=ORDERS, count=UNTIL_CLEARED, delay_ms=ms)
+    add_fault(context.memory.engine, fault, match=ORDERS, count=UNTIL_CLEARED, delay_ms=ms)
 
 
 @when("the engine's next order suffers {fault} of {ms:d} ms")
 def next_order_suffers(context: Context, fault: str, ms: int) -> None:
     context.memory.late_ms = ms
-    add_fault(context.memory.engine, kind=fault, match=ORDERS, count=1, delay_ms=ms)
+    add_fault(context.memory.engine, fault, match=ORDERS, count=1, delay_ms=ms)
 
 
 @when("the engine's orders have suffered it")
--- a/features/steps/memory_store_steps.py
+++ b/features/steps/memory_store_steps.py
@@ -6,31 +6,31 @@
 from behave import when
 from behave.runner import Context
 
-from memory_world import OTHER
-from memory_world import REGION
-from memory_world import UNTIL_CLEARED
-from memory_world import MemoryWorld
-from memory_world import add_fault
-from memory_world import call
-from memory_world import wait_for
+from harness.control import UNTIL_CLEARED
+from harness.control import add_fault
+from harness.control import call
+from harness.memory_world import OTHER
+from harness.memory_world import REGION
+from harness.memory_world import MemoryWorld
+from harness.memory_world import wait_for
 from mimosaspur_state import keys
 from mimosaspur_state.placement import ReplicaState
 
 
 @given("the keeper's next write of {kind} suffers {fault}")
 def write_suffers(context: Context, kind: str, fault: str) -> None:
-    add_fault(context.memory.api, kind=fault, match=f"PUT /objects/{kind}", count=1)
+    add_fault(context.memory.api, fault, match=f"PUT /objects/{kind}", count=1)
 
 
 @step("the keeper's object API suffers {fault}")
 def store_suffers(context: Context, fault: str) -> None:
     for match in (" /objects", " /watch"):
-        add_fault(context.memory.api, kind=fault, match=match, count=UNTIL_CLEARED)
+        add_fault(context.memory.api, fault, match=match, count=UNTIL_CLEARED)
 
 
 @given("the keeper's token can't be had")
 def token_out(context: Context) -> None:
-    add_fault(context.memory.api, kind="error", match="/objects/fencing", count=UNTIL_CLEARED)
+    add_fault(context.memory.api, "error", match="/objects/fencing", count=UNTIL_CLEARED)
 
 
 @when("the keeper's object API is back")
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -11,7 +11,7 @@
 from harness.caller import chat_call
 from harness.caller import service_call
 from harness.control import wait_for
-from harness.site import Site
+from harness.site import begin_site
 from harness.site import model
 from mimosaspur_standins.answers import expected_answer
 
@@ -20,9 +20,7 @@
 
 @given('a site with two entries, three model targets and the service "{service}"')
 def start_site(context: Context, service: str) -> None:
-    site = Site(context.processes)
-    context.site = site
-    site.begin()
+    site = begin_site(context)
     for number in range(3):
         site.model_target(f"model-{number}")
     site.service_target("dispatch-0", service)
--- a/features/steps/planner_any_steps.py
+++ b/features/steps/planner_any_steps.py
@@ -1,5 +1,7 @@
 """State what holds of the planner in any order of events."""
 
+from collections import Counter
+
 import msgspec
 from behave import given
 from behave import then
@@ -11,17 +13,26 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from harness.planner_bundles import GB
+from harness.planner_bundles import read_bundle
+from harness.planner_world import World
 from mimosaspur_coordination.fit import check_fit
 from mimosaspur_state.bundle import AdapterEntry
 from mimosaspur_state.bundle import Bundle
 from mimosaspur_state.bundle import ModelEntry
 from mimosaspur_state.errors import MimosaspurError
-from planner_steps import GB
-from planner_steps import read_bundle
-from planner_world import World
 
 EXAMPLES = 60
 ROUNDS = 400
+ANY_ORDER = settings(
+    derandomize=True,
+    database=None,
+    max_examples=EXAMPLES,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+# Shrinking a failure would take minutes, and the message shows the whole state.
+CONVERGES = settings(ANY_ORDER, max_examples=4 * EXAMPLES, phases=(Phase.explicit, Phase.generate))
 
 
 def entries_of(accelerators: int) -> st.SearchStrategy[ModelEntry]:
@@ -96,13 +107,7 @@
 
 @then("a plan in any order keeps the last replicas, the limits and the memory")
 def step_any_order(context: Context) -> None:
-    @settings(
-        derandomize=True,
-        database=None,
-        max_examples=EXAMPLES,
-        deadline=None,
-        suppress_health_check=list(HealthCheck),
-    )
+    @ANY_ORDER
     @given_any(st.data(), CAPACITIES, st.lists(BUNDLES, min_size=1, max_size=3), st.integers(1, 3))
     def run(
         data: st.DataObject,
@@ -121,33 +126,28 @@
     run()
 
 
+def settle_both(world: World, first: Bundle, second: Bundle, counted: Counter[str]) -> None:
+    """Roll two bundles that pass the check, and have each get ready; count those that pass."""
+    in_force = None
+    for which, bundle in (("first", first), ("second", second)):
+        if not fits(bundle, in_force, world):
+            return
+        counted[which] += 1
+        world.roll(bundle)
+        assert world.settle(ROUNDS), f"the {which} never got ready: {world.records}"
+        in_force = bundle
+
+
 @then("a plan that passed the check ends with every model ready on up to {accelerators:d} a target")
 def step_converges(context: Context, accelerators: int) -> None:
-    # Shrinking a failure would take minutes, and the message shows the whole state.
-    phases = (Phase.explicit, Phase.generate)
-    counted = {"first": 0, "second": 0}
-
-    @settings(
-        derandomize=True,
-        database=None,
-        max_examples=4 * EXAMPLES,
-        phases=phases,
-        deadline=None,
-        suppress_health_check=list(HealthCheck),
-    )
+    counted = Counter(first=0, second=0)
+
+    @CONVERGES
     @given_any(capacities_of(accelerators), *bundles_of(accelerators), st.integers(1, 3))
     def run(capacities: list[tuple[int, ...]], first: Bundle, second: Bundle, at_once: int) -> None:
         world = World(capacities, at_once)
-        if not size_is_by_version([first, second]) or not fits(first, None, world):
-            return
-        counted["first"] += 1
-        world.roll(first)
-        assert world.settle(ROUNDS), f"the first never got ready: {world.records}"
-        if not fits(second, first, world):
-            return
-        counted["second"] += 1
-        world.roll(second)
-        assert world.settle(ROUNDS), f"the second never got ready: {world.records}"
+        if size_is_by_version([first, second]):
+            settle_both(world, first, second, counted)
 
     run()
     assert min(counted.values()) >= EXAMPLES // 4, f"too few runs that tell: {counted}"
@@ -169,17 +169,10 @@
 
 @then("a plan that passed the check ends with every model ready where only adapters change")
 def step_adapters_converge(context: Context) -> None:
-    counted = {"first": 0, "second": 0}
+    counted = Counter(first=0, second=0)
     versions = st.lists(st.integers(0, 2), min_size=10, max_size=10)
 
-    @settings(
-        derandomize=True,
-        database=None,
-        max_examples=4 * EXAMPLES,
-        phases=(Phase.explicit, Phase.generate),
-        deadline=None,
-        suppress_health_check=list(HealthCheck),
-    )
+    @CONVERGES
     @given_any(CAPACITIES, BUNDLES, versions, versions, st.integers(1, 3))
     def run(
         capacities: list[tuple[int, ...]],
@@ -191,16 +184,7 @@
         world = World(capacities, at_once)
         first = with_adapters(bundle, old)
         second = with_adapters(bundle, new)
-        if not fits(first, None, world):
-            return
-        counted["first"] += 1
-        world.roll(first)
-        assert world.settle(ROUNDS), f"the first never got ready: {world.records}"
-        if not fits(second, first, world):
-            return
-        counted["second"] += 1
-        world.roll(second)
-        assert world.settle(ROUNDS), f"the second never got ready: {world.records}"
+        settle_both(world, first, second, counted)
 
     run()
     assert min(counted.values()) >= EXAMPLES // 4, f"too few runs that tell: {counted}"
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -2,7 +2,6 @@
 
 import re
 from dataclasses import replace
-from typing import Any
 
 import msgspec
 from behave import given
@@ -10,52 +9,27 @@
 from behave import when
 from behave.runner import Context
 
+from harness.planner_bundles import GB
+from harness.planner_bundles import read_bundle
+from harness.planner_target import target_status
+from harness.planner_world import Tokens
 from mimosaspur_coordination.fit import check_fit
 from mimosaspur_coordination.planner import plan
 from mimosaspur_coordination.view import DemandSum
 from mimosaspur_coordination.view import Placed
 from mimosaspur_coordination.view import PlannerView
 from mimosaspur_coordination.view import RecordChange
-from mimosaspur_state.bundle import AdapterEntry
 from mimosaspur_state.bundle import Bundle
 from mimosaspur_state.bundle import BundleIndex
-from mimosaspur_state.bundle import ModelEntry
 from mimosaspur_state.errors import MimosaspurError
 from mimosaspur_state.placement import PlacementRecord
 from mimosaspur_state.placement import Replica
 from mimosaspur_state.placement import ReplicaState
 from mimosaspur_state.records import TargetStatus
-from planner_target import target_status
-from planner_world import Tokens
 
-GB = 1000
 NOW_MS = 1_000_000
 GENERATION = 7
 WINDOW_MS = 10_000
-OPTIONS = {"r": "replicas", "m": "max_replicas", "p": "priority", "x": "accelerators"}
-
-
-def read_bundle(text: str) -> Bundle:
-    return Bundle("tested", tuple(read_model(part) for part in text.split()))
-
-
-def read_model(text: str) -> ModelEntry:
-    resident, gigabytes, *options = text.split(":")
-    name, version = resident.split("@")
-    extra: dict[str, Any] = {}
-    for option in options:
-        if option[0] == "d":
-            extra["domains"] = (option[1:],)
-        elif option[0] == "a":
-            extra["adapters"] = (*extra.get("adapters", ()), read_adapter(option[1:]))
-        else:
-            extra[OPTIONS[option[0]]] = int(option[1:])
-    return ModelEntry(name, version, int(gigabytes) * GB, **extra)
-
-
-def read_adapter(text: str) -> AdapterEntry:
-    name, version, gigabytes = text.split(".")
-    return AdapterEntry(name, version, int(gigabytes) * GB)
 
 
 def read_target(text: str) -> tuple[TargetStatus, str]:
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -13,15 +13,16 @@
 from harness.control import clear_faults
 from harness.control import struck
 from harness.control import wait_for
+from harness.reach_world import Sampler
+from harness.reach_world import bundle_of
+from harness.reach_world import engine_logs
+from harness.reach_world import names_of
+from harness.reach_world import residents_of
+from harness.reach_world import rolled
 from harness.site import REGION
 from harness.site import Site
+from harness.site import begin_site
 from mimosaspur_state import keys
-from reach_world import Sampler
-from reach_world import bundle_of
-from reach_world import engine_logs
-from reach_world import names_of
-from reach_world import residents_of
-from reach_world import rolled
 
 SLOW_MS = 800
 LATE_MS = 4500
@@ -32,9 +33,7 @@
 
 @given('a platform site with two entries that serves "{bundle}"')
 def start_platform_site(context: Context, bundle: str) -> None:
-    site = Site(context.processes)
-    context.site = site
-    site.begin()
+    site = begin_site(context)
     for number in range(2):
         site.model_target(f"model-{number}")
     for number in range(2):
@@ -186,8 +185,7 @@
     (found,) = site.replicas(name)
     target = found.split()[0]
     site.kill(target)
-    site.engines[target].process.kill()
-    site.engines[target].process.wait(5)
+    site.kill_engine(target)
     context.entry = next(it for it in ("entry-0", "entry-1") if it != context.former)
 
 
--- a/features/steps/reachability_steps.py
+++ b/features/steps/reachability_steps.py
@@ -1,8 +1,6 @@
 """Steps of reachability: rolls without spare room, losses, and the weight store's limits."""
 
-import threading
 import time
-from collections.abc import Callable
 from functools import partial
 
 from behave import given
@@ -15,44 +13,29 @@
 from harness.control import clear_faults
 from harness.control import struck
 from harness.control import wait_for
+from harness.reach_world import Sampler
+from harness.reach_world import bundle_of
+from harness.reach_world import engine_logs
+from harness.reach_world import names_of
+from harness.reach_world import residents_of
+from harness.reach_world import rolled
 from harness.site import QUICK_PLANNER
-from harness.site import REGION
-from harness.site import Site
-from mimosaspur_coordination import replicas
-from mimosaspur_state import keys
-from mimosaspur_state.bundle import Bundle
-from mimosaspur_state.bundle import BundleIndex
-from mimosaspur_state.bundle import bundle_from_value
-from mimosaspur_state.objects import StoredObject
-from mimosaspur_state.placement import PlacementRecord
-from mimosaspur_state.placement import Replica
-from mimosaspur_state.placement import ReplicaState
-from mimosaspur_state.placement import placement_from_value
-from reach_world import Sampler
-from reach_world import bundle_of
-from reach_world import engine_logs
-from reach_world import names_of
-from reach_world import residents_of
-from reach_world import rolled
+from harness.site import begin_site
 
 MS_PER_SECOND = 1000
 SETTLED_S = 20.0
-SLOW_MS = 150
 OUTAGE_S = 4.0
 LONGEST_DELAY_MS = 1800
 LATE_ORDER_MS = 1500
 FEWEST_SAMPLES = 5
 LOAD_MS = 400
-PAIR = ("t1", "t2")
 
 
 def start_reach_site(
     context: Context, engines: str, *, policy: str = "normal", rate: int = 50, at_once: int = 6
 ) -> None:
     """Start one entry and a target for each engine."""
-    site = Site(context.processes)
-    context.site = site
-    site.begin()
+    site = begin_site(context)
     if at_once < 6:
         options = ("--loads-per-second", str(rate), "--at-once", str(at_once))
         slow = (*options, "--ms-per-gb", "5000")
@@ -78,9 +61,7 @@
 
 @given("a reach site of two {mb:d} MB engines that ignore fencing tokens")
 def start_ignoring(context: Context, mb: int) -> None:
-    site = Site(context.processes)
-    context.site = site
-    site.begin()
+    site = begin_site(context)
     for number in range(2):
         options = ("--capacity-mb", str(mb), "--ignore-fencing")
         site.model_target(
@@ -148,7 +129,7 @@
     if loss.startswith(("its process", "both")):
         site.kill(target)
     if loss.startswith(("its engine", "both")):
-        _kill_engine(site, target)
+        site.kill_engine(target)
     if loss.startswith(("its engine restarted", "both restarted")):
         address = site.engines[target].address
         site.engine(target, address=address)
@@ -181,7 +162,7 @@
     context.loads_before = {name: len(site.engine_log(name)["orders"]) for name in site.engines}
     for target in lost:
         site.kill(target)
-        _kill_engine(site, target)
+        site.kill_engine(target)
     context.lost_at = time.monotonic()
 
 
@@ -238,75 +219,5 @@
     wait_for(partial(rolled, context.site, context.bundle), f"just {context.bundle}")
 
 
-@given("a placement record whose copies at two targets say that {copies}")
-def prepare_record(context: Context, copies: str) -> None:
-    site = Site(context.processes)
-    context.site = site
-    site.begin()
-    others = (Replica("t3", "1", ReplicaState.READY),) if "third" in copies else ()
-    alone = copies == "the other one stays"
-    key = keys.placement(REGION, "a")
-    record = PlacementRecord("a", 1, (*_leaving("t2"), *_leaving("t1"), *others))
-    if alone:
-        record = PlacementRecord("a", 1, (*_leaving("t1"), _ready("t2")))
-    version = site.store().create(key, record.to_value())
-    context.copies = {target: StoredObject(key, version, record.to_value()) for target in PAIR}
-    if alone:
-        # The copy that a paused planner's write would have made, had it not been refused.
-        wrong = PlacementRecord("a", 1, (_ready("t1"), *_leaving("t2")))
-        context.copies["t2"] = StoredObject(key, version, wrong.to_value())
-
-
-@when("both targets try to leave it at once while the API's answers are {fault}")
-def leave_at_once(context: Context, fault: str) -> None:
-    api = context.site.api
-    if fault == "slow":
-        add_fault(api, "slow", match="/objects", delay_ms=SLOW_MS)
-    else:
-        add_fault(api, "lose_answer", match="PUT /objects", count=1)
-    context.left = {}
-    threads = [threading.Thread(target=_leave, args=(context, target)) for target in PAIR]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-    assert struck(api) > 0 or not any(context.left.values())
-    clear_faults(api)
-
-
-@then(
-    "{left:d} of the two targets left and the record keeps a ready replica unless {nobody:d} is 0"
-)
-def check_left(context: Context, left: int, nobody: int) -> None:
-    record = placement_from_value(context.site.store().get(keys.placement(REGION, "a")).value)
-    assert sum(context.left.values()) == left, (context.left, record)
-    assert bool(record.ready()) == bool(nobody), record
-    gone = {target for target in PAIR if not record.on(target)}
-    assert gone == {target for target, out in context.left.items() if out}, (gone, context.left)
-
-
-def _leave(context: Context, target: str) -> None:
-    value = {"name": "one", "models": [{"name": "a", "version": "1", "memory_mb": 1}]}
-    bundle: Bundle = bundle_from_value(value)
-    leave: Callable[..., bool] = partial(
-        replicas.leave, index=BundleIndex.build(1, bundle), learn=lambda item: None
-    )
-    context.left[target] = leave(context.site.store(), context.copies[target], target, "1")
-
-
-def _leaving(target: str) -> tuple[Replica]:
-    return (Replica(target, "1", ReplicaState.LEAVING),)
-
-
-def _ready(target: str) -> Replica:
-    return Replica(target, "1", ReplicaState.READY)
-
-
 def _struck_by(address: str, count: int) -> bool:
     return struck(address) >= count
-
-
-def _kill_engine(site: Site, name: str) -> None:
-    process = site.engines[name].process
-    process.kill()
-    process.wait(5)
--- a/features/steps/refusals_steps.py
+++ b/features/steps/refusals_steps.py
@@ -3,7 +3,6 @@
 import threading
 from dataclasses import dataclass
 from dataclasses import field
-from time import monotonic
 from typing import Any
 
 from behave import given
@@ -14,14 +13,13 @@
 from hypothesis import settings
 from hypothesis import strategies
 
-from harness.caller import Call
-from harness.caller import Reply
 from harness.caller import chat_call
 from harness.control import UNTIL_CLEARED
 from harness.control import add_fault
 from harness.control import struck
 from harness.control import wait_for
 from harness.site import Site
+from harness.site import begin_site
 from harness.site import model
 from mimosaspur_coordination.admission import AdmissionQueue
 from mimosaspur_coordination.admission import Ticket
@@ -38,37 +36,12 @@
 EXAMPLES = 60
 
 
-@dataclass(slots=True)
-class Asked:
-    """Hold one request, its reply and the time from sending to its end."""
-
-    call: Call
-    sent_at: float
-    ended_at: list[float] = field(default_factory=list)
-
-    def watch(self) -> None:
-        """Note when it ends."""
-        self.call.thread.join()
-        self.ended_at.append(monotonic())
-
-    def reply(self) -> Reply:
-        """Return the reply."""
-        return self.call.wait()
-
-    def took_ms(self) -> float:
-        """Return how long it took."""
-        wait_for(lambda: bool(self.ended_at), "its end is noted")
-        return (self.ended_at[0] - self.sent_at) * MS
-
-
 @given(
     "a site with one entry and a model target of 1 slot, "
     "a queue of {queue:d} and {service:d} ms a run"
 )
 def start_narrow_site(context: Context, queue: int, service: int) -> None:
-    site = Site(context.processes)
-    context.site = site
-    site.begin()
+    site = begin_site(context)
     options = ("--slots", "1", "--token-ms", TOKEN_MS)
     site.model_target(
         "model-0", engine_options=options, slots=1, queue=queue, service_time_ms=service
@@ -81,9 +54,7 @@
     "a tenth of requests and {burst:d} more"
 )
 def start_wide_site(context: Context, count: int, burst: int) -> None:
-    site = Site(context.processes)
-    context.site = site
-    site.begin()
+    site = begin_site(context)
     for number in range(count):
         site.model_target(f"model-{number}", slots=32)
     _serve(site, replicas=count, retry_ratio=0.1, retry_burst=burst)
@@ -119,18 +90,16 @@
     context.asked = []
     for number in range(count):
         call = chat_call(address, MODEL, f"gate {number}", max_tokens=TOKENS, headers=headers)
-        asked = Asked(call, monotonic())
-        threading.Thread(target=asked.watch, daemon=True).start()
-        context.asked.append(asked)
+        context.asked.append(call)
 
 
 @then("some are answered and the others refused within {bound:d} ms with {name}")
 def check_refused(context: Context, bound: int, name: str) -> None:
-    replies = [asked.reply() for asked in context.asked]
-    context.refused = [asked for asked in context.asked if asked.reply().status != 200]
+    replies = [asked.wait() for asked in context.asked]
+    context.refused = [asked for asked in context.asked if asked.wait().status != 200]
     assert 0 < len(context.refused) < len(replies), [reply.status for reply in replies]
     for asked in context.refused:
-        reply, error = asked.reply(), asked.reply().error()
+        reply, error = asked.wait(), asked.wait().error()
         assert (error["name"], error["outcome"]) == (name, "not_run"), error
         assert int(reply.headers["retry-after"]) >= 1
         assert asked.took_ms() < bound, (asked.took_ms(), error)
@@ -140,16 +109,16 @@
 def check_runs(context: Context) -> None:
     runs = context.site.engine_log("model-0")["runs"]
     ran = {run.rpartition("-")[0] for run in runs}
-    refused = {asked.reply().headers["x-request-id"] for asked in context.refused}
+    refused = {asked.wait().headers["x-request-id"] for asked in context.refused}
     assert refused and not ran & refused, ran & refused
-    answered = {asked.reply().headers["x-request-id"] for asked in context.asked} - refused
+    answered = {asked.wait().headers["x-request-id"] for asked in context.asked} - refused
     assert answered <= ran, answered - ran
 
 
 @then("the engines were asked at most {most:d} times")
 def check_asked(context: Context, most: int) -> None:
     for asked in context.asked:
-        asked.reply()
+        asked.wait()
     count = sum(struck(started.address) for started in context.site.engines.values())
     assert len(context.asked) <= count <= most, count
 
@@ -157,7 +126,7 @@
 @then("each request is told that its outcome is unknown")
 def check_unknown(context: Context) -> None:
     for asked in context.asked:
-        error = asked.reply().error()
+        error = asked.wait().error()
         assert error["outcome"] == "unknown", error
         assert "Not run" not in error["message"], error
 
--- /dev/null
+++ b/features/steps/replace_steps.py
@@ -0,0 +1,161 @@
+"""Steps of instances that are replaced."""
+
+import time
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+
+from harness.caller import chat_call
+from harness.caller import service_call
+from harness.control import wait_for
+from harness.site import QUICK_PLANNER
+from harness.site import REGION
+from harness.site import Site
+from harness.site import model
+from mimosaspur_state import keys
+from mimosaspur_state.codes import ResultCode
+
+LONG_TOKENS = 1000
+SHORT_DEADLINE_MS = 700
+OK = 200
+GATEWAY_TIMEOUT = 504
+AT_ONCE = 4
+LONG_WATCH_MS = 20_000
+RESTING_MS = 500
+ENGINES = ("model-0", "model-1", "model-2")
+
+
+@when('the process beside the target of "{name}" is stopped and started again')
+def replace_process(context: Context, name: str) -> None:
+    site: Site = context.site
+    context.orders = {engine: len(site.engine_log(engine)["orders"]) for engine in ENGINES}
+    target = next(iter(site.replicas(name))).split()[0]
+    site.terminate(target)
+    assert site.daemons[target].started.process.wait(20) == 0
+    site.restart(target)
+    context.replaced = target
+
+
+@then('"{name}" is served through both drain entries again')
+def check_served(context: Context, name: str) -> None:
+    context.site.await_served("entry-0", name)
+    context.site.await_served("entry-1", name)
+
+
+@then("no engine was given an order for the replacement")
+def check_orders(context: Context) -> None:
+    site: Site = context.site
+    for engine in ENGINES:
+        orders = [order["kind"] for order in site.engine_log(engine)["orders"]]
+        moves = [kind for kind in orders[context.orders[engine] :] if kind != "fence"]
+        assert not moves, (engine, moves)
+
+
+@then('"{name}" runs new work for "{service}"')
+def check_runs(context: Context, name: str, service: str) -> None:
+    site: Site = context.site
+    # The platform shows it as staying again.
+    site.list_instance(site.daemons[name])
+    address = site.daemons["entry-0"].public
+    before = len(site.service_log(name)["runs"])
+
+    def runs() -> bool:
+        # One at a time would all go to the target of the entry's own failure domain.
+        together = [service_call(address, service, "again") for _ in range(AT_ONCE)]
+        replies = [sent.wait() for sent in together]
+        assert all(reply.status == OK for reply in replies), [reply.body for reply in replies]
+        return len(site.service_log(name)["runs"]) > before
+
+    wait_for(runs, f"{name} runs {service}")
+
+
+@when('a caller gives "{name}" less time than its answer takes')
+def ask_in_no_time(context: Context, name: str) -> None:
+    address = context.site.daemons["entry-0"].public
+    headers = {"X-Deadline-Ms": str(SHORT_DEADLINE_MS)}
+    call = chat_call(address, name, "x", max_tokens=LONG_TOKENS, headers=headers)
+    context.reply = call.wait()
+
+
+@then("the caller is told that the deadline passed")
+def check_deadline(context: Context) -> None:
+    reply = context.reply
+    assert reply.status == GATEWAY_TIMEOUT, (reply.status, reply.body)
+    error = reply.error()
+    assert error["code"] == ResultCode.DEADLINE_PASSED, error
+    assert error["outcome"] == "unknown", error
+
+
+@given("an entry that closes connections that rest")
+def start_resting_entry(context: Context) -> None:
+    site: Site = context.site
+    site.entry("entry-2", peer_idle_ms=RESTING_MS)
+    site.await_served("entry-2", "notes", "dispatch")
+
+
+@when('the model "{name}" is rolled in while its connections rest')
+def roll_in(context: Context, name: str) -> None:
+    site: Site = context.site
+    closed = site.daemons["entry-2"].started
+
+    def rested() -> bool:
+        return "the connection rests" in closed.error_text()
+
+    wait_for(rested, "a connection is closed for rest")
+    models = [model("notes", replicas=2), model("dispatch"), model(name, replicas=3)]
+    site.roll("second", models)
+    wait_for(lambda: list(site.replicas(name).values()).count("ready") == 3, f"{name} is ready")
+
+
+@then('every target\'s entry serves "{name}"')
+def check_extra(context: Context, name: str) -> None:
+    site: Site = context.site
+    for _ in ENGINES:
+        reply = chat_call(site.daemons["entry-2"].public, name, "x").wait()
+        assert reply.whole(), (reply.status, reply.body)
+
+
+@given("an entry in the middle of a long watch")
+def start_watching_entry(context: Context) -> None:
+    site: Site = context.site
+    platform = {"object_api": site.api, "instance_list": site.api, "watch_ms": LONG_WATCH_MS}
+    site.entry("entry-2", settings={"platform": platform})
+    site.await_served("entry-2", "notes")
+
+
+@when("the watching entry is stopped")
+def stop_watching_entry(context: Context) -> None:
+    context.stopped_at = time.monotonic()
+    context.site.terminate("entry-2")
+
+
+@then("it has ended within {seconds:d} s")
+def check_ended(context: Context, seconds: int) -> None:
+    left = context.stopped_at + seconds - time.monotonic()
+    assert context.site.daemons["entry-2"].started.process.wait(left) == 0
+
+
+@given("a planner that forgets instances after {seconds:d} s")
+def start_forgetting_planner(context: Context, seconds: int) -> None:
+    site: Site = context.site
+    planner = {**QUICK_PLANNER, "forget_ms": seconds * 1000}
+    site.entry("entry-2", settings={"planner": planner})
+    for name in ("entry-0", "entry-1"):
+        site.kill(name)
+
+
+@when('the process beside the target of "{name}" is killed for good')
+def kill_for_good(context: Context, name: str) -> None:
+    site: Site = context.site
+    context.gone = next(iter(site.replicas(name))).split()[0]
+    site.kill(context.gone)
+
+
+@then("its status is deleted and the others' are kept")
+def check_forgotten(context: Context) -> None:
+    store = context.site.store()
+    wait_for(lambda: store.get(keys.status(REGION, context.gone)) is None, "the status is deleted")
+    kept = {item.value["instance"] for item in store.list(keys.statuses(REGION)).objects}
+    assert kept == set(ENGINES) - {context.gone}, kept
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -9,7 +9,6 @@
 
 from behave import given
 from behave import then
-from behave.model import Row
 from behave.runner import Context
 
 from harness.caller import Call
@@ -19,9 +18,11 @@
 from harness.control import add_fault
 from harness.control import clear_faults
 from harness.control import wait_for
-from harness.site import Daemon
 from harness.site import Site
+from harness.site import begin_site
 from harness.site import model
+from harness.site_parts import Daemon
+from harness.tables import table_of
 from mimosaspur_standins.answers import expected_answer
 
 SERVICE = "bookings"
@@ -36,9 +37,7 @@
 
 @given("a site whose every connection runs through a relay")
 def start_relayed_site(context: Context) -> None:
-    site = Site(context.processes)
-    context.site = site
-    site.begin()
+    site = begin_site(context)
     api = site.relay("api", site.api).address
     for number in range(2):
         site.model_target(
@@ -84,12 +83,6 @@
             sock.close()
 
 
-def table_of(context: Context) -> list[Row]:
-    """Return the rows of a step's table."""
-    assert context.table, "the step needs a table"
-    return list(context.table)
-
-
 def serves_at_once(site: Site, count: int) -> bool:
     """Tell whether an entry serves so many callers together."""
     address = site.daemons["entry-0"].public
@@ -145,8 +138,7 @@
 def freeze(site: Site, *names: str) -> None:
     """Make the open connections through relays silent; new ones work."""
     for name in names:
-        site.relays[name].mode("freeze")
-        site.relays[name].mode("pass")
+        site.relays[name].strike("freeze")
 
 
 def freeze_targets(site: Site) -> None:
@@ -171,7 +163,7 @@
     for call in calls:
         wait_for(partial(has_begun, call), "the answer begins")
     for call in calls:
-        call.connection.sock.shutdown(socket.SHUT_RDWR)
+        assert call.connection.sock
         call.leave()
     wait_for(lambda: cancelled_runs(site) >= wanted, f"{LEAVING} more cancelled runs")
     for engine in site.engines.values():
@@ -246,19 +238,20 @@
     return booked(site, body) > 0
 
 
-def cut(site: Site, name: str) -> None:
-    site.relays[name].mode("cut")
-    site.relays[name].mode("pass")
-
-
 def freeze_then_cut(site: Site) -> None:
     freeze(site, "dispatch-0")
-    cut(site, "dispatch-0")
+    site.relays["dispatch-0"].strike("cut")
+
+
+def cut_service(site: Site) -> None:
+    site.relays["service of dispatch-0"].strike("cut")
 
 
 BOOKING_FAULTS: dict[str, Callable[[Site], None]] = {
     "the service's connection freezes": lambda site: freeze(site, "service of dispatch-0"),
     "the entry's connection freezes": lambda site: freeze(site, "dispatch-0"),
-    "the service's connection is cut": lambda site: cut(site, "service of dispatch-0"),
+    "the service's connection is cut": lambda site: site.relays["service of dispatch-0"].strike(
+        "cut"
+    ),
     "the entry's connection freezes and is cut then": freeze_then_cut,
 }
--- a/packages/coordination/src/mimosaspur_coordination/directory.py
+++ b/packages/coordination/src/mimosaspur_coordination/directory.py
@@ -1,8 +1,15 @@
 """Know the region's targets and which of them hold what."""
 
+import itertools
 import threading
+from collections.abc import Iterable
 
+import msgspec
+
+from mimosaspur_coordination.decoded import RecordCache
 from mimosaspur_coordination.hints import TargetHint
+from mimosaspur_coordination.holders import Holders
+from mimosaspur_coordination.holders import name_of
 from mimosaspur_coordination.mirror import Mirror
 from mimosaspur_coordination.routing import Candidate
 from mimosaspur_coordination.routing import candidates_for
@@ -22,7 +29,11 @@
     def __init__(self, mirror: Mirror, *, region: str) -> None:
         self.mirror = mirror
         self.region = region
+        self.records = RecordCache(mirror)
         self.hints: dict[str, TargetHint] = {}
+        self.places = itertools.count()
+        self.holders = Holders()
+        self.unknown: set[str] = set()
         self.listed_leaving: set[str] = set()
         self.lock = threading.Lock()
 
@@ -39,14 +50,11 @@
                     continue
                 hint = self.hints.get(instance.name)
                 if hint is None or hint.address != instance.address:
-                    hint = TargetHint(instance.name, instance.address, instance.failure_domain)
-                    self.hints = {**self.hints, instance.name: hint}
+                    hint = self._new_hint(instance, hint)
                     new.append(hint)
             self.listed_leaving = {instance.name for instance in instances if instance.leaving}
-            listed = {instance.name for instance in instances}
-            self.hints = {
-                name: hint for name, hint in self.hints.items() if name in listed or hint.own > 0
-            }
+            self._drop_gone({instance.name for instance in instances})
+            self.unknown -= self.hints.keys()
             self._mark_leaving()
         return new
 
@@ -56,10 +64,37 @@
             with self.lock:
                 self._mark_leaving()
 
+    def follow_records(self, item: StoredObject) -> bool:
+        """Take in a record's change; tell whether it names a target that is new to us."""
+        ours = (keys.placements(self.region), keys.carriers(self.region))
+        if item.value is None or not item.key.startswith(ours):
+            return False
+        try:
+            record = placement_from_value(item.value)
+        except msgspec.ValidationError:
+            # The mirror must go on; who needs this record is told.
+            return False
+        with self.lock:
+            new = {it.target for it in record.replicas} - self.hints.keys() - self.unknown
+            self.unknown |= new
+        return bool(new)
+
+    def sought(self) -> frozenset[str]:
+        """Return the targets that the instance list may tell more of: unknown and lost ones."""
+        lost = {name for name, hint in self.hints.items() if hint.lost_at_ms is not None}
+        with self.lock:
+            return frozenset(lost | self.unknown)
+
+    def give_up(self, names: Iterable[str]) -> None:
+        """Seek targets no more until a record names them again."""
+        with self.lock:
+            self.unknown.difference_update(names)
+
     def for_model(self, served: Served) -> list[Candidate]:
         """Return the targets that may hold a served model or adapter."""
         record = self.record(keys.placement(self.region, served.model.name))
-        return candidates_for(served, record, self.hints)
+        placed = {replica.target for replica in record.replicas} if record else set()
+        return candidates_for(served, record, self._among(placed, served.resident()))
 
     def for_service(self, name: str) -> list[Candidate]:
         """Return the targets that carry a plain service."""
@@ -68,14 +103,46 @@
         resident = service_resident(name)
         return [
             Candidate(hint, resident)
-            for hint in self.hints.values()
+            for hint in self._among(carrying, resident).values()
             if hint.name in carrying or resident in hint.residents
         ]
 
     def record(self, key: str) -> PlacementRecord | None:
         """Return the local copy of a placement record."""
-        item = self.mirror.get(key)
-        return placement_from_value(item.value) if item else None
+        return self.records.get(key)
+
+    def _among(self, named: set[str], resident: str) -> dict[str, TargetHint]:
+        """Return the hints of named targets and of holders of any version, in the list's order."""
+        hints = self.hints
+        names = named | self.holders.of(name_of(resident))
+        found = sorted(
+            (hints[name] for name in names if name in hints), key=lambda hint: hint.place
+        )
+        return {hint.name: hint for hint in found}
+
+    def _new_hint(self, instance: Instance, former: TargetHint | None) -> TargetHint:
+        hint = TargetHint(
+            instance.name,
+            instance.address,
+            instance.failure_domain,
+            place=former.place if former else next(self.places),
+            on_residents=self._said,
+        )
+        self.holders.forget(instance.name)
+        self.hints = {**self.hints, instance.name: hint}
+        return hint
+
+    def _drop_gone(self, listed: set[str]) -> None:
+        gone = [name for name, hint in self.hints.items() if name not in listed and hint.own <= 0]
+        for name in gone:
+            self.holders.forget(name)
+        self.hints = {name: hint for name, hint in self.hints.items() if name not in gone}
+
+    def _said(self, hint: TargetHint) -> None:
+        with self.lock:
+            # A connection to a former address may still end its last message.
+            if self.hints.get(hint.name) is hint:
+                self.holders.note(hint.name, hint.residents)
 
     def _mark_leaving(self) -> None:
         for name, hint in self.hints.items():
--- a/packages/coordination/src/mimosaspur_coordination/draft.py
+++ b/packages/coordination/src/mimosaspur_coordination/draft.py
@@ -158,6 +158,20 @@
             self.layouts[target] = layout_of(status, needs)
         return self.layouts[target]
 
+    def is_free_to_load(self, target: str) -> bool:
+        """Tell whether a target may be given a load now.
+
+        A target lays out its accelerators in the order in which it sees its loads. One load at
+        a time leaves no doubt where each one comes to lie.
+        """
+        if len(self.bins[target].capacity_mb) < 2:
+            return True
+        return not any(
+            replica.target == target
+            for model in self.models_on.get(target, ())
+            for replica in self.loads(model)
+        )
+
     def may_load(self, entry: ModelEntry) -> bool:
         """Take the right to start one load; return False if the weight store's limits say no."""
         if self.loads_left == 0:
@@ -171,7 +185,7 @@
 
     def load(self, entry: ModelEntry, target: str, reason: str) -> bool:
         """Have a target load the entry; return False if the limits say not now."""
-        if not self.may_load(entry):
+        if not self.is_free_to_load(target) or not self.may_load(entry):
             return False
         replica = Replica(target, entry.version, ReplicaState.LOAD)
         self.change(entry.name, self.record(entry.name).with_replica(replica), reason)
--- a/packages/coordination/src/mimosaspur_coordination/hints.py
+++ b/packages/coordination/src/mimosaspur_coordination/hints.py
@@ -1,5 +1,6 @@
 """Remember what an entry was last told of each target; all of it may be stale."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -21,10 +22,26 @@
     load_at_ms: int = 0
     draining: bool = False
     leaving: bool = False
-    residents: frozenset[str] = field(default_factory=frozenset)
+    # The hints' order, kept when one is replaced.
+    place: int = 0
     # An open connection goes before the records; what one told that is closed may be older.
     live: bool = False
     lost_at_ms: int | None = None
+    on_residents: "Callable[[TargetHint], None] | None" = field(
+        default=None, repr=False, compare=False
+    )
+    _residents: frozenset[str] = field(default_factory=frozenset, init=False)
+
+    @property
+    def residents(self) -> frozenset[str]:
+        """Return what the target last said to hold."""
+        return self._residents
+
+    @residents.setter
+    def residents(self, residents: frozenset[str]) -> None:
+        self._residents = residents
+        if self.on_residents:
+            self.on_residents(self)
 
     def connected(self, draining: bool, residents: tuple[str, ...]) -> None:
         """Take in what a target says when a connection opens."""
--- a/packages/coordination/src/mimosaspur_coordination/mirror.py
+++ b/packages/coordination/src/mimosaspur_coordination/mirror.py
@@ -37,6 +37,8 @@
         self.lock = threading.Lock()
         self.listed = threading.Event()
         self.reachable = False
+        # Who derives things from the copy sees by this whether they still hold.
+        self.changes = 0
 
     def get(self, key: str) -> StoredObject | None:
         """Return the copy of an object, or None."""
@@ -119,6 +121,7 @@
                 return
             if known and known.version > item.version:
                 return
+            self.changes += 1
             if item.value is None:
                 self.objects.pop(item.key, None)
             else:
--- a/packages/coordination/src/mimosaspur_coordination/planner.py
+++ b/packages/coordination/src/mimosaspur_coordination/planner.py
@@ -113,9 +113,15 @@
     targets = [item.target for item in record.replicas if item.target in draft.bins]
     domains = [draft.bins[target].domain for target in targets]
 
-    def preference(room: Bin) -> tuple[bool, int, int, str]:
+    adapters = {adapter.resident() for adapter in entry.adapters}
+
+    def preference(room: Bin) -> tuple[bool, bool, int, int, str]:
         failed = (entry.name, room.target) in draft.view.failed_ms
-        return (failed, domains.count(room.domain), -room.total_free(), room.target)
+        # An engine holds an adapter once, so not beside an older version of its model.
+        clashes = not adapters.isdisjoint(draft.view.alive[room.target].residents)
+        busy = not draft.is_free_to_load(room.target)
+        spread = domains.count(room.domain)
+        return (failed or clashes, busy, spread, -room.total_free(), room.target)
 
     return sorted(rooms, key=preference)
 
--- a/packages/daemon/src/mimosaspur_daemon/engine_keeper.py
+++ b/packages/daemon/src/mimosaspur_daemon/engine_keeper.py
@@ -13,27 +13,21 @@
 from mimosaspur_coordination.mirror import Mirror
 from mimosaspur_coordination.orders import Held
 from mimosaspur_daemon.engine_orders import OrderSender
+from mimosaspur_daemon.engine_records import EngineRecords
 from mimosaspur_daemon.engine_right import OrderRight
 from mimosaspur_daemon.engine_situation import ServingSide
 from mimosaspur_daemon.engine_situation import Situation
-from mimosaspur_daemon.engine_situation import records_of
-from mimosaspur_daemon.engine_situation import situation_of
-from mimosaspur_daemon.engine_situation import still_to_come
-from mimosaspur_state import keys
+from mimosaspur_daemon.engine_situation import Situations
 from mimosaspur_state.bundle import BundleIndex
 from mimosaspur_state.clock import Clock
 from mimosaspur_state.engine import EngineState
-from mimosaspur_state.engine import Resident
 from mimosaspur_state.engine import ResidentState
 from mimosaspur_state.errors import MimosaspurError
-from mimosaspur_state.errors import StoreUnavailable
 from mimosaspur_state.ledger import MemoryLedger
 from mimosaspur_state.log import log
 from mimosaspur_state.metrics import Metrics
 from mimosaspur_state.objects import ObjectStore
-from mimosaspur_state.placement import PlacementRecord
 from mimosaspur_state.placement import ReplicaState
-from mimosaspur_state.placement import placement_from_value
 from mimosaspur_state.settings import Settings
 from mimosaspur_state.settings import TargetSettings
 
@@ -70,6 +64,8 @@
         self.store = store
         self.clock = clock
         self.mirror = mirror_placements
+        self.records = EngineRecords(store, mirror_placements, region=self.region, target=self.name)
+        self.situations = Situations(mirror_placements, region=self.region, target=self.name)
         self.current_bundle = current_bundle
         self.metrics = metrics
         self.serving = serving
@@ -95,7 +91,6 @@
         self._layout: dict[str, tuple[int, ...]] = {}
         self._held_mb: dict[str, int] = {}
         self._round_ended_ms = clock.now_ms()
-        self._store_answers = True
         self._unwanted: set[str] = set()
         self.mirror.listeners.append(lambda item: self.wake.set())
 
@@ -156,7 +151,7 @@
         situation = self._situation(report)
         if situation is None:
             return
-        self._store_answers = True
+        self.records.answers = True
         # Loads come first: they need no store, and a store that is silent takes its time.
         if cleared:
             self._reopen(situation)
@@ -171,8 +166,7 @@
         index = self.current_bundle()
         if index is None or not self.mirror.listed.is_set():
             return None
-        records = records_of(self.mirror, self.region)
-        return situation_of(report, index, records, self.name)
+        return self.situations.of(report, index)
 
     def _mark_lost(self, situation: Situation) -> None:
         for held in situation.helds:
@@ -180,7 +174,7 @@
             if not lost or situation.report.ready(held.base()):
                 continue
             log(PART, "The engine lost a replica.", resident=held.base())
-            self._stored(replicas.mark_lost, held)
+            self.records.change(replicas.mark_lost, held)
 
     def _mark_ready(self, situation: Situation) -> None:
         for held in situation.helds:
@@ -188,23 +182,11 @@
                 continue
             if any(self._unload_pending(name) for name in (held.base(), *held.adapters())):
                 continue
-            self._stored(replicas.mark_ready, held)
-
-    def _stored(self, change: Callable[..., object], held: Held) -> bool:
-        """Make a change in the store; an unsettled one is taken up again in the next round."""
-        learn = self.mirror.learn
-        if not self._store_answers:
-            return False
-        try:
-            return bool(change(self.store, held.item, self.name, held.version, learn=learn))
-        except StoreUnavailable as error:
-            log(PART, "The object API did not settle a change.", error=str(error))
-            self._store_answers = False
-            return False
+            self.records.change(replicas.mark_ready, held)
 
     def _leave(self, situation: Situation) -> None:
         for held in situation.helds:
-            if held.state is not ReplicaState.LEAVING or not self._store_answers:
+            if held.state is not ReplicaState.LEAVING or not self.records.answers:
                 continue
             if not replicas.replaced(held.record, self.name, held.version, situation.index):
                 continue
@@ -214,7 +196,7 @@
         parts = orders.residents_of(held, situation.report)
         for name in parts:
             self._close(name)
-        left = self._stored(partial(replicas.leave, index=situation.index), held)
+        left = self.records.change(partial(replicas.leave, index=situation.index), held)
         if left:
             log(PART, "A replica left.", resident=held.base())
             self.wake.set()
@@ -252,36 +234,13 @@
         known, self._unwanted = self._unwanted, {item.id for item in situation.unwanted}
         # Entries must hear first of what replaces it: what is new here waits for a round.
         for item in (item for item in situation.unwanted if item.id in known):
-            if item.id not in self.closed and self._confirmed(item, situation):
+            if item.id not in self.closed and self.records.let_go(item, situation):
                 self._close(item.id)
             if item.id not in self.closed or item.id in bases or self.serving.in_use(item.id):
                 continue
-            if self._confirmed(item, situation) and self.sender.fresh():
+            if self.records.let_go(item, situation) and self.sender.fresh():
                 self.sender.unload(item.id)
 
-    def _confirmed(self, item: Resident, situation: Situation) -> bool:
-        """Tell whether the record itself, not the mirror's copy, lets a resident go."""
-        base = item.base or item.id
-        if item.base and any(held.base() == base for held in situation.helds):
-            return not still_to_come(item, situation, self.store, self.region)
-        if not self._store_answers:
-            return False
-        model, _, version = base.rpartition("@")
-        try:
-            found = self.store.get(keys.placement(self.region, model))
-        except StoreUnavailable:
-            self._store_answers = False
-            return False
-        record = placement_from_value(found.value) if found else PlacementRecord(model, 0)
-        if found:
-            self.mirror.learn(found)
-        if any(replica.version == version for replica in record.on(self.name)):
-            return False
-        entry = situation.index.models.get(model)
-        if entry is None or entry.version != version:
-            return True
-        return replicas.replaced(record, self.name, version, situation.index)
-
     def _unload_pending(self, name: str) -> bool:
         return self.ledger.unsettled(name) is not None
 
--- a/packages/daemon/src/mimosaspur_daemon/engine_situation.py
+++ b/packages/daemon/src/mimosaspur_daemon/engine_situation.py
@@ -3,9 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import msgspec
-
 from mimosaspur_coordination import orders
+from mimosaspur_coordination.decoded import RecordCache
 from mimosaspur_coordination.mirror import Mirror
 from mimosaspur_coordination.orders import Held
 from mimosaspur_state import keys
@@ -13,14 +12,12 @@
 from mimosaspur_state.engine import EngineState
 from mimosaspur_state.engine import Resident
 from mimosaspur_state.errors import StoreUnavailable
-from mimosaspur_state.log import log
 from mimosaspur_state.objects import ObjectStore
 from mimosaspur_state.objects import StoredObject
 from mimosaspur_state.placement import PlacementRecord
-from mimosaspur_state.placement import placement_from_value
 from mimosaspur_state.records import TargetStatus
 
-PART = "ENGINE"
+Records = tuple[tuple[StoredObject, PlacementRecord], ...]
 
 
 @dataclass(slots=True, frozen=True)
@@ -43,28 +40,38 @@
     unwanted: list[Resident]
 
 
-def records_of(mirror: Mirror, region: str) -> list[tuple[StoredObject, PlacementRecord]]:
-    """Return a region's placement records as mirrored; one that is unreadable is left out."""
-    found = []
-    for item in mirror.under(keys.placements(region)):
-        try:
-            found.append((item, placement_from_value(item.value)))
-        except msgspec.ValidationError as error:
-            log(PART, "A placement record is unreadable.", key=item.key, error=str(error))
-    return found
-
-
-def situation_of(
-    report: EngineState,
-    index: BundleIndex,
-    records: list[tuple[StoredObject, PlacementRecord]],
-    target: str,
-) -> Situation:
-    """Compare an engine's report with what the records ask of its target."""
-    helds = orders.held_here(records, target, index)
-    known = [record for _, record in records]
-    unwanted = orders.unwanted(helds, report, index, orders.models_ready(known, index))
-    return Situation(report, index, known, helds, unwanted)
+class Situations:
+    """Make a round's situation; what did not change since the last round is not worked out anew.
+
+    A round comes several times a second, and a region's records are many and change seldom.
+    """
+
+    __slots__ = ("asked", "cache", "index", "known", "last", "ready", "region", "target")
+
+    def __init__(self, mirror: Mirror, *, region: str, target: str) -> None:
+        self.cache = RecordCache(mirror)
+        self.region = region
+        self.target = target
+        self.index: BundleIndex | None = None
+        self.asked: Records = ()
+        self.known: list[PlacementRecord] = []
+        self.ready: set[str] = set()
+        self.last: Situation | None = None
+
+    def of(self, report: EngineState, index: BundleIndex) -> Situation:
+        """Compare an engine's report with what the records ask of its target."""
+        asked = self.cache.readable(keys.placements(self.region))
+        if index is not self.index or asked is not self.asked:
+            self.index = index
+            self.asked = asked
+            self.known = [record for _, record in asked]
+            self.ready = orders.models_ready(self.known, index)
+            self.last = None
+        if self.last is None or self.last.report != report:
+            helds = orders.held_here(asked, self.target, index)
+            unwanted = orders.unwanted(helds, report, index, self.ready)
+            self.last = Situation(report, index, self.known, helds, unwanted)
+        return self.last
 
 
 def still_to_come(adapter: Resident, situation: Situation, store: ObjectStore, region: str) -> bool:
--- a/packages/daemon/src/mimosaspur_daemon/entryrole.py
+++ b/packages/daemon/src/mimosaspur_daemon/entryrole.py
@@ -1,7 +1,6 @@
 """Put the role entry together."""
 
 import random
-import threading
 import uuid
 
 from mimosaspur_coordination.demandcount import DemandCounter
@@ -13,24 +12,20 @@
 from mimosaspur_coordination.routing import Router
 from mimosaspur_daemon.application import Application
 from mimosaspur_daemon.dispatcher import EntryDispatcher
+from mimosaspur_daemon.instancefollower import InstanceFollower
 from mimosaspur_daemon.links import Links
 from mimosaspur_daemon.platform import open_instance_list
 from mimosaspur_daemon.platform import open_store
 from mimosaspur_daemon.reports import DemandReporter
 from mimosaspur_state import keys
 from mimosaspur_state.clock import Clock
-from mimosaspur_state.errors import StoreUnavailable
-from mimosaspur_state.log import log
 from mimosaspur_state.metrics import Metrics
 from mimosaspur_state.objects import StoredObject
 from mimosaspur_state.settings import Policy
 from mimosaspur_state.settings import Settings
 from mimosaspur_transport.callers import CallerServer
 
-PART = "ENTRY"
 STOP_GRACE_MS = 30_000
-# An entry that starts in an outage asks this many targets for the bundle and what they hold.
-ASKED_IN_OUTAGE = 64
 # Of the requests in flight, one in this many may wait for a target to be ready.
 WAITING_SHARE = 4
 
@@ -44,7 +39,6 @@
         self.clock = clock
         self.incarnation = uuid.uuid4().hex
         self.store = open_store(settings, clock)
-        self.instance_list = open_instance_list(settings, clock)
         self.metrics = Metrics(settings.statsd, instance=settings.instance.name)
         self.holder = BundleHolder()
         region = settings.instance.region
@@ -63,6 +57,15 @@
             clock=clock,
             holder=self.holder,
         )
+        self.instances = InstanceFollower(
+            open_instance_list(settings, clock),
+            self.directory,
+            self.mirror,
+            self.links,
+            clock=clock,
+            settings=settings.platform,
+        )
+        self.mirror.listeners.append(self.instances.follow_records)
         self.dispatcher = self._dispatcher()
         self.server = CallerServer(settings.entry, self.dispatcher, clock, self.metrics)
         self.shutting_down = False
@@ -72,7 +75,7 @@
         """Start all tasks; return the address that callers reach."""
         app.spawn("mirror", self.mirror.run)
         app.spawn("bundles", self.fetcher.run)
-        app.spawn("instances", self.follow_instances)
+        app.spawn("instances", self.instances.run)
         app.spawn("demand", DemandReporter(self.store, self.settings, self.demand).run)
         assert self.settings.entry is not None
         if self.settings.entry.planner:
@@ -93,28 +96,6 @@
         if item.key == keys.drain(self.settings.instance.name):
             self.dispatcher.stopping = self.shutting_down or item.value is not None
 
-    def follow_instances(self, stop: threading.Event) -> None:
-        """Read the instance list until told to stop."""
-        pause_s = self.settings.platform.instance_list_ms / 1000
-        while not stop.is_set():
-            self._read_instances()
-            stop.wait(pause_s)
-
-    def _read_instances(self) -> None:
-        try:
-            self.directory.update(self.instance_list.instances())
-        except StoreUnavailable as error:
-            log(PART, "Could not read the instance list.", error=str(error))
-        # The list may be down together with the object API: the targets known so far remain.
-        if not self.mirror.reachable:
-            self._ask_targets()
-
-    def _ask_targets(self) -> None:
-        hints = list(self.directory.hints.values())
-        random.shuffle(hints)
-        for hint in hints[:ASKED_IN_OUTAGE]:
-            self.links.to(hint).connect_soon()
-
     def _dispatcher(self) -> EntryDispatcher:
         entry = self.settings.entry
         assert entry is not None
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/instancefollower.py
@@ -0,0 +1,80 @@
+"""Keep an entry's directory up to date with the platform's instance list."""
+
+import random
+import threading
+
+from mimosaspur_coordination.directory import Directory
+from mimosaspur_coordination.listpace import ListPace
+from mimosaspur_coordination.mirror import Mirror
+from mimosaspur_daemon.links import Links
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.errors import StoreUnavailable
+from mimosaspur_state.log import log
+from mimosaspur_state.objects import StoredObject
+from mimosaspur_state.settings import PlatformSettings
+from mimosaspur_transport.instancelist import InstanceListClient
+
+PART = "ENTRY"
+MS_PER_SECOND = 1000
+# An entry that starts in an outage asks this many targets for the bundle and what they hold.
+ASKED_IN_OUTAGE = 64
+
+
+class InstanceFollower:
+    """Read the instance list as often as its size allows; one task runs `run`."""
+
+    def __init__(
+        self,
+        instance_list: InstanceListClient,
+        directory: Directory,
+        mirror: Mirror,
+        links: Links,
+        *,
+        clock: Clock,
+        settings: PlatformSettings,
+    ) -> None:
+        self.instance_list = instance_list
+        self.directory = directory
+        self.mirror = mirror
+        self.links = links
+        self.clock = clock
+        self.pause_ms = settings.instance_list_ms
+        self.pace = ListPace(
+            pause_ms=settings.instance_list_ms,
+            bytes_per_second=settings.instance_list_bytes_per_second,
+        )
+        self.wake = threading.Event()
+
+    def follow_records(self, item: StoredObject) -> None:
+        """Look sooner when a record names a target that is not known here."""
+        if self.directory.follow_records(item):
+            self.wake.set()
+
+    def run(self, stop: threading.Event) -> None:
+        """Go round until told to stop; it ends within a pause."""
+        while not stop.is_set():
+            if self.pace.due(self.clock.now_ms(), self.directory.sought()):
+                self._read()
+            # The list may be down together with the object API: the targets known so far remain.
+            if not self.mirror.reachable:
+                self._ask_targets()
+            self.wake.wait(self.pause_ms / MS_PER_SECOND)
+            self.wake.clear()
+
+    def _read(self) -> None:
+        try:
+            instances = self.instance_list.instances()
+        except StoreUnavailable as error:
+            log(PART, "Could not read the instance list.", error=str(error))
+            self.pace.not_answered(self.clock.now_ms())
+            return
+        self.directory.update(instances)
+        size_bytes = self.instance_list.size_bytes
+        self.pace.noted(self.clock.now_ms(), size_bytes, self.directory.sought())
+        self.directory.give_up(self.pace.exhausted())
+
+    def _ask_targets(self) -> None:
+        hints = list(self.directory.hints.values())
+        random.shuffle(hints)
+        for hint in hints[:ASKED_IN_OUTAGE]:
+            self.links.to(hint).connect_soon()
--- a/packages/daemon/src/mimosaspur_daemon/planner_duty.py
+++ b/packages/daemon/src/mimosaspur_daemon/planner_duty.py
@@ -100,6 +100,7 @@
             return
         if self._settle(watch.mirror):
             self._plan(watch, index)
+            self._forget(watch)
 
     def _weight_store_bucket(self) -> TokenBucket:
         rate = self.settings.weight_store.loads_per_second
@@ -185,6 +186,16 @@
             placed = view.placed.get(change.model)
             self._report(change, placed.record if placed else None)
 
+    def _forget(self, watch: PlannerWatch) -> None:
+        """Delete the report of an instance long gone, one a pass: names change every day."""
+        for item in watch.forgotten(self.clock.now_ms())[:1]:
+            try:
+                self.store.delete(item.key, item.version)
+            except (StoreUnavailable, VersionConflict):
+                return
+            watch.mirror.learn(StoredObject(item.key, item.version, None))
+            log(PART, "Forgot an instance that is long gone.", key=item.key)
+
     def _decide(self, view: PlannerView) -> list[RecordChange]:
         if self.settings.policy is Policy.NAIVE:
             return plan_naively(view, self.bucket, self.random)
--- a/packages/daemon/src/mimosaspur_daemon/planner_watch.py
+++ b/packages/daemon/src/mimosaspur_daemon/planner_watch.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from mimosaspur_coordination.decoded import RecordCache
 from mimosaspur_coordination.demand import LowWindows
 from mimosaspur_coordination.demand import sum_reports
 from mimosaspur_coordination.mirror import Mirror
@@ -14,9 +15,9 @@
 from mimosaspur_state import keys
 from mimosaspur_state.bundle import BundleIndex
 from mimosaspur_state.bundle import ModelEntry
+from mimosaspur_state.objects import StoredObject
 from mimosaspur_state.placement import Replica
 from mimosaspur_state.placement import ReplicaState
-from mimosaspur_state.placement import placement_from_value
 from mimosaspur_state.records import DemandReport
 from mimosaspur_state.records import TargetStatus
 from mimosaspur_state.settings import Settings
@@ -40,6 +41,11 @@
             return True
         return now_ms - known[1] < self.grace_ms
 
+    def still_ms(self, key: str, now_ms: int) -> int:
+        """Return for how long an object has not changed, 0 if it was never looked at."""
+        known = self.seen.get(key)
+        return now_ms - known[1] if known else 0
+
 
 class PlannerWatch:
     """Follow a region while we plan it; a new one gives every target the full grace."""
@@ -53,6 +59,7 @@
         service_time_ms: int = DEFAULT_SERVICE_TIME_MS,
     ) -> None:
         self.mirror = mirror
+        self.records = RecordCache(mirror)
         self.settings = settings
         self.region = settings.instance.region
         self.load_timeout_ms = load_timeout_ms
@@ -94,14 +101,27 @@
         view.low_windows = self.low.count(view)
         return view
 
+    def forgotten(self, now_ms: int) -> list[StoredObject]:
+        """Return the reports of instances that have been gone for long."""
+        limit_ms = self.settings.planner.forget_ms
+        kept = (
+            (keys.statuses(self.region), self.statuses),
+            (keys.demands(self.region), self.reports),
+        )
+        return [
+            item
+            for prefix, beats in kept
+            for item in self.mirror.under(prefix)
+            if beats.still_ms(item.key, now_ms) >= limit_ms
+        ]
+
     def _service_time_ms(self, alive: dict[str, TargetStatus]) -> int:
         told = sorted(item.service_time_ms for item in alive.values() if item.service_time_ms)
         return told[len(told) // 2] if told else self.service_time_ms
 
     def _placed(self) -> dict[str, Placed]:
-        found = self.mirror.under(keys.placements(self.region))
-        placed = [Placed(placement_from_value(item.value), item.version) for item in found]
-        return {item.record.model: item for item in placed}
+        found = self.records.all(keys.placements(self.region))
+        return {record.model: Placed(record, item.version) for item, record in found}
 
     def _alive(self, now_ms: int) -> dict[str, TargetStatus]:
         alive = {}
--- a/packages/load/src/mimosaspur_load/control.py
+++ b/packages/load/src/mimosaspur_load/control.py
@@ -10,10 +10,12 @@
 POLL_S = 0.1
 
 
-def call(address: str, method: str, path: str, value: Any = None) -> Any:
+def call(
+    address: str, method: str, path: str, value: Any = None, *, timeout_s: float = CALL_S
+) -> Any:
     """Ask a stand-in and return its JSON."""
     host, _, port = address.rpartition(":")
-    connection = http.client.HTTPConnection(host, int(port), timeout=CALL_S)
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
     try:
         body = None if value is None else json.dumps(value)
         connection.request(method, path, body, {"Content-Type": "application/json"})
--- a/packages/load/src/mimosaspur_load/processes.py
+++ b/packages/load/src/mimosaspur_load/processes.py
@@ -1,4 +1,4 @@
-"""Start the processes of a measurement and end them; the daemons themselves start none."""
+"""Start the processes of a measurement or a scenario and end them; daemons start none."""
 
 import json
 import os
@@ -8,6 +8,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import IO
@@ -46,23 +47,35 @@
 
 
 class Processes:
-    """Own the processes of one measurement; close ends all of them, and only them."""
+    """Own processes; close ends all of them, and only them."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, announce_s: float = ANNOUNCE_S) -> None:
+        self.announce_s = announce_s
         self.started: list[Started] = []
 
     def start(self, command: Sequence[str]) -> Started:
         """Start a command and wait for the line of JSON that it prints first."""
+        started = self.spawn(command)
+        started.announcement = json.loads(_first_line(started, self.announce_s))
+        return started
+
+    def spawn(
+        self, command: Sequence[str], *, environment: Mapping[str, str] | None = None
+    ) -> Started:
+        """Start a command that announces nothing; raise RuntimeError when too many run."""
         if len(self.running()) >= PROCESSES_AT_MOST:
             raise RuntimeError(f"{PROCESSES_AT_MOST} processes run; measure a smaller site.")
-        # Closed with the measurement, since the process writes to it until then.
+        # Closed with its owner, since the process writes to it until then.
         errors = tempfile.TemporaryFile()  # noqa: SIM115
         process = subprocess.Popen(
-            command, stdin=subprocess.DEVNULL, stdout=subprocess.PIPE, stderr=errors
+            command,
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=errors,
+            env={**os.environ, **(environment or {})},
         )
         started = Started(process, {}, errors)
         self.started.append(started)
-        started.announcement = json.loads(_first_line(started))
         return started
 
     def start_stand_in(self, kind: str, *options: str) -> Started:
@@ -102,10 +115,10 @@
     started.process.wait(KILL_S)
 
 
-def _first_line(started: Started) -> bytes:
+def _first_line(started: Started, announce_s: float) -> bytes:
     assert started.process.stdout
     descriptor = started.process.stdout.fileno()
-    end = time.monotonic() + ANNOUNCE_S
+    end = time.monotonic() + announce_s
     line = b""
     while not line.endswith(b"\n"):
         readable, _, _ = select.select([descriptor], [], [], max(0, end - time.monotonic()))
--- a/packages/state/src/mimosaspur_state/settings.py
+++ b/packages/state/src/mimosaspur_state/settings.py
@@ -53,6 +53,7 @@
     reads_per_second: float = 50
     writes_per_second: float = 20
     instance_list_ms: int = 2000
+    instance_list_bytes_per_second: float = 5000
 
 
 class WeightStoreSettings(_Checked, frozen=True):
@@ -92,6 +93,7 @@
     interval_ms: int = 1000
     lease_ms: int = 6000
     status_grace_ms: int = 15_000
+    forget_ms: int = 600_000
     move_cost: float = 20
     demand_window_ms: int = 30_000
     demand_report_ms: int = 2000
--- a/packages/state/src/mimosaspur_state/settingsdoc.py
+++ b/packages/state/src/mimosaspur_state/settingsdoc.py
@@ -29,7 +29,14 @@
         "Most reads, lists and watches of this instance; 0 is no limit.", "calls/s"
     ),
     "platform.writes_per_second": KeyDoc("Most writes of this instance; 0 is no limit.", "calls/s"),
-    "platform.instance_list_ms": KeyDoc("Pause between readings of the instance list.", _MS),
+    "platform.instance_list_ms": KeyDoc(
+        "Shortest pause between regular readings of the instance list.", _MS
+    ),
+    "platform.instance_list_bytes_per_second": KeyDoc(
+        "Most of the instance list that an entry reads on average; a longer list is read the more "
+        "rarely, at least every 60000 ms; 0 is no limit.",
+        "bytes/s",
+    ),
     "entry": KeyDoc("Section of the role entry; needed if role is entry."),
     "entry.listen": KeyDoc("Where callers connect.", "ip:port"),
     "entry.workers": KeyDoc("Threads that answer callers; more than max_in_flight.", "threads"),
@@ -88,6 +95,9 @@
     "planner": KeyDoc("The planner duty. Give all entries of a region the same."),
     "planner.interval_ms": KeyDoc("Pause between planning passes.", _MS),
     "planner.lease_ms": KeyDoc("How long the lease may stand still before another takes it.", _MS),
+    "planner.forget_ms": KeyDoc(
+        "How long a report of an instance that is gone is kept; above status_grace_ms.", _MS
+    ),
     "planner.status_grace_ms": KeyDoc(
         "How long a target's status may stand still before its replicas are placed anew.", _MS
     ),
--- a/packages/transport/src/mimosaspur_transport/instancelist.py
+++ b/packages/transport/src/mimosaspur_transport/instancelist.py
@@ -37,16 +37,19 @@
 class InstanceListClient:
     """Reach the instance list; every wait ends."""
 
-    __slots__ = ("http",)
+    __slots__ = ("http", "size_bytes")
 
     def __init__(self, address: str, *, caller: str, timeout_ms: int, clock: Clock) -> None:
         self.http = JsonHttp(address, caller=caller, timeout_ms=timeout_ms, clock=clock)
+        # What the last reading cost.
+        self.size_bytes = 0
 
     def instances(self) -> list[Instance]:
         """Return the listed instances, which lag; raise StoreUnavailable."""
         reply = self.http.call("GET", "/instances")
         if reply.status != OK:
             raise StoreUnavailable(f"the instance list answered with status {reply.status}")
+        self.size_bytes = reply.size_bytes
         try:
             listing = msgspec.convert(reply.value, _Listing)
         except msgspec.ValidationError as error:
--- a/packages/transport/src/mimosaspur_transport/jsonhttp.py
+++ b/packages/transport/src/mimosaspur_transport/jsonhttp.py
@@ -22,10 +22,11 @@
 
 @dataclass(slots=True, frozen=True)
 class JsonReply:
-    """Hold an answer's status and JSON body."""
+    """Hold an answer's status and JSON body, and the body's bytes."""
 
     status: int
     value: Any
+    size_bytes: int = 0
 
 
 class JsonHttp:
@@ -88,7 +89,7 @@
             preload_content=False,
         )
         data = _read_all(response, deadline)
-        return JsonReply(response.status, _decoded(response.status, data))
+        return JsonReply(response.status, _decoded(response.status, data), len(data))
 
     def _new_pool(self) -> urllib3.HTTPConnectionPool:
         host, port = split_address(self.address)
--- a/packages/transport/src/mimosaspur_transport/plainservice.py
+++ b/packages/transport/src/mimosaspur_transport/plainservice.py
@@ -30,8 +30,7 @@
     """
 
     def __init__(self, address: str) -> None:
-        host, port = split_address(address)
-        self.pool = urllib3.HTTPConnectionPool(host, port, retries=False)
+        self.host, self.port = split_address(address)
 
     def call(self, work: Work, run_id: str, timeout_ms: int) -> ServiceAnswer:
         """Run a request; raise MimosaspurError saying whether it may have run."""
@@ -41,14 +40,11 @@
         headers = {"X-Request-Id": run_id, "Connection": "close"}
         if work.content_type:
             headers["Content-Type"] = work.content_type
+        # A pool of its own: one that is shared hands on connections that the service is closing.
+        pool = urllib3.HTTPConnectionPool(self.host, self.port, retries=False, timeout=timeout)
         try:
-            response = self.pool.request(
-                work.method,
-                work.path,
-                body=work.body or None,
-                headers=headers,
-                timeout=timeout,
-                redirect=False,
+            response = pool.request(
+                work.method, work.path, body=work.body or None, headers=headers, redirect=False
             )
         except urllib3.exceptions.NewConnectionError as error:
             raise MimosaspurError(ResultCode.NO_READY_TARGET, "The service is down.") from error
@@ -58,5 +54,7 @@
             raise MimosaspurError(
                 ResultCode.OUTCOME_UNKNOWN, f"{error}.", outcome=Outcome.UNKNOWN
             ) from error
+        finally:
+            pool.close()
         content_type = response.headers.get("Content-Type", "application/octet-stream")
         return ServiceAnswer(response.status, content_type, response.data)
--- a/packages/transport/src/mimosaspur_transport/targetlink.py
+++ b/packages/transport/src/mimosaspur_transport/targetlink.py
@@ -161,6 +161,7 @@
                 lost_at_ms = self.clock.now_ms()
             except _Idle:
                 self._forget_wire()
+                log(PART, "Closed a connection: the connection rests.", target=self.hint.name)
             except (ConnectionLost, ProtocolError, TimeoutError) as error:
                 if self._lost():
                     lost_at_ms = self.clock.now_ms()
