--- a/features/replace.feature
+++ b/features/replace.feature
@@ -40,3 +40,10 @@
     And a planner that forgets instances after 4 s
     When the process beside the target of "dispatch" is killed for good
     Then its status is deleted and the others' are kept
+
+  Scenario: An entry is replaced at its address
+    Given a drain site of three model targets with "notes" twice and "dispatch" once
+    And requests for "notes" run through "entry-1" alone
+    When "entry-0" is stopped and started again at its address
+    Then "notes" is served through both drain entries again
+    And no request of the drain failed
--- a/features/steps/replace_steps.py
+++ b/features/steps/replace_steps.py
@@ -1,6 +1,7 @@
 """Steps of instances that are replaced."""
 
 import time
+from http.client import HTTPConnection
 
 from behave import given
 from behave import then
@@ -9,7 +10,9 @@
 
 from harness.caller import chat_call
 from harness.caller import service_call
+from harness.control import CALL_S
 from harness.control import wait_for
+from harness.drain_world import Traffic
 from harness.site import QUICK_PLANNER
 from harness.site import REGION
 from harness.site import Site
@@ -38,6 +41,24 @@
     context.replaced = target
 
 
+@given('requests for "{name}" run through "{entry}" alone')
+def run_through_one(context: Context, name: str, entry: str) -> None:
+    context.traffic = [Traffic(context.site.daemons[entry].public, name).start()]
+
+
+@when('"{name}" is stopped and started again at its address')
+def replace_entry(context: Context, name: str) -> None:
+    site: Site = context.site
+    host, _, port = site.daemons[name].public.rpartition(":")
+    kept = HTTPConnection(host, int(port), timeout=CALL_S)
+    kept.request("GET", "/healthz")
+    assert kept.getresponse().read()
+    # The entry closes the kept connection first, which then lingers at its address.
+    site.terminate(name)
+    assert site.daemons[name].started.process.wait(20) == 0
+    site.restart(name)
+
+
 @then('"{name}" is served through both drain entries again')
 def check_served(context: Context, name: str) -> None:
     context.site.await_served("entry-0", name)
--- a/features/steps/scale_any_steps.py
+++ b/features/steps/scale_any_steps.py
@@ -231,10 +231,10 @@
             except msgspec.ValidationError:
                 continue
         known = [record for _, record in found]
-        helds = orders.held_here(found, HERE, self.index)
+        assignments = orders.assigned_here(found, HERE, self.index)
         ready = orders.models_ready(known, self.index)
-        unwanted = orders.unwanted(helds, report, self.index, ready)
-        return Situation(report, self.index, known, helds, unwanted)
+        unwanted = orders.unwanted(assignments, report, self.index, ready)
+        return Situation(report, self.index, known, assignments, unwanted)
 
 
 def in_any_order(
--- a/features/steps/scale_steps.py
+++ b/features/steps/scale_steps.py
@@ -255,7 +255,7 @@
     situations = Situations(context.mirror, region=REGION, target="t1")
     for _ in range(times):
         found = situations.of(EngineState("e", 1, (10,)), index)
-        assert len(found.helds) == context.count
+        assert len(found.assignments) == context.count
 
 
 @then("the mirror was gone through once")
--- a/packages/coordination/src/mimosaspur_coordination/growth.py
+++ b/packages/coordination/src/mimosaspur_coordination/adapterroom.py
@@ -12,7 +12,7 @@
     return [item for item in entry.adapters if item.resident() not in status.residents]
 
 
-def is_cramped(index: BundleIndex, entry: ModelEntry, status: TargetStatus) -> bool:
+def lacks_adapter_room(index: BundleIndex, entry: ModelEntry, status: TargetStatus) -> bool:
     """Tell whether a ready replica's next adapter finds no room beside what stays there.
 
     The target loads a new adapter before it unloads the old one. So a replica without that room
--- a/packages/coordination/src/mimosaspur_coordination/draft.py
+++ b/packages/coordination/src/mimosaspur_coordination/draft.py
@@ -4,8 +4,8 @@
 from functools import cached_property
 from typing import Protocol
 
-from mimosaspur_coordination.growth import is_cramped
-from mimosaspur_coordination.growth import missing_adapters
+from mimosaspur_coordination.adapterroom import lacks_adapter_room
+from mimosaspur_coordination.adapterroom import missing_adapters
 from mimosaspur_coordination.layout import Layout
 from mimosaspur_coordination.layout import accelerators_of
 from mimosaspur_coordination.layout import layout_of
@@ -111,7 +111,9 @@
         return [
             item
             for item in ready
-            if item.version == entry.version and self.stays(item) and not self._cramped(entry, item)
+            if item.version == entry.version
+            and self.stays(item)
+            and not self._lacks_room(entry, item)
         ]
 
     def loads(self, model: str) -> list[Replica]:
@@ -237,13 +239,13 @@
             status = self.view.alive[replica.target]
             missing_mb = _missing_mb(entry, status)
             if missing_mb:
-                # Also a cramped replica takes its adapters as soon as there is room.
+                # Also a replica without that room takes its adapters as soon as there is room.
                 need = Need(entry.name, missing_mb, entry.accelerators)
                 room.hold(need, accelerators_of(status, entry.resident()))
 
-    def _cramped(self, entry: ModelEntry, replica: Replica) -> bool:
+    def _lacks_room(self, entry: ModelEntry, replica: Replica) -> bool:
         status = self.view.alive[replica.target]
-        return bool(entry.adapters) and is_cramped(self.view.index, entry, status)
+        return bool(entry.adapters) and lacks_adapter_room(self.view.index, entry, status)
 
     def _served(self, model: str) -> bool:
         entry = self.view.index.models.get(model)
--- a/packages/coordination/src/mimosaspur_coordination/rehearsal.py
+++ b/packages/coordination/src/mimosaspur_coordination/dryrun.py
@@ -1,7 +1,7 @@
-"""Rehearse a roll from what targets report, with the planner itself deciding the moves."""
+"""Try a roll out from what targets report, with the planner itself deciding the moves."""
 
+from mimosaspur_coordination.dryruntarget import DryRunTarget
 from mimosaspur_coordination.planner import plan
-from mimosaspur_coordination.rehearsedtarget import RehearsedTarget
 from mimosaspur_coordination.view import DEFAULT_AT_ONCE
 from mimosaspur_coordination.view import Placed
 from mimosaspur_coordination.view import PlannerView
@@ -27,7 +27,7 @@
         return True
 
 
-class Rehearsal:
+class DryRun:
     """Run a roll on targets that do at once what the planner asks of them."""
 
     def __init__(
@@ -42,7 +42,7 @@
         self.at_once = at_once
         # What is on targets now is as the bundle in force names it.
         self.known = {entry.resident(): entry for entry in (*bundle.models, *in_force.models)}
-        self.targets = {item.instance: RehearsedTarget(item, self.known) for item in targets}
+        self.targets = {item.instance: DryRunTarget(item, self.known) for item in targets}
         self.draining = frozenset(item.instance for item in targets if item.draining)
         self.placed: dict[str, Placed] = {}
         for name, target in self.targets.items():
--- a/packages/coordination/src/mimosaspur_coordination/rehearsedtarget.py
+++ b/packages/coordination/src/mimosaspur_coordination/dryruntarget.py
@@ -31,7 +31,7 @@
         return Need("", self.memory_mb, self.accelerators)
 
 
-class RehearsedTarget:
+class DryRunTarget:
     """Load, unload and grow replicas from what a target last reported."""
 
     def __init__(self, status: TargetStatus, known: Mapping[str, ModelEntry]) -> None:
--- a/packages/coordination/src/mimosaspur_coordination/fit.py
+++ b/packages/coordination/src/mimosaspur_coordination/fit.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Iterable
 
+from mimosaspur_coordination.dryrun import DryRun
 from mimosaspur_coordination.packing import Bin
 from mimosaspur_coordination.packing import Need
 from mimosaspur_coordination.packing import largest_first
 from mimosaspur_coordination.packing import pack
-from mimosaspur_coordination.rehearsal import Rehearsal
 from mimosaspur_coordination.view import DEFAULT_AT_ONCE
 from mimosaspur_state.bundle import Bundle
 from mimosaspur_state.bundle import ModelEntry
@@ -15,8 +15,8 @@
 from mimosaspur_state.records import TargetStatus
 from mimosaspur_state.settings import TargetKind
 
-REHEARSED_AT_ONCE = (DEFAULT_AT_ONCE, 2, 1)
-"""Rehearse with so many loads at once: which are ready first decides what room is left."""
+DRY_RUN_AT_ONCE = (DEFAULT_AT_ONCE, 2, 1)
+"""Try with so many loads at once: which are ready first decides what room is left."""
 
 NO_ROOM_BESIDE = "there is no room beside what is in force, also with one other model moved"
 
@@ -91,8 +91,8 @@
         return
     if any(status.residents for status in targets):
         # What targets report is truer than how the bundle in force would be packed.
-        for at_once in REHEARSED_AT_ONCE:
-            stuck = Rehearsal(bundle, in_force, targets, at_once=at_once).unready()
+        for at_once in DRY_RUN_AT_ONCE:
+            stuck = DryRun(bundle, in_force, targets, at_once=at_once).unready()
             if stuck:
                 raise _does_not_fit(Need.of(stuck), _bins(targets, free=True), NO_ROOM_BESIDE)
         return
--- a/packages/coordination/src/mimosaspur_coordination/orders.py
+++ b/packages/coordination/src/mimosaspur_coordination/orders.py
@@ -17,7 +17,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Held:
+class Assignment:
     """Join a replica on this target with its record and, at the served version, its entry."""
 
     item: StoredObject
@@ -50,27 +50,27 @@
         return ResidentKind.ADAPTER if self.base else ResidentKind.MODEL
 
 
-def held_here(
+def assigned_here(
     records: Iterable[tuple[StoredObject, PlacementRecord]], target: str, index: BundleIndex
-) -> list[Held]:
+) -> list[Assignment]:
     """Return the replicas on a target, the most urgent models first."""
     found = []
     for item, record in records:
         served = index.models.get(record.model)
         for replica in record.on(target):
             entry = served if served and served.version == replica.version else None
-            found.append(Held(item, record, replica.version, replica.state, entry))
+            found.append(Assignment(item, record, replica.version, replica.state, entry))
     return sorted(found, key=_urgency)
 
 
-def whole(held: Held, report: EngineState) -> bool:
+def whole(held: Assignment, report: EngineState) -> bool:
     """Tell whether a replica's base and all its adapters are ready."""
     if held.entry is None or not report.ready(held.base()):
         return False
     return all(_adapter_ready(report, name, held.base()) for name in held.adapters())
 
 
-def next_load(held: Held, report: EngineState) -> Load | None:
+def next_load(held: Assignment, report: EngineState) -> Load | None:
     """Return what a staying replica needs next: its base, then its adapters one by one."""
     entry = held.entry
     if entry is None or held.state is ReplicaState.LEAVING:
@@ -86,10 +86,10 @@
     return None
 
 
-def promised_mb(helds: Iterable[Held], ledger: MemoryLedger) -> list[int]:
+def promised_mb(assignments: Iterable[Assignment], ledger: MemoryLedger) -> list[int]:
     """Return the memory on each accelerator that adapters of bases loaded here still need."""
     promised = [0] * len(ledger.capacity_mb())
-    for held in helds:
+    for held in assignments:
         if held.entry is None or held.state is ReplicaState.LEAVING:
             continue
         missing = [it for it in held.entry.adapters if not ledger.counts(it.resident())]
@@ -109,12 +109,12 @@
 
 
 def unwanted(
-    helds: list[Held], report: EngineState, index: BundleIndex, elsewhere: set[str]
+    assignments: list[Assignment], report: EngineState, index: BundleIndex, elsewhere: set[str]
 ) -> list[Resident]:
     """Return ready residents that no replica here needs, adapters before their bases."""
     adapters = []
     bases = []
-    wanted_bases = {held.base() for held in helds}
+    wanted_bases = {held.base() for held in assignments}
     for item in report.residents:
         if item.state is not ResidentState.READY:
             continue
@@ -122,18 +122,18 @@
             bases.append(item)
         if item.kind is not ResidentKind.ADAPTER:
             continue
-        if not _adapter_needed(item, helds, report, index, elsewhere):
+        if not _adapter_needed(item, assignments, report, index, elsewhere):
             adapters.append(item)
     return adapters + bases
 
 
-def residents_of(held: Held, report: EngineState) -> list[str]:
+def residents_of(held: Assignment, report: EngineState) -> list[str]:
     """Return the resident ids that make up a replica: its base and what sits on it."""
     on_it = [item.id for item in report.residents if item.base == held.base()]
     return [held.base(), *on_it]
 
 
-def _urgency(held: Held) -> tuple[int, str, str]:
+def _urgency(held: Assignment) -> tuple[int, str, str]:
     # A replica outside the bundle needs no load, so its place in the order is free.
     priority = held.entry.priority if held.entry else LOWEST_PRIORITY
     return priority, held.record.model, held.version
@@ -141,12 +141,12 @@
 
 def _adapter_needed(
     adapter: Resident,
-    helds: list[Held],
+    assignments: list[Assignment],
     report: EngineState,
     index: BundleIndex,
     elsewhere: set[str],
 ) -> bool:
-    holder = next((held for held in helds if held.base() == adapter.base), None)
+    holder = next((held for held in assignments if held.base() == adapter.base), None)
     if holder is None:
         return False
     # An older version's adapters serve with it until it has left.
@@ -158,7 +158,7 @@
         return False
     if served.model.name == holder.entry.name:
         return not report.ready(served.resident())
-    if any(held.base() == served.model.resident() for held in helds):
+    if any(held.base() == served.model.resident() for held in assignments):
         # A replica that was READY before the bundle changed loads its new adapters still.
         return not report.ready(served.resident())
     return served.model.name not in elsewhere
--- a/packages/coordination/src/mimosaspur_coordination/planner.py
+++ b/packages/coordination/src/mimosaspur_coordination/planner.py
@@ -3,8 +3,6 @@
 from collections.abc import Iterator
 from itertools import chain
 
-from mimosaspur_coordination.calm import restless
-from mimosaspur_coordination.calm import stirred
 from mimosaspur_coordination.demand import LOW_WINDOWS
 from mimosaspur_coordination.demand import settled
 from mimosaspur_coordination.demand import unserved
@@ -14,11 +12,13 @@
 from mimosaspur_coordination.packing import Need
 from mimosaspur_coordination.packing import hardest
 from mimosaspur_coordination.packing import pack
-from mimosaspur_coordination.room import give_room
+from mimosaspur_coordination.room import make_room
 from mimosaspur_coordination.steps import drop_dead
 from mimosaspur_coordination.steps import drop_useless_loads
 from mimosaspur_coordination.steps import retire_outgoing
 from mimosaspur_coordination.steps import retire_unwanted
+from mimosaspur_coordination.unsettled import entries_to_scale
+from mimosaspur_coordination.unsettled import unsettled_entries
 from mimosaspur_coordination.view import DemandSum
 from mimosaspur_coordination.view import PlannerView
 from mimosaspur_coordination.view import RecordChange
@@ -35,7 +35,7 @@
         # Another planner knows a newer bundle: ours would undo its moves.
         return []
     draft = Draft(view, bucket)
-    entries = _by_urgency(draft, restless(view))
+    entries = _by_urgency(draft, unsettled_entries(view))
     waits = _load_missing(draft, entries)
     retire_unwanted(draft)
     for entry in entries:
@@ -45,7 +45,7 @@
     if not waits:
         # Room that a model without any replica waits for must not go to a second replica.
         _fill_up(draft, entries)
-        _follow_demand(draft, _by_urgency(draft, stirred(view)))
+        _follow_demand(draft, _by_urgency(draft, entries_to_scale(view)))
     return draft.changes()
 
 
@@ -66,7 +66,7 @@
     held_back: list[ModelEntry] = []
     for position, entry in enumerate(missing):
         if not draft.has_room(entry):
-            waits |= give_room(draft, entry)
+            waits |= make_room(draft, entry)
         elif draft.loads_left == 0:
             waits = True
         elif not _load_first(draft, entry, [*missing[position + 1 :], *held_back]):
--- a/packages/coordination/src/mimosaspur_coordination/room.py
+++ b/packages/coordination/src/mimosaspur_coordination/room.py
@@ -25,7 +25,7 @@
         return (len(self.moves) + self.moving, len(self.surplus))
 
 
-def give_room(draft: Draft, entry: ModelEntry) -> bool:
+def make_room(draft: Draft, entry: ModelEntry) -> bool:
     """Begin the cheapest way to room for an entry; return False if there is none."""
     if _unwanted_leave(draft, entry):
         # Their room comes without any move; a target that never gives it stops being alive.
--- a/packages/coordination/src/mimosaspur_coordination/steps.py
+++ b/packages/coordination/src/mimosaspur_coordination/steps.py
@@ -42,7 +42,7 @@
 
 
 def retire_outgoing(draft: Draft, entry: ModelEntry) -> None:
-    """Have old, cramped and leaving targets' replicas go, never before one replaces them."""
+    """Have replicas go that are old, lack room or leave, never before one replaces them."""
     good = draft.good(entry)
     if not good:
         return
--- a/packages/coordination/src/mimosaspur_coordination/calm.py
+++ b/packages/coordination/src/mimosaspur_coordination/unsettled.py
@@ -1,26 +1,26 @@
 """Find the models that need a closer look; all others are as the bundle wants them."""
 
+from mimosaspur_coordination.adapterroom import lacks_adapter_room
 from mimosaspur_coordination.demand import LOW_WINDOWS
 from mimosaspur_coordination.demand import carried
-from mimosaspur_coordination.growth import is_cramped
 from mimosaspur_coordination.view import PlannerView
 from mimosaspur_state.bundle import ModelEntry
 from mimosaspur_state.placement import PlacementRecord
 from mimosaspur_state.placement import ReplicaState
 
 
-def restless(view: PlannerView) -> list[ModelEntry]:
+def unsettled_entries(view: PlannerView) -> list[ModelEntry]:
     """Return the entries whose record isn't settled."""
     staying = view.alive.keys() - view.draining
-    return [entry for entry in view.index.models.values() if not _is_calm(view, entry, staying)]
+    return [entry for entry in view.index.models.values() if not _is_settled(view, entry, staying)]
 
 
-def stirred(view: PlannerView) -> list[ModelEntry]:
+def entries_to_scale(view: PlannerView) -> list[ModelEntry]:
     """Return the entries whose demand may ask for one replica more or fewer."""
-    return [entry for entry in view.index.models.values() if _is_stirred(view, entry)]
+    return [entry for entry in view.index.models.values() if _may_scale(view, entry)]
 
 
-def _is_calm(view: PlannerView, entry: ModelEntry, staying: set[str]) -> bool:
+def _is_settled(view: PlannerView, entry: ModelEntry, staying: set[str]) -> bool:
     placed = view.placed.get(entry.name)
     if placed is None or len(placed.record.replicas) < entry.replicas:
         return False
@@ -29,15 +29,15 @@
             return False
         if replica.target not in staying:
             return False
-    return not entry.adapters or not _any_cramped(view, entry, placed.record)
+    return not entry.adapters or not _any_lacks_room(view, entry, placed.record)
 
 
-def _any_cramped(view: PlannerView, entry: ModelEntry, record: PlacementRecord) -> bool:
+def _any_lacks_room(view: PlannerView, entry: ModelEntry, record: PlacementRecord) -> bool:
     statuses = [view.alive[replica.target] for replica in record.replicas]
-    return any(is_cramped(view.index, entry, status) for status in statuses)
+    return any(lacks_adapter_room(view.index, entry, status) for status in statuses)
 
 
-def _is_stirred(view: PlannerView, entry: ModelEntry) -> bool:
+def _may_scale(view: PlannerView, entry: ModelEntry) -> bool:
     if view.low_windows.get(entry.name, 0) >= LOW_WINDOWS:
         return True
     demand = view.demand.get(entry.name)
--- a/packages/daemon/src/mimosaspur_daemon/engine_right.py
+++ b/packages/daemon/src/mimosaspur_daemon/engine_authority.py
@@ -13,7 +13,7 @@
 TOKEN_PAUSE_MS = 1000
 
 
-class OrderRight:
+class OrderAuthority:
     """Tell whether this process may order now; used by the keeper's task only."""
 
     def __init__(
--- a/packages/daemon/src/mimosaspur_daemon/engine_keeper.py
+++ b/packages/daemon/src/mimosaspur_daemon/engine_keeper.py
@@ -11,10 +11,10 @@
 from mimosaspur_coordination import replicas
 from mimosaspur_coordination.engineport import EnginePort
 from mimosaspur_coordination.mirror import Mirror
-from mimosaspur_coordination.orders import Held
+from mimosaspur_coordination.orders import Assignment
+from mimosaspur_daemon.engine_authority import OrderAuthority
 from mimosaspur_daemon.engine_orders import OrderSender
 from mimosaspur_daemon.engine_records import EngineRecords
-from mimosaspur_daemon.engine_right import OrderRight
 from mimosaspur_daemon.engine_situation import ServingSide
 from mimosaspur_daemon.engine_situation import Situation
 from mimosaspur_daemon.engine_situation import Situations
@@ -74,7 +74,7 @@
         self.sender = OrderSender(
             engine, self.ledger, clock, longest_pause_ms=self.longest_pause_ms
         )
-        self.right = OrderRight(
+        self.authority = OrderAuthority(
             store,
             self.sender,
             clock,
@@ -116,7 +116,7 @@
 
     def run(self, stop: threading.Event) -> None:
         """Go round every poll_ms, or sooner when placement changes, until told to stop."""
-        self.right.start()
+        self.authority.start()
         while not stop.is_set():
             try:
                 self.round()
@@ -129,7 +129,7 @@
     def round(self) -> None:
         """Read the engine's report, then settle records and give the orders that fit."""
         if self.clock.now_ms() - self._round_ended_ms > self.longest_pause_ms:
-            self.right.doubt()
+            self.authority.doubt()
         report = self.sender.read()
         if report is not None:
             self._publish(report)
@@ -144,10 +144,10 @@
         self._round_ended_ms = self.clock.now_ms()
 
     def _act(self, report: EngineState) -> None:
-        if not self.right.held(report):
+        if not self.authority.held(report):
             return
         # A predecessor is fenced off even before there is a bundle to act by.
-        cleared = self.right.cleared(report)
+        cleared = self.authority.cleared(report)
         situation = self._situation(report)
         if situation is None:
             return
@@ -169,7 +169,7 @@
         return self.situations.of(report, index)
 
     def _mark_lost(self, situation: Situation) -> None:
-        for held in situation.helds:
+        for held in situation.assignments:
             lost = held.state is not ReplicaState.LOAD
             if not lost or situation.report.ready(held.base()):
                 continue
@@ -177,7 +177,7 @@
             self.records.change(replicas.mark_lost, held)
 
     def _mark_ready(self, situation: Situation) -> None:
-        for held in situation.helds:
+        for held in situation.assignments:
             if held.state is not ReplicaState.LOAD or not orders.whole(held, situation.report):
                 continue
             if any(self._unload_pending(name) for name in (held.base(), *held.adapters())):
@@ -185,14 +185,14 @@
             self.records.change(replicas.mark_ready, held)
 
     def _leave(self, situation: Situation) -> None:
-        for held in situation.helds:
+        for held in situation.assignments:
             if held.state is not ReplicaState.LEAVING or not self.records.answers:
                 continue
             if not replicas.replaced(held.record, self.name, held.version, situation.index):
                 continue
             self._leave_one(held, situation)
 
-    def _leave_one(self, held: Held, situation: Situation) -> None:
+    def _leave_one(self, held: Assignment, situation: Situation) -> None:
         parts = orders.residents_of(held, situation.report)
         for name in parts:
             self._close(name)
@@ -210,7 +210,7 @@
         leaving.update(
             item.id for item in situation.report.residents if item.state is ResidentState.UNLOADING
         )
-        for held in situation.helds:
+        for held in situation.assignments:
             if held.state is ReplicaState.LEAVING:
                 leaving.update(orders.residents_of(held, situation.report))
         for name in self.closed - leaving:
@@ -220,12 +220,12 @@
     def _load(self, situation: Situation) -> None:
         # No store was asked since the report, so only a pause can have made it old.
         if not self.sender.fresh():
-            self.right.doubt()
-        for held in situation.helds:
+            self.authority.doubt()
+        for held in situation.assignments:
             step = orders.next_load(held, situation.report)
             if step is None or not self.sender.fresh():
                 continue
-            promised_mb = orders.promised_mb(situation.helds, self.ledger)
+            promised_mb = orders.promised_mb(situation.assignments, self.ledger)
             if not self.sender.load(step, promised_mb):
                 self.metrics.count("engine.load_waits")
 
--- a/packages/daemon/src/mimosaspur_daemon/engine_records.py
+++ b/packages/daemon/src/mimosaspur_daemon/engine_records.py
@@ -4,7 +4,7 @@
 
 from mimosaspur_coordination import replicas
 from mimosaspur_coordination.mirror import Mirror
-from mimosaspur_coordination.orders import Held
+from mimosaspur_coordination.orders import Assignment
 from mimosaspur_daemon.engine_situation import Situation
 from mimosaspur_daemon.engine_situation import still_to_come
 from mimosaspur_state import keys
@@ -30,7 +30,7 @@
         self.target = target
         self.answers = True
 
-    def change(self, change: Callable[..., object], held: Held) -> bool:
+    def change(self, change: Callable[..., object], held: Assignment) -> bool:
         """Make a change in the store; an unsettled one is taken up again in the next round."""
         learn = self.mirror.learn
         if not self.answers:
@@ -45,7 +45,7 @@
     def let_go(self, item: Resident, situation: Situation) -> bool:
         """Tell whether the record itself, not the mirror's copy, lets a resident go."""
         base = item.base or item.id
-        if item.base and any(held.base() == base for held in situation.helds):
+        if item.base and any(held.base() == base for held in situation.assignments):
             return not still_to_come(item, situation, self.store, self.region)
         if not self.answers:
             return False
--- a/packages/daemon/src/mimosaspur_daemon/engine_situation.py
+++ b/packages/daemon/src/mimosaspur_daemon/engine_situation.py
@@ -6,7 +6,7 @@
 from mimosaspur_coordination import orders
 from mimosaspur_coordination.decoded import RecordCache
 from mimosaspur_coordination.mirror import Mirror
-from mimosaspur_coordination.orders import Held
+from mimosaspur_coordination.orders import Assignment
 from mimosaspur_state import keys
 from mimosaspur_state.bundle import BundleIndex
 from mimosaspur_state.engine import EngineState
@@ -36,7 +36,7 @@
     report: EngineState
     index: BundleIndex
     records: list[PlacementRecord]
-    helds: list[Held]
+    assignments: list[Assignment]
     unwanted: list[Resident]
 
 
@@ -68,9 +68,9 @@
             self.ready = orders.models_ready(self.known, index)
             self.last = None
         if self.last is None or self.last.report != report:
-            helds = orders.held_here(asked, self.target, index)
-            unwanted = orders.unwanted(helds, report, index, self.ready)
-            self.last = Situation(report, index, self.known, helds, unwanted)
+            assignments = orders.assigned_here(asked, self.target, index)
+            unwanted = orders.unwanted(assignments, report, index, self.ready)
+            self.last = Situation(report, index, self.known, assignments, unwanted)
         return self.last
 
 
@@ -79,7 +79,7 @@
     served = situation.index.served.get(adapter.id.rpartition("@")[0])
     if served is None or (adapter.base or "").startswith(f"{served.model.name}@"):
         return False
-    if any(held.base() == served.model.resident() for held in situation.helds):
+    if any(held.base() == served.model.resident() for held in situation.assignments):
         # Decided by our engine's own report already.
         return False
     found = [record for record in situation.records if record.model == served.model.name]
--- a/packages/daemon/src/mimosaspur_daemon/entryrole.py
+++ b/packages/daemon/src/mimosaspur_daemon/entryrole.py
@@ -43,7 +43,12 @@
         self.holder = BundleHolder()
         region = settings.instance.region
         prefixes = (keys.HEAD, keys.placements(region), keys.carriers(region), keys.DRAINS)
-        self.mirror = Mirror(self.store, prefixes, wait_ms=settings.platform.watch_ms)
+        self.mirror = Mirror(
+            self.store,
+            prefixes,
+            wait_ms=settings.platform.watch_ms,
+            pace_ms=settings.platform.watch_pace_ms,
+        )
         self.fetcher = BundleFetcher(self.store, self.holder)
         self.mirror.listeners.append(self.fetcher.head_changed)
         self.directory = Directory(self.mirror, region=region)
--- a/packages/daemon/src/mimosaspur_daemon/planner_watch.py
+++ b/packages/daemon/src/mimosaspur_daemon/planner_watch.py
@@ -7,7 +7,6 @@
 from mimosaspur_coordination.demand import LowWindows
 from mimosaspur_coordination.demand import sum_reports
 from mimosaspur_coordination.mirror import Mirror
-from mimosaspur_coordination.view import DEFAULT_LOAD_TIMEOUT_MS
 from mimosaspur_coordination.view import DEFAULT_SERVICE_TIME_MS
 from mimosaspur_coordination.view import LoadKey
 from mimosaspur_coordination.view import Placed
@@ -55,14 +54,13 @@
         mirror: Mirror,
         settings: Settings,
         *,
-        load_timeout_ms: int = DEFAULT_LOAD_TIMEOUT_MS,
         service_time_ms: int = DEFAULT_SERVICE_TIME_MS,
     ) -> None:
         self.mirror = mirror
         self.records = RecordCache(mirror)
         self.settings = settings
         self.region = settings.instance.region
-        self.load_timeout_ms = load_timeout_ms
+        self.load_timeout_ms = settings.planner.load_timeout_ms
         self.service_time_ms = service_time_ms
         self.statuses = Beats(settings.planner.status_grace_ms)
         self.reports = Beats(settings.planner.demand_window_ms)
--- a/packages/daemon/src/mimosaspur_daemon/targetrole.py
+++ b/packages/daemon/src/mimosaspur_daemon/targetrole.py
@@ -112,7 +112,12 @@
         if self.target.kind is TargetKind.SERVICE:
             placed = keys.carrier(region, self.target.service)
         prefixes = (keys.HEAD, placed, keys.drain(self.settings.instance.name))
-        return Mirror(self.store, prefixes, wait_ms=self.settings.platform.watch_ms)
+        return Mirror(
+            self.store,
+            prefixes,
+            wait_ms=self.settings.platform.watch_ms,
+            pace_ms=self.settings.platform.watch_pace_ms,
+        )
 
     def _queue(self) -> AdmissionQueue:
         return AdmissionQueue(
--- a/packages/load/src/mimosaspur_load/scenarios.py
+++ b/packages/load/src/mimosaspur_load/scenarios.py
@@ -12,7 +12,7 @@
 from mimosaspur_load.shapes import bundle_value
 from mimosaspur_load.site import Site
 
-CALM_RATE = 8.0
+BASE_RATE = 8.0
 BANK_RATE = 30.0
 BANK = (0.25, 0.75)
 SURGE_RATE = 36.0
@@ -72,14 +72,14 @@
 
 def _steady(count: int) -> Demand:
     weights = zipf(count)
-    return Demand(lambda passed: CALM_RATE, lambda passed: weights, CALM_RATE)
+    return Demand(lambda passed: BASE_RATE, lambda passed: weights, BASE_RATE)
 
 
 def _bank(count: int) -> Demand:
     weights = zipf(count)
 
     def rate(passed: float) -> float:
-        return BANK_RATE if BANK[0] <= passed < BANK[1] else CALM_RATE
+        return BANK_RATE if BANK[0] <= passed < BANK[1] else BASE_RATE
 
     return Demand(rate, lambda passed: weights, BANK_RATE)
 
@@ -89,9 +89,9 @@
 
     def rate(passed: float) -> float:
         if passed < SURGE_AT:
-            return CALM_RATE
+            return BASE_RATE
         fade = float(np.exp(-(passed - SURGE_AT) / SURGE_DECAY))
-        return CALM_RATE + (SURGE_RATE - CALM_RATE) * fade
+        return BASE_RATE + (SURGE_RATE - BASE_RATE) * fade
 
     return Demand(rate, lambda passed: weights, SURGE_RATE)
 
--- a/packages/state/src/mimosaspur_state/settingsdoc.py
+++ b/packages/state/src/mimosaspur_state/settingsdoc.py
@@ -25,6 +25,11 @@
     "platform.instance_list": KeyDoc("Address of the instance list.", "ip:port"),
     "platform.timeout_ms": KeyDoc("Longest wait for one answer, beyond a watch's own wait.", _MS),
     "platform.watch_ms": KeyDoc("How long one watch waits; each one counts as a call.", _MS),
+    "platform.watch_pace_ms": KeyDoc(
+        "Pause after a watch's answer before the next: bounds the calls of a large fleet, and "
+        "delays what is watched by as much.",
+        _MS,
+    ),
     "platform.reads_per_second": KeyDoc(
         "Most reads, lists and watches of this instance; 0 is no limit.", "calls/s"
     ),
@@ -70,9 +75,6 @@
     "target.longest_order_delay_ms": KeyDoc(
         "Latest arrival of an order; until then a lost one keeps its memory.", _MS
     ),
-    "target.load_timeout_ms": KeyDoc(
-        "Not read yet: the planner gives a load up after its own 180000 ms.", _MS
-    ),
     "target.slots": KeyDoc("Requests that run at once.", _REQUESTS),
     "target.queue": KeyDoc("Requests that may wait for a slot; more are refused.", _REQUESTS),
     "target.service_time_ms": KeyDoc(
@@ -95,6 +97,9 @@
     "planner": KeyDoc("The planner duty. Give all entries of a region the same."),
     "planner.interval_ms": KeyDoc("Pause between planning passes.", _MS),
     "planner.lease_ms": KeyDoc("How long the lease may stand still before another takes it.", _MS),
+    "planner.load_timeout_ms": KeyDoc(
+        "When a load that is not done is given up and tried at another target.", _MS
+    ),
     "planner.forget_ms": KeyDoc(
         "How long a report of an instance that is gone is kept; above status_grace_ms.", _MS
     ),
--- a/packages/transport/src/mimosaspur_transport/callers.py
+++ b/packages/transport/src/mimosaspur_transport/callers.py
@@ -1,5 +1,6 @@
 """Serve callers over HTTP."""
 
+import socket
 import threading
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -68,6 +69,8 @@
     def start(self) -> None:
         """Bind and begin to serve; raise OSError."""
         self.http.prepare()
+        # A successor must be able to listen here while connections of this process linger.
+        self.http.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.thread.start()
         log("ENTRY", "Serving callers.", address=self.address)
 
