Place adapters ahead of the requests that will name them

Change: the coordinator counts how often each adapter is asked for, and fills the engines' places with the likeliest ones, as far as their engine takes an order. What requests wait for comes first. A move of a model waits the 40 ms that an adapter's order takes. What makes room is the adapter least expected, not the one ordered longest ago.

Ruled out: that the places are too few.

--- /dev/null
+++ b/features/steps/direct_adapters_steps.py
@@ -0,0 +1,187 @@
+"""Steps of the decision which engine loads which adapter."""
+
+import asyncio
+import re
+from collections.abc import Coroutine
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+
+from harness.direct_engine import OrderedEngine
+from harness.direct_world import engine_spec
+from harness.direct_world import model_spec
+from harness.direct_world import quiet_log
+from harness.loop import run
+from mimosaspur_coordination.adapterdemand import AdapterDemand
+from mimosaspur_coordination.adapterplacement import AdapterEngine
+from mimosaspur_coordination.adapterplacement import AdapterPlacement
+from mimosaspur_coordination.fleetports import LeaseRecord
+from mimosaspur_coordination.modeldemand import ModelDemand
+from mimosaspur_coordination.orderlease import OrderLease
+from mimosaspur_daemon.direct.adapterkeeper import AdapterKeeper
+from mimosaspur_daemon.direct.enginedesk import EngineDesk
+from mimosaspur_state.clock import SystemClock
+from mimosaspur_state.fleet import TargetRecord
+
+NAMES = ("a1", "a2", "a3")
+ADAPTERS = dict.fromkeys("ab", NAMES)
+PLACES = 2
+ENGINE_PLACES = 4
+SPEC = engine_spec([model_spec(name, adapters=NAMES) for name in "ab"], adapter_slots=ENGINE_PLACES)
+SOON_S = 3.0
+TURN_S = 0.02
+
+
+def _pair(text: str) -> tuple[str, str]:
+    model, _, name = text.partition("/")
+    return model, name
+
+
+def _engine(text: str) -> AdapterEngine:
+    identity, _, rest = text.strip().partition(":")
+    held: dict[str, list[str]] = {}
+    for word in re.findall(r"\b[ab](?:\+a\d)*\b", rest):
+        model, *names = word.split("+")
+        held[model] = names
+    came = {(model, name) for model, names in held.items() for name in names}
+    recent = frozenset(came) if "just came" in rest else frozenset()
+    return AdapterEngine(identity, held, PLACES, "busy" not in rest, recent)
+
+
+@given("the adapter engines {text}")
+def set_engines(context: Context, text: str) -> None:
+    context.engines = [_engine(part) for part in text.split(";")]
+
+
+@given("the expected requests {text}")
+def set_rates(context: Context, text: str) -> None:
+    rates = {}
+    if text != "nothing":
+        for part in text.split(", "):
+            adapter, rate = part.split()
+            rates[_pair(adapter)] = float(rate)
+    context.placement = AdapterPlacement(
+        context.engines, lambda model, name: rates.get((model, name), 0.0)
+    )
+
+
+@when("requests wait for {wanted}")
+def decide_waiting(context: Context, wanted: str) -> None:
+    context.move = context.placement.for_waiting(_pair(wanted))
+
+
+@when("engine x is looked at ahead of requests")
+def decide_ahead(context: Context) -> None:
+    context.move = context.placement.ahead(context.engines[0], ADAPTERS)
+
+
+@then("the adapter move is {text}")
+def check_move(context: Context, text: str) -> None:
+    move = context.move
+    if text == "none":
+        assert move is None, move
+        return
+    assert move is not None
+    adapter, _, rest = text.partition(" on ")
+    places, _, victim = rest.partition(" for ")
+    assert (move.model, move.adapter) == _pair(adapter), move
+    assert move.identity in places.split(" or "), move
+    assert move.victim == (_pair(victim) if victim else None), move
+
+
+class _Keeper:
+    """Hold a keeper of adapters before one engine."""
+
+    def __init__(self) -> None:
+        self.clock = SystemClock()
+        residents: dict[str, set[str]] = {"a": set(), "b": set()}
+        self.engine = OrderedEngine(residents=residents, adapter_places=ENGINE_PLACES)
+        lease = OrderLease("me", handover_ms=0, clock=self.clock)
+        lease.taken(
+            LeaseRecord("me", ("127.0.0.1", 1), 1, 1), asked_ms=self.clock.now_ms(), predecessor=""
+        )
+        self.desk = EngineDesk(
+            TargetRecord("x", "service", ("127.0.0.1", 1), "here"),
+            port=self.engine,
+            lease=lease,
+            clock=self.clock,
+            log=quiet_log("me"),
+            changed=lambda: None,
+        )
+        self.tasks: list[asyncio.Task[None]] = []
+        self.keeper = AdapterKeeper(
+            demand=AdapterDemand(clock=self.clock),
+            models=ModelDemand(clock=self.clock),
+            spawn=self._spawn,
+            changed=lambda: None,
+        )
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self.tasks.append(asyncio.get_running_loop().create_task(work))
+
+    def place(self, *waiting: tuple[str, str]) -> None:
+        """Let the keeper begin what the engine can take now."""
+        self.keeper.place(SPEC, [self.desk], waiting)
+
+    def held(self) -> set[str]:
+        """Return the adapters that the engine holds."""
+        return {
+            f"{model}/{name}" for model, names in self.engine.residents.items() for name in names
+        }
+
+
+@given("a keeper of adapters and an engine that holds a and b")
+def make_keeper(context: Context) -> None:
+    context.world = _Keeper()
+
+
+@when("a/a2 is asked for 4 times and b/a1 once")
+def ask(context: Context) -> None:
+    world: _Keeper = context.world
+    world.keeper.demand.count("a", "a2", 4)
+    world.keeper.demand.count("b", "a1", 1)
+
+    async def turns() -> None:
+        await world.desk.look()
+        for _ in range(round(SOON_S / TURN_S)):
+            world.place()
+            await asyncio.sleep(TURN_S)
+            if len(world.held()) == ENGINE_PLACES:
+                break
+        await asyncio.gather(*world.tasks)
+
+    run(context, turns())
+
+
+@then("the engine soon holds a/a2, b/a1 and two more, and never more than its places")
+def check_places(context: Context) -> None:
+    world: _Keeper = context.world
+    assert {"a/a2", "b/a1"} <= world.held(), world.held()
+    assert len(world.held()) == ENGINE_PLACES, world.held()
+    assert not world.engine.overcommitted, world.engine.most_adapters
+
+
+@when("an adapter is being placed")
+def begin_to_place(context: Context) -> None:
+    world: _Keeper = context.world
+
+    async def place() -> None:
+        await world.desk.look()
+        context.before_ms = world.desk.free_in_ms()
+        world.place(("a", "a1"))
+        context.meanwhile_ms = world.desk.free_in_ms()
+        await asyncio.gather(*world.tasks)
+        context.after_ms = world.desk.free_in_ms()
+
+    run(context, place())
+
+
+@then("the engine is not free for a model's move until it is there")
+def check_not_free(context: Context) -> None:
+    assert context.before_ms == 0
+    assert context.meanwhile_ms > 0
+    assert context.after_ms == 0
+    assert "a/a1" in context.world.held()
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/adapterdemand.py
@@ -0,0 +1,52 @@
+"""Measure how often each adapter is asked for, fading with time."""
+
+import math
+from dataclasses import dataclass
+
+from mimosaspur_state.clock import Clock
+
+# An adapter's requests are seconds apart: a shorter memory would forget it between two of them.
+FADE_MS = 10_000
+
+
+@dataclass(slots=True)
+class _Rate:
+    """Hold requests a second as of a time."""
+
+    requests: float = 0.0
+    updated_ms: int = 0
+
+    def at(self, now_ms: int) -> float:
+        """Return the rate, faded to a time."""
+        return self.requests * math.exp((self.updated_ms - now_ms) / FADE_MS)
+
+
+class AdapterDemand:
+    """Keep the request rates of adapters, and of each model's adapters together."""
+
+    __slots__ = ("adapters", "clock", "models")
+
+    def __init__(self, *, clock: Clock) -> None:
+        self.clock = clock
+        self.adapters: dict[tuple[str, str], _Rate] = {}
+        self.models: dict[str, _Rate] = {}
+
+    def count(self, model: str, adapter: str, requests: int) -> None:
+        """Count requests for an adapter."""
+        now_ms = self.clock.now_ms()
+        for rate in (
+            self.adapters.setdefault((model, adapter), _Rate()),
+            self.models.setdefault(model, _Rate()),
+        ):
+            rate.requests = rate.at(now_ms) + requests * 1000 / FADE_MS
+            rate.updated_ms = now_ms
+
+    def rate(self, model: str, adapter: str) -> float:
+        """Return the requests a second for an adapter."""
+        rate = self.adapters.get((model, adapter))
+        return rate.at(self.clock.now_ms()) if rate else 0.0
+
+    def model_rate(self, model: str) -> float:
+        """Return the requests a second for all adapters of a model."""
+        rate = self.models.get(model)
+        return rate.at(self.clock.now_ms()) if rate else 0.0
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from mimosaspur_coordination.adapterdemand import AdapterDemand
 from mimosaspur_coordination.loadrate import LoadRate
 from mimosaspur_coordination.modeldemand import Demand
 from mimosaspur_coordination.modeldemand import ModelDemand
@@ -14,6 +15,7 @@
 from mimosaspur_coordination.modelplacement import next_copy
 from mimosaspur_coordination.modelplacement import next_swap
 from mimosaspur_coordination.orderlease import OrderLease
+from mimosaspur_daemon.direct.adapterkeeper import AdapterKeeper
 from mimosaspur_daemon.direct.enginedesk import EngineDesk
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.fleetreport import apply_report
@@ -78,8 +80,13 @@
         self.loads = LoadRate(bounds.load_window_ms, clock=self.clock)
         self.loads.count(ASSUMED_LOADS)
         self.tasks: set[asyncio.Task[None]] = set()
-        self.adapters_coming: set[tuple[str, str]] = set()
         self.news = asyncio.Event()
+        self.adapters = AdapterKeeper(
+            demand=AdapterDemand(clock=self.clock),
+            models=self.demand,
+            spawn=self._spawn,
+            changed=self.news.set,
+        )
         # The entries that have followed since the store was last reached.
         self.required: set[str] = set()
         # Who has answered the last request for a proof that the store is away.
@@ -137,6 +144,10 @@
         for asked in report.asked:
             if asked.tokens:
                 self.demand.count(asked.model, asked.tokens, objective_ms=asked.objective_ms)
+        for asked_adapter in report.asked_adapters:
+            self.adapters.demand.count(
+                asked_adapter.model, asked_adapter.adapter, asked_adapter.requests
+            )
         for identity in report.unreachable:
             desk = self.desks.get(identity)
             if desk:
@@ -190,7 +201,8 @@
         if not self.lease.may_order():
             return
         for service, spec in self._engine_services():
-            self._place_adapters(service, spec)
+            waiting = {pair for member in self.members.values() for pair in member.adapters}
+            self.adapters.place(spec, self._desks_of(service), waiting)
             while (swap := next_swap(self._problem(service, spec))) is not None:
                 self._begin(swap)
             swap = next_copy(self._problem(service, spec))
@@ -334,35 +346,6 @@
                 load_ms = round(model.memory_load_s * 1000)
                 await desk.swap(victim, (swap.model,), load_ms=load_ms)
 
-    def _place_adapters(self, service: str, spec: EngineSpec) -> None:
-        wanted = {pair for member in self.members.values() for pair in member.adapters}
-        for model, adapter in wanted - self.adapters_coming:
-            holders = [
-                desk
-                for desk in self._desks_of(service)
-                if model in desk.residents and model not in desk.closing and desk.usable()
-            ]
-            if any(adapter in desk.residents[model] for desk in holders):
-                continue
-            # An engine that moves a model takes no other order meanwhile.
-            free = [desk for desk in holders if not desk.ordering.locked() and desk.orderable()]
-            if free:
-                desk = min(free, key=lambda each: (self._adapter_cost(each, spec), each.running))
-                self.adapters_coming.add((model, adapter))
-                self._spawn(self._load_adapter(desk, spec, model, adapter))
-
-    def _adapter_cost(self, desk: EngineDesk, spec: EngineSpec) -> int:
-        return 0 if desk.adapter_count() < spec.adapter_slots else 1
-
-    async def _load_adapter(
-        self, desk: EngineDesk, spec: EngineSpec, model: str, adapter: str
-    ) -> None:
-        try:
-            await desk.load_adapter(model, adapter, places=spec.adapter_slots)
-        finally:
-            self.adapters_coming.discard((model, adapter))
-            self.news.set()
-
     def _tell(self) -> None:
         now_ms = self.clock.now_ms()
         residents = {
--- a/packages/daemon/src/mimosaspur_daemon/direct/duty.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/duty.py
@@ -10,6 +10,7 @@
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.fleetreport import apply_report
 from mimosaspur_protocol.peermessages import AskedFor
+from mimosaspur_protocol.peermessages import AskedForAdapter
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import FleetReport
 from mimosaspur_protocol.peermessages import ProofAnswer
@@ -251,10 +252,12 @@
     asked = []
     for model in {*state.asked, *state.waiting}:
         one = state.asked.get(model, NOTHING_ASKED)
-        waiting = state.waiting.get(model, 0)
-        asked.append(AskedFor(model, one.tokens, waiting, one.objective_ms))
+        asked.append(AskedFor(model, one.tokens, state.waiting.get(model, 0), one.objective_ms))
     state.asked.clear()
     unreachable = sorted(state.unreachable)
     state.unreachable.clear()
     instance = state.settings.instance
-    return EntryReport(instance, work, asked, list(state.waiting_adapters), unreachable)
+    asked_adapters = [AskedForAdapter(*key, n) for key, n in state.asked_adapters.items()]
+    state.asked_adapters.clear()
+    waiting = list(state.waiting_adapters)
+    return EntryReport(instance, work, asked, waiting, unreachable, asked_adapters)
--- a/packages/daemon/src/mimosaspur_daemon/direct/enginedesk.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/enginedesk.py
@@ -43,6 +43,8 @@
 ADAPTER_RECENT_MS = 300
 # After an adapter's order is accepted it is taken as loaded: adapters load within some 30 ms.
 ADAPTER_LOAD_S = 0.03
+# A model's move waits so long for an adapter that is being placed.
+ADAPTER_MS = 40
 # So many reports in a row without an answer, or one beside an entry that can't reach the engine,
 # and its models are loaded elsewhere.
 LOST_REPORTS = 2
@@ -110,6 +112,8 @@
         # Adapters ordered that are not known to be there, by the time of their order.
         self.arriving: dict[tuple[str, str], int] = {}
         self.placing = asyncio.Lock()
+        # The adapter that a task places now.
+        self.placing_adapter: tuple[str, str] | None = None
         # After a failed move the engine is left alone until then.
         self.rests_until_ms = 0
         self.ordering = asyncio.Lock()
@@ -127,10 +131,6 @@
         """Tell whether the engine may get models at all."""
         return self.known() and not self.record.leaving
 
-    def orderable(self) -> bool:
-        """Tell whether the engine would take an adapter's order now."""
-        return not self.busy and not self.moving
-
     def free_in_ms(self) -> int:
         """Return when a model may be moved, 0 for now."""
         now_ms = self.clock.now_ms()
@@ -138,6 +138,8 @@
             return max(LOOK_MS, self.expected_in_ms())
         if self.busy:
             return LOOK_MS
+        if self.placing_adapter:
+            return ADAPTER_MS
         return max(0, self.rests_until_ms - now_ms)
 
     def expected_in_ms(self) -> int:
@@ -197,20 +199,25 @@
             self.moving = False
             self.changed()
 
-    async def load_adapter(self, model: str, adapter: str, *, places: int) -> bool:
-        """Load an adapter once another one has made room; tell whether it is there."""
+    async def load_adapter(
+        self, model: str, adapter: str, *, places: int, victim: tuple[str, str] | None = None
+    ) -> bool:
+        """Load an adapter once the victim has made room, if one must; tell whether it is there."""
         async with self.placing:
             try:
-                return await self._load_adapter(model, adapter, places)
+                return await self._load_adapter(model, adapter, places, victim)
             except OrdersSuspended:
                 return False
 
-    async def _load_adapter(self, model: str, adapter: str, places: int) -> bool:
+    async def _load_adapter(
+        self, model: str, adapter: str, places: int, victim: tuple[str, str] | None
+    ) -> bool:
         if model not in self.residents or model in self.closing:
             return False
         while self.adapter_count() >= places:
-            if not await self._evict_adapter():
+            if not await self._evict_adapter(victim or self._least_used_adapter()):
                 return False
+            victim = None
         # Counted from before the order: without an answer it may be there all the same.
         self.arriving[model, adapter] = self.clock.now_ms()
         outcome = await self._order(OrderKind.LOAD, model, adapter)
@@ -225,12 +232,14 @@
         self.arriving.pop((model, adapter), None)
         return True
 
-    async def _evict_adapter(self) -> bool:
-        evicted = self._least_used_adapter()
+    async def _evict_adapter(self, evicted: tuple[str, str] | None) -> bool:
         if evicted is None:
             await asyncio.sleep(LOOK_MS / 1000)
             return False
         model, adapter = evicted
+        if adapter not in self.residents.get(model, ()):
+            # It has gone with its model.
+            return True
         self.residents[model].discard(adapter)
         self.changed()
         outcome = await self._order(OrderKind.UNLOAD, model, adapter)
@@ -241,13 +250,38 @@
         return False
 
     def _least_used_adapter(self) -> tuple[str, str] | None:
-        now_ms = self.clock.now_ms()
         held = [(model, name) for model, names in self.residents.items() for name in names]
         held.sort(key=lambda pair: self.adapter_used_ms.get(pair, 0))
-        if not held or now_ms - self.adapter_used_ms.get(held[0], 0) < ADAPTER_RECENT_MS:
+        if not held or held[0] in self.recent_adapters():
             return None
         return held[0]
 
+    def recent_adapters(self) -> frozenset[tuple[str, str]]:
+        """Return the adapters that have just come."""
+        now_ms = self.clock.now_ms()
+        return frozenset(
+            adapter
+            for adapter, came_ms in self.adapter_used_ms.items()
+            if now_ms - came_ms < ADAPTER_RECENT_MS
+        )
+
+    def adapters_held(self) -> dict[str, set[str]]:
+        """Return the adapters that are held or may be on their way, by model that stays."""
+        held = {
+            model: set(names)
+            for model, names in self.residents.items()
+            if model not in self.closing
+        }
+        for model, adapter in (*self.arriving, *filter(None, (self.placing_adapter,))):
+            if model in held:
+                held[model].add(adapter)
+        return held
+
+    def takes_adapters(self) -> bool:
+        """Tell whether the engine would take an adapter's order now."""
+        waits = self.placing_adapter or self.ordering.locked()
+        return not waits and not self.busy and not self.moving
+
     def adapter_count(self) -> int:
         """Return the number of adapters that are held or may be on their way."""
         held = {(model, name) for model, names in self.residents.items() for name in names}
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -82,6 +82,7 @@
         self.changes = Changes()
         # What was asked of each model since the last report to the coordinator.
         self.asked: dict[str, Asked] = {}
+        self.asked_adapters: dict[tuple[str, str], int] = {}
         # Requests that wait for a model, and those that wait for an adapter.
         self.waiting: dict[str, int] = {}
         self.waiting_adapters: dict[tuple[str, str], int] = {}
@@ -122,8 +123,11 @@
             window.entries = self.entries
         return window
 
-    def count_asked(self, model: str, *, tokens: int, objective_ms: int) -> None:
-        """Count a request for a model."""
+    def count_asked(self, model: str, adapter: str, *, tokens: int, objective_ms: int) -> None:
+        """Count a request for a model, and for an adapter if it names one."""
+        if adapter:
+            key = (model, adapter)
+            self.asked_adapters[key] = self.asked_adapters.get(key, 0) + 1
         asked = self.asked.setdefault(model, Asked(objective_ms=objective_ms))
         asked.tokens += tokens
         asked.objective_ms = min(asked.objective_ms, objective_ms)
--- a/packages/daemon/src/mimosaspur_daemon/direct/journey.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/journey.py
@@ -113,6 +113,7 @@
         if self.prompt.model:
             self.state.count_asked(
                 self.prompt.model,
+                self.prompt.adapter,
                 tokens=self.prompt.prompt_tokens + 1,
                 objective_ms=self.route.objective_ms,
             )
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -27,6 +27,14 @@
     objective_ms: int
 
 
+class AskedForAdapter(msgspec.Struct, array_like=True, frozen=True):
+    """Count the requests for an adapter since the last report."""
+
+    model: str
+    adapter: str
+    requests: int
+
+
 class EntryReport(msgspec.Struct, array_like=True, tag="entry"):
     """Tell the coordinator what an entry does."""
 
@@ -37,6 +45,7 @@
     adapters: list[tuple[str, str]]
     # Targets to which no connection could be opened since the last report.
     unreachable: list[str]
+    asked_adapters: list[AskedForAdapter] = msgspec.field(default_factory=list)
 
 
 class Residents(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/state/src/mimosaspur_state/routes.py
+++ b/packages/state/src/mimosaspur_state/routes.py
@@ -49,7 +49,8 @@
     load_s: float
     disk_load_s: float
     memory_load_s: float
-    adapters: int = 0
+    # The names of its adapters.
+    adapters: tuple[str, ...] = ()
     adapter_mb: float = 0.0
 
 
