Keep the last copy of each model's weights, and make the missing copies early

Nine of 39 models had no copy on any disk at the start, 15 one, the rest two to four. A load from the store pushes the longest unused copy off the engine's disk, also when it is the last one.

Before a site's first callers, models without any copy are loaded once and their victims brought back.

--- a/features/harness/direct_world.py
+++ b/features/harness/direct_world.py
@@ -128,7 +128,7 @@
     return replace(base, **ports)  # type: ignore[arg-type]
 
 
-def model_spec(name: str, **fields: float) -> ModelSpec:
+def model_spec(name: str, **fields: float | tuple[str, ...]) -> ModelSpec:
     """Return a model of 70 GB that loads in 9 s, 2 s from disk and 1 s from memory."""
     model = ModelSpec(name, 70_000.0, load_s=9.0, disk_load_s=2.0, memory_load_s=1.0)
     return replace(model, **fields)  # type: ignore[arg-type]
--- a/features/steps/direct_adapters_steps.py
+++ b/features/steps/direct_adapters_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 from collections.abc import Coroutine
+from collections.abc import Generator
 from typing import Any
 
 from behave import given
@@ -119,7 +120,7 @@
             changed=lambda: None,
         )
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, work: Generator[Any, None, None] | Coroutine[Any, Any, None]) -> None:
         self.tasks.append(asyncio.get_running_loop().create_task(work))
 
     def place(self, *waiting: tuple[str, str]) -> None:
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -16,9 +16,9 @@
 from mimosaspur_coordination.modelplacement import EngineSnapshot
 from mimosaspur_coordination.modelplacement import PlacementProblem
 from mimosaspur_coordination.modelplacement import Swap
-from mimosaspur_coordination.modelplacement import load_source
 from mimosaspur_coordination.modelplacement import next_copy
 from mimosaspur_coordination.modelplacement import next_swap
+from mimosaspur_coordination.weightcopies import load_source
 from mimosaspur_state.routes import EngineSpec
 
 MODELS = "abcdefgh"
@@ -45,7 +45,7 @@
         usable="leaving" not in rest,
         loading=loads[1] if loads else "",
         recent=frozenset(residents) if "just came" in rest else frozenset(),
-        on_disk=frozenset(disk[1].split()) if disk else frozenset(),
+        on_disk=tuple(disk[1].split()) if disk else (),
     )
 
 
@@ -101,7 +101,7 @@
 @given("an engine that has {copies} in memory, and {disk} on its disk")
 def set_copies(context: Context, copies: str, disk: str) -> None:
     context.engine = EngineSnapshot(
-        "x", {}, 0, in_memory=frozenset(_names(copies)), on_disk=frozenset(_names(disk))
+        "x", {}, 0, in_memory=tuple(_names(copies)), on_disk=tuple(_names(disk))
     )
 
 
@@ -139,7 +139,7 @@
             identity=strategies.uuids().map(str),
             residents=strategies.dictionaries(names, strategies.integers(0, 3), max_size=3),
             free_in_ms=strategies.sampled_from([0, 0, 500]),
-            on_disk=strategies.frozensets(names),
+            on_disk=strategies.lists(names, unique=True).map(tuple),
             recent=strategies.frozensets(names, max_size=1),
         ),
         max_size=4,
--- a/packages/coordination/src/mimosaspur_coordination/modeldemand.py
+++ b/packages/coordination/src/mimosaspur_coordination/modeldemand.py
@@ -56,6 +56,10 @@
         demand.slow_tokens += tokens * 1000 / SLOW_MS
         demand.last_ms = self.clock.now_ms()
 
+    def asked(self) -> bool:
+        """Tell whether any model was ever asked for."""
+        return any(demand.last_ms for demand in self.models.values())
+
     def current(self, model: str) -> Demand:
         """Return a model's demand as of now."""
         now_ms = self.clock.now_ms()
--- a/packages/coordination/src/mimosaspur_coordination/modelplacement.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelplacement.py
@@ -1,7 +1,7 @@
 """Decide which engine loads which model next, and what makes room for it."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -9,6 +9,10 @@
 from dataclasses import replace
 
 from mimosaspur_coordination.modeldemand import Demand
+from mimosaspur_coordination.weightcopies import copy_counts
+from mimosaspur_coordination.weightcopies import load_source
+from mimosaspur_coordination.weightcopies import pushed_out
+from mimosaspur_coordination.weightcopies import weights_mb
 from mimosaspur_state.routes import EngineSpec
 from mimosaspur_state.routes import ModelSpec
 
@@ -40,6 +44,8 @@
 RUNNING_TOKENS = 4_000.0
 # Room that is free anyway is given to a model from this demand on, in tokens a second.
 ROOM_TOKENS = 200.0
+# What a second that a later load takes longer counts as, for a model whose last copy is lost.
+LAST_COPY_SECOND_TOKENS = 2_000.0
 # For a mere copy no more than this may be lost at the victims' place, in tokens a second.
 COPY_LOSS = 100.0
 # An engine takes one order at a time: a load of this length keeps it from what is needed next.
@@ -63,8 +69,9 @@
     loading: str = ""
     # Models that have just come and whose requests may still be on their way.
     recent: frozenset[str] = frozenset()
-    in_memory: frozenset[str] = frozenset()
-    on_disk: frozenset[str] = frozenset()
+    # Copies of weights, those that were used longest ago first.
+    in_memory: tuple[str, ...] = ()
+    on_disk: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -91,11 +98,18 @@
     demand: Mapping[str, Demand]
     # Whether the weight store's rate allows another load.
     store_free: bool = True
+    # Whether nobody has asked for anything yet, as before a site's first callers.
+    idle: bool = False
+    # Models that were loaded for their copies already, which an engine needn't have kept.
+    copied: Collection[str] = ()
     replicas: dict[str, int] = field(default_factory=dict)
+    # On how many engines a model is held or has a copy.
+    copies: dict[str, int] = field(default_factory=dict)
     # Engines that a model waits for.
     reserved: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
+        self.copies = copy_counts(self.engines)
         for engine in self.engines:
             for model in (*engine.residents, *filter(None, (engine.loading,))):
                 self.replicas[model] = self.replicas.get(model, 0) + 1
@@ -105,7 +119,7 @@
         if from_store and not self.store_free:
             return False
         short = seconds * 1000 < LONG_LOAD_MS
-        if short or self.demand_of(model).fast_tokens >= REPLICA_TOKENS:
+        if short or self.idle or self.demand_of(model).fast_tokens >= REPLICA_TOKENS:
             return True
         kept = sum(engine.free_in_ms >= LONG_LOAD_MS / 2 for engine in self.engines)
         return kept + 1 <= max(1.0, len(self.engines) * LONG_LOADS_PART)
@@ -126,45 +140,16 @@
     A model without a copy takes a load from the weight store when it is first asked for, several
     times longer than one from disk.
     """
-    copied: set[str] = set(problem.replicas)
-    for engine in problem.engines:
-        copied |= engine.in_memory | engine.on_disk
     for name, model in problem.spec.models.items():
-        if name in copied:
+        there = problem.copies.get(name) or problem.replicas.get(name)
+        if there or name in problem.copied or model.weights_mb > problem.spec.disk_mb:
             continue
-        swap = _best_swap(
-            problem, model, second_tokens=0.0, most_cost=COPY_LOSS, has_room=_disk_has_room
-        )
+        swap = _best_swap(problem, model, second_tokens=0.0, most_cost=COPY_LOSS)
         if swap:
             return replace(swap, for_copy=True)
     return None
 
 
-def _disk_has_room(spec: EngineSpec, engine: EngineSnapshot, model: ModelSpec) -> bool:
-    used_mb = sum(_weights_mb(spec, name) for name in engine.on_disk | set(engine.residents))
-    return used_mb + model.weights_mb <= spec.disk_mb
-
-
-def load_source(
-    spec: EngineSpec, engine: EngineSnapshot, model: ModelSpec, victims: Sequence[str]
-) -> tuple[float, bool]:
-    """Return the seconds a load takes and whether it comes from the weight store."""
-    if model.name in engine.in_memory and _memory_keeps(spec, engine, victims):
-        return model.memory_load_s, False
-    if model.name in engine.on_disk:
-        return model.disk_load_s, False
-    return model.load_s, True
-
-
-def _memory_keeps(spec: EngineSpec, engine: EngineSnapshot, victims: Sequence[str]) -> bool:
-    """Tell whether the copies in memory surely stay when the victims are unloaded.
-
-    What is unloaded leaves a copy there, and which copy yields to it isn't told.
-    """
-    copies = engine.in_memory.union(victims)
-    return sum(_weights_mb(spec, name) for name in copies) <= spec.memory_mb
-
-
 def _for_waiting(problem: PlacementProblem) -> Swap | None:
     candidates = [
         (demand.waiting * (1.0 + demand.waiting_ms / 1000), name)
@@ -236,7 +221,6 @@
     most_cost: float = math.inf,
     reserve: bool = False,
     victims: bool = True,
-    has_room: Callable[[EngineSpec, EngineSnapshot, ModelSpec], bool] | None = None,
 ) -> Swap | None:
     """Return the cheapest way to a replica; None also while the cheapest engine isn't free yet."""
     best_cost = most_cost
@@ -244,8 +228,6 @@
     for engine in problem.engines:
         if not _may_get(problem, engine, model):
             continue
-        if has_room and not has_room(problem.spec, engine, model):
-            continue
         chosen, loss = _victims(problem, engine, model)
         if loss is None or (chosen and not victims):
             continue
@@ -254,6 +236,8 @@
             continue
         cost = loss + (seconds + engine.free_in_ms / 1000) * second_tokens
         cost += shared_part * _engine_tokens(problem, engine)
+        if from_store:
+            cost += _copies_loss(problem, engine, model)
         if cost <= best_cost:
             best_cost = cost
             load_ms = round(seconds * 1000)
@@ -274,6 +258,19 @@
     return engine.usable and not held and engine.identity not in problem.reserved
 
 
+def _copies_loss(problem: PlacementProblem, engine: EngineSnapshot, model: ModelSpec) -> float:
+    """Return what is lost with the copies on disk that a load from the weight store pushes out.
+
+    A model whose last copy is gone comes back from the weight store too.
+    """
+    loss = 0.0
+    for name in pushed_out(problem.spec, engine, model):
+        pushed = problem.spec.models.get(name)
+        if pushed and problem.copies.get(name, 0) <= 1 and name != model.name:
+            loss += (pushed.load_s - pushed.disk_load_s) * LAST_COPY_SECOND_TOKENS
+    return loss
+
+
 def _engine_tokens(problem: PlacementProblem, engine: EngineSnapshot) -> float:
     """Return the demand that falls to an engine, in tokens a second."""
     return sum(
@@ -287,7 +284,7 @@
 ) -> tuple[tuple[str, ...], float | None]:
     """Return the cheapest residents that make room, and what is lost with them."""
     spec = problem.spec
-    sizes = {name: _weights_mb(spec, name) for name in engine.residents}
+    sizes = {name: weights_mb(spec, name) for name in engine.residents}
     room_mb = spec.weights_mb - sum(sizes.values()) - _adapters_mb(spec)
     by_loss = sorted(engine.residents, key=lambda name: _loss(problem, engine, name))
     victims = []
@@ -309,6 +306,8 @@
     demand = problem.demand_of(name)
     replicas = problem.replicas.get(name, 1)
     running = engine.residents.get(name, 0) * RUNNING_TOKENS
+    if problem.idle:
+        return running
     if replicas > 1:
         return running + demand.fast_tokens / replicas
     model = problem.spec.models.get(name)
@@ -320,12 +319,6 @@
     return running + max(demand.fast_tokens, demand.slow_tokens * SOLE_WEIGHT, SOLE_TOKENS)
 
 
-def _weights_mb(spec: EngineSpec, name: str) -> float:
-    model = spec.models.get(name)
-    # A model that the configuration no longer names may be as large as the largest.
-    return model.weights_mb if model else max(each.weights_mb for each in spec.models.values())
-
-
 def _adapters_mb(spec: EngineSpec) -> float:
     """Return the room that full adapter places take."""
     largest_mb = max((model.adapter_mb for model in spec.models.values()), default=0.0)
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/weightcopies.py
@@ -0,0 +1,76 @@
+"""Know the copies of weights that engines keep in memory and on disk, and which ones yield.
+
+Engines drop the copies that were used longest ago. Their reports name copies in that order, which
+the platform does not promise: what is read from it only ranks engines that would do alike.
+"""
+
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Sequence
+from typing import Protocol
+
+from mimosaspur_state.routes import EngineSpec
+from mimosaspur_state.routes import ModelSpec
+
+
+class Copies(Protocol):
+    """Hold an engine's models and copies, the copies longest unused first."""
+
+    @property
+    def residents(self) -> Collection[str]:
+        """Return the models that it serves."""
+
+    @property
+    def in_memory(self) -> Sequence[str]:
+        """Return the copies in its memory."""
+
+    @property
+    def on_disk(self) -> Sequence[str]:
+        """Return the copies on its disk."""
+
+
+def load_source(
+    spec: EngineSpec, engine: Copies, model: ModelSpec, victims: Sequence[str]
+) -> tuple[float, bool]:
+    """Return the seconds a load takes and whether it comes from the weight store."""
+    if model.name in _memory_after(spec, engine, victims):
+        return model.memory_load_s, False
+    if model.name in engine.on_disk:
+        return model.disk_load_s, False
+    return model.load_s, True
+
+
+def pushed_out(spec: EngineSpec, engine: Copies, model: ModelSpec) -> Sequence[str]:
+    """Return the copies on disk that yield when a model's weights come from the weight store."""
+    room_mb = spec.disk_mb - model.weights_mb
+    kept_mb = sum(weights_mb(spec, name) for name in engine.on_disk)
+    for number, name in enumerate(engine.on_disk):
+        if kept_mb <= room_mb:
+            return engine.on_disk[:number]
+        kept_mb -= weights_mb(spec, name)
+    return engine.on_disk
+
+
+def copy_counts(engines: Iterable[Copies]) -> dict[str, int]:
+    """Return on how many engines each model is held or has a copy."""
+    counts: dict[str, int] = {}
+    for engine in engines:
+        for name in {*engine.residents, *engine.in_memory, *engine.on_disk}:
+            counts[name] = counts.get(name, 0) + 1
+    return counts
+
+
+def weights_mb(spec: EngineSpec, name: str) -> float:
+    """Return the size of a model's weights."""
+    model = spec.models.get(name)
+    # A model that the configuration no longer names may be as large as the largest.
+    return model.weights_mb if model else max(each.weights_mb for each in spec.models.values())
+
+
+def _memory_after(spec: EngineSpec, engine: Copies, victims: Sequence[str]) -> list[str]:
+    """Return the copies in memory once the victims, which leave copies there, are unloaded."""
+    copies = [name for name in engine.in_memory if name not in victims]
+    copies.extend(victims)
+    while copies and sum(weights_mb(spec, name) for name in copies) > spec.memory_mb:
+        copies.pop(0)
+    return copies
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -47,6 +47,8 @@
 FULL_SPEED_LOADS = 3
 # Below this demand, in tokens a second, no request for a model is likely to be on its way.
 REQUESTED_TOKENS = 50.0
+# A new coordinator has heard of what callers ask for by then.
+IDLE_AFTER_MS = 1_500
 # After a change of coordinator nobody knows how many loads have just begun.
 ASSUMED_LOADS = 4
 
@@ -74,6 +76,9 @@
         self.lease = lease
         self.clock = state.clock
         self.members: dict[str, Member] = {}
+        self.began_ms = self.clock.now_ms()
+        # Models that were loaded for a copy of their weights.
+        self.copied: set[str] = set()
         self.desks: dict[str, EngineDesk] = {}
         self.demand = ModelDemand(clock=self.clock)
         bounds = state.settings.orders
@@ -205,8 +210,7 @@
             self.adapters.place(spec, self._desks_of(service), waiting)
             while (swap := next_swap(self._problem(service, spec))) is not None:
                 self._begin(swap)
-            swap = next_copy(self._problem(service, spec))
-            if swap is not None:
+            while (swap := next_copy(self._problem(service, spec))) is not None:
                 self._begin(swap)
 
     def _engine_services(self) -> list[tuple[str, EngineSpec]]:
@@ -298,11 +302,20 @@
             self._snapshots(service),
             demand,
             store_free=self.loads.allows(spec.loads_per_s),
+            idle=self._idle(),
+            copied=self.copied,
         )
 
+    def _idle(self) -> bool:
+        """Tell whether nobody has asked for anything since this instance began to coordinate."""
+        early = self.clock.now_ms() - self.began_ms < IDLE_AFTER_MS
+        return not early and not self.demand.asked()
+
     def _begin(self, swap: Swap) -> None:
         desk = self.desks[swap.identity]
         desk.take(swap.model, swap.load_ms)
+        if swap.for_copy:
+            self.copied.add(swap.model)
         if swap.from_store:
             self.loads.count()
         demand = self.demand.current(swap.model)
--- a/packages/daemon/src/mimosaspur_daemon/direct/enginedesk.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/enginedesk.py
@@ -79,8 +79,9 @@
             model: set(adapters) for model, adapters in (record.residents or {}).items()
         }
         self.closing: set[str] = set()
-        self.in_memory: frozenset[str] = frozenset()
-        self.on_disk: frozenset[str] = frozenset()
+        # Copies of weights, those that were used longest ago first.
+        self.in_memory: tuple[str, ...] = ()
+        self.on_disk: tuple[str, ...] = ()
         # Orders that the engine has accepted, None until a report tells.
         self.sequence: int | None = None
         self.sequence_ms = 0
@@ -443,8 +444,8 @@
                 "engine_found",
                 target=self.record.identity,
                 residents={model: sorted(names) for model, names in report.residents.items()},
-                in_memory=sorted(report.in_memory),
-                on_disk=sorted(report.on_disk),
+                in_memory=report.in_memory,
+                on_disk=report.on_disk,
                 sequence=report.sequence,
             )
         if report.sequence != self.sequence:
--- a/packages/state/src/mimosaspur_state/fleet.py
+++ b/packages/state/src/mimosaspur_state/fleet.py
@@ -32,8 +32,9 @@
     waiting: int
     running: int
     kv_used: int
-    in_memory: frozenset[str] = frozenset()
-    on_disk: frozenset[str] = frozenset()
+    # Copies of weights, those that were used longest ago first.
+    in_memory: tuple[str, ...] = ()
+    on_disk: tuple[str, ...] = ()
 
 
 class OrderKind(Enum):
