Ask engines for reports once a load has ended; place nothing ahead while orders go unanswered

Cause: a report is as of some 100 ms ago. The one that fell due right at a load's end showed the engine as busy, and the next was asked for 2 s later.

Change: the desk says when a report is due: not within 300 ms of a load's end, then at once, and again after 100 ms while it shows the engine as busy. After an unanswered order nothing is placed ahead for 4 s; loads that requests wait for come before it.

The stand-in's reports now lag by time. Before, its second report showed the first state, whenever it was asked for, and the fault did not show.

--- a/features/direct_adapters.feature
+++ b/features/direct_adapters.feature
@@ -46,3 +46,9 @@
     Given a keeper of adapters and an engine that holds a and b
     When an adapter is being placed
     Then the engine is not free for a model's move until it is there
+
+  Scenario: Nothing is placed ahead while orders go unanswered, for each of them keeps its engine
+    Given a keeper of adapters and an engine that holds a and b
+    And its first order goes unanswered
+    When a/a2 is asked for and requests wait for a/a1
+    Then the engine holds a/a1, and nothing is placed ahead for a while
--- a/features/direct_orders.feature
+++ b/features/direct_orders.feature
@@ -49,6 +49,11 @@
     When the desk swaps a for d and is asked meanwhile when the engine is free
     Then until the load has begun it says no less than the whole load
 
+  Scenario: A late report doesn't keep an engine from its next move
+    Given an engine with three models whose unload waits 0 ms for its runs
+    When the desk swaps a for d, and reports are asked for as they fall due
+    Then the engine is free for its next move within 600 ms
+
   Scenario: Adapters that are wanted at the same moment never pass the engine's places
     Given an ordered engine that holds a, b and c and leaves orders 0 unanswered, never late
     When eight adapters of a are wanted at the same moment
--- a/features/harness/direct_engine.py
+++ b/features/harness/direct_engine.py
@@ -40,15 +40,17 @@
     accepted: list[EngineOrder] = field(default_factory=list)
     most_adapters: int = 0
     overcommitted: bool = False
-    lag: list[EngineReport] = field(default_factory=list)
+    # What held from a time on, on the event loop's clock.
+    history: list[tuple[float, EngineReport]] = field(default_factory=list)
 
     async def report(self, target: TargetRecord) -> EngineReport | None:
         """Return what held some time ago."""
-        now = self._now()
-        self.lag.append(now)
         await asyncio.sleep(0)
-        asyncio.get_running_loop().call_later(REPORT_LAG_S, self._age)
-        return self.lag[0]
+        self._note()
+        known_s = asyncio.get_running_loop().time() - REPORT_LAG_S
+        while len(self.history) > 1 and self.history[1][0] <= known_s:
+            self.history.pop(0)
+        return self.history[0][1]
 
     async def order(self, target: TargetRecord, order: EngineOrder) -> OrderOutcome:
         """Obey, or leave the order unanswered."""
@@ -62,9 +64,9 @@
         await asyncio.sleep(0.001)
         return self._obey(order)
 
-    def _age(self) -> None:
-        if len(self.lag) > 1:
-            self.lag.pop(0)
+    def _note(self) -> None:
+        """Remember what holds from now on."""
+        self.history.append((asyncio.get_running_loop().time(), self._now()))
 
     def _now(self) -> EngineReport:
         return EngineReport(
@@ -88,6 +90,7 @@
             self._obey_adapter(order)
         else:
             self._obey_model(order)
+        self._note()
         return OrderOutcome.ACCEPTED
 
     def _holds(self, order: EngineOrder) -> bool:
@@ -118,10 +121,12 @@
     def _unloaded(self, model: str) -> None:
         self.residents.pop(model, None)
         self.busy = False
+        self._note()
 
     def _loaded(self, model: str) -> None:
         self.residents[model] = set()
         self.busy = False
+        self._note()
 
 
 def any_unanswered(seed: int, most: int) -> frozenset[int]:
--- a/features/steps/direct_adapters_steps.py
+++ b/features/steps/direct_adapters_steps.py
@@ -34,6 +34,7 @@
 SPEC = engine_spec([model_spec(name, adapters=NAMES) for name in "ab"], adapter_slots=ENGINE_PLACES)
 SOON_S = 3.0
 TURN_S = 0.02
+QUIET_S = 0.5
 
 
 def _pair(text: str) -> tuple[str, str]:
@@ -125,7 +126,8 @@
 
     def place(self, *waiting: tuple[str, str]) -> None:
         """Let the keeper begin what the engine can take now."""
-        self.keeper.place(SPEC, [self.desk], waiting)
+        self.keeper.place_waiting(SPEC, [self.desk], waiting)
+        self.keeper.place_ahead(SPEC, [self.desk])
 
     def held(self) -> set[str]:
         """Return the adapters that the engine holds."""
@@ -186,3 +188,29 @@
     assert context.meanwhile_ms > 0
     assert context.after_ms == 0
     assert "a/a1" in context.world.held()
+
+
+@given("its first order goes unanswered")
+def leave_first_order(context: Context) -> None:
+    context.world.engine.unanswered = frozenset({1})
+
+
+@when("a/a2 is asked for and requests wait for a/a1")
+def ask_and_wait(context: Context) -> None:
+    world: _Keeper = context.world
+
+    async def turns() -> None:
+        await world.desk.look()
+        world.place(("a", "a1"))
+        await asyncio.gather(*world.tasks)
+        world.keeper.demand.count("a", "a2", 4)
+        for _ in range(round(QUIET_S / TURN_S)):
+            world.place()
+            await asyncio.sleep(TURN_S)
+
+    run(context, turns())
+
+
+@then("the engine holds a/a1, and nothing is placed ahead for a while")
+def check_nothing_ahead(context: Context) -> None:
+    assert context.world.held() == {"a/a1"}, context.world.held()
--- a/features/steps/direct_orders_steps.py
+++ b/features/steps/direct_orders_steps.py
@@ -1,6 +1,7 @@
 """Steps of orders to engines, and of the lease on them."""
 
 import asyncio
+import time
 
 from behave import given
 from behave import then
@@ -31,6 +32,7 @@
 ADAPTERS = [f"a{number}" for number in range(8)]
 SETTLE_S = 2.2
 ASK_EVERY_S = 0.02
+WATCHED_S = 1.5
 NEVER_MS = 60_000
 
 
@@ -137,6 +139,30 @@
     assert all(each >= LOAD_MS for pair in context.free_in for each in pair), context.free_in
 
 
+@when("the desk swaps a for d, and reports are asked for as they fall due")
+def swap_and_report(context: Context) -> None:
+    async def swap_and_look() -> None:
+        desk = await _desk(context.engine)
+        assert await desk.swap("d", ("a",), load_ms=LOAD_MS)
+        began_s = time.monotonic()
+        context.free_after_s = None
+        free_since_s = began_s
+        while time.monotonic() - began_s < WATCHED_S:
+            if desk.report_due():
+                await desk.look()
+            if desk.free_in_ms():
+                free_since_s = time.monotonic()
+            await asyncio.sleep(ASK_EVERY_S)
+        context.free_after_s = free_since_s - began_s
+
+    run(context, swap_and_look())
+
+
+@then("the engine is free for its next move within {most_ms:d} ms")
+def check_free_soon(context: Context, most_ms: int) -> None:
+    assert context.free_after_s * 1000 <= most_ms, context.free_after_s
+
+
 @when("eight adapters of a are wanted at the same moment")
 def want_adapters(context: Context) -> None:
     async def want() -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/adapterkeeper.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/adapterkeeper.py
@@ -37,57 +37,55 @@
         self.spawn = spawn
         self.changed = changed
 
-    def place(
+    def place_waiting(
         self, spec: EngineSpec, desks: Sequence[EngineDesk], waiting: Collection[Adapter]
     ) -> None:
-        """Begin what moves engines can take now."""
-        by_identity = {desk.record.identity: desk for desk in desks if desk.usable()}
-        names = {model: each.adapters for model, each in spec.models.items() if each.adapters}
-        if not names:
-            return
-
-        shared: dict[str, float] = {}
-
-        def expected(model: str, adapter: str) -> float:
-            if model not in shared:
-                shared[model] = self._shared_rate(model) / max(1, len(names.get(model, ())))
-            return self.demand.rate(model, adapter) + shared[model]
-
+        """Begin the moves for adapters that requests wait for."""
         for wanted in sorted(waiting):
-            placement = self._placement(spec, by_identity, expected)
-            move = placement.for_waiting(wanted)
+            move = self._placement(spec, desks).for_waiting(wanted)
             if move:
-                self._begin(by_identity[move.identity], move, spec)
-        placement = self._placement(spec, by_identity, expected)
+                self._begin(desks, move, spec)
+
+    def place_ahead(self, spec: EngineSpec, desks: Sequence[EngineDesk]) -> None:
+        """Begin the moves for adapters that are likely to be asked for."""
+        names = {model: each.adapters for model, each in spec.models.items() if each.adapters}
+        if not names or any(desk.unanswered_lately() for desk in desks):
+            return
+        placement = self._placement(spec, desks)
         for engine in placement.engines:
             move = placement.ahead(engine, names)
             if move:
-                self._begin(by_identity[move.identity], move, spec)
+                self._begin(desks, move, spec)
 
     def _shared_rate(self, model: str) -> float:
         """Return the rate that all adapters of a model can expect together."""
         unseen = self.models.current(model).fast_tokens * UNSEEN_REQUESTS
         return unseen + self.demand.model_rate(model) * SIBLINGS_PART
 
-    def _placement(
-        self,
-        spec: EngineSpec,
-        desks: dict[str, EngineDesk],
-        expected: Callable[[str, str], float],
-    ) -> AdapterPlacement:
+    def _placement(self, spec: EngineSpec, desks: Sequence[EngineDesk]) -> AdapterPlacement:
+        shared: dict[str, float] = {}
+
+        def expected(model: str, adapter: str) -> float:
+            if model not in shared:
+                siblings = len(spec.models[model].adapters) if model in spec.models else 0
+                shared[model] = self._shared_rate(model) / max(1, siblings)
+            return self.demand.rate(model, adapter) + shared[model]
+
         engines = [
             AdapterEngine(
-                identity,
+                desk.record.identity,
                 desk.adapters_held(),
                 spec.adapter_slots,
                 desk.takes_adapters(),
                 desk.recent_adapters(),
             )
-            for identity, desk in desks.items()
+            for desk in desks
+            if desk.usable()
         ]
         return AdapterPlacement(engines, expected)
 
-    def _begin(self, desk: EngineDesk, move: AdapterMove, spec: EngineSpec) -> None:
+    def _begin(self, desks: Sequence[EngineDesk], move: AdapterMove, spec: EngineSpec) -> None:
+        desk = next(each for each in desks if each.record.identity == move.identity)
         desk.placing_adapter = (move.model, move.adapter)
         self.spawn(self._load(desk, move, spec.adapter_slots))
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -38,10 +38,6 @@
 HEARTBEAT_MS = 250
 # An entry that says nothing for so long is no longer counted.
 ENTRY_SILENT_MS = 1_500
-# Reports are priced: an engine on which nothing moves is asked this seldom.
-REPORT_EVERY_MS = 2_000
-# An engine without a usable report yet is asked again so soon.
-REPORT_RETRY_MS = 300
 # While no more loads than this run from the weight store, they take the time that the
 # configuration names.
 FULL_SPEED_LOADS = 3
@@ -207,9 +203,11 @@
             return
         for service, spec in self._engine_services():
             waiting = {pair for member in self.members.values() for pair in member.adapters}
-            self.adapters.place(spec, self._desks_of(service), waiting)
+            desks = self._desks_of(service)
+            self.adapters.place_waiting(spec, desks, waiting)
             while (swap := next_swap(self._problem(service, spec))) is not None:
                 self._begin(swap)
+            self.adapters.place_ahead(spec, desks)
             while (swap := next_copy(self._problem(service, spec))) is not None:
                 self._begin(swap)
 
@@ -242,12 +240,9 @@
                 desk.record = record
 
     def _ask_for_reports(self) -> None:
-        now_ms = self.clock.now_ms()
         for desk in self.desks.values():
-            every_ms = REPORT_EVERY_MS if desk.known() else REPORT_RETRY_MS
-            due = now_ms - desk.reported_ms >= every_ms or desk.doubtful(now_ms)
-            if not desk.moving and due:
-                desk.reported_ms = now_ms
+            if desk.report_due():
+                desk.reported_ms = self.clock.now_ms()
                 self._spawn(self._look(desk))
 
     async def _look(self, desk: EngineDesk) -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/enginedesk.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/enginedesk.py
@@ -29,6 +29,10 @@
 # asked for.
 BLIND_TRIES = 3
 CONFLICT_PAUSE_MS = 20
+# Reports are priced: an engine on which nothing moves is asked this seldom.
+REPORT_EVERY_MS = 2_000
+# An engine without a usable report yet is asked again so soon.
+REPORT_RETRY_MS = 300
 # Reports lag by some hundred ms: they are asked for so often while something is awaited.
 LOOK_MS = 100
 # A report that still shows fewer orders than were accepted is late; after this time it is right.
@@ -43,6 +47,9 @@
 ADAPTER_RECENT_MS = 300
 # After an adapter's order is accepted it is taken as loaded: adapters load within some 30 ms.
 ADAPTER_LOAD_S = 0.03
+# An order without an answer keeps its engine for half a second and more. What can wait is not
+# ordered for so long after one.
+UNANSWERED_MS = 4_000
 # A model's move waits so long for an adapter that is being placed.
 ADAPTER_MS = 40
 # So many reports in a row without an answer, or one beside an entry that can't reach the engine,
@@ -107,6 +114,8 @@
         self.from_store = False
         # When models came, as foreseen or as reported.
         self.arrived_ms: dict[str, int] = {}
+        # When an order last had no answer, None if none did.
+        self.unanswered_ms: int | None = None
         # Whether a task of this desk moves a model.
         self.moving = False
         self.adapter_used_ms: dict[tuple[str, str], int] = {}
@@ -132,6 +141,11 @@
         """Tell whether the engine may get models at all."""
         return self.known() and not self.record.leaving
 
+    def unanswered_lately(self) -> bool:
+        """Tell whether an order had no answer a short while ago: others may have none either."""
+        since_ms = self.unanswered_ms
+        return since_ms is not None and self.clock.now_ms() - since_ms < UNANSWERED_MS
+
     def free_in_ms(self) -> int:
         """Return when a model may be moved, 0 for now."""
         now_ms = self.clock.now_ms()
@@ -329,13 +343,21 @@
         }
         return frozenset(self.arrived_ms)
 
-    def doubtful(self, now_ms: int) -> bool:
-        """Tell whether a report is needed soon."""
+    def report_due(self) -> bool:
+        """Tell whether it is time to ask for a report; while a model moves, the move asks."""
+        if self.moving:
+            return False
+        now_ms = self.clock.now_ms()
+        arrived_ms = max(self.arrived_ms.values(), default=0)
+        if arrived_ms and now_ms - arrived_ms < CONFIRM_MS:
+            # A report would be from before the load's end, and show the engine as busy.
+            return False
+        age_ms = now_ms - self.reported_ms
+        if self.reported_ms < arrived_ms or self.busy:
+            return age_ms >= LOOK_MS
         if self.suspected and not self.failed_reports:
-            return now_ms - self.reported_ms >= LOOK_MS
-        return any(
-            self.reported_ms < each < now_ms - CONFIRM_MS for each in self.arrived_ms.values()
-        )
+            return age_ms >= LOOK_MS
+        return age_ms >= (REPORT_EVERY_MS if self.known() else REPORT_RETRY_MS)
 
     async def _loaded(self, model: str, begun_ms: int, load_ms: int) -> bool:
         await asyncio.sleep(load_ms / 1000)
@@ -378,6 +400,7 @@
                 if outcome is OrderOutcome.CONFLICT:
                     await self._after_conflict(attempt)
                 if outcome is OrderOutcome.UNKNOWN:
+                    self.unanswered_ms = self.clock.now_ms()
                     # The same order is given again: the engine obeys only one of two orders that
                     # expect the same sequence.
                     await self._look_again()
