Load an overloaded model's next replica before models that few requests wait for

Cause: a load that adds a replica came after every load that a request waited for.

Change: both kinds of need are counted in requests, those that wait and those that the replicas can't carry within 3 s, and the larger goes first.

Ruled out: the store's rate and the handover of the coordinator's duty (it was held throughout, and other loads began meanwhile).

--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -23,6 +23,9 @@
       | x: a b c; y: d e f disk a                    | a 20000                  | the store is free   | a on y               |
       | x: a b c; y: d e f                           | a 4000                   | the store is free   | none                 |
       | x: a b c; y: d e f disk a                    | a d e f 20000            | the store is free   | none                 |
+      | x: a b c; y: d e f disk a g                | a 30000, g waits 1       | the store is free   | a on y               |
+      | x: a b c; y: d e f disk a g                | a 30000, g waits 60      | the store is free   | g on y               |
+      | x: a b c; y: d e f disk a g                | a 7000, g waits 1        | the store is free   | g on y               |
       | x: a b c; y: unknown models u v w            | g waits 1                | the store is free   | g on x or y          |
 
   Scenario Outline: What an unloaded model leaves in memory may push out the copy that is needed
--- a/packages/coordination/src/mimosaspur_coordination/modelplacement.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelplacement.py
@@ -19,6 +19,13 @@
 # Tokens a second that one replica should carry at most; an engine reads some 20,000 and shares
 # them among its models.
 REPLICA_TOKENS = 5_000.0
+# Beyond this a replica is taken to refuse requests: an engine reads some 20,000 tokens a second and
+# gives its time to decoding and to its other models too.
+REPLICA_CAPACITY = 8_000.0
+# What a replica can't carry counts as the requests of so many seconds, beside those that wait for a
+# model: a load takes as long before it helps.
+OVERFLOW_S = 3.0
+REQUEST_TOKENS = 2_000.0
 # What moves for load must gain this much more than it loses, so that models don't swing.
 HYSTERESIS = 1.6
 # A sole replica counts by its demand over the longer time, times this: losing it means a load
@@ -131,7 +138,7 @@
 
 def next_swap(problem: PlacementProblem) -> Swap | None:
     """Return the most useful load that an engine can begin now."""
-    return _for_waiting(problem) or _for_load(problem) or _for_room(problem)
+    return _for_needs(problem) or _for_load(problem) or _for_room(problem)
 
 
 def next_copy(problem: PlacementProblem) -> Swap | None:
@@ -150,20 +157,31 @@
     return None
 
 
-def _for_waiting(problem: PlacementProblem) -> Swap | None:
-    candidates = [
-        (demand.waiting * (1.0 + demand.waiting_ms / 1000), name)
-        for name, demand in problem.demand.items()
-        if demand.waiting and not problem.replicas.get(name) and name in problem.spec.models
-    ]
-    for _, name in sorted(candidates, reverse=True):
-        waiting = problem.demand_of(name).waiting
-        swap = _best_swap(
-            problem,
-            problem.spec.models[name],
-            second_tokens=SECOND_TOKENS + waiting * WAITING_SECOND_TOKENS,
-            reserve=True,
-        )
+def _for_needs(problem: PlacementProblem) -> Swap | None:
+    """Return the load that most requests need: of a model without a replica, or of one more."""
+    needs = []
+    for name, demand in problem.demand.items():
+        if name not in problem.spec.models:
+            continue
+        replicas = problem.replicas.get(name, 0)
+        if replicas:
+            overflow = demand.fast_tokens - replicas * REPLICA_CAPACITY
+            needs.append((overflow / REQUEST_TOKENS * OVERFLOW_S, name))
+        elif demand.waiting:
+            needs.append((demand.waiting * (1.0 + demand.waiting_ms / 1000), name))
+    for requests, name in sorted(needs, reverse=True):
+        if requests <= 0:
+            return None
+        if problem.replicas.get(name):
+            swap = _one_more(problem, name)
+        else:
+            swap = _best_swap(
+                problem,
+                problem.spec.models[name],
+                second_tokens=SECOND_TOKENS
+                + problem.demand_of(name).waiting * WAITING_SECOND_TOKENS,
+                reserve=True,
+            )
         if swap:
             return swap
     return None
@@ -178,19 +196,24 @@
     for share, name in sorted(crowded, reverse=True):
         if share < REPLICA_TOKENS:
             return None
-        gain = problem.demand_of(name).fast_tokens / (problem.replicas[name] + 1)
-        swap = _best_swap(
-            problem,
-            problem.spec.models[name],
-            second_tokens=REPLICA_SECOND_TOKENS,
-            shared_part=SHARED_ENGINE_PART,
-            most_cost=gain / HYSTERESIS,
-        )
+        swap = _one_more(problem, name)
         if swap:
             return swap
     return None
 
 
+def _one_more(problem: PlacementProblem, name: str) -> Swap | None:
+    """Return a load that adds a replica, if that gains enough more than it loses."""
+    gain = problem.demand_of(name).fast_tokens / (problem.replicas[name] + 1)
+    return _best_swap(
+        problem,
+        problem.spec.models[name],
+        second_tokens=REPLICA_SECOND_TOKENS,
+        shared_part=SHARED_ENGINE_PART,
+        most_cost=gain / HYSTERESIS,
+    )
+
+
 def _for_room(problem: PlacementProblem) -> Swap | None:
     """Return a load that an engine has room for without a victim, as after its restart."""
     wanted = []
