Ask the store for registrations as seldom as the bound on leaving targets allows

Cause: targets register anew about every second, so each watch ended at once and each entry asked 2.5 times a second.

Change: the pause between two watches is 0.35 of the bound on leaving targets (0.7 s on the sites of today, 1.05 s on the grown ones) instead of 0.4 s; the coordinator, who must know of new engines, keeps to 0.4 s.

Ruled out: stale watches at a tenth of the price, which may be seconds old; the bound is 2 s.

--- a/features/direct_store.feature
+++ b/features/direct_store.feature
@@ -18,6 +18,18 @@
       | answering 429            | 1500 |
       | forgetting its history   | 100  |
 
+  Scenario Outline: Calls to the store keep to a pace while servers register anew all the time
+    Given an entry that follows a store with three servers and a configuration
+    And the entry <duty>
+    When servers register anew 20 times a second for 3000 ms
+    Then the entry made at most <most> calls
+    And within 1500 ms the entry knows that a server leaves which does so now
+
+    Examples:
+      | duty                   | most |
+      | follows a coordinator  | 7    |
+      | coordinates the others | 10   |
+
   Scenario Outline: An older configuration never comes back
     Given an entry that follows a store with three servers and a configuration
     When version <next> is written
--- a/features/steps/direct_store_steps.py
+++ b/features/steps/direct_store_steps.py
@@ -144,6 +144,39 @@
     run(context, _until(known, limit_ms / 1000))
 
 
+@given("the entry {duty}")
+def set_duty(context: Context, duty: str) -> None:
+    context.state.coordinating = duty == "coordinates the others"
+
+
+@when("servers register anew 20 times a second for {ms:d} ms")
+def register_anew(context: Context, ms: int) -> None:
+    async def register() -> None:
+        before = context.store.calls
+        for number in range(ms // 50):
+            context.store.put(SERVERS, f"i-{number % 3}", _server())
+            await asyncio.sleep(0.05)
+        context.calls = context.store.calls - before
+
+    run(context, register())
+
+
+@then("the entry made at most {most:d} calls")
+def check_calls(context: Context, most: int) -> None:
+    assert context.calls <= most, context.calls
+
+
+@then("within {limit_ms:d} ms the entry knows that a server leaves which does so now")
+def check_leaving(context: Context, limit_ms: int) -> None:
+    context.store.put(SERVERS, "i-1", _server("draining"))
+
+    def known() -> bool:
+        leaving: bool = context.state.fleet.targets["i-1"].record.leaving
+        return leaving
+
+    run(context, _until(known, limit_ms / 1000))
+
+
 @when("version {version:d} is written")
 def write_version(context: Context, version: int) -> None:
     async def write() -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/duty.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/duty.py
@@ -110,6 +110,7 @@
 
     async def _coordinate(self) -> None:
         coordinator = self.coordinator = Coordinator(self.state, self.lease)
+        self.state.coordinating = True
         tasks = [
             asyncio.create_task(coordinator.run()),
             asyncio.create_task(self._report_own(coordinator)),
@@ -118,6 +119,7 @@
             await self._hold_lease(tasks)
         finally:
             self.coordinator = None
+            self.state.coordinating = False
             for task in tasks:
                 task.cancel()
             self.state.fleet.coordinator_lost()
@@ -242,7 +244,7 @@
         WorkAt(
             identity,
             view.own.requests,
-            {rank: tokens for rank, tokens in view.own.unread.items() if tokens},
+            {rank: round(tokens) for rank, tokens in view.own.unread.items() if tokens >= 1},
             view.own.held_tokens,
             dict(view.own.by_model),
         )
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -95,6 +95,8 @@
         self.entries = 0
         self.targets_known = False
         self.leaving = False
+        # Whether this entry coordinates the others.
+        self.coordinating = False
         # Until when a request may wait for a target, on the event loop's clock, while leaving.
         self.wait_until_s = float("inf")
         # Dependencies that do not answer now.
--- a/packages/daemon/src/mimosaspur_daemon/direct/storewatch.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/storewatch.py
@@ -12,9 +12,12 @@
 # which comes right after the store's return is known within 3 s, while the instance still counts
 # as unsettled.
 WAIT_MS = 2_000
-# Registrations come in bursts: a pause between two watches takes several in one answer. It is
-# well below the time in which a leaving target must be known.
-PAUSE_S = 0.4
+# Targets register anew all the time, and each call is priced: a pause between two watches takes
+# many changes in one answer. It is this part of the time in which a leaving target must be known,
+# which leaves room for one call that fails.
+PAUSE_PART = 0.35
+# The coordinator must know of new engines sooner.
+COORDINATOR_PAUSE_S = 0.4
 # After a failure.
 RETRY_S = 0.25
 RETRY_JITTER_S = 0.15
@@ -42,7 +45,7 @@
                 else:
                     revision = await self._watch_targets(revision)
                 self._regained("targets")
-                await asyncio.sleep(PAUSE_S)
+                await asyncio.sleep(self._pause_s())
             except RevisionTooOld:
                 revision = UNKNOWN
             except StoreUnavailable as error:
@@ -70,6 +73,10 @@
                 if self._lost("configuration", error):
                     await _pause()
 
+    def _pause_s(self) -> float:
+        pause_s = self.state.settings.drain_ms * PAUSE_PART / 1000
+        return min(pause_s, COORDINATOR_PAUSE_S) if self.state.coordinating else pause_s
+
     def _lapse_ends(self) -> bool:
         """Tell once that targets which are still missing are to be taken as gone."""
         if not self.lapsed_until_ms or self.state.clock.now_ms() < self.lapsed_until_ms:
