Learn how fast each model is read; sum the others' work once for all entries

Predictions mixed them into each engine's slowness: requests were sent behind others as late (rank 9), or refused as late (2002), beside engines that were nearly free, and fast models got replicas that slow ones needed. Found while reading: the coordinator summed up the others' work anew for each entry, entries squared times targets in each turn, and never told that work at a plain service had ended.

Change: each entry learns a factor for each model from times to first tokens, weighted by the part that the model had in the prediction; queues and demand count in a common model's tokens. One measurement changes a figure at most as a factor of four would. Work is summed up once a turn.

--- /dev/null
+++ b/features/direct_work.feature
@@ -0,0 +1,26 @@
+Feature: Entries know how much work waits at each target, and how long it takes
+
+  Scenario Outline: What an entry is told of the others' work
+    Given entry A has <a>, and entry B has <b>
+    When the coordinator tells entry A of the others' work
+    Then it hears of <told>
+
+    Examples:
+      | a                       | b                       | told                                    |
+      | nothing                 | nothing                 | x: 0, plain: 0                          |
+      | x: 2 with 900 unread    | nothing                 | x: 0, plain: 0                          |
+      | nothing                 | plain: 3 with 0 unread  | x: 0, plain: 3                          |
+      | x: 2 with 900 unread    | x: 1 with 400 unread    | x: 1 with 400 unread, plain: 0          |
+      | plain: 1 with 0 unread  | x: 1 with 400 unread    | x: 1 with 400 unread, plain: 0          |
+
+  Scenario: A model that is read faster is learnt, and its queue is taken for shorter
+    Given engines that read slow at 20 tokens a ms and fast at 150 tokens a ms
+    When 12 requests for each model have been measured, one at a time
+    Then prompts of 4000 tokens are predicted within 25 of 100 of what they take
+    And behind three prompts for fast a request for slow is expected sooner than behind three for slow
+
+  Scenario: One wrong measurement changes little of what is known
+    Given engines that read slow at 20 tokens a ms and fast at 150 tokens a ms
+    When 12 requests for each model have been measured, one at a time
+    And a request for fast takes 20 times as long as it should
+    Then prompts of 4000 tokens are predicted within 60 of 100 of what they take
--- /dev/null
+++ b/features/steps/direct_work_steps.py
@@ -0,0 +1,106 @@
+"""Steps of the work that entries know of at targets, and of how long it takes."""
+
+import re
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+
+from harness.direct_fleet import HeldClock
+from mimosaspur_coordination.fleetview import FIRST_TOKEN_MS
+from mimosaspur_coordination.fleetview import FleetView
+from mimosaspur_coordination.fleetview import Prompt
+from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_daemon.direct.fleetreport import total_work
+from mimosaspur_daemon.direct.fleetreport import work_of_others
+from mimosaspur_protocol.peermessages import WorkAt
+from mimosaspur_state.fleet import TargetRecord
+
+TARGETS = ("x", "plain")
+RANK = 3
+MEASURED_TOKENS = 2_000
+LONG_TOKENS = 4_000
+
+
+def _work(text: str) -> dict[str, WorkAt]:
+    found = {}
+    for target, requests, unread in re.findall(r"(\w+): (\d+)(?: with (\d+) unread)?", text):
+        by_rank = {RANK: float(unread)} if unread and int(unread) else {}
+        found[target] = WorkAt(target, int(requests), by_rank, 0, {})
+    return found
+
+
+@given("entry A has {first}, and entry B has {second}")
+def set_work(context: Context, first: str, second: str) -> None:
+    context.reports = [_work(first), _work(second)]
+
+
+@when("the coordinator tells entry A of the others' work")
+def tell_work(context: Context) -> None:
+    totals = total_work(context.reports, TARGETS)
+    context.told = work_of_others(totals, context.reports[0])
+
+
+@then("it hears of {told}")
+def check_told(context: Context, told: str) -> None:
+    assert dict(context.told) == _work(told), context.told
+
+
+@given("engines that read slow at {slow:d} tokens a ms and fast at {fast:d} tokens a ms")
+def set_engines(context: Context, slow: int, fast: int) -> None:
+    context.speeds = {"slow": slow, "fast": fast}
+    context.fleet = FleetView(clock=HeldClock(0))
+    records = [TargetRecord(name, "models", ("127.0.0.1", 1), "here") for name in "xyz"]
+    context.fleet.update(records, ())
+
+
+def _measure(context: Context, view: TargetView, model: str, *, slower: float = 1.0) -> None:
+    prompt = Prompt(model, prompt_tokens=MEASURED_TOKENS)
+    predicted_ms = view.first_token_ms(prompt, rank=RANK)
+    unread = view.begin(prompt, rank=RANK)
+    took_ms = FIRST_TOKEN_MS + MEASURED_TOKENS / context.speeds[model] * slower
+    view.read(unread=unread, rank=RANK)
+    view.first_token(prompt, unread=unread, predicted_ms=predicted_ms, took_ms=took_ms)
+    view.end(prompt)
+
+
+@when("{count:d} requests for each model have been measured, one at a time")
+def measure(context: Context, count: int) -> None:
+    views = list(context.fleet.targets.values())
+    for number in range(count):
+        for model in context.speeds:
+            _measure(context, views[number % len(views)], model)
+
+
+@when("a request for fast takes {times:d} times as long as it should")
+def measure_wrong(context: Context, times: int) -> None:
+    _measure(context, context.fleet.targets["x"], "fast", slower=times)
+
+
+@then("prompts of {tokens:d} tokens are predicted within {percent:d} of 100 of what they take")
+def check_predicted(context: Context, tokens: int, percent: int) -> None:
+    for model, speed in context.speeds.items():
+        takes_ms = FIRST_TOKEN_MS + tokens / speed
+        for view in context.fleet.targets.values():
+            prompt = Prompt(model, prompt_tokens=tokens)
+            predicted_ms = view.first_token_ms(prompt, rank=RANK)
+            assert abs(predicted_ms - takes_ms) <= takes_ms * percent / 100, (
+                model,
+                predicted_ms,
+                takes_ms,
+            )
+
+
+@then(
+    "behind three prompts for fast a request for slow is expected sooner than behind three for slow"
+)
+def check_queues(context: Context) -> None:
+    asked = Prompt("slow", prompt_tokens=LONG_TOKENS)
+    expected = {}
+    for identity, model in (("x", "fast"), ("y", "slow")):
+        view = context.fleet.targets[identity]
+        for _ in range(3):
+            view.begin(Prompt(model, prompt_tokens=LONG_TOKENS), rank=RANK)
+        expected[model] = view.first_token_ms(asked, rank=RANK)
+    assert expected["fast"] * 2 < expected["slow"], expected
--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -7,6 +7,9 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from mimosaspur_coordination.modelpace import MOST_CHANGE
+from mimosaspur_coordination.modelpace import NEWEST
+from mimosaspur_coordination.modelpace import ModelPace
 from mimosaspur_coordination.targethealth import TargetHealth
 from mimosaspur_state.clock import Clock
 from mimosaspur_state.fleet import TargetRecord
@@ -16,8 +19,7 @@
 READ_TOKENS_PER_MS = 15.0
 # The time to a first token on an idle engine, without reading the prompt.
 FIRST_TOKEN_MS = 30.0
-# Weight of the newest measurement of an engine's slowness, and its bounds.
-NEWEST = 0.15
+# Bounds of what is learnt of an engine, beside what is learnt of its models.
 SLOWNESS_BOUNDS = (0.2, 8.0)
 # Prompt parts remembered for each target.
 MAX_PARTS = 2_000
@@ -41,6 +43,8 @@
 
     record: TargetRecord
     health: TargetHealth
+    # What a model's tokens cost, the same for all targets.
+    paces: ModelPace = field(default_factory=ModelPace)
     own: Work = field(default_factory=Work)
     # What the other entries have there, as the coordinator last told.
     others: Work = field(default_factory=Work)
@@ -58,14 +62,14 @@
             return False
         return not prompt.adapter or prompt.adapter in adapters
 
-    def unread_tokens(self, prompt: Prompt) -> int:
-        """Return the tokens of a prompt that the target probably has to read."""
+    def unread_tokens(self, prompt: Prompt) -> float:
+        """Return what the target probably has to read of a prompt, in a common model's tokens."""
         kept = 0
         for identity, tokens in prompt.parts[:-1]:
             if (prompt.model, prompt.adapter, identity) not in self.parts:
                 break
             kept += tokens
-        return max(1, prompt.prompt_tokens - kept)
+        return max(1, prompt.prompt_tokens - kept) * self.paces.of(prompt.model)
 
     def first_token_ms(self, prompt: Prompt, *, rank: int) -> float:
         """Predict the time to the first token if the prompt were sent now with a rank."""
@@ -75,7 +79,7 @@
             tokens += sum(n for other, n in work.unread.items() if other <= rank)
         return FIRST_TOKEN_MS + tokens * self.slowness / READ_TOKENS_PER_MS
 
-    def begin(self, prompt: Prompt, *, rank: int) -> int:
+    def begin(self, prompt: Prompt, *, rank: int) -> float:
         """Count a prompt that is sent; return the tokens counted as unread."""
         unread = self.unread_tokens(prompt)
         self.own.requests += 1
@@ -84,7 +88,9 @@
         self.own.by_model[prompt.model] = self.own.by_model.get(prompt.model, 0) + 1
         return unread
 
-    def first_token(self, prompt: Prompt, *, predicted_ms: float, took_ms: float) -> None:
+    def first_token(
+        self, prompt: Prompt, *, unread: float, predicted_ms: float, took_ms: float
+    ) -> None:
         """Remember a prompt that has been read, and learn from the time it took."""
         for identity, tokens in prompt.parts[:-1]:
             key = (prompt.model, prompt.adapter, identity)
@@ -93,12 +99,14 @@
         while len(self.parts) > MAX_PARTS:
             self.parts.popitem(last=False)
         reading_ms = max(1.0, predicted_ms - FIRST_TOKEN_MS)
-        sample = self.slowness * max(1.0, took_ms - FIRST_TOKEN_MS) / reading_ms
+        ratio = max(1.0, took_ms - FIRST_TOKEN_MS) / reading_ms
+        own_ms = unread * self.slowness / READ_TOKENS_PER_MS
+        self.paces.learn(prompt.model, ratio, share=min(1.0, own_ms / reading_ms))
+        change = min(MOST_CHANGE, max(1.0 / MOST_CHANGE, ratio)) ** NEWEST
         low, high = SLOWNESS_BOUNDS
-        mixed = self.slowness * (1 - NEWEST) + min(high, max(low, sample)) * NEWEST
-        self.slowness = mixed
+        self.slowness = min(high, max(low, self.slowness * change))
 
-    def read(self, *, unread: int, rank: int) -> None:
+    def read(self, *, unread: float, rank: int) -> None:
         """Count a prompt as read, or as given up before it was."""
         self.own.unread[rank] -= unread
 
@@ -116,10 +124,11 @@
 class FleetView:
     """Hold the targets by service; what the coordinator tells goes before registrations."""
 
-    __slots__ = ("by_service", "clock", "targets", "told")
+    __slots__ = ("by_service", "clock", "paces", "targets", "told")
 
     def __init__(self, *, clock: Clock) -> None:
         self.clock = clock
+        self.paces = ModelPace()
         self.targets: dict[str, TargetView] = {}
         self.by_service: dict[str, dict[str, TargetView]] = {}
         # Targets whose residents the coordinator keeps up.
@@ -143,7 +152,7 @@
         for record in changed:
             view = self.targets.get(record.identity)
             if view is None:
-                view = TargetView(record, TargetHealth(clock=self.clock))
+                view = TargetView(record, TargetHealth(clock=self.clock), self.paces)
                 self.targets[record.identity] = view
                 self.by_service.setdefault(record.service, {})[record.identity] = view
             view.record = record
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -181,7 +181,10 @@
         if self.rank != LATE_RANK:
             # How long what is late waits depends on what comes after it.
             self.view.first_token(
-                self.journey.prompt, predicted_ms=self.predicted_ms, took_ms=took_ms
+                self.journey.prompt,
+                unread=self.unread,
+                predicted_ms=self.predicted_ms,
+                took_ms=took_ms,
             )
 
     def _silence_s(self) -> float | None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -20,6 +21,7 @@
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.fleetreport import apply_report
 from mimosaspur_daemon.direct.fleetreport import residents_of
+from mimosaspur_daemon.direct.fleetreport import total_work
 from mimosaspur_daemon.direct.fleetreport import work_of_others
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import FleetReport
@@ -59,7 +61,7 @@
     heard_ms: int = 0
     link: PeerLink | None = None
     told_ms: int = 0
-    told_work: dict[str, WorkAt] = field(default_factory=dict)
+    told_work: Mapping[str, WorkAt] = field(default_factory=dict)
     told_residents: dict[str, Residents] = field(default_factory=dict)
     told_expected: frozenset[str] = frozenset()
 
@@ -364,19 +366,20 @@
         expected = {
             desk.loading: desk.expected_in_ms() for desk in self.desks.values() if desk.loading
         }
-        for instance, member in self.members.items():
-            self._tell_member(instance, member, residents, expected, now_ms)
+        targets = self.state.fleet.targets
+        totals = total_work((member.work for member in self.members.values()), targets)
+        for member in self.members.values():
+            self._tell_member(member, totals, residents, expected, now_ms)
 
     def _tell_member(
         self,
-        instance: str,
         member: Member,
+        totals: dict[str, WorkAt],
         residents: dict[str, Residents],
         expected: dict[str, int],
         now_ms: int,
     ) -> None:
-        reports = {name: each.work for name, each in self.members.items() if name != instance}
-        work = work_of_others(reports, targets=self.desks)
+        work = work_of_others(totals, member.work)
         report = FleetReport(
             token=self.lease.record.token if self.lease.record else 0,
             ordering=self.lease.proved(),
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -10,20 +10,25 @@
 from mimosaspur_protocol.peermessages import WorkAt
 
 
-def work_of_others(
-    reports: Mapping[str, Mapping[str, WorkAt]], *, targets: Iterable[str]
+def total_work(
+    reports: Iterable[Mapping[str, WorkAt]], targets: Iterable[str]
 ) -> dict[str, WorkAt]:
-    """Sum up the entries' work by target."""
-    totals: dict[str, WorkAt] = {}
-    for work_at in reports.values():
+    """Sum up the entries' work by target; what has ended at a target is told as none."""
+    totals = {target: _no_work(target) for target in targets}
+    for work_at in reports:
         for target, work in work_at.items():
-            totals[target] = _sum(totals.get(target, _no_work(target)), work)
-    for target in targets:
-        # What has ended must be told as well.
-        totals.setdefault(target, _no_work(target))
+            totals[target] = _sum(totals.get(target, _no_work(target)), work, sign=1)
     return totals
 
 
+def work_of_others(totals: Mapping[str, WorkAt], own: Mapping[str, WorkAt]) -> Mapping[str, WorkAt]:
+    """Return the total work less that of one entry."""
+    others = dict(totals)
+    for target, work in own.items():
+        others[target] = _sum(totals[target], work, sign=-1)
+    return others
+
+
 def residents_of(desk: EngineDesk) -> Residents:
     """Return what an engine holds, as entries are told it."""
     if desk.lost():
@@ -53,11 +58,13 @@
     return WorkAt(target, 0, {}, 0, {})
 
 
-def _sum(first: WorkAt, second: WorkAt) -> WorkAt:
-    """Return the sum of two entries' work at a target; models are left out."""
+def _sum(first: WorkAt, second: WorkAt, *, sign: int) -> WorkAt:
+    """Return two works at a target added up, or the first less the second; models are left out."""
     unread = dict(first.unread)
     for rank, tokens in second.unread.items():
-        unread[rank] = unread.get(rank, 0) + tokens
-    requests = first.requests + second.requests
-    held_tokens = first.held_tokens + second.held_tokens
+        unread[rank] = unread.get(rank, 0) + sign * tokens
+        if not unread[rank]:
+            del unread[rank]
+    requests = first.requests + sign * second.requests
+    held_tokens = first.held_tokens + sign * second.held_tokens
     return WorkAt(first.target, requests, unread, held_tokens, {})
--- a/packages/daemon/src/mimosaspur_daemon/direct/journey.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/journey.py
@@ -114,7 +114,7 @@
             self.state.count_asked(
                 self.prompt.model,
                 self.prompt.adapter,
-                tokens=self.prompt.prompt_tokens + 1,
+                tokens=1 + round(self.prompt.prompt_tokens * self._pace()),
                 objective_ms=self.route.objective_ms,
             )
         try:
@@ -206,6 +206,9 @@
             head.status, end_to_end(head.headers), body, close=self.state.leaving
         )
 
+    def _pace(self) -> float:
+        return self.state.fleet.paces.of(self.prompt.model)
+
     def _time_limit_ms(self) -> int:
         value = header(self.request.headers, self.state.outside.dialect.deadline_ms) or b""
         if value.isdigit():
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -12,7 +12,7 @@
     target: str
     requests: int
     # Prompt tokens still to be read, by rank.
-    unread: dict[int, int]
+    unread: dict[int, float]
     held_tokens: int
     by_model: dict[str, int]
 
--- a/packages/state/src/mimosaspur_state/fleet.py
+++ b/packages/state/src/mimosaspur_state/fleet.py
@@ -74,8 +74,9 @@
     """Count what runs or waits at a target."""
 
     requests: int = 0
-    # Prompt tokens of requests whose first token is still to come, by their rank at the engine.
-    unread: dict[int, int] = field(default_factory=dict)
+    # Prompt tokens of requests whose first token is still to come, by their rank at the engine; a
+    # model that is read faster counts less.
+    unread: dict[int, float] = field(default_factory=dict)
     # Prompt and output tokens of all of them.
     held_tokens: int = 0
     by_model: dict[str, int] = field(default_factory=dict)
