Spare loads from the weight store; expect an overdue load to take longer

A running request on a victim counted as much as a second, though 93 of 94 unloads took 50 ms, so an engine without a copy often won; for one more replica the store's longer load counted next to nothing. Second cause: an overdue load counted as 100 ms from its end, so a model that 58 requests waited for stayed with an engine whose load was 0.7 s late.

Change: a running request counts 1,500 tokens instead of 4,000; a load from the store counts 2,500 beside its time; an overdue load is expected to take as long again as it is late.

--- a/features/direct_orders.feature
+++ b/features/direct_orders.feature
@@ -49,6 +49,11 @@
     When the desk swaps a for d and is asked meanwhile when the engine is free
     Then until the load has begun it says no less than the whole load
 
+  Scenario: The longer a load is overdue, the later its engine is expected to be free
+    Given an engine with three models whose unload waits 0 ms for its runs
+    When the desk swaps a for d, which is to take 50 ms and takes 100 ms more
+    Then just before the load's end it expects the engine to be free in 50 ms or more
+
   Scenario: A late report doesn't keep an engine from its next move
     Given an engine with three models whose unload waits 0 ms for its runs
     When the desk swaps a for d, and reports are asked for as they fall due
--- a/features/steps/direct_orders_steps.py
+++ b/features/steps/direct_orders_steps.py
@@ -139,6 +139,24 @@
     assert all(each >= LOAD_MS for pair in context.free_in for each in pair), context.free_in
 
 
+@when("the desk swaps a for d, which is to take 50 ms and takes 100 ms more")
+def swap_overdue(context: Context) -> None:
+    async def swap_and_look() -> None:
+        desk = await _desk(context.engine)
+        task = asyncio.create_task(desk.swap("d", ("a",), load_ms=50, foreseeable=False))
+        while "d" not in context.engine.residents:
+            context.expected_ms = desk.expected_in_ms()
+            await asyncio.sleep(0.01)
+        assert await task
+
+    run(context, swap_and_look())
+
+
+@then("just before the load's end it expects the engine to be free in {least_ms:d} ms or more")
+def check_overdue(context: Context, least_ms: int) -> None:
+    assert context.expected_ms >= least_ms, context.expected_ms
+
+
 @when("the desk swaps a for d, and reports are asked for as they fall due")
 def swap_and_report(context: Context) -> None:
     async def swap_and_look() -> None:
--- a/packages/coordination/src/mimosaspur_coordination/modelplacement.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelplacement.py
@@ -48,9 +48,12 @@
 # How much the other load of the engine counts when a replica is added there.
 SHARED_ENGINE_PART = 0.3
 # Running requests hold up an unload; each counts as this much.
-RUNNING_TOKENS = 4_000.0
+RUNNING_TOKENS = 1_500.0
 # Room that is free anyway is given to a model from this demand on, in tokens a second.
 ROOM_TOKENS = 200.0
+# What a load from the weight store counts as beside its time: it is priced, and its copies push out
+# others.
+STORE_TOKENS = 2_500.0
 # What a second that a later load takes longer counts as, for a model whose last copy is lost.
 LAST_COPY_SECOND_TOKENS = 2_000.0
 # For a mere copy no more than this may be lost at the victims' place, in tokens a second.
@@ -151,7 +154,7 @@
         there = problem.copies.get(name) or problem.replicas.get(name)
         if there or name in problem.copied or model.weights_mb > problem.spec.disk_mb:
             continue
-        swap = _best_swap(problem, model, second_tokens=0.0, most_cost=COPY_LOSS)
+        swap = _best_swap(problem, model, second_tokens=0.0, most_cost=COPY_LOSS, store_tokens=0.0)
         if swap:
             return replace(swap, for_copy=True)
     return None
@@ -242,6 +245,7 @@
     second_tokens: float,
     shared_part: float = 0.0,
     most_cost: float = math.inf,
+    store_tokens: float = STORE_TOKENS,
     reserve: bool = False,
     victims: bool = True,
 ) -> Swap | None:
@@ -260,7 +264,7 @@
         cost = loss + (seconds + engine.free_in_ms / 1000) * second_tokens
         cost += shared_part * _engine_tokens(problem, engine)
         if from_store:
-            cost += _copies_loss(problem, engine, model)
+            cost += store_tokens + _copies_loss(problem, engine, model)
         if cost <= best_cost:
             best_cost = cost
             load_ms = round(seconds * 1000)
--- a/packages/daemon/src/mimosaspur_daemon/direct/enginedesk.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/enginedesk.py
@@ -160,11 +160,12 @@
     def expected_in_ms(self) -> int:
         """Return when the model that is being loaded is expected.
 
-        An unload waits for its runs, for nobody knows how long: the whole load comes after it.
+        An unload waits for its runs, for nobody knows how long: the whole load comes after it. A
+        load that is overdue is expected to take as long again as it is late.
         """
         if not self.begun_ms:
             return self.load_ms
-        return max(0, self.begun_ms + self.load_ms - self.clock.now_ms())
+        return abs(self.begun_ms + self.load_ms - self.clock.now_ms())
 
     def take(self, model: str, load_ms: int) -> None:
         """Keep the engine for a model that is to be loaded."""
