Let entries learn the models' pace together

Cause: each entry learnt alone.

Change: entries report factors that have changed by a tenth; the coordinator adds the changes up, once a second, and tells all. Many small steps from the same factor count as the same steps one after the other; the first ones are averaged.

--- a/features/direct_work.feature
+++ b/features/direct_work.feature
@@ -24,3 +24,20 @@
     When 12 requests for each model have been measured, one at a time
     And a request for fast takes 20 times as long as it should
     Then prompts of 4000 tokens are predicted within 60 of 100 of what they take
+
+  Scenario Outline: Entries that each see few requests learn together
+    Given <entries> entries and engines that read fast at 150 tokens a ms
+    When each entry measures <each> requests for fast, telling the others in turns
+    Then every entry predicts a prompt for fast within <percent> of 100 of what it takes
+
+    Examples:
+      | entries | each | percent |
+      | 1       | 12   | 25      |
+      | 4       | 4    | 30      |
+      | 30      | 2    | 30      |
+      | 30      | 12   | 25      |
+
+  Scenario: An entry that has measured nothing knows what the others know
+    Given 4 entries and engines that read fast at 150 tokens a ms
+    When all entries but the last measure 8 requests for fast, telling the others in turns
+    Then every entry predicts a prompt for fast within 30 of 100 of what it takes
--- a/features/steps/direct_work_steps.py
+++ b/features/steps/direct_work_steps.py
@@ -12,6 +12,7 @@
 from mimosaspur_coordination.fleetview import FleetView
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.modelpace import SharedPaces
 from mimosaspur_daemon.direct.fleetreport import total_work
 from mimosaspur_daemon.direct.fleetreport import work_of_others
 from mimosaspur_protocol.peermessages import WorkAt
@@ -104,3 +105,44 @@
             view.begin(Prompt(model, prompt_tokens=LONG_TOKENS), rank=RANK)
         expected[model] = view.first_token_ms(asked, rank=RANK)
     assert expected["fast"] * 2 < expected["slow"], expected
+
+
+@given("{count:d} entries and engines that read fast at {fast:d} tokens a ms")
+def set_entries(context: Context, count: int, fast: int) -> None:
+    context.speeds = {"fast": fast}
+    context.shared = SharedPaces()
+    context.entries = []
+    for _ in range(count):
+        fleet = FleetView(clock=HeldClock(0))
+        fleet.update([TargetRecord("x", "models", ("127.0.0.1", 1), "here")], ())
+        context.entries.append(fleet)
+
+
+def _learn_together(context: Context, learners: list[FleetView], rounds: int) -> None:
+    for _ in range(rounds):
+        for fleet in learners:
+            _measure(context, fleet.targets["x"], "fast")
+            for model, pace in fleet.paces.news().items():
+                context.shared.hear(model, pace)
+        for model, pace in context.shared.news().items():
+            for fleet in context.entries:
+                fleet.paces.adopt(model, pace)
+
+
+@when("each entry measures {each:d} requests for fast, telling the others in turns")
+def measure_together(context: Context, each: int) -> None:
+    _learn_together(context, context.entries, each)
+
+
+@when("all entries but the last measure {each:d} requests for fast, telling the others in turns")
+def measure_but_one(context: Context, each: int) -> None:
+    _learn_together(context, context.entries[:-1], each)
+
+
+@then("every entry predicts a prompt for fast within {percent:d} of 100 of what it takes")
+def check_entries(context: Context, percent: int) -> None:
+    prompt = Prompt("fast", prompt_tokens=LONG_TOKENS)
+    takes_ms = FIRST_TOKEN_MS + LONG_TOKENS / context.speeds["fast"]
+    for fleet in context.entries:
+        predicted_ms = fleet.targets["x"].first_token_ms(prompt, rank=RANK)
+        assert abs(predicted_ms - takes_ms) <= takes_ms * percent / 100, (predicted_ms, takes_ms)
--- a/packages/coordination/src/mimosaspur_coordination/modelpace.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelpace.py
@@ -1,21 +1,43 @@
 """Learn how long engines take over a token of each model, beside one of a common model."""
 
+import math
+from dataclasses import dataclass
+
 # Weight of the newest measurement once some are known; the first ones count for more.
 NEWEST = 0.15
 # One measurement says no more than this many times more or less: the queue may have been misjudged.
 MOST_CHANGE = 4.0
 LEAST_PACE = 0.03
 MOST_PACE = 3.0
+# What differs by less than this part isn't worth a message.
+TOLD_CHANGE = 0.1
+# From so many measurements on, each further one is a small step.
+KNOWN_MEASUREMENTS = 5.0
+# No more measurements than this are counted, so that late ones keep their weight.
+MOST_MEASUREMENTS = 20.0
+
+
+@dataclass(slots=True, frozen=True)
+class Pace:
+    """Hold a model's factor and how many measurements it rests on."""
+
+    factor: float
+    measurements: float
+
+
+UNKNOWN_PACE = Pace(1.0, 0.0)
 
 
 class ModelPace:
     """Keep a factor for each model: 1 until measured, less for a model that is read faster."""
 
-    __slots__ = ("measurements", "paces")
+    __slots__ = ("measurements", "paces", "told")
 
     def __init__(self) -> None:
         self.paces: dict[str, float] = {}
         self.measurements: dict[str, float] = {}
+        # The factors as this process last told or was told them.
+        self.told: dict[str, float] = {}
 
     def of(self, model: str) -> float:
         """Return a model's factor."""
@@ -30,4 +52,51 @@
         weight = share * max(NEWEST, 1.0 / (known + 1.0))
         factor = min(MOST_CHANGE, max(1.0 / MOST_CHANGE, ratio)) ** weight
         self.paces[model] = min(MOST_PACE, max(LEAST_PACE, self.of(model) * factor))
-        self.measurements[model] = known + share
+        self.measurements[model] = min(MOST_MEASUREMENTS, known + share)
+
+    def news(self) -> dict[str, Pace]:
+        """Return the models whose factors have changed since they were last told."""
+        news = {}
+        for model, factor in self.paces.items():
+            told = self.told.get(model, 1.0)
+            if abs(factor - told) > TOLD_CHANGE * told:
+                news[model] = Pace(factor, self.measurements[model])
+                self.told[model] = factor
+        return news
+
+    def adopt(self, model: str, pace: Pace) -> None:
+        """Take a factor that rests on the measurements of other processes too."""
+        self.paces[model] = self.told[model] = pace.factor
+        self.measurements[model] = pace.measurements
+
+
+class SharedPaces:
+    """Put together the factors that several processes have learnt."""
+
+    __slots__ = ("changes", "paces")
+
+    def __init__(self) -> None:
+        self.paces: dict[str, Pace] = {}
+        # What was heard of each model since it was last told: changes of its factor's logarithm.
+        self.changes: dict[str, list[float]] = {}
+
+    def hear(self, model: str, pace: Pace) -> None:
+        """Take a factor that another process has learnt, starting from the one it was told."""
+        told = self.paces.get(model, UNKNOWN_PACE)
+        self.changes.setdefault(model, []).append(math.log(pace.factor / told.factor))
+
+    def news(self) -> dict[str, Pace]:
+        """Return the factors that have changed since the last call."""
+        news = {}
+        for model, changes in self.changes.items():
+            old = self.paces.get(model, UNKNOWN_PACE)
+            mean = sum(changes) / len(changes)
+            if old.measurements >= KNOWN_MEASUREMENTS:
+                # Each is a small step towards the same factor, from where all of them stood.
+                mean *= (1.0 - (1.0 - NEWEST) ** len(changes)) / NEWEST
+            factor = old.factor * min(MOST_CHANGE, max(1.0 / MOST_CHANGE, math.exp(mean)))
+            measurements = min(MOST_MEASUREMENTS, old.measurements + len(changes))
+            news[model] = Pace(min(MOST_PACE, max(LEAST_PACE, factor)), measurements)
+        self.changes.clear()
+        self.paces.update(news)
+        return news
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -10,6 +10,8 @@
 from mimosaspur_coordination.loadrate import LoadRate
 from mimosaspur_coordination.modeldemand import Demand
 from mimosaspur_coordination.modeldemand import ModelDemand
+from mimosaspur_coordination.modelpace import Pace
+from mimosaspur_coordination.modelpace import SharedPaces
 from mimosaspur_coordination.modelplacement import EngineSnapshot
 from mimosaspur_coordination.modelplacement import PlacementProblem
 from mimosaspur_coordination.modelplacement import Swap
@@ -20,11 +22,13 @@
 from mimosaspur_daemon.direct.enginedesk import EngineDesk
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.fleetreport import apply_report
+from mimosaspur_daemon.direct.fleetreport import paces_told
 from mimosaspur_daemon.direct.fleetreport import residents_of
 from mimosaspur_daemon.direct.fleetreport import total_work
 from mimosaspur_daemon.direct.fleetreport import work_of_others
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import FleetReport
+from mimosaspur_protocol.peermessages import PaceOf
 from mimosaspur_protocol.peermessages import ProofAnswer
 from mimosaspur_protocol.peermessages import ProofRequest
 from mimosaspur_protocol.peermessages import Residents
@@ -38,6 +42,8 @@
 TURN_MS = 60
 # Entries hear at least so often, so that they notice when the coordinator is gone.
 HEARTBEAT_MS = 250
+# Paces change slowly once they are known.
+PACES_EVERY_MS = 1_000
 # An entry that says nothing for so long is no longer counted.
 ENTRY_SILENT_MS = 1_500
 # While no more loads than this run from the weight store, they take the time that the
@@ -83,6 +89,8 @@
         self.loads = LoadRate(bounds.load_window_ms, clock=self.clock)
         self.loads.count(ASSUMED_LOADS)
         self.tasks: set[asyncio.Task[None]] = set()
+        self.paces = SharedPaces()
+        self.paces_told_ms = 0
         self.news = asyncio.Event()
         self.adapters = AdapterKeeper(
             demand=AdapterDemand(clock=self.clock),
@@ -144,6 +152,8 @@
         member.work = {work.target: work for work in report.work}
         member.waiting = {asked.model: asked.waiting for asked in report.asked if asked.waiting}
         member.adapters = [(model, adapter) for model, adapter in report.adapters]
+        for told in report.paces:
+            self.paces.hear(told.model, Pace(told.factor, told.measurements))
         for asked in report.asked:
             if asked.tokens:
                 self.demand.count(asked.model, asked.tokens, objective_ms=asked.objective_ms)
@@ -367,9 +377,16 @@
             desk.loading: desk.expected_in_ms() for desk in self.desks.values() if desk.loading
         }
         targets = self.state.fleet.targets
+        paces = self._paces_to_tell(now_ms)
         totals = total_work((member.work for member in self.members.values()), targets)
         for member in self.members.values():
-            self._tell_member(member, totals, residents, expected, now_ms)
+            self._tell_member(member, totals, residents, expected, paces, now_ms)
+
+    def _paces_to_tell(self, now_ms: int) -> list[PaceOf]:
+        if now_ms - self.paces_told_ms < PACES_EVERY_MS:
+            return []
+        self.paces_told_ms = now_ms
+        return paces_told(self.paces.news())
 
     def _tell_member(
         self,
@@ -377,6 +394,7 @@
         totals: dict[str, WorkAt],
         residents: dict[str, Residents],
         expected: dict[str, int],
+        paces: list[PaceOf],
         now_ms: int,
     ) -> None:
         work = work_of_others(totals, member.work)
@@ -391,8 +409,11 @@
                 if member.told_residents.get(target) != each
             ],
             expected=expected,
+            paces=paces,
+        )
+        news = (
+            report.work or report.residents or paces or member.told_expected != frozenset(expected)
         )
-        news = report.work or report.residents or member.told_expected != frozenset(expected)
         if not news and now_ms - member.told_ms < HEARTBEAT_MS:
             return
         member.told_ms = now_ms
--- a/packages/daemon/src/mimosaspur_daemon/direct/duty.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/duty.py
@@ -9,6 +9,7 @@
 from mimosaspur_daemon.direct.entrystate import Asked
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.fleetreport import apply_report
+from mimosaspur_daemon.direct.fleetreport import paces_told
 from mimosaspur_protocol.peermessages import AskedFor
 from mimosaspur_protocol.peermessages import AskedForAdapter
 from mimosaspur_protocol.peermessages import EntryReport
@@ -262,4 +263,5 @@
     asked_adapters = [AskedForAdapter(*key, n) for key, n in state.asked_adapters.items()]
     state.asked_adapters.clear()
     waiting = list(state.waiting_adapters)
-    return EntryReport(instance, work, asked, waiting, unreachable, asked_adapters)
+    paces = paces_told(state.fleet.paces.news())
+    return EntryReport(instance, work, asked, waiting, unreachable, asked_adapters, paces)
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -3,9 +3,11 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from mimosaspur_coordination.modelpace import Pace
 from mimosaspur_daemon.direct.enginedesk import EngineDesk
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_protocol.peermessages import FleetReport
+from mimosaspur_protocol.peermessages import PaceOf
 from mimosaspur_protocol.peermessages import Residents
 from mimosaspur_protocol.peermessages import WorkAt
 
@@ -37,6 +39,11 @@
     return Residents(desk.record.identity, models, sorted(desk.closing))
 
 
+def paces_told(paces: Mapping[str, Pace]) -> list[PaceOf]:
+    """Return models' paces as they are told."""
+    return [PaceOf(model, pace.factor, pace.measurements) for model, pace in paces.items()]
+
+
 def apply_report(state: EntryState, report: FleetReport) -> None:
     """Take the coordinator's report into an entry's picture of the fleet."""
     state.entries = report.entries
@@ -49,6 +56,8 @@
     for each in report.residents:
         models = {model: frozenset(adapters) for model, adapters in each.models.items()}
         state.fleet.tell_residents(each.target, models, frozenset(each.closing))
+    for told in report.paces:
+        state.fleet.paces.adopt(told.model, Pace(told.factor, told.measurements))
     state.expected_ms = report.expected
     if report.work or report.residents or report.expected:
         state.changes.notify()
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -35,6 +35,14 @@
     requests: int
 
 
+class PaceOf(msgspec.Struct, array_like=True, frozen=True):
+    """Hold how long a model's tokens take beside a common model's, and the measurements of it."""
+
+    model: str
+    factor: float
+    measurements: float
+
+
 class EntryReport(msgspec.Struct, array_like=True, tag="entry"):
     """Tell the coordinator what an entry does."""
 
@@ -46,6 +54,8 @@
     # Targets to which no connection could be opened since the last report.
     unreachable: list[str]
     asked_adapters: list[AskedForAdapter] = msgspec.field(default_factory=list)
+    # Paces that have changed since the last report.
+    paces: list[PaceOf] = msgspec.field(default_factory=list)
 
 
 class Residents(msgspec.Struct, array_like=True, frozen=True):
@@ -67,6 +77,8 @@
     residents: list[Residents]
     # Milliseconds until a model that is being loaded is expected.
     expected: dict[str, int]
+    # Paces that have changed since the last report, over all entries.
+    paces: list[PaceOf] = msgspec.field(default_factory=list)
 
 
 class StepDown(msgspec.Struct, array_like=True, tag="leaving"):
