--- a/features/steps/direct_adapters_steps.py
+++ b/features/steps/direct_adapters_steps.py
@@ -117,6 +117,7 @@
         self.keeper = AdapterKeeper(
             demand=AdapterDemand(clock=self.clock),
             models=ModelDemand(clock=self.clock),
+            log=quiet_log("me"),
             spawn=self._spawn,
             changed=lambda: None,
         )
--- a/packages/daemon/src/mimosaspur_daemon/direct/adapterkeeper.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/adapterkeeper.py
@@ -12,6 +12,7 @@
 from mimosaspur_coordination.adapterplacement import AdapterPlacement
 from mimosaspur_coordination.modeldemand import ModelDemand
 from mimosaspur_daemon.direct.enginedesk import EngineDesk
+from mimosaspur_state.eventlog import EventLog
 from mimosaspur_state.routes import EngineSpec
 
 # Requests a second for an adapter that nobody has asked for yet, for each token a second that its
@@ -29,11 +30,13 @@
         *,
         demand: AdapterDemand,
         models: ModelDemand,
+        log: EventLog,
         spawn: Callable[["asyncio._CoroutineLike[None]"], None],
         changed: Callable[[], None],
     ) -> None:
         self.demand = demand
         self.models = models
+        self.log = log
         self.spawn = spawn
         self.changed = changed
 
@@ -44,7 +47,7 @@
         for wanted in sorted(waiting):
             move = self._placement(spec, desks).for_waiting(wanted)
             if move:
-                self._begin(desks, move, spec)
+                self._begin(desks, move, spec, waiting=True)
 
     def place_ahead(self, spec: EngineSpec, desks: Sequence[EngineDesk]) -> None:
         """Begin the moves for adapters that are likely to be asked for."""
@@ -55,7 +58,7 @@
         for engine in placement.engines:
             move = placement.ahead(engine, names)
             if move:
-                self._begin(desks, move, spec)
+                self._begin(desks, move, spec, waiting=False)
 
     def _shared_rate(self, model: str) -> float:
         """Return the rate that all adapters of a model can expect together."""
@@ -84,9 +87,20 @@
         ]
         return AdapterPlacement(engines, expected)
 
-    def _begin(self, desks: Sequence[EngineDesk], move: AdapterMove, spec: EngineSpec) -> None:
+    def _begin(
+        self, desks: Sequence[EngineDesk], move: AdapterMove, spec: EngineSpec, *, waiting: bool
+    ) -> None:
         desk = next(each for each in desks if each.record.identity == move.identity)
         desk.placing_adapter = (move.model, move.adapter)
+        self.log.write(
+            "adapter",
+            target=move.identity,
+            model=move.model,
+            adapter=move.adapter,
+            victim=move.victim,
+            waiting=waiting,
+            requests_per_s=round(self.demand.rate(move.model, move.adapter), 2),
+        )
         self.spawn(self._load(desk, move, spec.adapter_slots))
 
     async def _load(self, desk: EngineDesk, move: AdapterMove, places: int) -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -95,6 +95,7 @@
         self.adapters = AdapterKeeper(
             demand=AdapterDemand(clock=self.clock),
             models=self.demand,
+            log=state.log,
             spawn=self._spawn,
             changed=self.news.set,
         )
@@ -386,7 +387,11 @@
         if now_ms - self.paces_told_ms < PACES_EVERY_MS:
             return []
         self.paces_told_ms = now_ms
-        return paces_told(self.paces.news())
+        news = self.paces.news()
+        if news:
+            factors = {model: round(pace.factor, 2) for model, pace in news.items()}
+            self.state.log.write("paces", factors=factors)
+        return paces_told(news)
 
     def _tell_member(
         self,
