Split the engine desk and the coordinator; let turns take a quarter of the time at most

What is known of an engine and its orders stands in knownengine, what the coordinator heard from entries and tells them in members.

Cause found while reading: each report of an entry that waits for a model begins a turn of the coordinator at once. 30 entries that wait report ten times a second each, and each turn counted the running requests of every entry for every engine. Now they are counted once a turn, and a turn is followed by a pause of three times its length.

Copies before the first callers never take an engine's only model away; the decision has a table of its own.

--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -65,3 +65,19 @@
     And g has waited for 4000 ms and h for 100 ms, h with more requests
     When the engine is free
     Then g is loaded first
+
+  Scenario Outline: Models without a copy are loaded once before a site's first callers
+    Given the engines <engines>
+    And the demand <demand>
+    When a load for a copy is decided <when>
+    Then the load is <decision>
+
+    Examples:
+      | engines                                           | demand  | when                                 | decision |
+      | x: a b c disk a b c d e f g                        | nothing | before anybody asked                 | none     |
+      | x: a b c disk c d e f g                            | nothing | before anybody asked                 | h on x   |
+      | x: a b c disk c d e f g                            | nothing | after requests have come             | none     |
+      | x: a b c disk c d e f g                            | nothing | before anybody asked, h tried before | none     |
+      | x: a disk a b c d e f g                            | nothing | before anybody asked                 | none     |
+      | x: a b c disk a b c d e f; y: a b d disk a b d e f g | nothing | before anybody asked               | h on x or y |
+      | x: a b c disk a b c e f g; y: a b d disk a b d f g c | nothing | before anybody asked               | h on y   |
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -87,6 +87,18 @@
     context.swap = next_swap(problem)
 
 
+@when("a load for a copy is decided {when}")
+def decide_copy(context: Context, when: str) -> None:
+    problem = PlacementProblem(
+        SPEC,
+        context.engines,
+        context.demand,
+        idle=when.startswith("before anybody asked"),
+        copied={"h"} if "tried before" in when else (),
+    )
+    context.swap = next_copy(problem)
+
+
 @then("the load is {decision}")
 def check_decision(context: Context, decision: str) -> None:
     swap = context.swap
--- a/packages/coordination/src/mimosaspur_coordination/modelplacement.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelplacement.py
@@ -333,7 +333,7 @@
     demand = problem.demand_of(name)
     replicas = problem.replicas.get(name, 1)
     running = engine.residents.get(name, 0) * RUNNING_TOKENS
-    if problem.idle:
+    if problem.idle and len(engine.residents) > 1:
         return running
     if replicas > 1:
         return running + demand.fast_tokens / replicas
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -1,17 +1,11 @@
 """Coordinate the fleet while this instance holds the lease: gather, decide, order, tell."""
 
 import asyncio
-import contextlib
-from collections.abc import Mapping
-from dataclasses import dataclass
-from dataclasses import field
 
 from mimosaspur_coordination.adapterdemand import AdapterDemand
 from mimosaspur_coordination.loadrate import LoadRate
 from mimosaspur_coordination.modeldemand import Demand
 from mimosaspur_coordination.modeldemand import ModelDemand
-from mimosaspur_coordination.modelpace import Pace
-from mimosaspur_coordination.modelpace import SharedPaces
 from mimosaspur_coordination.modelplacement import EngineSnapshot
 from mimosaspur_coordination.modelplacement import PlacementProblem
 from mimosaspur_coordination.modelplacement import Swap
@@ -21,29 +15,20 @@
 from mimosaspur_daemon.direct.adapterkeeper import AdapterKeeper
 from mimosaspur_daemon.direct.enginedesk import EngineDesk
 from mimosaspur_daemon.direct.entrystate import EntryState
-from mimosaspur_daemon.direct.fleetreport import apply_report
-from mimosaspur_daemon.direct.fleetreport import paces_told
-from mimosaspur_daemon.direct.fleetreport import residents_of
-from mimosaspur_daemon.direct.fleetreport import total_work
-from mimosaspur_daemon.direct.fleetreport import work_of_others
+from mimosaspur_daemon.direct.members import Member
+from mimosaspur_daemon.direct.members import Members
 from mimosaspur_protocol.peermessages import EntryReport
-from mimosaspur_protocol.peermessages import FleetReport
-from mimosaspur_protocol.peermessages import PaceOf
 from mimosaspur_protocol.peermessages import ProofAnswer
 from mimosaspur_protocol.peermessages import ProofRequest
-from mimosaspur_protocol.peermessages import Residents
 from mimosaspur_protocol.peermessages import StepDown
-from mimosaspur_protocol.peermessages import WorkAt
 from mimosaspur_state.routes import EngineSpec
 from mimosaspur_transport.peerlink import PeerLink
 from mimosaspur_transport.peerlink import PeerLost
 
 # How often the coordinator decides and tells; news of models go out at once.
 TURN_MS = 60
-# Entries hear at least so often, so that they notice when the coordinator is gone.
-HEARTBEAT_MS = 250
-# Paces change slowly once they are known.
-PACES_EVERY_MS = 1_000
+# A turn is followed by a pause of so many times its length, which bounds the processor time.
+PAUSE_TIMES = 3.0
 # An entry that says nothing for so long is no longer counted.
 ENTRY_SILENT_MS = 1_500
 # While no more loads than this run from the weight store, they take the time that the
@@ -57,21 +42,6 @@
 ASSUMED_LOADS = 4
 
 
-@dataclass(slots=True)
-class Member:
-    """Hold what one entry last told, and what it was last told."""
-
-    work: dict[str, WorkAt] = field(default_factory=dict)
-    waiting: dict[str, int] = field(default_factory=dict)
-    adapters: list[tuple[str, str]] = field(default_factory=list)
-    heard_ms: int = 0
-    link: PeerLink | None = None
-    told_ms: int = 0
-    told_work: Mapping[str, WorkAt] = field(default_factory=dict)
-    told_residents: dict[str, Residents] = field(default_factory=dict)
-    told_expected: frozenset[str] = frozenset()
-
-
 class Coordinator:
     """Decide for all engines; lives for as long as the lease is held."""
 
@@ -79,7 +49,7 @@
         self.state = state
         self.lease = lease
         self.clock = state.clock
-        self.members: dict[str, Member] = {}
+        self.members = Members(state)
         self.began_ms = self.clock.now_ms()
         # Models that were loaded for a copy of their weights.
         self.copied: set[str] = set()
@@ -89,8 +59,6 @@
         self.loads = LoadRate(bounds.load_window_ms, clock=self.clock)
         self.loads.count(ASSUMED_LOADS)
         self.tasks: set[asyncio.Task[None]] = set()
-        self.paces = SharedPaces()
-        self.paces_told_ms = 0
         self.news = asyncio.Event()
         self.adapters = AdapterKeeper(
             demand=AdapterDemand(clock=self.clock),
@@ -99,6 +67,8 @@
             spawn=self._spawn,
             changed=self.news.set,
         )
+        # Requests that run at each target, by model, as of this turn.
+        self.running: dict[str, dict[str, int]] = {}
         # The entries that have followed since the store was last reached.
         self.required: set[str] = set()
         # Who has answered the last request for a proof that the store is away.
@@ -108,8 +78,12 @@
         """Take turns until cancelled."""
         try:
             while True:
+                began_s = asyncio.get_running_loop().time()
                 self._turn()
-                self._tell()
+                self.members.tell(self.desks.values(), self.lease)
+                # News comes with each report of each entry: the more there is to do in a turn, the
+                # fewer turns there are.
+                await asyncio.sleep((asyncio.get_running_loop().time() - began_s) * PAUSE_TIMES)
                 try:
                     async with asyncio.timeout(TURN_MS / 1000):
                         await self.news.wait()
@@ -119,9 +93,7 @@
         finally:
             for task in self.tasks:
                 task.cancel()
-            for member in self.members.values():
-                if member.link:
-                    member.link.close()
+            self.members.close()
 
     async def serve_member(self, link: PeerLink) -> None:
         """Listen to one entry until its link ends."""
@@ -135,7 +107,7 @@
                     continue
                 if member is None:
                     member = Member(link=link)
-                    self.members[message.instance] = member
+                    self.members.members[message.instance] = member
                     self.required.add(message.instance)
                     self.news.set()
                 self.hear(message, member)
@@ -143,18 +115,12 @@
             pass
         finally:
             link.close()
-            for instance, known in list(self.members.items()):
-                if known is member:
-                    del self.members[instance]
+            if member:
+                self.members.forget(member)
 
     def hear(self, report: EntryReport, member: Member) -> None:
         """Take an entry's report."""
-        member.heard_ms = self.clock.now_ms()
-        member.work = {work.target: work for work in report.work}
-        member.waiting = {asked.model: asked.waiting for asked in report.asked if asked.waiting}
-        member.adapters = [(model, adapter) for model, adapter in report.adapters]
-        for told in report.paces:
-            self.paces.hear(told.model, Pace(told.factor, told.measurements))
+        self.members.hear(report, member)
         for asked in report.asked:
             if asked.tokens:
                 self.demand.count(asked.model, asked.tokens, objective_ms=asked.objective_ms)
@@ -171,24 +137,21 @@
 
     def hear_own(self, report: EntryReport) -> None:
         """Take the report of this instance's own entry."""
-        member = self.members.get(report.instance)
-        if member is None or member.link:
-            member = self.members[report.instance] = Member()
-        self.hear(report, member)
+        self.hear(report, self.members.own(report.instance))
 
     def step_down(self) -> None:
         """Tell all entries that this instance gives no more orders."""
         age_ms = self.lease.clock.now_ms() - self.lease.last_order_ms
-        self._send_all(StepDown(max(0, age_ms)))
+        self.members.send_all(StepDown(max(0, age_ms)))
 
     def store_reached(self) -> None:
         """Take note that this instance has read the lease."""
-        self.required = {instance for instance, member in self.members.items() if member.link}
+        self.required = self.members.linked()
 
     def ask_for_proof(self, asked_ms: int) -> None:
         """Have the other entries read the lease, since the store doesn't answer here."""
         self.proofs = {asked_ms: set()}
-        self._send_all(ProofRequest(asked_ms))
+        self.members.send_all(ProofRequest(asked_ms))
 
     def _hear_proof(self, answer: ProofAnswer) -> None:
         if answer.reached_store:
@@ -203,19 +166,14 @@
         if agreed >= self.required:
             self.lease.extended(asked_ms=answer.asked_ms)
 
-    def _send_all(self, message: StepDown | ProofRequest) -> None:
-        for member in self.members.values():
-            if member.link:
-                with contextlib.suppress(PeerLost):
-                    member.link.send(message)
-
     def _turn(self) -> None:
         self._update_desks()
         self._ask_for_reports()
         if not self.lease.may_order():
             return
+        self.running = self.members.running()
         for service, spec in self._engine_services():
-            waiting = {pair for member in self.members.values() for pair in member.adapters}
+            waiting = self.members.waiting_adapters()
             desks = self._desks_of(service)
             self.adapters.place_waiting(spec, desks, waiting)
             while (swap := next_swap(self._problem(service, spec))) is not None:
@@ -266,7 +224,7 @@
         for desk in self._desks_of(service):
             if desk.lost():
                 continue
-            running = self._running(desk.record.identity)
+            running = self.running.get(desk.record.identity, {})
             residents = {
                 model: running.get(model, 0)
                 for model in desk.residents
@@ -289,20 +247,11 @@
     def _desks_of(self, service: str) -> list[EngineDesk]:
         return [desk for desk in self.desks.values() if desk.record.service == service]
 
-    def _running(self, target: str) -> dict[str, int]:
-        running: dict[str, int] = {}
-        for member in self.members.values():
-            work = member.work.get(target)
-            if work:
-                for model, count in work.by_model.items():
-                    running[model] = running.get(model, 0) + count
-        return running
-
     def _problem(self, service: str, spec: EngineSpec) -> PlacementProblem:
         demand: dict[str, Demand] = {}
         for model in spec.models:
             current = self.demand.current(model)
-            waiting = sum(member.waiting.get(model, 0) for member in self.members.values())
+            waiting = self.members.waiting(model)
             current.wait(waiting, self.clock.now_ms())
             demand[model] = current
         return PlacementProblem(
@@ -367,72 +316,6 @@
                 load_ms = round(model.memory_load_s * 1000)
                 await desk.swap(victim, (swap.model,), load_ms=load_ms)
 
-    def _tell(self) -> None:
-        now_ms = self.clock.now_ms()
-        residents = {
-            identity: residents_of(desk)
-            for identity, desk in self.desks.items()
-            if desk.sequence is not None
-        }
-        expected = {
-            desk.loading: desk.expected_in_ms() for desk in self.desks.values() if desk.loading
-        }
-        targets = self.state.fleet.targets
-        paces = self._paces_to_tell(now_ms)
-        totals = total_work((member.work for member in self.members.values()), targets)
-        for member in self.members.values():
-            self._tell_member(member, totals, residents, expected, paces, now_ms)
-
-    def _paces_to_tell(self, now_ms: int) -> list[PaceOf]:
-        if now_ms - self.paces_told_ms < PACES_EVERY_MS:
-            return []
-        self.paces_told_ms = now_ms
-        news = self.paces.news()
-        if news:
-            factors = {model: round(pace.factor, 2) for model, pace in news.items()}
-            self.state.log.write("paces", factors=factors)
-        return paces_told(news)
-
-    def _tell_member(
-        self,
-        member: Member,
-        totals: dict[str, WorkAt],
-        residents: dict[str, Residents],
-        expected: dict[str, int],
-        paces: list[PaceOf],
-        now_ms: int,
-    ) -> None:
-        work = work_of_others(totals, member.work)
-        report = FleetReport(
-            token=self.lease.record.token if self.lease.record else 0,
-            ordering=self.lease.proved(),
-            entries=len(self.members),
-            work=[each for target, each in work.items() if member.told_work.get(target) != each],
-            residents=[
-                each
-                for target, each in residents.items()
-                if member.told_residents.get(target) != each
-            ],
-            expected=expected,
-            paces=paces,
-        )
-        news = (
-            report.work or report.residents or paces or member.told_expected != frozenset(expected)
-        )
-        if not news and now_ms - member.told_ms < HEARTBEAT_MS:
-            return
-        member.told_ms = now_ms
-        member.told_work = work
-        member.told_residents = residents
-        member.told_expected = frozenset(expected)
-        if member.link is None:
-            apply_report(self.state, report)
-            return
-        try:
-            member.link.send(report)
-        except PeerLost:
-            member.link.close()
-
     def _spawn(self, work: "asyncio._CoroutineLike[None]") -> None:
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
--- a/packages/daemon/src/mimosaspur_daemon/direct/enginedesk.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/enginedesk.py
@@ -1,21 +1,21 @@
-"""Know one engine and give it its orders, one at a time."""
+"""Move models and adapters on one engine."""
 
 import asyncio
 from collections.abc import Callable
 
 from mimosaspur_coordination.fleetports import EnginePort
 from mimosaspur_coordination.orderlease import OrderLease
+from mimosaspur_daemon.direct.knownengine import LATE_REPORT_MS
+from mimosaspur_daemon.direct.knownengine import LOOK_MS
+from mimosaspur_daemon.direct.knownengine import OVERDUE_MS
+from mimosaspur_daemon.direct.knownengine import KnownEngine
+from mimosaspur_daemon.direct.knownengine import OrdersSuspended
 from mimosaspur_state.clock import Clock
 from mimosaspur_state.eventlog import EventLog
-from mimosaspur_state.fleet import EngineOrder
-from mimosaspur_state.fleet import EngineReport
 from mimosaspur_state.fleet import OrderKind
 from mimosaspur_state.fleet import OrderOutcome
 from mimosaspur_state.fleet import TargetRecord
 
-# An order whose outcome is unknown, or that met another, is given again after a look at the
-# engine, so often at most.
-MOST_TRIES = 8
 # An unload of an idle model takes so long, in which the engine takes no other order.
 UNLOAD_MS = 50
 # Beyond the time that a load should take.
@@ -25,20 +25,10 @@
 ARRIVED_MS = 700
 # When a report is asked for that confirms it.
 CONFIRM_MS = 300
-# One that waits for its runs takes longer: so often the next order is tried before a report is
-# asked for.
-BLIND_TRIES = 3
-CONFLICT_PAUSE_MS = 20
 # Reports are priced: an engine on which nothing moves is asked this seldom.
 REPORT_EVERY_MS = 2_000
 # An engine without a usable report yet is asked again so soon.
 REPORT_RETRY_MS = 300
-# Reports lag by some hundred ms: they are asked for so often while something is awaited.
-LOOK_MS = 100
-# A report that still shows fewer orders than were accepted is late; after this time it is right.
-LATE_REPORT_MS = 1_500
-# A load, or an unload that waits for its runs, that takes this much longer than foreseen failed.
-OVERDUE_MS = 15_000
 # An order without an answer may be carried out so late; until then its room counts as taken.
 LONGEST_ORDER_MS = 12_500
 # After a move the engine's report catches up before the next one.
@@ -47,24 +37,14 @@
 ADAPTER_RECENT_MS = 300
 # After an adapter's order is accepted it is taken as loaded: adapters load within some 30 ms.
 ADAPTER_LOAD_S = 0.03
-# An order without an answer keeps its engine for half a second and more. What can wait is not
-# ordered for so long after one.
-UNANSWERED_MS = 4_000
 # A model's move waits so long for an adapter that is being placed.
 ADAPTER_MS = 40
-# So many reports in a row without an answer, or one beside an entry that can't reach the engine,
-# and its models are loaded elsewhere.
-LOST_REPORTS = 2
 # Entries stop sending a model's requests within this time of being told that it goes.
 CLOSING_MS = 40
 
 
-class OrdersSuspended(Exception):
-    """Say that this instance may not give orders now."""
-
-
-class EngineDesk:
-    """Hold what the coordinator knows of one engine, and carry out its orders."""
+class EngineDesk(KnownEngine):
+    """Move models and adapters on one engine."""
 
     def __init__(
         self,
@@ -76,36 +56,9 @@
         log: EventLog,
         changed: Callable[[], None],
     ) -> None:
-        self.record = record
-        self.port = port
-        self.lease = lease
-        self.clock = clock
-        self.log = log
-        self.changed = changed
-        self.residents: dict[str, set[str]] = {
-            model: set(adapters) for model, adapters in (record.residents or {}).items()
-        }
+        super().__init__(record, port=port, lease=lease, clock=clock, log=log, changed=changed)
+        # Models that are about to be unloaded.
         self.closing: set[str] = set()
-        # Copies of weights, those that were used longest ago first.
-        self.in_memory: tuple[str, ...] = ()
-        self.on_disk: tuple[str, ...] = ()
-        # Orders that the engine has accepted, None until a report tells.
-        self.sequence: int | None = None
-        self.sequence_ms = 0
-        self.busy = False
-        # Whether the last report is as new as the last order.
-        self.settled = False
-        # Whether the last order was seen to be carried out by a report alone: when it began isn't
-        # known then.
-        self.confirmed_only = False
-        self.reported_ms = 0
-        self.failed_reports = 0
-        # Whether an entry could not reach it.
-        self.suspected = False
-        # Whether another instance has its address by now.
-        self.replaced = False
-        self.waiting = 0
-        self.running = 0
         # The model that is being loaded, how long that takes, and when it began: 0 while an unload
         # goes before it.
         self.loading = ""
@@ -114,8 +67,6 @@
         self.from_store = False
         # When models came, as foreseen or as reported.
         self.arrived_ms: dict[str, int] = {}
-        # When an order last had no answer, None if none did.
-        self.unanswered_ms: int | None = None
         # Whether a task of this desk moves a model.
         self.moving = False
         self.adapter_used_ms: dict[tuple[str, str], int] = {}
@@ -126,26 +77,11 @@
         self.placing_adapter: tuple[str, str] | None = None
         # After a failed move the engine is left alone until then.
         self.rests_until_ms = 0
-        self.ordering = asyncio.Lock()
-
-    def known(self) -> bool:
-        """Tell whether the engine's state is known well enough for an order."""
-        return self.sequence is not None and self.failed_reports == 0 and not self.replaced
-
-    def lost(self) -> bool:
-        """Tell whether the engine is taken for gone until it reports again."""
-        failed = self.failed_reports >= LOST_REPORTS
-        return self.replaced or failed or (self.suspected and self.failed_reports > 0)
 
     def usable(self) -> bool:
         """Tell whether the engine may get models at all."""
         return self.known() and not self.record.leaving
 
-    def unanswered_lately(self) -> bool:
-        """Tell whether an order had no answer a short while ago: others may have none either."""
-        since_ms = self.unanswered_ms
-        return since_ms is not None and self.clock.now_ms() - since_ms < UNANSWERED_MS
-
     def free_in_ms(self) -> int:
         """Return when a model may be moved, 0 for now."""
         now_ms = self.clock.now_ms()
@@ -174,18 +110,6 @@
         self.load_ms = load_ms
         self.begun_ms = 0
 
-    async def look(self) -> bool:
-        """Ask for a report; tell whether there was one."""
-        self.reported_ms = self.clock.now_ms()
-        report = await self.port.report(self.record)
-        if report is None:
-            self.failed_reports += 1
-            return False
-        self.failed_reports = 0
-        self.suspected = False
-        self._take(report)
-        return True
-
     async def swap(
         self,
         model: str,
@@ -236,7 +160,7 @@
             victim = None
         # Counted from before the order: without an answer it may be there all the same.
         self.arriving[model, adapter] = self.clock.now_ms()
-        outcome = await self._order(OrderKind.LOAD, model, adapter)
+        outcome = await self.order(OrderKind.LOAD, model, adapter)
         if outcome in (OrderOutcome.CONFLICT, OrderOutcome.REFUSED):
             del self.arriving[model, adapter]
             return False
@@ -258,7 +182,7 @@
             return True
         self.residents[model].discard(adapter)
         self.changed()
-        outcome = await self._order(OrderKind.UNLOAD, model, adapter)
+        outcome = await self.order(OrderKind.UNLOAD, model, adapter)
         if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.ALREADY_SO):
             self.adapter_used_ms.pop(evicted, None)
             return True
@@ -304,7 +228,7 @@
         return len(held | set(self.arriving))
 
     async def _unload(self, victim: str) -> bool:
-        outcome = await self._order(OrderKind.UNLOAD, victim)
+        outcome = await self.order(OrderKind.UNLOAD, victim)
         if outcome not in (OrderOutcome.ACCEPTED, OrderOutcome.ALREADY_SO):
             return False
         if self.confirmed_only:
@@ -317,7 +241,7 @@
         return True
 
     async def _load(self, model: str, load_ms: int, *, foreseeable: bool) -> bool:
-        outcome = await self._order(OrderKind.LOAD, model)
+        outcome = await self.order(OrderKind.LOAD, model)
         if outcome is OrderOutcome.ACCEPTED:
             begun_ms = self.begun_ms = self.clock.now_ms()
             self.changed()
@@ -369,66 +293,6 @@
         self.log.write("load_overdue", target=self.record.identity, model=model)
         return False
 
-    async def _order(self, kind: OrderKind, model: str, adapter: str = "") -> OrderOutcome:
-        """Give an order until its outcome is known."""
-        async with self.ordering:
-            outcome = OrderOutcome.UNKNOWN
-            self.confirmed_only = False
-            for attempt in range(MOST_TRIES):
-                if not self.lease.may_order() or self.lease.record is None:
-                    raise OrdersSuspended
-                if self.sequence is None:
-                    await self._look_again()
-                    continue
-                order = EngineOrder(
-                    kind,
-                    model,
-                    adapter,
-                    self.sequence,
-                    self.lease.instance,
-                    self.lease.record.token,
-                )
-                self.lease.ordered()
-                outcome = await self.port.order(self.record, order)
-                self._log_order(order, outcome)
-                if outcome is OrderOutcome.ACCEPTED:
-                    self.sequence += 1
-                    self.sequence_ms = self.clock.now_ms()
-                    return outcome
-                if outcome in (OrderOutcome.ALREADY_SO, OrderOutcome.REFUSED):
-                    self.replaced = outcome is OrderOutcome.REFUSED
-                    return outcome
-                if outcome is OrderOutcome.CONFLICT:
-                    await self._after_conflict(attempt)
-                if outcome is OrderOutcome.UNKNOWN:
-                    self.unanswered_ms = self.clock.now_ms()
-                    # The same order is given again: the engine obeys only one of two orders that
-                    # expect the same sequence.
-                    await self._look_again()
-                    if self.lost():
-                        return outcome
-                    if self._shows(order):
-                        # It has been carried out after all.
-                        self.confirmed_only = True
-                        return OrderOutcome.ACCEPTED
-            return outcome
-
-    def _shows(self, order: EngineOrder) -> bool:
-        """Tell whether the last report shows an order's effect, and its count just that one more.
-
-        A count that has moved on proves nothing alone: the desk's own count may have been wrong.
-        """
-        if self.sequence != order.expected_sequence + 1:
-            return False
-        adapters = self.residents.get(order.model)
-        if order.adapter:
-            there = order.adapter in (adapters or ())
-        else:
-            there = adapters is not None
-            if self.busy:
-                return True
-        return there == (order.kind is OrderKind.LOAD)
-
     async def _gone(self, victim: str) -> bool:
         """Wait for a report that shows that a model is gone; tell whether one came."""
         began_ms = self.clock.now_ms()
@@ -438,45 +302,9 @@
             await asyncio.sleep(LOOK_MS / 1000)
         return False
 
-    async def _after_conflict(self, attempt: int) -> None:
-        if attempt < BLIND_TRIES:
-            await asyncio.sleep(CONFLICT_PAUSE_MS / 1000)
-            return
-        # The last order is still under way, or the sequence is wrong: a settled report tells.
-        began_ms = self.clock.now_ms()
-        await self._look_again()
-        while (self.busy or not self.settled) and self.clock.now_ms() - began_ms < OVERDUE_MS:
-            await self._look_again()
-
-    async def _look_again(self) -> None:
-        await asyncio.sleep(LOOK_MS / 1000)
-        await self.look()
-
-    def _take(self, report: EngineReport) -> None:
+    def add_recent(self, residents: dict[str, set[str]]) -> None:
+        """Add what has come too lately for a report to show it."""
         now_ms = self.clock.now_ms()
-        self.waiting = report.waiting
-        self.running = report.running
-        self.in_memory = report.in_memory
-        self.on_disk = report.on_disk
-        late = self.sequence is not None and report.sequence < self.sequence
-        if late and now_ms - self.sequence_ms < LATE_REPORT_MS:
-            self.settled = False
-            return
-        self.settled = True
-        if self.sequence is None:
-            self.log.always(
-                "engine_found",
-                target=self.record.identity,
-                residents={model: sorted(names) for model, names in report.residents.items()},
-                in_memory=report.in_memory,
-                on_disk=report.on_disk,
-                sequence=report.sequence,
-            )
-        if report.sequence != self.sequence:
-            self.sequence = report.sequence
-            self.sequence_ms = now_ms
-        self.busy = report.busy
-        residents = {model: set(adapters) for model, adapters in report.residents.items()}
         for (model, adapter), ordered_ms in list(self.arriving.items()):
             there = adapter in residents.get(model, ())
             if there or now_ms - ordered_ms > LONGEST_ORDER_MS:
@@ -489,18 +317,3 @@
         for model in self.recent():
             # A report may be from just before the load's end.
             residents.setdefault(model, set(self.residents.get(model, ())))
-        if residents != self.residents:
-            self.residents = residents
-            self.changed()
-
-    def _log_order(self, order: EngineOrder, outcome: OrderOutcome) -> None:
-        self.log.write(
-            "order",
-            target=self.record.identity,
-            kind=order.kind.value,
-            model=order.model,
-            adapter=order.adapter,
-            expected=order.expected_sequence,
-            token=order.fencing_token,
-            outcome=outcome.value,
-        )
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/direct/knownengine.py
@@ -0,0 +1,227 @@
+"""Know one engine by its reports, and give it orders, one at a time."""
+
+import asyncio
+from collections.abc import Callable
+
+from mimosaspur_coordination.fleetports import EnginePort
+from mimosaspur_coordination.orderlease import OrderLease
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.eventlog import EventLog
+from mimosaspur_state.fleet import EngineOrder
+from mimosaspur_state.fleet import EngineReport
+from mimosaspur_state.fleet import OrderKind
+from mimosaspur_state.fleet import OrderOutcome
+from mimosaspur_state.fleet import TargetRecord
+
+# An order whose outcome is unknown, or that met another, is given again after a look at the
+# engine, so often at most.
+MOST_TRIES = 8
+# An unload that waits for its runs takes longer than others: so often the next order is tried
+# before a report is asked for.
+BLIND_TRIES = 3
+CONFLICT_PAUSE_MS = 20
+# Reports lag by some hundred ms: they are asked for so often while something is awaited.
+LOOK_MS = 100
+# A report that still shows fewer orders than were accepted is late; after this time it is right.
+LATE_REPORT_MS = 1_500
+# A load, or an unload that waits for its runs, that takes this much longer than foreseen failed.
+OVERDUE_MS = 15_000
+# So many reports in a row without an answer, or one beside an entry that can't reach the engine,
+# and its models are loaded elsewhere.
+LOST_REPORTS = 2
+# An order without an answer keeps its engine for half a second and more. What can wait is not
+# ordered for so long after one.
+UNANSWERED_MS = 4_000
+
+
+class OrdersSuspended(Exception):
+    """Say that this instance may not give orders now."""
+
+
+class KnownEngine:
+    """Hold what the coordinator knows of one engine, and see its orders through."""
+
+    def __init__(
+        self,
+        record: TargetRecord,
+        *,
+        port: EnginePort,
+        lease: OrderLease,
+        clock: Clock,
+        log: EventLog,
+        changed: Callable[[], None],
+    ) -> None:
+        self.record = record
+        self.port = port
+        self.lease = lease
+        self.clock = clock
+        self.log = log
+        self.changed = changed
+        self.residents: dict[str, set[str]] = {
+            model: set(adapters) for model, adapters in (record.residents or {}).items()
+        }
+        # Copies of weights, those that were used longest ago first.
+        self.in_memory: tuple[str, ...] = ()
+        self.on_disk: tuple[str, ...] = ()
+        # Orders that the engine has accepted, None until a report tells.
+        self.sequence: int | None = None
+        self.sequence_ms = 0
+        self.busy = False
+        # Whether the last report is as new as the last order.
+        self.settled = False
+        # Whether the last order was seen to be carried out by a report alone: when it began isn't
+        # known then.
+        self.confirmed_only = False
+        self.reported_ms = 0
+        self.failed_reports = 0
+        # Whether an entry could not reach it.
+        self.suspected = False
+        # Whether another instance has its address by now.
+        self.replaced = False
+        # When an order last had no answer, None if none did.
+        self.unanswered_ms: int | None = None
+        self.ordering = asyncio.Lock()
+
+    def known(self) -> bool:
+        """Tell whether the engine's state is known well enough for an order."""
+        return self.sequence is not None and self.failed_reports == 0 and not self.replaced
+
+    def lost(self) -> bool:
+        """Tell whether the engine is taken for gone until it reports again."""
+        failed = self.failed_reports >= LOST_REPORTS
+        return self.replaced or failed or (self.suspected and self.failed_reports > 0)
+
+    def unanswered_lately(self) -> bool:
+        """Tell whether an order had no answer a short while ago: others may have none either."""
+        since_ms = self.unanswered_ms
+        return since_ms is not None and self.clock.now_ms() - since_ms < UNANSWERED_MS
+
+    async def look(self) -> bool:
+        """Ask for a report; tell whether there was one."""
+        self.reported_ms = self.clock.now_ms()
+        report = await self.port.report(self.record)
+        if report is None:
+            self.failed_reports += 1
+            return False
+        self.failed_reports = 0
+        self.suspected = False
+        self._take(report)
+        return True
+
+    async def order(self, kind: OrderKind, model: str, adapter: str = "") -> OrderOutcome:
+        """Give an order until its outcome is known; raise OrdersSuspended."""
+        async with self.ordering:
+            outcome = OrderOutcome.UNKNOWN
+            self.confirmed_only = False
+            for attempt in range(MOST_TRIES):
+                if not self.lease.may_order() or self.lease.record is None:
+                    raise OrdersSuspended
+                if self.sequence is None:
+                    await self.look_again()
+                    continue
+                order = EngineOrder(
+                    kind,
+                    model,
+                    adapter,
+                    self.sequence,
+                    self.lease.instance,
+                    self.lease.record.token,
+                )
+                self.lease.ordered()
+                outcome = await self.port.order(self.record, order)
+                self._log_order(order, outcome)
+                if outcome is OrderOutcome.ACCEPTED:
+                    self.sequence += 1
+                    self.sequence_ms = self.clock.now_ms()
+                    return outcome
+                if outcome in (OrderOutcome.ALREADY_SO, OrderOutcome.REFUSED):
+                    self.replaced = outcome is OrderOutcome.REFUSED
+                    return outcome
+                if outcome is OrderOutcome.CONFLICT:
+                    await self._after_conflict(attempt)
+                if outcome is OrderOutcome.UNKNOWN:
+                    self.unanswered_ms = self.clock.now_ms()
+                    # The same order is given again: the engine obeys only one of two orders that
+                    # expect the same sequence.
+                    await self.look_again()
+                    if self.lost():
+                        return outcome
+                    if self._shows(order):
+                        # It has been carried out after all.
+                        self.confirmed_only = True
+                        return OrderOutcome.ACCEPTED
+            return outcome
+
+    def _shows(self, order: EngineOrder) -> bool:
+        """Tell whether the last report shows an order's effect, and its count just that one more.
+
+        A count that has moved on proves nothing alone: the desk's own count may have been wrong.
+        """
+        if self.sequence != order.expected_sequence + 1:
+            return False
+        adapters = self.residents.get(order.model)
+        if order.adapter:
+            there = order.adapter in (adapters or ())
+        else:
+            there = adapters is not None
+            if self.busy:
+                return True
+        return there == (order.kind is OrderKind.LOAD)
+
+    def add_recent(self, residents: dict[str, set[str]]) -> None:
+        """Add what has come too lately for a report to show it."""
+
+    async def _after_conflict(self, attempt: int) -> None:
+        if attempt < BLIND_TRIES:
+            await asyncio.sleep(CONFLICT_PAUSE_MS / 1000)
+            return
+        # The last order is still under way, or the sequence is wrong: a settled report tells.
+        began_ms = self.clock.now_ms()
+        await self.look_again()
+        while (self.busy or not self.settled) and self.clock.now_ms() - began_ms < OVERDUE_MS:
+            await self.look_again()
+
+    async def look_again(self) -> None:
+        """Ask for a report after a short pause."""
+        await asyncio.sleep(LOOK_MS / 1000)
+        await self.look()
+
+    def _take(self, report: EngineReport) -> None:
+        now_ms = self.clock.now_ms()
+        self.in_memory = report.in_memory
+        self.on_disk = report.on_disk
+        late = self.sequence is not None and report.sequence < self.sequence
+        if late and now_ms - self.sequence_ms < LATE_REPORT_MS:
+            self.settled = False
+            return
+        self.settled = True
+        if self.sequence is None:
+            self.log.always(
+                "engine_found",
+                target=self.record.identity,
+                residents={model: sorted(names) for model, names in report.residents.items()},
+                in_memory=report.in_memory,
+                on_disk=report.on_disk,
+                sequence=report.sequence,
+            )
+        if report.sequence != self.sequence:
+            self.sequence = report.sequence
+            self.sequence_ms = now_ms
+        self.busy = report.busy
+        residents = {model: set(adapters) for model, adapters in report.residents.items()}
+        self.add_recent(residents)
+        if residents != self.residents:
+            self.residents = residents
+            self.changed()
+
+    def _log_order(self, order: EngineOrder, outcome: OrderOutcome) -> None:
+        self.log.write(
+            "order",
+            target=self.record.identity,
+            kind=order.kind.value,
+            model=order.model,
+            adapter=order.adapter,
+            expected=order.expected_sequence,
+            token=order.fencing_token,
+            outcome=outcome.value,
+        )
