--- a/features/direct_bounds.feature
+++ b/features/direct_bounds.feature
@@ -35,6 +35,19 @@
   Scenario: Whatever is relayed, no event is cut, doubled or left out
     Then any pieces of any stream give its whole events once and in order
 
+  Scenario Outline: A stream that goes on at another target
+    Given the events 1 to <had> of a stream were relayed
+    When the next target sends the events <first> to 9
+    Then the caller <gets>
+
+    Examples:
+      | had | first | gets                        |
+      | 4   | 5     | has each event once         |
+      | 4   | 1     | has each event once         |
+      | 4   | 3     | has each event once         |
+      | 9   | 9     | has each event once         |
+      | 4   | 6     | is not given what follows a gap |
+
   Scenario: A flood of log lines is bounded and counted
     Given an event log that nobody reads
     When 100000 events are written within a second
--- a/features/steps/direct_bounds_steps.py
+++ b/features/steps/direct_bounds_steps.py
@@ -18,6 +18,7 @@
 from mimosaspur_coordination.targetchoice import sound
 from mimosaspur_coordination.targethealth import TargetHealth
 from mimosaspur_protocol.eventcut import EventCutter
+from mimosaspur_protocol.eventcut import EventMissing
 from mimosaspur_state.directsettings import RetryBounds
 from mimosaspur_state.eventlog import EventLog
 from mimosaspur_state.fleet import TargetRecord
@@ -141,3 +142,35 @@
     assert sum(map(len, context.log.waiting)) < 1_000_000
     assert f'result="failed"}} {FLOOD}' in context.log.counters.text()
     assert json.loads(json.dumps(context.log.left_out)) == {"attempt": FLOOD - 40}
+
+
+def _events(first: int, last: int) -> bytes:
+    return b"".join(b"id: %d\ndata: x\n\n" % number for number in range(first, last + 1))
+
+
+@given("the events 1 to {had:d} of a stream were relayed")
+def relay_first(context: Context, had: int) -> None:
+    context.cutter = EventCutter(None)
+    context.relayed = context.cutter.feed(_events(1, had))
+
+
+@when("the next target sends the events {first:d} to 9")
+def relay_next(context: Context, first: int) -> None:
+    context.cutter.restart()
+    context.gap = False
+    try:
+        context.relayed += context.cutter.feed(_events(first, 9))
+    except EventMissing:
+        context.gap = True
+
+
+@then("the caller has each event once")
+def check_once(context: Context) -> None:
+    assert not context.gap
+    assert context.relayed == _events(1, 9), context.relayed
+
+
+@then("the caller is not given what follows a gap")
+def check_gap(context: Context) -> None:
+    assert context.gap
+    assert context.relayed == _events(1, 4), context.relayed
