Stop also when the signal to stop reaches another thread than the main one

A stack dump of both shows the main thread in its wait for the order to stop, and every other task at work: the process never heard of the signal. The interpreter runs handlers in the main thread only, and a wait without a timeout is woken only by a signal that reaches that very thread.

Change: the wait looks again each half second.

Ruled out: requests that keep the shutdown waiting (it had not begun).

The platform's entry runs an event loop with a wake-up descriptor and is not concerned.

--- a/packages/daemon/src/mimosaspur_daemon/application.py
+++ b/packages/daemon/src/mimosaspur_daemon/application.py
@@ -1,5 +1,6 @@
 """Own a process's tasks and clean up after them."""
 
+import contextlib
 import queue
 import signal
 import threading
@@ -11,6 +12,9 @@
 PART = "APP"
 # Long enough to give a lease back; a task in a long watch ends with the process.
 TASKS_END_S = 0.5
+# The kernel may hand a signal to any thread. Its handler runs in this one, which only a signal of
+# its own wakes: it looks again so often.
+SIGNAL_POLL_S = 0.5
 
 Task = Callable[[threading.Event], None]
 Hook = Callable[[], None]
@@ -43,7 +47,7 @@
 
     def run(self) -> None:
         """Wait for the order to stop and carry it out."""
-        self.asked_to_stop.get()
+        self._wait_for_order()
         log(PART, "Stops gracefully.")
         for hook in reversed(self.stop_hooks):
             hook()
@@ -53,6 +57,12 @@
             thread.join(max(0, end - time.monotonic()))
         log(PART, "Stopped.")
 
+    def _wait_for_order(self) -> None:
+        while True:
+            with contextlib.suppress(queue.Empty):
+                self.asked_to_stop.get(timeout=SIGNAL_POLL_S)
+                return
+
     def _run(self, name: str, task: Task) -> None:
         try:
             task(self.stop)
