Take a target's lifetime for its identity and its start; bind each order to the state it was decided for

An order was given again with the engine's newest count after a conflict or a silence. When an earlier holder's late order had moved that count on, the room that the decision rested on was gone. The same held for adapters; those on their way in a report did not count as taken. Besides, a server may start again under its id: what was known of the earlier lifetime (connections, health, speed, prompts, count of orders, an order still on its way) was taken for the later one.

Ruled out: two holders at once (the lease's tests), late orders of the same holder (the same count).

--- a/features/direct_orders.feature
+++ b/features/direct_orders.feature
@@ -28,6 +28,41 @@
       | 2          | 2      |
       | 0          | 1      |
 
+  Scenario Outline: What an earlier holder ordered is carried out late, between a decision and its orders
+    Given an ordered engine that holds <held> and leaves orders 0 unanswered, never late
+    And at order <number> an earlier holder's load of x is carried out first
+    When the desk is told once to swap <victims> for d
+    Then the engine holds <after> and was never overcommitted
+
+    Examples:
+      | held     | victims | number | after      |
+      | a and b  | nothing | 1      | a, b and x |
+      | a, b     | a       | 1      | a, b and x |
+      | a, b     | a       | 2      | b and x    |
+      | a        | nothing | 1      | a and x    |
+
+  Scenario Outline: An adapter that an earlier holder ordered comes between a decision and its order
+    Given an ordered engine that holds a and leaves orders 0 unanswered, never late
+    And its adapter places are full but for one
+    And at order 1 an earlier holder's load of adapter x is carried out first
+    When the desk is told once to load adapter y
+    Then the engine never held more than its adapter places
+
+  Scenario Outline: The engine starts again under its identity, <case>
+    Given an ordered engine that holds a, b and c and leaves orders <unanswered> unanswered, <late>
+    When the engine starts again <when>
+    Then the desk <knows>, and gives its orders no more
+
+    Examples:
+      | case                 | unanswered | late       | when                          | knows                                    |
+      | while nothing moves  | 0          | never late | before a report               | finds that nothing known holds           |
+      | during a swap        | 1          | never carried out | while a swap waits for answers | finds that nothing known holds    |
+
+  Scenario: Room is kept for an order without an answer while it may still load its model
+    Given an ordered engine that holds a, b and c and leaves orders 2,3,4,5,6,7,8,9 unanswered, never carried out
+    When the desk swaps a for d in vain and the engine starts again
+    Then the desk of the new lifetime keeps room for d, and after 12500 ms no more
+
   Scenario Outline: The platform's answers to orders
     Given an engine of the platform that answers orders with <status>
     When it is ordered to <what>
--- a/features/harness/direct_engine.py
+++ b/features/harness/direct_engine.py
@@ -34,6 +34,9 @@
     runs_s: float = 0.0
     # Orders by their number at which the engine counts one more that the desk doesn't know of.
     uncounted: frozenset[int] = frozenset()
+    # Orders of another holder that are carried out just before the desk's order of that number.
+    foreign: dict[int, EngineOrder] = field(default_factory=dict)
+    started_ms: int = 0
     sequence: int = 0
     busy: bool = False
     orders: int = 0
@@ -55,6 +58,8 @@
     async def order(self, target: TargetRecord, order: EngineOrder) -> OrderOutcome:
         """Obey, or leave the order unanswered."""
         self.orders += 1
+        if self.orders in self.foreign:
+            self._obey(self.foreign[self.orders])
         if self.orders in self.uncounted:
             self.sequence += 1
         if self.orders in self.unanswered:
@@ -77,8 +82,17 @@
             waiting=0,
             running=0,
             kv_used=0,
+            started_ms=self.started_ms,
         )
 
+    def restart(self) -> None:
+        """Start again under the same identity: hold nothing, and count orders from zero."""
+        self.started_ms += 1_000
+        self.residents = {}
+        self.sequence = 0
+        self.busy = False
+        self._note()
+
     def _obey(self, order: EngineOrder) -> OrderOutcome:
         if order.expected_sequence != self.sequence or self.busy:
             return OrderOutcome.CONFLICT
--- a/features/steps/direct_orders_steps.py
+++ b/features/steps/direct_orders_steps.py
@@ -8,6 +8,7 @@
 from behave import when
 from behave.runner import Context
 
+from harness.direct_engine import REPORT_LAG_S
 from harness.direct_engine import OrderedEngine
 from harness.direct_engine import any_unanswered
 from harness.direct_fleet import HeldClock
@@ -48,18 +49,22 @@
     )
 
 
-@given("an ordered engine that holds a, b and c and leaves orders {numbers} unanswered, {late}")
-def start_engine(context: Context, numbers: str, late: str) -> None:
+@given("an ordered engine that holds {held} and leaves orders {numbers} unanswered, {late}")
+def start_engine(context: Context, held: str, numbers: str, late: str) -> None:
     late_ms = int("".join(filter(str.isdigit, late)) or 0)
     if late == "never carried out":
         late_ms = NEVER_MS
     context.engine = OrderedEngine(
-        residents={name: set() for name in "abc"},
+        residents={name: set() for name in _names(held)},
         unanswered=frozenset(int(number) for number in numbers.split(",")),
         late_s=late_ms / 1000,
     )
 
 
+def _names(text: str) -> set[str]:
+    return set(text.replace(" and ", ", ").split(", ")) - {"nothing"}
+
+
 async def _desk(engine: OrderedEngine) -> EngineDesk:
     lease = OrderLease("me", handover_ms=0, clock=HeldClock(1_000))
     record = LeaseRecord("me", ADDRESS, 1, 1)
@@ -76,6 +81,96 @@
     context.engine.uncounted = frozenset((number,))
 
 
+@given("at order {number:d} an earlier holder's load of x is carried out first")
+def carry_out_foreign_load(context: Context, number: int) -> None:
+    context.engine.foreign = {number: EngineOrder(OrderKind.LOAD, "x", "", number - 1, "other", 1)}
+
+
+@given("its adapter places are full but for one")
+def fill_adapters(context: Context) -> None:
+    context.engine.residents["a"] = set(ADAPTERS[: context.engine.adapter_places - 1])
+
+
+@given("at order 1 an earlier holder's load of adapter x is carried out first")
+def carry_out_foreign_adapter(context: Context) -> None:
+    context.engine.foreign = {1: EngineOrder(OrderKind.LOAD, "a", "x", 0, "other", 1)}
+
+
+@when("the desk is told once to swap {victims} for d")
+def swap_once(context: Context, victims: str) -> None:
+    async def swap_and_settle() -> None:
+        desk = await _desk(context.engine)
+        await desk.swap("d", tuple(sorted(_names(victims))), load_ms=LOAD_MS)
+        await asyncio.sleep(LOAD_MS / 1000)
+
+    run(context, swap_and_settle())
+
+
+@when("the desk is told once to load adapter y")
+def load_adapter_once(context: Context) -> None:
+    async def load() -> None:
+        desk = await _desk(context.engine)
+        await desk.load_adapter("a", "y", places=context.engine.adapter_places)
+
+    run(context, load())
+
+
+@when("the engine starts again before a report")
+def restart_idle(context: Context) -> None:
+    async def restart() -> None:
+        context.desk = await _desk(context.engine)
+        context.engine.restart()
+        await asyncio.sleep(REPORT_LAG_S)
+        await context.desk.look()
+
+    run(context, restart())
+
+
+@when("the engine starts again while a swap waits for answers")
+def restart_while_swapping(context: Context) -> None:
+    async def restart() -> None:
+        context.desk = await _desk(context.engine)
+        swapping = asyncio.create_task(context.desk.swap("d", ("a",), load_ms=LOAD_MS))
+        while not context.engine.orders:
+            await asyncio.sleep(ASK_EVERY_S)
+        context.engine.restart()
+        assert not await swapping
+
+    run(context, restart())
+
+
+@then("the desk finds that nothing known holds, and gives its orders no more")
+def check_restart_noticed(context: Context) -> None:
+    async def order() -> None:
+        given = context.engine.orders
+        assert context.desk.lost()
+        assert not await context.desk.swap("d", (), load_ms=LOAD_MS)
+        assert context.engine.orders == given
+
+    run(context, order())
+
+
+@when("the desk swaps a for d in vain and the engine starts again")
+def swap_in_vain(context: Context) -> None:
+    async def swap_and_restart() -> None:
+        earlier = await _desk(context.engine)
+        assert not await earlier.swap("d", ("a",), load_ms=LOAD_MS)
+        context.engine.restart()
+        context.clock = HeldClock(earlier.clock.now_ms())
+        context.desk = await _desk(context.engine)
+        context.desk.clock = context.clock
+        context.desk.inherit(earlier)
+
+    run(context, swap_and_restart())
+
+
+@then("the desk of the new lifetime keeps room for d, and after {ms:d} ms no more")
+def check_room_kept(context: Context, ms: int) -> None:
+    assert context.desk.kept_free() == ("d",)
+    context.clock.ms += ms
+    assert context.desk.kept_free() == ()
+
+
 @given("an engine of the platform that answers orders with {status:d}")
 def start_platform_engine(context: Context, status: int) -> None:
     async def start() -> None:
@@ -192,9 +287,9 @@
     run(context, want())
 
 
-@then("the engine holds b, c and d and was never overcommitted")
-def check_residents(context: Context) -> None:
-    assert set(context.engine.residents) == set("bcd"), context.engine.residents
+@then("the engine holds {held} and was never overcommitted")
+def check_residents(context: Context, held: str) -> None:
+    assert set(context.engine.residents) == _names(held), context.engine.residents
     assert not context.engine.overcommitted, context.engine.accepted
 
 
--- a/features/steps/direct_store_steps.py
+++ b/features/steps/direct_store_steps.py
@@ -1,7 +1,6 @@
 """Steps of the platform's store and settings file."""
 
 import asyncio
-import contextlib
 import os
 import subprocess
 import sys
@@ -14,19 +13,15 @@
 from behave import when
 from behave.runner import Context
 
-from harness.direct_store import StoreStandIn
-from harness.direct_world import outside
-from harness.direct_world import quiet_log
-from harness.direct_world import settings_for
+from harness.direct_registrations import SERVERS
+from harness.direct_registrations import FollowingEntry
+from harness.direct_registrations import configuration_entry
+from harness.direct_registrations import server_entry
+from harness.direct_registrations import store_with_servers
 from harness.loop import run
-from mimosaspur_daemon.direct.entrystate import EntryState
-from mimosaspur_daemon.direct.storewatch import StoreWatch
 from mimosaspur_platform.settings import read_settings
-from mimosaspur_platform.store import PlatformStore
-from mimosaspur_state.clock import SystemClock
 from mimosaspur_state.directsettings import DirectSettings
 
-SERVERS = "servers"
 EXAMPLE = {
     "node_name": "frontend-1",
     "ip": "10.1.0.38",
@@ -43,58 +38,13 @@
 }
 
 
-def _server(state: str = "ready") -> dict[str, Any]:
-    models = [{"name": "notes", "version": 1, "adapters": ["a1"]}]
-    return {
-        "service": "models",
-        "address": "127.0.0.1:9",
-        "zone": "north",
-        "slots": 4,
-        "state": state,
-        "sequence": 1,
-        "models": models,
-    }
-
-
-def _configuration(version: int) -> dict[str, Any]:
-    route = {
-        "name": "r",
-        "hostname": "site.example",
-        "path_prefix": "/p/",
-        "route_kind": "safe",
-        "timeout_ms": 4000,
-        "service": "models",
-        "max_attempts": 2,
-    }
-    return {"version": version, "routes": [route], "services": [{"name": "models"}]}
-
-
 @given("an entry that follows a store with three servers and a configuration")
 def follow_store(context: Context) -> None:
-    async def follow() -> None:
-        context.store = StoreStandIn()
-        for number in range(3):
-            context.store.put(SERVERS, f"i-{number}", _server())
-        context.store.put("config", "main", _configuration(4))
-        address = await context.store.start()
-        store = PlatformStore(address, clock=SystemClock(), log=quiet_log("entry-0"))
-        context.state = EntryState(settings_for("entry-0"), outside("entry-0", store=store))
-        watch = StoreWatch(context.state)
-        context.watching = [
-            asyncio.create_task(watch.follow_targets()),
-            asyncio.create_task(watch.follow_configuration()),
-        ]
-        await _until(lambda: context.state.ready(), 2.0)
-
-    run(context, follow())
-    context.add_cleanup(lambda: run(context, _end(context.watching)))
-
-
-async def _end(tasks: list[asyncio.Task[None]]) -> None:
-    for task in tasks:
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
+    context.store = store_with_servers()
+    context.entry = FollowingEntry(context.store)
+    run(context, context.entry.start())
+    context.state = context.entry.state
+    context.add_cleanup(lambda: run(context, context.entry.stop()))
 
 
 async def _until(condition: Any, seconds: float) -> None:
@@ -118,7 +68,7 @@
     async def be_away() -> None:
         store = context.store
         if away == "forgetting its history":
-            store.put(SERVERS, "i-9", _server())
+            store.put(SERVERS, "i-9", server_entry())
             store.forget()
         store.silent = away == "silent"
         store.status = int(away.removeprefix("answering ")) if "answering" in away else 0
@@ -131,8 +81,8 @@
 
 @when("right after its return version 9 is written and a server starts to leave")
 def change(context: Context) -> None:
-    context.store.put("config", "main", _configuration(9))
-    context.store.put(SERVERS, "i-1", _server("draining"))
+    context.store.put("config", "main", configuration_entry(9))
+    context.store.put(SERVERS, "i-1", server_entry("draining"))
 
 
 @then("within {limit_ms:d} ms the entry knows version 9 and that the server leaves")
@@ -154,7 +104,7 @@
     async def register() -> None:
         before = context.store.calls
         for number in range(ms // 50):
-            context.store.put(SERVERS, f"i-{number % 3}", _server())
+            context.store.put(SERVERS, f"i-{number % 3}", server_entry())
             await asyncio.sleep(0.05)
         context.calls = context.store.calls - before
 
@@ -168,7 +118,7 @@
 
 @then("within {limit_ms:d} ms the entry knows that a server leaves which does so now")
 def check_leaving(context: Context, limit_ms: int) -> None:
-    context.store.put(SERVERS, "i-1", _server("draining"))
+    context.store.put(SERVERS, "i-1", server_entry("draining"))
 
     def known() -> bool:
         leaving: bool = context.state.fleet.targets["i-1"].record.leaving
@@ -180,7 +130,7 @@
 @when("version {version:d} is written")
 def write_version(context: Context, version: int) -> None:
     async def write() -> None:
-        context.store.put("config", "main", _configuration(version))
+        context.store.put("config", "main", configuration_entry(version))
         await asyncio.sleep(0.3)
 
     run(context, write())
--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -137,20 +137,25 @@
     def replace(
         self, records: Mapping[str, TargetRecord], *, keep: Collection[str] = ()
     ) -> list[str]:
-        """Take a whole list of targets; return those that are gone, but for those to keep."""
+        """Take a whole list of targets; return those that have ended, but for those to keep."""
         gone = [each for each in self.targets if each not in records and each not in keep]
-        self.update(records.values(), gone)
-        return gone
-
-    def update(self, changed: Iterable[TargetRecord], removed: Iterable[str]) -> None:
-        """Take what changed among the targets."""
-        for identity in removed:
-            view = self.targets.pop(identity, None)
-            if view:
-                self.by_service[view.record.service].pop(identity, None)
-                self.told.discard(identity)
+        return self.update(records.values(), gone)
+
+    def update(self, changed: Iterable[TargetRecord], removed: Iterable[str]) -> list[str]:
+        """Take what changed among the targets; return those that have ended.
+
+        A target that has started again has ended too: nothing known of it holds any more.
+        """
+        ended = [identity for identity in removed if self._forget(identity)]
         for record in changed:
             view = self.targets.get(record.identity)
+            if view and record.started_ms < view.record.started_ms:
+                # What an earlier lifetime registered.
+                continue
+            if view and record.started_ms > view.record.started_ms:
+                self._forget(record.identity)
+                ended.append(record.identity)
+                view = None
             if view is None:
                 view = TargetView(record, TargetHealth(clock=self.clock), self.paces)
                 self.targets[record.identity] = view
@@ -158,6 +163,16 @@
             view.record = record
             if record.identity not in self.told:
                 view.residents = record.residents or {}
+        return ended
+
+    def _forget(self, identity: str) -> bool:
+        """Drop a target; tell whether it was known."""
+        view = self.targets.pop(identity, None)
+        if view is None:
+            return False
+        self.by_service[view.record.service].pop(identity, None)
+        self.told.discard(identity)
+        return True
 
     def tell_residents(
         self, identity: str, residents: Mapping[str, frozenset[str]], closing: frozenset[str]
--- a/packages/coordination/src/mimosaspur_coordination/modelplacement.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelplacement.py
@@ -82,6 +82,8 @@
     # Copies of weights, those that were used longest ago first.
     in_memory: tuple[str, ...] = ()
     on_disk: tuple[str, ...] = ()
+    # Models for which room is kept, since late orders may load them.
+    kept_free: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -313,6 +315,7 @@
     spec = problem.spec
     sizes = {name: weights_mb(spec, name) for name in engine.residents}
     room_mb = spec.weights_mb - sum(sizes.values()) - _adapters_mb(spec)
+    room_mb -= sum(weights_mb(spec, name) for name in engine.kept_free if name != model.name)
     by_loss = sorted(engine.residents, key=lambda name: _loss(problem, engine, name))
     victims = []
     loss = 0.0
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -1,6 +1,7 @@
 """Coordinate the fleet while this instance holds the lease: gather, decide, order, tell."""
 
 import asyncio
+from dataclasses import replace
 
 from mimosaspur_coordination.adapterdemand import AdapterDemand
 from mimosaspur_coordination.loadrate import LoadRate
@@ -21,6 +22,7 @@
 from mimosaspur_protocol.peermessages import ProofAnswer
 from mimosaspur_protocol.peermessages import ProofRequest
 from mimosaspur_protocol.peermessages import StepDown
+from mimosaspur_state.fleet import TargetRecord
 from mimosaspur_state.routes import EngineSpec
 from mimosaspur_transport.peerlink import PeerLink
 from mimosaspur_transport.peerlink import PeerLost
@@ -197,18 +199,29 @@
         for identity in [each for each in self.desks if each not in wanted]:
             del self.desks[identity]
         for identity, record in wanted.items():
-            desk = self.desks.get(identity)
-            if desk is None:
-                self.desks[identity] = EngineDesk(
-                    record,
-                    port=self.state.outside.engines,
-                    lease=self.lease,
-                    clock=self.clock,
-                    log=self.state.log,
-                    changed=self.news.set,
-                )
-            else:
-                desk.record = record
+            self._update_desk(self.desks.get(identity), record)
+
+    def _update_desk(self, desk: EngineDesk | None, record: TargetRecord) -> None:
+        if desk and desk.restarted_ms > record.started_ms:
+            # Its report has told of the restart before its registration did.
+            record = replace(record, started_ms=desk.restarted_ms, residents={})
+        if desk and record.started_ms == desk.record.started_ms:
+            desk.record = record
+            return
+        if desk and record.started_ms < desk.record.started_ms:
+            return
+        self.desks[record.identity] = EngineDesk(
+            record,
+            port=self.state.outside.engines,
+            lease=self.lease,
+            clock=self.clock,
+            log=self.state.log,
+            changed=self.news.set,
+        )
+        if desk:
+            desk.restarted_ms = record.started_ms
+            self.desks[record.identity].inherit(desk)
+            self.state.log.always("engine_restarted", target=record.identity)
 
     def _ask_for_reports(self) -> None:
         for desk in self.desks.values():
@@ -240,6 +253,7 @@
                     desk.recent(),
                     desk.in_memory,
                     desk.on_disk,
+                    desk.kept_free(),
                 )
             )
         return snapshots
--- a/packages/daemon/src/mimosaspur_daemon/direct/enginedesk.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/enginedesk.py
@@ -67,8 +67,10 @@
         self.from_store = False
         # When models came, as foreseen or as reported.
         self.arrived_ms: dict[str, int] = {}
-        # Whether a task of this desk moves a model.
+        # Whether a task of this desk moves a model, and the count of orders for which the next
+        # order of that move was decided.
         self.moving = False
+        self.decided: int | None = None
         self.adapter_used_ms: dict[tuple[str, str], int] = {}
         # Adapters ordered that are not known to be there, by the time of their order.
         self.arriving: dict[tuple[str, str], int] = {}
@@ -77,6 +79,33 @@
         self.placing_adapter: tuple[str, str] | None = None
         # After a failed move the engine is left alone until then.
         self.rests_until_ms = 0
+        # Models that orders to an earlier lifetime of the engine may load yet, and until when.
+        self.late_loads: dict[str, int] = {}
+
+    def inherit(self, earlier: "EngineDesk") -> None:
+        """Take over what may still come of orders to the engine's earlier lifetime.
+
+        An order without an answer may be carried out after the restart, once the engine has
+        accepted as many orders again. Until it can't come any more its room counts as taken.
+        """
+        now_ms = self.clock.now_ms()
+        self.arriving.update(earlier.arriving)
+        self.late_loads = {
+            model: ordered_ms + LONGEST_ORDER_MS
+            for model, ordered_ms in earlier.unsettled.items()
+            if ordered_ms + LONGEST_ORDER_MS > now_ms
+        }
+        for model, until_ms in earlier.late_loads.items():
+            self.late_loads[model] = max(until_ms, self.late_loads.get(model, 0))
+
+    def kept_free(self) -> tuple[str, ...]:
+        """Return the models for which room is kept, since they may come late."""
+        now_ms = self.clock.now_ms()
+        return tuple(
+            model
+            for model, until_ms in self.late_loads.items()
+            if until_ms > now_ms and model not in self.residents
+        )
 
     def usable(self) -> bool:
         """Tell whether the engine may get models at all."""
@@ -106,6 +135,7 @@
     def take(self, model: str, load_ms: int) -> None:
         """Keep the engine for a model that is to be loaded."""
         self.moving = True
+        self.decided = self.sequence
         self.loading = model
         self.load_ms = load_ms
         self.begun_ms = 0
@@ -120,7 +150,8 @@
         requested: bool = True,
     ) -> bool:
         """Unload the victims, requested lately or not, then load a model; tell if it is there."""
-        self.take(model, load_ms)
+        if not self.moving:
+            self.take(model, load_ms)
         self.closing.update(victims)
         self.changed()
         try:
@@ -227,8 +258,15 @@
         held = {(model, name) for model, names in self.residents.items() for name in names}
         return len(held | set(self.arriving))
 
+    async def _next_order(self, kind: OrderKind, model: str) -> OrderOutcome:
+        """Give the move's next order, for the state that its last one has left."""
+        outcome = await self.order(kind, model, expected=self.decided)
+        if outcome is OrderOutcome.ACCEPTED:
+            self.decided = self.sequence
+        return outcome
+
     async def _unload(self, victim: str) -> bool:
-        outcome = await self.order(OrderKind.UNLOAD, victim)
+        outcome = await self._next_order(OrderKind.UNLOAD, victim)
         if outcome not in (OrderOutcome.ACCEPTED, OrderOutcome.ALREADY_SO):
             return False
         if self.confirmed_only:
@@ -241,7 +279,7 @@
         return True
 
     async def _load(self, model: str, load_ms: int, *, foreseeable: bool) -> bool:
-        outcome = await self.order(OrderKind.LOAD, model)
+        outcome = await self._next_order(OrderKind.LOAD, model)
         if outcome is OrderOutcome.ACCEPTED:
             begun_ms = self.begun_ms = self.clock.now_ms()
             self.changed()
--- a/packages/daemon/src/mimosaspur_daemon/direct/knownengine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/knownengine.py
@@ -76,8 +76,12 @@
         self.failed_reports = 0
         # Whether an entry could not reach it.
         self.suspected = False
-        # Whether another instance has its address by now.
+        # Whether another instance has its address by now, or it has started again.
         self.replaced = False
+        # When it had started again, as a report told, 0 if none did.
+        self.restarted_ms = 0
+        # Loads of models without an answer, by the time of the order: they may come late.
+        self.unsettled: dict[str, int] = {}
         # When an order last had no answer, None if none did.
         self.unanswered_ms: int | None = None
         self.ordering = asyncio.Lock()
@@ -108,49 +112,69 @@
         self._take(report)
         return True
 
-    async def order(self, kind: OrderKind, model: str, adapter: str = "") -> OrderOutcome:
-        """Give an order until its outcome is known; raise OrdersSuspended."""
+    async def order(
+        self, kind: OrderKind, model: str, adapter: str = "", *, expected: int | None = None
+    ) -> OrderOutcome:
+        """Give an order until its outcome is known; raise OrdersSuspended.
+
+        An order is decided for one state of the engine, named by the count of orders that it has
+        accepted: `expected`, or the count that is known now. An order of an earlier holder that is
+        carried out late changes that state, and what would have fitted may not fit any more. So an
+        order is never given again with another count; the outcome is then a conflict.
+        """
+        decided = self.sequence if expected is None else expected
         async with self.ordering:
-            outcome = OrderOutcome.UNKNOWN
             self.confirmed_only = False
+            silent_before_ms = self.unanswered_ms
             for attempt in range(MOST_TRIES):
-                if not self.lease.may_order() or self.lease.record is None:
+                if not self.lease.may_order() or self.lease.record is None or self.restarted_ms:
                     raise OrdersSuspended
-                if self.sequence is None:
-                    await self.look_again()
-                    continue
+                if decided is None or self.sequence != decided:
+                    self.log.write("order_overtaken", target=self.record.identity, expected=decided)
+                    return OrderOutcome.CONFLICT
                 order = EngineOrder(
-                    kind,
-                    model,
-                    adapter,
-                    self.sequence,
-                    self.lease.instance,
-                    self.lease.record.token,
+                    kind, model, adapter, decided, self.lease.instance, self.lease.record.token
                 )
-                self.lease.ordered()
-                outcome = await self.port.order(self.record, order)
-                self._log_order(order, outcome)
-                if outcome is OrderOutcome.ACCEPTED:
-                    self.sequence += 1
-                    self.sequence_ms = self.clock.now_ms()
-                    return outcome
-                if outcome in (OrderOutcome.ALREADY_SO, OrderOutcome.REFUSED):
-                    self.replaced = outcome is OrderOutcome.REFUSED
+                outcome = await self._give(order, attempt)
+                if outcome is not None:
                     return outcome
-                if outcome is OrderOutcome.CONFLICT:
-                    await self._after_conflict(attempt)
-                if outcome is OrderOutcome.UNKNOWN:
-                    self.unanswered_ms = self.clock.now_ms()
-                    # The same order is given again: the engine obeys only one of two orders that
-                    # expect the same sequence.
-                    await self.look_again()
-                    if self.lost():
-                        return outcome
-                    if self._shows(order):
-                        # It has been carried out after all.
-                        self.confirmed_only = True
-                        return OrderOutcome.ACCEPTED
+            all_answered = self.unanswered_ms == silent_before_ms
+            return OrderOutcome.CONFLICT if all_answered else OrderOutcome.UNKNOWN
+
+    async def _give(self, order: EngineOrder, attempt: int) -> OrderOutcome | None:
+        """Give an order once; return its outcome, None if it should be given again."""
+        self.lease.ordered()
+        outcome = await self.port.order(self.record, order)
+        self._log_order(order, outcome)
+        if outcome is OrderOutcome.ACCEPTED:
+            self.sequence = order.expected_sequence + 1
+            self.sequence_ms = self.clock.now_ms()
             return outcome
+        if outcome is OrderOutcome.CONFLICT:
+            await self._after_conflict(attempt)
+            return None
+        if outcome is OrderOutcome.UNKNOWN:
+            return await self._after_silence(order)
+        self.replaced = outcome is OrderOutcome.REFUSED
+        return outcome
+
+    async def _after_silence(self, order: EngineOrder) -> OrderOutcome | None:
+        """Look what became of an order without an answer.
+
+        If nothing did, the same order is given again: the engine obeys only one of two orders that
+        expect the same sequence.
+        """
+        self.unanswered_ms = self.clock.now_ms()
+        if order.kind is OrderKind.LOAD and not order.adapter:
+            self.unsettled[order.model] = self.unanswered_ms
+        await self.look_again()
+        if self.lost():
+            return OrderOutcome.UNKNOWN
+        if self._shows(order):
+            # It has been carried out after all.
+            self.confirmed_only = True
+            return OrderOutcome.ACCEPTED
+        return None
 
     def _shows(self, order: EngineOrder) -> bool:
         """Tell whether the last report shows an order's effect, and its count just that one more.
@@ -187,6 +211,15 @@
         await self.look()
 
     def _take(self, report: EngineReport) -> None:
+        if report.started_ms < self.record.started_ms:
+            # From before its last start.
+            self.settled = False
+            return
+        if report.started_ms > self.record.started_ms:
+            self.restarted_ms = report.started_ms
+            self.replaced = True
+            self.changed()
+            return
         now_ms = self.clock.now_ms()
         self.in_memory = report.in_memory
         self.on_disk = report.on_disk
@@ -209,6 +242,9 @@
             self.sequence_ms = now_ms
         self.busy = report.busy
         residents = {model: set(adapters) for model, adapters in report.residents.items()}
+        for model, adapter in report.coming_adapters:
+            # They take their places already, and are there before a request could be.
+            residents.setdefault(model, set()).add(adapter)
         self.add_recent(residents)
         if residents != self.residents:
             self.residents = residents
--- a/packages/daemon/src/mimosaspur_daemon/direct/storewatch.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/storewatch.py
@@ -99,12 +99,11 @@
         changes = await self.store.watch_targets(revision, wait_ms=WAIT_MS)
         lapsing = self.state.clock.now_ms() < self.lapsed_until_ms
         removed = [] if lapsing else list(changes.removed)
-        self.state.fleet.update(changes.changed, removed)
-        self._targets_changed(removed)
+        self._targets_changed(self.state.fleet.update(changes.changed, removed))
         return changes.revision
 
-    def _targets_changed(self, gone: list[str]) -> None:
-        for identity in gone:
+    def _targets_changed(self, ended: list[str]) -> None:
+        for identity in ended:
             self.state.forget_target(identity)
         self.state.targets_known = True
         self.state.changes.notify()
--- a/packages/state/src/mimosaspur_state/fleet.py
+++ b/packages/state/src/mimosaspur_state/fleet.py
@@ -7,7 +7,7 @@
 
 @dataclass(slots=True, frozen=True)
 class TargetRecord:
-    """Hold what a target last registered of itself; identity is new at each of its starts."""
+    """Hold what a target last registered of itself; it may start again under the same identity."""
 
     identity: str
     service: str
@@ -18,6 +18,8 @@
     # Adapters by model; None when the target says nothing of models.
     residents: dict[str, frozenset[str]] | None = None
     sequence: int = 0
+    # When it started, in Unix milliseconds; with the identity this names one lifetime.
+    started_ms: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -35,6 +37,8 @@
     # Copies of weights, those that were used longest ago first.
     in_memory: tuple[str, ...] = ()
     on_disk: tuple[str, ...] = ()
+    # When the engine started, in Unix milliseconds, 0 if it doesn't tell.
+    started_ms: int = 0
 
 
 class OrderKind(Enum):
