Learn the engines' own speed, and how much of a queue is really waited for

Cause: predictions rested on engines that read 15 tokens a ms. Under load one model's pace swung between 0.24 and 2.74.

Change: the engines' speed is learnt and told like a model's pace; the time without reading and the part of the counted queue that is waited for are learnt apart; a known pace moves in small steps.

Ruled out: stale counts of the others' work (told every 60 ms).

--- a/features/direct_work.feature
+++ b/features/direct_work.feature
@@ -41,3 +41,28 @@
     Given 4 entries and engines that read fast at 150 tokens a ms
     When all entries but the last measure 8 requests for fast, telling the others in turns
     Then every entry predicts a prompt for fast within 30 of 100 of what it takes
+
+  Scenario Outline: The part of a queue that is really waited for is learnt
+    Given engines that read slow at 20 tokens a ms and fast at <fast> tokens a ms
+    When 12 requests for each model have been measured, one at a time
+    And 60 requests for fast come behind <queued> counted tokens, of which <part> in 100 are left
+    Then behind <queued> counted tokens one for fast is predicted within 35 of 100 of what it takes
+
+    Examples:
+      | fast | queued | part |
+      | 40   | 30000  | 100  |
+      | 40   | 30000  | 40   |
+      | 20   | 60000  | 20   |
+      | 150  | 60000  | 60   |
+
+  Scenario Outline: Engines of any speed are known after a few requests, of models nobody measured too
+    Given engines that read slow at <speed> tokens a ms and fast at <speed> tokens a ms
+    When 5 requests for each model have been measured, one at a time
+    Then a prompt of 4000 tokens for a model that nobody measured is predicted within 30 of 100
+
+    Examples:
+      | speed |
+      | 5     |
+      | 20    |
+      | 41    |
+      | 120   |
--- a/features/steps/direct_work_steps.py
+++ b/features/steps/direct_work_steps.py
@@ -8,11 +8,11 @@
 from behave.runner import Context
 
 from harness.direct_fleet import HeldClock
-from mimosaspur_coordination.fleetview import FIRST_TOKEN_MS
 from mimosaspur_coordination.fleetview import FleetView
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.modelpace import SharedPaces
+from mimosaspur_coordination.readingspeed import FIRST_BASE_MS as FIRST_TOKEN_MS
 from mimosaspur_daemon.direct.fleetreport import total_work
 from mimosaspur_daemon.direct.fleetreport import work_of_others
 from mimosaspur_protocol.peermessages import WorkAt
@@ -146,3 +146,47 @@
     for fleet in context.entries:
         predicted_ms = fleet.targets["x"].first_token_ms(prompt, rank=RANK)
         assert abs(predicted_ms - takes_ms) <= takes_ms * percent / 100, (predicted_ms, takes_ms)
+
+
+def _behind(context: Context, queued: int, percent: int) -> tuple[TargetView, Prompt, float]:
+    """Queue counted tokens at a target; return what a request there takes."""
+    view = context.fleet.targets["x"]
+    view.others.unread[RANK] = float(queued)
+    tokens = MEASURED_TOKENS / context.speeds["fast"]
+    per_token_ms = 1 / context.speeds["slow"]
+    waits_ms = queued * percent / 100 * per_token_ms
+    return view, Prompt("fast", prompt_tokens=MEASURED_TOKENS), FIRST_TOKEN_MS + waits_ms + tokens
+
+
+@when(
+    "{count:d} requests for fast come behind {queued:d} counted tokens, of which {percent:d} "
+    "in 100 are left"
+)
+def measure_behind(context: Context, count: int, queued: int, percent: int) -> None:
+    view, prompt, takes_ms = _behind(context, queued, percent)
+    for _ in range(count):
+        predicted_ms = view.first_token_ms(prompt, rank=RANK)
+        unread = view.unread_tokens(prompt)
+        view.first_token(prompt, unread=unread, predicted_ms=predicted_ms, took_ms=takes_ms)
+    context.percent = percent
+
+
+@then(
+    "behind {queued:d} counted tokens one for fast is predicted within {within:d} of 100 "
+    "of what it takes"
+)
+def check_behind(context: Context, queued: int, within: int) -> None:
+    view, prompt, takes_ms = _behind(context, queued, context.percent)
+    predicted_ms = view.first_token_ms(prompt, rank=RANK)
+    assert abs(predicted_ms - takes_ms) <= takes_ms * within / 100, (predicted_ms, takes_ms)
+
+
+@then(
+    "a prompt of {tokens:d} tokens for a model that nobody measured is predicted "
+    "within {within:d} of 100"
+)
+def check_unmeasured(context: Context, tokens: int, within: int) -> None:
+    takes_ms = FIRST_TOKEN_MS + tokens / context.speeds["slow"]
+    for view in context.fleet.targets.values():
+        predicted_ms = view.first_token_ms(Prompt("new", prompt_tokens=tokens), rank=RANK)
+        assert abs(predicted_ms - takes_ms) <= takes_ms * within / 100, (predicted_ms, takes_ms)
--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -10,15 +10,13 @@
 from mimosaspur_coordination.modelpace import MOST_CHANGE
 from mimosaspur_coordination.modelpace import NEWEST
 from mimosaspur_coordination.modelpace import ModelPace
+from mimosaspur_coordination.readingspeed import ReadingSpeed
+from mimosaspur_coordination.readingspeed import reading_ms
 from mimosaspur_coordination.targethealth import TargetHealth
 from mimosaspur_state.clock import Clock
 from mimosaspur_state.fleet import TargetRecord
 from mimosaspur_state.fleet import Work
 
-# Prompt tokens that an engine reads in a millisecond, before any was measured.
-READ_TOKENS_PER_MS = 15.0
-# The time to a first token on an idle engine, without reading the prompt.
-FIRST_TOKEN_MS = 30.0
 # Bounds of what is learnt of an engine, beside what is learnt of its models.
 SLOWNESS_BOUNDS = (0.2, 8.0)
 # Prompt parts remembered for each target.
@@ -45,6 +43,8 @@
     health: TargetHealth
     # What a model's tokens cost, the same for all targets.
     paces: ModelPace = field(default_factory=ModelPace)
+    # What is known of all engines of its kind.
+    speed: ReadingSpeed = field(default_factory=ReadingSpeed)
     own: Work = field(default_factory=Work)
     # What the other entries have there, as the coordinator last told.
     others: Work = field(default_factory=Work)
@@ -73,11 +73,12 @@
 
     def first_token_ms(self, prompt: Prompt, *, rank: int) -> float:
         """Predict the time to the first token if the prompt were sent now with a rank."""
-        tokens = self.unread_tokens(prompt)
+        queued = 0.0
         for work in (self.own, self.others):
             # What is less urgent is read later.
-            tokens += sum(n for other, n in work.unread.items() if other <= rank)
-        return FIRST_TOKEN_MS + tokens * self.slowness / READ_TOKENS_PER_MS
+            queued += sum(n for other, n in work.unread.items() if other <= rank)
+        own_ms = reading_ms(self.unread_tokens(prompt))
+        return self.speed.base.value + (own_ms + self.speed.queue_ms(queued)) * self.slowness
 
     def begin(self, prompt: Prompt, *, rank: int) -> float:
         """Count a prompt that is sent; return the tokens counted as unread."""
@@ -98,10 +99,12 @@
             self.parts.move_to_end(key)
         while len(self.parts) > MAX_PARTS:
             self.parts.popitem(last=False)
-        reading_ms = max(1.0, predicted_ms - FIRST_TOKEN_MS)
-        ratio = max(1.0, took_ms - FIRST_TOKEN_MS) / reading_ms
-        own_ms = unread * self.slowness / READ_TOKENS_PER_MS
-        self.paces.learn(prompt.model, ratio, share=min(1.0, own_ms / reading_ms))
+        own_ms = reading_ms(unread) * self.slowness
+        queue_ms = max(0.0, predicted_ms - self.speed.base.value - own_ms)
+        ratio = max(1.0, took_ms - self.speed.base.value) / (own_ms + queue_ms)
+        self.speed.learn(own_ms=own_ms, queue_ms=queue_ms, took_ms=took_ms)
+        if own_ms + queue_ms > self.speed.base.value:
+            self.paces.learn(prompt.model, ratio, share=own_ms / (own_ms + queue_ms))
         change = min(MOST_CHANGE, max(1.0 / MOST_CHANGE, ratio)) ** NEWEST
         low, high = SLOWNESS_BOUNDS
         self.slowness = min(high, max(low, self.slowness * change))
@@ -124,13 +127,14 @@
 class FleetView:
     """Hold the targets by service; what the coordinator tells goes before registrations."""
 
-    __slots__ = ("by_service", "clock", "paces", "targets", "told")
+    __slots__ = ("by_service", "clock", "paces", "speeds", "targets", "told")
 
     def __init__(self, *, clock: Clock) -> None:
         self.clock = clock
         self.paces = ModelPace()
         self.targets: dict[str, TargetView] = {}
         self.by_service: dict[str, dict[str, TargetView]] = {}
+        self.speeds: dict[str, ReadingSpeed] = {}
         # Targets whose residents the coordinator keeps up.
         self.told: set[str] = set()
 
@@ -157,7 +161,8 @@
                 ended.append(record.identity)
                 view = None
             if view is None:
-                view = TargetView(record, TargetHealth(clock=self.clock), self.paces)
+                speed = self.speeds.setdefault(record.service, ReadingSpeed())
+                view = TargetView(record, TargetHealth(clock=self.clock), self.paces, speed)
                 self.targets[record.identity] = view
                 self.by_service.setdefault(record.service, {})[record.identity] = view
             view.record = record
--- a/packages/coordination/src/mimosaspur_coordination/modelpace.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelpace.py
@@ -9,12 +9,19 @@
 MOST_CHANGE = 4.0
 LEAST_PACE = 0.03
 MOST_PACE = 3.0
+# What all models have in common, the engines' own speed, stands under this name. A model that
+# nobody has measured is taken to cost as much.
+ENGINES = ""
+# It moves little once it is known, so that what models differ by has something to stand on.
+ENGINES_NEWEST = 0.005
+# A known pace moves by a tenth at most with one measurement: under load queues are misjudged often.
+STEADY_CHANGE = 2.0
 # What differs by less than this part isn't worth a message.
 TOLD_CHANGE = 0.1
 # From so many measurements on, each further one is a small step.
 KNOWN_MEASUREMENTS = 5.0
 # No more measurements than this are counted, so that late ones keep their weight.
-MOST_MEASUREMENTS = 20.0
+MOST_MEASUREMENTS = 200.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -29,7 +36,7 @@
 
 
 class ModelPace:
-    """Keep a factor for each model: 1 until measured, less for a model that is read faster."""
+    """Keep a factor for all engines and one for each model, less for what is read faster."""
 
     __slots__ = ("measurements", "paces", "told")
 
@@ -40,19 +47,31 @@
         self.told: dict[str, float] = {}
 
     def of(self, model: str) -> float:
-        """Return a model's factor."""
-        return self.paces.get(model, 1.0)
+        """Return what a model's token costs, in tokens of a common model on a common engine."""
+        return self.factor(ENGINES) * self.factor(model)
+
+    def factor(self, name: str) -> float:
+        """Return the factor of a model, or of the engines; 1 until measured."""
+        return self.paces.get(name, 1.0)
 
     def learn(self, model: str, ratio: float, *, share: float) -> None:
         """Take a time to a first token, as measured over predicted.
 
         `share` is the part of the predicted time in which the model itself was read.
         """
-        known = self.measurements.get(model, 0.0)
-        weight = share * max(NEWEST, 1.0 / (known + 1.0))
-        factor = min(MOST_CHANGE, max(1.0 / MOST_CHANGE, ratio)) ** weight
-        self.paces[model] = min(MOST_PACE, max(LEAST_PACE, self.of(model) * factor))
-        self.measurements[model] = min(MOST_MEASUREMENTS, known + share)
+        left = ratio / self._learn(ENGINES, ratio, share=share, newest=ENGINES_NEWEST)
+        self._learn(model, left, share=share, newest=NEWEST)
+
+    def _learn(self, name: str, ratio: float, *, share: float, newest: float) -> float:
+        """Move a factor towards a measured one; return by how much it moved."""
+        known = self.measurements.get(name, 0.0)
+        weight = share * max(newest, 1.0 / (known + 1.0))
+        most = STEADY_CHANGE if known >= KNOWN_MEASUREMENTS else MOST_CHANGE
+        old = self.factor(name)
+        new = old * min(most, max(1.0 / most, ratio)) ** weight
+        self.paces[name] = min(MOST_PACE, max(LEAST_PACE, new))
+        self.measurements[name] = min(MOST_MEASUREMENTS, known + share)
+        return self.paces[name] / old
 
     def news(self) -> dict[str, Pace]:
         """Return the models whose factors have changed since they were last told."""
