Let a leaving entry take what it surely ends, and keep the duty to coordinate until it ends

The duty was given up at the signal, often to an entry that left next; nobody ordered for seconds.

It ends early only while others are known to stay. The duty is kept until the process ends, and its successors wait as long as they might not order anyway, so that a process that is only restarted takes it back.

--- a/features/direct_answers.feature
+++ b/features/direct_answers.feature
@@ -87,3 +87,33 @@
     Given a direct entry whose engines don't hold the model
     When the direct caller waits for the model and the entry is told to leave
     Then within 1000 ms, before the entry ends, its status is 503
+
+  Scenario Outline: A leaving entry takes what it surely ends, <case>
+    Given a direct entry before a target that answers and a sound one
+    And requests of its routes have lasted <lasted>
+    And the balancer has noticed that it leaves, it ends in <left> ms, and <others> stay
+    When the direct caller sends an idempotent request
+    Then the direct caller gets the bare status <status>
+    And if it was refused, it may come back after <least> to <most> ms
+
+    Examples:
+      | case                              | lasted       | left | others | status | least | most |
+      | short requests                    | 50 ms        | 3000 | 0      | 200    | 0     | 0    |
+      | short requests, others are there  | 50 ms        | 3000 | 2      | 200    | 0     | 0    |
+      | too late even for short ones      | 50 ms        | 40   | 0      | 503    | 900   | 1400 |
+      | long requests                     | 2800 ms      | 2500 | 2      | 503    | 10    | 100  |
+      | long requests, nobody else there  | 2800 ms      | 200  | 0      | 503    | 1000  | 1400 |
+      | unlike each other                 | 50 or 900 ms | 1000 | 2      | 503    | 10    | 100  |
+      | nothing is known of the route     | never yet    | 3000 | 2      | 503    | 10    | 100  |
+      | time enough for any               | never yet    | 4500 | 2      | 200    | 0     | 0    |
+
+  Scenario Outline: A leaving entry ends early once nobody needs it
+    Given a direct entry before a target that answers and a sound one
+    And requests of its routes have lasted 50 ms
+    And the balancer has noticed that it leaves, it ends in 5000 ms, and <others> stay
+    Then the leaving entry is <needed>
+
+    Examples:
+      | others | needed   |
+      | 0      | needed   |
+      | 1      | needless |
--- a/features/direct_orders.feature
+++ b/features/direct_orders.feature
@@ -143,6 +143,11 @@
     When the coordinator is told to leave
     Then the other one coordinates, and no order came within the handover of the first one's last
 
+  Scenario: A coordinator that is only restarted takes its duty back before anybody else could order
+    Given two instances with one store and an engine, and a handover of 3000 ms
+    When the coordinator ends and starts again after 500 ms
+    Then it orders again before its successor might have, and no other instance has ordered
+
   Scenario: Orders go on while the store is away for everyone, until an entry is lost
     Given two instances with one store and an engine
     When the store is away for both
--- a/features/harness/direct_fleet.py
+++ b/features/harness/direct_fleet.py
@@ -25,6 +25,8 @@
 MODELS = ("a", "b", "c", "d", "e", "f")
 WAIT_S = 12.0
 WANT_EVERY_S = 0.05
+# What the last word to the others takes.
+LAST_WORD_S = 0.05
 
 
 class HeldClock:
@@ -84,6 +86,7 @@
 
     def __init__(self) -> None:
         self.handover_ms = HANDOVER_MS
+        self.ordered_before = 0
         self.orders: list[tuple[str, float]] = []
         self.store = LeaseStore()
         self.engine = WatchedEngine(self.orders)
@@ -105,6 +108,18 @@
         self.duties[0].step_down()
         await self._until(lambda: self.orders[-1][0] == "entry-1")
 
+    async def restart_first(self, pause_s: float) -> None:
+        """End the first instance's process and start it again; wait for its orders."""
+        self.duties[0].step_down()
+        await asyncio.sleep(LAST_WORD_S)
+        for task in self.tasks[:2]:
+            task.cancel()
+        self.servers[0].close()
+        self.ordered_before = len(self.orders)
+        await asyncio.sleep(pause_s)
+        await self._start_one("entry-0")
+        await self._until(lambda: len(self.orders) > self.ordered_before)
+
     async def orders_within(self, seconds: float) -> list[str]:
         """Return who gives orders in the time to come."""
         before = len(self.orders)
@@ -124,7 +139,7 @@
             server.close()
 
     async def _start_one(self, instance: str) -> None:
-        settings = settings_for(instance, handover_ms=HANDOVER_MS)
+        settings = settings_for(instance, handover_ms=self.handover_ms)
         ports = outside(instance, store=self.store, engines=self.engine)
         state = EntryState(settings, ports)
         loads = {"load_s": LOAD_S, "disk_load_s": LOAD_S, "memory_load_s": LOAD_S}
--- a/features/steps/direct_answers_steps.py
+++ b/features/steps/direct_answers_steps.py
@@ -1,6 +1,7 @@
 """Steps of the answers of an entry that reaches targets directly."""
 
 import asyncio
+import re
 from typing import Any
 
 from behave import given
@@ -23,6 +24,7 @@
 from harness.loop import run
 
 AT_ONCE_S = 1.0
+MEASURED = 40
 ALL_EVENTS = b"".join(b"id: %d\ndata: event %d\n\n" % (n, n) for n in WHOLE_EVENTS)
 SYSTEM_HEADERS = {
     "X-Priority": "0",
@@ -118,7 +120,7 @@
         await asyncio.sleep(0.2)
         loop = asyncio.get_running_loop()
         context.entry.state.leaving = True
-        context.entry.state.wait_until_s = loop.time()
+        context.entry.state.noticed_s = loop.time()
         began_s = loop.time()
         context.answer = await calling
         context.took_s = loop.time() - began_s
@@ -200,3 +202,39 @@
 def check_left_in_time(context: Context, limit_ms: int, status: int) -> None:
     assert context.answer.status == status, context.answer
     assert context.took_s * 1000 < limit_ms, context.took_s
+
+
+@given("requests of its routes have lasted {lasted}")
+def set_durations(context: Context, lasted: str) -> None:
+    durations = [int(number) for number in re.findall(r"\d+", lasted)]
+    for number in range(MEASURED if durations else 0):
+        for route, _, _ in KINDS.values():
+            lasted_ms = durations[number % len(durations)]
+            context.entry.state.durations.learn(route, lasted_ms, tokens=0)
+
+
+@given("the balancer has noticed that it leaves, it ends in {left:d} ms, and {others:d} stay")
+def leave(context: Context, left: int, others: int) -> None:
+    async def begin() -> None:
+        state = context.entry.state
+        now_s = asyncio.get_running_loop().time()
+        state.leaving = True
+        state.noticed_s = now_s
+        state.end_s = now_s + left / 1000
+        state.staying = others
+
+    run(context, begin())
+
+
+@then("if it was refused, it may come back after {least:d} to {most:d} ms")
+def check_come_back(context: Context, least: int, most: int) -> None:
+    retry_after = context.answer.headers.get("retry-after")
+    if context.answer.status == 200:
+        assert retry_after is None
+    else:
+        assert least <= float(retry_after) * 1000 <= most, retry_after
+
+
+@then("the leaving entry is {needed}")
+def check_needed(context: Context, needed: str) -> None:
+    assert context.entry.state.needed() == (needed == "needed")
--- a/features/steps/direct_orders_steps.py
+++ b/features/steps/direct_orders_steps.py
@@ -366,6 +366,13 @@
     run(context, context.two.start())
 
 
+@given("two instances with one store and an engine, and a handover of {handover_ms:d} ms")
+def start_two_far_apart(context: Context, handover_ms: int) -> None:
+    context.two = TwoInstances()
+    context.two.handover_ms = handover_ms
+    run(context, context.two.start())
+
+
 @when("the coordinator is told to leave")
 def leave(context: Context) -> None:
     run(context, context.two.hand_over())
@@ -383,6 +390,21 @@
     run(context, two.stop())
 
 
+@when("the coordinator ends and starts again after {pause_ms:d} ms")
+def restart_coordinator(context: Context, pause_ms: int) -> None:
+    run(context, context.two.restart_first(pause_ms / 1000))
+
+
+@then("it orders again before its successor might have, and no other instance has ordered")
+def check_taken_back(context: Context) -> None:
+    two = context.two
+    before, after = two.orders[: two.ordered_before], two.orders[two.ordered_before :]
+    assert {holder for holder, _ in two.orders} == {"entry-0"}, two.orders
+    gap_ms = after[0][1] - before[-1][1]
+    assert gap_ms < two.handover_ms, gap_ms
+    run(context, two.stop())
+
+
 @when("the store is away for both")
 def store_away(context: Context) -> None:
     context.two.store.away = True
--- a/packages/coordination/src/mimosaspur_coordination/orderlease.py
+++ b/packages/coordination/src/mimosaspur_coordination/orderlease.py
@@ -73,9 +73,13 @@
 
     def released_by_predecessor(self, *, last_order_ms: int) -> None:
         """Shorten the wait: the predecessor has told when it gave its last order."""
-        first_ms = last_order_ms + self.handover_ms + HANDOVER_SLACK_MS
+        first_ms = self.first_order_after(last_order_ms)
         self.first_order_ms = max(self.clock.now_ms(), min(self.first_order_ms, first_ms))
 
+    def first_order_after(self, last_order_ms: int) -> int:
+        """Return when another instance may order after the predecessor's last order."""
+        return last_order_ms + self.handover_ms + HANDOVER_SLACK_MS
+
     def held(self) -> bool:
         """Tell whether this instance is the last known holder."""
         return self.record is not None and self.record.holder == self.instance
--- a/packages/daemon/src/mimosaspur_daemon/direct/application.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/application.py
@@ -68,22 +68,27 @@
         end_s = began_s + self.state.settings.shutdown_ms / 1000 - LAST_S
         self.state.leaving = True
         self.state.log.always("leaving", in_flight=self.callers.in_flight())
-        self.duty.step_down()
-        noticed_s = began_s + UNNOTICED_S
-        self.state.wait_until_s = noticed_s
-        while loop.time() < end_s:
-            if loop.time() >= noticed_s:
-                self.callers.close_idle()
-                if not self.callers.in_flight():
-                    break
+        self.state.noticed_s = began_s + UNNOTICED_S
+        self.state.end_s = end_s
+        while loop.time() < end_s and not self._needless():
             await asyncio.sleep(0.05)
         self.callers.stop_accepting()
         self.callers.end_all()
-        self.duty.end()
+        self.duty.step_down()
         await asyncio.sleep(LAST_ANSWERS_S)
         for task in self.tasks:
             task.cancel()
 
+    def _needless(self) -> bool:
+        """Tell whether nobody needs this entry any more.
+
+        The balancer goes on to send callers here while it knows of nobody else.
+        """
+        if asyncio.get_running_loop().time() < self.state.noticed_s:
+            return False
+        self.callers.close_idle()
+        return not self.callers.in_flight() and not self.state.needed()
+
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
         self.tasks.append(task)
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -47,6 +47,7 @@
     __slots__ = (
         "channel",
         "first_token",
+        "first_token_s",
         "journey",
         "predicted_ms",
         "rank",
@@ -64,6 +65,7 @@
         self.unread = view.begin(journey.prompt, rank=self.rank)
         self.sent_s = asyncio.get_running_loop().time()
         self.first_token = False
+        self.first_token_s = 0.0
 
     def end(self) -> None:
         """Count the request out of the target's work."""
@@ -134,6 +136,7 @@
         if journey.started:
             raise ChannelBroken("a resumed stream was answered otherwise")
         await journey.pass_on(head, body)
+        journey.note_duration(self.sent_s)
         return Result.DONE
 
     async def _relay(self, head: AnswerHead) -> Result:
@@ -155,6 +158,7 @@
             await journey.caller.send(journey.cutter.begun)
         await journey.caller.finish()
         self.view.health.succeeded()
+        journey.note_duration(self.first_token_s or self.sent_s)
         return Result.DONE
 
     async def _start(self, head: AnswerHead) -> None:
@@ -174,7 +178,7 @@
         if self.first_token:
             return
         self.first_token = True
-        now_s = asyncio.get_running_loop().time()
+        now_s = self.first_token_s = asyncio.get_running_loop().time()
         self.journey.first_ms = round((now_s - self.journey.request.arrived_s) * 1000)
         took_ms = (now_s - self.sent_s) * 1000
         self.view.read(unread=self.unread, rank=self.rank)
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -23,6 +23,11 @@
 NOT_READY_RETRY_S = 0.3
 # Another entry takes a caller that is sent away by one that leaves.
 LEAVING_RETRY_S = 0.05
+# From a process's end until it has started again and knows the targets.
+RESTART_S = 1.0
+# A connection on which nothing has come for so long carries no request: what a caller sends on a
+# connection takes a few ms, and some are late.
+IDLE_S = 0.3
 
 
 class CallerServer:
@@ -55,7 +60,7 @@
     def close_idle(self) -> None:
         """Close the connections that carry no request."""
         for connection in self.connections:
-            if connection.idle():
+            if connection.idle_s() >= IDLE_S:
                 connection.close()
 
     def end_all(self) -> None:
@@ -121,6 +126,8 @@
             route = self._route(request)
             service = _pick_service(route)
             journey = Journey(self.state, route, service, request, connection)
+            if request.arrived_s > self.state.noticed_s and not journey.ends_in_time():
+                raise self._leaving(journey)
         except GivenUp as refusal:
             await self._refuse(connection, request, refusal)
             return True
@@ -140,13 +147,19 @@
         configuration = self.state.configuration
         if configuration is None or not self.state.targets_known:
             raise GivenUp(ResultCode.NO_BUNDLE, retry_after_s=NOT_READY_RETRY_S)
-        if request.arrived_s > self.state.wait_until_s:
-            raise GivenUp(ResultCode.DRAINING, retry_after_s=LEAVING_RETRY_S)
         route = configuration.find(request.host, request.path)
         if route is None:
             raise GivenUp(ResultCode.NOT_FOUND)
         return route
 
+    def _leaving(self, journey: Journey) -> GivenUp:
+        """Refuse what can't surely be ended before this process ends."""
+        wanted_s = LEAVING_RETRY_S
+        if self.state.needed():
+            # Nobody else is there: this process is, once it has started again.
+            wanted_s = self.state.end_s - asyncio.get_running_loop().time() + RESTART_S
+        return journey.targeting.refusal(ResultCode.DRAINING, wanted_s=wanted_s)
+
     async def _refuse(
         self, connection: CallerConnection, request: CallerRequest, refusal: GivenUp
     ) -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/duty.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/duty.py
@@ -34,6 +34,8 @@
 CONTEND_AFTER_S = 0.5
 CONTEND_JITTER_S = 0.6
 STORE_RETRY_S = 0.3
+# How often whoever waits to contend looks whether the last holder is back.
+LEASE_LOOK_S = 0.3
 HOLD_CHECK_S = 0.1
 # A proof that takes longer is asked of the other entries.
 RENEW_TIMEOUT_S = 0.4
@@ -53,8 +55,6 @@
         # This machine has given no order since then but those that the lease counts.
         self.started_ms = self.lease.clock.now_ms()
         self.coordinator: Coordinator | None = None
-        # Whether the last proof came from the store.
-        self.store_answers = True
         # Whether this instance has stepped down for good.
         self.ended = False
         # When the last coordinator gave its last order, if it told as it stepped down.
@@ -83,13 +83,12 @@
                 await asyncio.sleep(0.05)
 
     def step_down(self) -> None:
-        """Give no more orders, and let another take over at once, if one can."""
-        if self.coordinator and self.store_answers:
-            self.coordinator.step_down()
-            self.ended = True
+        """Give no more orders, and tell when the last one was; the duty lasts until then.
 
-    def end(self) -> None:
-        """Tell the last order's age as this process ends."""
+        Whoever takes over may not order before the handover time after the last order. So the
+        duty is kept until the process ends: a process that is only restarted takes it back
+        without that wait.
+        """
         if self.coordinator:
             self.coordinator.step_down()
             self.ended = True
@@ -142,13 +141,9 @@
             async with asyncio.timeout(RENEW_TIMEOUT_S):
                 record = await self.state.outside.store.read_lease()
         except (StoreUnavailable, TimeoutError):
-            self.store_answers = False
             if self.coordinator:
                 self.coordinator.ask_for_proof(self.lease.clock.now_ms())
             return
-        self.store_answers = True
-        if self.state.leaving:
-            self.step_down()
         self.lease.seen(record, asked_ms=asked_ms)
         if self.coordinator:
             self.coordinator.store_reached()
@@ -202,14 +197,26 @@
 
     async def _contend(self, token: int) -> None:
         # A process that was only restarted takes the lease back without any wait.
-        if self.last_order_ms is None or not self.stepped_down:
-            await asyncio.sleep(CONTEND_AFTER_S)
-        await asyncio.sleep(random.random() * CONTEND_JITTER_S)
-        record = await self.state.outside.store.read_lease()
+        wait_s = self._contend_after_s() + random.random() * CONTEND_JITTER_S
+        end_s = asyncio.get_running_loop().time() + wait_s
+        record = self.lease.record
+        while (left_s := end_s - asyncio.get_running_loop().time()) > 0:
+            await asyncio.sleep(min(left_s, LEASE_LOOK_S))
+            record = await self.state.outside.store.read_lease()
+            if record is None or record.token != token:
+                break
         self.lease.record = record
         if record and record.token == token:
             await self._take_over()
 
+    def _contend_after_s(self) -> float:
+        """Return how long the last holder may take to come back before others contend."""
+        if self.last_order_ms is None or not self.stepped_down:
+            return CONTEND_AFTER_S
+        # Its successor may not order sooner, so that nothing is lost by waiting for it so long.
+        first_ms = self.lease.first_order_after(self.last_order_ms)
+        return max(0.0, (first_ms - self.lease.clock.now_ms()) / 1000 - CONTEND_JITTER_S)
+
     async def _report_to(self, link: PeerLink) -> None:
         with contextlib.suppress(PeerLost):
             while True:
@@ -263,5 +270,13 @@
     asked_adapters = [AskedForAdapter(*key, n) for key, n in state.asked_adapters.items()]
     state.asked_adapters.clear()
     waiting = list(state.waiting_adapters)
-    paces = paces_told(state.fleet.paces.news())
-    return EntryReport(instance, work, asked, waiting, unreachable, asked_adapters, paces)
+    return EntryReport(
+        instance,
+        work,
+        asked,
+        waiting,
+        unreachable,
+        asked_adapters,
+        paces_told(state.fleet.paces.news()),
+        state.leaving,
+    )
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
+from mimosaspur_coordination.durations import Durations
 from mimosaspur_coordination.fleetports import EnginePort
 from mimosaspur_coordination.fleetports import FleetStore
 from mimosaspur_coordination.fleetview import FleetView
@@ -93,12 +94,17 @@
         # Set when the coordinator should hear from this entry before its next turn.
         self.report_now = asyncio.Event()
         self.entries = 0
+        # Entries that stay, as the coordinator last told, 0 if nobody told.
+        self.staying = 0
         self.targets_known = False
         self.leaving = False
         # Whether this entry coordinates the others.
         self.coordinating = False
-        # Until when a request may wait for a target, on the event loop's clock, while leaving.
-        self.wait_until_s = float("inf")
+        # While leaving, on the event loop's clock: when the balancer has noticed, and when all that
+        # is unanswered is ended.
+        self.noticed_s = float("inf")
+        self.end_s = float("inf")
+        self.durations = Durations()
         # Dependencies that do not answer now.
         self.lost: set[str] = set()
 
@@ -138,6 +144,10 @@
         """Tell whether callers may be sent here."""
         return bool(self.configuration and self.targets_known and not self.leaving)
 
+    def needed(self) -> bool:
+        """Tell whether no other entry is known to stay while this one leaves."""
+        return not self.staying
+
     @contextlib.contextmanager
     def waiting_for(self, model: str, adapter: str) -> Iterator[None]:
         """Count a request that waits for a model or an adapter, while it waits."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -47,6 +47,7 @@
 def apply_report(state: EntryState, report: FleetReport) -> None:
     """Take the coordinator's report into an entry's picture of the fleet."""
     state.entries = report.entries
+    state.staying = report.staying
     for work in report.work:
         view = state.fleet.targets.get(work.target)
         if view:
--- a/packages/daemon/src/mimosaspur_daemon/direct/journey.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/journey.py
@@ -123,6 +123,22 @@
         except TimeoutError:
             raise self._out_of_time() from None
 
+    def ends_in_time(self) -> bool:
+        """Tell whether the request will surely end before this process does."""
+        left_ms = (self.state.end_s - asyncio.get_running_loop().time()) * 1000
+        lasts_ms = self.state.durations.longest_ms(
+            self.route.name, tokens=self.prompt.output_tokens
+        )
+        if lasts_ms is None:
+            lasts_ms = self.route.timeout_ms
+        return lasts_ms + self.targeting.foreseen_ms() <= left_ms
+
+    def note_duration(self, began_s: float) -> None:
+        """Learn how long the request lasted since an engine's first event, or since it was sent."""
+        lasted_ms = (asyncio.get_running_loop().time() - began_s) * 1000
+        tokens = self.prompt.output_tokens
+        self.state.durations.learn(self.route.name, lasted_ms, tokens=tokens)
+
     def end_now(self) -> None:
         """End the request at once, since this process ends."""
         if self.limit and not self.limit.expired():
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -40,6 +40,7 @@
     waiting: dict[str, int] = field(default_factory=dict)
     adapters: list[tuple[str, str]] = field(default_factory=list)
     heard_ms: int = 0
+    leaving: bool = False
     link: PeerLink | None = None
     told_ms: int = 0
     told_work: Mapping[str, WorkAt] = field(default_factory=dict)
@@ -62,6 +63,7 @@
         member.work = {work.target: work for work in report.work}
         member.waiting = {asked.model: asked.waiting for asked in report.asked if asked.waiting}
         member.adapters = [(model, adapter) for model, adapter in report.adapters]
+        member.leaving = report.leaving
         for told in report.paces:
             self.paces.hear(told.model, Pace(told.factor, told.measurements))
 
@@ -133,6 +135,7 @@
                 residents=[],
                 expected=expected,
                 paces=paces,
+                staying=sum(not each.leaving for each in self.members.values()),
             )
             self._tell_member(member, news, totals, residents, now_ms)
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/targeting.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targeting.py
@@ -97,6 +97,14 @@
                 return view
             await self._wait_for_rested()
 
+    def foreseen_ms(self) -> float:
+        """Return when the first event is foreseen, 0 for a plain service."""
+        if self.spec is None or self.spec.engine is None or not self.prompt.model:
+            return 0.0
+        holders = [view for view in self._awake() if view.holds(self.prompt)]
+        foreseen = [view.first_token_ms(self.prompt, rank=self.rank) for view in holders]
+        return min(foreseen, default=float("inf"))
+
     def left_s(self) -> float:
         """Return the seconds that the request has left."""
         return self.deadline_s - _now_s()
@@ -112,7 +120,7 @@
         state = self.state
         with self.state.waiting_for(self.prompt.model, self.prompt.adapter):
             while True:
-                patience_s = min(self.patience_s, state.wait_until_s)
+                patience_s = min(self.patience_s, state.noticed_s)
                 left_s = patience_s - LEAST_FIRST_TOKEN_S - _now_s()
                 expected_s = state.expected_ms.get(self.prompt.model, 0) / 1000
                 if left_s <= max(0.0, expected_s):
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -56,6 +56,8 @@
     asked_adapters: list[AskedForAdapter] = msgspec.field(default_factory=list)
     # Paces that have changed since the last report.
     paces: list[PaceOf] = msgspec.field(default_factory=list)
+    # Whether it takes no new callers, since it is about to end.
+    leaving: bool = False
 
 
 class Residents(msgspec.Struct, array_like=True, frozen=True):
@@ -79,6 +81,8 @@
     expected: dict[str, int]
     # Paces that have changed since the last report, over all entries.
     paces: list[PaceOf] = msgspec.field(default_factory=list)
+    # Entries that stay, the one that is told among them if it does.
+    staying: int = 0
 
 
 class StepDown(msgspec.Struct, array_like=True, tag="leaving"):
--- a/packages/transport/src/mimosaspur_transport/callerconnection.py
+++ b/packages/transport/src/mimosaspur_transport/callerconnection.py
@@ -77,7 +77,7 @@
 class CallerConnection:
     """Speak HTTP/1.1 with one caller, one request at a time."""
 
-    __slots__ = ("answering", "codec", "limits", "reader", "writer")
+    __slots__ = ("answering", "codec", "limits", "reader", "waiting_s", "writer")
 
     def __init__(
         self, reader: WatchedReader, writer: asyncio.StreamWriter, *, limits: CallerLimits
@@ -88,6 +88,8 @@
         self.codec = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
         # Whether a request has been read whose answer is still due.
         self.answering = False
+        # Since when the next request has been waited for, on the event loop's clock.
+        self.waiting_s = asyncio.get_running_loop().time()
 
     async def next_request(self) -> CallerRequest | None:
         """Return the next request, None when the caller closes or is idle for too long."""
@@ -143,6 +145,10 @@
         buffered = bool(getattr(self.reader, "_buffer", b"")) or bool(self.codec.trailing_data[0])
         return not self.answering and not buffered and self.codec.their_state is h11.IDLE
 
+    def idle_s(self) -> float:
+        """Return for how long the connection has carried no request, 0 if it carries one."""
+        return asyncio.get_running_loop().time() - self.waiting_s if self.idle() else 0.0
+
     def close(self) -> None:
         """End the connection after what was written."""
         self.writer.close()
@@ -153,7 +159,7 @@
 
     async def _head(self) -> h11.Request | None:
         timeout_ms = self.limits.idle_timeout_ms
-        waiting_s = asyncio.get_running_loop().time()
+        waiting_s = self.waiting_s = asyncio.get_running_loop().time()
         while True:
             event = self._event()
             if isinstance(event, h11.Request):
