Let the coordinator read the store for the other entries

Change: the coordinator tells with its heartbeat what it reads and how old that is. An entry reads the store itself as soon as that is older than 0.6 of the time in which a leaving target must be known, as it starts, and when the coordinator is lost. While the coordinator takes missing registrations for lapsed ones, it tells nothing.

Tests: features/direct_store. One row on the coordinator allows 18 calls in 3 s where it allowed 10: it reads for all now.

--- a/features/direct_store.feature
+++ b/features/direct_store.feature
@@ -27,8 +27,32 @@
 
     Examples:
       | duty                   | most |
-      | follows a coordinator  | 7    |
-      | coordinates the others | 10   |
+      | follows nobody         | 7    |
+      | coordinates the others | 18   |
+
+  Scenario Outline: The coordinator reads the store for the others, <entries> entries
+    Given <entries> entries of a site that follow a store with three servers
+    When servers register anew 20 times a second for 3000 ms
+    Then all entries together made at most <most> calls
+    And within 1500 ms all entries know that a server leaves which does so now
+    And within 1500 ms all entries know version 9 which is written now
+
+    Examples:
+      | entries | most |
+      | 2       | 20   |
+      | 4       | 24   |
+      | 8       | 32   |
+
+  Scenario Outline: Entries that the coordinator reads for know in time when <fault>
+    Given 4 entries of a site that follow a store with three servers
+    When <fault>, and a server starts to leave
+    Then within 1900 ms all entries but the coordinator know that the server leaves
+
+    Examples:
+      | fault                                          |
+      | the coordinator gets no answers from the store |
+      | the coordinator falls silent                   |
+      | the coordinator is killed                      |
 
   Scenario Outline: An older configuration never comes back
     Given an entry that follows a store with three servers and a configuration
@@ -70,3 +94,9 @@
   Scenario: A settings file of the platform gives the product's settings
     When the settings file is the platform's example
     Then the settings name the instance, its addresses, its bounds and its failure domain
+
+  Scenario: What may only have lapsed for the coordinator has gone for the others
+    Given 4 entries of a site that follow a store with three servers
+    When the coordinator has been cut from the store for 3000 ms, and a server goes right after
+    Then within 1900 ms all entries but the coordinator know that the server is gone
+    And 1000 ms later they still do
--- a/features/steps/direct_store_steps.py
+++ b/features/steps/direct_store_steps.py
@@ -18,6 +18,8 @@
 from harness.direct_registrations import configuration_entry
 from harness.direct_registrations import server_entry
 from harness.direct_registrations import store_with_servers
+from harness.direct_site import Site
+from harness.direct_site import SiteEntry
 from harness.loop import run
 from mimosaspur_platform.settings import read_settings
 from mimosaspur_state.directsettings import DirectSettings
@@ -99,6 +101,84 @@
     context.state.coordinating = duty == "coordinates the others"
 
 
+@given("{count:d} entries of a site that follow a store with three servers")
+def start_site(context: Context, count: int) -> None:
+    context.site = Site(count)
+    run(context, context.site.start())
+    context.store = context.site.store
+    context.add_cleanup(context.site.stop)
+
+
+@then("all entries together made at most {most:d} calls")
+def check_site_calls(context: Context, most: int) -> None:
+    assert context.calls <= most, context.calls
+
+
+@then("within {limit_ms:d} ms all entries know that a server leaves which does so now")
+def check_all_know_leaving(context: Context, limit_ms: int) -> None:
+    context.store.put(SERVERS, "i-1", server_entry("draining"))
+    _check_all_know(context, limit_ms, leaving="i-1")
+
+
+@then("within {limit_ms:d} ms all entries know version {version:d} which is written now")
+def check_all_know_version(context: Context, limit_ms: int, version: int) -> None:
+    context.store.put("config", "main", configuration_entry(version))
+    _check_all_know(context, limit_ms, version=version)
+
+
+@when("{fault}, and a server starts to leave")
+def strike_coordinator(context: Context, fault: str) -> None:
+    context.site.strike(fault)
+    context.store.put(SERVERS, "i-1", server_entry("draining"))
+
+
+@then("within {limit_ms:d} ms all entries but the coordinator know that the server leaves")
+def check_others_know(context: Context, limit_ms: int) -> None:
+    _check_all_know(context, limit_ms, entries=context.site.entries[1:], leaving="i-1")
+
+
+@when(
+    "the coordinator has been cut from the store for {cut_ms:d} ms, and a server goes right after"
+)
+def cut_and_go(context: Context, cut_ms: int) -> None:
+    async def cut() -> None:
+        first = context.site.entries[0]
+        first.store.cut = True
+        await asyncio.sleep(cut_ms / 1000)
+        first.store.cut = False
+        await context.site.until(lambda: "targets" not in first.state.lost)
+        context.store.delete(SERVERS, "i-1")
+
+    run(context, cut())
+
+
+@then("within {limit_ms:d} ms all entries but the coordinator know that the server is gone")
+def check_others_know_gone(context: Context, limit_ms: int) -> None:
+    def gone() -> bool:
+        others = context.site.entries[1:]
+        return all("i-1" not in entry.state.fleet.targets for entry in others)
+
+    context.gone = gone
+    run(context, context.site.until(gone, limit_ms / 1000))
+
+
+@then("{pause_ms:d} ms later they still do")
+def check_still_gone(context: Context, pause_ms: int) -> None:
+    run(context, asyncio.sleep(pause_ms / 1000))
+    assert context.gone()
+
+
+def _check_all_know(
+    context: Context, limit_ms: int, *, entries: list[SiteEntry] | None = None, **what: Any
+) -> None:
+    asked = entries or context.site.entries
+
+    def known() -> bool:
+        return all(entry.knows(**what) for entry in asked)
+
+    run(context, context.site.until(known, limit_ms / 1000))
+
+
 @when("servers register anew 20 times a second for {ms:d} ms")
 def register_anew(context: Context, ms: int) -> None:
     async def register() -> None:
--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -62,14 +62,28 @@
             return False
         return not prompt.adapter or prompt.adapter in adapters
 
-    def unread_tokens(self, prompt: Prompt) -> float:
-        """Return what the target probably has to read of a prompt, in a common model's tokens."""
+    def kept_tokens(self, prompt: Prompt) -> int:
+        """Return how much of a prompt the target has read for others of this entry's requests."""
         kept = 0
         for identity, tokens in prompt.parts[:-1]:
             if (prompt.model, prompt.adapter, identity) not in self.parts:
                 break
             kept += tokens
-        return max(1, prompt.prompt_tokens - kept) * self.paces.of(prompt.model)
+        return kept
+
+    def unread_tokens(self, prompt: Prompt) -> float:
+        """Return what the target probably has to read of a prompt, in a common model's tokens."""
+        unread = max(1, prompt.prompt_tokens - self.kept_tokens(prompt))
+        return unread * self.paces.of(prompt.model)
+
+    def requests(self) -> int:
+        """Return the requests that run or wait at the target, over all entries."""
+        return self.own.requests + self.others.requests
+
+    def lasted(self, stream_ms: float) -> None:
+        """Take how long a whole stream lasted after its first event."""
+        lasting = self.speed.stream_ms
+        lasting.learn(max(1.0, stream_ms) / lasting.value)
 
     def first_token_ms(self, prompt: Prompt, *, rank: int) -> float:
         """Predict the time to the first token if the prompt were sent now with a rank."""
@@ -127,7 +141,7 @@
 class FleetView:
     """Hold the targets by service; what the coordinator tells goes before registrations."""
 
-    __slots__ = ("by_service", "clock", "paces", "speeds", "targets", "told")
+    __slots__ = ("by_service", "clock", "paces", "revision", "speeds", "targets", "told")
 
     def __init__(self, *, clock: Clock) -> None:
         self.clock = clock
@@ -137,6 +151,8 @@
         self.speeds: dict[str, ReadingSpeed] = {}
         # Targets whose residents the coordinator keeps up.
         self.told: set[str] = set()
+        # The store's revision up to which changes are known.
+        self.revision = 0
 
     def replace(
         self, records: Mapping[str, TargetRecord], *, keep: Collection[str] = ()
@@ -161,13 +177,13 @@
                 ended.append(record.identity)
                 view = None
             if view is None:
-                speed = self.speeds.setdefault(record.service, ReadingSpeed())
+                speed = self.speed_of(record.service)
                 view = TargetView(record, TargetHealth(clock=self.clock), self.paces, speed)
                 self.targets[record.identity] = view
                 self.by_service.setdefault(record.service, {})[record.identity] = view
             view.record = record
-            if record.identity not in self.told:
-                view.residents = record.residents or {}
+            if record.identity not in self.told and record.residents is not None:
+                view.residents = record.residents
         return ended
 
     def _forget(self, identity: str) -> bool:
@@ -193,10 +209,15 @@
         """Go back to what the targets register of themselves."""
         self.told.clear()
         for view in self.targets.values():
-            view.residents = view.record.residents or {}
+            if view.record.residents is not None:
+                view.residents = view.record.residents
             view.closing = frozenset()
             view.others = Work()
 
+    def speed_of(self, service: str) -> ReadingSpeed:
+        """Return what is known of all engines of a service."""
+        return self.speeds.setdefault(service, ReadingSpeed())
+
     def serving(self, service: str) -> list[TargetView]:
         """Return the targets of a service that take work."""
         views = self.by_service.get(service, {}).values()
--- a/packages/daemon/src/mimosaspur_daemon/direct/duty.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/duty.py
@@ -183,6 +183,7 @@
         finally:
             reporting.cancel()
             link.close()
+            self.state.freshness.forget()
             self.state.fleet.coordinator_lost()
 
     async def _prove(self, link: PeerLink, request: ProofRequest) -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import TypeVar
@@ -12,6 +13,7 @@
 from mimosaspur_coordination.fleetports import FleetStore
 from mimosaspur_coordination.fleetview import FleetView
 from mimosaspur_coordination.retrywindow import RetryWindow
+from mimosaspur_coordination.storefreshness import StoreFreshness
 from mimosaspur_state.clock import Clock
 from mimosaspur_state.directsettings import DirectSettings
 from mimosaspur_state.eventlog import EventLog
@@ -81,6 +83,10 @@
         self.pools: dict[str, ChannelPool] = {}
         self.retries: dict[str, RetryWindow] = {}
         self.changes = Changes()
+        # Short tasks that nobody waits for.
+        self.tasks: set[asyncio.Task[None]] = set()
+        # Set when the targets have changed.
+        self.targets_news = asyncio.Event()
         # What was asked of each model since the last report to the coordinator.
         self.asked: dict[str, Asked] = {}
         self.asked_adapters: dict[tuple[str, str], int] = {}
@@ -97,6 +103,7 @@
         # Entries that stay, as the coordinator last told, 0 if nobody told.
         self.staying = 0
         self.targets_known = False
+        self.freshness = StoreFreshness(bound_ms=settings.drain_ms, clock=self.clock)
         self.leaving = False
         # Whether this entry coordinates the others.
         self.coordinating = False
@@ -115,6 +122,14 @@
             pool = self.pools[record.identity] = ChannelPool(record.address, clock=self.clock)
         return pool
 
+    def drop_copy(self, record: TargetRecord, handle: str) -> None:
+        """Have the memory of a stopped run freed that nobody will use."""
+        task = asyncio.get_running_loop().create_task(
+            self.outside.engines.drop_copy(record, handle)
+        )
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     def forget_target(self, identity: str) -> None:
         """Drop the connections to a target that is gone."""
         pool = self.pools.pop(identity, None)
@@ -140,6 +155,14 @@
         asked.tokens += tokens
         asked.objective_ms = min(asked.objective_ms, objective_ms)
 
+    def targets_changed(self, ended: Iterable[str]) -> None:
+        """Take note that the targets are known anew, and that some have ended."""
+        for identity in ended:
+            self.forget_target(identity)
+        self.targets_known = True
+        self.targets_news.set()
+        self.changes.notify()
+
     def ready(self) -> bool:
         """Tell whether callers may be sent here."""
         return bool(self.configuration and self.targets_known and not self.leaving)
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -6,6 +6,7 @@
 from mimosaspur_coordination.modelpace import Pace
 from mimosaspur_daemon.direct.enginedesk import EngineDesk
 from mimosaspur_daemon.direct.entrystate import EntryState
+from mimosaspur_daemon.direct.storenews import apply_store_news
 from mimosaspur_protocol.peermessages import FleetReport
 from mimosaspur_protocol.peermessages import PaceOf
 from mimosaspur_protocol.peermessages import Residents
@@ -48,6 +49,8 @@
     """Take the coordinator's report into an entry's picture of the fleet."""
     state.entries = report.entries
     state.staying = report.staying
+    if report.store:
+        apply_store_news(state, report.store)
     for work in report.work:
         view = state.fleet.targets.get(work.target)
         if view:
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -16,6 +16,7 @@
 from mimosaspur_daemon.direct.fleetreport import residents_of
 from mimosaspur_daemon.direct.fleetreport import total_work
 from mimosaspur_daemon.direct.fleetreport import work_of_others
+from mimosaspur_daemon.direct.storenews import StoreTeller
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import FleetReport
 from mimosaspur_protocol.peermessages import PaceOf
@@ -32,6 +33,9 @@
 PACES_EVERY_MS = 1_000
 
 
+NOT_TOLD = -1
+
+
 @dataclass(slots=True)
 class Member:
     """Hold what one entry last told, and what it was last told."""
@@ -46,6 +50,8 @@
     told_work: Mapping[str, WorkAt] = field(default_factory=dict)
     told_residents: dict[str, Residents] = field(default_factory=dict)
     told_expected: frozenset[str] = frozenset()
+    # The number of changes in the store up to which it was told.
+    told_store: int = NOT_TOLD
 
 
 class Members:
@@ -56,6 +62,7 @@
         self.members: dict[str, Member] = {}
         self.paces = SharedPaces()
         self.paces_told_ms = 0
+        self.store = StoreTeller(state)
 
     def hear(self, report: EntryReport, member: Member) -> None:
         """Take an entry's work, what waits there, and what it has learnt."""
@@ -125,6 +132,8 @@
         expected = {desk.loading: desk.expected_in_ms() for desk in desks if desk.loading}
         targets = self.state.fleet.targets
         paces = self._paces_to_tell(now_ms)
+        self.store.look()
+        fresh = self.store.fresh()
         totals = total_work((member.work for member in self.members.values()), targets)
         for member in self.members.values():
             news = FleetReport(
@@ -136,6 +145,7 @@
                 expected=expected,
                 paces=paces,
                 staying=sum(not each.leaving for each in self.members.values()),
+                store=self.store.news(member.told_store) if fresh and member.link else None,
             )
             self._tell_member(member, news, totals, residents, now_ms)
 
@@ -163,13 +173,21 @@
             each for target, each in residents.items() if member.told_residents.get(target) != each
         ]
         expected = frozenset(news.expected)
-        any_news = news.work or news.residents or news.paces or member.told_expected != expected
-        if not any_news and now_ms - member.told_ms < HEARTBEAT_MS:
+        news_there = (
+            news.work,
+            news.residents,
+            news.paces,
+            member.told_expected != expected,
+            news.store and member.told_store != self.store.number,
+        )
+        if not any(news_there) and now_ms - member.told_ms < HEARTBEAT_MS:
             return
         member.told_ms = now_ms
         member.told_work = work
         member.told_residents = residents
         member.told_expected = expected
+        if news.store:
+            member.told_store = self.store.number
         if member.link is None:
             apply_report(self.state, news)
             return
--- a/packages/daemon/src/mimosaspur_daemon/direct/storewatch.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/storewatch.py
@@ -4,7 +4,12 @@
 import random
 
 from mimosaspur_coordination.fleetports import ConfigurationChange
+from mimosaspur_coordination.storefreshness import CONFIGURATION_WAIT_PART
+from mimosaspur_coordination.storefreshness import TARGETS_PAUSE_PART
+from mimosaspur_coordination.storefreshness import TARGETS_WAIT_PART
 from mimosaspur_daemon.direct.entrystate import EntryState
+from mimosaspur_daemon.direct.storenews import CONFIGURATION
+from mimosaspur_daemon.direct.storenews import TARGETS
 from mimosaspur_state.errors import RevisionTooOld
 from mimosaspur_state.errors import StoreUnavailable
 
@@ -16,8 +21,8 @@
 # many changes in one answer. It is this part of the time in which a leaving target must be known,
 # which leaves room for one call that fails.
 PAUSE_PART = 0.35
-# The coordinator must know of new engines sooner.
-COORDINATOR_PAUSE_S = 0.4
+# How often an entry that the coordinator reads for looks whether it still does.
+TOLD_LOOK_S = 0.05
 # After a failure.
 RETRY_S = 0.25
 RETRY_JITTER_S = 0.15
@@ -40,6 +45,10 @@
         revision = UNKNOWN
         while True:
             try:
+                if self._told():
+                    revision = UNKNOWN
+                    await asyncio.sleep(TOLD_LOOK_S)
+                    continue
                 if revision == UNKNOWN or self._lapse_ends():
                     revision = await self._list_targets()
                 else:
@@ -59,11 +68,20 @@
         revision = UNKNOWN
         while True:
             try:
+                if self._told() and not self._told_of_newer():
+                    revision = UNKNOWN
+                    await asyncio.sleep(TOLD_LOOK_S)
+                    continue
+                asked_ms = self.state.clock.now_ms()
                 if revision == UNKNOWN:
                     change = await self.store.read_configuration()
                 else:
-                    change = await self.store.watch_configuration(revision, wait_ms=WAIT_MS)
+                    change = await self.store.watch_configuration(
+                        revision, wait_ms=self._wait_ms(CONFIGURATION_WAIT_PART)
+                    )
+                    asked_ms = self.state.clock.now_ms()
                 revision = change.revision
+                self.state.freshness.confirm(CONFIGURATION, asked_ms=asked_ms)
                 self._configuration_changed(change)
                 self._regained("configuration")
             except RevisionTooOld:
@@ -73,9 +91,25 @@
                 if self._lost("configuration", error):
                     await _pause()
 
+    def _told(self) -> bool:
+        """Tell whether the coordinator reads the store for this entry."""
+        if self.state.coordinating or not self.state.targets_known:
+            return False
+        return self.state.configuration is not None and self.state.freshness.told_lately()
+
+    def _told_of_newer(self) -> bool:
+        """Tell whether the coordinator knows a newer configuration."""
+        configuration = self.state.configuration
+        return not configuration or self.state.freshness.version > configuration.version
+
     def _pause_s(self) -> float:
-        pause_s = self.state.settings.drain_ms * PAUSE_PART / 1000
-        return min(pause_s, COORDINATOR_PAUSE_S) if self.state.coordinating else pause_s
+        part = TARGETS_PAUSE_PART if self.state.coordinating else PAUSE_PART
+        return self.state.settings.drain_ms * part / 1000
+
+    def _wait_ms(self, part: float) -> int:
+        if not self.state.coordinating:
+            return WAIT_MS
+        return round(self.state.settings.drain_ms * part)
 
     def _lapse_ends(self) -> bool:
         """Tell once that targets which are still missing are to be taken as gone."""
@@ -85,29 +119,30 @@
         return True
 
     async def _list_targets(self) -> int:
+        asked_ms = self.state.clock.now_ms()
         listing = await self.store.list_targets()
         now_ms = self.state.clock.now_ms()
         if "targets" in self.state.lost:
             self.lapsed_until_ms = now_ms + LAPSED_MS
         # While the store is away registrations lapse although the targets live.
         keep = self.state.fleet.targets if now_ms < self.lapsed_until_ms else ()
-        gone = self.state.fleet.replace(listing.targets, keep=keep)
-        self._targets_changed(gone)
+        self.state.targets_changed(self.state.fleet.replace(listing.targets, keep=keep))
+        self.state.fleet.revision = max(self.state.fleet.revision, listing.revision)
+        if not keep:
+            self.state.freshness.confirm(TARGETS, asked_ms=asked_ms)
         return listing.revision
 
     async def _watch_targets(self, revision: int) -> int:
-        changes = await self.store.watch_targets(revision, wait_ms=WAIT_MS)
+        changes = await self.store.watch_targets(revision, wait_ms=self._wait_ms(TARGETS_WAIT_PART))
         lapsing = self.state.clock.now_ms() < self.lapsed_until_ms
         removed = [] if lapsing else list(changes.removed)
-        self._targets_changed(self.state.fleet.update(changes.changed, removed))
+        self.state.targets_changed(self.state.fleet.update(changes.changed, removed))
+        self.state.fleet.revision = max(self.state.fleet.revision, changes.revision)
+        if not lapsing:
+            # Others must not miss a target that leaves because it may only have lapsed here.
+            self.state.freshness.confirm(TARGETS, asked_ms=self.state.clock.now_ms())
         return changes.revision
 
-    def _targets_changed(self, ended: list[str]) -> None:
-        for identity in ended:
-            self.state.forget_target(identity)
-        self.state.targets_known = True
-        self.state.changes.notify()
-
     def _configuration_changed(self, change: ConfigurationChange) -> None:
         newest = change.configuration
         current = self.state.configuration
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -68,6 +68,34 @@
     closing: list[str]
 
 
+class TargetTold(msgspec.Struct, array_like=True, frozen=True):
+    """Hold what a target registered of itself, but for what it holds."""
+
+    identity: str
+    service: str
+    host: str
+    port: int
+    failure_domain: str
+    leaving: bool
+    slots: int
+    started_ms: int
+
+
+class StoreNews(msgspec.Struct, array_like=True):
+    """Tell what the coordinator reads in the store, so that others needn't."""
+
+    # How long ago the store last confirmed what is told here.
+    age_ms: int
+    # The store's revision up to which changes of targets are told.
+    revision: int
+    # Whether these are all targets, or those that have changed.
+    whole: bool
+    targets: list[TargetTold]
+    gone: list[str]
+    # The version of the newest configuration, 0 if none is known.
+    version: int
+
+
 class FleetReport(msgspec.Struct, array_like=True, tag="fleet"):
     """Tell an entry what changed: the others' work, and what engines hold."""
 
@@ -83,6 +111,7 @@
     paces: list[PaceOf] = msgspec.field(default_factory=list)
     # Entries that stay, the one that is told among them if it does.
     staying: int = 0
+    store: StoreNews | None = None
 
 
 class StepDown(msgspec.Struct, array_like=True, tag="leaving"):
