Reckon how long an unload waits for its runs

Change: how long streams last is learnt; an unload of n runs is foreseen to take the nth harmonic number of that.

--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -81,3 +81,18 @@
       | x: a disk a b c d e f g                            | nothing | before anybody asked                 | none     |
       | x: a b c disk a b c d e f; y: a b d disk a b d e f g | nothing | before anybody asked               | h on x or y |
       | x: a b c disk a b c e f g; y: a b d disk a b d f g c | nothing | before anybody asked               | h on y   |
+
+  Scenario Outline: An unload waits for its runs, and that counts beside the load
+    Given the engines <engines>
+    And streams last 2000 ms
+    And requests run: <running>
+    And the demand g waits 1, a b c d e f 400
+    When the next load is decided, the store is free
+    Then the load is <decision>, and the unload before it is foreseen to wait <wait> ms
+
+    Examples:
+      | engines                                                  | running      | decision | wait |
+      | x: a b c disk g; y: d e f disk g                         | x 1, y 0     | g on y   | 0    |
+      | x: a b c disk g; y: d e f disk g                         | x 0, y 1     | g on x   | 0    |
+      | x: a b c; y: d e f disk g                                | x 0, y 2     | g on y   | 3000 |
+      | x: a b c disk g; y: d e f disk g                         | x 3, y 1     | g on y   | 2000 |
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -83,10 +83,35 @@
 @when("the next load is decided, {rate}")
 def decide(context: Context, rate: str) -> None:
     store_free = rate == "the store is free"
-    problem = PlacementProblem(SPEC, context.engines, context.demand, store_free=store_free)
+    problem = PlacementProblem(
+        SPEC,
+        context.engines,
+        context.demand,
+        store_free=store_free,
+        stream_ms=getattr(context, "stream_ms", 0.0),
+    )
     context.swap = next_swap(problem)
 
 
+@given("streams last {stream_ms:d} ms")
+def set_stream_ms(context: Context, stream_ms: int) -> None:
+    context.stream_ms = float(stream_ms)
+
+
+@given("requests run: {text}")
+def set_running(context: Context, text: str) -> None:
+    for part in text.split(", "):
+        name, count = part.split()
+        engine = next(each for each in context.engines if each.identity == name)
+        engine.residents = dict.fromkeys(engine.residents, int(count))
+
+
+@then("the load is {decision}, and the unload before it is foreseen to wait {wait_ms:d} ms")
+def check_wait(context: Context, decision: str, wait_ms: int) -> None:
+    check_decision(context, decision)
+    assert context.swap.unload_ms == wait_ms, context.swap
+
+
 @when("a load for a copy is decided {when}")
 def decide_copy(context: Context, when: str) -> None:
     problem = PlacementProblem(
--- a/packages/coordination/src/mimosaspur_coordination/modelplacement.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelplacement.py
@@ -97,6 +97,8 @@
     from_store: bool
     # The load's own time.
     load_ms: int
+    # How long the victims' unload waits for their runs.
+    unload_ms: int = 0
     # Whether the load serves only to leave a copy on the engine's disk.
     for_copy: bool = False
 
@@ -112,6 +114,8 @@
     store_free: bool = True
     # Whether nobody has asked for anything yet, as before a site's first callers.
     idle: bool = False
+    # How long a stream lasts once it has begun.
+    stream_ms: float = 0.0
     # Models that were loaded for their copies already, which an engine needn't have kept.
     copied: Collection[str] = ()
     replicas: dict[str, int] = field(default_factory=dict)
@@ -263,14 +267,19 @@
         seconds, from_store = load_source(problem.spec, engine, model, chosen)
         if not problem.load_allowed(model.name, seconds, from_store=from_store):
             continue
-        cost = loss + (seconds + engine.free_in_ms / 1000) * second_tokens
+        unload_ms = _unload_ms(problem, engine, chosen)
+        wait_ms = engine.free_in_ms + unload_ms
+        cost = loss + (seconds + wait_ms / 1000) * second_tokens
         cost += shared_part * _engine_tokens(problem, engine)
         if from_store:
             cost += store_tokens + _copies_loss(problem, engine, model)
         if cost <= best_cost:
             best_cost = cost
             load_ms = round(seconds * 1000)
-            best = engine, Swap(engine.identity, model.name, chosen, from_store, load_ms)
+            best = (
+                engine,
+                Swap(engine.identity, model.name, chosen, from_store, load_ms, unload_ms),
+            )
     if best is None:
         return None
     engine, swap = best
@@ -330,6 +339,16 @@
     return tuple(victims), loss
 
 
+def _unload_ms(problem: PlacementProblem, engine: EngineSnapshot, victims: Sequence[str]) -> int:
+    """Return how long an unload waits for the last of the victims' runs.
+
+    The last of n runs whose lengths vary widely ends after as many mean lengths as the nth harmonic
+    number says (1 for one run, 2.9 for ten).
+    """
+    runs = sum(engine.residents.get(name, 0) for name in victims)
+    return round(problem.stream_ms * sum(1 / number for number in range(1, runs + 1)))
+
+
 def _loss(problem: PlacementProblem, engine: EngineSnapshot, name: str) -> float:
     if name in engine.recent:
         return math.inf
--- a/packages/coordination/src/mimosaspur_coordination/readingspeed.py
+++ b/packages/coordination/src/mimosaspur_coordination/readingspeed.py
@@ -9,6 +9,8 @@
 FIRST_BASE_MS = 30.0
 LEAST_BASE_MS = 5.0
 MOST_BASE_MS = 300.0
+# How long a stream lasts after its first event, before any was measured.
+FIRST_STREAM_MS = 1_000.0
 # Of the tokens that are counted as waiting before a request, so much is still to be read at first.
 FIRST_QUEUE_PART = 1.0
 LEAST_QUEUE_PART = 0.1
@@ -49,9 +51,11 @@
     a request really waits for is learnt.
     """
 
-    __slots__ = ("base", "queue_part")
+    __slots__ = ("base", "queue_part", "stream_ms")
 
     def __init__(self) -> None:
+        # How long a whole stream lasts after its first event.
+        self.stream_ms = Learnt(FIRST_STREAM_MS, least=10.0, most=60_000.0)
         self.base = Learnt(FIRST_BASE_MS, least=LEAST_BASE_MS, most=MOST_BASE_MS)
         self.queue_part = Learnt(FIRST_QUEUE_PART, least=LEAST_QUEUE_PART, most=MOST_QUEUE_PART)
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -275,6 +275,7 @@
             store_free=self.loads.allows(spec.loads_per_s),
             idle=self._idle(),
             copied=self.copied,
+            stream_ms=self.state.fleet.speed_of(service).stream_ms.value,
         )
 
     def _idle(self) -> bool:
@@ -284,7 +285,7 @@
 
     def _begin(self, swap: Swap) -> None:
         desk = self.desks[swap.identity]
-        desk.take(swap.model, swap.load_ms)
+        desk.take(swap.model, swap.load_ms, unload_ms=swap.unload_ms)
         if swap.for_copy:
             self.copied.add(swap.model)
         if swap.from_store:
@@ -297,6 +298,7 @@
             victims=list(swap.victims),
             from_store=swap.from_store,
             load_ms=swap.load_ms,
+            unload_ms=swap.unload_ms,
             waiting=demand.waiting,
             tokens_per_s=round(demand.fast_tokens),
         )
--- a/packages/daemon/src/mimosaspur_daemon/direct/enginedesk.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/enginedesk.py
@@ -64,6 +64,9 @@
         self.loading = ""
         self.load_ms = 0
         self.begun_ms = 0
+        # How long the unload before it is expected to wait for runs, and since when it does.
+        self.unload_ms = 0
+        self.taken_ms = 0
         self.from_store = False
         # When models came, as foreseen or as reported.
         self.arrived_ms: dict[str, int] = {}
@@ -125,15 +128,18 @@
     def expected_in_ms(self) -> int:
         """Return when the model that is being loaded is expected.
 
-        An unload waits for its runs, for nobody knows how long: the whole load comes after it. A
-        load that is overdue is expected to take as long again as it is late.
+        What is overdue, the load or the unload before it, is expected to take as long again as it
+        is late.
         """
         if not self.begun_ms:
-            return self.load_ms
+            unloaded_ms = self.taken_ms + self.unload_ms
+            return self.load_ms + abs(unloaded_ms - self.clock.now_ms())
         return abs(self.begun_ms + self.load_ms - self.clock.now_ms())
 
-    def take(self, model: str, load_ms: int) -> None:
+    def take(self, model: str, load_ms: int, *, unload_ms: int = 0) -> None:
         """Keep the engine for a model that is to be loaded."""
+        self.unload_ms = unload_ms
+        self.taken_ms = self.clock.now_ms()
         self.moving = True
         self.decided = self.sequence
         self.loading = model
