Let mechanisms be switched off by name

Cause: what each mechanism is worth can't be told while they can't be taken apart.

Default: all on.

Ruled out: a section in the platform's settings file, whose format is the platform's.

--- a/features/direct_store.feature
+++ b/features/direct_store.feature
@@ -91,6 +91,31 @@
       | bounds.lease_ms=soon          | bounds.lease_ms     |
       | platform.address=10.0.0.1     | platform.address    |
 
+  Scenario Outline: Mechanisms are switched off by name
+    When "<names>" is switched off
+    Then <result>
+
+    Examples:
+      | names                   | result                                                    |
+      |                         | nothing is off                                            |
+      | evacuation              | evacuation is off                                         |
+      | copies, store-reader    | copies, store-reader is off                               |
+      | evacuation,,            | evacuation is off                                         |
+      | teleport                | code 4006 names "teleport", and all that can be named     |
+      | copies,Evacuation       | code 4006 names "Evacuation", and all that can be named   |
+
+  Scenario Outline: What is switched off is not done, <name>
+    Given entries without <name>
+    Then <not done>
+
+    Examples:
+      | name          | not done                                             |
+      | model-pace    | a measured pace stays 1                              |
+      | queue-part    | the part of a queue that is waited for stays 1       |
+      | store-reader  | the coordinator tells nothing of the store           |
+      | leaving-takes | nothing is taken by a leaving entry                  |
+      | late-behind   | a late request keeps its rank                        |
+
   Scenario: A settings file of the platform gives the product's settings
     When the settings file is the platform's example
     Then the settings name the instance, its addresses, its bounds and its failure domain
--- /dev/null
+++ b/features/steps/direct_policy_steps.py
@@ -0,0 +1,132 @@
+"""Steps of mechanisms that are switched off by name."""
+
+from dataclasses import replace
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+
+from harness.direct_world import configuration
+from harness.direct_world import engine_spec
+from harness.direct_world import model_spec
+from harness.direct_world import outside
+from harness.direct_world import settings_for
+from harness.loop import run
+from mimosaspur_coordination.fleetview import Prompt
+from mimosaspur_daemon.direct.callers import CallerServer
+from mimosaspur_daemon.direct.entrystate import EntryState
+from mimosaspur_daemon.direct.journey import Journey
+from mimosaspur_daemon.direct.storenews import CONFIGURATION
+from mimosaspur_daemon.direct.storenews import TARGETS
+from mimosaspur_daemon.direct.storenews import StoreTeller
+from mimosaspur_daemon.direct.targeting import Targeting
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_state.fleet import TargetRecord
+from mimosaspur_state.policy import Mechanism
+from mimosaspur_state.policy import policy_without
+
+PROMPT = Prompt("notes", prompt_tokens=4_000)
+
+
+@when('"{names}" is switched off')
+def switch_off(context: Context, names: str) -> None:
+    context.policy = context.error = None
+    try:
+        context.policy = policy_without(names)
+    except MimosaspurError as error:
+        context.error = error
+
+
+@when('"" is switched off')
+def switch_nothing_off(context: Context) -> None:
+    switch_off(context, "")
+
+
+@then("nothing is off")
+def check_nothing_off(context: Context) -> None:
+    assert all(context.policy.uses(each) for each in Mechanism)
+
+
+@then("{names} is off")
+def check_off(context: Context, names: str) -> None:
+    off = {each.value for each in Mechanism if not context.policy.uses(each)}
+    assert off == set(names.split(", ")), off
+
+
+@then('code 4006 names "{name}", and all that can be named')
+def check_named(context: Context, name: str) -> None:
+    assert context.error and context.error.code is ResultCode.BAD_SETTINGS
+    text = str(context.error)
+    assert repr(name) in text, text
+    assert all(each.value in text for each in Mechanism), text
+
+
+@given("entries without {name}")
+def start_without(context: Context, name: str) -> None:
+    settings = replace(settings_for("entry-0"), policy=policy_without(name))
+
+    async def start() -> None:
+        state = context.state = EntryState(settings, outside("entry-0"))
+        state.configuration = configuration(engine_spec([model_spec("notes")]))
+        state.targets_known = True
+        record = TargetRecord("x", "service", ("127.0.0.1", 1), "here")
+        state.fleet.update([record], [])
+        state.fleet.targets["x"].residents = {"notes": frozenset()}
+
+    run(context, start())
+
+
+@then("a measured pace stays 1")
+def check_pace(context: Context) -> None:
+    view = context.state.fleet.targets["x"]
+    view.first_token(PROMPT, unread=4_000, predicted_ms=230, took_ms=900)
+    assert context.state.fleet.paces.of("notes") == 1.0
+
+
+@then("the part of a queue that is waited for stays 1")
+def check_queue_part(context: Context) -> None:
+    view = context.state.fleet.targets["x"]
+    view.first_token(PROMPT, unread=100, predicted_ms=2_000, took_ms=300)
+    assert view.speed.queue_part.value == 1.0
+
+
+@then("the coordinator tells nothing of the store")
+def check_tells_nothing(context: Context) -> None:
+    now_ms = context.state.clock.now_ms()
+    for what in (TARGETS, CONFIGURATION):
+        context.state.freshness.confirm(what, asked_ms=now_ms)
+    assert not StoreTeller(context.state).fresh()
+
+
+@then("nothing is taken by a leaving entry")
+def check_takes_nothing(context: Context) -> None:
+    state = context.state
+    route = state.configuration.routes[0]
+
+    async def taken() -> bool:
+        callers = CallerServer(state)
+        journey = Journey.__new__(Journey)
+        journey.state, journey.route = callers.state, route
+        return journey.ends_in_time()
+
+    assert not run(context, taken())
+
+
+@then("a late request keeps its rank")
+def check_rank(context: Context) -> None:
+    state = context.state
+    route = state.configuration.routes[0]
+
+    async def ranks() -> tuple[int, int]:
+        spec = state.configuration.services["service"]
+        targeting = Targeting(state, route, "service", spec, PROMPT, arrived_s=0.0, deadline_s=1e9)
+        targeting.on_time_s = 0.0
+        targeting.patience_s = 1e9
+        before = targeting.rank
+        assert await targeting.next()
+        return before, targeting.rank
+
+    before, after = run(context, ranks())
+    assert before == after, (before, after)
--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -141,11 +141,23 @@
 class FleetView:
     """Hold the targets by service; what the coordinator tells goes before registrations."""
 
-    __slots__ = ("by_service", "clock", "paces", "revision", "speeds", "targets", "told")
-
-    def __init__(self, *, clock: Clock) -> None:
+    __slots__ = (
+        "by_service",
+        "clock",
+        "learns_queue",
+        "paces",
+        "revision",
+        "speeds",
+        "targets",
+        "told",
+    )
+
+    def __init__(
+        self, *, clock: Clock, learns_pace: bool = True, learns_queue: bool = True
+    ) -> None:
         self.clock = clock
-        self.paces = ModelPace()
+        self.learns_queue = learns_queue
+        self.paces = ModelPace(learns=learns_pace)
         self.targets: dict[str, TargetView] = {}
         self.by_service: dict[str, dict[str, TargetView]] = {}
         self.speeds: dict[str, ReadingSpeed] = {}
@@ -216,7 +228,7 @@
 
     def speed_of(self, service: str) -> ReadingSpeed:
         """Return what is known of all engines of a service."""
-        return self.speeds.setdefault(service, ReadingSpeed())
+        return self.speeds.setdefault(service, ReadingSpeed(learns=self.learns_queue))
 
     def serving(self, service: str) -> list[TargetView]:
         """Return the targets of a service that take work."""
--- a/packages/coordination/src/mimosaspur_coordination/modelpace.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelpace.py
@@ -38,9 +38,10 @@
 class ModelPace:
     """Keep a factor for all engines and one for each model, less for what is read faster."""
 
-    __slots__ = ("measurements", "paces", "told")
+    __slots__ = ("learns", "measurements", "paces", "told")
 
-    def __init__(self) -> None:
+    def __init__(self, *, learns: bool = True) -> None:
+        self.learns = learns
         self.paces: dict[str, float] = {}
         self.measurements: dict[str, float] = {}
         # The factors as this process last told or was told them.
@@ -59,6 +60,8 @@
 
         `share` is the part of the predicted time in which the model itself was read.
         """
+        if not self.learns:
+            return
         left = ratio / self._learn(ENGINES, ratio, share=share, newest=ENGINES_NEWEST)
         self._learn(model, left, share=share, newest=NEWEST)
 
--- a/packages/coordination/src/mimosaspur_coordination/modelplacement.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelplacement.py
@@ -116,6 +116,8 @@
     idle: bool = False
     # How long a stream lasts once it has begun.
     stream_ms: float = 0.0
+    # Whether the last copy of a model's weights is spared.
+    spares_copies: bool = True
     # Models that were loaded for their copies already, which an engine needn't have kept.
     copied: Collection[str] = ()
     replicas: dict[str, int] = field(default_factory=dict)
@@ -302,6 +304,8 @@
     A model whose last copy is gone comes back from the weight store too.
     """
     loss = 0.0
+    if not problem.spares_copies:
+        return loss
     for name in pushed_out(problem.spec, engine, model):
         pushed = problem.spec.models.get(name)
         if pushed and problem.copies.get(name, 0) <= 1 and name != model.name:
--- a/packages/coordination/src/mimosaspur_coordination/readingspeed.py
+++ b/packages/coordination/src/mimosaspur_coordination/readingspeed.py
@@ -51,9 +51,10 @@
     a request really waits for is learnt.
     """
 
-    __slots__ = ("base", "queue_part", "stream_ms")
+    __slots__ = ("base", "learns", "queue_part", "stream_ms")
 
-    def __init__(self) -> None:
+    def __init__(self, *, learns: bool = True) -> None:
+        self.learns = learns
         # How long a whole stream lasts after its first event.
         self.stream_ms = Learnt(FIRST_STREAM_MS, least=10.0, most=60_000.0)
         self.base = Learnt(FIRST_BASE_MS, least=LEAST_BASE_MS, most=MOST_BASE_MS)
@@ -65,6 +66,8 @@
 
     def learn(self, *, own_ms: float, queue_ms: float, took_ms: float) -> None:
         """Take the time to a first token beside what was predicted for its two parts."""
+        if not self.learns:
+            return
         predicted_ms = own_ms + queue_ms
         if predicted_ms < self.base.value:
             self.base.learn(max(1.0, took_ms - predicted_ms) / self.base.value)
--- a/packages/daemon/src/mimosaspur_daemon/direct/application.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/application.py
@@ -15,6 +15,7 @@
 from mimosaspur_daemon.exitcodes import ExitCode
 from mimosaspur_state.directsettings import DirectSettings
 from mimosaspur_state.errors import MimosaspurError
+from mimosaspur_state.policy import Mechanism
 
 # The balancer asks each second and stops sending callers after two misses.
 UNNOTICED_S = 3.0
@@ -56,7 +57,8 @@
         self._spawn(self.watch.follow_configuration())
         self._spawn(self.watch.follow_targets())
         self._spawn(self.duty.run())
-        self._spawn(self.evacuation.run())
+        if self.state.uses(Mechanism.EVACUATION):
+            self._spawn(self.evacuation.run())
         self._spawn(self._prune())
         self._spawn(self._watch_settings())
         await self.asked_to_stop.wait()
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -23,6 +23,7 @@
 from mimosaspur_protocol.peermessages import ProofRequest
 from mimosaspur_protocol.peermessages import StepDown
 from mimosaspur_state.fleet import TargetRecord
+from mimosaspur_state.policy import Mechanism
 from mimosaspur_state.routes import EngineSpec
 from mimosaspur_transport.peerlink import PeerLink
 from mimosaspur_transport.peerlink import PeerLost
@@ -180,9 +181,11 @@
             self.adapters.place_waiting(spec, desks, waiting)
             while (swap := next_swap(self._problem(service, spec))) is not None:
                 self._begin(swap)
-            self.adapters.place_ahead(spec, desks)
-            while (swap := next_copy(self._problem(service, spec))) is not None:
-                self._begin(swap)
+            if self.state.uses(Mechanism.ADAPTERS_AHEAD):
+                self.adapters.place_ahead(spec, desks)
+            if self.state.uses(Mechanism.COPIES):
+                while (swap := next_copy(self._problem(service, spec))) is not None:
+                    self._begin(swap)
 
     def _engine_services(self) -> list[tuple[str, EngineSpec]]:
         configuration = self.state.configuration
@@ -275,9 +278,15 @@
             store_free=self.loads.allows(spec.loads_per_s),
             idle=self._idle(),
             copied=self.copied,
-            stream_ms=self.state.fleet.speed_of(service).stream_ms.value,
+            stream_ms=self._stream_ms(service),
+            spares_copies=self.state.uses(Mechanism.LAST_COPY),
         )
 
+    def _stream_ms(self, service: str) -> float:
+        if not self.state.uses(Mechanism.UNLOAD_WAITS):
+            return 0.0
+        return self.state.fleet.speed_of(service).stream_ms.value
+
     def _idle(self) -> bool:
         """Tell whether nobody has asked for anything since this instance began to coordinate."""
         early = self.clock.now_ms() - self.began_ms < IDLE_AFTER_MS
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -18,6 +18,7 @@
 from mimosaspur_state.directsettings import DirectSettings
 from mimosaspur_state.eventlog import EventLog
 from mimosaspur_state.fleet import TargetRecord
+from mimosaspur_state.policy import Mechanism
 from mimosaspur_state.routes import Configuration
 from mimosaspur_transport.channelpool import ChannelPool
 from mimosaspur_transport.dialect import Dialect
@@ -79,7 +80,11 @@
         self.clock = outside.clock
         self.log = outside.log
         self.configuration: Configuration | None = None
-        self.fleet = FleetView(clock=self.clock)
+        self.fleet = FleetView(
+            clock=self.clock,
+            learns_pace=self.uses(Mechanism.MODEL_PACE),
+            learns_queue=self.uses(Mechanism.QUEUE_PART),
+        )
         self.pools: dict[str, ChannelPool] = {}
         self.retries: dict[str, RetryWindow] = {}
         self.changes = Changes()
@@ -115,6 +120,10 @@
         # Dependencies that do not answer now.
         self.lost: set[str] = set()
 
+    def uses(self, mechanism: Mechanism) -> bool:
+        """Tell whether a mechanism is on."""
+        return self.settings.policy.uses(mechanism)
+
     def pool(self, record: TargetRecord) -> ChannelPool:
         """Return the connections to a target."""
         pool = self.pools.get(record.identity)
--- a/packages/daemon/src/mimosaspur_daemon/direct/journey.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/journey.py
@@ -14,6 +14,7 @@
 from mimosaspur_daemon.direct.targeting import Targeting
 from mimosaspur_protocol.eventcut import EventCutter
 from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.policy import Mechanism
 from mimosaspur_state.routes import Route
 from mimosaspur_state.routes import RouteKind
 from mimosaspur_transport.callerconnection import CallerConnection
@@ -145,6 +146,8 @@
 
     def ends_in_time(self) -> bool:
         """Tell whether the request will surely end before this process does."""
+        if not self.state.uses(Mechanism.LEAVING_TAKES):
+            return False
         if self.route.kind is RouteKind.STREAM and not self.state.needed():
             return False
         left_ms = (self.state.end_s - asyncio.get_running_loop().time()) * 1000
--- a/packages/daemon/src/mimosaspur_daemon/direct/storenews.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/storenews.py
@@ -4,6 +4,7 @@
 from mimosaspur_protocol.peermessages import StoreNews
 from mimosaspur_protocol.peermessages import TargetTold
 from mimosaspur_state.fleet import TargetRecord
+from mimosaspur_state.policy import Mechanism
 
 # What an entry must know of the store to serve callers.
 TARGETS = "targets"
@@ -35,7 +36,8 @@
 
     def fresh(self) -> bool:
         """Tell whether others may rely on what is told here."""
-        return self.state.freshness.may_tell((TARGETS, CONFIGURATION))
+        on = self.state.uses(Mechanism.STORE_READER)
+        return on and self.state.freshness.may_tell((TARGETS, CONFIGURATION))
 
     def news(self, known: int) -> StoreNews:
         """Return what somebody has to hear who knows all up to a number."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/targeting.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targeting.py
@@ -10,6 +10,7 @@
 from mimosaspur_daemon.direct.refusal import GivenUp
 from mimosaspur_daemon.direct.refusal import come_back_s
 from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.policy import Mechanism
 from mimosaspur_state.routes import Route
 from mimosaspur_state.routes import ServiceSpec
 
@@ -140,9 +141,9 @@
         awake = [view for view in self._awake() if not view.health.resting()]
         holders = [view for view in awake if view.holds(self.prompt)]
         engine = self.spec.engine if self.spec else None
-        ranks = (RESUMED_RANK,) if self.resumed else (self._rank(), LATE_RANK)
+        ranks = (RESUMED_RANK,) if self.resumed else (self._rank(), self._late_rank())
         over_s = 0.0
-        for rank in ranks:
+        for number, rank in enumerate(ranks):
             view = choose_engine(
                 holders,
                 self.prompt,
@@ -152,13 +153,17 @@
             )
             if view is None:
                 return None
-            limit_s = self.on_time_s if rank == self._rank() else self.patience_s
+            may_be_late = self.resumed or number > 0
+            limit_s = self.patience_s if may_be_late else self.on_time_s
             over_s = _now_s() + view.first_token_ms(self.prompt, rank=rank) / 1000 - limit_s
             if over_s <= 0:
                 self.rank = rank
                 return view
         raise self.refusal(ResultCode.DEADLINE_UNREACHABLE, wanted_s=over_s + DEFAULT_RETRY_S)
 
+    def _late_rank(self) -> int:
+        return LATE_RANK if self.state.uses(Mechanism.LATE_BEHIND) else self._rank()
+
     def _rank(self) -> int:
         return min(LATE_RANK - 1, FIRST_RANK + RANK_STEP * self.route.priority)
 
--- a/packages/state/src/mimosaspur_state/directsettings.py
+++ b/packages/state/src/mimosaspur_state/directsettings.py
@@ -1,6 +1,9 @@
 """Hold the settings of an entry that reaches its targets without a process beside them."""
 
 from dataclasses import dataclass
+from dataclasses import field
+
+from mimosaspur_state.policy import Policy
 
 
 @dataclass(slots=True, frozen=True)
@@ -48,3 +51,4 @@
     target_heartbeat_ms: int
     retries: RetryBounds
     orders: OrderBounds
+    policy: Policy = field(default_factory=Policy)
