Take the lease no more once stepped down

Cause: a process that had told its last order's age and was not yet marked as leaving took the lease that still named it, gave it up at once and took it again, without a pause: the process hung. In service a process is marked first.

Before: with a pause longer than the holder's look the scenario hangs each time. After: it passes.

--- a/features/harness/direct_fleet.py
+++ b/features/harness/direct_fleet.py
@@ -25,8 +25,8 @@
 MODELS = ("a", "b", "c", "d", "e", "f")
 WAIT_S = 12.0
 WANT_EVERY_S = 0.05
-# What the last word to the others takes.
-LAST_WORD_S = 0.05
+# The last word to the others is out, and the holder has noticed that it stepped down.
+LAST_WORD_S = 0.25
 
 
 class HeldClock:
--- a/packages/daemon/src/mimosaspur_daemon/direct/duty.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/duty.py
@@ -94,7 +94,8 @@
             self.ended = True
 
     async def _take_over(self) -> None:
-        if self.state.leaving:
+        if self.state.leaving or self.ended:
+            # The lease may still name this instance: its successor takes it over.
             await asyncio.sleep(STORE_RETRY_S)
             return
         predecessor = self.lease.record.holder if self.lease.record else ""
