Split the long modules of placement, of adapters on an engine, and of the platform's objects

Change: placementproblem, placementcost; adapterdesk; wire.

Conclusion: direct_placement, direct_orders, direct_adapters, direct_store pass.

--- a/features/steps/direct_lifetimes_steps.py
+++ b/features/steps/direct_lifetimes_steps.py
@@ -21,6 +21,8 @@
 from harness.loop import run
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_platform import decode
+from mimosaspur_platform.wire import Metadata
+from mimosaspur_platform.wire import StoredObject
 
 KNOWN = {"i-0", "i-1", "i-2"}
 STRANGER = "i-stranger"
@@ -98,7 +100,7 @@
     @given_any(JSON | fields)
     def decoded(value: Any) -> None:
         specification = msgspec.Raw(msgspec.json.encode(value))
-        stored = decode.StoredObject(decode.Metadata("x"), specification)
+        stored = StoredObject(Metadata("x"), specification)
         try:
             record = decode.target_record(stored)
         except (ValueError, msgspec.MsgspecError):
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -13,11 +13,11 @@
 from harness.direct_world import engine_spec
 from harness.direct_world import model_spec
 from mimosaspur_coordination.modeldemand import Demand
-from mimosaspur_coordination.modelplacement import EngineSnapshot
-from mimosaspur_coordination.modelplacement import PlacementProblem
-from mimosaspur_coordination.modelplacement import Swap
 from mimosaspur_coordination.modelplacement import next_copy
 from mimosaspur_coordination.modelplacement import next_swap
+from mimosaspur_coordination.placementproblem import EngineSnapshot
+from mimosaspur_coordination.placementproblem import PlacementProblem
+from mimosaspur_coordination.placementproblem import Swap
 from mimosaspur_coordination.weightcopies import load_source
 from mimosaspur_state.routes import EngineSpec
 
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/placementcost.py
@@ -0,0 +1,111 @@
+"""Reckon what is lost and what is waited for when a model makes room for another."""
+
+import math
+from collections.abc import Sequence
+
+from mimosaspur_coordination.placementproblem import EngineSnapshot
+from mimosaspur_coordination.placementproblem import PlacementProblem
+from mimosaspur_coordination.weightcopies import pushed_out
+from mimosaspur_coordination.weightcopies import weights_mb
+from mimosaspur_state.routes import EngineSpec
+from mimosaspur_state.routes import ModelSpec
+
+# A sole replica counts by its demand over the longer time, times this: losing it means a load
+# before the next request.
+SOLE_WEIGHT = 5.0
+# The same where the model can be back within the objective of its requests: they lose little.
+PATIENT_WEIGHT = 1.0
+# The least that the loss of a sole replica counts otherwise, in tokens a second: a model that
+# nobody asks for now may be asked for by many in the next second.
+SOLE_TOKENS = 1_500.0
+# From a request that finds no replica to the order that loads one, and from the load's end to the
+# first event.
+COMING_BACK_MS = 400.0
+# Running requests hold up an unload; each counts as this much.
+RUNNING_TOKENS = 1_500.0
+# What a second that a later load takes longer counts as, for a model whose last copy is lost.
+LAST_COPY_SECOND_TOKENS = 2_000.0
+
+
+def _back_ms(load_s: float) -> float:
+    return load_s * 1000 + COMING_BACK_MS
+
+
+def copies_loss(problem: PlacementProblem, engine: EngineSnapshot, model: ModelSpec) -> float:
+    """Return what is lost with the copies on disk that a load from the weight store pushes out.
+
+    A model whose last copy is gone comes back from the weight store too.
+    """
+    loss = 0.0
+    if not problem.spares_copies:
+        return loss
+    for name in pushed_out(problem.spec, engine, model):
+        pushed = problem.spec.models.get(name)
+        if pushed and problem.copies.get(name, 0) <= 1 and name != model.name:
+            loss += (pushed.load_s - pushed.disk_load_s) * LAST_COPY_SECOND_TOKENS
+    return loss
+
+
+def engine_tokens(problem: PlacementProblem, engine: EngineSnapshot) -> float:
+    """Return the demand that falls to an engine, in tokens a second."""
+    return sum(
+        problem.demand_of(name).fast_tokens / problem.replicas.get(name, 1)
+        for name in engine.residents
+    )
+
+
+def victims_for(
+    problem: PlacementProblem, engine: EngineSnapshot, model: ModelSpec
+) -> tuple[tuple[str, ...], float | None]:
+    """Return the cheapest residents that make room, and what is lost with them."""
+    spec = problem.spec
+    sizes = {name: weights_mb(spec, name) for name in engine.residents}
+    room_mb = spec.weights_mb - sum(sizes.values()) - _adapters_mb(spec)
+    room_mb -= sum(weights_mb(spec, name) for name in engine.kept_free if name != model.name)
+    by_loss = sorted(engine.residents, key=lambda name: _loss(problem, engine, name))
+    victims = []
+    loss = 0.0
+    for name in by_loss:
+        if room_mb >= model.weights_mb:
+            break
+        victims.append(name)
+        loss += _loss(problem, engine, name)
+        room_mb += sizes[name]
+    if room_mb < model.weights_mb or loss == math.inf:
+        return (), None
+    return tuple(victims), loss
+
+
+def unload_ms_of(problem: PlacementProblem, engine: EngineSnapshot, victims: Sequence[str]) -> int:
+    """Return how long an unload waits for the last of the victims' runs.
+
+    The last of n runs whose lengths vary widely ends after as many mean lengths as the nth harmonic
+    number says (1 for one run, 2.9 for ten).
+    """
+    runs = sum(engine.residents.get(name, 0) for name in victims)
+    return round(problem.stream_ms * sum(1 / number for number in range(1, runs + 1)))
+
+
+def _loss(problem: PlacementProblem, engine: EngineSnapshot, name: str) -> float:
+    if name in engine.recent:
+        return math.inf
+    demand = problem.demand_of(name)
+    replicas = problem.replicas.get(name, 1)
+    running = engine.residents.get(name, 0) * RUNNING_TOKENS
+    if problem.idle and len(engine.residents) > 1:
+        return running
+    if replicas > 1:
+        return running + demand.fast_tokens / replicas
+    model = problem.spec.models.get(name)
+    if model is None:
+        return running
+    # What is unloaded stays in memory or on disk for a while.
+    if demand.objective_ms >= _back_ms(model.disk_load_s):
+        return running + max(demand.fast_tokens, demand.slow_tokens * PATIENT_WEIGHT)
+    return running + max(demand.fast_tokens, demand.slow_tokens * SOLE_WEIGHT, SOLE_TOKENS)
+
+
+def _adapters_mb(spec: EngineSpec) -> float:
+    """Return the room that full adapter places take."""
+    largest_mb = max((model.adapter_mb for model in spec.models.values()), default=0.0)
+    return spec.adapter_slots * largest_mb
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -7,12 +7,12 @@
 from mimosaspur_coordination.loadrate import LoadRate
 from mimosaspur_coordination.modeldemand import Demand
 from mimosaspur_coordination.modeldemand import ModelDemand
-from mimosaspur_coordination.modelplacement import EngineSnapshot
-from mimosaspur_coordination.modelplacement import PlacementProblem
-from mimosaspur_coordination.modelplacement import Swap
 from mimosaspur_coordination.modelplacement import next_copy
 from mimosaspur_coordination.modelplacement import next_swap
 from mimosaspur_coordination.orderlease import OrderLease
+from mimosaspur_coordination.placementproblem import EngineSnapshot
+from mimosaspur_coordination.placementproblem import PlacementProblem
+from mimosaspur_coordination.placementproblem import Swap
 from mimosaspur_daemon.direct.adapterkeeper import AdapterKeeper
 from mimosaspur_daemon.direct.enginedesk import EngineDesk
 from mimosaspur_daemon.direct.entrystate import EntryState
--- a/packages/daemon/src/mimosaspur_daemon/direct/enginedesk.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/enginedesk.py
@@ -1,14 +1,14 @@
-"""Move models and adapters on one engine."""
+"""Move models on one engine."""
 
 import asyncio
 from collections.abc import Callable
 
 from mimosaspur_coordination.fleetports import EnginePort
 from mimosaspur_coordination.orderlease import OrderLease
+from mimosaspur_daemon.direct.adapterdesk import AdapterDesk
 from mimosaspur_daemon.direct.knownengine import LATE_REPORT_MS
 from mimosaspur_daemon.direct.knownengine import LOOK_MS
 from mimosaspur_daemon.direct.knownengine import OVERDUE_MS
-from mimosaspur_daemon.direct.knownengine import KnownEngine
 from mimosaspur_daemon.direct.knownengine import OrdersSuspended
 from mimosaspur_state.clock import Clock
 from mimosaspur_state.eventlog import EventLog
@@ -33,18 +33,14 @@
 LONGEST_ORDER_MS = 12_500
 # After a move the engine's report catches up before the next one.
 REST_MS = 20
-# An adapter that was used this lately isn't given up for another.
-ADAPTER_RECENT_MS = 300
-# After an adapter's order is accepted it is taken as loaded: adapters load within some 30 ms.
-ADAPTER_LOAD_S = 0.03
 # A model's move waits so long for an adapter that is being placed.
 ADAPTER_MS = 40
 # Entries stop sending a model's requests within this time of being told that it goes.
 CLOSING_MS = 40
 
 
-class EngineDesk(KnownEngine):
-    """Move models and adapters on one engine."""
+class EngineDesk(AdapterDesk):
+    """Move models on one engine, beside its adapters."""
 
     def __init__(
         self,
@@ -57,8 +53,6 @@
         changed: Callable[[], None],
     ) -> None:
         super().__init__(record, port=port, lease=lease, clock=clock, log=log, changed=changed)
-        # Models that are about to be unloaded.
-        self.closing: set[str] = set()
         # The model that is being loaded, how long that takes, and when it began: 0 while an unload
         # goes before it.
         self.loading = ""
@@ -74,12 +68,6 @@
         # order of that move was decided.
         self.moving = False
         self.decided: int | None = None
-        self.adapter_used_ms: dict[tuple[str, str], int] = {}
-        # Adapters ordered that are not known to be there, by the time of their order.
-        self.arriving: dict[tuple[str, str], int] = {}
-        self.placing = asyncio.Lock()
-        # The adapter that a task places now.
-        self.placing_adapter: tuple[str, str] | None = None
         # After a failed move the engine is left alone until then.
         self.rests_until_ms = 0
         # Models that orders to an earlier lifetime of the engine may load yet, and until when.
@@ -176,94 +164,11 @@
             self.moving = False
             self.changed()
 
-    async def load_adapter(
-        self, model: str, adapter: str, *, places: int, victim: tuple[str, str] | None = None
-    ) -> bool:
-        """Load an adapter once the victim has made room, if one must; tell whether it is there."""
-        async with self.placing:
-            try:
-                return await self._load_adapter(model, adapter, places, victim)
-            except OrdersSuspended:
-                return False
-
-    async def _load_adapter(
-        self, model: str, adapter: str, places: int, victim: tuple[str, str] | None
-    ) -> bool:
-        if model not in self.residents or model in self.closing:
-            return False
-        while self.adapter_count() >= places:
-            if not await self._evict_adapter(victim or self._least_used_adapter()):
-                return False
-            victim = None
-        # Counted from before the order: without an answer it may be there all the same.
-        self.arriving[model, adapter] = self.clock.now_ms()
-        outcome = await self.order(OrderKind.LOAD, model, adapter)
-        if outcome in (OrderOutcome.CONFLICT, OrderOutcome.REFUSED):
-            del self.arriving[model, adapter]
-            return False
-        if outcome is OrderOutcome.UNKNOWN:
-            return False
-        await asyncio.sleep(ADAPTER_LOAD_S)
-        self.adapter_used_ms[model, adapter] = self.clock.now_ms()
-        self.residents.setdefault(model, set()).add(adapter)
-        self.arriving.pop((model, adapter), None)
-        return True
-
-    async def _evict_adapter(self, evicted: tuple[str, str] | None) -> bool:
-        if evicted is None:
-            await asyncio.sleep(LOOK_MS / 1000)
-            return False
-        model, adapter = evicted
-        if adapter not in self.residents.get(model, ()):
-            # It has gone with its model.
-            return True
-        self.residents[model].discard(adapter)
-        self.changed()
-        outcome = await self.order(OrderKind.UNLOAD, model, adapter)
-        if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.ALREADY_SO):
-            self.adapter_used_ms.pop(evicted, None)
-            return True
-        self.residents.setdefault(model, set()).add(adapter)
-        return False
-
-    def _least_used_adapter(self) -> tuple[str, str] | None:
-        held = [(model, name) for model, names in self.residents.items() for name in names]
-        held.sort(key=lambda pair: self.adapter_used_ms.get(pair, 0))
-        if not held or held[0] in self.recent_adapters():
-            return None
-        return held[0]
-
-    def recent_adapters(self) -> frozenset[tuple[str, str]]:
-        """Return the adapters that have just come."""
-        now_ms = self.clock.now_ms()
-        return frozenset(
-            adapter
-            for adapter, came_ms in self.adapter_used_ms.items()
-            if now_ms - came_ms < ADAPTER_RECENT_MS
-        )
-
-    def adapters_held(self) -> dict[str, set[str]]:
-        """Return the adapters that are held or may be on their way, by model that stays."""
-        held = {
-            model: set(names)
-            for model, names in self.residents.items()
-            if model not in self.closing
-        }
-        for model, adapter in (*self.arriving, *filter(None, (self.placing_adapter,))):
-            if model in held:
-                held[model].add(adapter)
-        return held
-
     def takes_adapters(self) -> bool:
         """Tell whether the engine would take an adapter's order now."""
         waits = self.placing_adapter or self.ordering.locked()
         return not waits and not self.busy and not self.moving
 
-    def adapter_count(self) -> int:
-        """Return the number of adapters that are held or may be on their way."""
-        held = {(model, name) for model, names in self.residents.items() for name in names}
-        return len(held | set(self.arriving))
-
     async def _next_order(self, kind: OrderKind, model: str) -> OrderOutcome:
         """Give the move's next order, for the state that its last one has left."""
         outcome = await self.order(kind, model, expected=self.decided)
