Show two proofs to fail: a late order for an adapter, and a target that goes while it may have lapsed

Cause: the first was an outline without examples and never ran; the second passed with its mechanism off, since entries' own watches were still open.

Conclusion: tests only.

--- a/features/direct_orders.feature
+++ b/features/direct_orders.feature
@@ -41,7 +41,7 @@
       | a, b     | a       | 2      | b and x    |
       | a        | nothing | 1      | a and x    |
 
-  Scenario Outline: An adapter that an earlier holder ordered comes between a decision and its order
+  Scenario: An adapter that an earlier holder ordered comes between a decision and its order
     Given an ordered engine that holds a and leaves orders 0 unanswered, never late
     And its adapter places are full but for one
     And at order 1 an earlier holder's load of adapter x is carried out first
--- a/features/direct_store.feature
+++ b/features/direct_store.feature
@@ -123,5 +123,5 @@
   Scenario: What may only have lapsed for the coordinator has gone for the others
     Given 4 entries of a site that follow a store with three servers
     When the coordinator has been cut from the store for 3000 ms, and a server goes right after
-    Then within 1900 ms all entries but the coordinator know that the server is gone
+    Then within 1500 ms all entries but the coordinator know that the server is gone
     And 1000 ms later they still do
--- a/features/steps/direct_store_steps.py
+++ b/features/steps/direct_store_steps.py
@@ -147,6 +147,10 @@
         await asyncio.sleep(cut_ms / 1000)
         first.store.cut = False
         await context.site.until(lambda: "targets" not in first.state.lost)
+        # Others register anew: each entry's own watch ends, and it may rely on the coordinator.
+        for _ in range(10):
+            context.store.put(SERVERS, "i-0", server_entry())
+            await asyncio.sleep(0.05)
         context.store.delete(SERVERS, "i-1")
 
     run(context, cut())
