Take a stream without a length for stopped when its run was moved

Cause: an answer without a length ends with its connection. A run that was stopped to be moved ended so too, and the caller got a short stream that looked whole.

Before: the new row gets two of six events as a whole answer. After: all rows of direct_moves pass.

--- a/features/direct_moves.feature
+++ b/features/direct_moves.feature
@@ -11,6 +11,8 @@
     Examples:
       | case                                | answer                             | gone    | result         | second                             | left |
       | it is moved                         | copied                             | 1500 ms | all its events | went on from the first's memory    | 0    |
+      | it is moved, without a length       | copied, from an unframed stream    | 1500 ms | all its events | went on from the first's memory    | 0    |
+      | it ends all, without a length       | no such run, unframed              | 1500 ms | all its events | never saw it                       | 0    |
       | it ends what it runs                | copied                             | no time | all its events | never saw it                       | 0    |
       | the run is not known there any more | no such run                        | 1500 ms | all its events | never saw it                       | 0    |
       | nothing is answered                 | nothing, and the run goes on       | 1500 ms | all its events | never saw it                       | 0    |
--- a/features/harness/direct_moves.py
+++ b/features/harness/direct_moves.py
@@ -33,7 +33,7 @@
         self, source: TargetRecord, request: bytes, to: TargetRecord
     ) -> StoppedRun | None:
         """Stop the run, or not."""
-        if self.answer == "no such run":
+        if self.answer.startswith("no such run"):
             return None
         if self.answer.startswith("nothing"):
             await asyncio.sleep(LATE_S)
--- a/features/harness/direct_target.py
+++ b/features/harness/direct_target.py
@@ -36,6 +36,8 @@
     event_s: float = 0.01
     # Whether a run that goes on from memory is refused.
     refuses_continued: bool = False
+    # Whether streams have no length and end with their connection.
+    unframed: bool = False
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self) -> tuple[str, int]:
@@ -51,7 +53,10 @@
     def stop_streams(self) -> None:
         """End all streams without their ends, as runs that are stopped."""
         for writer in list(self.writers):
-            writer.transport.abort()
+            if self.unframed:
+                writer.close()
+            else:
+                writer.transport.abort()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         codec = h11.Connection(h11.SERVER)
@@ -65,6 +70,9 @@
                 fault = self.fault if strikes else "answers"
                 if self.refuses_continued and "x-continued-from" in seen.headers:
                     fault = "refuses it as not run"
+                if self.unframed and script.stream and "x-continued-from" not in seen.headers:
+                    await script.stream_unframed()
+                    break
                 await script.play(fault)
                 if writer.is_closing() or codec.our_state is not h11.DONE:
                     break
@@ -108,6 +116,16 @@
         }
         await plays.get(fault, lambda: self._sound(fault=fault))()
 
+    async def stream_unframed(self) -> None:
+        """Stream all events without a length."""
+        head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nX-Proof: p\r\nX-Request-Id: "
+        self.writer.write(head + self.seen.identity.encode() + b"\r\n\r\n")
+        for number in range(self._first(), EVENTS + 1):
+            if self.writer.is_closing():
+                return
+            self.writer.write(b"id: %d\ndata: event %d\n\n" % (number, number))
+            await asyncio.sleep(self.event_s)
+
     async def _refuse(self) -> None:
         self.seen.ran = False
         await self._whole(503, b"", (b"X-Not-Run", b"1"))
--- a/features/steps/direct_moves_steps.py
+++ b/features/steps/direct_moves_steps.py
@@ -47,6 +47,7 @@
     context.engines = MovingEngines(context.first, context.second, answer)
     context.second.refuses_continued = "refused" in answer
     context.first.refuses_continued = "refused at both" in answer
+    context.first.unframed = "unframed" in answer
     state = context.entry.state
     state.outside = replace(state.outside, engines=context.engines)
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -205,6 +205,10 @@
                     await journey.caller.send(events)
         except EventMissing as error:
             raise ChannelBroken(str(error)) from error
+        if await self._was_moved():
+            # An answer without a length ends with its connection, also when its run was stopped.
+            self.channel.close()
+            return Result.MOVED
         await self._start(head)
         if journey.cutter.begun:
             await journey.caller.send(journey.cutter.begun)
