Search for the next load only at engines that may be the cheapest

Cause: the search tried every model at every engine, also while no engine was free or the weight store allowed no load; it ran several times a pass, up to sixteen passes a second. Ruled out: fewer passes (later loads), a cache by model (demand changes each pass). The full search is the oracle of 550 random states.

--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -60,6 +60,25 @@
   Scenario: Whatever is decided fits
     Then no decision from any state orders more than an engine has room for
 
+  Scenario Outline: The search that leaves engines out decides like the full one, <fleet>
+    Then <examples> random states of <engines> engines and <models> models lead to the same decisions
+
+    Examples:
+      | fleet                          | examples | engines | models |
+      | few engines                    | 400      | 4       | 8      |
+      | more models than places        | 150      | 12      | 40     |
+
+  Scenario Outline: A pass that can't begin anything tries no engine, <why>
+    Given 365 engines of 1500 models, <why>
+    When loads are decided
+    Then nothing is begun and at most <tries> engines were tried for a model
+
+    Examples:
+      | why                       | tries |
+      | none of them free         | 0     |
+      | nobody asks for anything  | 0     |
+      | all models crowded alike  | 1500  |
+
   Scenario: What waits longest is not overtaken for ever
     Given the engines x: a b c disk g h free in 300 ms
     And g has waited for 4000 ms and h for 100 ms, h with more requests
--- /dev/null
+++ b/features/harness/placement_oracle.py
@@ -0,0 +1,197 @@
+"""Decide on loads by a full search, the oracle of the decision that leaves engines out."""
+
+import math
+from dataclasses import replace
+
+from mimosaspur_coordination.modelplacement import COPY_LOSS
+from mimosaspur_coordination.modelplacement import HYSTERESIS
+from mimosaspur_coordination.modelplacement import OVERFLOW_S
+from mimosaspur_coordination.modelplacement import REPLICA_CAPACITY
+from mimosaspur_coordination.modelplacement import REPLICA_SECOND_TOKENS
+from mimosaspur_coordination.modelplacement import REQUEST_TOKENS
+from mimosaspur_coordination.modelplacement import ROOM_TOKENS
+from mimosaspur_coordination.modelplacement import SECOND_TOKENS
+from mimosaspur_coordination.modelplacement import SHARED_ENGINE_PART
+from mimosaspur_coordination.modelplacement import STORE_TOKENS
+from mimosaspur_coordination.modelplacement import WAITING_SECOND_TOKENS
+from mimosaspur_coordination.placementcost import adapters_mb
+from mimosaspur_coordination.placementcost import copies_loss_of
+from mimosaspur_coordination.placementcost import engine_tokens
+from mimosaspur_coordination.placementcost import resident_loss
+from mimosaspur_coordination.placementcost import unload_ms_of
+from mimosaspur_coordination.placementproblem import REPLICA_TOKENS
+from mimosaspur_coordination.placementproblem import EngineSnapshot
+from mimosaspur_coordination.placementproblem import PlacementProblem
+from mimosaspur_coordination.placementproblem import Swap
+from mimosaspur_coordination.weightcopies import load_source
+from mimosaspur_coordination.weightcopies import weights_mb
+from mimosaspur_state.routes import ModelSpec
+
+
+def full_next_swap(problem: PlacementProblem) -> Swap | None:
+    """Return the most useful load that an engine can begin now."""
+    return _for_needs(problem) or _for_load(problem) or _for_room(problem)
+
+
+def full_next_copy(problem: PlacementProblem) -> Swap | None:
+    """Return a load that leaves a copy of a model of which no engine has one.
+
+    A model without a copy takes a load from the weight store when it is first asked for, several
+    times longer than one from disk.
+    """
+    for name, model in problem.spec.models.items():
+        there = problem.copies.get(name) or problem.replicas.get(name)
+        if there or name in problem.copied or model.weights_mb > problem.spec.disk_mb:
+            continue
+        swap = _best_swap(problem, model, second_tokens=0.0, most_cost=COPY_LOSS, store_tokens=0.0)
+        if swap:
+            return replace(swap, for_copy=True)
+    return None
+
+
+def _for_needs(problem: PlacementProblem) -> Swap | None:
+    """Return the load that most requests need: of a model without a replica, or of one more."""
+    needs = []
+    for name, demand in problem.demand.items():
+        if name not in problem.spec.models:
+            continue
+        replicas = problem.replicas.get(name, 0)
+        if replicas:
+            overflow = demand.fast_tokens - replicas * REPLICA_CAPACITY
+            needs.append((overflow / REQUEST_TOKENS * OVERFLOW_S, name))
+        elif demand.waiting:
+            needs.append((demand.waiting * (1.0 + demand.waiting_ms / 1000), name))
+    for requests, name in sorted(needs, reverse=True):
+        if requests <= 0:
+            return None
+        if problem.replicas.get(name):
+            swap = _one_more(problem, name)
+        else:
+            swap = _best_swap(
+                problem,
+                problem.spec.models[name],
+                second_tokens=SECOND_TOKENS
+                + problem.demand_of(name).waiting * WAITING_SECOND_TOKENS,
+                reserve=True,
+            )
+        if swap:
+            return swap
+    return None
+
+
+def _for_load(problem: PlacementProblem) -> Swap | None:
+    crowded = []
+    for name, demand in problem.demand.items():
+        replicas = problem.replicas.get(name, 0)
+        if replicas and name in problem.spec.models:
+            crowded.append((demand.fast_tokens / replicas, name))
+    for share, name in sorted(crowded, reverse=True):
+        if share < REPLICA_TOKENS:
+            return None
+        swap = _one_more(problem, name)
+        if swap:
+            return swap
+    return None
+
+
+def _one_more(problem: PlacementProblem, name: str) -> Swap | None:
+    """Return a load that adds a replica, if that gains enough more than it loses."""
+    gain = problem.demand_of(name).fast_tokens / (problem.replicas[name] + 1)
+    return _best_swap(
+        problem,
+        problem.spec.models[name],
+        second_tokens=REPLICA_SECOND_TOKENS,
+        shared_part=SHARED_ENGINE_PART,
+        most_cost=gain / HYSTERESIS,
+    )
+
+
+def _for_room(problem: PlacementProblem) -> Swap | None:
+    """Return a load that an engine has room for without a victim, as after its restart."""
+    wanted = []
+    for name, demand in problem.demand.items():
+        replicas = problem.replicas.get(name, 0)
+        tokens = demand.fast_tokens / (replicas + 1) if replicas else demand.slow_tokens
+        if tokens >= ROOM_TOKENS and name in problem.spec.models:
+            wanted.append((tokens, name))
+    for _, name in sorted(wanted, reverse=True):
+        swap = _best_swap(
+            problem, problem.spec.models[name], second_tokens=REPLICA_SECOND_TOKENS, victims=False
+        )
+        if swap:
+            return swap
+    return None
+
+
+def _best_swap(
+    problem: PlacementProblem,
+    model: ModelSpec,
+    *,
+    second_tokens: float,
+    shared_part: float = 0.0,
+    most_cost: float = math.inf,
+    store_tokens: float = STORE_TOKENS,
+    reserve: bool = False,
+    victims: bool = True,
+) -> Swap | None:
+    """Return the cheapest way to a replica; None also while the cheapest engine isn't free yet."""
+    best_cost = most_cost
+    best: tuple[EngineSnapshot, Swap] | None = None
+    for engine in problem.engines:
+        if not _may_get(problem, engine, model):
+            continue
+        chosen, loss = _victims_for(problem, engine, model)
+        if loss is None or (chosen and not victims):
+            continue
+        seconds, from_store = load_source(problem.spec, engine, model, chosen)
+        if not problem.load_allowed(model.name, seconds, from_store=from_store):
+            continue
+        unload_ms = unload_ms_of(problem, engine, chosen)
+        wait_ms = engine.free_in_ms + unload_ms
+        cost = loss + (seconds + wait_ms / 1000) * second_tokens
+        cost += shared_part * engine_tokens(problem, engine)
+        if from_store:
+            cost += store_tokens + copies_loss_of(problem, engine, model)
+        if cost <= best_cost:
+            best_cost = cost
+            load_ms = round(seconds * 1000)
+            best = (
+                engine,
+                Swap(engine.identity, model.name, chosen, from_store, load_ms, unload_ms),
+            )
+    if best is None:
+        return None
+    engine, swap = best
+    if not engine.free_in_ms:
+        return swap
+    if reserve:
+        # Nobody with less need may take the engine first.
+        problem.reserved.add(engine.identity)
+    return None
+
+
+def _may_get(problem: PlacementProblem, engine: EngineSnapshot, model: ModelSpec) -> bool:
+    held = model.name in engine.residents or engine.loading == model.name
+    return engine.usable and not held and engine.identity not in problem.reserved
+
+
+def _victims_for(
+    problem: PlacementProblem, engine: EngineSnapshot, model: ModelSpec
+) -> tuple[tuple[str, ...], float | None]:
+    """Return the cheapest residents that make room, and what is lost with them."""
+    spec = problem.spec
+    sizes = {name: weights_mb(spec, name) for name in engine.residents}
+    room_mb = spec.weights_mb - sum(sizes.values()) - adapters_mb(spec)
+    room_mb -= sum(weights_mb(spec, name) for name in engine.kept_free if name != model.name)
+    by_loss = sorted(engine.residents, key=lambda name: resident_loss(problem, engine, name))
+    victims = []
+    loss = 0.0
+    for name in by_loss:
+        if room_mb >= model.weights_mb:
+            break
+        victims.append(name)
+        loss += resident_loss(problem, engine, name)
+        room_mb += sizes[name]
+    if room_mb < model.weights_mb or loss == math.inf:
+        return (), None
+    return tuple(victims), loss
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -1,6 +1,8 @@
 """Steps of the decision which engine loads which model."""
 
+import random
 import re
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -12,7 +14,13 @@
 
 from harness.direct_world import engine_spec
 from harness.direct_world import model_spec
+from harness.placement_fleets import large_problem
+from harness.placement_fleets import random_problem
+from harness.placement_oracle import full_next_copy
+from harness.placement_oracle import full_next_swap
+from mimosaspur_coordination.engineroom import EngineRoom
 from mimosaspur_coordination.modeldemand import Demand
+from mimosaspur_coordination.modelplacement import PlacementSearch
 from mimosaspur_coordination.modelplacement import next_copy
 from mimosaspur_coordination.modelplacement import next_swap
 from mimosaspur_coordination.placementproblem import EngineSnapshot
@@ -233,3 +241,41 @@
 @then("g is loaded first")
 def check_first(context: Context) -> None:
     assert context.swap is not None and context.swap.model == "g", context.swap
+
+
+@then(
+    "{examples:d} random states of {engines:d} engines and {models:d} models lead to the same"
+    " decisions"
+)
+def check_like_full_search(context: Context, examples: int, engines: int, models: int) -> None:
+    decided = 0
+    for seed in range(examples):
+        problem = random_problem(random.Random(seed), engines=engines, models=models)
+        search = PlacementSearch(problem)
+        swap, copy = search.next_swap(), search.next_copy()
+        problem.reserved.clear()
+        assert swap == full_next_swap(problem), seed
+        problem.reserved.clear()
+        assert copy == full_next_copy(problem), seed
+        decided += bool(swap) + bool(copy)
+    assert decided > examples / 4, "too few of the states lead to a decision"
+
+
+@given("{engines:d} engines of {models:d} models, {why}")
+def set_large_fleet(context: Context, engines: int, models: int, why: str) -> None:
+    context.problem = large_problem(why, engines=engines, models=models)
+
+
+@when("loads are decided")
+def decide_large(context: Context) -> None:
+    search = PlacementSearch(context.problem)
+    victims = EngineRoom.victims
+    with mock.patch.object(EngineRoom, "victims", autospec=True, side_effect=victims) as tried:
+        context.decided = [search.next_swap(), search.next_copy()]
+    context.tried = tried.call_count
+
+
+@then("nothing is begun and at most {most:d} engines were tried for a model")
+def check_tried(context: Context, most: int) -> None:
+    assert context.decided == [None, None], context.decided
+    assert context.tried <= most, context.tried
--- a/packages/coordination/src/mimosaspur_coordination/modelplacement.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelplacement.py
@@ -1,14 +1,13 @@
 """Decide which engine loads which model next, and what makes room for it."""
 
 import math
+from dataclasses import dataclass
 from dataclasses import replace
 
-from mimosaspur_coordination.placementcost import copies_loss
-from mimosaspur_coordination.placementcost import engine_tokens
+from mimosaspur_coordination.engineroom import EngineRoom
+from mimosaspur_coordination.engineroom import EngineRooms
 from mimosaspur_coordination.placementcost import unload_ms_of
-from mimosaspur_coordination.placementcost import victims_for
 from mimosaspur_coordination.placementproblem import REPLICA_TOKENS
-from mimosaspur_coordination.placementproblem import EngineSnapshot
 from mimosaspur_coordination.placementproblem import PlacementProblem
 from mimosaspur_coordination.placementproblem import Swap
 from mimosaspur_coordination.weightcopies import load_source
@@ -43,146 +42,206 @@
 
 def next_swap(problem: PlacementProblem) -> Swap | None:
     """Return the most useful load that an engine can begin now."""
-    return _for_needs(problem) or _for_load(problem) or _for_room(problem)
+    return PlacementSearch(problem).next_swap()
 
 
 def next_copy(problem: PlacementProblem) -> Swap | None:
-    """Return a load that leaves a copy of a model of which no engine has one.
-
-    A model without a copy takes a load from the weight store when it is first asked for, several
-    times longer than one from disk.
-    """
-    for name, model in problem.spec.models.items():
-        there = problem.copies.get(name) or problem.replicas.get(name)
-        if there or name in problem.copied or model.weights_mb > problem.spec.disk_mb:
-            continue
-        swap = _best_swap(problem, model, second_tokens=0.0, most_cost=COPY_LOSS, store_tokens=0.0)
-        if swap:
-            return replace(swap, for_copy=True)
-    return None
-
-
-def _for_needs(problem: PlacementProblem) -> Swap | None:
-    """Return the load that most requests need: of a model without a replica, or of one more."""
-    needs = []
-    for name, demand in problem.demand.items():
-        if name not in problem.spec.models:
-            continue
-        replicas = problem.replicas.get(name, 0)
-        if replicas:
-            overflow = demand.fast_tokens - replicas * REPLICA_CAPACITY
-            needs.append((overflow / REQUEST_TOKENS * OVERFLOW_S, name))
-        elif demand.waiting:
-            needs.append((demand.waiting * (1.0 + demand.waiting_ms / 1000), name))
-    for requests, name in sorted(needs, reverse=True):
-        if requests <= 0:
+    """Return a load that leaves a copy of a model of which no engine has one."""
+    return PlacementSearch(problem).next_copy()
+
+
+class PlacementSearch:
+    """Search for the loads to begin in one state of the engines and of demand."""
+
+    __slots__ = ("cached_rooms", "problem")
+
+    def __init__(self, problem: PlacementProblem) -> None:
+        self.problem = problem
+        self.cached_rooms: EngineRooms | None = None
+
+    def next_swap(self) -> Swap | None:
+        """Return the most useful load that an engine can begin now."""
+        self.problem.reserved.clear()
+        if not self.problem.any_free():
             return None
-        if problem.replicas.get(name):
-            swap = _one_more(problem, name)
-        else:
-            swap = _best_swap(
-                problem,
-                problem.spec.models[name],
-                second_tokens=SECOND_TOKENS
-                + problem.demand_of(name).waiting * WAITING_SECOND_TOKENS,
-                reserve=True,
-            )
-        if swap:
-            return swap
-    return None
-
-
-def _for_load(problem: PlacementProblem) -> Swap | None:
-    crowded = []
-    for name, demand in problem.demand.items():
-        replicas = problem.replicas.get(name, 0)
-        if replicas and name in problem.spec.models:
-            crowded.append((demand.fast_tokens / replicas, name))
-    for share, name in sorted(crowded, reverse=True):
-        if share < REPLICA_TOKENS:
+        return self._for_needs() or self._for_load() or self._for_room()
+
+    def next_copy(self) -> Swap | None:
+        """Return a load that leaves a copy of a model of which no engine has one.
+
+        A model without a copy takes a load from the weight store when it is first asked for,
+        several times longer than one from disk.
+        """
+        problem = self.problem
+        problem.reserved.clear()
+        if not problem.store_free or not problem.any_free():
             return None
-        swap = _one_more(problem, name)
-        if swap:
-            return swap
-    return None
-
-
-def _one_more(problem: PlacementProblem, name: str) -> Swap | None:
-    """Return a load that adds a replica, if that gains enough more than it loses."""
-    gain = problem.demand_of(name).fast_tokens / (problem.replicas[name] + 1)
-    return _best_swap(
-        problem,
-        problem.spec.models[name],
-        second_tokens=REPLICA_SECOND_TOKENS,
-        shared_part=SHARED_ENGINE_PART,
-        most_cost=gain / HYSTERESIS,
-    )
-
-
-def _for_room(problem: PlacementProblem) -> Swap | None:
-    """Return a load that an engine has room for without a victim, as after its restart."""
-    wanted = []
-    for name, demand in problem.demand.items():
-        replicas = problem.replicas.get(name, 0)
-        tokens = demand.fast_tokens / (replicas + 1) if replicas else demand.slow_tokens
-        if tokens >= ROOM_TOKENS and name in problem.spec.models:
-            wanted.append((tokens, name))
-    for _, name in sorted(wanted, reverse=True):
-        swap = _best_swap(
-            problem, problem.spec.models[name], second_tokens=REPLICA_SECOND_TOKENS, victims=False
-        )
-        if swap:
-            return swap
-    return None
-
-
-def _best_swap(
-    problem: PlacementProblem,
-    model: ModelSpec,
-    *,
-    second_tokens: float,
-    shared_part: float = 0.0,
-    most_cost: float = math.inf,
-    store_tokens: float = STORE_TOKENS,
-    reserve: bool = False,
-    victims: bool = True,
-) -> Swap | None:
-    """Return the cheapest way to a replica; None also while the cheapest engine isn't free yet."""
-    best_cost = most_cost
-    best: tuple[EngineSnapshot, Swap] | None = None
-    for engine in problem.engines:
-        if not _may_get(problem, engine, model):
-            continue
-        chosen, loss = victims_for(problem, engine, model)
-        if loss is None or (chosen and not victims):
-            continue
-        seconds, from_store = load_source(problem.spec, engine, model, chosen)
-        if not problem.load_allowed(model.name, seconds, from_store=from_store):
-            continue
-        unload_ms = unload_ms_of(problem, engine, chosen)
-        wait_ms = engine.free_in_ms + unload_ms
-        cost = loss + (seconds + wait_ms / 1000) * second_tokens
-        cost += shared_part * engine_tokens(problem, engine)
-        if from_store:
-            cost += store_tokens + copies_loss(problem, engine, model)
-        if cost <= best_cost:
-            best_cost = cost
-            load_ms = round(seconds * 1000)
-            best = (
-                engine,
-                Swap(engine.identity, model.name, chosen, from_store, load_ms, unload_ms),
-            )
-    if best is None:
+        for name, model in problem.spec.models.items():
+            there = problem.copies.get(name) or problem.replicas.get(name)
+            if there or name in problem.copied or model.weights_mb > problem.spec.disk_mb:
+                continue
+            if not problem.load_allowed(name, model.load_s, from_store=True):
+                continue
+            swap = self._best_swap(model, COPY_TERMS)
+            if swap:
+                return replace(swap, for_copy=True)
         return None
-    engine, swap = best
-    if not engine.free_in_ms:
-        return swap
-    if reserve:
-        # Nobody with less need may take the engine first.
-        problem.reserved.add(engine.identity)
-    return None
 
+    def _rooms(self) -> EngineRooms:
+        if self.cached_rooms is None:
+            self.cached_rooms = EngineRooms(self.problem)
+        return self.cached_rooms
+
+    def _for_needs(self) -> Swap | None:
+        """Return the load that most requests need: of a model without a replica, or of one more."""
+        problem = self.problem
+        needs = []
+        for name, demand in problem.demand.items():
+            if name not in problem.spec.models:
+                continue
+            replicas = problem.replicas.get(name, 0)
+            if replicas:
+                overflow = demand.fast_tokens - replicas * REPLICA_CAPACITY
+                needs.append((overflow / REQUEST_TOKENS * OVERFLOW_S, name))
+            elif demand.waiting:
+                needs.append((demand.waiting * (1.0 + demand.waiting_ms / 1000), name))
+        for requests, name in sorted(needs, reverse=True):
+            if requests <= 0:
+                return None
+            if problem.replicas.get(name):
+                swap = self._one_more(name)
+            else:
+                waiting = problem.demand_of(name).waiting
+                terms = _Terms(SECOND_TOKENS + waiting * WAITING_SECOND_TOKENS)
+                swap = self._best_swap(problem.spec.models[name], terms, reserve=True)
+            if swap:
+                return swap
+        return None
+
+    def _for_load(self) -> Swap | None:
+        """Return the load that takes most from a model whose replicas are crowded."""
+        problem = self.problem
+        crowded = []
+        for name, demand in problem.demand.items():
+            replicas = problem.replicas.get(name, 0)
+            if replicas and name in problem.spec.models:
+                crowded.append((demand.fast_tokens / replicas, name))
+        for share, name in sorted(crowded, reverse=True):
+            if share < REPLICA_TOKENS:
+                return None
+            swap = self._one_more(name)
+            if swap:
+                return swap
+        return None
+
+    def _one_more(self, name: str) -> Swap | None:
+        """Return a load that adds a replica, if that gains enough more than it loses."""
+        problem = self.problem
+        gain = problem.demand_of(name).fast_tokens / (problem.replicas[name] + 1)
+        terms = _Terms(REPLICA_SECOND_TOKENS, SHARED_ENGINE_PART, most_cost=gain / HYSTERESIS)
+        return self._best_swap(problem.spec.models[name], terms)
+
+    def _for_room(self) -> Swap | None:
+        """Return a load that an engine has room for without a victim, as after its restart."""
+        problem = self.problem
+        if not any(room.has_room for room in self._rooms().rooms):
+            return None
+        wanted = []
+        for name, demand in problem.demand.items():
+            replicas = problem.replicas.get(name, 0)
+            tokens = demand.fast_tokens / (replicas + 1) if replicas else demand.slow_tokens
+            if tokens >= ROOM_TOKENS and name in problem.spec.models:
+                wanted.append((tokens, name))
+        for _, name in sorted(wanted, reverse=True):
+            swap = self._best_swap(problem.spec.models[name], ROOM_TERMS)
+            if swap:
+                return swap
+        return None
+
+    def _best_swap(
+        self, model: ModelSpec, terms: "_Terms", *, reserve: bool = False
+    ) -> Swap | None:
+        """Return the cheapest way to a replica; None also while the cheapest engine isn't free."""
+        best: _Candidate | None = None
+        limit = terms.most_cost
+        least_s = min(model.memory_load_s, model.disk_load_s, model.load_s)
+        for room in self._rooms().rooms:
+            if room.least_loss + least_s * terms.second_tokens > limit:
+                # Nor can any engine after this one be cheaper.
+                break
+            found = self._candidate(room, model, terms, limit=limit)
+            if found and not (best and found.ties_before(best)):
+                best, limit = found, found.cost
+        if best is None:
+            return None
+        if not best.room.engine.free_in_ms:
+            return best.swap
+        if reserve:
+            # Nobody with less need may take the engine first.
+            self.problem.reserved.add(best.room.engine.identity)
+        return None
 
-def _may_get(problem: PlacementProblem, engine: EngineSnapshot, model: ModelSpec) -> bool:
+    def _candidate(
+        self, room: EngineRoom, model: ModelSpec, terms: "_Terms", *, limit: float
+    ) -> "_Candidate | None":
+        """Return the load on one engine, None if it may not be or costs more than the limit."""
+        problem = self.problem
+        if not _may_get(problem, room, model):
+            return None
+        victims, loss = room.victims(problem, model)
+        if loss is None or (victims and not terms.victims):
+            return None
+        seconds, from_store = load_source(problem.spec, room.engine, model, victims)
+        if not problem.load_allowed(model.name, seconds, from_store=from_store):
+            return None
+        unload_ms = unload_ms_of(problem, room.engine, victims)
+        wait_ms = room.engine.free_in_ms + unload_ms
+        cost = loss + (seconds + wait_ms / 1000) * terms.second_tokens
+        if terms.shared_part:
+            cost += terms.shared_part * room.tokens_now(problem)
+        if from_store and cost <= limit:
+            cost += terms.store_tokens + self._rooms().copies_loss(room, model)
+        if cost > limit:
+            return None
+        load_ms = round(seconds * 1000)
+        swap = Swap(room.engine.identity, model.name, victims, from_store, load_ms, unload_ms)
+        return _Candidate(cost, room, swap)
+
+
+@dataclass(slots=True, frozen=True)
+class _Terms:
+    """Say what counts in the cost of a load, in tokens a second."""
+
+    # A second until the model is there.
+    second_tokens: float
+    # The part of the engine's other load.
+    shared_part: float = 0.0
+    # No load that costs more is begun.
+    most_cost: float = math.inf
+    # A load from the weight store.
+    store_tokens: float = STORE_TOKENS
+    # Whether residents may make room.
+    victims: bool = True
+
+
+@dataclass(slots=True, frozen=True)
+class _Candidate:
+    """Hold the load on one engine."""
+
+    cost: float
+    room: EngineRoom
+    swap: Swap
+
+    def ties_before(self, other: "_Candidate") -> bool:
+        """Tell whether it costs the same as another one whose engine comes later."""
+        return self.cost == other.cost and self.room.number < other.room.number
+
+
+def _may_get(problem: PlacementProblem, room: EngineRoom, model: ModelSpec) -> bool:
+    engine = room.engine
     held = model.name in engine.residents or engine.loading == model.name
-    return engine.usable and not held and engine.identity not in problem.reserved
+    return not held and engine.identity not in problem.reserved
+
+
+COPY_TERMS = _Terms(0.0, most_cost=COPY_LOSS, store_tokens=0.0)
+ROOM_TERMS = _Terms(REPLICA_SECOND_TOKENS, victims=False)
--- a/packages/coordination/src/mimosaspur_coordination/placementcost.py
+++ b/packages/coordination/src/mimosaspur_coordination/placementcost.py
@@ -6,7 +6,6 @@
 from mimosaspur_coordination.placementproblem import EngineSnapshot
 from mimosaspur_coordination.placementproblem import PlacementProblem
 from mimosaspur_coordination.weightcopies import pushed_out
-from mimosaspur_coordination.weightcopies import weights_mb
 from mimosaspur_state.routes import EngineSpec
 from mimosaspur_state.routes import ModelSpec
 
@@ -31,7 +30,7 @@
     return load_s * 1000 + COMING_BACK_MS
 
 
-def copies_loss(problem: PlacementProblem, engine: EngineSnapshot, model: ModelSpec) -> float:
+def copies_loss_of(problem: PlacementProblem, engine: EngineSnapshot, model: ModelSpec) -> float:
     """Return what is lost with the copies on disk that a load from the weight store pushes out.
 
     A model whose last copy is gone comes back from the weight store too.
@@ -54,28 +53,6 @@
     )
 
 
-def victims_for(
-    problem: PlacementProblem, engine: EngineSnapshot, model: ModelSpec
-) -> tuple[tuple[str, ...], float | None]:
-    """Return the cheapest residents that make room, and what is lost with them."""
-    spec = problem.spec
-    sizes = {name: weights_mb(spec, name) for name in engine.residents}
-    room_mb = spec.weights_mb - sum(sizes.values()) - _adapters_mb(spec)
-    room_mb -= sum(weights_mb(spec, name) for name in engine.kept_free if name != model.name)
-    by_loss = sorted(engine.residents, key=lambda name: _loss(problem, engine, name))
-    victims = []
-    loss = 0.0
-    for name in by_loss:
-        if room_mb >= model.weights_mb:
-            break
-        victims.append(name)
-        loss += _loss(problem, engine, name)
-        room_mb += sizes[name]
-    if room_mb < model.weights_mb or loss == math.inf:
-        return (), None
-    return tuple(victims), loss
-
-
 def unload_ms_of(problem: PlacementProblem, engine: EngineSnapshot, victims: Sequence[str]) -> int:
     """Return how long an unload waits for the last of the victims' runs.
 
@@ -86,7 +63,8 @@
     return round(problem.stream_ms * sum(1 / number for number in range(1, runs + 1)))
 
 
-def _loss(problem: PlacementProblem, engine: EngineSnapshot, name: str) -> float:
+def resident_loss(problem: PlacementProblem, engine: EngineSnapshot, name: str) -> float:
+    """Return what is lost when an engine unloads a model, infinity if it must not."""
     if name in engine.recent:
         return math.inf
     demand = problem.demand_of(name)
@@ -105,7 +83,7 @@
     return running + max(demand.fast_tokens, demand.slow_tokens * SOLE_WEIGHT, SOLE_TOKENS)
 
 
-def _adapters_mb(spec: EngineSpec) -> float:
+def adapters_mb(spec: EngineSpec) -> float:
     """Return the room that full adapter places take."""
     largest_mb = max((model.adapter_mb for model in spec.models.values()), default=0.0)
     return spec.adapter_slots * largest_mb
--- a/packages/coordination/src/mimosaspur_coordination/placementproblem.py
+++ b/packages/coordination/src/mimosaspur_coordination/placementproblem.py
@@ -80,12 +80,19 @@
     copies: dict[str, int] = field(default_factory=dict)
     # Engines that a model waits for.
     reserved: set[str] = field(default_factory=set)
+    # How many engines are kept by long loads.
+    long_loads: int = 0
 
     def __post_init__(self) -> None:
         self.copies = copy_counts(self.engines)
         for engine in self.engines:
             for model in (*engine.residents, *filter(None, (engine.loading,))):
                 self.replicas[model] = self.replicas.get(model, 0) + 1
+        self.long_loads = sum(engine.free_in_ms >= LONG_LOAD_MS / 2 for engine in self.engines)
+
+    def any_free(self) -> bool:
+        """Tell whether some engine can begin a load now."""
+        return any(engine.usable and not engine.free_in_ms for engine in self.engines)
 
     def load_allowed(self, model: str, seconds: float, *, from_store: bool) -> bool:
         """Tell whether a load may begin, for the store's rate and for the engine that it keeps."""
@@ -94,8 +101,7 @@
         short = seconds * 1000 < LONG_LOAD_MS
         if short or self.idle or self.demand_of(model).fast_tokens >= REPLICA_TOKENS:
             return True
-        kept = sum(engine.free_in_ms >= LONG_LOAD_MS / 2 for engine in self.engines)
-        return kept + 1 <= max(1.0, len(self.engines) * LONG_LOADS_PART)
+        return self.long_loads + 1 <= max(1.0, len(self.engines) * LONG_LOADS_PART)
 
     def demand_of(self, model: str) -> Demand:
         """Return a model's demand."""
