Tell all entries the same sums of work, encoded once

Cause: each pass the coordinator took each entry's own work off the sum and encoded a message for it: 4.8 ms at 68 entries x 39 engines, 232 ms and 5.9 MB at 360 x 730. It also built the placement problem and the adapters' placement anew for each search, and summed what waits by model for every model and entry. Ruled out: telling less often (views are what choices are made from). Now each entry gets the number of its report that was counted in, and takes off what it reported then: what it has begun or ended since is in no sum. A random play of reports, sums and new coordinators checks that the rest is exactly what the others reported. 60 entries, 40 changed targets: one frame, two with a newcomer.

--- a/features/direct_work.feature
+++ b/features/direct_work.feature
@@ -13,6 +13,25 @@
       | x: 2 with 900 unread    | x: 1 with 400 unread    | x: 1 with 400 unread, plain: 0          |
       | plain: 1 with 0 unread  | x: 1 with 400 unread    | x: 1 with 400 unread, plain: 0          |
 
+  Scenario Outline: What an entry has begun or ended since its report isn't taken for others' work
+    Given reports of <reported> and then <since> by entry A, and of <b> by entry B
+    When the coordinator tells entry A of the work that its first report counts in
+    Then entry A takes the others' work for <others>
+
+    Examples:
+      | reported              | since                | b                     | others                |
+      | x: 2 with 900 unread  | nothing              | x: 1 with 400 unread  | x: 1 with 400 unread  |
+      | x: 2 with 900 unread  | x: 5 with 90 unread  | nothing               | x: 0                  |
+      | nothing               | x: 1 with 400 unread | x: 1 with 400 unread  | x: 1 with 400 unread  |
+
+  Scenario: Whatever is told when, others' work is what the others have reported
+    Then any order of reports, sums and new coordinators leaves each entry with the others' reports
+
+  Scenario: What is told is encoded once for all who know the same
+    Given a coordinator that 60 entries follow, and one that has just come
+    When the work at 40 targets changes
+    Then 2 fleet reports are encoded, and each entry gets one
+
   Scenario: A model that is read faster is learnt, and its queue is taken for shorter
     Given engines that read slow at 20 tokens a ms and fast at 150 tokens a ms
     When 12 requests for each model have been measured, one at a time
--- /dev/null
+++ b/features/harness/reports_play.py
@@ -0,0 +1,112 @@
+"""Play the reports of entries to a coordinator, and what it tells them of one another's work."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+from unittest import mock
+
+from harness.direct_world import outside
+from harness.direct_world import quiet_log
+from harness.direct_world import settings_for
+from mimosaspur_coordination.orderlease import OrderLease
+from mimosaspur_daemon.direct.entrystate import EntryState
+from mimosaspur_daemon.direct.fleetreport import total_work
+from mimosaspur_daemon.direct.members import Member
+from mimosaspur_daemon.direct.members import Members
+from mimosaspur_daemon.direct.reportedwork import ReportedWork
+from mimosaspur_protocol.peermessages import EntryReport
+from mimosaspur_protocol.peermessages import WorkAt
+from mimosaspur_protocol.peermessages import encode_peer
+from mimosaspur_state.clock import SystemClock
+
+TOKENS_EACH = 100
+RANK = 3
+ENCODER = "mimosaspur_daemon.direct.fleetteller.encode_peer"
+
+
+class ReportsPlay:
+    """Let entries report and be told in any order, and check what each takes for others' work."""
+
+    def __init__(self, entries: int, targets: Sequence[str]) -> None:
+        self.targets = targets
+        self.entries = [ReportedWork() for _ in range(entries)]
+        # Reports on their way, and the last one heard, with their numbers.
+        self.sent: list[list[tuple[int, dict[str, WorkAt]]]] = [[] for _ in range(entries)]
+        self.heard: list[tuple[int, dict[str, WorkAt]]] = [(0, {}) for _ in range(entries)]
+        self.told: dict[str, WorkAt] = {}
+
+    def step(self, name: str, entry: int = 0, requests: Mapping[str, int] | None = None) -> None:
+        """Take one step."""
+        if name == "report":
+            work = [
+                WorkAt(target, count, {RANK: count * TOKENS_EACH}, count, {})
+                for target, count in (requests or {}).items()
+            ]
+            number = self.entries[entry].add(work)
+            self.sent[entry].append((number, {each.target: each for each in work}))
+        elif name == "hear" and self.sent[entry]:
+            self.heard[entry] = self.sent[entry].pop(0)
+        elif name == "tell":
+            self._tell()
+        elif name == "new coordinator":
+            self.__init__(len(self.entries), self.targets)  # type: ignore[misc]
+
+    def _tell(self) -> None:
+        totals = total_work((work for _, work in self.heard), self.targets)
+        changed = [each for key, each in totals.items() if self.told.get(key) != each]
+        self.told = totals
+        for index, entry in enumerate(self.entries):
+            entry.count(self.heard[index][0])
+            entry.others(changed)
+            others = [work for at, (_, work) in enumerate(self.heard) if at != index]
+            for target, wanted in total_work(others, self.targets).items():
+                found = entry.work_at(target)
+                assert found.requests == wanted.requests, (target, found, wanted)
+                assert found.held_tokens == wanted.held_tokens
+                assert sum(found.unread.values()) == sum(wanted.unread.values())
+
+
+class CountingLink:
+    """Stand for a link to an entry, and count what is sent there."""
+
+    def __init__(self) -> None:
+        self.frames = 0
+
+    def send_encoded(self, frames: bytes) -> None:
+        """Count what is sent."""
+        self.frames += bool(frames)
+
+
+class FollowedCoordinator:
+    """Own a coordinator's members, and count what is encoded for them."""
+
+    def __init__(self, entries: int) -> None:
+        log = quiet_log("coordinator")
+        self.state = EntryState(settings_for("coordinator"), outside("coordinator", log=log))
+        self.members = Members(self.state)
+        self.lease = OrderLease("coordinator", handover_ms=0, clock=SystemClock())
+        self.links: dict[str, CountingLink] = {}
+        self.encoded = 0
+        for _ in range(entries):
+            self.newcomer()
+
+    def newcomer(self) -> None:
+        """Let one more entry follow."""
+        name = f"entry-{len(self.links)}"
+        self.links[name] = CountingLink()
+        link = self.links[name]
+        self.members.members[name] = Member(link=link)  # type: ignore[arg-type]
+
+    def tell(self, *, work_at: int) -> None:
+        """Let the first entry report work at so many targets, and tell all of it."""
+        work = [WorkAt(f"t{n}", 1, {}, 1, {}) for n in range(work_at)]
+        report = EntryReport("entry-0", 1, work, [], [], [])
+        self.members.hear(report, self.members.members["entry-0"])
+        for link in self.links.values():
+            link.frames = 0
+        with mock.patch(ENCODER, side_effect=encode_peer) as counted:
+            self.members.tell([], self.lease)
+        self.encoded = counted.call_count
+
+    def got(self) -> dict[str, int]:
+        """Return how often each entry was sent something in the last pass."""
+        return {name: link.frames for name, link in self.links.items()}
--- a/features/steps/direct_work_steps.py
+++ b/features/steps/direct_work_steps.py
@@ -1,25 +1,34 @@
 """Steps of the work that entries know of at targets, and of how long it takes."""
 
 import re
+from typing import Any
 
 from behave import given
 from behave import then
 from behave import when
 from behave.runner import Context
+from hypothesis import given as given_any
+from hypothesis import settings
+from hypothesis import strategies
 
 from harness.direct_fleet import HeldClock
+from harness.reports_play import FollowedCoordinator
+from harness.reports_play import ReportsPlay
 from mimosaspur_coordination.fleetview import FleetView
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.modelpace import SharedPaces
 from mimosaspur_coordination.readingspeed import FIRST_BASE_MS as FIRST_TOKEN_MS
 from mimosaspur_daemon.direct.fleetreport import total_work
-from mimosaspur_daemon.direct.fleetreport import work_of_others
+from mimosaspur_daemon.direct.reportedwork import ReportedWork
 from mimosaspur_protocol.peermessages import WorkAt
 from mimosaspur_state.fleet import TargetRecord
+from mimosaspur_state.fleet import Work
 
 TARGETS = ("x", "plain")
 RANK = 3
+ENTRIES = 3
+EXAMPLES = 300
 MEASURED_TOKENS = 2_000
 LONG_TOKENS = 4_000
 
@@ -27,7 +36,7 @@
 def _work(text: str) -> dict[str, WorkAt]:
     found = {}
     for target, requests, unread in re.findall(r"(\w+): (\d+)(?: with (\d+) unread)?", text):
-        by_rank = {RANK: float(unread)} if unread and int(unread) else {}
+        by_rank = {RANK: int(unread)} if unread and int(unread) else {}
         found[target] = WorkAt(target, int(requests), by_rank, 0, {})
     return found
 
@@ -37,15 +46,87 @@
     context.reports = [_work(first), _work(second)]
 
 
+@given("reports of {first} and then {since} by entry A, and of {second} by entry B")
+def set_work_since(context: Context, first: str, since: str, second: str) -> None:
+    context.reports = [_work(first), _work(second)]
+    context.since = _work(since)
+
+
 @when("the coordinator tells entry A of the others' work")
+@when("the coordinator tells entry A of the work that its first report counts in")
 def tell_work(context: Context) -> None:
-    totals = total_work(context.reports, TARGETS)
-    context.told = work_of_others(totals, context.reports[0])
+    reported = ReportedWork()
+    number = reported.add(context.reports[0].values())
+    if "since" in context:
+        reported.add(context.since.values())
+    reported.count(number)
+    context.told = reported.others(total_work(context.reports, TARGETS).values())
+
+
+def _plain(works: dict[str, Work]) -> dict[str, WorkAt]:
+    """Return others' work without ranks at which nothing waits."""
+    found = {}
+    for target, work in works.items():
+        unread = {rank: int(tokens) for rank, tokens in work.unread.items() if tokens}
+        found[target] = WorkAt(target, work.requests, unread, work.held_tokens, {})
+    return found
 
 
 @then("it hears of {told}")
 def check_told(context: Context, told: str) -> None:
-    assert dict(context.told) == _work(told), context.told
+    assert _plain(context.told) == _work(told), context.told
+
+
+@then("entry A takes the others' work for {others}")
+def check_others(context: Context, others: str) -> None:
+    told = {target: work for target, work in _plain(context.told).items() if target == "x"}
+    assert told == _work(others), context.told
+
+
+@then("any order of reports, sums and new coordinators leaves each entry with the others' reports")
+def check_any_order(context: Context) -> None:
+    actions = strategies.lists(
+        strategies.one_of(
+            strategies.tuples(
+                strategies.just("report"),
+                strategies.integers(0, ENTRIES - 1),
+                strategies.dictionaries(
+                    strategies.sampled_from(TARGETS), strategies.integers(1, 9)
+                ),
+            ),
+            strategies.tuples(strategies.just("hear"), strategies.integers(0, ENTRIES - 1)),
+            strategies.tuples(strategies.just("tell")),
+            strategies.tuples(strategies.just("new coordinator")),
+        ),
+        max_size=40,
+    )
+
+    @settings(max_examples=EXAMPLES, derandomize=True, database=None, deadline=None)
+    @given_any(actions)
+    def check(steps: list[tuple[Any, ...]]) -> None:
+        play = ReportsPlay(ENTRIES, TARGETS)
+        for name, *arguments in steps:
+            play.step(name, *arguments)
+
+    check()
+
+
+@given("a coordinator that {count:d} entries follow, and one that has just come")
+def set_members(context: Context, count: int) -> None:
+    context.followed = FollowedCoordinator(count)
+
+
+@when("the work at {count:d} targets changes")
+def change_work(context: Context, count: int) -> None:
+    context.followed.tell(work_at=0)
+    context.followed.newcomer()
+    context.followed.tell(work_at=count)
+
+
+@then("{count:d} fleet reports are encoded, and each entry gets one")
+def check_encoded(context: Context, count: int) -> None:
+    assert context.followed.encoded == count, context.followed.encoded
+    assert set(context.followed.got().values()) == {1}, context.followed.got()
 
 
 @given("engines that read slow at {slow:d} tokens a ms and fast at {fast:d} tokens a ms")
--- a/packages/coordination/src/mimosaspur_coordination/modeldemand.py
+++ b/packages/coordination/src/mimosaspur_coordination/modeldemand.py
@@ -1,5 +1,6 @@
 """Measure what callers ask of each model, fading with time."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from mimosaspur_state.clock import Clock
@@ -41,11 +42,13 @@
 class ModelDemand:
     """Keep the demand for all models."""
 
-    __slots__ = ("clock", "models")
+    __slots__ = ("clock", "models", "waited_for")
 
     def __init__(self, *, clock: Clock) -> None:
         self.clock = clock
         self.models: dict[str, Demand] = {}
+        # The models that requests waited for when that was last told.
+        self.waited_for: frozenset[str] = frozenset()
 
     def count(self, model: str, tokens: float, *, objective_ms: float) -> None:
         """Count requests for a model by the tokens that they cost."""
@@ -56,6 +59,13 @@
         demand.slow_tokens += tokens * 1000 / SLOW_MS
         demand.last_ms = self.clock.now_ms()
 
+    def wait(self, waiting: Mapping[str, int]) -> None:
+        """Take the number of requests that wait now, by model; none wait for the others."""
+        now_ms = self.clock.now_ms()
+        for model in self.waited_for.union(waiting):
+            self.current(model).wait(waiting.get(model, 0), now_ms)
+        self.waited_for = frozenset(waiting)
+
     def asked(self) -> bool:
         """Tell whether any model was ever asked for."""
         return any(demand.last_ms for demand in self.models.values())
--- a/packages/daemon/src/mimosaspur_daemon/direct/adapterkeeper.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/adapterkeeper.py
@@ -44,21 +44,28 @@
         self, spec: EngineSpec, desks: Sequence[EngineDesk], waiting: Collection[Adapter]
     ) -> None:
         """Begin the moves for adapters that requests wait for."""
+        if not waiting:
+            return
+        placement = self._placement(spec, desks)
         for wanted in sorted(waiting):
-            move = self._placement(spec, desks).for_waiting(wanted)
+            move = placement.for_waiting(wanted)
             if move:
                 self._begin(desks, move, spec, waiting=True)
+                placement = self._placement(spec, desks)
 
-    def place_ahead(self, spec: EngineSpec, desks: Sequence[EngineDesk]) -> None:
-        """Begin the moves for adapters that are likely to be asked for."""
+    def place_ahead(self, spec: EngineSpec, desks: Sequence[EngineDesk]) -> bool:
+        """Begin the moves for adapters that are likely to be asked for; tell if there were any."""
         names = {model: each.adapters for model, each in spec.models.items() if each.adapters}
         if not names or any(desk.unanswered_lately() for desk in desks):
-            return
+            return False
         placement = self._placement(spec, desks)
+        begun = False
         for engine in placement.engines:
             move = placement.ahead(engine, names)
             if move:
+                begun = True
                 self._begin(desks, move, spec, waiting=False)
+        return begun
 
     def _shared_rate(self, model: str) -> float:
         """Return the rate that all adapters of a model can expect together."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -5,10 +5,8 @@
 
 from mimosaspur_coordination.adapterdemand import AdapterDemand
 from mimosaspur_coordination.loadrate import LoadRate
-from mimosaspur_coordination.modeldemand import Demand
 from mimosaspur_coordination.modeldemand import ModelDemand
-from mimosaspur_coordination.modelplacement import next_copy
-from mimosaspur_coordination.modelplacement import next_swap
+from mimosaspur_coordination.modelplacement import PlacementSearch
 from mimosaspur_coordination.orderlease import OrderLease
 from mimosaspur_coordination.placementproblem import EngineSnapshot
 from mimosaspur_coordination.placementproblem import PlacementProblem
@@ -175,17 +173,34 @@
         if not self.lease.may_order():
             return
         self.running = self.members.running()
+        self.demand.wait(self.members.waiting())
         for service, spec in self._engine_services():
-            waiting = self.members.waiting_adapters()
-            desks = self._desks_of(service)
-            self.adapters.place_waiting(spec, desks, waiting)
-            while (swap := next_swap(self._problem(service, spec))) is not None:
-                self._begin(swap)
-            if self.state.uses(Mechanism.ADAPTERS_AHEAD):
-                self.adapters.place_ahead(spec, desks)
-            if self.state.uses(Mechanism.COPIES):
-                while (swap := next_copy(self._problem(service, spec))) is not None:
-                    self._begin(swap)
+            self._place(service, spec)
+
+    def _place(self, service: str, spec: EngineSpec) -> None:
+        """Begin the moves on a service's engines."""
+        desks = self._desks_of(service)
+        self.adapters.place_waiting(spec, desks, self.members.waiting_adapters())
+        search = self._search(service, spec)
+        while search and (swap := search.next_swap()) is not None:
+            self._begin(swap)
+            search = self._search(service, spec)
+        begun = False
+        if self.state.uses(Mechanism.ADAPTERS_AHEAD):
+            begun = self.adapters.place_ahead(spec, desks)
+        if not self.state.uses(Mechanism.COPIES):
+            return
+        if begun:
+            search = self._search(service, spec)
+        while search and (swap := search.next_copy()) is not None:
+            self._begin(swap)
+            search = self._search(service, spec)
+
+    def _search(self, service: str, spec: EngineSpec) -> PlacementSearch | None:
+        """Return the search for loads as things stand, None while no engine can begin one."""
+        if not any(desk.usable() and not desk.free_in_ms() for desk in self._desks_of(service)):
+            return None
+        return PlacementSearch(self._problem(service, spec))
 
     def _engine_services(self) -> list[tuple[str, EngineSpec]]:
         configuration = self.state.configuration
@@ -265,16 +280,10 @@
         return [desk for desk in self.desks.values() if desk.record.service == service]
 
     def _problem(self, service: str, spec: EngineSpec) -> PlacementProblem:
-        demand: dict[str, Demand] = {}
-        for model in spec.models:
-            current = self.demand.current(model)
-            waiting = self.members.waiting(model)
-            current.wait(waiting, self.clock.now_ms())
-            demand[model] = current
         return PlacementProblem(
             spec,
             self._snapshots(service),
-            demand,
+            {model: self.demand.current(model) for model in spec.models},
             store_free=self.loads.allows(spec.loads_per_s),
             idle=self._idle(),
             copied=self.copied,
--- a/packages/daemon/src/mimosaspur_daemon/direct/duty.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/duty.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 
+from mimosaspur_coordination.backoff import Backoff
 from mimosaspur_coordination.orderlease import OrderLease
 from mimosaspur_daemon.direct.coordinator import Coordinator
 from mimosaspur_daemon.direct.entrystate import Asked
@@ -16,6 +17,7 @@
 from mimosaspur_protocol.peermessages import FleetReport
 from mimosaspur_protocol.peermessages import ProofAnswer
 from mimosaspur_protocol.peermessages import ProofRequest
+from mimosaspur_protocol.peermessages import ReportCounted
 from mimosaspur_protocol.peermessages import StepDown
 from mimosaspur_protocol.peermessages import WorkAt
 from mimosaspur_state.clock import SuspendClock
@@ -33,7 +35,10 @@
 # Whoever finds it lost waits a little, for it may be back, and lest all contend at once.
 CONTEND_AFTER_S = 0.5
 CONTEND_JITTER_S = 0.6
-STORE_RETRY_S = 0.3
+# Another one that contends has just written the lease, or a call to the store has failed.
+LEAST_RETRY_S = 0.05
+# How often one that leaves looks whether another has the lease.
+LEAVING_LOOK_S = 0.3
 # How often whoever waits to contend looks whether the last holder is back.
 LEASE_LOOK_S = 0.3
 HOLD_CHECK_S = 0.1
@@ -54,6 +59,8 @@
         )
         # This machine has given no order since then but those that the lease counts.
         self.started_ms = self.lease.clock.now_ms()
+        # Reset by a lease that could be taken, or whose holder could be followed.
+        self.backoff = Backoff()
         self.coordinator: Coordinator | None = None
         # Whether this instance has stepped down for good.
         self.ended = False
@@ -77,10 +84,9 @@
                     await self._take_over()
                 elif not await self._follow(record.address):
                     await self._contend(record.token)
-            except StoreUnavailable:
-                await asyncio.sleep(STORE_RETRY_S)
-            except VersionConflict:
-                await asyncio.sleep(0.05)
+            except (StoreUnavailable, VersionConflict):
+                self.backoff.failed()
+                await asyncio.sleep(max(LEAST_RETRY_S, self.backoff.pause_s()))
 
     def step_down(self) -> None:
         """Give no more orders, and tell when the last one was; the duty lasts until then.
@@ -96,11 +102,12 @@
     async def _take_over(self) -> None:
         if self.state.leaving or self.ended:
             # The lease may still name this instance: its successor takes it over.
-            await asyncio.sleep(STORE_RETRY_S)
+            await asyncio.sleep(LEAVING_LOOK_S)
             return
         predecessor = self.lease.record.holder if self.lease.record else ""
         asked_ms = self.lease.clock.now_ms()
         record = await self.state.outside.store.write_lease(self.lease.next_record(self.address))
+        self.backoff.worked()
         self.lease.taken(record, asked_ms=asked_ms, predecessor=predecessor)
         if self.last_order_ms is not None:
             self.lease.released_by_predecessor(last_order_ms=self.last_order_ms)
@@ -123,7 +130,7 @@
             self.state.coordinating = False
             for task in tasks:
                 task.cancel()
-            self.state.fleet.coordinator_lost()
+            self.state.coordinator_lost()
 
     async def _hold_lease(self, tasks: list[asyncio.Task[None]]) -> None:
         """Prove the lease again and again until another instance holds it."""
@@ -172,8 +179,11 @@
                     self.last_order_ms = self.lease.clock.now_ms() - message.last_order_age_ms
                     self.stepped_down = followed
                     return False
+                if isinstance(message, ReportCounted):
+                    self.state.reported.count(message.number)
                 if isinstance(message, FleetReport):
                     followed = True
+                    self.backoff.worked()
                     self.last_order_ms = None
                     apply_report(self.state, message)
                     if not message.ordering:
@@ -185,7 +195,7 @@
             reporting.cancel()
             link.close()
             self.state.freshness.forget()
-            self.state.fleet.coordinator_lost()
+            self.state.coordinator_lost()
 
     async def _prove(self, link: PeerLink, request: ProofRequest) -> None:
         instance = self.state.settings.instance
@@ -274,6 +284,7 @@
     waiting = list(state.waiting_adapters)
     return EntryReport(
         instance,
+        state.reported.add(work),
         work,
         asked,
         waiting,
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -14,6 +14,7 @@
 from mimosaspur_coordination.fleetview import FleetView
 from mimosaspur_coordination.retrywindow import RetryWindow
 from mimosaspur_coordination.storefreshness import StoreFreshness
+from mimosaspur_daemon.direct.reportedwork import ReportedWork
 from mimosaspur_state.clock import Clock
 from mimosaspur_state.directsettings import DirectSettings
 from mimosaspur_state.eventlog import EventLog
@@ -102,6 +103,7 @@
         self.unreachable: set[str] = set()
         # When models that are being loaded are expected, as the coordinator told.
         self.expected_ms: dict[str, int] = {}
+        self.reported = ReportedWork()
         # Set when the coordinator should hear from this entry before its next turn.
         self.report_now = asyncio.Event()
         self.entries = 0
@@ -172,6 +174,11 @@
         self.targets_news.set()
         self.changes.notify()
 
+    def coordinator_lost(self) -> None:
+        """Go on with what this entry knows by itself."""
+        self.reported.forget()
+        self.fleet.coordinator_lost()
+
     def ready(self) -> bool:
         """Tell whether callers may be sent here."""
         return bool(self.configuration and self.targets_known and not self.leaving)
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -13,23 +13,39 @@
 from mimosaspur_protocol.peermessages import WorkAt
 
 
+class _Total:
+    """Add up the work at one target."""
+
+    __slots__ = ("held_tokens", "requests", "unread")
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.unread: dict[int, int] = {}
+        self.held_tokens = 0
+
+    def add(self, work: WorkAt) -> None:
+        """Add one entry's work."""
+        self.requests += work.requests
+        self.held_tokens += work.held_tokens
+        for rank, tokens in work.unread.items():
+            self.unread[rank] = self.unread.get(rank, 0) + tokens
+
+
 def total_work(
     reports: Iterable[Mapping[str, WorkAt]], targets: Iterable[str]
 ) -> dict[str, WorkAt]:
     """Sum up the entries' work by target; what has ended at a target is told as none."""
-    totals = {target: _no_work(target) for target in targets}
+    totals = {target: _Total() for target in targets}
     for work_at in reports:
         for target, work in work_at.items():
-            totals[target] = _sum(totals.get(target, _no_work(target)), work, sign=1)
-    return totals
-
-
-def work_of_others(totals: Mapping[str, WorkAt], own: Mapping[str, WorkAt]) -> Mapping[str, WorkAt]:
-    """Return the total work less that of one entry."""
-    others = dict(totals)
-    for target, work in own.items():
-        others[target] = _sum(totals[target], work, sign=-1)
-    return others
+            total = totals.get(target)
+            if total is None:
+                total = totals[target] = _Total()
+            total.add(work)
+    return {
+        target: WorkAt(target, total.requests, total.unread, total.held_tokens, {})
+        for target, total in totals.items()
+    }
 
 
 def residents_of(desk: EngineDesk) -> Residents:
@@ -51,12 +67,10 @@
     state.staying = report.staying
     if report.store:
         apply_store_news(state, report.store)
-    for work in report.work:
-        view = state.fleet.targets.get(work.target)
+    for target, others in state.reported.others(report.work).items():
+        view = state.fleet.targets.get(target)
         if view:
-            view.others.requests = work.requests
-            view.others.unread = work.unread
-            view.others.held_tokens = work.held_tokens
+            view.others = others
     for each in report.residents:
         models = {model: frozenset(adapters) for model, adapters in each.models.items()}
         state.fleet.tell_residents(each.target, models, frozenset(each.closing))
@@ -65,19 +79,3 @@
     state.expected_ms = report.expected
     if report.work or report.residents or report.expected:
         state.changes.notify()
-
-
-def _no_work(target: str) -> WorkAt:
-    return WorkAt(target, 0, {}, 0, {})
-
-
-def _sum(first: WorkAt, second: WorkAt, *, sign: int) -> WorkAt:
-    """Return two works at a target added up, or the first less the second; models are left out."""
-    unread = dict(first.unread)
-    for rank, tokens in second.unread.items():
-        unread[rank] = unread.get(rank, 0) + sign * tokens
-        if not unread[rank]:
-            del unread[rank]
-    requests = first.requests + sign * second.requests
-    held_tokens = first.held_tokens + sign * second.held_tokens
-    return WorkAt(first.target, requests, unread, held_tokens, {})
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetteller.py
@@ -0,0 +1,90 @@
+"""Say what has changed in the fleet since it was last told, once for all entries."""
+
+from collections.abc import Collection
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+
+import msgspec
+
+from mimosaspur_daemon.direct.enginedesk import EngineDesk
+from mimosaspur_daemon.direct.fleetreport import residents_of
+from mimosaspur_daemon.direct.storenews import StoreTeller
+from mimosaspur_protocol.peermessages import FleetReport
+from mimosaspur_protocol.peermessages import Residents
+from mimosaspur_protocol.peermessages import WorkAt
+from mimosaspur_protocol.peermessages import encode_peer
+
+NOT_TOLD = -1
+
+
+@dataclass(slots=True)
+class Informed:
+    """Hold up to where an entry was told what the others know."""
+
+    # Whether it was told of the whole fleet, and since then of each change.
+    fleet: bool = False
+    # The number of changes in the store up to which it was told.
+    store: int = NOT_TOLD
+
+
+class FleetTeller:
+    """Keep work and residents as they were last told, and say what has changed since."""
+
+    __slots__ = ("changed_residents", "changed_work", "expected", "residents", "work")
+
+    def __init__(self) -> None:
+        self.work: Mapping[str, WorkAt] = {}
+        self.residents: Mapping[str, Residents] = {}
+        # Milliseconds until a model that is being loaded is expected.
+        self.expected: dict[str, int] = {}
+        self.changed_work: list[WorkAt] = []
+        self.changed_residents: list[Residents] = []
+
+    def look(self, totals: Mapping[str, WorkAt], desks: Collection[EngineDesk]) -> bool:
+        """Take the fleet as it is now; tell whether anything has changed since the last look."""
+        known = [desk for desk in desks if desk.sequence is not None]
+        residents = {desk.record.identity: residents_of(desk) for desk in known}
+        expected = {desk.loading: desk.expected_in_ms() for desk in desks if desk.loading}
+        self.changed_work = [each for key, each in totals.items() if self.work.get(key) != each]
+        self.changed_residents = [
+            each for key, each in residents.items() if self.residents.get(key) != each
+        ]
+        loads_changed = expected.keys() != self.expected.keys()
+        self.work, self.residents, self.expected = totals, residents, expected
+        return bool(self.changed_work or self.changed_residents or loads_changed)
+
+
+@dataclass(slots=True)
+class News:
+    """Put together and encode what is told in one pass, once for all who know the same."""
+
+    # What all are told, without work and residents.
+    head: FleetReport
+    fleet: FleetTeller
+    # None while others may not rely on what is known of the store here.
+    store: StoreTeller | None
+    frames: dict[tuple[bool, int], bytes] = field(default_factory=dict)
+
+    def report(self, informed: Informed) -> FleetReport:
+        """Return what an entry has to hear."""
+        fleet = self.fleet
+        if informed.fleet:
+            work, residents = fleet.changed_work, fleet.changed_residents
+        else:
+            work = [each for each in fleet.work.values() if each.requests]
+            residents = list(fleet.residents.values())
+        store = self.store.news(informed.store) if self.store else None
+        return msgspec.structs.replace(self.head, work=work, residents=residents, store=store)
+
+    def frame(self, informed: Informed) -> bytes:
+        """Return the same as a frame."""
+        key = informed.fleet, informed.store
+        frame = self.frames.get(key)
+        if frame is None:
+            frame = self.frames[key] = encode_peer(self.report(informed))
+        return frame
+
+    def after(self, informed: Informed) -> Informed:
+        """Return up to where an entry is told once it has got the report."""
+        return Informed(True, self.store.number if self.store else informed.store)
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -1,11 +1,12 @@
 """Hold what the coordinator heard from the entries, and tell them of the fleet."""
 
 import contextlib
-from collections.abc import Iterable
-from collections.abc import Mapping
+from collections.abc import Collection
 from dataclasses import dataclass
 from dataclasses import field
 
+from msgspec.structs import replace
+
 from mimosaspur_coordination.modelpace import Pace
 from mimosaspur_coordination.modelpace import SharedPaces
 from mimosaspur_coordination.orderlease import OrderLease
@@ -13,17 +14,19 @@
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.fleetreport import apply_report
 from mimosaspur_daemon.direct.fleetreport import paces_told
-from mimosaspur_daemon.direct.fleetreport import residents_of
 from mimosaspur_daemon.direct.fleetreport import total_work
-from mimosaspur_daemon.direct.fleetreport import work_of_others
+from mimosaspur_daemon.direct.fleetteller import FleetTeller
+from mimosaspur_daemon.direct.fleetteller import Informed
+from mimosaspur_daemon.direct.fleetteller import News
 from mimosaspur_daemon.direct.storenews import StoreTeller
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import FleetReport
 from mimosaspur_protocol.peermessages import PaceOf
 from mimosaspur_protocol.peermessages import ProofRequest
-from mimosaspur_protocol.peermessages import Residents
+from mimosaspur_protocol.peermessages import ReportCounted
 from mimosaspur_protocol.peermessages import StepDown
 from mimosaspur_protocol.peermessages import WorkAt
+from mimosaspur_protocol.peermessages import encode_peer
 from mimosaspur_transport.peerlink import PeerLink
 from mimosaspur_transport.peerlink import PeerLost
 
@@ -33,25 +36,19 @@
 PACES_EVERY_MS = 1_000
 
 
-NOT_TOLD = -1
-
-
 @dataclass(slots=True)
 class Member:
     """Hold what one entry last told, and what it was last told."""
 
+    # The number of its last report.
+    number: int = 0
     work: dict[str, WorkAt] = field(default_factory=dict)
     waiting: dict[str, int] = field(default_factory=dict)
     adapters: list[tuple[str, str]] = field(default_factory=list)
     heard_ms: int = 0
     leaving: bool = False
     link: PeerLink | None = None
-    told_ms: int = 0
-    told_work: Mapping[str, WorkAt] = field(default_factory=dict)
-    told_residents: dict[str, Residents] = field(default_factory=dict)
-    told_expected: frozenset[str] = frozenset()
-    # The number of changes in the store up to which it was told.
-    told_store: int = NOT_TOLD
+    informed: Informed = field(default_factory=Informed)
 
 
 class Members:
@@ -63,10 +60,15 @@
         self.paces = SharedPaces()
         self.paces_told_ms = 0
         self.store = StoreTeller(state)
+        self.fleet = FleetTeller()
+        self.told_ms = 0
+        # What the last news took on the links to the other entries.
+        self.sent_bytes = 0
 
     def hear(self, report: EntryReport, member: Member) -> None:
         """Take an entry's work, what waits there, and what it has learnt."""
         member.heard_ms = self.state.clock.now_ms()
+        member.number = report.number
         member.work = {work.target: work for work in report.work}
         member.waiting = {asked.model: asked.waiting for asked in report.asked if asked.waiting}
         member.adapters = [(model, adapter) for model, adapter in report.adapters]
@@ -97,9 +99,13 @@
             if member.link:
                 member.link.close()
 
-    def waiting(self, model: str) -> int:
-        """Return the requests that wait for a model."""
-        return sum(member.waiting.get(model, 0) for member in self.members.values())
+    def waiting(self) -> dict[str, int]:
+        """Return the requests that wait for each model."""
+        waiting: dict[str, int] = {}
+        for member in self.members.values():
+            for model, requests in member.waiting.items():
+                waiting[model] = waiting.get(model, 0) + requests
+        return waiting
 
     def waiting_adapters(self) -> set[tuple[str, str]]:
         """Return the adapters that requests wait for, with their models."""
@@ -122,32 +128,43 @@
                 with contextlib.suppress(PeerLost):
                     member.link.send(message)
 
-    def tell(self, desks: Iterable[EngineDesk], lease: OrderLease) -> None:
-        """Tell each member what has changed for it, and that the coordinator is there."""
+    def tell(self, desks: Collection[EngineDesk], lease: OrderLease) -> None:
+        """Tell each member what has changed, and that the coordinator is there."""
         now_ms = self.state.clock.now_ms()
-        desks = list(desks)
-        residents = {
-            desk.record.identity: residents_of(desk) for desk in desks if desk.sequence is not None
-        }
-        expected = {desk.loading: desk.expected_in_ms() for desk in desks if desk.loading}
-        targets = self.state.fleet.targets
+        self.sent_bytes = 0
+        work = (member.work for member in self.members.values())
+        changed = self.fleet.look(total_work(work, self.state.fleet.targets), desks)
         paces = self._paces_to_tell(now_ms)
+        news = News(self._head(lease, paces), self.fleet, self._store_to_tell())
+        if changed or paces or now_ms - self.told_ms >= HEARTBEAT_MS:
+            self.told_ms = now_ms
+            hearers = list(self.members.values())
+        else:
+            hearers = [each for each in self.members.values() if self._lacks(each, news)]
+        for member in hearers:
+            self._tell_member(member, news)
+
+    def _head(self, lease: OrderLease, paces: list[PaceOf]) -> FleetReport:
+        return FleetReport(
+            token=lease.record.token if lease.record else 0,
+            ordering=lease.proved(),
+            entries=len(self.members),
+            work=[],
+            residents=[],
+            expected=self.fleet.expected,
+            paces=paces,
+            staying=sum(not each.leaving for each in self.members.values()),
+        )
+
+    def _store_to_tell(self) -> StoreTeller | None:
         self.store.look()
-        fresh = self.store.fresh()
-        totals = total_work((member.work for member in self.members.values()), targets)
-        for member in self.members.values():
-            news = FleetReport(
-                token=lease.record.token if lease.record else 0,
-                ordering=lease.proved(),
-                entries=len(self.members),
-                work=[],
-                residents=[],
-                expected=expected,
-                paces=paces,
-                staying=sum(not each.leaving for each in self.members.values()),
-                store=self.store.news(member.told_store) if fresh and member.link else None,
-            )
-            self._tell_member(member, news, totals, residents, now_ms)
+        return self.store if self.store.fresh() else None
+
+    def _lacks(self, member: Member, news: News) -> bool:
+        """Tell whether a member doesn't know yet what the others have been told before."""
+        if not member.informed.fleet:
+            return True
+        return bool(member.link and news.store and member.informed.store != news.store.number)
 
     def _paces_to_tell(self, now_ms: int) -> list[PaceOf]:
         if now_ms - self.paces_told_ms < PACES_EVERY_MS:
@@ -159,39 +176,18 @@
             self.state.log.write("paces", factors=factors)
         return paces_told(news)
 
-    def _tell_member(
-        self,
-        member: Member,
-        news: FleetReport,
-        totals: Mapping[str, WorkAt],
-        residents: dict[str, Residents],
-        now_ms: int,
-    ) -> None:
-        work = work_of_others(totals, member.work)
-        news.work = [each for target, each in work.items() if member.told_work.get(target) != each]
-        news.residents = [
-            each for target, each in residents.items() if member.told_residents.get(target) != each
-        ]
-        expected = frozenset(news.expected)
-        news_there = (
-            news.work,
-            news.residents,
-            news.paces,
-            member.told_expected != expected,
-            news.store and member.told_store != self.store.number,
-        )
-        if not any(news_there) and now_ms - member.told_ms < HEARTBEAT_MS:
-            return
-        member.told_ms = now_ms
-        member.told_work = work
-        member.told_residents = residents
-        member.told_expected = expected
-        if news.store:
-            member.told_store = self.store.number
+    def _tell_member(self, member: Member, news: News) -> None:
         if member.link is None:
-            apply_report(self.state, news)
+            # This instance reads the store for itself.
+            self.state.reported.count(member.number)
+            apply_report(self.state, replace(news.report(member.informed), store=None))
+            member.informed = news.after(member.informed)
             return
+        frames = encode_peer(ReportCounted(member.number)) + news.frame(member.informed)
         try:
-            member.link.send(news)
+            member.link.send_encoded(frames)
         except PeerLost:
             member.link.close()
+            return
+        self.sent_bytes += len(frames)
+        member.informed = news.after(member.informed)
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/direct/reportedwork.py
@@ -0,0 +1,73 @@
+"""Take this entry's own part off the work that all entries have at targets."""
+
+from collections import deque
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from mimosaspur_protocol.peermessages import WorkAt
+from mimosaspur_state.fleet import Work
+
+# Reports that weren't counted yet, at ten and more a second: a coordinator that counts none for so
+# many has long been given up.
+MOST_REPORTS = 256
+
+
+class ReportedWork:
+    """Keep what this entry has reported, and take it off the work that all entries have.
+
+    The coordinator adds up the entries' last reports. What this entry has begun or ended since then
+    isn't in the sum: so just what was counted is taken off, not what the entry has now.
+    """
+
+    __slots__ = ("counted", "counted_number", "number", "reports", "totals")
+
+    def __init__(self) -> None:
+        # Counts the reports.
+        self.number = 0
+        self.reports: deque[tuple[int, dict[str, WorkAt]]] = deque(maxlen=MOST_REPORTS)
+        # All entries' work as it was last told.
+        self.totals: dict[str, WorkAt] = {}
+        # This entry's part in it, and the report that it is from.
+        self.counted: Mapping[str, WorkAt] = {}
+        self.counted_number = 0
+
+    def forget(self) -> None:
+        """Forget what a coordinator has told that is no longer followed."""
+        self.reports.clear()
+        self.totals = {}
+        self.counted = {}
+
+    def add(self, work: Iterable[WorkAt]) -> int:
+        """Keep a report that is sent now; return its number."""
+        self.number += 1
+        self.reports.append((self.number, {each.target: each for each in work}))
+        return self.number
+
+    def count(self, number: int) -> None:
+        """Take note which report the sums that are told next count in."""
+        self.counted_number = number
+
+    def others(self, told: Iterable[WorkAt]) -> dict[str, Work]:
+        """Take the sums that have changed; return the others' work where it may have changed."""
+        changed = set(self.counted)
+        for total in told:
+            self.totals[total.target] = total
+            changed.add(total.target)
+        while self.reports and self.reports[0][0] <= self.counted_number:
+            self.counted = self.reports.popleft()[1]
+        changed.update(self.counted)
+        return {target: self.work_at(target) for target in changed}
+
+    def work_at(self, target: str) -> Work:
+        """Return the others' work at a target."""
+        total = self.totals.get(target)
+        if total is None:
+            return Work()
+        unread: dict[int, float] = dict(total.unread)
+        own = self.counted.get(target)
+        if own is None:
+            return Work(total.requests, unread, total.held_tokens)
+        for rank, tokens in own.unread.items():
+            unread[rank] = unread.get(rank, 0) - tokens
+        requests = total.requests - own.requests
+        return Work(requests, unread, total.held_tokens - own.held_tokens)
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -7,12 +7,12 @@
 
 
 class WorkAt(msgspec.Struct, array_like=True, frozen=True):
-    """Hold what one entry, or all entries but one, have at a target."""
+    """Hold what one entry, or all entries, have at a target."""
 
     target: str
     requests: int
     # Prompt tokens still to be read, by rank.
-    unread: dict[int, float]
+    unread: dict[int, int]
     held_tokens: int
     by_model: dict[str, int]
 
@@ -47,6 +47,8 @@
     """Tell the coordinator what an entry does."""
 
     instance: str
+    # Counts the entry's reports from 1 on.
+    number: int
     work: list[WorkAt]
     asked: list[AskedFor]
     # Model and adapter of requests that wait for the adapter.
@@ -96,13 +98,24 @@
     version: int
 
 
+class ReportCounted(msgspec.Struct, array_like=True, tag="counted"):
+    """Tell an entry which of its reports the work in the next fleet report counts in."""
+
+    number: int
+
+
 class FleetReport(msgspec.Struct, array_like=True, tag="fleet"):
-    """Tell an entry what changed: the others' work, and what engines hold."""
+    """Tell entries what changed: all entries' work, and what engines hold.
+
+    It is the same for all entries, so that it is put together and encoded once. Each entry takes
+    its own work off, as it stood in the report that was counted in.
+    """
 
     token: int
     # Whether the coordinator may give orders; if not, another should take over.
     ordering: bool
     entries: int
+    # The work at targets, or at those where it has changed.
     work: list[WorkAt]
     residents: list[Residents]
     # Milliseconds until a model that is being loaded is expected.
@@ -136,7 +149,7 @@
     token: int
 
 
-PeerMessage = ProofRequest | ProofAnswer | EntryReport | FleetReport | StepDown
+PeerMessage = ProofRequest | ProofAnswer | EntryReport | ReportCounted | FleetReport | StepDown
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
--- a/packages/transport/src/mimosaspur_transport/peerlink.py
+++ b/packages/transport/src/mimosaspur_transport/peerlink.py
@@ -41,10 +41,14 @@
 
     def send(self, message: PeerMessage) -> None:
         """Send a message without waiting; raise PeerLost."""
+        self.send_encoded(encode_peer(message))
+
+    def send_encoded(self, frames: bytes) -> None:
+        """Send messages that are encoded already, without waiting; raise PeerLost."""
         transport = self.writer.transport
         if transport.is_closing() or transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             raise PeerLost("the peer is gone or reads nothing")
-        self.writer.write(encode_peer(message))
+        self.writer.write(frames)
 
     async def flushed(self) -> None:
         """Wait until what was sent has left this process; raise PeerLost."""
