Let the duty to coordinate go to machines that can carry it

And all entries read the store anew as soon as a coordinator was lost, though what it had told was as fresh as before. Ruled out: a vote among entries (another agreement beside the lease). Machines with less than enough stand back for up to a second, at a first start and when they contend; the pause between news follows the link. 240 contentions in virtual time: always one of the able ones, and the lease is taken within 1.2 s where there is one.

--- /dev/null
+++ b/features/direct_leadership.feature
@@ -0,0 +1,25 @@
+Feature: The duty to coordinate goes to a machine that can carry it
+
+  Scenario Outline: Machines that contend at once, <case>
+    Given a store beside machines of <machines>
+    When all of them look for a coordinator at once, 40 times with <lease>
+    Then each time one of <carriers> takes the lease, within <within> ms
+
+    Examples:
+      | case                        | machines                                 | lease                | carriers       | within |
+      | at a site's first start     | small 0.4 10; large 2.1 100; tiny 0.2 10 | no lease yet         | large          | 100    |
+      | after the holder is lost    | small 0.4 10; large 2.1 100; tiny 0.2 10 | a holder that is lost | large         | 1200   |
+      | all of them small           | a 0.4 10; b 0.4 10                       | a holder that is lost | a or b        | 2100   |
+      | all of them alike           | a 0.9 1000; b 0.9 1000                   | a holder that is lost | a or b        | 1200   |
+      | a fast core on a thin link  | thin 2.1 5; wide 0.9 100                 | a holder that is lost | wide          | 1200   |
+      | settings that name neither  | a 0 0; b 0 0                             | a holder that is lost | a or b        | 1200   |
+
+  Scenario Outline: News leaves room on the link for callers
+    Given a machine with a link of <mbps> Mbit/s
+    Then after <kb> KB of news the next go out <pause> ms later at the soonest
+
+    Examples:
+      | mbps | kb  | pause |
+      | 10   | 100 | 320   |
+      | 100  | 100 | 32    |
+      | 0    | 100 | 0     |
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/carrying.py
@@ -0,0 +1,33 @@
+"""Know which machines can carry the coordinator's duty beside their callers.
+
+The coordinator hears all entries and tells all of them: some tenths of a core and some Mbit/s for
+hundreds of entries. On a machine with little of either, news gets old and its own callers wait.
+"""
+
+from mimosaspur_state.directsettings import DirectSettings
+
+# A machine with so much carries the duty for a hundred entries in a quarter of it.
+ENOUGH_CORES = 0.8
+ENOUGH_LINK_MBPS = 50.0
+# A machine that offers next to nothing lets others contend for so much longer. It bounds how much
+# later a fleet of small machines has its next coordinator.
+MOST_STAND_BACK_S = 1.0
+# The part of a link that news to the other entries may take, since callers' answers need it too.
+NEWS_PART = 0.25
+
+
+def stand_back_s(settings: DirectSettings) -> float:
+    """Return how long this machine lets others take the duty first."""
+    parts = [1.0]
+    if settings.cores:
+        parts.append(settings.cores / ENOUGH_CORES)
+    if settings.link_mbps:
+        parts.append(settings.link_mbps / ENOUGH_LINK_MBPS)
+    return MOST_STAND_BACK_S * (1.0 - min(parts))
+
+
+def news_pause_s(settings: DirectSettings, sent_bytes: int) -> float:
+    """Return the time in which the link can carry news of this size beside everything else."""
+    if not settings.link_mbps:
+        return 0.0
+    return sent_bytes * 8 / (settings.link_mbps * 1_000_000 * NEWS_PART)
--- a/packages/coordination/src/mimosaspur_coordination/storefreshness.py
+++ b/packages/coordination/src/mimosaspur_coordination/storefreshness.py
@@ -45,10 +45,6 @@
         self.told_ms = max(self.told_ms, self.clock.now_ms() - age_ms)
         self.version = max(self.version, version)
 
-    def forget(self) -> None:
-        """Rely on nobody's word any more."""
-        self.told_ms = NEVER
-
     def told_lately(self) -> bool:
         """Tell whether the coordinator's word is fresh enough."""
         return self.clock.now_ms() - self.told_ms < self.fresh_ms
--- a/packages/daemon/src/mimosaspur_daemon/direct/duty.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/duty.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 
+from mimosaspur_coordination import carrying
 from mimosaspur_coordination.backoff import Backoff
 from mimosaspur_coordination.orderlease import OrderLease
 from mimosaspur_daemon.direct.coordinator import Coordinator
@@ -104,6 +105,8 @@
             # The lease may still name this instance: its successor takes it over.
             await asyncio.sleep(LEAVING_LOOK_S)
             return
+        if self.lease.record is None and not await self._still_free():
+            return
         predecessor = self.lease.record.holder if self.lease.record else ""
         asked_ms = self.lease.clock.now_ms()
         record = await self.state.outside.store.write_lease(self.lease.next_record(self.address))
@@ -116,6 +119,16 @@
         await self._coordinate()
         self.state.log.always("coordinated", token=record.token)
 
+    async def _still_free(self) -> bool:
+        """Let instances that can carry more take a lease that nobody ever held."""
+        stand_back_s = carrying.stand_back_s(self.state.settings)
+        if not stand_back_s:
+            return True
+        await asyncio.sleep(stand_back_s)
+        asked_ms = self.lease.clock.now_ms()
+        self.lease.seen(await self.state.outside.store.read_lease(), asked_ms=asked_ms)
+        return self.lease.record is None
+
     async def _coordinate(self) -> None:
         coordinator = self.coordinator = Coordinator(self.state, self.lease)
         self.state.coordinating = True
@@ -194,7 +207,8 @@
         finally:
             reporting.cancel()
             link.close()
-            self.state.freshness.forget()
+            # What was told of the store is as old as it was, whoever told it: while it is fresh,
+            # the next coordinator is likely to be there before it isn't.
             self.state.coordinator_lost()
 
     async def _prove(self, link: PeerLink, request: ProofRequest) -> None:
@@ -210,6 +224,7 @@
     async def _contend(self, token: int) -> None:
         # A process that was only restarted takes the lease back without any wait.
         wait_s = self._contend_after_s() + random.random() * CONTEND_JITTER_S
+        wait_s += carrying.stand_back_s(self.state.settings)
         end_s = asyncio.get_running_loop().time() + wait_s
         record = self.lease.record
         while (left_s := end_s - asyncio.get_running_loop().time()) > 0:
--- a/packages/state/src/mimosaspur_state/directsettings.py
+++ b/packages/state/src/mimosaspur_state/directsettings.py
@@ -51,4 +51,7 @@
     target_heartbeat_ms: int
     retries: RetryBounds
     orders: OrderBounds
+    # What this machine offers: cores of common speed, and its link. 0 where it isn't known.
+    cores: float = 0.0
+    link_mbps: float = 0.0
     policy: Policy = field(default_factory=Policy)
