Count no replica on an engine that is about to end

Cause: an engine that leaves takes no more requests, but the models on it counted as held, so their next load waited for the demand that one replica can't carry. Ruled out: a lost word of the leaving engine (entries had stopped sending there).

--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -51,6 +51,7 @@
         dict.fromkeys(residents, 0),
         int(free_in[1]) if free_in else 9_000 if loads else 0,
         usable="leaving" not in rest,
+        leaving="leaving" in rest,
         loading=loads[1] if loads else "",
         recent=frozenset(residents) if "just came" in rest else frozenset(),
         on_disk=tuple(disk[1].split()) if disk else (),
--- a/packages/coordination/src/mimosaspur_coordination/placementproblem.py
+++ b/packages/coordination/src/mimosaspur_coordination/placementproblem.py
@@ -31,6 +31,8 @@
     free_in_ms: int
     # Whether the engine may get models at all.
     usable: bool = True
+    # Whether it is about to end and takes no more requests: what it holds serves nobody.
+    leaving: bool = False
     loading: str = ""
     # Models that have just come and whose requests may still be on their way.
     recent: frozenset[str] = frozenset()
@@ -84,8 +86,9 @@
     long_loads: int = 0
 
     def __post_init__(self) -> None:
-        self.copies = copy_counts(self.engines)
-        for engine in self.engines:
+        staying = [engine for engine in self.engines if not engine.leaving]
+        self.copies = copy_counts(staying)
+        for engine in staying:
             for model in (*engine.residents, *filter(None, (engine.loading,))):
                 self.replicas[model] = self.replicas.get(model, 0) + 1
         self.long_loads = sum(engine.free_in_ms >= LONG_LOAD_MS / 2 for engine in self.engines)
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -269,12 +269,13 @@
                     desk.record.identity,
                     residents,
                     desk.free_in_ms(),
-                    desk.usable(),
-                    desk.loading,
-                    desk.recent(),
-                    desk.in_memory,
-                    desk.on_disk,
-                    desk.kept_free(),
+                    usable=desk.usable(),
+                    leaving=desk.record.leaving,
+                    loading=desk.loading,
+                    recent=desk.recent(),
+                    in_memory=desk.in_memory,
+                    on_disk=desk.on_disk,
+                    kept_free=desk.kept_free(),
                 )
             )
         return snapshots
