Pace the news of work by what control may take at each entry

Sums of work keep to 7 KB a second for each entry and to a quarter of the coordinator's link; what engines hold, and when a load is expected, still goes out at once. Decisions keep their own pace.

--- a/features/direct_leadership.feature
+++ b/features/direct_leadership.feature
@@ -14,12 +14,14 @@
       | a fast core on a thin link  | thin 2.1 5; wide 0.9 100                 | a holder that is lost | wide          | 1200   |
       | settings that name neither  | a 0 0; b 0 0                             | a holder that is lost | a or b        | 1200   |
 
-  Scenario Outline: News leaves room on the link for callers
+  Scenario Outline: News keeps to what control may take, at each entry and on the coordinator's link
     Given a machine with a link of <mbps> Mbit/s
-    Then after <kb> KB of news the next go out <pause> ms later at the soonest
+    Then after <kb> KB of news to <hearers> entries the next go out <pause> ms later at the soonest
 
     Examples:
-      | mbps | kb  | pause |
-      | 10   | 100 | 320   |
-      | 100  | 100 | 32    |
-      | 0    | 100 | 0     |
+      | mbps | kb  | hearers | pause |
+      | 10   | 140 | 70      | 448   |
+      | 100  | 140 | 70      | 286   |
+      | 1000 | 2   | 3       | 95    |
+      | 1000 | 0   | 0       | 0     |
+      | 0    | 140 | 70      | 286   |
--- a/features/harness/reports_play.py
+++ b/features/harness/reports_play.py
@@ -103,6 +103,8 @@
         self.members.hear(report, self.members.members["entry-0"])
         for link in self.links.values():
             link.frames = 0
+        # As after the pause that the last news needed.
+        self.members.work_due_ms = 0
         with mock.patch(ENCODER, side_effect=encode_peer) as counted:
             self.members.tell([], self.lease)
         self.encoded = counted.call_count
--- a/features/steps/direct_leadership_steps.py
+++ b/features/steps/direct_leadership_steps.py
@@ -77,6 +77,10 @@
     context.settings = replace(settings_for("entry-0"), link_mbps=float(mbps))
 
 
-@then("after {kb:d} KB of news the next go out {pause:d} ms later at the soonest")
-def check_pause(context: Context, kb: int, pause: int) -> None:
-    assert round(news_pause_s(context.settings, kb * 1000) * 1000) == pause
+@then(
+    "after {kb:d} KB of news to {hearers:d} entries the next go out {pause:d} ms later at the"
+    " soonest"
+)
+def check_pause(context: Context, kb: int, hearers: int, pause: int) -> None:
+    pause_s = news_pause_s(context.settings, sent_bytes=kb * 1000, hearers=hearers)
+    assert round(pause_s * 1000) == pause, pause_s
--- a/packages/coordination/src/mimosaspur_coordination/carrying.py
+++ b/packages/coordination/src/mimosaspur_coordination/carrying.py
@@ -14,6 +14,9 @@
 MOST_STAND_BACK_S = 1.0
 # The part of a link that news to the other entries may take, since callers' answers need it too.
 NEWS_PART = 0.25
+# What news may take at each entry that gets it: control is allowed 10 KB a second for a daemon, and
+# its own reports need some of it. Traffic between failure domains is paid for.
+NEWS_BYTES_PER_S = 7_000
 
 
 def stand_back_s(settings: DirectSettings) -> float:
@@ -26,8 +29,11 @@
     return MOST_STAND_BACK_S * (1.0 - min(parts))
 
 
-def news_pause_s(settings: DirectSettings, sent_bytes: int) -> float:
-    """Return the time in which the link can carry news of this size beside everything else."""
-    if not settings.link_mbps:
+def news_pause_s(settings: DirectSettings, *, sent_bytes: int, hearers: int) -> float:
+    """Return how long news of this size is to be followed by none."""
+    if not hearers:
         return 0.0
-    return sent_bytes * 8 / (settings.link_mbps * 1_000_000 * NEWS_PART)
+    pause_s = sent_bytes / hearers / NEWS_BYTES_PER_S
+    if settings.link_mbps:
+        pause_s = max(pause_s, sent_bytes * 8 / (settings.link_mbps * 1_000_000 * NEWS_PART))
+    return pause_s
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -4,7 +4,6 @@
 from dataclasses import replace
 
 from mimosaspur_coordination.adapterdemand import AdapterDemand
-from mimosaspur_coordination.carrying import news_pause_s
 from mimosaspur_coordination.loadrate import LoadRate
 from mimosaspur_coordination.modeldemand import ModelDemand
 from mimosaspur_coordination.modelplacement import PlacementSearch
@@ -85,9 +84,7 @@
                 self.members.tell(self.desks.values(), self.lease)
                 # News comes with each report of each entry: the more there is to do in a turn, the
                 # fewer turns there are.
-                turn_s = asyncio.get_running_loop().time() - began_s
-                news_s = news_pause_s(self.state.settings, self.members.sent_bytes)
-                await asyncio.sleep(max(turn_s * PAUSE_TIMES, news_s))
+                await asyncio.sleep((asyncio.get_running_loop().time() - began_s) * PAUSE_TIMES)
                 try:
                     async with asyncio.timeout(TURN_MS / 1000):
                         await self.news.wait()
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetteller.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetteller.py
@@ -41,8 +41,12 @@
         self.changed_work: list[WorkAt] = []
         self.changed_residents: list[Residents] = []
 
-    def look(self, totals: Mapping[str, WorkAt], desks: Collection[EngineDesk]) -> bool:
-        """Take the fleet as it is now; tell whether anything has changed since the last look."""
+    def look(self, totals: Mapping[str, WorkAt] | None, desks: Collection[EngineDesk]) -> bool:
+        """Take the fleet as it is now; tell whether anything has changed since the last look.
+
+        Without sums of work, those of the last look still stand.
+        """
+        totals = self.work if totals is None else totals
         known = [desk for desk in desks if desk.sequence is not None]
         residents = {desk.record.identity: residents_of(desk) for desk in known}
         expected = {desk.loading: desk.expected_in_ms() for desk in desks if desk.loading}
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -7,6 +7,7 @@
 
 from msgspec.structs import replace
 
+from mimosaspur_coordination.carrying import news_pause_s
 from mimosaspur_coordination.modelpace import Pace
 from mimosaspur_coordination.modelpace import SharedPaces
 from mimosaspur_coordination.orderlease import OrderLease
@@ -40,8 +41,9 @@
 class Member:
     """Hold what one entry last told, and what it was last told."""
 
-    # The number of its last report.
+    # The number of its last report, and of the one that the sums of work count in.
     number: int = 0
+    summed: int = 0
     work: dict[str, WorkAt] = field(default_factory=dict)
     waiting: dict[str, int] = field(default_factory=dict)
     adapters: list[tuple[str, str]] = field(default_factory=list)
@@ -62,8 +64,8 @@
         self.store = StoreTeller(state)
         self.fleet = FleetTeller()
         self.told_ms = 0
-        # What the last news took on the links to the other entries.
-        self.sent_bytes = 0
+        # When the entries' work is summed up and told again.
+        self.work_due_ms = 0
 
     def hear(self, report: EntryReport, member: Member) -> None:
         """Take an entry's work, what waits there, and what it has learnt."""
@@ -131,9 +133,8 @@
     def tell(self, desks: Collection[EngineDesk], lease: OrderLease) -> None:
         """Tell each member what has changed, and that the coordinator is there."""
         now_ms = self.state.clock.now_ms()
-        self.sent_bytes = 0
-        work = (member.work for member in self.members.values())
-        changed = self.fleet.look(total_work(work, self.state.fleet.targets), desks)
+        work_due = now_ms >= self.work_due_ms
+        changed = self.fleet.look(self._sums() if work_due else None, desks)
         paces = self._paces_to_tell(now_ms)
         news = News(self._head(lease, paces), self.fleet, self._store_to_tell())
         if changed or paces or now_ms - self.told_ms >= HEARTBEAT_MS:
@@ -141,8 +142,17 @@
             hearers = list(self.members.values())
         else:
             hearers = [each for each in self.members.values() if self._lacks(each, news)]
-        for member in hearers:
-            self._tell_member(member, news)
+        sent_bytes = sum(self._tell_member(member, news) for member in hearers)
+        if work_due:
+            pause_s = news_pause_s(self.state.settings, sent_bytes=sent_bytes, hearers=len(hearers))
+            self.work_due_ms = now_ms + round(pause_s * 1000)
+
+    def _sums(self) -> dict[str, WorkAt]:
+        """Sum up the entries' work as they last reported it."""
+        for member in self.members.values():
+            member.summed = member.number
+        work = (member.work for member in self.members.values())
+        return total_work(work, self.state.fleet.targets)
 
     def _head(self, lease: OrderLease, paces: list[PaceOf]) -> FleetReport:
         return FleetReport(
@@ -176,18 +186,19 @@
             self.state.log.write("paces", factors=factors)
         return paces_told(news)
 
-    def _tell_member(self, member: Member, news: News) -> None:
+    def _tell_member(self, member: Member, news: News) -> int:
+        """Tell one member; return the bytes that it took on a link."""
         if member.link is None:
             # This instance reads the store for itself.
-            self.state.reported.count(member.number)
+            self.state.reported.count(member.summed)
             apply_report(self.state, replace(news.report(member.informed), store=None))
             member.informed = news.after(member.informed)
-            return
-        frames = encode_peer(ReportCounted(member.number)) + news.frame(member.informed)
+            return 0
+        frames = encode_peer(ReportCounted(member.summed)) + news.frame(member.informed)
         try:
             member.link.send_encoded(frames)
         except PeerLost:
             member.link.close()
-            return
-        self.sent_bytes += len(frames)
+            return 0
         member.informed = news.after(member.informed)
+        return len(frames)
