Give a silent target up only for another one that can take the request

Cause: after 1.2 s without an event, or 0.9 s and more without a first one, a request was taken off its target even if no other target held its model: the repeat met the same target or nobody, and the caller's answer was cut while the target was still at work. Ruled out: the caller's idle limit (it doesn't count while an answer runs), a leaving entry (none then). A connection that is dead is still found: unacknowledged bytes after 1.5 s, an idle one by keep-alive in 3 s. Test: two scenarios that fail before (the only target ran it twice).

--- a/features/direct_answers.feature
+++ b/features/direct_answers.feature
@@ -48,6 +48,17 @@
       | a stream           | cuts between events      | a broken end   | 1     | 0      |
       | a stream           | cuts inside an event     | a broken end   | 1     | 0      |
 
+  Scenario Outline: A slow target isn't given up while there is no other one, <request> that <fault>
+    Given a direct entry before only a target that <fault>
+    When the direct caller sends <request>
+    Then the direct caller gets <answer>
+    And the only target ran it once
+
+    Examples:
+      | request               | fault             | answer         |
+      | a resumable stream    | pauses            | all its events |
+      | an idempotent request | is slow to answer | its answer     |
+
   Scenario: Only what may be passed on reaches the target
     Given a direct entry before a target that answers and a sound one
     When the direct caller, with headers of its own for the system, sends one
--- a/features/harness/direct_target.py
+++ b/features/harness/direct_target.py
@@ -11,6 +11,8 @@
 PLAIN_BODY = b"the whole answer"
 PROOF = (b"X-Proof", b"p")
 SILENT_S = 30.0
+# Longer than an entry waits for a stalled target before it tries another one.
+PAUSE_S = 1.6
 
 
 @dataclass(slots=True)
@@ -108,6 +110,7 @@
             "fails it": lambda: self._whole(500, b"failed"),
             "closes without an answer": self._close,
             "says nothing": self._say_nothing,
+            "is slow to answer": self._answer_late,
             "sends what is no answer": self._send_garbage,
             "answers another request first": self._answer_another_first,
             "lacks the proof": lambda: self._sound(proof=False),
@@ -141,6 +144,10 @@
         await self.reader.read(1)
         self.writer.transport.abort()
 
+    async def _answer_late(self) -> None:
+        await asyncio.sleep(PAUSE_S)
+        await self._sound()
+
     async def _send_garbage(self) -> None:
         self.writer.write(b"\x00\x01garbage\r\n\r\n")
         self.writer.close()
@@ -183,6 +190,9 @@
                 await self.writer.drain()
                 await self.reader.read(1)
                 return True
+            case "pauses":
+                await asyncio.sleep(PAUSE_S)
+                return False
             case "stalls":
                 await self.reader.read(1)
                 return True
--- a/features/steps/direct_answers_steps.py
+++ b/features/steps/direct_answers_steps.py
@@ -49,6 +49,18 @@
     run(context, start())
 
 
+@given("a direct entry before only a target that {fault}")
+def start_entry_before_one(context: Context, fault: str) -> None:
+    context.entry = DirectEntry()
+    context.first = ScriptedTarget("first", fault)
+    run(context, context.entry.start(context.first))
+
+
+@then("the only target ran it once")
+def check_ran_once(context: Context) -> None:
+    assert context.first.runs() == 1, context.first.seen
+
+
 @given("a direct entry that knows no configuration")
 def start_ignorant_entry(context: Context) -> None:
     context.entry = DirectEntry()
--- a/packages/coordination/src/mimosaspur_coordination/retrywindow.py
+++ b/packages/coordination/src/mimosaspur_coordination/retrywindow.py
@@ -28,11 +28,15 @@
         self.requests.append(self.clock.now_ms())
         self._forget()
 
-    def spend(self) -> bool:
-        """Take one repeat if the window has it."""
+    def allows(self) -> bool:
+        """Tell whether the window has another repeat."""
         self._forget()
         allowed = self.bounds.ratio * len(self.requests) + self.bounds.slack / self.entries
-        if len(self.repeats) + 1 > allowed * USED_PART:
+        return len(self.repeats) + 1 <= allowed * USED_PART
+
+    def spend(self) -> bool:
+        """Take one repeat if the window has it."""
+        if not self.allows():
             return False
         self.repeats.append(self.clock.now_ms())
         return True
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -1,8 +1,11 @@
 """Run a request once at one target, and pass the answer on."""
 
 import asyncio
+from collections.abc import Coroutine
 from enum import Enum
 from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeVar
 
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_daemon.direct.evacuation import MovedRun
@@ -19,6 +22,8 @@
 if TYPE_CHECKING:
     from mimosaspur_daemon.direct.journey import Journey
 
+T = TypeVar("T")
+
 # An answer of a plain service is passed on when it is whole, if it is no larger.
 WHOLE_ANSWER_BYTES = 8_000_000
 # A target that says nothing for this many times what was predicted is given up, if the request
@@ -128,11 +133,10 @@
         try:
             journey.sent = True
             await self.channel.send(request.method, request.target, self._headers(), request.body)
-            async with asyncio.timeout(self._silence_s()):
-                head = await self._own_head()
-                if self._says_not_run(head):
-                    await self.channel.rest(WHOLE_ANSWER_BYTES)
-                    return Result.NOT_RUN
+            head = await self._patiently(self._own_head(), self._silence_s())
+            if self._says_not_run(head):
+                await self._patiently(self._rest(), self._silence_s())
+                return Result.NOT_RUN
             if journey.route.kind is RouteKind.STREAM and 200 <= head.status < 300:
                 return await self._relay(head)
             return await self._whole(head)
@@ -151,6 +155,30 @@
             self.channel.close()
             return Result.BROKEN
 
+    async def _patiently(self, read: Coroutine[Any, Any, T], limit_s: float | None) -> T:
+        """Read from the target, beyond the limit too while no other one can take the request."""
+        reading = asyncio.get_running_loop().create_task(read)
+        try:
+            while not (await asyncio.wait({reading}, timeout=limit_s))[0]:
+                self._give_up_silent()
+            return reading.result()
+        finally:
+            reading.cancel()
+
+    def _give_up_silent(self) -> None:
+        """Raise TimeoutError if a target that has been silent for too long is to be given up.
+
+        A target that is only slow ends the answer late. Without another one that can take the
+        request, giving it up would end the answer instead.
+        """
+        journey = self.journey
+        window = journey.state.retry_window(journey.service)
+        if journey.targeting.has_other(self.view) and window.allows():
+            raise TimeoutError
+
+    async def _rest(self) -> bytes:
+        return await self.channel.rest(WHOLE_ANSWER_BYTES)
+
     async def _own_head(self) -> AnswerHead:
         """Return the head of the answer to this request; others may come before it."""
         name = self.journey.state.outside.dialect.request_id
@@ -174,8 +202,7 @@
 
     async def _whole(self, head: AnswerHead) -> Result:
         journey = self.journey
-        async with asyncio.timeout(self._silence_s()):
-            body = await self.channel.rest(WHOLE_ANSWER_BYTES)
+        body = await self._patiently(self._rest(), self._silence_s())
         if head.status < 400 and not self._genuine(head):
             raise ChannelBroken("the answer is not the target's")
         if head.status >= 500:
@@ -228,10 +255,14 @@
             await journey.caller.start(head.status, headers, close=journey.state.leaving)
 
     async def _piece(self) -> bytes | None:
-        if not self.journey.route.repeatable:
-            return await self.channel.piece()
-        async with asyncio.timeout(self._stall_s() if self.first_token else self._silence_s()):
-            return await self.channel.piece()
+        limit_s = self._stall_s() if self.first_token else self._silence_s()
+        while True:
+            try:
+                # A read that was cancelled has taken nothing, and may begin again.
+                async with asyncio.timeout(limit_s):
+                    return await self.channel.piece()
+            except TimeoutError:
+                self._give_up_silent()
 
     def _note_first_token(self) -> None:
         if self.first_token:
@@ -274,7 +305,7 @@
 
     def _stall_s(self) -> float | None:
         journey = self.journey
-        if journey.runs + 1 >= journey.route.max_attempts:
+        if not journey.route.repeatable or journey.runs + 1 >= journey.route.max_attempts:
             return None
         return max(LEAST_STALL_MS, STALL_TIMES * journey.route.gap_objective_ms) / 1000
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/targeting.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targeting.py
@@ -98,6 +98,11 @@
                 return view
             await self._wait_for_rested()
 
+    def has_other(self, view: TargetView) -> bool:
+        """Tell whether another target could take the request now."""
+        others = [each for each in self._awake() if each is not view and not each.health.resting()]
+        return any(not self.prompt.model or each.holds(self.prompt) for each in others)
+
     def foreseen_ms(self) -> float:
         """Return when the first event is foreseen, 0 for a plain service."""
         if self.spec is None or self.spec.engine is None or not self.prompt.model:
