Ask few entries for a proof of the lease before all of them

One that reaches the store is enough. Ruled out: asking few when the store is silent: the wait for its answer leaves no time to ask twice. Test: four rows; 43 asked in two refused renewals of 40 entries, where it was 80.

--- a/features/direct_leadership.feature
+++ b/features/direct_leadership.feature
@@ -25,3 +25,15 @@
       | 1000 | 2   | 3       | 95    |
       | 1000 | 0   | 0       | 0     |
       | 0    | 140 | 70      | 286   |
+
+  Scenario Outline: A coordinator that the store doesn't answer asks others for a proof of its lease
+    Given a coordinator that 40 entries follow, whose store <answers>
+    When the lease has to be proved <times> times
+    Then <asked> entries were asked to read it
+
+    Examples:
+      | answers         | times | asked |
+      | turns it away   | 1     | 3     |
+      | turns it away   | 2     | 43    |
+      | answers nothing | 1     | 40    |
+      | answers         | 2     | 0     |
--- a/features/steps/direct_leadership_steps.py
+++ b/features/steps/direct_leadership_steps.py
@@ -10,6 +10,7 @@
 from behave.runner import Context
 
 from harness.direct_fleet import LeaseStore
+from harness.direct_world import NoStore
 from harness.direct_world import outside
 from harness.direct_world import settings_for
 from harness.failing_store import UNREACHABLE
@@ -18,12 +19,18 @@
 from harness.virtual_time import run_virtually
 from mimosaspur_coordination.carrying import news_pause_s
 from mimosaspur_coordination.fleetports import LeaseRecord
+from mimosaspur_daemon.direct.coordinator import Coordinator
 from mimosaspur_daemon.direct.duty import Duty
 from mimosaspur_daemon.direct.entrystate import EntryState
+from mimosaspur_daemon.direct.members import Member
+from mimosaspur_protocol.peermessages import PeerMessage
+from mimosaspur_protocol.peermessages import ProofRequest
 from mimosaspur_state.directsettings import DirectSettings
+from mimosaspur_state.errors import StoreUnavailable
 
 GIVEN_UP_S = 10.0
 LOST = LeaseRecord("lost", UNREACHABLE, 1, 1)
+HELD = LeaseRecord("coordinator", UNREACHABLE, 1, 1)
 
 
 @given("a store beside machines of {machines}")
@@ -84,3 +91,59 @@
 def check_pause(context: Context, kb: int, hearers: int, pause: int) -> None:
     pause_s = news_pause_s(context.settings, sent_bytes=kb * 1000, hearers=hearers)
     assert round(pause_s * 1000) == pause, pause_s
+
+
+class OneAnswerStore(NoStore):
+    """Answer the reading of the lease in one way."""
+
+    def __init__(self, answers: str) -> None:
+        self.answers = answers
+
+    async def read_lease(self) -> LeaseRecord | None:
+        """Return the lease, fail, or take for ever."""
+        if self.answers == "answers nothing":
+            await asyncio.sleep(GIVEN_UP_S)
+        if self.answers == "turns it away":
+            raise StoreUnavailable("busy")
+        return HELD
+
+
+@given("a coordinator that {count:d} entries follow, whose store {answers}")
+def set_coordinator(context: Context, count: int, answers: str) -> None:
+    context.loop = VirtualTimeLoop()
+    clock = VirtualClock(context.loop)
+    ports = outside("coordinator", clock=clock, store=OneAnswerStore(answers))
+    state = EntryState(settings_for("coordinator"), ports)
+    duty = context.duty = Duty(state)
+    duty.lease.clock = clock
+    duty.lease.taken(HELD, asked_ms=clock.now_ms(), predecessor="")
+    duty.coordinator = Coordinator(state, duty.lease)
+    context.links = [AskedLink() for _ in range(count)]
+    for number, link in enumerate(context.links):
+        member = Member(link=link)
+        duty.coordinator.members.members[f"entry-{number}"] = member
+
+
+class AskedLink:
+    """Stand for a link to an entry, and count requests for a proof."""
+
+    def __init__(self) -> None:
+        self.asked = 0
+
+    def send(self, message: PeerMessage) -> None:
+        """Count a request for a proof."""
+        self.asked += isinstance(message, ProofRequest)
+
+
+@when("the lease has to be proved {times:d} times")
+def prove(context: Context, times: int) -> None:
+    async def renew() -> None:
+        for _ in range(times):
+            await context.duty._renew()
+
+    run_virtually(renew(), context.loop)
+
+
+@then("{count:d} entries were asked to read it")
+def check_asked(context: Context, count: int) -> None:
+    assert sum(link.asked for link in context.links) == count
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -39,6 +39,9 @@
 REQUESTED_TOKENS = 50.0
 # A new coordinator has heard of what callers ask for by then.
 IDLE_AFTER_MS = 1_500
+# So many entries are asked first for a proof of the lease: the store may turn one of them away too,
+# and each of them calls it.
+FEW_ENTRIES = 3
 # After a change of coordinator nobody knows how many loads have just begun.
 ASSUMED_LOADS = 4
 
@@ -143,16 +146,19 @@
     def step_down(self) -> None:
         """Tell all entries that this instance gives no more orders."""
         age_ms = self.lease.clock.now_ms() - self.lease.last_order_ms
-        self.members.send_all(StepDown(max(0, age_ms)))
+        self.members.send(StepDown(max(0, age_ms)))
 
     def store_reached(self) -> None:
         """Take note that this instance has read the lease."""
         self.required = self.members.linked()
 
-    def ask_for_proof(self, asked_ms: int) -> None:
-        """Have the other entries read the lease, since the store doesn't answer here."""
+    def ask_for_proof(self, asked_ms: int, *, everyone: bool) -> None:
+        """Have other entries read the lease, since the store doesn't answer here.
+
+        One that reaches the store is enough; only when none does must all of them say so.
+        """
         self.proofs = {asked_ms: set()}
-        self.members.send_all(ProofRequest(asked_ms))
+        self.members.send(ProofRequest(asked_ms), most=None if everyone else FEW_ENTRIES)
 
     def _hear_proof(self, answer: ProofAnswer) -> None:
         if answer.reached_store:
--- a/packages/daemon/src/mimosaspur_daemon/direct/duty.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/duty.py
@@ -63,6 +63,8 @@
         # Reset by a lease that could be taken, or whose holder could be followed.
         self.backoff = Backoff()
         self.coordinator: Coordinator | None = None
+        # How often in a row the store has refused to prove the lease.
+        self.refused_renewals = 0
         # Whether this instance has stepped down for good.
         self.ended = False
         # When the last coordinator gave its last order, if it told as it stepped down.
@@ -154,6 +156,8 @@
                     task.result()
             if self.lease.renewal_due():
                 await self._renew()
+            else:
+                self.refused_renewals = 0
             await asyncio.sleep(HOLD_CHECK_S)
 
     async def _renew(self) -> None:
@@ -161,14 +165,22 @@
         try:
             async with asyncio.timeout(RENEW_TIMEOUT_S):
                 record = await self.state.outside.store.read_lease()
-        except (StoreUnavailable, TimeoutError):
-            if self.coordinator:
-                self.coordinator.ask_for_proof(self.lease.clock.now_ms())
+        except StoreUnavailable:
+            # Turned away at once: it may be this instance alone, and there is time to ask all.
+            self.refused_renewals += 1
+            self._ask_for_proof(everyone=self.refused_renewals > 1)
+            return
+        except TimeoutError:
+            self._ask_for_proof(everyone=True)
             return
         self.lease.seen(record, asked_ms=asked_ms)
         if self.coordinator:
             self.coordinator.store_reached()
 
+    def _ask_for_proof(self, *, everyone: bool) -> None:
+        if self.coordinator:
+            self.coordinator.ask_for_proof(self.lease.clock.now_ms(), everyone=everyone)
+
     async def _report_own(self, coordinator: Coordinator) -> None:
         while True:
             coordinator.hear_own(entry_report(self.state))
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -1,6 +1,7 @@
 """Hold what the coordinator heard from the entries, and tell them of the fleet."""
 
 import contextlib
+import random
 from collections.abc import Collection
 from dataclasses import dataclass
 from dataclasses import field
@@ -123,12 +124,14 @@
                     counts[model] = counts.get(model, 0) + count
         return running
 
-    def send_all(self, message: StepDown | ProofRequest) -> None:
-        """Send a message to all other entries."""
-        for member in self.members.values():
-            if member.link:
-                with contextlib.suppress(PeerLost):
-                    member.link.send(message)
+    def send(self, message: StepDown | ProofRequest, *, most: int | None = None) -> None:
+        """Send a message to the other entries, or to some that are drawn."""
+        links = [member.link for member in self.members.values() if member.link]
+        if most is not None and most < len(links):
+            links = random.sample(links, most)
+        for link in links:
+            with contextlib.suppress(PeerLost):
+                link.send(message)
 
     def tell(self, desks: Collection[EngineDesk], lease: OrderLease) -> None:
         """Tell each member what has changed, and that the coordinator is there."""
