Pause between the coordinator's turns for 20 ms at least

Cause: each report of an entry whose callers wait begins a turn. Ruled out: dropping such news (a waiting request's load would begin up to 60 ms later).

--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -28,8 +28,10 @@
 
 # How often the coordinator decides and tells; news of models go out at once.
 TURN_MS = 60
-# A turn is followed by a pause of so many times its length, which bounds the processor time.
+# A turn is followed by a pause of so many times its length, which bounds the processor time, and of
+# so much at least: hundreds of entries whose callers wait have news in every millisecond.
 PAUSE_TIMES = 3.0
+LEAST_PAUSE_S = 0.02
 # An entry that says nothing for so long is no longer counted.
 ENTRY_SILENT_MS = 1_500
 # While no more loads than this run from the weight store, they take the time that the
@@ -87,7 +89,8 @@
                 self.members.tell(self.desks.values(), self.lease)
                 # News comes with each report of each entry: the more there is to do in a turn, the
                 # fewer turns there are.
-                await asyncio.sleep((asyncio.get_running_loop().time() - began_s) * PAUSE_TIMES)
+                took_s = asyncio.get_running_loop().time() - began_s
+                await asyncio.sleep(max(LEAST_PAUSE_S, took_s * PAUSE_TIMES))
                 try:
                     async with asyncio.timeout(TURN_MS / 1000):
                         await self.news.wait()
