--- a/features/application.feature
+++ b/features/application.feature
@@ -4,3 +4,8 @@
     Given an application whose main thread blocks the signal to stop
     When another thread of it takes the signal
     Then the application stops within 2000 ms
+
+  Scenario: A process tells where its tasks wait, and goes on
+    Given an entry's application that serves callers
+    When it gets the signal to tell its stacks
+    Then its log names the places where its tasks wait, and it still serves
--- a/features/steps/application_steps.py
+++ b/features/steps/application_steps.py
@@ -1,5 +1,7 @@
 """Steps of a process that is asked to stop."""
 
+import asyncio
+import json
 import os
 import signal
 import threading
@@ -10,7 +12,12 @@
 from behave import when
 from behave.runner import Context
 
+from harness.direct_world import outside
+from harness.direct_world import settings_for
+from harness.loop import run
 from mimosaspur_daemon.application import Application
+from mimosaspur_daemon.direct.application import EntryApplication
+from mimosaspur_state.eventlog import EventLog
 
 SIGNAL_AFTER_S = 0.2
 # Whoever does not hear of the signal is stopped all the same, so that the scenario ends.
@@ -53,3 +60,34 @@
 @then("the application stops within {most_ms:d} ms")
 def check_stopped(context: Context, most_ms: int) -> None:
     assert context.took_ms <= most_ms, context.took_ms
+
+
+@given("an entry's application that serves callers")
+def make_entry_application(context: Context) -> None:
+    settings = settings_for("entry-0", peer_port=0)
+    context.read_end, write_end = os.pipe()
+    log = EventLog("entry-0", fd=write_end)
+    context.entry = EntryApplication(settings, outside("entry-0", log=log))
+
+
+@when("it gets the signal to tell its stacks")
+def signal_stacks(context: Context) -> None:
+    async def signalled() -> None:
+        serving = asyncio.create_task(context.entry.run())
+        await asyncio.sleep(SIGNAL_AFTER_S)
+        os.kill(os.getpid(), signal.SIGUSR1)
+        await asyncio.sleep(SIGNAL_AFTER_S)
+        context.serving = not serving.done()
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+
+    run(context, signalled())
+
+
+@then("its log names the places where its tasks wait, and it still serves")
+def check_stacks(context: Context) -> None:
+    lines = [json.loads(line) for line in os.read(context.read_end, 1_000_000).splitlines()]
+    stacks = [line for line in lines if line["event"] == "stacks"]
+    assert len(stacks) == 1, lines
+    assert any("follow_targets" in place for place in stacks[0]["places"]), stacks
+    assert context.serving
--- a/packages/coordination/src/mimosaspur_coordination/placementcost.py
+++ b/packages/coordination/src/mimosaspur_coordination/placementcost.py
@@ -26,6 +26,14 @@
 LAST_COPY_SECOND_TOKENS = 2_000.0
 
 
+# Whether a model is asked for again counts over this time: a load lasts for as long as its demand.
+AGAIN_S = 10.0
+# What a request has, of whatever model, where only tokens are counted.
+REQUEST_TOKENS = 2_000.0
+# A second until a model is there again.
+RELOAD_SECOND_TOKENS = 4_000.0
+
+
 def _back_ms(load_s: float) -> float:
     return load_s * 1000 + COMING_BACK_MS
 
@@ -78,7 +86,10 @@
     if model is None:
         return running
     # What is unloaded stays in memory or on disk for a while.
-    if demand.objective_ms >= _back_ms(model.disk_load_s):
+    back_ms = _back_ms(model.disk_load_s)
+    again = 1.0 - math.exp(-demand.slow_tokens / REQUEST_TOKENS * AGAIN_S)
+    running += again * back_ms / 1000 * RELOAD_SECOND_TOKENS
+    if demand.objective_ms >= back_ms:
         return running + max(demand.fast_tokens, demand.slow_tokens * PATIENT_WEIGHT)
     return running + max(demand.fast_tokens, demand.slow_tokens * SOLE_WEIGHT, SOLE_TOKENS)
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/application.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/application.py
@@ -12,6 +12,7 @@
 from mimosaspur_daemon.direct.evacuation import Evacuation
 from mimosaspur_daemon.direct.statusserver import StatusServer
 from mimosaspur_daemon.direct.storewatch import StoreWatch
+from mimosaspur_daemon.direct.taskstacks import task_stacks
 from mimosaspur_daemon.exitcodes import ExitCode
 from mimosaspur_state.directsettings import DirectSettings
 from mimosaspur_state.errors import MimosaspurError
@@ -112,6 +113,10 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.asked_to_stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGUSR1, self._tell_stacks)
+
+    def _tell_stacks(self) -> None:
+        self.state.log.always("stacks", **task_stacks())
 
     def _reload(self) -> None:
         try:
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -90,6 +90,7 @@
                 # News comes with each report of each entry: the more there is to do in a turn, the
                 # fewer turns there are.
                 took_s = asyncio.get_running_loop().time() - began_s
+                self.state.log.counters.observe("turn_ms", took_s * 1000)
                 await asyncio.sleep(max(LEAST_PAUSE_S, took_s * PAUSE_TIMES))
                 try:
                     async with asyncio.timeout(TURN_MS / 1000):
--- a/packages/daemon/src/mimosaspur_daemon/direct/storenews.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/storenews.py
@@ -58,6 +58,7 @@
     """Take the coordinator's word on the store, unless this entry knows better."""
     if news.revision < state.fleet.revision:
         return
+    state.log.counters.observe("store_news_age_ms", news.age_ms)
     state.freshness.tell(age_ms=news.age_ms, version=news.version)
     state.fleet.revision = news.revision
     records = {told.identity: _record(told) for told in news.targets}
