Space out the proofs of the lease while the store is away

Cause: with an entry lost since the store was last reached, or while it turns all away, no proof is complete, and the holder asked all entries again every 100 ms: 91 requests to each of 40 entries in 10 s of virtual time, each of which reads the lease. Ruled out: giving the lease up (nobody else can take it then). Now attempts back off from 0.2 s to 1.2 s; lists of a store that is away too.

--- a/features/direct_leadership.feature
+++ b/features/direct_leadership.feature
@@ -37,3 +37,13 @@
       | turns it away   | 2     | 43    |
       | answers nothing | 1     | 40    |
       | answers         | 2     | 0     |
+
+  Scenario Outline: A coordinator without a proof doesn't have all entries ask the store all the time
+    Given a coordinator that 40 entries follow, whose store <answers>
+    When 10 s pass in which an entry that was lost leaves the proof incomplete
+    Then between <least> and <most> requests for a proof were sent to each entry
+
+    Examples:
+      | answers         | least | most |
+      | turns it away   | 6     | 14   |
+      | answers nothing | 5     | 14   |
--- a/features/steps/direct_leadership_steps.py
+++ b/features/steps/direct_leadership_steps.py
@@ -147,3 +147,20 @@
 @then("{count:d} entries were asked to read it")
 def check_asked(context: Context, count: int) -> None:
     assert sum(link.asked for link in context.links) == count
+
+
+@when("{seconds:d} s pass in which an entry that was lost leaves the proof incomplete")
+def hold(context: Context, seconds: int) -> None:
+    async def play() -> None:
+        context.duty.coordinator.required = {"lost"}
+        holding = asyncio.create_task(context.duty._hold_lease([]))
+        await asyncio.sleep(seconds)
+        assert not holding.done(), "the lease was given up though nobody else has it"
+
+    run_virtually(play(), context.loop)
+
+
+@then("between {least:d} and {most:d} requests for a proof were sent to each entry")
+def check_requests(context: Context, least: int, most: int) -> None:
+    asked = [link.asked for link in context.links]
+    assert least <= min(asked) and max(asked) <= most, asked
--- a/packages/coordination/src/mimosaspur_coordination/backoff.py
+++ b/packages/coordination/src/mimosaspur_coordination/backoff.py
@@ -5,8 +5,9 @@
 # The first failure is tried again at once: most are of one call. From the second one in a row on
 # the pause doubles, up to the longest.
 FIRST_MS = 250
-# Beyond this a change would be known too late after the dependency's return.
-LONGEST_MS = 800
+# With jitter 1.8 s, which with a call that fails leaves a change known within 3 s of its return;
+# hundreds of entries ask while it is away.
+LONGEST_MS = 1_200
 # Processes that lost a dependency together must not come back together: a pause is longer by up to
 # this part of it.
 JITTER_PART = 0.5
--- a/packages/daemon/src/mimosaspur_daemon/direct/duty.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/duty.py
@@ -43,6 +43,8 @@
 # How often whoever waits to contend looks whether the last holder is back.
 LEASE_LOOK_S = 0.3
 HOLD_CHECK_S = 0.1
+# Between the second and the third attempt at a proof; the lease lasts for a few of them.
+RENEWAL_PAUSE_MS = 200
 # A proof that takes longer is asked of the other entries.
 RENEW_TIMEOUT_S = 0.4
 NOTHING_ASKED = Asked()
@@ -63,6 +65,8 @@
         # Reset by a lease that could be taken, or whose holder could be followed.
         self.backoff = Backoff()
         self.coordinator: Coordinator | None = None
+        # Reset when the lease is proved again, by whomever.
+        self.renewals = Backoff(first_ms=RENEWAL_PAUSE_MS)
         # How often in a row the store has refused to prove the lease.
         self.refused_renewals = 0
         # Whether this instance has stepped down for good.
@@ -158,7 +162,9 @@
                 await self._renew()
             else:
                 self.refused_renewals = 0
-            await asyncio.sleep(HOLD_CHECK_S)
+                self.renewals.worked()
+            # A renewal asks other entries too, each of which calls the store.
+            await asyncio.sleep(max(HOLD_CHECK_S, self.renewals.pause_s()))
 
     async def _renew(self) -> None:
         asked_ms = self.lease.clock.now_ms()
@@ -166,11 +172,13 @@
             async with asyncio.timeout(RENEW_TIMEOUT_S):
                 record = await self.state.outside.store.read_lease()
         except StoreUnavailable:
+            self.renewals.failed()
             # Turned away at once: it may be this instance alone, and there is time to ask all.
             self.refused_renewals += 1
             self._ask_for_proof(everyone=self.refused_renewals > 1)
             return
         except TimeoutError:
+            self.renewals.failed()
             self._ask_for_proof(everyone=True)
             return
         self.lease.seen(record, asked_ms=asked_ms)
