--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -59,6 +59,19 @@
       | others are asked for more        | a 800          | g waits 1, b 3000, c 4000 | a     |
       | a load from disk takes longer    | a 2300, b 5000 | g waits 1, b 300, c 400   | b     |
 
+  Scenario Outline: What is asked for again and again keeps its place before what nobody asks for, <case>
+    Given the engines <engines>
+    And each model's requests allow <objective> ms to the first event
+    And the demand g waits 1
+    And over a longer time <slow> tokens a second are asked for
+    When the next load is decided, the store is free
+    Then "<model>" makes room
+
+    Examples:
+      | case                     | engines                       | objective            | slow                | model |
+      | it could wait for a load | x: a b c disk a b c g h       | a 0, b 5000, c 5000  | b 860, c 900        | a     |
+      | it could not wait        | x: a b c disk a b c g h       | a 0, b 800, c 5000   | b 860, c 900        | a     |
+
   Scenario: Whatever is decided fits
     Then no decision from any state orders more than an engine has room for
 
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -81,6 +81,14 @@
             )
 
 
+@given("over a longer time {text} tokens a second are asked for")
+def set_slow_demand(context: Context, text: str) -> None:
+    for part in text.split(", "):
+        *names, tokens = part.split()
+        for name in names:
+            context.demand.setdefault(name, Demand()).slow_tokens = float(tokens)
+
+
 @given("each model's requests allow {objective} ms to the first event")
 def set_objectives(context: Context, objective: str) -> None:
     context.objectives = dict.fromkeys(MODELS, 800.0)
