Split the coordinator, the duty and the attempt: a module for each concern

Only moves and renames: the desks of all engines (knownengines), an entry's report (entryreport), the headers sent to a target (sentheaders).

--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -9,10 +9,10 @@
 
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_daemon.direct.evacuation import MovedRun
+from mimosaspur_daemon.direct.sentheaders import sent_headers
 from mimosaspur_daemon.direct.targeting import LATE_RANK
 from mimosaspur_protocol.eventcut import EventMissing
 from mimosaspur_state.routes import RouteKind
-from mimosaspur_transport.dialect import Headers
 from mimosaspur_transport.dialect import end_to_end
 from mimosaspur_transport.dialect import header
 from mimosaspur_transport.httpchannel import AnswerHead
@@ -132,7 +132,9 @@
         request = journey.request
         try:
             journey.sent = True
-            await self.channel.send(request.method, request.target, self._headers(), request.body)
+            await self.channel.send(
+                request.method, request.target, sent_headers(self), request.body
+            )
             head = await self._patiently(self._own_head(), self._silence_s())
             if self._says_not_run(head):
                 await self._patiently(self._rest(), self._silence_s())
@@ -308,21 +310,3 @@
         if not journey.route.repeatable or journey.runs + 1 >= journey.route.max_attempts:
             return None
         return max(LEAST_STALL_MS, STALL_TIMES * journey.route.gap_objective_ms) / 1000
-
-    def _headers(self) -> Headers:
-        journey = self.journey
-        dialect = journey.state.outside.dialect
-        replaced = dialect.reserved | {dialect.deadline_ms}
-        if journey.started:
-            replaced |= {dialect.last_event_id}
-        headers = end_to_end(journey.request.headers, replaced)
-        left_ms = max(1, int((journey.deadline_s - self.sent_s) * 1000))
-        headers.append((dialect.deadline_ms, b"%d" % left_ms))
-        headers.append((dialect.expected_identity, self.view.record.identity.encode()))
-        if self.continued:
-            headers.append((dialect.continued_from, self.continued.address()))
-        if journey.started and journey.cutter.last_id is not None:
-            headers.append((dialect.last_event_id, b"%d" % journey.cutter.last_id))
-        if journey.prompt.model:
-            headers.append((dialect.priority, b"%d" % self.rank))
-        return headers
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -1,26 +1,24 @@
 """Coordinate the fleet while this instance holds the lease: gather, decide, order, tell."""
 
 import asyncio
-from dataclasses import replace
 
 from mimosaspur_coordination.adapterdemand import AdapterDemand
 from mimosaspur_coordination.loadrate import LoadRate
 from mimosaspur_coordination.modeldemand import ModelDemand
 from mimosaspur_coordination.modelplacement import PlacementSearch
 from mimosaspur_coordination.orderlease import OrderLease
-from mimosaspur_coordination.placementproblem import EngineSnapshot
 from mimosaspur_coordination.placementproblem import PlacementProblem
 from mimosaspur_coordination.placementproblem import Swap
 from mimosaspur_daemon.direct.adapterkeeper import AdapterKeeper
 from mimosaspur_daemon.direct.enginedesk import EngineDesk
 from mimosaspur_daemon.direct.entrystate import EntryState
+from mimosaspur_daemon.direct.knownengines import KnownEngines
 from mimosaspur_daemon.direct.members import Member
 from mimosaspur_daemon.direct.members import Members
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import ProofAnswer
 from mimosaspur_protocol.peermessages import ProofRequest
 from mimosaspur_protocol.peermessages import StepDown
-from mimosaspur_state.fleet import TargetRecord
 from mimosaspur_state.policy import Mechanism
 from mimosaspur_state.routes import EngineSpec
 from mimosaspur_transport.peerlink import PeerLink
@@ -59,13 +57,13 @@
         self.began_ms = self.clock.now_ms()
         # Models that were loaded for a copy of their weights.
         self.copied: set[str] = set()
-        self.desks: dict[str, EngineDesk] = {}
         self.demand = ModelDemand(clock=self.clock)
         bounds = state.settings.orders
         self.loads = LoadRate(bounds.load_window_ms, clock=self.clock)
         self.loads.count(ASSUMED_LOADS)
         self.tasks: set[asyncio.Task[None]] = set()
         self.news = asyncio.Event()
+        self.engines = KnownEngines(state, lease, changed=self.news.set)
         self.adapters = AdapterKeeper(
             demand=AdapterDemand(clock=self.clock),
             models=self.demand,
@@ -73,8 +71,6 @@
             spawn=self._spawn,
             changed=self.news.set,
         )
-        # Requests that run at each target, by model, as of this turn.
-        self.running: dict[str, dict[str, int]] = {}
         # The entries that have followed since the store was last reached.
         self.required: set[str] = set()
         # Who has answered the last request for a proof that the store is away.
@@ -86,7 +82,7 @@
             while True:
                 began_s = asyncio.get_running_loop().time()
                 self._turn()
-                self.members.tell(self.desks.values(), self.lease)
+                self.members.tell(self.engines.desks.values(), self.lease)
                 # News comes with each report of each entry: the more there is to do in a turn, the
                 # fewer turns there are.
                 took_s = asyncio.get_running_loop().time() - began_s
@@ -137,7 +133,7 @@
                 asked_adapter.model, asked_adapter.adapter, asked_adapter.requests
             )
         for identity in report.unreachable:
-            desk = self.desks.get(identity)
+            desk = self.engines.desks.get(identity)
             if desk:
                 desk.suspected = True
         if member.waiting or member.adapters:
@@ -178,18 +174,18 @@
             self.lease.extended(asked_ms=answer.asked_ms)
 
     def _turn(self) -> None:
-        self._update_desks()
+        self.engines.update()
         self._ask_for_reports()
         if not self.lease.may_order():
             return
-        self.running = self.members.running()
+        self.engines.running = self.members.running()
         self.demand.wait(self.members.waiting())
-        for service, spec in self._engine_services():
+        for service, spec in self.engines.services():
             self._place(service, spec)
 
     def _place(self, service: str, spec: EngineSpec) -> None:
         """Begin the moves on a service's engines."""
-        desks = self._desks_of(service)
+        desks = self.engines.of(service)
         self.adapters.place_waiting(spec, desks, self.members.waiting_adapters())
         search = self._search(service, spec)
         while search and (swap := search.next_swap()) is not None:
@@ -208,51 +204,12 @@
 
     def _search(self, service: str, spec: EngineSpec) -> PlacementSearch | None:
         """Return the search for loads as things stand, None while no engine can begin one."""
-        if not any(desk.usable() and not desk.free_in_ms() for desk in self._desks_of(service)):
+        if not any(desk.usable() and not desk.free_in_ms() for desk in self.engines.of(service)):
             return None
         return PlacementSearch(self._problem(service, spec))
 
-    def _engine_services(self) -> list[tuple[str, EngineSpec]]:
-        configuration = self.state.configuration
-        if configuration is None:
-            return []
-        services = configuration.services.values()
-        return [(each.name, each.engine) for each in services if each.engine]
-
-    def _update_desks(self) -> None:
-        wanted = {}
-        for service, _ in self._engine_services():
-            for view in self.state.fleet.by_service.get(service, {}).values():
-                wanted[view.record.identity] = view.record
-        for identity in [each for each in self.desks if each not in wanted]:
-            del self.desks[identity]
-        for identity, record in wanted.items():
-            self._update_desk(self.desks.get(identity), record)
-
-    def _update_desk(self, desk: EngineDesk | None, record: TargetRecord) -> None:
-        if desk and desk.restarted_ms > record.started_ms:
-            # Its report has told of the restart before its registration did.
-            record = replace(record, started_ms=desk.restarted_ms, residents={})
-        if desk and record.started_ms == desk.record.started_ms:
-            desk.record = record
-            return
-        if desk and record.started_ms < desk.record.started_ms:
-            return
-        self.desks[record.identity] = EngineDesk(
-            record,
-            port=self.state.outside.engines,
-            lease=self.lease,
-            clock=self.clock,
-            log=self.state.log,
-            changed=self.news.set,
-        )
-        if desk:
-            desk.restarted_ms = record.started_ms
-            self.desks[record.identity].inherit(desk)
-            self.state.log.always("engine_restarted", target=record.identity)
-
     def _ask_for_reports(self) -> None:
-        for desk in self.desks.values():
+        for desk in self.engines.desks.values():
             if desk.report_due():
                 desk.reported_ms = self.clock.now_ms()
                 self._spawn(self._look(desk))
@@ -260,40 +217,10 @@
     async def _look(self, desk: EngineDesk) -> None:
         await desk.look()
 
-    def _snapshots(self, service: str) -> list[EngineSnapshot]:
-        snapshots = []
-        for desk in self._desks_of(service):
-            if desk.lost():
-                continue
-            running = self.running.get(desk.record.identity, {})
-            residents = {
-                model: running.get(model, 0)
-                for model in desk.residents
-                if model not in desk.closing
-            }
-            snapshots.append(
-                EngineSnapshot(
-                    desk.record.identity,
-                    residents,
-                    desk.free_in_ms(),
-                    usable=desk.usable(),
-                    leaving=desk.record.leaving,
-                    loading=desk.loading,
-                    recent=desk.recent(),
-                    in_memory=desk.in_memory,
-                    on_disk=desk.on_disk,
-                    kept_free=desk.kept_free(),
-                )
-            )
-        return snapshots
-
-    def _desks_of(self, service: str) -> list[EngineDesk]:
-        return [desk for desk in self.desks.values() if desk.record.service == service]
-
     def _problem(self, service: str, spec: EngineSpec) -> PlacementProblem:
         return PlacementProblem(
             spec,
-            self._snapshots(service),
+            self.engines.snapshots(service),
             {model: self.demand.current(model) for model in spec.models},
             store_free=self.loads.allows(spec.loads_per_s),
             idle=self._idle(),
@@ -313,7 +240,7 @@
         return not early and not self.demand.asked()
 
     def _begin(self, swap: Swap) -> None:
-        desk = self.desks[swap.identity]
+        desk = self.engines.desks[swap.identity]
         desk.take(swap.model, swap.load_ms, unload_ms=swap.unload_ms)
         if swap.for_copy:
             self.copied.add(swap.model)
@@ -334,7 +261,7 @@
         self._spawn(self._swap(desk, swap))
 
     async def _swap(self, desk: EngineDesk, swap: Swap) -> None:
-        store_loads = sum(each.from_store for each in self.desks.values())
+        store_loads = sum(each.from_store for each in self.engines.desks.values())
         desk.from_store = swap.from_store
         done = await desk.swap(
             swap.model,
--- a/packages/daemon/src/mimosaspur_daemon/direct/duty.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/duty.py
@@ -8,19 +8,14 @@
 from mimosaspur_coordination.backoff import Backoff
 from mimosaspur_coordination.orderlease import OrderLease
 from mimosaspur_daemon.direct.coordinator import Coordinator
-from mimosaspur_daemon.direct.entrystate import Asked
+from mimosaspur_daemon.direct.entryreport import entry_report
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.fleetreport import apply_report
-from mimosaspur_daemon.direct.fleetreport import paces_told
-from mimosaspur_protocol.peermessages import AskedFor
-from mimosaspur_protocol.peermessages import AskedForAdapter
-from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import FleetReport
 from mimosaspur_protocol.peermessages import ProofAnswer
 from mimosaspur_protocol.peermessages import ProofRequest
 from mimosaspur_protocol.peermessages import ReportCounted
 from mimosaspur_protocol.peermessages import StepDown
-from mimosaspur_protocol.peermessages import WorkAt
 from mimosaspur_state.clock import SuspendClock
 from mimosaspur_state.errors import StoreUnavailable
 from mimosaspur_state.errors import VersionConflict
@@ -47,7 +42,6 @@
 RENEWAL_PAUSE_MS = 200
 # A proof that takes longer is asked of the other entries.
 RENEW_TIMEOUT_S = 0.4
-NOTHING_ASKED = Asked()
 
 
 class Duty:
@@ -291,40 +285,3 @@
             link.send(StepDown(age_ms))
             await link.flushed()
         link.close()
-
-
-def entry_report(state: EntryState) -> EntryReport:
-    """Return what the coordinator should know of an entry, and begin a new count of demand."""
-    work = [
-        WorkAt(
-            identity,
-            view.own.requests,
-            {rank: round(tokens) for rank, tokens in view.own.unread.items() if tokens >= 1},
-            view.own.held_tokens,
-            dict(view.own.by_model),
-        )
-        for identity, view in state.fleet.targets.items()
-        if view.own.requests
-    ]
-    asked = []
-    for model in {*state.asked, *state.waiting}:
-        one = state.asked.get(model, NOTHING_ASKED)
-        asked.append(AskedFor(model, one.tokens, state.waiting.get(model, 0), one.objective_ms))
-    state.asked.clear()
-    unreachable = sorted(state.unreachable)
-    state.unreachable.clear()
-    instance = state.settings.instance
-    asked_adapters = [AskedForAdapter(*key, n) for key, n in state.asked_adapters.items()]
-    state.asked_adapters.clear()
-    waiting = list(state.waiting_adapters)
-    return EntryReport(
-        instance,
-        state.reported.add(work),
-        work,
-        asked,
-        waiting,
-        unreachable,
-        asked_adapters,
-        paces_told(state.fleet.paces.news()),
-        state.leaving,
-    )
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
@@ -0,0 +1,48 @@
+"""Put together what an entry reports to the coordinator."""
+
+from mimosaspur_daemon.direct.entrystate import Asked
+from mimosaspur_daemon.direct.entrystate import EntryState
+from mimosaspur_daemon.direct.fleetreport import paces_told
+from mimosaspur_protocol.peermessages import AskedFor
+from mimosaspur_protocol.peermessages import AskedForAdapter
+from mimosaspur_protocol.peermessages import EntryReport
+from mimosaspur_protocol.peermessages import WorkAt
+
+NOTHING_ASKED = Asked()
+
+
+def entry_report(state: EntryState) -> EntryReport:
+    """Return what the coordinator should know of an entry, and begin a new count of demand."""
+    work = [
+        WorkAt(
+            identity,
+            view.own.requests,
+            {rank: round(tokens) for rank, tokens in view.own.unread.items() if tokens >= 1},
+            view.own.held_tokens,
+            dict(view.own.by_model),
+        )
+        for identity, view in state.fleet.targets.items()
+        if view.own.requests
+    ]
+    asked = []
+    for model in {*state.asked, *state.waiting}:
+        one = state.asked.get(model, NOTHING_ASKED)
+        asked.append(AskedFor(model, one.tokens, state.waiting.get(model, 0), one.objective_ms))
+    state.asked.clear()
+    unreachable = sorted(state.unreachable)
+    state.unreachable.clear()
+    instance = state.settings.instance
+    asked_adapters = [AskedForAdapter(*key, n) for key, n in state.asked_adapters.items()]
+    state.asked_adapters.clear()
+    waiting = list(state.waiting_adapters)
+    return EntryReport(
+        instance,
+        state.reported.add(work),
+        work,
+        asked,
+        waiting,
+        unreachable,
+        asked_adapters,
+        paces_told(state.fleet.paces.news()),
+        state.leaving,
+    )
