--- a/features/harness/reports_play.py
+++ b/features/harness/reports_play.py
@@ -17,6 +17,7 @@
 from mimosaspur_protocol.peermessages import WorkAt
 from mimosaspur_protocol.peermessages import encode_peer
 from mimosaspur_state.clock import SystemClock
+from mimosaspur_state.fleet import Work
 
 TOKENS_EACH = 100
 RANK = 3
@@ -33,6 +34,8 @@
         self.sent: list[list[tuple[int, dict[str, WorkAt]]]] = [[] for _ in range(entries)]
         self.heard: list[tuple[int, dict[str, WorkAt]]] = [(0, {}) for _ in range(entries)]
         self.told: dict[str, WorkAt] = {}
+        # What each entry takes for others' work, as it was last told that it has changed.
+        self.views: list[dict[str, Work]] = [{} for _ in range(entries)]
 
     def step(self, name: str, entry: int = 0, requests: Mapping[str, int] | None = None) -> None:
         """Take one step."""
@@ -56,10 +59,10 @@
         self.told = totals
         for index, entry in enumerate(self.entries):
             entry.count(self.heard[index][0])
-            entry.others(changed)
+            self.views[index].update(entry.others(changed))
             others = [work for at, (_, work) in enumerate(self.heard) if at != index]
             for target, wanted in total_work(others, self.targets).items():
-                found = entry.work_at(target)
+                found = self.views[index].get(target, Work())
                 assert found.requests == wanted.requests, (target, found, wanted)
                 assert found.held_tokens == wanted.held_tokens
                 assert sum(found.unread.values()) == sum(wanted.unread.values())
