Refuse what comes on open connections as a process ends

Ruled out: closing all connections first (a request that is just being read would get no answer). Now nothing is passed on once the end is decided: such requests get a true refusal, and the process waits up to 0.3 s for the answers to be written.

--- a/features/application.feature
+++ b/features/application.feature
@@ -9,3 +9,14 @@
     Given an entry's application that serves callers
     When it gets the signal to tell its stacks
     Then its log names the places where its tasks wait, and it still serves
+
+  Scenario Outline: A request that comes as the process ends is not passed on and then cut, <when>
+    Given an entry's application before a target that takes 400 ms
+    When it ends since nobody needs it, and a request comes on an open connection <when>
+    Then the caller has a whole answer, or a refusal of a request that did not run
+
+    Examples:
+      | when               |
+      | just then          |
+      | 30 ms after that   |
+      | 80 ms after that   |
--- a/features/harness/direct_target.py
+++ b/features/harness/direct_target.py
@@ -36,6 +36,8 @@
     server: asyncio.Server | None = None
     # Between two events of a stream.
     event_s: float = 0.01
+    # How long it is silent where it is slow once.
+    pause_s: float = PAUSE_S
     # Whether a run that goes on from memory is refused.
     refuses_continued: bool = False
     # Whether streams have no length and end with their connection.
@@ -68,7 +70,7 @@
                 seen = _seen(*request)
                 strikes = not self.seen
                 self.seen.append(seen)
-                script = _Script(codec, reader, writer, seen, self.event_s)
+                script = _Script(codec, reader, writer, seen, self)
                 fault = self.fault if strikes else "answers"
                 if self.refuses_continued and "x-continued-from" in seen.headers:
                     fault = "refuses it as not run"
@@ -94,13 +96,14 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         seen: Seen,
-        event_s: float,
+        target: ScriptedTarget,
     ) -> None:
         self.codec = codec
         self.reader = reader
         self.writer = writer
         self.seen = seen
-        self.event_s = event_s
+        self.event_s = target.event_s
+        self.pause_s = target.pause_s
         self.stream = "stream" in seen.headers.get("x-kind", "")
 
     async def play(self, fault: str) -> None:
@@ -145,7 +148,7 @@
         self.writer.transport.abort()
 
     async def _answer_late(self) -> None:
-        await asyncio.sleep(PAUSE_S)
+        await asyncio.sleep(self.pause_s)
         await self._sound()
 
     async def _send_garbage(self) -> None:
@@ -191,7 +194,7 @@
                 await self.reader.read(1)
                 return True
             case "pauses":
-                await asyncio.sleep(PAUSE_S)
+                await asyncio.sleep(self.pause_s)
                 return False
             case "stalls":
                 await self.reader.read(1)
--- a/features/steps/application_steps.py
+++ b/features/steps/application_steps.py
@@ -12,12 +12,17 @@
 from behave import when
 from behave.runner import Context
 
+from harness.direct_target import ScriptedTarget
+from harness.direct_world import configuration
 from harness.direct_world import outside
+from harness.direct_world import received
+from harness.direct_world import request_bytes
 from harness.direct_world import settings_for
 from harness.loop import run
 from mimosaspur_daemon.application import Application
 from mimosaspur_daemon.direct.application import EntryApplication
 from mimosaspur_state.eventlog import EventLog
+from mimosaspur_state.fleet import TargetRecord
 
 SIGNAL_AFTER_S = 0.2
 # Whoever does not hear of the signal is stopped all the same, so that the scenario ends.
@@ -91,3 +96,47 @@
     assert len(stacks) == 1, lines
     assert any("follow_targets" in place for place in stacks[0]["places"]), stacks
     assert context.serving
+
+
+@given("an entry's application before a target that takes {took_ms:d} ms")
+def make_application_before_target(context: Context, took_ms: int) -> None:
+    async def make() -> None:
+        context.entry = EntryApplication(settings_for("entry-0"), outside("entry-0"))
+        context.target = ScriptedTarget("target", "is slow to answer", pause_s=took_ms / 1000)
+        state = context.entry.state
+        state.configuration = configuration()
+        state.targets_known = True
+        address = await context.target.start()
+        state.fleet.update([TargetRecord("target", "service", address, "here", slots=4)], [])
+        await context.entry.callers.listen()
+
+    run(context, make())
+
+
+@when("it ends since nobody needs it, and a request comes on an open connection {when}")
+def end_and_send(context: Context, when: str) -> None:
+    async def end() -> None:
+        application = context.entry
+        application._needless = lambda: True
+        port = application.callers.server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        # The entry has taken the connection.
+        await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(application._stop())
+        await asyncio.sleep(0 if when == "just then" else int(when.split()[0]) / 1000)
+        writer.write(request_bytes("once"))
+        answering = asyncio.create_task(received(reader))
+        await stopping
+        # As when the process ends.
+        for connection in list(application.callers.connections):
+            connection.abort()
+        context.answer = await answering
+
+    run(context, end())
+
+
+@then("the caller has a whole answer, or a refusal of a request that did not run")
+def check_answer(context: Context) -> None:
+    assert context.answer.whole, context.answer
+    ran = context.target.runs()
+    assert (context.answer.status, ran) in ((200, 1), (503, 0)), (context.answer, ran)
--- a/packages/daemon/src/mimosaspur_daemon/direct/application.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/application.py
@@ -22,8 +22,11 @@
 UNNOTICED_S = 3.0
 # What is left of the shutdown time when unfinished requests are ended.
 LAST_S = 0.6
-# What those last answers take to be written.
+# What those last answers take to be written, and how often it is looked whether they are.
 LAST_ANSWERS_S = 0.1
+LAST_LOOK_S = 0.02
+# What a process takes to end after that, on a slow machine.
+EXIT_S = 0.3
 # Settings may change without a signal.
 SETTINGS_EVERY_S = 2.0
 PRUNE_EVERY_S = 1.0
@@ -78,13 +81,23 @@
         self.state.end_s = end_s
         while loop.time() < end_s and not self._needless():
             await asyncio.sleep(0.05)
+        # A request may still come on an open connection: it must not run and then be cut.
+        self.state.ending = True
         self.callers.stop_accepting()
         self.callers.end_all()
         self.duty.step_down()
-        await asyncio.sleep(LAST_ANSWERS_S)
+        await self._last_answers()
         for task in self.tasks:
             task.cancel()
 
+    async def _last_answers(self) -> None:
+        """Wait until the last answers, those to late requests among them, are written."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(LAST_ANSWERS_S)
+        end_s = loop.time() + LAST_S - LAST_ANSWERS_S - EXIT_S
+        while loop.time() < end_s and self.callers.in_flight():
+            await asyncio.sleep(LAST_LOOK_S)
+
     def _needless(self) -> bool:
         """Tell whether nobody needs this entry any more.
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -126,7 +126,8 @@
             route = self._route(request)
             service = _pick_service(route)
             journey = Journey(self.state, route, service, request, connection)
-            if request.arrived_s > self.state.noticed_s and not journey.ends_in_time():
+            late = request.arrived_s > self.state.noticed_s and not journey.ends_in_time()
+            if late or self.state.ending:
                 raise self._leaving(journey)
         except GivenUp as refusal:
             await self._refuse(connection, request, refusal)
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -118,6 +118,8 @@
         # is unanswered is ended.
         self.noticed_s = float("inf")
         self.end_s = float("inf")
+        # Whether nothing is passed on to targets any more, since this process ends now.
+        self.ending = False
         self.durations = Durations()
         # Dependencies that do not answer now.
         self.lost: set[str] = set()
