Find the workspace of a request by its key, and pass no key on

An entry whose configuration wasn't confirmed of late sends unknown keys on (503, not run), since they may have been added meanwhile. Ruled out: looking a key up again for requests that wait or are retried: who was let in under a configuration that allowed it would be sent away without having done wrong.

--- a/packages/state/src/mimosaspur_state/codes.py
+++ b/packages/state/src/mimosaspur_state/codes.py
@@ -24,6 +24,7 @@
     BAD_REQUEST = 1006
     NOT_FOUND = 1007
     KEY_REUSED = 1008
+    UNKNOWN_CREDENTIAL = 1009
 
     QUEUE_FULL = 2001
     DEADLINE_UNREACHABLE = 2002
@@ -36,6 +37,8 @@
     CLAIM_IN_PROGRESS = 2009
     NOT_READY_HERE = 2010
     CLAIM_RATE = 2011
+    QUOTA_EXCEEDED = 2012
+    CONFIGURATION_OLD = 2013
 
     OUTCOME_UNKNOWN = 3001
     ANSWER_CUT = 3002
@@ -88,6 +91,11 @@
     ResultCode.KEY_REUSED: CodeInfo(
         422, "The Idempotency-Key came before with another request.", "Use a new key."
     ),
+    ResultCode.UNKNOWN_CREDENTIAL: CodeInfo(
+        401,
+        "The request bears no API key that a workspace holds. Not run.",
+        "Send one key that is in force, as Authorization: Bearer KEY.",
+    ),
     ResultCode.QUEUE_FULL: CodeInfo(503, "The target's queue is full. Not run.", _TRY_LATER),
     ResultCode.DEADLINE_UNREACHABLE: CodeInfo(
         503, "The deadline can't be met. Not run.", "Try later, or give a longer deadline."
@@ -117,6 +125,12 @@
     ResultCode.CLAIM_RATE: CodeInfo(
         503, "Too many keyed requests for the object API's rate. Not run.", _TRY_LATER
     ),
+    ResultCode.QUOTA_EXCEEDED: CodeInfo(
+        429, "The workspace's quota is used up for now. Not run.", _TRY_LATER
+    ),
+    ResultCode.CONFIGURATION_OLD: CodeInfo(
+        503, "The configuration here may be out of date, and doesn't know it. Not run.", _TRY_LATER
+    ),
     ResultCode.OUTCOME_UNKNOWN: CodeInfo(
         502, "It may or may not have run.", "Look at the service before sending it again."
     ),
--- a/packages/state/src/mimosaspur_state/directsettings.py
+++ b/packages/state/src/mimosaspur_state/directsettings.py
@@ -26,6 +26,17 @@
     load_overage: float
 
 
+@dataclass(slots=True, frozen=True)
+class QuotaBounds:
+    """Bound what workspaces spend in any window, over all entries."""
+
+    window_ms: int
+    # What a quota allows may be passed by this part of it, and by this much besides, in the
+    # quota's own unit.
+    overage: float
+    slack: float
+
+
 @dataclass(slots=True, frozen=True)
 class DirectSettings:
     """Hold the settings of one process."""
@@ -51,6 +62,9 @@
     target_heartbeat_ms: int
     retries: RetryBounds
     orders: OrderBounds
+    quotas: QuotaBounds = QuotaBounds(window_ms=8_000, overage=0.1, slack=0.0)
+    # For how long credentials are relied on that nobody has confirmed; None for any time.
+    credentials_trusted_ms: int | None = None
     # What this machine offers: cores of common speed, and its link. 0 where it isn't known.
     cores: float = 0.0
     link_mbps: float = 0.0
--- a/packages/state/src/mimosaspur_state/policy.py
+++ b/packages/state/src/mimosaspur_state/policy.py
@@ -27,6 +27,8 @@
     LEAVING_TAKES = "leaving-takes"
     # The coordinator reads the store for the other entries.
     STORE_READER = "store-reader"
+    # Entries pass a newer configuration on to those that have not read it yet.
+    PEER_CONFIGURATION = "peer-configuration"
     # The wait of an unload for its runs is reckoned.
     UNLOAD_WAITS = "unload-waits"
     # Streams are moved off engines that are taken away.
--- a/packages/state/src/mimosaspur_state/routes.py
+++ b/packages/state/src/mimosaspur_state/routes.py
@@ -4,6 +4,8 @@
 from dataclasses import field
 from enum import Enum
 
+from mimosaspur_state.workspaces import Workspace
+
 
 class RouteKind(Enum):
     """Say what a route's requests are and whether they may run more than once."""
@@ -30,6 +32,8 @@
     max_attempts: int
     resumable: bool = False
     gap_objective_ms: int = 0
+    # Whether callers need no credential.
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -98,12 +102,21 @@
     routes: tuple[Route, ...]
     services: dict[str, ServiceSpec]
     limits: CallerLimits = CallerLimits()
+    # None where callers need no credentials.
+    workspaces: tuple[Workspace, ...] | None = None
     # Filled from routes: each host's routes, the longest prefix first.
-    by_host: dict[str, list[Route]] = field(default_factory=dict)
+    by_host: dict[str, list[Route]] = field(init=False, repr=False, default_factory=dict)
+    # Filled from workspaces: by the digest of each API key, the digest again and who holds it.
+    by_credential: dict[bytes, tuple[bytes, Workspace]] = field(
+        init=False, repr=False, default_factory=dict
+    )
 
     def __post_init__(self) -> None:
         for route in sorted(self.routes, key=lambda route: -len(route.prefix)):
             self.by_host.setdefault(route.host, []).append(route)
+        for workspace in self.workspaces or ():
+            for digest in workspace.credentials:
+                self.by_credential[digest] = digest, workspace
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path, if the host has one."""
--- a/packages/transport/src/mimosaspur_transport/callerconnection.py
+++ b/packages/transport/src/mimosaspur_transport/callerconnection.py
@@ -232,6 +232,7 @@
 _REASONS = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     413: b"Content Too Large",
     421: b"Misdirected Request",
--- a/packages/transport/src/mimosaspur_transport/dialect.py
+++ b/packages/transport/src/mimosaspur_transport/dialect.py
@@ -46,6 +46,10 @@
     not_run: bytes = b"x-not-run"
     # A success without the target's proof is not the target's.
     proof: bytes = b""
+    # A caller's API key, which is not passed on.
+    credential: bytes = b"authorization"
+    # The name of the workspace that holds it; only the system sets it.
+    workspace: bytes = b"x-workspace"
     # Callers may not set these.
     reserved: frozenset[bytes] = field(default_factory=frozenset)
     ready_path: bytes = b"/ready"
@@ -60,6 +64,11 @@
     return [(name, value) for name, value in headers if name.lower() not in dropped]
 
 
+def header_values(headers: Headers, name: bytes) -> list[bytes]:
+    """Return the values of all headers of a name; names are compared in lower case."""
+    return [value for key, value in headers if key.lower() == name]
+
+
 def header(headers: Headers, name: bytes) -> bytes | None:
     """Return a header's value, None if it is absent; names are compared in lower case."""
     for key, value in headers:
