Count workspaces' spending at the coordinator, and admit by what it tells

Change: entries report what they spend; the coordinator counts it and tells what is left where entries expect another rest; while nobody tells, each entry keeps to the share that its callers ask for. Three ways are compared in virtual time: mimosaspur-load quotas.

--- /dev/null
+++ b/features/steps/direct_quotas_steps.py
@@ -0,0 +1,185 @@
+"""Steps of quotas that many entries hold together."""
+
+from dataclasses import replace
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+from hypothesis import given as given_any
+from hypothesis import settings
+from hypothesis import strategies
+
+from harness.direct_target import PLAIN_BODY
+from harness.direct_workspaces import WorkspaceEntry
+from harness.direct_world import KINDS
+from harness.direct_world import Received
+from harness.direct_world import received
+from harness.direct_world import request_bytes
+from harness.loop import run
+from mimosaspur_coordination.quota.level import Level
+from mimosaspur_load.quotas.play import QuotaPlay
+from mimosaspur_load.quotas.play import Trouble
+from mimosaspur_load.quotas.play import play
+from mimosaspur_state.directsettings import QuotaBounds
+from mimosaspur_state.workspaces import Quota
+from mimosaspur_state.workspaces import QuotaUnit
+
+WAYS = {"what the coordinator tells": "told", "an even split": "even"}
+TIGHT = QuotaBounds(window_ms=1_000, overage=0.0, slack=2.5)
+ONE_REQUEST = Quota(QuotaUnit.REQUESTS, per_s=0.001, burst=0.0)
+LEAST_SHARE = 3
+
+
+@given("quotas that {count:d} entries hold by {way}, {seeds:d} seeds")
+def set_way(context: Context, count: int, way: str, seeds: int) -> None:
+    context.way, context.count, context.seeds = WAYS[way], count, range(seeds)
+
+
+@when("callers come, with {trouble}")
+def come(context: Context, trouble: str) -> None:
+    context.outcomes = [
+        play(context.way, trouble, entries=context.count, seed=seed) for seed in context.seeds
+    ]
+
+
+@then("no window has more than it may")
+def check_windows(context: Context) -> None:
+    fullest = [outcome.worst_window for outcome in context.outcomes]
+    assert max(fullest) <= 1.0, fullest
+
+
+@then("at most {most:d} in 100 of what is within quota is refused")
+def check_refused(context: Context, most: int) -> None:
+    refused = [outcome.refused_within for outcome in context.outcomes]
+    assert max(refused) <= most / 100, refused
+
+
+@then("more than {least:d} in 100 of what is within quota is refused")
+def check_refused_more(context: Context, least: int) -> None:
+    refused = [outcome.refused_within for outcome in context.outcomes]
+    assert min(refused) > least / 100, refused
+
+
+@given("a direct entry whose workspaces have a quota of 1 request, before a target that {fault}")
+def start_entry(context: Context, fault: str) -> None:
+    context.entry = WorkspaceEntry(quota=ONE_REQUEST)
+    context.entry.target.fault = fault
+    state = context.entry.state
+    state.quotas.bounds = TIGHT
+    state.quotas.accounts.clear()
+    state.quotas.configure(state.configuration.workspaces)
+    state.quotas.hear([], entries=1)
+    run(context, context.entry.begin())
+    if fault == "is not there":
+        context.entry.target.server.close()
+
+
+async def _ask(context: Context, key: str, request: str) -> Received:
+    reader, writer = await context.entry.connect()
+    writer.write(request_bytes(KINDS[request][0], {"Authorization": f"Bearer {key}"}))
+    try:
+        return await received(reader)
+    finally:
+        writer.close()
+
+
+@when("callers of one workspace send {request} {times:d} times, one after the other")
+def send_times(context: Context, request: str, times: int) -> None:
+    async def send() -> list[Received]:
+        return [await _ask(context, "n-1", request) for _ in range(times)]
+
+    context.answers = run(context, send())
+
+
+@when("a caller of the other workspace sends {request}")
+def send_other(context: Context, request: str) -> None:
+    context.other = run(context, _ask(context, "s-1", request))
+
+
+@then("the second caller is refused with code {code:d}")
+def check_second_refused(context: Context, code: int) -> None:
+    second = context.answers[1]
+    assert second.status == 429, second
+    assert second.body.startswith(f"{code} ".encode()), second
+    assert all(each.status == 429 for each in context.answers[1:])
+
+
+@then("the workspace has spent {spent:d} of its quota")
+def check_spent(context: Context, spent: int) -> None:
+    account = context.entry.state.quotas.accounts["north"]
+    assert (account.spent, account.refused) == (spent, 0), context.answers
+
+
+@then("the caller of the other workspace is answered")
+def check_other(context: Context) -> None:
+    assert (context.other.status, context.other.body) == (200, PLAIN_BODY), context.other
+
+
+@then("it is told to come back within a third of its time")
+def check_retry_after(context: Context) -> None:
+    wait_s = float(context.answers[1].headers["retry-after"])
+    timeout_ms = context.entry.state.configuration.routes[0].timeout_ms
+    assert 0 < wait_s <= timeout_ms / 1000 / LEAST_SHARE, wait_s
+
+
+@then("any play of entries that are cut off, killed and told late keeps every window within bounds")
+def check_any_play(context: Context) -> None:
+    trouble = strategies.builds(
+        Trouble,
+        kind=strategies.sampled_from(
+            ["hot", "coordinator lost", "entry cut", "entries killed", "quota"]
+        ),
+        at_ms=strategies.integers(2_000, 20_000),
+        for_ms=strategies.integers(500, 9_000),
+        which=strategies.integers(0, 5),
+        times=strategies.sampled_from([0.3, 0.6, 1.5]),
+    )
+
+    @settings(derandomize=True, database=None, max_examples=15, deadline=None)
+    @given_any(
+        strategies.lists(trouble, max_size=3), strategies.integers(6, 24), strategies.integers(0, 9)
+    )
+    def check(troubles: list[Trouble], entries: int, seed: int) -> None:
+        # A workspace that asks for far more, and shares of entries to be killed below one.
+        played = tuple(
+            (
+                replace(each, times=5.0)
+                if each.kind == "hot"
+                else (
+                    replace(each, times=min(1.0, each.times))
+                    if each.kind == "entries killed"
+                    else each
+                )
+            )
+            for each in troubles
+        )
+        outcome = QuotaPlay("told", entries=entries, seed=seed, troubles=played).run()
+        assert outcome.worst_window <= 1.0, (outcome.worst_window, outcome.windows)
+
+    check()
+
+
+@then("a level {case}")
+def check_level(context: Context, case: str) -> None:
+    amounts = strategies.lists(
+        strategies.tuples(strategies.integers(0, 5_000), strategies.integers(-50, 900)), max_size=20
+    )
+
+    @settings(derandomize=True, database=None, max_examples=300, deadline=None)
+    @given_any(amounts)
+    def check(takes: list[tuple[int, int]]) -> None:
+        level = Level(capacity=100.0, per_s=10.0, content=100.0, at_ms=0)
+        now_ms, content = 0, 100.0
+        for pause_ms, cost in takes:
+            now_ms += pause_ms
+            content = min(100.0, content + pause_ms / 100)
+            assert abs(level.at(now_ms) - content) < 1e-6
+            level.take(cost, now_ms)
+            content = min(100.0, content - cost)
+            if "resized" in case:
+                level.resize(capacity=100.0, per_s=10.0, now_ms=now_ms)
+            assert level.at(now_ms) <= 100.0
+            assert level.wait_ms(100.0, now_ms) >= 0
+
+    check()
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/quota/ledger.py
@@ -0,0 +1,160 @@
+"""Count all entries' spending at the coordinator."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from mimosaspur_coordination.quota.account import Account
+from mimosaspur_coordination.quota.bounds import capacity_of
+from mimosaspur_coordination.quota.bounds import refill_per_s
+from mimosaspur_coordination.quota.fading import FadingRate
+from mimosaspur_coordination.quota.level import Level
+from mimosaspur_coordination.quota.spending import Remaining
+from mimosaspur_coordination.quota.spending import Spending
+from mimosaspur_state.clock import Clock
+from mimosaspur_state.directsettings import QuotaBounds
+from mimosaspur_state.workspaces import Quota
+from mimosaspur_state.workspaces import Workspace
+
+# Entries needn't hear of what differs by less than this part of a bucket from what they expect,
+# nor of demand that has changed by less than this part.
+TOLD_PART = 0.05
+TOLD_DEMAND_PART = 0.25
+# By then all entries that follow a new coordinator have reported what they spent before.
+SETTLE_MS = 1_000
+
+
+class _Counted:
+    """Hold what all entries have left of one quota, and what they were told."""
+
+    __slots__ = ("asked", "expected", "level", "quota", "told", "told_asked")
+
+    def __init__(self, quota: Quota, level: Level, expected: Level | None) -> None:
+        self.quota = quota
+        self.level = level
+        # What is told until all entries have reported what they spent while nobody counted.
+        self.expected = expected
+        self.asked = FadingRate(level.at_ms)
+        # What entries expect to be left.
+        begun = expected or level
+        self.told = Level(
+            capacity=begun.capacity, per_s=level.per_s, content=begun.content, at_ms=level.at_ms
+        )
+        self.told_asked = 0.0
+
+
+class QuotaLedger:
+    """Count what all entries spend of each quota."""
+
+    __slots__ = ("bounds", "clock", "counted", "settled_ms")
+
+    def __init__(self, bounds: QuotaBounds, *, clock: Clock) -> None:
+        self.bounds = bounds
+        self.clock = clock
+        self.counted: dict[str, _Counted] = {}
+        self.settled_ms = 0
+
+    def configure(
+        self, workspaces: Iterable[Workspace], known: Mapping[str, Account], *, told_ms: int = 0
+    ) -> None:
+        """Take the quotas of a configuration; those that are new here go on from what is known.
+
+        Since it was told, entries have spent what refilled meanwhile, or part of it, and report
+        it soon: so the refill isn't cut off at a full bucket before that.
+        """
+        now_ms = self.clock.now_ms()
+        if not self.counted:
+            self.settled_ms = now_ms + SETTLE_MS
+        old = self.counted
+        self.counted = {}
+        for workspace in workspaces:
+            quota = workspace.quota
+            if quota is None:
+                continue
+            counted = old.get(workspace.name)
+            capacity = capacity_of(quota, self.bounds)
+            if counted is None:
+                counted = self._begun(quota, known.get(workspace.name), told_ms, now_ms)
+            elif counted.quota != quota:
+                counted.quota = quota
+                counted.expected = None
+                for each in (counted.level, counted.told):
+                    each.resize(
+                        capacity=capacity, per_s=refill_per_s(quota, self.bounds), now_ms=now_ms
+                    )
+            self.counted[workspace.name] = counted
+
+    def _begun(self, quota: Quota, account: Account | None, told_ms: int, now_ms: int) -> _Counted:
+        capacity = capacity_of(quota, self.bounds)
+        per_s = refill_per_s(quota, self.bounds)
+        if account is None or now_ms - told_ms > self.bounds.window_ms:
+            full = Level(capacity=capacity, per_s=per_s, content=capacity, at_ms=now_ms)
+            return _Counted(quota, full, None)
+        silent_s = (now_ms - told_ms) / 1000
+        known = account.shared.at(told_ms)
+        unbounded = Level(
+            capacity=float("inf"), per_s=per_s, content=known + per_s * silent_s, at_ms=now_ms
+        )
+        spent = min(account.asked_by_all, per_s) * silent_s
+        expected = Level(
+            capacity=capacity,
+            per_s=per_s - min(account.asked_by_all, per_s),
+            content=known + per_s * silent_s - spent,
+            at_ms=now_ms,
+        )
+        counted = _Counted(quota, unbounded, expected)
+        counted.asked.add_rate(account.asked_by_all, now_ms)
+        return counted
+
+    def hear(self, spendings: Iterable[Spending], *, first: bool = False) -> None:
+        """Take an entry's spending since its last report; its first is of the time before."""
+        now_ms = self.clock.now_ms()
+        for spending in spendings:
+            counted = self.counted.get(spending.workspace)
+            if counted:
+                counted.level.take(spending.spent, now_ms)
+                if counted.expected and not first:
+                    counted.expected.take(spending.spent, now_ms)
+                counted.asked.add(max(0.0, spending.spent) + spending.refused, now_ms)
+
+    def all(self) -> list[Remaining]:
+        """Return what somebody has to hear who knows nothing yet."""
+        now_ms = self.clock.now_ms()
+        return [self._remaining(name, each, now_ms) for name, each in self.counted.items()]
+
+    def news(self) -> list[Remaining]:
+        """Return what differs from what entries expect, and count it as told."""
+        now_ms = self.clock.now_ms()
+        self._settle(now_ms)
+        news = []
+        for name, counted in self.counted.items():
+            remaining = self._remaining(name, counted, now_ms)
+            if self._expected(counted, remaining, now_ms):
+                continue
+            counted.told.content, counted.told.at_ms = remaining.content, now_ms
+            counted.told_asked = remaining.asked_per_s
+            news.append(remaining)
+        return news
+
+    def _settle(self, now_ms: int) -> None:
+        """Rely on what was counted once all entries have had the time to report."""
+        if now_ms < self.settled_ms:
+            return
+        for counted in self.counted.values():
+            if counted.expected:
+                counted.expected = None
+                quota = counted.quota
+                counted.level.resize(
+                    capacity=capacity_of(quota, self.bounds),
+                    per_s=refill_per_s(quota, self.bounds),
+                    now_ms=now_ms,
+                )
+
+    def _expected(self, counted: _Counted, remaining: Remaining, now_ms: int) -> bool:
+        off = abs(remaining.content - counted.told.at(now_ms))
+        asked_off = abs(remaining.asked_per_s - counted.told_asked)
+        most_asked_off = TOLD_DEMAND_PART * max(counted.told_asked, counted.quota.per_s)
+        return off <= TOLD_PART * counted.told.capacity and asked_off <= most_asked_off
+
+    def _remaining(self, name: str, counted: _Counted, now_ms: int) -> Remaining:
+        content = (counted.expected or counted.level).at(now_ms)
+        return Remaining(name, content, counted.asked.at(now_ms))
--- a/packages/coordination/src/mimosaspur_coordination/storefreshness.py
+++ b/packages/coordination/src/mimosaspur_coordination/storefreshness.py
@@ -16,7 +16,7 @@
 class StoreFreshness:
     """Hold when the store last confirmed what is known, by this process or by the coordinator."""
 
-    __slots__ = ("clock", "confirmed", "fresh_ms", "told_ms", "version")
+    __slots__ = ("clock", "confirmed", "fresh_ms", "newer_ms", "told_ms", "version")
 
     def __init__(self, *, bound_ms: int, clock: Clock) -> None:
         self.clock = clock
@@ -26,6 +26,8 @@
         self.told_ms = NEVER
         # The version of the configuration that the coordinator knows.
         self.version = 0
+        # Since when it has known that one.
+        self.newer_ms = NEVER
 
     def confirm(self, what: str, *, asked_ms: int) -> None:
         """Take note of an answer to what was asked at a time."""
@@ -40,10 +42,23 @@
         oldest_ms = min(self.confirmed.get(what, NEVER) for what in wanted)
         return self.clock.now_ms() - oldest_ms
 
-    def tell(self, *, age_ms: int, version: int) -> None:
+    def tell(self, *, age_ms: int) -> None:
         """Take the coordinator's word, and the age of what it rests on."""
         self.told_ms = max(self.told_ms, self.clock.now_ms() - age_ms)
-        self.version = max(self.version, version)
+
+    def tell_version(self, version: int) -> None:
+        """Take the coordinator's word that it knows a version of the configuration."""
+        if version > self.version:
+            self.version = version
+            self.newer_ms = self.clock.now_ms()
+
+    def newer_for_ms(self) -> int:
+        """Return for how long the newest known version has been known to exist."""
+        return self.clock.now_ms() - self.newer_ms
+
+    def known_ms_ago(self, what: str) -> int:
+        """Return how long ago the store last confirmed something, here or to the coordinator."""
+        return self.clock.now_ms() - max(self.confirmed.get(what, NEVER), self.told_ms)
 
     def told_lately(self) -> bool:
         """Tell whether the coordinator's word is fresh enough."""
--- a/packages/load/src/mimosaspur_load/__main__.py
+++ b/packages/load/src/mimosaspur_load/__main__.py
@@ -18,6 +18,7 @@
 from mimosaspur_load import slopes as fitting
 from mimosaspur_load.arrivals import FINAL_SEEDS
 from mimosaspur_load.arrivals import WORK_SEEDS
+from mimosaspur_load.quotas import compare as quota_ways
 from mimosaspur_load.scenarios import SCENARIOS
 from mimosaspur_load.shapes import SHAPES
 from mimosaspur_load.variants import variants as read_variants
@@ -52,6 +53,8 @@
 Repeats = Annotated[int, typer.Option(help="Seeds per variant.")]
 Samples = Annotated[int, typer.Option(help="Streams each way.")]
 Only = Annotated[str, typer.Option(help=f"By commas, of {', '.join(EXPERIMENTS)}.")]
+Entries = Annotated[str, typer.Option(help="How many entries share a quota, by commas.")]
+Results = Annotated[Path, typer.Option(help="A line of data a play; a stopped run goes on.")]
 Final = Annotated[bool, typer.Option("--final", help="Use the seeds kept for final figures.")]
 
 
@@ -100,6 +103,17 @@
     fitting.slopes({name: EXPERIMENTS[name] for name in chosen}, out)
 
 
+@app.command()
+def quotas(
+    results: Results,
+    entries: Entries = "4,24,68,360",
+    repeats: Repeats = DEFAULT_REPEATS,
+) -> None:
+    """Compare ways to hold workspaces to their quotas over many entries, in virtual time."""
+    counts = [int(count) for count in entries.split(",")]
+    print(quota_ways.compare(counts, repeats, results))
+
+
 def main() -> None:
     """Be the command."""
     # An ordinary end of the program ends the processes that it started, too.
--- /dev/null
+++ b/packages/load/src/mimosaspur_load/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Play ways to hold workspaces to their quotas over many entries, in virtual time."""
