Count what a long load keeps an engine from bringing back

Cause: six engines that had crashed came back empty, each with disk copies of three models that nobody else held. Change: a long load costs what the engine's copies of models without a replica are asked for meanwhile. Ruled out: nothing of the weight store's rate or the orders' outcomes: the loads were decided so. Proved: features/direct_placement, three rows, one of which failed before; the full search as oracle has the same terms.

--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -29,6 +29,9 @@
       | x: a b c; y: d e f disk a g                | a 30000, g waits 60      | the store is free   | g on y               |
       | x: a b c; y: d e f disk a g                | a 7000, g waits 1        | the store is free   | g on y               |
       | x: a b c; y: unknown models u v w            | g waits 1                | the store is free   | g on x or y          |
+      | x: a b c; z: disk e f                        | a 30000, e waits 2       | the store is free   | e on z               |
+      | x: a b c; z: disk e f                        | a 30000                  | the store is free   | a on z               |
+      | x: a b c; y: d e f; z: disk e f              | a 30000, e f 900         | the store is free   | a on z               |
 
   Scenario Outline: What an unloaded model leaves in memory may push out the copy that is needed
     Given an engine that has <copies> in memory, and <disk> on its disk
--- a/features/harness/placement_oracle.py
+++ b/features/harness/placement_oracle.py
@@ -18,8 +18,10 @@
 from mimosaspur_coordination.placementcost import adapters_mb
 from mimosaspur_coordination.placementcost import copies_loss_of
 from mimosaspur_coordination.placementcost import engine_tokens
+from mimosaspur_coordination.placementcost import kept_from_loss_of
 from mimosaspur_coordination.placementcost import resident_loss
 from mimosaspur_coordination.placementcost import unload_ms_of
+from mimosaspur_coordination.placementproblem import LONG_LOAD_MS
 from mimosaspur_coordination.placementproblem import REPLICA_TOKENS
 from mimosaspur_coordination.placementproblem import EngineSnapshot
 from mimosaspur_coordination.placementproblem import PlacementProblem
@@ -158,7 +160,7 @@
         cost = loss + (seconds + wait_ms / 1000) * second_tokens
         cost += shared_part * engine_tokens(problem, engine)
         if from_store:
-            cost += store_tokens + copies_loss_of(problem, engine, model)
+            cost += store_tokens + _store_load_loss(problem, engine, model, seconds)
         if cost <= best_cost:
             best_cost = cost
             load_ms = round(seconds * 1000)
@@ -177,6 +179,15 @@
     return None
 
 
+def _store_load_loss(
+    problem: PlacementProblem, engine: EngineSnapshot, model: ModelSpec, seconds: float
+) -> float:
+    loss = copies_loss_of(problem, engine, model)
+    if seconds * 1000 >= LONG_LOAD_MS:
+        loss += seconds * kept_from_loss_of(problem, engine, model)
+    return loss
+
+
 def _may_get(problem: PlacementProblem, engine: EngineSnapshot, model: ModelSpec) -> bool:
     held = model.name in engine.residents or engine.loading == model.name
     return engine.usable and not held and engine.identity not in problem.reserved
--- a/packages/coordination/src/mimosaspur_coordination/engineroom.py
+++ b/packages/coordination/src/mimosaspur_coordination/engineroom.py
@@ -11,7 +11,9 @@
 from mimosaspur_coordination.placementcost import adapters_mb
 from mimosaspur_coordination.placementcost import copies_loss_of
 from mimosaspur_coordination.placementcost import engine_tokens
+from mimosaspur_coordination.placementcost import kept_from_loss_of
 from mimosaspur_coordination.placementcost import resident_loss
+from mimosaspur_coordination.placementproblem import LONG_LOAD_MS
 from mimosaspur_coordination.placementproblem import EngineSnapshot
 from mimosaspur_coordination.placementproblem import PlacementProblem
 from mimosaspur_coordination.weightcopies import weights_mb
@@ -119,6 +121,12 @@
         self.rooms = sorted(rooms, key=lambda room: room.least_loss)
         self.copies_losses: dict[tuple[str, float], float] = {}
 
+    def kept_from_loss(self, room: EngineRoom, model: ModelSpec, seconds: float) -> float:
+        """Return what is lost while a long load keeps the engine from bringing models back."""
+        if seconds * 1000 < LONG_LOAD_MS:
+            return 0.0
+        return seconds * kept_from_loss_of(self.problem, room.engine, model)
+
     def copies_loss(self, room: EngineRoom, model: ModelSpec) -> float:
         """Return what is lost with the copies that a load from the weight store pushes out."""
         if model.name in room.engine.on_disk:
--- a/packages/coordination/src/mimosaspur_coordination/modelplacement.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelplacement.py
@@ -38,8 +38,8 @@
 STORE_TOKENS = 2_500.0
 # For a mere copy no more than this may be lost at the victims' place, in tokens a second.
 COPY_LOSS = 100.0
-# What a second until the copy is there counts as: among engines that lose as little, one that is free
-# begins at once.
+# What a second until the copy is there counts as: among engines that lose as little, one that is
+# free begins at once.
 COPY_SECOND_TOKENS = 1.0
 
 
@@ -204,6 +204,7 @@
             cost += terms.shared_part * room.tokens_now(problem)
         if from_store and cost <= limit:
             cost += terms.store_tokens + self._rooms().copies_loss(room, model)
+            cost += self._rooms().kept_from_loss(room, model, seconds)
         if cost > limit:
             return None
         load_ms = round(seconds * 1000)
--- a/packages/coordination/src/mimosaspur_coordination/placementcost.py
+++ b/packages/coordination/src/mimosaspur_coordination/placementcost.py
@@ -53,6 +53,24 @@
     return loss
 
 
+def kept_from_loss_of(problem: PlacementProblem, engine: EngineSnapshot, model: ModelSpec) -> float:
+    """Return what a second costs in which a load keeps an engine from bringing models back.
+
+    An engine takes one order at a time. Models without a replica of which it has a copy come back
+    within a few seconds, unless it is busy with a load that takes much longer.
+    """
+    loss = 0.0
+    for name in {*engine.on_disk, *engine.in_memory}:
+        if name == model.name or problem.replicas.get(name):
+            continue
+        demand = problem.demand_of(name)
+        wanted = 1.0 - math.exp(-demand.slow_tokens / REQUEST_TOKENS * AGAIN_S)
+        if demand.waiting:
+            wanted = 1.0
+        loss += wanted / max(1, problem.copies.get(name, 1))
+    return loss * RELOAD_SECOND_TOKENS
+
+
 def engine_tokens(problem: PlacementProblem, engine: EngineSnapshot) -> float:
     """Return the demand that falls to an engine, in tokens a second."""
     return sum(
