Set aside the quota shares of entries that the coordinator doesn't hear

Change: a lost link sets aside the entry's share from when it was last heard, for a window or until it is back; a new coordinator does so for those that followed the last one and don't follow it. The refill holds half of a burst. Ruled out: rounding of shares, the rate of the refill: neither moves the overshoot.

--- a/features/direct_quotas.feature
+++ b/features/direct_quotas.feature
@@ -22,6 +22,8 @@
       | 24      | hot small, coordinator away | 100     |
       | 24      | entry cut                   | 100     |
       | 24      | hot, entries killed         | 100     |
+      | 24      | hot, entries cut            | 100     |
+      | 24      | entries cut, then hot       | 100     |
 
   Scenario: An even split refuses far more, so that the comparison means something
     Given quotas that 24 entries hold by an even split, 2 seeds
--- a/packages/coordination/src/mimosaspur_coordination/quota/account.py
+++ b/packages/coordination/src/mimosaspur_coordination/quota/account.py
@@ -21,6 +21,13 @@
 MOST_REPORTS = 256
 
 
+def share_of(asked_here: float, asked_by_all: float, entries: int) -> float:
+    """Return the part of a quota that is an entry's; all entries' parts come to one."""
+    even = 1.0 / max(1, entries)
+    asked = min(1.0, asked_here / asked_by_all) if asked_by_all else even
+    return asked * (1.0 - IDLE_PART) + even * IDLE_PART
+
+
 class Account:
     """Hold what one entry knows of one workspace's quota."""
 
@@ -90,9 +97,7 @@
 
     def share(self, entries: int) -> float:
         """Return the part of the quota that this entry's callers ask for."""
-        even = 1.0 / entries
-        asked = min(1.0, self.asked_here / self.asked_by_all) if self.asked_by_all else even
-        return asked * (1.0 - IDLE_PART) + even * IDLE_PART
+        return share_of(self.asked_here, self.asked_by_all, entries)
 
     def calm(self, now_ms: int) -> bool:
         """Tell whether callers asked for less than the quota, and had left plenty of it."""
--- a/packages/coordination/src/mimosaspur_coordination/quota/bounds.py
+++ b/packages/coordination/src/mimosaspur_coordination/quota/bounds.py
@@ -6,6 +6,9 @@
 # Entries learn of one another's spending with a delay, and callers' clocks differ from ours: this
 # part of what a quota may be passed by is kept for that. The rest is what a bucket holds.
 KEPT_PART = 0.6
+# A window has room for the rate and a burst. So much of the burst comes with the refill; the rest
+# is kept for what entries spend that are cut off from the others.
+BURST_PART = 0.5
 
 
 def may_pass(quota: Quota, bounds: QuotaBounds) -> float:
@@ -14,8 +17,8 @@
 
 
 def refill_per_s(quota: Quota, bounds: QuotaBounds) -> float:
-    """Return what a second adds: over a whole window it comes to the rate and one burst."""
-    return _in_window(quota, bounds) * 1000 / bounds.window_ms
+    """Return what a second adds: over a whole window it comes to the rate and part of a burst."""
+    return quota.per_s + BURST_PART * quota.burst * 1000 / bounds.window_ms
 
 
 def capacity_of(quota: Quota, bounds: QuotaBounds) -> float:
--- a/packages/coordination/src/mimosaspur_coordination/quota/ledger.py
+++ b/packages/coordination/src/mimosaspur_coordination/quota/ledger.py
@@ -3,7 +3,9 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from mimosaspur_coordination.quota.absent import AbsentEntries
 from mimosaspur_coordination.quota.account import Account
+from mimosaspur_coordination.quota.account import share_of
 from mimosaspur_coordination.quota.bounds import capacity_of
 from mimosaspur_coordination.quota.bounds import refill_per_s
 from mimosaspur_coordination.quota.fading import FadingRate
@@ -21,6 +23,8 @@
 TOLD_DEMAND_PART = 0.25
 # By then all entries that follow a new coordinator have reported what they spent before.
 SETTLE_MS = 1_000
+# Under this name entries are absent of which only the number is known.
+UNHEARD = ""
 
 
 class _Counted:
@@ -45,13 +49,16 @@
 class QuotaLedger:
     """Count what all entries spend of each quota."""
 
-    __slots__ = ("bounds", "clock", "counted", "settled_ms")
+    __slots__ = ("absent", "asked_of", "bounds", "clock", "counted", "settled_ms")
 
     def __init__(self, bounds: QuotaBounds, *, clock: Clock) -> None:
         self.bounds = bounds
         self.clock = clock
         self.counted: dict[str, _Counted] = {}
         self.settled_ms = 0
+        # What is asked of each entry, by workspace.
+        self.asked_of: dict[str, dict[str, FadingRate]] = {}
+        self.absent = AbsentEntries(bounds.window_ms)
 
     def configure(
         self, workspaces: Iterable[Workspace], known: Mapping[str, Account], *, told_ms: int = 0
@@ -105,16 +112,61 @@
         counted.asked.add_rate(account.asked_by_all, now_ms)
         return counted
 
-    def hear(self, spendings: Iterable[Spending], *, first: bool = False) -> None:
+    def hear(self, entry: str, spendings: Iterable[Spending], *, first: bool = False) -> None:
         """Take an entry's spending since its last report; its first is of the time before."""
         now_ms = self.clock.now_ms()
+        asked = self.asked_of.setdefault(entry, {})
+        if first:
+            self._back(entry, now_ms)
         for spending in spendings:
             counted = self.counted.get(spending.workspace)
             if counted:
                 counted.level.take(spending.spent, now_ms)
                 if counted.expected and not first:
                     counted.expected.take(spending.spent, now_ms)
-                counted.asked.add(max(0.0, spending.spent) + spending.refused, now_ms)
+                amount = max(0.0, spending.spent) + spending.refused
+                counted.asked.add(amount, now_ms)
+                if spending.workspace not in asked:
+                    asked[spending.workspace] = FadingRate(now_ms)
+                asked[spending.workspace].add(amount, now_ms)
+
+    def lose(self, entry: str, *, entries: int, silent_ms: int) -> None:
+        """Set aside the shares of an entry that may go on, and hasn't been heard for a time."""
+        now_ms = self.clock.now_ms()
+        asked = self.asked_of.pop(entry, {})
+        per_s = {}
+        for name, counted in self.counted.items():
+            own = asked[name].at(now_ms) if name in asked else 0.0
+            share = share_of(own, counted.asked.at(now_ms), entries)
+            per_s[name] = share * refill_per_s(counted.quota, self.bounds)
+            counted.level.take(per_s[name] * silent_ms / 1000, now_ms)
+        self.absent.leave(entry, per_s, now_ms - silent_ms)
+        self._refill_anew(now_ms)
+
+    def miss(self, missing: int, *, entries: int, silent_ms: int) -> None:
+        """Set aside even shares for entries that the last coordinator knew and this one doesn't."""
+        part = missing / max(1, entries)
+        now_ms = self.clock.now_ms()
+        per_s = {
+            name: part * refill_per_s(counted.quota, self.bounds)
+            for name, counted in self.counted.items()
+        }
+        for name, counted in self.counted.items():
+            counted.level.take(per_s[name] * silent_ms / 1000, now_ms)
+        self.absent.leave(UNHEARD, per_s, now_ms)
+        self._refill_anew(now_ms)
+
+    def _back(self, entry: str, now_ms: int) -> None:
+        for name, amount in self.absent.back(entry, now_ms).items():
+            if name in self.counted:
+                self.counted[name].level.take(-amount, now_ms)
+        self._refill_anew(now_ms)
+
+    def _refill_anew(self, now_ms: int) -> None:
+        for name, counted in self.counted.items():
+            per_s = refill_per_s(counted.quota, self.bounds) - self.absent.per_s(name)
+            capacity = counted.level.capacity
+            counted.level.resize(capacity=capacity, per_s=max(0.0, per_s), now_ms=now_ms)
 
     def all(self) -> list[Remaining]:
         """Return what somebody has to hear who knows nothing yet."""
@@ -125,6 +177,8 @@
         """Return what differs from what entries expect, and count it as told."""
         now_ms = self.clock.now_ms()
         self._settle(now_ms)
+        if self.absent.expire(now_ms):
+            self._refill_anew(now_ms)
         news = []
         for name, counted in self.counted.items():
             remaining = self._remaining(name, counted, now_ms)
@@ -145,7 +199,7 @@
                 quota = counted.quota
                 counted.level.resize(
                     capacity=capacity_of(quota, self.bounds),
-                    per_s=refill_per_s(quota, self.bounds),
+                    per_s=counted.level.per_s,
                     now_ms=now_ms,
                 )
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -39,6 +39,8 @@
 
 # Entries hear at least so often, so that they notice when the coordinator is gone.
 HEARTBEAT_MS = 250
+# By then all entries follow a new coordinator that reach it.
+FOLLOWED_AFTER_MS = 1_500
 # Paces change slowly once they are known.
 PACES_EVERY_MS = 1_000
 
@@ -72,6 +74,10 @@
         self.quotas = QuotaLedger(state.settings.quotas, clock=state.clock)
         # The version of the configuration whose quotas are counted.
         self.quotas_version = 0
+        # How many entries the last coordinator told of, until it is known who is missing.
+        self.expected_entries = 0
+        self.unheard_since_ms = 0
+        self.began_ms = state.clock.now_ms()
         self.told_ms = 0
         # When the entries' work is summed up and told again.
         self.work_due_ms = 0
@@ -87,7 +93,7 @@
         member.leaving = report.leaving
         self._configure_quotas()
         spendings = [Spending(each.workspace, each.spent, each.refused) for each in report.quotas]
-        self.quotas.hear(spendings, first=first)
+        self.quotas.hear(report.instance, spendings, first=first)
         for told in report.paces:
             self.paces.hear(told.model, Pace(told.factor, told.measurements))
 
@@ -95,12 +101,26 @@
         configuration = self.state.configuration
         if configuration is None or configuration.version == self.quotas_version:
             return
-        self.quotas_version = configuration.version
         limiter = self.state.quotas
+        if not self.quotas_version:
+            self.expected_entries = limiter.entries
+            self.unheard_since_ms = limiter.told_ms
+        self.quotas_version = configuration.version
         self.quotas.configure(
             configuration.workspaces or (), limiter.accounts, told_ms=limiter.told_ms
         )
 
+    def _miss_entries(self, now_ms: int) -> None:
+        """Set aside quotas for entries that followed the last coordinator and don't follow here."""
+        if not self.expected_entries or now_ms - self.began_ms < FOLLOWED_AFTER_MS:
+            return
+        missing = self.expected_entries - len(self.members)
+        if missing > 0:
+            window_ms = self.state.settings.quotas.window_ms
+            silent_ms = min(window_ms, now_ms - self.unheard_since_ms)
+            self.quotas.miss(missing, entries=self.expected_entries, silent_ms=silent_ms)
+        self.expected_entries = 0
+
     def own(self, instance: str) -> Member:
         """Return the member that stands for this instance's own entry."""
         member = self.members.get(instance)
@@ -112,7 +132,11 @@
         """Drop an entry whose link has ended."""
         for instance, known in list(self.members.items()):
             if known is member:
+                entries = len(self.members)
                 del self.members[instance]
+                if not member.leaving:
+                    silent_ms = self.state.clock.now_ms() - member.heard_ms
+                    self.quotas.lose(instance, entries=entries, silent_ms=silent_ms)
 
     def linked(self) -> set[str]:
         """Return the other entries."""
@@ -162,6 +186,7 @@
         changed = self.fleet.look(self._sums() if work_due else None, desks)
         paces = self._paces_to_tell(now_ms)
         self._configure_quotas()
+        self._miss_entries(now_ms)
         quotas = self.quotas.news()
         head = self._head(lease, paces, quotas)
         news = News(head, self.fleet, self._store_to_tell(), _quotas_told(self.quotas.all()))
--- a/packages/load/src/mimosaspur_load/quotas/play.py
+++ b/packages/load/src/mimosaspur_load/quotas/play.py
@@ -2,6 +2,7 @@
 
 import heapq
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
@@ -29,6 +30,8 @@
 REPORT_MS = 100
 PASS_MS = 100
 DELAY_MS = 3
+# An entry that isn't heard for so long is taken for lost.
+SILENT_MS = 1_500
 # A request told to come back does so once.
 RETURN_MS = 800
 BOUNDS = QuotaBounds(window_ms=8_000, overage=0.1, slack=17_000.0)
@@ -222,13 +225,26 @@
         elif trouble.kind == "coordinator found":
             self.way.lose_coordinator()
         elif trouble.kind == "entry cut":
-            self.cut[trouble.which] = self.clock.ms + trouble.for_ms
+            self._cut(trouble, [trouble.which])
+        elif trouble.kind == "entries cut":
+            self._cut(trouble, range(1, 1 + round(self.entries * trouble.times)))
+        elif trouble.kind == "entry lost":
+            self.way.lose(trouble.which, silent_ms=SILENT_MS)
+        elif trouble.kind == "entry found":
+            self.way.find(trouble.which)
         elif trouble.kind == "entries killed":
             for entry in range(round(self.entries * trouble.times)):
                 self.way.restart(entry)
         elif trouble.kind == "quota":
             self._change_quota(trouble)
 
+    def _cut(self, trouble: Trouble, entries: Iterable[int]) -> None:
+        for entry in entries:
+            self.cut[entry] = self.clock.ms + trouble.for_ms
+            if trouble.for_ms > SILENT_MS:
+                self._at(SILENT_MS, EVENT, Trouble("entry lost", 0, which=entry))
+                self._at(trouble.for_ms, EVENT, Trouble("entry found", 0, which=entry))
+
     def _change_quota(self, trouble: Trouble) -> None:
         workspace = self.workspaces[trouble.which]
         quota = _quota(workspace)
@@ -273,6 +289,14 @@
         Trouble("hot", 9_000, 10_000, which=6, times=7.5),
     ),
     "entry cut": (Trouble("entry cut", 10_000, 8_000, which=1),),
+    "hot, entries cut": (
+        Trouble("hot", 8_000, 16_000, which=0, times=7.5),
+        Trouble("entries cut", 10_000, 6_000, times=0.3),
+    ),
+    "entries cut, then hot": (
+        Trouble("entries cut", 8_000, 8_000, times=0.3),
+        Trouble("hot", 10_000, 12_000, which=0, times=7.5),
+    ),
     "hot, entries killed": (
         Trouble("hot", 8_000, 16_000, which=0, times=7.5),
         Trouble("entries killed", 14_000, times=0.6),
--- a/packages/load/src/mimosaspur_load/quotas/ways.py
+++ b/packages/load/src/mimosaspur_load/quotas/ways.py
@@ -68,6 +68,14 @@
         """Have all entries lose the coordinator; another one begins with what it knows itself."""
         ...
 
+    def lose(self, entry: int, *, silent_ms: int) -> None:
+        """Have the coordinator take note that an entry is not heard any more."""
+        ...
+
+    def find(self, entry: int) -> None:
+        """Have an entry follow anew that was cut off."""
+        ...
+
     def restart(self, entry: int) -> None:
         """Have an entry begin anew."""
         ...
@@ -118,6 +126,12 @@
     def lose_coordinator(self) -> None:
         """Need none."""
 
+    def lose(self, entry: int, *, silent_ms: int) -> None:
+        """Need nobody."""
+
+    def find(self, entry: int) -> None:
+        """Need nobody."""
+
     def restart(self, entry: int) -> None:
         """Begin with a whole part again."""
         for level in self.levels[entry].values():
@@ -185,7 +199,7 @@
         """Count what was spent."""
         assert isinstance(report, tuple)
         self.heard[entry], spendings = report
-        self.ledger.hear(spendings, first=entry in self.silent)
+        self.ledger.hear(str(entry), spendings, first=entry in self.silent)
         self.silent.discard(entry)
 
     def news(self) -> object:
@@ -211,6 +225,16 @@
             # Whoever follows anew is told all first.
             self.limiters[entry].hear(self.ledger.all(), entries=self.entries)
 
+    def lose(self, entry: int, *, silent_ms: int) -> None:
+        """Have the coordinator take note that an entry is not heard any more."""
+        self.ledger.lose(str(entry), entries=self.entries, silent_ms=silent_ms)
+
+    def find(self, entry: int) -> None:
+        """Have an entry follow anew that was cut off."""
+        self.limiters[entry].coordinator_lost()
+        self.silent.add(entry)
+        self.limiters[entry].hear(self.ledger.all(), entries=self.entries)
+
     def restart(self, entry: int) -> None:
         """Begin with an empty head, and be told all."""
         self.limiters[entry] = self._limiter()
@@ -308,6 +332,12 @@
         for wanted in self.wanted:
             wanted.clear()
 
+    def lose(self, entry: int, *, silent_ms: int) -> None:
+        """Let its leases run out."""
+
+    def find(self, entry: int) -> None:
+        """Have it ask anew."""
+
     def restart(self, entry: int) -> None:
         """Hold nothing."""
         self.held[entry].clear()
