Give quotas at the coordinator a module, and set nothing aside where nobody was told

Cause: members.py told of quotas beside all else, ways.py held all ways; a first coordinator of fewer than four entries took the number that is assumed for one that was told, and would have set quotas aside for entries that never were. Proved: features/direct_quotas, a row that fails with the assumed number.

--- a/features/direct_quotas.feature
+++ b/features/direct_quotas.feature
@@ -68,3 +68,14 @@
       | never holds more than its capacity        |
       | refills from below zero at the same rate  |
       | keeps what is left when it is resized     |
+
+  Scenario Outline: A coordinator that begins sets quotas aside only for whom it misses
+    Given an entry that was told of <told> entries, and begins to coordinate
+    When <follow> entries follow it for 2 s
+    Then <part> in 100 of the refill is set aside
+
+    Examples:
+      | told | follow | part |
+      | no   | 1      | 0    |
+      | 4    | 4      | 0    |
+      | 4    | 3      | 25   |
--- a/features/harness/direct_target.py
+++ b/features/harness/direct_target.py
@@ -23,6 +23,8 @@
     headers: dict[str, str]
     body: bytes
     ran: bool = True
+    # The headers' names as they came, the repeated ones among them.
+    names: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -250,7 +252,8 @@
 
 def _seen(head: h11.Request, body: bytes) -> Seen:
     headers = {name.decode(): value.decode() for name, value in head.headers}
-    return Seen(headers.get("x-request-id", ""), headers, body)
+    names = [name.decode() for name, _ in head.headers]
+    return Seen(headers.get("x-request-id", ""), headers, body, names=names)
 
 
 def _foreign_answer() -> bytes:
--- a/features/steps/direct_quotas_steps.py
+++ b/features/steps/direct_quotas_steps.py
@@ -11,16 +11,25 @@
 from hypothesis import strategies
 
 from harness.direct_target import PLAIN_BODY
+from harness.direct_workspaces import KEYS
 from harness.direct_workspaces import WorkspaceEntry
+from harness.direct_workspaces import with_workspaces
 from harness.direct_world import KINDS
 from harness.direct_world import Received
+from harness.direct_world import outside
 from harness.direct_world import received
 from harness.direct_world import request_bytes
+from harness.direct_world import settings_for
 from harness.loop import run
+from mimosaspur_coordination.quota.bounds import refill_per_s
 from mimosaspur_coordination.quota.level import Level
+from mimosaspur_daemon.direct.entrystate import EntryState
+from mimosaspur_daemon.direct.quotateller import QuotaTeller
 from mimosaspur_load.quotas.play import QuotaPlay
-from mimosaspur_load.quotas.play import Trouble
 from mimosaspur_load.quotas.play import play
+from mimosaspur_load.quotas.troubles import Trouble
+from mimosaspur_load.quotas.way import HandClock
+from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_state.directsettings import QuotaBounds
 from mimosaspur_state.workspaces import Quota
 from mimosaspur_state.workspaces import QuotaUnit
@@ -183,3 +192,33 @@
             assert level.wait_ms(100.0, now_ms) >= 0
 
     check()
+
+
+@given("an entry that was told of {told} entries, and begins to coordinate")
+def begin_to_coordinate(context: Context, told: str) -> None:
+    context.clock = HandClock()
+    state = EntryState(settings_for("entry-0"), outside("entry-0", clock=context.clock))
+    newest = with_workspaces(KEYS)
+    limited = tuple(replace(each, quota=ONE_REQUEST) for each in newest.workspaces or ())
+    state.adopt(replace(newest, workspaces=limited), source="test")
+    if told != "no":
+        state.quotas.hear([], entries=int(told))
+    context.teller = QuotaTeller(state)
+
+
+@when("{count:d} entries follow it for {seconds:d} s")
+def follow(context: Context, count: int, seconds: int) -> None:
+    for _ in range(seconds * 10):
+        for number in range(count):
+            report = EntryReport(f"entry-{number}", 1, [], [], [], [])
+            context.teller.hear(report, first=False)
+        context.teller.news(count)
+        context.clock.ms += 100
+
+
+@then("{part:d} in 100 of the refill is set aside")
+def check_set_aside(context: Context, part: int) -> None:
+    ledger = context.teller.ledger
+    for name, counted in ledger.counted.items():
+        refill = refill_per_s(counted.quota, ledger.bounds)
+        assert round(100 * ledger.absent.per_s(name) / refill) == part, name
--- a/features/steps/direct_workspaces_steps.py
+++ b/features/steps/direct_workspaces_steps.py
@@ -140,6 +140,7 @@
     headers = seen[0].headers
     name = None if what == "no workspace" else what.removeprefix("workspace ")
     assert headers.get("x-workspace") == name, headers
+    assert seen[0].names.count("x-workspace") == (name is not None), seen[0].names
     assert "authorization" not in headers, headers
     assert not any(key in str(headers) for keys in KEYS.values() for key in keys), headers
 
--- a/packages/coordination/src/mimosaspur_coordination/quota/limiter.py
+++ b/packages/coordination/src/mimosaspur_coordination/quota/limiter.py
@@ -152,6 +152,10 @@
                 account.asked_by_all = each.asked_per_s
                 account.asked_here = account.asked.at(now_ms)
 
+    def was_told(self) -> bool:
+        """Tell whether a coordinator ever told this entry anything."""
+        return self.told_ms != NEVER
+
     def coordinator_lost(self) -> None:
         """Have the next coordinator hear all that the last one didn't count."""
         for account in self.accounts.values():
@@ -167,7 +171,7 @@
             share=round(account.share(self.entries), 3),
             asked_per_s=round(account.asked_by_all),
             per_s=round(account.shared.per_s),
-            news_age_ms=now_ms - self.told_ms if self.told_ms != NEVER else None,
+            news_age_ms=now_ms - self.told_ms if self.was_told() else None,
         )
 
     def _covers(self, account: Account, cost: float, now_ms: int) -> bool:
@@ -203,7 +207,7 @@
         if account.alone is None:
             share = account.share(self.entries)
             content = max(0.0, account.shared.at(now_ms)) * share - account.uncounted()
-            if self.told_ms == NEVER:
+            if not self.was_told():
                 share = 1.0 / ASSUMED_ENTRIES
                 content = account.shared.at(now_ms) * share
             account.advance = self._advances(account, now_ms)
@@ -218,7 +222,7 @@
 
     def _advances(self, account: Account, now_ms: int) -> bool:
         """Tell whether one request may go ahead of a share that is less than any one request."""
-        if self.told_ms == NEVER or not account.calm(self.told_ms):
+        if not self.was_told() or not account.calm(self.told_ms):
             return False
         if now_ms - self.told_ms <= ADVANCE_MS:
             return True
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -3,7 +3,6 @@
 import contextlib
 import random
 from collections.abc import Collection
-from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -13,9 +12,6 @@
 from mimosaspur_coordination.modelpace import Pace
 from mimosaspur_coordination.modelpace import SharedPaces
 from mimosaspur_coordination.orderlease import OrderLease
-from mimosaspur_coordination.quota.ledger import QuotaLedger
-from mimosaspur_coordination.quota.spending import Remaining
-from mimosaspur_coordination.quota.spending import Spending
 from mimosaspur_daemon.direct.enginedesk import EngineDesk
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.fleetreport import apply_report
@@ -24,6 +20,7 @@
 from mimosaspur_daemon.direct.fleetteller import FleetTeller
 from mimosaspur_daemon.direct.fleetteller import Informed
 from mimosaspur_daemon.direct.fleetteller import News
+from mimosaspur_daemon.direct.quotateller import QuotaTeller
 from mimosaspur_daemon.direct.storenews import StoreTeller
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import FleetReport
@@ -39,8 +36,6 @@
 
 # Entries hear at least so often, so that they notice when the coordinator is gone.
 HEARTBEAT_MS = 250
-# By then all entries follow a new coordinator that reach it.
-FOLLOWED_AFTER_MS = 1_500
 # Paces change slowly once they are known.
 PACES_EVERY_MS = 1_000
 
@@ -71,13 +66,7 @@
         self.paces_told_ms = 0
         self.store = StoreTeller(state)
         self.fleet = FleetTeller()
-        self.quotas = QuotaLedger(state.settings.quotas, clock=state.clock)
-        # The version of the configuration whose quotas are counted.
-        self.quotas_version = 0
-        # How many entries the last coordinator told of, until it is known who is missing.
-        self.expected_entries = 0
-        self.unheard_since_ms = 0
-        self.began_ms = state.clock.now_ms()
+        self.quotas = QuotaTeller(state)
         self.told_ms = 0
         # When the entries' work is summed up and told again.
         self.work_due_ms = 0
@@ -91,36 +80,10 @@
         member.waiting = {asked.model: asked.waiting for asked in report.asked if asked.waiting}
         member.adapters = [(model, adapter) for model, adapter in report.adapters]
         member.leaving = report.leaving
-        self._configure_quotas()
-        spendings = [Spending(each.workspace, each.spent, each.refused) for each in report.quotas]
-        self.quotas.hear(report.instance, spendings, first=first)
+        self.quotas.hear(report, first=first)
         for told in report.paces:
             self.paces.hear(told.model, Pace(told.factor, told.measurements))
 
-    def _configure_quotas(self) -> None:
-        configuration = self.state.configuration
-        if configuration is None or configuration.version == self.quotas_version:
-            return
-        limiter = self.state.quotas
-        if not self.quotas_version:
-            self.expected_entries = limiter.entries
-            self.unheard_since_ms = limiter.told_ms
-        self.quotas_version = configuration.version
-        self.quotas.configure(
-            configuration.workspaces or (), limiter.accounts, told_ms=limiter.told_ms
-        )
-
-    def _miss_entries(self, now_ms: int) -> None:
-        """Set aside quotas for entries that followed the last coordinator and don't follow here."""
-        if not self.expected_entries or now_ms - self.began_ms < FOLLOWED_AFTER_MS:
-            return
-        missing = self.expected_entries - len(self.members)
-        if missing > 0:
-            window_ms = self.state.settings.quotas.window_ms
-            silent_ms = min(window_ms, now_ms - self.unheard_since_ms)
-            self.quotas.miss(missing, entries=self.expected_entries, silent_ms=silent_ms)
-        self.expected_entries = 0
-
     def own(self, instance: str) -> Member:
         """Return the member that stands for this instance's own entry."""
         member = self.members.get(instance)
@@ -135,8 +98,7 @@
                 entries = len(self.members)
                 del self.members[instance]
                 if not member.leaving:
-                    silent_ms = self.state.clock.now_ms() - member.heard_ms
-                    self.quotas.lose(instance, entries=entries, silent_ms=silent_ms)
+                    self.quotas.lose(instance, entries=entries, heard_ms=member.heard_ms)
 
     def linked(self) -> set[str]:
         """Return the other entries."""
@@ -185,11 +147,9 @@
         work_due = now_ms >= self.work_due_ms
         changed = self.fleet.look(self._sums() if work_due else None, desks)
         paces = self._paces_to_tell(now_ms)
-        self._configure_quotas()
-        self._miss_entries(now_ms)
-        quotas = self.quotas.news()
+        quotas = self.quotas.news(len(self.members))
         head = self._head(lease, paces, quotas)
-        news = News(head, self.fleet, self._store_to_tell(), _quotas_told(self.quotas.all()))
+        news = News(head, self.fleet, self._store_to_tell(), self.quotas.all())
         if changed or paces or quotas or now_ms - self.told_ms >= HEARTBEAT_MS:
             self.told_ms = now_ms
             hearers = list(self.members.values())
@@ -207,7 +167,9 @@
         work = (member.work for member in self.members.values())
         return total_work(work, self.state.fleet.targets)
 
-    def _head(self, lease: OrderLease, paces: list[PaceOf], quotas: list[Remaining]) -> FleetReport:
+    def _head(
+        self, lease: OrderLease, paces: list[PaceOf], quotas: list[RemainingOf]
+    ) -> FleetReport:
         return FleetReport(
             token=lease.record.token if lease.record else 0,
             ordering=lease.proved(),
@@ -218,7 +180,7 @@
             paces=paces,
             staying=sum(not each.leaving for each in self.members.values()),
             version=self.state.version(),
-            quotas=_quotas_told(quotas),
+            quotas=quotas,
         )
 
     def _store_to_tell(self) -> StoreTeller | None:
@@ -260,11 +222,3 @@
             return 0
         member.informed = news.after(member.informed)
         return len(frames)
-
-
-def _quotas_told(remaining: Iterable[Remaining]) -> list[RemainingOf]:
-    # Fractions of a token are nobody's concern.
-    return [
-        RemainingOf(each.workspace, round(each.content), round(each.asked_per_s))
-        for each in remaining
-    ]
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quotateller.py
@@ -0,0 +1,81 @@
+"""Count entries' spending at the coordinator, and tell what is left of quotas."""
+
+from collections.abc import Iterable
+
+from mimosaspur_coordination.quota.ledger import QuotaLedger
+from mimosaspur_coordination.quota.spending import Remaining
+from mimosaspur_coordination.quota.spending import Spending
+from mimosaspur_daemon.direct.entrystate import EntryState
+from mimosaspur_protocol.peermessages import EntryReport
+from mimosaspur_protocol.peermessages import RemainingOf
+
+# By then all entries follow a new coordinator that reach it.
+FOLLOWED_AFTER_MS = 1_500
+
+
+class QuotaTeller:
+    """Hold the quotas of the configuration in force, for as long as this instance coordinates."""
+
+    __slots__ = ("began_ms", "expected_entries", "ledger", "state", "unheard_since_ms", "version")
+
+    def __init__(self, state: EntryState) -> None:
+        self.state = state
+        self.ledger = QuotaLedger(state.settings.quotas, clock=state.clock)
+        # The version of the configuration whose quotas are counted.
+        self.version = 0
+        self.began_ms = state.clock.now_ms()
+        limiter = state.quotas
+        # How many entries the last coordinator told of, until it is known who is missing.
+        self.expected_entries = limiter.entries if limiter.was_told() else 0
+        self.unheard_since_ms = limiter.told_ms
+
+    def hear(self, report: EntryReport, *, first: bool) -> None:
+        """Take what an entry has spent; its first report is of the time before."""
+        self._configure()
+        spendings = [Spending(each.workspace, each.spent, each.refused) for each in report.quotas]
+        self.ledger.hear(report.instance, spendings, first=first)
+
+    def lose(self, instance: str, *, entries: int, heard_ms: int) -> None:
+        """Take note that an entry isn't heard any more, which may go on."""
+        silent_ms = self.state.clock.now_ms() - heard_ms
+        self.ledger.lose(instance, entries=entries, silent_ms=silent_ms)
+
+    def news(self, members: int) -> list[RemainingOf]:
+        """Return what is left where entries expect another rest."""
+        self._configure()
+        self._miss_entries(members)
+        return _told(self.ledger.news())
+
+    def all(self) -> list[RemainingOf]:
+        """Return what is left of all quotas."""
+        return _told(self.ledger.all())
+
+    def _configure(self) -> None:
+        configuration = self.state.configuration
+        if configuration is None or configuration.version == self.version:
+            return
+        self.version = configuration.version
+        limiter = self.state.quotas
+        self.ledger.configure(
+            configuration.workspaces or (), limiter.accounts, told_ms=limiter.told_ms
+        )
+
+    def _miss_entries(self, members: int) -> None:
+        """Set aside quotas for entries that followed the last coordinator and don't follow here."""
+        now_ms = self.state.clock.now_ms()
+        if not self.expected_entries or now_ms - self.began_ms < FOLLOWED_AFTER_MS:
+            return
+        missing = self.expected_entries - members
+        if missing > 0:
+            window_ms = self.state.settings.quotas.window_ms
+            silent_ms = min(window_ms, now_ms - self.unheard_since_ms)
+            self.ledger.miss(missing, entries=self.expected_entries, silent_ms=silent_ms)
+        self.expected_entries = 0
+
+
+def _told(remaining: Iterable[Remaining]) -> list[RemainingOf]:
+    # Fractions of a token are nobody's concern.
+    return [
+        RemainingOf(each.workspace, round(each.content), round(each.asked_per_s))
+        for each in remaining
+    ]
--- a/packages/load/src/mimosaspur_load/quotas/compare.py
+++ b/packages/load/src/mimosaspur_load/quotas/compare.py
@@ -8,8 +8,8 @@
 
 from rich.progress import track
 
-from mimosaspur_load.quotas.play import TROUBLES
 from mimosaspur_load.quotas.play import play
+from mimosaspur_load.quotas.troubles import TROUBLES
 from mimosaspur_load.quotas.ways import WAYS
 
 ERRORS = 2.0
--- a/packages/load/src/mimosaspur_load/quotas/play.py
+++ b/packages/load/src/mimosaspur_load/quotas/play.py
@@ -10,9 +10,11 @@
 
 from mimosaspur_coordination.quota.bounds import may_pass
 from mimosaspur_coordination.quota.level import Level
+from mimosaspur_load.quotas.troubles import TROUBLES
+from mimosaspur_load.quotas.troubles import Trouble
+from mimosaspur_load.quotas.way import HandClock
+from mimosaspur_load.quotas.way import Way
 from mimosaspur_load.quotas.ways import WAYS
-from mimosaspur_load.quotas.ways import HandClock
-from mimosaspur_load.quotas.ways import Way
 from mimosaspur_state.directsettings import QuotaBounds
 from mimosaspur_state.workspaces import Quota
 from mimosaspur_state.workspaces import QuotaUnit
@@ -39,18 +41,6 @@
 REQUEST, REPORT, HEARD, PASS, TOLD, EVENT = range(6)
 
 
-@dataclass(slots=True, frozen=True)
-class Trouble:
-    """Hold what happens at a time, and until when."""
-
-    kind: str
-    at_ms: int
-    for_ms: int = 0
-    # Which workspace or entry, or how many times as much.
-    which: int = 0
-    times: float = 1.0
-
-
 @dataclass(slots=True)
 class Outcome:
     """Hold what a way let through and refused."""
@@ -270,42 +260,6 @@
     return workspace.quota
 
 
-TROUBLES: dict[str, tuple[Trouble, ...]] = {
-    "calm": (),
-    "hot": (Trouble("hot", 8_000, 12_000, which=0, times=7.5),),
-    "hot small": (Trouble("hot", 8_000, 12_000, which=6, times=7.5),),
-    "coordinator lost": (Trouble("coordinator lost", 10_000, 3_000),),
-    "coordinator away": (Trouble("coordinator lost", 10_000, 10_000),),
-    "hot, coordinator lost": (
-        Trouble("hot", 8_000, 16_000, which=0, times=7.5),
-        Trouble("coordinator lost", 12_000, 3_000),
-    ),
-    "coordinator lost, then hot": (
-        Trouble("coordinator lost", 8_000, 8_000),
-        Trouble("hot", 9_000, 10_000, which=0, times=7.5),
-    ),
-    "hot small, coordinator away": (
-        Trouble("coordinator lost", 8_000, 8_000),
-        Trouble("hot", 9_000, 10_000, which=6, times=7.5),
-    ),
-    "entry cut": (Trouble("entry cut", 10_000, 8_000, which=1),),
-    "hot, entries cut": (
-        Trouble("hot", 8_000, 16_000, which=0, times=7.5),
-        Trouble("entries cut", 10_000, 6_000, times=0.3),
-    ),
-    "entries cut, then hot": (
-        Trouble("entries cut", 8_000, 8_000, times=0.3),
-        Trouble("hot", 10_000, 12_000, which=0, times=7.5),
-    ),
-    "hot, entries killed": (
-        Trouble("hot", 8_000, 16_000, which=0, times=7.5),
-        Trouble("entries killed", 14_000, times=0.6),
-    ),
-    "quota lowered": (Trouble("quota", 10_000, which=0, times=0.15),),
-    "quota raised": (Trouble("quota", 10_000, which=0, times=3.0),),
-}
-
-
 def play(way: str, trouble: str, *, entries: int, seed: int) -> Outcome:
     """Play one way through one kind of trouble."""
     return QuotaPlay(way, entries=entries, seed=seed, troubles=TROUBLES[trouble]).run()
