Log each repeat with what the retry window held

The logs could not tell a window that was forgotten from one that assumed too few entries, nor count the arrivals of moved runs.

--- a/packages/coordination/src/mimosaspur_coordination/retrywindow.py
+++ b/packages/coordination/src/mimosaspur_coordination/retrywindow.py
@@ -1,6 +1,7 @@
 """Bound repeated arrivals at a service over all entries, each entry keeping to its share."""
 
 from collections import deque
+from dataclasses import dataclass
 
 from mimosaspur_state.clock import Clock
 from mimosaspur_state.directsettings import RetryBounds
@@ -11,6 +12,18 @@
 DEFAULT_ENTRIES = 4
 
 
+@dataclass(slots=True, frozen=True)
+class RetryState:
+    """Hold what decides whether another repeat is allowed."""
+
+    requests: int
+    repeats: int
+    # Repeats that the window allows in all.
+    allowed: float
+    # Entries that the constant is shared by.
+    sharers: int
+
+
 class RetryWindow:
     """Allow repeats in proportion to a window's requests, plus a share of a constant."""
 
@@ -31,8 +44,17 @@
     def allows(self) -> bool:
         """Tell whether the window has another repeat."""
         self._forget()
-        allowed = self.bounds.ratio * len(self.requests) + self.bounds.slack / self.entries
-        return len(self.repeats) + 1 <= allowed * USED_PART
+        return len(self.repeats) + 1 <= self._allowed()
+
+    def state(self) -> RetryState:
+        """Return what decides about the next repeat."""
+        self._forget()
+        return RetryState(
+            requests=len(self.requests),
+            repeats=len(self.repeats),
+            allowed=round(self._allowed(), 1),
+            sharers=self.entries,
+        )
 
     def spend(self) -> bool:
         """Take one repeat if the window has it."""
@@ -41,6 +63,10 @@
         self.repeats.append(self.clock.now_ms())
         return True
 
+    def _allowed(self) -> float:
+        proportional = self.bounds.ratio * len(self.requests)
+        return (proportional + self.bounds.slack / self.entries) * USED_PART
+
     def _forget(self) -> None:
         oldest_ms = self.clock.now_ms() - self.bounds.window_ms
         for times in (self.requests, self.repeats):
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -103,7 +103,7 @@
         """Stop the run and let it go on at another target; tell whether it was stopped."""
         journey = self.journey
         request = header(journey.request.headers, journey.state.outside.dialect.request_id)
-        if not request or not journey.state.retry_window(journey.service).spend():
+        if not request or not journey.spend_repeat("move"):
             return False
         self.moving = asyncio.get_running_loop().create_future()
         engines = journey.state.outside.engines
--- a/packages/daemon/src/mimosaspur_daemon/direct/journey.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/journey.py
@@ -136,8 +136,7 @@
 
     async def run(self) -> None:
         """Answer the request; raise GivenUp with the answer of our own."""
-        window = self.state.retry_window(self.service)
-        window.count_request()
+        self.state.retry_window(self.service).count_request()
         if self.prompt.model:
             self.state.count_asked(
                 self.prompt.model,
@@ -164,6 +163,10 @@
         """Tell whether a target may have run the request, or runs it now."""
         return self.started or self.unsure or self.sent or self.failure is not None
 
+    def spend_repeat(self, what: str) -> bool:
+        """Take one more arrival at a target from what the service's bound allows."""
+        return self.state.spend_repeat(self.service, request=self.identity(), what=what)
+
     def ends_in_time(self) -> bool:
         """Tell whether the request will surely end before this process does."""
         if not self.state.uses(Mechanism.LEAVING_TAKES):
@@ -199,10 +202,9 @@
         return self.targeting.refusal(code)
 
     async def _attempts(self) -> None:
-        window = self.state.retry_window(self.service)
         for offer in range(MOST_OFFERS):
             continued, self.moved = self.moved, None
-            if self.arrived and not continued and not window.spend():
+            if self.arrived and not continued and not self.spend_repeat("offer"):
                 break
             try:
                 view = continued.view if continued else await self._next_target()
@@ -211,7 +213,7 @@
                     break
                 raise
             result = await self._attempt(view, continued)
-            self._log_attempt(view, result, offer)
+            self._log_attempt(view, result, offer, continued=continued is not None)
             if result is Result.DONE:
                 return
             if result is Result.MOVED or self._goes_back(continued, result):
@@ -294,7 +296,9 @@
             return min(int(value), self.route.timeout_ms)
         return self.route.timeout_ms
 
-    def _log_attempt(self, view: TargetView, result: Result, offer: int) -> None:
+    def _log_attempt(
+        self, view: TargetView, result: Result, offer: int, *, continued: bool
+    ) -> None:
         if self.first_ms:
             self.state.log.counters.observe("first_event_ms", self.first_ms)
         self.state.log.counters.observe("waited_ms", self.waited_ms)
@@ -307,6 +311,7 @@
             adapter=self.prompt.adapter,
             target=view.record.identity,
             offer=offer,
+            continued=continued,
             result=result.value,
             cause=self.cause,
             started=self.started,
