--- a/features/harness/direct_site.py
+++ b/features/harness/direct_site.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+from collections.abc import Iterable
+from dataclasses import replace
 from typing import Any
 
 from harness.direct_registrations import store_with_servers
@@ -14,6 +16,7 @@
 from mimosaspur_daemon.direct.storewatch import StoreWatch
 from mimosaspur_platform.store import PlatformStore
 from mimosaspur_state.clock import SystemClock
+from mimosaspur_state.directsettings import RetryBounds
 from mimosaspur_state.errors import StoreUnavailable
 
 SETTLED_WITHIN_S = 8.0
@@ -50,16 +53,36 @@
     pass
 
 
+class _CutDuty(Duty):
+    """Follow and accept other entries, unless the ways to them are cut."""
+
+    cut = False
+
+    async def _follow(self, address: tuple[str, int]) -> bool:
+        return False if self.cut else await super()._follow(address)
+
+    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.cut:
+            writer.transport.abort()
+        else:
+            await super()._accepted(reader, writer)
+
+
 class SiteEntry:
     """Own one entry's watches and its part in coordinating."""
 
-    def __init__(self, name: str, address: tuple[str, int]) -> None:
+    def __init__(
+        self, name: str, address: tuple[str, int], retries: RetryBounds | None = None
+    ) -> None:
         clock = SystemClock()
         log = quiet_log(name)
         self.store = CutStore(PlatformStore(address, clock=clock, log=log))
         ports = outside(name, store=self.store, log=log)
-        self.state = EntryState(settings_for(name), ports)
-        self.duty = Duty(self.state)
+        settings = settings_for(name)
+        if retries:
+            settings = replace(settings, retries=retries)
+        self.state = EntryState(settings, ports)
+        self.duty = _CutDuty(self.state)
         self.tasks: list[asyncio.Task[None]] = []
         self.server: asyncio.Server | None = None
 
@@ -88,16 +111,18 @@
 class Site:
     """Own the store and the entries."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, retries: RetryBounds | None = None) -> None:
         self.store: StoreStandIn = store_with_servers()
         self.count = count
+        self.retries = retries
+        self.address = ("", 0)
         self.entries: list[SiteEntry] = []
 
     async def start(self) -> None:
         """Start all, the first one early, and wait until the others rely on it."""
-        address = await self.store.start()
+        self.address = await self.store.start()
         for number in range(self.count):
-            entry = SiteEntry(f"entry-{number}", address)
+            entry = self._entry(number)
             self.entries.append(entry)
             await entry.start()
             if not number:
@@ -123,6 +148,28 @@
         else:
             first.kill()
 
+    async def restart(self, number: int) -> None:
+        """Kill an entry and start it again under its name."""
+        self.entries[number].kill()
+        self.entries[number] = self._entry(number)
+        await self.entries[number].start()
+
+    def cut_off(self, numbers: Iterable[int]) -> None:
+        """Cut entries off from the store and from all other entries."""
+        for number in numbers:
+            entry = self.entries[number]
+            entry.store.cut = entry.duty.cut = True
+            for coordinator in (each.duty.coordinator for each in self.entries):
+                if coordinator is None:
+                    continue
+                for name, member in coordinator.members.members.items():
+                    names = (name, coordinator.state.settings.instance)
+                    if member.link and entry.state.settings.instance in names:
+                        member.link.close()
+
+    def _entry(self, number: int) -> SiteEntry:
+        return SiteEntry(f"entry-{number}", self.address, self.retries)
+
     def stop(self) -> None:
         """End all."""
         for entry in self.entries:
