Count each arrival of a moved run as a repeat

Cause: a repeat was taken when the run was stopped, and the way back was free. In four other cases (the run was not known, nothing was answered, the caller left) a repeat was spent for no arrival.

A move takes two repeats, and what a request didn't need is returned when it has come to its last target, so that the window holds just its arrivals.

--- a/features/direct_moves.feature
+++ b/features/direct_moves.feature
@@ -1,5 +1,7 @@
 Feature: Streams go on elsewhere when their engine is taken away
 
+  # The repeats that are spent guard against arrivals that the retry budget doesn't count: those of a run
+  # that is refused where it was moved, and goes back.
   Scenario Outline: An engine that will be gone before its streams end, <case>
     Given a direct entry before an engine that streams slowly and a sound one
     And the engines move runs: <answer>
@@ -7,19 +9,20 @@
     Then the direct caller gets <result>
     And the first engine began it once, and the second one <second>
     And <left> copies of memory are left at engines
+    And <again> repeats are spent
 
     Examples:
-      | case                                | answer                             | gone    | result         | second                             | left |
-      | it is moved                         | copied                             | 1500 ms | all its events | went on from the first's memory    | 0    |
-      | it is moved, without a length       | copied, from an unframed stream    | 1500 ms | all its events | went on from the first's memory    | 0    |
-      | it ends all, without a length       | no such run, unframed              | 1500 ms | all its events | never saw it                       | 0    |
-      | it ends what it runs                | copied                             | no time | all its events | never saw it                       | 0    |
-      | the run is not known there any more | no such run                        | 1500 ms | all its events | never saw it                       | 0    |
-      | nothing is answered                 | nothing, and the run goes on       | 1500 ms | all its events | never saw it                       | 0    |
-      | the copy found no room              | the memory stays                   | 1500 ms | all its events | never saw it                       | 0    |
-      | the second engine refuses           | copied, but refused there          | 1500 ms | all its events | refused it                         | 0    |
-      | neither takes it                    | copied, but refused at both        | 1500 ms | a broken end   | refused it                         | 0    |
-      | the caller leaves meanwhile         | copied late, and the caller leaves | 1500 ms | nothing more   | never saw it                       | 0    |
+      | case                                | answer                             | gone    | result         | second                             | left | again |
+      | it is moved                         | copied                             | 1500 ms | all its events | went on from the first's memory    | 0    | 1     |
+      | it is moved, without a length       | copied, from an unframed stream    | 1500 ms | all its events | went on from the first's memory    | 0    | 1     |
+      | it ends all, without a length       | no such run, unframed              | 1500 ms | all its events | never saw it                       | 0    | 0     |
+      | it ends what it runs                | copied                             | no time | all its events | never saw it                       | 0    | 0     |
+      | the run is not known there any more | no such run                        | 1500 ms | all its events | never saw it                       | 0    | 0     |
+      | nothing is answered                 | nothing, and the run goes on       | 1500 ms | all its events | never saw it                       | 0    | 0     |
+      | the copy found no room              | the memory stays                   | 1500 ms | all its events | never saw it                       | 0    | 1     |
+      | the second engine refuses           | copied, but refused there          | 1500 ms | all its events | refused it                         | 0    | 2     |
+      | neither takes it                    | copied, but refused at both        | 1500 ms | a broken end   | refused it                         | 0    | 2     |
+      | the caller leaves meanwhile         | copied late, and the caller leaves | 1500 ms | nothing more   | never saw it                       | 0    | 0     |
 
   Scenario: Without a budget for repeats nothing is moved
     Given a direct entry before an engine that streams slowly and a sound one
--- a/features/steps/direct_moves_steps.py
+++ b/features/steps/direct_moves_steps.py
@@ -108,6 +108,12 @@
     assert context.engines.left() == left, (context.engines.made, context.engines.dropped)
 
 
+@then("{repeats:d} repeats are spent")
+def check_spent(context: Context, repeats: int) -> None:
+    window = context.entry.state.retry_window("service")
+    assert window.state().repeats == repeats, window.state()
+
+
 @given("an engine of the platform that answers a move with {status:d} and {body}")
 def start_platform_engine(context: Context, status: int, body: str) -> None:
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/packages/coordination/src/mimosaspur_coordination/limits/retrywindow.py
+++ b/packages/coordination/src/mimosaspur_coordination/limits/retrywindow.py
@@ -1,5 +1,6 @@
 """Bound repeated arrivals at a service over all entries, each entry keeping to its part."""
 
+import contextlib
 from collections import deque
 from dataclasses import dataclass
 
@@ -40,10 +41,10 @@
         self.requests.append(self.clock.now_ms())
         self._forget()
 
-    def allows(self) -> bool:
-        """Tell whether the window has another repeat."""
+    def allows(self, repeats: int = 1) -> bool:
+        """Tell whether the window has so many more repeats."""
         self._forget()
-        return len(self.repeats) + 1 <= self._allowed()
+        return len(self.repeats) + repeats <= self._allowed()
 
     def state(self) -> RetryState:
         """Return what decides about the next repeat."""
@@ -55,13 +56,18 @@
             part=round(self.lease.part(), 3),
         )
 
-    def spend(self) -> bool:
-        """Take one repeat if the window has it."""
-        if not self.allows():
+    def spend(self, repeats: int = 1) -> bool:
+        """Take so many repeats, or none if the window doesn't have all of them."""
+        if not self.allows(repeats):
             return False
-        self.repeats.append(self.clock.now_ms())
+        self.repeats.extend([self.clock.now_ms()] * repeats)
         return True
 
+    def give_back(self, spent_ms: int) -> None:
+        """Return a repeat that was taken at a time and not needed."""
+        with contextlib.suppress(ValueError):
+            self.repeats.remove(spent_ms)
+
     def _allowed(self) -> float:
         proportional = self.bounds.ratio * len(self.requests)
         return (proportional + self.bounds.slack * self.lease.part()) * USED_PART
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -33,6 +33,8 @@
 # A begun stream that pauses for this many times the route's longest pause is resumed elsewhere.
 STALL_TIMES = 3
 LEAST_STALL_MS = 1_000
+# A moved run comes to its new target, and back to where it ran if that refuses it.
+MOVE_ARRIVALS = 2
 
 
 class Result(Enum):
@@ -103,7 +105,7 @@
         """Stop the run and let it go on at another target; tell whether it was stopped."""
         journey = self.journey
         request = header(journey.request.headers, journey.state.outside.dialect.request_id)
-        if not request or not journey.spend_repeat("move"):
+        if not request or not journey.repeats.spend(MOVE_ARRIVALS, what="move"):
             return False
         self.moving = asyncio.get_running_loop().create_future()
         engines = journey.state.outside.engines
@@ -174,8 +176,7 @@
         request, giving it up would end the answer instead.
         """
         journey = self.journey
-        window = journey.state.retry_window(journey.service)
-        if journey.targeting.has_other(self.view) and window.allows():
+        if journey.targeting.has_other(self.view) and journey.repeats.window.allows():
             raise TimeoutError
 
     async def _rest(self) -> bytes:
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -206,20 +206,6 @@
             self.retries[service] = window
         return window
 
-    def spend_repeat(self, service: str, *, request: str, what: str) -> bool:
-        """Take a repeat of a request from the service's bound; log the decision."""
-        window = self.retry_window(service)
-        granted = window.spend()
-        self.log.write(
-            "repeat",
-            request=request,
-            service=service,
-            what=what,
-            outcome="granted" if granted else "refused",
-            window=window.state(),
-        )
-        return granted
-
     def count_asked(self, model: str, adapter: str, *, tokens: int, objective_ms: int) -> None:
         """Count a request for a model, and for an adapter if it names one."""
         if adapter:
--- a/packages/daemon/src/mimosaspur_daemon/direct/journey.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/journey.py
@@ -5,10 +5,12 @@
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_daemon.direct.attempt import Attempt
 from mimosaspur_daemon.direct.attempt import Result
+from mimosaspur_daemon.direct.attemptlog import log_attempt
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.evacuation import MovedRun
 from mimosaspur_daemon.direct.prompts import read_prompt
 from mimosaspur_daemon.direct.refusal import GivenUp
+from mimosaspur_daemon.direct.repeats import Repeats
 from mimosaspur_daemon.direct.targeting import FAILED_REST_S
 from mimosaspur_daemon.direct.targeting import NOT_RUN_REST_S
 from mimosaspur_daemon.direct.targeting import Targeting
@@ -41,7 +43,6 @@
     """Serve one request."""
 
     __slots__ = (
-        "arrived",
         "attempt",
         "caller",
         "cause",
@@ -58,6 +59,7 @@
         "over",
         "predicted_ms",
         "prompt",
+        "repeats",
         "request",
         "route",
         "runs",
@@ -108,8 +110,9 @@
         self.cutter = EventCutter(int(last_id) if last_id.isdigit() else None)
         # Whether the caller has got the head of an answer.
         self.started = False
-        # Whether a target has seen the request: what comes next counts as repeated.
-        self.arrived = False
+        self.repeats = Repeats(
+            state.retry_window(service), state.log, service=service, request=self.identity()
+        )
         # Whether a target has it now.
         self.sent = False
         self.limit: asyncio.Timeout | None = None
@@ -136,7 +139,7 @@
 
     async def run(self) -> None:
         """Answer the request; raise GivenUp with the answer of our own."""
-        self.state.retry_window(self.service).count_request()
+        self.repeats.window.count_request()
         if self.prompt.model:
             self.state.count_asked(
                 self.prompt.model,
@@ -151,6 +154,7 @@
             raise self._out_of_time() from None
         finally:
             self.over = True
+            self.repeats.settle()
             if self.moved:
                 self.state.drop_copy(self.moved.source.record, self.moved.handle)
 
@@ -163,10 +167,6 @@
         """Tell whether a target may have run the request, or runs it now."""
         return self.started or self.unsure or self.sent or self.failure is not None
 
-    def spend_repeat(self, what: str) -> bool:
-        """Take one more arrival at a target from what the service's bound allows."""
-        return self.state.spend_repeat(self.service, request=self.identity(), what=what)
-
     def ends_in_time(self) -> bool:
         """Tell whether the request will surely end before this process does."""
         if not self.state.uses(Mechanism.LEAVING_TAKES):
@@ -204,7 +204,7 @@
     async def _attempts(self) -> None:
         for offer in range(MOST_OFFERS):
             continued, self.moved = self.moved, None
-            if self.arrived and not continued and not self.spend_repeat("offer"):
+            if self.repeats.arrivals and not continued and not self.repeats.spend(1, what="offer"):
                 break
             try:
                 view = continued.view if continued else await self._next_target()
@@ -213,7 +213,7 @@
                     break
                 raise
             result = await self._attempt(view, continued)
-            self._log_attempt(view, result, offer, continued=continued is not None)
+            log_attempt(self, view, result, offer, continued=continued is not None)
             if result is Result.DONE:
                 return
             if result is Result.MOVED or self._goes_back(continued, result):
@@ -260,7 +260,7 @@
             self.state.unreachable.add(view.record.identity)
             self.state.report_now.set()
             return Result.NOT_RUN
-        self.arrived = True
+        self.repeats.arrivals += 1
         attempt = self.attempt = Attempt(self, view, channel, continued)
         self.waited_ms = round((attempt.sent_s - self.request.arrived_s) * 1000)
         self.predicted_ms = round(attempt.predicted_ms)
@@ -295,34 +295,3 @@
         if value.isdigit():
             return min(int(value), self.route.timeout_ms)
         return self.route.timeout_ms
-
-    def _log_attempt(
-        self, view: TargetView, result: Result, offer: int, *, continued: bool
-    ) -> None:
-        if self.first_ms:
-            self.state.log.counters.observe("first_event_ms", self.first_ms)
-        self.state.log.counters.observe("waited_ms", self.waited_ms)
-        self.state.log.write(
-            "answered" if result is Result.DONE else "attempt",
-            request=self.identity(),
-            workspace=self.workspace.name if self.workspace else "",
-            route=self.route.name,
-            model=self.prompt.model,
-            adapter=self.prompt.adapter,
-            target=view.record.identity,
-            offer=offer,
-            continued=continued,
-            result=result.value,
-            cause=self.cause,
-            started=self.started,
-            last_event=self.cutter.last_id,
-            waited_ms=self.waited_ms,
-            rank=self.targeting.rank,
-            predicted_ms=self.predicted_ms,
-            first_ms=self.first_ms,
-            objective_ms=self.route.objective_ms,
-            longest_pause_ms=self.longest_pause_ms,
-            lasted_ms=round((asyncio.get_running_loop().time() - self.request.arrived_s) * 1000),
-            at_target=view.requests(),
-            failing=round(view.health.failing_share(), 2),
-        )
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/direct/repeats.py
@@ -0,0 +1,43 @@
+"""Count how often one request comes to targets, and take the repeats that this needs."""
+
+from mimosaspur_coordination.limits.retrywindow import RetryWindow
+from mimosaspur_state.eventlog import EventLog
+
+
+class Repeats:
+    """Hold one request's arrivals at targets, and the repeats that were taken for them."""
+
+    __slots__ = ("arrivals", "log", "request", "service", "spent_ms", "window")
+
+    def __init__(self, window: RetryWindow, log: EventLog, *, service: str, request: str) -> None:
+        self.window = window
+        self.log = log
+        self.service = service
+        self.request = request
+        # Each arrival but the first needs a repeat.
+        self.arrivals = 0
+        # When repeats were taken.
+        self.spent_ms: list[int] = []
+
+    def spend(self, repeats: int, *, what: str) -> bool:
+        """Take repeats from what the service's bound allows, all or none; log the decision."""
+        granted = self.window.spend(repeats)
+        if granted:
+            self.spent_ms += [self.window.clock.now_ms()] * repeats
+        self.log.write(
+            "repeat",
+            request=self.request,
+            service=self.service,
+            what=what,
+            repeats=repeats,
+            outcome="granted" if granted else "refused",
+            window=self.window.state(),
+        )
+        return granted
+
+    def settle(self) -> None:
+        """Return what wasn't needed, now that the request has come to its last target."""
+        unneeded = max(0, len(self.spent_ms) - max(0, self.arrivals - 1))
+        # Kept are the last, which lie nearest to the arrivals.
+        for spent_ms in self.spent_ms[:unneeded]:
+            self.window.give_back(spent_ms)
