Count spending that an entry can't have heard of by the age of the news

Cause: an entry lets requests take from all that is left while little can be spent between two news, and judged that by the usual time between news (0.1 s). Entries that were cut off from the coordinator went on so for a second: 24 of them each spent the same rest and its refill.

--- a/features/direct_quotas.feature
+++ b/features/direct_quotas.feature
@@ -3,6 +3,7 @@
   more than its rate and burst allow, with the overage and the slack of the settings. What one bucket for
   all entries would let in should be let in.
 
+  # Hot middling: guards against entries that all spend the same rest of a quota while nobody tells them.
   Scenario Outline: <entries> entries, <trouble>
     Given quotas that <entries> entries hold by what the coordinator tells, 2 seeds
     When callers come, with <trouble>
@@ -16,6 +17,7 @@
       | 24      | hot small                   | 3       |
       | 24      | quota lowered               | 100     |
       | 24      | hot                         | 100     |
+      | 68      | hot middling, coordinator lost | 100  |
       | 24      | coordinator lost            | 100     |
       | 24      | hot, coordinator lost       | 100     |
       | 24      | coordinator lost, then hot  | 100     |
--- a/packages/coordination/src/mimosaspur_coordination/quota/limiter.py
+++ b/packages/coordination/src/mimosaspur_coordination/quota/limiter.py
@@ -183,7 +183,7 @@
         if alone and account.advance:
             account.advance = False
             return True
-        if (not alone and not self._crowded(account)) or left < needed * account.rounding:
+        if (not alone and not self._crowded(account, now_ms)) or left < needed * account.rounding:
             return False
         account.rounding = self.chance()
         return True
@@ -193,13 +193,14 @@
         if now_ms - self.told_ms > FRESH_MS:
             return self._alone(account, now_ms).at(now_ms)
         content = account.shared.at(now_ms)
-        if content > 0 and self._crowded(account):
+        if content > 0 and self._crowded(account, now_ms):
             content *= account.share(self.entries)
         return content - account.uncounted()
 
-    def _crowded(self, account: Account) -> bool:
+    def _crowded(self, account: Account, now_ms: int) -> bool:
         """Tell whether too much could be spent before the entries hear of it."""
-        meanwhile = account.asked_by_all * self.news_ms / 1000
+        unheard_ms = max(self.news_ms, now_ms - self.told_ms)
+        meanwhile = account.asked_by_all * unheard_ms / 1000
         return meanwhile > PASSED_PART * may_pass(account.quota, self.bounds)
 
     def _alone(self, account: Account, now_ms: int) -> Level:
--- a/packages/load/src/mimosaspur_load/quotas/troubles.py
+++ b/packages/load/src/mimosaspur_load/quotas/troubles.py
@@ -25,6 +25,10 @@
         Trouble("hot", 8_000, 16_000, which=0, times=7.5),
         Trouble("coordinator lost", 12_000, 3_000),
     ),
+    "hot middling, coordinator lost": (
+        Trouble("hot", 8_000, 16_000, which=1, times=7.5),
+        Trouble("coordinator lost", 14_000, 3_000),
+    ),
     "coordinator lost, then hot": (
         Trouble("coordinator lost", 8_000, 8_000),
         Trouble("hot", 9_000, 10_000, which=0, times=7.5),
