Let a process that has just started spend nothing of a quota until it is told

A workspace's callers could have been let in twice over their quota after a loss of power of all entries, while others waited for what they took.

An entry that nobody had told anything took a quarter of each quota, refill and bucket, whatever its predecessor had spent and however many entries there are; a coordinator that didn't know what was spent began with a full bucket.

Evidence: mimosaspur-load's play told killed entries all that was left even while the coordinator was away.

Such a process answers 503 with code 2014 and Retry-After 0.1 s: not run, and another entry knows. A quota that is new in a configuration still begins full. Ruled out: the lease's record with the number of entries (lost with a restored store); a bucket that begins empty in each account (a rate of 0.001 a second would be refused for minutes at every new quota).

--- a/features/direct_quotas.feature
+++ b/features/direct_quotas.feature
@@ -4,6 +4,7 @@
   all entries would let in should be let in.
 
   # Hot middling: guards against entries that all spend the same rest of a quota while nobody tells them.
+  # All killed: guards against processes that begin with a whole quota, whatever was spent before.
   Scenario Outline: <entries> entries, <trouble>
     Given quotas that <entries> entries hold by what the coordinator tells, 2 seeds
     When callers come, with <trouble>
@@ -18,6 +19,7 @@
       | 24      | quota lowered               | 100     |
       | 24      | hot                         | 100     |
       | 68      | hot middling, coordinator lost | 100  |
+      | 24      | hot, all killed, coordinator away | 100 |
       | 24      | coordinator lost            | 100     |
       | 24      | hot, coordinator lost       | 100     |
       | 24      | coordinator lost, then hot  | 100     |
@@ -52,6 +54,12 @@
     Then the second caller is refused with code 2012
     And it is told to come back within a third of its time
 
+  Scenario: An entry that doesn't know what is left of a quota sends callers elsewhere
+    Given a direct entry whose workspaces have a quota of 1 request, before a target that answers
+    And no coordinator has told it what is left
+    When callers of one workspace send a request that may run once 2 times, one after the other
+    Then they are refused with 503 and code 2014, and told to come back within 200 ms
+
   Scenario: Other workspaces are served while one has used up its quota
     Given a direct entry whose workspaces have a quota of 1 request, before a target that answers
     When callers of one workspace send a request that may run once 5 times, one after the other
--- a/features/steps/direct_quotas_steps.py
+++ b/features/steps/direct_quotas_steps.py
@@ -23,6 +23,7 @@
 from harness.loop import run
 from mimosaspur_coordination.quota.bounds import refill_per_s
 from mimosaspur_coordination.quota.level import Level
+from mimosaspur_coordination.quota.limiter import QuotaLimiter
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.quotateller import QuotaTeller
 from mimosaspur_load.quotas.play import QuotaPlay
@@ -84,6 +85,22 @@
         context.entry.target.server.close()
 
 
+@given("no coordinator has told it what is left")
+def forget_told(context: Context) -> None:
+    state = context.entry.state
+    state.quotas = QuotaLimiter(TIGHT, clock=state.clock)
+    state.quotas.configure(state.configuration.workspaces)
+
+
+@then("they are refused with {status:d} and code {code:d}, and told to come back within {ms:d} ms")
+def check_sent_elsewhere(context: Context, status: int, code: int, ms: int) -> None:
+    for answer in context.answers:
+        assert answer.status == status, answer
+        assert answer.body.startswith(f"{code} ".encode()), answer
+        assert float(answer.headers["retry-after"]) <= ms / 1000, answer
+    assert not context.entry.target.seen
+
+
 async def _ask(context: Context, key: str, request: str) -> Received:
     reader, writer = await context.entry.connect()
     writer.write(request_bytes(KINDS[request][0], {"Authorization": f"Bearer {key}"}))
--- a/packages/coordination/src/mimosaspur_coordination/quota/ledger.py
+++ b/packages/coordination/src/mimosaspur_coordination/quota/ledger.py
@@ -69,7 +69,8 @@
         it soon: so the refill isn't cut off at a full bucket before that.
         """
         now_ms = self.clock.now_ms()
-        if not self.counted:
+        begins = not self.counted
+        if begins:
             self.settled_ms = now_ms + SETTLE_MS
         old = self.counted
         self.counted = {}
@@ -80,7 +81,12 @@
             counted = old.get(workspace.name)
             capacity = capacity_of(quota, self.bounds)
             if counted is None:
-                counted = self._begun(quota, known.get(workspace.name), told_ms, now_ms)
+                account = known.get(workspace.name)
+                known_lately = account and now_ms - told_ms <= self.bounds.window_ms
+                if account and known_lately:
+                    counted = self._continued(quota, account, told_ms, now_ms)
+                else:
+                    counted = self._begun(quota, now_ms, unknown=begins)
             elif counted.quota != quota:
                 counted.quota = quota
                 counted.expected = None
@@ -90,12 +96,21 @@
                     )
             self.counted[workspace.name] = counted
 
-    def _begun(self, quota: Quota, account: Account | None, told_ms: int, now_ms: int) -> _Counted:
+    def _begun(self, quota: Quota, now_ms: int, *, unknown: bool) -> _Counted:
+        """Begin to count a new quota, or one of which it is unknown what was spent before."""
+        capacity = capacity_of(quota, self.bounds)
+        level = Level(
+            capacity=capacity,
+            per_s=refill_per_s(quota, self.bounds),
+            content=0.0 if unknown else capacity,
+            at_ms=now_ms,
+        )
+        return _Counted(quota, level, None)
+
+    def _continued(self, quota: Quota, account: Account, told_ms: int, now_ms: int) -> _Counted:
+        """Go on from what the last coordinator told."""
         capacity = capacity_of(quota, self.bounds)
         per_s = refill_per_s(quota, self.bounds)
-        if account is None or now_ms - told_ms > self.bounds.window_ms:
-            full = Level(capacity=capacity, per_s=per_s, content=capacity, at_ms=now_ms)
-            return _Counted(quota, full, None)
         silent_s = (now_ms - told_ms) / 1000
         known = account.shared.at(told_ms)
         unbounded = Level(
--- a/packages/coordination/src/mimosaspur_coordination/quota/limiter.py
+++ b/packages/coordination/src/mimosaspur_coordination/quota/limiter.py
@@ -29,12 +29,14 @@
 # News is expected so often, until it has come some times.
 FIRST_NEWS_MS = 200.0
 NEWEST_NEWS = 0.1
-# How many entries share a quota where that isn't known.
-ASSUMED_ENTRIES = 4
 NEVER = -1_000_000_000
 ADMITTED_MS = 0
 
 
+class QuotaUnknown(Exception):
+    """Say that this process doesn't know what other entries have spent of a quota."""
+
+
 @dataclass(slots=True, frozen=True)
 class QuotaState:
     """Hold what decides whether a request is admitted."""
@@ -71,7 +73,7 @@
         self.clock = clock
         self.chance = chance
         self.accounts: dict[str, Account] = {}
-        self.entries = ASSUMED_ENTRIES
+        self.entries = 1
         # When the coordinator last told anything.
         self.told_ms = NEVER
         # How often it does, at the mean.
@@ -98,10 +100,15 @@
             self.accounts[workspace.name] = account
 
     def admit(self, workspace: str, cost: float) -> int:
-        """Spend a request's cost; return 0, or in how many ms the quota will cover it."""
+        """Spend a request's cost; return 0, or in how many ms the quota will cover it.
+
+        Raise QuotaUnknown until a coordinator has told what is left.
+        """
         account = self.accounts.get(workspace)
         if account is None:
             return ADMITTED_MS
+        if not self.was_told():
+            raise QuotaUnknown
         now_ms = self.clock.now_ms()
         account.ask(cost, now_ms)
         if self._covers(account, cost, now_ms):
@@ -208,9 +215,6 @@
         if account.alone is None:
             share = account.share(self.entries)
             content = max(0.0, account.shared.at(now_ms)) * share - account.uncounted()
-            if not self.was_told():
-                share = 1.0 / ASSUMED_ENTRIES
-                content = account.shared.at(now_ms) * share
             account.advance = self._advances(account, now_ms)
             account.rounding = self.chance()
             account.alone = Level(
--- a/packages/daemon/src/mimosaspur_daemon/direct/workspacequota.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/workspacequota.py
@@ -1,6 +1,7 @@
 """Find a request's workspace, and hold it to the workspace's quota."""
 
 from mimosaspur_coordination.fleetview import Prompt
+from mimosaspur_coordination.quota.limiter import QuotaUnknown
 from mimosaspur_coordination.workspaces.credentials import find_workspace
 from mimosaspur_coordination.workspaces.credentials import read_bearer
 from mimosaspur_daemon.direct.entrystate import EntryState
@@ -15,7 +16,7 @@
 from mimosaspur_transport.callerconnection import CallerRequest
 from mimosaspur_transport.dialect import header_values
 
-# When a caller may come back whose key another entry may know.
+# When a caller may come back whose key, or whose quota, another entry may know.
 OTHER_ENTRY_RETRY_S = 0.1
 
 
@@ -44,7 +45,12 @@
     if workspace is None or workspace.quota is None:
         return
     cost = _cost(workspace.quota, journey.prompt)
-    wait_ms = journey.state.quotas.admit(workspace.name, cost)
+    try:
+        wait_ms = journey.state.quotas.admit(workspace.name, cost)
+    except QuotaUnknown:
+        raise journey.targeting.refusal(
+            ResultCode.QUOTA_UNKNOWN, wanted_s=OTHER_ENTRY_RETRY_S
+        ) from None
     if wait_ms:
         journey.state.log.write(
             "over_quota",
--- a/packages/load/src/mimosaspur_load/quotas/play.py
+++ b/packages/load/src/mimosaspur_load/quotas/play.py
@@ -223,11 +223,16 @@
         elif trouble.kind == "entry found":
             self.way.find(trouble.which)
         elif trouble.kind == "entries killed":
-            for entry in range(round(self.entries * trouble.times)):
-                self.way.restart(entry)
+            self._kill(range(round(self.entries * trouble.times)))
         elif trouble.kind == "quota":
             self._change_quota(trouble)
 
+    def _kill(self, entries: Iterable[int]) -> None:
+        for entry in entries:
+            self.way.restart(entry)
+            if not self._away():
+                self.way.find(entry)
+
     def _cut(self, trouble: Trouble, entries: Iterable[int]) -> None:
         for entry in entries:
             self.cut[entry] = self.clock.ms + trouble.for_ms
--- a/packages/load/src/mimosaspur_load/quotas/toldlevels.py
+++ b/packages/load/src/mimosaspur_load/quotas/toldlevels.py
@@ -5,6 +5,7 @@
 
 from mimosaspur_coordination.quota.ledger import QuotaLedger
 from mimosaspur_coordination.quota.limiter import QuotaLimiter
+from mimosaspur_coordination.quota.limiter import QuotaUnknown
 from mimosaspur_load.quotas.messagebytes import bytes_of_said
 from mimosaspur_load.quotas.way import HandClock
 from mimosaspur_state.directsettings import QuotaBounds
@@ -42,7 +43,10 @@
 
     def admit(self, entry: int, workspace: str, cost: float) -> bool:
         """Ask the entry's limiter."""
-        return not self.limiters[entry].admit(workspace, cost)
+        try:
+            return not self.limiters[entry].admit(workspace, cost)
+        except QuotaUnknown:
+            return False
 
     def report(self, entry: int) -> object:
         """Send what was spent."""
@@ -90,10 +94,9 @@
         self.limiters[entry].hear(self.ledger.all(), entries=self.entries)
 
     def restart(self, entry: int) -> None:
-        """Begin with an empty head, and be told all."""
+        """Begin with an empty head."""
         self.limiters[entry] = self._limiter()
         self.heard[entry] = 0
-        self.limiters[entry].hear(self.ledger.all(), entries=self.entries)
 
     def configure(self, workspaces: list[Workspace]) -> None:
         """Set the quotas."""
--- a/packages/load/src/mimosaspur_load/quotas/troubles.py
+++ b/packages/load/src/mimosaspur_load/quotas/troubles.py
@@ -50,6 +50,11 @@
         Trouble("hot", 8_000, 16_000, which=0, times=7.5),
         Trouble("entries killed", 14_000, times=0.6),
     ),
+    "hot, all killed, coordinator away": (
+        Trouble("hot", 8_000, 16_000, which=0, times=7.5),
+        Trouble("coordinator lost", 14_000, 4_000),
+        Trouble("entries killed", 14_000, times=1.0),
+    ),
     "quota lowered": (Trouble("quota", 10_000, which=0, times=0.15),),
     "quota raised": (Trouble("quota", 10_000, which=0, times=3.0),),
 }
--- a/packages/state/src/mimosaspur_state/codes.py
+++ b/packages/state/src/mimosaspur_state/codes.py
@@ -39,6 +39,7 @@
     CLAIM_RATE = 2011
     QUOTA_EXCEEDED = 2012
     CONFIGURATION_OLD = 2013
+    QUOTA_UNKNOWN = 2014
 
     OUTCOME_UNKNOWN = 3001
     ANSWER_CUT = 3002
@@ -128,6 +129,11 @@
     ResultCode.QUOTA_EXCEEDED: CodeInfo(
         429, "The workspace's quota is used up for now. Not run.", _TRY_LATER
     ),
+    ResultCode.QUOTA_UNKNOWN: CodeInfo(
+        503,
+        "What is left of the workspace's quota isn't known here yet. Not run.",
+        _TRY_LATER,
+    ),
     ResultCode.CONFIGURATION_OLD: CodeInfo(
         503, "The configuration here may be out of date, and doesn't know it. Not run.", _TRY_LATER
     ),
