Keep room for an order that the engine may still come to

Cause: an engine carries out an order without an answer seconds later if it has then accepted as many orders as that one expects. The desk took every order whose count wasn't the engine's for overtaken and freed its room; but one that expects more than the engine has accepted is still to come.

Ruled out: keeping room for every order without an answer; one that expects the engine's present count is void with the next order.

--- a/features/direct_orders.feature
+++ b/features/direct_orders.feature
@@ -110,6 +110,22 @@
       | 2    |
       | 3    |
 
+  # Guards against an engine that is ordered beyond its room: an order without an answer that expects more
+  # orders than the engine has accepted is carried out once it has accepted them.
+  Scenario: Room is kept for an adapter whose order the engine may still come to
+    Given an ordered engine that holds a and leaves orders 1 unanswered, carried out after 2600 ms
+    And its adapter places are full but for one
+    And the desk has counted one order more than the engine
+    When adapter y is ordered in vain, and adapter z after it
+    Then the engine never held more than its adapter places
+
+  # The same for a model.
+  Scenario: Room is kept for a model whose order the engine may still come to
+    Given an ordered engine that holds a and b and leaves orders 1 unanswered, never carried out
+    And the desk has counted one order more than the engine
+    When the desk swaps nothing for d in vain
+    Then it keeps room for d, and after 12500 ms no more
+
   Scenario Outline: Who takes the lease over waits for its predecessor's last possible order
     Given a lease with a handover of 3000 ms that <predecessor> held
     When this instance takes it over at 10000 ms <knowledge>
--- a/features/harness/direct_engine.py
+++ b/features/harness/direct_engine.py
@@ -42,6 +42,7 @@
     busy: bool = False
     orders: int = 0
     accepted: list[EngineOrder] = field(default_factory=list)
+    given: list[EngineOrder] = field(default_factory=list)
     most_adapters: int = 0
     overcommitted: bool = False
     # What held from a time on, on the event loop's clock.
@@ -59,6 +60,7 @@
     async def order(self, target: TargetRecord, order: EngineOrder) -> OrderOutcome:
         """Obey, or leave the order unanswered."""
         self.orders += 1
+        self.given.append(order)
         if self.orders in self.foreign:
             self._obey(self.foreign[self.orders])
         if self.orders in self.uncounted:
--- a/features/steps/direct_orders_steps.py
+++ b/features/steps/direct_orders_steps.py
@@ -91,6 +91,56 @@
     context.engine.residents["a"] = set(ADAPTERS[: context.engine.adapter_places - 1])
 
 
+@given("its adapter places are full")
+def fill_all_adapters(context: Context) -> None:
+    context.engine.residents["a"] = set(ADAPTERS[: context.engine.adapter_places])
+
+
+@given("the desk has counted one order more than the engine")
+def count_too_many(context: Context) -> None:
+    async def count() -> None:
+        context.desk = await _desk(context.engine)
+        context.desk.sequence += 1
+        context.desk.sequence_ms = context.desk.clock.now_ms()
+
+    run(context, count())
+
+
+@when("adapter y is ordered in vain, and adapter z after it")
+def load_two_adapters(context: Context) -> None:
+    async def load() -> None:
+        places = context.engine.adapter_places
+        assert not await context.desk.load_adapter("a", "y", places=places)
+        await context.desk.load_adapter("a", "z", places=places)
+        await asyncio.sleep(context.engine.late_s)
+
+    run(context, load())
+
+
+@when("the desk swaps nothing for d in vain")
+def swap_in_vain_for_nothing(context: Context) -> None:
+    async def swap() -> None:
+        assert not await context.desk.swap("d", (), load_ms=LOAD_MS)
+
+    run(context, swap())
+
+
+@then("it keeps room for d, and after {ms:d} ms no more")
+def check_room_kept(context: Context, ms: int) -> None:
+    desk = context.desk
+    assert desk.kept_free() == ("d",), desk.kept_free()
+    desk.clock = HeldClock(desk.clock.now_ms() + ms)
+    assert desk.kept_free() == ()
+
+
+@then("no adapter was ordered to be unloaded for two counts of orders")
+def check_unloads(context: Context) -> None:
+    unloads = [each for each in context.engine.given if each.kind is OrderKind.UNLOAD]
+    assert unloads
+    counts = {each.expected_sequence for each in unloads}
+    assert len(counts) == 1, unloads
+
+
 @given("at order 1 an earlier holder's load of adapter x is carried out first")
 def carry_out_foreign_adapter(context: Context) -> None:
     context.engine.foreign = {1: EngineOrder(OrderKind.LOAD, "a", "x", 0, "other", 1)}
--- a/packages/daemon/src/mimosaspur_daemon/direct/enginedesk.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/enginedesk.py
@@ -70,7 +70,8 @@
         self.decided: int | None = None
         # After a failed move the engine is left alone until then.
         self.rests_until_ms = 0
-        # Models that orders to an earlier lifetime of the engine may load yet, and until when.
+        # Models that orders without an answer, also to an earlier lifetime of the engine, may load
+        # yet, and until when.
         self.late_loads: dict[str, int] = {}
 
     def inherit(self, earlier: "EngineDesk") -> None:
@@ -202,6 +203,8 @@
             elif not await self._loaded(model, begun_ms, load_ms):
                 return False
         elif outcome is not OrderOutcome.ALREADY_SO:
+            if outcome is OrderOutcome.UNKNOWN and self.behind(self.decided):
+                self.late_loads[model] = self.clock.now_ms() + LONGEST_ORDER_MS
             return False
         self.residents.setdefault(model, set())
         self.arrived_ms[model] = self.clock.now_ms()
--- a/packages/daemon/src/mimosaspur_daemon/direct/knownengine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/knownengine.py
@@ -130,8 +130,7 @@
                 if not self.lease.may_order() or self.lease.record is None or self.restarted_ms:
                     raise OrdersSuspended
                 if decided is None or self.sequence != decided:
-                    self.log.write("order_overtaken", target=self.record.identity, expected=decided)
-                    return OrderOutcome.CONFLICT
+                    return self._overtaken(decided, answered=self.unanswered_ms == silent_before_ms)
                 order = EngineOrder(
                     kind, model, adapter, decided, self.lease.instance, self.lease.record.token
                 )
@@ -141,6 +140,26 @@
             all_answered = self.unanswered_ms == silent_before_ms
             return OrderOutcome.CONFLICT if all_answered else OrderOutcome.UNKNOWN
 
+    def _overtaken(self, decided: int | None, *, answered: bool) -> OrderOutcome:
+        """Drop an order whose count of orders isn't the engine's.
+
+        An engine obeys an order without an answer as soon as it has accepted as many orders as that
+        one expects. If it has accepted fewer yet, the order may still be carried out.
+        """
+        self.log.write(
+            "order_overtaken",
+            target=self.record.identity,
+            expected=decided,
+            sequence=self.sequence,
+            answered=answered,
+        )
+        late = not answered and self.behind(decided)
+        return OrderOutcome.UNKNOWN if late else OrderOutcome.CONFLICT
+
+    def behind(self, expected: int | None) -> bool:
+        """Tell whether the engine has accepted fewer orders than an order expects."""
+        return expected is not None and self.sequence is not None and self.sequence < expected
+
     async def _give(self, order: EngineOrder, attempt: int) -> OrderOutcome | None:
         """Give an order once; return its outcome, None if it should be given again."""
         self.lease.ordered()
