Don't unload an adapter again that a report showed while its order was under way

Cause: an unload without an answer is followed by a report, which rightly shows the adapter still; given again the order is accepted, but the adapter stayed in what the desk knew. So it was unloaded a second time. An unload of what is gone is answered with 200 as one that is done at once, and only the second of these counts as an order: the desk was one order ahead of the engine.

Ruled out: asking for a report after each unload, which costs every exchange of an adapter 100 ms and more.

--- a/features/direct_orders.feature
+++ b/features/direct_orders.feature
@@ -126,6 +126,14 @@
     When the desk swaps nothing for d in vain
     Then it keeps room for d, and after 12500 ms no more
 
+  # Guards against the wrong count: an unload of what is gone is answered as if it had been carried out.
+  Scenario: An adapter that was unloaded after an unanswered order is not unloaded again
+    Given an ordered engine that holds a and leaves orders 1 unanswered, never carried out
+    And its adapter places are full
+    When the desk is told once to load adapter y
+    Then no adapter was ordered to be unloaded for two counts of orders
+    And the engine never held more than its adapter places
+
   Scenario Outline: Who takes the lease over waits for its predecessor's last possible order
     Given a lease with a handover of 3000 ms that <predecessor> held
     When this instance takes it over at 10000 ms <knowledge>
--- a/packages/daemon/src/mimosaspur_daemon/direct/adapterdesk.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/adapterdesk.py
@@ -89,6 +89,8 @@
         outcome = await self.order(OrderKind.UNLOAD, model, adapter)
         if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.ALREADY_SO):
             self.adapter_used_ms.pop(evicted, None)
+            # A report that was asked for meanwhile showed it still.
+            self.residents.get(model, set()).discard(adapter)
             return True
         self.residents.setdefault(model, set()).add(adapter)
         return False
