Wait a little for the first news of quotas, and begin with half a bucket

Cause: the first word of the coordinator comes some 0.1 s after the first callers. A request now waits for it for 0.4 s at most; a bucket of which it is unknown what was spent begins half full, which leaves room for three such coordinators within a window.

--- a/packages/coordination/src/mimosaspur_coordination/quota/ledger.py
+++ b/packages/coordination/src/mimosaspur_coordination/quota/ledger.py
@@ -23,6 +23,9 @@
 TOLD_DEMAND_PART = 0.25
 # By then all entries that follow a new coordinator have reported what they spent before.
 SETTLE_MS = 1_000
+# A bucket of which it is unknown what was spent before begins with this part: several coordinators
+# that know nothing may follow one another within a window.
+UNKNOWN_PART = 0.5
 # Under this name entries are absent of which only the number is known.
 UNHEARD = ""
 
@@ -102,7 +105,7 @@
         level = Level(
             capacity=capacity,
             per_s=refill_per_s(quota, self.bounds),
-            content=0.0 if unknown else capacity,
+            content=UNKNOWN_PART * capacity if unknown else capacity,
             at_ms=now_ms,
         )
         return _Counted(quota, level, None)
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -7,6 +7,7 @@
 from mimosaspur_daemon.direct.journey import Journey
 from mimosaspur_daemon.direct.refusal import GivenUp
 from mimosaspur_daemon.direct.workspacequota import charge
+from mimosaspur_daemon.direct.workspacequota import first_news
 from mimosaspur_daemon.direct.workspacequota import give_back_unless_run
 from mimosaspur_daemon.direct.workspacequota import workspace_of
 from mimosaspur_state.codes import CODE_TABLE
@@ -128,6 +129,7 @@
         try:
             route = self._route(request)
             workspace = workspace_of(self.state, route, request)
+            await first_news(self.state, workspace)
             service = _pick_service(route)
             journey = Journey(self.state, route, service, request, connection, workspace)
             late = request.arrived_s > self.state.noticed_s and not journey.ends_in_time()
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -105,6 +105,8 @@
         # This entry's part of the constants that bound repeats.
         self.retry_part = PartLease(window_ms=settings.retries.window_ms, clock=SuspendClock())
         self.quotas = QuotaLimiter(settings.quotas, clock=self.clock)
+        # Set once a coordinator has told what is left of quotas.
+        self.quotas_told = asyncio.Event()
         # The ranks of a configuration's requests.
         self.ranks: dict[Priority, int] = {}
         self.ranked: Configuration | None = None
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -73,6 +73,7 @@
         Remaining(told.workspace, told.content, told.asked_per_s) for told in report.quotas
     ]
     state.quotas.hear(remaining, entries=report.entries)
+    state.quotas_told.set()
     if report.store:
         apply_store_news(state, report.store)
     for target, others in state.reported.others(report.work).items():
--- a/packages/daemon/src/mimosaspur_daemon/direct/workspacequota.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/workspacequota.py
@@ -1,5 +1,8 @@
 """Find a request's workspace, and hold it to the workspace's quota."""
 
+import asyncio
+import contextlib
+
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.quota.limiter import QuotaUnknown
 from mimosaspur_coordination.workspaces.credentials import find_workspace
@@ -18,6 +21,8 @@
 
 # When a caller may come back whose key, or whose quota, another entry may know.
 OTHER_ENTRY_RETRY_S = 0.1
+# How long a request waits at a process that has just started until it is told of quotas.
+FIRST_NEWS_S = 0.4
 
 
 def workspace_of(state: EntryState, route: Route, request: CallerRequest) -> Workspace | None:
@@ -39,6 +44,15 @@
     raise GivenUp(ResultCode.UNKNOWN_CREDENTIAL)
 
 
+async def first_news(state: EntryState, workspace: Workspace | None) -> None:
+    """Wait a little until a process that has just started is told what is left of quotas."""
+    if workspace is None or workspace.quota is None or state.quotas.was_told():
+        return
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(FIRST_NEWS_S):
+            await state.quotas_told.wait()
+
+
 def charge(journey: Journey) -> None:
     """Take a request's cost from its workspace's quota; raise GivenUp if it isn't covered."""
     workspace = journey.workspace
