Tell a store that came back from an older copy by its era

Cause: the store's revisions and the lease's tokens were compared as if they only grew. A restored store gives both out again; a watch then goes on from a revision that another change has, and the next holder of the lease gets a token that was used.

The era of the store's answers (header Store-Era) stands in front of revisions and tokens at the adapter. What is of an earlier era names no holder and no place to go on from; whoever takes over such a lease waits for its predecessor's last possible order, and a holder whose last proof is still valid takes it again at once. An answer of the era before that was on its way is dropped. Without the header all is as before.

--- a/features/harness/direct_store.py
+++ b/features/harness/direct_store.py
@@ -1,6 +1,7 @@
 """Stand in for the platform's store, over HTTP, with one fault at a time."""
 
 import asyncio
+import copy
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Any
@@ -13,6 +14,15 @@
 PAGE = 2
 
 
+@dataclass(slots=True, frozen=True)
+class StoreCopy:
+    """Hold what a store held at a time."""
+
+    objects: dict[str, dict[str, dict[str, Any]]]
+    history: list[tuple[int, str, dict[str, Any], bool]]
+    revision: int
+
+
 @dataclass(slots=True)
 class StoreStandIn:
     """Hold objects by kind and name; a silent store takes calls and answers none."""
@@ -26,6 +36,20 @@
     calls: int = 0
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     server: asyncio.Server | None = None
+    # Named in all answers if it is given.
+    era: str | None = None
+
+    def copy(self) -> StoreCopy:
+        """Return what a restore can bring back."""
+        return copy.deepcopy(StoreCopy(self.objects, self.history, self.revision))
+
+    def restore(self, old: StoreCopy, *, era: str | None) -> None:
+        """Come back as it was, under another era."""
+        old = copy.deepcopy(old)
+        self.objects, self.history, self.revision = old.objects, old.history, old.revision
+        self.era = era
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     async def start(self) -> tuple[str, int]:
         """Listen on a free port."""
@@ -71,6 +95,8 @@
                 status, answer = await self._answer(*call)
                 body = msgspec.json.encode(answer)
                 headers = [("Content-Length", str(len(body)))]
+                if self.era is not None:
+                    headers.append(("Store-Era", self.era))
                 writer.write(codec.send(h11.Response(status_code=status, headers=headers)) or b"")
                 writer.write(codec.send(h11.Data(data=body)) or b"")
                 writer.write(codec.send(h11.EndOfMessage()) or b"")
@@ -114,7 +140,7 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + wait_ms / 1000
         while True:
-            if since < self.forgotten:
+            if since < self.forgotten or since > self.revision:
                 return 410, None
             events = [
                 {"object": stored, "deleted": deleted}
--- a/features/steps/direct_orders_steps.py
+++ b/features/steps/direct_orders_steps.py
@@ -126,7 +126,7 @@
 
 
 @then("it keeps room for d, and after {ms:d} ms no more")
-def check_room_kept(context: Context, ms: int) -> None:
+def check_kept_free(context: Context, ms: int) -> None:
     desk = context.desk
     assert desk.kept_free() == ("d",), desk.kept_free()
     desk.clock = HeldClock(desk.clock.now_ms() + ms)
--- a/packages/coordination/src/mimosaspur_coordination/fleetports.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetports.py
@@ -46,6 +46,9 @@
     token: int
     # The store's revision of the record, for a conditional update.
     revision: int = 0
+    # Whether the store has come back from an older copy since the record was written: others may
+    # have held the lease after it.
+    restored: bool = False
 
 
 class FleetStore(Protocol):
--- a/packages/coordination/src/mimosaspur_coordination/orderlease.py
+++ b/packages/coordination/src/mimosaspur_coordination/orderlease.py
@@ -28,6 +28,7 @@
     __slots__ = (
         "clock",
         "first_order_ms",
+        "forgotten",
         "handover_ms",
         "instance",
         "last_order_ms",
@@ -41,6 +42,8 @@
         # The clock must count the time in which the machine is suspended.
         self.clock = clock
         self.record: LeaseRecord | None = None
+        # Whether the store has lost who held the lease last.
+        self.forgotten = False
         self.proved_ms = 0
         self.first_order_ms = 0
         self.last_order_ms = 0
@@ -48,6 +51,10 @@
     def seen(self, record: LeaseRecord | None, *, asked_ms: int) -> None:
         """Take the lease as the store has it, asked for at a time of this clock."""
         mine = self.held()
+        if record is None:
+            self.forgotten = self.forgotten or self.record is not None
+        else:
+            self.forgotten = record.restored
         self.record = record
         if self.held() and mine:
             self.proved_ms = max(self.proved_ms, asked_ms)
@@ -68,8 +75,19 @@
         self.record = record
         self.proved_ms = asked_ms
         self.first_order_ms = now_ms
-        if predecessor and predecessor != self.instance:
+        if self.forgotten or (predecessor and predecessor != self.instance):
             self.first_order_ms = now_ms + PROOF_MS + self.handover_ms
+        self.forgotten = False
+
+    def reclaimed(self, record: LeaseRecord, *, asked_ms: int) -> None:
+        """Go on as the holder that the store has forgotten, under a new token.
+
+        The last proof must be valid still: whoever took the lease since then waits for longer than
+        it lasts before its first order.
+        """
+        self.record = record
+        self.forgotten = False
+        self.proved_ms = asked_ms
 
     def released_by_predecessor(self, *, last_order_ms: int) -> None:
         """Shorten the wait: the predecessor has told when it gave its last order."""
@@ -82,7 +100,8 @@
 
     def held(self) -> bool:
         """Tell whether this instance is the last known holder."""
-        return self.record is not None and self.record.holder == self.instance
+        record = self.record
+        return record is not None and record.holder == self.instance and not record.restored
 
     def proved(self) -> bool:
         """Tell whether nobody else can hold the lease now."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/duty.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/duty.py
@@ -86,7 +86,7 @@
                 record = self.lease.record
                 if record is None or self.lease.held():
                     await self._take_over()
-                elif not await self._follow(record.address):
+                elif record.restored or not await self._follow(record.address):
                     await self._contend(record.token)
             except (StoreUnavailable, VersionConflict) as error:
                 if isinstance(error, StoreUnavailable) and self.lease.record:
@@ -121,8 +121,9 @@
         asked_ms = self.lease.clock.now_ms()
         record = await self.state.outside.store.write_lease(self.lease.next_record(self.address))
         self.backoff.worked()
+        forgotten = self.lease.forgotten
         self.lease.taken(record, asked_ms=asked_ms, predecessor=predecessor)
-        if self.last_order_ms is not None:
+        if self.last_order_ms is not None and not forgotten:
             self.lease.released_by_predecessor(last_order_ms=self.last_order_ms)
             self.last_order_ms = None
         self.state.log.always("coordinating", token=record.token, predecessor=predecessor)
@@ -185,10 +186,27 @@
             self.renewals.failed()
             self._ask_for_proof(everyone=True)
             return
+        proved = self.lease.proved()
         self.lease.seen(record, asked_ms=asked_ms)
+        if self.lease.forgotten and proved:
+            await self._reclaim()
         if self.coordinator:
             self.coordinator.store_reached()
 
+    async def _reclaim(self) -> None:
+        """Take the lease again that the store has forgotten, unless another instance does."""
+        asked_ms = self.lease.clock.now_ms()
+        try:
+            async with asyncio.timeout(RENEW_TIMEOUT_S):
+                record = await self.state.outside.store.write_lease(
+                    self.lease.next_record(self.address)
+                )
+        except (StoreUnavailable, VersionConflict, TimeoutError) as error:
+            self.state.log.always("lease_lost", error=repr(error))
+            return
+        self.lease.reclaimed(record, asked_ms=asked_ms)
+        self.state.log.always("lease_reclaimed", token=record.token)
+
     def _ask_for_proof(self, *, everyone: bool) -> None:
         if self.coordinator:
             self.coordinator.ask_for_proof(self.lease.clock.now_ms(), everyone=everyone)
--- a/packages/state/src/mimosaspur_state/codes.py
+++ b/packages/state/src/mimosaspur_state/codes.py
@@ -60,6 +60,7 @@
     BUNDLE_EXISTS = 4009
     OUTCOME_UNSETTLED = 4010
     SAME_OPERATOR = 4011
+    STORE_ERA_WRONG = 4012
 
 
 @dataclass(slots=True, frozen=True)
@@ -189,4 +190,9 @@
     ResultCode.SAME_OPERATOR: CodeInfo(
         409, "Who wrote the bundle can't approve it.", "Have another operator approve it."
     ),
+    ResultCode.STORE_ERA_WRONG: CodeInfo(
+        503,
+        "The store's era is missing, goes back or is no number. Its answers are used.",
+        "Look at the store; restores can't be told from one another meanwhile.",
+    ),
 }
--- a/packages/state/src/mimosaspur_state/errors.py
+++ b/packages/state/src/mimosaspur_state/errors.py
@@ -32,6 +32,10 @@
     """Say that the object API gave no answer; the call may still have taken effect."""
 
 
+class StoreRestored(StoreUnavailable):
+    """Say that the object API has come back from an older copy since a revision was told."""
+
+
 class VersionConflict(Exception):
     """Say that a conditional write found another version."""
 
--- a/packages/transport/src/mimosaspur_transport/jsonchannel.py
+++ b/packages/transport/src/mimosaspur_transport/jsonchannel.py
@@ -5,6 +5,7 @@
 from mimosaspur_state.clock import Clock
 from mimosaspur_transport.channelpool import ChannelPool
 from mimosaspur_transport.dialect import Headers
+from mimosaspur_transport.httpchannel import AnswerHead
 from mimosaspur_transport.httpchannel import ChannelBroken
 
 MAX_ANSWER_BYTES = 8_000_000
@@ -29,18 +30,33 @@
         headers: Headers | None = None,
     ) -> tuple[int, bytes]:
         """Return status and body; raise ChannelBroken, also after the timeout."""
+        head, answer = await self.exchange(
+            method, path, timeout_ms=timeout_ms, body=body, headers=headers
+        )
+        return head.status, answer
+
+    async def exchange(
+        self,
+        method: bytes,
+        path: str,
+        *,
+        timeout_ms: int,
+        body: bytes = b"",
+        headers: Headers | None = None,
+    ) -> tuple[AnswerHead, bytes]:
+        """Return head and body; raise ChannelBroken, also after the timeout."""
         all_headers = [(b"Host", self.host), *(headers or [])]
         if body:
             all_headers.append((b"Content-Type", b"application/json"))
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                return await self._call(method, path.encode(), all_headers, body)
+                return await self._exchange(method, path.encode(), all_headers, body)
         except TimeoutError as error:
             raise ChannelBroken(f"no answer in {timeout_ms} ms") from error
 
-    async def _call(
+    async def _exchange(
         self, method: bytes, path: bytes, headers: Headers, body: bytes
-    ) -> tuple[int, bytes]:
+    ) -> tuple[AnswerHead, bytes]:
         channel, _ = await self.pool.take()
         done = False
         try:
@@ -54,4 +70,4 @@
                 self.pool.give_back(channel)
             else:
                 self.pool.discard(channel)
-        return head.status, answer
+        return head, answer
