--- a/packages/coordination/src/mimosaspur_coordination/limits/partlease.py
+++ b/packages/coordination/src/mimosaspur_coordination/limits/partlease.py
@@ -11,6 +11,7 @@
 
 from mimosaspur_state.clock import Clock
 
+# An entry may use its part for so long after it was last told.
 LEASE_MS = 3_000
 NEVER = -1_000_000_000
 
