--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -137,6 +137,7 @@
                 request.method, request.target, target_headers(self), request.body
             )
             head = await self._read_with_timeout(self._read_own_head(), self._silence_timeout_s())
+            handler.head_received = True
             if self._is_not_run(head):
                 await self._read_with_timeout(self._read_body(), self._silence_timeout_s())
                 return AttemptResult.NOT_RUN
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
@@ -26,6 +26,7 @@
     log.write(
         "answered" if result is AttemptResult.DONE else "attempt",
         request=handler.request_id(),
+        digest=handler.digest.hex(),
         workspace=handler.workspace.name if handler.workspace else "",
         route=handler.route.name,
         model=handler.prompt.model,
@@ -35,6 +36,7 @@
         continued=continued,
         result=result.value,
         cause=handler.cause,
+        head=handler.head_received,
         started=handler.started,
         last_event=handler.cutter.last_id,
         waited_ms=handler.waited_ms,
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -128,6 +128,7 @@
             connection.reader.on_disconnect = None
 
     async def _answer(self, connection: CallerConnection, request: CallerRequest) -> bool:
+        handler: RequestHandler | None = None
         try:
             route = self._route(request)
             workspace = authenticate(self.state, route, request)
@@ -139,16 +140,16 @@
                 raise self._draining_refusal(handler)
             charge_quota(handler)
         except RequestFailed as failure:
-            await self._refuse(connection, request, failure)
+            await self._refuse(connection, request, failure, handler)
             return True
         self.handlers.add(handler)
         try:
             await handler.run()
         except RequestFailed as failure:
             if handler.started:
-                self._log(request, failure, started=True)
+                self._log(request, failure, handler)
                 return False
-            await self._refuse(connection, request, failure)
+            await self._refuse(connection, request, failure, handler)
         finally:
             self.handlers.discard(handler)
             refund_unless_run(handler)
@@ -176,9 +177,13 @@
         return handler.target_selector.refusal(ResultCode.DRAINING, wanted_s=wanted_s)
 
     async def _refuse(
-        self, connection: CallerConnection, request: CallerRequest, failure: RequestFailed
+        self,
+        connection: CallerConnection,
+        request: CallerRequest,
+        failure: RequestFailed,
+        handler: RequestHandler | None,
     ) -> None:
-        self._log(request, failure, started=False)
+        self._log(request, failure, handler)
         headers: Headers = [(b"Content-Type", b"text/plain")]
         name = self.state.dependencies.dialect.request_id
         identity = header(request.headers, name)
@@ -199,12 +204,15 @@
         except CallerDisconnected:
             connection.abort()
 
-    def _log(self, request: CallerRequest, failure: RequestFailed, *, started: bool) -> None:
+    def _log(
+        self, request: CallerRequest, failure: RequestFailed, handler: RequestHandler | None
+    ) -> None:
         identity = header(request.headers, self.state.dependencies.dialect.request_id) or b""
         elapsed_s = asyncio.get_running_loop().time() - request.arrived_s
         self.state.log.write(
             "given_up",
             request=identity.decode("latin-1"),
+            digest=handler.digest.hex() if handler else "",
             path=request.path,
             model=(header(request.headers, self.state.dependencies.dialect.model) or b"").decode(
                 "latin-1"
@@ -212,7 +220,7 @@
             code=failure.code.value,
             held_ms=round(elapsed_s * 1000),
             retry_after_s=failure.retry_after_s,
-            started=started,
+            started=bool(handler and handler.started),
             version=self.state.configuration.version if self.state.configuration else None,
         )
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -10,6 +10,7 @@
 from mimosaspur_daemon.direct.evacuation import MovedRun
 from mimosaspur_daemon.direct.prompts import read_prompt
 from mimosaspur_daemon.direct.refusal import RequestFailed
+from mimosaspur_daemon.direct.requestdigest import request_digest
 from mimosaspur_daemon.direct.requestretries import RequestRetries
 from mimosaspur_daemon.direct.targetselector import FAILED_COOLDOWN_S
 from mimosaspur_daemon.direct.targetselector import NOT_RUN_COOLDOWN_S
@@ -47,10 +48,12 @@
         "cause",
         "cutter",
         "deadline_s",
+        "digest",
         "done",
         "ended_by_shutdown",
         "failure",
         "first_ms",
+        "head_received",
         "in_flight",
         "longest_pause_ms",
         "moved",
@@ -89,6 +92,7 @@
         self.service = service
         self.request = request
         self.caller = caller
+        self.digest = request_digest(request, workspace)
         dialect = state.dependencies.dialect
         self.prompt = read_prompt(request.headers, dialect)
         self.deadline_s = request.arrived_s + self._time_limit_ms() / 1000
@@ -133,6 +137,8 @@
         self.longest_pause_ms = 0
         # Why the last attempt failed.
         self.cause = ""
+        # Whether the target of the last attempt began to respond.
+        self.head_received = False
         # An error response of a target, forwarded if no other attempt succeeds.
         self.failure: tuple[ResponseHead, bytes] | None = None
 
@@ -257,10 +263,13 @@
         self, view: TargetView, continued: MovedRun | None = None
     ) -> AttemptResult:
         pool = self.state.pool(view.record)
+        self.cause = ""
+        self.head_received = False
         max_idle_ms = None if self.route.repeatable else NON_REPEATABLE_MAX_IDLE_MS
         try:
             channel, _ = await pool.acquire(max_idle_ms=max_idle_ms)
-        except ChannelBroken:
+        except ChannelBroken as error:
+            self.cause = str(error)
             view.health.record_unreachable()
             self.state.unreachable.add(view.record.identity)
             self.state.report_requested.set()
