--- /dev/null
+++ b/features/harness/crashing_engine.py
@@ -0,0 +1,252 @@
+"""Simulate engines that crash when they run a certain body, and return under another identity."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+import h11
+import msgspec
+
+from harness.direct_store import StoreStandIn
+
+MODEL = "notes"
+SERVICE = "models"
+SERVERS = "servers"
+CRASHING_BODY = b"crashes the engine"
+EVENT_COUNT = 6
+EVENT_S = 0.05
+# How long a crashing run lasts.
+CRASH_DELAY_S = 0.06
+RESTART_DELAY_S = 1.5
+# A registration lapses after three heartbeats of 1.2 s.
+REGISTRATION_LAPSE_S = 3.6
+SLOTS = 8
+REPORT_PATH = "/api/report"
+
+
+@dataclass(slots=True, frozen=True)
+class Arrival:
+    """Record a request that reached an engine."""
+
+    at_s: float
+    engine: str
+    request: str
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Crash:
+    """Record a crash and the bodies whose runs it ended, the crashing one among them."""
+
+    at_s: float
+    engine: str
+    bodies: tuple[bytes, ...]
+
+
+@dataclass(slots=True)
+class CrashingEngine:
+    """Run requests that stream events; a body that crashes it ends all of its connections."""
+
+    identity: str
+    address: tuple[str, int]
+    on_arrival: Callable[[Arrival], None]
+    on_crash: Callable[["CrashingEngine", tuple[bytes, ...]], None]
+    crashes_on: Callable[[bytes], bool] = CRASHING_BODY.__eq__
+    server: asyncio.Server | None = None
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    in_flight: list[bytes] = field(default_factory=list)
+    free_slots: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(SLOTS))
+    crashed: bool = False
+
+    async def start(self) -> None:
+        """Listen on the address."""
+        self.server = await asyncio.start_server(self._serve, *self.address)
+        self.address = self.server.sockets[0].getsockname()[:2]
+
+    def crash(self) -> None:
+        """End all connections and stop listening."""
+        if self.crashed:
+            return
+        self.crashed = True
+        bodies = tuple(self.in_flight)
+        self.stop()
+        self.on_crash(self, bodies)
+
+    def stop(self) -> None:
+        """Stop without a report."""
+        if self.server:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        codec = h11.Connection(h11.SERVER)
+        self.writers.add(writer)
+        try:
+            while (request := await _read_request(codec, reader)) is not None:
+                await self._answer(codec, writer, *request)
+                if self.crashed or codec.our_state is not h11.DONE:
+                    break
+                codec.start_next_cycle()
+        except (OSError, h11.ProtocolError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _answer(
+        self, codec: h11.Connection, writer: asyncio.StreamWriter, head: h11.Request, body: bytes
+    ) -> None:
+        headers = {name.decode(): value.decode() for name, value in head.headers}
+        if head.target.decode() == REPORT_PATH:
+            _send_whole(codec, writer, 200, msgspec.json.encode(_report()))
+            return
+        request = headers.get("x-attempt-id", "")
+        if head.target.startswith(b"/api/"):
+            _send_whole(codec, writer, 400, b"")
+            return
+        if headers.get("x-expected-instance") != self.identity:
+            _send_whole(codec, writer, 421, b"")
+            return
+        now_s = asyncio.get_running_loop().time()
+        self.on_arrival(Arrival(now_s, self.identity, request, body))
+        self.in_flight.append(body)
+        try:
+            async with self.free_slots:
+                await self._run(codec, writer, request, body)
+        finally:
+            self.in_flight.remove(body)
+
+    async def _run(
+        self, codec: h11.Connection, writer: asyncio.StreamWriter, request: str, body: bytes
+    ) -> None:
+        headers = [("X-Attempt-Id", request), ("X-Response-Signature", self.identity)]
+        writer.write(codec.send(h11.Response(status_code=200, headers=headers)) or b"")
+        if self.crashes_on(body):
+            await asyncio.sleep(CRASH_DELAY_S)
+            if not writer.is_closing():
+                self.crash()
+            return
+        for number in range(1, EVENT_COUNT + 1):
+            await asyncio.sleep(EVENT_S)
+            if writer.is_closing():
+                return
+            event = b"id: %d\ndata: event %d\n\n" % (number, number)
+            writer.write(codec.send(h11.Data(data=event)) or b"")
+        writer.write(codec.send(h11.EndOfMessage()) or b"")
+
+
+class CrashingFleet:
+    """Run engines that come back some time after a crash, and record what reached them."""
+
+    def __init__(self, store: StoreStandIn, count: int) -> None:
+        self.store = store
+        self.numbers = itertools.count(1)
+        self.count = count
+        self.engines: list[CrashingEngine] = []
+        self.arrivals: list[Arrival] = []
+        self.crashes: list[Crash] = []
+        self.crashes_on: Callable[[bytes], bool] = CRASHING_BODY.__eq__
+        # Called after each crash.
+        self.on_crash: Callable[[], None] = lambda: None
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Start and register all engines."""
+        for _ in range(self.count):
+            await self._start_engine(("127.0.0.1", 0))
+
+    def stop(self) -> None:
+        """Stop all engines."""
+        for task in self.tasks:
+            task.cancel()
+        for engine in self.engines:
+            engine.stop()
+
+    def sent(self, body: bytes, *, after_s: float = 0.0) -> list[Arrival]:
+        """Return the arrivals of a body at engines, from a time on."""
+        return [each for each in self.arrivals if each.body == body and each.at_s > after_s]
+
+    async def _start_engine(self, address: tuple[str, int]) -> None:
+        identity = f"i-{next(self.numbers)}"
+        engine = CrashingEngine(
+            identity,
+            address,
+            self.arrivals.append,
+            self._record_crash,
+            lambda b: self.crashes_on(b),
+        )
+        await engine.start()
+        self.engines.append(engine)
+        self.store.put(SERVERS, identity, registration(engine))
+
+    def _record_crash(self, engine: CrashingEngine, bodies: tuple[bytes, ...]) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.crashes.append(Crash(now_s, engine.identity, bodies))
+        self.engines.remove(engine)
+        for work in (self._return(engine), self._lapse(engine)):
+            task = asyncio.get_running_loop().create_task(work)
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        self.on_crash()
+
+    async def _return(self, engine: CrashingEngine) -> None:
+        await asyncio.sleep(RESTART_DELAY_S)
+        await self._start_engine(engine.address)
+
+    async def _lapse(self, engine: CrashingEngine) -> None:
+        await asyncio.sleep(REGISTRATION_LAPSE_S)
+        self.store.delete(SERVERS, engine.identity)
+
+
+def registration(engine: CrashingEngine) -> dict[str, Any]:
+    """Return an engine's registration."""
+    host, port = engine.address
+    return {
+        "service": SERVICE,
+        "address": f"{host}:{port}",
+        "zone": "north",
+        "version": "v1",
+        "slots": SLOTS,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "sequence": 0,
+        "born": 0,
+        "models": [{"name": MODEL, "version": 1, "adapters": []}],
+    }
+
+
+def _report() -> dict[str, Any]:
+    models = [{"name": MODEL, "version": 1, "adapters": []}]
+    return {"models": models, "busy": False, "sequence": 0, "waiting": 0, "running": 0}
+
+
+def _send_whole(
+    codec: h11.Connection, writer: asyncio.StreamWriter, status: int, body: bytes
+) -> None:
+    headers = [("Content-Length", str(len(body)))]
+    writer.write(codec.send(h11.Response(status_code=status, headers=headers)) or b"")
+    writer.write(codec.send(h11.Data(data=body)) or b"")
+    writer.write(codec.send(h11.EndOfMessage()) or b"")
+
+
+async def _read_request(
+    codec: h11.Connection, reader: asyncio.StreamReader
+) -> tuple[h11.Request, bytes] | None:
+    head: h11.Request | None = None
+    body = b""
+    while True:
+        event = codec.next_event()
+        if event is h11.NEED_DATA:
+            codec.receive_data(await reader.read(65_536))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage) and head:
+            return head, body
+        else:
+            return None
