Quarantine a request that has crashed three targets

Cause: an arrival with a new request ID was a new request to every entry. What is known of a run was dropped with the answer, and a crash counted against the engine alone, so the request was repeated at the next engine and sent anew with each arrival. The class: work that ends its worker is handed to the next worker.

Change: a broken connection whose target refuses a new one is a crash. Requests that were there are recorded by digest, shared through the coordinator's link as records that only grow, and cleared when they complete. A request that three crashes have in common and that no other explains as well is answered 502 with code 3007 at once, at every entry, and its runs are cancelled.

Why it works: the digest is the same for all arrivals, each entry has the records of all within about 50 ms, and blame waits 0.5 s for them.

--- a/packages/coordination/src/mimosaspur_coordination/targetchoice.py
+++ b/packages/coordination/src/mimosaspur_coordination/targetchoice.py
@@ -46,6 +46,15 @@
     return _cheapest(preferred_targets(views), cost)
 
 
+def choose_emptiest(views: Sequence[TargetView]) -> TargetView | None:
+    """Return the target with the fewest requests, without jitter, so that entries agree on it."""
+
+    def key(view: TargetView) -> tuple[int, str]:
+        return view.request_count(), view.record.identity
+
+    return min(preferred_targets(views), key=key, default=None)
+
+
 def choose_plain_target(views: Sequence[TargetView], *, domain: str) -> TargetView | None:
     """Return the plain target with the fewest requests per slot."""
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -8,6 +8,7 @@
 from typing import TypeVar
 
 from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.quarantine.crashledger import Stage
 from mimosaspur_daemon.direct.entrystate import LATE_RANK
 from mimosaspur_daemon.direct.evacuation import MovedRun
 from mimosaspur_daemon.direct.targetheaders import target_headers
@@ -150,6 +151,8 @@
                 return AttemptResult.MOVED
             handler.cause = str(error)
             self.view.health.record_failure()
+            stage = Stage.RUNNING if handler.head_received else Stage.QUEUED
+            handler.state.quarantine.detector.on_connection_lost(self.view, handler.digest, stage)
             return AttemptResult.BROKEN
         except TimeoutError:
             if asyncio.get_running_loop().time() >= handler.deadline_s:
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -138,6 +138,7 @@
             late = request.arrived_s > self.state.balancer_noticed_s and not handler.ends_in_time()
             if late or self.state.shutting_down:
                 raise self._draining_refusal(handler)
+            self.state.quarantine.check(handler.digest)
             charge_quota(handler)
         except RequestFailed as failure:
             await self._refuse(connection, request, failure, handler)
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -148,7 +148,9 @@
             controller = self.engines.controllers.get(identity)
             if controller:
                 controller.suspected = True
-        if member.waiting or member.waiting_adapters:
+        quarantine = self.state.quarantine
+        quarantine.apply_reports(report.crashes, relay=True)
+        if member.waiting or member.waiting_adapters or quarantine.ledger.unreported:
             self.changed.set()
 
     def apply_local_report(self, report: EntryReport) -> None:
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/direct/crashdetector.py
@@ -0,0 +1,111 @@
+"""Distinguish targets that have crashed from lost connections."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.quarantine.crashledger import Stage
+from mimosaspur_transport.httpchannel import ChannelBroken
+from mimosaspur_transport.httpchannel import ConnectionRefused
+from mimosaspur_transport.httpchannel import HttpChannel
+
+if TYPE_CHECKING:
+    from mimosaspur_daemon.direct.entrystate import EntryState
+
+PROBE_COUNT = 2
+# A process that crashes may close its listening socket after its connections.
+PROBE_INTERVAL_S = 0.1
+# A refusal arrives within a round trip; a target that is out of reach answers nothing.
+FIRST_PROBE_WAIT_S = 0.05
+
+# Called with the target's identity, its requests, and the time since the first was broken off.
+CrashHandler = Callable[[str, Mapping[bytes, Stage], int], None]
+
+
+class _Probe:
+    """Hold the requests that a target had, until it is known whether it has crashed."""
+
+    __slots__ = ("answered", "began_ms", "requests")
+
+    def __init__(self, *, began_ms: int) -> None:
+        self.began_ms = began_ms
+        self.requests: dict[bytes, Stage] = {}
+        # Set after the first attempt to connect.
+        self.answered = asyncio.Event()
+
+
+class CrashDetector:
+    """Connect to targets whose connections were lost: one that refuses has crashed."""
+
+    def __init__(self, state: "EntryState", *, on_crash: CrashHandler) -> None:
+        self.state = state
+        self.on_crash = on_crash
+        self.probes: dict[str, _Probe] = {}
+        # Targets found to have crashed, to which further requests may belong.
+        self.crashed: dict[str, None] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def on_connection_lost(self, view: TargetView, digest: bytes, stage: Stage) -> None:
+        """Probe a target that has broken off a request."""
+        identity = view.record.identity
+        if identity in self.crashed:
+            self.on_crash(identity, {digest: stage}, 0)
+            return
+        known = self.state.fleet.targets.get(identity)
+        if known is None or known.record.leaving:
+            # It ends as announced.
+            return
+        probe = self.probes.get(identity)
+        if probe is None:
+            probe = self.probes[identity] = _Probe(began_ms=self.state.clock.now_ms())
+            task = asyncio.get_running_loop().create_task(self._probe(view, probe))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        probe.requests[digest] = max(stage, probe.requests.get(digest, stage))
+
+    async def wait_for_first_probe(self, view: TargetView) -> None:
+        """Wait until it is likely to be known whether a target has crashed."""
+        probe = self.probes.get(view.record.identity)
+        if probe is None:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_PROBE_WAIT_S):
+                await probe.answered.wait()
+
+    async def _probe(self, view: TargetView, probe: _Probe) -> None:
+        identity = view.record.identity
+        try:
+            for _ in range(PROBE_COUNT):
+                channel = await self._connect(view)
+                if channel is None:
+                    self._remember(identity)
+                    age_ms = self.state.clock.now_ms() - probe.began_ms
+                    self.on_crash(identity, probe.requests, age_ms)
+                    return
+                probe.answered.set()
+                await asyncio.sleep(PROBE_INTERVAL_S)
+                if channel.is_reusable():
+                    self.state.pool(view.record).adopt(channel)
+                    return
+                channel.close()
+        except ChannelBroken:
+            # The target may only be out of reach.
+            return
+        finally:
+            probe.answered.set()
+            del self.probes[identity]
+
+    async def _connect(self, view: TargetView) -> HttpChannel | None:
+        """Return a connection, None if it is refused; raise ChannelBroken."""
+        try:
+            return await HttpChannel.open(view.record.address)
+        except ConnectionRefused:
+            return None
+
+    def _remember(self, identity: str) -> None:
+        targets = self.state.fleet.targets
+        self.crashed = {each: None for each in self.crashed if each in targets}
+        self.crashed[identity] = None
--- a/packages/daemon/src/mimosaspur_daemon/direct/election.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/election.py
@@ -301,6 +301,7 @@
         return max(0.0, (first_ms - self.lease.clock.now_ms()) / 1000 - CONTEND_JITTER_S)
 
     async def _report_to(self, link: PeerLink) -> None:
+        self.state.quarantine.ledger.report_all()
         with contextlib.suppress(PeerLost):
             while True:
                 link.send(build_entry_report(self.state))
--- a/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
@@ -58,4 +58,6 @@
         state.leaving,
         state.version(),
         [QuotaSpending(each.workspace, each.spent, each.refused) for each in spendings],
+        # The coordinator sends its own to all members.
+        [] if state.coordinating else state.quarantine.take_reports(),
     )
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -19,6 +19,8 @@
 from mimosaspur_coordination.workspaces.ranks import Priority
 from mimosaspur_coordination.workspaces.ranks import priority_of
 from mimosaspur_coordination.workspaces.ranks import rank_table
+from mimosaspur_daemon.direct.changenotifier import ChangeNotifier
+from mimosaspur_daemon.direct.quarantine import Quarantine
 from mimosaspur_daemon.direct.reportedwork import ReportedWork
 from mimosaspur_state.clock import BoottimeClock
 from mimosaspur_state.clock import Clock
@@ -65,27 +67,6 @@
     objective_ms: int = 0
 
 
-class ChangeNotifier:
-    """Wake tasks that wait for changes to the fleet or the configuration."""
-
-    __slots__ = ("event",)
-
-    def __init__(self) -> None:
-        self.event = asyncio.Event()
-
-    def notify(self) -> None:
-        """Wake all waiting tasks."""
-        self.event.set()
-        self.event = asyncio.Event()
-
-    async def wait(self, timeout_s: float) -> None:
-        """Wait for a change, or until the timeout."""
-        event = self.event
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout_s):
-                await event.wait()
-
-
 class EntryState:
     """Hold configuration, targets, connections and counts of one entry."""
 
@@ -125,6 +106,7 @@
         # Time until models that are being loaded are ready, as the coordinator last reported.
         self.model_ready_in_ms: dict[str, int] = {}
         self.reported_work = ReportedWork()
+        self.quarantine = Quarantine(self)
         # Set to send the coordinator a report before the next periodic one.
         self.report_requested = asyncio.Event()
         # Entries that are not leaving, as the coordinator last reported; 0 if unknown.
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
@@ -10,6 +10,7 @@
 from mimosaspur_daemon.direct.enginecontroller import EngineController
 from mimosaspur_daemon.direct.fleetreport import residents_of
 from mimosaspur_daemon.direct.storechanges import StoreChanges
+from mimosaspur_protocol.peermessages import CrashReport
 from mimosaspur_protocol.peermessages import EngineResidents
 from mimosaspur_protocol.peermessages import FleetReport
 from mimosaspur_protocol.peermessages import QuotaRemaining
@@ -77,6 +78,8 @@
     store_changes: StoreChanges | None
     # What remains of all quotas, for members that were sent nothing yet.
     all_quotas: list[QuotaRemaining]
+    # All known crashes, for the same members.
+    all_crashes: list[CrashReport]
     frames: dict[tuple[bool, int], bytes] = field(default_factory=dict)
 
     def report(self, sent: SentState) -> FleetReport:
@@ -84,13 +87,20 @@
         fleet = self.fleet_changes
         if sent.fleet_sent:
             work, residents, quotas = fleet.changed_work, fleet.changed_residents, self.base.quotas
+            crashes = self.base.crashes
         else:
             work = [each for each in fleet.work.values() if each.requests]
             residents = list(fleet.residents.values())
             quotas = self.all_quotas
+            crashes = self.all_crashes
         store = self.store_changes.changes_since(sent.store_number) if self.store_changes else None
         return msgspec.structs.replace(
-            self.base, work=work, residents=residents, store=store, quotas=quotas
+            self.base,
+            work=work,
+            residents=residents,
+            store=store,
+            quotas=quotas,
+            crashes=crashes,
         )
 
     def frame(self, sent: SentState) -> bytes:
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -23,6 +23,7 @@
 from mimosaspur_daemon.direct.fleetreport import total_work
 from mimosaspur_daemon.direct.quotaaccounting import QuotaAccounting
 from mimosaspur_daemon.direct.storechanges import StoreChanges
+from mimosaspur_protocol.peermessages import CrashReport
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import FleetReport
 from mimosaspur_protocol.peermessages import LeaseReadRequest
@@ -161,11 +162,17 @@
         changed = self.fleet_changes.update(self._sum_work() if work_due else None, controllers)
         paces = self._due_paces(now_ms)
         quotas = self.quotas.changed_remaining(len(self.members))
-        base = self._base_report(lease, paces, quotas)
+        crashes = self.state.quarantine.take_reports()
+        base = self._base_report(lease, paces, quotas, crashes)
         reports = ReportBuilder(
-            base, self.fleet_changes, self._shareable_store_changes(), self.quotas.all_remaining()
+            base,
+            self.fleet_changes,
+            self._shareable_store_changes(),
+            self.quotas.all_remaining(),
+            self._crashes_for_new_members(),
         )
-        if changed or paces or quotas or now_ms - self.last_sent_ms >= HEARTBEAT_INTERVAL_MS:
+        heartbeat_due = now_ms - self.last_sent_ms >= HEARTBEAT_INTERVAL_MS
+        if changed or paces or quotas or crashes or heartbeat_due:
             self.last_sent_ms = now_ms
             recipients = list(self.members.values())
         else:
@@ -187,7 +194,11 @@
         return total_work(work, self.state.fleet.targets)
 
     def _base_report(
-        self, lease: OrderLease, paces: list[ModelPaceUpdate], quotas: list[QuotaRemaining]
+        self,
+        lease: OrderLease,
+        paces: list[ModelPaceUpdate],
+        quotas: list[QuotaRemaining],
+        crashes: list[CrashReport],
     ) -> FleetReport:
         return FleetReport(
             token=lease.record.token if lease.record else 0,
@@ -201,8 +212,14 @@
             configuration_version=self.state.version(),
             quotas=quotas,
             sharer_count=self.sharers.sharer_count() if lease.is_confirmed() else 0,
+            crashes=crashes,
         )
 
+    def _crashes_for_new_members(self) -> list[CrashReport]:
+        if all(member.sent_state.fleet_sent for member in self.members.values()):
+            return []
+        return self.state.quarantine.all_reports()
+
     def _shareable_store_changes(self) -> StoreChanges | None:
         self.store_changes.update()
         return self.store_changes if self.store_changes.shareable() else None
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -50,6 +50,7 @@
         "deadline_s",
         "digest",
         "done",
+        "ended_by_quarantine",
         "ended_by_shutdown",
         "failure",
         "first_ms",
@@ -126,6 +127,8 @@
         self.done = False
         # Whether the request was ended because the process exits.
         self.ended_by_shutdown = False
+        # Whether the request was ended because it crashes targets.
+        self.ended_by_quarantine = False
         # Number of attempts in which the request may have run.
         self.possible_runs = 0
         self.outcome_unknown = False
@@ -154,7 +157,8 @@
             )
         try:
             async with asyncio.timeout_at(self.deadline_s) as self.timeout:
-                await self._run_attempts()
+                with self.state.quarantine.handling(self):
+                    await self._run_attempts()
         except TimeoutError:
             raise self._timeout_failure() from None
         finally:
@@ -195,11 +199,23 @@
 
     def end_now(self) -> None:
         """End the request at once because the process exits."""
-        if self.timeout and not self.timeout.expired():
+        if self._expire_timeout():
             self.ended_by_shutdown = True
-            self.timeout.reschedule(asyncio.get_running_loop().time())
+
+    def end_quarantined(self) -> None:
+        """End the request at once because it crashes targets."""
+        if self._expire_timeout():
+            self.ended_by_quarantine = True
+
+    def _expire_timeout(self) -> bool:
+        if self.timeout is None or self.timeout.expired():
+            return False
+        self.timeout.reschedule(asyncio.get_running_loop().time())
+        return True
 
     def _timeout_failure(self) -> RequestFailed:
+        if self.ended_by_quarantine:
+            return RequestFailed(ResultCode.REQUEST_QUARANTINED)
         if self.outcome_unknown or self.in_flight:
             code = (
                 ResultCode.OUTCOME_UNKNOWN if self.ended_by_shutdown else ResultCode.DEADLINE_PASSED
@@ -211,6 +227,7 @@
     async def _run_attempts(self) -> None:
         for offer in range(MAX_OFFERS):
             continued, self.moved = self.moved, None
+            await self._wait_to_send(continued)
             if self.retries.attempts and not continued and not self.retries.spend(1, what="offer"):
                 break
             try:
@@ -221,6 +238,8 @@
                 raise
             result = await self._run_attempt(view, continued)
             log_attempt(self, view, result, offer, continued=continued is not None)
+            if result in (AttemptResult.DONE, AttemptResult.FAILED):
+                self.state.quarantine.on_completed(self.digest)
             if result is AttemptResult.DONE:
                 return
             if result is AttemptResult.MOVED or self._returns_to_source(continued, result):
@@ -235,9 +254,22 @@
             self.target_selector.cool_down(view, FAILED_COOLDOWN_S)
             if not self.route.repeatable or self.possible_runs >= self.route.max_attempts:
                 break
+            await self.state.quarantine.detector.wait_for_first_probe(view)
         await self._finish()
 
+    async def _wait_to_send(self, continued: MovedRun | None) -> None:
+        """Wait while the request is suspected of crashing targets; raise RequestFailed if it does.
+
+        A moved run goes on without a wait, as its caller is in the middle of the stream.
+        """
+        quarantine = self.state.quarantine
+        if continued:
+            quarantine.check(self.digest)
+        else:
+            await quarantine.wait_to_send(self.digest)
+
     async def _next_target(self) -> TargetView:
+        self.target_selector.isolated = self.state.quarantine.is_isolated(self.digest)
         return await self.target_selector.next_target(resumed=self.started)
 
     def _returns_to_source(self, continued: MovedRun | None, result: AttemptResult) -> bool:
@@ -280,7 +312,8 @@
         self.predicted_ms = round(attempt.predicted_ms)
         finished = False
         try:
-            result = await attempt.run()
+            with self.state.quarantine.at_target(self.digest):
+                result = await attempt.run()
             finished = True
             self.in_flight = False
         finally:
--- a/packages/daemon/src/mimosaspur_daemon/direct/statusserver.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/statusserver.py
@@ -1,6 +1,9 @@
 """Serve the readiness check and the metrics."""
 
 import asyncio
+from functools import partial
+
+import msgspec
 
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_state.routes import CallerLimits
@@ -11,6 +14,8 @@
 from mimosaspur_transport.callerconnection import EofNotifyingReader
 
 METRICS_PATH = "/metrics"
+# Lists the quarantined requests; DELETE on a digest below it lifts one's quarantine.
+QUARANTINE_PATH = "/quarantine"
 
 
 class StatusServer:
@@ -24,22 +29,26 @@
         """Start accepting connections."""
         loop = asyncio.get_running_loop()
 
-        def protocol() -> asyncio.StreamReaderProtocol:
-            return asyncio.StreamReaderProtocol(EofNotifyingReader(loop), self._serve, loop=loop)
+        def protocol(*, for_operators: bool) -> asyncio.StreamReaderProtocol:
+            serve = partial(self._serve, for_operators=for_operators)
+            return asyncio.StreamReaderProtocol(EofNotifyingReader(loop), serve, loop=loop)
 
         settings = self.state.settings
-        addresses = [settings.ready_address]
+        addresses = {settings.ready_address: False}
         if settings.metrics_port:
-            addresses.append((settings.ip, settings.metrics_port))
-        for address in addresses:
-            self.servers.append(await loop.create_server(protocol, *address))
+            addresses[settings.ip, settings.metrics_port] = True
+        for address, for_operators in addresses.items():
+            factory = partial(protocol, for_operators=for_operators)
+            self.servers.append(await loop.create_server(factory, *address))
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, for_operators: bool
+    ) -> None:
         assert isinstance(reader, EofNotifyingReader)
         connection = CallerConnection(reader, writer, limits=CallerLimits())
         try:
             while (request := await connection.next_request()) is not None:
-                status, body = self._answer(request)
+                status, body = self._answer(request, for_operators=for_operators)
                 await connection.send_response(status, [], body, close=False)
                 if not connection.start_next_cycle():
                     break
@@ -50,9 +59,24 @@
         finally:
             connection.close()
 
-    def _answer(self, request: CallerRequest) -> tuple[int, bytes]:
+    def _answer(self, request: CallerRequest, *, for_operators: bool) -> tuple[int, bytes]:
+        if for_operators and request.path.startswith(QUARANTINE_PATH):
+            return self._answer_quarantine(request)
         if request.path == METRICS_PATH:
             return 200, self.state.log.counters.render().encode()
         if request.path != self.state.dependencies.dialect.ready_path.decode():
             return 404, b""
         return (200 if self.state.ready() else 503), b""
+
+    def _answer_quarantine(self, request: CallerRequest) -> tuple[int, bytes]:
+        """List the quarantined requests, or lift the quarantine of the one that is named."""
+        quarantine = self.state.quarantine
+        if request.method == b"GET" and request.path == QUARANTINE_PATH:
+            return 200, msgspec.json.encode(quarantine.listing())
+        if request.method != b"DELETE":
+            return 405, b""
+        try:
+            digest = bytes.fromhex(request.path.removeprefix(f"{QUARANTINE_PATH}/"))
+        except ValueError:
+            return 400, b"Name the digest of a request: DELETE /quarantine/DIGEST\n"
+        return (200 if quarantine.lift(digest) else 404), b""
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -4,6 +4,7 @@
 
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.targetchoice import choose_emptiest
 from mimosaspur_coordination.targetchoice import choose_engine
 from mimosaspur_coordination.targetchoice import choose_plain_target
 from mimosaspur_daemon.direct.entrystate import LATE_RANK
@@ -38,6 +39,7 @@
         "cooldown_ends_s",
         "deadline_s",
         "first_event_deadline_s",
+        "isolated",
         "on_time_deadline_s",
         "prompt",
         "rank",
@@ -79,6 +81,8 @@
         # The request's rank in engine queues.
         self.rank = self._rank()
         self.resumed = False
+        # Whether the request may crash its target, so that it should run beside few others.
+        self.isolated = False
         # By target, on the event loop's clock.
         self.cooldown_ends_s: dict[str, float] = {}
 
@@ -92,7 +96,7 @@
         if self.spec is not None and self.spec.engine is not None and self.prompt.model:
             return await self._next_engine()
         while True:
-            view = choose_plain_target(self._available(), domain=self.state.settings.failure_domain)
+            view = self._choose_plain()
             if view is not None:
                 return view
             await self._wait_for_cooldown()
@@ -154,12 +158,16 @@
         ranks = (RESUMED_RANK,) if self.resumed else (self._rank(), self._late_rank())
         over_s = 0.0
         for index, rank in enumerate(ranks):
-            view = choose_engine(
-                holders,
-                self.prompt,
-                rank=rank,
-                domain=self.state.settings.failure_domain,
-                kv_tokens=engine.kv_cache_tokens if engine else 0,
+            view = (
+                choose_emptiest(holders)
+                if self.isolated
+                else choose_engine(
+                    holders,
+                    self.prompt,
+                    rank=rank,
+                    domain=self.state.settings.failure_domain,
+                    kv_tokens=engine.kv_cache_tokens if engine else 0,
+                )
             )
             if view is None:
                 return None
@@ -171,6 +179,12 @@
                 return view
         raise self.refusal(ResultCode.DEADLINE_UNREACHABLE, wanted_s=over_s + DEFAULT_RETRY_S)
 
+    def _choose_plain(self) -> TargetView | None:
+        available = self._available()
+        if self.isolated:
+            return choose_emptiest(available)
+        return choose_plain_target(available, domain=self.state.settings.failure_domain)
+
     def _late_rank(self) -> int:
         return LATE_RANK if self.state.uses(Mechanism.DEMOTE_LATE) else self._rank()
 
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from mimosaspur_coordination.quarantine.crashledger import Stage
+
 LENGTH_BYTES = 4
 MAX_MESSAGE_BYTES = 4_000_000
 
@@ -51,6 +53,16 @@
     refused: float
 
 
+class CrashReport(msgspec.Struct, array_like=True, frozen=True):
+    """Report requests that were at a target when it crashed."""
+
+    target: str
+    # Time since the crash became known.
+    age_ms: int
+    # By digest.
+    requests: list[tuple[bytes, Stage]]
+
+
 class EntryReport(msgspec.Struct, array_like=True, tag="entry"):
     """Report an entry's state to the coordinator."""
 
@@ -71,6 +83,8 @@
     # 0 if the entry has no configuration.
     configuration_version: int = 0
     quotas: list[QuotaSpending] = msgspec.field(default_factory=list)
+    # Changes since the last report; all that is known in the first one on a link.
+    crashes: list[CrashReport] = msgspec.field(default_factory=list)
 
 
 class EngineResidents(msgspec.Struct, array_like=True, frozen=True):
@@ -149,6 +163,8 @@
     quotas: list[QuotaRemaining] = msgspec.field(default_factory=list)
     # Number of entries that share the retry limit; 0 if unknown.
     sharer_count: int = 0
+    # Changes since the last report; all that is known in the first one on a link.
+    crashes: list[CrashReport] = msgspec.field(default_factory=list)
 
 
 class StepDown(msgspec.Struct, array_like=True, tag="leaving"):
--- a/packages/state/src/mimosaspur_state/codes.py
+++ b/packages/state/src/mimosaspur_state/codes.py
@@ -47,6 +47,7 @@
     ENGINE_ERROR = 3004
     CANCELLED = 3005
     ANSWER_NOT_KEPT = 3006
+    REQUEST_QUARANTINED = 3007
     INTERNAL = 3999
 
     BAD_BUNDLE = 4001
@@ -156,6 +157,11 @@
         "The request with this Idempotency-Key ran; its answer was too large to keep.",
         "Don't send it again; look at the service for what it did.",
     ),
+    ResultCode.REQUEST_QUARANTINED: CodeInfo(
+        502,
+        "Targets have crashed each time they ran this request. It is not sent to another one.",
+        "Don't send it again; report it with the request id.",
+    ),
     ResultCode.INTERNAL: CodeInfo(500, "A fault of ours.", "Report it with the request id."),
     ResultCode.BAD_BUNDLE: CodeInfo(400, "The bundle is not well formed.", _FIX_BUNDLE),
     ResultCode.BUNDLE_DOES_NOT_FIT: CodeInfo(
--- a/packages/transport/src/mimosaspur_transport/channelpool.py
+++ b/packages/transport/src/mimosaspur_transport/channelpool.py
@@ -43,6 +43,11 @@
         channel.idle_since_ms = self.clock.now_ms()
         self.idle.append(channel)
 
+    def adopt(self, channel: HttpChannel) -> None:
+        """Take over a connection that was opened elsewhere."""
+        self.open_count += 1
+        self.release(channel)
+
     def discard(self, channel: HttpChannel) -> None:
         """Close a connection and remove it from the count."""
         channel.close()
--- a/packages/transport/src/mimosaspur_transport/httpchannel.py
+++ b/packages/transport/src/mimosaspur_transport/httpchannel.py
@@ -20,6 +20,10 @@
     """Signal that the connection failed, ended early or carried an invalid response."""
 
 
+class ConnectionRefused(ChannelBroken):
+    """Signal that nothing listens at the address."""
+
+
 @dataclass(slots=True, frozen=True)
 class ResponseHead:
     """Hold the status and headers of a response."""
@@ -60,6 +64,8 @@
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 reader, writer = await asyncio.open_connection(*address)
+        except ConnectionRefusedError as error:
+            raise ConnectionRefused(f"can't connect: {error!r}") from error
         except (OSError, TimeoutError) as error:
             raise ChannelBroken(f"can't connect: {error!r}") from error
         set_dead_peer_timeouts(writer.get_extra_info("socket"))
@@ -126,8 +132,8 @@
             return False
         # Unexpected bytes belong to no request, so the connection can't be trusted.
         unexpected = self.codec.trailing_data[0] or bool(getattr(self.reader, "_buffer", b""))
-        both_done = self.codec.our_state is h11.DONE and self.codec.their_state is h11.DONE
-        return both_done and not unexpected
+        states = {self.codec.our_state, self.codec.their_state}
+        return states in ({h11.IDLE}, {h11.DONE}) and not unexpected
 
     def is_fully_sent(self) -> bool:
         """Return whether the whole request has been written to the socket."""
