--- a/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
@@ -19,8 +19,8 @@
 # Evidence of other entries arrives within this time, longer than a report takes to reach all.
 SETTLE_MS = 500
 RETENTION_MS = 600_000
-MAX_CRASHES = 200
-MAX_REQUESTS_PER_CRASH = 100
+MAX_CRASHES = 100
+MAX_REQUESTS_PER_CRASH = 64
 
 
 class Stage(IntEnum):
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -42,6 +42,9 @@
         # Requests whose quarantine has been logged.
         self.announced: set[bytes] = set()
         self.changes = ChangeNotifier()
+        # The next review of the evidence, and whether there has been a change since it was set.
+        self.review: asyncio.TimerHandle | None = None
+        self.changed_since_review_set = False
 
     @contextlib.contextmanager
     def handling(self, handler: "RequestHandler") -> Iterator[None]:
@@ -94,7 +97,9 @@
     def on_completed(self, digest: bytes) -> None:
         """Clear a request that a target has run to its end."""
         if self.ledger.clear(digest):
-            self._on_change()
+            self._schedule_review()
+            self.state.report_requested.set()
+            self.changes.notify()
 
     def apply_reports(self, reports: Iterable[CrashReport], *, relay: bool) -> None:
         """Merge what another instance knows; relay it if this instance coordinates."""
@@ -154,10 +159,23 @@
         self._on_change()
 
     def _on_change(self) -> None:
-        """Apply new evidence now, and again once it has settled."""
+        """Review the evidence now, and again once it has settled."""
         self._apply_verdicts()
+        self._schedule_review()
+
+    def _schedule_review(self) -> None:
+        if self.review is not None:
+            self.changed_since_review_set = True
+            return
         delay_s = (SETTLE_MS + TIMER_MARGIN_MS) / 1000
-        asyncio.get_running_loop().call_later(delay_s, self._apply_verdicts)
+        self.review = asyncio.get_running_loop().call_later(delay_s, self._review)
+
+    def _review(self) -> None:
+        self.review = None
+        self._apply_verdicts()
+        if self.changed_since_review_set:
+            self.changed_since_review_set = False
+            self._schedule_review()
 
     def _apply_verdicts(self) -> None:
         self.ledger.assign_blame()
