Send one copy of a suspected request at a time, also when several wait

Cause: copies that waited for the one at a target were woken together and all sent, up to as many targets.

Change: one of them holds the turn until its request ends; the others wait for a second at most, so that a long sound run doesn't hold them back.

Measured, 6 copies at once of a request that was at two crashes: 6 at targets at the same time before (the new scenario failed), 1 now.

--- a/features/direct_crashes.feature
+++ b/features/direct_crashes.feature
@@ -17,6 +17,11 @@
       | at all entries in turn, the coordinator starts again after the second crash  |
       | at all entries in turn, the coordinator is gone after the second crash       |
 
+  Scenario: An entry sends one copy of a suspected request at a time
+    Given an entry with a request that was at two crashes, before two targets
+    When 6 copies of it come at once
+    Then no two of them were at targets at the same time, and all are served
+
   # Guards against a promise that a request has not run when an earlier arrival of it has.
   Scenario Outline: A quarantined request is answered at once, <kind>
     Given an entry with a quarantined request
--- a/features/steps/direct_crashes_steps.py
+++ b/features/steps/direct_crashes_steps.py
@@ -282,3 +282,37 @@
     answer = run(context, context.entry.call("safe"))
     assert answer.status == 200, answer
     assert context.listing == b"[]", context.listing
+
+
+@given("an entry with a request that was at two crashes, before two targets")
+def start_suspected(context: Context) -> None:
+    async def start() -> None:
+        context.entry = DirectEntry()
+        context.targets = [ScriptedTarget("first"), ScriptedTarget("second")]
+        await context.entry.start(*context.targets)
+        digest = _digest_of("resumable-stream")
+        reports = [CrashReport(f"i-{each}", 0, [(digest, Stage.RUNNING)]) for each in range(2)]
+        context.entry.state.quarantine.apply_reports(reports, relay=False)
+
+    run(context, start())
+
+
+@when("{count:d} copies of it come at once")
+def send_copies(context: Context, count: int) -> None:
+    async def send() -> None:
+        quarantine = context.entry.state.quarantine
+        context.most = 0
+        calls = [asyncio.create_task(context.entry.call("resumable-stream")) for _ in range(count)]
+        while not all(call.done() for call in calls):
+            if quarantine.ledger.crash_count(_digest_of("resumable-stream")):
+                context.most = max(context.most, *quarantine.at_targets.values(), 0)
+            await asyncio.sleep(0)
+        context.answers = [call.result() for call in calls]
+
+    run(context, send())
+
+
+@then("no two of them were at targets at the same time, and all are served")
+def check_copies(context: Context) -> None:
+    assert context.most == 1, context.most
+    assert all(answer.status == 200 and answer.whole for answer in context.answers)
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -217,7 +217,7 @@
             quotas=quotas,
             sharer_count=self.sharers.sharer_count() if lease.is_confirmed() else 0,
             crashes=crashes,
-            all_report=self.missing.nobody(reporting=len(self.members)),
+            all_report=self.missing.all_report(reporting=len(self.members)),
         )
 
     def _crashes_for_new_members(self) -> list[CrashReport]:
--- a/packages/daemon/src/mimosaspur_daemon/direct/missingentries.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/missingentries.py
@@ -28,7 +28,7 @@
         """Count an entry as missing."""
         self.lost_ms[instance] = self.clock.now_ms()
 
-    def nobody(self, *, reporting: int) -> bool:
+    def all_report(self, *, reporting: int) -> bool:
         """Return whether no entry is missing while this many report."""
         now_ms = self.clock.now_ms()
         age_ms = now_ms - self.started_ms
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -25,6 +25,8 @@
 
 # A request that may have caused this many crashes runs where the fewest others would be lost.
 ISOLATION_THRESHOLD = 2
+# Limit on the wait for another copy of the same request: one that crashes targets does so sooner.
+MAX_COPY_WAIT_MS = 1_000
 # Timers may fire slightly early.
 TIMER_MARGIN_MS = 5
 
@@ -39,12 +41,14 @@
         self.handlers: dict[bytes, set[RequestHandler]] = {}
         # Digests of requests that are at a target, with their numbers.
         self.at_targets: dict[bytes, int] = {}
+        # The one copy of each suspect that may be sent.
+        self.turns: dict[bytes, RequestHandler] = {}
         # Requests whose quarantine has been logged.
         self.announced: set[bytes] = set()
         self.changes = ChangeNotifier()
-        # The next review of the evidence, and whether there has been a change since it was set.
+        # The next review of the evidence, and whether another one must follow it.
         self.review: asyncio.TimerHandle | None = None
-        self.changed_since_review_set = False
+        self.review_again = False
 
     @contextlib.contextmanager
     def handling(self, handler: "RequestHandler") -> Iterator[None]:
@@ -57,6 +61,9 @@
             handlers.discard(handler)
             if not handlers:
                 self.handlers.pop(handler.digest, None)
+            if self.turns.get(handler.digest) is handler:
+                del self.turns[handler.digest]
+                self.changes.notify()
 
     @contextlib.contextmanager
     def at_target(self, digest: bytes) -> Iterator[None]:
@@ -76,19 +83,32 @@
         if self.ledger.is_quarantined(digest):
             raise RequestFailed(ResultCode.REQUEST_QUARANTINED)
 
-    async def wait_to_send(self, digest: bytes) -> None:
+    async def wait_to_send(self, handler: "RequestHandler") -> None:
         """Wait until a suspected request may be sent; raise RequestFailed if it may not.
 
-        It waits for a verdict that is due, and for a copy of it that is at a target.
+        It waits for a verdict that is due, and for some time for another copy of it.
         """
+        digest = handler.digest
+        clock = self.state.clock
+        copy_wait_ends_ms = clock.now_ms() + MAX_COPY_WAIT_MS
         while count := self.ledger.crash_count(digest):
             wait_ms = self.ledger.settles_in_ms(digest)
             if count >= QUARANTINE_THRESHOLD and not wait_ms:
                 self._apply_verdicts()
             self.check(digest)
-            if not wait_ms and digest not in self.at_targets:
-                return
-            await self.changes.wait((wait_ms or SETTLE_MS) / 1000)
+            if not wait_ms:
+                wait_ms = copy_wait_ends_ms - clock.now_ms()
+                if wait_ms <= 0 or not self._other_copy_is_sent(handler):
+                    self.turns[digest] = handler
+                    return
+            await self.changes.wait(wait_ms / 1000)
+
+    def _other_copy_is_sent(self, handler: "RequestHandler") -> bool:
+        turn = self.turns.get(handler.digest)
+        if turn is None:
+            # Copies may have been sent before the request was suspected.
+            return handler.digest in self.at_targets
+        return turn is not handler
 
     def is_isolated(self, digest: bytes) -> bool:
         """Return whether a request should run where the fewest others would be lost."""
@@ -165,7 +185,7 @@
 
     def _schedule_review(self) -> None:
         if self.review is not None:
-            self.changed_since_review_set = True
+            self.review_again = True
             return
         delay_s = (SETTLE_MS + TIMER_MARGIN_MS) / 1000
         self.review = asyncio.get_running_loop().call_later(delay_s, self._review)
@@ -173,8 +193,8 @@
     def _review(self) -> None:
         self.review = None
         self._apply_verdicts()
-        if self.changed_since_review_set:
-            self.changed_since_review_set = False
+        if self.review_again:
+            self.review_again = False
             self._schedule_review()
 
     def _apply_verdicts(self) -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -266,7 +266,7 @@
         if continued:
             quarantine.check(self.digest)
         else:
-            await quarantine.wait_to_send(self.digest)
+            await quarantine.wait_to_send(self)
 
     async def _next_target(self) -> TargetView:
         self.target_selector.isolated = self.state.quarantine.is_isolated(self.digest)
