Tell crashes of a target apart that starts again under its identity

Cause: crashes were kept by the target's identity. A target that starts again under it (another start time) had all its crashes counted as one, and a connection that it merely broke off was taken for a crash without a probe.

Change: the key is the incarnation, identity and start time.

--- a/features/direct_crashes.feature
+++ b/features/direct_crashes.feature
@@ -22,6 +22,13 @@
     When 6 copies of it come at once
     Then no two of them were at targets at the same time, and all are served
 
+  # Guards against one count for all crashes of a target that keeps its identity, and against a crash
+  # that is seen where only a connection broke.
+  Scenario: Crashes of a target that starts again under its identity are told apart
+    Given an entry before a target that crashes, and starts again under its identity
+    When it breaks off a request and goes on, and crashes under another one
+    Then the requests were at 2 crashes, one of them at none
+
   # Guards against a promise that a request has not run when an earlier arrival of it has.
   Scenario Outline: A quarantined request is answered at once, <kind>
     Given an entry with a quarantined request
--- a/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
@@ -39,6 +39,7 @@
 class Crash:
     """Hold the requests that were at a target when it crashed, by digest."""
 
+    # The target's incarnation.
     target: str
     # On this instance's clock.
     known_since_ms: int
@@ -61,10 +62,7 @@
 
 
 class CrashLedger:
-    """Hold the crashes that are known here, by the identity of the target.
-
-    An identity stands for one lifetime of a target, so each crashes once.
-    """
+    """Hold the crashes that are known here, by incarnation: each target crashes once in one."""
 
     __slots__ = ("_by_request", "all_report_since_ms", "clock", "crashes", "unreported")
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/crashdetector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/crashdetector.py
@@ -21,7 +21,7 @@
 # A refusal arrives within a round trip; a target that is out of reach answers nothing.
 FIRST_PROBE_WAIT_S = 0.05
 
-# Called with the target's identity, its requests, and the time since the first was broken off.
+# Called with the target's incarnation, its requests, and the time since the first was broken off.
 CrashHandler = Callable[[str, Mapping[bytes, Stage], int], None]
 
 
@@ -43,24 +43,25 @@
     def __init__(self, state: "EntryState", *, on_crash: CrashHandler) -> None:
         self.state = state
         self.on_crash = on_crash
+        # By incarnation: a target may start again under its identity.
         self.probes: dict[str, _Probe] = {}
-        # Targets found to have crashed, to which further requests may belong.
+        # Incarnations found to have crashed, to which further requests may belong.
         self.crashed: dict[str, None] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
     def on_connection_lost(self, view: TargetView, digest: bytes, stage: Stage) -> None:
         """Probe a target that has broken off a request."""
-        identity = view.record.identity
-        if identity in self.crashed:
-            self.on_crash(identity, {digest: stage}, 0)
+        incarnation = view.record.incarnation
+        if incarnation in self.crashed:
+            self.on_crash(incarnation, {digest: stage}, 0)
             return
-        known = self.state.fleet.targets.get(identity)
+        known = self.state.fleet.targets.get(view.record.identity)
         if known is None or known.record.leaving:
             # It ends as announced.
             return
-        probe = self.probes.get(identity)
+        probe = self.probes.get(incarnation)
         if probe is None:
-            probe = self.probes[identity] = _Probe(began_ms=self.state.clock.now_ms())
+            probe = self.probes[incarnation] = _Probe(began_ms=self.state.clock.now_ms())
             task = asyncio.get_running_loop().create_task(self._probe(view, probe))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
@@ -68,7 +69,7 @@
 
     async def wait_for_first_probe(self, view: TargetView) -> None:
         """Wait until it is likely to be known whether a target has crashed."""
-        probe = self.probes.get(view.record.identity)
+        probe = self.probes.get(view.record.incarnation)
         if probe is None:
             return
         with contextlib.suppress(TimeoutError):
@@ -76,14 +77,14 @@
                 await probe.answered.wait()
 
     async def _probe(self, view: TargetView, probe: _Probe) -> None:
-        identity = view.record.identity
+        incarnation = view.record.incarnation
         try:
             for _ in range(PROBE_COUNT):
                 channel = await self._connect(view)
                 if channel is None:
-                    self._remember(identity)
+                    self._remember(incarnation)
                     age_ms = self.state.clock.now_ms() - probe.began_ms
-                    self.on_crash(identity, probe.requests, age_ms)
+                    self.on_crash(incarnation, probe.requests, age_ms)
                     return
                 probe.answered.set()
                 await asyncio.sleep(PROBE_INTERVAL_S)
@@ -96,7 +97,7 @@
             return
         finally:
             probe.answered.set()
-            del self.probes[identity]
+            del self.probes[incarnation]
 
     async def _connect(self, view: TargetView) -> HttpChannel | None:
         """Return a connection, None if it is refused; raise ChannelBroken."""
@@ -105,7 +106,7 @@
         except ConnectionRefused:
             return None
 
-    def _remember(self, identity: str) -> None:
-        targets = self.state.fleet.targets
-        self.crashed = {each: None for each in self.crashed if each in targets}
-        self.crashed[identity] = None
+    def _remember(self, incarnation: str) -> None:
+        known = {view.record.incarnation for view in self.state.fleet.targets.values()}
+        self.crashed = {each: None for each in self.crashed if each in known}
+        self.crashed[incarnation] = None
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -161,19 +161,19 @@
         return known
 
     def _on_crash(
-        self, identity: str, requests: Mapping[bytes, Stage], evidence_age_ms: int
+        self, incarnation: str, requests: Mapping[bytes, Stage], evidence_age_ms: int
     ) -> None:
-        if not self.ledger.record(identity, requests):
+        if not self.ledger.record(incarnation, requests):
             return
         for digest, stage in requests.items():
             self.state.log.write(
                 "crash",
-                target=identity,
+                target=incarnation,
                 digest=digest.hex(),
                 stage=stage.name.lower(),
                 evidence="connection refused",
                 age_ms=evidence_age_ms,
-                requests=len(self.ledger.crashes[identity].requests),
+                requests=len(self.ledger.crashes[incarnation].requests),
                 crashes=self.ledger.crash_count(digest),
             )
         self._on_change()
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -56,6 +56,7 @@
 class CrashReport(msgspec.Struct, array_like=True, frozen=True):
     """Report requests that were at a target when it crashed."""
 
+    # The target's incarnation.
     target: str
     # Time since the crash became known.
     age_ms: int
--- a/packages/state/src/mimosaspur_state/fleet.py
+++ b/packages/state/src/mimosaspur_state/fleet.py
@@ -21,6 +21,11 @@
     # Start time in Unix milliseconds; with the identity this identifies one incarnation.
     started_ms: int = 0
 
+    @property
+    def incarnation(self) -> str:
+        """Return a name of this lifetime of the target, the same at all entries."""
+        return f"{self.identity}@{self.started_ms}" if self.started_ms else self.identity
+
 
 @dataclass(slots=True, frozen=True)
 class EngineReport:
