Read requests of stand-ins in one place

Cause: the engines that crash read requests with a copy of the function of the scripted target.

Change: one function. No behaviour changes.

--- a/features/harness/crashing_engine.py
+++ b/features/harness/crashing_engine.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from harness.direct_store import StoreStandIn
+from harness.direct_target import read_request
 
 MODEL = "notes"
 SERVICE = "models"
@@ -86,7 +87,7 @@
         codec = h11.Connection(h11.SERVER)
         self.writers.add(writer)
         try:
-            while (request := await _read_request(codec, reader)) is not None:
+            while (request := await read_request(codec, reader)) is not None:
                 await self._answer(codec, writer, *request)
                 if self.crashed or codec.our_state is not h11.DONE:
                     break
@@ -231,22 +232,3 @@
     writer.write(codec.send(h11.Response(status_code=status, headers=headers)) or b"")
     writer.write(codec.send(h11.Data(data=body)) or b"")
     writer.write(codec.send(h11.EndOfMessage()) or b"")
-
-
-async def _read_request(
-    codec: h11.Connection, reader: asyncio.StreamReader
-) -> tuple[h11.Request, bytes] | None:
-    head: h11.Request | None = None
-    body = b""
-    while True:
-        event = codec.next_event()
-        if event is h11.NEED_DATA:
-            codec.receive_data(await reader.read(65_536))
-        elif isinstance(event, h11.Request):
-            head = event
-        elif isinstance(event, h11.Data):
-            body += bytes(event.data)
-        elif isinstance(event, h11.EndOfMessage) and head:
-            return head, body
-        else:
-            return None
--- a/features/harness/direct_target.py
+++ b/features/harness/direct_target.py
@@ -68,7 +68,7 @@
         codec = h11.Connection(h11.SERVER)
         self.writers.add(writer)
         try:
-            while (request := await _read_request(codec, reader)) is not None:
+            while (request := await read_request(codec, reader)) is not None:
                 seen = _seen_request(*request)
                 is_first = not self.seen
                 self.seen.append(seen)
@@ -230,9 +230,10 @@
             self.writer.write(data)
 
 
-async def _read_request(
+async def read_request(
     codec: h11.Connection, reader: asyncio.StreamReader
 ) -> tuple[h11.Request, bytes] | None:
+    """Return a request's head and body, None once the connection ends."""
     head: h11.Request | None = None
     body = b""
     while True:
