Hold a suspected request that waited for a target, too

Cause: a request was held before it looked for a target. One that waits for its model to be loaded, as it does after its engines have crashed, was sent as soon as a target was there, whatever it had been put to meanwhile.

Change: it is looked at again with the target found.

Measured: the new scenario's request reached the target at once before (it failed), not before 400 ms now.

--- a/features/direct_crashes.feature
+++ b/features/direct_crashes.feature
@@ -22,6 +22,11 @@
     When 6 copies of it come at once
     Then no two of them were at targets at the same time, and all are served
 
+  Scenario: A request that waits for a target is held once it may have crashed three
+    Given an entry with a request that waits for a target
+    When it was at three crashes by the time a target is there
+    Then it reaches the target no sooner than 400 ms later
+
   # Guards against one count for all crashes of a target that keeps its identity, and against a crash
   # that is seen where only a connection broke.
   Scenario: Crashes of a target that starts again under its identity are told apart
--- a/features/steps/direct_crashes_steps.py
+++ b/features/steps/direct_crashes_steps.py
@@ -371,3 +371,42 @@
     assert len(ledger.crashes) == count, ledger.crashes
     assert ledger.crash_count(_digest_of("once")) == 0, ledger.crashes
     assert all(len(crash.requests) == 1 for crash in ledger.crashes.values()), ledger.crashes
+
+
+@given("an entry with a request that waits for a target")
+def start_waiting(context: Context) -> None:
+    async def start() -> None:
+        context.entry = DirectEntry()
+        context.target = ScriptedTarget("target")
+        unreachable = TargetRecord("unreachable", "service", ("127.0.0.1", 1), DOMAIN)
+        context.entry.state.fleet.update([unreachable], [])
+        await context.entry.callers.listen()
+        context.entry.port = context.entry.callers.server.sockets[0].getsockname()[1]
+        context.answer_task = asyncio.create_task(context.entry.call("safe"))
+        await asyncio.sleep(0.05)
+
+    run(context, start())
+
+
+@when("it was at three crashes by the time a target is there")
+def suspect_and_add_target(context: Context) -> None:
+    async def add() -> None:
+        digest = _digest_of("safe")
+        reports = [CrashReport(f"i-{each}", 0, [(digest, Stage.RUNNING)]) for each in range(3)]
+        context.entry.state.quarantine.apply_reports(reports, relay=False)
+        context.began_s = asyncio.get_running_loop().time()
+        address = await context.target.start()
+        context.entry.add("target", address)
+        context.entry.state.changes.notify()
+
+    run(context, add())
+
+
+@then("it reaches the target no sooner than {ms:d} ms later")
+def check_held(context: Context, ms: int) -> None:
+    async def wait() -> float:
+        while not context.target.seen:
+            await asyncio.sleep(0.01)
+        return asyncio.get_running_loop().time() - float(context.began_s)
+
+    assert run(context, wait()) >= ms / 1000
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -110,6 +110,10 @@
             return handler.digest in self.at_targets
         return turn is not handler
 
+    def is_held(self, digest: bytes) -> bool:
+        """Return whether a request must not be sent now: it is quarantined, or a verdict is due."""
+        return self.ledger.is_quarantined(digest) or self.ledger.settles_in_ms(digest) > 0
+
     def is_isolated(self, digest: bytes) -> bool:
         """Return whether a request should run where the fewest others would be lost."""
         return self.ledger.crash_count(digest) >= ISOLATION_THRESHOLD
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -227,13 +227,13 @@
     async def _run_attempts(self) -> None:
         for offer in range(MAX_OFFERS):
             continued, self.moved = self.moved, None
-            await self._wait_to_send(continued)
             if self.retries.attempts and not continued and not self.retries.spend(1, what="offer"):
                 break
             try:
                 view = continued.view if continued else await self._next_target()
-            except RequestFailed:
-                if self.outcome_unknown or self.failure:
+            except RequestFailed as error:
+                quarantined = error.code is ResultCode.REQUEST_QUARANTINED
+                if not quarantined and (self.outcome_unknown or self.failure):
                     break
                 raise
             result = await self._run_attempt(view, continued)
@@ -257,20 +257,16 @@
             await self.state.quarantine.detector.wait_for_first_probe(view)
         await self._finish()
 
-    async def _wait_to_send(self, continued: MovedRun | None) -> None:
-        """Wait while the request is suspected of crashing targets; raise RequestFailed if it does.
-
-        A moved run goes on without a wait, as its caller is in the middle of the stream.
-        """
+    async def _next_target(self) -> TargetView:
+        """Return the next target once the request may be sent, or raise RequestFailed."""
         quarantine = self.state.quarantine
-        if continued:
-            quarantine.check(self.digest)
-        else:
+        while True:
             await quarantine.wait_to_send(self)
-
-    async def _next_target(self) -> TargetView:
-        self.target_selector.isolated = self.state.quarantine.is_isolated(self.digest)
-        return await self.target_selector.next_target(resumed=self.started)
+            self.target_selector.isolated = quarantine.is_isolated(self.digest)
+            view = await self.target_selector.next_target(resumed=self.started)
+            # It may have become suspected while it waited for a target.
+            if not quarantine.is_held(self.digest):
+                return view
 
     def _returns_to_source(self, continued: MovedRun | None, result: AttemptResult) -> bool:
         """Return whether a moved run that was refused continues at its source."""
