Count crashes of a cut once the entries that were cut off have reported

Cause: a crash that became known while an entry was missing counted as incomplete for good, so that a request had to crash five targets instead of three although the entry had come back with all that it saw.

Change: the coordinator tells for how long it has the evidence of all entries. What was seen while an entry was away counts when it comes back as the same process; it doesn't if it comes back as a new one. The former coordinator counts as missing, too, until it follows its successor.

--- a/features/harness/local_entries.py
+++ b/features/harness/local_entries.py
@@ -61,6 +61,17 @@
             self.sampler.cancel()
         super().stop()
 
+    def link_events(self) -> dict[str, dict[tuple[str, str], int]]:
+        """Return how often each entry gained or lost its coordinator."""
+        return {
+            entry.state.settings.instance: {
+                key: count
+                for key, count in entry.state.log.counters.counts.items()
+                if key[0].startswith(("coordinat", "sharers", "dependency"))
+            }
+            for entry in self.entries
+        }
+
     def _entry(self, number: int) -> LocalEntry:
         return LocalEntry(f"entry-{number}", self.address)
 
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -32,7 +32,7 @@
     verdict = crashes.endswith(", and a verdict")
     context.clock = ManualClock(1_000)
     context.ledger = CrashLedger(clock=context.clock)
-    context.ledger.set_all_report(not crashes.startswith("of some entries "))
+    context.ledger.set_covered(-1 if crashes.startswith("of some entries ") else 0)
     crashes = crashes.removeprefix("of some entries ")
     context.numbers = iter(range(1, 10_000))
     _record(context, crashes.removesuffix(", and a verdict"))
--- a/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
@@ -64,7 +64,7 @@
 class CrashLedger:
     """Hold the crashes that are known here, by incarnation: each target crashes once in one."""
 
-    __slots__ = ("_by_request", "all_report_since_ms", "clock", "crashes", "unreported")
+    __slots__ = ("_by_request", "clock", "covered", "covered_since_ms", "crashes", "unreported")
 
     def __init__(self, *, clock: Clock) -> None:
         self.clock = clock
@@ -72,8 +72,11 @@
         self.crashes: dict[str, Crash] = {}
         # By target, the requests that were added or changed since they were last reported.
         self.unreported: dict[str, set[bytes]] = {}
-        # Since when all entries are known to report to the coordinator; None while they may not.
-        self.all_report_since_ms: int | None = None
+        # The evidence of all entries is known on crashes since then, once `covered`; None if
+        # nothing is known of it.
+        self.covered_since_ms: int | None = None
+        # Whether no entry is missing now.
+        self.covered = False
         # Derived from `crashes`: those that each request is a suspect of; None after a change.
         self._by_request: dict[bytes, list[Crash]] | None = None
 
@@ -121,12 +124,16 @@
         index = self._index()
         return {digest: own for digest, own in index.items() if _is_enough(digest, own)}
 
-    def set_all_report(self, all_report: bool) -> None:
-        """Set whether the evidence of all entries reaches this instance."""
-        if not all_report:
-            self.all_report_since_ms = None
-        elif self.all_report_since_ms is None:
-            self.all_report_since_ms = self.clock.now_ms()
+    def set_covered(self, age_ms: int) -> bool:
+        """Set the age of the oldest crash with the evidence of all entries, negative if unknown.
+
+        Return whether crashes are covered that were not before.
+        """
+        before = self.covered
+        self.covered = age_ms >= 0
+        if self.covered:
+            self.covered_since_ms = self.clock.now_ms() - age_ms
+        return self.covered and not before and bool(self.crashes)
 
     def settles_in_ms(self, digest: bytes) -> int:
         """Return the time until a verdict on a request is due, 0 if none is."""
@@ -172,12 +179,12 @@
             self.record(crash.target, {digest: Stage.BLAMED})
 
     def _mark_complete(self) -> None:
-        """Mark the settled crashes at which all entries reported from before until now."""
-        if self.all_report_since_ms is None:
+        """Mark the settled crashes on which all entries have reported."""
+        if not self.covered or self.covered_since_ms is None:
             return
         settled_ms = self.clock.now_ms() - SETTLE_MS
         for crash in self.crashes.values():
-            crash.complete |= self.all_report_since_ms <= crash.known_since_ms <= settled_ms
+            crash.complete |= self.covered_since_ms <= crash.known_since_ms <= settled_ms
 
     def _find_culprit(self) -> bytes | None:
         """Return a request that explains enough crashes for which nothing is blamed yet."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -20,6 +20,7 @@
 from mimosaspur_coordination.workspaces.ranks import priority_of
 from mimosaspur_coordination.workspaces.ranks import rank_table
 from mimosaspur_daemon.direct.changenotifier import ChangeNotifier
+from mimosaspur_daemon.direct.missingentries import MISSING
 from mimosaspur_daemon.direct.quarantine import Quarantine
 from mimosaspur_daemon.direct.reportedwork import ReportedWork
 from mimosaspur_state.clock import BoottimeClock
@@ -212,7 +213,7 @@
         """Fall back to what this entry has observed itself."""
         self.reported_work.reset()
         self.quotas.on_coordinator_lost()
-        self.quarantine.ledger.set_all_report(False)
+        self.quarantine.set_coverage(MISSING)
         self.fleet.on_coordinator_lost()
 
     def ready(self) -> bool:
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -75,7 +75,7 @@
     ]
     state.quotas.apply_update(remaining, entries=report.entry_count)
     state.quotas_received.set()
-    state.quarantine.ledger.set_all_report(report.all_report)
+    state.quarantine.set_coverage(report.evidence_age_ms)
     state.quarantine.apply_reports(report.crashes, relay=False)
     if report.store:
         apply_store_changes(state, report.store)
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -71,7 +71,11 @@
         self.store_changes = StoreChanges(state)
         self.fleet_changes = FleetChanges()
         self.quotas = QuotaAccounting(state)
-        self.missing = MissingEntries(expected=state.staying_entries - 1, clock=state.clock)
+        self.missing = MissingEntries(
+            expected=state.staying_entries,
+            complete_since_ms=state.quarantine.ledger.covered_since_ms,
+            clock=state.clock,
+        )
         self.last_sent_ms = 0
         # When the totals of work are next computed and sent.
         self.work_due_ms = 0
@@ -80,6 +84,8 @@
         """Apply an entry's report: its work, waiting requests, spending and paces."""
         member.last_report_ms = self.state.clock.now_ms()
         first = not member.report_number
+        if first:
+            self.missing.on_connect(report.instance, new_process=report.number == 1)
         member.report_number = report.number
         member.work = {work.target: work for work in report.work}
         member.waiting = {
@@ -102,7 +108,6 @@
         """Add an entry that follows from now on."""
         self.members[instance] = member
         self.sharers.on_connect(instance)
-        self.missing.on_connect(instance)
         return member
 
     def remove(self, member: Member) -> None:
@@ -217,7 +222,7 @@
             quotas=quotas,
             sharer_count=self.sharers.sharer_count() if lease.is_confirmed() else 0,
             crashes=crashes,
-            all_report=self.missing.all_report(reporting=len(self.members)),
+            evidence_age_ms=self.missing.covered_ms(reporting=len(self.members)),
         )
 
     def _crashes_for_new_members(self) -> list[CrashReport]:
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -125,6 +125,11 @@
             self.state.report_requested.set()
             self.changes.notify()
 
+    def set_coverage(self, age_ms: int) -> None:
+        """Set for how long the evidence of all entries is known, MISSING while it isn't."""
+        if self.ledger.set_covered(age_ms):
+            self._schedule_review()
+
     def apply_reports(self, reports: Iterable[CrashReport], *, relay: bool) -> None:
         """Merge what another instance knows; relay it if this instance coordinates."""
         changed = False
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -166,8 +166,8 @@
     sharer_count: int = 0
     # Changes since the last report; all that is known in the first one on a link.
     crashes: list[CrashReport] = msgspec.field(default_factory=list)
-    # Whether no entry is known to be missing, so that what is reported of a crash is complete.
-    all_report: bool = False
+    # For how long the evidence of all entries on crashes is known; -1 while an entry is missing.
+    evidence_age_ms: int = -1
 
 
 class StepDown(msgspec.Struct, array_like=True, tag="leaving"):
