Count an entry whose old link hasn't ended as lost before it reports again

Cause: an entry that starts again before the end of its old link is noticed (a machine that lost power) replaced its old member without being counted as lost, so that evidence lost with its process counted as complete.

Change: it counts as lost when the new link takes its place.

Measured: read, not seen in a play; direct_crashes, direct_l* and direct_repeats pass.

--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -106,6 +106,9 @@
 
     def add(self, instance: str, member: Member) -> Member:
         """Add an entry that follows from now on."""
+        if instance in self.members:
+            # Its machine lost power, or its link is silent: the old link hasn't ended yet.
+            self.missing.on_lost(instance)
         self.members[instance] = member
         self.sharers.on_connect(instance)
         return member
