Log the request limits that targets name, and each entry's recent sends

Cause: the logs couldn't tell whether an entry knew of a target's limit, nor how much each entry sent there meanwhile, so that hypotheses 1 (nobody takes notice) and 2 (each entry keeps the limit alone) were the same for entries that send little.

The platform's name of the header stands in its dialect. No decision uses it.

--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -16,6 +16,7 @@
 from mimosaspur_state.routes import RouteKind
 from mimosaspur_transport.dialect import end_to_end_headers
 from mimosaspur_transport.dialect import header
+from mimosaspur_transport.dialect import header_values
 from mimosaspur_transport.httpchannel import ChannelBroken
 from mimosaspur_transport.httpchannel import HttpChannel
 from mimosaspur_transport.httpchannel import ResponseHead
@@ -134,6 +135,7 @@
         request = handler.request
         try:
             handler.in_flight = True
+            handler.state.limits.on_sent(self.view.record)
             await self.channel.send(
                 request.method, request.target, target_headers(self), request.body
             )
@@ -190,11 +192,17 @@
         mine = header(self.handler.request.headers, name)
         while True:
             head = await self.channel.read_head()
+            self._record_limit(head)
             theirs = header(head.headers, name)
             if theirs is None or mine is None or theirs == mine:
                 return head
             await self.channel.skip_response()
 
+    def _record_limit(self, head: ResponseHead) -> None:
+        state = self.handler.state
+        values = header_values(head.headers, state.dependencies.dialect.request_limit)
+        state.limits.on_response(self.view.record, values)
+
     def _is_not_run(self, head: ResponseHead) -> bool:
         dialect = self.handler.state.dependencies.dialect
         return head.status == 421 or header(head.headers, dialect.not_run) is not None
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
-from collections.abc import Iterable
+from collections.abc import Collection
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import TypeVar
@@ -23,6 +23,7 @@
 from mimosaspur_daemon.direct.missingentries import MISSING
 from mimosaspur_daemon.direct.quarantine import Quarantine
 from mimosaspur_daemon.direct.reportedwork import ReportedWork
+from mimosaspur_daemon.direct.targetlimits import TargetLimits
 from mimosaspur_state.clock import BoottimeClock
 from mimosaspur_state.clock import Clock
 from mimosaspur_state.directsettings import DirectSettings
@@ -108,6 +109,7 @@
         self.model_ready_in_ms: dict[str, int] = {}
         self.reported_work = ReportedWork()
         self.quarantine = Quarantine(self)
+        self.limits = TargetLimits(clock=self.clock, log=self.log)
         # Set to send the coordinator a report before the next periodic one.
         self.report_requested = asyncio.Event()
         # Entries that are not leaving, as the coordinator last reported; 0 if unknown.
@@ -201,10 +203,12 @@
         demand.tokens += tokens
         demand.objective_ms = min(demand.objective_ms, objective_ms)
 
-    def on_targets_changed(self, ended: Iterable[str]) -> None:
+    def on_targets_changed(self, ended: Collection[str]) -> None:
         """Record that the targets were updated and close connections to those that ended."""
         for identity in ended:
             self.remove_target(identity)
+        if ended:
+            self.limits.retain({view.record.incarnation for view in self.fleet.targets.values()})
         self.targets_known = True
         self.targets_updated.set()
         self.changes.notify()
--- a/packages/transport/src/mimosaspur_transport/dialect.py
+++ b/packages/transport/src/mimosaspur_transport/dialect.py
@@ -44,6 +44,8 @@
     continued_from: bytes = b"x-continued-from"
     # Set by a target that has not run the request.
     not_run: bytes = b"x-not-run"
+    # The requests a second that a target takes from all entries together, a decimal number.
+    request_limit: bytes = b"x-request-limit"
     # A successful response without this header is not accepted as the target's.
     proof: bytes = b""
     # A caller's API key; it is not forwarded.
