--- a/features/harness/crash_site.py
+++ b/features/harness/crash_site.py
@@ -5,80 +5,47 @@
 import random
 from collections.abc import Awaitable
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from harness.crashing_engine import CRASHING_BODY
 from harness.crashing_engine import MODEL
 from harness.crashing_engine import SERVICE
 from harness.crashing_engine import CrashingFleet
-from harness.direct_entry import read_response
 from harness.direct_store import StoreStandIn
 from harness.entry_processes import EntryProcesses
+from harness.entry_site import HOST
+from harness.entry_site import TIMEOUT_MS
+from harness.entry_site import Answer
+from harness.entry_site import EntrySite
 from harness.local_entries import LocalEntries
 
-HOST = "site.example"
-TIMEOUT_MS = 4_000
 # By then an entry has reported a crash, so that its end loses no evidence.
 REPORT_S = 0.1
 SOUND_INTERVAL_S = 0.05
-SETTLE_S = 2.0
 CRASH_INTERVAL_S = 0.5
 
 
-@dataclass(slots=True, frozen=True)
-class Answer:
-    """Record a caller's answer."""
-
-    sent_s: float
-    lasted_s: float
-    status: int
-    whole: bool
-    text: str
-
-
-class CrashSite:
+class CrashSite(EntrySite):
     """Run a store, engines and entries, with sound requests and a crashing one."""
 
     def __init__(
         self, entries: EntryProcesses | LocalEntries, *, store: StoreStandIn, engines: int
     ) -> None:
-        self.store = store
+        super().__init__(entries, store=store)
         self.store.put("config", "main", configuration())
         self.fleet = CrashingFleet(self.store, engines)
-        self.entries = entries
-        self.numbers = itertools.count(1)
         self.crashing: list[Answer] = []
         self.sound: list[Answer] = []
 
     async def start(self) -> None:
         """Start the store, the engines and the entries."""
-        address = await self.store.start()
         await self.fleet.start()
-        await self.entries.start_before(address)
-        # Let the entries' links to the coordinator settle.
-        await asyncio.sleep(SETTLE_S)
+        await self.start_entries()
 
     def stop(self) -> None:
         """Stop the engines and remove the entries' files."""
         self.fleet.stop()
         self.entries.stop()
 
-    async def call(self, number: int, body: bytes, *, path: str = "/stream/x") -> Answer:
-        """Send a request to an entry and return its answer."""
-        loop = asyncio.get_running_loop()
-        sent_s = loop.time()
-        entry = self.entries.entries[number % self.entries.count]
-        try:
-            reader, writer = await asyncio.open_connection(*entry.callers_address)
-        except OSError:
-            return Answer(sent_s, 0.0, 0, False, "can't connect")
-        writer.write(_request(f"r{next(self.numbers)}", path, body))
-        response = await read_response(reader)
-        writer.close()
-        lasted_s = loop.time() - sent_s
-        text = response.body.decode(errors="replace")
-        return Answer(sent_s, lasted_s, response.status, response.whole, text)
-
     async def play(
         self,
         *,
@@ -109,7 +76,7 @@
         return crashes[2].at_s
 
     async def _call_crashing(self, number: int) -> None:
-        self.crashing.append(await self.call(number, CRASHING_BODY))
+        self.crashing.append(await self.call(number, CRASHING_BODY, model=MODEL))
 
     async def _send_sound_requests(self) -> None:
         chooser = random.Random(1)
@@ -122,7 +89,7 @@
             await asyncio.sleep(SOUND_INTERVAL_S)
 
     async def _call_sound(self, number: int, body: bytes) -> None:
-        self.sound.append(await self.call(number, body))
+        self.sound.append(await self.call(number, body, model=MODEL))
 
     async def _inject_faults(self, after_crash: Callable[[int], Awaitable[None]]) -> None:
         seen = 0
@@ -163,26 +130,13 @@
     return {"version": 4, "routes": routes, "services": services}
 
 
-def _request(identity: str, path: str, body: bytes) -> bytes:
-    fields = {
-        "Host": HOST,
-        "X-Attempt-Id": identity,
-        "X-Deadline-Ms": str(TIMEOUT_MS),
-        "X-Model": MODEL,
-        "X-Token-Counts": "100,12",
-        "Content-Length": str(len(body)),
-    }
-    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
-    return f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode() + body
-
-
 async def flood(site: CrashSite, *, body: bytes, interval_s: float, crashes: int) -> list[Answer]:
     """Send one sound body often while engines crash, one after another."""
     answers: list[Answer] = []
     calls: set[asyncio.Task[None]] = set()
 
     async def call(number: int) -> None:
-        answers.append(await site.call(number, body))
+        answers.append(await site.call(number, body, model=MODEL))
 
     async def crash_engines() -> None:
         for _ in range(crashes):
--- /dev/null
+++ b/features/harness/limited_target.py
@@ -0,0 +1,160 @@
+"""Simulate targets that name in their answers how many requests a second they take."""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+import h11
+import msgspec
+
+from harness.direct_target import read_request
+
+SERVICE = "models"
+MODEL = "notes"
+SERVERS = "servers"
+LIMIT_HEADER = "Server-Limit"
+REPORT_PATH = b"/api/report"
+API_PREFIX = b"/api/"
+EVENT_COUNT = 4
+EVENT_S = 0.03
+SLOTS = 16
+
+
+@dataclass(slots=True, frozen=True)
+class Arrival:
+    """Record whatever reached a target: a request to run, a report or an order."""
+
+    at_s: float
+    path: str
+
+    @property
+    def to_run(self) -> bool:
+        """Return whether it was a caller's request."""
+        return not self.path.startswith(API_PREFIX.decode())
+
+
+@dataclass(slots=True)
+class LimitedTarget:
+    """Answer requests by a stream of events, and name a limit in each answer while there is one."""
+
+    identity: str
+    is_engine: bool
+    limit: str | None = None
+    # When it first named the limit in an answer to a request.
+    named_s: float | None = None
+    arrivals: list[Arrival] = field(default_factory=list)
+    address: tuple[str, int] = ("127.0.0.1", 0)
+    server: asyncio.Server | None = None
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    async def start(self) -> None:
+        """Listen on the address."""
+        self.server = await asyncio.start_server(self._serve, *self.address)
+        self.address = self.server.sockets[0].getsockname()[:2]
+
+    def stop(self) -> None:
+        """Stop listening and end all connections."""
+        if self.server:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def most_within(self, window_s: float, *, since_s: float) -> int:
+        """Return the most arrivals in any span of a length that begins at a time or later."""
+        times = [each.at_s for each in self.arrivals if each.at_s >= since_s]
+        return most_within(times, window_s)
+
+    def runs_between(self, since_s: float, until_s: float) -> int:
+        """Return the number of callers' requests that arrived in a span."""
+        return sum(each.to_run and since_s <= each.at_s < until_s for each in self.arrivals)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        codec = h11.Connection(h11.SERVER)
+        self.writers.add(writer)
+        try:
+            while (request := await read_request(codec, reader)) is not None:
+                now_s = asyncio.get_running_loop().time()
+                self.arrivals.append(Arrival(now_s, request[0].target.decode()))
+                await self._answer(codec, writer, request[0])
+                if codec.our_state is not h11.DONE:
+                    break
+                codec.start_next_cycle()
+        except (OSError, h11.ProtocolError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _answer(
+        self, codec: h11.Connection, writer: asyncio.StreamWriter, head: h11.Request
+    ) -> None:
+        headers = {name.decode(): value.decode() for name, value in head.headers}
+        if head.target == REPORT_PATH:
+            self._send_whole(codec, writer, 200, msgspec.json.encode(_report()))
+        elif head.target.startswith(API_PREFIX):
+            self._send_whole(codec, writer, 400, b"")
+        elif headers.get("x-expected-instance") != self.identity:
+            self._send_whole(codec, writer, 421, b"")
+        else:
+            await self._run(codec, writer, headers.get("x-attempt-id", ""))
+
+    async def _run(self, codec: h11.Connection, writer: asyncio.StreamWriter, request: str) -> None:
+        own = [("X-Attempt-Id", request), ("X-Response-Signature", self.identity)]
+        if self.limit is not None and self.named_s is None:
+            self.named_s = asyncio.get_running_loop().time()
+        response = h11.Response(status_code=200, headers=[*own, *self._limit_header()])
+        writer.write(codec.send(response) or b"")
+        for number in range(1, EVENT_COUNT + 1):
+            await asyncio.sleep(EVENT_S)
+            if writer.is_closing():
+                return
+            event = b"id: %d\ndata: event %d\n\n" % (number, number)
+            writer.write(codec.send(h11.Data(data=event)) or b"")
+        writer.write(codec.send(h11.EndOfMessage()) or b"")
+
+    def _send_whole(
+        self, codec: h11.Connection, writer: asyncio.StreamWriter, status: int, body: bytes
+    ) -> None:
+        headers = [("Content-Length", str(len(body)))]
+        writer.write(codec.send(h11.Response(status_code=status, headers=headers)) or b"")
+        writer.write(codec.send(h11.Data(data=body)) or b"")
+        writer.write(codec.send(h11.EndOfMessage()) or b"")
+
+    def _limit_header(self) -> list[tuple[str, str]]:
+        return [] if self.limit is None else [(LIMIT_HEADER, self.limit)]
+
+
+def most_within(times: Iterable[float], window_s: float) -> int:
+    """Return the most times in any span of a length."""
+    ordered = sorted(times)
+    most = first = 0
+    for last, at_s in enumerate(ordered):
+        while at_s - ordered[first] >= window_s:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+def registration(target: LimitedTarget) -> dict[str, Any]:
+    """Return a target's registration."""
+    host, port = target.address
+    models = [{"name": MODEL, "version": 1, "adapters": []}] if target.is_engine else None
+    return {
+        "service": SERVICE,
+        "address": f"{host}:{port}",
+        "zone": "north",
+        "version": "v1",
+        "slots": SLOTS,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "sequence": 0,
+        "born": 0,
+        "models": models,
+    }
+
+
+def _report() -> dict[str, Any]:
+    models = [{"name": MODEL, "version": 1, "adapters": []}]
+    return {"models": models, "busy": False, "sequence": 0, "waiting": 0, "running": 0}
