--- a/features/harness/report_simulation.py
+++ b/features/harness/report_simulation.py
@@ -13,6 +13,7 @@
 from mimosaspur_daemon.direct.fleetreport import total_work
 from mimosaspur_daemon.direct.members import Member
 from mimosaspur_daemon.direct.members import Members
+from mimosaspur_daemon.direct.permitgrants import PermitGrants
 from mimosaspur_daemon.direct.reportedwork import ReportedWork
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import TargetWork
@@ -92,8 +93,9 @@
         )
         clock = SystemClock()
         sharers = SharerCount(window_ms=0, predecessor_ended_ms=0, clock=clock)
-        self.members = Members(self.state, sharers)
         self.lease = OrderLease("coordinator", handover_ms=0, clock=clock)
+        permits = PermitGrants(self.state.limits, may_issue=self.lease.may_order, clock=clock)
+        self.members = Members(self.state, sharers, permits)
         self.links: dict[str, CountingLink] = {}
         self.encoded = 0
         for _ in range(entries):
--- a/features/steps/direct_policy_steps.py
+++ b/features/steps/direct_policy_steps.py
@@ -122,7 +122,15 @@
     async def ranks() -> tuple[int, int]:
         spec = state.configuration.services["service"]
         targeting = TargetSelector(
-            state, route, "service", spec, PROMPT, workspace=None, arrived_s=0.0, deadline_s=1e9
+            state,
+            route,
+            "service",
+            spec,
+            PROMPT,
+            request="r-1",
+            workspace=None,
+            arrived_s=0.0,
+            deadline_s=1e9,
         )
         targeting.on_time_deadline_s = 0.0
         targeting.first_event_deadline_s = 1e9
--- a/packages/coordination/src/mimosaspur_coordination/fleetports.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetports.py
@@ -88,6 +88,10 @@
     copied: bool
 
 
+class CallDeferred(Exception):
+    """Raised when an engine isn't called now, since it limits what it is sent."""
+
+
 class EnginePort(Protocol):
     """Send requests to the model engines."""
 
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/limits/permitissuer.py
@@ -0,0 +1,259 @@
+"""Issue permits for targets that name a limit, at the coordinator."""
+
+import contextlib
+from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+
+from mimosaspur_coordination.limits.permits import bucket_capacity
+from mimosaspur_coordination.limits.permits import issue_rate_per_s
+from mimosaspur_coordination.limits.requestlimit import RequestLimit
+from mimosaspur_coordination.limits.sendhistory import WINDOW_MS
+from mimosaspur_coordination.quota.quotabucket import QuotaBucket
+from mimosaspur_state.clock import Clock
+
+# Permits for requests to come rank behind all that wait.
+AHEAD_RANK = 100
+# Part of a limit that the coordinator's own calls may use, and the longest time without one.
+REPORT_SHARE = 0.05
+MAX_REPORT_INTERVAL_MS = 30_000
+
+
+@dataclass(slots=True)
+class PermitDemand:
+    """Hold what an entry asks for at one target."""
+
+    # Numbers of requests that wait, by rank.
+    waiting: dict[int, int] = field(default_factory=dict)
+    # Permits for requests that are likely to come while they are valid.
+    ahead: int = 0
+
+    def best_rank(self) -> int | None:
+        """Return the rank of the most urgent request, None if none is asked for."""
+        if self.waiting:
+            return min(self.waiting)
+        return AHEAD_RANK if self.ahead else None
+
+    def take(self, rank: int) -> None:
+        """Remove a request that a permit was issued for."""
+        if rank == AHEAD_RANK:
+            self.ahead -= 1
+            return
+        self.waiting[rank] -= 1
+        if not self.waiting[rank]:
+            del self.waiting[rank]
+
+
+@dataclass(slots=True)
+class _Entry:
+    demand: dict[str, PermitDemand] = field(default_factory=dict)
+    # On the entry's clock, when it last reported its demand.
+    asked_ms: int = 0
+    # The number of the last message with permits.
+    sent_number: int = 0
+    # By target, the number of the issue that it last got a permit by.
+    last_issue: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class _Bucket:
+    limit: RequestLimit
+    tokens: QuotaBucket
+    # Requests that entries sent within a window before they knew the limit, and the debt for them.
+    sent_before: int = 0
+    debt: float = 0.0
+    # When the coordinator last asked the target for a report.
+    last_report_ms: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Permits:
+    """Hold the permits issued to one entry in one message."""
+
+    number: int
+    # The time on the entry's clock from which their validity counts.
+    asked_ms: int
+    counts: Mapping[str, int]
+
+
+class PermitIssuer:
+    """Issue permits to entries: the most urgent request first, then whoever waited longest."""
+
+    __slots__ = ("buckets", "clock", "entries", "issues", "may_issue", "reserved")
+
+    def __init__(self, *, clock: Clock, may_issue: Callable[[], bool]) -> None:
+        # Counts the time while the machine is suspended, as the lease does.
+        self.clock = clock
+        # Whether no other instance issues permits now.
+        self.may_issue = may_issue
+        self.buckets: dict[str, _Bucket] = {}
+        self.entries: dict[str, _Entry] = {}
+        self.issues = 0
+        # Targets that an order waits for, with the number of orders.
+        self.reserved: dict[str, int] = {}
+
+    def on_connect(self, instance: str) -> None:
+        """Reset what is known of an entry, whose link is new."""
+        self.entries[instance] = _Entry()
+
+    def on_disconnect(self, instance: str) -> None:
+        """Drop an entry; its permits lapse by themselves."""
+        self.entries.pop(instance, None)
+
+    def apply_limits(self, limits: Mapping[str, RequestLimit]) -> None:
+        """Apply the limits that are known now.
+
+        What may not issue has no buckets, so that they start empty once it may: another instance
+        may have issued permits until then.
+        """
+        if not self.may_issue():
+            self.buckets.clear()
+            return
+        limited = {key: limit for key, limit in limits.items() if limit.per_s is not None}
+        for target in [each for each in self.buckets if each not in limited]:
+            del self.buckets[target]
+        now_ms = self.clock.now_ms()
+        for target, limit in limited.items():
+            bucket = self.buckets.get(target)
+            if bucket is None:
+                self.buckets[target] = _new_bucket(limit, now_ms)
+            elif bucket.limit != limit:
+                _change(bucket, limit, now_ms)
+
+    def on_sent_before(self, target: str, requests: int) -> None:
+        """Charge requests that an entry had sent in the last window before it knew the limit.
+
+        What exceeds the limit delays the first permit, until a window has passed at most.
+        """
+        bucket = self.buckets.get(target)
+        if bucket is None or bucket.limit.per_s is None:
+            return
+        bucket.sent_before += requests
+        per_window = bucket.limit.per_s * WINDOW_MS / 1000
+        max_debt = max(0.0, bucket.tokens.per_s * WINDOW_MS / 1000 - 1)
+        debt = min(max(0.0, bucket.sent_before - per_window), max_debt)
+        bucket.tokens.take(debt - bucket.debt, self.clock.now_ms())
+        bucket.debt = debt
+
+    def apply_demand(
+        self,
+        instance: str,
+        demand: Mapping[str, PermitDemand],
+        *,
+        asked_ms: int,
+        received_number: int,
+    ) -> None:
+        """Replace an entry's demand, unless permits are on their way that it doesn't know of."""
+        entry = self.entries.setdefault(instance, _Entry())
+        entry.asked_ms = asked_ms
+        if received_number >= entry.sent_number:
+            entry.demand = dict(demand)
+
+    def waiting(self) -> dict[str, dict[int, int]]:
+        """Return the numbers of requests that wait at all entries, by target and rank."""
+        totals: dict[str, dict[int, int]] = {target: {} for target in self.buckets}
+        for entry in self.entries.values():
+            for target, demand in entry.demand.items():
+                ranks = totals.get(target)
+                if ranks is None:
+                    continue
+                for rank, number in demand.waiting.items():
+                    ranks[rank] = ranks.get(rank, 0) + number
+        return totals
+
+    def issue(self) -> dict[str, Permits]:
+        """Issue what the limits allow now, by entry."""
+        if not self.may_issue():
+            return {}
+        now_ms = self.clock.now_ms()
+        counts: dict[str, dict[str, int]] = {}
+        for target, bucket in self.buckets.items():
+            while not self.reserved.get(target) and bucket.tokens.at(now_ms) >= 1:
+                instance = self._next_entry(target)
+                if instance is None:
+                    break
+                bucket.tokens.take(1, now_ms)
+                issued = counts.setdefault(instance, {})
+                issued[target] = issued.get(target, 0) + 1
+        return {instance: self._message(instance, issued) for instance, issued in counts.items()}
+
+    def try_report(self, target: str) -> bool:
+        """Take a token for a report of an engine; return whether there was one."""
+        bucket = self.buckets.get(target)
+        if bucket is None:
+            return False
+        now_ms = self.clock.now_ms()
+        interval_ms = min(MAX_REPORT_INTERVAL_MS, 1000 / (bucket.tokens.per_s * REPORT_SHARE))
+        if now_ms - bucket.last_report_ms < interval_ms or not self.try_take(target):
+            return False
+        bucket.last_report_ms = now_ms
+        return True
+
+    def try_take(self, target: str) -> bool:
+        """Take a token for a call of the coordinator's own; return whether there was one."""
+        bucket = self.buckets.get(target)
+        now_ms = self.clock.now_ms()
+        if bucket is None or not self.may_issue() or bucket.tokens.at(now_ms) < 1:
+            return False
+        bucket.tokens.take(1, now_ms)
+        return True
+
+    @contextlib.contextmanager
+    def reserve(self, target: str) -> Iterator[None]:
+        """Keep a target's tokens for a call of the coordinator's own within the context."""
+        self.reserved[target] = self.reserved.get(target, 0) + 1
+        try:
+            yield
+        finally:
+            self.reserved[target] -= 1
+            if not self.reserved[target]:
+                del self.reserved[target]
+
+    def _next_entry(self, target: str) -> str | None:
+        """Return the entry that gets the next permit, and take it off its demand."""
+        best: tuple[int, int, str] | None = None
+        for instance, entry in self.entries.items():
+            demand = entry.demand.get(target)
+            rank = demand.best_rank() if demand else None
+            if rank is None:
+                continue
+            key = (rank, entry.last_issue.get(target, 0), instance)
+            if best is None or key < best:
+                best = key
+        if best is None:
+            return None
+        rank, _, instance = best
+        entry = self.entries[instance]
+        entry.demand[target].take(rank)
+        self.issues += 1
+        entry.last_issue[target] = self.issues
+        return instance
+
+    def _message(self, instance: str, counts: Mapping[str, int]) -> Permits:
+        entry = self.entries[instance]
+        entry.sent_number += 1
+        return Permits(entry.sent_number, entry.asked_ms, counts)
+
+
+def _new_bucket(limit: RequestLimit, now_ms: int) -> _Bucket:
+    assert limit.per_s is not None
+    tokens = QuotaBucket(
+        capacity=bucket_capacity(limit.per_s),
+        per_s=issue_rate_per_s(limit.per_s),
+        content=0.0,
+        at_ms=now_ms,
+    )
+    return _Bucket(limit, tokens, last_report_ms=now_ms)
+
+
+def _change(bucket: _Bucket, limit: RequestLimit, now_ms: int) -> None:
+    assert limit.per_s is not None
+    bucket.tokens.resize(
+        capacity=bucket_capacity(limit.per_s),
+        per_s=issue_rate_per_s(limit.per_s),
+        now_ms=now_ms,
+    )
+    bucket.limit = limit
+    bucket.sent_before, bucket.debt = 0, 0.0
--- a/packages/coordination/src/mimosaspur_coordination/placementproblem.py
+++ b/packages/coordination/src/mimosaspur_coordination/placementproblem.py
@@ -33,6 +33,9 @@
     usable: bool = True
     # Whether it is terminating and accepts no requests, so that its models don't count.
     leaving: bool = False
+    # Whether it names a request limit: it takes no more models, and requests that wait for one of
+    # its models need another replica.
+    limited: bool = False
     loading: str = ""
     # Recently loaded models, for which requests may still be in flight.
     recent: frozenset[str] = frozenset()
@@ -89,6 +92,8 @@
         staying = [engine for engine in self.engines if not engine.leaving]
         self.copies = copy_counts(staying)
         for engine in staying:
+            if engine.limited:
+                continue
             for model in (*engine.residents, *filter(None, (engine.loading,))):
                 self.replicas[model] = self.replicas.get(model, 0) + 1
         self.long_loads = sum(engine.free_in_ms >= LONG_LOAD_MS / 2 for engine in self.engines)
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -64,6 +64,7 @@
         "first_token_s",
         "handler",
         "last_event_s",
+        "limit_version",
         "pending_move",
         "predicted_ms",
         "rank",
@@ -91,6 +92,8 @@
         self.predicted_ms = view.first_token_ms(handler.prompt, rank=self.rank)
         self.unread = view.on_sent(handler.prompt, rank=self.rank)
         self.sent_s = asyncio.get_running_loop().time()
+        # What was known of the target's limit when the request was sent.
+        self.limit_version = handler.state.limits.version(view.record)
         self.first_token = False
         self.first_token_s = 0.0
         self.last_event_s = 0.0
@@ -109,7 +112,7 @@
         if not request or not handler.retries.spend(MOVE_RETRY_COUNT, what="move"):
             return False
         self.pending_move = asyncio.get_running_loop().create_future()
-        engines = handler.state.dependencies.engines
+        engines = handler.state.engines
         moved = None
         try:
             stopped = await engines.stop_and_copy(self.view.record, request, to.record)
@@ -135,7 +138,6 @@
         request = handler.request
         try:
             handler.in_flight = True
-            handler.state.limits.on_sent(self.view.record)
             await self.channel.send(
                 request.method, request.target, target_headers(self), request.body
             )
@@ -192,16 +194,21 @@
         mine = header(self.handler.request.headers, name)
         while True:
             head = await self.channel.read_head()
-            self._record_limit(head)
             theirs = header(head.headers, name)
-            if theirs is None or mine is None or theirs == mine:
+            own = theirs is None or mine is None or theirs == mine
+            self._record_limit(head, proves_end=own and not self._is_not_run(head))
+            if own:
                 return head
             await self.channel.skip_response()
 
-    def _record_limit(self, head: ResponseHead) -> None:
+    def _record_limit(self, head: ResponseHead, *, proves_end: bool) -> None:
         state = self.handler.state
-        values = header_values(head.headers, state.dependencies.dialect.request_limit)
-        state.limits.on_response(self.view.record, values)
+        state.limits.on_response(
+            self.view.record,
+            header_values(head.headers, state.dependencies.dialect.request_limit),
+            sent_version=self.limit_version,
+            proves_end=proves_end,
+        )
 
     def _is_not_run(self, head: ResponseHead) -> bool:
         dialect = self.handler.state.dependencies.dialect
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -17,6 +17,7 @@
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.members import Member
 from mimosaspur_daemon.direct.members import Members
+from mimosaspur_daemon.direct.permitgrants import PermitGrants
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import LeaseReadReply
 from mimosaspur_protocol.peermessages import LeaseReadRequest
@@ -57,7 +58,8 @@
         self.lease = lease
         self.configuration_exchange = configuration_exchange
         self.clock = state.clock
-        self.members = Members(state, self._create_sharer_count())
+        self.permits = PermitGrants(state.limits, may_issue=lease.may_order, clock=lease.clock)
+        self.members = Members(state, self._create_sharer_count(), self.permits)
         self.started_ms = self.clock.now_ms()
         # Models that were loaded to get a copy of their weights.
         self.loaded_for_copy: set[str] = set()
@@ -94,6 +96,7 @@
             while True:
                 began_s = asyncio.get_running_loop().time()
                 self._run_round()
+                self.members.send_permits()
                 self.members.send_updates(self.engines.controllers.values(), self.lease)
                 # Each report of an entry may wake the next round: longer rounds must be fewer.
                 took_s = asyncio.get_running_loop().time() - began_s
@@ -108,6 +111,7 @@
         finally:
             for task in self.tasks:
                 task.cancel()
+            self.permits.stop()
             self.members.close()
 
     async def serve_member(self, link: PeerLink) -> None:
@@ -150,7 +154,12 @@
                 controller.suspected = True
         quarantine = self.state.quarantine
         quarantine.apply_reports(report.crashes, relay=True)
-        if member.waiting or member.waiting_adapters or quarantine.ledger.unreported:
+        limits_changed = self.state.limits.apply_updates(report.limits, relay=True)
+        self.permits.apply_report(report)
+        if report.permits:
+            self.members.send_permits()
+        news = limits_changed or quarantine.ledger.unreported
+        if member.waiting or member.waiting_adapters or news:
             self.changed.set()
 
     def apply_local_report(self, report: EntryReport) -> None:
@@ -160,6 +169,7 @@
     def step_down(self) -> None:
         """Announce to all entries that this instance gives no more orders."""
         self.members.sharers.stop()
+        self.permits.stop()
         age_ms = self.lease.clock.now_ms() - self.lease.last_order_ms
         self.members.send(StepDown(max(0, age_ms)))
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/election.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/election.py
@@ -14,6 +14,7 @@
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.fleetreport import apply_report
 from mimosaspur_protocol.peermessages import FleetReport
+from mimosaspur_protocol.peermessages import IssuedPermits
 from mimosaspur_protocol.peermessages import LeaseReadReply
 from mimosaspur_protocol.peermessages import LeaseReadRequest
 from mimosaspur_protocol.peermessages import ReportAck
@@ -248,6 +249,10 @@
                 if isinstance(message, ReportAck):
                     self.state.reported_work.set_included(message.work_report_number)
                     self.state.quotas.acknowledge(message.quota_report_number)
+                if isinstance(message, IssuedPermits):
+                    self.state.limits.apply_permits(
+                        message.number, message.asked_ms, message.counts
+                    )
                 self.configuration_exchange.on_message(message, link)
                 if isinstance(message, FleetReport):
                     followed = True
@@ -302,6 +307,7 @@
 
     async def _report_to(self, link: PeerLink) -> None:
         self.state.quarantine.ledger.report_all()
+        self.state.limits.start_link()
         with contextlib.suppress(PeerLost):
             while True:
                 link.send(build_entry_report(self.state))
--- a/packages/daemon/src/mimosaspur_daemon/direct/enginecontroller.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/enginecontroller.py
@@ -100,7 +100,7 @@
 
     def usable(self) -> bool:
         """Return whether models may be loaded on the engine."""
-        return self.state_known() and not self.record.leaving
+        return self.state_known() and not self.record.leaving and not self.limited
 
     def free_in_ms(self) -> int:
         """Return the time until a swap may start, 0 for now."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/engineregistry.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/engineregistry.py
@@ -53,6 +53,8 @@
             del self.controllers[identity]
         for identity, record in wanted.items():
             self._update_controller(self.controllers.get(identity), record)
+        for controller in self.controllers.values():
+            controller.limited = self.state.limits.limit_per_s(controller.record) is not None
 
     def snapshots(self, service: str) -> list[EngineSnapshot]:
         """Return snapshots of a service's engines, without lost ones."""
@@ -70,6 +72,7 @@
             controller.free_in_ms(),
             usable=controller.usable(),
             leaving=controller.record.leaving,
+            limited=controller.limited,
             loading=controller.loading,
             recent=controller.recent_models(),
             in_memory=controller.in_memory,
@@ -88,7 +91,7 @@
             return
         self.controllers[record.identity] = EngineController(
             record,
-            port=self.state.dependencies.engines,
+            port=self.state.engines,
             lease=self.lease,
             clock=self.state.clock,
             log=self.state.log,
--- a/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
@@ -58,6 +58,10 @@
         state.leaving,
         state.version(),
         [QuotaSpending(each.workspace, each.spent, each.refused) for each in spendings],
-        # The coordinator sends its own to all members.
+        # The coordinator sends its own crashes and limits to all members.
         [] if state.coordinating else state.quarantine.take_reports(),
+        [] if state.coordinating else state.limits.take_updates(),
+        state.limits.permit_requests(),
+        state.limits.holder.clock.now_ms(),
+        state.limits.holder.received_number,
     )
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -20,6 +20,7 @@
 from mimosaspur_coordination.workspaces.ranks import priority_of
 from mimosaspur_coordination.workspaces.ranks import rank_table
 from mimosaspur_daemon.direct.changenotifier import ChangeNotifier
+from mimosaspur_daemon.direct.limitedengines import LimitedEngines
 from mimosaspur_daemon.direct.missingentries import MISSING
 from mimosaspur_daemon.direct.quarantine import Quarantine
 from mimosaspur_daemon.direct.reportedwork import ReportedWork
@@ -109,9 +110,15 @@
         self.model_ready_in_ms: dict[str, int] = {}
         self.reported_work = ReportedWork()
         self.quarantine = Quarantine(self)
-        self.limits = TargetLimits(clock=self.clock, log=self.log)
         # Set to send the coordinator a report before the next periodic one.
         self.report_requested = asyncio.Event()
+        self.limits = TargetLimits(
+            clock=self.clock,
+            permit_clock=BoottimeClock(),
+            log=self.log,
+            request_report=self.report_requested.set,
+            on_change=self.changes.notify,
+        )
         # Entries that are not leaving, as the coordinator last reported; 0 if unknown.
         self.staying_entries = 0
         self.targets_known = False
@@ -129,6 +136,11 @@
         # Dependencies that do not respond at present.
         self.unavailable: set[str] = set()
 
+    @property
+    def engines(self) -> EnginePort:
+        """Return the port to engines, within the limits that they name."""
+        return LimitedEngines(self.dependencies.engines, self.limits)
+
     def uses(self, mechanism: Mechanism) -> bool:
         """Return whether a mechanism is enabled."""
         return self.settings.policy.uses(mechanism)
@@ -172,9 +184,7 @@
 
     def drop_copy(self, record: TargetRecord, handle: str) -> None:
         """Free the unused memory of a stopped run in the background."""
-        task = asyncio.get_running_loop().create_task(
-            self.dependencies.engines.drop_copy(record, handle)
-        )
+        task = asyncio.get_running_loop().create_task(self.engines.drop_copy(record, handle))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/evacuation.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/evacuation.py
@@ -1,10 +1,12 @@
 """Move running streams off targets that will be gone before the streams end."""
 
 import asyncio
+import contextlib
 from collections.abc import Collection
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from mimosaspur_coordination.fleetports import CallDeferred
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.targetchoice import choose_engine
 from mimosaspur_daemon.direct.entrystate import EntryState
@@ -93,7 +95,9 @@
         for _ in range(MAX_REPORT_REQUESTS):
             if not self._streams(view):
                 return None
-            report = await self.state.dependencies.engines.report(view.record)
+            report = None
+            with contextlib.suppress(CallDeferred):
+                report = await self.state.engines.report(view.record)
             if report and report.terminates_in_ms is not None:
                 return report.terminates_in_ms
             # Reports may lag behind by some hundred ms.
@@ -113,6 +117,7 @@
             if view is not attempt.view
             and view.can_run(handler.prompt)
             and not view.health.is_cooling_down()
+            and self.state.limits.may_send(view.record, rank=MOVED_RANK)
         ]
         engine = self._engine_spec(handler.service)
         return choose_engine(
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
@@ -13,6 +13,7 @@
 from mimosaspur_protocol.peermessages import CrashReport
 from mimosaspur_protocol.peermessages import EngineResidents
 from mimosaspur_protocol.peermessages import FleetReport
+from mimosaspur_protocol.peermessages import LimitUpdate
 from mimosaspur_protocol.peermessages import QuotaRemaining
 from mimosaspur_protocol.peermessages import TargetWork
 from mimosaspur_protocol.peermessages import encode_peer
@@ -78,8 +79,9 @@
     store_changes: StoreChanges | None
     # What remains of all quotas, for members that were sent nothing yet.
     all_quotas: list[QuotaRemaining]
-    # All known crashes, for the same members.
+    # All known crashes and limits, for the same members.
     all_crashes: list[CrashReport]
+    all_limits: list[LimitUpdate]
     frames: dict[tuple[bool, int], bytes] = field(default_factory=dict)
 
     def report(self, sent: SentState) -> FleetReport:
@@ -87,12 +89,12 @@
         fleet = self.fleet_changes
         if sent.fleet_sent:
             work, residents, quotas = fleet.changed_work, fleet.changed_residents, self.base.quotas
-            crashes = self.base.crashes
+            crashes, limits = self.base.crashes, self.base.limits
         else:
             work = [each for each in fleet.work.values() if each.requests]
             residents = list(fleet.residents.values())
             quotas = self.all_quotas
-            crashes = self.all_crashes
+            crashes, limits = self.all_crashes, self.all_limits
         store = self.store_changes.changes_since(sent.store_number) if self.store_changes else None
         return msgspec.structs.replace(
             self.base,
@@ -101,6 +103,7 @@
             store=store,
             quotas=quotas,
             crashes=crashes,
+            limits=limits,
         )
 
     def frame(self, sent: SentState) -> bytes:
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -77,6 +77,8 @@
     state.quotas_received.set()
     state.quarantine.set_coverage(report.evidence_age_ms)
     state.quarantine.apply_reports(report.crashes, relay=False)
+    state.limits.apply_updates(report.limits, relay=False)
+    state.limits.holder.apply_queues(report.permit_queues)
     if report.store:
         apply_store_changes(state, report.store)
     for target, others in state.reported_work.apply_totals(report.work).items():
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -22,12 +22,14 @@
 from mimosaspur_daemon.direct.fleetreport import pace_messages
 from mimosaspur_daemon.direct.fleetreport import total_work
 from mimosaspur_daemon.direct.missingentries import MissingEntries
+from mimosaspur_daemon.direct.permitgrants import PermitGrants
 from mimosaspur_daemon.direct.quotaaccounting import QuotaAccounting
 from mimosaspur_daemon.direct.storechanges import StoreChanges
 from mimosaspur_protocol.peermessages import CrashReport
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import FleetReport
 from mimosaspur_protocol.peermessages import LeaseReadRequest
+from mimosaspur_protocol.peermessages import LimitUpdate
 from mimosaspur_protocol.peermessages import ModelPaceUpdate
 from mimosaspur_protocol.peermessages import QuotaRemaining
 from mimosaspur_protocol.peermessages import ReportAck
@@ -62,8 +64,9 @@
 class Members:
     """Track the entries that follow a coordinator, including its own one."""
 
-    def __init__(self, state: EntryState, sharers: SharerCount) -> None:
+    def __init__(self, state: EntryState, sharers: SharerCount, permits: PermitGrants) -> None:
         self.state = state
+        self.permits = permits
         self.members: dict[str, Member] = {}
         self.sharers = sharers
         self.paces = SharedPaces()
@@ -97,6 +100,16 @@
         for message in report.paces:
             self.paces.add_report(message.model, Pace(message.factor, message.measurements))
 
+    def send_permits(self) -> None:
+        """Send the permits that the limits of targets allow now."""
+        for instance, permits in self.permits.issue().items():
+            member = self.members[instance]
+            if member.link is None:
+                self.state.limits.apply_permits(permits.number, permits.asked_ms, permits.counts)
+                continue
+            with contextlib.suppress(PeerLost):
+                member.link.send(permits)
+
     def local_member(self, instance: str) -> Member:
         """Return the member for this instance's own entry."""
         member = self.members.get(instance)
@@ -111,6 +124,7 @@
             self.missing.on_lost(instance)
         self.members[instance] = member
         self.sharers.on_connect(instance)
+        self.permits.issuer.on_connect(instance)
         return member
 
     def remove(self, member: Member) -> None:
@@ -120,6 +134,7 @@
                 entries = len(self.members)
                 del self.members[instance]
                 self.sharers.on_disconnect(instance)
+                self.permits.issuer.on_disconnect(instance)
                 if not member.leaving:
                     self.missing.on_lost(instance)
                     self.quotas.on_entry_lost(
@@ -175,16 +190,20 @@
         paces = self._due_paces(now_ms)
         quotas = self.quotas.changed_remaining(len(self.members))
         crashes = self.state.quarantine.take_reports()
-        base = self._base_report(lease, paces, quotas, crashes)
+        limits = self.state.limits.take_updates()
+        queues_changed = self.permits.update_queues()
+        base = self._base_report(lease, paces, quotas, crashes, limits)
         reports = ReportBuilder(
             base,
             self.fleet_changes,
             self._shareable_store_changes(),
             self.quotas.all_remaining(),
             self._crashes_for_new_members(),
+            self.state.limits.all_updates(),
         )
         heartbeat_due = now_ms - self.last_sent_ms >= HEARTBEAT_INTERVAL_MS
-        if changed or paces or quotas or crashes or heartbeat_due:
+        news = changed or paces or quotas or crashes or limits or queues_changed
+        if news or heartbeat_due:
             self.last_sent_ms = now_ms
             recipients = list(self.members.values())
         else:
@@ -211,6 +230,7 @@
         paces: list[ModelPaceUpdate],
         quotas: list[QuotaRemaining],
         crashes: list[CrashReport],
+        limits: list[LimitUpdate],
     ) -> FleetReport:
         return FleetReport(
             token=lease.record.token if lease.record else 0,
@@ -226,6 +246,8 @@
             sharer_count=self.sharers.sharer_count() if lease.is_confirmed() else 0,
             crashes=crashes,
             evidence_age_ms=self.missing.covered_ms(reporting=len(self.members)),
+            limits=limits,
+            permit_queues=self.permits.queues,
         )
 
     def _crashes_for_new_members(self) -> list[CrashReport]:
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -31,6 +31,8 @@
 
 # Limit on the targets tried for one request, including those that refuse it.
 MAX_OFFERS = 6
+# Why a request wasn't sent to a target that names a request limit.
+NO_PERMIT = "the target's limit permits no request now"
 # Cooldowns grow with each refusal, so that the offers outlast a model load that is slower than
 # predicted.
 COOLDOWN_GROWTH_FACTOR = 1.7
@@ -106,6 +108,7 @@
             service,
             configuration.services.get(service) if configuration else None,
             self.prompt,
+            request=self.request_id(),
             workspace=workspace,
             arrived_s=request.arrived_s,
             deadline_s=self.deadline_s,
@@ -263,6 +266,7 @@
         while True:
             await quarantine.wait_to_send(self)
             self.target_selector.isolated = quarantine.is_isolated(self.digest)
+            self.target_selector.retried = self.retries.attempts > 0
             view = await self.target_selector.next_target(resumed=self.started)
             # It may have become suspected while it waited for a target.
             if not quarantine.is_held(self.digest):
@@ -290,6 +294,12 @@
     async def _run_attempt(
         self, view: TargetView, continued: MovedRun | None = None
     ) -> AttemptResult:
+        limits = self.state.limits
+        permit = limits.take(view.record)
+        if permit is None:
+            # A moved run goes to its target without a choice.
+            self.cause = NO_PERMIT
+            return AttemptResult.NOT_RUN
         pool = self.state.pool(view.record)
         self.cause = ""
         self.head_received = False
@@ -297,11 +307,16 @@
         try:
             channel, _ = await pool.acquire(max_idle_ms=max_idle_ms)
         except ChannelBroken as error:
+            limits.put_back(permit)
             self.cause = str(error)
             view.health.record_unreachable()
             self.state.unreachable.add(view.record.identity)
             self.state.report_requested.set()
             return AttemptResult.NOT_RUN
+        if not limits.begin_send(permit):
+            pool.release(channel)
+            self.cause = NO_PERMIT
+            return AttemptResult.NOT_RUN
         self.retries.attempts += 1
         attempt = self.attempt = Attempt(self, view, channel, continued)
         self.waited_ms = round((attempt.sent_s - self.request.arrived_s) * 1000)
--- a/packages/daemon/src/mimosaspur_daemon/direct/statusserver.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/statusserver.py
@@ -16,6 +16,8 @@
 METRICS_PATH = "/metrics"
 # Lists the quarantined requests; DELETE on a digest below it lifts one's quarantine.
 QUARANTINE_PATH = "/quarantine"
+# Lists the targets that name a request limit.
+LIMITS_PATH = "/limits"
 
 
 class StatusServer:
@@ -62,6 +64,8 @@
     def _answer(self, request: CallerRequest, *, for_operators: bool) -> tuple[int, bytes]:
         if for_operators and request.path.startswith(QUARANTINE_PATH):
             return self._answer_quarantine(request)
+        if for_operators and request.path == LIMITS_PATH:
+            return 200, msgspec.json.encode(self.state.limits.listing())
         if request.path == METRICS_PATH:
             return 200, self.state.log.counters.render().encode()
         if request.path != self.state.dependencies.dialect.ready_path.decode():
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetlimits.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetlimits.py
@@ -1,48 +1,299 @@
-"""Track the request limits that targets name in their responses."""
+"""Keep an entry within the request limits that targets name in their responses."""
 
+import contextlib
+import math
+from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
 from collections.abc import Sequence
+from dataclasses import dataclass
 
+from mimosaspur_coordination.limits.permitholder import PermitHolder
+from mimosaspur_coordination.limits.permitholder import PermitWaiter
+from mimosaspur_coordination.limits.permitissuer import PermitDemand
+from mimosaspur_coordination.limits.permitissuer import PermitIssuer
+from mimosaspur_coordination.limits.requestlimit import BadLimit
+from mimosaspur_coordination.limits.requestlimit import LimitLedger
+from mimosaspur_coordination.limits.requestlimit import RequestLimit
+from mimosaspur_coordination.limits.requestlimit import parse_limit
 from mimosaspur_coordination.limits.sendhistory import SendHistory
+from mimosaspur_protocol.peermessages import LimitUpdate
+from mimosaspur_protocol.peermessages import PermitRequest
 from mimosaspur_state.clock import Clock
+from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.eventlog import EventLog
 from mimosaspur_state.fleet import TargetRecord
 
+NO_DEMAND = PermitDemand()
+
+
+@dataclass(slots=True, frozen=True)
+class SendPermit:
+    """Allow one request to a target; without a limit it never lapses."""
+
+    target: str
+    # On the permits' clock; None if the target named no limit when this was taken.
+    lapses_ms: int | None
+
 
 class TargetLimits:
-    """Log the limits that targets name, and count what is sent to each target."""
+    """Learn the limits of targets, and let requests through to these by permits.
+
+    Everything that is sent to a target passes `take` and `begin_send`, or `permits_call`.
+    """
 
-    __slots__ = ("history", "log", "named")
+    __slots__ = (
+        "bad_values",
+        "history",
+        "holder",
+        "issuer",
+        "ledger",
+        "log",
+        "on_change",
+        "request_report",
+        "sent_before",
+    )
 
-    def __init__(self, *, clock: Clock, log: EventLog) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        permit_clock: Clock,
+        log: EventLog,
+        request_report: Callable[[], None],
+        on_change: Callable[[], None],
+    ) -> None:
         self.log = log
         self.history = SendHistory(clock=clock)
-        # The values of the header in the last response of each target that sent any.
-        self.named: dict[str, list[str]] = {}
-
-    def on_sent(self, target: TargetRecord) -> None:
-        """Count a request that is sent to a target."""
-        self.history.record(target.incarnation)
-
-    def on_response(self, target: TargetRecord, values: Sequence[bytes]) -> None:
-        """Log a change of the limit that a target names."""
-        named = [value.decode("latin-1") for value in values]
-        before = self.named.get(target.incarnation, [])
-        if named == before:
+        self.ledger = LimitLedger()
+        self.holder = PermitHolder(clock=permit_clock)
+        # Called to send the coordinator a report soon, and when a waiting request may go on.
+        self.request_report = request_report
+        self.on_change = on_change
+        # Requests in the last window before this entry knew a limit, until they are reported.
+        self.sent_before: dict[str, int] = {}
+        # Targets whose last response named no valid limit.
+        self.bad_values: set[str] = set()
+        # Issues the permits of all entries, while this one coordinates.
+        self.issuer: PermitIssuer | None = None
+
+    def any_known(self) -> bool:
+        """Return whether any target names a limit, or has named one."""
+        return bool(self.ledger.limits)
+
+    def limit_per_s(self, target: TargetRecord) -> float | None:
+        """Return the requests a second that a target takes, None for any number."""
+        return self.ledger.get(target.incarnation).per_s
+
+    def version(self, target: TargetRecord) -> int:
+        """Return the version of what is known of a target's limit."""
+        return self.ledger.get(target.incarnation).version
+
+    def on_response(
+        self, target: TargetRecord, values: Sequence[bytes], *, sent_version: int, proves_end: bool
+    ) -> None:
+        """Apply the limit that a response names, or none."""
+        key = target.incarnation
+        try:
+            per_s = parse_limit(values)
+        except BadLimit as error:
+            if key not in self.bad_values:
+                self.bad_values.add(key)
+                self.log.always(
+                    "bad_target_limit",
+                    target=key,
+                    code=ResultCode.BAD_TARGET_LIMIT.value,
+                    named=str(error),
+                    kept_per_s=self.limit_per_s(target),
+                )
             return
-        self.log.always(
-            "target_limit",
-            target=target.incarnation,
-            named=named,
-            before=before,
-            sent_recently=self.history.count(target.incarnation),
-        )
-        if named:
-            self.named[target.incarnation] = named
+        self.bad_values.discard(key)
+        before = self.ledger.get(key)
+        if self.ledger.observe(key, per_s, sent_version=sent_version, proves_end=proves_end):
+            self._on_limit_changed(key, before, source="response")
+            self.request_report()
+
+    def may_send(
+        self, target: TargetRecord, *, rank: int, waiter: PermitWaiter | None = None
+    ) -> bool:
+        """Return whether a request of a rank may be sent to a target now."""
+        if self.limit_per_s(target) is None:
+            return True
+        return self.holder.has_permit(target.incarnation, rank=rank, waiter=waiter)
+
+    def record_chance(self, target: TargetRecord) -> None:
+        """Count a request that a target with a limit could take or could have taken."""
+        if self.limit_per_s(target) is not None:
+            self.holder.record_chance(target.incarnation)
+
+    def take(self, target: TargetRecord) -> SendPermit | None:
+        """Return a permit to send one request to a target, None if there is none."""
+        if self.limit_per_s(target) is None:
+            return SendPermit(target.incarnation, None)
+        lapses_ms = self.holder.take(target.incarnation)
+        return None if lapses_ms is None else SendPermit(target.incarnation, lapses_ms)
+
+    def begin_send(self, permit: SendPermit) -> bool:
+        """Return whether a request may be sent at once, and count it."""
+        if permit.lapses_ms is not None:
+            allowed = self.holder.is_valid(permit.lapses_ms)
         else:
-            del self.named[target.incarnation]
+            allowed = self.ledger.get(permit.target).per_s is None
+        if allowed:
+            self.history.record(permit.target)
+        return allowed
+
+    def put_back(self, permit: SendPermit) -> None:
+        """Return a permit that was not used."""
+        if permit.lapses_ms is not None and self.holder.is_valid(permit.lapses_ms):
+            self.holder.put_back(permit.target, permit.lapses_ms)
+
+    def permits_call(self, target: TargetRecord) -> bool:
+        """Return whether a call that is no caller's request may be sent, and count it."""
+        if self.limit_per_s(target) is not None and self.issuer:
+            return self.issuer.try_take(target.incarnation)
+        permit = self.take(target)
+        return permit is not None and self.begin_send(permit)
+
+    def permits_report(self, target: TargetRecord) -> bool:
+        """Return whether an engine may be asked for a report, and count it."""
+        if self.limit_per_s(target) is not None and self.issuer:
+            return self.issuer.try_report(target.incarnation)
+        return self.permits_call(target)
+
+    @contextlib.contextmanager
+    def reserved_for_call(self, target: TargetRecord) -> Iterator[None]:
+        """Issue no permits for a target within the context, so that a call gets its turn."""
+        if self.issuer is None:
+            yield
+            return
+        with self.issuer.reserve(target.incarnation):
+            yield
+
+    def expected_wait_ms(
+        self, target: TargetRecord, *, rank: int, waiter: PermitWaiter | None = None
+    ) -> float:
+        """Return the expected wait for a permit, 0 if none is needed."""
+        per_s = self.limit_per_s(target)
+        if per_s is None:
+            return 0.0
+        return self.holder.expected_wait_ms(target.incarnation, per_s, rank=rank, waiter=waiter)
+
+    @contextlib.contextmanager
+    def waiting(self, rank: int) -> Iterator[PermitWaiter]:
+        """Ask for a permit for a waiting request within the context."""
+        waiter = self.holder.add_waiter(rank)
+        try:
+            yield waiter
+        finally:
+            self.holder.remove_waiter(waiter)
+
+    def set_targets(self, waiter: PermitWaiter, targets: Iterable[TargetRecord]) -> None:
+        """Set the targets that a waiting request could be sent to."""
+        wanted = frozenset(target.incarnation for target in targets)
+        if wanted != waiter.targets:
+            waiter.targets = wanted
+            self.request_report()
+
+    def start_link(self) -> None:
+        """Report all that is known on a new link to a coordinator."""
+        self.ledger.report_all()
+        self.holder.start_link()
+
+    def take_updates(self) -> list[LimitUpdate]:
+        """Return the limits that have changed since the last call."""
+        return _to_updates(self.ledger.take_unreported())
+
+    def all_updates(self) -> list[LimitUpdate]:
+        """Return all known limits."""
+        return _to_updates(self.ledger.limits)
+
+    def apply_updates(self, updates: Iterable[LimitUpdate], *, relay: bool) -> bool:
+        """Merge what another instance knows; return whether a limit has changed."""
+        changed = False
+        for each in updates:
+            before = self.ledger.get(each.target)
+            limit = RequestLimit(each.version, each.per_s)
+            if self.ledger.merge(each.target, limit, report=relay):
+                self._on_limit_changed(each.target, before, source="peer")
+                changed = True
+        return changed
+
+    def permit_requests(self) -> list[PermitRequest]:
+        """Return the permits to ask the coordinator for."""
+        demand = self.holder.demand(self.ledger.limited())
+        requests = []
+        for target in {*demand, *self.sent_before}:
+            each = demand.get(target, NO_DEMAND)
+            sent_before = self.sent_before.get(target, 0)
+            requests.append(PermitRequest(target, each.waiting, each.ahead, sent_before))
+        self.sent_before.clear()
+        return requests
+
+    def apply_permits(self, number: int, asked_ms: int, counts: dict[str, int]) -> None:
+        """Add permits that the coordinator has issued."""
+        self.holder.apply_permits(number, asked_ms, counts)
+        self.on_change()
+
+    def log_rejection(
+        self, request: str, targets: Sequence[TargetRecord], *, expected_ms: float, rank: int
+    ) -> None:
+        """Log a request that is rejected since no target could take it in time."""
+        self.log.write(
+            "limited",
+            request=request,
+            outcome="rejected",
+            targets=[target.incarnation for target in targets],
+            expected_ms=round(expected_ms) if math.isfinite(expected_ms) else None,
+            rank=rank,
+        )
+
+    def log_passed_over(self, request: str, targets: Sequence[TargetRecord]) -> None:
+        """Log a request that goes elsewhere, since there is no permit for these targets."""
+        names = [target.incarnation for target in targets]
+        self.log.write("limited", request=request, outcome="elsewhere", targets=names)
 
     def retain(self, incarnations: Collection[str]) -> None:
         """Drop what is known of all other targets."""
         self.history.retain(incarnations)
-        self.named = {key: value for key, value in self.named.items() if key in incarnations}
+        self.ledger.retain(incarnations)
+        self.bad_values.intersection_update(incarnations)
+
+    def listing(self) -> list[dict[str, object]]:
+        """Return the limits in force for operators."""
+        return [
+            {
+                "target": target,
+                "per_s": per_s,
+                "sent_recently": self.history.count(target),
+                "waiting": sum(target in each.targets for each in self.holder.waiters),
+            }
+            for target, per_s in self.ledger.limited().items()
+        ]
+
+    def _on_limit_changed(self, target: str, before: RequestLimit, *, source: str) -> None:
+        limit = self.ledger.get(target)
+        self.holder.drop(target)
+        if limit.per_s is not None:
+            self.sent_before[target] = self.history.count(target)
+        self.log.always(
+            "target_limit",
+            target=target,
+            per_s=limit.per_s,
+            before_per_s=before.per_s,
+            version=limit.version,
+            source=source,
+            sent_recently=self.history.count(target),
+        )
+        self.on_change()
+
+
+def _to_updates(limits: Mapping[str, RequestLimit]) -> list[LimitUpdate]:
+    return [LimitUpdate(target, limit.version, limit.per_s) for target, limit in limits.items()]
+
+
+def to_demand(requests: Iterable[PermitRequest]) -> dict[str, PermitDemand]:
+    """Return the demand in an entry's report."""
+    return {each.target: PermitDemand(dict(each.waiting), each.ahead) for each in requests}
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -1,9 +1,13 @@
 """Select the target for a request, and wait for one while it can still be in time."""
 
 import asyncio
+import contextlib
+from collections.abc import Iterator
+from collections.abc import Sequence
 
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.limits.permitholder import PermitWaiter
 from mimosaspur_coordination.targetchoice import choose_emptiest
 from mimosaspur_coordination.targetchoice import choose_engine
 from mimosaspur_coordination.targetchoice import choose_plain_target
@@ -30,6 +34,8 @@
 NOT_RUN_COOLDOWN_S = 0.1
 FAILED_COOLDOWN_S = 0.1
 DEFAULT_RETRY_S = 0.5
+# A longer wait for a permit counts as a wait for the model, which another engine could load.
+MAX_PERMIT_WAIT_S = 0.3
 
 
 class TargetSelector:
@@ -43,11 +49,14 @@
         "on_time_deadline_s",
         "prompt",
         "rank",
+        "request",
         "resumed",
+        "retried",
         "route",
         "service",
         "spec",
         "state",
+        "waiter",
         "workspace",
     )
 
@@ -59,11 +68,14 @@
         spec: ServiceSpec | None,
         prompt: Prompt,
         *,
+        request: str,
         workspace: Workspace | None,
         arrived_s: float,
         deadline_s: float,
     ) -> None:
         self.state = state
+        # The request's ID, for the log.
+        self.request = request
         self.workspace = workspace
         self.route = route
         self.service = service
@@ -81,6 +93,10 @@
         # The request's rank in engine queues.
         self.rank = self._rank()
         self.resumed = False
+        # Whether the request was sent to a target before.
+        self.retried = False
+        # The request's place among those that wait for permits, while it waits.
+        self.waiter: PermitWaiter | None = None
         # Whether the request may crash its target, so that it should run beside few others.
         self.isolated = False
         # By target, on the event loop's clock.
@@ -93,13 +109,10 @@
     async def next_target(self, *, resumed: bool = False) -> TargetView:
         """Return the next target; raise RequestFailed if none will be available in time."""
         self.resumed = resumed
+        self._record_chances()
         if self.spec is not None and self.spec.engine is not None and self.prompt.model:
             return await self._next_engine()
-        while True:
-            view = self._choose_plain()
-            if view is not None:
-                return view
-            await self._wait_for_cooldown()
+        return await self._next_plain()
 
     def has_other(self, view: TargetView) -> bool:
         """Return whether another target could take the request now."""
@@ -108,6 +121,7 @@
             for each in self._available()
             if each is not view and not each.health.is_cooling_down()
         ]
+        others = self._sendable(others)
         return any(not self.prompt.model or each.can_run(self.prompt) for each in others)
 
     def predicted_first_event_ms(self) -> float:
@@ -133,27 +147,146 @@
         if view is not None:
             return view
         state = self.state
-        with self.state.waiting_for(self.prompt.model, self.prompt.adapter):
+        with self._waiting():
             while True:
                 wait_until_s = min(self.first_event_deadline_s, state.balancer_noticed_s)
                 left_s = wait_until_s - MIN_FIRST_TOKEN_S - _now_s()
-                expected_s = state.model_ready_in_ms.get(self.prompt.model, 0) / 1000
+                limited = self._limited(self._holders())
+                expected_s = self._expected_wait_s(limited)
                 if left_s <= max(0.0, expected_s):
+                    if limited:
+                        raise self._limit_refusal(limited, expected_s)
                     raise self.refusal(ResultCode.NO_READY_TARGET, wanted_s=expected_s or 1.0)
+                self._ask_for_permits(limited)
                 await self.state.changes.wait(min(left_s, self._recheck_delay_s()))
                 view = self._choose()
                 if view is not None:
                     return view
 
+    async def _next_plain(self) -> TargetView:
+        view = self._choose_plain()
+        if view is not None:
+            return view
+        with contextlib.ExitStack() as stack:
+            self.waiter = stack.enter_context(self.state.limits.waiting(self._permit_rank()))
+            stack.callback(self._stop_waiting)
+            while view is None:
+                limited = self._limited(self._available())
+                if limited:
+                    await self._wait_for_permit(limited)
+                else:
+                    await self._wait_for_cooldown()
+                view = self._choose_plain()
+        return view
+
+    async def _wait_for_permit(self, limited: Sequence[TargetView]) -> None:
+        expected_s = self._expected_permit_s(limited)
+        if expected_s >= self.remaining_s() - RECHECK_INTERVAL_S:
+            raise self._limit_refusal(limited, expected_s)
+        self._ask_for_permits(limited)
+        await self.state.changes.wait(self._recheck_delay_s())
+
+    def _limit_refusal(self, limited: Sequence[TargetView], expected_s: float) -> RequestFailed:
+        self.state.limits.log_rejection(
+            self.request,
+            [view.record for view in limited],
+            expected_ms=expected_s * 1000,
+            rank=self._permit_rank(),
+        )
+        return self.refusal(ResultCode.TARGET_LIMITED, wanted_s=expected_s)
+
+    @contextlib.contextmanager
+    def _waiting(self) -> Iterator[None]:
+        """Count the request as waiting for its model, and for a permit, within the context."""
+        limited = self._limited(self._holders())
+        with contextlib.ExitStack() as stack:
+            if not limited or self._expected_permit_s(limited) > MAX_PERMIT_WAIT_S:
+                stack.enter_context(self.state.waiting_for(self.prompt.model, self.prompt.adapter))
+            self.waiter = stack.enter_context(self.state.limits.waiting(self._permit_rank()))
+            stack.callback(self._stop_waiting)
+            yield
+
+    def _stop_waiting(self) -> None:
+        self.waiter = None
+
+    def _ask_for_permits(self, limited: Sequence[TargetView]) -> None:
+        assert self.waiter
+        self.state.limits.set_targets(self.waiter, [view.record for view in limited])
+
+    def _expected_wait_s(self, limited: Sequence[TargetView]) -> float:
+        """Return the expected wait for a permit, or for the model on another engine."""
+        ready_ms = self.state.model_ready_in_ms.get(self.prompt.model)
+        if not limited:
+            return (ready_ms or 0) / 1000
+        permit_s = self._expected_permit_s(limited)
+        return permit_s if ready_ms is None else min(permit_s, ready_ms / 1000)
+
+    def _expected_permit_s(self, limited: Sequence[TargetView]) -> float:
+        limits = self.state.limits
+        rank = self._permit_rank()
+        waits_ms = [
+            limits.expected_wait_ms(view.record, rank=rank, waiter=self.waiter) for view in limited
+        ]
+        return min(waits_ms) / 1000
+
+    def _limited(self, views: Sequence[TargetView]) -> list[TargetView]:
+        """Return the targets that name a limit."""
+        limits = self.state.limits
+        if not limits.any_known():
+            return []
+        return [view for view in views if limits.limit_per_s(view.record) is not None]
+
+    def _sendable(self, views: Sequence[TargetView]) -> list[TargetView]:
+        """Return the targets that the request may be sent to now."""
+        limits = self.state.limits
+        if not limits.any_known():
+            return list(views)
+        rank = self._permit_rank()
+        return [
+            view for view in views if limits.may_send(view.record, rank=rank, waiter=self.waiter)
+        ]
+
+    def _permitted(self, views: Sequence[TargetView]) -> list[TargetView]:
+        """Return targets with a limit that a permit is at hand for, if no others have less work.
+
+        An unused permit is lost, and only a response tells that the limit has ended.
+        """
+        limited = self._limited(views)
+        least = min((view.request_count() for view in views if view not in limited), default=0)
+        return [view for view in limited if view.request_count() <= least]
+
+    def _permit_rank(self) -> int:
+        """Return the request's rank for permits: retries take none from first attempts."""
+        if self.resumed:
+            return RESUMED_RANK
+        return LATE_RANK if self.retried else self._rank()
+
+    def _record_chances(self) -> None:
+        """Count the request at the targets with a limit that could run it."""
+        if not self.state.limits.any_known():
+            return
+        views = self._holders() if self.prompt.model else self._available()
+        limited = self._limited(views)
+        for view in limited:
+            self.state.limits.record_chance(view.record)
+        sendable = self._sendable(views)
+        passed_over = [view for view in limited if view not in sendable]
+        if sendable and passed_over:
+            self.state.limits.log_passed_over(self.request, [view.record for view in passed_over])
+
     def _choose(self) -> TargetView | None:
         """Choose an engine and the request's rank there.
 
         A request that will be late anyway ranks behind those that can still be on time: under
         overload the engines would otherwise serve every request late.
         """
-        # If a model's only engine is unreachable, the model is soon loaded on another one.
-        available = [view for view in self._available() if not view.health.is_cooling_down()]
-        holders = [view for view in available if view.can_run(self.prompt)]
+        holders = self._sendable(self._holders())
+        permitted = self._permitted(holders)
+        return self._choose_engine(permitted, on_time_only=True) or self._choose_engine(holders)
+
+    def _choose_engine(
+        self, holders: Sequence[TargetView], *, on_time_only: bool = False
+    ) -> TargetView | None:
         engine = self.spec.engine if self.spec else None
         ranks = (RESUMED_RANK,) if self.resumed else (self._rank(), self._late_rank())
         over_s = 0.0
@@ -177,10 +310,19 @@
             if over_s <= 0:
                 self.rank = rank
                 return view
+            if on_time_only:
+                return None
         raise self.refusal(ResultCode.DEADLINE_UNREACHABLE, wanted_s=over_s + DEFAULT_RETRY_S)
 
+    def _holders(self) -> list[TargetView]:
+        """Return the engines that could run the request."""
+        # If a model's only engine is unreachable, the model is soon loaded on another one.
+        available = [view for view in self._available() if not view.health.is_cooling_down()]
+        return [view for view in available if view.can_run(self.prompt)]
+
     def _choose_plain(self) -> TargetView | None:
-        available = self._available()
+        available = self._sendable(self._available())
+        available = self._permitted(available) or available
         if self.isolated:
             return choose_emptiest(available)
         return choose_plain_target(available, domain=self.state.settings.failure_domain)
--- a/packages/daemon/src/mimosaspur_daemon/direct/trackedengine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/trackedengine.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from mimosaspur_coordination.fleetports import CallDeferred
 from mimosaspur_coordination.fleetports import EnginePort
 from mimosaspur_coordination.orderlease import OrderLease
 from mimosaspur_state.clock import Clock
@@ -74,6 +75,8 @@
         self.failed_reports = 0
         # Whether an entry couldn't reach the engine.
         self.suspected = False
+        # Whether it limits the requests that it takes, orders and reports among them.
+        self.limited = False
         # Whether another instance has its address now, or it has restarted.
         self.replaced = False
         # Start time of a restart that a report has shown, 0 if there was none.
@@ -101,7 +104,10 @@
     async def refresh(self) -> bool:
         """Request a report; return whether there was one."""
         self.report_requested_ms = self.clock.now_ms()
-        report = await self.port.report(self.record)
+        try:
+            report = await self.port.report(self.record)
+        except CallDeferred:
+            return False
         if report is None:
             self.failed_reports += 1
             return False
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -64,6 +64,28 @@
     requests: list[tuple[bytes, Stage]]
 
 
+class LimitUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """Report the request limit that a target names, by its incarnation."""
+
+    target: str
+    # Increases with each change of what the target names.
+    version: int
+    # None if it names none any more.
+    per_s: float | None
+
+
+class PermitRequest(msgspec.Struct, array_like=True, frozen=True):
+    """Ask for permits to send requests to a target that names a limit."""
+
+    target: str
+    # Numbers of requests that wait, by rank.
+    waiting: dict[int, int]
+    # Permits for requests that are likely to come soon.
+    ahead: int
+    # Requests sent in the window before the entry knew the limit, reported once.
+    sent_before: int = 0
+
+
 class EntryReport(msgspec.Struct, array_like=True, tag="entry"):
     """Report an entry's state to the coordinator."""
 
@@ -86,6 +108,13 @@
     quotas: list[QuotaSpending] = msgspec.field(default_factory=list)
     # Changes since the last report; all that is known in the first one on a link.
     crashes: list[CrashReport] = msgspec.field(default_factory=list)
+    # Changes since the last report; all that is known in the first one on a link.
+    limits: list[LimitUpdate] = msgspec.field(default_factory=list)
+    permits: list[PermitRequest] = msgspec.field(default_factory=list)
+    # When this report was made, on the entry's clock; the permits that answer it echo it.
+    asked_ms: int = 0
+    # The number of the last message with permits that arrived on this link.
+    permits_number: int = 0
 
 
 class EngineResidents(msgspec.Struct, array_like=True, frozen=True):
@@ -168,6 +197,19 @@
     crashes: list[CrashReport] = msgspec.field(default_factory=list)
     # For how long the evidence of all entries on crashes is known; -1 while an entry is missing.
     evidence_age_ms: int = -1
+    # Changes since the last report; all that is known in the first one on a link.
+    limits: list[LimitUpdate] = msgspec.field(default_factory=list)
+    # Requests that wait for permits at all entries, by target and rank.
+    permit_queues: dict[str, dict[int, int]] = msgspec.field(default_factory=dict)
+
+
+class IssuedPermits(msgspec.Struct, array_like=True, tag="permits"):
+    """Issue permits to one entry, by target."""
+
+    # Increases by one with each of these messages on a link.
+    number: int
+    asked_ms: int
+    counts: dict[str, int]
 
 
 class StepDown(msgspec.Struct, array_like=True, tag="leaving"):
@@ -212,6 +254,7 @@
     | EntryReport
     | ReportAck
     | FleetReport
+    | IssuedPermits
     | StepDown
     | ConfigurationRequest
     | EncodedConfiguration
--- a/packages/state/src/mimosaspur_state/codes.py
+++ b/packages/state/src/mimosaspur_state/codes.py
@@ -40,6 +40,7 @@
     QUOTA_EXCEEDED = 2012
     CONFIGURATION_OLD = 2013
     QUOTA_UNKNOWN = 2014
+    TARGET_LIMITED = 2015
 
     OUTCOME_UNKNOWN = 3001
     ANSWER_CUT = 3002
@@ -62,6 +63,7 @@
     OUTCOME_UNSETTLED = 4010
     SAME_OPERATOR = 4011
     STORE_ERA_WRONG = 4012
+    BAD_TARGET_LIMIT = 4013
 
 
 @dataclass(slots=True, frozen=True)
@@ -136,6 +138,11 @@
         "What is left of the workspace's quota isn't known here yet. Not run.",
         _TRY_LATER,
     ),
+    ResultCode.TARGET_LIMITED: CodeInfo(
+        503,
+        "The targets that could run it limit the requests that they take. Not run.",
+        _TRY_LATER,
+    ),
     ResultCode.CONFIGURATION_OLD: CodeInfo(
         503, "The configuration here may be out of date, and doesn't know it. Not run.", _TRY_LATER
     ),
@@ -201,4 +208,9 @@
         "The store's era is missing, goes back or is no number. Its answers are used.",
         "Look at the store; restores can't be told from one another meanwhile.",
     ),
+    ResultCode.BAD_TARGET_LIMIT: CodeInfo(
+        503,
+        "A target names a request limit that is no number. The last good one is kept.",
+        "Correct what the target names.",
+    ),
 }
