Decide an order again that a target's request limit has deferred

Cause: an order to a limited engine waited in the port for up to 5 s and went out then, whoever held the lease by that time. Read, not seen: the engine's count of orders would have refused it.

Change: the port raises CallDeferred at once; the order is tried again with lease and count checked anew, and its next token is kept for it. Reports are counted while no limit is named, too: a coordinator that knows nothing of a limited engine asks it with the first token, one that knows it waits. An engine whose limit ends is asked at once.

--- a/packages/coordination/src/mimosaspur_coordination/fleetports.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetports.py
@@ -89,7 +89,7 @@
 
 
 class CallDeferred(Exception):
-    """Raised when an engine isn't called now, since it limits what it is sent."""
+    """Raised when an engine isn't called now, since it names a request limit."""
 
 
 class EnginePort(Protocol):
--- a/packages/coordination/src/mimosaspur_coordination/limits/permitissuer.py
+++ b/packages/coordination/src/mimosaspur_coordination/limits/permitissuer.py
@@ -1,8 +1,6 @@
 """Issue permits for targets that name a limit, at the coordinator."""
 
-import contextlib
 from collections.abc import Callable
-from collections.abc import Iterator
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
@@ -19,6 +17,8 @@
 # Part of a limit that the coordinator's own calls may use, and the longest time without one.
 REPORT_SHARE = 0.05
 MAX_REPORT_INTERVAL_MS = 30_000
+# Longer than the interval at which a deferred order is tried again.
+RESERVATION_MS = 200
 
 
 @dataclass(slots=True)
@@ -64,8 +64,6 @@
     # Requests that entries sent within a window before they knew the limit, and the debt for them.
     sent_before: int = 0
     debt: float = 0.0
-    # When the coordinator last asked the target for a report.
-    last_report_ms: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -81,7 +79,15 @@
 class PermitIssuer:
     """Issue permits to entries: the most urgent request first, then whoever waited longest."""
 
-    __slots__ = ("buckets", "clock", "entries", "issues", "may_issue", "reserved")
+    __slots__ = (
+        "buckets",
+        "clock",
+        "entries",
+        "issues",
+        "may_issue",
+        "reported_ms",
+        "reserved_until_ms",
+    )
 
     def __init__(self, *, clock: Clock, may_issue: Callable[[], bool]) -> None:
         # Counts the time while the machine is suspended, as the lease does.
@@ -91,8 +97,10 @@
         self.buckets: dict[str, _Bucket] = {}
         self.entries: dict[str, _Entry] = {}
         self.issues = 0
-        # Targets that an order waits for, with the number of orders.
-        self.reserved: dict[str, int] = {}
+        # Until when a target's tokens are kept for an order.
+        self.reserved_until_ms: dict[str, int] = {}
+        # When each target was last asked for a report, also while it named no limit.
+        self.reported_ms: dict[str, int] = {}
 
     def on_connect(self, instance: str) -> None:
         """Reset what is known of an entry, whose link is new."""
@@ -170,7 +178,7 @@
         now_ms = self.clock.now_ms()
         counts: dict[str, dict[str, int]] = {}
         for target, bucket in self.buckets.items():
-            while not self.reserved.get(target) and bucket.tokens.at(now_ms) >= 1:
+            while not self._is_reserved(target) and bucket.tokens.at(now_ms) >= 1:
                 instance = self._next_entry(target)
                 if instance is None:
                     break
@@ -180,17 +188,24 @@
         return {instance: self._message(instance, issued) for instance, issued in counts.items()}
 
     def try_report(self, target: str) -> bool:
-        """Take a token for a report of an engine; return whether there was one."""
+        """Take a token for a report of a target with a limit; return whether one may be sent."""
         bucket = self.buckets.get(target)
         if bucket is None:
             return False
         now_ms = self.clock.now_ms()
         interval_ms = min(MAX_REPORT_INTERVAL_MS, 1000 / (bucket.tokens.per_s * REPORT_SHARE))
-        if now_ms - bucket.last_report_ms < interval_ms or not self.try_take(target):
+        reported_ms = self.reported_ms.get(target)
+        if reported_ms is not None and now_ms - reported_ms < interval_ms:
+            return False
+        if not self.try_take(target):
             return False
-        bucket.last_report_ms = now_ms
+        self.on_report(target)
         return True
 
+    def on_report(self, target: str) -> None:
+        """Record that a target is asked for a report."""
+        self.reported_ms[target] = self.clock.now_ms()
+
     def try_take(self, target: str) -> bool:
         """Take a token for a call of the coordinator's own; return whether there was one."""
         bucket = self.buckets.get(target)
@@ -200,16 +215,12 @@
         bucket.tokens.take(1, now_ms)
         return True
 
-    @contextlib.contextmanager
-    def reserve(self, target: str) -> Iterator[None]:
-        """Keep a target's tokens for a call of the coordinator's own within the context."""
-        self.reserved[target] = self.reserved.get(target, 0) + 1
-        try:
-            yield
-        finally:
-            self.reserved[target] -= 1
-            if not self.reserved[target]:
-                del self.reserved[target]
+    def reserve(self, target: str) -> None:
+        """Keep a target's tokens for a call of the coordinator's own that is tried again soon."""
+        self.reserved_until_ms[target] = self.clock.now_ms() + RESERVATION_MS
+
+    def _is_reserved(self, target: str) -> bool:
+        return self.clock.now_ms() < self.reserved_until_ms.get(target, 0)
 
     def _next_entry(self, target: str) -> str | None:
         """Return the entry that gets the next permit, and take it off its demand."""
@@ -245,7 +256,7 @@
         content=0.0,
         at_ms=now_ms,
     )
-    return _Bucket(limit, tokens, last_report_ms=now_ms)
+    return _Bucket(limit, tokens)
 
 
 def _change(bucket: _Bucket, limit: RequestLimit, now_ms: int) -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/limitedengines.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/limitedengines.py
@@ -1,7 +1,5 @@
 """Hold calls to engines within the request limits that the engines name."""
 
-import asyncio
-
 from mimosaspur_coordination.fleetports import CallDeferred
 from mimosaspur_coordination.fleetports import EnginePort
 from mimosaspur_coordination.fleetports import StoppedRun
@@ -11,10 +9,6 @@
 from mimosaspur_state.fleet import OrderOutcome
 from mimosaspur_state.fleet import TargetRecord
 
-# An order that was decided before the limit was known waits this long for its turn.
-ORDER_TIMEOUT_S = 5.0
-ORDER_POLL_S = 0.05
-
 
 class LimitedEngines:
     """Forward calls to engines that the limits permit."""
@@ -32,14 +26,10 @@
         return await self.port.report(target)
 
     async def order(self, target: TargetRecord, order: EngineOrder) -> OrderOutcome:
-        """Send an order once the limit permits it; it is a conflict if that takes too long."""
-        try:
-            async with asyncio.timeout(ORDER_TIMEOUT_S):
-                with self.limits.reserved_for_call(target):
-                    while not self.limits.permits_call(target):
-                        await asyncio.sleep(ORDER_POLL_S)
-        except TimeoutError:
-            return OrderOutcome.CONFLICT
+        """Send an order; raise CallDeferred if the limit doesn't permit it now."""
+        if not self.limits.permits_call(target):
+            self.limits.reserve_for_call(target)
+            raise CallDeferred
         return await self.port.order(target, order)
 
     async def stop_and_copy(
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetlimits.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetlimits.py
@@ -159,18 +159,17 @@
 
     def permits_report(self, target: TargetRecord) -> bool:
         """Return whether an engine may be asked for a report, and count it."""
-        if self.limit_per_s(target) is not None and self.issuer:
+        if self.issuer is None:
+            return self.permits_call(target)
+        if self.limit_per_s(target) is not None:
             return self.issuer.try_report(target.incarnation)
-        return self.permits_call(target)
+        self.issuer.on_report(target.incarnation)
+        return True
 
-    @contextlib.contextmanager
-    def reserved_for_call(self, target: TargetRecord) -> Iterator[None]:
-        """Issue no permits for a target within the context, so that a call gets its turn."""
-        if self.issuer is None:
-            yield
-            return
-        with self.issuer.reserve(target.incarnation):
-            yield
+    def reserve_for_call(self, target: TargetRecord) -> None:
+        """Keep the next token of a target for a call of the coordinator's own."""
+        if self.issuer is not None:
+            self.issuer.reserve(target.incarnation)
 
     def expected_wait_ms(
         self, target: TargetRecord, *, rank: int, waiter: PermitWaiter | None = None
--- a/packages/daemon/src/mimosaspur_daemon/direct/trackedengine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/trackedengine.py
@@ -20,6 +20,10 @@
 # before a report is requested.
 ATTEMPTS_BEFORE_REPORT = 3
 CONFLICT_RETRY_MS = 20
+# An order that the engine's request limit doesn't permit yet is tried again after this time, and
+# dropped after the longer one.
+DEFERRED_RETRY_MS = 50
+MAX_DEFERRAL_MS = 5_000
 # Interval of reports while something is awaited; they lag by some hundred ms.
 REPORT_POLL_MS = 100
 # A report that shows fewer orders than were accepted counts as late for this time, then as right.
@@ -130,7 +134,9 @@
         async with self.order_lock:
             self.confirmed_by_report = False
             unanswered_before_ms = self.unanswered_ms
-            for attempt in range(MAX_ORDER_ATTEMPTS):
+            deferred_until_ms = self.clock.now_ms() + MAX_DEFERRAL_MS
+            attempt = 0
+            while attempt < MAX_ORDER_ATTEMPTS:
                 if not self.lease.may_order() or self.lease.record is None or self.restarted_ms:
                     raise OrdersSuspended
                 if expected_sequence is None or self.sequence != expected_sequence:
@@ -145,9 +151,16 @@
                     self.lease.instance,
                     self.lease.record.token,
                 )
-                outcome = await self._send_once(order, attempt)
+                try:
+                    outcome = await self._send_once(order, attempt)
+                except CallDeferred:
+                    if self.clock.now_ms() >= deferred_until_ms:
+                        break
+                    await asyncio.sleep(DEFERRED_RETRY_MS / 1000)
+                    continue
                 if outcome is not None:
                     return outcome
+                attempt += 1
             all_answered = self.unanswered_ms == unanswered_before_ms
             return OrderOutcome.CONFLICT if all_answered else OrderOutcome.UNKNOWN
 
