Tell entries when their waiting requests get permits

Cause: each entry guessed its requests' place among those that wait elsewhere.

Change: the coordinator keeps one queue a target, by rank and then by age, and tells each entry the expected waits of its requests; an entry judges new ones by the length of the queue that all are told. A request leaves the queues of all its targets with its first permit. Plain services keep the same bound on the wait as engines.

--- a/packages/coordination/src/mimosaspur_coordination/limits/permitholder.py
+++ b/packages/coordination/src/mimosaspur_coordination/limits/permitholder.py
@@ -4,6 +4,7 @@
 import math
 from collections import deque
 from collections.abc import Mapping
+from collections.abc import Sequence
 
 from mimosaspur_coordination.limits.permitissuer import PermitDemand
 from mimosaspur_coordination.limits.permits import PERMIT_VALIDITY_MS
@@ -12,6 +13,8 @@
 
 # Without an update for this long, nothing is known of the other entries' waiting requests.
 MAX_UPDATE_AGE_MS = 1_000
+# The coordinator tells by then when a request that has begun to wait gets its permit.
+MAX_REPLY_MS = 400
 # Time over which the requests that a target could have taken are averaged.
 DEMAND_WINDOW_MS = 1_000
 # A permit that is less likely to be used is not asked for before there is a request for it.
@@ -23,12 +26,15 @@
 class PermitWaiter:
     """Represent a request that waits for a permit of one of several targets."""
 
-    __slots__ = ("number", "rank", "targets")
+    __slots__ = ("due_ms", "number", "rank", "started_ms", "targets")
 
-    def __init__(self, rank: int, number: int) -> None:
+    def __init__(self, rank: int, number: int, *, started_ms: int) -> None:
         self.rank = rank
         self.number = number
+        self.started_ms = started_ms
         self.targets: frozenset[str] = frozenset()
+        # By target, when the coordinator expects to issue its permit.
+        self.due_ms: dict[str, int] = {}
 
     def precedes(self, rank: int, number: float) -> bool:
         """Return whether this one is served before a request of a rank and number."""
@@ -39,7 +45,6 @@
     """Hand out the permits at hand, the most urgent waiting request first."""
 
     __slots__ = (
-        "asked",
         "chances_ms",
         "clock",
         "numbers",
@@ -59,9 +64,8 @@
         self.numbers = itertools.count()
         # Times of the requests that a target could have taken.
         self.chances_ms: dict[str, deque[int]] = {}
-        # Requests that wait at all entries, by target and rank, and those here as last reported.
+        # Requests that wait at all entries, by target and rank.
         self.queues: Mapping[str, Mapping[int, int]] = {}
-        self.asked: Mapping[str, PermitDemand] = {}
         self.updated_ms = DISTANT_PAST_MS
         # The number of the last message with permits on the present link.
         self.received_number = 0
@@ -72,7 +76,7 @@
 
     def add_waiter(self, rank: int) -> PermitWaiter:
         """Add a request that waits; it names its targets in `targets`."""
-        waiter = PermitWaiter(rank, next(self.numbers))
+        waiter = PermitWaiter(rank, next(self.numbers), started_ms=self.clock.now_ms())
         self.waiters.append(waiter)
         return waiter
 
@@ -123,23 +127,33 @@
         self.queues = queues
         self.updated_ms = self.clock.now_ms()
 
+    def apply_waits(self, waits_ms: Mapping[str, Sequence[int]]) -> None:
+        """Set when the permits of waiting requests are expected, the next one first."""
+        now_ms = self.clock.now_ms()
+        for target, waits in waits_ms.items():
+            behind = self._waiters_of(target)[self._count(target) :]
+            for waiter, wait_ms in zip(behind, waits, strict=False):
+                waiter.due_ms[target] = now_ms + wait_ms
+
     def expected_wait_ms(
         self, target: str, limit_per_s: float, *, rank: int, waiter: PermitWaiter | None = None
     ) -> float:
         """Return the expected wait for a permit, infinite while no coordinator issues any."""
-        if self.clock.now_ms() - self.updated_ms > MAX_UPDATE_AGE_MS:
+        now_ms = self.clock.now_ms()
+        if now_ms - self.updated_ms > MAX_UPDATE_AGE_MS:
             return NEVER_MS
-        reported = self.asked.get(target, PermitDemand()).waiting
-        others = 0.0
-        for each, number in self.queues.get(target, {}).items():
-            elsewhere = max(0, number - reported.get(each, 0))
-            if each < rank:
-                others += elsewhere
-            elif each == rank:
-                # They began to wait before and after in equal parts.
-                others += elsewhere / 2
-        number_here = waiter.number if waiter else math.inf
-        ahead = others + self._ahead(target, rank, number_here, waiter)
+        if waiter is None:
+            return self._wait_of_new_ms(target, limit_per_s, rank)
+        due_ms = waiter.due_ms.get(target)
+        if due_ms is not None:
+            return max(0, due_ms - now_ms)
+        return 0.0 if now_ms - waiter.started_ms < MAX_REPLY_MS else NEVER_MS
+
+    def _wait_of_new_ms(self, target: str, limit_per_s: float, rank: int) -> float:
+        """Return the expected wait of a request that isn't known to the coordinator."""
+        queue = self.queues.get(target, {})
+        ahead = sum(number for each, number in queue.items() if each <= rank)
+        ahead = max(ahead, self._ahead(target, rank, math.inf, None))
         return max(0.0, ahead + 1 - self._count(target)) * 1000 / issue_rate_per_s(limit_per_s)
 
     def demand(self, limits: Mapping[str, float]) -> dict[str, PermitDemand]:
@@ -147,22 +161,23 @@
         asked = {}
         for target in limits:
             demand = self._demand(target)
-            if demand.best_rank() is not None:
+            if not demand.is_empty():
                 asked[target] = demand
-        self.asked = asked
         return asked
 
     def _demand(self, target: str) -> PermitDemand:
         waiting: dict[int, int] = {}
         at_hand = self._count(target)
-        for waiter in sorted(self.waiters, key=lambda each: (each.rank, each.number)):
-            if target not in waiter.targets:
-                continue
-            if at_hand:
-                at_hand -= 1
-                continue
+        waiters = self._waiters_of(target)
+        for waiter in waiters[at_hand:]:
             waiting[waiter.rank] = waiting.get(waiter.rank, 0) + 1
-        return PermitDemand(waiting, max(0, self._expected_uses(target) - at_hand))
+        spare = max(0, at_hand - len(waiters))
+        return PermitDemand(waiting, max(0, self._expected_uses(target) - spare))
+
+    def _waiters_of(self, target: str) -> list[PermitWaiter]:
+        """Return the requests that wait for a target, the next one first."""
+        waiters = [each for each in self.waiters if target in each.targets]
+        return sorted(waiters, key=lambda each: (each.rank, each.number))
 
     def _expected_uses(self, target: str) -> int:
         times = self.chances_ms.get(target)
--- a/packages/coordination/src/mimosaspur_coordination/limits/permitissuer.py
+++ b/packages/coordination/src/mimosaspur_coordination/limits/permitissuer.py
@@ -1,7 +1,11 @@
 """Issue permits for targets that name a limit, at the coordinator."""
 
+import bisect
+import itertools
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -12,8 +16,6 @@
 from mimosaspur_coordination.quota.quotabucket import QuotaBucket
 from mimosaspur_state.clock import Clock
 
-# Permits for requests to come rank behind all that wait.
-AHEAD_RANK = 100
 # Part of a limit that the coordinator's own calls may use, and the longest time without one.
 REPORT_SHARE = 0.05
 MAX_REPORT_INTERVAL_MS = 30_000
@@ -30,25 +32,36 @@
     # Permits for requests that are likely to come while they are valid.
     ahead: int = 0
 
-    def best_rank(self) -> int | None:
-        """Return the rank of the most urgent request, None if none is asked for."""
-        if self.waiting:
-            return min(self.waiting)
-        return AHEAD_RANK if self.ahead else None
+    def is_empty(self) -> bool:
+        """Return whether nothing is asked for."""
+        return not self.waiting and not self.ahead
 
-    def take(self, rank: int) -> None:
-        """Remove a request that a permit was issued for."""
-        if rank == AHEAD_RANK:
-            self.ahead -= 1
-            return
-        self.waiting[rank] -= 1
-        if not self.waiting[rank]:
-            del self.waiting[rank]
+
+@dataclass(slots=True)
+class _Queue:
+    """Hold an entry's place in the queue for one target."""
+
+    # Rank and number of each waiting request, the next one first.
+    tickets: list[tuple[int, int]] = field(default_factory=list)
+    ahead: int = 0
+
+    def update(self, demand: PermitDemand, numbers: Iterator[int]) -> None:
+        """Add tickets for new requests, and drop the newest ones of those that are gone."""
+        kept: dict[int, list[tuple[int, int]]] = {}
+        for ticket in self.tickets:
+            kept.setdefault(ticket[0], []).append(ticket)
+        tickets = []
+        for rank, count in demand.waiting.items():
+            known = kept.get(rank, [])[:count]
+            tickets += known
+            tickets += [(rank, next(numbers)) for _ in range(count - len(known))]
+        self.tickets = sorted(tickets)
+        self.ahead = demand.ahead
 
 
 @dataclass(slots=True)
 class _Entry:
-    demand: dict[str, PermitDemand] = field(default_factory=dict)
+    queues: dict[str, _Queue] = field(default_factory=dict)
     # On the entry's clock, when it last reported its demand.
     asked_ms: int = 0
     # The number of the last message with permits.
@@ -68,16 +81,18 @@
 
 @dataclass(slots=True, frozen=True)
 class Permits:
-    """Hold the permits issued to one entry in one message."""
+    """Hold what one entry is sent in one message."""
 
     number: int
-    # The time on the entry's clock from which their validity counts.
+    # The time on the entry's clock from which the permits' validity counts.
     asked_ms: int
     counts: Mapping[str, int]
+    # By target, the expected waits of the entry's requests, the next one first.
+    waits_ms: Mapping[str, list[int]]
 
 
 class PermitIssuer:
-    """Issue permits to entries: the most urgent request first, then whoever waited longest."""
+    """Issue permits to entries: the most urgent request first, of these the oldest."""
 
     __slots__ = (
         "buckets",
@@ -85,6 +100,7 @@
         "entries",
         "issues",
         "may_issue",
+        "numbers",
         "reported_ms",
         "reserved_until_ms",
     )
@@ -97,6 +113,7 @@
         self.buckets: dict[str, _Bucket] = {}
         self.entries: dict[str, _Entry] = {}
         self.issues = 0
+        self.numbers = itertools.count()
         # Until when a target's tokens are kept for an order.
         self.reserved_until_ms: dict[str, int] = {}
         # When each target was last asked for a report, also while it named no limit.
@@ -156,19 +173,23 @@
         """Replace an entry's demand, unless permits are on their way that it doesn't know of."""
         entry = self.entries.setdefault(instance, _Entry())
         entry.asked_ms = asked_ms
-        if received_number >= entry.sent_number:
-            entry.demand = dict(demand)
+        if received_number < entry.sent_number:
+            return
+        for target in [each for each in entry.queues if each not in demand]:
+            del entry.queues[target]
+        for target, each in demand.items():
+            entry.queues.setdefault(target, _Queue()).update(each, self.numbers)
 
     def waiting(self) -> dict[str, dict[int, int]]:
         """Return the numbers of requests that wait at all entries, by target and rank."""
         totals: dict[str, dict[int, int]] = {target: {} for target in self.buckets}
         for entry in self.entries.values():
-            for target, demand in entry.demand.items():
+            for target, queue in entry.queues.items():
                 ranks = totals.get(target)
                 if ranks is None:
                     continue
-                for rank, number in demand.waiting.items():
-                    ranks[rank] = ranks.get(rank, 0) + number
+                for rank, _ in queue.tickets:
+                    ranks[rank] = ranks.get(rank, 0) + 1
         return totals
 
     def issue(self) -> dict[str, Permits]:
@@ -185,7 +206,38 @@
                 bucket.tokens.take(1, now_ms)
                 issued = counts.setdefault(instance, {})
                 issued[target] = issued.get(target, 0) + 1
-        return {instance: self._message(instance, issued) for instance, issued in counts.items()}
+        messages = {}
+        for instance, issued in counts.items():
+            entry = self.entries[instance]
+            entry.sent_number += 1
+            messages[instance] = Permits(entry.sent_number, entry.asked_ms, issued, {})
+        return messages
+
+    def expected_waits(self, instance: str) -> Permits | None:
+        """Return the expected waits of an entry's requests, None if none waits."""
+        entry = self.entries[instance]
+        waits_ms = {
+            target: self._waits_ms(target, queue.tickets)
+            for target, queue in entry.queues.items()
+            if queue.tickets and target in self.buckets
+        }
+        if not waits_ms:
+            return None
+        return Permits(entry.sent_number, entry.asked_ms, {}, waits_ms)
+
+    def _waits_ms(self, target: str, tickets: Sequence[tuple[int, int]]) -> list[int]:
+        bucket = self.buckets[target]
+        others = sorted(
+            ticket
+            for entry in self.entries.values()
+            if target in entry.queues
+            for ticket in entry.queues[target].tickets
+        )
+        now_ms = self.clock.now_ms()
+        return [
+            round(bucket.tokens.wait_ms(bisect.bisect_left(others, ticket) + 1, now_ms))
+            for ticket in tickets
+        ]
 
     def try_report(self, target: str) -> bool:
         """Take a token for a report of a target with a limit; return whether one may be sent."""
@@ -223,29 +275,40 @@
         return self.clock.now_ms() < self.reserved_until_ms.get(target, 0)
 
     def _next_entry(self, target: str) -> str | None:
-        """Return the entry that gets the next permit, and take it off its demand."""
-        best: tuple[int, int, str] | None = None
+        """Return the entry that gets the next permit, and take the request off its queue."""
+        first: tuple[tuple[int, int], str] | None = None
+        ahead: tuple[int, str] | None = None
         for instance, entry in self.entries.items():
-            demand = entry.demand.get(target)
-            rank = demand.best_rank() if demand else None
-            if rank is None:
+            queue = entry.queues.get(target)
+            if queue is None:
                 continue
-            key = (rank, entry.last_issue.get(target, 0), instance)
-            if best is None or key < best:
-                best = key
-        if best is None:
+            if queue.tickets and (first is None or queue.tickets[0] < first[0]):
+                first = queue.tickets[0], instance
+            if queue.ahead:
+                issued = entry.last_issue.get(target, 0), instance
+                ahead = issued if ahead is None else min(ahead, issued)
+        if first is not None:
+            instance = first[1]
+            self._remove_request(self.entries[instance], first[0][0])
+        elif ahead is not None:
+            instance = ahead[1]
+            self.entries[instance].queues[target].ahead -= 1
+        else:
             return None
-        rank, _, instance = best
-        entry = self.entries[instance]
-        entry.demand[target].take(rank)
         self.issues += 1
-        entry.last_issue[target] = self.issues
+        self.entries[instance].last_issue[target] = self.issues
         return instance
 
-    def _message(self, instance: str, counts: Mapping[str, int]) -> Permits:
-        entry = self.entries[instance]
-        entry.sent_number += 1
-        return Permits(entry.sent_number, entry.asked_ms, counts)
+    def _remove_request(self, entry: _Entry, rank: int) -> None:
+        """Remove an entry's next request of a rank.
+
+        It is likely to wait for several targets: permits of all of them would be one request's.
+        The entry's next report corrects that.
+        """
+        for queue in entry.queues.values():
+            of_rank = [ticket for ticket in queue.tickets if ticket[0] == rank]
+            if of_rank:
+                queue.tickets.remove(of_rank[0])
 
 
 def _new_bucket(limit: RequestLimit, now_ms: int) -> _Bucket:
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -158,6 +158,7 @@
         self.permits.apply_report(report)
         if report.permits:
             self.members.send_permits()
+            self.members.send_expected_waits(report.instance)
         news = limits_changed or quarantine.ledger.unreported
         if member.waiting or member.waiting_adapters or news:
             self.changed.set()
--- a/packages/daemon/src/mimosaspur_daemon/direct/election.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/election.py
@@ -250,9 +250,7 @@
                     self.state.reported_work.set_included(message.work_report_number)
                     self.state.quotas.acknowledge(message.quota_report_number)
                 if isinstance(message, IssuedPermits):
-                    self.state.limits.apply_permits(
-                        message.number, message.asked_ms, message.counts
-                    )
+                    self.state.limits.apply_permits(message)
                 self.configuration_exchange.on_message(message, link)
                 if isinstance(message, FleetReport):
                     followed = True
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -28,6 +28,7 @@
 from mimosaspur_protocol.peermessages import CrashReport
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import FleetReport
+from mimosaspur_protocol.peermessages import IssuedPermits
 from mimosaspur_protocol.peermessages import LeaseReadRequest
 from mimosaspur_protocol.peermessages import LimitUpdate
 from mimosaspur_protocol.peermessages import ModelPaceUpdate
@@ -103,12 +104,21 @@
     def send_permits(self) -> None:
         """Send the permits that the limits of targets allow now."""
         for instance, permits in self.permits.issue().items():
-            member = self.members[instance]
-            if member.link is None:
-                self.state.limits.apply_permits(permits.number, permits.asked_ms, permits.counts)
-                continue
-            with contextlib.suppress(PeerLost):
-                member.link.send(permits)
+            self._send_permits(instance, permits)
+
+    def send_expected_waits(self, instance: str) -> None:
+        """Tell an entry how long its requests will wait for permits."""
+        permits = self.permits.expected_waits(instance)
+        if permits:
+            self._send_permits(instance, permits)
+
+    def _send_permits(self, instance: str, permits: IssuedPermits) -> None:
+        link = self.members[instance].link
+        if link is None:
+            self.state.limits.apply_permits(permits)
+            return
+        with contextlib.suppress(PeerLost):
+            link.send(permits)
 
     def local_member(self, instance: str) -> Member:
         """Return the member for this instance's own entry."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/permitgrants.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/permitgrants.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from mimosaspur_coordination.limits.permitissuer import PermitIssuer
+from mimosaspur_coordination.limits.permitissuer import Permits
 from mimosaspur_daemon.direct.targetlimits import TargetLimits
 from mimosaspur_daemon.direct.targetlimits import to_demand
 from mimosaspur_protocol.peermessages import EntryReport
@@ -47,10 +48,12 @@
     def issue(self) -> dict[str, IssuedPermits]:
         """Return the permits that the limits allow now, by entry."""
         self.issuer.apply_limits(self.limits.ledger.limits)
-        return {
-            instance: IssuedPermits(permits.number, permits.asked_ms, dict(permits.counts))
-            for instance, permits in self.issuer.issue().items()
-        }
+        return {key: _to_message(permits) for key, permits in self.issuer.issue().items()}
+
+    def expected_waits(self, instance: str) -> IssuedPermits | None:
+        """Return how long an entry's requests will wait, None if none waits."""
+        permits = self.issuer.expected_waits(instance)
+        return _to_message(permits) if permits else None
 
     def update_queues(self) -> bool:
         """Update the numbers of waiting requests; return whether they have changed."""
@@ -58,3 +61,9 @@
         changed = queues != self.queues
         self.queues = queues
         return changed
+
+
+def _to_message(permits: Permits) -> IssuedPermits:
+    return IssuedPermits(
+        permits.number, permits.asked_ms, dict(permits.counts), dict(permits.waits_ms)
+    )
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetlimits.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetlimits.py
@@ -19,6 +19,7 @@
 from mimosaspur_coordination.limits.requestlimit import RequestLimit
 from mimosaspur_coordination.limits.requestlimit import parse_limit
 from mimosaspur_coordination.limits.sendhistory import SendHistory
+from mimosaspur_protocol.peermessages import IssuedPermits
 from mimosaspur_protocol.peermessages import LimitUpdate
 from mimosaspur_protocol.peermessages import PermitRequest
 from mimosaspur_state.clock import Clock
@@ -231,9 +232,10 @@
         self.sent_before.clear()
         return requests
 
-    def apply_permits(self, number: int, asked_ms: int, counts: dict[str, int]) -> None:
-        """Add permits that the coordinator has issued."""
-        self.holder.apply_permits(number, asked_ms, counts)
+    def apply_permits(self, permits: IssuedPermits) -> None:
+        """Apply the permits and expected waits that the coordinator has sent."""
+        self.holder.apply_permits(permits.number, permits.asked_ms, permits.counts)
+        self.holder.apply_waits(permits.waits_ms)
         self.on_change()
 
     def log_rejection(
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -181,7 +181,7 @@
 
     async def _wait_for_permit(self, limited: Sequence[TargetView]) -> None:
         expected_s = self._expected_permit_s(limited)
-        if expected_s >= self.remaining_s() - RECHECK_INTERVAL_S:
+        if expected_s >= self.first_event_deadline_s - RECHECK_INTERVAL_S - _now_s():
             raise self._limit_refusal(limited, expected_s)
         self._ask_for_permits(limited)
         await self.state.changes.wait(self._recheck_delay_s())
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -204,12 +204,14 @@
 
 
 class IssuedPermits(msgspec.Struct, array_like=True, tag="permits"):
-    """Issue permits to one entry, by target."""
+    """Issue permits to one entry, by target, or tell how long its requests will wait."""
 
-    # Increases by one with each of these messages on a link.
+    # Increases by one with each message on a link that issues permits.
     number: int
     asked_ms: int
     counts: dict[str, int]
+    # Expected waits of the requests that the entry has last reported, the next one first.
+    waits_ms: dict[str, list[int]]
 
 
 class StepDown(msgspec.Struct, array_like=True, tag="leaving"):
