--- a/features/direct_limits.feature
+++ b/features/direct_limits.feature
@@ -15,3 +15,9 @@
       | 4       | three engines   | 3       | 5     | 40    |
       | 4       | three services  | 1       | 1     | 20    |
       | 4       | three services  | 3       | 1     | 20    |
+
+  Scenario: Many entries keep within one limit
+    Given 24 entry processes that send to three services
+    When requests come 60 a second for 14 s, and after 2 s 1 of these targets name a limit of 1 a second
+    Then each of these got at most the limit and one request more in any 4 s, from 0.5 s on
+    And each request was answered within 3.5 s
--- a/features/harness/limit_site.py
+++ b/features/harness/limit_site.py
@@ -32,7 +32,9 @@
         self.store.put("config", "main", configuration(engines=engines))
         self.model = MODEL if engines else ""
         self.targets = [LimitedTarget(f"i-{number}", engines) for number in range(1, targets + 1)]
-        self.answers: list[Answer] = []
+        # Answers, each with the number of the entry that gave it.
+        self.answers: list[tuple[int, Answer]] = []
+        self.began_s = 0.0
         self.ended_s = 0.0
 
     async def start(self) -> None:
@@ -56,7 +58,7 @@
         """Call the entries in turn at a steady rate, and wait for the answers."""
         calls = []
         loop = asyncio.get_running_loop()
-        began_s = loop.time()
+        began_s = self.began_s = loop.time()
         for number in itertools.count():
             due_s = began_s + number / per_s
             if due_s >= began_s + seconds:
@@ -67,7 +69,8 @@
         await asyncio.gather(*calls)
 
     async def _call(self, number: int) -> None:
-        self.answers.append(await self.call(number, b"%d" % number, model=self.model))
+        answer = await self.call(number, b"%d" % number, model=self.model)
+        self.answers.append((number % self.entries.count, answer))
 
 
 def configuration(*, engines: bool) -> dict[str, object]:
