Move the choice among targets with a request limit to a class of its own

Change: PermitChoice narrows the choice, waits for permits and logs both; rows of one placement decision with an engine that names a limit. No change of behaviour.

--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -21,6 +21,10 @@
       | x: a b c; y: d e f leaving                   | g waits 1                | the store is free   | g on x               |
       | x: a b c; y: d e f leaving                   | d waits 1                | the store is free   | d on x               |
       | x: a b c; y: d e f leaving; z: g h disk d    | d waits 1                | the store is free   | d on z               |
+      | x: a b c limited; y: d e f                   | a waits 1                | the store is free   | a on y               |
+      | x: a b c limited; y: a d e                   | a waits 1                | the store is free   | none                 |
+      | x: a b c limited; y: d e f                   | g waits 1                | the store is free   | g on y               |
+      | x: a b c limited; y: d e f                   | a 4000                   | the store is free   | none                 |
       | x: a b c; y: d e f; z: loads g               | g waits 4                | the store is free   | none                 |
       | x: a b c; y: d e f disk a                    | a 20000                  | the store is free   | a on y               |
       | x: a b c; y: d e f                           | a 4000                   | the store is free   | none                 |
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -45,13 +45,15 @@
     free_in = re.search(r"free in (\d+) ms", rest)
     disk = re.search(r"disk ((?:\w )*\w)(?: free|$)", rest)
     loads = re.search(r"loads (\w)", rest)
-    residents = re.findall(r"\b[a-z]\b", re.sub(r"(disk|loads|free|just|leaving).*", "", rest))
+    held = re.sub(r"(disk|loads|free|just|leaving|limited).*", "", rest)
+    residents = re.findall(r"\b[a-z]\b", held)
     return EngineSnapshot(
         name,
         dict.fromkeys(residents, 0),
         int(free_in[1]) if free_in else 9_000 if loads else 0,
-        usable="leaving" not in rest,
+        usable="leaving" not in rest and "limited" not in rest,
         leaving="leaving" in rest,
+        limited="limited" in rest,
         loading=loads[1] if loads else "",
         recent=frozenset(residents) if "just came" in rest else frozenset(),
         on_disk=tuple(disk[1].split()) if disk else (),
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/direct/permitchoice.py
@@ -0,0 +1,98 @@
+"""Narrow a request's choice to the targets that a permit is at hand for, and wait for permits."""
+
+import contextlib
+import math
+from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Sequence
+
+from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.limits.permitholder import PermitWaiter
+from mimosaspur_daemon.direct.targetlimits import TargetLimits
+
+
+class PermitChoice:
+    """Apply the request limits of targets to the choice for one request."""
+
+    __slots__ = ("limits", "rank", "request", "waiter")
+
+    def __init__(self, limits: TargetLimits, *, request: str, rank: Callable[[], int]) -> None:
+        self.limits = limits
+        # The request's ID, for the log.
+        self.request = request
+        # Returns the request's rank among those that wait for permits.
+        self.rank = rank
+        # The request's place among them, while it waits.
+        self.waiter: PermitWaiter | None = None
+
+    def limited(self, views: Sequence[TargetView]) -> list[TargetView]:
+        """Return the targets that name a limit."""
+        if not self.limits.any_known():
+            return []
+        return [view for view in views if self.limits.limit_per_s(view.record) is not None]
+
+    def sendable(self, views: Sequence[TargetView]) -> list[TargetView]:
+        """Return the targets that the request may be sent to now."""
+        if not self.limits.any_known():
+            return list(views)
+        rank = self.rank()
+        return [
+            view
+            for view in views
+            if self.limits.may_send(view.record, rank=rank, waiter=self.waiter)
+        ]
+
+    def preferred(self, views: Sequence[TargetView]) -> list[TargetView]:
+        """Return the sendable targets that name a limit, unless another one has less work.
+
+        An unused permit is lost, and only a response tells that the limit has ended.
+        """
+        limited = self.limited(views)
+        least = min((view.request_count() for view in views if view not in limited), default=0)
+        return [view for view in limited if view.request_count() <= least]
+
+    def record_chance(self, views: Sequence[TargetView]) -> None:
+        """Count the request at the targets with a limit among those that could run it."""
+        limited = self.limited(views)
+        if not limited:
+            return
+        for view in limited:
+            self.limits.record_chance(view.record)
+        sendable = self.sendable(views)
+        passed_over = [view for view in limited if view not in sendable]
+        if sendable and passed_over:
+            self._log("elsewhere", passed_over)
+
+    def log_rejection(self, limited: Sequence[TargetView], expected_s: float) -> None:
+        """Log that no target could take the request in time."""
+        expected_ms = round(expected_s * 1000) if math.isfinite(expected_s) else None
+        self._log("rejected", limited, expected_ms=expected_ms, rank=self.rank())
+
+    def expected_wait_s(self, limited: Sequence[TargetView]) -> float:
+        """Return the shortest expected wait for a permit of one of these targets."""
+        rank = self.rank()
+        waits_ms = [
+            self.limits.expected_wait_ms(view.record, rank=rank, waiter=self.waiter)
+            for view in limited
+        ]
+        return min(waits_ms) / 1000
+
+    @contextlib.contextmanager
+    def waiting(self) -> Iterator[None]:
+        """Let the request wait for permits within the context."""
+        with self.limits.waiting(self.rank()) as self.waiter:
+            try:
+                yield
+            finally:
+                self.waiter = None
+
+    def ask(self, limited: Sequence[TargetView]) -> None:
+        """Ask for a permit of any of these targets."""
+        assert self.waiter
+        self.limits.set_targets(self.waiter, [view.record for view in limited])
+
+    def _log(self, outcome: str, views: Sequence[TargetView], **fields: object) -> None:
+        targets = [view.record.incarnation for view in views]
+        self.limits.log.write(
+            "limited", request=self.request, outcome=outcome, targets=targets, **fields
+        )
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetlimits.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetlimits.py
@@ -1,7 +1,6 @@
 """Keep an entry within the request limits that targets name in their responses."""
 
 import contextlib
-import math
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
@@ -238,24 +237,6 @@
         self.holder.apply_waits(permits.waits_ms)
         self.on_change()
 
-    def log_rejection(
-        self, request: str, targets: Sequence[TargetRecord], *, expected_ms: float, rank: int
-    ) -> None:
-        """Log a request that is rejected since no target could take it in time."""
-        self.log.write(
-            "limited",
-            request=request,
-            outcome="rejected",
-            targets=[target.incarnation for target in targets],
-            expected_ms=round(expected_ms) if math.isfinite(expected_ms) else None,
-            rank=rank,
-        )
-
-    def log_passed_over(self, request: str, targets: Sequence[TargetRecord]) -> None:
-        """Log a request that goes elsewhere, since there is no permit for these targets."""
-        names = [target.incarnation for target in targets]
-        self.log.write("limited", request=request, outcome="elsewhere", targets=names)
-
     def retain(self, incarnations: Collection[str]) -> None:
         """Drop what is known of all other targets."""
         self.history.retain(incarnations)
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -7,13 +7,13 @@
 
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
-from mimosaspur_coordination.limits.permitholder import PermitWaiter
 from mimosaspur_coordination.targetchoice import choose_emptiest
 from mimosaspur_coordination.targetchoice import choose_engine
 from mimosaspur_coordination.targetchoice import choose_plain_target
 from mimosaspur_daemon.direct.entrystate import LATE_RANK
 from mimosaspur_daemon.direct.entrystate import RESUMED_RANK
 from mimosaspur_daemon.direct.entrystate import EntryState
+from mimosaspur_daemon.direct.permitchoice import PermitChoice
 from mimosaspur_daemon.direct.refusal import RequestFailed
 from mimosaspur_daemon.direct.refusal import bounded_retry_after_s
 from mimosaspur_state.codes import ResultCode
@@ -47,16 +47,15 @@
         "first_event_deadline_s",
         "isolated",
         "on_time_deadline_s",
+        "permits",
         "prompt",
         "rank",
-        "request",
         "resumed",
         "retried",
         "route",
         "service",
         "spec",
         "state",
-        "waiter",
         "workspace",
     )
 
@@ -74,8 +73,6 @@
         deadline_s: float,
     ) -> None:
         self.state = state
-        # The request's ID, for the log.
-        self.request = request
         self.workspace = workspace
         self.route = route
         self.service = service
@@ -95,8 +92,7 @@
         self.resumed = False
         # Whether the request was sent to a target before.
         self.retried = False
-        # The request's place among those that wait for permits, while it waits.
-        self.waiter: PermitWaiter | None = None
+        self.permits = PermitChoice(state.limits, request=request, rank=self._permit_rank)
         # Whether the request may crash its target, so that it should run beside few others.
         self.isolated = False
         # By target, on the event loop's clock.
@@ -109,7 +105,7 @@
     async def next_target(self, *, resumed: bool = False) -> TargetView:
         """Return the next target; raise RequestFailed if none will be available in time."""
         self.resumed = resumed
-        self._record_chances()
+        self.permits.record_chance(self._holders() if self.prompt.model else self._available())
         if self.spec is not None and self.spec.engine is not None and self.prompt.model:
             return await self._next_engine()
         return await self._next_plain()
@@ -121,7 +117,7 @@
             for each in self._available()
             if each is not view and not each.health.is_cooling_down()
         ]
-        others = self._sendable(others)
+        others = self.permits.sendable(others)
         return any(not self.prompt.model or each.can_run(self.prompt) for each in others)
 
     def predicted_first_event_ms(self) -> float:
@@ -151,13 +147,13 @@
             while True:
                 wait_until_s = min(self.first_event_deadline_s, state.balancer_noticed_s)
                 left_s = wait_until_s - MIN_FIRST_TOKEN_S - _now_s()
-                limited = self._limited(self._holders())
+                limited = self.permits.limited(self._holders())
                 expected_s = self._expected_wait_s(limited)
                 if left_s <= max(0.0, expected_s):
                     if limited:
                         raise self._limit_refusal(limited, expected_s)
                     raise self.refusal(ResultCode.NO_READY_TARGET, wanted_s=expected_s or 1.0)
-                self._ask_for_permits(limited)
+                self.permits.ask(limited)
                 await self.state.changes.wait(min(left_s, self._recheck_delay_s()))
                 view = self._choose()
                 if view is not None:
@@ -167,11 +163,9 @@
         view = self._choose_plain()
         if view is not None:
             return view
-        with contextlib.ExitStack() as stack:
-            self.waiter = stack.enter_context(self.state.limits.waiting(self._permit_rank()))
-            stack.callback(self._stop_waiting)
+        with self.permits.waiting():
             while view is None:
-                limited = self._limited(self._available())
+                limited = self.permits.limited(self._available())
                 if limited:
                     await self._wait_for_permit(limited)
                 else:
@@ -180,108 +174,48 @@
         return view
 
     async def _wait_for_permit(self, limited: Sequence[TargetView]) -> None:
-        expected_s = self._expected_permit_s(limited)
+        expected_s = self.permits.expected_wait_s(limited)
         if expected_s >= self.first_event_deadline_s - RECHECK_INTERVAL_S - _now_s():
             raise self._limit_refusal(limited, expected_s)
-        self._ask_for_permits(limited)
+        self.permits.ask(limited)
         await self.state.changes.wait(self._recheck_delay_s())
 
     def _limit_refusal(self, limited: Sequence[TargetView], expected_s: float) -> RequestFailed:
-        self.state.limits.log_rejection(
-            self.request,
-            [view.record for view in limited],
-            expected_ms=expected_s * 1000,
-            rank=self._permit_rank(),
-        )
+        self.permits.log_rejection(limited, expected_s)
         return self.refusal(ResultCode.TARGET_LIMITED, wanted_s=expected_s)
 
     @contextlib.contextmanager
     def _waiting(self) -> Iterator[None]:
         """Count the request as waiting for its model, and for a permit, within the context."""
-        limited = self._limited(self._holders())
+        limited = self.permits.limited(self._holders())
         with contextlib.ExitStack() as stack:
-            if not limited or self._expected_permit_s(limited) > MAX_PERMIT_WAIT_S:
+            if not limited or self.permits.expected_wait_s(limited) > MAX_PERMIT_WAIT_S:
                 stack.enter_context(self.state.waiting_for(self.prompt.model, self.prompt.adapter))
-            self.waiter = stack.enter_context(self.state.limits.waiting(self._permit_rank()))
-            stack.callback(self._stop_waiting)
+            stack.enter_context(self.permits.waiting())
             yield
 
-    def _stop_waiting(self) -> None:
-        self.waiter = None
-
-    def _ask_for_permits(self, limited: Sequence[TargetView]) -> None:
-        assert self.waiter
-        self.state.limits.set_targets(self.waiter, [view.record for view in limited])
-
     def _expected_wait_s(self, limited: Sequence[TargetView]) -> float:
         """Return the expected wait for a permit, or for the model on another engine."""
         ready_ms = self.state.model_ready_in_ms.get(self.prompt.model)
         if not limited:
             return (ready_ms or 0) / 1000
-        permit_s = self._expected_permit_s(limited)
+        permit_s = self.permits.expected_wait_s(limited)
         return permit_s if ready_ms is None else min(permit_s, ready_ms / 1000)
 
-    def _expected_permit_s(self, limited: Sequence[TargetView]) -> float:
-        limits = self.state.limits
-        rank = self._permit_rank()
-        waits_ms = [
-            limits.expected_wait_ms(view.record, rank=rank, waiter=self.waiter) for view in limited
-        ]
-        return min(waits_ms) / 1000
-
-    def _limited(self, views: Sequence[TargetView]) -> list[TargetView]:
-        """Return the targets that name a limit."""
-        limits = self.state.limits
-        if not limits.any_known():
-            return []
-        return [view for view in views if limits.limit_per_s(view.record) is not None]
-
-    def _sendable(self, views: Sequence[TargetView]) -> list[TargetView]:
-        """Return the targets that the request may be sent to now."""
-        limits = self.state.limits
-        if not limits.any_known():
-            return list(views)
-        rank = self._permit_rank()
-        return [
-            view for view in views if limits.may_send(view.record, rank=rank, waiter=self.waiter)
-        ]
-
-    def _permitted(self, views: Sequence[TargetView]) -> list[TargetView]:
-        """Return targets with a limit that a permit is at hand for, if no others have less work.
-
-        An unused permit is lost, and only a response tells that the limit has ended.
-        """
-        limited = self._limited(views)
-        least = min((view.request_count() for view in views if view not in limited), default=0)
-        return [view for view in limited if view.request_count() <= least]
-
     def _permit_rank(self) -> int:
         """Return the request's rank for permits: retries take none from first attempts."""
         if self.resumed:
             return RESUMED_RANK
         return LATE_RANK if self.retried else self._rank()
 
-    def _record_chances(self) -> None:
-        """Count the request at the targets with a limit that could run it."""
-        if not self.state.limits.any_known():
-            return
-        views = self._holders() if self.prompt.model else self._available()
-        limited = self._limited(views)
-        for view in limited:
-            self.state.limits.record_chance(view.record)
-        sendable = self._sendable(views)
-        passed_over = [view for view in limited if view not in sendable]
-        if sendable and passed_over:
-            self.state.limits.log_passed_over(self.request, [view.record for view in passed_over])
-
     def _choose(self) -> TargetView | None:
         """Choose an engine and the request's rank there.
 
         A request that will be late anyway ranks behind those that can still be on time: under
         overload the engines would otherwise serve every request late.
         """
-        holders = self._sendable(self._holders())
-        permitted = self._permitted(holders)
+        holders = self.permits.sendable(self._holders())
+        permitted = self.permits.preferred(holders)
         return self._choose_engine(permitted, on_time_only=True) or self._choose_engine(holders)
 
     def _choose_engine(
@@ -321,8 +255,8 @@
         return [view for view in available if view.can_run(self.prompt)]
 
     def _choose_plain(self) -> TargetView | None:
-        available = self._sendable(self._available())
-        available = self._permitted(available) or available
+        available = self.permits.sendable(self._available())
+        available = self.permits.preferred(available) or available
         if self.isolated:
             return choose_emptiest(available)
         return choose_plain_target(available, domain=self.state.settings.failure_domain)
