Ask a limited engine what became of an order with the next token

Cause: the report that settles an order without an answer, or with a conflict, was deferred like any other, for 22 s at a limit of 1 a second; the coordinator went on with what it knew before.

Change: such a report needs no interval, keeps the next token, and the order waits for it for 5 s at most.

--- a/features/permits.feature
+++ b/features/permits.feature
@@ -66,3 +66,9 @@
 
   Scenario: What entries know of limits is the same in whatever order they hear of it
     Then in any order of the same news every entry ends with the same limits
+
+  # Guards against an engine that is ordered on although what became of the last order isn't known.
+  Scenario: A report that an order's outcome depends on is permitted with the next token
+    Given a target that takes 1 a second and was asked for a report
+    Then another report is permitted 22 s later, but not 21 s
+    And 2 s later if an order was left without an answer
--- a/features/steps/permits_steps.py
+++ b/features/steps/permits_steps.py
@@ -10,9 +10,11 @@
 from hypothesis import settings
 from hypothesis import strategies
 
+from harness.direct_fleet import ManualClock
 from harness.permit_simulation import STEP_MS
 from harness.permit_simulation import Event
 from harness.permit_simulation import PermitSimulation
+from mimosaspur_coordination.limits.permitissuer import PermitIssuer
 from mimosaspur_coordination.limits.requestlimit import BadLimit
 from mimosaspur_coordination.limits.requestlimit import LimitLedger
 from mimosaspur_coordination.limits.requestlimit import RequestLimit
@@ -155,3 +157,30 @@
         assert ledgers[0] == ledgers[1], ledgers
 
     merge()
+
+
+@given("a target that takes {limit:d} a second and was asked for a report")
+def ask_for_report(context: Context, limit: int) -> None:
+    context.limits = {"i-1": RequestLimit(1, float(limit))}
+
+
+def _permitted_after(context: Context, *, seconds: int, unanswered: bool) -> bool:
+    clock = ManualClock(1_000)
+    issuer = PermitIssuer(clock=clock, may_issue=lambda: True)
+    issuer.apply_limits(context.limits)
+    issuer.on_report("i-1")
+    if unanswered:
+        issuer.need_report("i-1")
+    clock.ms += seconds * 1000
+    return issuer.try_report("i-1")
+
+
+@then("another report is permitted {later:d} s later, but not {sooner:d} s")
+def check_report_interval(context: Context, later: int, sooner: int) -> None:
+    assert _permitted_after(context, seconds=later, unanswered=False)
+    assert not _permitted_after(context, seconds=sooner, unanswered=False)
+
+
+@then("{seconds:d} s later if an order was left without an answer")
+def check_needed_report(context: Context, seconds: int) -> None:
+    assert _permitted_after(context, seconds=seconds, unanswered=True)
--- a/packages/coordination/src/mimosaspur_coordination/limits/permitissuer.py
+++ b/packages/coordination/src/mimosaspur_coordination/limits/permitissuer.py
@@ -250,10 +250,15 @@
         if reported_ms is not None and now_ms - reported_ms < interval_ms:
             return False
         if not self.try_take(target):
+            self.reserve(target)
             return False
         self.on_report(target)
         return True
 
+    def need_report(self, target: str) -> None:
+        """Permit a target's next report without regard to the last one."""
+        self.reported_ms.pop(target, None)
+
     def on_report(self, target: str) -> None:
         """Record that a target is asked for a report."""
         self.reported_ms[target] = self.clock.now_ms()
--- a/packages/daemon/src/mimosaspur_daemon/direct/limitedengines.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/limitedengines.py
@@ -30,7 +30,10 @@
         if not self.limits.permits_call(target):
             self.limits.reserve_for_call(target)
             raise CallDeferred
-        return await self.port.order(target, order)
+        outcome = await self.port.order(target, order)
+        if outcome in (OrderOutcome.UNKNOWN, OrderOutcome.CONFLICT):
+            self.limits.need_report(target)
+        return outcome
 
     async def stop_and_copy(
         self, source: TargetRecord, request: bytes, to: TargetRecord
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetlimits.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetlimits.py
@@ -166,6 +166,11 @@
         self.issuer.on_report(target.incarnation)
         return True
 
+    def need_report(self, target: TargetRecord) -> None:
+        """Permit the next report of an engine as soon as a token is there."""
+        if self.issuer is not None:
+            self.issuer.need_report(target.incarnation)
+
     def reserve_for_call(self, target: TargetRecord) -> None:
         """Keep the next token of a target for a call of the coordinator's own."""
         if self.issuer is not None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/trackedengine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/trackedengine.py
@@ -1,6 +1,7 @@
 """Track one engine by its reports, and send it orders, one at a time."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 from mimosaspur_coordination.fleetports import CallDeferred
@@ -107,11 +108,14 @@
 
     async def refresh(self) -> bool:
         """Request a report; return whether there was one."""
-        self.report_requested_ms = self.clock.now_ms()
         try:
-            report = await self.port.report(self.record)
+            return await self._request_report()
         except CallDeferred:
             return False
+
+    async def _request_report(self) -> bool:
+        self.report_requested_ms = self.clock.now_ms()
+        report = await self.port.report(self.record)
         if report is None:
             self.failed_reports += 1
             return False
@@ -251,9 +255,13 @@
             await self.refresh_after_pause()
 
     async def refresh_after_pause(self) -> None:
-        """Request a report after a short pause."""
-        await asyncio.sleep(REPORT_POLL_MS / 1000)
-        await self.refresh()
+        """Request a report after a short pause, and wait until the request limit permits it."""
+        deferred_until_ms = self.clock.now_ms() + MAX_DEFERRAL_MS
+        while self.clock.now_ms() < deferred_until_ms:
+            await asyncio.sleep(REPORT_POLL_MS / 1000)
+            with contextlib.suppress(CallDeferred):
+                await self._request_report()
+                return
 
     def _apply_report(self, report: EngineReport) -> None:
         if report.started_ms < self.record.started_ms:
