--- a/packages/coordination/src/mimosaspur_coordination/backoff.py
+++ b/packages/coordination/src/mimosaspur_coordination/backoff.py
@@ -2,6 +2,7 @@
 
 import random
 
+# The delay doubles with each failure in a row.
 INITIAL_DELAY_MS = 250
 # 1.2 s with jitter: a longer delay after a dependency has recovered would do harm.
 MAX_DELAY_MS = 800
--- a/packages/coordination/src/mimosaspur_coordination/durations.py
+++ b/packages/coordination/src/mimosaspur_coordination/durations.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-# The parameters of TCP's retransmission timeout (RFC 6298).
+# Weights of the newest measurement in the mean and in the mean deviation, and the number of
+# deviations added to the mean: the parameters of TCP's retransmission timeout (RFC 6298).
 MEAN_WEIGHT = 1 / 8
 DEVIATION_WEIGHT = 1 / 4
 DEVIATION_MULTIPLIER = 4.0
--- a/packages/coordination/src/mimosaspur_coordination/limits/sharelease.py
+++ b/packages/coordination/src/mimosaspur_coordination/limits/sharelease.py
@@ -11,6 +11,7 @@
 
 from mimosaspur_state.clock import Clock
 
+# An entry may use its share for this long after the coordinator's last update.
 LEASE_MS = 3_000
 DISTANT_PAST_MS = -1_000_000_000
 
--- a/packages/daemon/src/mimosaspur_daemon/leased_planner.py
+++ b/packages/daemon/src/mimosaspur_daemon/leased_planner.py
@@ -33,7 +33,7 @@
 PAUSE_TO_PASS_RATIO = 4
 MS_PER_SECOND = 1000
 # The weight store limits load starts, but the planner counts placements, which precede the starts
-# by a varying delay. The unused share absorbs that variation.
+# by a varying delay. The unused share absorbs that variation: 250 ms at two loads a second.
 USED_RATE_SHARE = 0.8
 
 GetIndex = Callable[[], BundleIndex | None]
--- a/packages/state/src/mimosaspur_state/counters.py
+++ b/packages/state/src/mimosaspur_state/counters.py
@@ -4,6 +4,7 @@
 """
 
 PREFIX = "mimosaspur_"
+# Around the callers' latency objectives.
 BUCKET_BOUNDS_MS = (25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400, 12_800)
 
 
--- a/packages/transport/src/mimosaspur_transport/httpchannel.py
+++ b/packages/transport/src/mimosaspur_transport/httpchannel.py
@@ -10,6 +10,7 @@
 from mimosaspur_transport.dialect import Headers
 
 READ_BYTES = 65_536
+# A response with a larger head is invalid.
 MAX_HEAD_BYTES = 65_536
 CONNECT_TIMEOUT_MS = 700
 # The connection fails when sent data stays unacknowledged for this long.
