--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -27,6 +27,8 @@
 from mimosaspur_transport.dialect import end_to_end_headers
 from mimosaspur_transport.dialect import header
 from mimosaspur_transport.httpchannel import ChannelBroken
+from mimosaspur_transport.httpchannel import ConnectionEnd
+from mimosaspur_transport.httpchannel import Framing
 from mimosaspur_transport.httpchannel import ResponseHead
 
 # Limit on the targets tried for one request, including those that refuse it.
@@ -48,6 +50,7 @@
         "attempt",
         "caller",
         "cause",
+        "connection_end",
         "cutter",
         "deadline_s",
         "digest",
@@ -56,6 +59,7 @@
         "ended_by_shutdown",
         "failure",
         "first_ms",
+        "framing",
         "head_received",
         "in_flight",
         "longest_pause_ms",
@@ -145,6 +149,9 @@
         self.cause = ""
         # Whether the target of the last attempt began to respond.
         self.head_received = False
+        # How its response was framed, and how its connection ended.
+        self.framing: Framing | None = None
+        self.connection_end = ConnectionEnd.NONE
         # An error response of a target, forwarded if no other attempt succeeds.
         self.failure: tuple[ResponseHead, bytes] | None = None
 
@@ -303,6 +310,8 @@
         pool = self.state.pool(view.record)
         self.cause = ""
         self.head_received = False
+        self.framing = None
+        self.connection_end = ConnectionEnd.NONE
         max_idle_ms = None if self.route.repeatable else NON_REPEATABLE_MAX_IDLE_MS
         try:
             channel, _ = await pool.acquire(max_idle_ms=max_idle_ms)
@@ -330,6 +339,7 @@
         finally:
             attempt.end()
             self.attempt = None
+            self.framing, self.connection_end = channel.framing, channel.connection_end
             # A connection with an unread response must not be reused, and closing it makes the
             # target stop the run.
             if finished and channel.is_fully_sent():
--- a/packages/transport/src/mimosaspur_transport/httpchannel.py
+++ b/packages/transport/src/mimosaspur_transport/httpchannel.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from dataclasses import dataclass
+from enum import Enum
 from typing import cast
 
 import h11
@@ -12,6 +13,7 @@
 READ_BYTES = 65_536
 # A response with a larger head is invalid.
 MAX_HEAD_BYTES = 65_536
+BODILESS_STATUSES = frozenset({204, 304})
 CONNECT_TIMEOUT_MS = 700
 # The connection fails when sent data stays unacknowledged for this long.
 UNACKED_TIMEOUT_MS = 1_500
@@ -25,6 +27,23 @@
     """Signal that nothing listens at the address."""
 
 
+class Framing(Enum):
+    """List what marks the end of a response's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    # Only the end of the connection.
+    CONNECTION = "connection"
+
+
+class ConnectionEnd(Enum):
+    """List how the peer has ended a connection."""
+
+    NONE = "none"
+    CLOSED = "closed"
+    RESET = "reset"
+
+
 @dataclass(slots=True, frozen=True)
 class ResponseHead:
     """Hold the status and headers of a response."""
@@ -46,13 +65,25 @@
 class HttpChannel:
     """Send one request at a time; unusable after the first error."""
 
-    __slots__ = ("codec", "idle_since_ms", "keep_alive_ms", "reader", "request", "writer")
+    __slots__ = (
+        "codec",
+        "connection_end",
+        "framing",
+        "idle_since_ms",
+        "keep_alive_ms",
+        "reader",
+        "request",
+        "writer",
+    )
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader = reader
         self.writer = writer
         self.codec = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.request: h11.Request | None = None
+        # Of the last response; None before its head has been read.
+        self.framing: Framing | None = None
+        self.connection_end = ConnectionEnd.NONE
         self.idle_since_ms = 0
         # The peer's keep-alive timeout, 0 if it sent none.
         self.keep_alive_ms = 0
@@ -77,6 +108,7 @@
         if self.codec.our_state is h11.DONE:
             self.codec.start_next_cycle()
         framing = [(b"Content-Length", b"%d" % len(body))] if _has_body(method, body) else []
+        self.framing = None
         self.request = h11.Request(method=method, target=target, headers=headers + framing)
         self.writer.write(self._encode_request(self.request, body))
         try:
@@ -91,6 +123,7 @@
             if isinstance(event, h11.Response):
                 headers = list(event.headers.raw_items())
                 self._record_keep_alive(headers)
+                self.framing = _framing(event, cast(h11.Request, self.request).method)
                 return ResponseHead(event.status_code, headers, event.reason)
             if not isinstance(event, h11.InformationalResponse):
                 raise ChannelBroken("the connection ended before a response")
@@ -153,11 +186,21 @@
     async def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         try:
             while (event := self.codec.next_event()) is h11.NEED_DATA:
-                self.codec.receive_data(await self.reader.read(READ_BYTES))
+                self.codec.receive_data(await self._read())
         except (OSError, h11.ProtocolError) as error:
             raise ChannelBroken(f"broken: {error!r}") from error
         return event
 
+    async def _read(self) -> bytes:
+        try:
+            data = await self.reader.read(READ_BYTES)
+        except OSError:
+            self.connection_end = ConnectionEnd.RESET
+            raise
+        if not data:
+            self.connection_end = ConnectionEnd.CLOSED
+        return data
+
     def _record_keep_alive(self, headers: Headers) -> None:
         for name, value in headers:
             if name.lower() != b"keep-alive":
@@ -172,6 +215,16 @@
     return bool(body) or method in (b"POST", b"PUT", b"PATCH")
 
 
+def _framing(response: h11.Response, method: bytes) -> Framing:
+    """Return what marks the end of a response's body, as RFC 9112 6.3 orders it."""
+    if method == b"HEAD" or response.status_code in BODILESS_STATUSES:
+        return Framing.LENGTH
+    names = {name for name, _ in response.headers}
+    if b"transfer-encoding" in names:
+        return Framing.CHUNKS
+    return Framing.LENGTH if b"content-length" in names else Framing.CONNECTION
+
+
 def _content_length(request: h11.Request) -> int:
     for name, value in request.headers:
         if name == b"content-length":
