--- a/features/harness/entry_site.py
+++ b/features/harness/entry_site.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from dataclasses import dataclass
+from dataclasses import field
 
 from harness.direct_entry import read_response
 from harness.direct_store import StoreStandIn
@@ -24,6 +25,7 @@
     whole: bool
     text: str
     retry_after_s: float | None = None
+    headers: dict[str, str] = field(default_factory=dict)
 
 
 class EntrySite:
@@ -64,6 +66,7 @@
             response.whole,
             text,
             float(retry_after) if retry_after else None,
+            response.headers,
         )
 
 
