Take no end of a stream for its end while its run may have been stopped

An entry that moves a run asks its engine to stop it; the engine then closes the stream without its end. If the engine's answer was lost, the entry took the run for one that goes on, and the closed connection of a stream without a length for its end: callers got a part of it as a whole. Change: the engine port tells "not stopped" from "may have been stopped" (no answer, or 200 that can't be read). After the latter a stream that ends without a mark is broken. The row "200, nonsense: was not stopped" of direct_moves took 200 for a refusal; it now demands that it is told apart, and a row without an answer is added.

--- a/features/direct_moves.feature
+++ b/features/direct_moves.feature
@@ -18,6 +18,7 @@
       | it ends what it runs                | copied                             | no time | all its events | never saw it                       | 0    | 0     |
       | the run is not known there any more | no such run                        | 1500 ms | all its events | never saw it                       | 0    | 0     |
       | nothing is answered                 | nothing, and the run goes on       | 1500 ms | all its events | never saw it                       | 0    | 0     |
+      | it stops, without a length          | stopped, but unanswered, unframed  | 1500 ms | a broken end   | never saw it                       | 0    | 0     |
       | the copy found no room              | the memory stays                   | 1500 ms | all its events | never saw it                       | 0    | 1     |
       | the second engine refuses           | copied, but refused there          | 1500 ms | all its events | refused it                         | 0    | 2     |
       | neither takes it                    | copied, but refused at both        | 1500 ms | a broken end   | refused it                         | 0    | 2     |
@@ -43,4 +44,5 @@
       | 503    | null                        | was not stopped                  |
       | 404    | null                        | was not stopped                  |
       | 409    | null                        | was not stopped                  |
-      | 200    | nonsense                    | was not stopped                  |
+      | 200    | nonsense                    | may have been stopped            |
+      | none   | null                        | may have been stopped            |
--- a/features/harness/direct_moves.py
+++ b/features/harness/direct_moves.py
@@ -7,6 +7,7 @@
 from harness.direct_entry import UnresponsiveEngines
 from harness.direct_target import ScriptedTarget
 from mimosaspur_coordination.fleetports import StoppedRun
+from mimosaspur_coordination.fleetports import StopUnconfirmed
 from mimosaspur_state.fleet import EngineReport
 from mimosaspur_state.fleet import TargetRecord
 
@@ -41,6 +42,8 @@
         if "late" in self.answer:
             await asyncio.sleep(LATE_ANSWER_S)
         self.first.stop_streams()
+        if "unanswered" in self.answer:
+            raise StopUnconfirmed("no answer")
         self.made.append(HANDLE)
         return StoppedRun(HANDLE, copied=self.answer != "the memory stays")
 
--- a/features/steps/direct_moves_steps.py
+++ b/features/steps/direct_moves_steps.py
@@ -18,6 +18,7 @@
 from harness.direct_moves import MovingEngines
 from harness.direct_target import ScriptedTarget
 from harness.loop import run
+from mimosaspur_coordination.fleetports import StopUnconfirmed
 from mimosaspur_daemon.direct.evacuation import Evacuation
 from mimosaspur_platform.engines import PlatformEngines
 from mimosaspur_state.clock import SystemClock
@@ -117,10 +118,13 @@
     assert window.state().repeats == repeats, window.state()
 
 
-@given("an engine of the platform that answers a move with {status:d} and {body}")
-def start_platform_engine(context: Context, status: int, body: str) -> None:
+@given("an engine of the platform that answers a move with {status} and {body}")
+def start_platform_engine(context: Context, status: str, body: str) -> None:
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
+        if status == "none":
+            writer.close()
+            return
         head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
         writer.write((head + body).encode())
         await writer.drain()
@@ -137,12 +141,20 @@
 def stop_and_copy(context: Context) -> None:
     engines = PlatformEngines(clock=SystemClock())
     engine = context.platform_engine
-    context.stopped = run(context, engines.stop_and_copy(engine, b"r-1", engine))
+    context.stopped = None
+    context.unconfirmed = False
+    try:
+        context.stopped = run(context, engines.stop_and_copy(engine, b"r-1", engine))
+    except StopUnconfirmed:
+        context.unconfirmed = True
 
 
 @then("the run {outcome}")
 def check_outcome(context: Context, outcome: str) -> None:
     stopped = context.stopped
+    assert context.unconfirmed == (outcome == "may have been stopped"), stopped
+    if context.unconfirmed:
+        return
     if outcome == "was not stopped":
         assert stopped is None, stopped
         return
--- a/packages/coordination/src/mimosaspur_coordination/fleetports.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetports.py
@@ -92,6 +92,10 @@
     """Raised when an engine isn't called now, since it names a request limit."""
 
 
+class StopUnconfirmed(Exception):
+    """Raised when an engine may have stopped a run, but sent no valid answer."""
+
+
 class EnginePort(Protocol):
     """Send requests to the model engines."""
 
@@ -106,7 +110,10 @@
     async def stop_and_copy(
         self, source: TargetRecord, request: bytes, to: TargetRecord
     ) -> StoppedRun | None:
-        """Stop a request's run and copy its state; return None if it was not stopped."""
+        """Stop a request's run and copy its state; return None if it was not stopped.
+
+        Raise StopUnconfirmed if it may have been.
+        """
         ...
 
     async def drop_copy(self, source: TargetRecord, handle: str) -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -8,6 +8,7 @@
 from typing import Any
 from typing import TypeVar
 
+from mimosaspur_coordination.fleetports import StopUnconfirmed
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.quarantine.crashledger import Stage
 from mimosaspur_daemon.direct.entrystate import LATE_RANK
@@ -77,6 +78,7 @@
         "handler",
         "last_event_s",
         "limit_version",
+        "may_be_stopped",
         "pending_move",
         "predicted_ms",
         "rank",
@@ -100,6 +102,8 @@
         self.ended = False
         # Resolved when a move that has begun ends.
         self.pending_move: asyncio.Future[MovedRun | None] | None = None
+        # Whether the run may have been stopped to be moved, so that its end proves nothing.
+        self.may_be_stopped = False
         self.rank = handler.target_selector.rank
         self.predicted_ms = view.first_token_ms(handler.prompt, rank=self.rank)
         self.unread = view.on_sent(handler.prompt, rank=self.rank)
@@ -128,6 +132,9 @@
         moved = None
         try:
             stopped = await engines.stop_and_copy(self.view.record, request, to.record)
+        except StopUnconfirmed:
+            self.may_be_stopped = True
+        else:
             if stopped:
                 moved = MovedRun(to if stopped.copied else self.view, self.view, stopped.handle)
         finally:
@@ -307,6 +314,8 @@
         )
         if completeness is not Completeness.UNKNOWN:
             return completeness
+        if self.may_be_stopped:
+            return Completeness.BROKEN
         handler.unconfirmed_end = last_id
         detector = handler.state.quarantine.detector
         detector.on_unmarked_end(self.view, handler.digest)
