Check that no answer of the store or an engine that is cut short is read

Cause: the class of the broken-off answers, at the places where the end of a connection may end a message that entries decide by: a list cut short must not read as targets gone. Change: a scenario only. A store and an engine answer without a length, cut at every byte; list, watch, lease and report are read only whole. No code had to change: each is one JSON object, of which no part is valid.

--- a/features/direct_broken.feature
+++ b/features/direct_broken.feature
@@ -48,3 +48,8 @@
   # Guards against event ends that are missed or seen where there are none.
   Scenario: Any stream that is cut anywhere passes on its whole events, once
     Then any stream that is cut into pieces and broken off anywhere passes on its whole events, once
+
+  # Guards against a list that is cut short and read as targets that are gone.
+  Scenario: Answers of the store and of engines that are cut short are not read
+    Given a store and an engine whose answers have no length and can be cut anywhere
+    Then no list, watch, lease or report that is cut short is read
--- a/features/steps/direct_broken_steps.py
+++ b/features/steps/direct_broken_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import signal
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 import msgspec
@@ -14,6 +15,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from harness.direct_entry import null_log
 from harness.direct_store import StoreStandIn
 from harness.entry_processes import EntryProcess
 from harness.entry_processes import EntryProcesses
@@ -25,9 +27,15 @@
 from harness.framed_target import Completeness
 from harness.framed_target import Play
 from harness.loop import run
+from mimosaspur_platform.engines import PlatformEngines
+from mimosaspur_platform.store import PlatformStore
 from mimosaspur_protocol.eventbuffer import EventBuffer
+from mimosaspur_state.clock import SystemClock
+from mimosaspur_state.errors import StoreUnavailable
+from mimosaspur_state.fleet import TargetRecord
 
 SHOWN = 6
+LEASE = {"holder": "entry-1", "ip": "127.0.0.1", "port": 1, "token": 3}
 # Sound requests that allow two repeats within the retry budget.
 SOUND_FOR_TWO_REPEATS = 24
 SLOW_PART_S = 0.5
@@ -227,3 +235,62 @@
 
 def _has_field(text: bytes) -> bool:
     return any(line and not line.startswith(b":") for line in text.splitlines())
+
+
+@given("a store and an engine whose answers have no length and can be cut anywhere")
+def start_cut_server(context: Context) -> None:
+    # Path up to its query: the whole answer.
+    stored = {"metadata": {"name": "orders", "revision": 7}, "specification": LEASE}
+    context.bodies = {
+        "/api/objects/servers": {"items": [], "at": 7, "has_more": False},
+        "/api/objects/servers?watch": {"events": [], "at": 7},
+        "/api/objects/mimosaspur-leases": stored,
+        "/api/report": {"models": [], "busy": False, "sequence": 0, "waiting": 0, "running": 0},
+    }
+    context.cut_at = 0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        request = (await reader.readuntil(b"\r\n\r\n")).decode()
+        path = request.split()[1]
+        known = [each for each in context.bodies if path.startswith(each)]
+        body = msgspec.json.encode(context.bodies[max(known, key=len)])
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + body[: context.cut_at])
+        context.was_cut = context.cut_at < len(body)
+        writer.close()
+
+    async def start() -> None:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        context.cut_address = server.sockets[0].getsockname()[:2]
+
+    run(context, start())
+
+
+@then("no list, watch, lease or report that is cut short is read")
+def check_cut_answers(context: Context) -> None:
+    clock = SystemClock()
+    store = PlatformStore(context.cut_address, clock=clock, log=null_log("entry"))
+    engines = PlatformEngines(clock=clock)
+    engine = TargetRecord("engine-0", "service", context.cut_address, "here")
+    reads: dict[str, Callable[[], Awaitable[object]]] = {
+        "list": store.list_targets,
+        "watch": lambda: store.watch_targets(1, wait_ms=1),
+        "lease": store.read_lease,
+        "report": lambda: engines.report(engine),
+    }
+
+    async def is_read(read: Callable[[], Awaitable[object]]) -> bool:
+        try:
+            return await read() is not None
+        except StoreUnavailable:
+            return False
+
+    async def check() -> None:
+        for name, read in reads.items():
+            context.cut_at = 0
+            context.was_cut = True
+            while context.was_cut:
+                done = await is_read(read)
+                assert done != context.was_cut, (name, context.cut_at)
+                context.cut_at += 1
+
+    run(context, check())
