Don't resume a stream after an event without an id

A broken stream is resumed after its last id; events without ids that came since, or a stream that has none, come again: the caller got events twice, framed as complete. Change: the event buffer tells whether a resumption would be exact. If not, the stream ends broken, as one that may not be resumed.

--- a/features/direct_answers.feature
+++ b/features/direct_answers.feature
@@ -48,6 +48,13 @@
       | a stream           | cuts between events      | a broken end   | 1     | 0      |
       | a stream           | cuts inside an event     | a broken end   | 1     | 0      |
 
+  # Guards against events that come twice after a resumption, since nothing tells them apart.
+  Scenario: A stream is not resumed after an event without an id
+    Given a direct entry before a target that cuts after an event without an id and a sound one
+    When the direct caller sends a resumable stream
+    Then the direct caller gets a broken end after events without ids
+    And the first target ran it 1 times and the second one 0 times
+
   Scenario Outline: A slow target isn't given up while there is no other one, <request> that <fault>
     Given a direct entry before only a target that <fault>
     When the direct caller sends <request>
--- a/features/harness/direct_target.py
+++ b/features/harness/direct_target.py
@@ -172,7 +172,8 @@
         for number in range(self._first_event(), EVENT_COUNT + 1):
             if await self._inject_fault(fault, number):
                 return
-            self._send(h11.Data(data=b"id: %d\ndata: event %d\n\n" % (number, number)))
+            own_id = b"" if fault == "cuts after an event without an id" else b"id: %d\n" % number
+            self._send(h11.Data(data=own_id + b"data: event %d\n\n" % number))
             await self.writer.drain()
             await asyncio.sleep(self.event_s)
         self._send(h11.EndOfMessage())
@@ -182,7 +183,7 @@
         if number != 3:
             return False
         match fault:
-            case "cuts between events":
+            case "cuts between events" | "cuts after an event without an id":
                 self.writer.transport.abort()
                 return True
             case "cuts inside an event":
--- a/features/steps/direct_answers_steps.py
+++ b/features/steps/direct_answers_steps.py
@@ -173,6 +173,13 @@
     assert response.body.endswith(b"\n\n"), "a partial event was forwarded"
 
 
+@then("the direct caller gets a broken end after events without ids")
+def check_broken_without_ids(context: Context) -> None:
+    response = context.answer
+    assert (response.status, response.whole) == (200, False), response
+    assert response.body == b"data: event 1\n\ndata: event 2\n\n", response
+
+
 @then("the first target ran it {first:d} times and the second one {second:d} times")
 def check_runs(context: Context, first: int, second: int) -> None:
     assert (context.first.runs(), context.second.runs()) == (first, second)
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -265,11 +265,16 @@
             self.possible_runs += 1
             self.outcome_unknown = True
             self.target_selector.cool_down(view, FAILED_COOLDOWN_S)
-            if not self.route.repeatable or self.possible_runs >= self.route.max_attempts:
+            if not self._may_run_again():
                 break
             await self.state.quarantine.detector.wait_for_first_probe(view)
         await self._finish()
 
+    def _may_run_again(self) -> bool:
+        if self.possible_runs >= self.route.max_attempts:
+            return False
+        return self.route.repeatable and self.cutter.can_resume
+
     def _on_run_ended(self, view: TargetView) -> None:
         """Clear the request of crashes, or check first whether its target has crashed."""
         quarantine = self.state.quarantine
--- a/packages/protocol/src/mimosaspur_protocol/eventbuffer.py
+++ b/packages/protocol/src/mimosaspur_protocol/eventbuffer.py
@@ -13,12 +13,14 @@
 class EventBuffer:
     """Hold back an incomplete event and track the id of the last complete one."""
 
-    __slots__ = ("incomplete", "last_id")
+    __slots__ = ("can_resume", "incomplete", "last_id")
 
     def __init__(self, last_id: int | None) -> None:
         self.incomplete = b""
         # A resumed stream continues after this event; None before the first.
         self.last_id = last_id
+        # False after an event without an id, which a resumed stream would bring again.
+        self.can_resume = True
 
     def feed(self, data: bytes) -> bytes:
         """Return the complete events, without those already passed on; raise EventMissing."""
@@ -33,8 +35,7 @@
 
     def ends_inside_event(self) -> bool:
         """Return whether the data so far ends inside an event, not in a comment or blank line."""
-        lines = self.incomplete.splitlines()
-        return any(line and not line.startswith(_COMMENT) for line in lines)
+        return _has_field(self.incomplete)
 
     def discard_incomplete(self) -> None:
         """Discard the incomplete event, which another target sends again from its start."""
@@ -43,6 +44,7 @@
     def _is_new(self, block: bytes) -> bool:
         number = event_number(block)
         if number is None:
+            self.can_resume &= not _has_field(block)
             return True
         if self.last_id is not None:
             if number <= self.last_id:
@@ -50,9 +52,14 @@
             if number != self.last_id + 1:
                 raise EventMissing(self.last_id, number)
         self.last_id = number
+        self.can_resume = True
         return True
 
 
+def _has_field(text: bytes) -> bool:
+    return any(line and not line.startswith(_COMMENT) for line in text.splitlines())
+
+
 class EventMissing(Exception):
     """Raised when an event id is not the successor of the previous one."""
 
