Log the versions of targets, and what callers resume

Cause: of the streams of two versions those that callers took up could not be counted: no line told a target's version, or what a caller resumes. No decision depends on them.

--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -70,6 +70,7 @@
         "prompt",
         "quota_charged",
         "request",
+        "resumed_after",
         "retries",
         "route",
         "service",
@@ -119,7 +120,9 @@
             deadline_s=self.deadline_s,
         )
         last_id = header(request.headers, dialect.last_event_id) or b""
-        self.cutter = EventBuffer(int(last_id) if last_id.isdigit() else None)
+        # The event after which a caller resumes a stream, for the log.
+        self.resumed_after = int(last_id) if last_id.isdigit() else None
+        self.cutter = EventBuffer(self.resumed_after)
         # Whether the head of a response was sent to the caller.
         self.started = False
         self.retries = RequestRetries(
@@ -185,6 +188,11 @@
         name = self.state.dependencies.dialect.request_id
         return (header(self.request.headers, name) or b"").decode("latin-1")
 
+    def resumes(self) -> str:
+        """Return the ID of the request whose stream the caller resumes, as the caller names it."""
+        name = self.state.dependencies.dialect.resumes
+        return (header(self.request.headers, name) or b"").decode("latin-1")
+
     def may_have_run(self) -> bool:
         """Return whether a target may have run the request or is running it."""
         return self.started or self.outcome_unknown or self.in_flight or self.failure is not None
--- a/packages/daemon/src/mimosaspur_daemon/direct/storechanges.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/storechanges.py
@@ -75,6 +75,7 @@
         record.leaving,
         record.slots,
         record.started_ms,
+        record.version,
     )
 
 
@@ -87,4 +88,5 @@
         leaving=message.leaving,
         slots=message.slots,
         started_ms=message.started_ms,
+        version=message.version,
     )
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -136,6 +136,7 @@
     leaving: bool
     slots: int
     started_ms: int
+    version: str = ""
 
 
 class StoreUpdate(msgspec.Struct, array_like=True):
--- a/packages/state/src/mimosaspur_state/fleet.py
+++ b/packages/state/src/mimosaspur_state/fleet.py
@@ -20,6 +20,8 @@
     sequence: int = 0
     # Start time in Unix milliseconds; with the identity this identifies one incarnation.
     started_ms: int = 0
+    # Version of the target's software; streams of two versions can't be joined.
+    version: str = ""
 
     @property
     def incarnation(self) -> str:
--- a/packages/transport/src/mimosaspur_transport/dialect.py
+++ b/packages/transport/src/mimosaspur_transport/dialect.py
@@ -30,6 +30,8 @@
     request_id: bytes = b"x-request-id"
     deadline_ms: bytes = b"x-deadline-ms"
     last_event_id: bytes = b"last-event-id"
+    # On a caller's resumption: the ID of the request that brought the stream's first event.
+    resumes: bytes = b"x-resumes"
     # A model, or a model and an adapter with a slash between them.
     model: bytes = b"x-model"
     # Prompt tokens and the maximum of output tokens, separated by a comma.
