--- a/features/harness/entry_site.py
+++ b/features/harness/entry_site.py
@@ -50,6 +50,8 @@
         path: str = "/stream/x",
         model: str = "",
         version: str = "1.1",
+        identity: str = "",
+        headers: dict[str, str] | None = None,
     ) -> Answer:
         """Send a request to an entry and return its answer."""
         loop = asyncio.get_running_loop()
@@ -59,7 +61,8 @@
             reader, writer = await asyncio.open_connection(*entry.callers_address)
         except OSError:
             return Answer(sent_s, 0.0, 0, False, "can't connect")
-        writer.write(_request(f"r{next(self.numbers)}", path, body, model, version))
+        fields = {"X-Attempt-Id": identity or f"r{next(self.numbers)}"} | (headers or {})
+        writer.write(_request(fields, path, body, model, version))
         response = await read_response(reader)
         writer.close()
         lasted_s = loop.time() - sent_s
@@ -76,13 +79,12 @@
         )
 
 
-def _request(identity: str, path: str, body: bytes, model: str, version: str) -> bytes:
+def _request(headers: dict[str, str], path: str, body: bytes, model: str, version: str) -> bytes:
     fields = {
         "Host": HOST,
-        "X-Attempt-Id": identity,
         "X-Deadline-Ms": str(TIMEOUT_MS),
         "Content-Length": str(len(body)),
-    }
+    } | headers
     if model:
         fields |= {"X-Model": model, "X-Token-Counts": "100,12"}
     lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
--- /dev/null
+++ b/features/steps/direct_versions_steps.py
@@ -0,0 +1,166 @@
+"""Steps for streams while targets of several software versions serve."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+
+from harness.direct_store import StoreStandIn
+from harness.entry_processes import EntryProcesses
+from harness.loop import run
+from harness.version_site import Stream
+from harness.version_site import VersionSite
+
+SHOWN = 5
+UNAVAILABLE_STATUS = 503
+# When an event begins, after the streams.
+EVENT_AT_S = 2.0
+FROZEN_S = 2.0
+NEXT_EVENT_S = 4.0
+SERVED_S = 3.0
+
+
+@given("{entries:d} entry processes before targets of versions {versions}")
+def start_processes(context: Context, entries: int, versions: str) -> None:
+    context.site = VersionSite(
+        EntryProcesses(context.processes, entries),
+        store=StoreStandIn(),
+        versions=versions.split(),
+    )
+    context.add_cleanup(context.site.stop)
+    run(context, context.site.start())
+
+
+@when("{per_s:d} streams a second are broken off for {seconds:d} s, and {what}")
+def send_streams(context: Context, per_s: int, seconds: int, what: str) -> None:
+    site: VersionSite = context.site
+
+    async def play() -> None:
+        event = asyncio.create_task(EVENTS[what](site))
+        await site.send_streams(per_s=per_s, seconds=seconds)
+        await event
+
+    run(context, play())
+
+
+def _processes(site: VersionSite) -> EntryProcesses:
+    assert isinstance(site.entries, EntryProcesses)
+    return site.entries
+
+
+async def _nothing(site: VersionSite) -> None:
+    pass
+
+
+async def _kill_two(site: VersionSite) -> None:
+    await asyncio.sleep(EVENT_AT_S)
+    await _processes(site).restart(_processes(site).entries[0])
+    await asyncio.sleep(NEXT_EVENT_S)
+    await _processes(site).restart(_processes(site).entries[1])
+
+
+async def _kill_coordinator(site: VersionSite) -> None:
+    await asyncio.sleep(EVENT_AT_S)
+    _processes(site).coordinator().kill()
+
+
+async def _stop_coordinator(site: VersionSite) -> None:
+    await asyncio.sleep(EVENT_AT_S)
+    entry = _processes(site).coordinator()
+    entry.process.send_signal(signal.SIGTERM)
+    await asyncio.to_thread(entry.process.wait)
+    entry.start()
+    await entry.wait_until_ready()
+
+
+async def _freeze(site: VersionSite) -> None:
+    await asyncio.sleep(EVENT_AT_S)
+    number = next(n for n, each in enumerate(_processes(site).entries) if not each.coordinates())
+    process = _processes(site).entries[number].process
+    site.avoided.add(number)
+    process.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(FROZEN_S)
+    process.send_signal(signal.SIGCONT)
+    site.avoided.discard(number)
+
+
+async def _stop_store(site: VersionSite) -> None:
+    await asyncio.sleep(EVENT_AT_S)
+    site.store.status = UNAVAILABLE_STATUS
+
+
+async def _come_and_go(site: VersionSite) -> None:
+    await asyncio.sleep(EVENT_AT_S)
+    old = list(site.targets)
+    await site.add_target("v1.1")
+    await site.add_target("v1.1")
+    await asyncio.sleep(SERVED_S)
+    for target in old:
+        site.remove_target(target)
+    await asyncio.sleep(SERVED_S)
+    await site.add_target("v1")
+
+
+async def _take_over_address(site: VersionSite) -> None:
+    await asyncio.sleep(EVENT_AT_S)
+    target = next(each for each in site.targets if each.version == "v1.1")
+    site.remove_target(target)
+    await site.add_target("v1.2", address=target.address)
+
+
+async def _kill_six(site: VersionSite) -> None:
+    await asyncio.sleep(EVENT_AT_S)
+    for entry in _processes(site).entries[3:9]:
+        entry.kill()
+
+
+EVENTS: dict[str, Callable[[VersionSite], Coroutine[Any, Any, None]]] = {
+    "nothing else happens": _nothing,
+    "an entry is killed, and another 4 s later": _kill_two,
+    "the coordinator is killed": _kill_coordinator,
+    "the coordinator is stopped, and starts again": _stop_coordinator,
+    "an entry is frozen for 2 s": _freeze,
+    "the store is away": _stop_store,
+    "v1.1 comes, v1 goes and comes back": _come_and_go,
+    "v1.1 is gone, and v1.2 takes over its address": _take_over_address,
+    "six entries are killed at once": _kill_six,
+}
+
+
+@then("no stream holds events of two versions")
+def check_versions(context: Context) -> None:
+    streams: list[Stream] = context.site.streams
+    resumed = [each for each in streams if each.resumptions]
+    complete = sum(each.is_complete for each in streams)
+    print(f"MEASURED {len(streams)} streams, {len(resumed)} taken up, {complete} complete")
+    mixed = [each for each in streams if each.is_mixed]
+    shown = [f"{each.path} at {each.entry}: {each.versions}" for each in mixed[:SHOWN]]
+    assert not mixed, "\n".join([f"{len(mixed)} of {len(streams)} streams:", *shown])
+
+
+@then("at least {share:g} of the streams that were taken up went on while their version was there")
+def check_share(context: Context, share: float) -> None:
+    tries = [each for stream in context.site.streams for each in stream.resumptions]
+    tries = [each for each in tries if each.version_there]
+    gone_on = sum(each.went_on for each in tries)
+    print(f"MEASURED {gone_on} of {len(tries)} tries went on")
+    assert tries, "nothing was taken up"
+    refused = [each.answer for each in tries if not each.went_on]
+    assert gone_on >= share * len(tries), (gone_on, len(tries), refused[:SHOWN])
+
+
+@then("what could not go on was rejected within {ms:d} ms")
+def check_rejections(context: Context, ms: int) -> None:
+    tries = [each for stream in context.site.streams for each in stream.resumptions]
+    late = [
+        each.answer
+        for each in tries
+        if each.answer.status == UNAVAILABLE_STATUS and each.answer.lasted_s * 1000 > ms
+    ]
+    assert not late, late[:SHOWN]
