Let a stream go on only at targets of the version that began it

Callers got streams that hold events of targets of two software versions, within one answer and over their tries.

Cause: a continuation was checked against what the request names (service, model, last event), not against what began the stream. No choice knew a target's version; an entry took up what a caller brought by Last-Event-Id alone; nothing of a stream's beginning was known to another entry. Change: `coordination/streams` decides, without I/O. The entry that sends a stream's request notes the version, and, while a service has several, tells two entries that the stream's key names by rendezvous hashing, in a datagram that is acknowledged or sent again, before the request is sent. An entry that a caller brings a stream to looks it up by the request that `Resumes` names: its own records, then the only version there can have been, then the answers of other entries. Whoever sees a new version uses it for new streams only once all entries know it, and sends its earlier records. Choice, stall and silence timeouts, retries and moved runs keep to the version. What is unknown (2016) or can't run there any more (2017) is rejected at once with 503, not run; headers that come twice, empty or too long with 400 (1004). `/versions` on the metrics address lists what is known, a line `resumption` tells each version's source.

--- a/features/harness/direct_site.py
+++ b/features/harness/direct_site.py
@@ -94,14 +94,17 @@
         """Start to watch the store and to take part in the election."""
         self.server = await self.election.listen()
         self.election.address = ("127.0.0.1", self.server.sockets[0].getsockname()[1])
+        await self.state.stream_versions.listen(("127.0.0.1", 0))
         watch = StoreWatch(self.state)
-        work = (watch.follow_targets(), watch.follow_configuration(), self.election.run())
+        work = [watch.follow_targets(), watch.follow_configuration(), self.election.run()]
+        work.append(self.state.stream_versions.run())
         self.tasks = [asyncio.create_task(each) for each in work]
 
     def kill(self) -> None:
         """End the entry without a step-down."""
         for task in self.tasks:
             task.cancel()
+        self.state.stream_versions.close()
         if self.server:
             self.server.close()
 
--- /dev/null
+++ b/features/steps/stream_versions_steps.py
@@ -0,0 +1,239 @@
+"""Steps for what an entry knows of the versions that began streams."""
+
+import asyncio
+import collections
+import time
+from dataclasses import replace
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+from hypothesis import given as given_any
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from harness.direct_entry import DirectEntry
+from harness.direct_fleet import ManualClock
+from harness.direct_target import EVENT_NUMBERS
+from harness.direct_target import ScriptedTarget
+from harness.loop import run
+from mimosaspur_coordination.streams.streamrecords import StreamRecord
+from mimosaspur_coordination.streams.streamrecords import StreamRecords
+from mimosaspur_coordination.streams.streamrecords import stream_key
+from mimosaspur_coordination.streams.versionhistory import VersionHistory
+from mimosaspur_coordination.streams.witnesses import choose_witnesses
+from mimosaspur_daemon.direct.streamversions import WITNESS_COUNT
+from mimosaspur_protocol.streammessages import RecordMessage
+from mimosaspur_protocol.streammessages import StreamsBegun
+from mimosaspur_protocol.streammessages import encode_stream_message
+
+SERVICE = "service"
+ROUTE = "resumable-stream"
+ROOT = "r-0"
+LAG_MS = 2_000
+LIFETIME_MS = 15_000
+VERSIONS = ("v1", "v2")
+ENTRIES = 2
+# The target size.
+ALL_ENTRIES = [f"entry-{number}" for number in range(360)]
+STREAMS_PER_S = 2_900
+STREAM_LIFETIME_S = 20
+DATAGRAM_OVERHEAD_BYTES = 28
+RESUMED_AFTER = 2
+
+# What happens next: an entry reads the list, one begins a stream, a version comes or goes, or an
+# entry starts again; and how long after the last one.
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(("list", "list", "list", "begin", "come", "go", "restart")),
+        st.integers(0, ENTRIES - 1),
+        st.sampled_from(VERSIONS),
+        st.sampled_from((10, 100, 400, 900, 1_900, 2_100)),
+    ),
+    min_size=4,
+    max_size=25,
+)
+
+
+class _Model:
+    """Play entries that read a list of versions, and hold all streams that were begun."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock(100_000)
+        self.present = {"v1"}
+        self.entries = [self._entry() for _ in range(ENTRIES)]
+        # Times and versions of the streams.
+        self.begun: list[tuple[int, str]] = []
+        # By then all entries know for sure that there was no other version.
+        for _ in range(LIFETIME_MS // LAG_MS * 2 + 2):
+            self.advance(LAG_MS // 2)
+            for history in self.entries:
+                self.read(history)
+
+    def _entry(self) -> VersionHistory:
+        history = VersionHistory(clock=self.clock, lag_ms=LAG_MS, lifetime_ms=LIFETIME_MS)
+        self.read(history)
+        return history
+
+    def read(self, history: VersionHistory) -> None:
+        """Let an entry read the list as it is now."""
+        history.update({SERVICE: set(self.present)})
+        history.confirm(age_ms=0)
+
+    def step(self, kind: str, number: int, version: str) -> None:
+        """Play one step."""
+        history = self.entries[number]
+        if kind == "list":
+            self.read(history)
+        elif kind == "come":
+            self.present.add(version)
+        elif kind == "go" and len(self.present) > 1:
+            self.present.discard(version)
+        elif kind == "restart":
+            self.entries[number] = self._entry()
+        elif kind == "begin" and self._may_begin(history, version):
+            self.begun.append((self.clock.ms, version))
+
+    def advance(self, ms: int) -> None:
+        """Let time pass while all processes run."""
+        self.clock.ms += ms
+        for history in self.entries:
+            history.ticked_ms = self.clock.ms
+
+    def _may_begin(self, history: VersionHistory, version: str) -> bool:
+        is_present = version in history.services[SERVICE].present
+        return is_present and history.may_begin(SERVICE, version)
+
+
+@then("in any history of versions and lists, no entry takes the wrong version for the only one")
+def check_sole_version(context: Context) -> None:
+    @settings(max_examples=3_000, deadline=None, derandomize=True, database=None)
+    @given_any(STEPS)
+    def check(steps: list[tuple[str, int, str, int]]) -> None:
+        model = _Model()
+        for kind, number, version, ms in steps:
+            model.step(kind, number, version)
+            model.advance(ms)
+            oldest_ms = model.clock.ms - LIFETIME_MS
+            begun = {each for at_ms, each in model.begun if at_ms > oldest_ms}
+            for history in model.entries:
+                sole = history.sole_version(SERVICE)
+                assert sole is None or begun <= {sole}, (sole, model.begun, model.clock.ms)
+
+    check()
+
+
+@then("in any order of records and times, an entry finds the latest that is recent enough")
+def check_records(context: Context) -> None:
+    notes = st.lists(st.tuples(st.integers(0, 3), st.integers(0, 3), st.integers(0, 9_000)))
+
+    @settings(max_examples=300, deadline=None, derandomize=True, database=None)
+    @given_any(notes)
+    def check(steps: list[tuple[int, int, int]]) -> None:
+        clock = ManualClock(1_000)
+        records = StreamRecords(clock=clock, max_age_ms=LIFETIME_MS)
+        expected: dict[bytes, tuple[int, int]] = {}
+        for stream, change, ms in steps:
+            key = stream_key(SERVICE, str(stream))
+            records.note(key, StreamRecord(f"v{change}", change))
+            known, at_ms = expected.get(key, (-1, 0))
+            if change >= known or clock.ms - at_ms >= LIFETIME_MS:
+                expected[key] = change, clock.ms
+            clock.ms += ms
+            for each, (latest, noted_ms) in expected.items():
+                found = records.find(each)
+                is_recent = clock.ms - noted_ms < LIFETIME_MS
+                assert (found and found.change) == (latest if is_recent else None), (steps, each)
+
+    check()
+
+
+@then(
+    "with 360 entries the witnesses of {count:d} streams are spread evenly, "
+    "and change only with an entry of theirs"
+)
+def check_witnesses(context: Context, count: int) -> None:
+    keys = [stream_key(SERVICE, str(number)) for number in range(count)]
+    began_s = time.process_time()
+    chosen = {key: choose_witnesses(key, ALL_ENTRIES, count=WITNESS_COUNT) for key in keys}
+    print(f"MEASURED {(time.process_time() - began_s) / count * 1e6:.0f} us a choice of 360")
+    loads = collections.Counter(name for names in chosen.values() for name in names)
+    mean = count * WITNESS_COUNT / len(ALL_ENTRIES)
+    assert max(loads.values()) < 3 * mean and len(loads) > 0.9 * len(ALL_ENTRIES), loads
+    fewer = ALL_ENTRIES[1:]
+    for key, names in chosen.items():
+        if ALL_ENTRIES[0] not in names:
+            assert choose_witnesses(key, fewer, count=WITNESS_COUNT) == names
+
+
+@then(
+    "an entry of {entries:d} remembers at most {records:d} streams "
+    "and sends at most {limit:d} bytes a second"
+)
+def check_size(context: Context, entries: int, records: int, limit: int) -> None:
+    begun_per_s = STREAMS_PER_S / entries
+    kept = begun_per_s * STREAM_LIFETIME_S * (1 + WITNESS_COUNT)
+    message = StreamsBegun("entry-360", 1_000_000, [RecordMessage(b"8 bytes.", "v1.10", 0)])
+    datagram = len(encode_stream_message(message)) + DATAGRAM_OVERHEAD_BYTES
+    # Each datagram has an acknowledgement of about half its size.
+    sent = begun_per_s * WITNESS_COUNT * 1.5 * datagram
+    print(f"MEASURED {kept:.0f} records, {sent:.0f} B/s, {datagram} B a datagram")
+    assert kept <= records and sent <= limit, (kept, sent)
+
+
+@given("a direct entry before targets of versions {versions}")
+def start_entry(context: Context, versions: str) -> None:
+    async def start() -> None:
+        entry = context.entry = DirectEntry()
+        context.targets = {version: ScriptedTarget(version) for version in versions.split()}
+        await entry.start(*context.targets.values())
+        fleet = entry.state.fleet
+        records = [
+            replace(view.record, version=view.record.identity) for view in fleet.targets.values()
+        ]
+        entry.state.on_targets_changed(fleet.update(records, []))
+        entry.state.stream_versions.history.confirm(age_ms=0)
+
+    run(context, start())
+
+
+@when("a caller resumes a stream that began at {began}, and {what}")
+def resume(context: Context, began: str, what: str) -> None:
+    if began != "unknown":
+        key = stream_key(SERVICE, ROOT)
+        context.entry.state.stream_versions.records.note(key, StreamRecord(began))
+    headers = {"Last-Event-Id": str(RESUMED_AFTER)}
+    named = {
+        "names it": ROOT,
+        "names nothing": None,
+        "names another service's stream": "r-other",
+        "names it twice": f"{ROOT}\r\nX-Resumes: {ROOT}",
+        "names an empty ID": "",
+        "names an ID of 10000 bytes": "x" * 10_000,
+    }[what]
+    if named is not None:
+        headers["X-Resumes"] = named
+
+    async def call() -> None:
+        began_s = asyncio.get_running_loop().time()
+        context.answer = await context.entry.call(ROUTE, headers=headers)
+        context.lasted_s = asyncio.get_running_loop().time() - began_s
+
+    run(context, call())
+
+
+@then("the caller gets {answer} within {ms:d} ms")
+def check_answer(context: Context, answer: str, ms: int) -> None:
+    response = context.answer
+    assert context.lasted_s * 1000 <= ms, context.lasted_s
+    seen = {version: len(target.seen) for version, target in context.targets.items()}
+    if answer.startswith("code "):
+        assert response.body.startswith(answer.removeprefix("code ").encode()), response
+        assert not any(seen.values()), seen
+        return
+    version = answer.removeprefix("the rest from ")
+    numbers = [number for number in EVENT_NUMBERS if number > RESUMED_AFTER]
+    expected = b"".join(b"id: %d\ndata: event %d\n\n" % (n, n) for n in numbers)
+    assert (response.status, response.body) == (200, expected), response
+    assert [name for name, count in seen.items() if count] == [version], seen
--- /dev/null
+++ b/features/stream_versions.feature
@@ -0,0 +1,34 @@
+Feature: What an entry takes for a stream's version is what began it
+
+  # Guards against a version that is taken for the only one while another may have begun the stream.
+  Scenario: A version is the only one known only if no other can have begun a stream
+    Then in any history of versions and lists, no entry takes the wrong version for the only one
+
+  # Guards against a record that outlives its use, or is overtaken by an earlier one.
+  Scenario: Records are kept as long as a stream may be resumed, in any order of arrival
+    Then in any order of records and times, an entry finds the latest that is recent enough
+
+  Scenario: Each entry finds the witnesses of a stream by its key
+    Then with 360 entries the witnesses of 2000 streams are spread evenly, and change only with an entry of theirs
+    And an entry of 360 remembers at most 500 streams and sends at most 2000 bytes a second
+
+  # Guards against a stream that is begun anew, held or forwarded to any version for want of knowledge.
+  Scenario Outline: A caller's resumption is answered by what is known, <what>
+    Given a direct entry before targets of versions <versions>
+    When a caller resumes a stream that began at <began>, and <what>
+    Then the caller gets <answer> within 200 ms
+
+    Examples:
+      | versions | began   | what                                    | answer                 |
+      | v1 v2    | v1      | names it                                | the rest from v1       |
+      | v1 v2    | v2      | names it                                | the rest from v2       |
+      | v1 v2    | unknown | names it                                | code 2016              |
+      | v1 v2    | v1      | names nothing                           | code 2016              |
+      | v1 v2    | v3      | names it                                | code 2017              |
+      | v1       | unknown | names it                                | the rest from v1       |
+      | v1       | unknown | names nothing                           | the rest from v1       |
+      | v1       | v3      | names it                                | code 2017              |
+      | v1 v2    | v1      | names another service's stream          | code 2016              |
+      | v1 v2    | v1      | names it twice                          | code 1004              |
+      | v1 v2    | v1      | names an empty ID                       | code 1004              |
+      | v1 v2    | v1      | names an ID of 10000 bytes              | code 1004              |
--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -230,6 +230,13 @@
         """Return the shared prefill speed of a service's engines."""
         return self.speeds.setdefault(service, PrefillSpeed(adaptive=self.adaptive_queue))
 
+    def versions(self) -> dict[str, set[str]]:
+        """Return the software versions of all targets by service."""
+        return {
+            service: {view.record.version for view in views.values()}
+            for service, views in self.by_service.items()
+        }
+
     def serving_targets(self, service: str) -> list[TargetView]:
         """Return the targets of a service that accept new requests."""
         views = self.by_service.get(service, {}).values()
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/streams/versionhistory.py
@@ -0,0 +1,133 @@
+"""Track which software versions a service's targets have had, and how sure that is."""
+
+from collections.abc import Collection
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+
+from mimosaspur_state.clock import Clock
+
+DISTANT_PAST_MS = -1_000_000_000
+# A process that hasn't run for this long was suspended: what it reads next may be as old.
+MAX_TICK_GAP_MS = 400
+# By then a process that ran again has read what was sent while it was suspended.
+RESUMED_DISTRUST_MS = 1_000
+
+
+@dataclass(slots=True)
+class ServiceVersions:
+    """Hold the versions of one service."""
+
+    present: frozenset[str] = frozenset()
+    first_seen_ms: dict[str, int] = field(default_factory=dict)
+    # When the last target of a version went.
+    gone_ms: dict[str, int] = field(default_factory=dict)
+
+
+class VersionHistory:
+    """Track versions by service, for as long as a stream that a version began may be resumed.
+
+    An entry uses a version for new streams only `lag_ms` after it has first seen it, and takes a
+    list of targets for current only for less than `lag_ms`. So no stream was begun anywhere by a
+    version that is missing in a current list.
+    """
+
+    __slots__ = (
+        "clock",
+        "confirmed_ms",
+        "continuous_since_ms",
+        "distrusted_until_ms",
+        "lag_ms",
+        "lifetime_ms",
+        "services",
+        "ticked_ms",
+    )
+
+    def __init__(self, *, clock: Clock, lag_ms: int, lifetime_ms: int) -> None:
+        # Must count time in suspend.
+        self.clock = clock
+        self.lag_ms = lag_ms
+        self.lifetime_ms = lifetime_ms
+        self.services: dict[str, ServiceVersions] = {}
+        # The age of the list of targets, and since when it was never too old.
+        self.confirmed_ms = DISTANT_PAST_MS
+        self.continuous_since_ms = clock.now_ms()
+        self.ticked_ms = clock.now_ms()
+        self.distrusted_until_ms = DISTANT_PAST_MS
+
+    def tick(self) -> None:
+        """Record that the process runs."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self.ticked_ms > MAX_TICK_GAP_MS:
+            self.distrusted_until_ms = now_ms + RESUMED_DISTRUST_MS
+        self.ticked_ms = now_ms
+
+    def confirm(self, *, age_ms: int) -> None:
+        """Record that the list of targets was current age_ms ago."""
+        self.tick()
+        now_ms = self.clock.now_ms()
+        if now_ms < self.distrusted_until_ms:
+            return
+        if now_ms - self.confirmed_ms >= self.lag_ms:
+            self.continuous_since_ms = now_ms
+        self.confirmed_ms = max(self.confirmed_ms, now_ms - age_ms)
+
+    def update(self, versions: Mapping[str, Collection[str]]) -> set[str]:
+        """Apply the versions of all registered targets; return the services with a new one."""
+        grown = set()
+        for service in {*versions, *self.services}:
+            known = self.services.setdefault(service, ServiceVersions())
+            if self._update_service(known, frozenset(versions.get(service, ()))):
+                grown.add(service)
+        return grown
+
+    def is_current(self) -> bool:
+        """Return whether the list of targets is recent enough to rely on."""
+        self.tick()
+        now_ms = self.clock.now_ms()
+        return now_ms >= self.distrusted_until_ms and now_ms - self.confirmed_ms < self.lag_ms
+
+    def recent(self, service: str) -> set[str]:
+        """Return the versions that may have begun a stream that may still be resumed."""
+        known = self.services.get(service)
+        if known is None:
+            return set()
+        oldest_ms = self.clock.now_ms() - self.lifetime_ms
+        gone = {version for version, at_ms in known.gone_ms.items() if at_ms > oldest_ms}
+        return gone | known.present
+
+    def sole_version(self, service: str) -> str | None:
+        """Return the only version that can have begun a stream, None if that isn't sure."""
+        complete = self.clock.now_ms() - self.continuous_since_ms >= self.lifetime_ms
+        recent = self.recent(service)
+        if len(recent) != 1 or not complete or not self.is_current():
+            return None
+        return next(iter(recent))
+
+    def may_have_several(self, service: str) -> bool:
+        """Return whether other entries may know a further version than this one."""
+        return len(self.recent(service)) > 1 or not self.is_current()
+
+    def may_begin(self, service: str, version: str) -> bool:
+        """Return whether a new stream may go to a version: all entries know it by now."""
+        known = self.services.get(service)
+        if known is None or known.present == {version}:
+            return True
+        first_seen_ms = known.first_seen_ms.get(version, DISTANT_PAST_MS)
+        return self.clock.now_ms() - first_seen_ms >= self.lag_ms
+
+    def _update_service(self, known: ServiceVersions, present: frozenset[str]) -> bool:
+        now_ms = self.clock.now_ms()
+        was_first = not known.first_seen_ms
+        for version in present - known.present:
+            gone_ms = known.gone_ms.pop(version, DISTANT_PAST_MS)
+            if was_first:
+                # The versions of the first list are not new to the others.
+                known.first_seen_ms[version] = DISTANT_PAST_MS
+            elif now_ms - gone_ms >= self.lifetime_ms - self.lag_ms:
+                known.first_seen_ms[version] = now_ms
+        for version in known.present - present:
+            known.gone_ms[version] = now_ms
+        grown = not was_first and bool(present - known.present)
+        known.present = present
+        return grown
--- a/packages/daemon/src/mimosaspur_daemon/direct/application.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/application.py
@@ -55,12 +55,15 @@
             await self.callers.listen()
             await self.status.listen()
             peer_server = await self.coordination.listen()
+            settings = self.state.settings
+            await self.state.stream_versions.listen((settings.ip, settings.peer_port))
         except OSError as error:
             log.always("address_taken", error=str(error))
             return ExitCode.ADDRESS_TAKEN
         self._spawn(self.store_watch.follow_configuration())
         self._spawn(self.store_watch.follow_targets())
         self._spawn(self.coordination.run())
+        self._spawn(self.state.stream_versions.run())
         if self.state.uses(Mechanism.EVACUATION):
             self._spawn(self.evacuation.run())
         self._spawn(self._prune_pools())
@@ -68,6 +71,7 @@
         await self.stop_requested.wait()
         await self._stop()
         peer_server.close()
+        self.state.stream_versions.close()
         log.always("stop", failure=repr(self.failure) if self.failure else "")
         return ExitCode.INTERNAL if self.failure else ExitCode.OK
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -84,6 +84,7 @@
         "rank",
         "sent_s",
         "unread",
+        "version",
         "view",
     )
 
@@ -96,6 +97,8 @@
     ) -> None:
         self.handler = handler
         self.view = view
+        # The registration may change while the request runs.
+        self.version = view.record.version
         self.channel = channel
         # The stopped run that continues here.
         self.continued = continued
@@ -269,6 +272,7 @@
                     self._record_first_token()
                     self._record_pause(before, handler.cutter.last_id)
                     await self._start_response(head)
+                    handler.continuation.on_event(self.version)
                     await handler.caller.send_chunk(events)
         except EventMissing as error:
             raise ChannelBroken(str(error)) from error
--- a/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
@@ -64,4 +64,5 @@
         state.limits.permit_requests(),
         state.limits.holder.clock.now_ms(),
         state.limits.holder.received_number,
+        state.stream_versions.address,
     )
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -24,6 +24,7 @@
 from mimosaspur_daemon.direct.missingentries import MISSING
 from mimosaspur_daemon.direct.quarantine import Quarantine
 from mimosaspur_daemon.direct.reportedwork import ReportedWork
+from mimosaspur_daemon.direct.streamversions import StreamVersions
 from mimosaspur_daemon.direct.targetlimits import TargetLimits
 from mimosaspur_state.clock import BoottimeClock
 from mimosaspur_state.clock import Clock
@@ -121,6 +122,12 @@
         )
         # Entries that are not leaving, as the coordinator last reported; 0 if unknown.
         self.staying_entries = 0
+        self.stream_versions = StreamVersions(
+            instance=settings.instance,
+            lag_ms=settings.drain_ms,
+            clock=BoottimeClock(),
+            log=self.log,
+        )
         self.targets_known = False
         self.freshness = StoreFreshness(bound_ms=settings.drain_ms, clock=self.clock)
         self.leaving = False
@@ -152,6 +159,7 @@
             return False
         self.configuration = newest
         self.quotas.configure(newest.workspaces or ())
+        self.stream_versions.set_lifetime(newest.longest_stream_ms())
         self.log.always(
             "configuration",
             version=newest.version,
@@ -220,6 +228,7 @@
         if ended:
             self.limits.retain({view.record.incarnation for view in self.fleet.targets.values()})
         self.targets_known = True
+        self.stream_versions.update_targets(self.fleet.versions())
         self.targets_updated.set()
         self.changes.notify()
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/evacuation.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/evacuation.py
@@ -115,6 +115,7 @@
             view
             for view in views
             if view is not attempt.view
+            and view.record.version == attempt.version
             and view.can_run(handler.prompt)
             and not view.health.is_cooling_down()
             and self.state.limits.may_send(view.record, rank=MOVED_RANK)
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
@@ -12,6 +12,7 @@
 from mimosaspur_daemon.direct.storechanges import StoreChanges
 from mimosaspur_protocol.peermessages import CrashReport
 from mimosaspur_protocol.peermessages import EngineResidents
+from mimosaspur_protocol.peermessages import EntryAddress
 from mimosaspur_protocol.peermessages import FleetReport
 from mimosaspur_protocol.peermessages import LimitUpdate
 from mimosaspur_protocol.peermessages import QuotaRemaining
@@ -82,6 +83,7 @@
     # All known crashes and limits, for the same members.
     all_crashes: list[CrashReport]
     all_limits: list[LimitUpdate]
+    all_entries: list[EntryAddress]
     frames: dict[tuple[bool, int], bytes] = field(default_factory=dict)
 
     def report(self, sent: SentState) -> FleetReport:
@@ -90,11 +92,13 @@
         if sent.fleet_sent:
             work, residents, quotas = fleet.changed_work, fleet.changed_residents, self.base.quotas
             crashes, limits = self.base.crashes, self.base.limits
+            entries = self.base.entries_joined
         else:
             work = [each for each in fleet.work.values() if each.requests]
             residents = list(fleet.residents.values())
             quotas = self.all_quotas
             crashes, limits = self.all_crashes, self.all_limits
+            entries = self.all_entries
         store = self.store_changes.changes_since(sent.store_number) if self.store_changes else None
         return msgspec.structs.replace(
             self.base,
@@ -104,6 +108,8 @@
             quotas=quotas,
             crashes=crashes,
             limits=limits,
+            entries_joined=entries,
+            entries_complete=not sent.fleet_sent,
         )
 
     def frame(self, sent: SentState) -> bytes:
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -79,6 +79,11 @@
     state.quarantine.apply_reports(report.crashes, relay=False)
     state.limits.apply_updates(report.limits, relay=False)
     state.limits.holder.apply_queues(report.permit_queues)
+    state.stream_versions.update_entries(
+        [(each.instance, each.address) for each in report.entries_joined],
+        report.entries_left,
+        complete=report.entries_complete,
+    )
     if report.store:
         apply_store_changes(state, report.store)
     for target, others in state.reported_work.apply_totals(report.work).items():
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -26,6 +26,7 @@
 from mimosaspur_daemon.direct.quotaaccounting import QuotaAccounting
 from mimosaspur_daemon.direct.storechanges import StoreChanges
 from mimosaspur_protocol.peermessages import CrashReport
+from mimosaspur_protocol.peermessages import EntryAddress
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import FleetReport
 from mimosaspur_protocol.peermessages import IssuedPermits
@@ -58,6 +59,8 @@
     waiting_adapters: list[tuple[str, str]] = field(default_factory=list)
     last_report_ms: int = 0
     leaving: bool = False
+    # Where it takes datagrams about streams; None if unknown.
+    stream_address: tuple[str, int] | None = None
     link: PeerLink | None = None
     sent_state: SentState = field(default_factory=SentState)
 
@@ -80,6 +83,8 @@
             complete_since_ms=state.quarantine.ledger.covered_since_ms,
             clock=state.clock,
         )
+        # The addresses of entries as last sent.
+        self.sent_addresses: dict[str, EntryAddress] = {}
         self.last_sent_ms = 0
         # When the totals of work are next computed and sent.
         self.work_due_ms = 0
@@ -97,6 +102,7 @@
         }
         member.waiting_adapters = [(model, adapter) for model, adapter in report.waiting_adapters]
         member.leaving = report.leaving
+        member.stream_address = report.stream_address
         self.quotas.apply_report(report, first=first)
         for message in report.paces:
             self.paces.add_report(message.model, Pace(message.factor, message.measurements))
@@ -202,7 +208,12 @@
         crashes = self.state.quarantine.take_reports()
         limits = self.state.limits.take_updates()
         queues_changed = self.permits.update_queues()
-        base = self._base_report(lease, paces, quotas, crashes, limits)
+        joined, left = self._take_entry_changes()
+        base = replace(
+            self._base_report(lease, paces, quotas, crashes, limits),
+            entries_joined=joined,
+            entries_left=left,
+        )
         reports = ReportBuilder(
             base,
             self.fleet_changes,
@@ -210,9 +221,10 @@
             self.quotas.all_remaining(),
             self._crashes_for_new_members(),
             self.state.limits.all_updates(),
+            list(self.sent_addresses.values()),
         )
         heartbeat_due = now_ms - self.last_sent_ms >= HEARTBEAT_INTERVAL_MS
-        news = changed or paces or quotas or crashes or limits or queues_changed
+        news = changed or paces or quotas or crashes or limits or queues_changed or joined or left
         if news or heartbeat_due:
             self.last_sent_ms = now_ms
             recipients = list(self.members.values())
@@ -227,6 +239,18 @@
             )
             self.work_due_ms = now_ms + round(pause_s * 1000)
 
+    def _take_entry_changes(self) -> tuple[list[EntryAddress], list[str]]:
+        """Return the entries that have joined, or moved, and left since the last call."""
+        addresses = {
+            instance: EntryAddress(instance, member.stream_address)
+            for instance, member in self.members.items()
+            if member.stream_address
+        }
+        joined = [each for name, each in addresses.items() if self.sent_addresses.get(name) != each]
+        left = [name for name in self.sent_addresses if name not in addresses]
+        self.sent_addresses = addresses
+        return joined, left
+
     def _sum_work(self) -> dict[str, TargetWork]:
         """Return the totals of the work that the entries last reported."""
         for member in self.members.values():
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -13,6 +13,7 @@
 from mimosaspur_daemon.direct.refusal import RequestFailed
 from mimosaspur_daemon.direct.requestdigest import request_digest
 from mimosaspur_daemon.direct.requestretries import RequestRetries
+from mimosaspur_daemon.direct.streamcontinuation import StreamContinuation
 from mimosaspur_daemon.direct.targetselector import FAILED_COOLDOWN_S
 from mimosaspur_daemon.direct.targetselector import NOT_RUN_COOLDOWN_S
 from mimosaspur_daemon.direct.targetselector import TargetSelector
@@ -35,6 +36,10 @@
 MAX_OFFERS = 6
 # Why a request wasn't sent to a target that names a request limit.
 NO_PERMIT = "the target's limit permits no request now"
+# Why a request wasn't sent to a target of another version than the one before.
+VERSION_ANNOUNCED = "another entry may know an earlier version of the stream"
+# Another entry may know what this one doesn't.
+OTHER_ENTRY_RETRY_S = 0.05
 # Cooldowns grow with each refusal, so that the offers outlast a model load that is slower than
 # predicted.
 COOLDOWN_GROWTH_FACTOR = 1.7
@@ -51,6 +56,7 @@
         "caller",
         "cause",
         "connection_end",
+        "continuation",
         "cutter",
         "deadline_s",
         "digest",
@@ -119,6 +125,14 @@
             arrived_s=request.arrived_s,
             deadline_s=self.deadline_s,
         )
+        self.continuation = StreamContinuation(
+            state.stream_versions,
+            request.headers,
+            dialect,
+            route=route,
+            service=service,
+        )
+        self.target_selector.continuation = self.continuation
         last_id = header(request.headers, dialect.last_event_id) or b""
         # The event after which a caller resumes a stream, for the log.
         self.resumed_after = int(last_id) if last_id.isdigit() else None
@@ -174,6 +188,7 @@
         try:
             async with asyncio.timeout_at(self.deadline_s) as self.timeout:
                 with self.state.quarantine.handling(self):
+                    await self._find_stream_version()
                     await self._run_attempts()
         except TimeoutError:
             raise self._timeout_failure() from None
@@ -245,6 +260,25 @@
         code = ResultCode.DRAINING if self.ended_by_shutdown else ResultCode.NO_READY_TARGET
         return self.target_selector.refusal(code)
 
+    async def _find_stream_version(self) -> None:
+        """Find the version at which a caller's resumption has to go on; raise RequestFailed."""
+        continuation = self.continuation
+        if not continuation.is_resumption:
+            return
+        source = await continuation.resolve()
+        self.state.log.write(
+            "resumption",
+            request=self.request_id(),
+            resumes=self.resumes(),
+            resumed_after=self.resumed_after,
+            version=continuation.version,
+            result=source.value if source else "unknown",
+        )
+        if source is None:
+            raise self.target_selector.refusal(
+                ResultCode.STREAM_VERSION_UNKNOWN, wanted_s=OTHER_ENTRY_RETRY_S
+            )
+
     async def _run_attempts(self) -> None:
         for offer in range(MAX_OFFERS):
             continued, self.moved = self.moved, None
@@ -324,6 +358,9 @@
     async def _run_attempt(
         self, view: TargetView, continued: MovedRun | None = None
     ) -> AttemptResult:
+        if not await self.continuation.before_send(view.record.version):
+            self.cause = VERSION_ANNOUNCED
+            return AttemptResult.NOT_RUN
         limits = self.state.limits
         permit = limits.take(view.record)
         if permit is None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/statusserver.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/statusserver.py
@@ -18,6 +18,8 @@
 QUARANTINE_PATH = "/quarantine"
 # Lists the targets that name a request limit.
 LIMITS_PATH = "/limits"
+# Lists the software versions of each service's targets.
+VERSIONS_PATH = "/versions"
 
 
 class StatusServer:
@@ -66,6 +68,8 @@
             return self._answer_quarantine(request)
         if for_operators and request.path == LIMITS_PATH:
             return 200, msgspec.json.encode(self.state.limits.listing())
+        if for_operators and request.path == VERSIONS_PATH:
+            return 200, msgspec.json.encode(self.state.stream_versions.listing())
         if request.path == METRICS_PATH:
             return 200, self.state.log.counters.render().encode()
         if request.path != self.state.dependencies.dialect.ready_path.decode():
--- a/packages/daemon/src/mimosaspur_daemon/direct/storechanges.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/storechanges.py
@@ -64,6 +64,7 @@
         state.on_targets_changed(state.fleet.replace(records))
     elif records or changes.removed:
         state.on_targets_changed(state.fleet.update(records.values(), changes.removed))
+    state.stream_versions.history.confirm(age_ms=changes.age_ms)
 
 
 def _to_message(record: TargetRecord) -> TargetRegistration:
--- a/packages/daemon/src/mimosaspur_daemon/direct/storewatch.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/storewatch.py
@@ -205,6 +205,7 @@
         self.state.fleet.revision = max(self.state.fleet.revision, listing.revision)
         if not keep:
             self.state.freshness.confirm(TARGETS, asked_ms=asked_ms)
+            self.state.stream_versions.history.confirm(age_ms=self.state.clock.now_ms() - asked_ms)
         return listing.revision
 
     async def _watch_targets(self, revision: int) -> int:
@@ -219,6 +220,7 @@
         if not lapsing:
             # Removals are held back here meanwhile: other entries must not rely on this data.
             self.state.freshness.confirm(TARGETS, asked_ms=self.state.clock.now_ms())
+            self.state.stream_versions.history.confirm(age_ms=0)
         return changes.revision
 
     def _configuration_changed(self, change: ConfigurationChange) -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -16,6 +16,7 @@
 from mimosaspur_daemon.direct.permitchoice import PermitChoice
 from mimosaspur_daemon.direct.refusal import RequestFailed
 from mimosaspur_daemon.direct.refusal import bounded_retry_after_s
+from mimosaspur_daemon.direct.streamcontinuation import StreamContinuation
 from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.policy import Mechanism
 from mimosaspur_state.routes import Route
@@ -42,6 +43,7 @@
     """Select the targets for one request, one after another."""
 
     __slots__ = (
+        "continuation",
         "cooldown_ends_s",
         "deadline_s",
         "first_event_deadline_s",
@@ -95,6 +97,8 @@
         self.permits = PermitChoice(state.limits, request=request, rank=self._permit_rank)
         # Whether the request may crash its target, so that it should run beside few others.
         self.isolated = False
+        # The versions at which the request's stream may run; None for any.
+        self.continuation: StreamContinuation | None = None
         # By target, on the event loop's clock.
         self.cooldown_ends_s: dict[str, float] = {}
 
@@ -105,6 +109,7 @@
     async def next_target(self, *, resumed: bool = False) -> TargetView:
         """Return the next target; raise RequestFailed if none will be available in time."""
         self.resumed = resumed
+        self._check_version()
         self.permits.record_chance(self._holders() if self.prompt.model else self._available())
         if self.spec is not None and self.spec.engine is not None and self.prompt.model:
             return await self._next_engine()
@@ -145,6 +150,7 @@
         state = self.state
         with self._waiting():
             while True:
+                self._check_version()
                 wait_until_s = min(self.first_event_deadline_s, state.balancer_noticed_s)
                 left_s = wait_until_s - MIN_FIRST_TOKEN_S - _now_s()
                 limited = self.permits.limited(self._holders())
@@ -269,17 +275,35 @@
 
     def _available(self) -> list[TargetView]:
         now_s = _now_s()
-        views = self.state.fleet.serving_targets(self.service)
         return [
-            view for view in views if self.cooldown_ends_s.get(view.record.identity, 0) <= now_s
+            view
+            for view in self._permitted_by_version()
+            if self.cooldown_ends_s.get(view.record.identity, 0) <= now_s
         ]
 
+    def _permitted_by_version(self) -> list[TargetView]:
+        """Return the targets at which the request's stream may begin or go on."""
+        views = self.state.fleet.serving_targets(self.service)
+        if self.continuation is None:
+            return views
+        return [view for view in views if self.continuation.may_begin_at(view.record.version)]
+
+    def _check_version(self) -> None:
+        """Raise RequestFailed if a stream has to go on where no target can run it."""
+        if self.continuation is None or self.continuation.version is None:
+            return
+        views = self._permitted_by_version()
+        is_engine = self.spec is not None and self.spec.engine is not None and self.prompt.model
+        if not any(not is_engine or view.can_run(self.prompt) for view in views):
+            raise self.refusal(ResultCode.STREAM_VERSION_GONE)
+
     def _recheck_delay_s(self) -> float:
         ends = [end - _now_s() for end in self.cooldown_ends_s.values()]
         return max(0.01, min([RECHECK_INTERVAL_S, *(end for end in ends if end > 0)]))
 
     async def _wait_for_cooldown(self) -> None:
-        serving = self.state.fleet.serving_targets(self.service)
+        self._check_version()
+        serving = self._permitted_by_version()
         if not serving or self.remaining_s() < RECHECK_INTERVAL_S:
             raise self.refusal(ResultCode.NO_READY_TARGET)
         await self.state.changes.wait(self._recheck_delay_s())
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -115,6 +115,8 @@
     asked_ms: int = 0
     # The number of the last message with permits that arrived on this link.
     permits_number: int = 0
+    # Where the entry takes datagrams about streams; None if it doesn't.
+    stream_address: tuple[str, int] | None = None
 
 
 class EngineResidents(msgspec.Struct, array_like=True, frozen=True):
@@ -152,6 +154,13 @@
     removed: list[str]
 
 
+class EntryAddress(msgspec.Struct, array_like=True, frozen=True):
+    """Tell where an entry takes datagrams about streams."""
+
+    instance: str
+    address: tuple[str, int]
+
+
 class QuotaRemaining(msgspec.Struct, array_like=True, frozen=True):
     """Report a workspace's remaining quota and its demand per second, over all entries."""
 
@@ -202,6 +211,10 @@
     limits: list[LimitUpdate] = msgspec.field(default_factory=list)
     # Requests that wait for permits at all entries, by target and rank.
     permit_queues: dict[str, dict[int, int]] = msgspec.field(default_factory=dict)
+    # Entries that have joined or left since the last report; all in the first one on a link.
+    entries_joined: list[EntryAddress] = msgspec.field(default_factory=list)
+    entries_left: list[str] = msgspec.field(default_factory=list)
+    entries_complete: bool = False
 
 
 class IssuedPermits(msgspec.Struct, array_like=True, tag="permits"):
--- a/packages/state/src/mimosaspur_state/codes.py
+++ b/packages/state/src/mimosaspur_state/codes.py
@@ -41,6 +41,8 @@
     CONFIGURATION_OLD = 2013
     QUOTA_UNKNOWN = 2014
     TARGET_LIMITED = 2015
+    STREAM_VERSION_UNKNOWN = 2016
+    STREAM_VERSION_GONE = 2017
 
     OUTCOME_UNKNOWN = 3001
     ANSWER_CUT = 3002
@@ -143,6 +145,16 @@
         "The targets that could run it limit the requests that they take. Not run.",
         _TRY_LATER,
     ),
+    ResultCode.STREAM_VERSION_UNKNOWN: CodeInfo(
+        503,
+        "No entry knows which software version began the stream. Not run.",
+        "Send the request again without Last-Event-Id.",
+    ),
+    ResultCode.STREAM_VERSION_GONE: CodeInfo(
+        503,
+        "No target of the software version that began the stream can run it. Not run.",
+        "Try again after the time in Retry-After, or without Last-Event-Id.",
+    ),
     ResultCode.CONFIGURATION_OLD: CodeInfo(
         503, "The configuration here may be out of date, and doesn't know it. Not run.", _TRY_LATER
     ),
--- a/packages/state/src/mimosaspur_state/routes.py
+++ b/packages/state/src/mimosaspur_state/routes.py
@@ -117,6 +117,11 @@
             for digest in workspace.credentials:
                 self.by_credential[digest] = digest, workspace
 
+    def longest_stream_ms(self) -> int:
+        """Return the longest timeout of a route with streams, 0 without one."""
+        streams = (each.timeout_ms for each in self.routes if each.kind is RouteKind.STREAM)
+        return max(streams, default=0)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest matching prefix, or None."""
         for route in self.by_host.get(host, ()):
