Forward a whole response on a streaming route as one

A target may answer a streaming route with a whole body, which has no events; since a rest that is no comment counts as a broken event, it was thrown away with 502. Change: a response whose type is named and isn't an event stream is forwarded whole. The choice of targets gets the request's continuation as it is made.

--- a/features/direct_answers.feature
+++ b/features/direct_answers.feature
@@ -43,6 +43,7 @@
       | a resumable stream | cuts inside an event     | all its events | 1     | 1      |
       | a resumable stream | leaves an event out      | all its events | 1     | 1      |
       | a resumable stream | stalls                   | all its events | 1     | 1      |
+      | a stream           | answers without events   | its answer     | 1     | 0      |
       | a stream           | refuses it as not run    | all its events | 0     | 1      |
       | a stream           | closes without an answer | no promise     | 1     | 0      |
       | a stream           | cuts between events      | a broken end   | 1     | 0      |
--- a/features/harness/direct_target.py
+++ b/features/harness/direct_target.py
@@ -118,6 +118,9 @@
             "is slow to answer": self._answer_late,
             "sends what is no answer": self._send_garbage,
             "answers another request first": self._answer_another_first,
+            "answers without events": lambda: self._send_response(
+                200, PLAIN_BODY, PROOF, (b"Content-Type", b"application/json")
+            ),
             "lacks the proof": lambda: self._answer_normally(proof=False),
             "encodes the answer": self._answer_encoded,
             "cuts the answer": self._truncate_response,
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -32,6 +32,7 @@
 
 # Limit on the response of a plain service, which is buffered before it is forwarded.
 MAX_RESPONSE_BYTES = 8_000_000
+EVENT_STREAM_TYPE = b"text/event-stream"
 # A retryable request is sent elsewhere when the first event takes this many times its predicted
 # time.
 SILENCE_TIMEOUT_FACTOR = 3.0
@@ -66,6 +67,11 @@
     marked: bool
 
 
+def _is_event_stream(head: ResponseHead) -> bool:
+    content_type = header(head.headers, b"content-type") or EVENT_STREAM_TYPE
+    return 200 <= head.status < 300 and content_type.lower().startswith(EVENT_STREAM_TYPE)
+
+
 class Attempt:
     """Run a request once at one target."""
 
@@ -168,7 +174,7 @@
             if self._is_not_run(head):
                 await self._read_with_timeout(self._read_body(), self._silence_timeout_s())
                 return AttemptResult.NOT_RUN
-            if handler.route.kind is RouteKind.STREAM and 200 <= head.status < 300:
+            if handler.route.kind is RouteKind.STREAM and _is_event_stream(head):
                 return await self._forward_stream(head)
             return await self._forward_whole(head)
         except ChannelBroken as error:
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -114,25 +114,25 @@
         configuration = state.configuration
         # Whether callers' keys are credentials here, which must not be forwarded.
         self.strips_credential = bool(configuration and configuration.workspaces is not None)
+        self.continuation = StreamContinuation(
+            state.stream_versions,
+            request.headers,
+            dialect,
+            route=route,
+            service=service,
+        )
         self.target_selector = TargetSelector(
             state,
             route,
             service,
             configuration.services.get(service) if configuration else None,
             self.prompt,
+            continuation=self.continuation,
             request=self.request_id(),
             workspace=workspace,
             arrived_s=request.arrived_s,
             deadline_s=self.deadline_s,
         )
-        self.continuation = StreamContinuation(
-            state.stream_versions,
-            request.headers,
-            dialect,
-            route=route,
-            service=service,
-        )
-        self.target_selector.continuation = self.continuation
         last_id = header(request.headers, dialect.last_event_id) or b""
         # The event after which a caller resumes a stream, for the log.
         self.resumed_after = int(last_id) if last_id.isdigit() else None
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -69,6 +69,7 @@
         spec: ServiceSpec | None,
         prompt: Prompt,
         *,
+        continuation: StreamContinuation | None = None,
         request: str,
         workspace: Workspace | None,
         arrived_s: float,
@@ -80,6 +81,8 @@
         self.service = service
         self.spec = spec
         self.prompt = prompt
+        # Knows at which software versions the request's stream may run; None if at any.
+        self.continuation = continuation
         # Both on the event loop's clock.
         self.deadline_s = deadline_s
         timeout_ms = max(
@@ -97,8 +100,6 @@
         self.permits = PermitChoice(state.limits, request=request, rank=self._permit_rank)
         # Whether the request may crash its target, so that it should run beside few others.
         self.isolated = False
-        # The versions at which the request's stream may run; None for any.
-        self.continuation: StreamContinuation | None = None
         # By target, on the event loop's clock.
         self.cooldown_ends_s: dict[str, float] = {}
 
