--- a/features/harness/crashing_engine.py
+++ b/features/harness/crashing_engine.py
@@ -12,6 +12,8 @@
 
 from harness.direct_store import StoreStandIn
 from harness.direct_target import read_request
+from harness.listening_target import ListeningTarget
+from harness.listening_target import target_registration
 
 MODEL = "notes"
 SERVICE = "models"
@@ -48,7 +50,7 @@
 
 
 @dataclass(slots=True)
-class CrashingEngine:
+class CrashingEngine(ListeningTarget):
     """Run requests that stream events; a body that crashes it ends all of its connections."""
 
     identity: str
@@ -66,11 +68,6 @@
     # Events of a crashing run before it crashes.
     events_before_crash: int = 0
 
-    async def start(self) -> None:
-        """Listen on the address."""
-        self.server = await asyncio.start_server(self._serve, *self.address)
-        self.address = self.server.sockets[0].getsockname()[:2]
-
     def crash(self) -> None:
         """End all connections and stop listening."""
         if self.crashed:
@@ -80,13 +77,6 @@
         self.stop()
         self.on_crash(self, bodies)
 
-    def stop(self) -> None:
-        """Stop without a report."""
-        if self.server:
-            self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
-
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         codec = h11.Connection(h11.SERVER)
         self.writers.add(writer)
@@ -218,19 +208,8 @@
 
 def registration(engine: CrashingEngine) -> dict[str, Any]:
     """Return an engine's registration."""
-    host, port = engine.address
-    return {
-        "service": SERVICE,
-        "address": f"{host}:{port}",
-        "zone": "north",
-        "version": "v1",
-        "slots": SLOTS,
-        "state": "ready",
-        "cold_remaining_ms": 0,
-        "sequence": 0,
-        "born": 0,
-        "models": [{"name": MODEL, "version": 1, "adapters": []}],
-    }
+    models = [{"name": MODEL, "version": 1, "adapters": []}]
+    return target_registration(SERVICE, engine.address, slots=SLOTS, models=models)
 
 
 def _report() -> dict[str, Any]:
--- a/features/harness/framed_target.py
+++ b/features/harness/framed_target.py
@@ -12,6 +12,8 @@
 import msgspec
 
 from harness.direct_target import read_request
+from harness.listening_target import ListeningTarget
+from harness.listening_target import target_registration
 
 SERVICE = "models"
 SERVERS = "servers"
@@ -86,7 +88,7 @@
 
 
 @dataclass(slots=True)
-class FramedTarget:
+class FramedTarget(ListeningTarget):
     """Give each request the response that its body describes once, then whole ones in chunks."""
 
     identity: str
@@ -98,18 +100,6 @@
     server: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self.server = await asyncio.start_server(self._serve, *self.address)
-        self.address = self.server.sockets[0].getsockname()[:2]
-
-    def stop(self) -> None:
-        """Stop listening and end all connections."""
-        if self.server:
-            self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
-
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         codec = h11.Connection(h11.SERVER)
         self.writers.add(writer)
@@ -169,18 +159,7 @@
 
 def registration(target: FramedTarget) -> dict[str, Any]:
     """Return a target's registration."""
-    host, port = target.address
-    return {
-        "service": SERVICE,
-        "address": f"{host}:{port}",
-        "zone": "north",
-        "version": "v1",
-        "slots": SLOTS,
-        "state": "ready",
-        "cold_remaining_ms": 0,
-        "sequence": 0,
-        "born": 0,
-    }
+    return target_registration(SERVICE, target.address, slots=SLOTS)
 
 
 def _head(play: Play, request: str, identity: str, sent: list[bytes], parts: list[bytes]) -> bytes:
--- a/features/harness/limited_target.py
+++ b/features/harness/limited_target.py
@@ -10,6 +10,8 @@
 import msgspec
 
 from harness.direct_target import read_request
+from harness.listening_target import ListeningTarget
+from harness.listening_target import target_registration
 
 SERVICE = "models"
 MODEL = "notes"
@@ -36,7 +38,7 @@
 
 
 @dataclass(slots=True)
-class LimitedTarget:
+class LimitedTarget(ListeningTarget):
     """Answer requests by a stream of events, and name a limit in each answer while there is one."""
 
     identity: str
@@ -49,18 +51,6 @@
     server: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
-    async def start(self) -> None:
-        """Listen on the address."""
-        self.server = await asyncio.start_server(self._serve, *self.address)
-        self.address = self.server.sockets[0].getsockname()[:2]
-
-    def stop(self) -> None:
-        """Stop listening and end all connections."""
-        if self.server:
-            self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
-
     def most_within(self, window_s: float, *, since_s: float) -> int:
         """Return the most arrivals in any span of a length that begins at a time or later."""
         times = [each.at_s for each in self.arrivals if each.at_s >= since_s]
@@ -139,20 +129,8 @@
 
 def registration(target: LimitedTarget) -> dict[str, Any]:
     """Return a target's registration."""
-    host, port = target.address
     models = [{"name": MODEL, "version": 1, "adapters": []}] if target.is_engine else None
-    return {
-        "service": SERVICE,
-        "address": f"{host}:{port}",
-        "zone": "north",
-        "version": "v1",
-        "slots": SLOTS,
-        "state": "ready",
-        "cold_remaining_ms": 0,
-        "sequence": 0,
-        "born": 0,
-        "models": models,
-    }
+    return target_registration(SERVICE, target.address, slots=SLOTS, models=models)
 
 
 def _report() -> dict[str, Any]:
--- a/features/harness/versioned_target.py
+++ b/features/harness/versioned_target.py
@@ -9,6 +9,8 @@
 
 from harness.direct_target import read_request
 from harness.framed_target import reset
+from harness.listening_target import ListeningTarget
+from harness.listening_target import target_registration
 
 SERVICE = "models"
 SERVERS = "servers"
@@ -21,7 +23,7 @@
 
 
 @dataclass(slots=True)
-class VersionedTarget:
+class VersionedTarget(ListeningTarget):
     """Stream events that name its version, and break off the first run of a request that asks."""
 
     identity: str
@@ -32,11 +34,6 @@
     server: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
-    async def start(self) -> None:
-        """Listen on the address."""
-        self.server = await asyncio.start_server(self._serve, *self.address)
-        self.address = self.server.sockets[0].getsockname()[:2]
-
     def stop(self) -> None:
         """Stop listening and reset all connections."""
         if self.server:
@@ -93,17 +90,6 @@
         writer.write(codec.send(event) or b"")
 
 
-def registration(target: VersionedTarget, *, state: str = "ready") -> dict[str, Any]:
+def registration(target: VersionedTarget) -> dict[str, Any]:
     """Return a target's registration."""
-    host, port = target.address
-    return {
-        "service": SERVICE,
-        "address": f"{host}:{port}",
-        "zone": "north",
-        "version": target.version,
-        "slots": SLOTS,
-        "state": state,
-        "cold_remaining_ms": 0,
-        "sequence": 0,
-        "born": 0,
-    }
+    return target_registration(SERVICE, target.address, version=target.version, slots=SLOTS)
