Rename what a newcomer would stumble over in the streams' versions

Cause: read as a newcomer: `begun` for what was announced, `may_begin_at` for what also judges a stream that goes on, a doc comment without an end. Change: names and doc comments only.

--- a/packages/daemon/src/mimosaspur_daemon/direct/crashdetector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/crashdetector.py
@@ -58,19 +58,19 @@
 
     def on_connection_lost(self, view: TargetView, digest: bytes, stage: Stage) -> None:
         """Probe a target that has broken off a request."""
-        if probe := self._probe_of(view, digest, stage):
+        if probe := self._probe_for(view, digest, stage):
             probe.ended.discard(digest)
 
     def on_unmarked_end(self, view: TargetView, digest: bytes) -> None:
         """Probe a target that has closed the connection of a response that may be complete."""
-        if probe := self._probe_of(view, digest, Stage.RUNNING):
+        if probe := self._probe_for(view, digest, Stage.RUNNING):
             probe.ended.add(digest)
 
     def has_crashed(self, view: TargetView) -> bool:
         """Return whether a target is known to have crashed."""
         return view.record.incarnation in self.crashed
 
-    def _probe_of(self, view: TargetView, digest: bytes, stage: Stage) -> _Probe | None:
+    def _probe_for(self, view: TargetView, digest: bytes, stage: Stage) -> _Probe | None:
         """Return the probe of a target that had a request, None if there is nothing to find out."""
         incarnation = view.record.incarnation
         if incarnation in self.crashed:
--- a/packages/daemon/src/mimosaspur_daemon/direct/streamcontinuation.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamcontinuation.py
@@ -20,7 +20,15 @@
 class StreamContinuation:
     """Track the version that a stream must go on at, and tell other entries of it."""
 
-    __slots__ = ("begun", "is_resumption", "key", "resumable", "service", "version", "versions")
+    __slots__ = (
+        "announced",
+        "is_resumption",
+        "key",
+        "resumable",
+        "service",
+        "version",
+        "versions",
+    )
 
     def __init__(
         self,
@@ -46,7 +54,7 @@
         # The version that it has to go on at; None while any will do.
         self.version: str | None = None
         # What was last announced.
-        self.begun: StreamRecord | None = None
+        self.announced: StreamRecord | None = None
 
     async def resolve(self) -> VersionSource | None:
         """Find a resumed stream's version and return how it is known, None if it is unknown."""
@@ -57,7 +65,7 @@
         self.version, source = found
         return source
 
-    def may_begin_at(self, version: str) -> bool:
+    def allows(self, version: str) -> bool:
         """Return whether the stream may begin or go on at a version."""
         if self.version is not None:
             return version == self.version
@@ -73,11 +81,11 @@
         """
         if self.key is None or not self.resumable:
             return True
-        changed = self.begun is not None and self.begun.version != version
-        number = (self.begun.change if self.begun else 0) + changed
-        self.begun = StreamRecord(version, number)
+        changed = self.announced is not None and self.announced.version != version
+        number = (self.announced.change if self.announced else 0) + changed
+        self.announced = StreamRecord(version, number)
         return await self.versions.announce(
-            self.key, self.begun, service=self.service, is_change=changed
+            self.key, self.announced, service=self.service, is_change=changed
         )
 
     def on_event(self, version: str) -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -278,22 +278,22 @@
         now_s = _now_s()
         return [
             view
-            for view in self._permitted_by_version()
+            for view in self._allowed_by_version()
             if self.cooldown_ends_s.get(view.record.identity, 0) <= now_s
         ]
 
-    def _permitted_by_version(self) -> list[TargetView]:
-        """Return the targets at which the request's stream may begin or go on."""
+    def _allowed_by_version(self) -> list[TargetView]:
+        """Return the serving targets at whose version the stream may begin or go on."""
         views = self.state.fleet.serving_targets(self.service)
         if self.continuation is None:
             return views
-        return [view for view in views if self.continuation.may_begin_at(view.record.version)]
+        return [view for view in views if self.continuation.allows(view.record.version)]
 
     def _check_version(self) -> None:
         """Raise RequestFailed if a stream has to go on where no target can run it."""
         if self.continuation is None or self.continuation.version is None:
             return
-        views = self._permitted_by_version()
+        views = self._allowed_by_version()
         is_engine = self.spec is not None and self.spec.engine is not None and self.prompt.model
         if not any(not is_engine or view.can_run(self.prompt) for view in views):
             raise self.refusal(ResultCode.STREAM_VERSION_GONE)
@@ -304,7 +304,7 @@
 
     async def _wait_for_cooldown(self) -> None:
         self._check_version()
-        serving = self._permitted_by_version()
+        serving = self._allowed_by_version()
         if not serving or self.remaining_s() < RECHECK_INTERVAL_S:
             raise self.refusal(ResultCode.NO_READY_TARGET)
         await self.state.changes.wait(self._recheck_delay_s())
--- a/packages/transport/src/mimosaspur_transport/datagrams.py
+++ b/packages/transport/src/mimosaspur_transport/datagrams.py
@@ -8,7 +8,7 @@
 
 
 class DatagramEndpoint(asyncio.DatagramProtocol):
-    """Send and receive on one port; datagrams may be lost, and errors of single ones are."""
+    """Send and receive datagrams on one port; any of them may be lost."""
 
     def __init__(self, on_datagram: DatagramHandler) -> None:
         self.on_datagram = on_datagram
