Build a question about a stream in one place

Cause: read as a newcomer: a question was made with a number of 0 and then made again. Change: it is made once, with its number. The same datagrams are sent.

--- a/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
@@ -144,7 +144,7 @@
         versions = self.history.recent(service)
         lookup = VersionLookup(asked, versions=versions)
         if not lookup.is_decided():
-            await self._ask(lookup, StreamQuestion(self.instance, 0, service, key))
+            await self._ask(lookup, service, key)
         result = lookup.result()
         if result and result[1] is VersionSource.ONLY_VERSION and not self._may_conclude(asked):
             return None
@@ -164,13 +164,11 @@
         """Return whether the entries asked, or there being none, show what versions there are."""
         return bool(asked) or not self.entries_known or self.history.is_current()
 
-    async def _ask(self, lookup: VersionLookup, question: StreamQuestion) -> None:
+    async def _ask(self, lookup: VersionLookup, service: str, key: bytes) -> None:
         number = next(self.numbers)
         decided = asyncio.Event()
         self.lookups[number] = lookup, decided
-        data = encode_stream_message(
-            StreamQuestion(question.sender, number, question.service, question.key)
-        )
+        data = encode_stream_message(StreamQuestion(self.instance, number, service, key))
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 while not decided.is_set():
