--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -130,6 +130,12 @@
         self.view.on_end(self.handler.prompt)
         self.ended = True
 
+    def written_ms(self) -> int:
+        """Return for how long the target has been sending events."""
+        if not self.first_token:
+            return 0
+        return round((asyncio.get_running_loop().time() - self.first_token_s) * 1000)
+
     async def move(self, to: TargetView) -> bool:
         """Stop the run to continue it at another target; return whether it was stopped."""
         handler = self.handler
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -120,7 +120,9 @@
 
     def on_completed(self, digest: bytes) -> None:
         """Clear a request that a target has run to its end."""
+        crashes = self.ledger.crash_count(digest)
         if self.ledger.clear(digest):
+            self.state.log.write("cleared", digest=digest.hex(), crashes=crashes)
             self._schedule_review()
             self.state.report_requested.set()
             self.changes.notify()
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -88,6 +88,7 @@
         "unconfirmed_end",
         "waited_ms",
         "workspace",
+        "written_ms",
     )
 
     def __init__(
@@ -163,6 +164,8 @@
         self.predicted_ms = 0
         self.first_ms = 0
         self.longest_pause_ms = 0
+        # For how long the last attempt had received events when it ended.
+        self.written_ms = 0
         # Why the last attempt failed.
         self.cause = ""
         # Whether the target of the last attempt began to respond.
@@ -399,6 +402,7 @@
         finally:
             attempt.end()
             self.attempt = None
+            self.written_ms = attempt.written_ms()
             self.framing, self.connection_end = channel.framing, channel.connection_end
             # A connection with an unread response must not be reused, and closing it makes the
             # target stop the run.
@@ -419,6 +423,10 @@
             mark_end=response.marked,
         )
 
+    def part_identities(self) -> list[str]:
+        """Return the identities of the prompt's parts, in order."""
+        return [identity for identity, _ in self.prompt.parts]
+
     def _pace(self) -> float:
         return self.state.fleet.paces.token_cost(self.prompt.model)
 
