Play requests that share a part which crashes engines, failing

Each crash is put to another request, since no two are alike, so that nothing is quarantined.

Change: engines that crash on a part of a prompt, four and 24 entries before them, sound requests that share all other parts. The stand-in engine tells requests by body and parts; the scenarios with one crashing body are as before.

--- a/features/harness/crash_site.py
+++ b/features/harness/crash_site.py
@@ -1,4 +1,4 @@
-"""Run several entries before engines that a certain request crashes, and call them."""
+"""Run several entries before engines that certain requests crash, and call them."""
 
 import asyncio
 import itertools
@@ -6,10 +6,11 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
-from harness.crashing_engine import CRASHING_BODY
+from harness.crashing_engine import CRASHING_REQUEST
 from harness.crashing_engine import MODEL
 from harness.crashing_engine import SERVICE
 from harness.crashing_engine import CrashingFleet
+from harness.crashing_engine import EngineRequest
 from harness.direct_store import StoreStandIn
 from harness.entry_processes import EntryProcesses
 from harness.entry_site import HOST
@@ -22,10 +23,57 @@
 REPORT_S = 0.1
 SOUND_INTERVAL_S = 0.05
 CRASH_INTERVAL_S = 0.5
+# Parts of prompts: all requests of a route hold the first one.
+FIRST_PART = "0f1257"
+CRASHING_PART = "0bad01"
+SHARED_PART = "05ba2e"
+SUBJECT_COUNT = 5
+# For which sound requests come before those that crash engines.
+WARM_UP_S = 1.0
+# Fewer sound requests give no share.
+MIN_SHARE_REQUESTS = 15
+
+
+class Workload:
+    """Make copies of one request that crashes engines, and sound requests without a prompt."""
+
+    warm_up_s = 0.0
+
+    def crashes(self, request: EngineRequest) -> bool:
+        """Return whether a request crashes engines."""
+        return request == CRASHING_REQUEST
+
+    def crashing(self, number: int) -> EngineRequest:
+        """Return a request that crashes engines."""
+        return CRASHING_REQUEST
+
+    def sound(self, number: int) -> EngineRequest:
+        """Return a request that doesn't."""
+        return EngineRequest(b"sound %d" % number)
+
+
+class PartWorkload(Workload):
+    """Make requests, no two alike, of which those with one part in their prompts crash engines."""
+
+    warm_up_s = WARM_UP_S
+
+    def crashes(self, request: EngineRequest) -> bool:
+        """Return whether a request crashes engines."""
+        return CRASHING_PART in request.parts[:-1]
+
+    def crashing(self, number: int) -> EngineRequest:
+        """Return a request that crashes engines, and shares its other parts with sound ones."""
+        parts = (FIRST_PART, SHARED_PART, CRASHING_PART, f"c{number}")
+        return EngineRequest(b"crashing %d" % number, parts)
+
+    def sound(self, number: int) -> EngineRequest:
+        """Return a request that doesn't."""
+        subject = f"{number % SUBJECT_COUNT}a"
+        return EngineRequest(b"sound %d" % number, (FIRST_PART, SHARED_PART, subject, f"d{number}"))
 
 
 class CrashSite(EntrySite):
-    """Run a store, engines and entries, with sound requests and a crashing one."""
+    """Run a store, engines and entries, with sound requests and some that crash engines."""
 
     def __init__(
         self, entries: EntryProcesses | LocalEntries, *, store: StoreStandIn, engines: int
@@ -33,6 +81,7 @@
         super().__init__(entries, store=store)
         self.store.put("config", "main", configuration())
         self.fleet = CrashingFleet(self.store, engines)
+        self.workload = Workload()
         self.crashing: list[Answer] = []
         self.sound: list[Answer] = []
 
@@ -54,15 +103,17 @@
         choose_entry: Callable[[int], int],
         after_crash: Callable[[int], Awaitable[None]] | None = None,
     ) -> None:
-        """Send the crashing request again and again while sound requests are served.
+        """Send requests that crash engines while sound requests are served.
 
         `after_crash` is called with the number of each crash.
         """
+        self.fleet.crashes_on = self.workload.crashes
         sound = asyncio.create_task(self._send_sound_requests())
+        await asyncio.sleep(self.workload.warm_up_s)
         faults = asyncio.create_task(self._inject_faults(after_crash)) if after_crash else None
         calls = []
         for number in range(count):
-            calls.append(asyncio.create_task(self._call_crashing(choose_entry(number))))
+            calls.append(asyncio.create_task(self.call_crashing(choose_entry(number), number)))
             await asyncio.sleep(interval_s)
         await asyncio.gather(*calls)
         sound.cancel()
@@ -70,26 +121,39 @@
             faults.cancel()
 
     def third_crash_s(self) -> float:
-        """Return when the crashing request has crashed the third engine."""
-        crashes = [each for each in self.fleet.crashes if CRASHING_BODY in each.bodies]
+        """Return when the third engine crashed under a request that crashes engines."""
+        crashes = self.fleet.own_crashes()
         assert len(crashes) >= 3, crashes
         return crashes[2].at_s
 
-    async def _call_crashing(self, number: int) -> None:
-        self.crashing.append(await self.call(number, CRASHING_BODY, model=MODEL))
+    async def call_crashing(self, entry: int, number: int) -> Answer:
+        """Send a request that crashes engines to an entry."""
+        answer = await self._send(entry, self.workload.crashing(number))
+        self.crashing.append(answer)
+        return answer
+
+    def served_share(self, *, since_s: float, until_s: float) -> float:
+        """Return the share of the sound requests, sent in a time, that were begun at once."""
+        statuses = [each.status for each in self.sound if since_s <= each.sent_s < until_s]
+        assert len(statuses) >= MIN_SHARE_REQUESTS, statuses
+        return statuses.count(200) / len(statuses)
 
     async def _send_sound_requests(self) -> None:
         chooser = random.Random(1)
         calls: set[asyncio.Task[None]] = set()
         for number in itertools.count():
-            body = b"sound %d" % number
-            task = asyncio.create_task(self._call_sound(chooser.randrange(1_000), body))
+            request = self.workload.sound(number)
+            task = asyncio.create_task(self._call_sound(chooser.randrange(1_000), request))
             calls.add(task)
             task.add_done_callback(calls.discard)
             await asyncio.sleep(SOUND_INTERVAL_S)
 
-    async def _call_sound(self, number: int, body: bytes) -> None:
-        self.sound.append(await self.call(number, body, model=MODEL))
+    async def _call_sound(self, entry: int, request: EngineRequest) -> None:
+        self.sound.append(await self._send(entry, request))
+
+    async def _send(self, entry: int, request: EngineRequest) -> Answer:
+        headers = {"X-Prompt-Prefix": request.prefix()} if request.parts else None
+        return await self.call(entry, request.body, model=MODEL, headers=headers)
 
     async def _inject_faults(self, after_crash: Callable[[int], Awaitable[None]]) -> None:
         seen = 0
--- a/features/harness/crashing_engine.py
+++ b/features/harness/crashing_engine.py
@@ -1,4 +1,4 @@
-"""Simulate engines that crash when they run a certain body, and return under another identity."""
+"""Simulate engines that crash under certain requests, and return under another identity."""
 
 import asyncio
 import itertools
@@ -28,6 +28,22 @@
 REGISTRATION_LAPSE_S = 3.6
 SLOTS = 8
 REPORT_PATH = "/api/report"
+PART_TOKENS = 20
+
+
+@dataclass(slots=True, frozen=True)
+class EngineRequest:
+    """Hold what may crash an engine: a request's body and the parts of its prompt, in order."""
+
+    body: bytes
+    parts: tuple[str, ...] = ()
+
+    def prefix(self) -> str:
+        """Return the header that lists the parts."""
+        return ",".join(f"{part}:{PART_TOKENS}" for part in self.parts)
+
+
+CRASHING_REQUEST = EngineRequest(CRASHING_BODY)
 
 
 @dataclass(slots=True, frozen=True)
@@ -36,31 +52,31 @@
 
     at_s: float
     engine: str
-    request: str
-    body: bytes
+    identity: str
+    request: EngineRequest
 
 
 @dataclass(slots=True, frozen=True)
 class Crash:
-    """Record a crash and the bodies whose runs it ended, the crashing one among them."""
+    """Record a crash and the requests that it ended, those that crash engines among them."""
 
     at_s: float
     engine: str
-    bodies: tuple[bytes, ...]
+    requests: tuple[EngineRequest, ...]
 
 
 @dataclass(slots=True)
 class CrashingEngine(ListeningTarget):
-    """Run requests that stream events; a body that crashes it ends all of its connections."""
+    """Run requests that stream events; one that crashes it ends all of its connections."""
 
     identity: str
     address: tuple[str, int]
     on_arrival: Callable[[Arrival], None]
-    on_crash: Callable[["CrashingEngine", tuple[bytes, ...]], None]
-    crashes_on: Callable[[bytes], bool] = CRASHING_BODY.__eq__
+    on_crash: Callable[["CrashingEngine", tuple[EngineRequest, ...]], None]
+    crashes_on: Callable[[EngineRequest], bool] = CRASHING_REQUEST.__eq__
     server: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
-    in_flight: list[bytes] = field(default_factory=list)
+    in_flight: list[EngineRequest] = field(default_factory=list)
     free_slots: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(SLOTS))
     crashed: bool = False
     # Whether responses are sent without a length or chunks.
@@ -73,9 +89,9 @@
         if self.crashed:
             return
         self.crashed = True
-        bodies = tuple(self.in_flight)
+        requests = tuple(self.in_flight)
         self.stop()
-        self.on_crash(self, bodies)
+        self.on_crash(self, requests)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         codec = h11.Connection(h11.SERVER)
@@ -99,7 +115,10 @@
         if head.target.decode() == REPORT_PATH:
             _send_whole(codec, writer, 200, msgspec.json.encode(_report()))
             return
-        request = headers.get("x-attempt-id", "")
+        identity = headers.get("x-attempt-id", "")
+        prefix = headers.get("x-prompt-prefix", "")
+        parts = tuple(each.partition(":")[0] for each in prefix.split(",") if each)
+        request = EngineRequest(body, parts)
         if head.target.startswith(b"/api/"):
             _send_whole(codec, writer, 400, b"")
             return
@@ -107,23 +126,27 @@
             _send_whole(codec, writer, 421, b"")
             return
         now_s = asyncio.get_running_loop().time()
-        self.on_arrival(Arrival(now_s, self.identity, request, body))
-        self.in_flight.append(body)
+        self.on_arrival(Arrival(now_s, self.identity, identity, request))
+        self.in_flight.append(request)
         try:
             async with self.free_slots:
-                await self._run(codec, writer, request, body)
+                await self._run(codec, writer, identity, request)
         finally:
-            self.in_flight.remove(body)
+            self.in_flight.remove(request)
 
     async def _run(
-        self, codec: h11.Connection, writer: asyncio.StreamWriter, request: str, body: bytes
+        self,
+        codec: h11.Connection,
+        writer: asyncio.StreamWriter,
+        identity: str,
+        request: EngineRequest,
     ) -> None:
-        headers = [("X-Attempt-Id", request), ("X-Response-Signature", self.identity)]
+        headers = [("X-Attempt-Id", identity), ("X-Response-Signature", self.identity)]
         if self.unframed:
             # For an HTTP/1.0 peer the codec sends the body without chunks and closes.
             codec.their_http_version = b"1.0"
         writer.write(codec.send(h11.Response(status_code=200, headers=headers)) or b"")
-        crashes = self.crashes_on(body)
+        crashes = self.crashes_on(request)
         for number in range(1, (self.events_before_crash if crashes else EVENT_COUNT) + 1):
             await asyncio.sleep(EVENT_S)
             if writer.is_closing():
@@ -148,7 +171,7 @@
         self.engines: list[CrashingEngine] = []
         self.arrivals: list[Arrival] = []
         self.crashes: list[Crash] = []
-        self.crashes_on: Callable[[bytes], bool] = CRASHING_BODY.__eq__
+        self.crashes_on: Callable[[EngineRequest], bool] = CRASHING_REQUEST.__eq__
         # Of the engines that start from now on.
         self.unframed = False
         self.events_before_crash = 0
@@ -168,9 +191,14 @@
         for engine in self.engines:
             engine.stop()
 
-    def sent(self, body: bytes, *, after_s: float = 0.0) -> list[Arrival]:
-        """Return the arrivals of a body at engines, from a time on."""
-        return [each for each in self.arrivals if each.body == body and each.at_s > after_s]
+    def crashing_arrivals(self, *, after_s: float = 0.0) -> list[Arrival]:
+        """Return the requests that crash engines and reached one, from a time on."""
+        arrivals = (each for each in self.arrivals if each.at_s > after_s)
+        return [each for each in arrivals if self.crashes_on(each.request)]
+
+    def own_crashes(self) -> list[Crash]:
+        """Return the crashes at which a request was that crashes engines."""
+        return [each for each in self.crashes if any(map(self.crashes_on, each.requests))]
 
     async def _start_engine(self, address: tuple[str, int]) -> None:
         identity = f"i-{next(self.numbers)}"
@@ -179,7 +207,7 @@
             address,
             self.arrivals.append,
             self._record_crash,
-            lambda b: self.crashes_on(b),
+            lambda request: self.crashes_on(request),
             unframed=self.unframed,
             events_before_crash=self.events_before_crash,
         )
@@ -187,9 +215,9 @@
         self.engines.append(engine)
         self.store.put(SERVERS, identity, registration(engine))
 
-    def _record_crash(self, engine: CrashingEngine, bodies: tuple[bytes, ...]) -> None:
+    def _record_crash(self, engine: CrashingEngine, requests: tuple[EngineRequest, ...]) -> None:
         now_s = asyncio.get_running_loop().time()
-        self.crashes.append(Crash(now_s, engine.identity, bodies))
+        self.crashes.append(Crash(now_s, engine.identity, requests))
         self.engines.remove(engine)
         for work in (self._return(engine), self._lapse(engine)):
             task = asyncio.get_running_loop().create_task(work)
--- a/features/steps/direct_crashes_steps.py
+++ b/features/steps/direct_crashes_steps.py
@@ -10,8 +10,8 @@
 from behave.runner import Context
 
 from harness.crash_site import CrashSite
+from harness.crash_site import PartWorkload
 from harness.crash_site import flood
-from harness.crashing_engine import CRASHING_BODY
 from harness.direct_entry import DOMAIN
 from harness.direct_entry import REQUEST_KINDS
 from harness.direct_entry import DirectEntry
@@ -36,6 +36,8 @@
 CRASH_NOTICE_S = 0.3
 UNAVAILABLE_STATUS = 503
 EVENTS_BEFORE_CRASH = 2
+# Numbers of the requests that come after a play.
+FURTHER_REQUESTS = 1_000
 
 AfterCrash = Callable[[int], Awaitable[None]]
 
@@ -88,6 +90,14 @@
     run(context, work)
 
 
+@when(
+    "requests that share a part that crashes engines come {count:d} times in {seconds:d} s, {where}"
+)
+def send_crashing_part(context: Context, count: int, seconds: int, where: str) -> None:
+    context.crash_site.workload = PartWorkload()
+    send_crashing(context, count, seconds, where)
+
+
 def _fault(context: Context, fault: str) -> AfterCrash:
     """Return what happens after the crash of a number."""
     site: CrashSite = context.crash_site
@@ -138,11 +148,44 @@
 @then("it reached engines at most {most:d} times later than {ms:d} ms after its third crash")
 def check_late_arrivals(context: Context, most: int, ms: int) -> None:
     site = context.crash_site
-    late = site.fleet.sent(CRASHING_BODY, after_s=site.third_crash_s() + ms / 1000)
+    late = site.fleet.crashing_arrivals(after_s=site.third_crash_s() + ms / 1000)
     print(f"MEASURED {len(late)} arrivals later than {ms} ms after the third crash")
     assert len(late) <= most, late
 
 
+@then("they crashed at least {least:d} engines")
+def check_part_crashes(context: Context, least: int) -> None:
+    check_crashes(context, least)
+
+
+@then("they reached engines at most {most:d} times later than {ms:d} ms after their third crash")
+def check_late_part_arrivals(context: Context, most: int, ms: int) -> None:
+    check_late_arrivals(context, most, ms)
+
+
+@then("every entry then rejects one more of them within {ms:d} ms")
+def check_rejected_by_all(context: Context, ms: int) -> None:
+    site = context.crash_site
+    for number in range(site.entries.count):
+        answer = run(context, site.call_crashing(number, FURTHER_REQUESTS + number))
+        assert "3007" in answer.text, (number, answer)
+        assert answer.lasted_s <= ms / 1000, (number, answer)
+
+
+@then(
+    "of the sound requests at least {share:g} times as many as before were begun at their first"
+    " attempt, from {ms:d} ms after the third crash"
+)
+def check_sound_share(context: Context, share: float, ms: int) -> None:
+    site = context.crash_site
+    first_s = site.fleet.crashes[0].at_s
+    before = site.served_share(since_s=0.0, until_s=first_s)
+    since_s = site.third_crash_s() + ms / 1000
+    during = site.served_share(since_s=since_s, until_s=site.crashing[-1].sent_s)
+    print(f"MEASURED {before:.2f} begun before, {during:.2f} during")
+    assert during >= share * before, (before, during)
+
+
 @then("no sound request was rejected for the crashes")
 def check_sound(context: Context) -> None:
     site = context.crash_site
@@ -159,7 +202,7 @@
     site = context.crash_site
     due_s = max(site.third_crash_s(), context.healed_s) + ms / 1000
     since_s = site.entries.rejected_since_s
-    crashes = [(round(each.at_s, 2), len(each.bodies)) for each in site.fleet.crashes]
+    crashes = [(round(each.at_s, 2), len(each.requests)) for each in site.fleet.crashes]
     events = site.entries.link_events()
     assert len(since_s) == site.entries.count, (since_s, crashes, events)
     known_s = max(since_s.values()) - site.third_crash_s()
