Keep waiters of a quarantine from waking each other without end

What callers saw: an entry that answers nothing for up to a second, again and again, while copies of a suspected request wait.

Cause: a waiter whose request was at three settled crashes, and isn't blamed for them, reviews the evidence; each review notified all waiters, which reviewed it again, and so on until their wait of a second was over.

Change: a review notifies only if it changes a verdict; new evidence and cleared requests notify as before. The other notifications that a woken waiter can reach, as a turn or a target is given up, follow a change.

--- a/features/direct_crashes.feature
+++ b/features/direct_crashes.feature
@@ -30,6 +30,12 @@
     When 6 copies of it come at once
     Then no two of them were at targets at the same time, and all are served
 
+  # Guards against waiters that wake each other without end: the entry did nothing else for a second.
+  Scenario: Copies of a suspected request wait without keeping the entry busy
+    Given an entry with a request that was at three crashes beside another one, before a silent target
+    When 4 copies of it wait for 300 ms
+    Then the evidence was reviewed at most 12 times
+
   Scenario: A request that waits for a target is held once it may have crashed three
     Given an entry with a request that waits for a target
     When it was at three crashes by the time a target is there
--- a/features/steps/direct_crashes_steps.py
+++ b/features/steps/direct_crashes_steps.py
@@ -23,10 +23,13 @@
 from harness.entry_processes import EntryProcesses
 from harness.local_entries import LocalEntries
 from harness.loop import run
+from mimosaspur_coordination.quarantine.crashledger import SETTLE_MS
+from mimosaspur_coordination.quarantine.crashledger import CrashLedger
 from mimosaspur_coordination.quarantine.crashledger import Stage
 from mimosaspur_daemon.direct.requestdigest import request_digest
 from mimosaspur_daemon.direct.statusserver import StatusServer
 from mimosaspur_protocol.peermessages import CrashReport
+from mimosaspur_state.clock import Clock
 from mimosaspur_state.fleet import TargetRecord
 from mimosaspur_transport.callerconnection import CallerRequest
 
@@ -380,6 +383,54 @@
     assert all(answer.status == 200 and answer.whole for answer in context.answers)
 
 
+class CountingLedger(CrashLedger):
+    """Count the reviews of the evidence."""
+
+    __slots__ = ("reviews",)
+
+    def __init__(self, *, clock: Clock) -> None:
+        super().__init__(clock=clock)
+        self.reviews = 0
+
+    def assign_blame(self) -> None:
+        """Count a review and do it."""
+        self.reviews += 1
+        super().assign_blame()
+
+
+@given(
+    "an entry with a request that was at three crashes beside another one, before a silent target"
+)
+def start_suspected_pair(context: Context) -> None:
+    async def start() -> None:
+        context.entry = DirectEntry()
+        await context.entry.start(ScriptedTarget("target", "says nothing"))
+        state = context.entry.state
+        context.ledger = state.quarantine.ledger = CountingLedger(clock=state.clock)
+        requests = [(_digest_of("safe"), Stage.RUNNING), (b"other", Stage.RUNNING)]
+        reports = [CrashReport(f"i-{each}", SETTLE_MS, requests) for each in range(3)]
+        state.quarantine.apply_reports(reports, relay=False)
+
+    run(context, start())
+
+
+@when("{count:d} copies of it wait for {ms:d} ms")
+def let_copies_wait(context: Context, count: int, ms: int) -> None:
+    async def wait() -> None:
+        context.ledger.reviews = 0
+        calls = [asyncio.create_task(context.entry.call("safe")) for _ in range(count)]
+        await asyncio.sleep(ms / 1000)
+        for call in calls:
+            call.cancel()
+
+    run(context, wait())
+
+
+@then("the evidence was reviewed at most {most:d} times")
+def check_reviews(context: Context, most: int) -> None:
+    assert 0 < context.ledger.reviews <= most, context.ledger.reviews
+
+
 @given("an entry before a target that crashes, and starts again under its identity")
 def start_restarting(context: Context) -> None:
     async def start() -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -192,6 +192,7 @@
     def _on_change(self) -> None:
         """Review the evidence now, and again once it has settled."""
         self._apply_verdicts()
+        self.changes.notify()
         self._schedule_review()
 
     def _schedule_review(self) -> None:
@@ -213,13 +214,15 @@
         quarantined = self.ledger.quarantined()
         for digest in quarantined.keys() - self.announced:
             self._announce(digest, quarantined[digest])
-        self.announced = set(quarantined)
+        if quarantined.keys() != self.announced:
+            # Waiters review the evidence too: notified of each review, they would wake each other.
+            self.announced = set(quarantined)
+            self.changes.notify()
         for digest in quarantined:
             for handler in self.handlers.get(digest, ()):
                 handler.end_quarantined()
         if self.ledger.unreported:
             self.state.report_requested.set()
-        self.changes.notify()
 
     def _announce(self, digest: bytes, crashes: Sequence[Crash]) -> None:
         now_ms = self.state.clock.now_ms()
