Blame crashes on parts of prompts, in the ledger that blames requests

What callers saw: requests that share a part of a prompt end engine after engine, for as long as they come; all that is at an engine fails with it.

Cause: what is to blame is named at one width, the digest of the whole request. Requests that share only a part have no digest in common, so each crash had other suspects, none reached three, and nothing was quarantined. The class: a cause that is named at one fixed width.

Change: a request has traits, its digest and the parts of its prompt but the last, and the ledger blames traits. A crash lists which request held which part. A trait is not ruled out by one that all its requests hold, nor by narrower ones that were at fewer crashes; of those that the same requests hold the narrowest is blamed. What a target serves to its end, or has been writing for a second, clears its parts of the crashes so far; entries remember what they served before. Requests with a quarantined trait are rejected at once with 3007; those under way, waiting or moved end.

The scenario's share of sound requests leaves out those to an entry that was killed, and the last step asks the entries that run: a killed entry answers nobody, whatever the fix.

--- a/features/direct_crashing_parts.feature
+++ b/features/direct_crashing_parts.feature
@@ -7,7 +7,7 @@
     When requests that share a part that crashes engines come 20 times in 8 s, <where>
     Then they crashed at least 3 engines
     And they reached engines at most 3 times later than 3000 ms after their third crash
-    And every entry then rejects one more of them within 200 ms
+    And every entry that runs then rejects one more of them within 200 ms
     And no sound request was rejected for the crashes
     And of the sound requests at least 0.9 times as many as before were begun at their first attempt, from 3000 ms after the third crash
 
@@ -24,7 +24,7 @@
     When requests that share a part that crashes engines come 20 times in 8 s, <where>
     Then they crashed at least 3 engines
     And they reached engines at most 3 times later than 3000 ms after their third crash
-    And every entry then rejects one more of them within 200 ms
+    And every entry that runs then rejects one more of them within 200 ms
     And no sound request was rejected for the crashes
 
     Examples:
--- a/features/harness/entry_processes.py
+++ b/features/harness/entry_processes.py
@@ -45,6 +45,10 @@
         assert self.started
         return self.started.process
 
+    def runs(self) -> bool:
+        """Return whether the process hasn't ended."""
+        return self.process.poll() is None
+
     def start(self) -> None:
         """Start the process."""
         environment = {"MIMOSASPUR_SETTINGS": str(self.settings)}
--- a/features/harness/local_entries.py
+++ b/features/harness/local_entries.py
@@ -22,6 +22,10 @@
         self.callers = CallerServer(self.state)
         self.callers_address = ("", 0)
 
+    def runs(self) -> bool:
+        """Return whether the entry accepts callers."""
+        return self.callers.server is not None
+
     async def start(self) -> None:
         """Start the entry and accept callers."""
         await super().start()
--- a/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
@@ -1,7 +1,8 @@
-"""Record which requests were at targets that crashed, and quarantine the one that crashes them.
+"""Record which requests were at targets that crashed, and quarantine what crashes them.
 
-A record only grows: of two copies, each request keeps the later stage. So copies from any number of
-entries can be merged in any order, any number of times.
+A request has several traits, each of which may be behind a crash. A record only grows: of two
+copies, each trait keeps the later stage. So copies from any number of entries can be merged in any
+order, any number of times.
 """
 
 from collections.abc import Iterable
@@ -14,115 +15,196 @@
 from mimosaspur_coordination.quarantine.blame import QUARANTINE_THRESHOLD
 from mimosaspur_coordination.quarantine.blame import Evidence
 from mimosaspur_coordination.quarantine.blame import find_culprit
+from mimosaspur_coordination.quarantine.servedparts import ServedParts
+from mimosaspur_coordination.quarantine.traits import MAX_PARTS
+from mimosaspur_coordination.quarantine.traits import RequestTraits
+from mimosaspur_coordination.quarantine.traits import is_part
 from mimosaspur_state.clock import Clock
 
 # Evidence of other entries arrives within this time, longer than a report takes to reach all.
 SETTLE_MS = 500
 RETENTION_MS = 600_000
+# How long requests with a part that was served before are rejected after its last crash: such a
+# part is blamed wrongly if all targets crash for another reason and serve nothing meanwhile.
+SERVED_PART_RETENTION_MS = 30_000
+# A part that was served so shortly before a crash is not suspected of it.
+RECENTLY_SERVED_MS = 1_000
 MAX_CRASHES = 100
 MAX_REQUESTS_PER_CRASH = 64
+MAX_TRAITS_PER_CRASH = MAX_REQUESTS_PER_CRASH * (1 + MAX_PARTS)
+# Requests with a part that may have caused this many crashes are held back.
+MIN_PART_CRASHES = 2
 
 
 class Stage(IntEnum):
-    """Order what may be known of a request at a target that crashed."""
+    """Order what may be known of a trait at a target that crashed."""
 
-    # The target hadn't begun to respond.
+    # The target hadn't begun to respond to a request with it.
     QUEUED = 1
     RUNNING = 2
     # It is held to have crashed the target.
     BLAMED = 3
-    # It has completed at a target, so that it doesn't crash them.
+    # A target has served a request with it to its end, so that it doesn't crash them.
     CLEARED = 4
 
 
 @dataclass(slots=True)
 class Crash:
-    """Hold the requests that were at a target when it crashed, by digest."""
+    """Hold what was at a target when it crashed."""
 
     # The target's incarnation.
     target: str
     # On this instance's clock.
     known_since_ms: int
-    requests: dict[bytes, Stage] = field(default_factory=dict)
+    traits: dict[bytes, Stage] = field(default_factory=dict)
+    # The parts of each request's prompt, by digest.
+    parts: dict[bytes, tuple[bytes, ...]] = field(default_factory=dict)
+    # Parts that targets had served at some time before.
+    served: set[bytes] = field(default_factory=set)
     # Whether all entries have reported what they had there.
     complete: bool = False
 
     def is_explained(self) -> bool:
-        """Return whether a request is blamed for the crash."""
-        return Stage.BLAMED in self.requests.values()
+        """Return whether a trait is blamed for the crash."""
+        return Stage.BLAMED in self.traits.values()
 
     def suspects(self) -> dict[bytes, Stage]:
-        """Return the requests that may have crashed the target, only those blamed if there are."""
+        """Return the traits that may have crashed the target, only those blamed if there are."""
         explained = self.is_explained()
         return {
-            digest: stage
-            for digest, stage in self.requests.items()
+            trait: stage
+            for trait, stage in self.traits.items()
             if stage is Stage.BLAMED or (stage < Stage.BLAMED and not explained)
         }
 
+    def evidence(self) -> Evidence:
+        """Return what is known of the crash, to find what caused it."""
+        uncleared = {key: stage for key, stage in self.traits.items() if stage < Stage.CLEARED}
+        return Evidence(
+            suspects=uncleared,
+            complete=self.complete,
+            known_ms=self.known_since_ms,
+            parts=self.parts,
+            served=self.served,
+            blamed={key for key, stage in uncleared.items() if stage is Stage.BLAMED},
+        )
+
+    def has_room_for(self, trait: bytes) -> bool:
+        """Return whether another trait may be recorded."""
+        if is_part(trait):
+            return len(self.traits) < MAX_TRAITS_PER_CRASH
+        return self.request_count() < MAX_REQUESTS_PER_CRASH
+
+    def request_count(self) -> int:
+        """Return the number of requests that were there, as far as is known."""
+        return sum(not is_part(trait) for trait in self.traits)
+
 
 class CrashLedger:
     """Hold the crashes that are known here, by incarnation: each target crashes once in one."""
 
-    __slots__ = ("_by_request", "clock", "covered", "covered_since_ms", "crashes", "unreported")
+    __slots__ = (
+        "_by_trait",
+        "clock",
+        "covered",
+        "covered_since_ms",
+        "crashes",
+        "served",
+        "unreported",
+    )
 
     def __init__(self, *, clock: Clock) -> None:
         self.clock = clock
         # Oldest first.
         self.crashes: dict[str, Crash] = {}
-        # By target, the requests that were added or changed since they were last reported.
+        # By target, the traits that were added or changed since they were last reported.
         self.unreported: dict[str, set[bytes]] = {}
+        # What targets have served at this instance.
+        self.served = ServedParts(clock=clock)
         # The evidence of all entries is known on crashes since then, once `covered`; None if
         # nothing is known of it.
         self.covered_since_ms: int | None = None
         # Whether no entry is missing now.
         self.covered = False
-        # Derived from `crashes`: those that each request is a suspect of; None after a change.
-        self._by_request: dict[bytes, list[Crash]] | None = None
+        # Derived from `crashes`: those that each trait is a suspect of; None after a change.
+        self._by_trait: dict[bytes, list[Crash]] | None = None
 
     def record(
-        self, target: str, requests: Mapping[bytes, Stage], *, age_ms: int = 0, report: bool = True
+        self,
+        target: str,
+        traits: Mapping[bytes, Stage],
+        *,
+        parts: Mapping[bytes, Sequence[bytes]] | None = None,
+        served: Iterable[bytes] = (),
+        age_ms: int = 0,
+        report: bool = True,
     ) -> bool:
-        """Merge what is known of a crash; return whether it adds anything."""
+        """Merge what is known of a crash; return whether it adds anything.
+
+        `parts` tells the parts of requests by digest; they are recorded as traits too.
+        """
+        parts = parts or {}
         crash = self.crashes.get(target)
         if crash is None:
-            if not requests or age_ms >= RETENTION_MS:
+            if not traits or age_ms >= RETENTION_MS:
                 return False
             crash = self.crashes[target] = Crash(target, self.clock.now_ms() - age_ms)
-        changed = set()
-        # Runs go before queued requests if there isn't room for all.
-        for digest, stage in sorted(requests.items(), key=lambda item: -item[1]):
-            known = crash.requests.get(digest)
-            if known is None and len(crash.requests) >= MAX_REQUESTS_PER_CRASH:
-                break
-            if known is None or known < stage:
-                crash.requests[digest] = stage
-                changed.add(digest)
+        changed = self._merge(crash, _with_parts(traits, parts))
+        for digest in parts.keys() & crash.traits.keys():
+            crash.parts.setdefault(digest, tuple(parts[digest]))
+        newly_served = crash.traits.keys() & set(served) - crash.served
+        crash.served |= newly_served
+        changed |= newly_served | self._judge_by_own_memory(crash, changed)
         if changed:
-            self._by_request = None
+            self._by_trait = None
             if report:
                 self.unreported.setdefault(target, set()).update(changed)
         self._drop_excess()
         return bool(changed)
 
-    def clear(self, digest: bytes) -> bool:
-        """Record that a request has completed at a target; return whether it was suspected."""
-        found = [each.target for each in self.crashes.values() if digest in each.requests]
-        cleared = [self.record(target, {digest: Stage.CLEARED}) for target in found]
+    def on_served(self, parts: Sequence[bytes]) -> bool:
+        """Record that a target has served a request with these parts; return as `clear` does."""
+        self.served.record(parts)
+        cleared = [part for part in parts if self.clear(part)]
+        return bool(cleared)
+
+    def clear(self, trait: bytes) -> bool:
+        """Record that a trait doesn't crash targets; return whether it was suspected."""
+        found = [
+            each.target
+            for each in self.crashes.values()
+            if each.traits.get(trait, Stage.CLEARED) < Stage.CLEARED
+        ]
+        cleared = [self.record(target, {trait: Stage.CLEARED}) for target in found]
         return any(cleared)
 
-    def crash_count(self, digest: bytes) -> int:
-        """Return how many crashes a request is a suspect of."""
-        return len(self._crashes_of(digest))
+    def crash_count(self, trait: bytes) -> int:
+        """Return how many crashes a trait is a suspect of."""
+        return len(self._crashes_of(trait))
 
-    def is_quarantined(self, digest: bytes) -> bool:
-        """Return whether a request is blamed for as many crashes as are enough."""
-        return _is_enough(digest, self._crashes_of(digest))
+    def is_quarantined(self, trait: bytes) -> bool:
+        """Return whether a trait is blamed for as many crashes as are enough."""
+        return self._is_enough(trait, self._crashes_of(trait))
 
     def quarantined(self) -> dict[bytes, list[Crash]]:
-        """Return the quarantined requests with the crashes that they are blamed for."""
+        """Return the quarantined traits with the crashes that they are blamed for."""
         index = self._index()
-        return {digest: own for digest, own in index.items() if _is_enough(digest, own)}
+        return {trait: own for trait, own in index.items() if self._is_enough(trait, own)}
+
+    def holding(self, traits: RequestTraits) -> list[bytes]:
+        """Return the traits for which a request has to wait for other requests with them.
+
+        A part that was served before holds none back: most of those with it are sound.
+        """
+        if not self.crashes:
+            return []
+        held = [traits.digest] if self.crash_count(traits.digest) else []
+        for part in traits.parts:
+            crashes = self._crashes_of(part)
+            served = any(part in crash.served for crash in crashes)
+            if len(crashes) >= MIN_PART_CRASHES and not served:
+                held.append(part)
+        return held
 
     def set_covered(self, age_ms: int) -> bool:
         """Set the age of the oldest crash with the evidence of all entries, negative if unknown.
@@ -135,48 +217,87 @@
             self.covered_since_ms = self.clock.now_ms() - age_ms
         return self.covered and not before and bool(self.crashes)
 
-    def settles_in_ms(self, digest: bytes) -> int:
-        """Return the time until a verdict on a request is due, 0 if none is."""
-        crashes = self._crashes_of(digest)
-        if len(crashes) < QUARANTINE_THRESHOLD or self.is_quarantined(digest):
+    def settles_in_ms(self, trait: bytes) -> int:
+        """Return the time until a verdict on a trait is due, 0 if none is."""
+        crashes = self._crashes_of(trait)
+        if len(crashes) < QUARANTINE_THRESHOLD or self.is_quarantined(trait):
             return 0
         newest_ms = max(crash.known_since_ms for crash in crashes)
         return max(0, newest_ms + SETTLE_MS - self.clock.now_ms())
 
     def assign_blame(self) -> None:
-        """Blame crashes on requests where the evidence suffices."""
+        """Blame crashes on traits where the evidence suffices."""
         self._mark_complete()
         blamed = {
-            digest
+            trait
             for crash in self.crashes.values()
-            for digest, stage in crash.requests.items()
+            for trait, stage in crash.traits.items()
             if stage is Stage.BLAMED
         }
-        for digest in blamed:
+        for trait in blamed:
             # One that was blamed before is blamed for each further crash at once.
-            self._blame(digest)
+            self._blame(trait)
         while (culprit := self._find_culprit()) is not None:
             self._blame(culprit)
 
     def take_unreported(self) -> list[Crash]:
         """Return what has been added or changed since the last call."""
-        changed = [
-            Crash(target, self.crashes[target].known_since_ms, self._stages(target, digests))
-            for target, digests in self.unreported.items()
-        ]
+        changed = [self._extract(target, traits) for target, traits in self.unreported.items()]
         self.unreported.clear()
         return changed
 
     def report_all(self) -> None:
         """Report all records again, to a coordinator that may not have them."""
-        self.unreported = {target: set(each.requests) for target, each in self.crashes.items()}
+        self.unreported = {target: set(each.traits) for target, each in self.crashes.items()}
+
+    def _extract(self, target: str, traits: set[bytes]) -> Crash:
+        """Return the part of a record that concerns some traits."""
+        crash = self.crashes[target]
+        return Crash(
+            target,
+            crash.known_since_ms,
+            {trait: crash.traits[trait] for trait in traits},
+            {digest: crash.parts[digest] for digest in traits & crash.parts.keys()},
+            traits & crash.served,
+        )
+
+    def _merge(self, crash: Crash, traits: Mapping[bytes, Stage]) -> set[bytes]:
+        """Raise stages in a record; return the traits that were added or changed."""
+        changed = set()
+        # Runs go before queued requests if there isn't room for all.
+        for trait, stage in sorted(traits.items(), key=lambda item: -item[1]):
+            known = crash.traits.get(trait)
+            if known is None and not crash.has_room_for(trait):
+                continue
+            if known is None or known < stage:
+                crash.traits[trait] = stage
+                changed.add(trait)
+        return changed
 
-    def _stages(self, target: str, digests: Iterable[bytes]) -> dict[bytes, Stage]:
-        return {digest: self.crashes[target].requests[digest] for digest in digests}
+    def _judge_by_own_memory(self, crash: Crash, traits: Iterable[bytes]) -> set[bytes]:
+        """Clear parts that were served just before a crash, and note those served earlier.
 
-    def _blame(self, digest: bytes) -> None:
-        for crash in list(self._crashes_of(digest)):
-            self.record(crash.target, {digest: Stage.BLAMED})
+        Return the parts that were changed.
+        """
+        changed = set()
+        for trait in traits:
+            served_ms = self.served.last_ms(trait)
+            if served_ms is None or served_ms < crash.known_since_ms - RETENTION_MS:
+                continue
+            if served_ms >= crash.known_since_ms - RECENTLY_SERVED_MS:
+                crash.traits[trait] = Stage.CLEARED
+                changed.add(trait)
+            elif trait not in crash.served:
+                crash.served.add(trait)
+                changed.add(trait)
+        return changed
+
+    def _blame(self, trait: bytes) -> None:
+        for crash in list(self.crashes.values()):
+            if crash.traits.get(trait, Stage.BLAMED) < Stage.BLAMED and (
+                not crash.is_explained() or crash.evidence().may_blame(trait)
+            ):
+                self.record(crash.target, {trait: Stage.BLAMED})
 
     def _mark_complete(self) -> None:
         """Mark the settled crashes on which all entries have reported."""
@@ -187,26 +308,34 @@
             crash.complete |= self.covered_since_ms <= crash.known_since_ms <= settled_ms
 
     def _find_culprit(self) -> bytes | None:
-        """Return a request that explains enough crashes for which nothing is blamed yet."""
+        """Return a trait that explains enough crashes, one at least that nothing is blamed for."""
         settled_ms = self.clock.now_ms() - SETTLE_MS
-        unexplained = [
-            Evidence(crash.suspects(), crash.complete)
-            for crash in self.crashes.values()
-            if crash.known_since_ms <= settled_ms and not crash.is_explained()
-        ]
-        return find_culprit(unexplained)
+        settled = [each for each in self.crashes.values() if each.known_since_ms <= settled_ms]
+        if all(crash.is_explained() for crash in settled):
+            return None
+        return find_culprit([crash.evidence() for crash in settled])
 
-    def _crashes_of(self, digest: bytes) -> list[Crash]:
-        return self._index().get(digest, []) if self.crashes else []
+    def _crashes_of(self, trait: bytes) -> list[Crash]:
+        return self._index().get(trait, []) if self.crashes else []
 
     def _index(self) -> dict[bytes, list[Crash]]:
         self._expire()
-        if self._by_request is None:
-            self._by_request = {}
+        if self._by_trait is None:
+            self._by_trait = {}
             for crash in self.crashes.values():
-                for digest in crash.suspects():
-                    self._by_request.setdefault(digest, []).append(crash)
-        return self._by_request
+                for trait in crash.suspects():
+                    self._by_trait.setdefault(trait, []).append(crash)
+        return self._by_trait
+
+    def _is_enough(self, trait: bytes, crashes: Sequence[Crash]) -> bool:
+        """Return whether a trait is blamed for enough of its crashes to be quarantined."""
+        blamed = [crash for crash in crashes if crash.traits[trait] is Stage.BLAMED]
+        if len(blamed) < QUARANTINE_THRESHOLD:
+            return False
+        if not any(trait in crash.served for crash in blamed):
+            return True
+        newest_ms = max(crash.known_since_ms for crash in blamed)
+        return self.clock.now_ms() - newest_ms < SERVED_PART_RETENTION_MS
 
     def _expire(self) -> None:
         oldest_ms = self.clock.now_ms() - RETENTION_MS
@@ -224,10 +353,17 @@
         for target in targets:
             del self.crashes[target]
             self.unreported.pop(target, None)
-            self._by_request = None
-
-
-def _is_enough(digest: bytes, crashes: Iterable[Crash]) -> bool:
-    """Return whether a request is blamed for enough of its crashes to be quarantined."""
-    blamed = sum(crash.requests[digest] is Stage.BLAMED for crash in crashes)
-    return blamed >= QUARANTINE_THRESHOLD
+            self._by_trait = None
+
+
+def _with_parts(
+    traits: Mapping[bytes, Stage], parts: Mapping[bytes, Sequence[bytes]]
+) -> dict[bytes, Stage]:
+    """Add the parts of requests that were at a target, at the furthest stage of their requests."""
+    merged = dict(traits)
+    for digest, own in parts.items():
+        stage = traits.get(digest, Stage.CLEARED)
+        if stage <= Stage.RUNNING:
+            for part in own:
+                merged[part] = max(stage, merged.get(part, stage))
+    return merged
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -92,6 +92,7 @@
         "unread",
         "version",
         "view",
+        "was_served",
     )
 
     def __init__(
@@ -122,6 +123,8 @@
         self.first_token = False
         self.first_token_s = 0.0
         self.last_event_s = 0.0
+        # Whether the target began to write an answer, and not only an error.
+        self.was_served = False
 
     def end(self) -> None:
         """Remove the request from the target's work."""
@@ -190,7 +193,9 @@
             handler.cause = str(error)
             self.view.health.record_failure()
             stage = Stage.RUNNING if handler.head_received else Stage.QUEUED
-            handler.state.quarantine.detector.on_connection_lost(self.view, handler.digest, stage)
+            quarantine = handler.state.quarantine
+            quarantine.on_written(handler.traits, self.written_ms())
+            quarantine.detector.on_connection_lost(self.view, handler.traits, stage)
             return AttemptResult.BROKEN
         except TimeoutError:
             if asyncio.get_running_loop().time() >= handler.deadline_s:
@@ -265,6 +270,7 @@
             handler.failure = response
             return AttemptResult.FAILED
         self.view.health.record_success()
+        self.was_served = head.status < 300
         if handler.started:
             raise ChannelBroken("target answered a resumed stream with a whole response")
         await handler.forward_response(response)
@@ -334,7 +340,7 @@
             return Completeness.BROKEN
         handler.unconfirmed_end = last_id
         detector = handler.state.quarantine.detector
-        detector.on_unmarked_end(self.view, handler.digest)
+        detector.on_unmarked_end(self.view, handler.traits)
         await detector.wait_for_first_probe(self.view)
         return Completeness.BROKEN if detector.has_crashed(self.view) else completeness
 
@@ -362,7 +368,7 @@
     def _record_first_token(self) -> None:
         if self.first_token:
             return
-        self.first_token = True
+        self.first_token = self.was_served = True
         now_s = self.first_token_s = asyncio.get_running_loop().time()
         self.handler.first_ms = round((now_s - self.handler.request.arrived_s) * 1000)
         took_ms = (now_s - self.sent_s) * 1000
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
@@ -26,7 +26,7 @@
     log.write(
         "answered" if result is AttemptResult.DONE else "attempt",
         request=handler.request_id(),
-        digest=handler.digest.hex(),
+        digest=handler.traits.digest.hex(),
         parts=handler.part_identities(),
         workspace=handler.workspace.name if handler.workspace else "",
         route=handler.route.name,
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -138,7 +138,7 @@
             late = request.arrived_s > self.state.balancer_noticed_s and not handler.ends_in_time()
             if late or self.state.shutting_down:
                 raise self._draining_refusal(handler)
-            self.state.quarantine.check(handler.digest)
+            self.state.quarantine.check(handler.traits)
             charge_quota(handler)
         except RequestFailed as failure:
             await self._refuse(connection, request, failure, handler)
@@ -213,7 +213,7 @@
         self.state.log.write(
             "given_up",
             request=identity.decode("latin-1"),
-            digest=handler.digest.hex() if handler else "",
+            digest=handler.traits.digest.hex() if handler else "",
             parts=handler.part_identities() if handler else [],
             path=request.path,
             model=(header(request.headers, self.state.dependencies.dialect.model) or b"").decode(
--- a/packages/daemon/src/mimosaspur_daemon/direct/crashdetector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/crashdetector.py
@@ -8,6 +8,7 @@
 
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.quarantine.crashledger import Stage
+from mimosaspur_coordination.quarantine.traits import RequestTraits
 from mimosaspur_transport.httpchannel import ChannelBroken
 from mimosaspur_transport.httpchannel import ConnectionRefused
 from mimosaspur_transport.httpchannel import HttpChannel
@@ -21,10 +22,10 @@
 # A refusal arrives within a round trip; a target that is out of reach answers nothing.
 FIRST_PROBE_WAIT_S = 0.05
 
-# Called with the digest of a request whose target has not crashed.
-SurvivalHandler = Callable[[bytes], None]
+# Called with the traits of a request whose target has not crashed.
+SurvivalHandler = Callable[[RequestTraits], None]
 # Called with the target's incarnation, its requests, and the time since the first was broken off.
-CrashHandler = Callable[[str, Mapping[bytes, Stage], int], None]
+CrashHandler = Callable[[str, Mapping[RequestTraits, Stage], int], None]
 
 
 class _Probe:
@@ -34,9 +35,9 @@
 
     def __init__(self, *, began_ms: int) -> None:
         self.began_ms = began_ms
-        self.requests: dict[bytes, Stage] = {}
+        self.requests: dict[RequestTraits, Stage] = {}
         # Those of them that may have run to their end.
-        self.ended: set[bytes] = set()
+        self.ended: set[RequestTraits] = set()
         # Set after the first attempt to connect.
         self.answered = asyncio.Event()
 
@@ -56,25 +57,25 @@
         self.crashed: dict[str, None] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
-    def on_connection_lost(self, view: TargetView, digest: bytes, stage: Stage) -> None:
+    def on_connection_lost(self, view: TargetView, traits: RequestTraits, stage: Stage) -> None:
         """Probe a target that has broken off a request."""
-        if probe := self._probe_for(view, digest, stage):
-            probe.ended.discard(digest)
+        if probe := self._probe_for(view, traits, stage):
+            probe.ended.discard(traits)
 
-    def on_unmarked_end(self, view: TargetView, digest: bytes) -> None:
+    def on_unmarked_end(self, view: TargetView, traits: RequestTraits) -> None:
         """Probe a target that has closed the connection of a response that may be complete."""
-        if probe := self._probe_for(view, digest, Stage.RUNNING):
-            probe.ended.add(digest)
+        if probe := self._probe_for(view, traits, Stage.RUNNING):
+            probe.ended.add(traits)
 
     def has_crashed(self, view: TargetView) -> bool:
         """Return whether a target is known to have crashed."""
         return view.record.incarnation in self.crashed
 
-    def _probe_for(self, view: TargetView, digest: bytes, stage: Stage) -> _Probe | None:
+    def _probe_for(self, view: TargetView, traits: RequestTraits, stage: Stage) -> _Probe | None:
         """Return the probe of a target that had a request, None if there is nothing to find out."""
         incarnation = view.record.incarnation
         if incarnation in self.crashed:
-            self.on_crash(incarnation, {digest: stage}, 0)
+            self.on_crash(incarnation, {traits: stage}, 0)
             return None
         known = self.state.fleet.targets.get(view.record.identity)
         if known is None or known.record.leaving:
@@ -86,7 +87,7 @@
             task = asyncio.get_running_loop().create_task(self._probe(view, probe))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
-        probe.requests[digest] = max(stage, probe.requests.get(digest, stage))
+        probe.requests[traits] = max(stage, probe.requests.get(traits, stage))
         return probe
 
     async def wait_for_first_probe(self, view: TargetView) -> None:
@@ -112,8 +113,8 @@
                 await asyncio.sleep(PROBE_INTERVAL_S)
                 if channel.is_reusable():
                     self.state.pool(view.record).adopt(channel)
-                    for digest in probe.ended:
-                        self.on_survival(digest)
+                    for traits in probe.ended:
+                        self.on_survival(traits)
                     return
                 channel.close()
         except ChannelBroken:
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -1,4 +1,4 @@
-"""Keep requests that crash targets away from them."""
+"""Keep requests away from targets that they, or a part of their prompts, would crash."""
 
 import asyncio
 import contextlib
@@ -8,11 +8,15 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
+from mimosaspur_coordination.quarantine.alternatives import alternatives
 from mimosaspur_coordination.quarantine.blame import QUARANTINE_THRESHOLD
 from mimosaspur_coordination.quarantine.crashledger import SETTLE_MS
 from mimosaspur_coordination.quarantine.crashledger import Crash
 from mimosaspur_coordination.quarantine.crashledger import CrashLedger
 from mimosaspur_coordination.quarantine.crashledger import Stage
+from mimosaspur_coordination.quarantine.traits import RequestTraits
+from mimosaspur_coordination.quarantine.traits import is_part
+from mimosaspur_coordination.quarantine.traits import trait_name
 from mimosaspur_daemon.direct.changenotifier import ChangeNotifier
 from mimosaspur_daemon.direct.crashdetector import CrashDetector
 from mimosaspur_daemon.direct.refusal import RequestFailed
@@ -25,7 +29,9 @@
 
 # A request that may have caused this many crashes runs where the fewest others would be lost.
 ISOLATION_THRESHOLD = 2
-# Limit on the wait for another copy of the same request: one that crashes targets does so sooner.
+# A run that has written for so long shows that its prompt doesn't crash its target.
+WRITTEN_PROOF_MS = 1_000
+# Limit on the wait for another request with the same trait: a crash takes less time.
 MAX_COPY_WAIT_MS = 1_000
 # Timers may fire slightly early.
 TIMER_MARGIN_MS = 5
@@ -38,12 +44,12 @@
         self.state = state
         self.ledger = CrashLedger(clock=state.clock)
         self.detector = CrashDetector(state, on_crash=self._on_crash, on_survival=self.on_completed)
-        self.handlers: dict[bytes, set[RequestHandler]] = {}
-        # Digests of requests that are at a target, with their numbers.
+        self.handlers: set[RequestHandler] = set()
+        # Traits of requests that are at a target, with the numbers of these.
         self.at_targets: dict[bytes, int] = {}
-        # The one copy of each suspect that may be sent.
+        # The one request with each suspected trait that may be sent.
         self.turns: dict[bytes, RequestHandler] = {}
-        # Requests whose quarantine has been logged.
+        # Traits whose quarantine has been logged.
         self.announced: set[bytes] = set()
         self.changes = ChangeNotifier()
         # The next review of the evidence, and whether another one must follow it.
@@ -53,79 +59,98 @@
     @contextlib.contextmanager
     def handling(self, handler: "RequestHandler") -> Iterator[None]:
         """Let a verdict on the request end its handler within the context."""
-        handlers = self.handlers.setdefault(handler.digest, set())
-        handlers.add(handler)
+        self.handlers.add(handler)
         try:
             yield
         finally:
-            handlers.discard(handler)
-            if not handlers:
-                self.handlers.pop(handler.digest, None)
-            if self.turns.get(handler.digest) is handler:
-                del self.turns[handler.digest]
+            self.handlers.discard(handler)
+            turns = [each for each in handler.traits.all() if self.turns.get(each) is handler]
+            for trait in turns:
+                del self.turns[trait]
+            if turns:
                 self.changes.notify()
 
     @contextlib.contextmanager
-    def at_target(self, digest: bytes) -> Iterator[None]:
+    def at_target(self, traits: RequestTraits) -> Iterator[None]:
         """Count a request as being at a target within the context."""
-        self.at_targets[digest] = self.at_targets.get(digest, 0) + 1
+        for trait in traits.all():
+            self.at_targets[trait] = self.at_targets.get(trait, 0) + 1
         try:
             yield
         finally:
-            self.at_targets[digest] -= 1
-            if not self.at_targets[digest]:
-                del self.at_targets[digest]
-            if self.ledger.crash_count(digest):
+            for trait in traits.all():
+                self.at_targets[trait] -= 1
+                if not self.at_targets[trait]:
+                    del self.at_targets[trait]
+            if self.ledger.holding(traits):
                 self.changes.notify()
 
-    def check(self, digest: bytes) -> None:
+    def check(self, traits: RequestTraits) -> None:
         """Raise RequestFailed if a request is quarantined."""
-        if self.ledger.is_quarantined(digest):
+        if any(map(self.ledger.is_quarantined, traits.all())):
             raise RequestFailed(ResultCode.REQUEST_QUARANTINED)
 
     async def wait_to_send(self, handler: "RequestHandler") -> None:
         """Wait until a suspected request may be sent; raise RequestFailed if it may not.
 
-        It waits for a verdict that is due, and for some time for another copy of it.
+        It waits for a verdict that is due, and for some time for other requests with its traits.
         """
-        digest = handler.digest
         clock = self.state.clock
         copy_wait_ends_ms = clock.now_ms() + MAX_COPY_WAIT_MS
-        while count := self.ledger.crash_count(digest):
-            wait_ms = self.ledger.settles_in_ms(digest)
-            if count >= QUARANTINE_THRESHOLD and not wait_ms:
+        while True:
+            self.check(handler.traits)
+            traits = self.ledger.holding(handler.traits)
+            if not traits:
+                return
+            wait_ms = max(map(self.ledger.settles_in_ms, traits))
+            most = max(map(self.ledger.crash_count, traits))
+            if most >= QUARANTINE_THRESHOLD and not wait_ms:
                 self._apply_verdicts()
-            self.check(digest)
+                self.check(handler.traits)
             if not wait_ms:
                 wait_ms = copy_wait_ends_ms - clock.now_ms()
-                if wait_ms <= 0 or not self._other_copy_is_sent(handler):
-                    self.turns[digest] = handler
+                if wait_ms <= 0 or not any(self._other_is_sent(each, handler) for each in traits):
+                    self.turns.update(dict.fromkeys(traits, handler))
                     return
             await self.changes.wait(wait_ms / 1000)
 
-    def _other_copy_is_sent(self, handler: "RequestHandler") -> bool:
-        turn = self.turns.get(handler.digest)
+    def _other_is_sent(self, trait: bytes, handler: "RequestHandler") -> bool:
+        turn = self.turns.get(trait)
         if turn is None:
-            # Copies may have been sent before the request was suspected.
-            return handler.digest in self.at_targets
+            # Some may have been sent before the trait was suspected.
+            return trait in self.at_targets
         return turn is not handler
 
-    def is_held(self, digest: bytes) -> bool:
+    def is_held(self, traits: RequestTraits) -> bool:
         """Return whether a request must not be sent now: it is quarantined, or a verdict is due."""
-        return self.ledger.is_quarantined(digest) or self.ledger.settles_in_ms(digest) > 0
+        if any(map(self.ledger.is_quarantined, traits.all())):
+            return True
+        return any(self.ledger.settles_in_ms(each) > 0 for each in self.ledger.holding(traits))
 
-    def is_isolated(self, digest: bytes) -> bool:
+    def is_isolated(self, traits: RequestTraits) -> bool:
         """Return whether a request should run where the fewest others would be lost."""
-        return self.ledger.crash_count(digest) >= ISOLATION_THRESHOLD
+        held = self.ledger.holding(traits)
+        return any(self.ledger.crash_count(each) >= ISOLATION_THRESHOLD for each in held)
 
-    def on_completed(self, digest: bytes) -> None:
-        """Clear a request that a target has run to its end."""
-        crashes = self.ledger.crash_count(digest)
-        if self.ledger.clear(digest):
-            self.state.log.write("cleared", digest=digest.hex(), crashes=crashes)
-            self._schedule_review()
-            self.state.report_requested.set()
-            self.changes.notify()
+    def on_completed(self, traits: RequestTraits) -> None:
+        """Clear a request that a target has run to its end, and the parts of its prompt."""
+        suspected = [trait for trait in traits.all() if self.ledger.crash_count(trait)]
+        cleared = self.ledger.clear(traits.digest)
+        cleared |= self.ledger.on_served(traits.parts)
+        if cleared:
+            self._on_cleared(suspected)
+
+    def on_written(self, traits: RequestTraits, written_ms: int) -> None:
+        """Clear the parts of a prompt whose answer a target has been writing for long enough."""
+        if written_ms >= WRITTEN_PROOF_MS and self.ledger.on_served(traits.parts):
+            self._on_cleared(traits.parts)
+
+    def _on_cleared(self, traits: Iterable[bytes]) -> None:
+        for trait in traits:
+            self.state.log.write("cleared", trait=trait_name(trait))
+        self._schedule_review()
+        self.state.report_requested.set()
+        self.changes.notify()
 
     def set_coverage(self, age_ms: int) -> None:
         """Set for how long the evidence of all entries is known, MISSING while it isn't."""
@@ -137,7 +162,12 @@
         changed = False
         for each in reports:
             changed |= self.ledger.record(
-                each.target, dict(each.requests), age_ms=each.age_ms, report=relay
+                each.target,
+                dict(each.traits),
+                parts=each.parts,
+                served=each.served,
+                age_ms=each.age_ms,
+                report=relay,
             )
         if changed:
             self._on_change()
@@ -151,50 +181,61 @@
         return self._messages(self.ledger.crashes.values())
 
     def listing(self) -> list[dict[str, object]]:
-        """Return the quarantined requests for operators, with the crashes they are blamed for."""
+        """Return what is quarantined, for operators, with the crashes that it is blamed for."""
         now_ms = self.state.clock.now_ms()
         return [
             {
-                "digest": digest.hex(),
+                "trait": trait_name(trait),
                 "crashes": [
                     {"target": crash.target, "age_ms": now_ms - crash.known_since_ms}
                     for crash in crashes
                 ],
             }
-            for digest, crashes in self.ledger.quarantined().items()
+            for trait, crashes in self.ledger.quarantined().items()
         ]
 
-    def lift(self, digest: bytes) -> bool:
-        """Clear a request on an operator's behalf; return whether it was suspected."""
-        known = self.ledger.clear(digest)
-        self.state.log.always("quarantine_lifted", digest=digest.hex(), known=known)
+    def lift(self, trait: bytes) -> bool:
+        """Clear a trait on an operator's behalf; return whether it was suspected."""
+        known = self.ledger.clear(trait)
+        self.state.log.always("quarantine_lifted", trait=trait_name(trait), known=known)
         self._on_change()
         return known
 
     def _on_crash(
-        self, incarnation: str, requests: Mapping[bytes, Stage], evidence_age_ms: int
+        self, incarnation: str, requests: Mapping[RequestTraits, Stage], evidence_age_ms: int
     ) -> None:
-        if not self.ledger.record(incarnation, requests):
+        stages = {traits.digest: stage for traits, stage in requests.items()}
+        parts = {traits.digest: traits.parts for traits in requests if traits.parts}
+        if not self.ledger.record(incarnation, stages, parts=parts):
             return
-        for digest, stage in requests.items():
+        crash = self.ledger.crashes[incarnation]
+        for traits, stage in requests.items():
             self.state.log.write(
                 "crash",
                 target=incarnation,
-                digest=digest.hex(),
+                digest=traits.digest.hex(),
+                parts=[trait_name(each) for each in traits.parts],
                 stage=stage.name.lower(),
                 evidence="connection refused",
                 age_ms=evidence_age_ms,
-                requests=len(self.ledger.crashes[incarnation].requests),
-                crashes=self.ledger.crash_count(digest),
+                requests=crash.request_count(),
+                crashes=max(map(self.ledger.crash_count, traits.all())),
             )
         self._on_change()
 
     def _on_change(self) -> None:
         """Review the evidence now, and again once it has settled."""
+        self._clear_by_runs()
         self._apply_verdicts()
         self.changes.notify()
         self._schedule_review()
 
+    def _clear_by_runs(self) -> None:
+        """Clear the parts of requests that targets are answering."""
+        for handler in list(self.handlers):
+            if handler.attempt:
+                self.on_written(handler.traits, handler.attempt.written_ms())
+
     def _schedule_review(self) -> None:
         if self.review is not None:
             self.review_again = True
@@ -212,26 +253,28 @@
     def _apply_verdicts(self) -> None:
         self.ledger.assign_blame()
         quarantined = self.ledger.quarantined()
-        for digest in quarantined.keys() - self.announced:
-            self._announce(digest, quarantined[digest])
+        for trait in quarantined.keys() - self.announced:
+            self._announce(trait, quarantined[trait])
         if quarantined.keys() != self.announced:
             # Waiters review the evidence too: notified of each review, they would wake each other.
             self.announced = set(quarantined)
             self.changes.notify()
-        for digest in quarantined:
-            for handler in self.handlers.get(digest, ()):
+        for handler in list(self.handlers) if quarantined else ():
+            if not quarantined.keys().isdisjoint(handler.traits.all()):
                 handler.end_quarantined()
         if self.ledger.unreported:
             self.state.report_requested.set()
 
-    def _announce(self, digest: bytes, crashes: Sequence[Crash]) -> None:
+    def _announce(self, trait: bytes, crashes: Sequence[Crash]) -> None:
         now_ms = self.state.clock.now_ms()
         self.state.log.always(
             "quarantined",
-            digest=digest.hex(),
+            trait=trait_name(trait),
+            kind="part" if is_part(trait) else "request",
             targets=[crash.target for crash in crashes],
             ages_ms=[now_ms - crash.known_since_ms for crash in crashes],
             crashes=len(crashes),
+            considered=alternatives(trait, crashes),
         )
 
     def _messages(self, crashes: Iterable[Crash]) -> list[CrashReport]:
@@ -240,7 +283,9 @@
             CrashReport(
                 each.target,
                 max(0, now_ms - each.known_since_ms),
-                list(each.requests.items()),
+                list(each.traits.items()),
+                {digest: list(parts) for digest, parts in each.parts.items()},
+                list(each.served),
             )
             for each in crashes
         ]
--- a/packages/daemon/src/mimosaspur_daemon/direct/requestdigest.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requestdigest.py
@@ -1,7 +1,10 @@
-"""Identify requests that are the same except for their request ID."""
+"""Tell what identifies a request except for its request ID."""
 
 import hashlib
 
+from mimosaspur_coordination.fleetview import Prompt
+from mimosaspur_coordination.quarantine.traits import RequestTraits
+from mimosaspur_coordination.quarantine.traits import part_traits
 from mimosaspur_state.workspaces import Workspace
 from mimosaspur_transport.callerconnection import CallerRequest
 
@@ -21,3 +24,14 @@
         digest.update(part)
     digest.update(request.body)
     return digest.digest()
+
+
+def request_traits(
+    request: CallerRequest, workspace: Workspace | None, prompt: Prompt
+) -> RequestTraits:
+    """Return what a request may have in common with others: its digest and its prompt's parts.
+
+    The last part is left out: it belongs to the request itself.
+    """
+    parts = part_traits(identity for identity, _ in prompt.parts[:-1])
+    return RequestTraits(request_digest(request, workspace), parts)
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.quarantine.traits import RequestTraits
 from mimosaspur_daemon.direct.attempt import Attempt
 from mimosaspur_daemon.direct.attempt import AttemptResult
 from mimosaspur_daemon.direct.attempt import TargetResponse
@@ -11,7 +12,7 @@
 from mimosaspur_daemon.direct.evacuation import MovedRun
 from mimosaspur_daemon.direct.prompts import read_prompt
 from mimosaspur_daemon.direct.refusal import RequestFailed
-from mimosaspur_daemon.direct.requestdigest import request_digest
+from mimosaspur_daemon.direct.requestdigest import request_traits
 from mimosaspur_daemon.direct.requestretries import RequestRetries
 from mimosaspur_daemon.direct.streamcontinuation import StreamContinuation
 from mimosaspur_daemon.direct.targetselector import FAILED_COOLDOWN_S
@@ -59,7 +60,6 @@
         "continuation",
         "cutter",
         "deadline_s",
-        "digest",
         "done",
         "ended_by_quarantine",
         "ended_by_shutdown",
@@ -85,8 +85,10 @@
         "strips_credential",
         "target_selector",
         "timeout",
+        "traits",
         "unconfirmed_end",
         "waited_ms",
+        "was_served",
         "workspace",
         "written_ms",
     )
@@ -108,9 +110,9 @@
         self.service = service
         self.request = request
         self.caller = caller
-        self.digest = request_digest(request, workspace)
         dialect = state.dependencies.dialect
         self.prompt = read_prompt(request.headers, dialect)
+        self.traits = request_traits(request, workspace, self.prompt)
         self.deadline_s = request.arrived_s + self._time_limit_ms() / 1000
         configuration = state.configuration
         # Whether callers' keys are credentials here, which must not be forwarded.
@@ -166,6 +168,8 @@
         self.longest_pause_ms = 0
         # For how long the last attempt had received events when it ended.
         self.written_ms = 0
+        # Whether its target began to write an answer, and not only an error.
+        self.was_served = False
         # Why the last attempt failed.
         self.cause = ""
         # Whether the target of the last attempt began to respond.
@@ -323,21 +327,23 @@
     def _on_run_ended(self, view: TargetView) -> None:
         """Clear the request of crashes, or check first whether its target has crashed."""
         quarantine = self.state.quarantine
+        # An engine that only failed the request tells nothing of its prompt.
+        cleared = self.traits if self.was_served else RequestTraits(self.traits.digest)
         if self.framing is Framing.CONNECTION:
-            quarantine.detector.on_unmarked_end(view, self.digest)
+            quarantine.detector.on_unmarked_end(view, cleared)
         else:
-            quarantine.on_completed(self.digest)
+            quarantine.on_completed(cleared)
 
     async def _next_target(self) -> TargetView:
         """Return the next target once the request may be sent, or raise RequestFailed."""
         quarantine = self.state.quarantine
         while True:
             await quarantine.wait_to_send(self)
-            self.target_selector.isolated = quarantine.is_isolated(self.digest)
+            self.target_selector.isolated = quarantine.is_isolated(self.traits)
             self.target_selector.retried = self.retries.attempts > 0
             view = await self.target_selector.next_target(resumed=self.started)
             # It may have become suspected while it waited for a target.
-            if not quarantine.is_held(self.digest):
+            if not quarantine.is_held(self.traits):
                 return view
 
     def _returns_to_source(self, continued: MovedRun | None, result: AttemptResult) -> bool:
@@ -395,7 +401,7 @@
         self.predicted_ms = round(attempt.predicted_ms)
         finished = False
         try:
-            with self.state.quarantine.at_target(self.digest):
+            with self.state.quarantine.at_target(self.traits):
                 result = await attempt.run()
             finished = True
             self.in_flight = False
@@ -403,6 +409,7 @@
             attempt.end()
             self.attempt = None
             self.written_ms = attempt.written_ms()
+            self.was_served = attempt.was_served
             self.framing, self.connection_end = channel.framing, channel.connection_end
             # A connection with an unread response must not be reused, and closing it makes the
             # target stop the run.
--- a/packages/daemon/src/mimosaspur_daemon/direct/statusserver.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/statusserver.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from mimosaspur_coordination.quarantine.traits import parse_trait
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_state.routes import CallerLimits
 from mimosaspur_transport.callerconnection import BadRequest
@@ -14,7 +15,7 @@
 from mimosaspur_transport.callerconnection import EofNotifyingReader
 
 METRICS_PATH = "/metrics"
-# Lists the quarantined requests; DELETE on a digest below it lifts one's quarantine.
+# Lists what is quarantined; DELETE on a trait's name below it lifts its quarantine.
 QUARANTINE_PATH = "/quarantine"
 # Lists the targets that name a request limit.
 LIMITS_PATH = "/limits"
@@ -77,14 +78,14 @@
         return (200 if self.state.ready() else 503), b""
 
     def _answer_quarantine(self, request: CallerRequest) -> tuple[int, bytes]:
-        """List the quarantined requests, or lift the quarantine of the one that is named."""
+        """List what is quarantined, or lift the quarantine of the trait that is named."""
         quarantine = self.state.quarantine
         if request.method == b"GET" and request.path == QUARANTINE_PATH:
             return 200, msgspec.json.encode(quarantine.listing())
         if request.method != b"DELETE":
             return 405, b""
         try:
-            digest = bytes.fromhex(request.path.removeprefix(f"{QUARANTINE_PATH}/"))
+            trait = parse_trait(request.path.removeprefix(f"{QUARANTINE_PATH}/"))
         except ValueError:
-            return 400, b"Name the digest of a request: DELETE /quarantine/DIGEST\n"
-        return (200 if quarantine.lift(digest) else 404), b""
+            return 400, b"Name a request or a part: DELETE /quarantine/DIGEST or .../part:ID\n"
+        return (200 if quarantine.lift(trait) else 404), b""
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -54,14 +54,18 @@
 
 
 class CrashReport(msgspec.Struct, array_like=True, frozen=True):
-    """Report requests that were at a target when it crashed."""
+    """Report what was at a target when it crashed."""
 
     # The target's incarnation.
     target: str
     # Time since the crash became known.
     age_ms: int
-    # By digest.
-    requests: list[tuple[bytes, Stage]]
+    # Digests of requests, and parts of their prompts.
+    traits: list[tuple[bytes, Stage]]
+    # The parts of each request's prompt, by digest.
+    parts: dict[bytes, list[bytes]] = msgspec.field(default_factory=dict)
+    # Parts that targets had served before.
+    served: list[bytes] = msgspec.field(default_factory=list)
 
 
 class LimitUpdate(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/state/src/mimosaspur_state/codes.py
+++ b/packages/state/src/mimosaspur_state/codes.py
@@ -178,7 +178,8 @@
     ),
     ResultCode.REQUEST_QUARANTINED: CodeInfo(
         502,
-        "Targets have crashed each time they ran this request. It is not sent to another one.",
+        "Targets have crashed each time they ran this request, or requests that share a part of its"
+        " prompt. It is not sent to another one.",
         "Don't send it again; report it with the request id.",
     ),
     ResultCode.INTERNAL: CodeInfo(500, "A fault of ours.", "Report it with the request id."),
