Bound the cost of a review of crashes

Cause: a review compared each frequent trait with all others at all crashes, and was repeated on every change and by each waiter. With parts a crash has several times as many traits.

Change: the crashes of each trait are a bit set, so that only traits that were at nearly all crashes of a suspect are looked at; evidence of a crash is kept until it changes; a review of what the last one has seen is left out.

--- a/packages/coordination/src/mimosaspur_coordination/quarantine/blame.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/blame.py
@@ -1,12 +1,13 @@
 """Decide which trait of requests has crashed several targets, among all that were there."""
 
-from collections import Counter
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
 from collections.abc import Set
 from dataclasses import dataclass
 from dataclasses import field
+from functools import cached_property
 
 from mimosaspur_coordination.quarantine.traits import is_part
 
@@ -24,7 +25,7 @@
 COMMON_CAUSE_MS = 50
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(frozen=True)
 class Evidence:
     """Hold what is known of one crash."""
 
@@ -40,11 +41,19 @@
     # Traits that are blamed for it already.
     blamed: Set[bytes] = frozenset()
 
-    def holders(self, trait: bytes) -> set[bytes]:
+    @cached_property
+    def _part_holders(self) -> dict[bytes, set[bytes]]:
+        holders: dict[bytes, set[bytes]] = {}
+        for digest, parts in self.parts.items():
+            for part in parts:
+                holders.setdefault(part, set()).add(digest)
+        return holders
+
+    def holders(self, trait: bytes) -> Set[bytes]:
         """Return the digests of the requests that hold a trait."""
         if not is_part(trait):
             return {trait}
-        return {digest for digest, parts in self.parts.items() if trait in parts}
+        return self._part_holders.get(trait, frozenset())
 
     def may_blame(self, trait: bytes) -> bool:
         """Return whether a trait may be behind the crash, whatever else is blamed for it.
@@ -81,42 +90,99 @@
 
 def _order(trait: bytes, crash: Evidence) -> tuple[bool, bool, int, bytes]:
     """Return a trait's place among those that the same requests hold, the broadest one first."""
-    positions = [list(parts).index(trait) for parts in crash.parts.values() if trait in parts]
+    positions = (
+        [list(crash.parts[each]).index(trait) for each in crash.holders(trait)]
+        if is_part(trait)
+        else []
+    )
     return not is_part(trait), trait not in crash.served, max(positions, default=0), trait
 
 
 def find_culprit(crashes: Sequence[Evidence]) -> bytes | None:
     """Return the trait that most likely caused its crashes, None if that can't be told."""
-    counts = Counter(trait for crash in crashes for trait in crash.suspects)
-    often = [trait for trait, count in counts.items() if count >= QUARANTINE_THRESHOLD]
-    served = {trait for trait in often if any(trait in crash.served for crash in crashes)}
-    for trait in sorted(often, key=lambda each: (each in served, -counts[each], each)):
-        own = [crash for crash in crashes if crash.may_blame(trait)]
-        complete = [crash for crash in own if crash.complete]
-        threshold = UNCERTAIN_THRESHOLD if trait in served else QUARANTINE_THRESHOLD
-        if _is_culprit(trait, complete, threshold=threshold):
-            return trait
-        if is_part(trait) and (trait in served or _holder_count(trait, own) < UNCERTAIN_THRESHOLD):
+    return _Review(crashes).culprit()
+
+
+class _Review:
+    """Judge the traits that were at some crashes."""
+
+    __slots__ = ("crashes", "present", "served")
+
+    def __init__(self, crashes: Sequence[Evidence]) -> None:
+        self.crashes = crashes
+        # The crashes at which each trait was, as a bit set of their indices; those at one are
+        # left out.
+        present: dict[bytes, int] = {}
+        for index, crash in enumerate(crashes):
+            for trait in crash.suspects:
+                present[trait] = present.get(trait, 0) | 1 << index
+        self.present = {key: bits for key, bits in present.items() if bits & (bits - 1)}
+        self.served = {
+            trait for trait in self.present if any(trait in crash.served for crash in crashes)
+        }
+
+    def culprit(self) -> bytes | None:
+        """Return the trait that is to be blamed next, if any."""
+        often = [
+            key for key, bits in self.present.items() if bits.bit_count() >= QUARANTINE_THRESHOLD
+        ]
+        return next(filter(self._is_culprit, sorted(often, key=self._rank)), None)
+
+    def _rank(self, trait: bytes) -> tuple[bool, int, bytes]:
+        return trait in self.served, -self.present[trait].bit_count(), trait
+
+    def _is_culprit(self, trait: bytes) -> bool:
+        own = [
+            index for index in _indices(self.present[trait]) if self.crashes[index].may_blame(trait)
+        ]
+        complete = [index for index in own if self.crashes[index].complete]
+        threshold = UNCERTAIN_THRESHOLD if trait in self.served else QUARANTINE_THRESHOLD
+        if self._explains(trait, complete, threshold=threshold):
+            return True
+        if is_part(trait):
             # One sound request with the part may have been sent again and again.
-            continue
-        if _is_culprit(trait, own, threshold=UNCERTAIN_THRESHOLD):
-            return trait
-    return None
-
-
-def rivals(trait: bytes, crashes: Sequence[Evidence]) -> dict[bytes, int]:
-    """Return the other traits that were at a trait's crashes, with the number of these."""
-    return Counter(other for crash in crashes for other in crash.suspects if other != trait)
+            holders = set().union(*(self.crashes[index].holders(trait) for index in own))
+            if trait in self.served or len(holders) < UNCERTAIN_THRESHOLD:
+                return False
+        return self._explains(trait, own, threshold=UNCERTAIN_THRESHOLD)
+
+    def _explains(self, trait: bytes, indices: Sequence[int], *, threshold: int) -> bool:
+        """Return whether a trait explains enough crashes, and nothing else explains them."""
+        own = [self.crashes[index] for index in indices]
+        if all(crash.blamed for crash in own) or _count(trait, own) < threshold:
+            return False
+        own_bits = sum(1 << index for index in indices)
+        least = len(own) - MIN_UNSHARED_CRASHES + 1
+        return not any(
+            other != trait
+            and (bits & own_bits).bit_count() >= least
+            and self._may_explain(other, trait, own)
+            for other, bits in self.present.items()
+        )
+
+    def _may_explain(self, other: bytes, trait: bytes, own: Sequence[Evidence]) -> bool:
+        """Return whether another trait may be behind the crashes of a suspect instead.
+
+        A request that hadn't come as far as the suspect explains a crash less well, so that it
+        counts only if it was there at all of them.
+        """
+        if is_narrower(trait, other, own):
+            return False
+        shared = [crash for crash in own if other in crash.suspects]
+        if len(shared) == len(own):
+            return True
+        as_far = [crash for crash in shared if crash.suspects[other] >= crash.suspects[trait]]
+        unshared_count = len(own) - len(as_far)
+        if trait not in self.served and is_narrower(other, trait, shared):
+            return unshared_count < MIN_UNSHARED_BY_NARROWER
+        return unshared_count < MIN_UNSHARED_CRASHES
 
 
-def _is_culprit(trait: bytes, crashes: Sequence[Evidence], *, threshold: int) -> bool:
-    if all(crash.blamed for crash in crashes) or _count(trait, crashes) < threshold:
-        return False
-    often = len(crashes) - MIN_UNSHARED_CRASHES
-    return not any(
-        count > often and _may_explain(other, trait, crashes)
-        for other, count in rivals(trait, crashes).items()
-    )
+def _indices(bits: int) -> Iterator[int]:
+    """Return the positions of the bits that are set."""
+    while bits:
+        yield (bits & -bits).bit_length() - 1
+        bits &= bits - 1
 
 
 def _count(trait: bytes, crashes: Sequence[Evidence]) -> int:
@@ -130,27 +196,3 @@
             count += 1
             last_ms = known_ms
     return count
-
-
-def _holder_count(trait: bytes, crashes: Iterable[Evidence]) -> int:
-    """Return the number of different requests with a trait."""
-    return len(set().union(*(crash.holders(trait) for crash in crashes)))
-
-
-def _may_explain(other: bytes, trait: bytes, own: Sequence[Evidence]) -> bool:
-    """Return whether another trait may be behind the crashes of a suspect instead.
-
-    A request that hadn't come as far as the suspect explains a crash less well, so that it counts
-    only if it was there at all of them.
-    """
-    shared = [crash for crash in own if other in crash.suspects]
-    as_far = [crash for crash in shared if crash.suspects[other] >= crash.suspects[trait]]
-    if is_narrower(trait, other, own):
-        return False
-    if len(shared) == len(own):
-        return True
-    unshared_count = len(own) - len(as_far)
-    was_served = any(trait in crash.served for crash in own)
-    if not was_served and is_narrower(other, trait, shared):
-        return unshared_count < MIN_UNSHARED_BY_NARROWER
-    return unshared_count < MIN_UNSHARED_CRASHES
--- a/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
@@ -63,6 +63,8 @@
     served: set[bytes] = field(default_factory=set)
     # Whether all entries have reported what they had there.
     complete: bool = False
+    # Derived from all else; None after a change.
+    cached_evidence: Evidence | None = None
 
     def is_explained(self) -> bool:
         """Return whether a trait is blamed for the crash."""
@@ -79,6 +81,11 @@
 
     def evidence(self) -> Evidence:
         """Return what is known of the crash, to find what caused it."""
+        if self.cached_evidence is None:
+            self.cached_evidence = self._evidence()
+        return self.cached_evidence
+
+    def _evidence(self) -> Evidence:
         uncleared = {key: stage for key, stage in self.traits.items() if stage < Stage.CLEARED}
         return Evidence(
             suspects=uncleared,
@@ -105,6 +112,8 @@
 
     __slots__ = (
         "_by_trait",
+        "_reviewed",
+        "_version",
         "clock",
         "covered",
         "covered_since_ms",
@@ -128,6 +137,9 @@
         self.covered = False
         # Derived from `crashes`: those that each trait is a suspect of; None after a change.
         self._by_trait: dict[bytes, list[Crash]] | None = None
+        # The number of changes so far, and what the last review has seen of the crashes.
+        self._version = 0
+        self._reviewed: tuple[int, int, int] | None = None
 
     def record(
         self,
@@ -150,13 +162,14 @@
                 return False
             crash = self.crashes[target] = Crash(target, self.clock.now_ms() - age_ms)
         changed = self._merge(crash, _with_parts(traits, parts))
-        for digest in parts.keys() & crash.traits.keys():
-            crash.parts.setdefault(digest, tuple(parts[digest]))
+        described = parts.keys() & crash.traits.keys() - crash.parts.keys()
+        crash.parts.update((digest, tuple(parts[digest])) for digest in described)
+        changed |= described
         newly_served = crash.traits.keys() & set(served) - crash.served
         crash.served |= newly_served
         changed |= newly_served | self._judge_by_own_memory(crash, changed)
         if changed:
-            self._by_trait = None
+            self._on_change(crash)
             if report:
                 self.unreported.setdefault(target, set()).update(changed)
         self._drop_excess()
@@ -228,6 +241,8 @@
     def assign_blame(self) -> None:
         """Blame crashes on traits where the evidence suffices."""
         self._mark_complete()
+        if self._review_state() == self._reviewed:
+            return
         blamed = {
             trait
             for crash in self.crashes.values()
@@ -239,6 +254,7 @@
             self._blame(trait)
         while (culprit := self._find_culprit()) is not None:
             self._blame(culprit)
+        self._reviewed = self._review_state()
 
     def take_unreported(self) -> list[Crash]:
         """Return what has been added or changed since the last call."""
@@ -299,18 +315,32 @@
             ):
                 self.record(crash.target, {trait: Stage.BLAMED})
 
+    def _on_change(self, crash: Crash) -> None:
+        crash.cached_evidence = None
+        self._by_trait = None
+        self._version += 1
+
+    def _review_state(self) -> tuple[int, int, int]:
+        """Return what a review depends on: changes, and the settled and complete crashes."""
+        complete = sum(crash.complete for crash in self.crashes.values())
+        return self._version, len(self._settled()), complete
+
+    def _settled(self) -> list[Crash]:
+        settled_ms = self.clock.now_ms() - SETTLE_MS
+        return [each for each in self.crashes.values() if each.known_since_ms <= settled_ms]
+
     def _mark_complete(self) -> None:
         """Mark the settled crashes on which all entries have reported."""
         if not self.covered or self.covered_since_ms is None:
             return
-        settled_ms = self.clock.now_ms() - SETTLE_MS
-        for crash in self.crashes.values():
-            crash.complete |= self.covered_since_ms <= crash.known_since_ms <= settled_ms
+        for crash in self._settled():
+            if not crash.complete and self.covered_since_ms <= crash.known_since_ms:
+                crash.complete = True
+                crash.cached_evidence = None
 
     def _find_culprit(self) -> bytes | None:
         """Return a trait that explains enough crashes, one at least that nothing is blamed for."""
-        settled_ms = self.clock.now_ms() - SETTLE_MS
-        settled = [each for each in self.crashes.values() if each.known_since_ms <= settled_ms]
+        settled = self._settled()
         if all(crash.is_explained() for crash in settled):
             return None
         return find_culprit([crash.evidence() for crash in settled])
@@ -351,9 +381,8 @@
 
     def _remove(self, targets: Sequence[str]) -> None:
         for target in targets:
-            del self.crashes[target]
+            self._on_change(self.crashes.pop(target))
             self.unreported.pop(target, None)
-            self._by_trait = None
 
 
 def _with_parts(
