Report what an entry adds of its own to a crash that it hears of

What an entry knows of a crash's parts, that it has served them, was not reported if another entry had told of the crash: only changes by its own callers were. The others then waited for a request that ends after the crash.

Change: what an instance adds from its own memory is reported whoever told of the crash; runs that write are looked at again as a verdict is due.

Measured: the scenario added here fails before (nothing reported), passes after.

--- a/features/quarantine_parts.feature
+++ b/features/quarantine_parts.feature
@@ -51,6 +51,18 @@
     And targets crash under C:fg, D:fg
     Then what is blamed is nothing
 
+  # Guards against what an entry knows of a part staying with it because another one told it of the crash.
+  Scenario Outline: An entry tells what it has served of a crash that it hears of, <what>
+    Given a ledger
+    And the parts f were served <ms> ms before
+    When it hears of a crash under A:f
+    Then it reports f as <what>
+
+    Examples:
+      | ms   | what    |
+      | 500  | cleared |
+      | 5000 | served  |
+
   Scenario: A verdict on a part that was served before is tried again soon
     Given a ledger
     And the parts f were served 5000 ms before
--- a/features/steps/quarantine_parts_steps.py
+++ b/features/steps/quarantine_parts_steps.py
@@ -57,14 +57,29 @@
         _record_prompts(context, requests)
 
 
-def _record_prompts(context: Context, requests: str) -> None:
+@when("it hears of a crash under {requests}")
+def hear_of_crash(context: Context, requests: str) -> None:
+    context.clock.ms += CRASH_INTERVAL_MS
+    _record_prompts(context, requests, report=False)
+
+
+@then("it reports {part} as {what}")
+def check_reported(context: Context, part: str, what: str) -> None:
+    (crash,) = context.ledger.take_unreported()
+    if what == "served":
+        assert _part(part) in crash.served, crash
+    else:
+        assert crash.traits == {_part(part): Stage.CLEARED}, crash
+
+
+def _record_prompts(context: Context, requests: str, *, report: bool = True) -> None:
     """Record a crash under requests such as A:fg: a request and the parts of its prompt."""
     stages, parts = {}, {}
     for each in requests.split():
         name, _, own = each.partition(":")
         stages[name.encode()] = Stage.RUNNING
         parts[name.encode()] = [_part(part) for part in own]
-    context.ledger.record(f"i-{next(context.numbers)}", stages, parts=parts)
+    context.ledger.record(f"i-{next(context.numbers)}", stages, parts=parts, report=report)
 
 
 def _part(name: str) -> bytes:
--- a/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
@@ -167,11 +167,14 @@
         changed |= described
         newly_served = crash.traits.keys() & set(served) - crash.served
         crash.served |= newly_served
-        changed |= newly_served | self._judge_by_own_memory(crash, changed)
+        changed |= newly_served
+        own = self._judge_by_own_memory(crash, changed)
         if changed:
             self._on_change(crash)
-            if report:
-                self.unreported.setdefault(target, set()).update(changed)
+            # What this instance adds is news even to whom the rest was learned from.
+            news = changed | own if report else own
+            if news:
+                self.unreported.setdefault(target, set()).update(news)
         self._drop_excess()
         return bool(changed)
 
@@ -297,6 +300,8 @@
         """
         changed = set()
         for trait in traits:
+            if crash.traits[trait] is Stage.CLEARED:
+                continue
             served_ms = self.served.last_ms(trait)
             if served_ms is None or served_ms < crash.known_since_ms - RETENTION_MS:
                 continue
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -245,6 +245,7 @@
 
     def _review(self) -> None:
         self.review = None
+        self._clear_by_runs()
         self._apply_verdicts()
         if self.review_again:
             self.review_again = False
