Name parts in log lines as verdicts name them, and play unmarked responses

Attempts logged the IDs of all parts, as many as a caller sends, under other names than those in `quarantined`; and a part that crashes engines whose responses mark no end was not played.

Change: `parts` holds the parts that count, named part:ID; one scenario.

Measured: the new scenario and the one with a body, reference, direct_answers and quarantine_parts pass.

--- a/features/direct_crashing_parts.feature
+++ b/features/direct_crashing_parts.feature
@@ -19,6 +19,14 @@
       | at all entries in turn, the coordinator starts again after the second crash  |
       | at all entries in turn, the coordinator is gone after the second crash       |
 
+  Scenario: A part that crashes engines whose responses mark no end is found as fast
+    Given 4 entry processes before 6 engines that mark no end and crash
+    When requests that share a part that crashes engines come 20 times in 8 s, at all entries in turn
+    Then they crashed at least 3 engines
+    And they reached engines at most 3 times later than 3000 ms after their third crash
+    And every entry that runs then rejects one more of them within 200 ms
+    And no sound request was rejected for the crashes
+
   Scenario Outline: What entries saw of the crashes of a part is put together, <case>
     Given <entries> entries in this process before 6 engines that come back after a crash
     When requests that share a part that crashes engines come 20 times in 8 s, <where>
--- a/packages/coordination/src/mimosaspur_coordination/quarantine/traits.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/traits.py
@@ -22,6 +22,10 @@
         """Return all traits."""
         return (self.digest, *self.parts)
 
+    def part_names(self) -> list[str]:
+        """Return the parts' names for operators."""
+        return [trait_name(part) for part in self.parts]
+
 
 def part_traits(identities: Iterable[str]) -> tuple[bytes, ...]:
     """Return the traits of a prompt's parts, in order."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
@@ -27,7 +27,7 @@
         "answered" if result is AttemptResult.DONE else "attempt",
         request=handler.request_id(),
         digest=handler.traits.digest.hex(),
-        parts=handler.part_identities(),
+        parts=handler.traits.part_names(),
         workspace=handler.workspace.name if handler.workspace else "",
         route=handler.route.name,
         model=handler.prompt.model,
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -214,7 +214,7 @@
             "given_up",
             request=identity.decode("latin-1"),
             digest=handler.traits.digest.hex() if handler else "",
-            parts=handler.part_identities() if handler else [],
+            parts=handler.traits.part_names() if handler else [],
             path=request.path,
             model=(header(request.headers, self.state.dependencies.dialect.model) or b"").decode(
                 "latin-1"
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -214,7 +214,7 @@
                 "crash",
                 target=incarnation,
                 digest=traits.digest.hex(),
-                parts=[trait_name(each) for each in traits.parts],
+                parts=traits.part_names(),
                 stage=stage.name.lower(),
                 evidence="connection refused",
                 age_ms=evidence_age_ms,
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -430,10 +430,6 @@
             mark_end=response.marked,
         )
 
-    def part_identities(self) -> list[str]:
-        """Return the identities of the prompt's parts, in order."""
-        return [identity for identity, _ in self.prompt.parts]
-
     def _pace(self) -> float:
         return self.state.fleet.paces.token_cost(self.prompt.model)
 
