--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 TYPED := $(shell for folder in $(CODE); do find $$folder -name '*.py' | grep -q . && echo $$folder; done)
 
 .DEFAULT_GOAL := test
-.PHONY: venv lint test scenarios demo measure reference format clean
+.PHONY: venv lint journal test scenarios demo measure reference format clean
 
 venv: $(STAMP)
 
@@ -38,10 +38,15 @@
 	$(BIN)/mypy $(TYPED)
 	$(BIN)/lint-imports
 
+# No entry of journal/ that is in the history may be missing.
+journal: venv
+	@$(BIN)/python tools/journal_history.py
+
 # The scenarios run even if lint fails, and last, so that their result ends the output.
 test: venv
 	@status=0; \
 	$(MAKE) --no-print-directory lint || status=$$?; \
+	$(MAKE) --no-print-directory journal || status=$$?; \
 	$(MAKE) --no-print-directory scenarios || status=$$?; \
 	exit $$status
 
