Log dropped controllers, the lifetime of ordered engines, and what clears a suspect

The logs couldn't tell the three hypotheses of LIMIT from one another, nor what had cleared a suspect.

Change: a line engine_dropped, with the unanswered orders that go with the controller; order and engine_found name the engine's incarnation; swap names what room is reserved; cleared tells by what.

--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -283,6 +283,7 @@
             target=swap.identity,
             model=swap.model,
             victims=list(swap.victims),
+            reserved=controller.reserved_models(),
             from_store=swap.from_store,
             load_ms=swap.load_ms,
             unload_ms=swap.unload_ms,
--- a/packages/daemon/src/mimosaspur_daemon/direct/engineregistry.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/engineregistry.py
@@ -50,7 +50,7 @@
             for view in self.state.fleet.by_service.get(service, {}).values():
                 wanted[view.record.identity] = view.record
         for identity in [each for each in self.controllers if each not in wanted]:
-            del self.controllers[identity]
+            self._drop(self.controllers.pop(identity))
         for identity, record in wanted.items():
             self._update_controller(self.controllers.get(identity), record)
         for controller in self.controllers.values():
@@ -84,6 +84,17 @@
             reserved_models=controller.reserved_models(),
         )
 
+    def _drop(self, controller: EngineController) -> None:
+        self.state.log.always(
+            "engine_dropped",
+            target=controller.record.incarnation,
+            sequence=controller.sequence,
+            loading=controller.loading,
+            unanswered=sorted(controller.unanswered_loads),
+            late=sorted(controller.late_loads),
+            adapters=sorted(controller.pending_adapters),
+        )
+
     def _update_controller(self, controller: EngineController | None, record: TargetRecord) -> None:
         if controller and controller.restarted_ms > record.started_ms:
             # A report has shown the restart before the registration did.
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -138,16 +138,16 @@
         cleared = self.ledger.clear(traits.digest)
         cleared |= self.ledger.on_served(traits.parts)
         if cleared:
-            self._on_cleared(suspected)
+            self._on_cleared(suspected, evidence="response")
 
     def on_written(self, traits: RequestTraits, written_ms: int) -> None:
         """Clear the parts of a prompt whose answer a target has been writing for long enough."""
         if written_ms >= WRITTEN_PROOF_MS and self.ledger.on_served(traits.parts):
-            self._on_cleared(traits.parts)
+            self._on_cleared(traits.parts, evidence="events")
 
-    def _on_cleared(self, traits: Iterable[bytes]) -> None:
+    def _on_cleared(self, traits: Iterable[bytes], *, evidence: str) -> None:
         for trait in traits:
-            self.state.log.write("cleared", trait=trait_name(trait))
+            self.state.log.write("cleared", trait=trait_name(trait), evidence=evidence)
         self._schedule_review()
         self.state.report_requested.set()
         self.changes.notify()
--- a/packages/daemon/src/mimosaspur_daemon/direct/trackedengine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/trackedengine.py
@@ -284,7 +284,7 @@
         if self.sequence is None:
             self.log.always(
                 "engine_found",
-                target=self.record.identity,
+                target=self.record.incarnation,
                 residents={model: sorted(names) for model, names in report.residents.items()},
                 in_memory=report.in_memory,
                 on_disk=report.on_disk,
@@ -306,7 +306,7 @@
     def _log_order(self, order: EngineOrder, outcome: OrderOutcome) -> None:
         self.log.write(
             "order",
-            target=self.record.identity,
+            target=self.record.incarnation,
             kind=order.kind.value,
             model=order.model,
             adapter=order.adapter,
