--- a/features/direct_orders.feature
+++ b/features/direct_orders.feature
@@ -65,6 +65,13 @@
     When the desk swaps a for d in vain and the engine starts again
     Then the desk of the new lifetime keeps room for d, and after 12500 ms no more
 
+  # Guards against an overcommitted engine: reports that an engine makes while it is still loading don't list the model.
+  Scenario: A load that takes longer than expected keeps its room
+    Given an ordered engine that holds a and leaves orders 2,3,4,5,6,7,8 unanswered, never carried out
+    And its loads take 1000 ms
+    When the desk loads b and then c, each in an expected 150 ms
+    Then it counts the room of a, b and c as taken
+
   Scenario Outline: The platform's answers to orders
     Given an engine of the platform that answers orders with <status>
     When it is ordered to <what>
--- a/features/harness/direct_engine.py
+++ b/features/harness/direct_engine.py
@@ -31,6 +31,7 @@
     # Numbers, from 1, of orders that get no answer; they are carried out after late_s.
     unanswered: frozenset[int] = frozenset()
     late_s: float = 0.0
+    load_s: float = LOAD_S
     # How long an unload waits for the model's runs.
     runs_s: float = 0.0
     # Numbers of orders at which the engine counts one more that the controller didn't send.
@@ -142,7 +143,7 @@
             loop.call_later(UNLOAD_S + self.runs_s, self._unloaded, order.model, self.started_ms)
             return
         self.overcommitted |= len(self.residents) + 1 > self.model_slots
-        loop.call_later(LOAD_S, self._loaded, order.model, self.started_ms)
+        loop.call_later(self.load_s, self._loaded, order.model, self.started_ms)
 
     def _unloaded(self, model: str, started_ms: int) -> None:
         if started_ms != self.started_ms:
--- a/features/steps/direct_orders_steps.py
+++ b/features/steps/direct_orders_steps.py
@@ -107,6 +107,28 @@
     context.engine.residents["a"] = set(ADAPTERS[: context.engine.adapter_slots - 1])
 
 
+@given("its loads take {ms:d} ms")
+def set_load_time(context: Context, ms: int) -> None:
+    context.engine.load_s = ms / 1000
+
+
+@when("the desk loads b and then c, each in an expected {ms:d} ms")
+def load_two_models(context: Context, ms: int) -> None:
+    async def load() -> None:
+        context.controller = await _start_controller(context.engine)
+        assert await context.controller.swap("b", (), load_ms=ms)
+        assert await context.controller.swap("c", (), load_ms=ms)
+
+    run(context, load())
+
+
+@then("it counts the room of a, b and c as taken")
+def check_room_taken(context: Context) -> None:
+    controller = context.controller
+    taken = {*controller.residents, *controller.reserved_models()}
+    assert taken == {"a", "b", "c"}, taken
+
+
 @given("its adapter places are full")
 def fill_all_adapters(context: Context) -> None:
     context.engine.residents["a"] = set(ADAPTERS[: context.engine.adapter_slots])
