--- a/features/direct_crashes.feature
+++ b/features/direct_crashes.feature
@@ -25,6 +25,14 @@
     And it reached engines at most 3 times later than 3000 ms after its third crash
     And no sound request was rejected for the crashes
 
+  # Guards against an error that clears a request of the crashes: it doesn't show that targets survive it.
+  Scenario: A request that crashes engines or is failed by them is found as fast
+    Given 4 entry processes before 6 engines that crash, or fail one request in 3 with an error
+    When a request that crashes engines comes 20 times in 8 s, at all entries in turn
+    Then it crashed at least 3 engines
+    And it reached engines at most 3 times later than 3000 ms after its third crash
+    And no sound request was rejected for the crashes
+
   Scenario: An entry sends one copy of a suspected request at a time
     Given an entry with a request that was at two crashes, before two targets
     When 6 copies of it come at once
--- a/features/harness/crashing_engine.py
+++ b/features/harness/crashing_engine.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Any
@@ -83,6 +84,8 @@
     unframed: bool = False
     # Events of a crashing run before it crashes.
     events_before_crash: int = 0
+    # Whether it fails a request that would crash it with an error.
+    fails: Callable[[], bool] = lambda: False
 
     def crash(self) -> None:
         """End all connections and stop listening."""
@@ -142,11 +145,14 @@
         request: EngineRequest,
     ) -> None:
         headers = [("X-Attempt-Id", identity), ("X-Response-Signature", self.identity)]
+        crashes = self.crashes_on(request)
+        if crashes and self.fails():
+            _send_whole(codec, writer, 500, b"", headers)
+            return
         if self.unframed:
             # For an HTTP/1.0 peer the codec sends the body without chunks and closes.
             codec.their_http_version = b"1.0"
         writer.write(codec.send(h11.Response(status_code=200, headers=headers)) or b"")
-        crashes = self.crashes_on(request)
         for number in range(1, (self.events_before_crash if crashes else EVENT_COUNT) + 1):
             await asyncio.sleep(EVENT_S)
             if writer.is_closing():
@@ -175,6 +181,9 @@
         # Of the engines that start from now on.
         self.unframed = False
         self.events_before_crash = 0
+        # One in so many requests that would crash an engine fails with an error instead; 0 for none.
+        self.error_interval = 0
+        self.crashing_runs = itertools.count(1)
         # Called after each crash.
         self.on_crash: Callable[[], None] = lambda: None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -210,11 +219,15 @@
             lambda request: self.crashes_on(request),
             unframed=self.unframed,
             events_before_crash=self.events_before_crash,
+            fails=self._fails_next,
         )
         await engine.start()
         self.engines.append(engine)
         self.store.put(SERVERS, identity, registration(engine))
 
+    def _fails_next(self) -> bool:
+        return self.error_interval > 0 and next(self.crashing_runs) % self.error_interval == 0
+
     def _record_crash(self, engine: CrashingEngine, requests: tuple[EngineRequest, ...]) -> None:
         now_s = asyncio.get_running_loop().time()
         self.crashes.append(Crash(now_s, engine.identity, requests))
@@ -246,9 +259,13 @@
 
 
 def _send_whole(
-    codec: h11.Connection, writer: asyncio.StreamWriter, status: int, body: bytes
+    codec: h11.Connection,
+    writer: asyncio.StreamWriter,
+    status: int,
+    body: bytes,
+    headers: Sequence[tuple[str, str]] = (),
 ) -> None:
-    headers = [("Content-Length", str(len(body)))]
+    headers = [*headers, ("Content-Length", str(len(body)))]
     writer.write(codec.send(h11.Response(status_code=status, headers=headers)) or b"")
     writer.write(codec.send(h11.Data(data=body)) or b"")
     writer.write(codec.send(h11.EndOfMessage()) or b"")
--- a/features/steps/direct_crashes_steps.py
+++ b/features/steps/direct_crashes_steps.py
@@ -61,6 +61,17 @@
     _start_site(context, site)
 
 
+@given(
+    "{entries:d} entry processes before {engines:d} engines that crash, or fail one request in"
+    " {interval:d} with an error"
+)
+def start_failing_processes(context: Context, entries: int, engines: int, interval: int) -> None:
+    store = StoreStandIn()
+    site = CrashSite(EntryProcesses(context.processes, entries), store=store, engines=engines)
+    site.fleet.error_interval = interval
+    _start_site(context, site)
+
+
 @given(
     "{entries:d} entries in this process before {engines:d} engines that come back after a crash"
 )
