--- a/packages/coordination/src/mimosaspur_coordination/outstandingloads.py
+++ b/packages/coordination/src/mimosaspur_coordination/outstandingloads.py
@@ -58,26 +58,35 @@
         self.unreported: set[OrderedLoad] = set()
 
     def announce(self, load: OrderedLoad) -> None:
-        """Record a load before it is ordered, so that it is known if this instance is lost."""
+        """Record a load before it is ordered, so that it is known if this instance is lost.
+
+        Other instances are told of adapters only once an order is unanswered: there are many.
+        """
+        self._record(load)
+        if not load.adapter:
+            self.unreported.add(load)
+
+    def _record(self, load: OrderedLoad) -> None:
         until_ms = self.clock.now_ms() + LATE_ORDER_TIMEOUT_MS
         known = self.loads.get(load)
         if known is None:
             self.loads[load] = _Outstanding(until_ms)
         else:
             known.until_ms = until_ms
-        self.unreported.add(load)
 
     def mark_unanswered(self, load: OrderedLoad) -> None:
         """Record that an order got no answer."""
-        self.announce(load)
+        self._record(load)
         self.loads[load].unanswered = True
+        self.unreported.add(load)
 
     def settle(self, load: OrderedLoad) -> None:
         """Drop a load that won't be ordered or was answered, unless it was ever unanswered."""
         known = self.loads.get(load)
         if known and not known.unanswered:
             del self.loads[load]
-            self.unreported.add(load)
+            if not load.adapter:
+                self.unreported.add(load)
 
     def of(self, identity: str, *, started_ms: int, sequence: int) -> list[OrderedLoad]:
         """Return the loads that an engine may still carry out in its present lifetime."""
