--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -19,6 +19,7 @@
 from mimosaspur_protocol.eventbuffer import EventMissing
 from mimosaspur_state.routes import RouteKind
 from mimosaspur_transport.dialect import end_to_end_headers
+from mimosaspur_transport.dialect import RETRY_AFTER
 from mimosaspur_transport.dialect import header
 from mimosaspur_transport.dialect import header_values
 from mimosaspur_transport.httpchannel import ChannelBroken
@@ -180,6 +181,8 @@
             )
             head = await self._read_with_timeout(self._read_own_head(), self._silence_timeout_s())
             handler.head_received = True
+            handler.target_status = head.status
+            handler.target_says = self._notices(head)
             if self._is_not_run(head):
                 await self._read_with_timeout(self._read_body(), self._silence_timeout_s())
                 return AttemptResult.NOT_RUN
@@ -249,6 +252,16 @@
             proves_end=proves_end,
         )
 
+    def _notices(self, head: ResponseHead) -> dict[str, str]:
+        """Return the headers by which the target tells of itself, for the log."""
+        dialect = self.handler.state.dependencies.dialect
+        names = (dialect.request_limit, dialect.leaving, RETRY_AFTER)
+        return {
+            name.decode(): value.decode("latin-1")
+            for name in names
+            if (value := header(head.headers, name)) is not None
+        }
+
     def _is_not_run(self, head: ResponseHead) -> bool:
         dialect = self.handler.state.dependencies.dialect
         return head.status == 421 or header(head.headers, dialect.not_run) is not None
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
@@ -41,6 +41,8 @@
         result=result.value,
         cause=handler.cause,
         head=handler.head_received,
+        status=handler.target_status,
+        says=handler.target_says,
         framing=handler.framing.value if handler.framing else None,
         connection=handler.connection_end.value,
         unfinished_bytes=len(handler.cutter.incomplete),
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -66,6 +66,8 @@
         "first_ms",
         "framing",
         "head_received",
+        "target_says",
+        "target_status",
         "in_flight",
         "longest_pause_ms",
         "moved",
@@ -173,6 +175,9 @@
         self.cause = ""
         # Whether the target of the last attempt began to respond.
         self.head_received = False
+        # The status of the target's answer, and the headers by which it tells of itself.
+        self.target_status: int | None = None
+        self.target_says: dict[str, str] = {}
         # How its response was framed, and how its connection ended.
         self.framing: Framing | None = None
         self.connection_end = ConnectionEnd.NONE
@@ -376,6 +381,7 @@
         pool = self.state.pool(view.record)
         self.cause = ""
         self.head_received = False
+        self.target_status, self.target_says = None, {}
         self.framing = None
         self.connection_end = ConnectionEnd.NONE
         max_idle_ms = None if self.route.repeatable else NON_REPEATABLE_MAX_IDLE_MS
--- a/packages/transport/src/mimosaspur_transport/dialect.py
+++ b/packages/transport/src/mimosaspur_transport/dialect.py
@@ -20,6 +20,8 @@
     )
 )
 
+RETRY_AFTER = b"retry-after"
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -48,6 +50,8 @@
     not_run: bytes = b"x-not-run"
     # The requests a second that a target takes from all entries together, a decimal number.
     request_limit: bytes = b"x-request-limit"
+    # Any value but 0 in any answer of a target that is about to leave.
+    leaving: bytes = b"x-leaving"
     # A successful response without this header is not accepted as the target's.
     proof: bytes = b""
     # A caller's API key; it is not forwarded.
