--- /dev/null
+++ b/features/direct_notices.feature
@@ -0,0 +1,57 @@
+Feature: What a target says of itself in its answers holds for all that is sent to it
+
+  # Guards against a target that says in its answers that it leaves, and gets requests until the store says so.
+  Scenario Outline: A leaving target gets no request from an entry that was told, <fleet>, <entries> entries
+    Given <entries> entry processes that send to <fleet>
+    When requests come <per_s> a second for 6 s, and after 2 s one target says in its answers that it leaves
+    Then it gets nothing from an entry later than 100 ms after it has told that entry
+    And it gets nothing from any entry later than 500 ms after it has told the first one
+    And all requests are served
+
+    Examples:
+      | fleet          | entries | per_s |
+      | three engines  | 4       | 40    |
+      | three services | 4       | 40    |
+      | three services | 24      | 60    |
+
+  Scenario Outline: Nothing is sent to targets that have all said that they leave, <fleet>
+    Given 4 entry processes that send to <fleet>
+    When requests come 40 a second for 6 s, and after 2 s all targets say in their answers that they leave
+    Then each gets nothing from an entry later than 100 ms after it has told that entry
+    And what isn't served is rejected within 0.3 s, with Retry-After
+
+    Examples:
+      | fleet           |
+      | the only engine |
+      | three services  |
+
+  # Guards against refusals that ask for rest and are answered with more requests.
+  Scenario Outline: A target that turns requests away and asks for rest gets none meanwhile, <fleet>, <rest> s
+    Given <entries> entry processes that send to <fleet>
+    When requests come <per_s> a second for 8 s, and after 2 s one target turns requests away and asks for <rest> s of rest
+    Then it gets at most 1 request from an entry between 100 ms after a refusal and the end of its rest
+    And all requests are served
+
+    Examples:
+      | fleet          | entries | rest | per_s |
+      | three engines  | 4       | 3    | 40    |
+      | three engines  | 4       | 0.7  | 40    |
+      | three services | 4       | 3    | 40    |
+      | three services | 24      | 30   | 60    |
+
+  Scenario Outline: All targets turn requests away and ask for rest, <fleet>
+    Given 4 entry processes that send to <fleet>
+    When requests come 40 a second for 8 s, and after 2 s all targets turn requests away and ask for <rest> s of rest
+    Then each gets at most 1 request from an entry between 100 ms after a refusal and the end of its rest
+    And what isn't served is rejected within 0.3 s, with Retry-After
+
+    Examples:
+      | fleet           | rest |
+      | the only engine | 30   |
+      | three services  | 30   |
+
+  Scenario: Targets are used again after their rest
+    Given 4 entry processes that send to three services
+    When requests come 40 a second for 8 s, and from 2 s to 3 s all targets turn requests away and ask for 1 s of rest
+    Then each gets at most 1 request from an entry between 100 ms after a refusal and the end of its rest
+    And all requests of the last 3 s are served
--- a/features/harness/limit_site.py
+++ b/features/harness/limit_site.py
@@ -69,10 +69,22 @@
         await asyncio.gather(*calls)
 
     async def _call(self, number: int) -> None:
-        answer = await self.call(number, b"%d" % number, model=self.model)
+        answer = await self.call(
+            number, b"%d" % number, model=self.model, identity=request_name(number)
+        )
         self.answers.append((number % self.entries.count, answer))
 
 
+def request_name(number: int) -> str:
+    """Return the name of a request, which tells its number."""
+    return f"n{number}"
+
+
+def request_number(name: str) -> int:
+    """Return the number of a request."""
+    return int(name.removeprefix("n"))
+
+
 def configuration(*, engines: bool) -> dict[str, object]:
     """Return a configuration with a resumable stream."""
     route = {
--- a/features/harness/limited_target.py
+++ b/features/harness/limited_target.py
@@ -1,7 +1,8 @@
-"""Simulate targets that name in their answers how many requests a second they take."""
+"""Simulate targets that tell of themselves in their answers: a limit, that they leave or rest."""
 
 import asyncio
 from collections.abc import Iterable
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Any
@@ -17,6 +18,7 @@
 MODEL = "notes"
 SERVERS = "servers"
 LIMIT_HEADER = "Server-Limit"
+LEAVING_HEADER = "Server-Leaving"
 REPORT_PATH = b"/api/report"
 API_PREFIX = b"/api/"
 EVENT_COUNT = 4
@@ -30,6 +32,8 @@
 
     at_s: float
     path: str
+    # The caller's name of the request.
+    request: str = ""
 
     @property
     def to_run(self) -> bool:
@@ -46,6 +50,13 @@
     limit: str | None = None
     # When it first named the limit in an answer to a request.
     named_s: float | None = None
+    # Whether each answer says that it leaves.
+    leaving: bool = False
+    # What it asks for with each refusal while it turns requests away, None while it doesn't.
+    retry_after: str | None = None
+    # Answers to requests that said that it leaves, and those that refused a request.
+    said_leaving: list[Arrival] = field(default_factory=list)
+    refused: list[Arrival] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     address: tuple[str, int] = ("127.0.0.1", 0)
     server: asyncio.Server | None = None
@@ -66,7 +77,9 @@
         try:
             while (request := await read_request(codec, reader)) is not None:
                 now_s = asyncio.get_running_loop().time()
-                self.arrivals.append(Arrival(now_s, request[0].target.decode()))
+                self.arrivals.append(
+                    Arrival(now_s, request[0].target.decode(), _request_name(request[0]))
+                )
                 await self._answer(codec, writer, request[0])
                 if codec.our_state is not h11.DONE:
                     break
@@ -91,10 +104,18 @@
             await self._run(codec, writer, headers.get("x-attempt-id", ""))
 
     async def _run(self, codec: h11.Connection, writer: asyncio.StreamWriter, request: str) -> None:
+        answer = Arrival(asyncio.get_running_loop().time(), "", request)
+        if self.retry_after is not None:
+            self.refused.append(answer)
+            headers = [("X-Not-Executed", "1"), ("Retry-After", self.retry_after)]
+            self._send_whole(codec, writer, 503, b"", headers)
+            return
+        if self.leaving:
+            self.said_leaving.append(answer)
         own = [("X-Attempt-Id", request), ("X-Response-Signature", self.identity)]
         if self.limit is not None and self.named_s is None:
             self.named_s = asyncio.get_running_loop().time()
-        response = h11.Response(status_code=200, headers=[*own, *self._limit_header()])
+        response = h11.Response(status_code=200, headers=[*own, *self._own_headers()])
         writer.write(codec.send(response) or b"")
         for number in range(1, EVENT_COUNT + 1):
             await asyncio.sleep(EVENT_S)
@@ -105,15 +126,26 @@
         writer.write(codec.send(h11.EndOfMessage()) or b"")
 
     def _send_whole(
-        self, codec: h11.Connection, writer: asyncio.StreamWriter, status: int, body: bytes
+        self,
+        codec: h11.Connection,
+        writer: asyncio.StreamWriter,
+        status: int,
+        body: bytes,
+        headers: Sequence[tuple[str, str]] = (),
     ) -> None:
-        headers = [("Content-Length", str(len(body)))]
+        headers = [*headers, *self._own_headers(), ("Content-Length", str(len(body)))]
         writer.write(codec.send(h11.Response(status_code=status, headers=headers)) or b"")
         writer.write(codec.send(h11.Data(data=body)) or b"")
         writer.write(codec.send(h11.EndOfMessage()) or b"")
 
-    def _limit_header(self) -> list[tuple[str, str]]:
-        return [] if self.limit is None else [(LIMIT_HEADER, self.limit)]
+    def _own_headers(self) -> list[tuple[str, str]]:
+        limit = [] if self.limit is None else [(LIMIT_HEADER, self.limit)]
+        return [*limit, (LEAVING_HEADER, "1")] if self.leaving else limit
+
+
+def _request_name(head: h11.Request) -> str:
+    names = [value.decode() for name, value in head.headers if name == b"x-attempt-id"]
+    return names[0] if names else ""
 
 
 def most_within(times: Iterable[float], window_s: float) -> int:
