Send nothing to a target once it has said in an answer that it leaves

What callers saw: requests reached a server up to 12 s after its answers had said that it leaves (DRAIN); once it is gone, what it runs ends with it.

Cause: nobody read the header. Entries knew of leaving targets by their registration, which a store that is away holds back. Class: what a target says of itself is read at one place for one header.

Change: TargetNotices, which was TargetLimits, is the one place that is given every head that comes from a target, those of reports, orders, stops and copies too, and is asked before everything that is sent to one, again as it is sent. That a target leaves is kept by its incarnation, outlives its registration, and is told to all entries on their links. The fleet's records say so whatever is registered, so that evacuation, placement and the coordinator follow. Only a run that the target itself has stopped returns there. Where all targets of a service leave, requests are rejected at once instead of held to their deadline.

--- a/features/harness/direct_engine.py
+++ b/features/harness/direct_engine.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from mimosaspur_coordination.fleetports import HeadHandler
 from mimosaspur_coordination.fleetports import StoppedRun
 from mimosaspur_state.fleet import EngineOrder
 from mimosaspur_state.fleet import EngineReport
@@ -49,6 +50,9 @@
     # Reports with the event loop's time from which each holds.
     history: list[tuple[float, EngineReport]] = field(default_factory=list)
 
+    def set_head_handler(self, handler: HeadHandler) -> None:
+        """Ignore the handler, as calls have no heads here."""
+
     async def report(self, target: TargetRecord) -> EngineReport | None:
         """Return the report of REPORT_LAG_S ago."""
         await asyncio.sleep(0)
--- a/features/harness/direct_entry.py
+++ b/features/harness/direct_entry.py
@@ -10,6 +10,7 @@
 from harness.direct_target import ScriptedTarget
 from harness.share_leases import held_share
 from mimosaspur_coordination.fleetports import ConfigurationChange
+from mimosaspur_coordination.fleetports import HeadHandler
 from mimosaspur_coordination.fleetports import LeaseRecord
 from mimosaspur_coordination.fleetports import StoppedRun
 from mimosaspur_coordination.fleetports import TargetChanges
@@ -81,6 +82,9 @@
 class UnresponsiveEngines:
     """Simulate engines that do not respond."""
 
+    def set_head_handler(self, handler: HeadHandler) -> None:
+        """Ignore the handler, as calls have no heads here."""
+
     async def report(self, target: TargetRecord) -> EngineReport | None:
         """Return no report."""
         return None
--- a/features/harness/direct_moves.py
+++ b/features/harness/direct_moves.py
@@ -6,6 +6,7 @@
 
 from harness.direct_entry import UnresponsiveEngines
 from harness.direct_target import ScriptedTarget
+from mimosaspur_coordination.fleetports import HeadHandler
 from mimosaspur_coordination.fleetports import StoppedRun
 from mimosaspur_coordination.fleetports import StopUnconfirmed
 from mimosaspur_state.fleet import EngineReport
@@ -26,6 +27,9 @@
     made: list[str] = field(default_factory=list)
     dropped: list[str] = field(default_factory=list)
 
+    def set_head_handler(self, handler: HeadHandler) -> None:
+        """Ignore the handler, as calls have no heads here."""
+
     async def report(self, target: TargetRecord) -> EngineReport | None:
         """Return a report with the engine's remaining time."""
         return EngineReport({}, frozenset(), False, 0, 0, 1, 0, terminates_in_ms=self.gone_in_ms)
--- a/features/harness/late_order_play.py
+++ b/features/harness/late_order_play.py
@@ -20,6 +20,7 @@
 from harness.direct_entry import settings_for
 from harness.virtual_time import VirtualClock
 from harness.virtual_time import VirtualTimeLoop
+from mimosaspur_coordination.fleetports import HeadHandler
 from mimosaspur_coordination.fleetports import LeaseRecord
 from mimosaspur_coordination.fleetports import StoppedRun
 from mimosaspur_coordination.orderlease import OrderLease
@@ -182,6 +183,9 @@
     def __init__(self, engines: dict[str, LateEngine]) -> None:
         self.engines = engines
 
+    def set_head_handler(self, handler: HeadHandler) -> None:
+        """Ignore the handler, as calls have no heads here."""
+
     async def report(self, target: TargetRecord) -> EngineReport | None:
         """Return the engine's report."""
         return await self.engines[target.identity].report(target)
@@ -382,7 +386,7 @@
     async def _follow(self, state: EntryState, link: MemoryLink) -> None:
         await asyncio.sleep(LINK_DELAY_S)
         state.quarantine.ledger.report_all()
-        state.limits.start_link()
+        state.notices.start_link()
         state.outstanding_loads.report_all()
         reporting = self._spawn(self._report_to(state, link))
         try:
--- a/features/harness/report_simulation.py
+++ b/features/harness/report_simulation.py
@@ -94,7 +94,7 @@
         clock = SystemClock()
         sharers = SharerCount(window_ms=0, predecessor_ended_ms=0, clock=clock)
         self.lease = OrderLease("coordinator", handover_ms=0, clock=clock)
-        permits = PermitGrants(self.state.limits, may_issue=self.lease.may_order, clock=clock)
+        permits = PermitGrants(self.state.notices, may_issue=self.lease.may_order, clock=clock)
         self.members = Members(self.state, sharers, permits)
         self.links: dict[str, CountingLink] = {}
         self.encoded = 0
--- a/packages/coordination/src/mimosaspur_coordination/fleetports.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetports.py
@@ -1,5 +1,6 @@
 """Define the interfaces to the platform's store and to engines, for any platform."""
 
+from collections.abc import Callable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -96,9 +97,17 @@
     """Raised when an engine may have stopped a run, but sent no valid answer."""
 
 
+# Called with the status and headers of each answer of a target.
+HeadHandler = Callable[[TargetRecord, int, Sequence[tuple[bytes, bytes]]], None]
+
+
 class EnginePort(Protocol):
     """Send requests to the model engines."""
 
+    def set_head_handler(self, handler: HeadHandler) -> None:
+        """Set what is called with the head of each answer."""
+        ...
+
     async def report(self, target: TargetRecord) -> EngineReport | None:
         """Return the engine's report, None if there is no valid answer."""
         ...
--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -2,10 +2,12 @@
 
 from collections import OrderedDict
 from collections.abc import Collection
+from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 
 from mimosaspur_coordination.modelpace import LEARNING_RATE
 from mimosaspur_coordination.modelpace import MAX_CHANGE_RATIO
@@ -146,6 +148,7 @@
         "by_service",
         "clock",
         "coordinator_targets",
+        "leaving",
         "paces",
         "revision",
         "speeds",
@@ -153,9 +156,16 @@
     )
 
     def __init__(
-        self, *, clock: Clock, adaptive_pace: bool = True, adaptive_queue: bool = True
+        self,
+        *,
+        clock: Clock,
+        leaving: Container[str] = (),
+        adaptive_pace: bool = True,
+        adaptive_queue: bool = True,
     ) -> None:
         self.clock = clock
+        # Incarnations that leave, whatever their registrations say.
+        self.leaving = leaving
         self.adaptive_queue = adaptive_queue
         self.paces = ModelPace(adaptive=adaptive_pace)
         self.targets: dict[str, TargetView] = {}
@@ -179,7 +189,8 @@
         A restarted target counts as ended, because its previous state is lost.
         """
         ended = [identity for identity in removed if self._remove(identity)]
-        for record in changed:
+        for each in changed:
+            record = self._with_leaving(each)
             view = self.targets.get(record.identity)
             if view and record.started_ms < view.record.started_ms:
                 # The registration of a previous process.
@@ -198,6 +209,17 @@
                 view.residents = record.residents
         return ended
 
+    def mark_leaving(self, incarnation: str) -> None:
+        """Apply that a target leaves to its registration."""
+        for view in self.targets.values():
+            if view.record.incarnation == incarnation:
+                view.record = self._with_leaving(view.record)
+
+    def _with_leaving(self, record: TargetRecord) -> TargetRecord:
+        if record.leaving or record.incarnation not in self.leaving:
+            return record
+        return replace(record, leaving=True)
+
     def _remove(self, identity: str) -> bool:
         """Remove a target; return whether it was known."""
         view = self.targets.pop(identity, None)
@@ -237,6 +259,11 @@
             for service, views in self.by_service.items()
         }
 
+    def only_leaving(self, service: str) -> bool:
+        """Return whether a service has targets, all of which leave."""
+        views = self.by_service.get(service, {}).values()
+        return bool(views) and all(view.record.leaving for view in views)
+
     def serving_targets(self, service: str) -> list[TargetView]:
         """Return the targets of a service that accept new requests."""
         views = self.by_service.get(service, {}).values()
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -18,10 +18,9 @@
 from mimosaspur_protocol.completeness import stream_completeness
 from mimosaspur_protocol.eventbuffer import EventMissing
 from mimosaspur_state.routes import RouteKind
-from mimosaspur_transport.dialect import end_to_end_headers
 from mimosaspur_transport.dialect import RETRY_AFTER
+from mimosaspur_transport.dialect import end_to_end_headers
 from mimosaspur_transport.dialect import header
-from mimosaspur_transport.dialect import header_values
 from mimosaspur_transport.httpchannel import ChannelBroken
 from mimosaspur_transport.httpchannel import HttpChannel
 from mimosaspur_transport.httpchannel import ResponseHead
@@ -120,7 +119,7 @@
         self.unread = view.on_sent(handler.prompt, rank=self.rank)
         self.sent_s = asyncio.get_running_loop().time()
         # What was known of the target's limit when the request was sent.
-        self.limit_version = handler.state.limits.version(view.record)
+        self.limit_version = handler.state.notices.version(view.record)
         self.first_token = False
         self.first_token_s = 0.0
         self.last_event_s = 0.0
@@ -238,16 +237,16 @@
             head = await self.channel.read_head()
             theirs = header(head.headers, name)
             own = theirs is None or mine is None or theirs == mine
-            self._record_limit(head, proves_end=own and not self._is_not_run(head))
+            self._apply_notices(head, proves_end=own and not self._is_not_run(head))
             if own:
                 return head
             await self.channel.skip_response()
 
-    def _record_limit(self, head: ResponseHead, *, proves_end: bool) -> None:
-        state = self.handler.state
-        state.limits.on_response(
+    def _apply_notices(self, head: ResponseHead, *, proves_end: bool) -> None:
+        self.handler.state.notices.on_head(
             self.view.record,
-            header_values(head.headers, state.dependencies.dialect.request_limit),
+            head.status,
+            head.headers,
             sent_version=self.limit_version,
             proves_end=proves_end,
         )
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
@@ -57,7 +57,7 @@
         longest_pause_ms=handler.longest_pause_ms,
         lasted_ms=round((asyncio.get_running_loop().time() - handler.request.arrived_s) * 1000),
         at_target=view.request_count(),
-        limit_per_s=handler.state.limits.limit_per_s(view.record),
-        sent_recently=handler.state.limits.history.count(view.record.incarnation),
+        limit_per_s=handler.state.notices.limit_per_s(view.record),
+        sent_recently=handler.state.notices.history.count(view.record.incarnation),
         failing=round(view.health.failure_share(), 2),
     )
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -61,7 +61,7 @@
         self.lease = lease
         self.configuration_exchange = configuration_exchange
         self.clock = state.clock
-        self.permits = PermitGrants(state.limits, may_issue=lease.may_order, clock=lease.clock)
+        self.permits = PermitGrants(state.notices, may_issue=lease.may_order, clock=lease.clock)
         self.members = Members(state, self._create_sharer_count(), self.permits)
         self.started_ms = self.clock.now_ms()
         # Models that were loaded to get a copy of their weights.
@@ -158,8 +158,10 @@
                 controller.suspected = True
         quarantine = self.state.quarantine
         quarantine.apply_reports(report.crashes, relay=True)
-        limits_changed = self.state.limits.apply_updates(report.limits, relay=True)
+        limits_changed = self.state.notices.apply_updates(report.limits, relay=True)
         apply_load_messages(self.state, report.loads, relay=True)
+        if self.state.notices.apply_leaving(report.leaving_targets, relay=True):
+            self.changed.set()
         self.permits.apply_report(report)
         if report.permits:
             self.members.send_permits()
--- a/packages/daemon/src/mimosaspur_daemon/direct/election.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/election.py
@@ -250,7 +250,7 @@
                     self.state.reported_work.set_included(message.work_report_number)
                     self.state.quotas.acknowledge(message.quota_report_number)
                 if isinstance(message, IssuedPermits):
-                    self.state.limits.apply_permits(message)
+                    self.state.notices.apply_permits(message)
                 self.configuration_exchange.on_message(message, link)
                 if isinstance(message, FleetReport):
                     followed = True
@@ -306,7 +306,7 @@
 
     async def _report_to(self, link: PeerLink) -> None:
         self.state.quarantine.ledger.report_all()
-        self.state.limits.start_link()
+        self.state.notices.start_link()
         self.state.outstanding_loads.report_all()
         with contextlib.suppress(PeerLost):
             while True:
--- a/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
@@ -61,10 +61,11 @@
         [QuotaSpending(each.workspace, each.spent, each.refused) for each in spendings],
         # The coordinator sends its own crashes and limits to all members.
         [] if state.coordinating else state.quarantine.take_reports(),
-        [] if state.coordinating else state.limits.take_updates(),
-        state.limits.permit_requests(),
-        state.limits.holder.clock.now_ms(),
-        state.limits.holder.received_number,
+        [] if state.coordinating else state.notices.take_updates(),
+        state.notices.permit_requests(),
+        state.notices.holder.clock.now_ms(),
+        state.notices.holder.received_number,
         state.stream_versions.address,
         [] if state.coordinating else load_messages(state.outstanding_loads.take_unreported()),
+        [] if state.coordinating else state.notices.leaving.take_unreported(),
     )
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -26,7 +26,7 @@
 from mimosaspur_daemon.direct.quarantine import Quarantine
 from mimosaspur_daemon.direct.reportedwork import ReportedWork
 from mimosaspur_daemon.direct.streamversions import StreamVersions
-from mimosaspur_daemon.direct.targetlimits import TargetLimits
+from mimosaspur_daemon.direct.targetnotices import TargetNotices
 from mimosaspur_state.clock import BoottimeClock
 from mimosaspur_state.clock import Clock
 from mimosaspur_state.directsettings import DirectSettings
@@ -81,8 +81,22 @@
         self.clock = dependencies.clock
         self.log = dependencies.log
         self.configuration: Configuration | None = None
+        self.changes = ChangeNotifier()
+        # Set to send the coordinator a report before the next periodic one.
+        self.report_requested = asyncio.Event()
+        self.notices = TargetNotices(
+            clock=self.clock,
+            permit_clock=BoottimeClock(),
+            dialect=dependencies.dialect,
+            log=self.log,
+            request_report=self.report_requested.set,
+            on_change=self.changes.notify,
+            on_leaving=self._on_target_leaving,
+        )
+        dependencies.engines.set_head_handler(self.notices.on_head)
         self.fleet = FleetView(
             clock=self.clock,
+            leaving=self.notices.leaving,
             adaptive_pace=self.uses(Mechanism.MODEL_PACE),
             adaptive_queue=self.uses(Mechanism.QUEUE_RATIO),
         )
@@ -96,7 +110,6 @@
         # Ranks of requests, and the configuration that they were computed from.
         self.ranks: dict[Priority, int] = {}
         self.ranked_configuration: Configuration | None = None
-        self.changes = ChangeNotifier()
         # References to background tasks: the event loop itself keeps only weak ones.
         self.tasks: set[asyncio.Task[None]] = set()
         self.targets_updated = asyncio.Event()
@@ -113,15 +126,6 @@
         self.reported_work = ReportedWork()
         self.quarantine = Quarantine(self)
         self.outstanding_loads = OutstandingLoads(clock=self.clock)
-        # Set to send the coordinator a report before the next periodic one.
-        self.report_requested = asyncio.Event()
-        self.limits = TargetLimits(
-            clock=self.clock,
-            permit_clock=BoottimeClock(),
-            log=self.log,
-            request_report=self.report_requested.set,
-            on_change=self.changes.notify,
-        )
         # Entries that are not leaving, as the coordinator last reported; 0 if unknown.
         self.staying_entries = 0
         self.stream_versions = StreamVersions(
@@ -147,8 +151,8 @@
 
     @property
     def engines(self) -> EnginePort:
-        """Return the port to engines, within the limits that they name."""
-        return LimitedEngines(self.dependencies.engines, self.limits)
+        """Return the port to engines, within what they say of themselves."""
+        return LimitedEngines(self.dependencies.engines, self.notices)
 
     def uses(self, mechanism: Mechanism) -> bool:
         """Return whether a mechanism is enabled."""
@@ -228,12 +232,17 @@
         for identity in ended:
             self.remove_target(identity)
         if ended:
-            self.limits.retain({view.record.incarnation for view in self.fleet.targets.values()})
+            self.notices.retain({view.record.incarnation for view in self.fleet.targets.values()})
         self.targets_known = True
         self.stream_versions.update_targets(self.fleet.versions())
         self.targets_updated.set()
         self.changes.notify()
 
+    def _on_target_leaving(self, incarnation: str) -> None:
+        self.fleet.mark_leaving(incarnation)
+        self.targets_updated.set()
+        self.changes.notify()
+
     def on_coordinator_lost(self) -> None:
         """Fall back to what this entry has observed itself."""
         self.reported_work.reset()
--- a/packages/daemon/src/mimosaspur_daemon/direct/evacuation.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/evacuation.py
@@ -118,7 +118,7 @@
             and view.record.version == attempt.version
             and view.can_run(handler.prompt)
             and not view.health.is_cooling_down()
-            and self.state.limits.may_send(view.record, rank=MOVED_RANK)
+            and self.state.notices.may_send(view.record, rank=MOVED_RANK)
         ]
         engine = self._engine_spec(handler.service)
         return choose_engine(
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
@@ -85,6 +85,7 @@
     all_crashes: list[CrashReport]
     all_limits: list[LimitUpdate]
     all_loads: list[LoadUpdate]
+    all_leaving: list[str]
     all_entries: list[EntryAddress]
     frames: dict[tuple[bool, int], bytes] = field(default_factory=dict)
 
@@ -94,13 +95,13 @@
         if sent.fleet_sent:
             work, residents, quotas = fleet.changed_work, fleet.changed_residents, self.base.quotas
             crashes, limits, loads = self.base.crashes, self.base.limits, self.base.loads
-            entries = self.base.entries_joined
+            entries, leaving = self.base.entries_joined, self.base.leaving_targets
         else:
             work = [each for each in fleet.work.values() if each.requests]
             residents = list(fleet.residents.values())
             quotas = self.all_quotas
             crashes, limits, loads = self.all_crashes, self.all_limits, self.all_loads
-            entries = self.all_entries
+            entries, leaving = self.all_entries, self.all_leaving
         store = self.store_changes.changes_since(sent.store_number) if self.store_changes else None
         return msgspec.structs.replace(
             self.base,
@@ -111,6 +112,7 @@
             crashes=crashes,
             limits=limits,
             loads=loads,
+            leaving_targets=leaving,
             entries_joined=entries,
             entries_complete=not sent.fleet_sent,
         )
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -78,9 +78,10 @@
     state.quotas_received.set()
     state.quarantine.set_coverage(report.evidence_age_ms)
     state.quarantine.apply_reports(report.crashes, relay=False)
-    state.limits.apply_updates(report.limits, relay=False)
+    state.notices.apply_updates(report.limits, relay=False)
+    state.notices.apply_leaving(report.leaving_targets, relay=False)
     apply_load_messages(state, report.loads, relay=False)
-    state.limits.holder.apply_queues(report.permit_queues)
+    state.notices.holder.apply_queues(report.permit_queues)
     state.stream_versions.update_entries(
         [(each.instance, each.address) for each in report.entries_joined],
         report.entries_left,
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -122,7 +122,7 @@
     def _send_permits(self, instance: str, permits: IssuedPermits) -> None:
         link = self.members[instance].link
         if link is None:
-            self.state.limits.apply_permits(permits)
+            self.state.notices.apply_permits(permits)
             return
         with contextlib.suppress(PeerLost):
             link.send(permits)
@@ -207,13 +207,15 @@
         paces = self._due_paces(now_ms)
         quotas = self.quotas.changed_remaining(len(self.members))
         crashes = self.state.quarantine.take_reports()
-        limits = self.state.limits.take_updates()
+        limits = self.state.notices.take_updates()
         loads = load_messages(self.state.outstanding_loads.take_unreported())
+        leaving = self.state.notices.leaving.take_unreported()
         queues_changed = self.permits.update_queues()
         joined, left = self._take_entry_changes()
         base = replace(
             self._base_report(lease, paces, quotas, crashes, limits),
             loads=loads,
+            leaving_targets=leaving,
             entries_joined=joined,
             entries_left=left,
         )
@@ -223,8 +225,9 @@
             self._shareable_store_changes(),
             self.quotas.all_remaining(),
             self._crashes_for_new_members(),
-            self.state.limits.all_updates(),
+            self.state.notices.all_updates(),
             load_messages(self.state.outstanding_loads.all()),
+            sorted(self.state.notices.leaving.noted_ms),
             list(self.sent_addresses.values()),
         )
         heartbeat_due = now_ms - self.last_sent_ms >= HEARTBEAT_INTERVAL_MS
@@ -235,6 +238,7 @@
             or crashes
             or limits
             or loads
+            or leaving
             or queues_changed
             or joined
             or left
--- a/packages/daemon/src/mimosaspur_daemon/direct/permitchoice.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/permitchoice.py
@@ -8,16 +8,16 @@
 
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.limits.permitholder import PermitWaiter
-from mimosaspur_daemon.direct.targetlimits import TargetLimits
+from mimosaspur_daemon.direct.targetnotices import TargetNotices
 
 
 class PermitChoice:
     """Apply the request limits of targets to the choice for one request."""
 
-    __slots__ = ("limits", "rank", "request", "waiter")
+    __slots__ = ("notices", "rank", "request", "waiter")
 
-    def __init__(self, limits: TargetLimits, *, request: str, rank: Callable[[], int]) -> None:
-        self.limits = limits
+    def __init__(self, notices: TargetNotices, *, request: str, rank: Callable[[], int]) -> None:
+        self.notices = notices
         # The request's ID, for the log.
         self.request = request
         # Returns the request's rank among those that wait for permits.
@@ -27,19 +27,19 @@
 
     def limited(self, views: Sequence[TargetView]) -> list[TargetView]:
         """Return the targets that name a limit."""
-        if not self.limits.any_known():
+        if not self.notices.any_known():
             return []
-        return [view for view in views if self.limits.limit_per_s(view.record) is not None]
+        return [view for view in views if self.notices.limit_per_s(view.record) is not None]
 
     def sendable(self, views: Sequence[TargetView]) -> list[TargetView]:
         """Return the targets that the request may be sent to now."""
-        if not self.limits.any_known():
+        if not self.notices.any_known():
             return list(views)
         rank = self.rank()
         return [
             view
             for view in views
-            if self.limits.may_send(view.record, rank=rank, waiter=self.waiter)
+            if self.notices.may_send(view.record, rank=rank, waiter=self.waiter)
         ]
 
     def preferred(self, views: Sequence[TargetView]) -> list[TargetView]:
@@ -57,7 +57,7 @@
         if not limited:
             return
         for view in limited:
-            self.limits.record_chance(view.record)
+            self.notices.record_chance(view.record)
         sendable = self.sendable(views)
         passed_over = [view for view in limited if view not in sendable]
         if sendable and passed_over:
@@ -72,7 +72,7 @@
         """Return the shortest expected wait for a permit of one of these targets."""
         rank = self.rank()
         waits_ms = [
-            self.limits.expected_wait_ms(view.record, rank=rank, waiter=self.waiter)
+            self.notices.expected_wait_ms(view.record, rank=rank, waiter=self.waiter)
             for view in limited
         ]
         return min(waits_ms) / 1000
@@ -80,7 +80,7 @@
     @contextlib.contextmanager
     def waiting(self) -> Iterator[None]:
         """Let the request wait for permits within the context."""
-        with self.limits.waiting(self.rank()) as self.waiter:
+        with self.notices.waiting(self.rank()) as self.waiter:
             try:
                 yield
             finally:
@@ -89,10 +89,10 @@
     def ask(self, limited: Sequence[TargetView]) -> None:
         """Ask for a permit of any of these targets."""
         assert self.waiter
-        self.limits.set_targets(self.waiter, [view.record for view in limited])
+        self.notices.set_targets(self.waiter, [view.record for view in limited])
 
     def _log(self, outcome: str, views: Sequence[TargetView], **fields: object) -> None:
         targets = [view.record.incarnation for view in views]
-        self.limits.log.write(
+        self.notices.log.write(
             "limited", request=self.request, outcome=outcome, targets=targets, **fields
         )
--- a/packages/daemon/src/mimosaspur_daemon/direct/permitgrants.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/permitgrants.py
@@ -4,8 +4,8 @@
 
 from mimosaspur_coordination.limits.permitissuer import PermitIssuer
 from mimosaspur_coordination.limits.permitissuer import Permits
-from mimosaspur_daemon.direct.targetlimits import TargetLimits
-from mimosaspur_daemon.direct.targetlimits import to_demand
+from mimosaspur_daemon.direct.targetnotices import TargetNotices
+from mimosaspur_daemon.direct.targetnotices import to_demand
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import IssuedPermits
 from mimosaspur_state.clock import Clock
@@ -14,27 +14,27 @@
 class PermitGrants:
     """Apply the entries' requests for permits, and return those that are issued."""
 
-    __slots__ = ("issuer", "limits", "queues", "stopped")
+    __slots__ = ("issuer", "notices", "queues", "stopped")
 
     def __init__(
-        self, limits: TargetLimits, *, may_issue: Callable[[], bool], clock: Clock
+        self, notices: TargetNotices, *, may_issue: Callable[[], bool], clock: Clock
     ) -> None:
-        self.limits = limits
+        self.notices = notices
         self.stopped = False
         self.issuer = PermitIssuer(clock=clock, may_issue=lambda: not self.stopped and may_issue())
         # Requests that wait at all entries, by target and rank, as last sent.
         self.queues: dict[str, dict[int, int]] = {}
-        limits.issuer = self.issuer
+        notices.issuer = self.issuer
 
     def stop(self) -> None:
         """Issue no more permits."""
         self.stopped = True
-        if self.limits.issuer is self.issuer:
-            self.limits.issuer = None
+        if self.notices.issuer is self.issuer:
+            self.notices.issuer = None
 
     def apply_report(self, report: EntryReport) -> None:
         """Apply what an entry asks for."""
-        self.issuer.apply_limits(self.limits.ledger.limits)
+        self.issuer.apply_limits(self.notices.ledger.limits)
         for each in report.permits:
             if each.sent_before:
                 self.issuer.on_sent_before(each.target, each.sent_before)
@@ -47,7 +47,7 @@
 
     def issue(self) -> dict[str, IssuedPermits]:
         """Return the permits that the limits allow now, by entry."""
-        self.issuer.apply_limits(self.limits.ledger.limits)
+        self.issuer.apply_limits(self.notices.ledger.limits)
         return {key: _to_message(permits) for key, permits in self.issuer.issue().items()}
 
     def expected_waits(self, instance: str) -> IssuedPermits | None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -372,8 +372,9 @@
         if not await self.continuation.before_send(view.record.version):
             self.cause = VERSION_ANNOUNCED
             return AttemptResult.NOT_RUN
-        limits = self.state.limits
-        permit = limits.take(view.record)
+        notices = self.state.notices
+        returns = continued is not None and continued.view is continued.source
+        permit = notices.take(view.record, returns=returns)
         if permit is None:
             # A moved run goes to its target without a choice.
             self.cause = NO_PERMIT
@@ -388,13 +389,13 @@
         try:
             channel, _ = await pool.acquire(max_idle_ms=max_idle_ms)
         except ChannelBroken as error:
-            limits.put_back(permit)
+            notices.put_back(permit)
             self.cause = str(error)
             view.health.record_unreachable()
             self.state.unreachable.add(view.record.identity)
             self.state.report_requested.set()
             return AttemptResult.NOT_RUN
-        if not limits.begin_send(permit):
+        if not notices.begin_send(permit):
             pool.release(channel)
             self.cause = NO_PERMIT
             return AttemptResult.NOT_RUN
--- a/packages/daemon/src/mimosaspur_daemon/direct/statusserver.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/statusserver.py
@@ -68,7 +68,7 @@
         if for_operators and request.path.startswith(QUARANTINE_PATH):
             return self._answer_quarantine(request)
         if for_operators and request.path == LIMITS_PATH:
-            return 200, msgspec.json.encode(self.state.limits.listing())
+            return 200, msgspec.json.encode(self.state.notices.listing())
         if for_operators and request.path == VERSIONS_PATH:
             return 200, msgspec.json.encode(self.state.stream_versions.listing())
         if request.path == METRICS_PATH:
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetlimits.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetnotices.py
@@ -1,4 +1,8 @@
-"""Keep an entry within the request limits that targets name in their responses."""
+"""Keep an entry to what targets say of themselves in their answers.
+
+Each head that comes from a target is given to `TargetNotices.on_head`, whatever it answers, and
+whatever is sent to a target passes `take` and `begin_send`, `permits_call` or `permits_report`.
+"""
 
 import contextlib
 from collections.abc import Callable
@@ -18,6 +22,7 @@
 from mimosaspur_coordination.limits.requestlimit import RequestLimit
 from mimosaspur_coordination.limits.requestlimit import parse_limit
 from mimosaspur_coordination.limits.sendhistory import SendHistory
+from mimosaspur_coordination.notices.leavingtargets import LeavingTargets
 from mimosaspur_protocol.peermessages import IssuedPermits
 from mimosaspur_protocol.peermessages import LimitUpdate
 from mimosaspur_protocol.peermessages import PermitRequest
@@ -25,6 +30,8 @@
 from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.eventlog import EventLog
 from mimosaspur_state.fleet import TargetRecord
+from mimosaspur_transport.dialect import Dialect
+from mimosaspur_transport.dialect import header_values
 
 NO_DEMAND = PermitDemand()
 
@@ -36,22 +43,24 @@
     target: str
     # On the permits' clock; None if the target named no limit when this was taken.
     lapses_ms: int | None
+    # Whether the request continues a run that the target itself has stopped.
+    returns: bool = False
 
 
-class TargetLimits:
-    """Learn the limits of targets, and let requests through to these by permits.
-
-    Everything that is sent to a target passes `take` and `begin_send`, or `permits_call`.
-    """
+class TargetNotices:
+    """Learn what targets say of themselves, and let through what that permits."""
 
     __slots__ = (
         "bad_values",
+        "dialect",
         "history",
         "holder",
         "issuer",
+        "leaving",
         "ledger",
         "log",
         "on_change",
+        "on_leaving",
         "request_report",
         "sent_before",
     )
@@ -61,17 +70,23 @@
         *,
         clock: Clock,
         permit_clock: Clock,
+        dialect: Dialect,
         log: EventLog,
         request_report: Callable[[], None],
         on_change: Callable[[], None],
+        on_leaving: Callable[[str], None],
     ) -> None:
         self.log = log
+        self.dialect = dialect
+        self.leaving = LeavingTargets(clock=clock)
         self.history = SendHistory(clock=clock)
         self.ledger = LimitLedger()
         self.holder = PermitHolder(clock=permit_clock)
         # Called to send the coordinator a report soon, and when a waiting request may go on.
         self.request_report = request_report
         self.on_change = on_change
+        # Called with the incarnation of a target that is now known to leave.
+        self.on_leaving = on_leaving
         # Requests in the last window before this entry knew a limit, until they are reported.
         self.sent_before: dict[str, int] = {}
         # Targets whose last response named no valid limit.
@@ -91,7 +106,40 @@
         """Return the version of what is known of a target's limit."""
         return self.ledger.get(target.incarnation).version
 
-    def on_response(
+    def on_head(
+        self,
+        target: TargetRecord,
+        status: int,
+        headers: Sequence[tuple[bytes, bytes]],
+        *,
+        sent_version: int | None = None,
+        proves_end: bool = False,
+    ) -> None:
+        """Apply what an answer of a target says of it.
+
+        `sent_version` is the version of its limit that was known when the request was sent, by
+        default the one that is known now. `proves_end` tells whether an answer without a limit
+        shows that there is none any more.
+        """
+        if _says_yes(header_values(headers, self.dialect.leaving)):
+            self._add_leaving(target.incarnation, source="answer", report=True)
+        self._apply_limit(
+            target,
+            header_values(headers, self.dialect.request_limit),
+            sent_version=self.version(target) if sent_version is None else sent_version,
+            proves_end=proves_end,
+        )
+
+    def _add_leaving(self, incarnation: str, *, source: str, report: bool) -> bool:
+        if not self.leaving.add(incarnation, report=report):
+            return False
+        self.log.always("target_leaving", target=incarnation, source=source)
+        self.on_leaving(incarnation)
+        if source == "answer":
+            self.request_report()
+        return True
+
+    def _apply_limit(
         self, target: TargetRecord, values: Sequence[bytes], *, sent_version: int, proves_end: bool
     ) -> None:
         """Apply the limit that a response names, or none."""
@@ -119,6 +167,8 @@
         self, target: TargetRecord, *, rank: int, waiter: PermitWaiter | None = None
     ) -> bool:
         """Return whether a request of a rank may be sent to a target now."""
+        if target.incarnation in self.leaving:
+            return False
         if self.limit_per_s(target) is None:
             return True
         return self.holder.has_permit(target.incarnation, rank=rank, waiter=waiter)
@@ -128,15 +178,22 @@
         if self.limit_per_s(target) is not None:
             self.holder.record_chance(target.incarnation)
 
-    def take(self, target: TargetRecord) -> SendPermit | None:
-        """Return a permit to send one request to a target, None if there is none."""
+    def take(self, target: TargetRecord, *, returns: bool = False) -> SendPermit | None:
+        """Return a permit to send one request to a target, None if there is none.
+
+        A request that continues a run which the target has stopped returns to it even if it leaves.
+        """
+        if target.incarnation in self.leaving and not returns:
+            return None
         if self.limit_per_s(target) is None:
-            return SendPermit(target.incarnation, None)
+            return SendPermit(target.incarnation, None, returns)
         lapses_ms = self.holder.take(target.incarnation)
-        return None if lapses_ms is None else SendPermit(target.incarnation, lapses_ms)
+        return None if lapses_ms is None else SendPermit(target.incarnation, lapses_ms, returns)
 
     def begin_send(self, permit: SendPermit) -> bool:
         """Return whether a request may be sent at once, and count it."""
+        if permit.target in self.leaving and not permit.returns:
+            return False
         if permit.lapses_ms is not None:
             allowed = self.holder.is_valid(permit.lapses_ms)
         else:
@@ -154,7 +211,8 @@
         """Return whether a call that is no caller's request may be sent, and count it."""
         if self.limit_per_s(target) is not None and self.issuer:
             return self.issuer.try_take(target.incarnation)
-        permit = self.take(target)
+        # A leaving engine still tells when it ends, and stops and copies what it runs.
+        permit = self.take(target, returns=True)
         return permit is not None and self.begin_send(permit)
 
     def permits_report(self, target: TargetRecord) -> bool:
@@ -203,6 +261,7 @@
 
     def start_link(self) -> None:
         """Report all that is known on a new link to a coordinator."""
+        self.leaving.report_all()
         self.ledger.report_all()
         self.holder.start_link()
 
@@ -225,6 +284,11 @@
                 changed = True
         return changed
 
+    def apply_leaving(self, incarnations: Iterable[str], *, relay: bool) -> bool:
+        """Merge the leaving targets that another instance knows; return whether one is new."""
+        added = [self._add_leaving(each, source="peer", report=relay) for each in incarnations]
+        return any(added)
+
     def permit_requests(self) -> list[PermitRequest]:
         """Return the permits to ask the coordinator for."""
         demand = self.holder.demand(self.ledger.limited())
@@ -244,6 +308,7 @@
 
     def retain(self, incarnations: Collection[str]) -> None:
         """Drop what is known of all other targets."""
+        self.leaving.retain(incarnations)
         self.history.retain(incarnations)
         self.ledger.retain(incarnations)
         self.bad_values.intersection_update(incarnations)
@@ -277,6 +342,11 @@
         self.on_change()
 
 
+def _says_yes(values: Sequence[bytes]) -> bool:
+    """Return whether one of a header's values is anything but 0."""
+    return any(value.strip() not in (b"", b"0") for value in values)
+
+
 def _to_updates(limits: Mapping[str, RequestLimit]) -> list[LimitUpdate]:
     return [LimitUpdate(target, limit.version, limit.per_s) for target, limit in limits.items()]
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -97,7 +97,7 @@
         self.resumed = False
         # Whether the request was sent to a target before.
         self.retried = False
-        self.permits = PermitChoice(state.limits, request=request, rank=self._permit_rank)
+        self.permits = PermitChoice(state.notices, request=request, rank=self._permit_rank)
         # Whether the request may crash its target, so that it should run beside few others.
         self.isolated = False
         # By target, on the event loop's clock.
@@ -152,6 +152,8 @@
         with self._waiting():
             while True:
                 self._check_version()
+                if state.fleet.only_leaving(self.service):
+                    raise self.refusal(ResultCode.NO_READY_TARGET)
                 wait_until_s = min(self.first_event_deadline_s, state.balancer_noticed_s)
                 left_s = wait_until_s - MIN_FIRST_TOKEN_S - _now_s()
                 limited = self.permits.limited(self._holders())
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -136,6 +136,8 @@
     stream_address: tuple[str, int] | None = None
     # All that is known, in the first report on a link.
     loads: list[LoadUpdate] = msgspec.field(default_factory=list)
+    # Incarnations of targets that have said that they leave; as `limits`.
+    leaving_targets: list[str] = msgspec.field(default_factory=list)
 
 
 class EngineResidents(msgspec.Struct, array_like=True, frozen=True):
@@ -236,6 +238,7 @@
     entries_complete: bool = False
     # Changes since the last report; all that is known in the first one on a link.
     loads: list[LoadUpdate] = msgspec.field(default_factory=list)
+    leaving_targets: list[str] = msgspec.field(default_factory=list)
 
 
 class IssuedPermits(msgspec.Struct, array_like=True, tag="permits"):
--- a/packages/transport/src/mimosaspur_transport/dialect.py
+++ b/packages/transport/src/mimosaspur_transport/dialect.py
@@ -1,5 +1,6 @@
 """Define the HTTP header names and paths used with callers and targets."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -72,7 +73,7 @@
     return [(name, value) for name, value in headers if name.lower() not in dropped]
 
 
-def header_values(headers: Headers, name: bytes) -> list[bytes]:
+def header_values(headers: Sequence[tuple[bytes, bytes]], name: bytes) -> list[bytes]:
     """Return all values of a header; the name must be in lower case."""
     return [value for key, value in headers if key.lower() == name]
 
