Send nothing to a target that has turned this entry away and asked for rest

Cause: nobody read Retry-After. A refusal left its target out for 0.1 s, growing, for that one request. Class: as for leaving targets.

Change: the one room for what targets say of themselves knows rests. A rest is this entry's own, ends with the latest end that was named, and holds for requests, repeats, moves, orders, reports and copies, again as they are sent. One request goes first when it ends. What only resting targets could run is rejected at once with 2018 and their earliest end, unless that is in time. A value that is no number of seconds isn't obeyed, with code 4014. /limits lists all three.

The row of 24 entries asked that all requests be served. It is a scenario of its own now, which allows one rejection an entry, at once.

--- a/features/direct_notices.feature
+++ b/features/direct_notices.feature
@@ -37,7 +37,14 @@
       | three engines  | 4       | 3    | 40    |
       | three engines  | 4       | 0.7  | 40    |
       | three services | 4       | 3    | 40    |
-      | three services | 24      | 30   | 60    |
+
+  # A retry of each entry is more than the budget of retries holds just after the entries' start.
+  Scenario: A target asks 24 entries for rest, each of which learns of it by a refusal
+    Given 24 entry processes that send to three services
+    When requests come 60 a second for 8 s, and after 2 s one target turns requests away and asks for 30 s of rest
+    Then it gets at most 1 request from an entry between 100 ms after a refusal and the end of its rest
+    And at most 1 request of each entry is rejected
+    And what isn't served is rejected within 0.3 s, with Retry-After
 
   Scenario Outline: All targets turn requests away and ask for rest, <fleet>
     Given 4 entry processes that send to <fleet>
--- a/features/steps/direct_notices_steps.py
+++ b/features/steps/direct_notices_steps.py
@@ -169,6 +169,15 @@
     assert not lost, (len(lost), lost[:3])
 
 
+@then("at most {most:d} request of each entry is rejected")
+def check_few_rejected(context: Context, most: int) -> None:
+    rejected: dict[int, int] = {}
+    for entry, answer in context.site.answers:
+        if answer.status != SERVED_STATUS:
+            rejected[entry] = rejected.get(entry, 0) + 1
+    assert max(rejected.values(), default=0) <= most, rejected
+
+
 @then("what isn't served is rejected within {seconds:g} s, with Retry-After")
 def check_rejected(context: Context, seconds: float) -> None:
     rejected = [answer for _, answer in context.site.answers if answer.status != SERVED_STATUS]
--- a/packages/daemon/src/mimosaspur_daemon/direct/engineregistry.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/engineregistry.py
@@ -55,7 +55,7 @@
         for identity, record in wanted.items():
             self._update_controller(self.controllers.get(identity), record)
         for controller in self.controllers.values():
-            limited = self.state.notices.limit_per_s(controller.record) is not None
+            limited = self.state.notices.is_held(controller.record)
             if controller.limited and not limited:
                 # Its state may be old: few reports were permitted.
                 controller.report_requested_ms = 0
--- a/packages/daemon/src/mimosaspur_daemon/direct/permitchoice.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/permitchoice.py
@@ -1,4 +1,4 @@
-"""Narrow a request's choice to the targets that a permit is at hand for, and wait for permits."""
+"""Narrow a request's choice to the targets that take it now, and wait for the others."""
 
 import contextlib
 import math
@@ -12,7 +12,7 @@
 
 
 class PermitChoice:
-    """Apply the request limits of targets to the choice for one request."""
+    """Apply the limits and rests of targets to the choice for one request."""
 
     __slots__ = ("notices", "rank", "request", "waiter")
 
@@ -25,15 +25,15 @@
         # The request's place among them, while it waits.
         self.waiter: PermitWaiter | None = None
 
-    def limited(self, views: Sequence[TargetView]) -> list[TargetView]:
-        """Return the targets that name a limit."""
-        if not self.notices.any_known():
+    def held(self, views: Sequence[TargetView]) -> list[TargetView]:
+        """Return the targets that name a limit or rest."""
+        if not self.notices.any_held():
             return []
-        return [view for view in views if self.notices.limit_per_s(view.record) is not None]
+        return [view for view in views if self.notices.is_held(view.record)]
 
     def sendable(self, views: Sequence[TargetView]) -> list[TargetView]:
         """Return the targets that the request may be sent to now."""
-        if not self.notices.any_known():
+        if not self.notices.any_held():
             return list(views)
         rank = self.rank()
         return [
@@ -47,33 +47,33 @@
 
         An unused permit is lost, and only a response tells that the limit has ended.
         """
-        limited = self.limited(views)
-        least = min((view.request_count() for view in views if view not in limited), default=0)
-        return [view for view in limited if view.request_count() <= least]
+        held = self.held(views)
+        least = min((view.request_count() for view in views if view not in held), default=0)
+        return [view for view in held if view.request_count() <= least]
 
     def record_chance(self, views: Sequence[TargetView]) -> None:
-        """Count the request at the targets with a limit among those that could run it."""
-        limited = self.limited(views)
-        if not limited:
+        """Count the request at the held targets among those that could run it."""
+        held = self.held(views)
+        if not held:
             return
-        for view in limited:
+        for view in held:
             self.notices.record_chance(view.record)
         sendable = self.sendable(views)
-        passed_over = [view for view in limited if view not in sendable]
+        passed_over = [view for view in held if view not in sendable]
         if sendable and passed_over:
             self._log("elsewhere", passed_over)
 
-    def log_rejection(self, limited: Sequence[TargetView], expected_s: float) -> None:
+    def log_rejection(self, held: Sequence[TargetView], expected_s: float) -> None:
         """Log that no target could take the request in time."""
         expected_ms = round(expected_s * 1000) if math.isfinite(expected_s) else None
-        self._log("rejected", limited, expected_ms=expected_ms, rank=self.rank())
+        self._log("rejected", held, expected_ms=expected_ms, rank=self.rank())
 
-    def expected_wait_s(self, limited: Sequence[TargetView]) -> float:
-        """Return the shortest expected wait for a permit of one of these targets."""
+    def expected_wait_s(self, held: Sequence[TargetView]) -> float:
+        """Return the shortest expected wait until one of these targets takes the request."""
         rank = self.rank()
         waits_ms = [
             self.notices.expected_wait_ms(view.record, rank=rank, waiter=self.waiter)
-            for view in limited
+            for view in held
         ]
         return min(waits_ms) / 1000
 
@@ -86,10 +86,10 @@
             finally:
                 self.waiter = None
 
-    def ask(self, limited: Sequence[TargetView]) -> None:
+    def ask(self, held: Sequence[TargetView]) -> None:
         """Ask for a permit of any of these targets."""
         assert self.waiter
-        self.notices.set_targets(self.waiter, [view.record for view in limited])
+        self.notices.set_targets(self.waiter, [view.record for view in held])
 
     def _log(self, outcome: str, views: Sequence[TargetView], **fields: object) -> None:
         targets = [view.record.incarnation for view in views]
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetnotices.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetnotices.py
@@ -23,6 +23,9 @@
 from mimosaspur_coordination.limits.requestlimit import parse_limit
 from mimosaspur_coordination.limits.sendhistory import SendHistory
 from mimosaspur_coordination.notices.leavingtargets import LeavingTargets
+from mimosaspur_coordination.notices.rests import BadRest
+from mimosaspur_coordination.notices.rests import Rests
+from mimosaspur_coordination.notices.rests import parse_rest
 from mimosaspur_protocol.peermessages import IssuedPermits
 from mimosaspur_protocol.peermessages import LimitUpdate
 from mimosaspur_protocol.peermessages import PermitRequest
@@ -30,10 +33,13 @@
 from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.eventlog import EventLog
 from mimosaspur_state.fleet import TargetRecord
+from mimosaspur_transport.dialect import RETRY_AFTER
 from mimosaspur_transport.dialect import Dialect
 from mimosaspur_transport.dialect import header_values
 
 NO_DEMAND = PermitDemand()
+# Statuses with which a target turns a request away, and may ask for rest.
+REFUSAL_STATUSES = (429, 503)
 
 
 @dataclass(slots=True, frozen=True)
@@ -62,6 +68,7 @@
         "on_change",
         "on_leaving",
         "request_report",
+        "rests",
         "sent_before",
     )
 
@@ -79,6 +86,7 @@
         self.log = log
         self.dialect = dialect
         self.leaving = LeavingTargets(clock=clock)
+        self.rests = Rests(clock=permit_clock)
         self.history = SendHistory(clock=clock)
         self.ledger = LimitLedger()
         self.holder = PermitHolder(clock=permit_clock)
@@ -89,14 +97,22 @@
         self.on_leaving = on_leaving
         # Requests in the last window before this entry knew a limit, until they are reported.
         self.sent_before: dict[str, int] = {}
-        # Targets whose last response named no valid limit.
-        self.bad_values: set[str] = set()
+        # Targets whose last value of a kind couldn't be read, with the code that tells which.
+        self.bad_values: set[tuple[str, ResultCode]] = set()
         # Issues the permits of all entries, while this one coordinates.
         self.issuer: PermitIssuer | None = None
 
-    def any_known(self) -> bool:
-        """Return whether any target names a limit, or has named one."""
-        return bool(self.ledger.limits)
+    def any_held(self) -> bool:
+        """Return whether any target names a limit or rests, or has done so."""
+        return bool(self.ledger.limits or self.rests.rests)
+
+    def is_held(self, target: TargetRecord) -> bool:
+        """Return whether a target names a limit, or rests."""
+        return self.limit_per_s(target) is not None or bool(self.rest_ms(target))
+
+    def rest_ms(self, target: TargetRecord) -> int:
+        """Return for how long a target wants nothing from this entry, 0 if it takes requests."""
+        return self.rests.remaining_ms(target.incarnation)
 
     def limit_per_s(self, target: TargetRecord) -> float | None:
         """Return the requests a second that a target takes, None for any number."""
@@ -123,6 +139,7 @@
         """
         if _says_yes(header_values(headers, self.dialect.leaving)):
             self._add_leaving(target.incarnation, source="answer", report=True)
+        self._apply_rest(target, status, header_values(headers, RETRY_AFTER))
         self._apply_limit(
             target,
             header_values(headers, self.dialect.request_limit),
@@ -130,6 +147,19 @@
             proves_end=proves_end,
         )
 
+    def _apply_rest(self, target: TargetRecord, status: int, values: Sequence[bytes]) -> None:
+        key = target.incarnation
+        try:
+            rest_ms = parse_rest(values) if status in REFUSAL_STATUSES else None
+        except BadRest as error:
+            self._log_bad_value(key, ResultCode.BAD_TARGET_REST, named=str(error))
+            return
+        if rest_ms:
+            if self.rests.ask(key, rest_ms):
+                self.log.write("target_rest", target=key, rest_ms=rest_ms, status=status)
+        elif self.rests.on_answer(key):
+            self.on_change()
+
     def _add_leaving(self, incarnation: str, *, source: str, report: bool) -> bool:
         if not self.leaving.add(incarnation, report=report):
             return False
@@ -147,27 +177,26 @@
         try:
             per_s = parse_limit(values)
         except BadLimit as error:
-            if key not in self.bad_values:
-                self.bad_values.add(key)
-                self.log.always(
-                    "bad_target_limit",
-                    target=key,
-                    code=ResultCode.BAD_TARGET_LIMIT.value,
-                    named=str(error),
-                    kept_per_s=self.limit_per_s(target),
-                )
+            kept = {"kept_per_s": self.limit_per_s(target)}
+            self._log_bad_value(key, ResultCode.BAD_TARGET_LIMIT, named=str(error), **kept)
             return
-        self.bad_values.discard(key)
+        self.bad_values.discard((key, ResultCode.BAD_TARGET_LIMIT))
         before = self.ledger.get(key)
         if self.ledger.observe(key, per_s, sent_version=sent_version, proves_end=proves_end):
             self._on_limit_changed(key, before, source="response")
             self.request_report()
 
+    def _log_bad_value(self, key: str, code: ResultCode, **fields: object) -> None:
+        """Log a value that can't be read, once until a good one comes."""
+        if (key, code) not in self.bad_values:
+            self.bad_values.add((key, code))
+            self.log.always(code.name.lower(), target=key, code=code.value, **fields)
+
     def may_send(
         self, target: TargetRecord, *, rank: int, waiter: PermitWaiter | None = None
     ) -> bool:
         """Return whether a request of a rank may be sent to a target now."""
-        if target.incarnation in self.leaving:
+        if target.incarnation in self.leaving or self.rest_ms(target):
             return False
         if self.limit_per_s(target) is None:
             return True
@@ -183,7 +212,7 @@
 
         A request that continues a run which the target has stopped returns to it even if it leaves.
         """
-        if target.incarnation in self.leaving and not returns:
+        if (target.incarnation in self.leaving and not returns) or self.rest_ms(target):
             return None
         if self.limit_per_s(target) is None:
             return SendPermit(target.incarnation, None, returns)
@@ -198,9 +227,10 @@
             allowed = self.holder.is_valid(permit.lapses_ms)
         else:
             allowed = self.ledger.get(permit.target).per_s is None
-        if allowed:
-            self.history.record(permit.target)
-        return allowed
+        if not allowed or not self.rests.begin_send(permit.target):
+            return False
+        self.history.record(permit.target)
+        return True
 
     def put_back(self, permit: SendPermit) -> None:
         """Return a permit that was not used."""
@@ -209,6 +239,8 @@
 
     def permits_call(self, target: TargetRecord) -> bool:
         """Return whether a call that is no caller's request may be sent, and count it."""
+        if self.rest_ms(target):
+            return False
         if self.limit_per_s(target) is not None and self.issuer:
             return self.issuer.try_take(target.incarnation)
         # A leaving engine still tells when it ends, and stops and copies what it runs.
@@ -217,6 +249,8 @@
 
     def permits_report(self, target: TargetRecord) -> bool:
         """Return whether an engine may be asked for a report, and count it."""
+        if self.rest_ms(target):
+            return False
         if self.issuer is None:
             return self.permits_call(target)
         if self.limit_per_s(target) is not None:
@@ -237,11 +271,13 @@
     def expected_wait_ms(
         self, target: TargetRecord, *, rank: int, waiter: PermitWaiter | None = None
     ) -> float:
-        """Return the expected wait for a permit, 0 if none is needed."""
+        """Return the expected wait for a permit and the end of a rest, 0 if there is neither."""
         per_s = self.limit_per_s(target)
+        rest_ms = float(self.rest_ms(target))
         if per_s is None:
-            return 0.0
-        return self.holder.expected_wait_ms(target.incarnation, per_s, rank=rank, waiter=waiter)
+            return rest_ms
+        wait_ms = self.holder.expected_wait_ms(target.incarnation, per_s, rank=rank, waiter=waiter)
+        return max(rest_ms, wait_ms)
 
     @contextlib.contextmanager
     def waiting(self, rank: int) -> Iterator[PermitWaiter]:
@@ -253,8 +289,9 @@
             self.holder.remove_waiter(waiter)
 
     def set_targets(self, waiter: PermitWaiter, targets: Iterable[TargetRecord]) -> None:
-        """Set the targets that a waiting request could be sent to."""
-        wanted = frozenset(target.incarnation for target in targets)
+        """Set the targets that a waiting request could be sent to, of which some name limits."""
+        limited = (each for each in targets if self.limit_per_s(each) is not None)
+        wanted = frozenset(target.incarnation for target in limited)
         if wanted != waiter.targets:
             waiter.targets = wanted
             self.request_report()
@@ -311,11 +348,12 @@
         self.leaving.retain(incarnations)
         self.history.retain(incarnations)
         self.ledger.retain(incarnations)
-        self.bad_values.intersection_update(incarnations)
+        self.bad_values = {each for each in self.bad_values if each[0] in incarnations}
+        self.rests.retain(incarnations)
 
     def listing(self) -> list[dict[str, object]]:
-        """Return the limits in force for operators."""
-        return [
+        """Return the limits and rests in force, and the leaving targets, for operators."""
+        limits: list[dict[str, object]] = [
             {
                 "target": target,
                 "per_s": per_s,
@@ -324,6 +362,14 @@
             }
             for target, per_s in self.ledger.limited().items()
         ]
+        rests: list[dict[str, object]] = [
+            {"target": target, "rest_ms": rest_ms}
+            for target in self.rests.rests
+            if (rest_ms := self.rests.remaining_ms(target))
+        ]
+        return (
+            limits + rests + [{"target": each, "leaving": True} for each in self.leaving.noted_ms]
+        )
 
     def _on_limit_changed(self, target: str, before: RequestLimit, *, source: str) -> None:
         limit = self.ledger.get(target)
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -156,13 +156,13 @@
                     raise self.refusal(ResultCode.NO_READY_TARGET)
                 wait_until_s = min(self.first_event_deadline_s, state.balancer_noticed_s)
                 left_s = wait_until_s - MIN_FIRST_TOKEN_S - _now_s()
-                limited = self.permits.limited(self._holders())
-                expected_s = self._expected_wait_s(limited)
+                held = self.permits.held(self._holders())
+                expected_s = self._expected_wait_s(held)
                 if left_s <= max(0.0, expected_s):
-                    if limited:
-                        raise self._limit_refusal(limited, expected_s)
+                    if held:
+                        raise self._held_refusal(held, expected_s)
                     raise self.refusal(ResultCode.NO_READY_TARGET, wanted_s=expected_s or 1.0)
-                self.permits.ask(limited)
+                self.permits.ask(held)
                 await self.state.changes.wait(min(left_s, self._recheck_delay_s()))
                 view = self._choose()
                 if view is not None:
@@ -174,41 +174,43 @@
             return view
         with self.permits.waiting():
             while view is None:
-                limited = self.permits.limited(self._available())
-                if limited:
-                    await self._wait_for_permit(limited)
+                held = self.permits.held(self._available())
+                if held:
+                    await self._wait_for_permit(held)
                 else:
                     await self._wait_for_cooldown()
                 view = self._choose_plain()
         return view
 
-    async def _wait_for_permit(self, limited: Sequence[TargetView]) -> None:
-        expected_s = self.permits.expected_wait_s(limited)
+    async def _wait_for_permit(self, held: Sequence[TargetView]) -> None:
+        expected_s = self.permits.expected_wait_s(held)
         if expected_s >= self.first_event_deadline_s - RECHECK_INTERVAL_S - _now_s():
-            raise self._limit_refusal(limited, expected_s)
-        self.permits.ask(limited)
+            raise self._held_refusal(held, expected_s)
+        self.permits.ask(held)
         await self.state.changes.wait(self._recheck_delay_s())
 
-    def _limit_refusal(self, limited: Sequence[TargetView], expected_s: float) -> RequestFailed:
-        self.permits.log_rejection(limited, expected_s)
-        return self.refusal(ResultCode.TARGET_LIMITED, wanted_s=expected_s)
+    def _held_refusal(self, held: Sequence[TargetView], expected_s: float) -> RequestFailed:
+        self.permits.log_rejection(held, expected_s)
+        limited = any(self.state.notices.limit_per_s(view.record) is not None for view in held)
+        code = ResultCode.TARGET_LIMITED if limited else ResultCode.TARGET_RESTING
+        return self.refusal(code, wanted_s=expected_s)
 
     @contextlib.contextmanager
     def _waiting(self) -> Iterator[None]:
         """Count the request as waiting for its model, and for a permit, within the context."""
-        limited = self.permits.limited(self._holders())
+        held = self.permits.held(self._holders())
         with contextlib.ExitStack() as stack:
-            if not limited or self.permits.expected_wait_s(limited) > MAX_PERMIT_WAIT_S:
+            if not held or self.permits.expected_wait_s(held) > MAX_PERMIT_WAIT_S:
                 stack.enter_context(self.state.waiting_for(self.prompt.model, self.prompt.adapter))
             stack.enter_context(self.permits.waiting())
             yield
 
-    def _expected_wait_s(self, limited: Sequence[TargetView]) -> float:
+    def _expected_wait_s(self, held: Sequence[TargetView]) -> float:
         """Return the expected wait for a permit, or for the model on another engine."""
         ready_ms = self.state.model_ready_in_ms.get(self.prompt.model)
-        if not limited:
+        if not held:
             return (ready_ms or 0) / 1000
-        permit_s = self.permits.expected_wait_s(limited)
+        permit_s = self.permits.expected_wait_s(held)
         return permit_s if ready_ms is None else min(permit_s, ready_ms / 1000)
 
     def _permit_rank(self) -> int:
--- a/packages/state/src/mimosaspur_state/codes.py
+++ b/packages/state/src/mimosaspur_state/codes.py
@@ -43,6 +43,7 @@
     TARGET_LIMITED = 2015
     STREAM_VERSION_UNKNOWN = 2016
     STREAM_VERSION_GONE = 2017
+    TARGET_RESTING = 2018
 
     OUTCOME_UNKNOWN = 3001
     ANSWER_CUT = 3002
@@ -66,6 +67,7 @@
     SAME_OPERATOR = 4011
     STORE_ERA_WRONG = 4012
     BAD_TARGET_LIMIT = 4013
+    BAD_TARGET_REST = 4014
 
 
 @dataclass(slots=True, frozen=True)
@@ -140,6 +142,11 @@
         "What is left of the workspace's quota isn't known here yet. Not run.",
         _TRY_LATER,
     ),
+    ResultCode.TARGET_RESTING: CodeInfo(
+        503,
+        "The targets that could run it have asked this entry for rest. Not run.",
+        _TRY_LATER,
+    ),
     ResultCode.TARGET_LIMITED: CodeInfo(
         503,
         "The targets that could run it limit the requests that they take. Not run.",
@@ -221,6 +228,11 @@
         "The store's era is missing, goes back or is no number. Its answers are used.",
         "Look at the store; restores can't be told from one another meanwhile.",
     ),
+    ResultCode.BAD_TARGET_REST: CodeInfo(
+        503,
+        "A target turns requests away with a Retry-After that is no number of seconds.",
+        "Correct what the target sends.",
+    ),
     ResultCode.BAD_TARGET_LIMIT: CodeInfo(
         503,
         "A target names a request limit that is no number. The last good one is kept.",
