Wait for a target that refused only this request, rather than reject for a rest

Cause: a request that one target has just refused leaves it out for 0.1 s. If all others rest, or have no permit, the request was rejected for these, though the first one would take it a moment later.

Change: the expected wait counts the targets that the request may soon ask again.

Evidence: "One target rests, another one has just refused the request", two rows, failed before and pass now.

--- a/features/steps/target_rests_steps.py
+++ b/features/steps/target_rests_steps.py
@@ -1,21 +1,32 @@
 """Steps for the rests that targets ask for."""
 
+import asyncio
+from dataclasses import replace
+
 from behave import given
 from behave import then
+from behave import when
 from behave.runner import Context
 from hypothesis import given as generated
 from hypothesis import settings
 from hypothesis import strategies
 
 from harness.direct_entry import DIALECT
+from harness.direct_entry import DirectEntry
+from harness.direct_entry import engine_spec
+from harness.direct_entry import model_spec
 from harness.direct_entry import null_log
 from harness.direct_fleet import ManualClock
+from harness.loop import run
+from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.notices.rests import Rests
 from mimosaspur_daemon.direct.targetnotices import TargetNotices
+from mimosaspur_daemon.direct.targetselector import TargetSelector
 from mimosaspur_state.fleet import TargetRecord
 
 TARGET = TargetRecord("i-1", "service", ("127.0.0.1", 1), "here")
 MAX_EXAMPLES = 300
+TIMEOUT_S = 4.0
 
 
 @given("a refusal with status {status:d} that asks for {values}")
@@ -43,6 +54,49 @@
     assert context.notices.permits_call(TARGET) == (ms == 0)
 
 
+@given("an entry with two targets of {service}, one of which rests for {rest} s")
+def start_entry(context: Context, service: str, rest: str) -> None:
+    async def start() -> None:
+        spec = engine_spec([model_spec("notes")]) if service == "engines" else None
+        context.entry = DirectEntry(engine=spec)
+        fleet = context.entry.state.fleet
+        residents = {"notes": frozenset[str]()} if spec else None
+        records = [replace(TARGET, identity=name, residents=residents) for name in ("a", "b")]
+        fleet.update(records, [])
+        context.entry.state.notices.on_head(records[0], 503, [(b"Retry-After", rest.encode())])
+
+    run(context, start())
+
+
+@when("a request is chosen a target {ms:d} ms after the other one has refused it")
+def choose_after_refusal(context: Context, ms: int) -> None:
+    async def choose() -> None:
+        state = context.entry.state
+        configuration = state.configuration
+        spec = configuration.services["service"]
+        now_s = asyncio.get_running_loop().time()
+        selector = TargetSelector(
+            state,
+            configuration.routes[0],
+            "service",
+            spec,
+            Prompt("notes" if spec.engine else "", prompt_tokens=10, output_tokens=10),
+            request="r-1",
+            workspace=None,
+            arrived_s=now_s,
+            deadline_s=now_s + TIMEOUT_S,
+        )
+        selector.cool_down(state.fleet.targets["b"], ms / 1000)
+        context.chosen = await selector.next_target()
+
+    run(context, choose())
+
+
+@then("it is sent to the other one")
+def check_chosen(context: Context) -> None:
+    assert context.chosen.record.identity == "b"
+
+
 @then(
     "in any play a target gets nothing in a rest, and one request until it has answered or"
     " {timeout_ms:d} ms have passed"
--- a/features/target_rests.feature
+++ b/features/target_rests.feature
@@ -23,3 +23,14 @@
   # Guards against a shorter rest that ends a longer one, and against a rush at the end of one.
   Scenario: In any order of refusals, answers and sends nothing is sent in a rest, and one request first after it
     Then in any play a target gets nothing in a rest, and one request until it has answered or 300 ms have passed
+
+  # Guards against a rejection for one target's rest while another one refused only this request, for a moment.
+  Scenario Outline: One target rests, another one has just refused the request, <service>
+    Given an entry with two targets of <service>, one of which rests for 30 s
+    When a request is chosen a target 100 ms after the other one has refused it
+    Then it is sent to the other one
+
+    Examples:
+      | service       |
+      | engines       |
+      | plain service |
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Iterator
 from collections.abc import Sequence
 
@@ -183,7 +184,7 @@
         return view
 
     async def _wait_for_permit(self, held: Sequence[TargetView]) -> None:
-        expected_s = self.permits.expected_wait_s(held)
+        expected_s = min(self.permits.expected_wait_s(held), self._cooldown_wait_s())
         if expected_s >= self.first_event_deadline_s - RECHECK_INTERVAL_S - _now_s():
             raise self._held_refusal(held, expected_s)
         self.permits.ask(held)
@@ -210,9 +211,20 @@
         ready_ms = self.state.model_ready_in_ms.get(self.prompt.model)
         if not held:
             return (ready_ms or 0) / 1000
-        permit_s = self.permits.expected_wait_s(held)
+        permit_s = min(self.permits.expected_wait_s(held), self._cooldown_wait_s())
         return permit_s if ready_ms is None else min(permit_s, ready_ms / 1000)
 
+    def _cooldown_wait_s(self) -> float:
+        """Return the time until a target that has refused the request may be asked again."""
+        now_s = _now_s()
+        waits = [
+            self.cooldown_ends_s.get(view.record.identity, 0) - now_s
+            for view in self._allowed_by_version()
+            if (not self.prompt.model or view.can_run(self.prompt))
+            and not self.state.notices.is_held(view.record)
+        ]
+        return min((wait for wait in waits if wait > 0), default=math.inf)
+
     def _permit_rank(self) -> int:
         """Return the request's rank for permits: retries take none from first attempts."""
         if self.resumed:
