--- a/features/steps/direct_notices_steps.py
+++ b/features/steps/direct_notices_steps.py
@@ -1,20 +1,27 @@
 """Steps for targets that say in their answers that they leave, or ask for rest."""
 
 import asyncio
+import signal
 from collections.abc import Sequence
 
 from behave import then
 from behave import when
 from behave.runner import Context
 
+from harness.entry_processes import EntryProcesses
 from harness.limit_site import LimitSite
 from harness.limit_site import request_number
+from harness.limited_target import SERVERS
 from harness.limited_target import Arrival
 from harness.limited_target import LimitedTarget
+from harness.limited_target import registration
 from harness.loop import run
 
 SERVED_STATUS = 200
 UNAVAILABLE_STATUS = 503
+# From what a target says to the fault.
+FAULT_DELAY_S = 1.0
+LAPSE_S = 0.5
 
 
 async def _play(
@@ -23,10 +30,12 @@
     per_s: int,
     seconds: int,
     targets: Sequence[LimitedTarget],
+    fault: str = "",
     **changes: object,
 ) -> None:
     """Send requests, and change what targets say after some time."""
     context.told = targets
+    context.restarted = None
     until_s = changes.pop("until_s", None)
 
     async def change() -> None:
@@ -34,6 +43,9 @@
         for target in targets:
             for name, value in changes.items():
                 setattr(target, name, value)
+        if fault:
+            await asyncio.sleep(FAULT_DELAY_S)
+            await _inject(context, fault, targets[0])
         if until_s:
             await asyncio.sleep(float(str(until_s)) - 2.0)
             for target in targets:
@@ -53,6 +65,42 @@
     run(context, _play(context, per_s=per_s, seconds=seconds, targets=targets, leaving=True))
 
 
+async def _inject(context: Context, fault: str, target: LimitedTarget) -> None:
+    site: LimitSite = context.site
+    entries = site.entries
+    assert isinstance(entries, EntryProcesses)
+    coordinator = entries.coordinator()
+    follower = next(entry for entry in entries.entries if entry is not coordinator)
+    if fault == "the store is away":
+        site.store.status = UNAVAILABLE_STATUS
+    elif fault == "the store says again that it is ready":
+        site.store.put(SERVERS, target.identity, registration(target))
+    elif fault == "its registration lapses and comes back":
+        site.store.delete(SERVERS, target.identity)
+        await asyncio.sleep(LAPSE_S)
+        site.store.put(SERVERS, target.identity, registration(target))
+    elif fault == "an entry is frozen for 1 s":
+        follower.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(1.0)
+        follower.process.send_signal(signal.SIGCONT)
+    else:
+        entry = coordinator if "coordinator" in fault else follower
+        context.restarted = entries.entries.index(entry)
+        entry.kill()
+        if fault.endswith("starts again"):
+            entry.start()
+
+
+@when(
+    "requests come {per_s:d} a second for {seconds:d} s, after 2 s one target says in its answers"
+    " that it leaves, and 1 s later {fault}"
+)
+def leave_one_with_fault(context: Context, per_s: int, seconds: int, fault: str) -> None:
+    targets = context.site.targets[:1]
+    work = _play(context, per_s=per_s, seconds=seconds, targets=targets, fault=fault, leaving=True)
+    run(context, work)
+
+
 @when(
     "requests come {per_s:d} a second for {seconds:d} s, and after 2 s all targets say in their"
     " answers that they leave"
@@ -116,11 +164,32 @@
         late = {
             entry: sum(at_s > min(times) + ms / 1000 for at_s in arrivals[entry])
             for entry, times in told.items()
+            if entry != context.restarted
         }
         print(f"MEASURED {target.identity}: {sum(late.values())} later, {len(told)} entries told")
         assert not any(late.values()), late
 
 
+@then(
+    "it gets nothing from an entry later than {ms:d} ms after it has told that entry, restarts"
+    " apart"
+)
+def check_told_but_restarted(context: Context, ms: int) -> None:
+    check_told_entries(context, ms)
+
+
+@then(
+    "it gets at most {most:d} requests from all entries later than {ms:d} ms after it has told the"
+    " first one"
+)
+def check_few_late(context: Context, most: int, ms: int) -> None:
+    for target in context.told:
+        first_s = min(each.at_s for each in target.said_leaving)
+        late = [each for each in target.arrivals if each.to_run and each.at_s > first_s + ms / 1000]
+        print(f"MEASURED {target.identity}: {len(late)} of all entries later than {ms} ms")
+        assert len(late) <= most, len(late)
+
+
 @then("it gets nothing from any entry later than {ms:d} ms after it has told the first one")
 def check_all_entries(context: Context, ms: int) -> None:
     for target in context.told:
