--- a/packages/daemon/src/mimosaspur_daemon/direct/adaptercontroller.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/adaptercontroller.py
@@ -51,7 +51,7 @@
         self.placement_lock = asyncio.Lock()
         # The model and adapter that a task is loading.
         self.placing_adapter: tuple[str, str] | None = None
-        # The same, as announced to the other instances.
+        # The same, as recorded among the outstanding loads.
         self.announced_adapter: OrderedLoad | None = None
 
     def begin_adapter(self, model: str, adapter: str, *, evicts: bool) -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/enginecontroller.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/enginecontroller.py
@@ -83,7 +83,7 @@
         self.expected_sequence: int | None = None
         # No swap starts before then.
         self.cooldown_until_ms = 0
-        # The load of the swap in progress, as announced to the other instances.
+        # The load of the swap in progress, as recorded among the outstanding ones.
         self.announced_load: OrderedLoad | None = None
 
     def reserved_models(self) -> tuple[str, ...]:
