Log why a suspected request is sent, and what it stood behind

Cause: the lines of an attempt tell how long it waited, not for what; the hypotheses of the incident of copies couldn't be told apart.

Change: a `turn` line for each suspected request that is let go: trait, reason, wait, the request before it, how many are at targets and at the entry.

--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -96,7 +96,8 @@
         It waits for a verdict that is due, and for some time for other requests with its traits.
         """
         clock = self.state.clock
-        copy_wait_ends_ms = clock.now_ms() + MAX_COPY_WAIT_MS
+        began_ms = clock.now_ms()
+        copy_wait_ends_ms = began_ms + MAX_COPY_WAIT_MS
         while True:
             self.check(handler.traits)
             traits = self.ledger.holding(handler.traits)
@@ -110,10 +111,29 @@
             if not wait_ms:
                 wait_ms = copy_wait_ends_ms - clock.now_ms()
                 if wait_ms <= 0 or not any(self._other_is_sent(each, handler) for each in traits):
+                    self._log_turn(handler, traits, began_ms, expired=wait_ms <= 0)
                     self.turns.update(dict.fromkeys(traits, handler))
                     return
             await self.changes.wait(wait_ms / 1000)
 
+    def _log_turn(
+        self, handler: "RequestHandler", traits: Sequence[bytes], began_ms: int, *, expired: bool
+    ) -> None:
+        """Log why a suspected request may be sent, and what else has its traits here."""
+        for trait in traits:
+            before = self.turns.get(trait)
+            self.state.log.write(
+                "turn",
+                trait=trait_name(trait),
+                request=handler.request_id(),
+                reason="the wait has run out" if expired else "no other one is sent",
+                waited_ms=self.state.clock.now_ms() - began_ms,
+                before=before.request_id() if before else "",
+                at_targets=self.at_targets.get(trait, 0),
+                here=sum(trait in each.traits.all() for each in self.handlers),
+                crashes=self.ledger.crash_count(trait),
+            )
+
     def _other_is_sent(self, trait: bytes, handler: "RequestHandler") -> bool:
         turn = self.turns.get(trait)
         if turn is None:
