--- a/features/harness/crashing_engine.py
+++ b/features/harness/crashing_engine.py
@@ -184,6 +184,8 @@
         # One in so many crashing requests fails with an error instead; 0 for none.
         self.error_interval = 0
         self.crashing_runs = itertools.count(1)
+        # How long an engine takes to come back.
+        self.restart_delay_s = RESTART_DELAY_S
         # Called after each crash.
         self.on_crash: Callable[[], None] = lambda: None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -239,7 +241,7 @@
         self.on_crash()
 
     async def _return(self, engine: CrashingEngine) -> None:
-        await asyncio.sleep(RESTART_DELAY_S)
+        await asyncio.sleep(self.restart_delay_s)
         await self._start_engine(engine.address)
 
     async def _lapse(self, engine: CrashingEngine) -> None:
--- a/features/steps/direct_crashes_steps.py
+++ b/features/steps/direct_crashes_steps.py
@@ -80,6 +80,11 @@
     _start_site(context, CrashSite(LocalEntries(entries, store), store=store, engines=engines))
 
 
+@given("an engine that crashed is back after {seconds:g} s")
+def set_restart_delay(context: Context, seconds: float) -> None:
+    context.crash_site.fleet.restart_delay_s = seconds
+
+
 def _start_site(context: Context, site: CrashSite) -> None:
     context.healed_s = 0.0
     context.crash_site = site
@@ -159,6 +164,22 @@
     assert len(crashes) >= least, crashes
 
 
+@then("it crashed at most {most:d} engines")
+def check_most_crashes(context: Context, most: int) -> None:
+    crashes = context.crash_site.fleet.own_crashes()
+    ends = [(round(each.at_s - crashes[0].at_s, 2), len(each.requests)) for each in crashes]
+    print(f"MEASURED {len(crashes)} engines crashed: s after the first, requests there: {ends}")
+    assert len(crashes) <= most, ends
+
+
+@then("it reached engines at most {most:d} times later than {ms:d} ms after its first crash")
+def check_arrivals_after_first(context: Context, most: int, ms: int) -> None:
+    fleet = context.crash_site.fleet
+    late = fleet.crashing_arrivals(after_s=fleet.own_crashes()[0].at_s + ms / 1000)
+    print(f"MEASURED {len(late)} arrivals later than {ms} ms after the first crash")
+    assert len(late) <= most, late
+
+
 @then("it reached engines at most {most:d} times later than {ms:d} ms after its third crash")
 def check_late_arrivals(context: Context, most: int, ms: int) -> None:
     site = context.crash_site
