Reject a suspected copy whose turn doesn't come, rather than send it ahead

Callers saw: engines that end under tens of copies of one request at once.

Cause: a copy took its turn before it waited for a target, and the wait for the one before ended after a second in a send. When a model's only holder had crashed, the one with the turn waited for the model, and all that came in the meantime gathered behind it and reached the first engine together.

Change: a request takes its turn once a target is there for it, keeps it until its attempt has ended and a crash is known, and puts it back if the target is gone. The end of the wait is a rejection, code 2019, with a Retry-After.

Copies of several entries are still sent at once: direct_crashes_copies fails as before.

--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
+from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.quarantine.alternatives import alternatives
 from mimosaspur_coordination.quarantine.blame import QUARANTINE_THRESHOLD
 from mimosaspur_coordination.quarantine.crashledger import SETTLE_MS
@@ -20,6 +21,7 @@
 from mimosaspur_daemon.direct.changenotifier import ChangeNotifier
 from mimosaspur_daemon.direct.crashdetector import CrashDetector
 from mimosaspur_daemon.direct.refusal import RequestFailed
+from mimosaspur_daemon.direct.suspectturns import SuspectTurns
 from mimosaspur_protocol.peermessages import CrashReport
 from mimosaspur_state.codes import ResultCode
 
@@ -31,8 +33,6 @@
 ISOLATION_THRESHOLD = 2
 # A run that has written for so long shows that its prompt doesn't crash its target.
 WRITTEN_PROOF_MS = 1_000
-# Limit on the wait for another request with the same trait: a crash takes less time.
-MAX_COPY_WAIT_MS = 1_000
 # Timers may fire slightly early.
 TIMER_MARGIN_MS = 5
 
@@ -47,11 +47,16 @@
         self.handlers: set[RequestHandler] = set()
         # Traits of requests that are at a target, with the numbers of these.
         self.at_targets: dict[bytes, int] = {}
-        # The one request with each suspected trait that may be sent.
-        self.turns: dict[bytes, RequestHandler] = {}
         # Traits whose quarantine has been logged.
         self.announced: set[bytes] = set()
         self.changes = ChangeNotifier()
+        self.turns = SuspectTurns(
+            ledger=self.ledger,
+            at_targets=self.at_targets,
+            changes=self.changes,
+            clock=state.clock,
+            log=state.log,
+        )
         # The next review of the evidence, and whether another one must follow it.
         self.review: asyncio.TimerHandle | None = None
         self.review_again = False
@@ -64,11 +69,7 @@
             yield
         finally:
             self.handlers.discard(handler)
-            turns = [each for each in handler.traits.all() if self.turns.get(each) is handler]
-            for trait in turns:
-                del self.turns[trait]
-            if turns:
-                self.changes.notify()
+            self.turns.end(handler)
 
     @contextlib.contextmanager
     def at_target(self, traits: RequestTraits) -> Iterator[None]:
@@ -90,56 +91,30 @@
         if any(map(self.ledger.is_quarantined, traits.all())):
             raise RequestFailed(ResultCode.REQUEST_QUARANTINED)
 
-    async def wait_to_send(self, handler: "RequestHandler") -> None:
-        """Wait until a suspected request may be sent; raise RequestFailed if it may not.
-
-        It waits for a verdict that is due, and for some time for other requests with its traits.
-        """
-        clock = self.state.clock
-        began_ms = clock.now_ms()
-        copy_wait_ends_ms = began_ms + MAX_COPY_WAIT_MS
+    async def wait_for_verdict(self, handler: "RequestHandler") -> None:
+        """Wait for a verdict on a request that is due; raise RequestFailed if it is quarantined."""
         while True:
             self.check(handler.traits)
             traits = self.ledger.holding(handler.traits)
             if not traits:
                 return
             wait_ms = max(map(self.ledger.settles_in_ms, traits))
-            most = max(map(self.ledger.crash_count, traits))
-            if most >= QUARANTINE_THRESHOLD and not wait_ms:
-                self._apply_verdicts()
-                self.check(handler.traits)
             if not wait_ms:
-                wait_ms = copy_wait_ends_ms - clock.now_ms()
-                if wait_ms <= 0 or not any(self._other_is_sent(each, handler) for each in traits):
-                    self._log_turn(handler, traits, began_ms, expired=wait_ms <= 0)
-                    self.turns.update(dict.fromkeys(traits, handler))
-                    return
+                if max(map(self.ledger.crash_count, traits)) >= QUARANTINE_THRESHOLD:
+                    self._apply_verdicts()
+                    self.check(handler.traits)
+                return
             await self.changes.wait(wait_ms / 1000)
 
-    def _log_turn(
-        self, handler: "RequestHandler", traits: Sequence[bytes], began_ms: int, *, expired: bool
-    ) -> None:
-        """Log why a suspected request may be sent, and what else has its traits here."""
-        for trait in traits:
-            before = self.turns.get(trait)
-            self.state.log.write(
-                "turn",
-                trait=trait_name(trait),
-                request=handler.request_id(),
-                reason="the wait has run out" if expired else "no other one is sent",
-                waited_ms=self.state.clock.now_ms() - began_ms,
-                before=before.request_id() if before else "",
-                at_targets=self.at_targets.get(trait, 0),
-                here=sum(trait in each.traits.all() for each in self.handlers),
-                crashes=self.ledger.crash_count(trait),
-            )
+    def may_send(self, handler: "RequestHandler") -> bool:
+        """Return whether a request may be sent now."""
+        return not self.is_held(handler.traits) and self.turns.may_send(handler)
 
-    def _other_is_sent(self, trait: bytes, handler: "RequestHandler") -> bool:
-        turn = self.turns.get(trait)
-        if turn is None:
-            # Some may have been sent before the trait was suspected.
-            return trait in self.at_targets
-        return turn is not handler
+    async def end_turn(self, handler: "RequestHandler", view: TargetView) -> None:
+        """End a request's turn, once it is likely to be known whether its target has crashed."""
+        if self.turns.has_turn(handler):
+            await self.detector.wait_for_first_probe(view)
+            self.turns.end(handler)
 
     def is_held(self, traits: RequestTraits) -> bool:
         """Return whether a request must not be sent now: it is quarantined, or a verdict is due."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -304,6 +304,7 @@
                 raise
             result = await self._run_attempt(view, continued)
             log_attempt(self, view, result, offer, continued=continued is not None)
+            await self.state.quarantine.end_turn(self, view)
             if result in (AttemptResult.DONE, AttemptResult.FAILED):
                 self._on_run_ended(view)
             if result is AttemptResult.DONE:
@@ -338,15 +339,22 @@
 
     async def _next_target(self) -> TargetView:
         """Return the next target once the request may be sent, or raise RequestFailed."""
-        quarantine = self.state.quarantine
+        quarantine, selector = self.state.quarantine, self.target_selector
         while True:
-            await quarantine.wait_to_send(self)
-            self.target_selector.isolated = quarantine.is_isolated(self.traits)
-            self.target_selector.retried = self.retries.attempts > 0
-            view = await self.target_selector.next_target(resumed=self.started)
+            await quarantine.wait_for_verdict(self)
+            selector.isolated = quarantine.is_isolated(self.traits)
+            selector.retried = self.retries.attempts > 0
+            view: TargetView | None
+            if quarantine.turns.has_turn(self):
+                view = selector.target_now(resumed=self.started)
+            else:
+                view = await selector.next_target(resumed=self.started)
             # It may have become suspected while it waited for a target.
-            if not quarantine.is_held(self.traits):
+            if view and quarantine.may_send(self):
                 return view
+            quarantine.turns.end(self)
+            if view and not quarantine.is_held(self.traits):
+                await quarantine.turns.wait(self)
 
     def _returns_to_source(self, continued: MovedRun | None, result: AttemptResult) -> bool:
         """Return whether a moved run that was refused continues at its source."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -113,10 +113,20 @@
         self.resumed = resumed
         self._check_version()
         self.permits.record_chance(self._holders() if self.prompt.model else self._available())
-        if self.spec is not None and self.spec.engine is not None and self.prompt.model:
+        if self._needs_engine():
             return await self._next_engine()
         return await self._next_plain()
 
+    def target_now(self, *, resumed: bool = False) -> TargetView | None:
+        """Return a target that takes the request now, if any; raise RequestFailed."""
+        self.resumed = resumed
+        self._check_version()
+        return self._choose() if self._needs_engine() else self._choose_plain()
+
+    def _needs_engine(self) -> bool:
+        """Return whether the request is for a model."""
+        return bool(self.spec and self.spec.engine and self.prompt.model)
+
     def has_other(self, view: TargetView) -> bool:
         """Return whether another target could take the request now."""
         others = [
@@ -310,7 +320,7 @@
         if self.continuation is None or self.continuation.version is None:
             return
         views = self._allowed_by_version()
-        is_engine = self.spec is not None and self.spec.engine is not None and self.prompt.model
+        is_engine = self._needs_engine()
         if not any(not is_engine or view.can_run(self.prompt) for view in views):
             raise self.refusal(ResultCode.STREAM_VERSION_GONE)
 
--- a/packages/state/src/mimosaspur_state/codes.py
+++ b/packages/state/src/mimosaspur_state/codes.py
@@ -44,6 +44,7 @@
     STREAM_VERSION_UNKNOWN = 2016
     STREAM_VERSION_GONE = 2017
     TARGET_RESTING = 2018
+    SUSPECT_WAITING = 2019
 
     OUTCOME_UNKNOWN = 3001
     ANSWER_CUT = 3002
@@ -147,6 +148,11 @@
         "The targets that could run it have asked this entry for rest. Not run.",
         _TRY_LATER,
     ),
+    ResultCode.SUSPECT_WAITING: CodeInfo(
+        503,
+        "Targets have crashed under requests like it, of which one is sent at a time. Not run.",
+        _TRY_LATER,
+    ),
     ResultCode.TARGET_LIMITED: CodeInfo(
         503,
         "The targets that could run it limit the requests that they take. Not run.",
