Let the coordinator give the turn to send a suspected request

Callers saw: engines that end within some ms of one another under copies of one request that came to several entries.

Cause: one copy at a time was each entry's own rule, while what it protects, the engines, is the site's. Class: a bound that each sender keeps for itself.

Change: entries report the traits of suspected requests that wait and that are under way; the coordinator gives the turn for them, after it has told all of the crash, and an entry has it until the attempt has ended and a crash is known. A turn lapses 0.5 s after the report that asked for it, shorter than any entry is given up; a new coordinator waits 0.5 s for what is under way; a lost link keeps its traits for 0.5 s. Without a coordinator for 0.5 s an entry gives its own turns.

--- a/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
@@ -212,15 +212,18 @@
 
         A part that was served before holds none back: most of those with it are sound.
         """
-        if not self.crashes:
-            return []
-        held = [traits.digest] if self.crash_count(traits.digest) else []
-        for part in traits.parts:
-            crashes = self._crashes_of(part)
-            served = any(part in crash.served for crash in crashes)
-            if len(crashes) >= MIN_PART_CRASHES and not served:
-                held.append(part)
-        return held
+        return [trait for trait in traits.all() if self._holds(trait)] if self.crashes else []
+
+    def suspected(self, traits: Iterable[bytes]) -> list[bytes]:
+        """Return those of some traits for which requests have to wait for one another."""
+        return [trait for trait in self._index().keys() & set(traits) if self._holds(trait)]
+
+    def _holds(self, trait: bytes) -> bool:
+        crashes = self._crashes_of(trait)
+        if not is_part(trait):
+            return bool(crashes)
+        served = any(trait in crash.served for crash in crashes)
+        return len(crashes) >= MIN_PART_CRASHES and not served
 
     def set_covered(self, age_ms: int) -> bool:
         """Set the age of the oldest crash with the evidence of all entries, negative if unknown.
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/turnissuer.py
@@ -0,0 +1,128 @@
+"""Give turns for suspected traits to entries, at the coordinator.
+
+A request that may crash its target is sent by one entry at a time: the turn is for all traits that
+it is suspected by, so that no two requests under way share one.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+
+from mimosaspur_state.clock import Clock
+
+# An entry whose link was lost is back within this time, or what it had sent has ended.
+LOST_TURN_MS = 500
+# By then entries have told a new coordinator what is under way.
+START_GRACE_MS = 500
+# A turn is used within this time of the report that asked for it, as counted by the entry.
+TURN_VALIDITY_MS = 500
+
+Traits = tuple[bytes, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class TurnDemand:
+    """Hold what an entry reports of its suspected requests."""
+
+    # The traits of those that wait for a turn, each combination once, the oldest first.
+    waiting: Sequence[Traits] = ()
+    # The traits of those that have a turn, or are at targets.
+    sent: frozenset[bytes] = frozenset()
+
+
+@dataclass(slots=True, frozen=True)
+class Turns:
+    """Hold what one entry is sent in one message."""
+
+    number: int
+    # The time on the entry's clock from which the turns' validity counts.
+    asked_ms: int
+    traits: Sequence[Traits]
+
+
+@dataclass(slots=True)
+class _Entry:
+    sent: frozenset[bytes] = frozenset()
+    # Turns that the entry may not have received yet, with the numbers of their messages.
+    issued: dict[Traits, int] = field(default_factory=dict)
+    asked_ms: int = 0
+    # The number of the last message with turns.
+    number: int = 0
+
+    def busy(self) -> Iterable[bytes]:
+        """Return the traits of its requests that are, or may be, under way."""
+        yield from self.sent
+        for traits in self.issued:
+            yield from traits
+
+
+class TurnIssuer:
+    """Give turns to entries in the order in which they asked."""
+
+    __slots__ = ("clock", "entries", "lost", "queue", "started_ms")
+
+    def __init__(self, *, clock: Clock, first: bool) -> None:
+        self.clock = clock
+        self.entries: dict[str, _Entry] = {}
+        # What waits, with the entry where it does, the oldest first.
+        self.queue: dict[tuple[str, Traits], None] = {}
+        # Traits that lost entries had under way, until when they count.
+        self.lost: dict[bytes, int] = {}
+        # Nothing is under way before the first coordinator.
+        self.started_ms = clock.now_ms() - (START_GRACE_MS if first else 0)
+
+    def on_connect(self, instance: str) -> None:
+        """Add an entry that follows from now on."""
+        self.on_disconnect(instance)
+        self.entries[instance] = _Entry()
+
+    def on_disconnect(self, instance: str) -> None:
+        """Remove an entry whose link has ended."""
+        entry = self.entries.pop(instance, None)
+        if entry is None:
+            return
+        ends_ms = self.clock.now_ms() + LOST_TURN_MS
+        self.lost.update(dict.fromkeys(entry.busy(), ends_ms))
+        self.queue = {key: None for key in self.queue if key[0] != instance}
+
+    def apply_demand(
+        self, instance: str, demand: TurnDemand, *, asked_ms: int, received_number: int
+    ) -> None:
+        """Apply an entry's report."""
+        entry = self.entries[instance]
+        entry.asked_ms = asked_ms
+        entry.sent = demand.sent
+        entry.issued = {
+            traits: number for traits, number in entry.issued.items() if number > received_number
+        }
+        asked = {(instance, traits) for traits in demand.waiting}
+        gone = [key for key in self.queue if key[0] == instance and key not in asked]
+        for key in gone:
+            del self.queue[key]
+        for traits in demand.waiting:
+            if traits not in entry.issued:
+                self.queue.setdefault((instance, traits))
+
+    def issue(self) -> dict[str, Turns]:
+        """Return the turns that are free now, by entry."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self.started_ms < START_GRACE_MS:
+            return {}
+        self.lost = {trait: ends_ms for trait, ends_ms in self.lost.items() if ends_ms > now_ms}
+        busy = set(self.lost)
+        for entry in self.entries.values():
+            busy.update(entry.busy())
+        free: dict[str, list[Traits]] = {}
+        for instance, traits in list(self.queue):
+            if busy.isdisjoint(traits):
+                busy.update(traits)
+                del self.queue[instance, traits]
+                free.setdefault(instance, []).append(traits)
+        return {instance: self._issue(instance, traits) for instance, traits in free.items()}
+
+    def _issue(self, instance: str, free: Sequence[Traits]) -> Turns:
+        entry = self.entries[instance]
+        entry.number += 1
+        entry.issued.update(dict.fromkeys(free, entry.number))
+        return Turns(entry.number, entry.asked_ms, free)
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -101,6 +101,8 @@
                 self._run_round()
                 self.members.send_permits()
                 self.members.send_updates(self.engines.controllers.values(), self.lease)
+                # Entries know of a crash before one of them gets the next turn.
+                self.members.send_turns()
                 # Each report of an entry may wake the next round: longer rounds must be fewer.
                 took_s = asyncio.get_running_loop().time() - began_s
                 self.state.log.counters.observe("turn_ms", took_s * 1000)
@@ -166,7 +168,8 @@
         if report.permits:
             self.members.send_permits()
             self.members.send_expected_waits(report.instance)
-        news = limits_changed or quarantine.ledger.unreported
+        turns_wait = self.members.apply_suspects(report)
+        news = limits_changed or turns_wait or quarantine.ledger.unreported
         if member.waiting or member.waiting_adapters or news:
             self.changed.set()
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/election.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/election.py
@@ -15,8 +15,10 @@
 from mimosaspur_daemon.direct.fleetreport import apply_report
 from mimosaspur_protocol.peermessages import FleetReport
 from mimosaspur_protocol.peermessages import IssuedPermits
+from mimosaspur_protocol.peermessages import IssuedTurns
 from mimosaspur_protocol.peermessages import LeaseReadReply
 from mimosaspur_protocol.peermessages import LeaseReadRequest
+from mimosaspur_protocol.peermessages import PeerMessage
 from mimosaspur_protocol.peermessages import ReportAck
 from mimosaspur_protocol.peermessages import StepDown
 from mimosaspur_state.clock import BoottimeClock
@@ -246,11 +248,7 @@
                     )
                     self.predecessor_stepped_down = followed
                     return False
-                if isinstance(message, ReportAck):
-                    self.state.reported_work.set_included(message.work_report_number)
-                    self.state.quotas.acknowledge(message.quota_report_number)
-                if isinstance(message, IssuedPermits):
-                    self.state.notices.apply_permits(message)
+                self._apply_answer(message)
                 self.configuration_exchange.on_message(message, link)
                 if isinstance(message, FleetReport):
                     followed = True
@@ -271,6 +269,16 @@
             # elected before that data is stale.
             self.state.on_coordinator_lost()
 
+    def _apply_answer(self, message: PeerMessage) -> None:
+        """Apply what answers this entry's own reports."""
+        if isinstance(message, ReportAck):
+            self.state.reported_work.set_included(message.work_report_number)
+            self.state.quotas.acknowledge(message.quota_report_number)
+        elif isinstance(message, IssuedPermits):
+            self.state.notices.apply_permits(message)
+        elif isinstance(message, IssuedTurns):
+            self.state.quarantine.turns.apply(message)
+
     async def _answer_proof_request(self, link: PeerLink, request: LeaseReadRequest) -> None:
         instance = self.state.settings.instance
         answer = LeaseReadReply(instance, request.requested_ms, False, "", 0)
--- a/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
@@ -47,6 +47,7 @@
     waiting = list(state.waiting_adapters)
     number = state.reported_work.add_report(work)
     spendings = state.quotas.take_report(number)
+    suspects = state.quarantine.turns.demand()
     return EntryReport(
         instance,
         number,
@@ -68,4 +69,7 @@
         state.stream_versions.address,
         [] if state.coordinating else load_messages(state.outstanding_loads.take_unreported()),
         [] if state.coordinating else state.notices.leaving.take_unreported(),
+        sorted(suspects.sent),
+        list(suspects.waiting),
+        state.quarantine.turns.received_number,
     )
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -22,7 +22,6 @@
 from mimosaspur_coordination.workspaces.ranks import rank_table
 from mimosaspur_daemon.direct.changenotifier import ChangeNotifier
 from mimosaspur_daemon.direct.limitedengines import LimitedEngines
-from mimosaspur_daemon.direct.missingentries import MISSING
 from mimosaspur_daemon.direct.quarantine import Quarantine
 from mimosaspur_daemon.direct.reportedwork import ReportedWork
 from mimosaspur_daemon.direct.streamversions import StreamVersions
@@ -247,7 +246,7 @@
         """Fall back to what this entry has observed itself."""
         self.reported_work.reset()
         self.quotas.on_coordinator_lost()
-        self.quarantine.set_coverage(MISSING)
+        self.quarantine.on_coordinator_lost()
         self.fleet.on_coordinator_lost()
 
     def ready(self) -> bool:
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -13,6 +13,9 @@
 from mimosaspur_coordination.modelpace import Pace
 from mimosaspur_coordination.modelpace import SharedPaces
 from mimosaspur_coordination.orderlease import OrderLease
+from mimosaspur_coordination.quarantine.traits import trait_name
+from mimosaspur_coordination.quarantine.turnissuer import TurnDemand
+from mimosaspur_coordination.quarantine.turnissuer import TurnIssuer
 from mimosaspur_daemon.direct.enginecontroller import EngineController
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.fleetchanges import FleetChanges
@@ -31,6 +34,7 @@
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import FleetReport
 from mimosaspur_protocol.peermessages import IssuedPermits
+from mimosaspur_protocol.peermessages import IssuedTurns
 from mimosaspur_protocol.peermessages import LeaseReadRequest
 from mimosaspur_protocol.peermessages import LimitUpdate
 from mimosaspur_protocol.peermessages import ModelPaceUpdate
@@ -84,6 +88,7 @@
             complete_since_ms=state.quarantine.ledger.covered_since_ms,
             clock=state.clock,
         )
+        self.turns = TurnIssuer(clock=sharers.clock, first=not state.staying_entries)
         # The addresses of entries as last sent.
         self.sent_addresses: dict[str, EntryAddress] = {}
         self.last_sent_ms = 0
@@ -108,6 +113,29 @@
         for message in report.paces:
             self.paces.add_report(message.model, Pace(message.factor, message.measurements))
 
+    def apply_suspects(self, report: EntryReport) -> bool:
+        """Apply what an entry reports of suspected requests; return whether one waits."""
+        self.turns.apply_demand(
+            report.instance,
+            TurnDemand(report.suspects_waiting, frozenset(report.suspects_sent)),
+            asked_ms=report.asked_ms,
+            received_number=report.turns_number,
+        )
+        return bool(self.turns.queue)
+
+    def send_turns(self) -> None:
+        """Send the turns for suspected requests that are free now."""
+        for instance, turns in self.turns.issue().items():
+            names = [[trait_name(trait) for trait in traits] for traits in turns.traits]
+            self.state.log.write("turns_issued", to=instance, traits=names)
+            message = IssuedTurns(turns.number, turns.asked_ms, list(turns.traits))
+            link = self.members[instance].link
+            if link is None:
+                self.state.quarantine.turns.apply(message)
+                continue
+            with contextlib.suppress(PeerLost):
+                link.send(message)
+
     def send_permits(self) -> None:
         """Send the permits that the limits of targets allow now."""
         for instance, permits in self.permits.issue().items():
@@ -142,6 +170,7 @@
         self.members[instance] = member
         self.sharers.on_connect(instance)
         self.permits.issuer.on_connect(instance)
+        self.turns.on_connect(instance)
         return member
 
     def remove(self, member: Member) -> None:
@@ -152,6 +181,7 @@
                 del self.members[instance]
                 self.sharers.on_disconnect(instance)
                 self.permits.issuer.on_disconnect(instance)
+                self.turns.on_disconnect(instance)
                 if not member.leaving:
                     self.missing.on_lost(instance)
                     self.quotas.on_entry_lost(
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -20,9 +20,11 @@
 from mimosaspur_coordination.quarantine.traits import trait_name
 from mimosaspur_daemon.direct.changenotifier import ChangeNotifier
 from mimosaspur_daemon.direct.crashdetector import CrashDetector
+from mimosaspur_daemon.direct.missingentries import MISSING
 from mimosaspur_daemon.direct.refusal import RequestFailed
 from mimosaspur_daemon.direct.suspectturns import SuspectTurns
 from mimosaspur_protocol.peermessages import CrashReport
+from mimosaspur_state.clock import BoottimeClock
 from mimosaspur_state.codes import ResultCode
 
 if TYPE_CHECKING:
@@ -54,8 +56,9 @@
             ledger=self.ledger,
             at_targets=self.at_targets,
             changes=self.changes,
-            clock=state.clock,
+            clock=BoottimeClock(),
             log=state.log,
+            request_report=state.report_requested.set,
         )
         # The next review of the evidence, and whether another one must follow it.
         self.review: asyncio.TimerHandle | None = None
@@ -84,6 +87,7 @@
                 if not self.at_targets[trait]:
                     del self.at_targets[trait]
             if self.ledger.holding(traits):
+                self.state.report_requested.set()
                 self.changes.notify()
 
     def check(self, traits: RequestTraits) -> None:
@@ -147,6 +151,16 @@
         self.state.report_requested.set()
         self.changes.notify()
 
+    def on_coordinator_lost(self) -> None:
+        """Rely on what this entry sees itself."""
+        self.set_coverage(MISSING)
+        self.turns.on_coordinator_lost()
+
+    def on_coordinator_report(self, *, evidence_age_ms: int) -> None:
+        """Apply what a coordinator tells of the evidence of all entries."""
+        self.set_coverage(evidence_age_ms)
+        self.turns.coordinated = True
+
     def set_coverage(self, age_ms: int) -> None:
         """Set for how long the evidence of all entries is known, MISSING while it isn't."""
         if self.ledger.set_covered(age_ms):
--- a/packages/daemon/src/mimosaspur_daemon/direct/suspectturns.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/suspectturns.py
@@ -1,11 +1,15 @@
-"""Let one request at a time be sent of those that share a suspected trait."""
+"""Send one request at a time of those that share a suspected trait, over all entries."""
 
-from collections.abc import Sequence
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from mimosaspur_coordination.quarantine.crashledger import CrashLedger
 from mimosaspur_coordination.quarantine.traits import trait_name
+from mimosaspur_coordination.quarantine.turnissuer import TURN_VALIDITY_MS
+from mimosaspur_coordination.quarantine.turnissuer import Traits
+from mimosaspur_coordination.quarantine.turnissuer import TurnDemand
 from mimosaspur_daemon.direct.changenotifier import ChangeNotifier
+from mimosaspur_protocol.peermessages import IssuedTurns
 from mimosaspur_state.clock import Clock
 from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.eventlog import EventLog
@@ -16,14 +20,19 @@
 # Limit on the wait for a turn: a run that crashes its target, or proves the request sound, takes
 # less time.
 MAX_TURN_WAIT_MS = 1_000
+# Without a coordinator for this long, a request needs no turn but this entry's own.
+UNCOORDINATED_WAIT_MS = 500
+# How often a request looks whether a coordinator has been lost.
+RECHECK_INTERVAL_MS = 100
 # After a refusal one of the requests before it has likely run.
 REFUSED_RETRY_S = 1.0
 
 
 class SuspectTurns:
-    """Give the turn to one of the suspected requests that share a trait.
+    """Hold the turns of this entry's suspected requests.
 
-    A request takes it once there is a target for it, and keeps it until its attempt has ended.
+    A request asks for its turn once there is a target for it, and keeps it until its attempt has
+    ended. The coordinator gives turns; an entry that follows none gives its own.
     """
 
     def __init__(
@@ -34,17 +43,27 @@
         changes: ChangeNotifier,
         clock: Clock,
         log: EventLog,
+        request_report: Callable[[], None],
     ) -> None:
         self.ledger = ledger
         # Traits of requests that are at a target, with the numbers of these.
         self.at_targets = at_targets
         self.changes = changes
+        # Counts the time while the machine is suspended, as the turns' validity does.
         self.clock = clock
         self.log = log
+        # Called to send the coordinator a report soon.
+        self.request_report = request_report
         # The requests that have a turn, with the traits that it is for.
-        self.holders: dict[RequestHandler, Sequence[bytes]] = {}
+        self.holders: dict[RequestHandler, Traits] = {}
         # The requests that wait for one, with the time since when; the oldest first.
         self.waiting: dict[RequestHandler, int] = {}
+        # Requests that may take a turn that was given, its traits and when it lapses.
+        self.assigned: dict[RequestHandler, tuple[Traits, int]] = {}
+        # The number of the last message with turns on the present link.
+        self.received_number = 0
+        # Whether a coordinator gives turns.
+        self.coordinated = False
 
     def may_send(self, handler: "RequestHandler") -> bool:
         """Return whether a request is not suspected, or has the turn."""
@@ -60,6 +79,7 @@
         self.end(handler)
         began_ms = self.waiting[handler] = self.clock.now_ms()
         ends_ms = began_ms + MAX_TURN_WAIT_MS
+        self.request_report()
         try:
             while not self._take(handler):
                 left_ms = ends_ms - self.clock.now_ms()
@@ -67,35 +87,81 @@
                     raise handler.target_selector.refusal(
                         ResultCode.SUSPECT_WAITING, wanted_s=REFUSED_RETRY_S
                     )
-                await self.changes.wait(left_ms / 1000)
+                await self.changes.wait(min(left_ms, RECHECK_INTERVAL_MS) / 1000)
         finally:
             del self.waiting[handler]
+            self.assigned.pop(handler, None)
 
     def end(self, handler: "RequestHandler") -> None:
         """End the turn of a request, if it has one."""
         if self.holders.pop(handler, None) is not None:
+            self.request_report()
             self.changes.notify()
 
+    def demand(self) -> TurnDemand:
+        """Return what to report to the coordinator."""
+        waiting = dict.fromkeys(map(self._suspected, self.waiting))
+        asked = [traits for traits in waiting if traits and not self._is_verdict_due(traits)]
+        taken = [*self.holders.values(), *(traits for traits, _ in self.assigned.values())]
+        sent = {trait for traits in taken for trait in traits}
+        sent.update(self.ledger.suspected(self.at_targets))
+        return TurnDemand(asked, frozenset(sent))
+
+    def apply(self, message: IssuedTurns) -> None:
+        """Apply the turns that the coordinator has given."""
+        self.received_number = message.number
+        lapses_ms = message.asked_ms + TURN_VALIDITY_MS
+        for traits in message.traits:
+            waiting = [each for each in self.waiting if self._suspected(each) == traits]
+            if waiting:
+                # A late request would wait in a target's queue behind all others.
+                chosen = max(waiting, key=lambda each: each.deadline_s)
+                self.assigned[chosen] = traits, lapses_ms
+        self.request_report()
+        self.changes.notify()
+
+    def on_coordinator_lost(self) -> None:
+        """Drop the turns that no request has taken yet."""
+        self.coordinated = False
+        self.received_number = 0
+        self.assigned.clear()
+
+    def _suspected(self, handler: "RequestHandler") -> Traits:
+        return tuple(sorted(self.ledger.holding(handler.traits)))
+
+    def _is_verdict_due(self, traits: Traits) -> bool:
+        return any(self.ledger.settles_in_ms(each) for each in traits)
+
     def _take(self, handler: "RequestHandler") -> bool:
         """Return whether a request need not wait any longer; give it the turn if it is free."""
-        traits = self.ledger.holding(handler.traits)
+        traits = self._suspected(handler)
         if not traits:
             return True
-        if any(self.ledger.settles_in_ms(each) for each in traits):
+        if self._is_verdict_due(traits):
             return False
-        taken = {trait for held in self.holders.values() for trait in held}
-        if not taken.isdisjoint(traits) or not self.at_targets.keys().isdisjoint(traits):
+        assigned, lapses_ms = self.assigned.pop(handler, (None, 0))
+        issued = assigned == traits and lapses_ms > self.clock.now_ms()
+        if not issued and not self._may_take_own(handler, traits):
             return False
         self.holders[handler] = traits
-        self._log(handler, traits)
+        self._log(handler, traits, issued=issued)
         return True
 
-    def _log(self, handler: "RequestHandler", traits: Sequence[bytes]) -> None:
+    def _may_take_own(self, handler: "RequestHandler", traits: Traits) -> bool:
+        """Return whether this entry gives a turn itself, as no coordinator does."""
+        waited_ms = self.clock.now_ms() - self.waiting[handler]
+        if self.coordinated or waited_ms < UNCOORDINATED_WAIT_MS:
+            return False
+        taken = {trait for held in self.holders.values() for trait in held}
+        return taken.isdisjoint(traits) and self.at_targets.keys().isdisjoint(traits)
+
+    def _log(self, handler: "RequestHandler", traits: Traits, *, issued: bool) -> None:
         behind = [each for each in self.waiting if each is not handler]
         self.log.write(
             "turn",
             traits=list(map(trait_name, traits)),
             request=handler.request_id(),
+            given_by="coordinator" if issued else "this entry",
             waited_ms=self.clock.now_ms() - self.waiting[handler],
             behind=sum(not set(traits).isdisjoint(each.traits.all()) for each in behind),
             crashes=max(map(self.ledger.crash_count, traits)),
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -138,6 +138,12 @@
     loads: list[LoadUpdate] = msgspec.field(default_factory=list)
     # Incarnations of targets that have said that they leave; as `limits`.
     leaving_targets: list[str] = msgspec.field(default_factory=list)
+    # Traits of suspected requests that have a turn or are at targets, and of those that wait for
+    # one, by request.
+    suspects_sent: list[bytes] = msgspec.field(default_factory=list)
+    suspects_waiting: list[tuple[bytes, ...]] = msgspec.field(default_factory=list)
+    # The number of the last message with turns that arrived on this link.
+    turns_number: int = 0
 
 
 class EngineResidents(msgspec.Struct, array_like=True, frozen=True):
@@ -252,6 +258,15 @@
     waits_ms: dict[str, list[int]]
 
 
+class IssuedTurns(msgspec.Struct, array_like=True, tag="turns"):
+    """Let an entry send one suspected request for each combination of traits."""
+
+    # Increases by one with each message on a link.
+    number: int
+    asked_ms: int
+    traits: list[tuple[bytes, ...]]
+
+
 class StepDown(msgspec.Struct, array_like=True, tag="leaving"):
     """Announce that the coordinator issues no more orders, with the age of its last one."""
 
@@ -295,6 +310,7 @@
     | ReportAck
     | FleetReport
     | IssuedPermits
+    | IssuedTurns
     | StepDown
     | ConfigurationRequest
     | EncodedConfiguration
