Run suspects of two crashes apart, and hold one of three until its rivals are served

Callers saw: four engines and more that end under one request, one after another, each under one copy of it.

Cause: a sound request that broke at a crash was sent again at the same time as the next copy of the guilty one, often to the only engine that has their model, and crashed with it. Both then explain the crashes, and there is no verdict at the third. Class: evidence that is gathered in a way that can't tell its suspects apart.

Change: the turn of a request that was at two crashes is exclusive among all of these, those that wait at few entries first. At three crashes it is sent no sooner than 2 s after the last one; what it stood beside is served meanwhile, and a review follows at once.

--- /dev/null
+++ b/features/steps/direct_suspects_steps.py
@@ -0,0 +1,115 @@
+"""Steps for requests that are suspected together, and how they are told apart."""
+
+import asyncio
+import time
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+
+from harness.direct_entry import DirectEntry
+from harness.direct_entry import ReceivedResponse
+from harness.direct_entry import read_response
+from harness.direct_entry import request_bytes
+from harness.direct_target import ScriptedTarget
+from harness.loop import run
+from mimosaspur_coordination.quarantine.crashledger import SETTLE_MS
+from mimosaspur_coordination.quarantine.crashledger import Stage
+from mimosaspur_daemon.direct.requestdigest import request_digest
+from mimosaspur_protocol.peermessages import CrashReport
+from mimosaspur_transport.callerconnection import CallerRequest
+
+ROUTE = "safe"
+GUILTY = b"guilty"
+SOUND = b"sound"
+POLL_S = 0.005
+
+
+def _digest(body: bytes) -> bytes:
+    headers = [(b"Host", b"site.example")]
+    return request_digest(CallerRequest(b"POST", b"/safe/x", headers, body, 0.0), None)
+
+
+async def _call(entry: DirectEntry, body: bytes) -> ReceivedResponse:
+    reader, writer = await entry.connect()
+    writer.write(request_bytes(ROUTE, body=body))
+    try:
+        return await read_response(reader)
+    finally:
+        writer.close()
+
+
+@given("an entry with two requests that were at two crashes together, before two targets")
+def start_two_suspects(context: Context) -> None:
+    _start(context, [(GUILTY, SOUND), (GUILTY, SOUND)])
+
+
+@given("an entry with a request that was at three crashes, at two of them beside a sound one")
+def start_rivals(context: Context) -> None:
+    _start(context, [(GUILTY, SOUND), (GUILTY, SOUND), (GUILTY,)])
+
+
+def _start(context: Context, crashes: list[tuple[bytes, ...]]) -> None:
+    async def start() -> None:
+        context.entry = DirectEntry()
+        context.targets = [ScriptedTarget("first"), ScriptedTarget("second")]
+        await context.entry.start(*context.targets)
+        quarantine = context.entry.state.quarantine
+        reports = [
+            CrashReport(
+                f"i-{number}", SETTLE_MS, [(_digest(body), Stage.RUNNING) for body in bodies]
+            )
+            for number, bodies in enumerate(crashes)
+        ]
+        quarantine.set_coverage(2 * SETTLE_MS)
+        quarantine.apply_reports(reports, relay=False)
+
+    run(context, start())
+
+
+@when("both come at once")
+def send_both(context: Context) -> None:
+    async def send() -> None:
+        at_targets = context.entry.state.quarantine.at_targets
+        context.most = 0
+        calls = [asyncio.create_task(_call(context.entry, body)) for body in (GUILTY, SOUND)]
+        while not all(call.done() for call in calls):
+            context.most = max(context.most, len(at_targets))
+            await asyncio.sleep(0)
+        context.answers = [call.result() for call in calls]
+
+    run(context, send())
+
+
+@then("they were not at targets at the same time, and both are served")
+def check_both(context: Context) -> None:
+    assert context.most == 1, context.most
+    assert [answer.status for answer in context.answers] == [200, 200], context.answers
+
+
+@when("it comes, and then the sound one")
+def send_guilty_first(context: Context) -> None:
+    async def send() -> None:
+        context.answers = []
+        for body in (GUILTY, SOUND, GUILTY):
+            began_s = time.monotonic()
+            answer = await _call(context.entry, body)
+            context.answers.append((answer, time.monotonic() - began_s))
+
+    run(context, send())
+
+
+@then(
+    "it is rejected within {ms:d} ms with code {waiting}, and with {quarantined} once the other is"
+    " served"
+)
+def check_rivals(context: Context, ms: int, waiting: str, quarantined: str) -> None:
+    (first, first_s), (sound, _), (last, _) = context.answers
+    assert first.status == 503 and waiting.encode() in first.body, first
+    assert float(first.headers["retry-after"]) > 0, first
+    assert first_s <= ms / 1000, first_s
+    assert sound.status == 200, sound
+    assert last.status == 502 and quarantined.encode() in last.body, last
+    bodies = [seen.body for target in context.targets for seen in target.seen]
+    assert bodies == [SOUND], bodies
--- a/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
@@ -21,6 +21,9 @@
 from mimosaspur_coordination.quarantine.traits import is_part
 from mimosaspur_state.clock import Clock
 
+# A suspect of enough crashes waits for so long after the last one for what else was there: once
+# that is served, nothing but the suspect explains them.
+RIVALS_WAIT_MS = 2_000
 # Evidence of other entries arrives within this time, longer than a report takes to reach all.
 SETTLE_MS = 500
 RETENTION_MS = 600_000
@@ -39,7 +42,7 @@
 class Stage(IntEnum):
     """Order what may be known of a trait at a target that crashed."""
 
-    # The target hadn't begun to respond to a request with it.
+    # The target hadn't begun to respond to a request with it, or had long been responding.
     QUEUED = 1
     RUNNING = 2
     # It is held to have crashed the target.
@@ -244,6 +247,19 @@
         newest_ms = max(crash.known_since_ms for crash in crashes)
         return max(0, newest_ms + SETTLE_MS - self.clock.now_ms())
 
+    def has_undecided(self) -> bool:
+        """Return whether a trait is a suspect of enough crashes, and not blamed for them."""
+        enough = (each for each, own in self._index().items() if len(own) >= QUARANTINE_THRESHOLD)
+        return not all(map(self.is_quarantined, enough))
+
+    def held_ms(self, trait: bytes) -> int:
+        """Return for how long a request with a trait isn't sent, 0 if it may be."""
+        crashes = self._crashes_of(trait)
+        if len(crashes) < QUARANTINE_THRESHOLD or self.is_quarantined(trait):
+            return 0
+        newest_ms = max(crash.known_since_ms for crash in crashes)
+        return max(0, newest_ms + RIVALS_WAIT_MS - self.clock.now_ms())
+
     def assign_blame(self) -> None:
         """Blame crashes on traits where the evidence suffices."""
         self._mark_complete()
--- a/packages/coordination/src/mimosaspur_coordination/quarantine/turnissuer.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/turnissuer.py
@@ -4,6 +4,7 @@
 it is suspected by, so that no two requests under way share one.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -19,6 +20,8 @@
 TURN_VALIDITY_MS = 500
 
 Traits = tuple[bytes, ...]
+# Stands for an engine of its own: with it in their turns, requests don't run beside one another.
+ISOLATION = b"isolation"
 
 
 @dataclass(slots=True, frozen=True)
@@ -114,7 +117,9 @@
         for entry in self.entries.values():
             busy.update(entry.busy())
         free: dict[str, list[Traits]] = {}
-        for instance, traits in list(self.queue):
+        # What waits at few entries is likely sound, and rules itself out as it is served.
+        entries = Counter(traits for _, traits in self.queue)
+        for instance, traits in sorted(self.queue, key=lambda key: entries[key[1]]):
             if busy.isdisjoint(traits):
                 busy.update(traits)
                 del self.queue[instance, traits]
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -31,8 +31,6 @@
     from mimosaspur_daemon.direct.entrystate import EntryState
     from mimosaspur_daemon.direct.requesthandler import RequestHandler
 
-# A request that may have caused this many crashes runs where the fewest others would be lost.
-ISOLATION_THRESHOLD = 2
 # A run that has written for so long shows that its prompt doesn't crash its target.
 WRITTEN_PROOF_MS = 1_000
 # Timers may fire slightly early.
@@ -96,7 +94,7 @@
             raise RequestFailed(ResultCode.REQUEST_QUARANTINED)
 
     async def wait_for_verdict(self, handler: "RequestHandler") -> None:
-        """Wait for a verdict on a request that is due; raise RequestFailed if it is quarantined."""
+        """Wait for a verdict on a request that is due; raise RequestFailed if it is to wait on."""
         while True:
             self.check(handler.traits)
             traits = self.ledger.holding(handler.traits)
@@ -107,6 +105,10 @@
                 if max(map(self.ledger.crash_count, traits)) >= QUARANTINE_THRESHOLD:
                     self._apply_verdicts()
                     self.check(handler.traits)
+                if held_ms := max(map(self.ledger.held_ms, traits)):
+                    raise handler.target_selector.refusal(
+                        ResultCode.SUSPECT_WAITING, wanted_s=held_ms / 1000
+                    )
                 return
             await self.changes.wait(wait_ms / 1000)
 
@@ -124,12 +126,11 @@
         """Return whether a request must not be sent now: it is quarantined, or a verdict is due."""
         if any(map(self.ledger.is_quarantined, traits.all())):
             return True
-        return any(self.ledger.settles_in_ms(each) > 0 for each in self.ledger.holding(traits))
+        return any(map(self.ledger.held_ms, self.ledger.holding(traits)))
 
     def is_isolated(self, traits: RequestTraits) -> bool:
         """Return whether a request should run where the fewest others would be lost."""
-        held = self.ledger.holding(traits)
-        return any(self.ledger.crash_count(each) >= ISOLATION_THRESHOLD for each in held)
+        return self.turns.is_isolated(self.ledger.holding(traits))
 
     def on_completed(self, traits: RequestTraits) -> None:
         """Clear a request that a target has run to its end, and the parts of its prompt."""
@@ -147,6 +148,9 @@
     def _on_cleared(self, traits: Iterable[bytes], *, evidence: str) -> None:
         for trait in traits:
             self.state.log.write("cleared", trait=trait_name(trait), evidence=evidence)
+        if self.ledger.has_undecided():
+            # What was cleared may have been all that stood in the way of a verdict.
+            self._apply_verdicts()
         self._schedule_review()
         self.state.report_requested.set()
         self.changes.notify()
--- a/packages/daemon/src/mimosaspur_daemon/direct/suspectturns.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/suspectturns.py
@@ -1,10 +1,12 @@
 """Send one request at a time of those that share a suspected trait, over all entries."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from mimosaspur_coordination.quarantine.crashledger import CrashLedger
 from mimosaspur_coordination.quarantine.traits import trait_name
+from mimosaspur_coordination.quarantine.turnissuer import ISOLATION
 from mimosaspur_coordination.quarantine.turnissuer import TURN_VALIDITY_MS
 from mimosaspur_coordination.quarantine.turnissuer import Traits
 from mimosaspur_coordination.quarantine.turnissuer import TurnDemand
@@ -17,6 +19,9 @@
 if TYPE_CHECKING:
     from mimosaspur_daemon.direct.requesthandler import RequestHandler
 
+# Requests that may have caused this many crashes don't run beside one another, so that the next
+# crash tells them apart.
+ISOLATION_THRESHOLD = 2
 # Limit on the wait for a turn: a run that crashes its target, or proves the request sound, takes
 # less time.
 MAX_TURN_WAIT_MS = 1_000
@@ -67,7 +72,7 @@
 
     def may_send(self, handler: "RequestHandler") -> bool:
         """Return whether a request is not suspected, or has the turn."""
-        traits = self.ledger.holding(handler.traits)
+        traits = self._suspected(handler)
         return not traits or set(traits) <= set(self.holders.get(handler, ()))
 
     def has_turn(self, handler: "RequestHandler") -> bool:
@@ -101,7 +106,7 @@
     def demand(self) -> TurnDemand:
         """Return what to report to the coordinator."""
         waiting = dict.fromkeys(map(self._suspected, self.waiting))
-        asked = [traits for traits in waiting if traits and not self._is_verdict_due(traits)]
+        asked = [traits for traits in waiting if traits and not self._is_held(traits)]
         taken = [*self.holders.values(), *(traits for traits, _ in self.assigned.values())]
         sent = {trait for traits in taken for trait in traits}
         sent.update(self.ledger.suspected(self.at_targets))
@@ -126,18 +131,26 @@
         self.received_number = 0
         self.assigned.clear()
 
+    def is_isolated(self, traits: Iterable[bytes]) -> bool:
+        """Return whether a request with suspected traits may run beside no other such request."""
+        return any(self.ledger.crash_count(each) >= ISOLATION_THRESHOLD for each in traits)
+
     def _suspected(self, handler: "RequestHandler") -> Traits:
-        return tuple(sorted(self.ledger.holding(handler.traits)))
+        """Return what a request needs a turn for."""
+        traits = self.ledger.holding(handler.traits)
+        if self.is_isolated(traits):
+            traits.append(ISOLATION)
+        return tuple(sorted(traits))
 
-    def _is_verdict_due(self, traits: Traits) -> bool:
-        return any(self.ledger.settles_in_ms(each) for each in traits)
+    def _is_held(self, traits: Traits) -> bool:
+        return any(self.ledger.held_ms(each) for each in traits)
 
     def _take(self, handler: "RequestHandler") -> bool:
         """Return whether a request need not wait any longer; give it the turn if it is free."""
         traits = self._suspected(handler)
         if not traits:
             return True
-        if self._is_verdict_due(traits):
+        if self._is_held(traits):
             return False
         assigned, lapses_ms = self.assigned.pop(handler, (None, 0))
         issued = assigned == traits and lapses_ms > self.clock.now_ms()
