Count a run that had long been writing at a crash as a weaker suspect

Callers saw: a fourth engine that ends under one request.

Cause: a sound stream that was being written for seconds broke at the first crash, was resumed at the same engine as the next copy of the guilty request, and broke again. It counted like a run that had just begun, so that at two of three crashes it stood in the way of the verdict; its caller had given up, so that nothing cleared it.

Change: a run that had been written for 0.5 s when its target crashed is recorded like one that had not begun: it explains crashes only if it was at all of them, and is still found if it is the one that crashes them, as a digest that is queued each time is.

--- a/features/direct_suspects.feature
+++ b/features/direct_suspects.feature
@@ -12,3 +12,15 @@
     Given an entry with a request that was at three crashes, at two of them beside a sound one
     When it comes, and then the sound one
     Then it is rejected within 100 ms with code 2019, and with 3007 once the other is served
+
+  # Guards against a fourth engine that ends because of a sound stream that broke twice beside the
+  # guilty request: one that has been written for long hardly crashes its target.
+  Scenario Outline: A stream that had been written for <ms> ms counts as <stage> at its target's crash
+    Given an entry before a target that writes a stream slowly
+    When the target crashes <ms> ms after its first event
+    Then the stream was <stage> at the crash
+
+    Examples:
+      | ms  | stage   |
+      | 100 | running |
+      | 700 | queued  |
--- a/features/steps/direct_suspects_steps.py
+++ b/features/steps/direct_suspects_steps.py
@@ -24,6 +24,7 @@
 GUILTY = b"guilty"
 SOUND = b"sound"
 POLL_S = 0.005
+EVENT_S = 0.2
 
 
 def _digest(body: bytes) -> bytes:
@@ -113,3 +114,36 @@
     assert last.status == 502 and quarantined.encode() in last.body, last
     bodies = [seen.body for target in context.targets for seen in target.seen]
     assert bodies == [SOUND], bodies
+
+
+@given("an entry before a target that writes a stream slowly")
+def start_slow_stream(context: Context) -> None:
+    async def start() -> None:
+        context.entry = DirectEntry()
+        context.target = ScriptedTarget("target", event_s=EVENT_S)
+        await context.entry.start(context.target)
+
+    run(context, start())
+
+
+@when("the target crashes {ms:d} ms after its first event")
+def crash_while_writing(context: Context, ms: int) -> None:
+    async def play() -> None:
+        reader, writer = await context.entry.connect()
+        writer.write(request_bytes("resumable-stream", body=GUILTY))
+        await reader.readuntil(b"data:")
+        await asyncio.sleep(ms / 1000)
+        context.target.server.close()
+        context.target.stop_streams()
+        ledger = context.entry.state.quarantine.ledger
+        while not ledger.crashes:
+            await asyncio.sleep(POLL_S)
+        writer.close()
+        (context.crash,) = ledger.crashes.values()
+
+    run(context, play())
+
+
+@then("the stream was {stage} at the crash")
+def check_stage(context: Context, stage: str) -> None:
+    assert list(context.crash.traits.values()) == [Stage[stage.upper()]], context.crash
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -40,6 +40,9 @@
 # A stream is resumed elsewhere when it pauses for this many times the route's gap objective.
 STALL_TIMEOUT_FACTOR = 3
 MIN_STALL_TIMEOUT_MS = 1_000
+# A run that crashes its target ends as it begins to write; one that has written for so long counts
+# as if it had not begun.
+LONG_WRITTEN_MS = 500
 # A moved run is sent to its new target, and back to its source if that refuses it.
 MOVE_RETRY_COUNT = 2
 
@@ -194,7 +197,8 @@
                 return AttemptResult.MOVED
             handler.cause = str(error)
             self.view.health.record_failure()
-            stage = Stage.RUNNING if handler.head_received else Stage.QUEUED
+            begins = handler.head_received and self.written_ms() < LONG_WRITTEN_MS
+            stage = Stage.RUNNING if begins else Stage.QUEUED
             quarantine = handler.state.quarantine
             quarantine.on_written(handler.traits, self.written_ms())
             quarantine.detector.on_connection_lost(self.view, handler.traits, stage)
