Let one request wait out the hold of a suspect, rather than reject all

Change: of the requests with a held trait the first one at an entry waits, the others are rejected with 2019.

--- a/features/direct_suspects.feature
+++ b/features/direct_suspects.feature
@@ -10,8 +10,8 @@
   # Guards against a fourth engine that ends while a sound request may still be told apart.
   Scenario: A request that was at three crashes waits for what else was there to be served
     Given an entry with a request that was at three crashes, at two of them beside a sound one
-    When it comes, and then the sound one
-    Then it is rejected within 100 ms with code 2019, and with 3007 once the other is served
+    When two copies of it come, and then the sound one
+    Then the second copy is rejected within 100 ms with code 2019, the first with 3007 once the other is served
 
   # Guards against a fourth engine that ends because of a sound stream that broke twice beside the
   # guilty request: one that has been written for long hardly crashes its target.
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -47,6 +47,8 @@
         self.handlers: set[RequestHandler] = set()
         # Traits of requests that are at a target, with the numbers of these.
         self.at_targets: dict[bytes, int] = {}
+        # By trait, the one request that waits out the time in which none with it is sent.
+        self.next_probes: dict[bytes, RequestHandler] = {}
         # Traits whose quarantine has been logged.
         self.announced: set[bytes] = set()
         self.changes = ChangeNotifier()
@@ -71,6 +73,9 @@
         finally:
             self.handlers.discard(handler)
             self.turns.end(handler)
+            for trait in handler.traits.all():
+                if self.next_probes.get(trait) is handler:
+                    del self.next_probes[trait]
 
     @contextlib.contextmanager
     def at_target(self, traits: RequestTraits) -> Iterator[None]:
@@ -105,11 +110,15 @@
                 if max(map(self.ledger.crash_count, traits)) >= QUARANTINE_THRESHOLD:
                     self._apply_verdicts()
                     self.check(handler.traits)
-                if held_ms := max(map(self.ledger.held_ms, traits)):
+                wait_ms = max(map(self.ledger.held_ms, traits))
+                if not wait_ms:
+                    return
+                if any(
+                    self.next_probes.setdefault(each, handler) is not handler for each in traits
+                ):
                     raise handler.target_selector.refusal(
-                        ResultCode.SUSPECT_WAITING, wanted_s=held_ms / 1000
+                        ResultCode.SUSPECT_WAITING, wanted_s=wait_ms / 1000
                     )
-                return
             await self.changes.wait(wait_ms / 1000)
 
     def may_send(self, handler: "RequestHandler") -> bool:
