Wait out an election before an entry gives its own turns, and no rivals without evidence

With a frozen coordinator three entries gave turns of their own at once, and six engines ended. With the coordinator gone, a suspect of three crashes waited for its rivals although only five crashes could bring a verdict, so that it wasn't there by the end of the play.

Change: an entry that has lost its coordinator gives no turns for 1.5 s, in which another one is elected; while evidence is missing a suspect waits for the verdict's 0.5 s only, as before.

--- a/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
@@ -241,11 +241,15 @@
 
     def settles_in_ms(self, trait: bytes) -> int:
         """Return the time until a verdict on a trait is due, 0 if none is."""
+        return self._verdict_wait_ms(trait, SETTLE_MS)
+
+    def _verdict_wait_ms(self, trait: bytes, wait_ms: int) -> int:
+        """Return what is left of a time after the last crash of an undecided suspect of enough."""
         crashes = self._crashes_of(trait)
         if len(crashes) < QUARANTINE_THRESHOLD or self.is_quarantined(trait):
             return 0
         newest_ms = max(crash.known_since_ms for crash in crashes)
-        return max(0, newest_ms + SETTLE_MS - self.clock.now_ms())
+        return max(0, newest_ms + wait_ms - self.clock.now_ms())
 
     def has_undecided(self) -> bool:
         """Return whether a trait is a suspect of enough crashes, and not blamed for them."""
@@ -254,11 +258,8 @@
 
     def held_ms(self, trait: bytes) -> int:
         """Return for how long a request with a trait isn't sent, 0 if it may be."""
-        crashes = self._crashes_of(trait)
-        if len(crashes) < QUARANTINE_THRESHOLD or self.is_quarantined(trait):
-            return 0
-        newest_ms = max(crash.known_since_ms for crash in crashes)
-        return max(0, newest_ms + RIVALS_WAIT_MS - self.clock.now_ms())
+        # While evidence is missing, only further crashes bring a verdict.
+        return self._verdict_wait_ms(trait, RIVALS_WAIT_MS if self.covered else SETTLE_MS)
 
     def assign_blame(self) -> None:
         """Blame crashes on traits where the evidence suffices."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/suspectturns.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/suspectturns.py
@@ -25,8 +25,10 @@
 # Limit on the wait for a turn: a run that crashes its target, or proves the request sound, takes
 # less time.
 MAX_TURN_WAIT_MS = 1_000
-# Without a coordinator for this long, a request needs no turn but this entry's own.
+# A request that has waited for this long without a coordinator needs no turn but this entry's own.
 UNCOORDINATED_WAIT_MS = 500
+# A lost coordinator is followed by another one within this time, unless none can be reached.
+ELECTION_MS = 1_500
 # How often a request looks whether a coordinator has been lost.
 RECHECK_INTERVAL_MS = 100
 # After a refusal one of the requests before it has likely run.
@@ -67,8 +69,9 @@
         self.assigned: dict[RequestHandler, tuple[Traits, int]] = {}
         # The number of the last message with turns on the present link.
         self.received_number = 0
-        # Whether a coordinator gives turns.
+        # Whether a coordinator gives turns, and when the last one was lost; None if there was none.
         self.coordinated = False
+        self.lost_ms: int | None = None
 
     def may_send(self, handler: "RequestHandler") -> bool:
         """Return whether a request is not suspected, or has the turn."""
@@ -127,6 +130,8 @@
 
     def on_coordinator_lost(self) -> None:
         """Drop the turns that no request has taken yet."""
+        if self.coordinated:
+            self.lost_ms = self.clock.now_ms()
         self.coordinated = False
         self.received_number = 0
         self.assigned.clear()
@@ -165,6 +170,8 @@
         waited_ms = self.clock.now_ms() - self.waiting[handler]
         if self.coordinated or waited_ms < UNCOORDINATED_WAIT_MS:
             return False
+        if self.lost_ms is not None and self.clock.now_ms() - self.lost_ms < ELECTION_MS:
+            return False
         taken = {trait for held in self.holders.values() for trait in held}
         return taken.isdisjoint(traits) and self.at_targets.keys().isdisjoint(traits)
 
