Follow a coordinator of an earlier version without waiting for its turns

Cause: an entry that follows a coordinator waits for the turns that it gives.

Change: the coordinator's report says that it gives turns; without that an entry gives its own, as without a coordinator.

Measured: the scenario's second row fails with the field ignored (503, 503) and passes; direct_suspects 7 passed, 0 failed, one run. Found by reading.

--- a/features/direct_suspects.feature
+++ b/features/direct_suspects.feature
@@ -31,3 +31,15 @@
       | ms  | stage   |
       | 100 | running |
       | 700 | queued  |
+
+  # Guards against suspected requests that are all rejected while versions are mixed.
+  Scenario Outline: A suspected request gets its turn from a coordinator that gives turns, <coordinator>
+    Given an entry with two requests that were at two crashes together, before two targets
+    And it follows a coordinator <coordinator>
+    When both come at once
+    Then both are answered <status>
+
+    Examples:
+      | coordinator                | status |
+      | that gives turns, but none | 503    |
+      | of an earlier version      | 200    |
--- a/features/steps/direct_suspects_steps.py
+++ b/features/steps/direct_suspects_steps.py
@@ -17,8 +17,10 @@
 from harness.loop import run
 from mimosaspur_coordination.quarantine.crashledger import SETTLE_MS
 from mimosaspur_coordination.quarantine.crashledger import Stage
+from mimosaspur_daemon.direct.fleetreport import apply_report
 from mimosaspur_daemon.direct.requestdigest import request_digest
 from mimosaspur_protocol.peermessages import CrashReport
+from mimosaspur_protocol.peermessages import FleetReport
 from mimosaspur_state.clock import Clock
 from mimosaspur_transport.callerconnection import CallerRequest
 from mimosaspur_transport.channelpool import ChannelPool
@@ -209,3 +211,22 @@
 def check_reached(context: Context, ms: int) -> None:
     waited_s = context.reached_s - context.suspected_s
     assert waited_s >= ms / 1000, waited_s
+
+
+@given("it follows a coordinator {kind}")
+def follow_coordinator(context: Context, kind: str) -> None:
+    report = FleetReport(
+        token=1,
+        can_issue_orders=True,
+        entry_count=2,
+        work=[],
+        residents=[],
+        model_ready_in_ms={},
+        gives_turns=kind != "of an earlier version",
+    )
+    apply_report(context.entry.state, report)
+
+
+@then("both are answered {status:d}")
+def check_answered(context: Context, status: int) -> None:
+    assert [answer.status for answer in context.answers] == [status] * 2, context.answers
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -76,7 +76,9 @@
     ]
     state.quotas.apply_update(remaining, entries=report.entry_count)
     state.quotas_received.set()
-    state.quarantine.on_coordinator_report(evidence_age_ms=report.evidence_age_ms)
+    state.quarantine.on_coordinator_report(
+        evidence_age_ms=report.evidence_age_ms, gives_turns=report.gives_turns
+    )
     state.quarantine.apply_reports(report.crashes, relay=False)
     state.notices.apply_updates(report.limits, relay=False)
     state.notices.apply_leaving(report.leaving_targets, relay=False)
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -248,6 +248,7 @@
             leaving_targets=leaving,
             entries_joined=joined,
             entries_left=left,
+            gives_turns=True,
         )
         reports = ReportBuilder(
             base,
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -169,10 +169,10 @@
         self.set_coverage(MISSING)
         self.turns.on_coordinator_lost()
 
-    def on_coordinator_report(self, *, evidence_age_ms: int) -> None:
-        """Apply what a coordinator tells of the evidence of all entries."""
+    def on_coordinator_report(self, *, evidence_age_ms: int, gives_turns: bool) -> None:
+        """Apply what a coordinator tells of the evidence of all entries, and of itself."""
         self.set_coverage(evidence_age_ms)
-        self.turns.coordinated = True
+        self.turns.coordinated = gives_turns
 
     def set_coverage(self, age_ms: int) -> None:
         """Set for how long the evidence of all entries is known, MISSING while it isn't."""
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -245,6 +245,8 @@
     # Changes since the last report; all that is known in the first one on a link.
     loads: list[LoadUpdate] = msgspec.field(default_factory=list)
     leaving_targets: list[str] = msgspec.field(default_factory=list)
+    # Whether the coordinator gives turns for suspected requests: earlier versions don't.
+    gives_turns: bool = False
 
 
 class IssuedPermits(msgspec.Struct, array_like=True, tag="permits"):
