Log why a run is left for silence, and why no other target takes it

Cause: a request that was cut was logged with code 3001 alone; the rejection that led to it was dropped, and nothing told for how long the target had been silent or whether its other runs were silent too.

Change: a `left` line for each run that is left, and `refusal` in `given_up`. No decision changes.

--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -11,6 +11,7 @@
 from mimosaspur_coordination.fleetports import StopUnconfirmed
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.quarantine.crashledger import Stage
+from mimosaspur_daemon.direct.attemptlog import log_left
 from mimosaspur_daemon.direct.entrystate import LATE_RANK
 from mimosaspur_daemon.direct.evacuation import MovedRun
 from mimosaspur_daemon.direct.targetheaders import target_headers
@@ -142,6 +143,11 @@
             return 0
         return round((asyncio.get_running_loop().time() - self.first_token_s) * 1000)
 
+    def silent_ms(self) -> int:
+        """Return for how long the target has sent nothing of the response that is complete."""
+        since_s = self.last_event_s or self.sent_s
+        return round((asyncio.get_running_loop().time() - since_s) * 1000)
+
     async def move(self, to: TargetView) -> bool:
         """Stop the run to continue it at another target; return whether it was stopped."""
         handler = self.handler
@@ -207,6 +213,7 @@
             if asyncio.get_running_loop().time() >= handler.deadline_s:
                 raise
             handler.cause = "target timed out while another one was available"
+            log_left(self)
             self.view.health.record_failure()
             self.channel.close()
             return AttemptResult.BROKEN
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
@@ -1,19 +1,20 @@
-"""Log the outcome of a request at one target."""
+"""Log the outcome of a request at one target, and the runs that are left for another one."""
 
 import asyncio
 from typing import TYPE_CHECKING
 
 from mimosaspur_coordination.fleetview import TargetView
-from mimosaspur_daemon.direct.attempt import AttemptResult
 
 if TYPE_CHECKING:
+    from mimosaspur_daemon.direct.attempt import Attempt
+    from mimosaspur_daemon.direct.attempt import AttemptResult
     from mimosaspur_daemon.direct.requesthandler import RequestHandler
 
 
 def log_attempt(
     handler: "RequestHandler",
     view: TargetView,
-    result: AttemptResult,
+    result: "AttemptResult",
     offer: int,
     *,
     continued: bool,
@@ -24,7 +25,7 @@
         log.counters.observe("first_event_ms", handler.first_ms)
     log.counters.observe("waited_ms", handler.waited_ms)
     log.write(
-        "answered" if result is AttemptResult.DONE else "attempt",
+        "answered" if result.value == "done" else "attempt",
         request=handler.request_id(),
         digest=handler.traits.digest.hex(),
         parts=handler.traits.part_names(),
@@ -61,3 +62,26 @@
         sent_recently=handler.state.notices.history.count(view.record.incarnation),
         failing=round(view.health.failure_share(), 2),
     )
+
+
+def log_left(attempt: "Attempt") -> None:
+    """Log that a run is left because its target is silent, and what else is known of the target."""
+    handler, view = attempt.handler, attempt.view
+    runs = [each for each in handler.state.quarantine.handlers if each.attempt]
+    here = [each.attempt for each in runs if each.attempt and each.attempt.view is view]
+    handler.state.log.write(
+        "left",
+        request=handler.request_id(),
+        route=handler.route.name,
+        model=handler.prompt.model,
+        target=view.record.identity,
+        silent_ms=attempt.silent_ms(),
+        head=handler.head_received,
+        last_event=handler.cutter.last_id,
+        written_ms=attempt.written_ms(),
+        left_ms=round(handler.target_selector.remaining_s() * 1000),
+        # This entry's other runs at the target, and the least time for which one was silent.
+        others=len(here) - 1,
+        least_silent_ms=min((each.silent_ms() for each in here), default=None),
+        failing=round(view.health.failure_share(), 2),
+    )
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -220,6 +220,7 @@
                 "latin-1"
             ),
             code=failure.code.value,
+            refusal=handler.refusal.value if handler and handler.refusal else None,
             held_ms=round(elapsed_s * 1000),
             retry_after_s=failure.retry_after_s,
             started=bool(handler and handler.started),
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -77,6 +77,7 @@
         "possible_runs",
         "predicted_ms",
         "prompt",
+        "refusal",
         "quota_charged",
         "request",
         "resumed_after",
@@ -163,6 +164,8 @@
         # Number of attempts in which the request may have run.
         self.possible_runs = 0
         self.outcome_unknown = False
+        # Why no other target takes it, if it ends because none does.
+        self.refusal: ResultCode | None = None
         # For the log: times from the caller's request to the last offer and to the first event, and
         # the predicted time from the offer to the first event.
         self.waited_ms = 0
@@ -302,6 +305,7 @@
             except RequestFailed as error:
                 quarantined = error.code is ResultCode.REQUEST_QUARANTINED
                 if not quarantined and (self.outcome_unknown or self.failure):
+                    self.refusal = error.code
                     break
                 raise
             result = await self._run_attempt(view, continued)
