Play a sound target that falls silent and goes on, failing on this code

SilentTarget answers by events, or a whole answer in two halves, and sends nothing while it is silent. SilencePlay runs an entry before two of them; the first to run the request falls silent, the other one is free, busy, silent as well, refuses the request, fails it or is not there. Time is virtual, and the loop waits 2 ms of real time for data before it jumps. A row passes if its caller gets the whole answer, each event once, no pause is longer than callers wait (3.2 s), the runs keep to max_attempts and each retry spent was sent.

--- a/features/harness/direct_entry.py
+++ b/features/harness/direct_entry.py
@@ -1,8 +1,10 @@
 """Run an entry's caller server in the test process, with scripted targets."""
 
 import asyncio
+import itertools
 import os
 from dataclasses import dataclass
+from dataclasses import field
 from dataclasses import replace
 
 import h11
@@ -188,16 +190,23 @@
     body: bytes
     whole: bool
     headers: dict[str, str]
+    # When each piece of the body came, on the event loop's clock.
+    pieces_s: list[float] = field(default_factory=list)
+
+    def longest_pause_s(self) -> float:
+        """Return the longest time between two pieces of the body."""
+        return max((b - a for a, b in itertools.pairwise(self.pieces_s)), default=0.0)
 
 
 class DirectEntry:
     """Serve callers on a free port with the given targets."""
 
-    def __init__(self, *, engine: EngineSpec | None = None) -> None:
+    def __init__(self, *, engine: EngineSpec | None = None, **ports: object) -> None:
         settings = settings_for("entry-0")
-        self.state = EntryState(settings, entry_dependencies("entry-0"))
+        dependencies = entry_dependencies("entry-0", **ports)
+        self.state = EntryState(settings, dependencies)
         self.state.retry_share = held_share(
-            settings.retries.window_ms, sharers=RETRY_SHARERS, clock=SystemClock()
+            settings.retries.window_ms, sharers=RETRY_SHARERS, clock=dependencies.clock
         )
         self.state.configuration = configuration(engine)
         self.state.targets_known = True
@@ -261,6 +270,7 @@
                 response.headers = {name.decode(): value.decode() for name, value in event.headers}
             elif isinstance(event, h11.Data):
                 response.body += bytes(event.data)
+                response.pieces_s.append(asyncio.get_running_loop().time())
             else:
                 response.whole = isinstance(event, h11.EndOfMessage)
                 return response
--- a/features/harness/virtual_time.py
+++ b/features/harness/virtual_time.py
@@ -1,4 +1,7 @@
-"""Run coroutines in virtual time: when all are waiting, the clock jumps to the next timer."""
+"""Run coroutines in virtual time: when all are waiting, the clock jumps to the next timer.
+
+A loop with connections waits a moment of real time before it jumps, as data may be on its way.
+"""
 
 import asyncio
 import selectors
@@ -14,13 +17,16 @@
 class _VirtualTimeSelector(selectors.SelectSelector):
     """A selector that advances the virtual time instead of waiting."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, data_wait_s: float) -> None:
         super().__init__()
+        self.data_wait_s = data_wait_s
         self.now_s = START_S
 
     def select(self, timeout: float | None = None) -> Any:
         """Return the ready events, or advance the time by the timeout."""
         ready = super().select(0)
+        if not ready and timeout and self.data_wait_s:
+            ready = super().select(self.data_wait_s)
         if not ready and timeout:
             self.now_s += timeout
         return ready
@@ -29,8 +35,8 @@
 class VirtualTimeLoop(asyncio.SelectorEventLoop):
     """An event loop whose time is the selector's virtual time."""
 
-    def __init__(self) -> None:
-        self.selector = _VirtualTimeSelector()
+    def __init__(self, *, data_wait_s: float = 0.0) -> None:
+        self.selector = _VirtualTimeSelector(data_wait_s=data_wait_s)
         super().__init__(self.selector)
 
     def time(self) -> float:
--- /dev/null
+++ b/features/steps/direct_silence_steps.py
@@ -0,0 +1,79 @@
+"""Steps for sound targets that fall silent and go on."""
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+
+from harness.silence_play import OBJECTIVE_MS
+from harness.silence_play import PATIENCE_S
+from harness.silence_play import Silence
+from harness.silence_play import SilencePlay
+from harness.silent_target import HEAD_S
+
+EVENT_COUNT = 60
+# Since the request came to its target: before the head, and before the first event.
+STAGES = {"the head": HEAD_S / 2, "the first event": HEAD_S * 3 / 2, "the second half": 0.3}
+
+
+@given("a route that allows {runs:d} runs, and another target that {other}")
+def set_other(context: Context, runs: int, other: str) -> None:
+    context.max_attempts = runs
+    context.other = other
+
+
+@when("a resumable stream has been written for {written} s, and its engine is silent {duration}")
+def play_stream(context: Context, written: str, duration: str) -> None:
+    silence = Silence(HEAD_S + float(written), _seconds(duration), context.other)
+    _play(context, silence, "a resumable stream")
+
+
+@when("the target of {kind} is silent {duration} before {stage}")
+def play_stage(context: Context, kind: str, duration: str, stage: str) -> None:
+    _play(context, Silence(STAGES[stage], _seconds(duration), context.other), kind)
+
+
+@when("the target of {kind} is silent until {late} s after the objective")
+def play_late(context: Context, kind: str, late: str) -> None:
+    from_s = STAGES["the head"]
+    for_s = OBJECTIVE_MS / 1000 - from_s + float(late)
+    _play(context, Silence(from_s, for_s, context.other), kind)
+
+
+def _seconds(duration: str) -> float | None:
+    return None if duration == "for ever" else float(duration.split()[1])
+
+
+def _play(context: Context, silence: Silence, kind: str) -> None:
+    context.play = SilencePlay(
+        silence, kind=kind, event_count=EVENT_COUNT, max_attempts=context.max_attempts
+    )
+    context.answer = context.play.run()
+
+
+@then("its caller gets the whole answer, each part once")
+def check_whole(context: Context) -> None:
+    answer = context.answer
+    got = (answer.status, answer.body, answer.whole)
+    assert got == (200, context.play.expected, True), (
+        f"status {answer.status}, {len(answer.body)} of {len(context.play.expected)} bytes, "
+        f"whole: {answer.whole}, {context.play.arrivals()}"
+    )
+
+
+@then("no pause of the answer lasts longer than its caller waits")
+def check_pauses(context: Context) -> None:
+    pause_s = context.answer.longest_pause_s()
+    assert pause_s <= PATIENCE_S, pause_s
+
+
+@then("it runs at most as often as its route allows, and each retry that was spent was sent")
+def check_runs(context: Context) -> None:
+    arrivals = context.play.arrivals()
+    assert sum(each.ran for each in arrivals) <= context.max_attempts, arrivals
+    assert context.play.spent_retries() == len(arrivals) - 1, arrivals
+
+
+@then("it ran once")
+def check_ran_once(context: Context) -> None:
+    assert len(context.play.arrivals()) == 1, context.play.arrivals()
