Answer a request with 500 when an exception that nobody expected ends it

Callers saw: a connection that is closed without an answer or a refusal, after its request was read whole.

Cause: CallerServer caught RequestFailed, BadRequest and CallerDisconnected. Any other exception ended the connection's task: the connection was closed, and only Python's standard error had a trace of it, once the task was collected. Class: a server's outermost handler that knows only the errors it expects.

Change: an unexpected exception becomes code 3999, status 500, which promises nothing about the run. If the response has begun, it is broken off; if it was complete, the connection goes on. `given_up` bears the exception and its innermost frame as `detail`. The handler leaves the set of handlers, and its quota is refunded, before the error response is sent: end_requests no longer meets a handler whose timeout has ended, which raises RuntimeError.

Evidence: features/direct_errors.feature, errors raised as a request is admitted, before it is sent, once its target has run it, in the middle of a stream and after an answer.

--- /dev/null
+++ b/features/direct_errors.feature
@@ -0,0 +1,34 @@
+Feature: An unexpected error in an entry leaves no caller without an answer
+  A request that was read whole ends with an answer, a rejection or a reset, and a line in the log.
+
+  # Guards against a connection that is closed without an answer, and without a line in the log.
+  Scenario Outline: An unexpected error is answered and logged, <when>
+    Given a direct entry before a sound target, and an unexpected error <when>
+    When a caller sends <request>, and another one on the same connection
+    Then the first answer has status 500 and code 3999, and the second one is the target's
+    And the sound target ran the first request <runs> times
+    And the log names the first request, the error and its place
+    And the entry has returned what the first request had taken, and spent <spent> of the quota
+
+    Examples:
+      | request                     | when                       | runs | spent |
+      | a request that may run once | as it is admitted          | 0    | 0     |
+      | an idempotent request       | before it is sent          | 0    | 0     |
+      | a request that may run once | before it is sent          | 0    | 0     |
+      | a request that may run once | once its target has run it | 1    | 1     |
+      | a stream                    | once its target has run it | 1    | 1     |
+
+  # Guards against a response that was begun and ends as if it were complete.
+  Scenario: An unexpected error in the middle of a stream breaks it off
+    Given a direct entry before a sound target, and an unexpected error in the middle of a stream
+    When a caller sends a stream
+    Then the stream is broken off after whole events
+    And the log names the first request, the error and its place
+    And the entry has returned what the first request had taken, and spent 1 of the quota
+
+  # Guards against a complete answer whose connection is closed for an error that follows it.
+  Scenario: An unexpected error after a complete answer doesn't end the connection
+    Given a direct entry before a sound target, and an unexpected error after an answer
+    When a caller sends an idempotent request, and another one on the same connection
+    Then both answers are the target's
+    And the log names the first request, the error and its place
--- /dev/null
+++ b/features/steps/direct_errors_steps.py
@@ -0,0 +1,148 @@
+"""Steps for unexpected errors in an entry while it serves a caller."""
+
+from collections.abc import Callable
+from typing import Any
+from unittest.mock import patch
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+
+from harness.direct_entry import REQUEST_KINDS
+from harness.direct_entry import ReceivedResponse
+from harness.direct_entry import read_response
+from harness.direct_entry import request_bytes
+from harness.direct_target import PLAIN_BODY
+from harness.direct_workspaces import WorkspaceEntry
+from harness.loop import run
+from harness.recorded_log import RecordedLog
+from mimosaspur_coordination.durations import DurationEstimator
+from mimosaspur_daemon.direct.entrystate import EntryState
+from mimosaspur_daemon.direct.quarantine import Quarantine
+from mimosaspur_daemon.direct.streamcontinuation import StreamContinuation
+from mimosaspur_daemon.direct.targetnotices import TargetNotices
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.workspaces import Quota
+from mimosaspur_state.workspaces import QuotaUnit
+
+PLENTY = Quota(unit=QuotaUnit.REQUESTS, per_s=100.0, burst=100.0)
+KEY = {"Authorization": "Bearer n-1"}
+MESSAGE = "nobody expected this"
+
+
+class UnexpectedError(Exception):
+    """An error that the entry doesn't know."""
+
+
+def _failing(function: Callable[..., Any], *, call: int = 1) -> Callable[..., Any]:
+    """Return a function that raises an error at one of its calls."""
+    calls = 0
+
+    def replacement(*arguments: Any, **named: Any) -> Any:
+        nonlocal calls
+        calls += 1
+        if calls == call:
+            raise UnexpectedError(MESSAGE)
+        return function(*arguments, **named)
+
+    return replacement
+
+
+@given("a direct entry before a sound target, and an unexpected error {when_it_occurs}")
+def start_entry(context: Context, when_it_occurs: str) -> None:
+    entry = context.entry = WorkspaceEntry(quota=PLENTY)
+    state = entry.state
+    state.log = context.log = RecordedLog("entry-0")
+    state.quotas.apply_update([], entries=1)
+    context.first = entry.target
+    places: dict[str, tuple[type, str, int]] = {
+        "as it is admitted": (Quarantine, "check", 1),
+        "before it is sent": (EntryState, "pool", 1),
+        "once its target has run it": (TargetNotices, "on_head", 1),
+        "in the middle of a stream": (StreamContinuation, "on_event", 3),
+        "after an answer": (DurationEstimator, "record", 1),
+    }
+    place, name, call = places[when_it_occurs]
+    replaced = patch.object(place, name, _failing(getattr(place, name), call=call))
+    replaced.start()
+    context.add_cleanup(replaced.stop)
+    run(context, entry.begin())
+
+
+@when("a caller sends {request}, and another one on the same connection")
+def send_two(context: Context, request: str) -> None:
+    async def send() -> list[ReceivedResponse]:
+        reader, writer = await context.entry.connect()
+        answers = []
+        for identity in ("r-1", "r-2"):
+            headers = KEY | {"X-Request-Id": identity}
+            writer.write(request_bytes(REQUEST_KINDS[request][0], headers))
+            answers.append(await read_response(reader))
+        writer.close()
+        return answers
+
+    context.answers = run(context, send())
+
+
+@when("a caller sends a stream")
+def send_stream(context: Context) -> None:
+    context.answer = run(context, context.entry.call("stream", headers=KEY))
+
+
+@then("the first answer has status 500 and code 3999, and the second one is the target's")
+def check_answers(context: Context) -> None:
+    first, second = context.answers
+    assert first.status == 500 and first.whole, first
+    assert first.body.startswith(b"3999 "), first
+    assert first.headers["x-request-id"] == "r-1", first
+    _check_own(second, "r-2")
+
+
+@then("both answers are the target's")
+def check_both(context: Context) -> None:
+    for answer, identity in zip(context.answers, ("r-1", "r-2"), strict=True):
+        _check_own(answer, identity)
+
+
+def _check_own(answer: ReceivedResponse, identity: str) -> None:
+    assert (answer.status, answer.whole) == (200, True), answer
+    assert answer.body == PLAIN_BODY or answer.body.count(b"\n\n"), answer
+    assert answer.headers["x-request-id"] == identity, answer
+
+
+@then("the sound target ran the first request {runs:d} times")
+def check_runs(context: Context, runs: int) -> None:
+    assert sum(each.identity == "r-1" for each in context.first.seen) == runs, context.first.seen
+
+
+@then("the stream is broken off after whole events")
+def check_broken_off(context: Context) -> None:
+    answer = context.answer
+    assert (answer.status, answer.whole) == (200, False), answer
+    assert answer.body == b"id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n", answer
+
+
+@then("the log names the first request, the error and its place")
+def check_log(context: Context) -> None:
+    lines = context.log.of_kind("given_up")
+    assert len(lines) == 1, lines
+    assert lines[0]["request"] == "r-1", lines
+    assert lines[0]["code"] == ResultCode.INTERNAL, lines
+    detail = lines[0]["detail"]
+    assert f"UnexpectedError('{MESSAGE}')" in detail, detail
+    assert "direct_errors_steps.py" in detail and "replacement" in detail, detail
+
+
+@then("the entry has returned what the first request had taken, and spent {spent:d} of the quota")
+def check_returned(context: Context, spent: int) -> None:
+    # The second request, where there is one, was answered.
+    others = len(getattr(context, "answers", [None])) - 1
+    state = context.entry.state
+    assert state.quotas.accounts["north"].spent == spent + others
+    assert not context.entry.callers.handlers
+    assert not state.quarantine.handlers and not state.quarantine.at_targets
+    view = state.fleet.targets["first"]
+    assert view.own_work.requests == 0, view.own_work
+    for window in state.retry_windows.values():
+        assert window.state().repeats == 0, window.state()
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -5,6 +5,7 @@
 
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.refusal import RequestFailed
+from mimosaspur_daemon.direct.refusal import internal_failure
 from mimosaspur_daemon.direct.requesthandler import RequestHandler
 from mimosaspur_daemon.direct.workspacequota import authenticate
 from mimosaspur_daemon.direct.workspacequota import charge_quota
@@ -128,6 +129,7 @@
             connection.reader.on_disconnect = None
 
     async def _answer(self, connection: CallerConnection, request: CallerRequest) -> bool:
+        """Answer a request; return whether the response was sent in full."""
         handler: RequestHandler | None = None
         try:
             route = self._route(request)
@@ -140,20 +142,35 @@
                 raise self._draining_refusal(handler)
             self.state.quarantine.check(handler.traits)
             charge_quota(handler)
+            await self._run(handler)
         except RequestFailed as failure:
-            await self._refuse(connection, request, failure, handler)
-            return True
+            return await self._fail(connection, request, failure, handler)
+        except CallerDisconnected:
+            raise
+        except Exception as error:  # noqa: BLE001 - any error must reach the caller
+            return await self._fail(connection, request, internal_failure(error), handler)
+        return True
+
+    async def _run(self, handler: RequestHandler) -> None:
         self.handlers.add(handler)
         try:
             await handler.run()
-        except RequestFailed as failure:
-            if handler.started:
-                self._log(request, failure, handler)
-                return False
-            await self._refuse(connection, request, failure, handler)
         finally:
             self.handlers.discard(handler)
             refund_unless_run(handler)
+
+    async def _fail(
+        self,
+        connection: CallerConnection,
+        request: CallerRequest,
+        failure: RequestFailed,
+        handler: RequestHandler | None,
+    ) -> bool:
+        """Send an error response unless one has begun; return whether a whole one was sent."""
+        if connection.has_begun_response():
+            self._log(request, failure, handler)
+            return not connection.answer_pending
+        await self._refuse(connection, request, failure, handler)
         return True
 
     def _route(self, request: CallerRequest) -> Route:
@@ -221,6 +238,7 @@
             ),
             code=failure.code.value,
             refusal=handler.refusal.value if handler and handler.refusal else None,
+            detail=failure.detail,
             held_ms=round(elapsed_s * 1000),
             retry_after_s=failure.retry_after_s,
             started=bool(handler and handler.started),
--- a/packages/transport/src/mimosaspur_transport/callerconnection.py
+++ b/packages/transport/src/mimosaspur_transport/callerconnection.py
@@ -165,6 +165,10 @@
             self.ends_with_connection = False
         self.answer_pending = False
 
+    def has_begun_response(self) -> bool:
+        """Return whether a part of the current response may have been sent."""
+        return self.codec.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
     def start_next_cycle(self) -> bool:
         """Prepare for another request; return whether the connection may carry one."""
         if self.codec.our_state is h11.MUST_CLOSE or self.codec.their_state is not h11.DONE:
