Serve a request that arrives as the timeout of its connection ends

Callers saw: a connection that is closed, cleanly, without an answer, after the whole request had been sent.

Cause: a process that is stalled, by its machine or by other work, finds the input and the end of a timeout in one pass of its event loop. asyncio puts the input into the reader's buffer, but the timeout cancels the read that was to take it, and the connection was closed with the request in the buffer. It takes no more than a second of silence beside a connection's idle timeout, or its timeout for a head or a body. Class: a timeout that wins over what it waits for.

Change: after a timeout, input that has arrived is read. A connection without input is closed as before.

--- a/packages/transport/src/mimosaspur_transport/callerconnection.py
+++ b/packages/transport/src/mimosaspur_transport/callerconnection.py
@@ -1,8 +1,11 @@
 """Read requests and write responses on one caller's connection."""
 
 import asyncio
+import fcntl
 import socket
 import struct
+import sys
+import termios
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -18,6 +21,8 @@
 # How long a write waits for a caller that doesn't read.
 WRITE_TIMEOUT_MS = 15_000
 HTTP_1_0 = b"1.0"
+# Size of the integer that the FIONREAD request of ioctl sets.
+INT_BYTES = struct.calcsize("i")
 
 
 class CallerDisconnected(Exception):
@@ -255,9 +260,29 @@
             async with asyncio.timeout_at(since_s + timeout_ms / 1000):
                 return await self.reader.read(READ_BYTES)
         except TimeoutError:
-            return b""
+            if not self._has_unread_input():
+                return b""
         except OSError as error:
             raise CallerDisconnected from error
+        # After a stall of this process, input and the end of the timeout are found at once.
+        return await self._read_arrived()
+
+    async def _read_arrived(self) -> bytes:
+        """Read input that has arrived, without a timeout."""
+        try:
+            return await self.reader.read(READ_BYTES)
+        except OSError as error:
+            raise CallerDisconnected from error
+
+    def _has_unread_input(self) -> bool:
+        """Return whether input waits in the reader's buffer or in the socket's."""
+        if getattr(self.reader, "_buffer", b""):
+            return True
+        descriptor = self.writer.get_extra_info("socket").fileno()
+        if descriptor < 0:
+            return False
+        waiting = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(INT_BYTES))
+        return bool(int.from_bytes(waiting, sys.byteorder))
 
     def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         try:
