Keep a connection open on which a request waits to be read as an entry leaves

Callers saw: a connection that is reset, without an answer, just after they had sent a request to an entry that leaves.

Cause: an entry that leaves closes connections that have been idle for 0.3 s. It looked at its own buffers only. Input that the kernel holds was discarded with the connection, and the kernel resets such a connection.

Evidence: features/direct_idle.feature sends a request and has the entry close idle connections before its event loop runs again.

--- a/features/direct_idle.feature
+++ b/features/direct_idle.feature
@@ -13,6 +13,12 @@
       | the second part of its head | 15000   | 200     |
       | its body                    | 200     | 3000    |
 
+  # Guards against a reset of a connection whose request the entry has not read yet.
+  Scenario: A leaving entry answers a request that arrives as it closes idle connections
+    Given a direct entry that closes connections after 15000 ms without a request and 3000 ms inside a head
+    When a caller sends a request just before the entry closes idle connections
+    Then the direct caller gets its answer
+
   Scenario: A connection without a request is closed in time
     Given a direct entry that closes connections after 200 ms without a request and 3000 ms inside a head
     When a caller sends nothing
--- a/features/steps/direct_idle_steps.py
+++ b/features/steps/direct_idle_steps.py
@@ -16,6 +16,7 @@
 from harness.direct_entry import request_bytes
 from harness.direct_target import ScriptedTarget
 from harness.loop import run
+from mimosaspur_daemon.direct.callers import MIN_IDLE_S
 from mimosaspur_state.routes import CallerLimits
 
 # Time for an entry to accept a connection, or to read what was sent.
@@ -54,6 +55,18 @@
     run(context, send())
 
 
+@when("a caller sends a request just before the entry closes idle connections")
+def send_before_close(context: Context) -> None:
+    async def send() -> None:
+        with _connect(context) as caller:
+            await asyncio.sleep(MIN_IDLE_S + SETTLE_S)
+            caller.sendall(REQUEST)
+            context.entry.callers.close_idle()
+            context.answer = await _receive(caller)
+
+    run(context, send())
+
+
 @when("a caller sends nothing")
 def send_nothing(context: Context) -> None:
     async def wait() -> None:
--- a/packages/transport/src/mimosaspur_transport/callerconnection.py
+++ b/packages/transport/src/mimosaspur_transport/callerconnection.py
@@ -183,8 +183,9 @@
 
     def is_idle(self) -> bool:
         """Return whether the connection carries no request, not even a partial one."""
-        buffered = bool(getattr(self.reader, "_buffer", b"")) or bool(self.codec.trailing_data[0])
-        return not self.answer_pending and not buffered and self.codec.their_state is h11.IDLE
+        if self.answer_pending or self.codec.their_state is not h11.IDLE:
+            return False
+        return not self.codec.trailing_data[0] and not self._has_unread_input()
 
     def idle_duration_s(self) -> float:
         """Return how long the connection has been idle, 0 if it is in use."""
