Refuse a request that waits for the first quotas when its entry ends

Callers saw: a request that was read whole is cut, without an answer, as an entry ends that has just started.

Cause: such an entry lets requests wait for up to 0.4 s for the first quotas. In that time they have no handler, so end_requests didn't reach them, and a process that ends waits for 0.3 s only.

--- a/features/application.feature
+++ b/features/application.feature
@@ -21,3 +21,10 @@
       | just then          |
       | 30 ms after that   |
       | 80 ms after that   |
+
+  # Guards against a wait that outlasts the process, so that its request ends without an answer.
+  Scenario: A request that waits for the first quotas is refused when its entry ends
+    Given an entry's application before a target that takes 10 ms
+    And its workspaces have quotas, of which no coordinator has told it yet
+    When it ends since nobody needs it, while a request waits for the first quotas
+    Then the caller has a whole answer, or a refusal of a request that did not run
--- a/features/steps/application_steps.py
+++ b/features/steps/application_steps.py
@@ -6,6 +6,7 @@
 import signal
 import threading
 import time
+from dataclasses import replace
 
 from behave import given
 from behave import then
@@ -18,11 +19,15 @@
 from harness.direct_entry import request_bytes
 from harness.direct_entry import settings_for
 from harness.direct_target import ScriptedTarget
+from harness.direct_workspaces import workspace
 from harness.loop import run
 from mimosaspur_daemon.application import Application
 from mimosaspur_daemon.direct.application import EntryApplication
+from mimosaspur_state.clock import SystemClock
 from mimosaspur_state.eventlog import EventLog
 from mimosaspur_state.fleet import TargetRecord
+from mimosaspur_state.workspaces import Quota
+from mimosaspur_state.workspaces import QuotaUnit
 
 SIGNAL_DELAY_S = 0.2
 # Stops an application that misses the signal, so that the scenario ends.
@@ -135,6 +140,33 @@
     run(context, end())
 
 
+@given("its workspaces have quotas, of which no coordinator has told it yet")
+def set_quotas(context: Context) -> None:
+    quota = Quota(unit=QuotaUnit.REQUESTS, per_s=10.0, burst=10.0)
+    north = workspace("north", ("n-1",), quota=quota)
+    context.entry.state.configuration = replace(configuration(), workspaces=(north,))
+    context.entry.state.freshness.confirm("configuration", asked_ms=SystemClock().now_ms())
+
+
+@when("it ends since nobody needs it, while a request waits for the first quotas")
+def end_while_waiting(context: Context) -> None:
+    async def end() -> None:
+        application = context.entry
+        application._may_stop = lambda: True
+        port = application.callers.server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(request_bytes("once", {"Authorization": "Bearer n-1"}))
+        await asyncio.sleep(0.05)
+        answering = asyncio.create_task(read_response(reader))
+        await application._stop()
+        # Abort open connections as the exit of the process does.
+        for connection in list(application.callers.connections):
+            connection.abort()
+        context.answer = await answering
+
+    run(context, end())
+
+
 @then("the caller has a whole answer, or a refusal of a request that did not run")
 def check_answer(context: Context) -> None:
     assert context.answer.whole, context.answer
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -72,6 +72,8 @@
         """End unfinished requests, with an error response if none has started."""
         for handler in list(self.handlers):
             handler.end_now()
+        # Requests that still wait for quotas have no handler yet.
+        self.state.quotas_received.set()
 
     def stop_accepting(self) -> None:
         """Stop accepting connections."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -104,7 +104,7 @@
         # This entry's share of the constant part of the retry budgets.
         self.retry_share = ShareLease(window_ms=settings.retries.window_ms, clock=BoottimeClock())
         self.quotas = QuotaLimiter(settings.quotas, clock=self.clock)
-        # Set once a coordinator has sent the remaining quotas.
+        # Set once a coordinator has sent the remaining quotas, or requests are ended.
         self.quotas_received = asyncio.Event()
         # Ranks of requests, and the configuration that they were computed from.
         self.ranks: dict[Priority, int] = {}
