Send no body in the refusal of a HEAD request

Callers saw: a connection that is broken off after the head of a refusal.

Cause: the text of a refusal was sent as a body, which the codec rejects for a HEAD request; this counted as a caller that had left. Found by reading.

Change: the response to HEAD ends with its head.

--- a/features/direct_answers.feature
+++ b/features/direct_answers.feature
@@ -97,6 +97,18 @@
       | a body over the limit    | 413    |
       | a length and also chunks | 200    |
 
+  # Guards against a body in the response to HEAD, whose refusal ended the connection.
+  Scenario Outline: A refusal of a HEAD request is whole, and its connection goes on, <what>
+    Given a direct entry before a target that answers and a sound one
+    When a caller asks the entry by HEAD for <what>, and then an idempotent request
+    Then the direct caller gets the bare status <status> without a body
+    And the direct caller gets its answer on the same connection
+
+    Examples:
+      | what                     | status |
+      | a path that no route has | 404    |
+      | an idempotent request    | 200    |
+
   Scenario: Before it knows a configuration an entry promises that nothing has run
     Given a direct entry that knows no configuration
     When the direct caller sends an idempotent request
--- a/features/steps/direct_answers_steps.py
+++ b/features/steps/direct_answers_steps.py
@@ -99,6 +99,32 @@
         context.answer = run(context, _send_raw(context.entry, _malformed_bytes(what)))
 
 
+@when("a caller asks the entry by HEAD for {what}, and then an idempotent request")
+def send_head(context: Context, what: str) -> None:
+    path = "/nowhere" if what == "a path that no route has" else "/safe/x"
+
+    async def send() -> None:
+        reader, writer = await context.entry.connect()
+        writer.write(f"HEAD {path} HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode())
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.write(request_bytes("safe"))
+        context.answer = await read_response(reader)
+        context.head_status = int(head.split()[1])
+        writer.close()
+
+    run(context, send())
+
+
+@then("the direct caller gets the bare status {status:d} without a body")
+def check_head_status(context: Context, status: int) -> None:
+    assert context.head_status == status, context.head_status
+
+
+@then("the direct caller gets its answer on the same connection")
+def check_next_answer(context: Context) -> None:
+    check_answer(context)
+
+
 def _malformed_bytes(what: str) -> bytes:
     match what:
         case "a path that no route has":
--- a/packages/transport/src/mimosaspur_transport/callerconnection.py
+++ b/packages/transport/src/mimosaspur_transport/callerconnection.py
@@ -89,6 +89,7 @@
         "answer_pending",
         "codec",
         "ends_with_connection",
+        "is_bodiless",
         "limits",
         "reader",
         "waiting_since_s",
@@ -106,6 +107,8 @@
         self.answer_pending = False
         # Whether only the end of the connection ends the current response.
         self.ends_with_connection = False
+        # Whether the current request takes a response without a body.
+        self.is_bodiless = False
         # When the wait for the next request began, on the event loop's clock.
         self.waiting_since_s = asyncio.get_running_loop().time()
 
@@ -115,6 +118,7 @@
         if head is None:
             return None
         arrived_s = asyncio.get_running_loop().time()
+        self.is_bodiless = head.method == b"HEAD"
         headers = list(head.headers.raw_items())
         length = header(headers, b"content-length")
         if length and int(length) > self.limits.body_bytes:
@@ -131,7 +135,7 @@
         """Send a complete response, or without `mark_end` one of unknown completeness."""
         framing = [(b"Content-Length", b"%d" % len(body))] if mark_end else []
         await self.send_head(status, headers + framing, close=close, mark_end=mark_end)
-        if body:
+        if body and not self.is_bodiless:
             await self.send_chunk(body)
         await self.end_response()
 
