Ignore numbers of callers that can't be counts of tokens

Callers saw: one request whose token count has 25 digits ends the process of its entry, with all that it serves; one of hundreds or thousands of digits gets no answer.

Cause: the counts of X-Token-Counts and X-Prompt-Prefix were taken as integers of any size. Python refuses to read over 4,300 digits, a float holds no more than 308, and a message between entries no more than 64 bits: the task that reports to the coordinator, or that coordinates, ended with an OverflowError, and the process stops when it does. Class: input without a bound that others rely on.

Change: a number of more than nine digits counts as malformed, which is treated as missing.

--- a/features/direct_errors.feature
+++ b/features/direct_errors.feature
@@ -32,3 +32,19 @@
     When a caller sends an idempotent request, and another one on the same connection
     Then both answers are the target's
     And the log names the first request, the error and its place
+
+  # Guards against numbers of callers that no float, and no message to another entry, can hold.
+  Scenario Outline: A number that can't be a count of tokens is ignored, <header> of <digits> digits
+    Given a direct entry before a target that answers and a sound one
+    When a caller sends <digits> digits as <header>
+    Then the direct caller gets its answer
+    And the entry can report to its coordinator
+
+    Examples:
+      | header                         | digits |
+      | the prompt's tokens            | 25     |
+      | the prompt's tokens            | 400    |
+      | the prompt's tokens            | 5000   |
+      | the output's tokens            | 400    |
+      | the output's tokens            | 5000   |
+      | the tokens of a prompt's part  | 5000   |
--- a/features/steps/direct_errors_steps.py
+++ b/features/steps/direct_errors_steps.py
@@ -18,16 +18,23 @@
 from harness.loop import run
 from harness.recorded_log import RecordedLog
 from mimosaspur_coordination.durations import DurationEstimator
+from mimosaspur_daemon.direct.entryreport import build_entry_report
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.quarantine import Quarantine
 from mimosaspur_daemon.direct.streamcontinuation import StreamContinuation
 from mimosaspur_daemon.direct.targetnotices import TargetNotices
+from mimosaspur_protocol.peermessages import encode_peer
 from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.workspaces import Quota
 from mimosaspur_state.workspaces import QuotaUnit
 
 PLENTY = Quota(unit=QuotaUnit.REQUESTS, per_s=100.0, burst=100.0)
 KEY = {"Authorization": "Bearer n-1"}
+NUMBER_HEADERS = {
+    "the prompt's tokens": ("X-Token-Counts", "{number},1"),
+    "the output's tokens": ("X-Token-Counts", "1,{number}"),
+    "the tokens of a prompt's part": ("X-Prompt-Prefix", "a:{number},b:1"),
+}
 MESSAGE = "nobody expected this"
 
 
@@ -90,6 +97,20 @@
     context.answer = run(context, context.entry.call("stream", headers=KEY))
 
 
+@when("a caller sends {digits:d} digits as {header}")
+def send_number(context: Context, digits: int, header: str) -> None:
+    name, value = NUMBER_HEADERS[header]
+    headers = {"X-Model": "notes", name: value.format(number="9" * digits)}
+    context.answer = run(context, context.entry.call("safe", headers=headers))
+
+
+@then("the entry can report to its coordinator")
+def check_report(context: Context) -> None:
+    report = build_entry_report(context.entry.state)
+    assert report.model_demand, report
+    encode_peer(report)
+
+
 @then("the first answer has status 500 and code 3999, and the second one is the target's")
 def check_answers(context: Context) -> None:
     first, second = context.answers
--- a/packages/daemon/src/mimosaspur_daemon/direct/prompts.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/prompts.py
@@ -5,6 +5,9 @@
 from mimosaspur_transport.dialect import Headers
 from mimosaspur_transport.dialect import header
 
+# A longer number isn't a count of tokens; sums of many must fit into messages between entries.
+MAX_COUNT_DIGITS = 9
+
 
 def read_prompt(headers: Headers, dialect: Dialect) -> Prompt:
     """Return the prompt's description; treat malformed values as missing."""
@@ -33,4 +36,5 @@
 
 def _parse_number(text: str) -> int:
     text = text.strip()
-    return int(text) if text.isascii() and text.isdigit() else 0
+    is_count = text.isascii() and text.isdigit() and len(text) <= MAX_COUNT_DIGITS
+    return int(text) if is_count else 0
