Count connections that fail at once as one failure of their target

Callers of a model on one engine were rejected with 2003, all of them, though the engine accepted connections again 0.3 s after the first had failed.

Each failed connection doubled the time for which its target gets nothing: of four that began together, and failed together after 0.7 s, the second to fourth showed nothing new, but made 0.4 s into 3 s. That is longer than most streams may wait for their first event.

Now a failure while the target is left alone extends nothing: it belongs to an attempt that began before. One that fails after the pause still doubles it, so that a target that is gone is tried as rarely as one connection at a time would have it: after 0.4, 0.8, 1.6 and 3 s.

--- a/packages/coordination/src/mimosaspur_coordination/targethealth.py
+++ b/packages/coordination/src/mimosaspur_coordination/targethealth.py
@@ -8,7 +8,7 @@
 FAILURE_HALF_LIFE_MS = 2_500
 # Targets above this share are avoided.
 MAX_FAILURE_SHARE = 0.45
-# Cooldown after a connection could not be opened; it doubles with each failure.
+# Cooldown after a connection could not be opened; it doubles with each further failure.
 INITIAL_COOLDOWN_MS = 400
 MAX_COOLDOWN_MS = 3_000
 
@@ -35,8 +35,11 @@
         self._record(1.0)
 
     def record_unreachable(self) -> None:
-        """Record that a connection could not be opened and extend the cooldown."""
+        """Record that a connection could not be opened and begin a cooldown."""
         self._record(1.0)
+        if self.is_cooling_down():
+            # An attempt that began before the last one failed shows nothing new.
+            return
         self.cooldown_ms = min(MAX_COOLDOWN_MS, max(INITIAL_COOLDOWN_MS, self.cooldown_ms * 2))
         self.cooldown_until_ms = self.clock.now_ms() + self.cooldown_ms
 
