Read an answer that comes before its request has been read

The entry wrote the request and waited until the target had taken it before it read anything. A target that doesn't read on closes its window, and after TCP_USER_TIMEOUT the kernel ended the connection, with the answer unread.

While the request is being taken the entry now reads too, and goes on with the answer as soon as it begins. A connection whose request isn't sent to its end isn't used again, as before.

The new scenario, 4 MB to a target that answers and reads nothing for 3 s, failed before: 502 after 1802 ms. Now the answer is there within a second.

--- a/features/direct_gone.feature
+++ b/features/direct_gone.feature
@@ -16,3 +16,9 @@
   Scenario: A target that stays out of reach is tried again after longer and longer pauses
     Given a target to which 4 connections at once fail whenever it is tried
     Then it is left alone for 400, 800, 1600 and 3000 ms
+
+  # Guards against a target's answer that isn't read for as long as the target doesn't read the request.
+  Scenario: A target answers a long request before it reads it
+    Given a direct entry, and only a target that answers at once and reads requests after 3000 ms
+    When a caller sends it a request that may run once with a long body
+    Then it gets its answer within 1000 ms
--- a/features/steps/direct_gone_steps.py
+++ b/features/steps/direct_gone_steps.py
@@ -7,16 +7,23 @@
 from behave import when
 from behave.runner import Context
 
+from harness.direct_entry import REQUEST_KINDS
 from harness.direct_entry import DirectEntry
 from harness.direct_entry import engine_spec
 from harness.direct_entry import model_spec
+from harness.direct_entry import read_response
+from harness.direct_entry import request_bytes
 from harness.direct_fleet import ManualClock
 from harness.direct_target import EVENT_NUMBERS
+from harness.direct_target import PLAIN_BODY
 from harness.loop import run
 from harness.unaccepting_target import UnacceptingTarget
+from harness.unreading_target import UnreadingTarget
 from mimosaspur_coordination.targethealth import TargetHealth
 
 HEADERS = {"X-Model": "notes", "X-Token-Counts": "10,6"}
+# More than a connection's buffers hold.
+LONG_BODY = b"x" * 4_000_000
 ALL_EVENTS = b"".join(b"id: %d\ndata: event %d\n\n" % (n, n) for n in EVENT_NUMBERS)
 
 
@@ -67,3 +74,40 @@
             context.clock.ms += 1
         pauses_ms.append(context.clock.ms - failed_ms)
     assert pauses_ms == [first, second, third, last], pauses_ms
+
+
+@given("a direct entry, and only a target that reads requests after {silent_ms:d} ms")
+def start_unreading(context: Context, silent_ms: int) -> None:
+    context.entry = DirectEntry()
+    target = UnreadingTarget("first", unread_s=silent_ms / 1000)
+    run(context, context.entry.start(target))
+
+
+@given(
+    "a direct entry, and only a target that answers at once and reads requests after {late:d} ms"
+)
+def start_answering_unread(context: Context, late: int) -> None:
+    context.entry = DirectEntry()
+    target = UnreadingTarget("first", unread_s=late / 1000, answers_unread=True)
+    run(context, context.entry.start(target))
+
+
+@when("a caller sends it {request} with a long body")
+def send_long(context: Context, request: str) -> None:
+    async def send() -> None:
+        reader, writer = await context.entry.connect()
+        began_s = asyncio.get_running_loop().time()
+        writer.write(request_bytes(REQUEST_KINDS[request][0], body=LONG_BODY))
+        context.answer = await read_response(reader)
+        context.took_ms = (asyncio.get_running_loop().time() - began_s) * 1000
+        writer.close()
+
+    run(context, send())
+
+
+@then("it gets its answer within {most_ms:d} ms")
+def check_answer(context: Context, most_ms: int) -> None:
+    answer = context.answer
+    assert answer.status == 200, (answer.status, answer.body, context.took_ms)
+    assert answer.whole and answer.body in (PLAIN_BODY, ALL_EVENTS), answer.body
+    assert context.took_ms <= most_ms, context.took_ms
--- a/packages/transport/src/mimosaspur_transport/httpchannel.py
+++ b/packages/transport/src/mimosaspur_transport/httpchannel.py
@@ -104,7 +104,10 @@
         return cls(reader, writer)
 
     async def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
-        """Send a complete request; raise ChannelBroken."""
+        """Send a complete request; raise ChannelBroken.
+
+        If the response begins before the peer has read the request, the rest is sent meanwhile.
+        """
         if self.codec.our_state is h11.DONE:
             self.codec.start_next_cycle()
         framing = [(b"Content-Length", b"%d" % len(body))] if _has_body(method, body) else []
@@ -112,7 +115,7 @@
         self.request = h11.Request(method=method, target=target, headers=headers + framing)
         self.writer.write(self._encode_request(self.request, body))
         try:
-            await self.writer.drain()
+            await self._drain()
         except OSError as error:
             raise ChannelBroken(f"can't send: {error!r}") from error
 
@@ -184,6 +187,25 @@
         """Reset the connection; the target cancels the request in flight."""
         self.writer.transport.abort()
 
+    async def _drain(self) -> None:
+        """Wait until the peer has taken the request or begins to respond; raise OSError."""
+        if self.is_fully_sent():
+            return
+        loop = asyncio.get_running_loop()
+        draining = loop.create_task(self.writer.drain())
+        # A cancelled read has consumed nothing.
+        reading = loop.create_task(self._read())
+        try:
+            await asyncio.wait({draining, reading}, return_when=asyncio.FIRST_COMPLETED)
+            if reading.done():
+                self.codec.receive_data(reading.result())
+            else:
+                draining.result()
+        finally:
+            draining.cancel()
+            reading.cancel()
+            await asyncio.gather(draining, reading, return_exceptions=True)
+
     def _encode_request(self, request: h11.Request, body: bytes) -> bytes:
         data = self.codec.send(request) or b""
         if body:
