Wait for a target that doesn't read a long request while its machine is there

A caller with a long request got 502, 3001, 1.8 s after it came, although its target went on to read after 2 or 3 s.

TCP_USER_TIMEOUT is there to end connections to machines that acknowledge nothing for 1.5 s. The kernel applies it also to a peer that acknowledges each probe, but has no room for more: to a sound process that reads nothing for so long. On loopback, requests of 200 kB and more met this, 100 kB didn't.

A connection with a request of more than 16 kB, which may not find room, now has 4 s, until the answer begins. Once a target has taken nothing for 1.5 s the entry goes on to wait for its answer, by the same rules as for any silence, so that a request that may run again is sent elsewhere as before. All other connections, idle ones and those of shorter requests among them, keep 1.5 s. A machine that goes dark amid a long request is thus noticed later, after 4 s, unless the request may run elsewhere.

--- a/features/direct_gone.feature
+++ b/features/direct_gone.feature
@@ -22,3 +22,35 @@
     Given a direct entry, and only a target that answers at once and reads requests after 3000 ms
     When a caller sends it a request that may run once with a long body
     Then it gets its answer within 1000 ms
+
+  # Guards against a connection that ends although its target is there, since it hasn't read a long request for a while.
+  Scenario Outline: A target reads nothing of a long request for a moment, <request>
+    Given a direct entry, and only a target that reads requests after <silent> ms
+    When a caller sends it <request> with a long body
+    Then it gets its answer within 4000 ms
+
+    Examples:
+      | request                     | silent |
+      | a request that may run once | 1200   |
+      | a request that may run once | 2000   |
+      | a request that may run once | 3000   |
+      | an idempotent request       | 3000   |
+      | a stream                    | 3000   |
+
+  # Guards against a wait for a target that reads nothing while another one could answer.
+  Scenario: A long request that may run again is sent elsewhere if its target reads nothing
+    Given a direct entry, a target that reads requests after 10000 ms and a sound one
+    When a caller sends it an idempotent request with a long body
+    Then it gets its answer within 2500 ms
+
+  # Guards against a longer wait for machines that are gone than a long request needs.
+  Scenario Outline: How long a connection lives while its target's machine acknowledges nothing, <when>
+    Given a connection to a sound target
+    When a request with a body of <bytes> bytes <when> on it
+    Then it ends after <ms> ms without an acknowledgement
+
+    Examples:
+      | bytes   | when              | ms   |
+      | 1000    | has been sent     | 1500 |
+      | 1000000 | has been sent     | 4000 |
+      | 1000000 | is being answered | 1500 |
--- a/features/steps/direct_gone_steps.py
+++ b/features/steps/direct_gone_steps.py
@@ -1,12 +1,14 @@
 """Steps for targets that are silent for a moment."""
 
 import asyncio
+import socket
 
 from behave import given
 from behave import then
 from behave import when
 from behave.runner import Context
 
+from harness.direct_entry import HOST
 from harness.direct_entry import REQUEST_KINDS
 from harness.direct_entry import DirectEntry
 from harness.direct_entry import engine_spec
@@ -16,10 +18,12 @@
 from harness.direct_fleet import ManualClock
 from harness.direct_target import EVENT_NUMBERS
 from harness.direct_target import PLAIN_BODY
+from harness.direct_target import ScriptedTarget
 from harness.loop import run
 from harness.unaccepting_target import UnacceptingTarget
 from harness.unreading_target import UnreadingTarget
 from mimosaspur_coordination.targethealth import TargetHealth
+from mimosaspur_transport.httpchannel import HttpChannel
 
 HEADERS = {"X-Model": "notes", "X-Token-Counts": "10,6"}
 # More than a connection's buffers hold.
@@ -83,6 +87,13 @@
     run(context, context.entry.start(target))
 
 
+@given("a direct entry, a target that reads requests after {silent_ms:d} ms and a sound one")
+def start_unreading_and_sound(context: Context, silent_ms: int) -> None:
+    context.entry = DirectEntry()
+    target = UnreadingTarget("first", unread_s=silent_ms / 1000)
+    run(context, context.entry.start(target, ScriptedTarget("second")))
+
+
 @given(
     "a direct entry, and only a target that answers at once and reads requests after {late:d} ms"
 )
@@ -111,3 +122,29 @@
     assert answer.status == 200, (answer.status, answer.body, context.took_ms)
     assert answer.whole and answer.body in (PLAIN_BODY, ALL_EVENTS), answer.body
     assert context.took_ms <= most_ms, context.took_ms
+
+
+@given("a connection to a sound target")
+def connect(context: Context) -> None:
+    async def open_channel() -> HttpChannel:
+        context.target = ScriptedTarget("first")
+        return await HttpChannel.open(await context.target.start())
+
+    context.channel = run(context, open_channel())
+
+
+@when("a request with a body of {size:d} bytes {when} on it")
+def send_body(context: Context, size: int, when: str) -> None:
+    async def send() -> None:
+        headers = [(b"Host", HOST.encode())]
+        await context.channel.send(b"POST", b"/", headers, b"x" * size)
+        if when == "is being answered":
+            await context.channel.read_head()
+
+    run(context, send())
+
+
+@then("it ends after {timeout_ms:d} ms without an acknowledgement")
+def check_timeout(context: Context, timeout_ms: int) -> None:
+    connection = context.channel.writer.get_extra_info("socket")
+    assert connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == timeout_ms
--- a/packages/transport/src/mimosaspur_transport/httpchannel.py
+++ b/packages/transport/src/mimosaspur_transport/httpchannel.py
@@ -1,6 +1,7 @@
 """Send requests over one HTTP/1.1 connection and stream the responses."""
 
 import asyncio
+import contextlib
 import socket
 from dataclasses import dataclass
 from enum import Enum
@@ -17,6 +18,12 @@
 CONNECT_TIMEOUT_MS = 700
 # The connection fails when sent data stays unacknowledged for this long.
 UNACKED_TIMEOUT_MS = 1_500
+# A request of this size may exceed what a peer's kernel takes while its process doesn't read.
+LONG_REQUEST_BYTES = 16_384
+# The kernel's timeout also ends a connection whose peer acknowledges, but has no room for more.
+LONG_REQUEST_TIMEOUT_MS = 4_000
+# A peer that has taken nothing for this long doesn't read at present.
+STALLED_SEND_S = 1.5
 
 
 class ChannelBroken(Exception):
@@ -59,6 +66,11 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+    set_unacked_timeout(sock, timeout_ms)
+
+
+def set_unacked_timeout(sock: socket.socket, timeout_ms: int) -> None:
+    """Set for how long sent data may stay unacknowledged, or the peer without room for more."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
@@ -73,6 +85,7 @@
         "keep_alive_ms",
         "reader",
         "request",
+        "waits_for_room",
         "writer",
     )
 
@@ -87,6 +100,7 @@
         self.idle_since_ms = 0
         # The peer's keep-alive timeout, 0 if it sent none.
         self.keep_alive_ms = 0
+        self.waits_for_room = False
 
     @classmethod
     async def open(
@@ -113,7 +127,9 @@
         framing = [(b"Content-Length", b"%d" % len(body))] if _has_body(method, body) else []
         self.framing = None
         self.request = h11.Request(method=method, target=target, headers=headers + framing)
-        self.writer.write(self._encode_request(self.request, body))
+        data = self._encode_request(self.request, body)
+        self._set_waits_for_room(len(data) > LONG_REQUEST_BYTES)
+        self.writer.write(data)
         try:
             await self._drain()
         except OSError as error:
@@ -127,6 +143,7 @@
                 headers = list(event.headers.raw_items())
                 self._record_keep_alive(headers)
                 self.framing = _framing(event, cast(h11.Request, self.request).method)
+                self._set_waits_for_room(not self.is_fully_sent())
                 return ResponseHead(event.status_code, headers, event.reason)
             if not isinstance(event, h11.InformationalResponse):
                 raise ChannelBroken("the connection ended before a response")
@@ -181,14 +198,29 @@
 
     def is_fully_sent(self) -> bool:
         """Return whether the whole request has been written to the socket."""
-        return self.writer.transport.get_write_buffer_size() == 0
+        return self._unsent_bytes() == 0
+
+    def _unsent_bytes(self) -> int:
+        return self.writer.transport.get_write_buffer_size()
 
     def close(self) -> None:
         """Reset the connection; the target cancels the request in flight."""
         self.writer.transport.abort()
 
+    def _set_waits_for_room(self, waits: bool) -> None:
+        """Set whether to wait longer, since the peer may have no room for the whole request."""
+        if waits == self.waits_for_room:
+            return
+        self.waits_for_room = waits
+        # The connection may have ended already.
+        with contextlib.suppress(OSError):
+            set_unacked_timeout(
+                self.writer.get_extra_info("socket"),
+                LONG_REQUEST_TIMEOUT_MS if waits else UNACKED_TIMEOUT_MS,
+            )
+
     async def _drain(self) -> None:
-        """Wait until the peer has taken the request or begins to respond; raise OSError."""
+        """Wait until the peer has taken the request, responds or stops reading; raise OSError."""
         if self.is_fully_sent():
             return
         loop = asyncio.get_running_loop()
@@ -196,11 +228,21 @@
         # A cancelled read has consumed nothing.
         reading = loop.create_task(self._read())
         try:
-            await asyncio.wait({draining, reading}, return_when=asyncio.FIRST_COMPLETED)
-            if reading.done():
-                self.codec.receive_data(reading.result())
-            else:
-                draining.result()
+            while True:
+                unsent = self._unsent_bytes()
+                await asyncio.wait(
+                    {draining, reading},
+                    timeout=STALLED_SEND_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if reading.done():
+                    self.codec.receive_data(reading.result())
+                    return
+                if draining.done():
+                    draining.result()
+                    return
+                if self._unsent_bytes() == unsent:
+                    return
         finally:
             draining.cancel()
             reading.cancel()
