Let a stream that has begun wait for a place as long as its caller does

Callers of streams that had run for longer than 2 to 3.2 s got a cut answer as soon as their target was left or had ended, with seconds of their time left.

Cause: the limit for the first event, from the request's arrival on, bounded the choice of the next target too. No target can have begun before it, so the choice rejected the stream at once (2002), and the entry cut it (3001).

Change: the limit counts from the last event that the caller got, for as long as callers wait for the next one.

--- a/features/steps/direct_policy_steps.py
+++ b/features/steps/direct_policy_steps.py
@@ -133,7 +133,7 @@
             deadline_s=1e9,
         )
         targeting.on_time_deadline_s = 0.0
-        targeting.first_event_deadline_s = 1e9
+        targeting.event_deadline_s = 1e9
         before = targeting.rank
         assert await targeting.next_target()
         return before, targeting.rank
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -416,6 +416,7 @@
             handler = self.handler
             handler.longest_pause_ms = max(handler.longest_pause_ms, round(paused_ms))
         self.last_event_s = now_s
+        self.handler.target_selector.on_event(now_s)
 
     def _silence_timeout_s(self) -> float | None:
         """Return the timeout for the first data of a response, or None for no timeout."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -24,10 +24,10 @@
 from mimosaspur_state.routes import ServiceSpec
 from mimosaspur_state.workspaces import Workspace
 
-# Callers abandon a stream without a first event after the longest of these.
-MIN_FIRST_EVENT_TIMEOUT_MS = 2_000
-FIRST_EVENT_TIMEOUT_OBJECTIVES = 4
-FIRST_EVENT_TIMEOUT_GAPS = 8
+# Callers abandon a stream whose next event doesn't come for the longest of these.
+MIN_EVENT_TIMEOUT_MS = 2_000
+EVENT_TIMEOUT_OBJECTIVES = 4
+EVENT_TIMEOUT_GAPS = 8
 # Maximum interval between checks of a waiting request.
 RECHECK_INTERVAL_S = 0.25
 # Minimum time to the first token once a model is loaded.
@@ -47,9 +47,10 @@
         "continuation",
         "cooldown_ends_s",
         "deadline_s",
-        "first_event_deadline_s",
+        "event_deadline_s",
         "isolated",
         "on_time_deadline_s",
+        "patience_s",
         "permits",
         "prompt",
         "rank",
@@ -87,11 +88,14 @@
         # Both on the event loop's clock.
         self.deadline_s = deadline_s
         timeout_ms = max(
-            MIN_FIRST_EVENT_TIMEOUT_MS,
-            FIRST_EVENT_TIMEOUT_OBJECTIVES * route.objective_ms,
-            FIRST_EVENT_TIMEOUT_GAPS * route.gap_objective_ms,
+            MIN_EVENT_TIMEOUT_MS,
+            EVENT_TIMEOUT_OBJECTIVES * route.objective_ms,
+            EVENT_TIMEOUT_GAPS * route.gap_objective_ms,
         )
-        self.first_event_deadline_s = min(deadline_s, arrived_s + timeout_ms / 1000)
+        # For how long the caller waits for an event.
+        self.patience_s = timeout_ms / 1000
+        # Until when it waits for the next one.
+        self.event_deadline_s = min(deadline_s, arrived_s + self.patience_s)
         self.on_time_deadline_s = arrived_s + route.objective_ms / 1000
         # The request's rank in engine queues.
         self.rank = self._rank()
@@ -137,6 +141,10 @@
         others = self.permits.sendable(others)
         return any(not self.prompt.model or each.can_run(self.prompt) for each in others)
 
+    def on_event(self, now_s: float) -> None:
+        """Count the time for which the caller waits for an event from the one it got now."""
+        self.event_deadline_s = min(self.deadline_s, now_s + self.patience_s)
+
     def predicted_first_event_ms(self) -> float:
         """Return the predicted time to the first event, 0 for a plain service."""
         if self.spec is None or self.spec.engine is None or not self.prompt.model:
@@ -165,7 +173,7 @@
                 self._check_version()
                 if state.fleet.only_leaving(self.service):
                     raise self.refusal(ResultCode.NO_READY_TARGET)
-                wait_until_s = min(self.first_event_deadline_s, state.balancer_noticed_s)
+                wait_until_s = min(self.event_deadline_s, state.balancer_noticed_s)
                 left_s = wait_until_s - MIN_FIRST_TOKEN_S - _now_s()
                 held = self.permits.held(self._holders())
                 expected_s = self._expected_wait_s(held)
@@ -195,7 +203,7 @@
 
     async def _wait_for_permit(self, held: Sequence[TargetView]) -> None:
         expected_s = min(self.permits.expected_wait_s(held), self._cooldown_wait_s())
-        if expected_s >= self.first_event_deadline_s - RECHECK_INTERVAL_S - _now_s():
+        if expected_s >= self.event_deadline_s - RECHECK_INTERVAL_S - _now_s():
             raise self._held_refusal(held, expected_s)
         self.permits.ask(held)
         await self.state.changes.wait(self._recheck_delay_s())
@@ -272,7 +280,7 @@
             if view is None:
                 return None
             may_be_late = self.resumed or index > 0
-            limit_s = self.first_event_deadline_s if may_be_late else self.on_time_deadline_s
+            limit_s = self.event_deadline_s if may_be_late else self.on_time_deadline_s
             over_s = _now_s() + view.first_token_ms(self.prompt, rank=rank) / 1000 - limit_s
             if over_s <= 0:
                 self.rank = rank
