Run a request whose target is silent at a second one beside it, and keep what goes on first

Callers got a cut answer, or the error of another target, from an entry whose target would have gone on within a second or two.

Cause: silence was taken as the end of a target. The entry closed the connection when has_other said that another target was there, and asked afterwards, by the stricter choice, which one takes the request. Class: what one has is given up on a weaker check than the one that must grant what comes next.

Change: a repeatable request whose target is silent gets a backup, chosen as any request is and paid from the retry budget. The first run that has the next event, a whole answer or the end of the stream claims the response and ends the other. A backup that is refused, fails or breaks off changes nothing. A stream that has begun gets one after five gap objectives, 2 s at least, rather than three and 1 s. ParallelRuns holds the runs, and Offer what belongs to one of them, which was the request's own.

--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -11,12 +11,12 @@
 from mimosaspur_coordination.fleetports import StopUnconfirmed
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.quarantine.crashledger import Stage
-from mimosaspur_daemon.direct.attemptlog import log_left
 from mimosaspur_daemon.direct.entrystate import LATE_RANK
 from mimosaspur_daemon.direct.evacuation import MovedRun
 from mimosaspur_daemon.direct.targetheaders import target_headers
 from mimosaspur_protocol.completeness import Completeness
 from mimosaspur_protocol.completeness import stream_completeness
+from mimosaspur_protocol.eventbuffer import EventBuffer
 from mimosaspur_protocol.eventbuffer import EventMissing
 from mimosaspur_state.routes import RouteKind
 from mimosaspur_transport.dialect import RETRY_AFTER
@@ -27,20 +27,23 @@
 from mimosaspur_transport.httpchannel import ResponseHead
 
 if TYPE_CHECKING:
-    from mimosaspur_daemon.direct.requesthandler import RequestHandler
+    from mimosaspur_daemon.direct.offer import Offer
 
 T = TypeVar("T")
 
 # Limit on the response of a plain service, which is buffered before it is forwarded.
 MAX_RESPONSE_BYTES = 8_000_000
 EVENT_STREAM_TYPE = b"text/event-stream"
-# A retryable request is sent elsewhere when the first event takes this many times its predicted
-# time.
+# A repeatable request gets a backup when its first event takes this many times its predicted time.
 SILENCE_TIMEOUT_FACTOR = 3.0
 MIN_SILENCE_TIMEOUT_MS = 900
-# A stream is resumed elsewhere when it pauses for this many times the route's gap objective.
-STALL_TIMEOUT_FACTOR = 3
-MIN_STALL_TIMEOUT_MS = 1_000
+# A stream that has begun gets a backup after a pause of this many gap objectives, or of the minimum
+# if that is longer, but while its caller still waits.
+STALL_TIMEOUT_FACTOR = 5
+MIN_STALL_TIMEOUT_MS = 2_000
+MAX_STALL_PATIENCE_SHARE = 0.6
+# Interval between checks of a run whose target is silent.
+SILENCE_CHECK_S = 0.1
 # A run that crashes its target ends as it begins to write; one that has written for so long counts
 # as if it had not begun.
 LONG_WRITTEN_MS = 500
@@ -60,6 +63,8 @@
     MOVED = "moved"
     # The target responded with an error, which may be forwarded.
     FAILED = "failed"
+    # Another run of the request answered first.
+    LEFT = "left"
 
 
 @dataclass(slots=True, frozen=True)
@@ -81,38 +86,38 @@
 
     __slots__ = (
         "channel",
-        "continued",
         "ended",
+        "events",
         "first_token",
         "first_token_s",
         "handler",
+        "head_received",
         "last_event_s",
         "limit_version",
         "may_be_stopped",
+        "offer",
         "pending_move",
         "predicted_ms",
         "rank",
+        "says",
         "sent_s",
+        "status",
         "unread",
         "version",
         "view",
         "was_served",
     )
 
-    def __init__(
-        self,
-        handler: "RequestHandler",
-        view: TargetView,
-        channel: HttpChannel,
-        continued: MovedRun | None = None,
-    ) -> None:
+    def __init__(self, offer: "Offer", channel: HttpChannel) -> None:
+        handler, view = offer.handler, offer.view
+        self.offer = offer
         self.handler = handler
         self.view = view
         # The registration may change while the request runs.
         self.version = view.record.version
         self.channel = channel
-        # The stopped run that continues here.
-        self.continued = continued
+        # The stream's events, from the last one that was passed on.
+        self.events = EventBuffer(handler.cutter.last_id)
         self.ended = False
         # Resolved when a move that has begun ends.
         self.pending_move: asyncio.Future[MovedRun | None] | None = None
@@ -122,8 +127,14 @@
         self.predicted_ms = view.first_token_ms(handler.prompt, rank=self.rank)
         self.unread = view.on_sent(handler.prompt, rank=self.rank)
         self.sent_s = asyncio.get_running_loop().time()
+        handler.waited_ms = round((self.sent_s - handler.request.arrived_s) * 1000)
         # What was known of the target's limit when the request was sent.
         self.limit_version = handler.state.notices.version(view.record)
+        # Whether the target began to respond, its status, and the headers by which it tells of
+        # itself.
+        self.head_received = False
+        self.status: int | None = None
+        self.says: dict[str, str] = {}
         self.first_token = False
         self.first_token_s = 0.0
         self.last_event_s = 0.0
@@ -152,6 +163,9 @@
         """Stop the run to continue it at another target; return whether it was stopped."""
         handler = self.handler
         request = header(handler.request.headers, handler.state.dependencies.dialect.request_id)
+        if len(handler.runs.active) > 1:
+            # A backup goes on from the events that the caller has, and needs no move.
+            return False
         if not request or not handler.retries.spend(MOVE_RETRY_COUNT, what="move"):
             return False
         self.pending_move = asyncio.get_running_loop().create_future()
@@ -170,6 +184,11 @@
             await engines.drop_copy(self.view.record, moved.handle)
         return moved is not None
 
+    def is_moving(self) -> bool:
+        """Return whether the run is being stopped, or was stopped, to go on elsewhere."""
+        move = self.pending_move
+        return move is not None and (not move.done() or move.result() is not None)
+
     async def _was_moved(self) -> bool:
         """Return whether the stream ended because the run was moved."""
         if self.pending_move is None:
@@ -183,16 +202,15 @@
         handler = self.handler
         request = handler.request
         try:
-            handler.in_flight = True
             await self.channel.send(
                 request.method, request.target, target_headers(self), request.body
             )
-            head = await self._read_with_timeout(self._read_own_head(), self._silence_timeout_s())
-            handler.head_received = True
-            handler.target_status = head.status
-            handler.target_says = self._notices(head)
+            head = await self._read_first(self._read_own_head())
+            self.head_received = True
+            self.status = head.status
+            self.says = self._notices(head)
             if self._is_not_run(head):
-                await self._read_with_timeout(self._read_body(), self._silence_timeout_s())
+                await self._read_first(self._read_body())
                 return AttemptResult.NOT_RUN
             if handler.route.kind is RouteKind.STREAM and _is_event_stream(head):
                 return await self._forward_stream(head)
@@ -201,41 +219,29 @@
             self.channel.close()
             if await self._was_moved():
                 return AttemptResult.MOVED
-            handler.cause = str(error)
+            self.offer.cause = str(error)
             self.view.health.record_failure()
-            begins = handler.head_received and self.written_ms() < LONG_WRITTEN_MS
+            begins = self.head_received and self.written_ms() < LONG_WRITTEN_MS
             stage = Stage.RUNNING if begins else Stage.QUEUED
             quarantine = handler.state.quarantine
             quarantine.on_written(handler.traits, self.written_ms())
             quarantine.detector.on_connection_lost(self.view, handler.traits, stage)
             return AttemptResult.BROKEN
-        except TimeoutError:
-            if asyncio.get_running_loop().time() >= handler.deadline_s:
-                raise
-            handler.cause = "target timed out while another one was available"
-            log_left(self)
-            self.view.health.record_failure()
-            self.channel.close()
-            return AttemptResult.BROKEN
 
-    async def _read_with_timeout(self, read: Coroutine[Any, Any, T], limit_s: float | None) -> T:
-        """Read from the target; exceed the limit while no other target can take the request."""
+    async def _read_first(self, read: Coroutine[Any, Any, T]) -> T:
+        """Read the first data of a response; ask for a backup while it is late."""
         reading = asyncio.get_running_loop().create_task(read)
         try:
-            while not (await asyncio.wait({reading}, timeout=limit_s))[0]:
-                self._raise_if_replaceable()
+            while not (await asyncio.wait({reading}, timeout=SILENCE_CHECK_S))[0]:
+                self._check_silence()
             return reading.result()
         finally:
             reading.cancel()
 
-    def _raise_if_replaceable(self) -> None:
-        """Raise TimeoutError if another target can take the request within the retry budget.
-
-        Otherwise keep waiting: a slow target may still finish, and aborting would fail the request.
-        """
-        handler = self.handler
-        if handler.target_selector.has_other(self.view) and handler.retries.window.allows():
-            raise TimeoutError
+    def _check_silence(self) -> None:
+        """Ask for a backup if the response has paused for long, or not begun."""
+        if self.silent_ms() >= self._silence_timeout_ms():
+            self.handler.runs.on_silence(self)
 
     async def _read_body(self) -> bytes:
         return await self.channel.read_body(MAX_RESPONSE_BYTES)
@@ -284,7 +290,7 @@
 
     async def _forward_whole(self, head: ResponseHead) -> AttemptResult:
         handler = self.handler
-        body = await self._read_with_timeout(self._read_body(), self._silence_timeout_s())
+        body = await self._read_first(self._read_body())
         if head.status < 400 and not self._is_authentic(head):
             raise ChannelBroken("response is encoded or lacks the target's proof header")
         response = TargetResponse(head, body, marked=self.channel.marks_end())
@@ -296,6 +302,7 @@
         self.was_served = head.status < 300
         if handler.started:
             raise ChannelBroken("target answered a resumed stream with a whole response")
+        handler.runs.claim(self)
         await handler.forward_response(response)
         handler.record_duration(self.sent_s)
         return AttemptResult.DONE
@@ -304,14 +311,13 @@
         handler = self.handler
         if not self._is_authentic(head):
             raise ChannelBroken("response is encoded or lacks the target's proof header")
-        handler.cutter.discard_incomplete()
         try:
             while (chunk := await self._read_chunk()) is not None:
-                before = handler.cutter.last_id
-                events = handler.cutter.feed(chunk)
+                events = self.events.feed(chunk)
                 if events:
+                    handler.runs.claim(self)
                     self._record_first_token()
-                    self._record_pause(before, handler.cutter.last_id)
+                    self._record_event()
                     await self._start_response(head)
                     handler.continuation.on_event(self.version)
                     await handler.caller.send_chunk(events)
@@ -329,13 +335,14 @@
         completeness = await self._completeness()
         if completeness is Completeness.BROKEN:
             raise ChannelBroken("the target broke off its stream")
+        handler.runs.claim(self)
         await self._start_response(head)
         if completeness is Completeness.UNKNOWN and not handler.caller.ends_with_connection:
             # An earlier target's framing requires a mark, which only a complete stream may get.
-            handler.cause = "nothing proves that the stream is complete"
+            self.offer.cause = "nothing proves that the stream is complete"
             return AttemptResult.BROKEN
-        if handler.cutter.incomplete:
-            await handler.caller.send_chunk(handler.cutter.incomplete)
+        if self.events.incomplete:
+            await handler.caller.send_chunk(self.events.incomplete)
         await handler.caller.end_response()
         self.view.health.record_success()
         lasted_ms = (asyncio.get_running_loop().time() - self.first_token_s) * 1000
@@ -347,13 +354,13 @@
     async def _completeness(self) -> Completeness:
         """Judge the stream that has ended without an error."""
         handler = self.handler
-        last_id = handler.cutter.last_id
+        last_id = self.events.last_id
         resumes = last_id is not None and not self.first_token
         # Two targets that have nothing after the same event prove that it was the last one.
         agreed = resumes and handler.started and handler.unconfirmed_end == last_id
         completeness = stream_completeness(
             marked=self.channel.marks_end() or agreed,
-            inside_event=handler.cutter.ends_inside_event(),
+            inside_event=self.events.ends_inside_event(),
             has_events=self.first_token,
             may_be_empty=resumes and not handler.started,
         )
@@ -379,14 +386,13 @@
             )
 
     async def _read_chunk(self) -> bytes | None:
-        limit_s = self._stall_timeout_s() if self.first_token else self._silence_timeout_s()
         while True:
             try:
                 # A cancelled read has consumed nothing, so it can be repeated.
-                async with asyncio.timeout(limit_s):
+                async with asyncio.timeout(SILENCE_CHECK_S):
                     return await self.channel.read_chunk()
             except TimeoutError:
-                self._raise_if_replaceable()
+                self._check_silence()
 
     def _record_first_token(self) -> None:
         if self.first_token:
@@ -406,32 +412,24 @@
                 took_ms=took_ms,
             )
 
-    def _record_pause(self, before: int | None, last: int | None) -> None:
-        """Record the pause before the events that were just received."""
-        if last is None:
-            return
-        now_s = asyncio.get_running_loop().time()
-        if before is not None and self.last_event_s:
-            paused_ms = (now_s - self.last_event_s) * 1000
-            handler = self.handler
-            handler.longest_pause_ms = max(handler.longest_pause_ms, round(paused_ms))
-        self.last_event_s = now_s
-        self.handler.target_selector.on_event(now_s)
-
-    def _silence_timeout_s(self) -> float | None:
-        """Return the timeout for the first data of a response, or None for no timeout."""
-        handler = self.handler
-        if not handler.route.repeatable or handler.possible_runs + 1 >= handler.route.max_attempts:
-            return None
-        if handler.route.kind is RouteKind.STREAM:
-            wait_ms = max(MIN_SILENCE_TIMEOUT_MS, self.predicted_ms * SILENCE_TIMEOUT_FACTOR)
-            return (wait_ms + handler.route.objective_ms) / 1000
-        return handler.route.objective_ms / 1000
-
-    def _stall_timeout_s(self) -> float | None:
+    def _record_event(self) -> None:
+        """Record that events were received, and the pause before them as the caller sees it."""
+        now_s = self.last_event_s = asyncio.get_running_loop().time()
         handler = self.handler
-        if not handler.route.repeatable or handler.possible_runs + 1 >= handler.route.max_attempts:
-            return None
-        return (
-            max(MIN_STALL_TIMEOUT_MS, STALL_TIMEOUT_FACTOR * handler.route.gap_objective_ms) / 1000
-        )
+        if handler.last_event_s:
+            paused_ms = round((now_s - handler.last_event_s) * 1000)
+            handler.longest_pause_ms = max(handler.longest_pause_ms, paused_ms)
+        handler.last_event_s = now_s
+        handler.target_selector.on_event(now_s)
+
+    def _silence_timeout_ms(self) -> float:
+        """Return the time after which a response that has paused, or not begun, needs a backup."""
+        route = self.handler.route
+        if self.first_token:
+            pause_ms = max(MIN_STALL_TIMEOUT_MS, STALL_TIMEOUT_FACTOR * route.gap_objective_ms)
+            patience_ms = self.handler.target_selector.patience_s * 1000
+            return min(pause_ms, MAX_STALL_PATIENCE_SHARE * patience_ms)
+        if route.kind is not RouteKind.STREAM:
+            return route.objective_ms
+        wait_ms = max(MIN_SILENCE_TIMEOUT_MS, self.predicted_ms * SILENCE_TIMEOUT_FACTOR)
+        return wait_ms + route.objective_ms
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
@@ -1,4 +1,4 @@
-"""Log the outcome of a request at one target, and the runs that are left for another one."""
+"""Log the outcome of a request at one target, and the targets that fall silent."""
 
 import asyncio
 from typing import TYPE_CHECKING
@@ -8,18 +8,12 @@
 if TYPE_CHECKING:
     from mimosaspur_daemon.direct.attempt import Attempt
     from mimosaspur_daemon.direct.attempt import AttemptResult
-    from mimosaspur_daemon.direct.requesthandler import RequestHandler
+    from mimosaspur_daemon.direct.offer import Offer
 
 
-def log_attempt(
-    handler: "RequestHandler",
-    view: TargetView,
-    result: "AttemptResult",
-    offer: int,
-    *,
-    continued: bool,
-) -> None:
+def log_attempt(offer: "Offer", result: "AttemptResult") -> None:
     """Log an attempt that has ended and record its latencies."""
+    handler, view, attempt = offer.handler, offer.view, offer.attempt
     log = handler.state.log
     if handler.first_ms:
         log.counters.observe("first_event_ms", handler.first_ms)
@@ -37,23 +31,24 @@
         software=view.record.version,
         resumes=handler.resumes(),
         resumed_after=handler.resumed_after,
-        offer=offer,
-        continued=continued,
+        offer=offer.number,
+        backup=offer.is_backup,
+        continued=offer.continued is not None,
         result=result.value,
-        cause=handler.cause,
-        head=handler.head_received,
-        status=handler.target_status,
-        says=handler.target_says,
-        framing=handler.framing.value if handler.framing else None,
-        connection=handler.connection_end.value,
-        unfinished_bytes=len(handler.cutter.incomplete),
+        cause=offer.cause,
+        head=attempt.head_received if attempt else False,
+        status=attempt.status if attempt else None,
+        says=attempt.says if attempt else {},
+        framing=offer.framing.value if offer.framing else None,
+        connection=offer.connection_end.value,
+        unfinished_bytes=len(attempt.events.incomplete) if attempt else 0,
         started=handler.started,
         last_event=handler.cutter.last_id,
         waited_ms=handler.waited_ms,
         rank=handler.target_selector.rank,
-        predicted_ms=handler.predicted_ms,
+        predicted_ms=round(attempt.predicted_ms) if attempt else 0,
         first_ms=handler.first_ms,
-        written_ms=handler.written_ms,
+        written_ms=attempt.written_ms() if attempt else 0,
         objective_ms=handler.route.objective_ms,
         longest_pause_ms=handler.longest_pause_ms,
         lasted_ms=round((asyncio.get_running_loop().time() - handler.request.arrived_s) * 1000),
@@ -64,19 +59,21 @@
     )
 
 
-def log_left(attempt: "Attempt") -> None:
-    """Log that a run is left because its target is silent, and what else is known of the target."""
+def log_silence(attempt: "Attempt", *, backup: TargetView | None, reason: str) -> None:
+    """Log that a target is silent, and where a backup runs, or why there is none."""
     handler, view = attempt.handler, attempt.view
-    runs = [each for each in handler.state.quarantine.handlers if each.attempt]
-    here = [each.attempt for each in runs if each.attempt and each.attempt.view is view]
+    runs = [each.runs.leading for each in handler.state.quarantine.handlers]
+    here = [each for each in runs if each and each.view is view]
     handler.state.log.write(
-        "left",
+        "silent",
         request=handler.request_id(),
         route=handler.route.name,
         model=handler.prompt.model,
         target=view.record.identity,
+        backup=backup.record.identity if backup else None,
+        reason=reason,
         silent_ms=attempt.silent_ms(),
-        head=handler.head_received,
+        head=attempt.head_received,
         last_event=handler.cutter.last_id,
         written_ms=attempt.written_ms(),
         left_ms=round(handler.target_selector.remaining_s() * 1000),
--- a/packages/daemon/src/mimosaspur_daemon/direct/evacuation.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/evacuation.py
@@ -105,8 +105,8 @@
         return None
 
     def _streams(self, view: TargetView) -> list["Attempt"]:
-        attempts = [handler.attempt for handler in self.handlers if handler.attempt]
-        return [attempt for attempt in attempts if attempt.view is view and attempt.first_token]
+        attempts = [handler.runs.leading for handler in self.handlers]
+        return [each for each in attempts if each and each.view is view and each.first_token]
 
     def _destination(self, attempt: "Attempt") -> TargetView | None:
         handler = attempt.handler
--- /dev/null
+++ b/packages/daemon/src/mimosaspur_daemon/direct/parallelruns.py
@@ -0,0 +1,138 @@
+"""Run a request at a second target while the first one is silent, and keep what answers first."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from mimosaspur_daemon.direct.attempt import AttemptResult
+from mimosaspur_daemon.direct.attemptlog import log_attempt
+from mimosaspur_daemon.direct.attemptlog import log_silence
+from mimosaspur_daemon.direct.offer import Offer
+
+if TYPE_CHECKING:
+    from mimosaspur_daemon.direct.attempt import Attempt
+    from mimosaspur_daemon.direct.requesthandler import RequestHandler
+
+# Limit on the backups of one request.
+MAX_BACKUPS = 2
+# Why the run at a target was ended.
+ANSWERED_ELSEWHERE = "another run of the request answered first"
+
+
+class ParallelRuns:
+    """Hold the runs of one request that are under way.
+
+    There is one, and a backup beside it while its target is silent. The first of them to go on with
+    the response ends the other one, so that a run is never given up before another one has
+    taken its place.
+    """
+
+    __slots__ = ("active", "backups", "dropped", "ended", "handler", "silent")
+
+    def __init__(self, handler: "RequestHandler") -> None:
+        self.handler = handler
+        # The oldest first.
+        self.active: dict[asyncio.Task[AttemptResult], Offer] = {}
+        # Tasks that have been cancelled but may not have ended.
+        self.dropped: set[asyncio.Task[AttemptResult]] = set()
+        # Tasks that have ended by themselves.
+        self.ended: asyncio.Queue[asyncio.Task[AttemptResult]] = asyncio.Queue()
+        # Number of backups so far.
+        self.backups = 0
+        # The attempt whose silence was logged last.
+        self.silent: Attempt | None = None
+
+    @property
+    def leading(self) -> "Attempt | None":
+        """Return the oldest attempt, None while nothing has been sent."""
+        return next((offer.attempt for offer in self.active.values() if offer.attempt), None)
+
+    def in_flight(self) -> bool:
+        """Return whether the request is at a target now."""
+        return any(offer.in_flight for offer in self.active.values())
+
+    def start(self, offer: Offer) -> None:
+        """Start a run."""
+        task = asyncio.get_running_loop().create_task(offer.run())
+        self.active[task] = offer
+        task.add_done_callback(self._on_done)
+
+    async def next_ended(self) -> tuple[Offer, AttemptResult]:
+        """Wait until a run has ended by itself; raise what it raised."""
+        while True:
+            task = await self.ended.get()
+            if task in self.active:
+                # A run that raised stays active: its request may have been at a target.
+                result = task.result()
+                return self.active.pop(task), result
+
+    def claim(self, attempt: "Attempt") -> None:
+        """Let one run go on with the response, and end the others."""
+        if len(self.active) > 1:
+            for task, offer in list(self.active.items()):
+                if offer.attempt is not attempt:
+                    self._drop(task, offer)
+        self.handler.cutter = attempt.events
+
+    def on_silence(self, attempt: "Attempt") -> None:
+        """Start a backup of a run whose target is silent, if it may have one."""
+        if len(self.active) > 1:
+            return
+        reason = self._backup_obstacle(attempt)
+        view = None if reason else self.handler.target_selector.backup_target(attempt.view)
+        if view and not self._may_back_up_at(view.record.version, attempt):
+            view = None
+        if view is None:
+            reason = reason or "no target"
+        elif not self.handler.retries.spend(1, what="backup"):
+            view, reason = None, "retry budget"
+        if view or self.silent is not attempt:
+            log_silence(attempt, backup=view, reason=reason)
+        self.silent = attempt
+        if view:
+            self.backups += 1
+            self.start(Offer(self.handler, view, number=self.handler.next_offer(), is_backup=True))
+
+    async def close(self) -> None:
+        """End all runs."""
+        for task in self.active:
+            task.cancel()
+        await asyncio.gather(*self.active, *self.dropped, return_exceptions=True)
+        self.active.clear()
+
+    def _backup_obstacle(self, attempt: "Attempt") -> str:
+        """Return why a run can't have a backup, empty if it can."""
+        handler = self.handler
+        if not handler.route.repeatable or not handler.cutter.can_resume:
+            return "runs once"
+        if handler.possible_runs + 1 >= handler.route.max_attempts:
+            return "route's attempts"
+        if self.backups >= MAX_BACKUPS:
+            return "backups"
+        if attempt.is_moving():
+            return "moved"
+        # A request that crashes targets would crash two.
+        return "suspected" if handler.state.quarantine.is_suspected(handler.traits) else ""
+
+    def _may_back_up_at(self, version: str, attempt: "Attempt") -> bool:
+        """Return whether other entries may hear of a version before the stream has begun."""
+        return version == attempt.version or not self.handler.continuation.resumable
+
+    def _drop(self, task: "asyncio.Task[AttemptResult]", offer: Offer) -> None:
+        del self.active[task]
+        sent = offer.in_flight
+        offer.cause = ANSWERED_ELSEWHERE
+        log_attempt(offer, AttemptResult.LEFT)
+        if not offer.is_backup:
+            offer.view.health.record_failure()
+        self.dropped.add(task)
+        task.cancel()
+        if sent:
+            self.handler.on_left(offer)
+
+    def _on_done(self, task: "asyncio.Task[AttemptResult]") -> None:
+        self.dropped.discard(task)
+        if task in self.active:
+            self.ended.put_nowait(task)
+        elif not task.cancelled():
+            # The response that is kept decides; what ended the other run is no error.
+            task.exception()
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -137,6 +137,10 @@
             return True
         return any(map(self.ledger.held_ms, self.ledger.holding(traits)))
 
+    def is_suspected(self, traits: RequestTraits) -> bool:
+        """Return whether a request is suspected of a crash that no verdict explains yet."""
+        return bool(self.ledger.holding(traits))
+
     def is_isolated(self, traits: RequestTraits) -> bool:
         """Return whether a request should run where the fewest others would be lost."""
         return self.turns.is_isolated(self.ledger.holding(traits))
@@ -255,8 +259,8 @@
     def _clear_by_runs(self) -> None:
         """Clear the parts of requests that targets are answering."""
         for handler in list(self.handlers):
-            if handler.attempt:
-                self.on_written(handler.traits, handler.attempt.written_ms())
+            if attempt := handler.runs.leading:
+                self.on_written(handler.traits, attempt.written_ms())
 
     def _schedule_review(self) -> None:
         if self.review is not None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -3,12 +3,13 @@
 import asyncio
 
 from mimosaspur_coordination.fleetview import TargetView
-from mimosaspur_daemon.direct.attempt import Attempt
 from mimosaspur_daemon.direct.attempt import AttemptResult
 from mimosaspur_daemon.direct.attempt import TargetResponse
 from mimosaspur_daemon.direct.attemptlog import log_attempt
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.evacuation import MovedRun
+from mimosaspur_daemon.direct.offer import Offer
+from mimosaspur_daemon.direct.parallelruns import ParallelRuns
 from mimosaspur_daemon.direct.prompts import read_prompt
 from mimosaspur_daemon.direct.refusal import RequestFailed
 from mimosaspur_daemon.direct.requestdigest import request_traits
@@ -25,21 +26,12 @@
 from mimosaspur_state.workspaces import Workspace
 from mimosaspur_transport.callerconnection import CallerConnection
 from mimosaspur_transport.callerconnection import CallerRequest
-from mimosaspur_transport.channelpool import NON_REPEATABLE_MAX_IDLE_MS
 from mimosaspur_transport.dialect import end_to_end_headers
 from mimosaspur_transport.dialect import header
-from mimosaspur_transport.httpchannel import ChannelBroken
-from mimosaspur_transport.httpchannel import ConnectionEnd
 from mimosaspur_transport.httpchannel import Framing
 
 # Limit on the targets tried for one request, including those that refuse it.
 MAX_OFFERS = 6
-# Why a request wasn't sent to a target that names a request limit.
-NO_PERMIT = "the target's limit permits no request now"
-# Why a request wasn't sent once there was a connection.
-SUSPECTED = "it has become suspected of crashing targets meanwhile"
-# Why a request wasn't sent to a target of another version than the one before.
-VERSION_ANNOUNCED = "another entry may know an earlier version of the stream"
 # Another entry may know what this one doesn't.
 OTHER_ENTRY_RETRY_S = 0.05
 # Cooldowns grow with each refusal, so that the offers outlast a model load that is slower than
@@ -54,10 +46,7 @@
     """Handle one request, with retries at other targets."""
 
     __slots__ = (
-        "attempt",
         "caller",
-        "cause",
-        "connection_end",
         "continuation",
         "cutter",
         "deadline_s",
@@ -66,16 +55,12 @@
         "ended_by_shutdown",
         "failure",
         "first_ms",
-        "framing",
-        "head_received",
-        "target_says",
-        "target_status",
-        "in_flight",
         "longest_pause_ms",
+        "last_event_s",
         "moved",
+        "offers",
         "outcome_unknown",
         "possible_runs",
-        "predicted_ms",
         "prompt",
         "refusal",
         "quota_charged",
@@ -83,6 +68,7 @@
         "resumed_after",
         "retries",
         "route",
+        "runs",
         "service",
         "started",
         "state",
@@ -92,9 +78,7 @@
         "traits",
         "unconfirmed_end",
         "waited_ms",
-        "was_served",
         "workspace",
-        "written_ms",
     )
 
     def __init__(
@@ -149,11 +133,11 @@
         self.retries = RequestRetries(
             state.retry_window(service), state.log, service=service, request=self.request_id()
         )
-        # Whether the request is at a target now.
-        self.in_flight = False
         self.timeout: asyncio.Timeout | None = None
-        # The current attempt, and the stopped run to continue next.
-        self.attempt: Attempt | None = None
+        self.runs = ParallelRuns(self)
+        # Number of offers to targets so far.
+        self.offers = 0
+        # The stopped run to continue next.
         self.moved: MovedRun | None = None
         # Whether the request has ended.
         self.done = False
@@ -166,26 +150,12 @@
         self.outcome_unknown = False
         # Why no other target takes it, if it ends because none does.
         self.refusal: ResultCode | None = None
-        # For the log: times from the caller's request to the last offer and to the first event, and
-        # the predicted time from the offer to the first event.
+        # For the log: times from the caller's request to its last send, and to the first event.
         self.waited_ms = 0
-        self.predicted_ms = 0
         self.first_ms = 0
         self.longest_pause_ms = 0
-        # For how long the last attempt had received events when it ended.
-        self.written_ms = 0
-        # Whether its target began to write an answer, and not only an error.
-        self.was_served = False
-        # Why the last attempt failed.
-        self.cause = ""
-        # Whether the target of the last attempt began to respond.
-        self.head_received = False
-        # The status of the target's answer, and the headers by which it tells of itself.
-        self.target_status: int | None = None
-        self.target_says: dict[str, str] = {}
-        # How its response was framed, and how its connection ended.
-        self.framing: Framing | None = None
-        self.connection_end = ConnectionEnd.NONE
+        # When the caller got its last event, on the event loop's clock; 0 before the first.
+        self.last_event_s = 0.0
         # An error response of a target, forwarded if no other attempt succeeds.
         self.failure: TargetResponse | None = None
         # The last event of a stream whose end nothing proved; None if there was none.
@@ -226,7 +196,7 @@
 
     def may_have_run(self) -> bool:
         """Return whether a target may have run the request or is running it."""
-        return self.started or self.outcome_unknown or self.in_flight or self.failure is not None
+        return self.started or self.outcome_unknown or self.failure is not None
 
     def ends_in_time(self) -> bool:
         """Return whether the request is expected to finish before the process exits."""
@@ -268,7 +238,7 @@
     def _timeout_failure(self) -> RequestFailed:
         if self.ended_by_quarantine:
             return RequestFailed(ResultCode.REQUEST_QUARANTINED)
-        if self.outcome_unknown or self.in_flight:
+        if self.outcome_unknown:
             code = (
                 ResultCode.OUTCOME_UNKNOWN if self.ended_by_shutdown else ResultCode.DEADLINE_PASSED
             )
@@ -296,51 +266,83 @@
             )
 
     async def _run_attempts(self) -> None:
-        for offer in range(MAX_OFFERS):
-            continued, self.moved = self.moved, None
-            if self.retries.attempts and not continued and not self.retries.spend(1, what="offer"):
-                break
-            try:
-                view = continued.view if continued else await self._next_target()
-            except RequestFailed as error:
-                quarantined = error.code is ResultCode.REQUEST_QUARANTINED
-                if not quarantined and (self.outcome_unknown or self.failure):
-                    self.refusal = error.code
+        try:
+            for _ in range(MAX_OFFERS):
+                continued, self.moved = self.moved, None
+                first = not self.retries.attempts
+                if not first and not continued and not self.retries.spend(1, what="offer"):
+                    break
+                try:
+                    view = continued.view if continued else await self._next_target()
+                except RequestFailed as error:
+                    quarantined = error.code is ResultCode.REQUEST_QUARANTINED
+                    if not quarantined and (self.outcome_unknown or self.failure):
+                        self.refusal = error.code
+                        break
+                    raise
+                number = self.next_offer()
+                self.runs.start(Offer(self, view, number=number, continued=continued))
+                if await self._is_answered():
+                    return
+                if self.possible_runs and not self.moved and not self._may_run_again():
                     break
-                raise
-            result = await self._run_attempt(view, continued)
-            log_attempt(self, view, result, offer, continued=continued is not None)
-            await self.state.quarantine.end_turn(self, view)
+        finally:
+            self.outcome_unknown |= self.runs.in_flight()
+            await self.runs.close()
+        await self._finish()
+
+    def next_offer(self) -> int:
+        """Return the number of the next offer to a target."""
+        self.offers += 1
+        return self.offers - 1
+
+    def on_left(self, offer: Offer) -> None:
+        """Record that a run was ended because another one answered first."""
+        self.possible_runs += 1
+        self.target_selector.cool_down(offer.view, FAILED_COOLDOWN_S)
+
+    async def _is_answered(self) -> bool:
+        """Wait until a run has answered the request, or all have ended; return whether one has."""
+        while self.runs.active:
+            offer, result = await self.runs.next_ended()
+            log_attempt(offer, result)
+            await self.state.quarantine.end_turn(self, offer.view)
             if result in (AttemptResult.DONE, AttemptResult.FAILED):
-                self._on_run_ended(view)
+                self._on_run_ended(offer)
             if result is AttemptResult.DONE:
-                return
-            if result is AttemptResult.MOVED or self._returns_to_source(continued, result):
-                continue
-            if result is AttemptResult.NOT_RUN and (continued is None or self.route.repeatable):
-                self.target_selector.cool_down(
-                    view, NOT_RUN_COOLDOWN_S * COOLDOWN_GROWTH_FACTOR**offer
-                )
-                continue
-            self.possible_runs += 1
-            self.outcome_unknown = True
-            self.target_selector.cool_down(view, FAILED_COOLDOWN_S)
-            if not self._may_run_again():
-                break
+                return True
+            if result is not AttemptResult.MOVED:
+                await self._on_run_failed(offer, result)
+        return False
+
+    async def _on_run_failed(self, offer: Offer, result: AttemptResult) -> None:
+        """Record a run without a response that can be forwarded."""
+        continued, view = offer.continued, offer.view
+        if self._returns_to_source(continued, result):
+            return
+        if result is AttemptResult.NOT_RUN and (continued is None or self.route.repeatable):
+            self.target_selector.cool_down(
+                view, NOT_RUN_COOLDOWN_S * COOLDOWN_GROWTH_FACTOR**offer.number
+            )
+            return
+        self.possible_runs += 1
+        self.outcome_unknown = True
+        self.target_selector.cool_down(view, FAILED_COOLDOWN_S)
+        if self._may_run_again() and not self.runs.active:
             await self.state.quarantine.detector.wait_for_first_probe(view)
-        await self._finish()
 
     def _may_run_again(self) -> bool:
         if self.possible_runs >= self.route.max_attempts:
             return False
         return self.route.repeatable and self.cutter.can_resume
 
-    def _on_run_ended(self, view: TargetView) -> None:
+    def _on_run_ended(self, offer: Offer) -> None:
         """Clear a request that was served of crashes, or check first whether its target crashed."""
         quarantine = self.state.quarantine
-        if self.framing is Framing.CONNECTION:
-            quarantine.detector.on_unmarked_end(view, self.traits, served=self.was_served)
-        elif self.was_served:
+        was_served = offer.attempt is not None and offer.attempt.was_served
+        if offer.framing is Framing.CONNECTION:
+            quarantine.detector.on_unmarked_end(offer.view, self.traits, served=was_served)
+        elif was_served:
             quarantine.on_completed(self.traits)
 
     async def _next_target(self) -> TargetView:
@@ -380,68 +382,6 @@
             raise RequestFailed(ResultCode.OUTCOME_UNKNOWN)
         raise self.target_selector.refusal(ResultCode.RETRIES_EXHAUSTED)
 
-    async def _run_attempt(
-        self, view: TargetView, continued: MovedRun | None = None
-    ) -> AttemptResult:
-        if not await self.continuation.before_send(view.record.version):
-            self.cause = VERSION_ANNOUNCED
-            return AttemptResult.NOT_RUN
-        notices = self.state.notices
-        returns = continued is not None and continued.view is continued.source
-        permit = notices.take(view.record, returns=returns)
-        if permit is None:
-            # A moved run goes to its target without a choice.
-            self.cause = NO_PERMIT
-            return AttemptResult.NOT_RUN
-        pool = self.state.pool(view.record)
-        self.cause = ""
-        self.head_received = False
-        self.target_status, self.target_says = None, {}
-        self.framing = None
-        self.connection_end = ConnectionEnd.NONE
-        max_idle_ms = None if self.route.repeatable else NON_REPEATABLE_MAX_IDLE_MS
-        try:
-            channel, _ = await pool.acquire(max_idle_ms=max_idle_ms)
-        except ChannelBroken as error:
-            notices.put_back(permit)
-            self.cause = str(error)
-            view.health.record_unreachable()
-            self.state.unreachable.add(view.record.identity)
-            self.state.report_requested.set()
-            return AttemptResult.NOT_RUN
-        if continued is None and not self.state.quarantine.may_send(self):
-            pool.release(channel)
-            notices.put_back(permit)
-            self.cause = SUSPECTED
-            return AttemptResult.NOT_RUN
-        if not notices.begin_send(permit):
-            pool.release(channel)
-            self.cause = NO_PERMIT
-            return AttemptResult.NOT_RUN
-        self.retries.attempts += 1
-        attempt = self.attempt = Attempt(self, view, channel, continued)
-        self.waited_ms = round((attempt.sent_s - self.request.arrived_s) * 1000)
-        self.predicted_ms = round(attempt.predicted_ms)
-        finished = False
-        try:
-            with self.state.quarantine.at_target(self.traits):
-                result = await attempt.run()
-            finished = True
-            self.in_flight = False
-        finally:
-            attempt.end()
-            self.attempt = None
-            self.written_ms = attempt.written_ms()
-            self.was_served = attempt.was_served
-            self.framing, self.connection_end = channel.framing, channel.connection_end
-            # A connection with an unread response must not be reused, and closing it makes the
-            # target stop the run.
-            if finished and channel.is_fully_sent():
-                pool.release(channel)
-            else:
-                pool.discard(channel)
-        return result
-
     async def forward_response(self, response: TargetResponse) -> None:
         """Send a target's whole response to the caller."""
         self.started = True
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetheaders.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetheaders.py
@@ -24,10 +24,10 @@
     headers.append((dialect.expected_identity, attempt.view.record.identity.encode()))
     if handler.workspace:
         headers.append((dialect.workspace, handler.workspace.name.encode()))
-    if attempt.continued:
-        headers.append((dialect.continued_from, attempt.continued.address()))
-    if handler.started and handler.cutter.last_id is not None:
-        headers.append((dialect.last_event_id, b"%d" % handler.cutter.last_id))
+    if attempt.offer.continued:
+        headers.append((dialect.continued_from, attempt.offer.continued.address()))
+    if handler.started and attempt.events.last_id is not None:
+        headers.append((dialect.last_event_id, b"%d" % attempt.events.last_id))
     if handler.prompt.model:
         headers.append((dialect.priority, b"%d" % attempt.rank))
     return headers
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -48,6 +48,7 @@
         "cooldown_ends_s",
         "deadline_s",
         "event_deadline_s",
+        "has_events",
         "isolated",
         "on_time_deadline_s",
         "patience_s",
@@ -58,6 +59,7 @@
         "retried",
         "route",
         "service",
+        "silent",
         "spec",
         "state",
         "workspace",
@@ -96,6 +98,8 @@
         self.patience_s = timeout_ms / 1000
         # Until when it waits for the next one.
         self.event_deadline_s = min(deadline_s, arrived_s + self.patience_s)
+        # Whether it got an event of this response.
+        self.has_events = False
         self.on_time_deadline_s = arrived_s + route.objective_ms / 1000
         # The request's rank in engine queues.
         self.rank = self._rank()
@@ -105,6 +109,8 @@
         self.permits = PermitChoice(state.notices, request=request, rank=self._permit_rank)
         # Whether the request may crash its target, so that it should run beside few others.
         self.isolated = False
+        # A target that the request is at, which isn't chosen again.
+        self.silent: TargetView | None = None
         # By target, on the event loop's clock.
         self.cooldown_ends_s: dict[str, float] = {}
 
@@ -131,18 +137,20 @@
         """Return whether the request is for a model."""
         return bool(self.spec and self.spec.engine and self.prompt.model)
 
-    def has_other(self, view: TargetView) -> bool:
-        """Return whether another target could take the request now."""
-        others = [
-            each
-            for each in self._available()
-            if each is not view and not each.health.is_cooling_down()
-        ]
-        others = self.permits.sendable(others)
-        return any(not self.prompt.model or each.can_run(self.prompt) for each in others)
+    def backup_target(self, silent: TargetView) -> TargetView | None:
+        """Return a target beside a silent one that is expected to answer in time, None without."""
+        self.silent = silent
+        try:
+            view = self.target_now(resumed=self.has_events)
+        except RequestFailed:
+            return None
+        finally:
+            self.silent = None
+        return None if view is None or view.health.is_cooling_down() else view
 
     def on_event(self, now_s: float) -> None:
         """Count the time for which the caller waits for an event from the one it got now."""
+        self.has_events = True
         self.event_deadline_s = min(self.deadline_s, now_s + self.patience_s)
 
     def predicted_first_event_ms(self) -> float:
@@ -314,6 +322,7 @@
             view
             for view in self._allowed_by_version()
             if self.cooldown_ends_s.get(view.record.identity, 0) <= now_s
+            and view is not self.silent
         ]
 
     def _allowed_by_version(self) -> list[TargetView]:
