Pass over targets that are silent, and back up at once what waits there for its first event

Cause: a silence was seen by each run for itself, and only as its own time ran out; until then the choice sent new requests to the silent target.

Change: a target that has paused for 0.3 s in all that it writes for this entry is silent. It is passed over as failing targets are, unless most are silent, gets no backups, and requests that wait there for their first event get theirs at once. An engine counts once it writes a stream: reading a prompt takes its time.

--- a/features/direct_silence.feature
+++ b/features/direct_silence.feature
@@ -45,6 +45,18 @@
       | 1       |
       | 4       |
 
+  # Guards against requests that are sent to a target which answers nothing at present.
+  Scenario Outline: New requests pass over a silent target, <kind>
+    Given a route that allows 3 runs, and another target that is free
+    When the target of <kind> has been silent for 0.5 s after <stage>, and 6 others come
+    Then the others are answered whole, and begin within their objective
+    And its caller gets the whole answer, each part once
+
+    Examples:
+      | kind                  | stage            |
+      | a resumable stream    | its first second |
+      | an idempotent request | it began to run  |
+
   # Guards against a stream that has not begun and is left for a target that doesn't take it.
   Scenario Outline: A stream begins after a silence <duration> before <stage>, the other <other>, <runs> runs
     Given a route that allows <runs> runs, and another target that <other>
--- a/features/harness/silence_play.py
+++ b/features/harness/silence_play.py
@@ -33,6 +33,8 @@
 PATIENCE_S = 3.2
 # More than an engine's work before the first event takes.
 BUSY_S = 2.5
+LATER_S = 0.5
+LATER_INTERVAL_S = 0.05
 SERVICE = "service"
 
 
@@ -46,6 +48,8 @@
     for_s: float | None
     # What the other target does from then on.
     other: str
+    # Requests that come once the silence has lasted for LATER_S.
+    later: int = 0
 
 
 class SilencePlay:
@@ -73,6 +77,7 @@
         ]
         self.expected = all_events(event_count) if self.is_stream else WHOLE_BODY
         self.silent: SilentTarget | None = None
+        self.later: list[asyncio.Task[tuple[ReceivedResponse, float]]] = []
 
     def run(self) -> ReceivedResponse:
         """Send the request, and return what its caller got."""
@@ -97,24 +102,38 @@
             records.append(record)
         self.entry.state.fleet.update(records, [])
         await self.entry.start()
-        headers = {"X-Attempt-Id": "r-1"}
-        if self.is_stream:
-            headers |= {"X-Model": MODEL, "X-Token-Counts": "100,50"}
         try:
-            return await self.entry.call(self.route, headers=headers)
+            return await self._call("r-1")
         finally:
+            await asyncio.gather(*self.later)
             # The handler ends after the last bytes of its answer were sent.
             await asyncio.sleep(0.5)
             self.entry.callers.stop_accepting()
             for target in self.targets:
                 target.stop()
 
+    async def _call(self, request: str) -> ReceivedResponse:
+        headers = {"X-Attempt-Id": request}
+        if self.is_stream:
+            headers |= {"X-Model": MODEL, "X-Token-Counts": "100,50"}
+        return await self.entry.call(self.route, headers=headers)
+
+    async def _call_later(self, request: str, after_s: float) -> tuple[ReceivedResponse, float]:
+        """Send a request after a time; return its answer, and the time to its first piece."""
+        await asyncio.sleep(after_s)
+        sent_s = self.loop.time()
+        answer = await self._call(request)
+        return answer, answer.pieces_s[0] - sent_s
+
     def _on_run(self, target: SilentTarget) -> None:
         """Begin the silence at the target that runs the request first."""
         if self.silent:
             return
         self.silent = target
         self.loop.call_later(self.silence.from_s, target.fall_silent, self.silence.for_s)
+        for number in range(self.silence.later):
+            after_s = self.silence.from_s + LATER_S + number * LATER_INTERVAL_S
+            self.later.append(self.loop.create_task(self._call_later(f"later-{number}", after_s)))
         for other in self.targets:
             if other is not target:
                 self._prepare(other)
--- a/features/steps/direct_silence_steps.py
+++ b/features/steps/direct_silence_steps.py
@@ -28,6 +28,12 @@
     _play(context, silence, "a resumable stream")
 
 
+@when("the target of {kind} has been silent for 0.5 s after {stage}, and {count:d} others come")
+def play_others(context: Context, kind: str, stage: str, count: int) -> None:
+    from_s = {"its first second": HEAD_S + 1, "it began to run": HEAD_S / 2}[stage]
+    _play(context, Silence(from_s, 3.0, context.other, later=count), kind)
+
+
 @when("the target of {kind} is silent {duration} before {stage}")
 def play_stage(context: Context, kind: str, duration: str, stage: str) -> None:
     _play(context, Silence(STAGES[stage], _seconds(duration), context.other), kind)
@@ -77,3 +83,12 @@
 @then("it ran once")
 def check_ran_once(context: Context) -> None:
     assert len(context.play.arrivals()) == 1, context.play.arrivals()
+
+
+@then("the others are answered whole, and begin within their objective")
+def check_others(context: Context) -> None:
+    answers = [task.result() for task in context.play.later]
+    assert answers
+    for answer, began_s in answers:
+        assert (answer.status, answer.body) == (200, context.play.expected), answer
+        assert began_s <= OBJECTIVE_MS / 1000, began_s
--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -21,6 +21,8 @@
 
 # Bounds of an engine's estimated slowness relative to the others.
 SLOWNESS_BOUNDS = (0.2, 8.0)
+# A target that answers none of the requests that it is at for longer is silent.
+SILENT_MS = 300
 # Prompt parts tracked per target as probably cached.
 MAX_PROMPT_PARTS = 2_000
 
@@ -56,6 +58,10 @@
     slowness: float = 1.0
     # Least recently used first; the key is (model, adapter, part identity).
     prompt_parts: OrderedDict[tuple[str, str, str], int] = field(default_factory=OrderedDict)
+    # This entry's streams that the target is writing, and when it last sent anything, or got a
+    # request while it had none.
+    streams: int = 0
+    heard_ms: int = 0
 
     def can_run(self, prompt: Prompt) -> bool:
         """Return whether the target holds the prompt's model and adapter."""
@@ -78,6 +84,16 @@
         unread = max(1, prompt.prompt_tokens - self.cached_tokens(prompt))
         return unread * self.paces.token_cost(prompt.model)
 
+    def is_silent(self) -> bool:
+        """Return whether the target has paused in all that it writes for this entry."""
+        # An engine that only reads prompts may be at work.
+        awaited = self.own_work.requests if self.record.residents is None else self.streams
+        return bool(awaited) and self.health.clock.now_ms() - self.heard_ms > SILENT_MS
+
+    def on_heard(self) -> None:
+        """Record that the target sent a response or an event."""
+        self.heard_ms = self.health.clock.now_ms()
+
     def request_count(self) -> int:
         """Return the running and queued requests of all entries at the target."""
         return self.own_work.requests + self.others_work.requests
@@ -99,6 +115,8 @@
     def on_sent(self, prompt: Prompt, *, rank: int) -> float:
         """Count a prompt that is sent; return its prefill work."""
         unread = self.prefill_tokens(prompt)
+        if not self.own_work.requests:
+            self.on_heard()
         self.own_work.requests += 1
         self.own_work.prefill_tokens[rank] = self.own_work.prefill_tokens.get(rank, 0) + unread
         self.own_work.held_tokens += prompt.prompt_tokens + prompt.output_tokens
--- a/packages/coordination/src/mimosaspur_coordination/targetchoice.py
+++ b/packages/coordination/src/mimosaspur_coordination/targetchoice.py
@@ -21,8 +21,8 @@
 
 
 def preferred_targets(views: Sequence[TargetView]) -> list[TargetView]:
-    """Return the targets that are not avoided, or all if too many are avoided."""
-    healthy = [view for view in views if not view.health.is_avoided()]
+    """Return the targets that are neither avoided nor silent, or all if too many are."""
+    healthy = [view for view in views if not view.health.is_avoided() and not view.is_silent()]
     if len(views) - len(healthy) > PANIC_THRESHOLD_SHARE * len(views):
         return list(views)
     return healthy or list(views)
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -143,7 +143,9 @@
 
     def end(self) -> None:
         """Remove the request from the target's work."""
-        if not self.first_token:
+        if self.first_token:
+            self.view.streams -= 1
+        else:
             self.view.on_prefill_end(unread=self.unread, rank=self.rank)
         self.view.on_end(self.handler.prompt)
         self.ended = True
@@ -206,6 +208,7 @@
                 request.method, request.target, target_headers(self), request.body
             )
             head = await self._read_first(self._read_own_head())
+            self.view.on_heard()
             self.head_received = True
             self.status = head.status
             self.says = self._notices(head)
@@ -239,8 +242,9 @@
             reading.cancel()
 
     def _check_silence(self) -> None:
-        """Ask for a backup if the response has paused for long, or not begun."""
-        if self.silent_ms() >= self._silence_timeout_ms():
+        """Ask for a backup if the response, or all that its target writes, has paused for long."""
+        is_late = self.silent_ms() >= self._silence_timeout_ms()
+        if is_late or (not self.first_token and self.view.is_silent()):
             self.handler.runs.on_silence(self)
 
     async def _read_body(self) -> bytes:
@@ -317,6 +321,7 @@
                 if events:
                     handler.runs.claim(self)
                     self._record_first_token()
+                    self.view.on_heard()
                     self._record_event()
                     await self._start_response(head)
                     handler.continuation.on_event(self.version)
@@ -398,6 +403,7 @@
         if self.first_token:
             return
         self.first_token = self.was_served = True
+        self.view.streams += 1
         now_s = self.first_token_s = asyncio.get_running_loop().time()
         self.handler.first_ms = round((now_s - self.handler.request.arrived_s) * 1000)
         took_ms = (now_s - self.sent_s) * 1000
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -146,7 +146,7 @@
             return None
         finally:
             self.silent = None
-        return None if view is None or view.health.is_cooling_down() else view
+        return view if view and not view.health.is_cooling_down() and not view.is_silent() else None
 
     def on_event(self, now_s: float) -> None:
         """Count the time for which the caller waits for an event from the one it got now."""
