Let a stream wait for its model to be loaded again at the only version there is

Callers of streams got a cut answer, or 2017 for their resumption, in the moment in which the model's only holder had ended, though the model is loaded elsewhere within seconds, and new requests wait for it.

Cause: a stream that is bound to a software version needed a target of that version which holds the model now. That a target of that version may load it wasn't asked.

Change: while all targets of the service are of that version, the stream waits as any request for the model does, within the time for which its caller waits.

Measured: the three rows of the new scenario fail without the change (cut after 42 and 879 of 1,362 bytes), and pass with it; direct_silence 51 of 51, one run.

--- a/features/direct_silence.feature
+++ b/features/direct_silence.feature
@@ -57,6 +57,19 @@
       | a resumable stream    | its first second |
       | an idempotent request | it began to run  |
 
+  # Guards against a stream that is cut at once while its model is loaded again.
+  Scenario Outline: A stream goes on where its model is loaded again, written for <written> s, after <later> s
+    Given a route that allows 3 runs, and another target that is free
+    When a stream written for <written> s loses its engine, and its model is loaded after <later> s
+    Then its caller gets the whole answer, each part once
+    And no pause of the answer lasts longer than its caller waits
+
+    Examples:
+      | written | later |
+      | 0.3     | 1     |
+      | 4       | 0.5   |
+      | 4       | 2     |
+
   # Guards against a stream that has not begun and is left for a target that doesn't take it.
   Scenario Outline: A stream begins after a silence <duration> before <stage>, the other <other>, <runs> runs
     Given a route that allows <runs> runs, and another target that <other>
--- a/features/harness/silence_play.py
+++ b/features/harness/silence_play.py
@@ -50,6 +50,10 @@
     other: str
     # Requests that come once the silence has lasted for LATER_S.
     later: int = 0
+    # Whether the target is removed and ends instead of falling silent.
+    ends: bool = False
+    # When the other target has loaded the model, after that; None if it holds it.
+    loads_after_s: float | None = None
 
 
 class SilencePlay:
@@ -95,7 +99,7 @@
         records = []
         for target in self.targets:
             await target.start()
-            residents = {MODEL: frozenset[str]()} if target.is_engine else None
+            residents = self._residents(target)
             record = TargetRecord(
                 target.identity, SERVICE, target.address, DOMAIN, slots=SLOTS, residents=residents
             )
@@ -125,12 +129,32 @@
         answer = await self._call(request)
         return answer, answer.pieces_s[0] - sent_s
 
+    def _residents(self, target: SilentTarget) -> dict[str, frozenset[str]] | None:
+        if not target.is_engine:
+            return None
+        holds = target is self.targets[0] or self.silence.loads_after_s is None
+        return {MODEL: frozenset()} if holds else {}
+
+    def _end(self, target: SilentTarget) -> None:
+        state = self.entry.state
+        state.on_targets_changed(state.fleet.update([], [target.identity]))
+        target.stop()
+
+    def _load(self, target: SilentTarget) -> None:
+        """Tell the entry, as its coordinator does, that a target holds the model."""
+        state = self.entry.state
+        state.fleet.set_residents(target.identity, {MODEL: frozenset()}, frozenset())
+        state.changes.notify()
+
     def _on_run(self, target: SilentTarget) -> None:
         """Begin the silence at the target that runs the request first."""
         if self.silent:
             return
         self.silent = target
-        self.loop.call_later(self.silence.from_s, target.fall_silent, self.silence.for_s)
+        if self.silence.ends:
+            self.loop.call_later(self.silence.from_s, self._end, target)
+        else:
+            self.loop.call_later(self.silence.from_s, target.fall_silent, self.silence.for_s)
         for number in range(self.silence.later):
             after_s = self.silence.from_s + LATER_S + number * LATER_INTERVAL_S
             self.later.append(self.loop.create_task(self._call_later(f"later-{number}", after_s)))
@@ -140,6 +164,8 @@
 
     def _prepare(self, other: SilentTarget) -> None:
         silence = self.silence
+        if silence.loads_after_s is not None:
+            self.loop.call_later(silence.from_s + silence.loads_after_s, self._load, other)
         match silence.other:
             case "is free":
                 pass
--- a/features/steps/direct_silence_steps.py
+++ b/features/steps/direct_silence_steps.py
@@ -34,6 +34,13 @@
     _play(context, Silence(from_s, 3.0, context.other, later=count), kind)
 
 
+@when("a stream written for {written} s loses its engine, and its model is loaded after {later} s")
+def play_loss(context: Context, written: str, later: str) -> None:
+    from_s = HEAD_S + float(written)
+    silence = Silence(from_s, None, context.other, ends=True, loads_after_s=float(later))
+    _play(context, silence, "a resumable stream")
+
+
 @when("the target of {kind} is silent {duration} before {stage}")
 def play_stage(context: Context, kind: str, duration: str, stage: str) -> None:
     _play(context, Silence(STAGES[stage], _seconds(duration), context.other), kind)
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -337,8 +337,13 @@
         if self.continuation is None or self.continuation.version is None:
             return
         views = self._allowed_by_version()
-        is_engine = self._needs_engine()
-        if not any(not is_engine or view.can_run(self.prompt) for view in views):
+        if not self._needs_engine():
+            can_go_on = bool(views)
+        else:
+            # A model that no target holds is loaded again, at this version if there is no other.
+            is_only = len(views) == len(self.state.fleet.serving_targets(self.service))
+            can_go_on = any(view.can_run(self.prompt) or is_only for view in views)
+        if not can_go_on:
             raise self.refusal(ResultCode.STREAM_VERSION_GONE)
 
     def _recheck_delay_s(self) -> float:
