Keep what describes a request, though its Connection header names it

With `Connection: X-Model` its target runs another request than the caller's.

Cause: whatever a caller's Connection header names was stripped as hop-by-hop. The codec refuses to send a request without Host, after the attempt had begun.

Change: Host, the request's ID, the headers of a resumption, and those that describe its model and prompt are passed on whatever Connection says; headers that callers may not set are stripped as before.

--- a/features/direct_answers.feature
+++ b/features/direct_answers.feature
@@ -73,6 +73,21 @@
     When the direct caller, with headers of its own for the system, sends one
     Then the direct target got the request's own headers and the system's, and what time is left
 
+  # Guards against a Connection header that strips what the request needs, so that it can't be sent.
+  Scenario Outline: A caller's Connection header doesn't strip what describes its request, <name>
+    Given a direct entry before a target that answers and a sound one
+    When the direct caller names <name> in its Connection header
+    Then the direct caller gets its answer
+    And the direct target got the caller's <name>
+
+    Examples:
+      | name            |
+      | Host            |
+      | X-Request-Id    |
+      | X-Model         |
+      | X-Token-Counts  |
+      | X-Prompt-Prefix |
+
   Scenario Outline: A caller that leaves ends the work at the target at once
     Given a direct entry before a target that <fault> and a sound one
     When the direct caller leaves 100 ms after it sent <request>
--- a/features/steps/direct_answers_steps.py
+++ b/features/steps/direct_answers_steps.py
@@ -26,6 +26,7 @@
 AT_ONCE_S = 1.0
 MEASURED_COUNT = 40
 ALL_EVENTS = b"".join(b"id: %d\ndata: event %d\n\n" % (n, n) for n in EVENT_NUMBERS)
+DESCRIPTION = {"X-Model": "notes", "X-Token-Counts": "5,7", "X-Prompt-Prefix": "a:3,b:2"}
 SYSTEM_HEADERS = {
     "X-Priority": "0",
     "X-Expected-Identity": "of-the-caller",
@@ -80,6 +81,18 @@
     context.answer = run(context, context.entry.call("safe", headers=SYSTEM_HEADERS))
 
 
+@when("the direct caller names {name} in its Connection header")
+def send_with_connection(context: Context, name: str) -> None:
+    headers = DESCRIPTION | {"Connection": f"keep-alive, {name.lower()}"}
+    context.answer = run(context, context.entry.call("safe", headers=headers))
+
+
+@then("the direct target got the caller's {name}")
+def check_header(context: Context, name: str) -> None:
+    expected = (DESCRIPTION | {"Host": HOST, "X-Request-Id": "r-1"})[name]
+    assert context.first.seen[0].headers.get(name.lower()) == expected, context.first.seen
+
+
 @when("the direct caller leaves {leave_ms:d} ms after it sent {request}")
 def send_and_leave(context: Context, leave_ms: int, request: str) -> None:
     async def leave() -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetheaders.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetheaders.py
@@ -18,7 +18,7 @@
         replaced |= {dialect.credential}
     if handler.started:
         replaced |= {dialect.last_event_id}
-    headers = end_to_end_headers(handler.request.headers, replaced)
+    headers = end_to_end_headers(handler.request.headers, replaced, kept=dialect.request_headers)
     left_ms = max(1, int((handler.deadline_s - attempt.sent_s) * 1000))
     headers.append((dialect.deadline_ms, b"%d" % left_ms))
     headers.append((dialect.expected_identity, attempt.view.record.identity.encode()))
--- a/packages/transport/src/mimosaspur_transport/dialect.py
+++ b/packages/transport/src/mimosaspur_transport/dialect.py
@@ -63,13 +63,29 @@
     reserved: frozenset[bytes] = field(default_factory=frozenset)
     ready_path: bytes = b"/ready"
 
+    @property
+    def request_headers(self) -> frozenset[bytes]:
+        """Return the names of the headers that tell targets which request it is."""
+        names = (self.request_id, self.last_event_id, self.resumes)
+        described = (self.model, self.token_counts, self.prompt_prefix)
+        return frozenset((b"host", *names, *described))
 
-def end_to_end_headers(headers: Headers, reserved: frozenset[bytes] = frozenset()) -> Headers:
-    """Return the headers to forward, without hop-by-hop and reserved ones."""
-    dropped = set(HOP_BY_HOP_HEADERS) | reserved
+
+def end_to_end_headers(
+    headers: Headers,
+    reserved: frozenset[bytes] = frozenset(),
+    *,
+    kept: frozenset[bytes] = frozenset(),
+) -> Headers:
+    """Return the headers to forward, without hop-by-hop and reserved ones.
+
+    Headers to be kept are no hop-by-hop headers, even if a Connection header names them.
+    """
+    dropped = set(HOP_BY_HOP_HEADERS)
     for name, value in headers:
         if name.lower() == b"connection":
             dropped.update(token.strip().lower() for token in value.split(b","))
+    dropped = dropped - kept | reserved
     return [(name, value) for name, value in headers if name.lower() not in dropped]
 
 
