Count a route's weight below zero as zero

Found by reading.

Change: a weight below zero counts as zero, and weights that are all zero mean the first service, as before.

Evidence and measured: two of the five rows of the new scenario in features/direct_configuration.feature fail without the change (0, -1 and -1, -2), all pass with it.

--- a/features/direct_configuration.feature
+++ b/features/direct_configuration.feature
@@ -48,3 +48,33 @@
     When 5 versions are written 300 ms apart
     Then within 2000 ms all entries hold version 13
     And all entries together read the configuration at most 12 times
+
+  # Guards against weights that no service can be drawn from, which ended requests without an answer.
+  Scenario Outline: A route's weights may be any numbers, <weights>
+    Given a direct entry before a target that answers and a sound one
+    When a configuration with the weights <weights> comes into force
+    And the direct caller sends an idempotent request
+    Then the direct caller gets its answer
+
+    Examples:
+      | weights |
+      | 1, 0    |
+      | 0, 0    |
+      | 2, -1   |
+      | 0, -1   |
+      | -1, -2  |
+
+  # Guards against weights that no service can be drawn by, which ended requests without an answer.
+  Scenario Outline: A weight below zero counts as zero, <weights>
+    Given a direct entry before a target that answers and a sound one
+    When a configuration with the weights <weights> comes into force
+    And the direct caller sends an idempotent request
+    Then the direct caller gets its answer
+
+    Examples:
+      | weights |
+      | 1, 0    |
+      | 0, 0    |
+      | 2, -1   |
+      | 0, -1   |
+      | -1, -2  |
--- a/features/steps/direct_configuration_steps.py
+++ b/features/steps/direct_configuration_steps.py
@@ -256,3 +256,12 @@
         assert got == sent
 
     check()
+
+
+@when("a configuration with the weights {weights} comes into force")
+def apply_weights(context: Context, weights: str) -> None:
+    state = context.entry.state
+    first, second = map(float, weights.split(","))
+    services = (("service", first), ("without-targets", second))
+    routes = tuple(replace(each, services=services) for each in state.configuration.routes)
+    state.apply_configuration(replace(state.configuration, version=2, routes=routes), source="test")
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -258,7 +258,7 @@
 
 def _pick_service(route: Route) -> str:
     names = [name for name, _ in route.services]
-    weights = [weight for _, weight in route.services]
+    weights = [max(0.0, weight) for _, weight in route.services]
     if len(names) == 1 or not sum(weights):
         return names[0]
     return random.choices(names, weights)[0]
