Don't take an error of the entry for a caller that has left

Callers saw: an answer that is broken off, or none at all, with no line in the log.

Cause: a response that the codec rejects, and the cancellation of anything that a request waits for, ended the request as if its caller had left.

Change: only a connection that has ended, or can't take more data, counts as a caller that has left. The codec's error, and a CancelledError while nobody asks the request's task to end, are unexpected exceptions.

Evidence: two scenarios of features/direct_errors.feature raise them.

--- a/features/direct_errors.feature
+++ b/features/direct_errors.feature
@@ -18,6 +18,20 @@
       | a request that may run once | once its target has run it | 1    | 1     |
       | a stream                    | once its target has run it | 1    | 1     |
 
+  # Guards against a cancelled wait of the entry that counts as a caller that has left.
+  Scenario: A request whose wait in the entry is cancelled is answered
+    Given a direct entry before a sound target, and a cancelled wait
+    When a caller sends a request that may run once, and another one on the same connection
+    Then the first answer has status 500 and code 3999, and the second one is the target's
+    And the entry has returned what the first request had taken, and spent 0 of the quota
+
+  # Guards against a rejection by the codec that counts as a caller that has left.
+  Scenario: An answer that can't be encoded is broken off and logged
+    Given a direct entry before a sound target, and a codec that rejects a body
+    When a caller sends a stream
+    Then the stream is broken off before its first event
+    And the log has one line of code 3999 for it that names LocalProtocolError
+
   # Guards against a response that was begun and ends as if it were complete.
   Scenario: An unexpected error in the middle of a stream breaks it off
     Given a direct entry before a sound target, and an unexpected error in the middle of a stream
--- a/features/steps/direct_errors_steps.py
+++ b/features/steps/direct_errors_steps.py
@@ -1,9 +1,11 @@
 """Steps for unexpected errors in an entry while it serves a caller."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 from unittest.mock import patch
 
+import h11
 from behave import given
 from behave import then
 from behave import when
@@ -42,7 +44,9 @@
     """An error that the entry doesn't know."""
 
 
-def _failing(function: Callable[..., Any], *, call: int = 1) -> Callable[..., Any]:
+def _failing(
+    function: Callable[..., Any], *, call: int = 1, error: BaseException | None = None
+) -> Callable[..., Any]:
     """Return a function that raises an error at one of its calls."""
     calls = 0
 
@@ -50,19 +54,26 @@
         nonlocal calls
         calls += 1
         if calls == call:
-            raise UnexpectedError(MESSAGE)
+            raise error or UnexpectedError(MESSAGE)
         return function(*arguments, **named)
 
     return replacement
 
 
-@given("a direct entry before a sound target, and an unexpected error {when_it_occurs}")
-def start_entry(context: Context, when_it_occurs: str) -> None:
+def _start_entry(context: Context, place: type, name: str, replacement: Any) -> None:
+    """Start an entry, with an attribute replaced."""
     entry = context.entry = WorkspaceEntry(quota=PLENTY)
-    state = entry.state
-    state.log = context.log = RecordedLog("entry-0")
-    state.quotas.apply_update([], entries=1)
+    entry.state.log = context.log = RecordedLog("entry-0")
+    entry.state.quotas.apply_update([], entries=1)
     context.first = entry.target
+    replaced = patch.object(place, name, replacement)
+    replaced.start()
+    context.add_cleanup(replaced.stop)
+    run(context, entry.begin())
+
+
+@given("a direct entry before a sound target, and an unexpected error {when_it_occurs}")
+def start_entry(context: Context, when_it_occurs: str) -> None:
     places: dict[str, tuple[type, str, int]] = {
         "as it is admitted": (Quarantine, "check", 1),
         "before it is sent": (EntryState, "pool", 1),
@@ -71,10 +82,26 @@
         "after an answer": (DurationEstimator, "record", 1),
     }
     place, name, call = places[when_it_occurs]
-    replaced = patch.object(place, name, _failing(getattr(place, name), call=call))
-    replaced.start()
-    context.add_cleanup(replaced.stop)
-    run(context, entry.begin())
+    _start_entry(context, place, name, _failing(getattr(place, name), call=call))
+
+
+@given("a direct entry before a sound target, and a cancelled wait")
+def start_entry_with_cancelled_wait(context: Context) -> None:
+    failing = _failing(EntryState.pool, error=asyncio.CancelledError())
+    _start_entry(context, EntryState, "pool", failing)
+
+
+@given("a direct entry before a sound target, and a codec that rejects a body")
+def start_entry_with_codec(context: Context) -> None:
+    send = h11.Connection.send
+
+    def replacement(codec: h11.Connection, event: h11.Event) -> bytes | None:
+        connections = context.entry.callers.connections
+        if isinstance(event, h11.Data) and any(each.codec is codec for each in connections):
+            raise h11.LocalProtocolError("rejected")
+        return send(codec, event)
+
+    _start_entry(context, h11.Connection, "send", replacement)
 
 
 @when("a caller sends {request}, and another one on the same connection")
@@ -144,6 +171,19 @@
     assert answer.body == b"id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n", answer
 
 
+@then("the stream is broken off before its first event")
+def check_empty(context: Context) -> None:
+    answer = context.answer
+    assert (answer.status, answer.body, answer.whole) == (200, b"", False), answer
+
+
+@then("the log has one line of code 3999 for it that names LocalProtocolError")
+def check_codec_log(context: Context) -> None:
+    lines = context.log.of_kind("given_up")
+    assert [line["code"] for line in lines] == [ResultCode.INTERNAL], lines
+    assert "LocalProtocolError('rejected')" in str(lines[0]["detail"]), lines
+
+
 @then("the log names the first request, the error and its place")
 def check_log(context: Context) -> None:
     lines = context.log.of_kind("given_up")
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -122,8 +122,7 @@
         try:
             return await task
         except asyncio.CancelledError:
-            current = asyncio.current_task()
-            if current and current.cancelling():
+            if _is_cancelled():
                 task.cancel()
                 raise
             return False
@@ -149,6 +148,11 @@
             return await self._fail(connection, request, failure, handler)
         except CallerDisconnected:
             raise
+        except asyncio.CancelledError as error:
+            if _is_cancelled():
+                raise
+            # Something else that the request waited for was cancelled.
+            return await self._fail(connection, request, internal_failure(error), handler)
         except Exception as error:  # noqa: BLE001 - any error must reach the caller
             return await self._fail(connection, request, internal_failure(error), handler)
         return True
@@ -252,6 +256,12 @@
         return configuration.limits if configuration else CallerLimits()
 
 
+def _is_cancelled() -> bool:
+    """Return whether the current task is asked to end."""
+    task = asyncio.current_task()
+    return bool(task and task.cancelling())
+
+
 def _cancel(task: "asyncio.Task[bool]") -> None:
     task.cancel()
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/refusal.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/refusal.py
@@ -35,7 +35,7 @@
     return round(max(MIN_RETRY_AFTER_S, min(wanted_s, left_s * MAX_RETRY_AFTER_SHARE)), 3)
 
 
-def internal_failure(error: Exception) -> RequestFailed:
+def internal_failure(error: BaseException) -> RequestFailed:
     """Return the failure of a request that an unexpected exception has ended."""
     frame = traceback.extract_tb(error.__traceback__)[-1]
     place = f"{Path(frame.filename).name}:{frame.lineno} in {frame.name}"
--- a/packages/transport/src/mimosaspur_transport/callerconnection.py
+++ b/packages/transport/src/mimosaspur_transport/callerconnection.py
@@ -296,11 +296,7 @@
             raise BadRequest(error.error_status_hint, str(error)) from error
 
     def _write(self, event: h11.Event) -> None:
-        try:
-            data = self.codec.send(event)
-        except h11.LocalProtocolError as error:
-            raise CallerDisconnected from error
-        if data:
+        if data := self.codec.send(event):
             self.writer.write(data)
 
     async def _drain(self) -> None:
