Answer and log an unexpected exception while a request is read

Callers saw: a connection that is closed without an answer, with no line in the log.

Change: the connection gets the response 500 unless one has begun, is closed, and the exception is logged as `connection_failed`.

--- a/features/direct_errors.feature
+++ b/features/direct_errors.feature
@@ -32,6 +32,13 @@
     Then the stream is broken off before its first event
     And the log has one line of code 3999 for it that names LocalProtocolError
 
+  # Guards against a connection that is closed without an answer as its request is read.
+  Scenario: An unexpected error while a request is read is answered and logged
+    Given a direct entry before a sound target, and an unexpected error while a request is read
+    When a caller sends an idempotent request
+    Then the direct caller gets status 500 at once, code 3999
+    And the log tells once why the connection has failed
+
   # Guards against a response that was begun and ends as if it were complete.
   Scenario: An unexpected error in the middle of a stream breaks it off
     Given a direct entry before a sound target, and an unexpected error in the middle of a stream
--- a/features/steps/direct_errors_steps.py
+++ b/features/steps/direct_errors_steps.py
@@ -29,6 +29,7 @@
 from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.workspaces import Quota
 from mimosaspur_state.workspaces import QuotaUnit
+from mimosaspur_transport.callerconnection import CallerConnection
 
 PLENTY = Quota(unit=QuotaUnit.REQUESTS, per_s=100.0, burst=100.0)
 KEY = {"Authorization": "Bearer n-1"}
@@ -75,6 +76,7 @@
 @given("a direct entry before a sound target, and an unexpected error {when_it_occurs}")
 def start_entry(context: Context, when_it_occurs: str) -> None:
     places: dict[str, tuple[type, str, int]] = {
+        "while a request is read": (CallerConnection, "_read_body", 1),
         "as it is admitted": (Quarantine, "check", 1),
         "before it is sent": (EntryState, "pool", 1),
         "once its target has run it": (TargetNotices, "on_head", 1),
@@ -124,6 +126,18 @@
     context.answer = run(context, context.entry.call("stream", headers=KEY))
 
 
+@when("a caller sends an idempotent request")
+def send_one(context: Context) -> None:
+    context.answer = run(context, context.entry.call("safe", headers=KEY))
+
+
+@then("the log tells once why the connection has failed")
+def check_connection_log(context: Context) -> None:
+    lines = context.log.of_kind("connection_failed")
+    assert [line["code"] for line in lines] == [ResultCode.INTERNAL], lines
+    assert f"UnexpectedError('{MESSAGE}')" in str(lines[0]["detail"]), lines
+
+
 @when("a caller sends {digits:d} digits as {header}")
 def send_number(context: Context, digits: int, header: str) -> None:
     name, value = NUMBER_HEADERS[header]
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -95,6 +95,8 @@
             await self._refuse_malformed(connection, error)
         except CallerDisconnected:
             connection.abort()
+        except Exception as error:  # noqa: BLE001 - any error must reach the caller
+            await self._fail_connection(connection, internal_failure(error))
         finally:
             self.connections.discard(connection)
             connection.close()
@@ -215,16 +217,25 @@
             headers.append((name, identity))
         if failure.retry_after_s is not None:
             headers.append((b"Retry-After", b"%g" % failure.retry_after_s))
-        info = CODE_TABLE[failure.code]
-        body = f"{failure.code.value} {info.meaning} {info.next_step}\n".encode()
+        body = _error_text(failure.code).encode()
         await connection.send_response(failure.status, headers, body, close=self.state.leaving)
 
     async def _refuse_malformed(self, connection: CallerConnection, error: BadRequest) -> None:
         self.state.log.write("bad_request", status=error.status, detail=error.detail)
+        await self._send_last(connection, error.status, f"{error.detail}\n")
+
+    async def _fail_connection(self, connection: CallerConnection, failure: RequestFailed) -> None:
+        """Answer an error outside of a request that was read, unless a response has begun."""
+        self.state.log.write("connection_failed", code=failure.code.value, detail=failure.detail)
+        if connection.has_begun_response():
+            connection.abort()
+        else:
+            await self._send_last(connection, failure.status, _error_text(failure.code))
+
+    async def _send_last(self, connection: CallerConnection, status: int, text: str) -> None:
+        """Send the last response on a connection."""
         try:
-            await connection.send_response(
-                error.status, [], f"{error.detail}\n".encode(), close=True
-            )
+            await connection.send_response(status, [], text.encode(), close=True)
         except CallerDisconnected:
             connection.abort()
 
@@ -256,6 +267,11 @@
         return configuration.limits if configuration else CallerLimits()
 
 
+def _error_text(code: ResultCode) -> str:
+    info = CODE_TABLE[code]
+    return f"{code.value} {info.meaning} {info.next_step}\n"
+
+
 def _is_cancelled() -> bool:
     """Return whether the current task is asked to end."""
     task = asyncio.current_task()
