Play a configuration that takes away what a request uses

Measured: the 21 rows pass, and pass on as well: no request is closed without an answer or a rejection by that alone. The rows stay as a guard.

--- a/features/direct_configuration.feature
+++ b/features/direct_configuration.feature
@@ -78,3 +78,33 @@
       | 2, -1   |
       | 0, -1   |
       | -1, -2  |
+
+  # Guards against an exception on what a request uses and a newer configuration doesn't have.
+  Scenario Outline: A request is answered or rejected though a configuration takes away its <part>, as it <moment>
+    Given a direct entry whose workspaces have quotas, before a target that takes 300 ms
+    When a newer configuration without its <part> comes into force as a request <moment>
+    Then the caller has the target's answer, or a rejection that tells its reason
+
+    Examples:
+      | part                   | moment                     |
+      | route                  | waits for the first quotas |
+      | route                  | waits for its model        |
+      | route                  | is at its target           |
+      | service                | waits for the first quotas |
+      | service                | waits for its model        |
+      | service                | is at its target           |
+      | workspace              | waits for the first quotas |
+      | workspace              | waits for its model        |
+      | workspace              | is at its target           |
+      | quota                  | waits for the first quotas |
+      | quota                  | waits for its model        |
+      | quota                  | is at its target           |
+      | workspaces             | waits for the first quotas |
+      | workspaces             | waits for its model        |
+      | workspaces             | is at its target           |
+      | model                  | waits for the first quotas |
+      | model                  | waits for its model        |
+      | model                  | is at its target           |
+      | time and idle time     | waits for the first quotas |
+      | time and idle time     | waits for its model        |
+      | time and idle time     | is at its target           |
