List two faults of requesthandler.py that scenarios show

Callers saw: a request that may run once, and that its target may have run, is answered 503 with "Not run" (code 2003 at its time limit, 2004 as its entry ends).

Cause: once an attempt has broken, `in_flight` is false, but that the outcome is unknown is noted only after the end of the request's turn, which may wait for a probe (50 ms). A time limit, or end_requests, in that time finds neither. The quota is refunded as well. Found by reading; the scenario makes the end of the turn take 300 ms.

The other one: requesthandler.py reads X-Deadline-Ms and Last-Event-Id as integers of any size, and Python refuses over 4,300 digits: such a request gets 500 (it was cut before).

--- a/features/direct_errors.feature
+++ b/features/direct_errors.feature
@@ -69,3 +69,26 @@
       | the output's tokens            | 400    |
       | the output's tokens            | 5000   |
       | the tokens of a prompt's part  | 5000   |
+
+  # Guards against the promise that a request hasn't run, though its target may have run it.
+  Scenario Outline: A request that may have run isn't refused as not run while its turn ends, <ended>
+    Given a direct entry before a target that closes without an answer and a sound one
+    And the end of a suspected request's turn takes 300 ms
+    When a caller sends a request that may run once, and in that time <ended>
+    Then the direct caller gets no promise
+
+    Examples:
+      | ended                 |
+      | its time limit passes |
+      | its entry ends        |
+
+  # Guards against a number that Python refuses to read, which ended its request as an error of the entry.
+  Scenario Outline: A number of any length is no error of the entry, <header>
+    Given a direct entry before a target that answers and a sound one
+    When a caller sends 5000 digits as <header>
+    Then the direct caller gets its answer
+
+    Examples:
+      | header                     |
+      | its time limit             |
+      | the last event that it has |
--- a/features/steps/direct_errors_steps.py
+++ b/features/steps/direct_errors_steps.py
@@ -37,6 +37,8 @@
     "the prompt's tokens": ("X-Token-Counts", "{number},1"),
     "the output's tokens": ("X-Token-Counts", "1,{number}"),
     "the tokens of a prompt's part": ("X-Prompt-Prefix", "a:{number},b:1"),
+    "its time limit": ("X-Deadline-Ms", "{number}"),
+    "the last event that it has": ("Last-Event-Id", "{number}"),
 }
 MESSAGE = "nobody expected this"
 
@@ -221,3 +223,27 @@
     assert view.own_work.requests == 0, view.own_work
     for window in state.retry_windows.values():
         assert window.state().repeats == 0, window.state()
+
+
+@given("the end of a suspected request's turn takes {took_ms:d} ms")
+def slow_turns(context: Context, took_ms: int) -> None:
+    async def end_turn(*_: object) -> None:
+        await asyncio.sleep(took_ms / 1000)
+
+    replaced = patch.object(Quarantine, "end_turn", end_turn)
+    replaced.start()
+    context.add_cleanup(replaced.stop)
+
+
+@when("a caller sends a request that may run once, and in that time {ended}")
+def send_and_end(context: Context, ended: str) -> None:
+    headers = {"X-Deadline-Ms": "150"} if ended == "its time limit passes" else {}
+
+    async def send() -> None:
+        calling = asyncio.create_task(context.entry.call("once", headers=headers))
+        await asyncio.sleep(0.15)
+        if ended == "its entry ends":
+            context.entry.callers.end_requests()
+        context.answer = await calling
+
+    run(context, send())
