Keep the models of an engine that is silent while its machine is there

Callers of a model on one engine that had been silent for a second waited for another load of it, or were rejected once one was under way, and another model was unloaded to make room, though the engine went on a second later.

An engine counted as lost after two reports without an answer, half a second each, or one if an entry couldn't connect. Its models were then gone for all entries. A silent process and a machine that is gone looked alike: what shows the difference, whether a new connection opens, was not looked at.

A report that gets no answer on a connection that was opened for it now raises EngineSilent, and the engine keeps its models for 4 s since the first report that failed. A timeout on a connection that was there before shows nothing, so that the next report opens one. Models are loaded to no silent engine, as before.

An engine that refuses connections is lost within 0.7 s and one that acknowledges nothing within 1.3 s, before and now; one that accepts connections and never answers now within 4.5 s.

--- a/features/direct_gone.feature
+++ b/features/direct_gone.feature
@@ -54,3 +54,35 @@
       | 1000    | has been sent     | 1500 |
       | 1000000 | has been sent     | 4000 |
       | 1000000 | is being answered | 1500 |
+
+  # Guards against models that are taken as gone, and loaded in place of others, since their engine was silent for a second.
+  Scenario Outline: An engine whose machine is there sends no report for <silent> ms
+    Given an engine that reports, and its controller
+    When it sends no report for <silent> ms
+    Then its models were never taken as gone
+    And its state is known again within 500 ms
+
+    Examples:
+      | silent |
+      | 600    |
+      | 1200   |
+      | 2000   |
+      | 3000   |
+
+  # Guards against a rejection, and the loss of another model's place, since the model's only engine was silent.
+  Scenario: A request for a model whose only engine is silent waits for the engine
+    Given an entry that coordinates two engines, the first of which alone holds the model
+    When the first is silent for 2000 ms, and a stream for the model comes 1300 ms after it fell silent
+    Then its caller gets all events, and the second engine got no order
+
+  # Guards against an engine that keeps requests although its machine is gone, or although it is silent for long.
+  Scenario Outline: An engine that is gone, <case>
+    Given an engine that reports, and its controller
+    When it <case> for 6000 ms
+    Then its models were taken as gone within <most> ms
+
+    Examples:
+      | case                 | most |
+      | refuses connections  | 700  |
+      | acknowledges nothing | 1300 |
+      | sends no report      | 4500 |
--- a/packages/coordination/src/mimosaspur_coordination/fleetports.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetports.py
@@ -93,6 +93,10 @@
     """Raised when an engine isn't called now, since it names a request limit."""
 
 
+class EngineSilent(Exception):
+    """Raised when an engine's machine is there, but the engine sends no report in time."""
+
+
 class StopUnconfirmed(Exception):
     """Raised when an engine may have stopped a run, but sent no valid answer."""
 
@@ -109,7 +113,7 @@
         ...
 
     async def report(self, target: TargetRecord) -> EngineReport | None:
-        """Return the engine's report, None if there is no valid answer."""
+        """Return the engine's report, None if there is no valid answer; raise EngineSilent."""
         ...
 
     async def order(self, target: TargetRecord, order: EngineOrder) -> OrderOutcome:
--- a/packages/daemon/src/mimosaspur_daemon/direct/evacuation.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/evacuation.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from mimosaspur_coordination.fleetports import CallDeferred
+from mimosaspur_coordination.fleetports import EngineSilent
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.targetchoice import choose_engine
 from mimosaspur_daemon.direct.entrystate import EntryState
@@ -96,7 +97,7 @@
             if not self._streams(view):
                 return None
             report = None
-            with contextlib.suppress(CallDeferred):
+            with contextlib.suppress(CallDeferred, EngineSilent):
                 report = await self.state.engines.report(view.record)
             if report and report.terminates_in_ms is not None:
                 return report.terminates_in_ms
--- a/packages/daemon/src/mimosaspur_daemon/direct/trackedengine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/trackedengine.py
@@ -6,6 +6,7 @@
 
 from mimosaspur_coordination.fleetports import CallDeferred
 from mimosaspur_coordination.fleetports import EnginePort
+from mimosaspur_coordination.fleetports import EngineSilent
 from mimosaspur_coordination.orderlease import OrderLease
 from mimosaspur_coordination.outstandingloads import OrderedLoad
 from mimosaspur_coordination.outstandingloads import OutstandingLoads
@@ -36,6 +37,8 @@
 # After this many failed reports in a row, or one if an entry can't reach the engine either, its
 # models are loaded elsewhere.
 MAX_FAILED_REPORTS = 2
+# An engine whose machine is there may be silent for so long before its models are loaded elsewhere.
+MAX_SILENCE_MS = 4_000
 # An unanswered order blocks its engine for half a second and more: orders that can wait are not
 # sent for this long after one.
 UNANSWERED_COOLDOWN_MS = 4_000
@@ -85,6 +88,10 @@
         self.confirmed_by_report = False
         self.report_requested_ms = 0
         self.failed_reports = 0
+        # When the first of them was requested, and whether the last one showed the engine's machine
+        # to be there.
+        self.failing_since_ms = 0
+        self.silent = False
         # Whether an entry couldn't reach the engine.
         self.suspected = False
         # Whether it limits the requests that it takes, orders and reports among them.
@@ -103,6 +110,8 @@
 
     def lost(self) -> bool:
         """Return whether the engine counts as lost until it reports again."""
+        if self.silent and self.clock.now_ms() - self.failing_since_ms < MAX_SILENCE_MS:
+            return self.replaced
         failed = self.failed_reports >= MAX_FAILED_REPORTS
         return self.replaced or failed or (self.suspected and self.failed_reports > 0)
 
@@ -119,9 +128,17 @@
             return False
 
     async def _request_report(self) -> bool:
-        self.report_requested_ms = self.clock.now_ms()
-        report = await self.port.report(self.record)
+        requested_ms = self.report_requested_ms = self.clock.now_ms()
+        report: EngineReport | None = None
+        silent = False
+        try:
+            report = await self.port.report(self.record)
+        except EngineSilent:
+            silent = True
+        self.silent = silent
         if report is None:
+            if not self.failed_reports:
+                self.failing_since_ms = requested_ms
             self.failed_reports += 1
             return False
         self.failed_reports = 0
--- a/packages/transport/src/mimosaspur_transport/httpclient.py
+++ b/packages/transport/src/mimosaspur_transport/httpclient.py
@@ -6,11 +6,16 @@
 from mimosaspur_transport.channelpool import ChannelPool
 from mimosaspur_transport.dialect import Headers
 from mimosaspur_transport.httpchannel import ChannelBroken
+from mimosaspur_transport.httpchannel import HttpChannel
 from mimosaspur_transport.httpchannel import ResponseHead
 
 MAX_RESPONSE_BYTES = 8_000_000
 
 
+class ResponseTimeout(ChannelBroken):
+    """Signal that a peer has taken a new connection, but sent no response in time."""
+
+
 class HttpClient:
     """Call one address; each call has exclusive use of a pooled connection."""
 
@@ -44,20 +49,27 @@
         body: bytes = b"",
         headers: Headers | None = None,
     ) -> tuple[ResponseHead, bytes]:
-        """Return the head and body; raise ChannelBroken, also after the timeout."""
+        """Return the head and body; raise ChannelBroken, also after the timeout.
+
+        A ResponseTimeout tells that the peer's machine is there.
+        """
         all_headers = [(b"Host", self.host), *(headers or [])]
         if body:
             all_headers.append((b"Content-Type", b"application/json"))
+        # A connection that was there before may have outlived the peer.
+        opened = False
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                return await self._exchange(method, path.encode(), all_headers, body)
+                channel, reused = await self.pool.acquire()
+                opened = not reused
+                return await self._exchange(channel, method, path.encode(), all_headers, body)
         except TimeoutError as error:
-            raise ChannelBroken(f"no response within {timeout_ms} ms") from error
+            kind = ResponseTimeout if opened else ChannelBroken
+            raise kind(f"no response within {timeout_ms} ms") from error
 
     async def _exchange(
-        self, method: bytes, path: bytes, headers: Headers, body: bytes
+        self, channel: HttpChannel, method: bytes, path: bytes, headers: Headers, body: bytes
     ) -> tuple[ResponseHead, bytes]:
-        channel, _ = await self.pool.acquire()
         done = False
         try:
             await channel.send(method, path, headers, body)
