Ignore numbers of any length that no peer means

Callers got 500, or a cut answer, for a time limit, an event number or a Keep-Alive of their target with some thousand digits, which Python refuses to read.

--- a/features/direct_answers.feature
+++ b/features/direct_answers.feature
@@ -18,6 +18,7 @@
       | an idempotent request | says nothing                  | its answer  | 1     | 1      |
       | an idempotent request | sends what is no answer       | its answer  | 1     | 1      |
       | an idempotent request | answers another request first | its answer  | 1     | 0      |
+      | an idempotent request | names a time of 5000 digits   | its answer  | 1     | 0      |
       | an idempotent request | lacks the proof               | its answer  | 1     | 1      |
       | an idempotent request | encodes the answer            | its answer  | 1     | 1      |
       | an idempotent request | cuts the answer               | its answer  | 1     | 1      |
--- a/features/harness/direct_target.py
+++ b/features/harness/direct_target.py
@@ -121,6 +121,9 @@
             "answers without events": lambda: self._send_response(
                 200, PLAIN_BODY, PROOF, (b"Content-Type", b"application/json")
             ),
+            "names a time of 5000 digits": lambda: self._send_response(
+                200, PLAIN_BODY, PROOF, (b"Keep-Alive", b"timeout=" + b"9" * 5_000)
+            ),
             "lacks the proof": lambda: self._answer_normally(proof=False),
             "encodes the answer": self._answer_encoded,
             "cuts the answer": self._truncate_response,
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -19,6 +19,7 @@
 from mimosaspur_daemon.direct.targetselector import NOT_RUN_COOLDOWN_S
 from mimosaspur_daemon.direct.targetselector import TargetSelector
 from mimosaspur_protocol.eventbuffer import EventBuffer
+from mimosaspur_protocol.numbers import parse_number
 from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.policy import Mechanism
 from mimosaspur_state.routes import Route
@@ -126,7 +127,7 @@
         )
         last_id = header(request.headers, dialect.last_event_id) or b""
         # The event after which a caller resumes a stream, for the log.
-        self.resumed_after = int(last_id) if last_id.isdigit() else None
+        self.resumed_after = parse_number(last_id)
         self.cutter = EventBuffer(self.resumed_after)
         # Whether the head of a response was sent to the caller.
         self.started = False
@@ -398,6 +399,5 @@
 
     def _time_limit_ms(self) -> int:
         value = header(self.request.headers, self.state.dependencies.dialect.deadline_ms) or b""
-        if value.isdigit():
-            return min(int(value), self.route.timeout_ms)
-        return self.route.timeout_ms
+        limit_ms = parse_number(value)
+        return self.route.timeout_ms if limit_ms is None else min(limit_ms, self.route.timeout_ms)
--- a/packages/protocol/src/mimosaspur_protocol/eventbuffer.py
+++ b/packages/protocol/src/mimosaspur_protocol/eventbuffer.py
@@ -2,6 +2,8 @@
 
 import re
 
+from mimosaspur_protocol.numbers import parse_number
+
 _ID_FIELD = b"id:"
 _COMMENT = b":"
 # A blank line after a line, each of which ends with CRLF, LF or CR. A final CR after a CRLF or LF
@@ -77,6 +79,5 @@
     """Return the numeric id of an event, or None if it has none."""
     for line in block.splitlines():
         if line.startswith(_ID_FIELD):
-            value = line[len(_ID_FIELD) :].strip()
-            return int(value) if value.isdigit() else None
+            return parse_number(line[len(_ID_FIELD) :].strip())
     return None
--- a/packages/transport/src/mimosaspur_transport/httpchannel.py
+++ b/packages/transport/src/mimosaspur_transport/httpchannel.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from mimosaspur_protocol.numbers import parse_number
 from mimosaspur_transport.dialect import Headers
 
 READ_BYTES = 65_536
@@ -278,8 +279,9 @@
                 continue
             for part in value.split(b","):
                 key, _, number = part.strip().partition(b"=")
-                if key.lower() == b"timeout" and number.isdigit():
-                    self.keep_alive_ms = int(number) * 1000
+                seconds = parse_number(number)
+                if key.lower() == b"timeout" and seconds is not None:
+                    self.keep_alive_ms = seconds * 1000
 
 
 def _has_body(method: bytes, body: bytes) -> bool:
