Note at once that a request may have run when its target breaks off

Callers of requests that may run once got 503, not run, though their target may have run them, if their time limit passed, or their entry ended, just after that.

Cause: the unknown outcome was noted after the end of the request's turn, which may wait for a probe of the target for 50 ms.

Change: it is noted before anything else is awaited.

--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -307,6 +307,8 @@
         while self.runs.active:
             offer, result = await self.runs.next_ended()
             log_attempt(offer, result)
+            # The time limit, or the end of the process, may come while the turn ends.
+            self.outcome_unknown |= result in (AttemptResult.BROKEN, AttemptResult.FAILED)
             await self.state.quarantine.end_turn(self, offer.view)
             if result in (AttemptResult.DONE, AttemptResult.FAILED):
                 self._on_run_ended(offer)
