Play silent targets beside changes, signals and many entries, failing on this code

Entry processes run before an engine service and a plain service for each silence: 0.2, 0.5, 1, 1.5, 2, 3 s and for ever. Resumable and other streams, idempotent requests and those that may run once are sent so that the silence meets them before the head, before the first event or half, between events and halves, and as they come; the targets' reports are silent too. One target, a third of them or all are silent, once or again after 3 s, with one or several holders of the model, beside each kind of change (timeout, weights, route, tenant, idle), SIGHUP and SIGTERM, at 1 and 24 entries. Each request must have its whole answer, each event once, with at most max_attempts runs and retries spent = retries sent, by the entries' log; with a target that is gone no pause may be longer than callers wait (3.2 s). A request that can't leave such a target may end at its own time limit, and an entry that was asked to stop may refuse what comes later.

Not played: health checks, as entries make none; packets that are not acknowledged, as loopback always does.

--- a/features/harness/entry_processes.py
+++ b/features/harness/entry_processes.py
@@ -88,11 +88,12 @@
 
 
 class EntryProcesses:
-    """Run the entries of a site."""
+    """Run the entries of a site; sites beside each other differ in their first number."""
 
-    def __init__(self, processes: Processes, count: int) -> None:
+    def __init__(self, processes: Processes, count: int, *, first: int = 0) -> None:
         self.processes = processes
         self.count = count
+        self.first = first
         self.folder = tempfile.TemporaryDirectory(prefix="entries-")
         self.entries: list[EntryProcess] = []
 
@@ -100,7 +101,8 @@
         """Start all entries before a store that runs; wait until they are ready."""
         folder = Path(self.folder.name)
         self.entries = [
-            EntryProcess(self.processes, folder, number, address) for number in range(self.count)
+            EntryProcess(self.processes, folder, self.first + number, address)
+            for number in range(self.count)
         ]
         for entry in self.entries:
             entry.start()
--- a/features/harness/entry_site.py
+++ b/features/harness/entry_site.py
@@ -26,6 +26,7 @@
     text: str
     retry_after_s: float | None = None
     headers: dict[str, str] = field(default_factory=dict)
+    longest_pause_s: float = 0.0
 
 
 class EntrySite:
@@ -76,6 +77,7 @@
             text,
             float(retry_after) if retry_after else None,
             response.headers,
+            response.longest_pause_s(),
         )
 
 
--- a/features/harness/silent_target.py
+++ b/features/harness/silent_target.py
@@ -13,12 +13,13 @@
 from harness.listening_target import ListeningTarget
 from harness.listening_target import target_registration
 
-SERVICE = "models"
 MODEL = "notes"
 SERVERS = "servers"
 SLOTS = 16
 REPORT_PATH = b"/api/report"
 API_PREFIX = b"/api/"
+# The beginning of the paths of requests that are answered at once.
+QUICK_PREFIX = b"/quick/"
 WHOLE_BODY = b"the first half, and the second half"
 # Time from a request to the head of its response, and on to the first event or the first half.
 HEAD_S = 0.1
@@ -40,7 +41,7 @@
 
 @dataclass(slots=True)
 class SilentTarget(ListeningTarget):
-    """Answer requests by events or in two halves, except while silent."""
+    """Answer by events as an engine or in two halves as a plain service, except while silent."""
 
     identity: str
     is_engine: bool = True
@@ -50,6 +51,7 @@
     event_s: float = 0.1
     # The time from the head to the first event, longer if its queue is full.
     first_s: float = FIRST_S
+    holds_model: bool = True
     on_run: Callable[["SilentTarget"], None] = lambda target: None
     arrivals: list[Arrival] = field(default_factory=list)
     address: tuple[str, int] = ("127.0.0.1", 0)
@@ -66,9 +68,15 @@
         if for_s is not None:
             asyncio.get_running_loop().call_later(for_s, self.speaks.set)
 
-    def runs(self) -> list[Arrival]:
-        """Return the requests that it began to run."""
-        return [each for each in self.arrivals if each.ran]
+    def models(self) -> list[dict[str, Any]] | None:
+        """Return the models that it holds, None if it is no engine."""
+        if not self.is_engine:
+            return None
+        return [{"name": MODEL, "version": 1, "adapters": []}] if self.holds_model else []
+
+    def _report(self) -> dict[str, Any]:
+        counts = {"sequence": 0, "waiting": 0, "running": 0}
+        return {"models": self.models() or [], "busy": False} | counts
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         codec = h11.Connection(h11.SERVER)
@@ -88,7 +96,7 @@
     async def _answer(self, response: "_Response", head: h11.Request) -> None:
         headers = {name.decode(): value.decode() for name, value in head.headers}
         if head.target == REPORT_PATH:
-            await response.send_whole(200, msgspec.json.encode(_report()))
+            await response.send_whole(200, msgspec.json.encode(self._report()))
         elif head.target.startswith(API_PREFIX):
             await response.send_whole(400, b"")
         elif headers.get("x-expected-instance") != self.identity:
@@ -106,11 +114,18 @@
             return
         arrival.ran = True
         self.on_run(self)
+        await self._run(response, path, headers)
+
+    async def _run(self, response: "_Response", path: bytes, headers: dict[str, str]) -> None:
+        request = headers.get("x-attempt-id", "")
         own = [("X-Attempt-Id", request), ("X-Response-Signature", self.identity)]
-        await asyncio.sleep(HEAD_S)
+        if not path.startswith(QUICK_PREFIX):
+            await asyncio.sleep(HEAD_S)
         if self.manner.startswith("fails it"):
             await response.send_whole(int(self.manner.split()[-1]), b"failed", own)
-        elif b"stream" in path:
+        elif path.startswith(QUICK_PREFIX):
+            await response.send_whole(200, WHOLE_BODY, own)
+        elif self.is_engine:
             await self._stream(response, own, int(headers.get("last-event-id", "0")))
         else:
             await self._send_halves(response, own)
@@ -173,12 +188,6 @@
     return b"".join(event(number) for number in range(1, count + 1))
 
 
-def registration(target: SilentTarget) -> dict[str, Any]:
+def registration(target: SilentTarget, service: str) -> dict[str, Any]:
     """Return a target's registration."""
-    models = [{"name": MODEL, "version": 1, "adapters": []}] if target.is_engine else None
-    return target_registration(SERVICE, target.address, slots=SLOTS, models=models)
-
-
-def _report() -> dict[str, Any]:
-    models = [{"name": MODEL, "version": 1, "adapters": []}]
-    return {"models": models, "busy": False, "sequence": 0, "waiting": 0, "running": 0}
+    return target_registration(service, target.address, slots=SLOTS, models=target.models())
