Back up streams at targets that are out of reach sooner than at silent ones

Change: a target whose stream has paused for 0.6 s is probed by a new connection, which a machine that is there accepts; if none opens within 0.4 s, its streams get their backups. One probe a second, an entry and a target at most.

Measured: the new scenario pauses for at most 1.6 s.

--- a/features/direct_silence.feature
+++ b/features/direct_silence.feature
@@ -45,6 +45,13 @@
       | 1       |
       | 4       |
 
+  # Guards against a stream that waits for a target which can't go on as long as for one that can.
+  Scenario: A stream leaves a target that is out of reach earlier than one that is only silent
+    Given a route that allows 2 runs, and another target that is free
+    When a stream written for 4 s is at an engine that goes out of reach
+    Then its caller gets the whole answer, each part once
+    And no pause of the answer lasts longer than 1.6 s
+
   # Guards against requests that are sent to a target which answers nothing at present.
   Scenario Outline: New requests pass over a silent target, <kind>
     Given a route that allows 3 runs, and another target that is free
--- a/features/harness/silence_play.py
+++ b/features/harness/silence_play.py
@@ -50,6 +50,8 @@
     other: str
     # Requests that come once the silence has lasted for LATER_S.
     later: int = 0
+    # Whether the target accepts no connections from then on.
+    is_out_of_reach: bool = False
     # Whether the target is removed and ends instead of falling silent.
     ends: bool = False
     # When the other target has loaded the model, after that; None if it holds it.
@@ -155,6 +157,9 @@
             self.loop.call_later(self.silence.from_s, self._end, target)
         else:
             self.loop.call_later(self.silence.from_s, target.fall_silent, self.silence.for_s)
+        if self.silence.is_out_of_reach:
+            assert target.server
+            self.loop.call_later(self.silence.from_s, target.server.close)
         for number in range(self.silence.later):
             after_s = self.silence.from_s + LATER_S + number * LATER_INTERVAL_S
             self.later.append(self.loop.create_task(self._call_later(f"later-{number}", after_s)))
--- a/features/steps/direct_silence_steps.py
+++ b/features/steps/direct_silence_steps.py
@@ -34,6 +34,12 @@
     _play(context, Silence(from_s, 3.0, context.other, later=count), kind)
 
 
+@when("a stream written for {written} s is at an engine that goes out of reach")
+def play_out_of_reach(context: Context, written: str) -> None:
+    silence = Silence(HEAD_S + float(written), None, context.other, is_out_of_reach=True)
+    _play(context, silence, "a resumable stream")
+
+
 @when("a stream written for {written} s loses its engine, and its model is loaded after {later} s")
 def play_loss(context: Context, written: str, later: str) -> None:
     from_s = HEAD_S + float(written)
@@ -80,6 +86,11 @@
     assert pause_s <= PATIENCE_S, pause_s
 
 
+@then("no pause of the answer lasts longer than {pause:g} s")
+def check_longest_pause(context: Context, pause: float) -> None:
+    assert context.answer.longest_pause_s() <= pause, context.answer.longest_pause_s()
+
+
 @then("it runs at most as often as its route allows, and each retry that was spent was sent")
 def check_runs(context: Context) -> None:
     arrivals = context.play.arrivals()
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -42,6 +42,9 @@
 STALL_TIMEOUT_FACTOR = 5
 MIN_STALL_TIMEOUT_MS = 2_000
 MAX_STALL_PATIENCE_SHARE = 0.6
+# A stream's target that has paused for this long is probed, and the stream gets a backup if the
+# target's machine is out of reach.
+PROBE_AFTER_MS = 600
 # Interval between checks of a run whose target is silent.
 SILENCE_CHECK_S = 0.1
 # A run that crashes its target ends as it begins to write; one that has written for so long counts
@@ -243,10 +246,18 @@
 
     def _check_silence(self) -> None:
         """Ask for a backup if the response, or all that its target writes, has paused for long."""
-        is_late = self.silent_ms() >= self._silence_timeout_ms()
-        if is_late or (not self.first_token and self.view.is_silent()):
+        silent_ms = self.silent_ms()
+        waits_for_silent = not self.first_token and self.view.is_silent()
+        if (
+            silent_ms >= self._silence_timeout_ms()
+            or waits_for_silent
+            or (self.first_token and silent_ms >= PROBE_AFTER_MS and self._is_out_of_reach())
+        ):
             self.handler.runs.on_silence(self)
 
+    def _is_out_of_reach(self) -> bool:
+        return self.handler.state.reachability.is_out_of_reach(self.view.record)
+
     async def _read_body(self) -> bytes:
         return await self.channel.read_body(MAX_RESPONSE_BYTES)
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -23,6 +23,7 @@
 from mimosaspur_daemon.direct.changenotifier import ChangeNotifier
 from mimosaspur_daemon.direct.limitedengines import LimitedEngines
 from mimosaspur_daemon.direct.quarantine import Quarantine
+from mimosaspur_daemon.direct.reachabilityprobes import ReachabilityProbes
 from mimosaspur_daemon.direct.reportedwork import ReportedWork
 from mimosaspur_daemon.direct.streamversions import StreamVersions
 from mimosaspur_daemon.direct.targetnotices import TargetNotices
@@ -100,6 +101,7 @@
             adaptive_queue=self.uses(Mechanism.QUEUE_RATIO),
         )
         self.pools: dict[str, ChannelPool] = {}
+        self.reachability = ReachabilityProbes(clock=self.clock, pool=self.pool)
         self.retry_windows: dict[str, RetryWindow] = {}
         # This entry's share of the constant part of the retry budgets.
         self.retry_share = ShareLease(window_ms=settings.retries.window_ms, clock=BoottimeClock())
