Return connections to the pool that they were taken from, and close them if it was closed

A target whose registration lapsed while it ran a request got a new pool at the run's end: the count of its connections was wrong for good, and the connection in use went idle in a pool that nobody uses.

Cause: the pool was looked up a second time at the end of a run; and a pool took connections back after it had been closed.

Change: an offer keeps its pool, and a closed pool closes what comes back.

--- a/packages/daemon/src/mimosaspur_daemon/direct/offer.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/offer.py
@@ -35,6 +35,7 @@
         "in_flight",
         "is_backup",
         "number",
+        "pool",
         "view",
     )
 
@@ -58,6 +59,8 @@
         # None until the request is sent.
         self.attempt: Attempt | None = None
         self.channel: HttpChannel | None = None
+        # The registration, and with it the pool, may go while the request runs.
+        self.pool = handler.state.pool(view.record)
         # Whether the request is at the target now.
         self.in_flight = False
         # Why the request wasn't sent, or failed.
@@ -93,7 +96,7 @@
             attempt.end()
             # A connection with an unread response must not be reused, and closing it makes the
             # target stop the run.
-            pool = state.pool(self.view.record)
+            pool = self.pool
             if finished and channel.is_fully_sent():
                 pool.release(channel)
             else:
@@ -114,7 +117,7 @@
             # A moved run goes to its target without a choice.
             self.cause = NO_PERMIT
             return None
-        pool = handler.state.pool(view.record)
+        pool = self.pool
         max_idle_ms = None if handler.route.repeatable else NON_REPEATABLE_MAX_IDLE_MS
         used = False
         try:
--- a/packages/transport/src/mimosaspur_transport/channelpool.py
+++ b/packages/transport/src/mimosaspur_transport/channelpool.py
@@ -16,13 +16,15 @@
 class ChannelPool:
     """Reuse idle connections, most recently used first."""
 
-    __slots__ = ("address", "clock", "idle", "open_count")
+    __slots__ = ("address", "clock", "closed", "idle", "open_count")
 
     def __init__(self, address: tuple[str, int], *, clock: Clock) -> None:
         self.address = address
         self.clock = clock
         self.idle: list[HttpChannel] = []
         self.open_count = 0
+        # Whether the target is gone, so that connections in use are closed when they come back.
+        self.closed = False
 
     async def acquire(self, *, max_idle_ms: int | None = None) -> tuple[HttpChannel, bool]:
         """Return a connection and whether it is reused; raise ChannelBroken."""
@@ -37,7 +39,7 @@
 
     def release(self, channel: HttpChannel) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
-        if not channel.is_reusable() or len(self.idle) >= MAX_IDLE_CHANNELS:
+        if self.closed or not channel.is_reusable() or len(self.idle) >= MAX_IDLE_CHANNELS:
             self.discard(channel)
             return
         channel.idle_since_ms = self.clock.now_ms()
@@ -54,7 +56,8 @@
         self.open_count -= 1
 
     def close(self) -> None:
-        """Close all idle connections."""
+        """Close all idle connections, and those in use when they come back."""
+        self.closed = True
         while self.idle:
             self.discard(self.idle.pop())
 
