End an idle connection at once when it is closed

Callers saw: a reset, without an answer, of a request that they had sent on a connection that still looked open.

Cause: asyncio closes a socket in the pass of its event loop that follows the decision. If the process is stalled in between, callers go on to send on the connection for as long as that.

A connection whose response isn't complete is closed as before: an end would make it look complete.

Evidence: features/direct_idle.feature looks at the connection before the event loop runs again; it fails without the change.

--- a/features/direct_idle.feature
+++ b/features/direct_idle.feature
@@ -19,6 +19,12 @@
     When a caller sends a request just before the entry closes idle connections
     Then the direct caller gets its answer
 
+  # Guards against a request that is sent on a connection which is closed already, but still looks open.
+  Scenario: A caller sees at once that its idle connection is closed
+    Given a direct entry that closes connections after 15000 ms without a request and 3000 ms inside a head
+    When the entry closes idle connections and is stalled
+    Then the caller sees the end of its connection meanwhile
+
   Scenario: A connection without a request is closed in time
     Given a direct entry that closes connections after 200 ms without a request and 3000 ms inside a head
     When a caller sends nothing
--- a/features/steps/direct_idle_steps.py
+++ b/features/steps/direct_idle_steps.py
@@ -67,6 +67,27 @@
     run(context, send())
 
 
+@when("the entry closes idle connections and is stalled")
+def close_and_stall(context: Context) -> None:
+    async def close() -> None:
+        with _connect(context) as caller:
+            await asyncio.sleep(MIN_IDLE_S + SETTLE_S)
+            caller.settimeout(SETTLE_S)
+            context.entry.callers.close_idle()
+            # The entry's event loop doesn't run until this returns.
+            try:
+                context.received = caller.recv(1)
+            except TimeoutError:
+                context.received = None
+
+    run(context, close())
+
+
+@then("the caller sees the end of its connection meanwhile")
+def check_end(context: Context) -> None:
+    assert context.received == b"", context.received
+
+
 @when("a caller sends nothing")
 def send_nothing(context: Context) -> None:
     async def wait() -> None:
--- a/packages/transport/src/mimosaspur_transport/callerconnection.py
+++ b/packages/transport/src/mimosaspur_transport/callerconnection.py
@@ -1,6 +1,7 @@
 """Read requests and write responses on one caller's connection."""
 
 import asyncio
+import contextlib
 import fcntl
 import socket
 import struct
@@ -197,6 +198,10 @@
 
     def close(self) -> None:
         """Close the connection after sending buffered data."""
+        if not self.answer_pending:
+            # The event loop closes the socket in its next pass only.
+            with contextlib.suppress(OSError):
+                self.writer.write_eof()
         self.writer.close()
 
     def abort(self) -> None:
