Move streams off a leaving engine that was silent as it began to leave

Streams at an engine that was about to be taken away stayed there until it was gone, and were broken off, if it had sent no reports for two seconds.

An entry asks a leaving engine how long it will be there, three times at most, since reports lag behind. A silent engine used the three up in 1.95 s, and was then taken for one that ends what it runs. It is never asked again.

A report that finds the engine silent no longer counts as one of the three: the entry asks until the engine speaks, refuses or has no stream of the entry any more.

The new scenario, an engine without reports for 2.2 s that then has 1.5 s, failed before: the second engine never saw the run. It passes now.

--- a/features/direct_moves.feature
+++ b/features/direct_moves.feature
@@ -32,6 +32,15 @@
     Then the direct caller gets all its events
     And the first engine began it once, and the second one never saw it
 
+  # Guards against streams that stay at an engine until it is gone, since it was silent as it began to leave.
+  Scenario: An engine that leaves and is silent for a moment gives its streams up afterwards
+    Given a direct entry before an engine that streams slowly and a sound one
+    And the engines move runs: copied
+    And the first engine sends an event each 600 ms, and no reports for 2200 ms
+    When a stream has begun at the first engine, which leaves and will be gone in 1500 ms
+    Then the direct caller gets all its events
+    And the first engine began it once, and the second one went on from the first's memory
+
   Scenario Outline: The platform's answers to a move
     Given an engine of the platform that answers a move with <status> and <body>
     When a run there is to be stopped and copied
--- a/features/harness/direct_moves.py
+++ b/features/harness/direct_moves.py
@@ -6,6 +6,7 @@
 
 from harness.direct_entry import UnresponsiveEngines
 from harness.direct_target import ScriptedTarget
+from mimosaspur_coordination.fleetports import EngineSilent
 from mimosaspur_coordination.fleetports import HeadHandler
 from mimosaspur_coordination.fleetports import StoppedRun
 from mimosaspur_coordination.fleetports import StopUnconfirmed
@@ -14,6 +15,7 @@
 
 HANDLE = "h1"
 LATE_ANSWER_S = 0.3
+REPORT_TIMEOUT_S = 0.5
 
 
 @dataclass(slots=True)
@@ -24,6 +26,8 @@
     second: ScriptedTarget
     answer: str
     gone_in_ms: int | None = None
+    # Until when it sends no reports, on the event loop's clock.
+    silent_until_s: float = 0.0
     made: list[str] = field(default_factory=list)
     dropped: list[str] = field(default_factory=list)
 
@@ -31,7 +35,10 @@
         """Ignore the handler, as calls have no heads here."""
 
     async def report(self, target: TargetRecord) -> EngineReport | None:
-        """Return a report with the engine's remaining time."""
+        """Return a report with the engine's remaining time, unless it is silent."""
+        if asyncio.get_running_loop().time() < self.silent_until_s:
+            await asyncio.sleep(REPORT_TIMEOUT_S)
+            raise EngineSilent
         return EngineReport({}, frozenset(), False, 0, 0, 1, 0, terminates_in_ms=self.gone_in_ms)
 
     async def stop_and_copy(
--- a/features/steps/direct_moves_steps.py
+++ b/features/steps/direct_moves_steps.py
@@ -60,6 +60,16 @@
         pass
 
 
+@given("the first engine sends an event each {event_ms:d} ms, and no reports for {silent_ms:d} ms")
+def silence_reports(context: Context, event_ms: int, silent_ms: int) -> None:
+    async def silence() -> None:
+        context.first.event_s = event_ms / 1000
+        now_s = asyncio.get_running_loop().time()
+        context.engines.silent_until_s = now_s + silent_ms / 1000
+
+    run(context, silence())
+
+
 @when("a stream has begun at the first engine, which leaves and will be gone in {gone}")
 def evacuate_engine(context: Context, gone: str) -> None:
     async def stream_and_leave() -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/evacuation.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/evacuation.py
@@ -1,7 +1,6 @@
 """Move running streams off targets that will be gone before the streams end."""
 
 import asyncio
-import contextlib
 from collections.abc import Collection
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -21,7 +20,8 @@
 MOVED_RANK = 0
 # A copy that starts with less time than this left would not complete before its source is gone.
 MIN_COPY_TIME_S = 0.1
-# Requests to a leaving target for its remaining time, and the delay between them.
+# Requests to a leaving target for its remaining time, without those that met its silence, and the
+# delay between them.
 MAX_REPORT_REQUESTS = 3
 REPORT_RETRY_DELAY_S = 0.15
 
@@ -93,12 +93,18 @@
 
     async def _remaining_ms(self, view: TargetView) -> int | None:
         """Return a leaving target's remaining time; None if it finishes what it runs."""
-        for _ in range(MAX_REPORT_REQUESTS):
-            if not self._streams(view):
-                return None
+        requests = 0
+        while requests < MAX_REPORT_REQUESTS and self._streams(view):
             report = None
-            with contextlib.suppress(CallDeferred, EngineSilent):
+            try:
                 report = await self.state.engines.report(view.record)
+            except EngineSilent:
+                # Its streams can be moved once it goes on.
+                await asyncio.sleep(REPORT_RETRY_DELAY_S)
+                continue
+            except CallDeferred:
+                pass
+            requests += 1
             if report and report.terminates_in_ms is not None:
                 return report.terminates_in_ms
             # Reports may lag behind by some hundred ms.
