Check that only a refused connection counts as a crash of its target

Silence could have been counted as a crash against the requests of its target. It isn't: of the three rows, on the present code, a target that accepts connections and says nothing and one that acknowledges nothing have no crash, and one that refuses connections has one. All three passed at once; nothing is changed.

--- a/features/direct_gone.feature
+++ b/features/direct_gone.feature
@@ -86,3 +86,15 @@
       | refuses connections  | 700  |
       | acknowledges nothing | 1300 |
       | sends no report      | 4500 |
+
+  # Guards against a crash that is counted against the requests of a target which is only silent.
+  Scenario Outline: A target loses a connection and then <behaviour>
+    Given a direct entry and a target that <behaviour>
+    When a connection to the target is lost with a request at it
+    Then <count> crashes of the target are known
+
+    Examples:
+      | behaviour                         | count |
+      | accepts connections and is silent | 0     |
+      | acknowledges nothing              | 0     |
+      | refuses connections               | 1     |
--- a/features/steps/direct_reports_steps.py
+++ b/features/steps/direct_reports_steps.py
@@ -21,6 +21,8 @@
 from mimosaspur_coordination.fleetports import LeaseRecord
 from mimosaspur_coordination.orderlease import OrderLease
 from mimosaspur_coordination.outstandingloads import OutstandingLoads
+from mimosaspur_coordination.quarantine.crashledger import Stage
+from mimosaspur_coordination.quarantine.traits import RequestTraits
 from mimosaspur_daemon.direct.configurationexchange import ConfigurationExchange
 from mimosaspur_daemon.direct.coordinator import Coordinator
 from mimosaspur_daemon.direct.enginecontroller import EngineController
@@ -186,3 +188,36 @@
     assert not context.second.orders, context.second.orders
     got = answer.status, answer.body, answer.whole
     assert got == (200, all_events(context.first.event_count), True), got
+
+
+@given("a direct entry and a target that {behaviour}")
+def start_target(context: Context, behaviour: str) -> None:
+    async def start() -> None:
+        context.entry = DirectEntry()
+        target = context.engine = ReportingEngine()
+        await target.start()
+        context.entry.add("target", target.address)
+        if behaviour == "refuses connections":
+            target.stop()
+        elif behaviour == "acknowledges nothing":
+            target.fall_out_of_reach()
+
+    run(context, start())
+
+
+@when("a connection to the target is lost with a request at it")
+def lose_connection(context: Context) -> None:
+    async def lose() -> None:
+        state = context.entry.state
+        view = state.fleet.targets["target"]
+        detector = state.quarantine.detector
+        detector.on_connection_lost(view, RequestTraits(b"request"), Stage.RUNNING)
+        await asyncio.gather(*detector.tasks)
+
+    run(context, lose())
+
+
+@then("{count:d} crashes of the target are known")
+def check_crashes(context: Context, count: int) -> None:
+    crashes = context.entry.state.quarantine.ledger.crashes
+    assert len(crashes) == count, crashes
