Silence the targets that run the most requests

By chance a silence could meet no stream that had been written for long: in a trial where such streams stay, one site whose target is gone had no finding. The targets of a service that run the most requests when it begins are silent now.

--- a/features/harness/silence_site.py
+++ b/features/harness/silence_site.py
@@ -4,7 +4,6 @@
 import itertools
 import signal
 from collections import Counter
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 import msgspec
@@ -139,7 +138,8 @@
         """Send all requests, with the silences and the changes beside them."""
         await asyncio.gather(*(self._grow_budget(service) for service in self.services))
         work = [self._send(call, number) for number, call in enumerate(self._calls())]
-        await asyncio.gather(*work, *self._silences(), self._change())
+        silences = [self._silence(*each) for each in self.services.items()]
+        await asyncio.gather(*work, *silences, self._change())
 
     def failures(self) -> list[str]:
         """Return what is wrong with the answers, and with the runs and retries behind them."""
@@ -220,15 +220,13 @@
             headers={"Authorization": f"Bearer {key}", "X-Deadline-Ms": str(limit_ms)},
         )
 
-    def _silences(self) -> Iterator[asyncio.Future[None]]:
-        for service, silence in self.services.items():
-            for target in self.targets[service][: self.plan.silent]:
-                yield asyncio.ensure_future(self._fall_silent(target, silence))
-
-    async def _fall_silent(self, target: SilentTarget, silence: float | None) -> None:
+    async def _silence(self, service: str, silence: float | None) -> None:
+        """Silence those targets of a service that run the most requests."""
         await asyncio.sleep(self.plan.silent_at_s)
+        targets = sorted(self.targets[service], key=lambda target: -target.in_flight)
         for _ in range(self.plan.times):
-            target.fall_silent(silence)
+            for target in targets[: self.plan.silent]:
+                target.fall_silent(silence)
             await asyncio.sleep(AGAIN_AFTER_S)
 
     async def _change(self) -> None:
--- a/features/harness/silent_target.py
+++ b/features/harness/silent_target.py
@@ -54,6 +54,7 @@
     holds_model: bool = True
     on_run: Callable[["SilentTarget"], None] = lambda target: None
     arrivals: list[Arrival] = field(default_factory=list)
+    in_flight: int = 0
     address: tuple[str, int] = ("127.0.0.1", 0)
     server: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -114,7 +115,11 @@
             return
         arrival.ran = True
         self.on_run(self)
-        await self._run(response, path, headers)
+        self.in_flight += 1
+        try:
+            await self._run(response, path, headers)
+        finally:
+            self.in_flight -= 1
 
     async def _run(self, response: "_Response", path: bytes, headers: dict[str, str]) -> None:
         request = headers.get("x-attempt-id", "")
