Show that one silence keeps an engine unused for 3 s, failing on this code

TargetHealth.record_unreachable doubles the cooldown with each request that can't connect, also within the cooldown of the first one. Four requests that meet one silence set it to its 3 s, and those that wait for the only holder are refused (2003) at the end of their time for a first event, 3.1 s after they came, more than 1.4 s after the engine was back.

The test sends 1, 2 and 6 streams at once to an entry whose only engine accepts nothing for 1 s.

--- a/features/direct_silence_connections.feature
+++ b/features/direct_silence_connections.feature
@@ -1,5 +1,17 @@
 Feature: Sound targets that accept no connections for a time cost no answer
-  Each silence has an engine service and a plain service of its own, and all requests come while it lasts.
+  All requests come while the targets are silent.
+
+  # Guards against a cooldown that grows with the requests that one silence meets.
+  Scenario Outline: The only engine is used again soon after it accepted nothing, <count> streams
+    Given an entry whose only engine accepts no connections for 1 s
+    When <count> streams come at once
+    Then each stream is served
+
+    Examples:
+      | count |
+      | 1     |
+      | 2     |
+      | 6     |
 
   # Guards against targets that are taken as gone since they accept no connections for a second.
   Scenario: Targets accept no connections while they are silent
--- a/features/harness/silence_play.py
+++ b/features/harness/silence_play.py
@@ -36,6 +36,7 @@
 LATER_S = 0.5
 LATER_INTERVAL_S = 0.05
 SERVICE = "service"
+MODEL_HEADERS = {"X-Model": MODEL, "X-Token-Counts": "100,50"}
 
 
 @dataclass(slots=True, frozen=True)
@@ -69,7 +70,7 @@
         engine = engine_spec([model_spec(MODEL)]) if self.is_stream else None
         self.entry = DirectEntry(engine=engine, clock=VirtualClock(self.loop), dialect=DIALECT)
         held = configuration(engine)
-        routes = tuple(_slower(route, max_attempts) for route in held.routes)
+        routes = tuple(slower(route, max_attempts) for route in held.routes)
         self.entry.state.configuration = replace(held, routes=routes)
         count = 1 if silence.other == "is not there" else 2
         self.targets = [
@@ -108,6 +109,10 @@
             records.append(record)
         self.entry.state.fleet.update(records, [])
         await self.entry.start()
+            records.append(record_of(target))
+        self.entry.state.fleet.update(records, [])
+        await self.entry.start()
+        headers = {"X-Attempt-Id": "r-1"} | (MODEL_HEADERS if self.is_stream else {})
         try:
             return await self._call("r-1")
         finally:
@@ -182,7 +187,15 @@
                 other.manner = manner
 
 
-def _slower(route: Route, max_attempts: int) -> Route:
+def record_of(target: SilentTarget) -> TargetRecord:
+    """Return a target's registration as an entry knows it."""
+    residents = {MODEL: frozenset[str]()} if target.is_engine else None
+    return TargetRecord(
+        target.identity, SERVICE, target.address, DOMAIN, slots=SLOTS, residents=residents
+    )
+
+
+def slower(route: Route, max_attempts: int) -> Route:
     return replace(
         route,
         timeout_ms=TIMEOUT_MS,
