Share the registrations of silent targets between the plays that use them

The scenario of a model that is loaded again and that of an engine that accepts nothing came together in one module.

--- a/features/harness/silence_play.py
+++ b/features/harness/silence_play.py
@@ -102,17 +102,12 @@
         records = []
         for target in self.targets:
             await target.start()
-            residents = self._residents(target)
-            record = TargetRecord(
-                target.identity, SERVICE, target.address, DOMAIN, slots=SLOTS, residents=residents
-            )
+            record = record_of(target)
+            if target is not self.targets[0] and self.silence.loads_after_s is not None:
+                record = replace(record, residents={})
             records.append(record)
         self.entry.state.fleet.update(records, [])
         await self.entry.start()
-            records.append(record_of(target))
-        self.entry.state.fleet.update(records, [])
-        await self.entry.start()
-        headers = {"X-Attempt-Id": "r-1"} | (MODEL_HEADERS if self.is_stream else {})
         try:
             return await self._call("r-1")
         finally:
@@ -124,9 +119,7 @@
                 target.stop()
 
     async def _call(self, request: str) -> ReceivedResponse:
-        headers = {"X-Attempt-Id": request}
-        if self.is_stream:
-            headers |= {"X-Model": MODEL, "X-Token-Counts": "100,50"}
+        headers = {"X-Attempt-Id": request} | (MODEL_HEADERS if self.is_stream else {})
         return await self.entry.call(self.route, headers=headers)
 
     async def _call_later(self, request: str, after_s: float) -> tuple[ReceivedResponse, float]:
@@ -136,12 +129,6 @@
         answer = await self._call(request)
         return answer, answer.pieces_s[0] - sent_s
 
-    def _residents(self, target: SilentTarget) -> dict[str, frozenset[str]] | None:
-        if not target.is_engine:
-            return None
-        holds = target is self.targets[0] or self.silence.loads_after_s is None
-        return {MODEL: frozenset()} if holds else {}
-
     def _end(self, target: SilentTarget) -> None:
         state = self.entry.state
         state.on_targets_changed(state.fleet.update([], [target.identity]))
