Note a repeat's time once, so that it is returned if it isn't sent

Cause: the window and the request each read the clock; a repeat whose readings differ by a millisecond isn't found in the window when it is to be returned, and counts for ten seconds. Fewer repeats are sent than may be.

Change: one reading for both.

--- a/features/direct_bounds.feature
+++ b/features/direct_bounds.feature
@@ -11,6 +11,13 @@
       | 4       | 0        | 10   | 6     |
       | 4       | 100      | 30   | 20    |
 
+  # Guards against a repeat whose time was read twice, so that it was never found again.
+  Scenario: A repeat that wasn't sent is returned, though time goes on between readings
+    Given a retry bound of 0 of the requests and 100 more, shared by 1 entries
+    And a clock that goes on with each reading
+    When a request takes 3 repeats and sends 1
+    Then 1 repeat counts
+
   Scenario: Repeats that have left the window no longer count
     Given a retry bound of 0.2 of the requests and 40 more, shared by 4 entries
     When all repeats are spent and the window has passed
--- a/features/steps/direct_bounds_steps.py
+++ b/features/steps/direct_bounds_steps.py
@@ -18,6 +18,7 @@
 from mimosaspur_coordination.limits.retrywindow import RetryWindow
 from mimosaspur_coordination.targetchoice import preferred_targets
 from mimosaspur_coordination.targethealth import TargetHealth
+from mimosaspur_daemon.direct.requestretries import RequestRetries
 from mimosaspur_protocol.eventbuffer import EventBuffer
 from mimosaspur_protocol.eventbuffer import EventMissing
 from mimosaspur_state.directsettings import RetryBounds
@@ -30,6 +31,15 @@
 FLOOD_EVENTS = 100_000
 
 
+class TickingClock(ManualClock):
+    """A clock that goes on by a millisecond with each reading."""
+
+    def now_ms(self) -> int:
+        """Return the time."""
+        self.ms += 1
+        return super().now_ms()
+
+
 @given(
     "a retry bound of {ratio:g} of the requests and {slack:d} more, shared by {entries:d} entries"
 )
@@ -59,6 +69,26 @@
     context.clock.ms += WINDOW_MS + 1
 
 
+@given("a clock that goes on with each reading")
+def set_ticking_clock(context: Context) -> None:
+    context.window.clock = TickingClock(0)
+
+
+@when("a request takes {taken:d} repeats and sends {sent:d}")
+def take_and_send(context: Context, taken: int, sent: int) -> None:
+    log = EventLog("entry-0", fd=os.open(os.devnull, os.O_WRONLY))
+    retries = RequestRetries(context.window, log, service="service", request="r-1")
+    for _ in range(taken):
+        assert retries.spend(1, what="offer")
+    retries.attempts = 1 + sent
+    retries.refund_unused()
+
+
+@then("{count:d} repeat counts")
+def check_count(context: Context, count: int) -> None:
+    assert context.window.state().repeats == count, context.window.state()
+
+
 @then("another one may be sent")
 def check_another(context: Context) -> None:
     assert context.window.try_spend()
--- a/packages/coordination/src/mimosaspur_coordination/limits/retrywindow.py
+++ b/packages/coordination/src/mimosaspur_coordination/limits/retrywindow.py
@@ -56,11 +56,11 @@
             part=round(self.lease.share(), 3),
         )
 
-    def try_spend(self, repeats: int = 1) -> bool:
-        """Take all of the repeats or none; return whether they were taken."""
+    def try_spend(self, repeats: int = 1, *, now_ms: int | None = None) -> bool:
+        """Take all of the repeats or none, by default now; return whether they were taken."""
         if not self.allows(repeats):
             return False
-        self.repeats.extend([self.clock.now_ms()] * repeats)
+        self.repeats.extend([self.clock.now_ms() if now_ms is None else now_ms] * repeats)
         return True
 
     def refund(self, spent_ms: int) -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/requestretries.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requestretries.py
@@ -21,9 +21,10 @@
 
     def spend(self, count: int, *, what: str) -> bool:
         """Take retries from the service's budget, all or none; log the decision."""
-        granted = self.window.try_spend(count)
+        now_ms = self.window.clock.now_ms()
+        granted = self.window.try_spend(count, now_ms=now_ms)
         if granted:
-            self.spent_at_ms += [self.window.clock.now_ms()] * count
+            self.spent_at_ms += [now_ms] * count
         self.log.write(
             "repeat",
             request=self.request,
