--- a/packages/daemon/src/mimosaspur_daemon/direct/requestretries.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requestretries.py
@@ -25,15 +25,7 @@
         granted = self.window.try_spend(count, now_ms=now_ms)
         if granted:
             self.spent_at_ms += [now_ms] * count
-        self.log.write(
-            "repeat",
-            request=self.request,
-            service=self.service,
-            what=what,
-            repeats=count,
-            outcome="granted" if granted else "refused",
-            window=self.window.state(),
-        )
+        self._log(what, count, "granted" if granted else "refused")
         return granted
 
     def refund_unused(self) -> None:
@@ -42,3 +34,16 @@
         # Return the oldest: the latest are closest to the attempts that used them.
         for spent_ms in self.spent_at_ms[:unneeded]:
             self.window.refund(spent_ms)
+        if unneeded:
+            self._log("unused", unneeded, "returned")
+
+    def _log(self, what: str, count: int, outcome: str) -> None:
+        self.log.write(
+            "repeat",
+            request=self.request,
+            service=self.service,
+            what=what,
+            repeats=count,
+            outcome=outcome,
+            window=self.window.state(),
+        )
