Take only an answer for a refusal of a moved run

Callers of streams that may run once got a cut answer as their engine left, if neither it nor the engine that they were moved to accepted a connection for 1.6 s.

Cause: a connection that can't be opened counted as a refusal, first at one, then at the other, though both still held the run's memory and nothing had been sent.

Change: a moved run that was not sent goes back to its source again, within the offers of a request; a refusal drops it as before.

--- a/features/direct_moves.feature
+++ b/features/direct_moves.feature
@@ -41,6 +41,13 @@
     Then the direct caller gets all its events
     And the first engine began it once, and the second one went on from the first's memory
 
+  # Guards against a moved run that is given up, though no engine has refused it, since none accepted a connection.
+  Scenario: A moved run goes on once its engines accept connections again
+    Given a direct entry before an engine that streams slowly and a sound one
+    And the engines move runs: copied, but neither accepts for a moment
+    When a stream has begun at the first engine, which leaves and will be gone in 1500 ms
+    Then the direct caller gets all its events
+
   Scenario Outline: The platform's answers to a move
     Given an engine of the platform that answers a move with <status> and <body>
     When a run there is to be stopped and copied
--- a/features/harness/direct_moves.py
+++ b/features/harness/direct_moves.py
@@ -1,6 +1,7 @@
 """Simulate engines that stop runs and copy their memory to one another."""
 
 import asyncio
+import socket
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -16,6 +17,7 @@
 HANDLE = "h1"
 LATE_ANSWER_S = 0.3
 REPORT_TIMEOUT_S = 0.5
+UNACCEPTING_S = 1.6
 
 
 @dataclass(slots=True)
@@ -26,6 +28,7 @@
     second: ScriptedTarget
     answer: str
     gone_in_ms: int | None = None
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
     # Until when it sends no reports, on the event loop's clock.
     silent_until_s: float = 0.0
     made: list[str] = field(default_factory=list)
@@ -53,6 +56,9 @@
         if "late" in self.answer:
             await asyncio.sleep(LATE_ANSWER_S)
         self.first.stop_streams()
+        if "accepts" in self.answer:
+            for target in (self.first, self.second):
+                self._stop_accepting(target)
         if "unanswered" in self.answer:
             raise StopUnconfirmed("no answer")
         self.made.append(HANDLE)
@@ -62,6 +68,22 @@
         """Free a copy."""
         self.dropped.append(handle)
 
+    def _stop_accepting(self, target: ScriptedTarget) -> None:
+        """Leave new connections to a target without an acknowledgement for a while."""
+        assert target.server
+        address = target.server.sockets[0].getsockname()[:2]
+        target.server.close()
+        listening = socket.create_server(address, backlog=0)
+        listening.setblocking(False)
+        waiting = socket.create_connection(address)
+
+        async def accept_later() -> None:
+            await asyncio.sleep(UNACCEPTING_S)
+            waiting.close()
+            target.server = await asyncio.start_server(target._serve, sock=listening)
+
+        self.tasks.add(asyncio.get_running_loop().create_task(accept_later()))
+
     def unreleased_copies(self) -> int:
         """Return the number of copies that were neither used nor freed."""
         seen = [*self.first.seen, *self.second.seen]
--- a/features/steps/direct_moves_steps.py
+++ b/features/steps/direct_moves_steps.py
@@ -9,6 +9,7 @@
 from behave import when
 from behave.runner import Context
 
+from harness.direct_entry import REQUEST_KINDS
 from harness.direct_entry import DirectEntry
 from harness.direct_entry import engine_spec
 from harness.direct_entry import model_spec
@@ -70,14 +71,23 @@
     run(context, silence())
 
 
-@when("a stream has begun at the first engine, which leaves and will be gone in {gone}")
-def evacuate_engine(context: Context, gone: str) -> None:
+@given("{count:d} repeats are left")
+def leave_repeats(context: Context, count: int) -> None:
+    window = context.entry.state.retry_window("service")
+    while window.try_spend():
+        pass
+    for _ in range(count):
+        window.refund(window.repeats[0])
+
+
+@when("{stream} has begun at the first engine, which leaves and will be gone in {gone}")
+def evacuate_engine(context: Context, stream: str, gone: str) -> None:
     async def stream_and_leave() -> None:
         state = context.entry.state
         evacuation = Evacuation(state, context.entry.callers.handlers)
         watching = asyncio.create_task(evacuation.run())
         reader, writer = await context.entry.connect()
-        writer.write(request_bytes("stream", HEADERS))
+        writer.write(request_bytes(REQUEST_KINDS[stream][0], HEADERS))
         receiving = asyncio.create_task(read_response(reader))
         await asyncio.sleep(STREAM_BEGIN_S)
         if gone != "no time":
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -321,7 +321,7 @@
     async def _on_run_failed(self, offer: Offer, result: AttemptResult) -> None:
         """Record a run without a response that can be forwarded."""
         continued, view = offer.continued, offer.view
-        if self._returns_to_source(continued, result):
+        if self._returns_to_source(offer, result):
             return
         if result is AttemptResult.NOT_RUN and (continued is None or self.route.repeatable):
             self.target_selector.cool_down(
@@ -367,11 +367,13 @@
             if view and not quarantine.is_held(self.traits):
                 await quarantine.turns.wait(self)
 
-    def _returns_to_source(self, continued: MovedRun | None, result: AttemptResult) -> bool:
-        """Return whether a moved run that was refused continues at its source."""
+    def _returns_to_source(self, offer: Offer, result: AttemptResult) -> bool:
+        """Return whether a moved run that was refused, or not sent, continues at its source."""
+        continued = offer.continued
         if continued is None or result is not AttemptResult.NOT_RUN:
             return False
-        if continued.view is continued.source:
+        refused = offer.attempt is not None
+        if continued.view is continued.source and refused:
             self.state.drop_copy(continued.source.record, continued.handle)
             return False
         self.moved = MovedRun(continued.source, continued.source, continued.handle)
