Stop a stream to move it only with a repeat left to go on elsewhere

Callers of resumable streams got a cut answer as their engine left, if the move had taken the last two repeats and both engines refused the run.

Cause: the move asked for what the move itself needs; going on at another engine after two refusals needs one more, and was refused.

Change: a move of a stream that may be resumed takes three, and what was taken and not sent covers the next attempt. What isn't needed is returned as before.

--- a/features/direct_moves.feature
+++ b/features/direct_moves.feature
@@ -48,6 +48,20 @@
     When a stream has begun at the first engine, which leaves and will be gone in 1500 ms
     Then the direct caller gets all its events
 
+  # Guards against a run that is stopped with too few retries left for it to go on elsewhere.
+  Scenario Outline: A resumable stream whose moved run is refused at both engines goes on, <left> repeats left
+    Given a direct entry before an engine that streams slowly and a sound one
+    And the engines move runs: copied, but refused at both
+    And <left> repeats are left
+    When a resumable stream has begun at the first engine, which leaves and will be gone in 1500 ms
+    Then the direct caller gets all its events
+
+    Examples:
+      | left |
+      | 4    |
+      | 3    |
+      | 2    |
+
   Scenario Outline: The platform's answers to a move
     Given an engine of the platform that answers a move with <status> and <body>
     When a run there is to be stopped and copied
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -171,7 +171,9 @@
         if len(handler.runs.active) > 1:
             # A backup goes on from the events that the caller has, and needs no move.
             return False
-        if not request or not handler.retries.spend(MOVE_RETRY_COUNT, what="move"):
+        # If both refuse it, a stream that may be resumed goes on elsewhere.
+        count = MOVE_RETRY_COUNT + handler.route.repeatable
+        if not request or not handler.retries.spend(count, what="move"):
             return False
         self.pending_move = asyncio.get_running_loop().create_future()
         engines = handler.state.engines
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -270,8 +270,7 @@
         try:
             for _ in range(MAX_OFFERS):
                 continued, self.moved = self.moved, None
-                first = not self.retries.attempts
-                if not first and not continued and not self.retries.spend(1, what="offer"):
+                if not continued and not self.retries.cover_next(what="offer"):
                     break
                 try:
                     view = continued.view if continued else await self._next_target()
--- a/packages/daemon/src/mimosaspur_daemon/direct/requestretries.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requestretries.py
@@ -28,6 +28,10 @@
         self._log(what, count, "granted" if granted else "refused")
         return granted
 
+    def cover_next(self, *, what: str) -> bool:
+        """Return whether the next attempt is covered, by a retry that wasn't used or a new one."""
+        return len(self.spent_at_ms) >= self.attempts or self.spend(1, what=what)
+
     def refund_unused(self) -> None:
         """Return unused retries to the budget after the last attempt."""
         unneeded = max(0, len(self.spent_at_ms) - max(0, self.attempts - 1))
