Let a run claim a stream's end only once it is proved

A caller was cut although its backup would have ended the stream: a run that closed its connection after the last event ended the backup first, and then counted as broken, since nothing proved the end.

Cause: the claim came before the check.

--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -353,12 +353,13 @@
         completeness = await self._completeness()
         if completeness is Completeness.BROKEN:
             raise ChannelBroken("the target broke off its stream")
-        handler.runs.claim(self)
-        await self._start_response(head)
-        if completeness is Completeness.UNKNOWN and not handler.caller.ends_with_connection:
-            # An earlier target's framing requires a mark, which only a complete stream may get.
+        # An earlier target's framing requires a mark, which only a complete stream may get.
+        needs_mark = handler.started and not handler.caller.ends_with_connection
+        if completeness is Completeness.UNKNOWN and needs_mark:
             self.offer.cause = "nothing proves that the stream is complete"
             return AttemptResult.BROKEN
+        handler.runs.claim(self)
+        await self._start_response(head)
         if self.events.incomplete:
             await handler.caller.send_chunk(self.events.incomplete)
         await handler.caller.end_response()
