Keep a run that is only silent when its backup is answered with 4xx

A caller got the 408 or 429 of a second target, though the first one would have answered whole after its silence; before backups were there as well.

Change: the error of a backup is kept, as a 5xx is, and forwarded only if the first run doesn't answer. Found in review.

--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -311,8 +311,11 @@
         if head.status < 400 and not self._is_authentic(head):
             raise ChannelBroken("response is encoded or lacks the target's proof header")
         response = TargetResponse(head, body, marked=self.channel.marks_end())
-        if head.status >= 500:
-            self.view.health.record_failure()
+        # A backup's error doesn't replace what the first run may still answer.
+        is_spare = self.offer.is_backup and len(handler.runs.active) > 1
+        if head.status >= 500 or (head.status >= 400 and is_spare):
+            if head.status >= 500:
+                self.view.health.record_failure()
             handler.failure = response
             return AttemptResult.FAILED
         self.view.health.record_success()
