Keep a sound run when an unexpected error ends the other one

An exception in one of two runs ended the request. The other one may still answer: the run that failed counts as broken, with the exception as its cause. Found in review by an exception put into a backup's connection; no natural one is known.

--- a/packages/daemon/src/mimosaspur_daemon/direct/parallelruns.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/parallelruns.py
@@ -60,10 +60,16 @@
         """Wait until a run has ended by itself; raise what it raised."""
         while True:
             task = await self.ended.get()
-            if task in self.active:
-                # A run that raised stays active: its request may have been at a target.
-                result = task.result()
-                return self.active.pop(task), result
+            if task not in self.active:
+                continue
+            if len(self.active) > 1 and (error := task.exception()):
+                # The other run may still answer the request.
+                offer = self.active.pop(task)
+                offer.cause = repr(error)
+                return offer, AttemptResult.BROKEN
+            # A run that raised stays active: its request may have been at a target.
+            result = task.result()
+            return self.active.pop(task), result
 
     def claim(self, attempt: "Attempt") -> None:
         """Let one run go on with the response, and end the others."""
