Give no connection to a pool of an address that has gone

Requests to a target that had started again at another address went to the old one: the connection of a probe made a new pool of the address that it had reached.

Change: a probe's connection goes to the present pool of that address, or is closed; for probes of crashes too, which did the same. Found in review.

--- a/packages/daemon/src/mimosaspur_daemon/direct/crashdetector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/crashdetector.py
@@ -116,7 +116,7 @@
                 probe.answered.set()
                 await asyncio.sleep(PROBE_INTERVAL_S)
                 if channel.is_reusable():
-                    self.state.pool(view.record).adopt(channel)
+                    self.state.adopt(view.record, channel)
                     for traits in probe.ended:
                         self.on_survival(traits)
                     return
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -38,6 +38,7 @@
 from mimosaspur_state.workspaces import Workspace
 from mimosaspur_transport.channelpool import ChannelPool
 from mimosaspur_transport.dialect import Dialect
+from mimosaspur_transport.httpchannel import HttpChannel
 
 K = TypeVar("K")
 
@@ -101,7 +102,7 @@
             adaptive_queue=self.uses(Mechanism.QUEUE_RATIO),
         )
         self.pools: dict[str, ChannelPool] = {}
-        self.reachability = ReachabilityProbes(clock=self.clock, pool=self.pool)
+        self.reachability = ReachabilityProbes(clock=self.clock, adopt=self.adopt)
         self.retry_windows: dict[str, RetryWindow] = {}
         # This entry's share of the constant part of the retry budgets.
         self.retry_share = ShareLease(window_ms=settings.retries.window_ms, clock=BoottimeClock())
@@ -197,6 +198,14 @@
             pool = self.pools[record.identity] = ChannelPool(record.address, clock=self.clock)
         return pool
 
+    def adopt(self, record: TargetRecord, channel: HttpChannel) -> None:
+        """Keep a connection in the pool of a target, or close it if the target has gone."""
+        pool = self.pools.get(record.identity)
+        if pool is not None and pool.address == record.address:
+            pool.adopt(channel)
+        else:
+            channel.close()
+
     def drop_copy(self, record: TargetRecord, handle: str) -> None:
         """Free the unused memory of a stopped run in the background."""
         task = asyncio.get_running_loop().create_task(self.engines.drop_copy(record, handle))
--- a/packages/daemon/src/mimosaspur_daemon/direct/reachabilityprobes.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/reachabilityprobes.py
@@ -6,7 +6,6 @@
 
 from mimosaspur_state.clock import Clock
 from mimosaspur_state.fleet import TargetRecord
-from mimosaspur_transport.channelpool import ChannelPool
 from mimosaspur_transport.httpchannel import ChannelBroken
 from mimosaspur_transport.httpchannel import HttpChannel
 
@@ -27,11 +26,12 @@
 class ReachabilityProbes:
     """Connect to silent targets: the machine of one that only pauses accepts connections."""
 
-    __slots__ = ("clock", "pool", "probes", "tasks")
+    __slots__ = ("adopt", "clock", "probes", "tasks")
 
-    def __init__(self, *, clock: Clock, pool: Callable[[TargetRecord], ChannelPool]) -> None:
+    def __init__(self, *, clock: Clock, adopt: Callable[[TargetRecord, HttpChannel], None]) -> None:
         self.clock = clock
-        self.pool = pool
+        # Takes over the connection to a target that was reached.
+        self.adopt = adopt
         # By incarnation.
         self.probes: dict[str, Probe] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -62,4 +62,4 @@
             probe.reached = False
             return
         probe.reached = True
-        self.pool(target).adopt(channel)
+        self.adopt(target, channel)
