Judge a target's silence by its usual pauses, and not while a caller doesn't read

Sound services that take half a second were run twice, 14 times in 40 requests, which uses up the budget that failures need; and one caller that doesn't read kept all others from its engine.

Cause: 0.3 s counted as silence whatever a target's usual pauses are; for a plain service it began a backup, though its objective was far; and time in which the entry itself didn't read counted too.

Change: silent is what has paused for three times its usual pause, and 0.3 s at least. Streams that wait for their caller don't count. The early backup is for streams that have not begun; a whole answer gets its own after its objective.

--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -21,8 +21,12 @@
 
 # Bounds of an engine's estimated slowness relative to the others.
 SLOWNESS_BOUNDS = (0.2, 8.0)
-# A target that answers none of the requests that it is at for longer is silent.
+# A target is silent that has paused for this long, and for some times its usual pauses.
 SILENT_MS = 300
+SILENT_PAUSES = 3
+# Weight of the newest pause in the average, and the longest one that it takes.
+PAUSE_WEIGHT = 0.3
+MAX_PAUSE_MS = 1_000
 # Prompt parts tracked per target as probably cached.
 MAX_PROMPT_PARTS = 2_000
 
@@ -58,10 +62,11 @@
     slowness: float = 1.0
     # Least recently used first; the key is (model, adapter, part identity).
     prompt_parts: OrderedDict[tuple[str, str, str], int] = field(default_factory=OrderedDict)
-    # This entry's streams that the target is writing, and when it last sent anything, or got a
-    # request while it had none.
-    streams: int = 0
+    # This entry's streams that wait for the target's next event, when it last sent anything, or got
+    # a request while it had none, and the average pause between.
+    awaited_streams: int = 0
     heard_ms: int = 0
+    pause_ms: float = 0.0
 
     def can_run(self, prompt: Prompt) -> bool:
         """Return whether the target holds the prompt's model and adapter."""
@@ -87,12 +92,16 @@
     def is_silent(self) -> bool:
         """Return whether the target has paused in all that it writes for this entry."""
         # An engine that only reads prompts may be at work.
-        awaited = self.own_work.requests if self.record.residents is None else self.streams
-        return bool(awaited) and self.health.clock.now_ms() - self.heard_ms > SILENT_MS
+        awaited = self.own_work.requests if self.record.residents is None else self.awaited_streams
+        paused_ms = self.health.clock.now_ms() - self.heard_ms
+        return bool(awaited) and paused_ms > max(SILENT_MS, SILENT_PAUSES * self.pause_ms)
 
     def on_heard(self) -> None:
         """Record that the target sent a response or an event."""
-        self.heard_ms = self.health.clock.now_ms()
+        now_ms = self.health.clock.now_ms()
+        paused_ms = min(MAX_PAUSE_MS, now_ms - self.heard_ms)
+        self.pause_ms += PAUSE_WEIGHT * (paused_ms - self.pause_ms)
+        self.heard_ms = now_ms
 
     def request_count(self) -> int:
         """Return the running and queued requests of all entries at the target."""
@@ -116,7 +125,7 @@
         """Count a prompt that is sent; return its prefill work."""
         unread = self.prefill_tokens(prompt)
         if not self.own_work.requests:
-            self.on_heard()
+            self.heard_ms = self.health.clock.now_ms()
         self.own_work.requests += 1
         self.own_work.prefill_tokens[rank] = self.own_work.prefill_tokens.get(rank, 0) + unread
         self.own_work.held_tokens += prompt.prompt_tokens + prompt.output_tokens
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -147,7 +147,7 @@
     def end(self) -> None:
         """Remove the request from the target's work."""
         if self.first_token:
-            self.view.streams -= 1
+            self.view.awaited_streams -= 1
         else:
             self.view.on_prefill_end(unread=self.unread, rank=self.rank)
         self.view.on_end(self.handler.prompt)
@@ -249,7 +249,11 @@
     def _check_silence(self) -> None:
         """Ask for a backup if the response, or all that its target writes, has paused for long."""
         silent_ms = self.silent_ms()
-        waits_for_silent = not self.first_token and self.view.is_silent()
+        waits_for_silent = (
+            self.handler.route.kind is RouteKind.STREAM
+            and not self.first_token
+            and self.view.is_silent()
+        )
         if (
             silent_ms >= self._silence_timeout_ms()
             or waits_for_silent
@@ -341,7 +345,7 @@
                     self._record_event()
                     await self._start_response(head)
                     handler.continuation.on_event(self.version)
-                    await handler.caller.send_chunk(events)
+                    await self._send(events)
         except EventMissing as error:
             raise ChannelBroken(str(error)) from error
         if await self._was_moved():
@@ -350,6 +354,15 @@
             return AttemptResult.MOVED
         return await self._end_stream(head)
 
+    async def _send(self, events: bytes) -> None:
+        """Pass events on; a target isn't silent while a caller doesn't take what it wrote."""
+        self.view.awaited_streams -= 1
+        try:
+            await self.handler.caller.send_chunk(events)
+        finally:
+            self.view.awaited_streams += 1
+            self.view.heard_ms = self.view.health.clock.now_ms()
+
     async def _end_stream(self, head: ResponseHead) -> AttemptResult:
         """End the caller's response if the target's is known, or may be taken, to be complete."""
         handler = self.handler
@@ -420,7 +433,7 @@
         if self.first_token:
             return
         self.first_token = self.was_served = True
-        self.view.streams += 1
+        self.view.awaited_streams += 1
         now_s = self.first_token_s = asyncio.get_running_loop().time()
         self.handler.first_ms = round((now_s - self.handler.request.arrived_s) * 1000)
         took_ms = (now_s - self.sent_s) * 1000
