--- a/packages/daemon/src/mimosaspur_daemon/direct/parallelruns.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/parallelruns.py
@@ -14,6 +14,8 @@
 
 # Limit on the backups of one request.
 MAX_BACKUPS = 2
+# Time until a backup is sought again after none could be begun.
+RETRY_S = 0.25
 # Why the run at a target was ended.
 ANSWERED_ELSEWHERE = "another run of the request answered first"
 
@@ -26,7 +28,7 @@
     taken its place.
     """
 
-    __slots__ = ("active", "backups", "dropped", "ended", "handler", "silent")
+    __slots__ = ("active", "backups", "dropped", "ended", "handler", "logged", "next_try_s")
 
     def __init__(self, handler: "RequestHandler") -> None:
         self.handler = handler
@@ -39,7 +41,9 @@
         # Number of backups so far.
         self.backups = 0
         # The attempt whose silence was logged last.
-        self.silent: Attempt | None = None
+        self.logged: Attempt | None = None
+        # When a backup is sought again, on the event loop's clock.
+        self.next_try_s = 0.0
 
     @property
     def leading(self) -> "Attempt | None":
@@ -81,8 +85,10 @@
 
     def on_silence(self, attempt: "Attempt") -> None:
         """Start a backup of a run whose target is silent, if it may have one."""
-        if len(self.active) > 1:
+        now_s = asyncio.get_running_loop().time()
+        if len(self.active) > 1 or now_s < self.next_try_s:
             return
+        self.next_try_s = now_s + RETRY_S
         reason = self._backup_obstacle(attempt)
         view = None if reason else self.handler.target_selector.backup_target(attempt.view)
         if view and not self._may_back_up_at(view.record.version, attempt):
@@ -91,9 +97,9 @@
             reason = reason or "no target"
         elif not self.handler.retries.spend(1, what="backup"):
             view, reason = None, "retry budget"
-        if view or self.silent is not attempt:
+        if view or self.logged is not attempt:
             log_silence(attempt, backup=view, reason=reason)
-        self.silent = attempt
+        self.logged = attempt
         if view:
             self.backups += 1
             self.start(Offer(self.handler, view, number=self.handler.next_offer(), is_backup=True))
