Count backups as retries for permits, and each run that ended itself as such

A backup asked for a permit with the rank of a first attempt; a run that had ended but wasn't taken yet was counted as left; a backup that lost to a second one was no failure of its target; and the log named the rank of the newest choice.

--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
@@ -45,7 +45,7 @@
         started=handler.started,
         last_event=handler.cutter.last_id,
         waited_ms=handler.waited_ms,
-        rank=handler.target_selector.rank,
+        rank=attempt.rank if attempt else handler.target_selector.rank,
         predicted_ms=round(attempt.predicted_ms) if attempt else 0,
         first_ms=handler.first_ms,
         written_ms=attempt.written_ms() if attempt else 0,
--- a/packages/daemon/src/mimosaspur_daemon/direct/parallelruns.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/parallelruns.py
@@ -79,7 +79,7 @@
         """Let one run go on with the response, and end the others."""
         if len(self.active) > 1:
             for task, offer in list(self.active.items()):
-                if offer.attempt is not attempt:
+                if offer.attempt is not attempt and not task.done():
                     self._drop(task, offer)
         self.handler.cutter = attempt.events
 
@@ -130,11 +130,12 @@
         return version == attempt.version or not self.handler.continuation.resumable
 
     def _drop(self, task: "asyncio.Task[AttemptResult]", offer: Offer) -> None:
+        was_first = offer is next(iter(self.active.values()))
         del self.active[task]
         sent = offer.in_flight
         offer.cause = ANSWERED_ELSEWHERE
         log_attempt(offer, AttemptResult.LEFT)
-        if not offer.is_backup:
+        if was_first:
             offer.view.health.record_failure()
         self.dropped.add(task)
         task.cancel()
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -140,6 +140,7 @@
     def backup_target(self, silent: TargetView) -> TargetView | None:
         """Return a target beside a silent one that is expected to answer in time, None without."""
         self.silent = silent
+        self.retried = True
         try:
             view = self.target_now(resumed=self.has_events)
         except RequestFailed:
