--- a/features/harness/silence_doubts.py
+++ b/features/harness/silence_backups.py
@@ -97,7 +97,7 @@
             await asyncio.sleep(EVENT_S / 5)
 
 
-class DoubtPlay(SilencePlay):
+class BackupPlay(SilencePlay):
     """Send requests to targets none of which is told to fall silent."""
 
     def __init__(self, kind: str, targets: list[SilentTarget], *, count: int, gap_s: float) -> None:
--- a/features/steps/direct_silence_doubts_steps.py
+++ b/features/steps/direct_silence_backups_steps.py
@@ -6,14 +6,14 @@
 from behave.runner import Context
 
 from harness.loop import run
-from harness.silence_doubts import EVENT_COUNT
-from harness.silence_doubts import STALLED
-from harness.silence_doubts import STREAM_INTERVAL_S
-from harness.silence_doubts import DoubtPlay
-from harness.silence_doubts import EndingTarget
-from harness.silence_doubts import LargeTarget
-from harness.silence_doubts import SlowTarget
-from harness.silence_doubts import pool_after_restart
+from harness.silence_backups import EVENT_COUNT
+from harness.silence_backups import STALLED
+from harness.silence_backups import STREAM_INTERVAL_S
+from harness.silence_backups import BackupPlay
+from harness.silence_backups import EndingTarget
+from harness.silence_backups import LargeTarget
+from harness.silence_backups import SlowTarget
+from harness.silence_backups import pool_after_restart
 from harness.silent_target import all_events
 
 
@@ -21,7 +21,7 @@
 def set_ending(context: Context) -> None:
     EndingTarget.runs = 0
     targets = [EndingTarget(f"i-{number}") for number in range(3)]
-    context.play = DoubtPlay("a resumable stream", list(targets), count=1, gap_s=0.0)
+    context.play = BackupPlay("a resumable stream", list(targets), count=1, gap_s=0.0)
 
 
 @when("the second target sends the rest without a mark, is silent, and closes beside a backup")
@@ -40,7 +40,7 @@
 @when("{count:d} idempotent requests come {gap:g} s apart to {n:d} targets that take 0.5 s")
 def play_slow(context: Context, count: int, gap: float, n: int) -> None:
     targets = [SlowTarget(f"i-{number}", is_engine=False) for number in range(n)]
-    context.play = DoubtPlay("an idempotent request", list(targets), count=count, gap_s=gap)
+    context.play = BackupPlay("an idempotent request", list(targets), count=count, gap_s=gap)
     context.play.run()
 
 
@@ -55,7 +55,7 @@
 @when("a caller doesn't read its stream, and {count:d} other streams come to {n:d} engines")
 def play_stalled(context: Context, count: int, n: int) -> None:
     targets = [LargeTarget(f"i-{number}", event_count=EVENT_COUNT) for number in range(n)]
-    play = DoubtPlay("a resumable stream", list(targets), count=count, gap_s=STREAM_INTERVAL_S)
+    play = BackupPlay("a resumable stream", list(targets), count=count, gap_s=STREAM_INTERVAL_S)
     play.stalls = True
     context.play = play
     play.run()
