--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed
 MEASURE_STAMP := $(VENV)/.installed-measure
 # Feature files run at once; the scenarios' bounds are seconds of the wall clock, so fewer than cores.
-JOBS ?= 5
+JOBS ?= 6
 ARGS ?=
 
 PACKAGES := $(patsubst %/pyproject.toml,%,$(wildcard packages/*/pyproject.toml platform/pyproject.toml standins/pyproject.toml))
