--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -160,7 +160,7 @@
         return round((asyncio.get_running_loop().time() - self.first_token_s) * 1000)
 
     def silent_ms(self) -> int:
-        """Return for how long the target has sent nothing of the response that is complete."""
+        """Return the time since the last complete event, or since the request was sent."""
         since_s = self.last_event_s or self.sent_s
         return round((asyncio.get_running_loop().time() - since_s) * 1000)
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -138,7 +138,10 @@
         return bool(self.spec and self.spec.engine and self.prompt.model)
 
     def backup_target(self, silent: TargetView) -> TargetView | None:
-        """Return a target beside a silent one that is expected to answer in time, None without."""
+        """Choose a target beside a silent one that is expected to answer in time, None without.
+
+        As with each choice, the request's rank at the target is kept for the attempt.
+        """
         self.silent = silent
         self.retried = True
         try:
