--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -23,6 +23,7 @@
 from mimosaspur_protocol.peermessages import LeaseReadReply
 from mimosaspur_protocol.peermessages import LeaseReadRequest
 from mimosaspur_protocol.peermessages import StepDown
+from mimosaspur_state.domaintraffic import TrafficPurpose
 from mimosaspur_state.policy import Mechanism
 from mimosaspur_state.routes import EngineSpec
 from mimosaspur_transport.peerlink import PeerLink
@@ -136,6 +137,7 @@
                     self.state.outstanding_loads.complete = True
                     self.changed.set()
                 self.apply_report(message, member)
+                self._count_traffic(link, message.failure_domain)
                 self.configuration_exchange.on_version(message.configuration_version, link)
         except PeerLost:
             pass
@@ -173,6 +175,12 @@
         if member.waiting or member.waiting_adapters or news:
             self.changed.set()
 
+    def _count_traffic(self, link: PeerLink, failure_domain: str) -> None:
+        sent, received = link.take_byte_counts()
+        traffic = self.state.traffic
+        traffic.add_sent(TrafficPurpose.COORDINATOR_REPORTS, failure_domain, sent)
+        traffic.add_received(TrafficPurpose.ENTRY_REPORTS, failure_domain, received)
+
     def apply_local_report(self, report: EntryReport) -> None:
         """Apply the report of this instance's own entry."""
         self.apply_report(report, self.members.local_member(report.instance))
--- a/packages/daemon/src/mimosaspur_daemon/direct/election.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/election.py
@@ -22,6 +22,7 @@
 from mimosaspur_protocol.peermessages import ReportAck
 from mimosaspur_protocol.peermessages import StepDown
 from mimosaspur_state.clock import BoottimeClock
+from mimosaspur_state.domaintraffic import TrafficPurpose
 from mimosaspur_state.errors import StoreUnavailable
 from mimosaspur_state.errors import VersionConflict
 from mimosaspur_transport.peerlink import PeerLink
@@ -255,6 +256,7 @@
                     self.backoff.record_success()
                     self.predecessor_last_order_ms = None
                     apply_report(self.state, message)
+                    self._count_traffic(link, message.failure_domain)
                     self.state.outstanding_loads.complete = True
                     self.configuration_exchange.on_version(message.configuration_version, link)
                     if not message.can_issue_orders:
@@ -269,6 +271,12 @@
             # elected before that data is stale.
             self.state.on_coordinator_lost()
 
+    def _count_traffic(self, link: PeerLink, failure_domain: str) -> None:
+        sent, received = link.take_byte_counts()
+        traffic = self.state.traffic
+        traffic.add_sent(TrafficPurpose.ENTRY_REPORTS, failure_domain, sent)
+        traffic.add_received(TrafficPurpose.COORDINATOR_REPORTS, failure_domain, received)
+
     def _apply_answer(self, message: PeerMessage) -> None:
         """Apply what answers this entry's own reports."""
         if isinstance(message, ReportAck):
--- a/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
@@ -72,4 +72,5 @@
         sorted(suspects.sent),
         list(suspects.waiting),
         state.quarantine.turns.received_number,
+        state.settings.failure_domain,
     )
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -30,6 +30,7 @@
 from mimosaspur_state.clock import BoottimeClock
 from mimosaspur_state.clock import Clock
 from mimosaspur_state.directsettings import DirectSettings
+from mimosaspur_state.domaintraffic import DomainTraffic
 from mimosaspur_state.eventlog import EventLog
 from mimosaspur_state.fleet import TargetRecord
 from mimosaspur_state.policy import Mechanism
@@ -81,6 +82,7 @@
         self.dependencies = dependencies
         self.clock = dependencies.clock
         self.log = dependencies.log
+        self.traffic = DomainTraffic(settings.failure_domain, self.log.counters)
         self.configuration: Configuration | None = None
         self.changes = ChangeNotifier()
         # Set to send the coordinator a report before the next periodic one.
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -331,6 +331,7 @@
             evidence_age_ms=self.missing.covered_ms(reporting=len(self.members)),
             limits=limits,
             permit_queues=self.permits.queues,
+            failure_domain=self.state.settings.failure_domain,
         )
 
     def _crashes_for_new_members(self) -> list[CrashReport]:
--- a/packages/daemon/src/mimosaspur_daemon/direct/offer.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/offer.py
@@ -6,6 +6,7 @@
 from mimosaspur_daemon.direct.attempt import Attempt
 from mimosaspur_daemon.direct.attempt import AttemptResult
 from mimosaspur_daemon.direct.evacuation import MovedRun
+from mimosaspur_state.domaintraffic import TrafficPurpose
 from mimosaspur_transport.channelpool import NON_REPEATABLE_MAX_IDLE_MS
 from mimosaspur_transport.httpchannel import ChannelBroken
 from mimosaspur_transport.httpchannel import ConnectionEnd
@@ -94,6 +95,10 @@
             self.in_flight = False
         finally:
             attempt.end()
+            sent, received = channel.take_byte_counts()
+            domain = self.view.record.failure_domain
+            state.traffic.add_sent(TrafficPurpose.REQUESTS, domain, sent)
+            state.traffic.add_received(TrafficPurpose.ANSWERS, domain, received)
             # A connection with an unread response must not be reused, and closing it makes the
             # target stop the run.
             pool = self.pool
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -144,6 +144,8 @@
     suspects_waiting: list[tuple[bytes, ...]] = msgspec.field(default_factory=list)
     # The number of the last message with turns that arrived on this link.
     turns_number: int = 0
+    # Where the entry is; empty if unknown.
+    failure_domain: str = ""
 
 
 class EngineResidents(msgspec.Struct, array_like=True, frozen=True):
@@ -247,6 +249,8 @@
     leaving_targets: list[str] = msgspec.field(default_factory=list)
     # Whether the coordinator gives turns for suspected requests: earlier versions don't.
     gives_turns: bool = False
+    # Where the coordinator is; empty if unknown.
+    failure_domain: str = ""
 
 
 class IssuedPermits(msgspec.Struct, array_like=True, tag="permits"):
--- a/packages/transport/src/mimosaspur_transport/httpchannel.py
+++ b/packages/transport/src/mimosaspur_transport/httpchannel.py
@@ -85,7 +85,9 @@
         "idle_since_ms",
         "keep_alive_ms",
         "reader",
+        "received_bytes",
         "request",
+        "sent_bytes",
         "waits_for_room",
         "writer",
     )
@@ -102,6 +104,9 @@
         # The peer's keep-alive timeout, 0 if it sent none.
         self.keep_alive_ms = 0
         self.waits_for_room = False
+        # Since the last call of take_byte_counts.
+        self.sent_bytes = 0
+        self.received_bytes = 0
 
     @classmethod
     async def open(
@@ -130,6 +135,7 @@
         self.request = h11.Request(method=method, target=target, headers=headers + framing)
         data = self._encode_request(self.request, body)
         self._set_waits_for_room(len(data) > LONG_REQUEST_BYTES)
+        self.sent_bytes += len(data)
         self.writer.write(data)
         try:
             await self._drain()
@@ -149,6 +155,12 @@
             if not isinstance(event, h11.InformationalResponse):
                 raise ChannelBroken("the connection ended before a response")
 
+    def take_byte_counts(self) -> tuple[int, int]:
+        """Return the bytes sent and received since the last call."""
+        counts = self.sent_bytes, self.received_bytes
+        self.sent_bytes = self.received_bytes = 0
+        return counts
+
     def marks_end(self) -> bool:
         """Return whether the framing of the response marks its end.
 
@@ -269,6 +281,7 @@
         except OSError:
             self.connection_end = ConnectionEnd.RESET
             raise
+        self.received_bytes += len(data)
         if not data:
             self.connection_end = ConnectionEnd.CLOSED
         return data
--- a/packages/transport/src/mimosaspur_transport/peerlink.py
+++ b/packages/transport/src/mimosaspur_transport/peerlink.py
@@ -22,11 +22,14 @@
 class PeerLink:
     """Exchange messages with a peer; unusable after the first error."""
 
-    __slots__ = ("reader", "writer")
+    __slots__ = ("reader", "received_bytes", "sent_bytes", "writer")
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader = reader
         self.writer = writer
+        # Since the last call of take_byte_counts.
+        self.sent_bytes = 0
+        self.received_bytes = 0
         set_dead_peer_timeouts(writer.get_extra_info("socket"))
 
     @classmethod
@@ -48,6 +51,7 @@
         transport = self.writer.transport
         if transport.is_closing() or transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             raise PeerLost("the peer disconnected or is not reading")
+        self.sent_bytes += len(frames)
         self.writer.write(frames)
 
     async def finish_sending(self) -> None:
@@ -66,10 +70,17 @@
                 length = int.from_bytes(await self.reader.readexactly(LENGTH_BYTES), "big")
                 if length > MAX_MESSAGE_BYTES:
                     raise PeerLost("a message exceeds the size limit")
+                self.received_bytes += LENGTH_BYTES + length
                 return decode_peer(await self.reader.readexactly(length))
         except (OSError, EOFError, TimeoutError, PeerProtocolError) as error:
             raise PeerLost(repr(error)) from error
 
+    def take_byte_counts(self) -> tuple[int, int]:
+        """Return the bytes sent and received since the last call."""
+        counts = self.sent_bytes, self.received_bytes
+        self.sent_bytes = self.received_bytes = 0
+        return counts
+
     def close(self) -> None:
         """Reset the connection."""
         self.writer.transport.abort()
