--- a/packages/coordination/src/mimosaspur_coordination/targetchoice.py
+++ b/packages/coordination/src/mimosaspur_coordination/targetchoice.py
@@ -4,10 +4,11 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 
-from mimosaspur_coordination.domainpreference import MIN_CROSSING_COST_MS
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
 
+# Higher than the added latency, because traffic between failure domains is charged.
+CROSS_DOMAIN_PENALTY_MS = 15.0
 # Added in proportion to the share of failed requests.
 FAILURE_PENALTY_MS = 1_500.0
 # When more targets than this look unhealthy, the cause is probably shared and health is ignored.
@@ -28,13 +29,7 @@
 
 
 def choose_engine(
-    views: Sequence[TargetView],
-    prompt: Prompt,
-    *,
-    rank: int,
-    domain: str,
-    kv_tokens: int,
-    crossing_ms: float = MIN_CROSSING_COST_MS,
+    views: Sequence[TargetView], prompt: Prompt, *, rank: int, domain: str, kv_tokens: int
 ) -> TargetView | None:
     """Return the engine with the lowest predicted time to first token."""
 
@@ -46,8 +41,7 @@
             if kv_tokens and needed > MAX_KV_CACHE_SHARE * kv_tokens
             else 0.0
         )
-        common_cost = _common_cost(view, domain, crossing_ms)
-        return view.first_token_ms(prompt, rank=rank) + memory_penalty + common_cost
+        return view.first_token_ms(prompt, rank=rank) + memory_penalty + _common_cost(view, domain)
 
     return _cheapest(preferred_targets(views), cost)
 
@@ -61,21 +55,19 @@
     return min(preferred_targets(views), key=key, default=None)
 
 
-def choose_plain_target(
-    views: Sequence[TargetView], *, domain: str, crossing_ms: float = MIN_CROSSING_COST_MS
-) -> TargetView | None:
+def choose_plain_target(views: Sequence[TargetView], *, domain: str) -> TargetView | None:
     """Return the plain target with the fewest requests per slot."""
 
     def cost(view: TargetView) -> float:
         busy = view.own_work.requests + view.others_work.requests
         slots = max(1, view.record.slots)
-        return busy * PLAIN_SERVICE_TIME_MS / slots + _common_cost(view, domain, crossing_ms)
+        return busy * PLAIN_SERVICE_TIME_MS / slots + _common_cost(view, domain)
 
     return _cheapest(preferred_targets(views), cost)
 
 
-def _common_cost(view: TargetView, domain: str, crossing_ms: float) -> float:
-    domain_penalty = crossing_ms if view.record.failure_domain != domain else 0.0
+def _common_cost(view: TargetView, domain: str) -> float:
+    domain_penalty = CROSS_DOMAIN_PENALTY_MS if view.record.failure_domain != domain else 0.0
     return domain_penalty + view.health.failure_share() * FAILURE_PENALTY_MS
 
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -6,8 +6,6 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 
-from mimosaspur_coordination.domainpreference import MIN_CROSSING_COST_MS
-from mimosaspur_coordination.domainpreference import crossing_cost_ms
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.targetchoice import choose_emptiest
@@ -289,7 +287,6 @@
                     rank=rank,
                     domain=self.state.settings.failure_domain,
                     kv_tokens=engine.kv_cache_tokens if engine else 0,
-                    crossing_ms=self._crossing_cost_ms(),
                 )
             )
             if view is None:
@@ -315,18 +312,7 @@
         available = self.permits.preferred(available) or available
         if self.isolated:
             return choose_emptiest(available)
-        return choose_plain_target(
-            available,
-            domain=self.state.settings.failure_domain,
-            crossing_ms=self._crossing_cost_ms(),
-        )
-
-    def _crossing_cost_ms(self) -> float:
-        if not self.state.uses(Mechanism.DOMAIN_PREFERENCE):
-            return MIN_CROSSING_COST_MS
-        return crossing_cost_ms(
-            objective_ms=self.route.objective_ms, link_mbps=self.state.settings.link_mbps
-        )
+        return choose_plain_target(available, domain=self.state.settings.failure_domain)
 
     def _late_rank(self) -> int:
         return LATE_RANK if self.state.uses(Mechanism.DEMOTE_LATE) else self._rank()
--- a/packages/state/src/mimosaspur_state/policy.py
+++ b/packages/state/src/mimosaspur_state/policy.py
@@ -33,8 +33,6 @@
     UNLOAD_WAIT_ESTIMATE = "unload-waits"
     # Move streams off engines that are about to be terminated.
     EVACUATION = "evacuation"
-    # Prefer the own failure domain as long as the objective allows it, at entries with thin links.
-    DOMAIN_PREFERENCE = "domain-preference"
 
 
 @dataclass(slots=True, frozen=True)
