Weigh the pauses of streams in the choice of an engine

Long streams at engines of 0.7 of the usual speed are late because of a pause of over 400 ms: nothing in the choice looked at pauses. The choice now adds a cost for a predicted pause over the route's limit, among the engines whose first event is expected well within the objective. The prediction is corrected by measured pauses for each engine lifetime. Mechanism stream-pauses switches it off.

--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -14,6 +14,8 @@
 from mimosaspur_coordination.modelpace import ModelPace
 from mimosaspur_coordination.prefillspeed import PrefillSpeed
 from mimosaspur_coordination.prefillspeed import prefill_ms
+from mimosaspur_coordination.streampauses import EnginePauses
+from mimosaspur_coordination.streampauses import PauseCorrection
 from mimosaspur_coordination.targethealth import TargetHealth
 from mimosaspur_state.clock import Clock
 from mimosaspur_state.fleet import OutstandingWork
@@ -67,6 +69,18 @@
     awaited_streams: int = 0
     heard_ms: int = 0
     pause_ms: float = 0.0
+    # How long streams pause here, for the choice of an engine.
+    pauses: EnginePauses = field(default_factory=EnginePauses)
+
+    @property
+    def prefill_factor(self) -> float:
+        """Return the time to read prompts relative to the engines of the service."""
+        return self.slowness
+
+    @property
+    def decode_factor(self) -> float:
+        """Return the time to write tokens relative to the engines of the service."""
+        return self.slowness
 
     def can_run(self, prompt: Prompt) -> bool:
         """Return whether the target holds the prompt's model and adapter."""
@@ -177,6 +191,7 @@
         "coordinator_targets",
         "leaving",
         "paces",
+        "pauses",
         "revision",
         "speeds",
         "targets",
@@ -198,6 +213,8 @@
         self.targets: dict[str, TargetView] = {}
         self.by_service: dict[str, dict[str, TargetView]] = {}
         self.speeds: dict[str, PrefillSpeed] = {}
+        # How much longer streams pause than predicted, by service.
+        self.pauses: dict[str, PauseCorrection] = {}
         # Targets whose residents come from the coordinator.
         self.coordinator_targets: set[str] = set()
         # The store's revision that this view reflects.
@@ -229,6 +246,8 @@
             if view is None:
                 speed = self.prefill_speed(record.service)
                 view = TargetView(record, TargetHealth(clock=self.clock), self.paces, speed)
+                common = self.pauses.setdefault(record.service, PauseCorrection())
+                view.pauses = EnginePauses(common)
                 self.targets[record.identity] = view
                 self.by_service.setdefault(record.service, {})[record.identity] = view
             view.record = record
--- a/packages/coordination/src/mimosaspur_coordination/targetchoice.py
+++ b/packages/coordination/src/mimosaspur_coordination/targetchoice.py
@@ -6,6 +6,9 @@
 
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.streampauses import IN_TIME_SHARE
+from mimosaspur_coordination.streampauses import pause_penalty_ms
+from mimosaspur_coordination.streampauses import pauses_too_long
 
 # Higher than the added latency, because traffic between failure domains is charged.
 CROSS_DOMAIN_PENALTY_MS = 15.0
@@ -29,9 +32,20 @@
 
 
 def choose_engine(
-    views: Sequence[TargetView], prompt: Prompt, *, rank: int, domain: str, kv_tokens: int
+    views: Sequence[TargetView],
+    prompt: Prompt,
+    *,
+    rank: int,
+    domain: str,
+    kv_tokens: int,
+    gap_objective_ms: float = 0.0,
+    spare_ms: float = 0.0,
 ) -> TargetView | None:
-    """Return the engine with the lowest predicted time to first token."""
+    """Return the engine with the lowest predicted time to first token.
+
+    If streams have paused for longer than the limit, those pauses are weighed too, among the
+    engines whose first event is expected well within the time left to the objective.
+    """
 
     def cost(view: TargetView) -> float:
         held = view.own_work.held_tokens + view.others_work.held_tokens
@@ -43,7 +57,20 @@
         )
         return view.first_token_ms(prompt, rank=rank) + memory_penalty + _common_cost(view, domain)
 
-    return _cheapest(preferred_targets(views), cost)
+    preferred = preferred_targets(views)
+    if any(pauses_too_long(view, gap_objective_ms) for view in preferred):
+        costs = {view.record.identity: cost(view) for view in preferred}
+        limit_ms = IN_TIME_SHARE * spare_ms
+        in_time = [view for view in preferred if costs[view.record.identity] <= limit_ms]
+
+        def cost_with_pauses(view: TargetView) -> float:
+            return costs[view.record.identity] + pause_penalty_ms(
+                view, prompt, gap_objective_ms=gap_objective_ms, spare_ms=spare_ms
+            )
+
+        if in_time:
+            return _cheapest(in_time, cost_with_pauses)
+    return _cheapest(preferred, cost)
 
 
 def choose_emptiest(views: Sequence[TargetView]) -> TargetView | None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -11,6 +11,7 @@
 from mimosaspur_coordination.fleetports import StopUnconfirmed
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.quarantine.crashledger import Stage
+from mimosaspur_coordination.streampauses import StreamPauses
 from mimosaspur_daemon.direct.entrystate import LATE_RANK
 from mimosaspur_daemon.direct.evacuation import MovedRun
 from mimosaspur_daemon.direct.targetheaders import target_headers
@@ -99,6 +100,7 @@
         "limit_version",
         "may_be_stopped",
         "offer",
+        "pauses",
         "pending_move",
         "predicted_ms",
         "rank",
@@ -128,6 +130,7 @@
         self.may_be_stopped = False
         self.rank = handler.target_selector.rank
         self.predicted_ms = view.first_token_ms(handler.prompt, rank=self.rank)
+        self.pauses = StreamPauses(view, handler.prompt)
         self.unread = view.on_sent(handler.prompt, rank=self.rank)
         self.sent_s = asyncio.get_running_loop().time()
         handler.waited_ms = round((self.sent_s - handler.request.arrived_s) * 1000)
@@ -148,6 +151,7 @@
         """Remove the request from the target's work."""
         if self.first_token:
             self.view.awaited_streams -= 1
+            self.pauses.on_end()
         else:
             self.view.on_prefill_end(unread=self.unread, rank=self.rank)
         self.view.on_end(self.handler.prompt)
@@ -362,6 +366,7 @@
         finally:
             self.view.awaited_streams += 1
             self.view.heard_ms = self.view.health.clock.now_ms()
+            self.pauses.on_taken(asyncio.get_running_loop().time() * 1000)
 
     async def _end_stream(self, head: ResponseHead) -> AttemptResult:
         """End the caller's response if the target's is known, or may be taken, to be complete."""
@@ -451,6 +456,7 @@
     def _record_event(self) -> None:
         """Record that events were received, and the pause before them as the caller sees it."""
         now_s = self.last_event_s = asyncio.get_running_loop().time()
+        self.pauses.on_event(now_s * 1000)
         handler = self.handler
         if handler.last_event_s:
             paused_ms = round((now_s - handler.last_event_s) * 1000)
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
@@ -18,6 +18,8 @@
     if handler.first_ms:
         log.counters.observe("first_event_ms", handler.first_ms)
     log.counters.observe("waited_ms", handler.waited_ms)
+    if handler.longest_pause_ms:
+        log.counters.observe("longest_pause_ms", handler.longest_pause_ms)
     log.write(
         "answered" if result.value == "done" else "attempt",
         request=handler.request_id(),
@@ -50,6 +52,7 @@
         first_ms=handler.first_ms,
         written_ms=attempt.written_ms() if attempt else 0,
         objective_ms=handler.route.objective_ms,
+        predicted_pause_ms=round(attempt.pauses.predicted_ms) if attempt else 0,
         longest_pause_ms=handler.longest_pause_ms,
         lasted_ms=round((asyncio.get_running_loop().time() - handler.request.arrived_s) * 1000),
         at_target=view.request_count(),
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -287,6 +287,8 @@
                     rank=rank,
                     domain=self.state.settings.failure_domain,
                     kv_tokens=engine.kv_cache_tokens if engine else 0,
+                    gap_objective_ms=self._gap_objective_ms(),
+                    spare_ms=(self.on_time_deadline_s - _now_s()) * 1000,
                 )
             )
             if view is None:
@@ -301,6 +303,11 @@
                 return None
         raise self.refusal(ResultCode.DEADLINE_UNREACHABLE, wanted_s=over_s + DEFAULT_RETRY_S)
 
+    def _gap_objective_ms(self) -> int:
+        """Return the longest pause to choose an engine for, 0 if pauses aren't weighed."""
+        weighed = self.state.uses(Mechanism.STREAM_PAUSES) and not self.resumed
+        return self.route.gap_objective_ms if weighed else 0
+
     def _holders(self) -> list[TargetView]:
         """Return the engines that could run the request."""
         # If a model's only engine is unreachable, the model is soon loaded on another one.
--- a/packages/state/src/mimosaspur_state/policy.py
+++ b/packages/state/src/mimosaspur_state/policy.py
@@ -33,6 +33,8 @@
     UNLOAD_WAIT_ESTIMATE = "unload-waits"
     # Move streams off engines that are about to be terminated.
     EVACUATION = "evacuation"
+    # Choose engines at which streams keep their pauses within the route's limit.
+    STREAM_PAUSES = "stream-pauses"
 
 
 @dataclass(slots=True, frozen=True)
