--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -14,6 +14,8 @@
 from mimosaspur_coordination.modelpace import ModelPace
 from mimosaspur_coordination.prefillspeed import PrefillSpeed
 from mimosaspur_coordination.prefillspeed import prefill_ms
+from mimosaspur_coordination.streampauses import EnginePauses
+from mimosaspur_coordination.streampauses import PauseCorrection
 from mimosaspur_coordination.targethealth import TargetHealth
 from mimosaspur_state.clock import Clock
 from mimosaspur_state.fleet import OutstandingWork
@@ -59,7 +61,12 @@
     residents: Mapping[str, frozenset[str]] = field(default_factory=dict)
     # Models that are about to be unloaded; they take no new requests.
     unloading: frozenset[str] = frozenset()
+    # This entry's own estimate, used while the speeds of engines aren't shared.
     slowness: float = 1.0
+    # Time to read prompts and to write tokens, relative to the engines of the service; above 1 is
+    # slower, 1 if unknown.
+    prefill_factor: float = 1.0
+    decode_factor: float = 1.0
     # Least recently used first; the key is (model, adapter, part identity).
     prompt_parts: OrderedDict[tuple[str, str, str], int] = field(default_factory=OrderedDict)
     # This entry's streams that wait for the target's next event, when it last sent anything, or got
@@ -67,6 +74,8 @@
     awaited_streams: int = 0
     heard_ms: int = 0
     pause_ms: float = 0.0
+    # How long streams pause here, for the choice of an engine.
+    pauses: EnginePauses = field(default_factory=EnginePauses)
 
     def can_run(self, prompt: Prompt) -> bool:
         """Return whether the target holds the prompt's model and adapter."""
@@ -119,7 +128,8 @@
             # Less urgent requests are processed later.
             queued += sum(n for other, n in work.prefill_tokens.items() if other <= rank)
         own_ms = prefill_ms(self.prefill_tokens(prompt))
-        return self.speed.base_ms.value + (own_ms + self.speed.queue_ms(queued)) * self.slowness
+        read_ms = (own_ms + self.speed.queue_ms(queued)) * self.slowness * self.prefill_factor
+        return self.speed.base_ms.value + read_ms
 
     def on_sent(self, prompt: Prompt, *, rank: int) -> float:
         """Count a prompt that is sent; return its prefill work."""
@@ -177,6 +187,7 @@
         "coordinator_targets",
         "leaving",
         "paces",
+        "pauses",
         "revision",
         "speeds",
         "targets",
@@ -198,6 +209,8 @@
         self.targets: dict[str, TargetView] = {}
         self.by_service: dict[str, dict[str, TargetView]] = {}
         self.speeds: dict[str, PrefillSpeed] = {}
+        # How much longer streams pause than predicted, by service.
+        self.pauses: dict[str, PauseCorrection] = {}
         # Targets whose residents come from the coordinator.
         self.coordinator_targets: set[str] = set()
         # The store's revision that this view reflects.
@@ -229,6 +242,8 @@
             if view is None:
                 speed = self.prefill_speed(record.service)
                 view = TargetView(record, TargetHealth(clock=self.clock), self.paces, speed)
+                common = self.pauses.setdefault(record.service, PauseCorrection())
+                view.pauses = EnginePauses(common)
                 self.targets[record.identity] = view
                 self.by_service.setdefault(record.service, {})[record.identity] = view
             view.record = record
--- a/packages/coordination/src/mimosaspur_coordination/targetchoice.py
+++ b/packages/coordination/src/mimosaspur_coordination/targetchoice.py
@@ -1,11 +1,15 @@
 """Choose the target for a request."""
 
+import math
 import random
 from collections.abc import Callable
 from collections.abc import Sequence
 
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.streampauses import IN_TIME_SHARE
+from mimosaspur_coordination.streampauses import pause_penalty_ms
+from mimosaspur_coordination.streampauses import pauses_too_long
 
 # Higher than the added latency, because traffic between failure domains is charged.
 CROSS_DOMAIN_PENALTY_MS = 15.0
@@ -29,9 +33,20 @@
 
 
 def choose_engine(
-    views: Sequence[TargetView], prompt: Prompt, *, rank: int, domain: str, kv_tokens: int
+    views: Sequence[TargetView],
+    prompt: Prompt,
+    *,
+    rank: int,
+    domain: str,
+    kv_tokens: int,
+    gap_objective_ms: float = 0.0,
+    spare_ms: float = 0.0,
 ) -> TargetView | None:
-    """Return the engine with the lowest predicted time to first token."""
+    """Return the engine with the lowest predicted time to first token.
+
+    If streams have paused for longer than the limit, those pauses are weighed too, among the
+    engines whose first event is expected well within the time left to the objective.
+    """
 
     def cost(view: TargetView) -> float:
         held = view.own_work.held_tokens + view.others_work.held_tokens
@@ -43,7 +58,20 @@
         )
         return view.first_token_ms(prompt, rank=rank) + memory_penalty + _common_cost(view, domain)
 
-    return _cheapest(preferred_targets(views), cost)
+    preferred = preferred_targets(views)
+    if gap_objective_ms and preferred and pauses_too_long(preferred[0]):
+
+        def penalty(view: TargetView) -> float:
+            return pause_penalty_ms(
+                view, prompt, gap_objective_ms=gap_objective_ms, spare_ms=spare_ms
+            )
+
+        in_time = _cheapest_with_penalty(
+            preferred, cost, penalty, limit_ms=IN_TIME_SHARE * spare_ms
+        )
+        if in_time is not None:
+            return in_time
+    return _cheapest(preferred, cost)
 
 
 def choose_emptiest(views: Sequence[TargetView]) -> TargetView | None:
@@ -78,3 +106,23 @@
         return None
     # Jitter, so that entries with the same data do not all choose the same target.
     return min(views, key=lambda view: cost(view) + random.random() * 4.0)
+
+
+def _cheapest_with_penalty(
+    views: Sequence[TargetView],
+    cost: Callable[[TargetView], float],
+    penalty: Callable[[TargetView], float],
+    *,
+    limit_ms: float,
+) -> TargetView | None:
+    """Return the target of the lowest cost and penalty among those whose cost is in the limit."""
+    costs = [(cost(view) + random.random() * 4.0, index) for index, view in enumerate(views)]
+    best, best_ms = None, math.inf
+    # A penalty isn't negative, so targets whose cost alone is higher are not looked at.
+    for cost_ms, index in sorted(costs):
+        if cost_ms > limit_ms or cost_ms >= best_ms:
+            break
+        total_ms = cost_ms + penalty(views[index])
+        if total_ms < best_ms:
+            best, best_ms = views[index], total_ms
+    return best
