Forecast when models that no engine holds would be ready

Change: the coordinator assigns these models to engines in virtual time, in the order and at the costs of the placement decisions, within the weight store's rate and the limit on long loads, and sends changed values to all entries (FleetReport.load_forecast). Entries keep them in EntryState.load_forecast and drop them with the coordinator. The mechanism model-urgency switches it off.

--- a/packages/coordination/src/mimosaspur_coordination/engineheadroom.py
+++ b/packages/coordination/src/mimosaspur_coordination/engineheadroom.py
@@ -120,21 +120,35 @@
 class FleetHeadroom:
     """Hold the headroom of all usable engines, in ascending order of their minimum loss."""
 
-    __slots__ = ("engines", "eviction_losses", "problem")
+    __slots__ = ("engines", "eviction_losses", "problem", "spec_sizes")
 
     def __init__(self, problem: PlacementProblem) -> None:
         self.problem = problem
         models = problem.spec.models.values()
         smallest_model_mb = min((model.weights_mb for model in models), default=0.0)
-        spec_sizes = SpecSizes(adapters_mb(problem.spec), smallest_model_mb)
+        self.spec_sizes = SpecSizes(adapters_mb(problem.spec), smallest_model_mb)
         headrooms = [
-            EngineHeadroom(problem, engine, index=index, spec_sizes=spec_sizes)
+            EngineHeadroom(problem, engine, index=index, spec_sizes=self.spec_sizes)
             for index, engine in enumerate(problem.engines)
             if engine.usable
         ]
         self.engines = sorted(headrooms, key=lambda headroom: headroom.min_loss)
         self.eviction_losses: dict[tuple[str, float], float] = {}
 
+    def refresh(self, engine: EngineSnapshot) -> None:
+        """Compute the headroom of an engine again, whose state has changed."""
+        self.engines = [
+            (
+                EngineHeadroom(
+                    self.problem, engine, index=headroom.index, spec_sizes=self.spec_sizes
+                )
+                if headroom.engine is engine
+                else headroom
+            )
+            for headroom in self.engines
+        ]
+        self.engines.sort(key=lambda headroom: headroom.min_loss)
+
     def blocking_loss(self, headroom: EngineHeadroom, model: ModelSpec, seconds: float) -> float:
         """Return the loss while a long load blocks the engine from reloading other models."""
         if seconds * 1000 < LONG_LOAD_MS:
--- a/packages/coordination/src/mimosaspur_coordination/modeldemand.py
+++ b/packages/coordination/src/mimosaspur_coordination/modeldemand.py
@@ -9,6 +9,9 @@
 FAST_DECAY_MS = 1_500
 # Time constant for estimating whether a model will be requested again.
 SLOW_DECAY_MS = 15_000
+# Slowly decayed demand of about one request within SLOW_DECAY_MS; below, the model counts as not
+# requested.
+MIN_RECENT_TOKENS_PER_S = 50.0
 # Growth of the known objective per count, so that an old strict one is gradually replaced.
 OBJECTIVE_GROWTH_RATIO = 1.05
 
@@ -29,6 +32,10 @@
     # Strictest recent objective for the time to the first event, 0 if unknown.
     objective_ms: float = 0.0
 
+    def requested(self) -> bool:
+        """Return whether requests wait for the model or were made recently."""
+        return bool(self.waiting) or self.slow_tokens >= MIN_RECENT_TOKENS_PER_S
+
     def update_waiting(self, requests: int, now_ms: int) -> None:
         """Set the number of waiting requests."""
         if not requests:
--- a/packages/coordination/src/mimosaspur_coordination/modelplacement.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelplacement.py
@@ -9,8 +9,10 @@
 
 from mimosaspur_coordination.engineheadroom import EngineHeadroom
 from mimosaspur_coordination.engineheadroom import FleetHeadroom
+from mimosaspur_coordination.modeldemand import Demand
 from mimosaspur_coordination.placementcost import expected_unload_ms
 from mimosaspur_coordination.placementproblem import CROWDED_REPLICA_TOKENS_PER_S
+from mimosaspur_coordination.placementproblem import EngineSnapshot
 from mimosaspur_coordination.placementproblem import PlacementProblem
 from mimosaspur_coordination.placementproblem import Swap
 from mimosaspur_coordination.weightcopies import load_source
@@ -44,6 +46,11 @@
 COPY_COST_PER_S = 1.0
 
 
+def waiting_score(demand: Demand) -> float:
+    """Return by how much a model's waiting requests need it: more, the longer they wait."""
+    return demand.waiting * (1.0 + demand.waiting_ms / 1000)
+
+
 def next_swap(problem: PlacementProblem) -> Swap | None:
     """Return the most useful load that an engine can begin now."""
     return PlacementSearch(problem).next_swap()
@@ -108,20 +115,34 @@
                 overflow = demand.fast_tokens - replicas * REPLICA_CAPACITY_TOKENS_PER_S
                 needs.append((overflow / TOKENS_PER_REQUEST * OVERFLOW_WINDOW_S, name))
             elif demand.waiting:
-                needs.append((demand.waiting * (1.0 + demand.waiting_ms / 1000), name))
+                needs.append((waiting_score(demand), name))
         for requests, name in sorted(needs, reverse=True):
             if requests <= 0:
                 return None
             if problem.replicas.get(name):
                 swap = self._extra_replica(name)
             else:
-                waiting = problem.demand_of(name).waiting
-                terms = _CostTerms(FIRST_REPLICA_COST_PER_S + waiting * WAITING_REQUEST_COST_PER_S)
-                swap = self._best_swap(problem.spec.models[name], terms, reserve=True)
+                swap = self._best_swap(
+                    problem.spec.models[name], self._first_replica_terms(name), reserve=True
+                )
             if swap:
                 return swap
         return None
 
+    def first_replica(self, name: str) -> Swap | None:
+        """Return the load of a model without a replica, also on an engine that is busy."""
+        best = self._best_candidate(self.problem.spec.models[name], self._first_replica_terms(name))
+        return best.swap if best else None
+
+    def refresh(self, engine: EngineSnapshot) -> None:
+        """Update what is cached about an engine whose state has changed."""
+        if self.cached_headroom is not None:
+            self.cached_headroom.refresh(engine)
+
+    def _first_replica_terms(self, name: str) -> "_CostTerms":
+        waiting = self.problem.demand_of(name).waiting
+        return _CostTerms(FIRST_REPLICA_COST_PER_S + waiting * WAITING_REQUEST_COST_PER_S)
+
     def _for_crowded_models(self) -> Swap | None:
         """Return the load that adds a replica of the model with the most demand per replica."""
         problem = self.problem
@@ -168,6 +189,18 @@
         self, model: ModelSpec, terms: "_CostTerms", *, reserve: bool = False
     ) -> Swap | None:
         """Return the cheapest load of a model, None if there is none or its engine is busy."""
+        best = self._best_candidate(model, terms)
+        if best is None:
+            return None
+        if not best.headroom.engine.free_in_ms:
+            return best.swap
+        if reserve:
+            # Keeps models with less need from taking the engine first.
+            self.problem.reserved_engines.add(best.headroom.engine.identity)
+        return None
+
+    def _best_candidate(self, model: ModelSpec, terms: "_CostTerms") -> "_Candidate | None":
+        """Return the cheapest load of a model, also on an engine that is busy."""
         best: _Candidate | None = None
         limit = terms.max_cost
         min_load_s = min(model.memory_load_s, model.disk_load_s, model.load_s)
@@ -178,14 +211,7 @@
             candidate = self._candidate(headroom, model, terms, limit=limit)
             if candidate and not (best and candidate.loses_tie_to(best)):
                 best, limit = candidate, candidate.cost
-        if best is None:
-            return None
-        if not best.headroom.engine.free_in_ms:
-            return best.swap
-        if reserve:
-            # Keeps models with less need from taking the engine first.
-            self.problem.reserved_engines.add(best.headroom.engine.identity)
-        return None
+        return best
 
     def _candidate(
         self, headroom: EngineHeadroom, model: ModelSpec, terms: "_CostTerms", *, limit: float
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -4,6 +4,7 @@
 
 from mimosaspur_coordination.adapterdemand import AdapterDemand
 from mimosaspur_coordination.limits.sharelease import SharerCount
+from mimosaspur_coordination.loadforecast import forecast_loads
 from mimosaspur_coordination.modeldemand import ModelDemand
 from mimosaspur_coordination.modelplacement import PlacementSearch
 from mimosaspur_coordination.orderlease import OrderLease
@@ -38,6 +39,8 @@
 ENTRY_TIMEOUT_MS = 1_500
 # Up to this many concurrent loads from the weight store take the time that the configuration names.
 MAX_FULL_SPEED_LOADS = 3
+# Longest time between forecasts of loads; a model that is requested anew starts one at once.
+FORECAST_INTERVAL_MS = 250
 # Below this demand no request for a model is likely to be in flight.
 MIN_REQUESTED_TOKENS_PER_S = 50.0
 # By then a new coordinator has received the entries' demand.
@@ -70,6 +73,9 @@
         bounds = state.settings.orders
         self.load_rate = WeightLoadLimiter(bounds.load_window_ms, clock=self.clock)
         self.load_rate.record(ASSUMED_RECENT_LOADS)
+        # When loads were last forecast, and the models that requests then waited for.
+        self.forecast_ms = 0
+        self.forecast_models: frozenset[str] = frozenset()
         self.tasks: set[asyncio.Task[None]] = set()
         self.changed = asyncio.Event()
         self.engines = EngineRegistry(state, lease, on_change=self.changed.set)
@@ -215,11 +221,28 @@
         self.engines.update()
         self._request_due_reports()
         if not self.lease.may_order() or not self._knows_earlier_loads():
+            self.members.forecast = {}
             return
         self.engines.running = self.members.running()
         self.demand.update_waiting(self.members.waiting())
         for service, spec in self.engines.services():
             self._place(service, spec)
+        self._forecast_loads()
+
+    def _forecast_loads(self) -> None:
+        """Forecast when models that no engine holds would be loaded, if a new forecast is due."""
+        waiting = self.demand.waiting_models
+        age_ms = self.clock.now_ms() - self.forecast_ms
+        recent = 0 <= age_ms < FORECAST_INTERVAL_MS
+        if not self.state.uses(Mechanism.MODEL_URGENCY):
+            return
+        if recent and waiting == self.forecast_models:
+            return
+        self.forecast_ms, self.forecast_models = self.clock.now_ms(), waiting
+        forecast: dict[str, int] = {}
+        for service, spec in self.engines.services():
+            forecast |= forecast_loads(self._problem(service, spec))
+        self.members.forecast = forecast
 
     def _knows_earlier_loads(self) -> bool:
         """Return whether what earlier coordinators ordered is known, or nobody may know it."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -125,6 +125,9 @@
         self.unreachable: set[str] = set()
         # Time until models that are being loaded are ready, as the coordinator last reported.
         self.model_ready_in_ms: dict[str, int] = {}
+        # Time until models that no engine holds or loads would be ready, as the coordinator last
+        # forecast it; -1 if they will not be loaded. Models without a forecast aren't in it.
+        self.load_forecast: dict[str, int] = {}
         self.reported_work = ReportedWork()
         self.quarantine = Quarantine(self)
         self.outstanding_loads = OutstandingLoads(clock=self.clock)
@@ -255,6 +258,7 @@
 
     def on_coordinator_lost(self) -> None:
         """Fall back to what this entry has observed itself."""
+        self.load_forecast = {}
         self.reported_work.reset()
         self.quotas.on_coordinator_lost()
         self.quarantine.on_coordinator_lost()
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
@@ -87,6 +87,7 @@
     all_loads: list[LoadUpdate]
     all_leaving: list[str]
     all_entries: list[EntryAddress]
+    full_forecast: dict[str, int]
     frames: dict[tuple[bool, int], bytes] = field(default_factory=dict)
 
     def report(self, sent: SentState) -> FleetReport:
@@ -96,12 +97,14 @@
             work, residents, quotas = fleet.changed_work, fleet.changed_residents, self.base.quotas
             crashes, limits, loads = self.base.crashes, self.base.limits, self.base.loads
             entries, leaving = self.base.entries_joined, self.base.leaving_targets
+            forecast = self.base.load_forecast
         else:
             work = [each for each in fleet.work.values() if each.requests]
             residents = list(fleet.residents.values())
             quotas = self.all_quotas
             crashes, limits, loads = self.all_crashes, self.all_limits, self.all_loads
             entries, leaving = self.all_entries, self.all_leaving
+            forecast = self.full_forecast
         store = self.store_changes.changes_since(sent.store_number) if self.store_changes else None
         return msgspec.structs.replace(
             self.base,
@@ -115,6 +118,7 @@
             leaving_targets=leaving,
             entries_joined=entries,
             entries_complete=not sent.fleet_sent,
+            load_forecast=forecast,
         )
 
     def frame(self, sent: SentState) -> bytes:
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from mimosaspur_coordination.loadforecast import apply_changes
 from mimosaspur_coordination.modelpace import Pace
 from mimosaspur_coordination.quota.spending import Remaining
 from mimosaspur_daemon.direct.enginecontroller import EngineController
@@ -101,5 +102,6 @@
     for message in report.paces:
         state.fleet.paces.apply_shared(message.model, Pace(message.factor, message.measurements))
     state.model_ready_in_ms = report.model_ready_in_ms
-    if report.work or report.residents or report.model_ready_in_ms:
+    state.load_forecast = apply_changes(state.load_forecast, report.load_forecast)
+    if report.work or report.residents or report.model_ready_in_ms or report.load_forecast:
         state.changes.notify()
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -10,6 +10,7 @@
 
 from mimosaspur_coordination.coordinatorcapacity import update_pause_s
 from mimosaspur_coordination.limits.sharelease import SharerCount
+from mimosaspur_coordination.loadforecast import SharedForecast
 from mimosaspur_coordination.modelpace import Pace
 from mimosaspur_coordination.modelpace import SharedPaces
 from mimosaspur_coordination.orderlease import OrderLease
@@ -82,6 +83,9 @@
         self.paces_sent_ms = 0
         self.store_changes = StoreChanges(state)
         self.fleet_changes = FleetChanges()
+        # The time until models would be loaded, as last computed and as sent.
+        self.forecast: dict[str, int] = {}
+        self.shared_forecast = SharedForecast()
         self.quotas = QuotaAccounting(state)
         self.missing = MissingEntries(
             expected=state.staying_entries,
@@ -242,6 +246,9 @@
         leaving = self.state.notices.leaving.take_unreported()
         queues_changed = self.permits.update_queues()
         joined, left = self._take_entry_changes()
+        forecast = self.shared_forecast.update(self.forecast)
+        if forecast:
+            self.state.log.write("load_forecast", changes=forecast)
         base = replace(
             self._base_report(lease, paces, quotas, crashes, limits),
             loads=loads,
@@ -249,6 +256,7 @@
             entries_joined=joined,
             entries_left=left,
             gives_turns=True,
+            load_forecast=forecast,
         )
         reports = ReportBuilder(
             base,
@@ -260,6 +268,7 @@
             load_messages(self.state.outstanding_loads.all()),
             sorted(self.state.notices.leaving.noted_ms),
             list(self.sent_addresses.values()),
+            self.shared_forecast.sent,
         )
         heartbeat_due = now_ms - self.last_sent_ms >= HEARTBEAT_INTERVAL_MS
         news = (
@@ -273,6 +282,7 @@
             or queues_changed
             or joined
             or left
+            or forecast
         )
         if news or heartbeat_due:
             self.last_sent_ms = now_ms
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -247,6 +247,10 @@
     leaving_targets: list[str] = msgspec.field(default_factory=list)
     # Whether the coordinator gives turns for suspected requests: earlier versions don't.
     gives_turns: bool = False
+    # Time until each model that is requested and that no engine holds or loads would be ready; -1
+    # if it will not be loaded. Changes since the last report, 0 for a model that left the forecast;
+    # all in the first one on a link.
+    load_forecast: dict[str, int] = msgspec.field(default_factory=dict)
 
 
 class IssuedPermits(msgspec.Struct, array_like=True, tag="permits"):
--- a/packages/state/src/mimosaspur_state/policy.py
+++ b/packages/state/src/mimosaspur_state/policy.py
@@ -33,6 +33,8 @@
     UNLOAD_WAIT_ESTIMATE = "unload-waits"
     # Move streams off engines that are about to be terminated.
     EVACUATION = "evacuation"
+    # Weigh how long callers can wait, and forecast when models will be loaded.
+    MODEL_URGENCY = "model-urgency"
 
 
 @dataclass(slots=True, frozen=True)
