Place models by how long their callers can wait, and by engine speed

Cause: which models are loaded is decided by tokens and waiting counts alone.

Change: where a service's routes or workspaces differ in urgency or priority, a model whose callers' objective is shorter than its load is urgent. Urgent demand goes first and unloads models without urgent demand before others. Patient demand never unloads a model with urgent demand, unless it has a replica to spare; it is loaded in the order of deadlines, on the fewest engines at once that keep them, up to a third, with half of the weight store's rate. Entries report urgent waiting requests, the priority, and refused requests, which count for a third of their time limit. Extra replicas and capacity take engines' prefill factors into account. The mechanism model-urgency switches all of it off.

--- a/packages/coordination/src/mimosaspur_coordination/engineheadroom.py
+++ b/packages/coordination/src/mimosaspur_coordination/engineheadroom.py
@@ -8,11 +8,12 @@
 import math
 from dataclasses import dataclass
 
+from mimosaspur_coordination.placementcost import EvictionRule
 from mimosaspur_coordination.placementcost import adapters_mb
 from mimosaspur_coordination.placementcost import blocking_loss_per_s
 from mimosaspur_coordination.placementcost import copy_eviction_loss
 from mimosaspur_coordination.placementcost import engine_demand
-from mimosaspur_coordination.placementcost import unload_loss
+from mimosaspur_coordination.placementcost import ruled_unload_loss
 from mimosaspur_coordination.placementproblem import LONG_LOAD_MS
 from mimosaspur_coordination.placementproblem import EngineSnapshot
 from mimosaspur_coordination.placementproblem import PlacementProblem
@@ -51,6 +52,7 @@
         *,
         index: int,
         spec_sizes: "SpecSizes",
+        rule: EvictionRule = EvictionRule.BY_LOSS,
     ) -> None:
         spec = problem.spec
         self.engine = engine
@@ -63,7 +65,7 @@
         self.free_mb = spec.weights_mb - sum(sizes.values()) - spec_sizes.adapters_mb - reserved_mb
         by_loss = sorted(
             (
-                EvictionCandidate(name, unload_loss(problem, engine, name), sizes[name])
+                EvictionCandidate(name, ruled_unload_loss(problem, engine, name, rule), sizes[name])
                 for name in engine.residents
                 # A late order may load it again, so that to unload it frees no room.
                 if name not in engine.reserved_models
@@ -120,19 +122,23 @@
 class FleetHeadroom:
     """Hold the headroom of all usable engines, in ascending order of their minimum loss."""
 
-    __slots__ = ("engines", "eviction_losses", "problem", "spec_sizes")
+    __slots__ = ("engines", "eviction_losses", "max_speed", "problem", "rule", "spec_sizes")
 
-    def __init__(self, problem: PlacementProblem) -> None:
+    def __init__(
+        self, problem: PlacementProblem, rule: EvictionRule = EvictionRule.BY_LOSS
+    ) -> None:
         self.problem = problem
+        self.rule = rule
         models = problem.spec.models.values()
         smallest_model_mb = min((model.weights_mb for model in models), default=0.0)
         self.spec_sizes = SpecSizes(adapters_mb(problem.spec), smallest_model_mb)
         headrooms = [
-            EngineHeadroom(problem, engine, index=index, spec_sizes=self.spec_sizes)
+            EngineHeadroom(problem, engine, index=index, spec_sizes=self.spec_sizes, rule=rule)
             for index, engine in enumerate(problem.engines)
             if engine.usable
         ]
         self.engines = sorted(headrooms, key=lambda headroom: headroom.min_loss)
+        self.max_speed = max((each.engine.speed for each in headrooms), default=1.0)
         self.eviction_losses: dict[tuple[str, float], float] = {}
 
     def refresh(self, engine: EngineSnapshot) -> None:
@@ -140,7 +146,11 @@
         self.engines = [
             (
                 EngineHeadroom(
-                    self.problem, engine, index=headroom.index, spec_sizes=self.spec_sizes
+                    self.problem,
+                    engine,
+                    index=headroom.index,
+                    spec_sizes=self.spec_sizes,
+                    rule=self.rule,
                 )
                 if headroom.engine is engine
                 else headroom
--- a/packages/coordination/src/mimosaspur_coordination/loadforecast.py
+++ b/packages/coordination/src/mimosaspur_coordination/loadforecast.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 
 from mimosaspur_coordination.modelplacement import PlacementSearch
-from mimosaspur_coordination.modelplacement import waiting_score
+from mimosaspur_coordination.modelplacement import first_replica_need
 from mimosaspur_coordination.placementproblem import LONG_LOAD_MS
 from mimosaspur_coordination.placementproblem import MAX_LONG_LOADS_SHARE
 from mimosaspur_coordination.placementproblem import EngineSnapshot
@@ -65,16 +65,22 @@
         for model in engine.residents
     }
     wanted = [
-        (waiting_score(demand), demand.slow_tokens, name)
+        (first_replica_need(problem, name), demand.slow_tokens, name)
         for name, demand in problem.demand.items()
         if name in problem.spec.models
         and not problem.replicas.get(name)
         and name not in held
         and demand.requested()
+        and _known(problem, name)
     ]
     return [name for *_, name in sorted(wanted, reverse=True)]
 
 
+def _known(problem: PlacementProblem, name: str) -> bool:
+    """Return whether it is known which models may be unloaded for a model."""
+    return problem.held_demand_known or not problem.by_urgency or problem.is_urgent(name)
+
+
 class _Simulation:
     """Assign loads to engines one after another, in virtual time."""
 
@@ -89,11 +95,13 @@
             problem,
             engines=list(self.engines.values()),
             store_load_allowed=True,
+            patient_store_load_allowed=True,
             replicas={},
+            speeds={},
             copies={},
             reserved_engines=set(),
         )
-        self.problem.long_loads = 0
+        self.problem.long_loads = self.problem.patient_long_loads = 0
         self.search = PlacementSearch(self.problem)
         rate = problem.spec.loads_per_s * USED_RATE_SHARE
         self.store_interval_ms = round(1000 / rate) if rate else 0
@@ -104,6 +112,14 @@
         busy = sorted(each.free_in_ms for each in problem.engines if each.free_in_ms)
         busy = [each_ms for each_ms in busy if each_ms >= LONG_LOAD_MS / 2][-count:]
         self.lanes_ms = [0] * (count - len(busy)) + busy
+        # The same for loads for patient demand.
+        count = problem.max_patient_loads() if problem.by_urgency else 0
+        busy = sorted(
+            each.free_in_ms
+            for each in problem.engines
+            if each.loading and not problem.is_urgent(each.loading)
+        )[-count:]
+        self.patient_lanes_ms = [0] * (count - len(busy)) + busy
 
     def _start_state(self, problem: PlacementProblem, engine: EngineSnapshot) -> EngineSnapshot:
         """Return a copy of an engine that holds the model that it is loading."""
@@ -111,13 +127,24 @@
         for name in engine.recent:
             self.settled_ms[engine.identity, name] = RESIDENCE_MS
         if engine.loading:
-            residents[engine.loading] = max(1, problem.demand_of(engine.loading).waiting)
+            residents[engine.loading] = max(1, problem.demand_of(engine.loading).unmet)
             self.settled_ms[engine.identity, engine.loading] = engine.free_in_ms + RESIDENCE_MS
-        return replace(engine, residents=residents, loading="", recent=frozenset())
+        recent = engine.recent.union(filter(None, (engine.loading,)))
+        return replace(engine, residents=residents, loading="", recent=recent)
+
+    def _settle(self) -> bool:
+        """Let recently loaded models be unloaded, and return whether there are any."""
+        settled = [engine for engine in self.engines.values() if engine.recent]
+        for engine in settled:
+            engine.recent = frozenset()
+            self.search.refresh(engine)
+        return bool(settled)
 
     def load(self, name: str) -> int:
         """Load a model where it costs least; return when it is ready."""
         swap = self.search.first_replica(name)
+        if swap is None and self._settle():
+            swap = self.search.first_replica(name)
         if swap is None:
             return NEVER_MS
         engine = self.engines[swap.identity]
@@ -125,26 +152,37 @@
         start_ms = max(engine.free_in_ms, *settled, 0)
         if swap.from_store:
             start_ms = max(start_ms, self.store_free_ms)
-        in_lane = swap.load_ms >= LONG_LOAD_MS
-        if in_lane:
-            start_ms = max(start_ms, heapq.heappop(self.lanes_ms))
+        lanes_ms = self._lanes_ms(swap)
+        if lanes_ms:
+            start_ms = max(start_ms, heapq.heappop(lanes_ms))
         if swap.from_store:
             self.store_free_ms = start_ms + self.store_interval_ms
         unload_ms = swap.unload_ms + UNLOAD_MS if swap.victims else 0
         ready_ms = start_ms + unload_ms + swap.load_ms
-        if in_lane:
-            heapq.heappush(self.lanes_ms, ready_ms)
+        if lanes_ms is not None:
+            heapq.heappush(lanes_ms, ready_ms)
         self._apply(engine, swap, ready_ms)
         return max(1, ready_ms)
 
+    def _lanes_ms(self, swap: Swap) -> list[int] | None:
+        """Return when the loads end that limit how many of a load's kind run at once."""
+        if self.problem.by_urgency and not self.problem.is_urgent(swap.model):
+            return self.patient_lanes_ms
+        return self.lanes_ms if swap.load_ms >= LONG_LOAD_MS else None
+
     def _apply(self, engine: EngineSnapshot, swap: Swap, ready_ms: int) -> None:
         for victim in swap.victims:
             del engine.residents[victim]
             self.problem.replicas[victim] = max(0, self.problem.replicas.get(victim, 1) - 1)
+            self.problem.speeds[victim] = max(
+                engine.speed, self.problem.speeds.get(victim, 0.0) - engine.speed
+            )
         # The requests that have waited run there next, so that another model is unloaded first.
-        engine.residents[swap.model] = max(1, self.problem.demand_of(swap.model).waiting)
+        engine.residents[swap.model] = max(1, self.problem.demand_of(swap.model).unmet)
         self.problem.replicas[swap.model] = 1
+        self.problem.speeds[swap.model] = engine.speed
         self.settled_ms[engine.identity, swap.model] = ready_ms + RESIDENCE_MS
+        engine.recent = frozenset((swap.model,))
         engine.free_in_ms = ready_ms
         self.search.refresh(engine)
 
--- a/packages/coordination/src/mimosaspur_coordination/modelplacement.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelplacement.py
@@ -10,6 +10,7 @@
 from mimosaspur_coordination.engineheadroom import EngineHeadroom
 from mimosaspur_coordination.engineheadroom import FleetHeadroom
 from mimosaspur_coordination.modeldemand import Demand
+from mimosaspur_coordination.placementcost import EvictionRule
 from mimosaspur_coordination.placementcost import expected_unload_ms
 from mimosaspur_coordination.placementproblem import CROWDED_REPLICA_TOKENS_PER_S
 from mimosaspur_coordination.placementproblem import EngineSnapshot
@@ -42,13 +43,33 @@
 STORE_LOAD_COST = 2_500.0
 # Maximum cost of a load that only leaves a copy on disk.
 MAX_COPY_COST = 100.0
+# Order of needs: first replicas and excess demand for models with urgent demand, or for all models
+# where demand is equally urgent; first replicas for patient demand; excess patient demand.
+URGENT_NEED = 2
+PATIENT_NEED = 1
+PATIENT_EXCESS_NEED = 0
 # Cost of each second until the copy is there, so that a free engine wins among equal losses.
 COPY_COST_PER_S = 1.0
 
 
 def waiting_score(demand: Demand) -> float:
     """Return by how much a model's waiting requests need it: more, the longer they wait."""
-    return demand.waiting * (1.0 + demand.waiting_ms / 1000)
+    return demand.unmet * (1.0 + demand.waiting_ms / 1000)
+
+
+def first_replica_need(problem: PlacementProblem, name: str) -> tuple[int, float]:
+    """Return the sort key of a model that requests wait for, the greatest for the first load.
+
+    Where requests differ in urgency, models with urgent demand go first, and those with patient
+    demand follow in the order of their deadlines, so that each gets its turn. Among urgent models
+    a lower priority counts for less, but its requests' weight grows while they wait.
+    """
+    demand = problem.demand_of(name)
+    if not problem.by_urgency:
+        return URGENT_NEED, waiting_score(demand)
+    if problem.is_urgent(name):
+        return URGENT_NEED, waiting_score(demand) / (1 + demand.priority)
+    return PATIENT_NEED, demand.waiting_ms - demand.objective_ms
 
 
 def next_swap(problem: PlacementProblem) -> Swap | None:
@@ -64,11 +85,15 @@
 class PlacementSearch:
     """Search for the next load, given one state of the engines and of demand."""
 
-    __slots__ = ("cached_headroom", "problem")
+    __slots__ = ("cached_headroom", "patient_load_allowed", "problem")
 
     def __init__(self, problem: PlacementProblem) -> None:
         self.problem = problem
-        self.cached_headroom: FleetHeadroom | None = None
+        self.cached_headroom: dict[EvictionRule, FleetHeadroom] = {}
+        # Whether another engine may begin a load for patient demand.
+        self.patient_load_allowed = (
+            not problem.by_urgency or problem.patient_loads < problem.max_patient_loads()
+        )
 
     def next_swap(self) -> Swap | None:
         """Return the most useful load that an engine can begin now."""
@@ -95,13 +120,18 @@
                 continue
             swap = self._best_swap(model, COPY_LOAD_TERMS)
             if swap:
-                return replace(swap, for_copy=True)
+                return replace(swap, for_copy=True, urgent=None)
         return None
 
-    def _headroom(self) -> FleetHeadroom:
-        if self.cached_headroom is None:
-            self.cached_headroom = FleetHeadroom(self.problem)
-        return self.cached_headroom
+    def _headroom(self, rule: EvictionRule = EvictionRule.BY_LOSS) -> FleetHeadroom:
+        headroom = self.cached_headroom.get(rule)
+        if headroom is None:
+            headroom = self.cached_headroom[rule] = FleetHeadroom(self.problem, rule)
+        return headroom
+
+    def _may_load(self, name: str) -> bool:
+        """Return whether a load may begin now, as far as the model's urgency counts."""
+        return self.patient_load_allowed or self.problem.is_urgent(name)
 
     def _for_unmet_demand(self) -> Swap | None:
         """Return the load that most requests need: a first replica, or one for excess demand."""
@@ -112,13 +142,14 @@
                 continue
             replicas = problem.replicas.get(name, 0)
             if replicas:
-                overflow = demand.fast_tokens - replicas * REPLICA_CAPACITY_TOKENS_PER_S
-                needs.append((overflow / TOKENS_PER_REQUEST * OVERFLOW_WINDOW_S, name))
-            elif demand.waiting:
-                needs.append((waiting_score(demand), name))
-        for requests, name in sorted(needs, reverse=True):
-            if requests <= 0:
-                return None
+                capacity = problem.speeds[name] * REPLICA_CAPACITY_TOKENS_PER_S
+                if demand.fast_tokens > capacity:
+                    needs.append((self._excess_need(name, demand.fast_tokens - capacity), name))
+            elif demand.unmet:
+                needs.append((first_replica_need(problem, name), name))
+        for _, name in sorted(needs, reverse=True):
+            if not self._may_load(name):
+                continue
             if problem.replicas.get(name):
                 swap = self._extra_replica(name)
             else:
@@ -129,6 +160,15 @@
                 return swap
         return None
 
+    def _excess_need(self, name: str, excess_tokens: float) -> tuple[int, float]:
+        """Return the sort key of a model whose demand exceeds its replicas' capacity."""
+        requests = excess_tokens / TOKENS_PER_REQUEST * OVERFLOW_WINDOW_S
+        if not self.problem.by_urgency:
+            return URGENT_NEED, requests
+        if not self.problem.is_urgent(name):
+            return PATIENT_EXCESS_NEED, requests
+        return URGENT_NEED, requests / (1 + self.problem.demand_of(name).priority)
+
     def first_replica(self, name: str) -> Swap | None:
         """Return the load of a model without a replica, also on an engine that is busy."""
         best = self._best_candidate(self.problem.spec.models[name], self._first_replica_terms(name))
@@ -136,12 +176,21 @@
 
     def refresh(self, engine: EngineSnapshot) -> None:
         """Update what is cached about an engine whose state has changed."""
-        if self.cached_headroom is not None:
-            self.cached_headroom.refresh(engine)
+        for headroom in self.cached_headroom.values():
+            headroom.refresh(engine)
 
     def _first_replica_terms(self, name: str) -> "_CostTerms":
-        waiting = self.problem.demand_of(name).waiting
-        return _CostTerms(FIRST_REPLICA_COST_PER_S + waiting * WAITING_REQUEST_COST_PER_S)
+        unmet = self.problem.demand_of(name).unmet
+        return _CostTerms(
+            FIRST_REPLICA_COST_PER_S + unmet * WAITING_REQUEST_COST_PER_S,
+            rule=self._rule(name, urgent_rule=EvictionRule.URGENT_LAST),
+        )
+
+    def _rule(self, name: str, *, urgent_rule: EvictionRule) -> EvictionRule:
+        """Return which models may be unloaded for a model."""
+        if not self.problem.by_urgency:
+            return EvictionRule.BY_LOSS
+        return urgent_rule if self.problem.is_urgent(name) else EvictionRule.URGENT_NEVER
 
     def _for_crowded_models(self) -> Swap | None:
         """Return the load that adds a replica of the model with the most demand per replica."""
@@ -150,11 +199,11 @@
         for name, demand in problem.demand.items():
             replicas = problem.replicas.get(name, 0)
             if replicas and name in problem.spec.models:
-                crowded.append((demand.fast_tokens / replicas, name))
-        for share, name in sorted(crowded, reverse=True):
-            if share < CROWDED_REPLICA_TOKENS_PER_S:
-                return None
-            swap = self._extra_replica(name)
+                share = demand.fast_tokens / problem.speeds[name]
+                if share >= CROWDED_REPLICA_TOKENS_PER_S:
+                    crowded.append((self._goes_first(name), share, name))
+        for *_, name in sorted(crowded, reverse=True):
+            swap = self._extra_replica(name) if self._may_load(name) else None
             if swap:
                 return swap
         return None
@@ -162,12 +211,22 @@
     def _extra_replica(self, name: str) -> Swap | None:
         """Return a load that adds a replica, None if its gain doesn't justify the cost."""
         problem = self.problem
-        gain = problem.demand_of(name).fast_tokens / (problem.replicas[name] + 1)
+        rule = self._rule(name, urgent_rule=EvictionRule.BY_LOSS)
+        tokens = problem.demand_of(name).fast_tokens
+        gain = _gain(tokens, problem.speeds[name], self._headroom(rule).max_speed)
         terms = _CostTerms(
-            EXTRA_REPLICA_COST_PER_S, SHARED_ENGINE_WEIGHT, max_cost=gain / HYSTERESIS_RATIO
+            EXTRA_REPLICA_COST_PER_S,
+            SHARED_ENGINE_WEIGHT,
+            max_cost=gain / HYSTERESIS_RATIO,
+            rule=rule,
+            extra_tokens=tokens,
         )
         return self._best_swap(problem.spec.models[name], terms)
 
+    def _goes_first(self, name: str) -> bool:
+        """Return whether a model's demand goes before that for other models."""
+        return self.problem.by_urgency and self.problem.is_urgent(name)
+
     def _for_free_room(self) -> Swap | None:
         """Return a load that fits without a victim, for example after an engine's restart."""
         problem = self.problem
@@ -178,9 +237,14 @@
             replicas = problem.replicas.get(name, 0)
             tokens = demand.fast_tokens / (replicas + 1) if replicas else demand.slow_tokens
             if tokens >= MIN_FREE_ROOM_TOKENS_PER_S and name in problem.spec.models:
-                wanted.append((tokens, name))
-        for _, name in sorted(wanted, reverse=True):
-            swap = self._best_swap(problem.spec.models[name], FREE_ROOM_TERMS)
+                wanted.append((self._goes_first(name), tokens, name))
+        for *_, name in sorted(wanted, reverse=True):
+            if not self._may_load(name):
+                continue
+            terms = FREE_ROOM_TERMS
+            if problem.replicas.get(name):
+                terms = replace(terms, extra_tokens=problem.demand_of(name).fast_tokens)
+            swap = self._best_swap(problem.spec.models[name], terms)
             if swap:
                 return swap
         return None
@@ -204,7 +268,7 @@
         best: _Candidate | None = None
         limit = terms.max_cost
         min_load_s = min(model.memory_load_s, model.disk_load_s, model.load_s)
-        for headroom in self._headroom().engines:
+        for headroom in self._headroom(terms.rule).engines:
             if headroom.min_loss + min_load_s * terms.cost_per_s > limit:
                 # Engines are sorted by min_loss, so no later one can be cheaper.
                 break
@@ -229,6 +293,8 @@
         unload_ms = expected_unload_ms(problem, headroom.engine, victims)
         wait_ms = headroom.engine.free_in_ms + unload_ms
         cost = loss + (seconds + wait_ms / 1000) * terms.cost_per_s
+        if terms.extra_tokens:
+            cost += self._slowness_cost(headroom, model, terms)
         if terms.shared_weight:
             cost += terms.shared_weight * headroom.demand_tokens(problem)
         if from_store and cost <= limit:
@@ -237,9 +303,26 @@
         if cost > limit:
             return None
         load_ms = round(seconds * 1000)
-        swap = Swap(headroom.engine.identity, model.name, victims, from_store, load_ms, unload_ms)
+        swap = Swap(
+            headroom.engine.identity,
+            model.name,
+            victims,
+            from_store,
+            load_ms,
+            unload_ms,
+            urgent=problem.is_urgent(model.name) if problem.by_urgency else None,
+        )
         return _Candidate(cost, headroom, swap)
 
+    def _slowness_cost(
+        self, headroom: EngineHeadroom, model: ModelSpec, terms: "_CostTerms"
+    ) -> float:
+        """Return how much less demand an extra replica serves than on the fastest engine."""
+        speeds = self.problem.speeds.get(model.name, 0.0)
+        max_speed = self._headroom(terms.rule).max_speed
+        at_best = _gain(terms.extra_tokens, speeds, max_speed)
+        return at_best - _gain(terms.extra_tokens, speeds, headroom.engine.speed)
+
 
 @dataclass(slots=True, frozen=True)
 class _CostTerms:
@@ -253,8 +336,11 @@
     max_cost: float = math.inf
     # Cost of a load from the weight store.
     store_cost: float = STORE_LOAD_COST
-    # Whether residents may be unloaded.
+    # Whether residents may be unloaded, and which.
     allow_victims: bool = True
+    rule: EvictionRule = EvictionRule.BY_LOSS
+    # Demand for a model that gets an extra replica, 0 for a first one.
+    extra_tokens: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -270,6 +356,11 @@
         return self.cost == other.cost and self.headroom.index < other.headroom.index
 
 
+def _gain(tokens: float, speeds: float, speed: float) -> float:
+    """Return the share of a model's demand that an extra replica serves, by engines' speeds."""
+    return tokens * speed / (speeds + speed)
+
+
 def _can_load(problem: PlacementProblem, headroom: EngineHeadroom, model: ModelSpec) -> bool:
     engine = headroom.engine
     held = model.name in engine.residents or engine.loading == model.name
--- a/packages/coordination/src/mimosaspur_coordination/placementcost.py
+++ b/packages/coordination/src/mimosaspur_coordination/placementcost.py
@@ -5,9 +5,11 @@
 
 import math
 from collections.abc import Sequence
+from enum import Enum
 
 from mimosaspur_coordination.placementproblem import EngineSnapshot
 from mimosaspur_coordination.placementproblem import PlacementProblem
+from mimosaspur_coordination.urgency import RELOAD_OVERHEAD_MS
 from mimosaspur_coordination.weightcopies import evicted_copies
 from mimosaspur_state.routes import EngineSpec
 from mimosaspur_state.routes import ModelSpec
@@ -18,9 +20,6 @@
 RELOADABLE_REPLICA_WEIGHT = 1.0
 # Minimum loss of a sole replica whose reload misses the objective: requests may arrive at any time.
 MIN_SOLE_REPLICA_LOSS = 1_500.0
-# Time from a request without a replica to the load order, and from the load's end to the first
-# event.
-RELOAD_OVERHEAD_MS = 400.0
 # Loss per running request, which delays the unload.
 RUNNING_REQUEST_LOSS = 1_500.0
 # Cost of each second by which a later load is slower after the last copy is lost.
@@ -31,6 +30,20 @@
 TOKENS_PER_REQUEST = 2_000.0
 # Cost of each second until a model is loaded again.
 RELOAD_COST_PER_S = 4_000.0
+# Loss of a model with urgent demand beside its other loss. It exceeds the losses of models with
+# patient demand and the costs of a slower source and of a wait for a busy engine.
+URGENT_VICTIM_LOSS = 100_000.0
+
+
+class EvictionRule(Enum):
+    """Enumerate the rules on which models may be unloaded for another one."""
+
+    # Any model, by its loss alone.
+    BY_LOSS = "by loss"
+    # Models without urgent demand before those with it.
+    URGENT_LAST = "urgent last"
+    # Only models without urgent demand.
+    URGENT_NEVER = "urgent never"
 
 
 def _reload_ms(load_s: float) -> float:
@@ -70,7 +83,7 @@
         reuse_probability = 1.0 - math.exp(
             -demand.slow_tokens / TOKENS_PER_REQUEST * REUSE_WINDOW_S
         )
-        if demand.waiting:
+        if demand.unmet:
             reuse_probability = 1.0
         loss += reuse_probability / max(1, problem.copies.get(name, 1))
     return loss * RELOAD_COST_PER_S
@@ -96,6 +109,21 @@
     return round(problem.stream_ms * sum(1 / number for number in range(1, runs + 1)))
 
 
+def ruled_unload_loss(
+    problem: PlacementProblem, engine: EngineSnapshot, name: str, rule: EvictionRule
+) -> float:
+    """Return the loss when an engine unloads a model under a rule, infinity if it must not."""
+    loss = unload_loss(problem, engine, name)
+    if rule is EvictionRule.BY_LOSS:
+        return loss
+    spare = problem.has_spare_replica(name)
+    urgent = problem.is_urgent(name) and not spare
+    if rule is EvictionRule.URGENT_LAST:
+        return loss + URGENT_VICTIM_LOSS if urgent else loss
+    # What nobody is known to ask for may only not have been reported yet.
+    return math.inf if urgent or not (problem.held_demand_known or spare) else loss
+
+
 def unload_loss(problem: PlacementProblem, engine: EngineSnapshot, name: str) -> float:
     """Return the loss when an engine unloads a model, infinity if it must not."""
     if name in engine.recent:
@@ -106,7 +134,7 @@
     if problem.idle and len(engine.residents) > 1:
         return loss
     if replicas > 1:
-        return loss + demand.fast_tokens / replicas
+        return loss + demand.fast_tokens * engine.speed / problem.speeds[name]
     model = problem.spec.models.get(name)
     if model is None:
         return loss
--- a/packages/coordination/src/mimosaspur_coordination/placementproblem.py
+++ b/packages/coordination/src/mimosaspur_coordination/placementproblem.py
@@ -1,5 +1,6 @@
 """Define the input and the result of a model placement decision."""
 
+import math
 from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -7,6 +8,8 @@
 from dataclasses import field
 
 from mimosaspur_coordination.modeldemand import Demand
+from mimosaspur_coordination.urgency import RELOAD_OVERHEAD_MS
+from mimosaspur_coordination.urgency import is_urgent
 from mimosaspur_coordination.weightcopies import copy_counts
 from mimosaspur_state.routes import EngineSpec
 
@@ -44,6 +47,13 @@
     on_disk: tuple[str, ...] = ()
     # Models for which memory is reserved, resident or not, since a late order may still load them.
     reserved_models: tuple[str, ...] = ()
+    # Time to read prompts relative to the service's other engines; above 1 is slower.
+    prefill_factor: float = 1.0
+
+    @property
+    def speed(self) -> float:
+        """Return the engine's speed of reading prompts relative to the service's other engines."""
+        return 1.0 / self.prefill_factor if self.prefill_factor > 0 else 1.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -61,6 +71,8 @@
     unload_ms: int = 0
     # Whether the only purpose is to leave a copy on the engine's disk.
     for_copy: bool = False
+    # Whether urgent demand decided it; None where all demand is equally urgent.
+    urgent: bool | None = None
 
 
 @dataclass(slots=True)
@@ -80,13 +92,27 @@
     protect_last_copies: bool = True
     # Models that were already loaded for a copy, even if the engine has dropped it since.
     preloaded: Collection[str] = ()
+    # Whether requests differ in urgency or priority, so that these count.
+    by_urgency: bool = False
+    # Whether the part of the weight store's rate that patient demand may use allows another load.
+    patient_store_load_allowed: bool = True
+    # Whether the demand for models that engines hold is known: a new coordinator knows only the
+    # requests that wait.
+    held_demand_known: bool = True
     replicas: dict[str, int] = field(default_factory=dict)
+    # By model: the sum of its engines' speeds, 1 for a usual engine.
+    speeds: dict[str, float] = field(default_factory=dict)
     # Number of engines on which a model is loaded or has a copy.
     copies: dict[str, int] = field(default_factory=dict)
     # Engines reserved for a model that waits for them.
     reserved_engines: set[str] = field(default_factory=set)
     # Number of engines that are busy with long loads.
     long_loads: int = 0
+    # Number of engines that load models for patient demand, and of those in long loads.
+    patient_loads: int = 0
+    patient_long_loads: int = 0
+    # Whether each model's demand is urgent, as far as it was asked for.
+    urgent_models: dict[str, bool] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         staying = [engine for engine in self.engines if not engine.leaving]
@@ -96,7 +122,16 @@
                 continue
             for model in (*engine.residents, *filter(None, (engine.loading,))):
                 self.replicas[model] = self.replicas.get(model, 0) + 1
+                self.speeds[model] = self.speeds.get(model, 0.0) + engine.speed
         self.long_loads = sum(engine.free_in_ms >= LONG_LOAD_MS / 2 for engine in self.engines)
+        if self.by_urgency:
+            patient = [
+                engine
+                for engine in self.engines
+                if engine.loading and not self.is_urgent(engine.loading)
+            ]
+            self.patient_loads = len(patient)
+            self.patient_long_loads = sum(each.free_in_ms >= LONG_LOAD_MS / 2 for each in patient)
 
     def any_engine_free(self) -> bool:
         """Return whether some engine can begin a load now."""
@@ -106,10 +141,55 @@
         """Return whether the weight store's rate and the limit on long loads allow a load."""
         if from_store and not self.store_load_allowed:
             return False
+        long_loads = self.long_loads
+        if self.by_urgency and self.is_urgent(model):
+            # Loads for patient demand don't delay those for urgent demand.
+            long_loads -= self.patient_long_loads
+        elif self.by_urgency and from_store and not self.patient_store_load_allowed:
+            return False
         short = seconds * 1000 < LONG_LOAD_MS
         if short or self.idle or self.demand_of(model).fast_tokens >= CROWDED_REPLICA_TOKENS_PER_S:
             return True
-        return self.long_loads + 1 <= max(1.0, len(self.engines) * MAX_LONG_LOADS_SHARE)
+        return long_loads + 1 <= max(1.0, len(self.engines) * MAX_LONG_LOADS_SHARE)
+
+    def is_urgent(self, model: str) -> bool:
+        """Return whether a model is requested now by callers that can't wait for its load."""
+        urgent = self.urgent_models.get(model)
+        if urgent is None:
+            urgent = self.urgent_models[model] = self._is_urgent(model)
+        return urgent
+
+    def _is_urgent(self, model: str) -> bool:
+        demand = self.demand_of(model)
+        spec = self.spec.models.get(model)
+        if demand.urgent_waiting:
+            return True
+        return bool(spec and demand.requested() and is_urgent(demand.objective_ms, spec))
+
+    def has_spare_replica(self, model: str) -> bool:
+        """Return whether a model's demand could be met without one of its replicas."""
+        others = self.replicas.get(model, 1) - 1
+        tokens = self.demand_of(model).fast_tokens
+        return others > 0 and tokens <= others * CROWDED_REPLICA_TOKENS_PER_S
+
+    def max_patient_loads(self) -> int:
+        """Return how many engines may load models for patient demand at once.
+
+        It is the least number with which all models that patient requests wait for, loaded in the
+        order of their deadlines, are ready in time, up to the share of long loads.
+        """
+        density = 0.0
+        loading = {engine.loading for engine in self.engines}
+        for name, demand in self.demand.items():
+            spec = self.spec.models.get(name)
+            waits = demand.unmet and not self.replicas.get(name)
+            if spec is None or not (waits or name in loading) or self.is_urgent(name):
+                continue
+            load_ms = spec.load_s * 1000 + RELOAD_OVERHEAD_MS
+            left_ms = demand.objective_ms - demand.waiting_ms
+            density += load_ms / max(load_ms, left_ms)
+        share = math.floor(len(self.engines) * MAX_LONG_LOADS_SHARE)
+        return max(1, min(math.ceil(density), share))
 
     def demand_of(self, model: str) -> Demand:
         """Return a model's demand."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -1,6 +1,7 @@
 """Coordinate the fleet while this instance holds the lease: collect, decide, order, report."""
 
 import asyncio
+from dataclasses import replace
 
 from mimosaspur_coordination.adapterdemand import AdapterDemand
 from mimosaspur_coordination.limits.sharelease import SharerCount
@@ -10,6 +11,8 @@
 from mimosaspur_coordination.orderlease import OrderLease
 from mimosaspur_coordination.placementproblem import PlacementProblem
 from mimosaspur_coordination.placementproblem import Swap
+from mimosaspur_coordination.unmetdemand import RETURN_SHARE
+from mimosaspur_coordination.urgency import urgency_differs
 from mimosaspur_coordination.weightloadlimiter import WeightLoadLimiter
 from mimosaspur_daemon.direct.adapterscheduler import AdapterScheduler
 from mimosaspur_daemon.direct.configurationexchange import ConfigurationExchange
@@ -23,8 +26,10 @@
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import LeaseReadReply
 from mimosaspur_protocol.peermessages import LeaseReadRequest
+from mimosaspur_protocol.peermessages import ModelDemandUpdate
 from mimosaspur_protocol.peermessages import StepDown
 from mimosaspur_state.policy import Mechanism
+from mimosaspur_state.routes import Configuration
 from mimosaspur_state.routes import EngineSpec
 from mimosaspur_transport.peerlink import PeerLink
 from mimosaspur_transport.peerlink import PeerLost
@@ -41,6 +46,9 @@
 MAX_FULL_SPEED_LOADS = 3
 # Longest time between forecasts of loads; a model that is requested anew starts one at once.
 FORECAST_INTERVAL_MS = 250
+# Share of the weight store's rate for loads that patient demand decides, so that a load for urgent
+# demand needs not wait for them.
+PATIENT_STORE_SHARE = 0.5
 # Below this demand no request for a model is likely to be in flight.
 MIN_REQUESTED_TOKENS_PER_S = 50.0
 # By then a new coordinator has received the entries' demand.
@@ -76,6 +84,9 @@
         # When loads were last forecast, and the models that requests then waited for.
         self.forecast_ms = 0
         self.forecast_models: frozenset[str] = frozenset()
+        # The services whose requests differ in urgency, and the configuration that says so.
+        self.uneven_services: frozenset[str] = frozenset()
+        self.urgency_configuration: Configuration | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.changed = asyncio.Event()
         self.engines = EngineRegistry(state, lease, on_change=self.changed.set)
@@ -154,8 +165,7 @@
         """Apply an entry's report."""
         self.members.apply_report(report, member)
         for asked in report.model_demand:
-            if asked.tokens:
-                self.demand.count(asked.model, asked.tokens, objective_ms=asked.objective_ms)
+            self._apply_demand(asked)
         for asked_adapter in report.adapter_demand:
             self.adapters.demand.count(
                 asked_adapter.model, asked_adapter.adapter, asked_adapter.requests
@@ -176,9 +186,36 @@
             self.members.send_expected_waits(report.instance)
         turns_wait = self.members.apply_suspects(report)
         news = limits_changed or turns_wait or quarantine.ledger.unreported
-        if member.waiting or member.waiting_adapters or news:
+        rejected = any(asked.rejected for asked in report.model_demand)
+        if member.waiting or member.waiting_adapters or rejected or news:
             self.changed.set()
 
+    def _apply_demand(self, asked: ModelDemandUpdate) -> None:
+        """Count what an entry's requests ask of a model."""
+        if asked.tokens:
+            self.demand.count(
+                asked.model,
+                asked.tokens,
+                objective_ms=asked.objective_ms,
+                priority=asked.priority,
+            )
+        if not self.state.uses(Mechanism.MODEL_URGENCY):
+            return
+        if asked.objective_ms and not asked.tokens:
+            self.demand.learn_unmet(
+                asked.model, objective_ms=asked.objective_ms, priority=asked.priority
+            )
+        if asked.rejected:
+            self.demand.reject(
+                asked.model, asked.rejected, counts_for_ms=self._return_ms(asked.objective_ms)
+            )
+
+    def _return_ms(self, objective_ms: int) -> int:
+        """Return the time within which callers with an objective return after a refusal."""
+        routes = self.state.configuration.routes if self.state.configuration else ()
+        limits_ms = [each.timeout_ms for each in routes if each.objective_ms == objective_ms]
+        return round(max(limits_ms, default=0) * RETURN_SHARE)
+
     def apply_local_report(self, report: EntryReport) -> None:
         """Apply the report of this instance's own entry."""
         self.apply_report(report, self.members.local_member(report.instance))
@@ -224,7 +261,7 @@
             self.members.forecast = {}
             return
         self.engines.running = self.members.running()
-        self.demand.update_waiting(self.members.waiting())
+        self.demand.update_waiting(self.members.waiting(), self.members.urgent_waiting())
         for service, spec in self.engines.services():
             self._place(service, spec)
         self._forecast_loads()
@@ -289,17 +326,40 @@
         await controller.refresh()
 
     def _problem(self, service: str, spec: EngineSpec) -> PlacementProblem:
+        by_urgency = self._urgency_differs(service)
+        engines = self.engines.snapshots(service)
+        if not self.state.uses(Mechanism.MODEL_URGENCY):
+            engines = [replace(engine, prefill_factor=1.0) for engine in engines]
         return PlacementProblem(
             spec,
-            self.engines.snapshots(service),
+            engines,
             {model: self.demand.current(model) for model in spec.models},
             store_load_allowed=self.load_rate.allows(spec.loads_per_s),
             idle=self._idle(),
             preloaded=self.loaded_for_copy,
             stream_ms=self._stream_ms(service),
             protect_last_copies=self.state.uses(Mechanism.KEEP_LAST_COPY),
+            by_urgency=by_urgency,
+            patient_store_load_allowed=self.load_rate.allows(
+                spec.loads_per_s * PATIENT_STORE_SHARE
+            ),
+            held_demand_known=self.clock.now_ms() - self.started_ms >= IDLE_GRACE_MS,
         )
 
+    def _urgency_differs(self, service: str) -> bool:
+        """Return whether requests to a service differ in urgency, as configured."""
+        configuration = self.state.configuration
+        if configuration is None or not self.state.uses(Mechanism.MODEL_URGENCY):
+            return False
+        if configuration is not self.urgency_configuration:
+            self.urgency_configuration = configuration
+            self.uneven_services = frozenset(
+                name
+                for name, each in configuration.services.items()
+                if urgency_differs(configuration, each)
+            )
+        return service in self.uneven_services
+
     def _stream_ms(self, service: str) -> float:
         if not self.state.uses(Mechanism.UNLOAD_WAIT_ESTIMATE):
             return 0.0
@@ -320,6 +380,8 @@
         if swap.from_store:
             self.load_rate.record()
         demand = self.demand.current(swap.model)
+        urgency = {None: "", True: "urgent", False: "patient"}[swap.urgent]
+        self.state.log.counters.count("load_ordered", urgency)
         self.state.log.write(
             "swap",
             target=swap.identity,
@@ -331,6 +393,10 @@
             unload_ms=swap.unload_ms,
             waiting=demand.waiting,
             tokens_per_s=round(demand.fast_tokens),
+            urgency=urgency,
+            priority=demand.priority,
+            rejected=demand.rejected,
+            waited_ms=demand.waiting_ms,
         )
         self._spawn(self._swap(controller, swap))
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/election.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/election.py
@@ -224,6 +224,7 @@
             self.coordinator.request_proofs(self.lease.clock.now_ms(), everyone=everyone)
 
     async def _report_locally(self, coordinator: Coordinator) -> None:
+        self.state.unmet.report_all()
         while True:
             coordinator.apply_local_report(build_entry_report(self.state))
             await self._wait_for_next_report()
@@ -316,6 +317,7 @@
         self.state.quarantine.ledger.report_all()
         self.state.notices.start_link()
         self.state.outstanding_loads.report_all()
+        self.state.unmet.report_all()
         with contextlib.suppress(PeerLost):
             while True:
                 link.send(build_entry_report(self.state))
--- a/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
@@ -1,5 +1,6 @@
 """Build an entry's report to the coordinator."""
 
+from mimosaspur_coordination.unmetdemand import UnmetReport
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.entrystate import UnreportedDemand
 from mimosaspur_daemon.direct.fleetreport import pace_messages
@@ -11,6 +12,7 @@
 from mimosaspur_protocol.peermessages import TargetWork
 
 NO_DEMAND = UnreportedDemand()
+NO_UNMET = UnmetReport()
 
 
 def build_entry_report(state: EntryState) -> EntryReport:
@@ -30,13 +32,7 @@
         for identity, view in state.fleet.targets.items()
         if view.own_work.requests
     ]
-    asked = []
-    for model in {*state.unreported_demand, *state.waiting}:
-        one = state.unreported_demand.get(model, NO_DEMAND)
-        asked.append(
-            ModelDemandUpdate(model, one.tokens, state.waiting.get(model, 0), one.objective_ms)
-        )
-    state.unreported_demand.clear()
+    asked = _take_model_demand(state)
     unreachable = sorted(state.unreachable)
     state.unreachable.clear()
     instance = state.settings.instance
@@ -73,3 +69,30 @@
         list(suspects.waiting),
         state.quarantine.turns.received_number,
     )
+
+
+def _take_model_demand(state: EntryState) -> list[ModelDemandUpdate]:
+    """Return the demand for each model, and reset its counts."""
+    unmet = state.unmet.take_report()
+    asked = []
+    for model in {*state.unreported_demand, *state.waiting, *unmet}:
+        one = state.unreported_demand.get(model, NO_DEMAND)
+        lacking = unmet.get(model, NO_UNMET)
+        # Without new requests, those that wait tell their objective again: the coordinator may be
+        # another one.
+        objective_ms = one.objective_ms if one.tokens else lacking.objective_ms
+        priorities = [one.priority] if one.tokens else []
+        priorities += [lacking.priority] if model in unmet else []
+        asked.append(
+            ModelDemandUpdate(
+                model,
+                one.tokens,
+                state.waiting.get(model, 0),
+                objective_ms,
+                lacking.urgent_waiting,
+                min(priorities, default=0),
+                lacking.rejected,
+            )
+        )
+    state.unreported_demand.clear()
+    return asked
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -17,6 +17,9 @@
 from mimosaspur_coordination.outstandingloads import OutstandingLoads
 from mimosaspur_coordination.quota.limiter import QuotaLimiter
 from mimosaspur_coordination.storefreshness import StoreFreshness
+from mimosaspur_coordination.unmetdemand import UnmetDemand
+from mimosaspur_coordination.unmetdemand import UnmetRequest
+from mimosaspur_coordination.unmetdemand import unmet_request
 from mimosaspur_coordination.workspaces.ranks import Priority
 from mimosaspur_coordination.workspaces.ranks import priority_of
 from mimosaspur_coordination.workspaces.ranks import rank_table
@@ -42,6 +45,8 @@
 
 K = TypeVar("K")
 
+# Counts as urgent, of the highest priority.
+UNKNOWN_REQUEST = UnmetRequest()
 # Ranks in engine queues: resumed streams go first to keep their pause short, requests that will be
 # late anyway go last, and the priorities of requests lie between them.
 RESUMED_RANK = 0
@@ -71,6 +76,8 @@
     tokens: int = 0
     # The shortest first-event objective among the requests' routes.
     objective_ms: int = 0
+    # The lowest priority number among the requests.
+    priority: int = 0
 
 
 class EntryState:
@@ -121,6 +128,8 @@
         # Numbers of requests that wait for a model, and for an adapter.
         self.waiting: dict[str, int] = {}
         self.waiting_adapters: dict[tuple[str, str], int] = {}
+        # What is asked of models that no engine holds.
+        self.unmet = UnmetDemand(clock=self.clock)
         # Targets to which no connection could be opened since the last report.
         self.unreachable: set[str] = set()
         # Time until models that are being loaded are ready, as the coordinator last reported.
@@ -229,16 +238,39 @@
             self.retry_windows[service] = window
         return window
 
-    def record_demand(self, model: str, adapter: str, *, tokens: int, objective_ms: int) -> None:
+    def record_demand(
+        self, model: str, adapter: str, *, tokens: int, objective_ms: int, priority: int = 0
+    ) -> None:
         """Count a request for a model, and for an adapter if it names one."""
         if adapter:
             key = (model, adapter)
             self.unreported_adapter_requests[key] = self.unreported_adapter_requests.get(key, 0) + 1
         demand = self.unreported_demand.setdefault(
-            model, UnreportedDemand(objective_ms=objective_ms)
+            model, UnreportedDemand(objective_ms=objective_ms, priority=priority)
         )
         demand.tokens += tokens
         demand.objective_ms = min(demand.objective_ms, objective_ms)
+        demand.priority = min(demand.priority, priority)
+
+    def record_rejection(
+        self, route: Route, workspace: Workspace | None, service: str, model: str
+    ) -> None:
+        """Count a refused request as demand for its model if no engine holds it."""
+        views = self.fleet.by_service.get(service, {}).values()
+        if any(model in view.residents and not view.record.leaving for view in views):
+            return
+        request = self.unmet_request(route, workspace, service, model)
+        self.unmet.reject(model, request, time_limit_ms=route.timeout_ms)
+        self.log.counters.count("rejected_without_model", "urgent" if request.urgent else "patient")
+        self.report_requested.set()
+
+    def unmet_request(
+        self, route: Route, workspace: Workspace | None, service: str, model: str
+    ) -> UnmetRequest:
+        """Return what a request counts as while no engine holds its model."""
+        spec = self.configuration.services.get(service) if self.configuration else None
+        models = spec.engine.models if spec and spec.engine else {}
+        return unmet_request(route, workspace, models.get(model))
 
     def on_targets_changed(self, ended: Collection[str]) -> None:
         """Record that the targets were updated and close connections to those that ended."""
@@ -273,7 +305,9 @@
         return not self.staying_entries
 
     @contextlib.contextmanager
-    def waiting_for(self, model: str, adapter: str) -> Iterator[None]:
+    def waiting_for(
+        self, model: str, adapter: str, request: UnmetRequest = UNKNOWN_REQUEST
+    ) -> Iterator[None]:
         """Count a request as waiting for a model or an adapter within the context."""
         self.waiting[model] = self.waiting.get(model, 0) + 1
         if adapter:
@@ -281,7 +315,8 @@
             self.waiting_adapters[key] = self.waiting_adapters.get(key, 0) + 1
         self.report_requested.set()
         try:
-            yield
+            with self.unmet.waiting(model, request):
+                yield
         finally:
             _decrement(self.waiting, model)
             if adapter:
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -3,6 +3,7 @@
 import contextlib
 import random
 from collections.abc import Collection
+from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -62,6 +63,7 @@
     summed_number: int = 0
     work: dict[str, TargetWork] = field(default_factory=dict)
     waiting: dict[str, int] = field(default_factory=dict)
+    urgent_waiting: dict[str, int] = field(default_factory=dict)
     waiting_adapters: list[tuple[str, str]] = field(default_factory=list)
     last_report_ms: int = 0
     leaving: bool = False
@@ -110,6 +112,11 @@
         member.waiting = {
             asked.model: asked.waiting for asked in report.model_demand if asked.waiting
         }
+        member.urgent_waiting = {
+            asked.model: asked.waiting if asked.urgent_waiting < 0 else asked.urgent_waiting
+            for asked in report.model_demand
+            if asked.urgent_waiting
+        }
         member.waiting_adapters = [(model, adapter) for model, adapter in report.waiting_adapters]
         member.leaving = report.leaving
         member.stream_address = report.stream_address
@@ -204,11 +211,11 @@
 
     def waiting(self) -> dict[str, int]:
         """Return the number of requests that wait for each model."""
-        waiting: dict[str, int] = {}
-        for member in self.members.values():
-            for model, requests in member.waiting.items():
-                waiting[model] = waiting.get(model, 0) + requests
-        return waiting
+        return _sum_counts(member.waiting for member in self.members.values())
+
+    def urgent_waiting(self) -> dict[str, int]:
+        """Return the number of requests that wait for each model and can't wait for its load."""
+        return _sum_counts(member.urgent_waiting for member in self.members.values())
 
     def waiting_adapters(self) -> set[tuple[str, str]]:
         """Return the adapters that requests wait for, with their models."""
@@ -391,3 +398,11 @@
             return 0
         member.sent_state = reports.state_after(member.sent_state)
         return len(frames)
+
+
+def _sum_counts(counts: Iterable[dict[str, int]]) -> dict[str, int]:
+    total: dict[str, int] = {}
+    for each in counts:
+        for model, requests in each.items():
+            total[model] = total.get(model, 0) + requests
+    return total
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.workspaces.ranks import priority_of
 from mimosaspur_daemon.direct.attempt import AttemptResult
 from mimosaspur_daemon.direct.attempt import TargetResponse
 from mimosaspur_daemon.direct.attemptlog import log_attempt
@@ -35,6 +36,8 @@
 MAX_OFFERS = 6
 # Another entry may know what this one doesn't.
 OTHER_ENTRY_RETRY_S = 0.05
+# Refusals of requests that no target was found for in time.
+UNSERVED_CODES = frozenset((ResultCode.NO_READY_TARGET, ResultCode.DEADLINE_UNREACHABLE))
 # Cooldowns grow with each refusal, so that the offers outlast a model load that is slower than
 # predicted.
 COOLDOWN_GROWTH_FACTOR = 1.7
@@ -171,6 +174,7 @@
                 self.prompt.adapter,
                 tokens=1 + round(self.prompt.prompt_tokens * self._pace()),
                 objective_ms=self.route.objective_ms,
+                priority=priority_of(self.route, self.workspace)[0],
             )
         try:
             async with asyncio.timeout_at(self.deadline_s) as self.timeout:
@@ -179,6 +183,12 @@
                     await self._run_attempts()
         except TimeoutError:
             raise self._timeout_failure() from None
+        except RequestFailed as error:
+            if self.prompt.model and error.code in UNSERVED_CODES and not self.may_have_run():
+                self.state.record_rejection(
+                    self.route, self.workspace, self.service, self.prompt.model
+                )
+            raise
         finally:
             self.done = True
             self.retries.refund_unused()
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -232,7 +232,9 @@
         held = self.permits.held(self._holders())
         with contextlib.ExitStack() as stack:
             if not held or self.permits.expected_wait_s(held) > MAX_PERMIT_WAIT_S:
-                stack.enter_context(self.state.waiting_for(self.prompt.model, self.prompt.adapter))
+                model, adapter = self.prompt.model, self.prompt.adapter
+                request = self.state.unmet_request(self.route, self.workspace, self.service, model)
+                stack.enter_context(self.state.waiting_for(model, adapter, request))
             stack.enter_context(self.permits.waiting())
             yield
 
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -27,6 +27,14 @@
     waiting: int
     # Shortest time-to-first-event objective of these requests' routes; 0 without requests.
     objective_ms: int
+    # Waiting requests whose objective is shorter than the model's load; -1 if unknown, as from
+    # earlier versions.
+    urgent_waiting: int = -1
+    # Lowest priority number among the requests, 0 is the highest priority.
+    priority: int = 0
+    # Requests refused since the last report because no engine holds the model; in the first report
+    # on a link, all whose callers may return.
+    rejected: int = 0
 
 
 class AdapterDemandUpdate(msgspec.Struct, array_like=True, frozen=True):
