--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -3,6 +3,7 @@
 import contextlib
 import random
 from collections.abc import Collection
+from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -10,6 +11,7 @@
 
 from mimosaspur_coordination.coordinatorcapacity import update_pause_s
 from mimosaspur_coordination.limits.sharelease import SharerCount
+from mimosaspur_coordination.loadforecast import SharedForecast
 from mimosaspur_coordination.modelpace import Pace
 from mimosaspur_coordination.modelpace import SharedPaces
 from mimosaspur_coordination.orderlease import OrderLease
@@ -61,6 +63,7 @@
     summed_number: int = 0
     work: dict[str, TargetWork] = field(default_factory=dict)
     waiting: dict[str, int] = field(default_factory=dict)
+    urgent_waiting: dict[str, int] = field(default_factory=dict)
     waiting_adapters: list[tuple[str, str]] = field(default_factory=list)
     last_report_ms: int = 0
     leaving: bool = False
@@ -82,6 +85,9 @@
         self.paces_sent_ms = 0
         self.store_changes = StoreChanges(state)
         self.fleet_changes = FleetChanges()
+        # The time until models would be loaded, as last computed and as sent.
+        self.forecast: dict[str, int] = {}
+        self.shared_forecast = SharedForecast()
         self.quotas = QuotaAccounting(state)
         self.missing = MissingEntries(
             expected=state.staying_entries,
@@ -106,6 +112,11 @@
         member.waiting = {
             asked.model: asked.waiting for asked in report.model_demand if asked.waiting
         }
+        member.urgent_waiting = {
+            asked.model: asked.waiting if asked.urgent_waiting < 0 else asked.urgent_waiting
+            for asked in report.model_demand
+            if asked.urgent_waiting
+        }
         member.waiting_adapters = [(model, adapter) for model, adapter in report.waiting_adapters]
         member.leaving = report.leaving
         member.stream_address = report.stream_address
@@ -200,11 +211,11 @@
 
     def waiting(self) -> dict[str, int]:
         """Return the number of requests that wait for each model."""
-        waiting: dict[str, int] = {}
-        for member in self.members.values():
-            for model, requests in member.waiting.items():
-                waiting[model] = waiting.get(model, 0) + requests
-        return waiting
+        return _sum_counts(member.waiting for member in self.members.values())
+
+    def urgent_waiting(self) -> dict[str, int]:
+        """Return the number of requests that wait for each model and can't wait for its load."""
+        return _sum_counts(member.urgent_waiting for member in self.members.values())
 
     def waiting_adapters(self) -> set[tuple[str, str]]:
         """Return the adapters that requests wait for, with their models."""
@@ -242,6 +253,9 @@
         leaving = self.state.notices.leaving.take_unreported()
         queues_changed = self.permits.update_queues()
         joined, left = self._take_entry_changes()
+        forecast = self.shared_forecast.update(self.forecast)
+        if forecast:
+            self.state.log.write("load_forecast", changes=forecast)
         base = replace(
             self._base_report(lease, paces, quotas, crashes, limits),
             loads=loads,
@@ -249,6 +263,7 @@
             entries_joined=joined,
             entries_left=left,
             gives_turns=True,
+            load_forecast=forecast,
         )
         reports = ReportBuilder(
             base,
@@ -260,6 +275,7 @@
             load_messages(self.state.outstanding_loads.all()),
             sorted(self.state.notices.leaving.noted_ms),
             list(self.sent_addresses.values()),
+            self.shared_forecast.sent,
         )
         heartbeat_due = now_ms - self.last_sent_ms >= HEARTBEAT_INTERVAL_MS
         news = (
@@ -273,6 +289,7 @@
             or queues_changed
             or joined
             or left
+            or forecast
         )
         if news or heartbeat_due:
             self.last_sent_ms = now_ms
@@ -382,3 +399,11 @@
             return 0
         member.sent_state = reports.state_after(member.sent_state)
         return len(frames)
+
+
+def _sum_counts(counts: Iterable[dict[str, int]]) -> dict[str, int]:
+    total: dict[str, int] = {}
+    for each in counts:
+        for model, requests in each.items():
+            total[model] = total.get(model, 0) + requests
+    return total
--- a/packages/state/src/mimosaspur_state/policy.py
+++ b/packages/state/src/mimosaspur_state/policy.py
@@ -35,6 +35,8 @@
     EVACUATION = "evacuation"
     # Choose engines at which streams keep their pauses within the route's limit.
     STREAM_PAUSES = "stream-pauses"
+    # Weigh how long callers can wait, and forecast when models will be loaded.
+    MODEL_URGENCY = "model-urgency"
 
 
 @dataclass(slots=True, frozen=True)
