Refuse early what can't be served, and spread the returns of callers

Change: LoadOutlook (coordination/scheduling) tells how long a request would wait: from loads in progress, from FleetReport.load_forecast, or at least the model's shortest load time. The request is refused once that exceeds the time that its caller waits. Without a forecast it is refused after an eighth of its objective if the coordinator has answered a report of the wait without a load, or models were recently not loaded on request. A coordinator that has not yet given orders, and none at all, leave the wait as it was. A refused request counts as waiting until its caller returns, and is reported as `rejected`. A request that comes back to the same entry is not refused for want of a forecast. Retry-After is spread over 1 to 1.25 times the expected wait. The mechanism `deferral` switches this off.

Result: features/scheduling.feature, 24 scenarios pass; direct_placement, direct_work, direct_quotas, direct_notices_rests and direct_answers, 193 scenarios pass.

--- a/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
@@ -34,7 +34,13 @@
     for model in {*state.unreported_demand, *state.waiting}:
         one = state.unreported_demand.get(model, NO_DEMAND)
         asked.append(
-            ModelDemandUpdate(model, one.tokens, state.waiting.get(model, 0), one.objective_ms)
+            ModelDemandUpdate(
+                model,
+                one.tokens,
+                state.waiting.get(model, 0),
+                one.objective_ms,
+                rejected=one.rejected,
+            )
         )
     state.unreported_demand.clear()
     unreachable = sorted(state.unreachable)
@@ -46,6 +52,7 @@
     state.unreported_adapter_requests.clear()
     waiting = list(state.waiting_adapters)
     number = state.reported_work.add_report(work)
+    state.load_outlook.on_reported(number, state.waiting)
     spendings = state.quotas.take_report(number)
     suspects = state.quarantine.turns.demand()
     return EntryReport(
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -16,6 +16,8 @@
 from mimosaspur_coordination.limits.sharelease import ShareLease
 from mimosaspur_coordination.outstandingloads import OutstandingLoads
 from mimosaspur_coordination.quota.limiter import QuotaLimiter
+from mimosaspur_coordination.scheduling.loadoutlook import LoadOutlook
+from mimosaspur_coordination.scheduling.refusedrequests import RefusedRequests
 from mimosaspur_coordination.storefreshness import StoreFreshness
 from mimosaspur_coordination.workspaces.ranks import Priority
 from mimosaspur_coordination.workspaces.ranks import priority_of
@@ -71,6 +73,8 @@
     tokens: int = 0
     # The shortest first-event objective among the requests' routes.
     objective_ms: int = 0
+    # Requests that were refused because no engine holds the model.
+    rejected: int = 0
 
 
 class EntryState:
@@ -123,8 +127,10 @@
         self.waiting_adapters: dict[tuple[str, str], int] = {}
         # Targets to which no connection could be opened since the last report.
         self.unreachable: set[str] = set()
-        # Time until models that are being loaded are ready, as the coordinator last reported.
-        self.model_ready_in_ms: dict[str, int] = {}
+        # When models that no engine holds will be ready, as far as the coordinator tells.
+        self.load_outlook = LoadOutlook(handover_ms=settings.orders.handover_ms, clock=self.clock)
+        # Digests of requests refused early, and until when their callers may come back.
+        self.refused = RefusedRequests(clock=self.clock)
         self.reported_work = ReportedWork()
         self.quarantine = Quarantine(self)
         self.outstanding_loads = OutstandingLoads(clock=self.clock)
@@ -237,6 +243,18 @@
         demand.tokens += tokens
         demand.objective_ms = min(demand.objective_ms, objective_ms)
 
+    def record_rejection(
+        self, model: str, adapter: str, *, objective_ms: int, counted_s: float
+    ) -> None:
+        """Count a refused request for an unloaded model as waiting until its caller returns."""
+        demand = self.unreported_demand.setdefault(
+            model, UnreportedDemand(objective_ms=objective_ms)
+        )
+        demand.rejected += 1
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self.waiting_for(model, adapter))
+            asyncio.get_running_loop().call_later(counted_s, stack.pop_all().close)
+
     def on_targets_changed(self, ended: Collection[str]) -> None:
         """Record that the targets were updated and close connections to those that ended."""
         for identity in ended:
@@ -259,6 +277,9 @@
         self.quotas.on_coordinator_lost()
         self.quarantine.on_coordinator_lost()
         self.fleet.on_coordinator_lost()
+        self.load_outlook.on_coordinator_lost()
+        # Waiting requests no longer wait for what the coordinator had forecast.
+        self.changes.notify()
 
     def ready(self) -> bool:
         """Return whether callers may be sent here."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -100,6 +100,6 @@
         state.fleet.set_residents(each.target, models, frozenset(each.unloading))
     for message in report.paces:
         state.fleet.paces.apply_shared(message.model, Pace(message.factor, message.measurements))
-    state.model_ready_in_ms = report.model_ready_in_ms
-    if report.work or report.residents or report.model_ready_in_ms:
+    state.load_outlook.on_update(report.model_ready_in_ms, report.load_forecast)
+    if report.work or report.residents or report.model_ready_in_ms or report.load_forecast:
         state.changes.notify()
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -121,6 +121,7 @@
             self.prompt,
             continuation=self.continuation,
             request=self.request_id(),
+            digest=self.traits.digest,
             workspace=workspace,
             arrived_s=request.arrived_s,
             deadline_s=self.deadline_s,
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -8,6 +8,10 @@
 
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.scheduling.loadoutlook import MAX_HOLD_SHARE
+from mimosaspur_coordination.scheduling.loadoutlook import ModelRequest
+from mimosaspur_coordination.scheduling.loadoutlook import shortest_load_ms
+from mimosaspur_coordination.scheduling.loadoutlook import spread_retry_s
 from mimosaspur_coordination.targetchoice import choose_emptiest
 from mimosaspur_coordination.targetchoice import choose_engine
 from mimosaspur_coordination.targetchoice import choose_plain_target
@@ -45,8 +49,10 @@
 
     __slots__ = (
         "continuation",
+        "arrived_s",
         "cooldown_ends_s",
         "deadline_s",
+        "digest",
         "event_deadline_s",
         "has_events",
         "isolated",
@@ -75,6 +81,7 @@
         *,
         continuation: StreamContinuation | None = None,
         request: str,
+        digest: bytes = b"",
         workspace: Workspace | None,
         arrived_s: float,
         deadline_s: float,
@@ -87,7 +94,9 @@
         self.prompt = prompt
         # Knows at which software versions the request's stream may run; None if at any.
         self.continuation = continuation
+        self.digest = digest
         # Both on the event loop's clock.
+        self.arrived_s = arrived_s
         self.deadline_s = deadline_s
         timeout_ms = max(
             MIN_EVENT_TIMEOUT_MS,
@@ -171,6 +180,8 @@
 
     def refusal(self, code: ResultCode, *, wanted_s: float = DEFAULT_RETRY_S) -> RequestFailed:
         """Return the refusal of a request that has not run."""
+        if self.state.uses(Mechanism.DEFERRAL):
+            wanted_s = spread_retry_s(wanted_s)
         return RequestFailed(
             code, retry_after_s=bounded_retry_after_s(wanted_s, left_s=self.remaining_s())
         )
@@ -192,7 +203,7 @@
                 if left_s <= max(0.0, expected_s):
                     if held:
                         raise self._held_refusal(held, expected_s)
-                    raise self.refusal(ResultCode.NO_READY_TARGET, wanted_s=expected_s or 1.0)
+                    raise self._unloaded_refusal(expected_s, is_early=left_s > 0)
                 self.permits.ask(held)
                 await self.state.changes.wait(min(left_s, self._recheck_delay_s()))
                 view = self._choose()
@@ -238,12 +249,50 @@
 
     def _expected_wait_s(self, held: Sequence[TargetView]) -> float:
         """Return the expected wait for a permit, or for the model on another engine."""
-        ready_ms = self.state.model_ready_in_ms.get(self.prompt.model)
         if not held:
-            return (ready_ms or 0) / 1000
+            return self._model_wait_s()
+        ready_ms = self.state.load_outlook.loading.get(self.prompt.model)
         permit_s = min(self.permits.expected_wait_s(held), self._cooldown_wait_s())
         return permit_s if ready_ms is None else min(permit_s, ready_ms / 1000)
 
+    def _model_wait_s(self) -> float:
+        """Return the least time until an engine holds the model, 0 if unknown, inf if none will."""
+        outlook, model = self.state.load_outlook, self.prompt.model
+        # What waits for an adapter, or continues a stream, is never refused early.
+        is_held = any(
+            model in view.residents and model not in view.unloading
+            for view in self._allowed_by_version()
+        )
+        if is_held or self.retried or self.resumed or not self.state.uses(Mechanism.DEFERRAL):
+            return outlook.loading.get(model, 0) / 1000
+        request = ModelRequest(
+            model,
+            objective_ms=self.route.objective_ms,
+            held_ms=(_now_s() - self.arrived_s) * 1000,
+            shortest_load_ms=self._shortest_load_ms(),
+            returned=self.state.refused.has_returned(self.digest),
+        )
+        return outlook.wait_ms(request) / 1000
+
+    def _shortest_load_ms(self) -> float:
+        return shortest_load_ms(self.spec.engine if self.spec else None, self.prompt.model)
+
+    def _unloaded_refusal(self, expected_s: float, *, is_early: bool) -> RequestFailed:
+        """Return the refusal of a request whose model won't be ready in time."""
+        if not math.isfinite(expected_s):
+            expected_s = self._shortest_load_ms() / 1000
+        failure = self.refusal(ResultCode.NO_READY_TARGET, wanted_s=expected_s or 1.0)
+        if is_early and self.state.uses(Mechanism.DEFERRAL):
+            self.state.refused.add(self.digest, left_s=self.remaining_s())
+            self.state.record_rejection(
+                self.prompt.model,
+                self.prompt.adapter,
+                objective_ms=self.route.objective_ms,
+                counted_s=failure.retry_after_s or 0.0,
+            )
+            self.state.log.counters.count("requests_rejected_early")
+        return failure
+
     def _cooldown_wait_s(self) -> float:
         """Return the time until a target that has refused the request may be asked again."""
         now_s = _now_s()
@@ -352,6 +401,8 @@
 
     def _recheck_delay_s(self) -> float:
         ends = [end - _now_s() for end in self.cooldown_ends_s.values()]
+        hold_s = MAX_HOLD_SHARE * self.route.objective_ms / 1000
+        ends.append(self.arrived_s + hold_s - _now_s())
         return max(0.01, min([RECHECK_INTERVAL_S, *(end for end in ends if end > 0)]))
 
     async def _wait_for_cooldown(self) -> None:
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -27,6 +27,8 @@
     waiting: int
     # Shortest time-to-first-event objective of these requests' routes; 0 without requests.
     objective_ms: int
+    # Refused since the last report because no engine holds the model.
+    rejected: int = 0
 
 
 class AdapterDemandUpdate(msgspec.Struct, array_like=True, frozen=True):
@@ -247,6 +249,9 @@
     leaving_targets: list[str] = msgspec.field(default_factory=list)
     # Whether the coordinator gives turns for suspected requests: earlier versions don't.
     gives_turns: bool = False
+    # Time in ms until each requested model that no engine holds is ready; -1 if it will not be
+    # loaded while demand stays as it is. Values that have changed.
+    load_forecast: dict[str, int] = msgspec.field(default_factory=dict)
 
 
 class IssuedPermits(msgspec.Struct, array_like=True, tag="permits"):
--- a/packages/state/src/mimosaspur_state/policy.py
+++ b/packages/state/src/mimosaspur_state/policy.py
@@ -33,6 +33,8 @@
     UNLOAD_WAIT_ESTIMATE = "unload-waits"
     # Move streams off engines that are about to be terminated.
     EVACUATION = "evacuation"
+    # Refuse early what can't be served, and hold back requests that delay more urgent ones.
+    DEFERRAL = "deferral"
 
 
 @dataclass(slots=True, frozen=True)
