Hold back requests that would delay more urgent ones

Cause: a burst of requests that can wait for seconds takes slots and prompt time from urgent ones at the engines that serve both.

Change: RequestScheduler (coordination/scheduling) holds a request back at its entry while each engine with its model is near its slots, or would miss the objective of a more urgent kind that has recently come for a model there. It is sent as soon as there is room, by priority, time left and the workspace's share, and after three quarters of its objective at the latest. Tasks that wait for a change are woken in the same order. The loss of the coordinator releases what was held for other entries' work. Log line `deferred`, counter `requests_deferred`, mechanism `deferral`.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -71,3 +71,89 @@
     When a stream of the model is requested, and the coordinator is lost after 300 ms
     And another stream of the model is requested, and an engine holds it after 900 ms
     Then both are served
+
+  # Guards against requests that can wait but take an engine from urgent ones, and against requests
+  # that are held for nothing.
+  Scenario Outline: A request that can wait is sent unless it delays more urgent ones, <engine>, <seen>
+    Given an engine with 64 slots that <engine>
+    And <seen> of rank 2 with an objective of 500 ms and 2000 prompt tokens has come for its other model
+    When a request of rank <rank> with an objective of <objective> ms comes
+    Then it is <decision>
+
+    Examples:
+      | engine                              | seen                        | rank | objective | decision        |
+      | is idle                             | a request                   | 2    | 8000      | sent            |
+      | runs 20 and reads 4000 tokens       | a request                   | 2    | 8000      | sent            |
+      | runs 20 and reads 12000 tokens      | a request                   | 2    | 8000      | held for urgent |
+      | runs 20 and reads 12000 tokens      | a request                   | 3    | 500       | sent            |
+      | runs 20 and reads 12000 tokens      | a request                   | 3    | 8000      | held for urgent |
+      | runs 20 and reads 12000 tokens      | a request                   | 1    | 8000      | sent            |
+      | runs 20 and reads 12000 tokens      | a request                   | 2    | 500       | sent            |
+      | runs 20 and reads 12000 tokens      | no request                  | 2    | 8000      | sent            |
+      | runs 20 and reads 12000 tokens      | a request, 40 s ago,        | 2    | 8000      | sent            |
+      | runs 20 and reads 12000 tokens      | a request that is always late | 2  | 8000      | sent            |
+      | runs 55 and reads 0 tokens          | a request                   | 2    | 8000      | sent            |
+      | runs 56 and reads 0 tokens          | a request                   | 2    | 8000      | held for slots  |
+      | runs 56 and reads 0 tokens          | no request                  | 2    | 8000      | sent            |
+
+  Scenario: A request that can wait goes to an engine at which it delays nobody
+    Given an engine with 64 slots that runs 20 and reads 12000 tokens
+    And another engine with the model, which runs 30 and reads 2000 tokens
+    And a request of rank 2 with an objective of 500 ms and 2000 prompt tokens has come for its other model
+    When a request of rank 2 with an objective of 8000 ms comes
+    Then it is sent to the other engine
+
+  Scenario: Requests that are held go in the order of priority, time left and share
+    Given an engine with 64 slots that runs 56 and reads 0 tokens
+    And a request of rank 2 with an objective of 500 ms and 2000 prompt tokens has come for its other model
+    And workspace "north" was recently served 9000 tokens, and "south" 2000
+    When these requests are held, each with an objective of 8000 ms
+      | name | rank | due_ms | workspace |
+      | a    | 3    | 1000   | south     |
+      | b    | 2    | 6000   | south     |
+      | c    | 2    | 3000   | north     |
+      | d    | 2    | 3100   | south     |
+      | e    | 2    | 3300   | south     |
+    And the engine has room
+    Then they are sent in the order d c e b a
+
+  # Guards against requests that never get their turn while more urgent ones come all the time.
+  Scenario Outline: No request is starved, <objective> ms, <rivals> before it
+    Given an engine with 64 slots that runs 60 and reads 12000 tokens
+    And a request of rank 2 with an objective of 500 ms and 2000 prompt tokens has come for its other model
+    And <rivals> requests that go before it are held for ever
+    When a request of rank 3 with an objective of <objective> ms comes and the engine stays full
+    Then it is sent after <most> ms at the latest, and on time if it takes twice as long as predicted
+
+    Examples:
+      | objective | rivals | most |
+      | 8000      | 0      | 6000 |
+      | 8000      | 300    | 6000 |
+      | 2500      | 300    | 1875 |
+      | 1500      | 0      | 1125 |
+      | 800       | 0      | 0    |
+
+  Scenario: A request that can wait is held at an entry until there is room
+    Given an entry before an engine that is full by other entries' work
+    And an urgent stream of its model has been served
+    When a patient stream is requested, and the engine has room after 400 ms
+    Then it is served after 400 to 600 ms
+    And a line "deferred" names it, for "slots", and 1 request is counted as deferred
+
+  Scenario: Without the mechanism nothing is held
+    Given an entry before an engine that is full by other entries' work, without "deferral"
+    And an urgent stream of its model has been served
+    When a patient stream is requested, and the engine has room after 400 ms
+    Then it is served after 0 to 300 ms
+
+  # Guards against requests that stay held for work of which nobody tells any more.
+  Scenario: The coordinator is lost while a request is held
+    Given an entry before an engine that is full by other entries' work
+    And an urgent stream of its model has been served
+    When a patient stream is requested, and the coordinator is lost after 400 ms
+    Then it is served after 400 to 600 ms
+
+  Scenario: A choice among many engines beside many held requests takes little time
+    Given 365 engines with the model, all full, and 200 requests that are held
+    And a request of rank 2 with an objective of 500 ms and 2000 prompt tokens has come for its other model
+    Then one decision takes less than 0.5 ms for the 22 engines that hold a model
--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/scheduling/scheduler.py
@@ -0,0 +1,181 @@
+"""Order the requests that wait at an entry, and hold back those that would delay more urgent ones.
+
+Addresses bursts of requests that can wait, 2 to 4 times their usual rate, at engines that also
+serve requests with a short objective. An entry holds up to a few hundred of them.
+"""
+
+import contextlib
+from collections.abc import Container
+from collections.abc import Iterator
+from collections.abc import Sequence
+
+from mimosaspur_coordination.fleetview import Prompt
+from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.quota.decayingrate import DecayingRate
+from mimosaspur_coordination.scheduling.recentkinds import RecentKinds
+from mimosaspur_coordination.scheduling.recentkinds import Urgency
+from mimosaspur_state.clock import Clock
+
+# A request is held for at most this share of its objective, so that none is starved.
+MAX_HELD_SHARE = 3 / 4
+# The first event at a slow engine takes up to about twice the predicted time.
+PREDICTION_RESERVE = 2.0
+# Share of an engine's slots kept for more urgent requests: the reports on its load are up to 300 ms
+# old, in which all entries together send it a few.
+RESERVED_SLOTS_SHARE = 1 / 8
+# Maximum interval between checks of a held request.
+HELD_RECHECK_S = 0.05
+# Objectives that end within the same step, about the age of reports, count as equally urgent.
+ORDER_STEP_MS = 250
+# An engine gets one held request in this time: a request counts as its work only once it is sent.
+RELEASE_INTERVAL_MS = 10
+
+# Nothing queues at this rank: a prediction for it is that of an idle engine.
+BEFORE_ALL_RANKS = -1
+
+# Priority, time left, share of the workspace; the lowest goes first.
+Order = tuple[int, int, float]
+
+
+class QueuedRequest:
+    """Describe a request to the scheduler."""
+
+    __slots__ = (
+        "due_ms",
+        "engines",
+        "objective_ms",
+        "order",
+        "prompt",
+        "rank",
+        "reason",
+        "urgency",
+        "workspace",
+    )
+
+    def __init__(
+        self, prompt: Prompt, *, rank: int, objective_ms: float, due_ms: float, workspace: str
+    ) -> None:
+        self.prompt = prompt
+        self.rank = rank
+        self.objective_ms = objective_ms
+        self.urgency: Urgency = rank, objective_ms
+        # When its objective ends, on the scheduler's clock.
+        self.due_ms = due_ms
+        self.workspace = workspace
+        # The engines that could run it at the last check.
+        self.engines: frozenset[str] = frozenset()
+        # Its place among those that wait, as of the last check.
+        self.order: Order = (rank, 0, 0.0)
+        # Why it is held back; empty if it isn't.
+        self.reason = ""
+
+
+def longest_hold_ms(objective_ms: float, predicted_ms: float) -> float:
+    """Return for how long after its arrival a request may be held and is still on time."""
+    latest_ms = objective_ms - PREDICTION_RESERVE * predicted_ms
+    return min(MAX_HELD_SHARE * objective_ms, latest_ms)
+
+
+class RequestScheduler:
+    """Decide when the requests that wait at an entry are sent."""
+
+    __slots__ = ("clock", "held", "kinds", "released_ms", "served")
+
+    def __init__(self, *, clock: Clock) -> None:
+        self.clock = clock
+        self.kinds = RecentKinds(clock=clock)
+        # Tokens of the requests sent recently, by workspace.
+        self.served: dict[str, DecayingRate] = {}
+        self.held: set[QueuedRequest] = set()
+        # When each engine last got a held request.
+        self.released_ms: dict[str, int] = {}
+
+    def order(self, queued: QueuedRequest) -> Order:
+        """Return the sort key of a request among those that wait."""
+        served = self.served.get(queued.workspace)
+        per_s = served.at(self.clock.now_ms()) if served else 0.0
+        return queued.rank, int(queued.due_ms // ORDER_STEP_MS), per_s
+
+    def on_sent(self, queued: QueuedRequest) -> None:
+        """Count a request that is sent to its workspace's share."""
+        now_ms = self.clock.now_ms()
+        served = self.served.setdefault(queued.workspace, DecayingRate(now_ms))
+        served.add(queued.prompt.prompt_tokens + queued.prompt.output_tokens, now_ms)
+
+    def narrow(
+        self, views: Sequence[TargetView], queued: QueuedRequest, *, held_ms: float, slots: int
+    ) -> Sequence[TargetView]:
+        """Return the engines at which a request delays no more urgent ones.
+
+        If there are none, the request is to be held back for `queued.reason`, and all engines are
+        returned.
+        """
+        queued.engines = frozenset(view.record.identity for view in views)
+        queued.reason = ""
+        if not self.kinds.any_more_urgent(queued.urgency):
+            return views
+        queued.order = self.order(queued)
+        taken = self._taken_engines(queued)
+        reasons = [self._reason(view, queued, slots, taken) for view in views]
+        if not any(reasons):
+            return views
+        roomy = [view for view, reason in zip(views, reasons, strict=True) if not reason]
+        if roomy:
+            return roomy
+        predicted_ms = min(view.first_token_ms(queued.prompt, rank=queued.rank) for view in views)
+        if held_ms < longest_hold_ms(queued.objective_ms, predicted_ms):
+            queued.reason = reasons[0]
+        return views
+
+    @contextlib.contextmanager
+    def holding(self, queued: QueuedRequest) -> Iterator[None]:
+        """Keep a request in the order of those that are held within the context."""
+        self.held.add(queued)
+        try:
+            yield
+        finally:
+            self.held.discard(queued)
+
+    def on_released(self, view: TargetView) -> None:
+        """Record that a held request is sent to an engine."""
+        now_ms = self.clock.now_ms()
+        recent = {
+            engine: at_ms
+            for engine, at_ms in self.released_ms.items()
+            if 0 <= now_ms - at_ms < RELEASE_INTERVAL_MS
+        }
+        self.released_ms = recent | {view.record.identity: now_ms}
+
+    def _reason(
+        self, view: TargetView, queued: QueuedRequest, slots: int, taken: Container[str]
+    ) -> str:
+        """Return why a request shouldn't be sent to an engine now, or an empty string."""
+        kinds = list(self.kinds.more_urgent(view.residents, queued.urgency))
+        # Nothing is gained by a wait for an idle engine.
+        if not kinds or not view.request_count():
+            return ""
+        if slots and view.request_count() >= slots * (1 - RESERVED_SLOTS_SHARE):
+            return "slots"
+        for kind in kinds:
+            prompt = Prompt(kind.model, prompt_tokens=round(kind.prompt_tokens))
+            if view.first_token_ms(prompt, rank=kind.rank) <= kind.objective_ms:
+                continue
+            # A kind that is late at an idle engine too isn't helped by a wait.
+            if view.first_token_ms(prompt, rank=BEFORE_ALL_RANKS) <= kind.objective_ms:
+                return "urgent"
+        return "order" if view.record.identity in taken else ""
+
+    def _taken_engines(self, queued: QueuedRequest) -> set[str]:
+        """Return the engines at which a request that is held goes first, or has just gone."""
+        now_ms = self.clock.now_ms()
+        taken = {
+            engine
+            for engine, at_ms in self.released_ms.items()
+            if 0 <= now_ms - at_ms < RELEASE_INTERVAL_MS
+        }
+        urgency, order = queued.urgency, queued.order
+        for each in self.held:
+            # One of a less urgent kind may itself be held back for this request's kind.
+            if each.order < order and each.urgency <= urgency:
+                taken |= each.engines
+        return taken
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -18,6 +18,7 @@
 from mimosaspur_coordination.quota.limiter import QuotaLimiter
 from mimosaspur_coordination.scheduling.loadoutlook import LoadOutlook
 from mimosaspur_coordination.scheduling.refusedrequests import RefusedRequests
+from mimosaspur_coordination.scheduling.scheduler import RequestScheduler
 from mimosaspur_coordination.storefreshness import StoreFreshness
 from mimosaspur_coordination.workspaces.ranks import Priority
 from mimosaspur_coordination.workspaces.ranks import priority_of
@@ -129,6 +130,8 @@
         self.unreachable: set[str] = set()
         # When models that no engine holds will be ready, as far as the coordinator tells.
         self.load_outlook = LoadOutlook(handover_ms=settings.orders.handover_ms, clock=self.clock)
+        # Orders the requests that wait here.
+        self.scheduler = RequestScheduler(clock=self.clock)
         # Digests of requests refused early, and until when their callers may come back.
         self.refused = RefusedRequests(clock=self.clock)
         self.reported_work = ReportedWork()
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -12,6 +12,8 @@
 from mimosaspur_coordination.scheduling.loadoutlook import ModelRequest
 from mimosaspur_coordination.scheduling.loadoutlook import shortest_load_ms
 from mimosaspur_coordination.scheduling.loadoutlook import spread_retry_s
+from mimosaspur_coordination.scheduling.scheduler import HELD_RECHECK_S
+from mimosaspur_coordination.scheduling.scheduler import QueuedRequest
 from mimosaspur_coordination.targetchoice import choose_emptiest
 from mimosaspur_coordination.targetchoice import choose_engine
 from mimosaspur_coordination.targetchoice import choose_plain_target
@@ -60,6 +62,7 @@
         "patience_s",
         "permits",
         "prompt",
+        "queued",
         "rank",
         "resumed",
         "retried",
@@ -112,6 +115,14 @@
         self.on_time_deadline_s = arrived_s + route.objective_ms / 1000
         # The request's rank in engine queues.
         self.rank = self._rank()
+        # The request in the order of those that wait.
+        self.queued = QueuedRequest(
+            prompt,
+            rank=self.rank,
+            objective_ms=route.objective_ms,
+            due_ms=state.clock.now_ms() + (self.on_time_deadline_s - _now_s()) * 1000,
+            workspace=workspace.name if workspace else "",
+        )
         self.resumed = False
         # Whether the request was sent to a target before.
         self.retried = False
@@ -132,9 +143,13 @@
         self.resumed = resumed
         self._check_version()
         self.permits.record_chance(self._holders() if self.prompt.model else self._available())
-        if self._needs_engine():
-            return await self._next_engine()
-        return await self._next_plain()
+        if not self._needs_engine():
+            return await self._next_plain()
+        view = await self._next_engine()
+        if self.queued.reason:
+            view = await self._in_turn()
+        self.state.scheduler.on_sent(self.queued)
+        return view
 
     def target_now(self, *, resumed: bool = False) -> TargetView | None:
         """Return a target that takes the request now, if any; raise RequestFailed."""
@@ -142,6 +157,14 @@
         self._check_version()
         return self._choose() if self._needs_engine() else self._choose_plain()
 
+    def record_kind(self) -> None:
+        """Record the request's kind, for which less urgent ones for its model are held back."""
+        engine = self.spec.engine if self.spec else None
+        if engine and self.prompt.model in engine.models:
+            self.state.scheduler.kinds.record(
+                self.prompt.model, self.queued.urgency, prompt_tokens=self.prompt.prompt_tokens
+            )
+
     def _needs_engine(self) -> bool:
         """Return whether the request is for a model."""
         return bool(self.spec and self.spec.engine and self.prompt.model)
@@ -205,11 +228,29 @@
                         raise self._held_refusal(held, expected_s)
                     raise self._unloaded_refusal(expected_s, is_early=left_s > 0)
                 self.permits.ask(held)
-                await self.state.changes.wait(min(left_s, self._recheck_delay_s()))
+                await self.state.changes.wait(
+                    min(left_s, self._recheck_delay_s()),
+                    order=state.scheduler.order(self.queued),
+                )
                 view = self._choose()
                 if view is not None:
                     return view
 
+    async def _in_turn(self) -> TargetView:
+        """Return the request's engine once it delays no more urgent ones, or is due itself."""
+        scheduler, queued, since_s = self.state.scheduler, self.queued, _now_s()
+        reason = queued.reason
+        with scheduler.holding(queued):
+            while queued.reason:
+                await self.state.changes.wait(HELD_RECHECK_S, order=scheduler.order(queued))
+                view = await self._next_engine()
+        scheduler.on_released(view)
+        held_ms = round((_now_s() - since_s) * 1000)
+        request = self.permits.request
+        self.state.log.write("deferred", request=request, reason=reason, held_ms=held_ms)
+        self.state.log.counters.count("requests_deferred")
+        return view
+
     async def _next_plain(self) -> TargetView:
         view = self._choose_plain()
         if view is not None:
@@ -316,10 +357,22 @@
         A request that will be late anyway ranks behind those that can still be on time: under
         overload the engines would otherwise serve every request late.
         """
-        holders = self.permits.sendable(self._holders())
+        holders = self._with_room(self.permits.sendable(self._holders()))
         permitted = self.permits.preferred(holders)
         return self._choose_engine(permitted, on_time_only=True) or self._choose_engine(holders)
 
+    def _with_room(self, holders: Sequence[TargetView]) -> Sequence[TargetView]:
+        """Return the engines at which the request delays no more urgent ones, or all if none."""
+        self.queued.reason = ""
+        engine = self.spec.engine if self.spec else None
+        goes_on = self.retried or self.resumed or self.isolated or self.state.leaving
+        if goes_on or not engine or not self.state.uses(Mechanism.DEFERRAL):
+            return holders
+        held_ms = (_now_s() - self.arrived_s) * 1000
+        return self.state.scheduler.narrow(
+            holders, self.queued, held_ms=held_ms, slots=engine.slots
+        )
+
     def _choose_engine(
         self, holders: Sequence[TargetView], *, on_time_only: bool = False
     ) -> TargetView | None:
