Take forecasts as changes, and move waits out of the target selector

Cause: the coordinator sends a forecast again only when it has changed by a fifth, and 0 when a model leaves it; forecasts were aged as if each were sent anew, and -1 was trusted for 2 s only. A refused request counted twice with a coordinator that takes `rejected` into account.

Change: a forecast is the least time that its next change allows; loads in progress are aged since the last update. Refused requests count as waiting only for a coordinator that has sent no forecast. A request that has come back is not held. One that would be late at the engines with room goes to the others too. Callers' timeouts, Retry-After and cooldowns moved from direct/ to coordination/scheduling.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -2,9 +2,8 @@
 
   # Guards against requests that are held for a model that can't be ready in time, and against
   # refusals of requests whose model may still come.
-  Scenario Outline: How long a request would wait for a model that no engine holds, <known>
+  Scenario Outline: How long a request would wait for a model that loads in 1000 ms at least, <known>
     Given a coordinator that tells of the model: <known>
-    And a model that loads in 1000 ms at least
     When a request with an objective of 8000 ms has been held for <held> ms
     Then its model is expected in <wait> ms
 
@@ -18,19 +17,19 @@
       | nothing, though it knew of the request        | 1000 | never |
       | nothing, and has loaded another model too late | 1000 | never |
       | loaded in 700                                 | 5000 | 700   |
+      | loaded in 700, 400 ms ago                     | 5000 | 300   |
+      | loaded in 700, 900 ms ago                     | 5000 | 0     |
       | loaded in 700, forecast -1                    | 5000 | 700   |
       | forecast 900                                  | 5000 | 900   |
-      | forecast 900, 400 ms ago                      | 5000 | 500   |
-      | forecast 900, 1400 ms ago                     | 5000 | 0     |
-      | forecast 900, 9000 ms ago                     | 999  | 1000  |
+      | forecast 900, 100 ms ago                      | 5000 | 800   |
+      | forecast 900, 9000 ms ago                     | 5000 | 420   |
+      | forecast 900, by a clock that has jumped back | 5000 | 900   |
       | forecast -1                                   | 0    | never |
-      | forecast -1, 9000 ms ago                      | 999  | 1000  |
-      | forecast -1, 9000 ms ago                      | 1000 | never |
-      | forecast -1, by a clock that has jumped back  | 0    | never |
+      | forecast -1, 9000 ms ago                      | 0    | never |
+      | forecast -1, which is withdrawn               | 999  | 1000  |
 
   Scenario: A request that has come back after a refusal waits while its model may come
     Given a coordinator that tells of the model: nothing, though it knew of the request
-    And a model that loads in 1000 ms at least
     When a request with an objective of 8000 ms has been held for 1000 ms, after it was refused before
     Then its model is expected in 1000 ms
 
@@ -43,8 +42,7 @@
     And its coordinator forecasts <told>
     When a stream of the model is requested
     Then it is answered 503 with code 2003 after <least> to <most> ms, to return after <from> to <to> ms
-    And the next report counts 1 request for the model as waiting and 1 as refused
-    And the request counts as waiting until its caller returns
+    And the next report counts 0 requests for the model as waiting and 1 as refused
     And 1 request is counted as rejected early
 
     Examples:
@@ -52,6 +50,15 @@
       | that it won't be loaded    | 0     | 150  | 1000 | 1250 |
       | that it is ready in 2500 ms | 0     | 150  | 1333 | 1334 |
 
+  # Guards against models that are never loaded since all their requests are refused.
+  Scenario: A refused request counts as waiting for a coordinator that sends no forecasts
+    Given an entry of a site without the model, whose loads take 3 s
+    And its coordinator sends no forecasts
+    When a stream of the model is requested
+    Then it is answered 503 with code 2003 after 0 to 150 ms, to return after 1333 to 1334 ms
+    And the next report counts 1 request for the model as waiting and 1 as refused
+    And the request counts as waiting until its caller returns
+
   Scenario: Without the mechanism requests wait as before
     Given an entry of a site without the model, whose loads take 1 s, without "deferral"
     And its coordinator forecasts that it won't be loaded
@@ -103,6 +110,13 @@
     When a request of rank 2 with an objective of 8000 ms comes
     Then it is sent to the other engine
 
+  Scenario: A request goes where it is on time rather than where it delays nobody
+    Given an engine with 64 slots that runs 20 and reads 12000 tokens
+    And another engine with the model, which runs 30 and is slow
+    And a request of rank 2 with an objective of 500 ms and 2000 prompt tokens has come for its other model
+    When a request of rank 2 with an objective of 8000 ms comes, and has been held for 7200 ms
+    Then it may be sent to either
+
   Scenario: Requests that are held go in the order of priority, time left and share
     Given an engine with 64 slots that runs 56 and reads 0 tokens
     And a request of rank 2 with an objective of 500 ms and 2000 prompt tokens has come for its other model
--- a/features/steps/scheduling_deferral_steps.py
+++ b/features/steps/scheduling_deferral_steps.py
@@ -93,6 +93,29 @@
     context.chosen = _narrow(context, context.queued)
 
 
+@given("another engine with the model, which runs {requests:d} and is slow")
+def add_slow_engine(context: Context, requests: int) -> None:
+    add_engine(context, requests, 0)
+    context.views[1].slowness = 8.0
+    # Requests for the other model can't be sent there.
+    context.views[1].residents = {MODEL: frozenset()}
+
+
+@when(
+    "a request of rank {rank:d} with an objective of {objective:d} ms comes, and has been held for"
+    " {held:d} ms"
+)
+def decide_held(context: Context, rank: int, objective: int, held: int) -> None:
+    context.queued = _queued(context, rank, objective)
+    context.chosen = _narrow(context, context.queued, held)
+
+
+@then("it may be sent to either")
+def check_sent_anywhere(context: Context) -> None:
+    check_sent(context)
+    assert context.chosen == ["first", "other"], context.chosen
+
+
 @then("it is sent")
 def check_sent(context: Context) -> None:
     assert not context.queued.reason, context.queued.reason
--- a/packages/coordination/src/mimosaspur_coordination/scheduling/scheduler.py
+++ b/packages/coordination/src/mimosaspur_coordination/scheduling/scheduler.py
@@ -15,6 +15,7 @@
 from mimosaspur_coordination.scheduling.recentkinds import RecentKinds
 from mimosaspur_coordination.scheduling.recentkinds import Urgency
 from mimosaspur_state.clock import Clock
+from mimosaspur_state.routes import ServiceSpec
 
 # A request is held for at most this share of its objective, so that none is starved.
 MAX_HELD_SHARE = 3 / 4
@@ -76,6 +77,10 @@
     return min(MAX_HELD_SHARE * objective_ms, latest_ms)
 
 
+def _predicted_ms(views: Sequence[TargetView], queued: QueuedRequest) -> float:
+    return min(view.first_token_ms(queued.prompt, rank=queued.rank) for view in views)
+
+
 class RequestScheduler:
     """Decide when the requests that wait at an entry are sent."""
 
@@ -96,6 +101,12 @@
         per_s = served.at(self.clock.now_ms()) if served else 0.0
         return queued.rank, int(queued.due_ms // ORDER_STEP_MS), per_s
 
+    def record_kind(self, queued: QueuedRequest, service: ServiceSpec | None) -> None:
+        """Record that a request of this kind has come for its model, if the service has it."""
+        prompt = queued.prompt
+        if service and service.engine and prompt.model in service.engine.models:
+            self.kinds.record(prompt.model, queued.urgency, prompt_tokens=prompt.prompt_tokens)
+
     def on_sent(self, queued: QueuedRequest) -> None:
         """Count a request that is sent to its workspace's share."""
         now_ms = self.clock.now_ms()
@@ -121,8 +132,9 @@
             return views
         roomy = [view for view, reason in zip(views, reasons, strict=True) if not reason]
         if roomy:
-            return roomy
-        predicted_ms = min(view.first_token_ms(queued.prompt, rank=queued.rank) for view in views)
+            is_on_time = _predicted_ms(roomy, queued) <= queued.objective_ms - held_ms
+            return roomy if is_on_time else views
+        predicted_ms = _predicted_ms(views, queued)
         if held_ms < longest_hold_ms(queued.objective_ms, predicted_ms):
             queued.reason = reasons[0]
         return views
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -246,17 +246,21 @@
         demand.tokens += tokens
         demand.objective_ms = min(demand.objective_ms, objective_ms)
 
-    def record_rejection(
-        self, model: str, adapter: str, *, objective_ms: int, counted_s: float
+    def count_refused(
+        self, model: str, adapter: str, *, objective_ms: int, returns_s: float
     ) -> None:
-        """Count a refused request for an unloaded model as waiting until its caller returns."""
+        """Count a request refused early as demand for its model until its caller returns."""
         demand = self.unreported_demand.setdefault(
             model, UnreportedDemand(objective_ms=objective_ms)
         )
         demand.rejected += 1
+        self.report_requested.set()
+        if self.load_outlook.gives_forecasts:
+            return
+        # A coordinator without forecasts knows of waiting requests only.
         with contextlib.ExitStack() as stack:
             stack.enter_context(self.waiting_for(model, adapter))
-            asyncio.get_running_loop().call_later(counted_s, stack.pop_all().close)
+            asyncio.get_running_loop().call_later(returns_s, stack.pop_all().close)
 
     def on_targets_changed(self, ended: Collection[str]) -> None:
         """Record that the targets were updated and close connections to those that ended."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/refusal.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/refusal.py
@@ -6,9 +6,6 @@
 from mimosaspur_state.codes import CODE_TABLE
 from mimosaspur_state.codes import ResultCode
 
-# Callers honour a Retry-After of up to this share of their remaining time.
-MAX_RETRY_AFTER_SHARE = 1 / 3
-MIN_RETRY_AFTER_S = 0.05
 # An exception's text may quote a caller's headers.
 MAX_ERROR_CHARACTERS = 300
 
@@ -30,11 +27,6 @@
         return CODE_TABLE[self.code].http_status
 
 
-def bounded_retry_after_s(wanted_s: float, *, left_s: float) -> float:
-    """Return the Retry-After in seconds, limited to a time that the caller will wait for."""
-    return round(max(MIN_RETRY_AFTER_S, min(wanted_s, left_s * MAX_RETRY_AFTER_SHARE)), 3)
-
-
 def internal_failure(error: BaseException) -> RequestFailed:
     """Return the failure of a request that an unexpected exception has ended."""
     frame = traceback.extract_tb(error.__traceback__)[-1]
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -173,7 +173,7 @@
                 tokens=1 + round(self.prompt.prompt_tokens * self._pace()),
                 objective_ms=self.route.objective_ms,
             )
-            self.target_selector.record_kind()
+            self.state.scheduler.record_kind(self.target_selector.queued, self.target_selector.spec)
         try:
             async with asyncio.timeout_at(self.deadline_s) as self.timeout:
                 with self.state.quarantine.handling(self):
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -8,10 +8,11 @@
 
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.scheduling.callertimes import event_timeout_s
+from mimosaspur_coordination.scheduling.callertimes import retry_after_s
+from mimosaspur_coordination.scheduling.cooldowns import Cooldowns
 from mimosaspur_coordination.scheduling.loadoutlook import MAX_HOLD_SHARE
-from mimosaspur_coordination.scheduling.loadoutlook import ModelRequest
 from mimosaspur_coordination.scheduling.loadoutlook import shortest_load_ms
-from mimosaspur_coordination.scheduling.loadoutlook import spread_retry_s
 from mimosaspur_coordination.scheduling.scheduler import HELD_RECHECK_S
 from mimosaspur_coordination.scheduling.scheduler import QueuedRequest
 from mimosaspur_coordination.targetchoice import choose_emptiest
@@ -22,18 +23,14 @@
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.permitchoice import PermitChoice
 from mimosaspur_daemon.direct.refusal import RequestFailed
-from mimosaspur_daemon.direct.refusal import bounded_retry_after_s
 from mimosaspur_daemon.direct.streamcontinuation import StreamContinuation
 from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.policy import Mechanism
+from mimosaspur_state.routes import EngineSpec
 from mimosaspur_state.routes import Route
 from mimosaspur_state.routes import ServiceSpec
 from mimosaspur_state.workspaces import Workspace
 
-# Callers abandon a stream whose next event doesn't come for the longest of these.
-MIN_EVENT_TIMEOUT_MS = 2_000
-EVENT_TIMEOUT_OBJECTIVES = 4
-EVENT_TIMEOUT_GAPS = 8
 # Maximum interval between checks of a waiting request.
 RECHECK_INTERVAL_S = 0.25
 # Minimum time to the first token once a model is loaded.
@@ -50,9 +47,9 @@
     """Select the targets for one request, one after another."""
 
     __slots__ = (
-        "continuation",
         "arrived_s",
-        "cooldown_ends_s",
+        "continuation",
+        "cooldowns",
         "deadline_s",
         "digest",
         "event_deadline_s",
@@ -101,13 +98,8 @@
         # Both on the event loop's clock.
         self.arrived_s = arrived_s
         self.deadline_s = deadline_s
-        timeout_ms = max(
-            MIN_EVENT_TIMEOUT_MS,
-            EVENT_TIMEOUT_OBJECTIVES * route.objective_ms,
-            EVENT_TIMEOUT_GAPS * route.gap_objective_ms,
-        )
         # For how long the caller waits for an event.
-        self.patience_s = timeout_ms / 1000
+        self.patience_s = event_timeout_s(route)
         # Until when it waits for the next one.
         self.event_deadline_s = min(deadline_s, arrived_s + self.patience_s)
         # Whether it got an event of this response.
@@ -131,12 +123,12 @@
         self.isolated = False
         # A target that the request is at, which isn't chosen again.
         self.silent: TargetView | None = None
-        # By target, on the event loop's clock.
-        self.cooldown_ends_s: dict[str, float] = {}
+        # On the event loop's clock.
+        self.cooldowns = Cooldowns()
 
     def cool_down(self, view: TargetView, seconds: float) -> None:
         """Exclude a target from selection for a while."""
-        self.cooldown_ends_s[view.record.identity] = _now_s() + seconds
+        self.cooldowns.ends_s[view.record.identity] = _now_s() + seconds
 
     async def next_target(self, *, resumed: bool = False) -> TargetView:
         """Return the next target; raise RequestFailed if none will be available in time."""
@@ -157,17 +149,12 @@
         self._check_version()
         return self._choose() if self._needs_engine() else self._choose_plain()
 
-    def record_kind(self) -> None:
-        """Record the request's kind, for which less urgent ones for its model are held back."""
-        engine = self.spec.engine if self.spec else None
-        if engine and self.prompt.model in engine.models:
-            self.state.scheduler.kinds.record(
-                self.prompt.model, self.queued.urgency, prompt_tokens=self.prompt.prompt_tokens
-            )
-
     def _needs_engine(self) -> bool:
         """Return whether the request is for a model."""
-        return bool(self.spec and self.spec.engine and self.prompt.model)
+        return bool(self._engine() and self.prompt.model)
+
+    def _engine(self) -> EngineSpec | None:
+        return self.spec.engine if self.spec else None
 
     def backup_target(self, silent: TargetView) -> TargetView | None:
         """Choose a target beside a silent one that is expected to answer in time, None without.
@@ -203,10 +190,9 @@
 
     def refusal(self, code: ResultCode, *, wanted_s: float = DEFAULT_RETRY_S) -> RequestFailed:
         """Return the refusal of a request that has not run."""
-        if self.state.uses(Mechanism.DEFERRAL):
-            wanted_s = spread_retry_s(wanted_s)
+        spread, left_s = self.state.uses(Mechanism.DEFERRAL), self.remaining_s()
         return RequestFailed(
-            code, retry_after_s=bounded_retry_after_s(wanted_s, left_s=self.remaining_s())
+            code, retry_after_s=retry_after_s(wanted_s, left_s=left_s, spread=spread)
         )
 
     async def _next_engine(self) -> TargetView:
@@ -292,7 +278,7 @@
         """Return the expected wait for a permit, or for the model on another engine."""
         if not held:
             return self._model_wait_s()
-        ready_ms = self.state.load_outlook.loading.get(self.prompt.model)
+        ready_ms = self.state.load_outlook.loading_ms(self.prompt.model)
         permit_s = min(self.permits.expected_wait_s(held), self._cooldown_wait_s())
         return permit_s if ready_ms is None else min(permit_s, ready_ms / 1000)
 
@@ -305,45 +291,41 @@
             for view in self._allowed_by_version()
         )
         if is_held or self.retried or self.resumed or not self.state.uses(Mechanism.DEFERRAL):
-            return outlook.loading.get(model, 0) / 1000
-        request = ModelRequest(
+            return (outlook.loading_ms(model) or 0) / 1000
+        wait_ms = outlook.wait_ms(
             model,
-            objective_ms=self.route.objective_ms,
             held_ms=(_now_s() - self.arrived_s) * 1000,
-            shortest_load_ms=self._shortest_load_ms(),
+            objective_ms=self.route.objective_ms,
+            engine=self._engine(),
             returned=self.state.refused.has_returned(self.digest),
         )
-        return outlook.wait_ms(request) / 1000
-
-    def _shortest_load_ms(self) -> float:
-        return shortest_load_ms(self.spec.engine if self.spec else None, self.prompt.model)
+        return wait_ms / 1000
 
     def _unloaded_refusal(self, expected_s: float, *, is_early: bool) -> RequestFailed:
         """Return the refusal of a request whose model won't be ready in time."""
         if not math.isfinite(expected_s):
-            expected_s = self._shortest_load_ms() / 1000
+            expected_s = shortest_load_ms(self._engine(), self.prompt.model) / 1000
         failure = self.refusal(ResultCode.NO_READY_TARGET, wanted_s=expected_s or 1.0)
         if is_early and self.state.uses(Mechanism.DEFERRAL):
             self.state.refused.add(self.digest, left_s=self.remaining_s())
-            self.state.record_rejection(
+            self.state.count_refused(
                 self.prompt.model,
                 self.prompt.adapter,
                 objective_ms=self.route.objective_ms,
-                counted_s=failure.retry_after_s or 0.0,
+                returns_s=failure.retry_after_s or 0.0,
             )
             self.state.log.counters.count("requests_rejected_early")
         return failure
 
     def _cooldown_wait_s(self) -> float:
         """Return the time until a target that has refused the request may be asked again."""
-        now_s = _now_s()
-        waits = [
-            self.cooldown_ends_s.get(view.record.identity, 0) - now_s
+        identities = (
+            view.record.identity
             for view in self._allowed_by_version()
             if (not self.prompt.model or view.can_run(self.prompt))
             and not self.state.notices.is_held(view.record)
-        ]
-        return min((wait for wait in waits if wait > 0), default=math.inf)
+        )
+        return self.cooldowns.shortest_s(identities, _now_s())
 
     def _permit_rank(self) -> int:
         """Return the request's rank for permits: retries take none from first attempts."""
@@ -364,8 +346,9 @@
     def _with_room(self, holders: Sequence[TargetView]) -> Sequence[TargetView]:
         """Return the engines at which the request delays no more urgent ones, or all if none."""
         self.queued.reason = ""
-        engine = self.spec.engine if self.spec else None
+        engine = self._engine()
         goes_on = self.retried or self.resumed or self.isolated or self.state.leaving
+        goes_on |= self.state.refused.has_returned(self.digest)
         if goes_on or not engine or not self.state.uses(Mechanism.DEFERRAL):
             return holders
         held_ms = (_now_s() - self.arrived_s) * 1000
@@ -427,8 +410,7 @@
         return [
             view
             for view in self._allowed_by_version()
-            if self.cooldown_ends_s.get(view.record.identity, 0) <= now_s
-            and view is not self.silent
+            if self.cooldowns.is_over(view.record.identity, now_s) and view is not self.silent
         ]
 
     def _allowed_by_version(self) -> list[TargetView]:
@@ -453,10 +435,10 @@
             raise self.refusal(ResultCode.STREAM_VERSION_GONE)
 
     def _recheck_delay_s(self) -> float:
-        ends = [end - _now_s() for end in self.cooldown_ends_s.values()]
-        hold_s = MAX_HOLD_SHARE * self.route.objective_ms / 1000
-        ends.append(self.arrived_s + hold_s - _now_s())
-        return max(0.01, min([RECHECK_INTERVAL_S, *(end for end in ends if end > 0)]))
+        now_s = _now_s()
+        ends_s = [now_s + RECHECK_INTERVAL_S, *self.cooldowns.ends_s.values()]
+        ends_s.append(self.arrived_s + MAX_HOLD_SHARE * self.route.objective_ms / 1000)
+        return max(0.01, min(end_s - now_s for end_s in ends_s if end_s > now_s))
 
     async def _wait_for_cooldown(self) -> None:
         self._check_version()
