Send the times until models are ready only when they change

Change: entries count the times down; a report holds them if a load begins or ends or one differs by more than 100 ms, and tells otherwise that they hold.

--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -278,6 +278,17 @@
         models = spec.engine.models if spec and spec.engine else {}
         return unmet_request(route, workspace, models.get(model))
 
+    def count_refused(self, model: str, adapter: str, *, returns_s: float) -> None:
+        """Count a request refused early as waiting until its caller returns, if need be.
+
+        A coordinator without forecasts knows of waiting requests only.
+        """
+        if self.load_outlook.gives_forecasts:
+            return
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self.waiting_for(model, adapter))
+            asyncio.get_running_loop().call_later(returns_s, stack.pop_all().close)
+
     def on_targets_changed(self, ended: Collection[str]) -> None:
         """Record that the targets were updated and close connections to those that ended."""
         for identity in ended:
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
@@ -21,6 +21,9 @@
 from mimosaspur_protocol.peermessages import encode_peer
 
 NEVER_SENT = -1
+# Entries count down the times until models are ready. Sent in each report, these times made up 4 in
+# 10 bytes of the reports, so they are sent again only if they differ by more than this.
+READY_TIME_TOLERANCE_MS = 100
 
 
 @dataclass(slots=True)
@@ -36,18 +39,33 @@
 class FleetChanges:
     """Keep work and residents as last sent, and compute what has changed since."""
 
-    __slots__ = ("changed_residents", "changed_work", "expected_ms", "residents", "work")
+    __slots__ = (
+        "changed_residents",
+        "changed_work",
+        "expected_ms",
+        "ready_at_ms",
+        "ready_times_changed",
+        "residents",
+        "work",
+    )
 
     def __init__(self) -> None:
         self.work: Mapping[str, TargetWork] = {}
         self.residents: Mapping[str, EngineResidents] = {}
         # Time until each model that is being loaded is expected.
         self.expected_ms: dict[str, int] = {}
+        # The same as points in time, as last sent, and whether they differ now.
+        self.ready_at_ms: dict[str, int] = {}
+        self.ready_times_changed = False
         self.changed_work: list[TargetWork] = []
         self.changed_residents: list[EngineResidents] = []
 
     def update(
-        self, totals: Mapping[str, TargetWork] | None, controllers: Collection[EngineController]
+        self,
+        totals: Mapping[str, TargetWork] | None,
+        controllers: Collection[EngineController],
+        *,
+        now_ms: int,
     ) -> bool:
         """Update to the fleet's current state; return whether anything has changed.
 
@@ -65,9 +83,19 @@
         self.changed_residents = [
             each for key, each in residents.items() if self.residents.get(key) != each
         ]
-        loads_changed = expected.keys() != self.expected_ms.keys()
         self.work, self.residents, self.expected_ms = totals, residents, expected
-        return bool(self.changed_work or self.changed_residents or loads_changed)
+        self._update_ready_times(now_ms)
+        return bool(self.changed_work or self.changed_residents or self.ready_times_changed)
+
+    def _update_ready_times(self, now_ms: int) -> None:
+        ready_at_ms = {model: now_ms + in_ms for model, in_ms in self.expected_ms.items()}
+        sent_ms = self.ready_at_ms
+        self.ready_times_changed = ready_at_ms.keys() != sent_ms.keys() or any(
+            abs(at_ms - sent_ms[model]) > READY_TIME_TOLERANCE_MS
+            for model, at_ms in ready_at_ms.items()
+        )
+        if self.ready_times_changed:
+            self.ready_at_ms = ready_at_ms
 
 
 @dataclass(slots=True)
@@ -105,6 +133,7 @@
             crashes, limits, loads = self.all_crashes, self.all_limits, self.all_loads
             entries, leaving = self.all_entries, self.all_leaving
             forecast = self.full_forecast
+        ready_times_hold = sent.fleet_sent and not fleet.ready_times_changed
         store = self.store_changes.changes_since(sent.store_number) if self.store_changes else None
         return msgspec.structs.replace(
             self.base,
@@ -119,6 +148,8 @@
             entries_joined=entries,
             entries_complete=not sent.fleet_sent,
             load_forecast=forecast,
+            model_ready_in_ms={} if ready_times_hold else fleet.expected_ms,
+            ready_times_hold=ready_times_hold,
         )
 
     def frame(self, sent: SentState) -> bytes:
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -100,6 +100,7 @@
         state.fleet.set_residents(each.target, models, frozenset(each.unloading))
     for message in report.paces:
         state.fleet.paces.apply_shared(message.model, Pace(message.factor, message.measurements))
-    state.load_outlook.on_update(report.model_ready_in_ms, report.load_forecast)
-    if report.work or report.residents or report.model_ready_in_ms or report.load_forecast:
+    loading = None if report.ready_times_hold else report.model_ready_in_ms
+    state.load_outlook.on_update(loading, report.load_forecast)
+    if report.work or report.residents or loading or report.load_forecast:
         state.changes.notify()
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -244,7 +244,8 @@
         """Send each member what has changed, or a heartbeat if one is due."""
         now_ms = self.state.clock.now_ms()
         work_due = now_ms >= self.work_due_ms
-        changed = self.fleet_changes.update(self._sum_work() if work_due else None, controllers)
+        totals = self._sum_work() if work_due else None
+        changed = self.fleet_changes.update(totals, controllers, now_ms=now_ms)
         paces = self._due_paces(now_ms)
         quotas = self.quotas.changed_remaining(len(self.members))
         crashes = self.state.quarantine.take_reports()
@@ -338,7 +339,7 @@
             entry_count=len(self.members),
             work=[],
             residents=[],
-            model_ready_in_ms=self.fleet_changes.expected_ms,
+            model_ready_in_ms={},
             paces=paces,
             staying_count=sum(not each.leaving for each in self.members.values()),
             configuration_version=self.state.version(),
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -177,7 +177,7 @@
                 objective_ms=self.route.objective_ms,
                 priority=priority_of(self.route, self.workspace)[0],
             )
-            self.target_selector.record_kind()
+            self.state.scheduler.record_kind(self.target_selector.queued, self.target_selector.spec)
         try:
             async with asyncio.timeout_at(self.deadline_s) as self.timeout:
                 with self.state.quarantine.handling(self):
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -263,6 +263,8 @@
     # if it will not be loaded. Changes since the last report, 0 for a model that left the forecast;
     # all in the first one on a link.
     load_forecast: dict[str, int] = msgspec.field(default_factory=dict)
+    # Whether `model_ready_in_ms` is left out, as the times last sent still hold.
+    ready_times_hold: bool = False
 
 
 class IssuedPermits(msgspec.Struct, array_like=True, tag="permits"):
