Load patient models by requests, and one at a time by deadline

Cause: by deadline alone, a model with one caller goes before one with twenty.

Change: of the models with patient demand one load at a time is for the earliest deadline, so that none starves; the others are for the most requests, weighed by how long they wait. A refused request counts as demand also if its model is just being unloaded.

The play of starvation now has one model with a single caller beside three with nine, and fails without the turn. model_urgency, direct_placement, direct_orders, direct_adapters, direct_work and late_orders together: 240 passed.

--- a/features/harness/urgency_play.py
+++ b/features/harness/urgency_play.py
@@ -81,7 +81,11 @@
         demand = dict.fromkeys(self.urgent, URGENT)
         for model, since_ms in self.since_ms.items():
             wait_ms = now_ms - since_ms
-            demand[model] = Demand(waiting=1, waiting_ms=wait_ms, objective_ms=PATIENT_OBJECTIVE_MS)
+            demand[model] = Demand(
+                waiting=1 if model == self.patient[0] else 9,
+                waiting_ms=wait_ms,
+                objective_ms=PATIENT_OBJECTIVE_MS,
+            )
             self.longest_wait_ms = max(self.longest_wait_ms, wait_ms)
         return PlacementProblem(self.spec, self.engines, demand, by_urgency=True)
 
--- a/features/model_urgency.feature
+++ b/features/model_urgency.feature
@@ -70,6 +70,7 @@
       | but gains by waiting                      | x: a b c disk g h                | a b urgent 300; g urgent waits 3 for 3000 ms priority 3; h urgent waits 2 | g replaces c on x   |
       | one patient load at a time is enough      | x: loads g; y: d e f disk h; z: disk a | g patient waits 1; h patient waits 1                               | nothing is loaded    |
       | which holds up no urgent one              | x: loads g; y: d e f disk h      | g patient waits 1; h urgent waits 1; d e urgent 300                      | h replaces f on y    |
+      | the earliest deadline is being loaded     | x: loads e; y: a b c disk g h; z: a b c; u: a b c; v: a b c; w: a b c | e patient waits 1 for 5000 ms; g patient waits 1 for 1000 ms; h patient waits 5 for 100 ms; a b urgent 300 | h replaces c on y |
       | an urgent model has a replica to spare    | x: a b c disk g; y: a d e        | a b c d e urgent 300; g patient waits 1                                  | g replaces a on x    |
       | it needs both replicas                    | x: a b c disk g; y: a d e        | a urgent 9000; b c d e urgent 300; g patient waits 1                     | nothing is loaded    |
       | an extra replica for patient demand       | x: a b c; y: d e f disk a        | a patient 30000; d e f urgent 300                                        | nothing is loaded    |
@@ -120,7 +121,7 @@
 
   Scenario: Patient demand isn't starved while a place without urgent demand exists
     Given 3 engines whose 9 places hold 8 models with steady urgent demand
-    And 4 models that patient callers ask for, again as soon as they were served
+    And 4 models that patient callers ask for, nine of them for all but one, again as soon as they were served
     When loads are decided for 120 s
     Then no model with urgent demand was unloaded
     And no patient caller waited longer than 12000 ms for a load
@@ -150,6 +151,16 @@
     And 3900 ms after the refusal the first report to a new coordinator tells of 1
     And 4100 ms after the refusal the first report to a new coordinator tells of none
 
+  Scenario Outline: A refused request counts if no engine holds its model, <case>
+    Given a direct entry whose engine holds "<held>"
+    When a caller asks for the model "<asked>" and is refused
+    Then the entry's next report tells of <rejected>
+
+    Examples:
+      | case              | held | asked | rejected                                 |
+      | none holds it     | a    | g     | 1 refused request, waiting for 300 ms    |
+      | an engine has it  | a    | a     | nothing refused                          |
+
   Scenario: The coordinator changes while loads wait
     Given entries whose urgent callers were refused for "h" and whose patient callers wait for "g"
     When one coordinator decides alone, and when another one follows it after the first load
--- a/features/steps/model_urgency_steps.py
+++ b/features/steps/model_urgency_steps.py
@@ -10,10 +10,13 @@
 from behave import when
 from behave.runner import Context
 
+from harness.direct_entry import DOMAIN
+from harness.direct_entry import DirectEntry
 from harness.direct_entry import configuration
 from harness.direct_entry import engine_spec
 from harness.direct_entry import model_spec
 from harness.direct_fleet import ManualClock
+from harness.loop import run
 from harness.placement_fleets import random_problem
 from harness.urgency_play import BurstPlay
 from harness.urgency_play import TakeoverPlay
@@ -29,6 +32,9 @@
 from mimosaspur_coordination.unmetdemand import UnmetDemand
 from mimosaspur_coordination.unmetdemand import UnmetRequest
 from mimosaspur_coordination.urgency import urgency_differs
+from mimosaspur_daemon.direct.entryreport import build_entry_report
+from mimosaspur_platform.names import DIALECT
+from mimosaspur_state.fleet import TargetRecord
 
 MODELS = "abcdefgh"
 SPEC = engine_spec([model_spec(name) for name in MODELS])
@@ -155,7 +161,7 @@
 @given("{count:d} models that patient callers ask for, {when}")
 def set_patient(context: Context, count: int, when: str) -> None:
     engines, urgent = context.fleet
-    context.play = BurstPlay(engines, urgent, count, repeated=when.startswith("again"))
+    context.play = BurstPlay(engines, urgent, count, repeated="again" in when)
 
 
 @when("loads are decided for {seconds:d} s")
@@ -222,6 +228,34 @@
     return sum(each.rejected for each in context.unmet.take_report().values())
 
 
+@given('a direct entry whose engine holds "{model}"')
+def start_entry(context: Context, model: str) -> None:
+    async def start() -> None:
+        context.entry = DirectEntry(engine=SPEC, dialect=DIALECT)
+        record = TargetRecord("i-1", "service", ("127.0.0.1", 1), DOMAIN, slots=4)
+        context.entry.state.fleet.update([replace(record, residents={model: frozenset()})], [])
+        # No other engine may be asked, and its own queue is far too long.
+        view = context.entry.state.fleet.targets["i-1"]
+        view.others_work.prefill_tokens[0] = 10_000_000
+        await context.entry.start()
+
+    run(context, start())
+
+
+@when('a caller asks for the model "{model}" and is refused')
+def ask_refused(context: Context, model: str) -> None:
+    headers = {"X-Model": model, "X-Token-Counts": "100,20"}
+    answer = run(context, context.entry.call("stream", headers=headers))
+    assert answer.status == 503, answer
+
+
+@then("the entry's next report tells of {rejected}")
+def check_reported_refusal(context: Context, rejected: str) -> None:
+    demand = build_entry_report(context.entry.state).model_demand
+    found = [(each.rejected, each.objective_ms) for each in demand if each.rejected]
+    assert found == ([] if rejected == "nothing refused" else [(1, 300)]), demand
+
+
 @given('entries whose urgent callers were refused for "h" and whose patient callers wait for "g"')
 def set_entries(context: Context) -> None:
     context.loads = {}
--- a/packages/coordination/src/mimosaspur_coordination/modelplacement.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelplacement.py
@@ -44,8 +44,10 @@
 # Maximum cost of a load that only leaves a copy on disk.
 MAX_COPY_COST = 100.0
 # Order of needs: first replicas and excess demand for models with urgent demand, or for all models
-# where demand is equally urgent; first replicas for patient demand; excess patient demand.
-URGENT_NEED = 2
+# where demand is equally urgent; the first replica for the earliest deadline of patient demand;
+# other first replicas for patient demand; excess patient demand.
+URGENT_NEED = 3
+TURN_NEED = 2
 PATIENT_NEED = 1
 PATIENT_EXCESS_NEED = 0
 # Cost of each second until the copy is there, so that a free engine wins among equal losses.
@@ -60,16 +62,19 @@
 def first_replica_need(problem: PlacementProblem, name: str) -> tuple[int, float]:
     """Return the sort key of a model that requests wait for, the greatest for the first load.
 
-    Where requests differ in urgency, models with urgent demand go first, and those with patient
-    demand follow in the order of their deadlines, so that each gets its turn. Among urgent models
-    a lower priority counts for less, but its requests' weight grows while they wait.
+    Where requests differ in urgency, models with urgent demand go first. Among these a lower
+    priority counts for less, but its requests' weight grows while they wait. Of the others, one at
+    a time is loaded because its deadline is the earliest, so that each gets its turn; the rest
+    follow by their requests.
     """
     demand = problem.demand_of(name)
     if not problem.by_urgency:
         return URGENT_NEED, waiting_score(demand)
     if problem.is_urgent(name):
         return URGENT_NEED, waiting_score(demand) / (1 + demand.priority)
-    return PATIENT_NEED, demand.waiting_ms - demand.objective_ms
+    if name == problem.next_turn:
+        return TURN_NEED, 0.0
+    return PATIENT_NEED, demand.unmet * (1.0 + demand.waiting_ms / demand.objective_ms)
 
 
 def next_swap(problem: PlacementProblem) -> Swap | None:
--- a/packages/coordination/src/mimosaspur_coordination/placementproblem.py
+++ b/packages/coordination/src/mimosaspur_coordination/placementproblem.py
@@ -111,6 +111,9 @@
     # Number of engines that load models for patient demand, and of those in long loads.
     patient_loads: int = 0
     patient_long_loads: int = 0
+    # The model without urgent demand that is loaded next because its deadline is the earliest;
+    # empty while a model with an earlier one is being loaded.
+    next_turn: str = ""
     # Whether each model's demand is urgent, as far as it was asked for.
     urgent_models: dict[str, bool] = field(default_factory=dict)
 
@@ -132,6 +135,7 @@
             ]
             self.patient_loads = len(patient)
             self.patient_long_loads = sum(each.free_in_ms >= LONG_LOAD_MS / 2 for each in patient)
+            self.next_turn = self._next_turn({engine.loading for engine in patient})
 
     def any_engine_free(self) -> bool:
         """Return whether some engine can begin a load now."""
@@ -166,6 +170,19 @@
             return True
         return bool(spec and demand.requested() and is_urgent(demand.objective_ms, spec))
 
+    def _next_turn(self, loading: Collection[str]) -> str:
+        """Return the patient model with the earliest deadline, if it isn't being loaded."""
+        deadlines = [
+            (demand.objective_ms - demand.waiting_ms, name not in loading, name)
+            for name, demand in self.demand.items()
+            if demand.unmet
+            and name in self.spec.models
+            and (name in loading or not self.replicas.get(name))
+            and not self.is_urgent(name)
+        ]
+        _, waits, name = min(deadlines, default=(0.0, False, ""))
+        return name if waits else ""
+
     def has_spare_replica(self, model: str) -> bool:
         """Return whether a model's demand could be met without one of its replicas."""
         others = self.replicas.get(model, 1) - 1
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -257,7 +257,8 @@
     ) -> None:
         """Count a refused request as demand for its model if no engine holds it."""
         views = self.fleet.by_service.get(service, {}).values()
-        if any(model in view.residents and not view.record.leaving for view in views):
+        holders = [view for view in views if model in view.residents and not view.record.leaving]
+        if any(model not in view.unloading for view in holders):
             return
         request = self.unmet_request(route, workspace, service, model)
         self.unmet.reject(model, request, time_limit_ms=route.timeout_ms)
