Forecast loads on all engines that could take them

Cause: the forecast kept a model that it had just loaded in the simulation from being unloaded while any other engine had another choice, and counted its waiting requests as running for ever.

Change: a loaded model stays for 0.7 s, which counts in the choice of an engine and in the start only if it is unloaded.

--- a/packages/coordination/src/mimosaspur_coordination/loadforecast.py
+++ b/packages/coordination/src/mimosaspur_coordination/loadforecast.py
@@ -85,6 +85,9 @@
     """Assign loads to engines one after another, in virtual time."""
 
     def __init__(self, problem: PlacementProblem) -> None:
+        # When each engine is free. For the choice of an engine, `free_in_ms` includes the time for
+        # which a loaded model stays.
+        self.free_ms: dict[str, int] = {}
         # When each model that is loaded in the simulation, or before, may be unloaded again.
         self.settled_ms: dict[tuple[str, str], int] = {}
         self.engines = {
@@ -113,7 +116,7 @@
         busy = [each_ms for each_ms in busy if each_ms >= LONG_LOAD_MS / 2][-count:]
         self.lanes_ms = [0] * (count - len(busy)) + busy
         # The same for loads for patient demand.
-        count = problem.max_patient_loads() if problem.by_urgency else 0
+        count = problem.max_patient_loads()
         busy = sorted(
             each.free_in_ms
             for each in problem.engines
@@ -124,32 +127,26 @@
     def _start_state(self, problem: PlacementProblem, engine: EngineSnapshot) -> EngineSnapshot:
         """Return a copy of an engine that holds the model that it is loading."""
         residents = dict(engine.residents)
+        free_ms = self.free_ms[engine.identity] = engine.free_in_ms
         for name in engine.recent:
             self.settled_ms[engine.identity, name] = RESIDENCE_MS
         if engine.loading:
-            residents[engine.loading] = max(1, problem.demand_of(engine.loading).unmet)
-            self.settled_ms[engine.identity, engine.loading] = engine.free_in_ms + RESIDENCE_MS
-        recent = engine.recent.union(filter(None, (engine.loading,)))
-        return replace(engine, residents=residents, loading="", recent=recent)
-
-    def _settle(self) -> bool:
-        """Let recently loaded models be unloaded, and return whether there are any."""
-        settled = [engine for engine in self.engines.values() if engine.recent]
-        for engine in settled:
-            engine.recent = frozenset()
-            self.search.refresh(engine)
-        return bool(settled)
+            residents[engine.loading] = 0
+            self.settled_ms[engine.identity, engine.loading] = free_ms + RESIDENCE_MS
+        if engine.loading or engine.recent:
+            free_ms += RESIDENCE_MS
+        return replace(
+            engine, residents=residents, loading="", recent=frozenset(), free_in_ms=free_ms
+        )
 
     def load(self, name: str) -> int:
         """Load a model where it costs least; return when it is ready."""
         swap = self.search.first_replica(name)
-        if swap is None and self._settle():
-            swap = self.search.first_replica(name)
         if swap is None:
             return NEVER_MS
         engine = self.engines[swap.identity]
         settled = (self.settled_ms.get((engine.identity, victim), 0) for victim in swap.victims)
-        start_ms = max(engine.free_in_ms, *settled, 0)
+        start_ms = max(self.free_ms[engine.identity], *settled, 0)
         if swap.from_store:
             start_ms = max(start_ms, self.store_free_ms)
         lanes_ms = self._lanes_ms(swap)
@@ -177,13 +174,13 @@
             self.problem.speeds[victim] = max(
                 engine.speed, self.problem.speeds.get(victim, 0.0) - engine.speed
             )
-        # The requests that have waited run there next, so that another model is unloaded first.
-        engine.residents[swap.model] = max(1, self.problem.demand_of(swap.model).unmet)
+        # The requests that have waited for it have run by the time it may be unloaded.
+        engine.residents[swap.model] = 0
         self.problem.replicas[swap.model] = 1
         self.problem.speeds[swap.model] = engine.speed
         self.settled_ms[engine.identity, swap.model] = ready_ms + RESIDENCE_MS
-        engine.recent = frozenset((swap.model,))
-        engine.free_in_ms = ready_ms
+        self.free_ms[engine.identity] = ready_ms
+        engine.free_in_ms = ready_ms + RESIDENCE_MS
         self.search.refresh(engine)
 
 
