--- a/features/model_urgency.feature
+++ b/features/model_urgency.feature
@@ -70,6 +70,7 @@
       | but gains by waiting                      | x: a b c disk g h                | a b urgent 300; g urgent waits 3 for 3000 ms priority 3; h urgent waits 2 | g replaces c on x   |
       | one patient load at a time is enough      | x: loads g; y: d e f disk h; z: disk a | g patient waits 1; h patient waits 1                               | nothing is loaded    |
       | which holds up no urgent one              | x: loads g; y: d e f disk h      | g patient waits 1; h urgent waits 1; d e urgent 300                      | h replaces f on y    |
+      | the earliest deadline is being loaded     | x: loads e; y: a b c disk g h; z: a b c; u: a b c; v: a b c; w: a b c | e patient waits 1 for 5000 ms; g patient waits 1 for 1000 ms; h patient waits 5 for 100 ms; a b urgent 300 | h replaces c on y |
       | an urgent model has a replica to spare    | x: a b c disk g; y: a d e        | a b c d e urgent 300; g patient waits 1                                  | g replaces a on x    |
       | it needs both replicas                    | x: a b c disk g; y: a d e        | a urgent 9000; b c d e urgent 300; g patient waits 1                     | nothing is loaded    |
       | an extra replica for patient demand       | x: a b c; y: d e f disk a        | a patient 30000; d e f urgent 300                                        | nothing is loaded    |
@@ -114,13 +115,14 @@
       | x: a b c disk g h                  | a urgent 300; g patient waits 9; h urgent waits 1           | h 2090, g 4180  |
       | x: a b c disk g; y: d e f disk h   | g patient waits 1 for 500 ms; h patient waits 1             | g 2090, h 4180  |
       | x: a b c disk g                    | a b urgent 300; g patient rejected 1                        | g 2090          |
+      | x: a b loads e disk g h free in 1000 ms; y: a c d disk g h; z: a b f; u: a b f; v: a b f; w: a b f | a b f urgent 30000; e patient waits 1 for 5000 ms; g patient waits 9; h patient waits 5 | g 2090, h 3790 |
 
   Scenario: The search that leaves engines out decides like the full one
     Then in 300 random states a pruned search by urgency decides like a full one
 
   Scenario: Patient demand isn't starved while a place without urgent demand exists
     Given 3 engines whose 9 places hold 8 models with steady urgent demand
-    And 4 models that patient callers ask for, again as soon as they were served
+    And 4 models that patient callers ask for, nine of them for all but one, again as soon as they were served
     When loads are decided for 120 s
     Then no model with urgent demand was unloaded
     And no patient caller waited longer than 12000 ms for a load
@@ -150,6 +152,16 @@
     And 3900 ms after the refusal the first report to a new coordinator tells of 1
     And 4100 ms after the refusal the first report to a new coordinator tells of none
 
+  Scenario Outline: A refused request counts if no engine holds its model, <case>
+    Given a direct entry whose engine holds "<held>"
+    When a caller asks for the model "<asked>" and is refused
+    Then the entry's next report tells of <rejected>
+
+    Examples:
+      | case              | held | asked | rejected                                 |
+      | none holds it     | a    | g     | 1 refused request, waiting for 300 ms    |
+      | an engine has it  | a    | a     | nothing refused                          |
+
   Scenario: The coordinator changes while loads wait
     Given entries whose urgent callers were refused for "h" and whose patient callers wait for "g"
     When one coordinator decides alone, and when another one follows it after the first load
