--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -59,7 +59,12 @@
     residents: Mapping[str, frozenset[str]] = field(default_factory=dict)
     # Models that are about to be unloaded; they take no new requests.
     unloading: frozenset[str] = frozenset()
+    # This entry's own estimate, used while the speeds of engines aren't shared.
     slowness: float = 1.0
+    # Time to read prompts and to write tokens, relative to the engines of the service; above 1 is
+    # slower, 1 if unknown.
+    prefill_factor: float = 1.0
+    decode_factor: float = 1.0
     # Least recently used first; the key is (model, adapter, part identity).
     prompt_parts: OrderedDict[tuple[str, str, str], int] = field(default_factory=OrderedDict)
     # This entry's streams that wait for the target's next event, when it last sent anything, or got
@@ -119,7 +124,8 @@
             # Less urgent requests are processed later.
             queued += sum(n for other, n in work.prefill_tokens.items() if other <= rank)
         own_ms = prefill_ms(self.prefill_tokens(prompt))
-        return self.speed.base_ms.value + (own_ms + self.speed.queue_ms(queued)) * self.slowness
+        read_ms = (own_ms + self.speed.queue_ms(queued)) * self.slowness * self.prefill_factor
+        return self.speed.base_ms.value + read_ms
 
     def on_sent(self, prompt: Prompt, *, rank: int) -> float:
         """Count a prompt that is sent; return its prefill work."""
