Share the measured speeds of engines among all entries

Entries now measure the time to read prompts and the time between events by lifetime of an engine, the coordinator adds the measurements up, and all entries get the sums. The mechanism `engine-speed` goes back to the old estimate.

--- a/features/direct_store.feature
+++ b/features/direct_store.feature
@@ -112,6 +112,7 @@
     Examples:
       | name          | not done                                             |
       | model-pace    | a measured pace stays 1                              |
+      | engine-speed  | an entry estimates engines by itself alone           |
       | queue-part    | the part of a queue that is waited for stays 1       |
       | store-reader  | the coordinator tells nothing of the store           |
       | leaving-takes | nothing is taken by a leaving entry                  |
--- a/features/steps/direct_policy_steps.py
+++ b/features/steps/direct_policy_steps.py
@@ -13,8 +13,10 @@
 from harness.direct_entry import model_spec
 from harness.direct_entry import settings_for
 from harness.loop import run
+from mimosaspur_coordination.enginespeed.estimate import SpeedUpdate
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_daemon.direct.callers import CallerServer
+from mimosaspur_daemon.direct.entryreport import build_entry_report
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.requesthandler import RequestHandler
 from mimosaspur_daemon.direct.storechanges import CONFIGURATION
@@ -85,6 +87,17 @@
     assert context.state.fleet.paces.token_cost("notes") == 1.0
 
 
+@then("an entry estimates engines by itself alone")
+def check_own_estimate(context: Context) -> None:
+    view = context.state.fleet.targets["x"]
+    view.on_first_token(PROMPT, unread=4_000, predicted_ms=230, took_ms=900)
+    told = SpeedUpdate("x", view.record.started_ms, 2.0, 20.0, 2.0, 20.0)
+    context.state.fleet.apply_speeds([told])
+    assert (view.prefill_factor, view.decode_factor) == (1.0, 1.0)
+    assert view.slowness > 1.0
+    assert not build_entry_report(context.state).speeds
+
+
 @then("the part of a queue that is waited for stays 1")
 def check_queue_part(context: Context) -> None:
     view = context.state.fleet.targets["x"]
--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -9,6 +9,11 @@
 from dataclasses import field
 from dataclasses import replace
 
+from mimosaspur_coordination.enginespeed.decodepace import DecodePace
+from mimosaspur_coordination.enginespeed.decodepace import StreamGaps
+from mimosaspur_coordination.enginespeed.estimate import SpeedUpdate
+from mimosaspur_coordination.enginespeed.measured import EngineSpeeds
+from mimosaspur_coordination.enginespeed.momentary import MomentarySlowness
 from mimosaspur_coordination.modelpace import LEARNING_RATE
 from mimosaspur_coordination.modelpace import MAX_CHANGE_RATIO
 from mimosaspur_coordination.modelpace import ModelPace
@@ -29,6 +34,15 @@
 MAX_PAUSE_MS = 1_000
 # Prompt parts tracked per target as probably cached.
 MAX_PROMPT_PARTS = 2_000
+# Requests whose own prefill takes a smaller share of the predicted time say little of the engine's
+# speed at the moment.
+MIN_MOMENTARY_SHARE = 0.5
+# The first measurement in which an engine is slow: whether it is so for a moment isn't known yet.
+FIRST_SLOW_WEIGHT = 0.7
+# Speeds kept of engines that aren't registered yet: a store's update may be late.
+MAX_EARLY_SPEEDS = 400
+# Speeds change slowly once they are known.
+SPEEDS_INTERVAL_MS = 1_000
 
 
 @dataclass(slots=True, frozen=True)
@@ -65,6 +79,10 @@
     # slower, 1 if unknown.
     prefill_factor: float = 1.0
     decode_factor: float = 1.0
+    # Speeds of all engines of the service; None if they aren't shared.
+    speeds: EngineSpeeds | None = None
+    decode_paces: DecodePace = field(default_factory=DecodePace)
+    momentary: MomentarySlowness = field(default_factory=MomentarySlowness)
     # Least recently used first; the key is (model, adapter, part identity).
     prompt_parts: OrderedDict[tuple[str, str, str], int] = field(default_factory=OrderedDict)
     # This entry's streams that wait for the target's next event, when it last sent anything, or got
@@ -112,6 +130,29 @@
         """Return the running and queued requests of all entries at the target."""
         return self.own_work.requests + self.others_work.requests
 
+    def reads_prompts(self) -> bool:
+        """Return whether the target has prompts to read, of any entry."""
+        works = (self.own_work, self.others_work)
+        return any(tokens >= 1 for work in works for tokens in work.prefill_tokens.values())
+
+    def is_slow_now(self) -> bool:
+        """Return whether the target is slower at the moment than it usually is."""
+        return self.momentary.remaining_ms(now_ms=self.health.clock.now_ms()) > 0
+
+    def record_gaps(self, gaps: StreamGaps) -> None:
+        """Update the estimates with the time between a stream's events."""
+        gap_ms = gaps.usual_gap_ms()
+        if self.speeds is None or gap_ms is None:
+            return
+        ratio = self.decode_paces.ratio(gap_ms, factor=self.decode_factor)
+        self.speeds.add_decode(self.record.identity, ratio)
+        self.apply_speed()
+
+    def apply_speed(self) -> None:
+        """Update the factors to what is known of the engines' speeds."""
+        if self.speeds is not None:
+            self.prefill_factor, self.decode_factor = self.speeds.factors(self.record.identity)
+
     def record_stream(self, stream_ms: float) -> None:
         """Record the duration of a stream after its first event."""
         estimate = self.speed.stream_ms
@@ -125,7 +166,8 @@
             queued += sum(n for other, n in work.prefill_tokens.items() if other <= rank)
         own_ms = prefill_ms(self.prefill_tokens(prompt))
         read_ms = (own_ms + self.speed.queue_ms(queued)) * self.slowness * self.prefill_factor
-        return self.speed.base_ms.value + read_ms
+        slow_ms = self.momentary.added_ms(read_ms, now_ms=self.health.clock.now_ms())
+        return self.speed.base_ms.value + read_ms + slow_ms
 
     def on_sent(self, prompt: Prompt, *, rank: int) -> float:
         """Count a prompt that is sent; return its prefill work."""
@@ -148,16 +190,35 @@
             self.prompt_parts.move_to_end(key)
         while len(self.prompt_parts) > MAX_PROMPT_PARTS:
             self.prompt_parts.popitem(last=False)
-        own_ms = prefill_ms(unread) * self.slowness
+        own_ms = prefill_ms(unread) * self.slowness * self.prefill_factor
         queue_ms = max(0.0, predicted_ms - self.speed.base_ms.value - own_ms)
         ratio = max(1.0, took_ms - self.speed.base_ms.value) / (own_ms + queue_ms)
         self.speed.record_first_token(own_ms=own_ms, queue_ms=queue_ms, took_ms=took_ms)
+        share = own_ms / (own_ms + queue_ms)
+        engine_ratio = ratio
+        weight = 1.0 if self.speeds is None else self._weight(ratio, share=share, own_ms=own_ms)
         if own_ms + queue_ms > self.speed.base_ms.value:
-            self.paces.add_measurement(prompt.model, ratio, share=own_ms / (own_ms + queue_ms))
+            engine_ratio = self.paces.add_measurement(prompt.model, ratio, share=share * weight)
+        if self.speeds is not None:
+            self.speeds.add_prefill(self.record.identity, engine_ratio, weight=share * weight)
+            self.apply_speed()
+            return
         slowness_ratio = min(MAX_CHANGE_RATIO, max(1.0 / MAX_CHANGE_RATIO, ratio)) ** LEARNING_RATE
         minimum, maximum = SLOWNESS_BOUNDS
         self.slowness = min(maximum, max(minimum, self.slowness * slowness_ratio))
 
+    def _weight(self, ratio: float, *, share: float, own_ms: float) -> float:
+        """Return how much a measurement tells of the lasting speed; note a moment's slowness.
+
+        `share` is the request's own prefill time divided by the predicted time: what it waits for
+        others says less, since their work is known late and in part.
+        """
+        if share < MIN_MOMENTARY_SHARE or own_ms <= self.speed.base_ms.value:
+            return share
+        begins = self.momentary.record(ratio, now_ms=self.health.clock.now_ms())
+        known = self.speeds is not None and self.speeds.is_steady(self.record.identity)
+        return share * FIRST_SLOW_WEIGHT if begins and known else share
+
     def on_prefill_end(self, *, unread: float, rank: int) -> None:
         """Subtract a prompt's prefill work once it is done or cancelled."""
         self.own_work.prefill_tokens[rank] -= unread
@@ -181,10 +242,16 @@
         "by_service",
         "clock",
         "coordinator_targets",
+        "decode_paces",
+        "early_speeds",
+        "engine_speeds",
         "leaving",
         "paces",
         "revision",
+        "share_speeds",
         "speeds",
+        "speeds_taken_ms",
+        "speeds_told",
         "targets",
     )
 
@@ -195,6 +262,7 @@
         leaving: Container[str] = (),
         adaptive_pace: bool = True,
         adaptive_queue: bool = True,
+        share_speeds: bool = True,
     ) -> None:
         self.clock = clock
         # Incarnations that leave, whatever their registrations say.
@@ -204,6 +272,15 @@
         self.targets: dict[str, TargetView] = {}
         self.by_service: dict[str, dict[str, TargetView]] = {}
         self.speeds: dict[str, PrefillSpeed] = {}
+        # Whether the speeds of engines are shared by all entries.
+        self.share_speeds = share_speeds
+        self.engine_speeds: dict[str, EngineSpeeds] = {}
+        self.decode_paces: dict[str, DecodePace] = {}
+        # The coordinator's speeds of engines whose registrations aren't known yet.
+        self.early_speeds: OrderedDict[str, SpeedUpdate] = OrderedDict()
+        # Whether the coordinator was told all that is known.
+        self.speeds_told = False
+        self.speeds_taken_ms = 0
         # Targets whose residents come from the coordinator.
         self.coordinator_targets: set[str] = set()
         # The store's revision that this view reflects.
@@ -237,6 +314,7 @@
                 view = TargetView(record, TargetHealth(clock=self.clock), self.paces, speed)
                 self.targets[record.identity] = view
                 self.by_service.setdefault(record.service, {})[record.identity] = view
+                self._start_speed(view)
             view.record = record
             if record.identity not in self.coordinator_targets and record.residents is not None:
                 view.residents = record.residents
@@ -260,6 +338,8 @@
             return False
         self.by_service[view.record.service].pop(identity, None)
         self.coordinator_targets.discard(identity)
+        if view.speeds is not None:
+            view.speeds.end(identity)
         return True
 
     def set_residents(
@@ -272,8 +352,61 @@
             view.residents = residents
             view.unloading = closing
 
+    def _start_speed(self, view: TargetView) -> None:
+        """Begin to learn the speed of an engine, from what the coordinator has told of it."""
+        identity, service = view.record.identity, view.record.service
+        if not self.share_speeds:
+            return
+        view.speeds = self.engine_speeds.setdefault(service, EngineSpeeds())
+        view.decode_paces = self.decode_paces.setdefault(service, DecodePace())
+        view.speeds.start(identity, view.record.started_ms)
+        early = self.early_speeds.pop(identity, None)
+        if early and view.speeds.apply_shared(early):
+            view.apply_speed()
+
+    def apply_speeds(self, updates: Iterable[SpeedUpdate]) -> int:
+        """Apply the coordinator's speeds of engines; return the number of those ignored."""
+        if not self.share_speeds:
+            return 0
+        ignored = 0
+        services = set()
+        for update in updates:
+            view = self.targets.get(update.target)
+            if view and view.speeds and view.speeds.apply_shared(update):
+                services.add(view.record.service)
+            elif update.speed() is None or (view and view.record.started_ms > update.started_ms):
+                ignored += 1
+            else:
+                # Its lifetime is registered in the store, but not known here yet.
+                self.early_speeds[update.target] = update
+                self.early_speeds.move_to_end(update.target)
+                while len(self.early_speeds) > MAX_EARLY_SPEEDS:
+                    self.early_speeds.popitem(last=False)
+        for service in services:
+            for view in self.by_service[service].values():
+                view.apply_speed()
+        return ignored
+
+    def started_ms(self, target: str) -> int | None:
+        """Return the start of a target's lifetime, None if there is no such target."""
+        view = self.targets.get(target)
+        return view.record.started_ms if view else None
+
+    def take_speeds(self) -> list[SpeedUpdate]:
+        """Return the speeds that the coordinator isn't known to have, and mark them as told."""
+        tables = self.engine_speeds.values()
+        if not self.speeds_told:
+            self.speeds_told = True
+            return [update for table in tables for update in table.take_all()]
+        now_ms = self.clock.now_ms()
+        if 0 <= now_ms - self.speeds_taken_ms < SPEEDS_INTERVAL_MS:
+            return []
+        self.speeds_taken_ms = now_ms
+        return [update for table in tables for update in table.take_unreported()]
+
     def on_coordinator_lost(self) -> None:
         """Fall back to the residents that the targets register themselves."""
+        self.speeds_told = False
         self.coordinator_targets.clear()
         for view in self.targets.values():
             if view.record.residents is not None:
--- a/packages/coordination/src/mimosaspur_coordination/modelpace.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelpace.py
@@ -54,17 +54,20 @@
         """Return the factor of a model or of all engines, 1 until measured."""
         return self.factors.get(name, 1.0)
 
-    def add_measurement(self, model: str, ratio: float, *, share: float) -> None:
+    def add_measurement(self, model: str, ratio: float, *, share: float) -> float:
         """Update the factors with the ratio of measured to predicted time to first token.
 
+        Return the ratio that is left after the update of the factor common to all engines.
+
         `share` is the request's own prefill time divided by the predicted time.
         """
         if not self.adaptive:
-            return
+            return ratio
         model_ratio = ratio / self._update_factor(
             ALL_ENGINES, ratio, share=share, min_weight=ALL_ENGINES_LEARNING_RATE
         )
         self._update_factor(model, model_ratio, share=share, min_weight=LEARNING_RATE)
+        return model_ratio
 
     def _update_factor(self, name: str, ratio: float, *, share: float, min_weight: float) -> float:
         """Move a factor towards a measurement; return the ratio of the new to the old factor."""
--- a/packages/coordination/src/mimosaspur_coordination/placementproblem.py
+++ b/packages/coordination/src/mimosaspur_coordination/placementproblem.py
@@ -44,6 +44,8 @@
     on_disk: tuple[str, ...] = ()
     # Models for which memory is reserved, resident or not, since a late order may still load them.
     reserved_models: tuple[str, ...] = ()
+    # Time to read prompts, relative to the engines of the service; above 1 is slower.
+    prefill_factor: float = 1.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -8,6 +8,7 @@
 from typing import Any
 from typing import TypeVar
 
+from mimosaspur_coordination.enginespeed.decodepace import StreamGaps
 from mimosaspur_coordination.fleetports import StopUnconfirmed
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.quarantine.crashledger import Stage
@@ -34,6 +35,9 @@
 # Limit on the response of a plain service, which is buffered before it is forwarded.
 MAX_RESPONSE_BYTES = 8_000_000
 EVENT_STREAM_TYPE = b"text/event-stream"
+EVENT_END = b"\n\n"
+# A caller that takes this long to accept an event delays the reading of the next one.
+SLOW_SEND_S = 0.005
 # A repeatable request gets a backup when its first event takes this many times its predicted time.
 SILENCE_TIMEOUT_FACTOR = 3.0
 MIN_SILENCE_TIMEOUT_MS = 900
@@ -93,6 +97,7 @@
         "events",
         "first_token",
         "first_token_s",
+        "gaps",
         "handler",
         "head_received",
         "last_event_s",
@@ -141,6 +146,7 @@
         self.first_token = False
         self.first_token_s = 0.0
         self.last_event_s = 0.0
+        self.gaps = StreamGaps()
         # Whether the target began to write an answer, and not only an error.
         self.was_served = False
 
@@ -342,7 +348,7 @@
                     handler.runs.claim(self)
                     self._record_first_token()
                     self.view.on_heard()
-                    self._record_event()
+                    self._record_event(events)
                     await self._start_response(head)
                     handler.continuation.on_event(self.version)
                     await self._send(events)
@@ -362,6 +368,9 @@
         finally:
             self.view.awaited_streams += 1
             self.view.heard_ms = self.view.health.clock.now_ms()
+            if asyncio.get_running_loop().time() - self.last_event_s > SLOW_SEND_S:
+                # The next event may have waited here.
+                self.gaps.skip()
 
     async def _end_stream(self, head: ResponseHead) -> AttemptResult:
         """End the caller's response if the target's is known, or may be taken, to be complete."""
@@ -383,6 +392,7 @@
         lasted_ms = (asyncio.get_running_loop().time() - self.first_token_s) * 1000
         if self.first_token:
             self.view.record_stream(lasted_ms)
+            self.view.record_gaps(self.gaps)
         handler.record_duration(self.first_token_s or self.sent_s)
         return AttemptResult.DONE
 
@@ -448,9 +458,11 @@
                 took_ms=took_ms,
             )
 
-    def _record_event(self) -> None:
+    def _record_event(self, events: bytes) -> None:
         """Record that events were received, and the pause before them as the caller sees it."""
         now_s = self.last_event_s = asyncio.get_running_loop().time()
+        count = events.count(EVENT_END)
+        self.gaps.on_events(count, now_ms=now_s * 1000, is_reading=self.view.reads_prompts())
         handler = self.handler
         if handler.last_event_s:
             paused_ms = round((now_s - handler.last_event_s) * 1000)
--- a/packages/daemon/src/mimosaspur_daemon/direct/engineregistry.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/engineregistry.py
@@ -83,8 +83,17 @@
             in_memory=controller.in_memory,
             on_disk=controller.on_disk,
             reserved_models=controller.reserved_models(),
+            prefill_factor=self._prefill_factor(controller.record),
         )
 
+    def _prefill_factor(self, record: TargetRecord) -> float:
+        """Return the measured factor of an engine's present lifetime, 1 if there is none."""
+        view = self.state.fleet.targets.get(record.identity)
+        # The controller may know of a restart that isn't registered yet.
+        if view is None or view.record.started_ms != record.started_ms:
+            return 1.0
+        return view.prefill_factor
+
     def _drop(self, controller: EngineController) -> None:
         self.state.log.always(
             "engine_dropped",
--- a/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
@@ -4,6 +4,7 @@
 from mimosaspur_daemon.direct.entrystate import UnreportedDemand
 from mimosaspur_daemon.direct.fleetreport import pace_messages
 from mimosaspur_daemon.direct.loadmessages import load_messages
+from mimosaspur_daemon.direct.speedmessages import speed_messages
 from mimosaspur_protocol.peermessages import AdapterDemandUpdate
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import ModelDemandUpdate
@@ -72,4 +73,5 @@
         sorted(suspects.sent),
         list(suspects.waiting),
         state.quarantine.turns.received_number,
+        speed_messages(state.fleet.take_speeds()),
     )
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -100,6 +100,7 @@
             leaving=self.notices.leaving,
             adaptive_pace=self.uses(Mechanism.MODEL_PACE),
             adaptive_queue=self.uses(Mechanism.QUEUE_RATIO),
+            share_speeds=self.uses(Mechanism.ENGINE_SPEED),
         )
         self.pools: dict[str, ChannelPool] = {}
         self.reachability = ReachabilityProbes(clock=self.clock, adopt=self.adopt)
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
@@ -12,6 +12,7 @@
 from mimosaspur_daemon.direct.storechanges import StoreChanges
 from mimosaspur_protocol.peermessages import CrashReport
 from mimosaspur_protocol.peermessages import EngineResidents
+from mimosaspur_protocol.peermessages import EngineSpeedUpdate
 from mimosaspur_protocol.peermessages import EntryAddress
 from mimosaspur_protocol.peermessages import FleetReport
 from mimosaspur_protocol.peermessages import LimitUpdate
@@ -87,6 +88,7 @@
     all_loads: list[LoadUpdate]
     all_leaving: list[str]
     all_entries: list[EntryAddress]
+    all_speeds: list[EngineSpeedUpdate]
     frames: dict[tuple[bool, int], bytes] = field(default_factory=dict)
 
     def report(self, sent: SentState) -> FleetReport:
@@ -96,12 +98,14 @@
             work, residents, quotas = fleet.changed_work, fleet.changed_residents, self.base.quotas
             crashes, limits, loads = self.base.crashes, self.base.limits, self.base.loads
             entries, leaving = self.base.entries_joined, self.base.leaving_targets
+            speeds = self.base.speeds
         else:
             work = [each for each in fleet.work.values() if each.requests]
             residents = list(fleet.residents.values())
             quotas = self.all_quotas
             crashes, limits, loads = self.all_crashes, self.all_limits, self.all_loads
             entries, leaving = self.all_entries, self.all_leaving
+            speeds = self.all_speeds
         store = self.store_changes.changes_since(sent.store_number) if self.store_changes else None
         return msgspec.structs.replace(
             self.base,
@@ -115,6 +119,7 @@
             leaving_targets=leaving,
             entries_joined=entries,
             entries_complete=not sent.fleet_sent,
+            speeds=speeds,
         )
 
     def frame(self, sent: SentState) -> bytes:
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -8,6 +8,7 @@
 from mimosaspur_daemon.direct.enginecontroller import EngineController
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.loadmessages import apply_load_messages
+from mimosaspur_daemon.direct.speedmessages import speeds_of
 from mimosaspur_daemon.direct.storechanges import apply_store_changes
 from mimosaspur_protocol.peermessages import EngineResidents
 from mimosaspur_protocol.peermessages import FleetReport
@@ -100,6 +101,8 @@
         state.fleet.set_residents(each.target, models, frozenset(each.unloading))
     for message in report.paces:
         state.fleet.paces.apply_shared(message.model, Pace(message.factor, message.measurements))
+    for _ in range(state.fleet.apply_speeds(speeds_of(report.speeds))):
+        state.log.counters.count("engine_speed_ignored", "coordinator")
     state.model_ready_in_ms = report.model_ready_in_ms
     if report.work or report.residents or report.model_ready_in_ms:
         state.changes.notify()
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -9,6 +9,7 @@
 from msgspec.structs import replace
 
 from mimosaspur_coordination.coordinatorcapacity import update_pause_s
+from mimosaspur_coordination.enginespeed.shared import SharedEngineSpeeds
 from mimosaspur_coordination.limits.sharelease import SharerCount
 from mimosaspur_coordination.modelpace import Pace
 from mimosaspur_coordination.modelpace import SharedPaces
@@ -28,8 +29,11 @@
 from mimosaspur_daemon.direct.missingentries import MissingEntries
 from mimosaspur_daemon.direct.permitgrants import PermitGrants
 from mimosaspur_daemon.direct.quotaaccounting import QuotaAccounting
+from mimosaspur_daemon.direct.speedmessages import speed_messages
+from mimosaspur_daemon.direct.speedmessages import speeds_of
 from mimosaspur_daemon.direct.storechanges import StoreChanges
 from mimosaspur_protocol.peermessages import CrashReport
+from mimosaspur_protocol.peermessages import EngineSpeedUpdate
 from mimosaspur_protocol.peermessages import EntryAddress
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import FleetReport
@@ -43,6 +47,7 @@
 from mimosaspur_protocol.peermessages import StepDown
 from mimosaspur_protocol.peermessages import TargetWork
 from mimosaspur_protocol.peermessages import encode_peer
+from mimosaspur_state.policy import Mechanism
 from mimosaspur_transport.peerlink import PeerLink
 from mimosaspur_transport.peerlink import PeerLost
 
@@ -50,6 +55,8 @@
 HEARTBEAT_INTERVAL_MS = 250
 # Paces change slowly once they are known.
 PACES_INTERVAL_MS = 1_000
+# So do the speeds of engines, but for the first few measurements.
+SPEEDS_INTERVAL_MS = 1_000
 
 
 @dataclass(slots=True)
@@ -80,6 +87,8 @@
         self.sharers = sharers
         self.paces = SharedPaces()
         self.paces_sent_ms = 0
+        self.speeds = SharedEngineSpeeds(state.fleet.started_ms)
+        self.speeds_sent_ms = 0
         self.store_changes = StoreChanges(state)
         self.fleet_changes = FleetChanges()
         self.quotas = QuotaAccounting(state)
@@ -112,6 +121,14 @@
         self.quotas.apply_report(report, first=first)
         for message in report.paces:
             self.paces.add_report(message.model, Pace(message.factor, message.measurements))
+        self._apply_speeds(report)
+
+    def _apply_speeds(self, report: EntryReport) -> None:
+        if not self.state.uses(Mechanism.ENGINE_SPEED):
+            return
+        ignored = self.speeds.add_report(report.instance, report.number, speeds_of(report.speeds))
+        for _ in range(ignored):
+            self.state.log.counters.count("engine_speed_ignored", "entry")
 
     def apply_suspects(self, report: EntryReport) -> bool:
         """Apply what an entry reports of suspected requests; return whether one waits."""
@@ -170,6 +187,7 @@
         self.members[instance] = member
         self.sharers.on_connect(instance)
         self.permits.issuer.on_connect(instance)
+        self.speeds.on_link_changed(instance)
         self.turns.on_connect(instance)
         return member
 
@@ -181,6 +199,7 @@
                 del self.members[instance]
                 self.sharers.on_disconnect(instance)
                 self.permits.issuer.on_disconnect(instance)
+                self.speeds.on_link_changed(instance)
                 self.turns.on_disconnect(instance)
                 if not member.leaving:
                     self.missing.on_lost(instance)
@@ -242,6 +261,7 @@
         leaving = self.state.notices.leaving.take_unreported()
         queues_changed = self.permits.update_queues()
         joined, left = self._take_entry_changes()
+        speeds = self._due_speeds(now_ms)
         base = replace(
             self._base_report(lease, paces, quotas, crashes, limits),
             loads=loads,
@@ -249,6 +269,7 @@
             entries_joined=joined,
             entries_left=left,
             gives_turns=True,
+            speeds=speeds,
         )
         reports = ReportBuilder(
             base,
@@ -260,6 +281,7 @@
             load_messages(self.state.outstanding_loads.all()),
             sorted(self.state.notices.leaving.noted_ms),
             list(self.sent_addresses.values()),
+            self._speeds_for_new_members(),
         )
         heartbeat_due = now_ms - self.last_sent_ms >= HEARTBEAT_INTERVAL_MS
         news = (
@@ -273,6 +295,7 @@
             or queues_changed
             or joined
             or left
+            or speeds
         )
         if news or heartbeat_due:
             self.last_sent_ms = now_ms
@@ -362,6 +385,23 @@
             self.state.log.write("paces", factors=factors)
         return pace_messages(changed)
 
+    def _due_speeds(self, now_ms: int) -> list[EngineSpeedUpdate]:
+        if now_ms - self.speeds_sent_ms < SPEEDS_INTERVAL_MS:
+            return []
+        self.speeds_sent_ms = now_ms
+        changed = self.speeds.take_changes()
+        if changed:
+            factors = {
+                each.target: [round(each.prefill, 2), round(each.decode, 2)] for each in changed
+            }
+            self.state.log.write("engine_speeds", factors=factors)
+        return speed_messages(changed)
+
+    def _speeds_for_new_members(self) -> list[EngineSpeedUpdate]:
+        if all(member.sent_state.fleet_sent for member in self.members.values()):
+            return []
+        return speed_messages(self.speeds.all())
+
     def _send_update(self, member: Member, reports: ReportBuilder) -> int:
         """Send one member its update; return the bytes sent on a link."""
         if member.link is None:
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -45,6 +45,19 @@
     measurements: float
 
 
+class EngineSpeedUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """Report how slow a lifetime of an engine is, relative to a usual engine of its service."""
+
+    target: str
+    # Start of the lifetime.
+    started_ms: int
+    # Time to read prompts, and time between events; above 1 is slower.
+    prefill: float
+    prefill_measurements: float
+    decode: float
+    decode_measurements: float
+
+
 class QuotaSpending(msgspec.Struct, array_like=True, frozen=True):
     """Report a workspace's quota spent and refused at an entry since its last report."""
 
@@ -144,6 +157,8 @@
     suspects_waiting: list[tuple[bytes, ...]] = msgspec.field(default_factory=list)
     # The number of the last message with turns that arrived on this link.
     turns_number: int = 0
+    # Measured since the last report; in the first one on a link, what earlier coordinators sent.
+    speeds: list[EngineSpeedUpdate] = msgspec.field(default_factory=list)
 
 
 class EngineResidents(msgspec.Struct, array_like=True, frozen=True):
@@ -247,6 +262,8 @@
     leaving_targets: list[str] = msgspec.field(default_factory=list)
     # Whether the coordinator gives turns for suspected requests: earlier versions don't.
     gives_turns: bool = False
+    # Changes since the last report; all that is known in the first one on a link.
+    speeds: list[EngineSpeedUpdate] = msgspec.field(default_factory=list)
 
 
 class IssuedPermits(msgspec.Struct, array_like=True, tag="permits"):
--- a/packages/state/src/mimosaspur_state/policy.py
+++ b/packages/state/src/mimosaspur_state/policy.py
@@ -33,6 +33,8 @@
     UNLOAD_WAIT_ESTIMATE = "unload-waits"
     # Move streams off engines that are about to be terminated.
     EVACUATION = "evacuation"
+    # Share the measured speeds of engines among all entries.
+    ENGINE_SPEED = "engine-speed"
 
 
 @dataclass(slots=True, frozen=True)
