--- a/features/steps/domain_traffic_steps.py
+++ b/features/steps/domain_traffic_steps.py
@@ -72,7 +72,7 @@
         controllers = cast(list[EngineController], [self.engine])
         self.changes.update({}, controllers, now_ms=now_ms)
         base = FleetReport(1, True, 1, [], [], {})
-        builder = ReportBuilder(base, self.changes, None, [], [], [], [], [], [], {})
+        builder = ReportBuilder(base, self.changes, None, [], [], [], [], [], [], {}, [])
         return builder.report(SentState(fleet_sent=not is_first))
 
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
@@ -12,6 +12,7 @@
 from mimosaspur_daemon.direct.storechanges import StoreChanges
 from mimosaspur_protocol.peermessages import CrashReport
 from mimosaspur_protocol.peermessages import EngineResidents
+from mimosaspur_protocol.peermessages import EngineSpeedUpdate
 from mimosaspur_protocol.peermessages import EntryAddress
 from mimosaspur_protocol.peermessages import FleetReport
 from mimosaspur_protocol.peermessages import LimitUpdate
@@ -116,6 +117,7 @@
     all_leaving: list[str]
     all_entries: list[EntryAddress]
     full_forecast: dict[str, int]
+    all_speeds: list[EngineSpeedUpdate]
     frames: dict[tuple[bool, int], bytes] = field(default_factory=dict)
 
     def report(self, sent: SentState) -> FleetReport:
@@ -126,6 +128,7 @@
             crashes, limits, loads = self.base.crashes, self.base.limits, self.base.loads
             entries, leaving = self.base.entries_joined, self.base.leaving_targets
             forecast = self.base.load_forecast
+            speeds = self.base.speeds
         else:
             work = [each for each in fleet.work.values() if each.requests]
             residents = list(fleet.residents.values())
@@ -133,6 +136,7 @@
             crashes, limits, loads = self.all_crashes, self.all_limits, self.all_loads
             entries, leaving = self.all_entries, self.all_leaving
             forecast = self.full_forecast
+            speeds = self.all_speeds
         ready_times_hold = sent.fleet_sent and not fleet.ready_times_changed
         store = self.store_changes.changes_since(sent.store_number) if self.store_changes else None
         return msgspec.structs.replace(
@@ -150,6 +154,7 @@
             load_forecast=forecast,
             model_ready_in_ms={} if ready_times_hold else fleet.expected_ms,
             ready_times_hold=ready_times_hold,
+            speeds=speeds,
         )
 
     def frame(self, sent: SentState) -> bytes:
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -53,6 +53,19 @@
     measurements: float
 
 
+class EngineSpeedUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """Report how slow a lifetime of an engine is, relative to a usual engine of its service."""
+
+    target: str
+    # Start of the lifetime.
+    started_ms: int
+    # Time to read prompts, and time between events; above 1 is slower.
+    prefill: float
+    prefill_measurements: float
+    decode: float
+    decode_measurements: float
+
+
 class QuotaSpending(msgspec.Struct, array_like=True, frozen=True):
     """Report a workspace's quota spent and refused at an entry since its last report."""
 
@@ -154,6 +167,8 @@
     turns_number: int = 0
     # Where the entry is; empty if unknown.
     failure_domain: str = ""
+    # Measured since the last report; in the first one on a link, what earlier coordinators sent.
+    speeds: list[EngineSpeedUpdate] = msgspec.field(default_factory=list)
 
 
 class EngineResidents(msgspec.Struct, array_like=True, frozen=True):
@@ -265,6 +280,8 @@
     load_forecast: dict[str, int] = msgspec.field(default_factory=dict)
     # Whether `model_ready_in_ms` is left out, as the times last sent still hold.
     ready_times_hold: bool = False
+    # Changes since the last report; all that is known in the first one on a link.
+    speeds: list[EngineSpeedUpdate] = msgspec.field(default_factory=list)
 
 
 class IssuedPermits(msgspec.Struct, array_like=True, tag="permits"):
--- a/packages/state/src/mimosaspur_state/policy.py
+++ b/packages/state/src/mimosaspur_state/policy.py
@@ -39,6 +39,8 @@
     MODEL_URGENCY = "model-urgency"
     # Refuse early what can't be served, and hold back requests that delay more urgent ones.
     DEFERRAL = "deferral"
+    # Share the measured speeds of engines among all entries.
+    ENGINE_SPEED = "engine-speed"
 
 
 @dataclass(slots=True, frozen=True)
