--- a/packages/coordination/src/mimosaspur_coordination/loadforecast.py
+++ b/packages/coordination/src/mimosaspur_coordination/loadforecast.py
@@ -114,7 +114,7 @@
         count = max(1, int(len(self.engines) * MAX_LONG_LOADS_SHARE))
         busy = sorted(each.free_in_ms for each in problem.engines if each.free_in_ms)
         busy = [each_ms for each_ms in busy if each_ms >= LONG_LOAD_MS / 2][-count:]
-        self.lanes_ms = [0] * (count - len(busy)) + busy
+        self.long_load_ends_ms = [0] * (count - len(busy)) + busy
         # The same for loads for patient demand.
         count = problem.max_patient_loads()
         busy = sorted(
@@ -122,7 +122,7 @@
             for each in problem.engines
             if each.loading and not problem.is_urgent(each.loading)
         )[-count:]
-        self.patient_lanes_ms = [0] * (count - len(busy)) + busy
+        self.patient_load_ends_ms = [0] * (count - len(busy)) + busy
 
     def _start_state(self, problem: PlacementProblem, engine: EngineSnapshot) -> EngineSnapshot:
         """Return a copy of an engine that holds the model that it is loading."""
@@ -149,23 +149,23 @@
         start_ms = max(self.free_ms[engine.identity], *settled, 0)
         if swap.from_store:
             start_ms = max(start_ms, self.store_free_ms)
-        lanes_ms = self._lanes_ms(swap)
-        if lanes_ms:
-            start_ms = max(start_ms, heapq.heappop(lanes_ms))
+        load_ends_ms = self._load_ends_ms(swap)
+        if load_ends_ms:
+            start_ms = max(start_ms, heapq.heappop(load_ends_ms))
         if swap.from_store:
             self.store_free_ms = start_ms + self.store_interval_ms
         unload_ms = swap.unload_ms + UNLOAD_MS if swap.victims else 0
         ready_ms = start_ms + unload_ms + swap.load_ms
-        if lanes_ms is not None:
-            heapq.heappush(lanes_ms, ready_ms)
+        if load_ends_ms is not None:
+            heapq.heappush(load_ends_ms, ready_ms)
         self._apply(engine, swap, ready_ms)
         return max(1, ready_ms)
 
-    def _lanes_ms(self, swap: Swap) -> list[int] | None:
+    def _load_ends_ms(self, swap: Swap) -> list[int] | None:
         """Return when the loads end that limit how many of a load's kind run at once."""
         if self.problem.by_urgency and not self.problem.is_urgent(swap.model):
-            return self.patient_lanes_ms
-        return self.lanes_ms if swap.load_ms >= LONG_LOAD_MS else None
+            return self.patient_load_ends_ms
+        return self.long_load_ends_ms if swap.load_ms >= LONG_LOAD_MS else None
 
     def _apply(self, engine: EngineSnapshot, swap: Swap, ready_ms: int) -> None:
         for victim in swap.victims:
--- a/packages/coordination/src/mimosaspur_coordination/modelplacement.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelplacement.py
@@ -47,7 +47,7 @@
 # where demand is equally urgent; the first replica for the earliest deadline of patient demand;
 # other first replicas for patient demand; excess patient demand.
 URGENT_NEED = 3
-TURN_NEED = 2
+DEADLINE_NEED = 2
 PATIENT_NEED = 1
 PATIENT_EXCESS_NEED = 0
 # Cost of each second until the copy is there, so that a free engine wins among equal losses.
@@ -72,8 +72,8 @@
         return URGENT_NEED, waiting_score(demand)
     if problem.is_urgent(name):
         return URGENT_NEED, waiting_score(demand) / (1 + demand.priority)
-    if name == problem.next_turn:
-        return TURN_NEED, 0.0
+    if name == problem.next_by_deadline:
+        return DEADLINE_NEED, 0.0
     return PATIENT_NEED, demand.unmet * (1.0 + demand.waiting_ms / demand.objective_ms)
 
 
--- a/packages/coordination/src/mimosaspur_coordination/placementproblem.py
+++ b/packages/coordination/src/mimosaspur_coordination/placementproblem.py
@@ -113,7 +113,7 @@
     patient_long_loads: int = 0
     # The model without urgent demand that is loaded next because its deadline is the earliest;
     # empty while a model with an earlier one is being loaded.
-    next_turn: str = ""
+    next_by_deadline: str = ""
     # Whether each model's demand is urgent, as far as it was asked for.
     urgent_models: dict[str, bool] = field(default_factory=dict)
 
@@ -135,7 +135,7 @@
             ]
             self.patient_loads = len(patient)
             self.patient_long_loads = sum(each.free_in_ms >= LONG_LOAD_MS / 2 for each in patient)
-            self.next_turn = self._next_turn({engine.loading for engine in patient})
+            self.next_by_deadline = self._next_by_deadline({engine.loading for engine in patient})
 
     def any_engine_free(self) -> bool:
         """Return whether some engine can begin a load now."""
@@ -170,7 +170,7 @@
             return True
         return bool(spec and demand.requested() and is_urgent(demand.objective_ms, spec))
 
-    def _next_turn(self, loading: Collection[str]) -> str:
+    def _next_by_deadline(self, loading: Collection[str]) -> str:
         """Return the patient model with the earliest deadline, if it isn't being loaded."""
         deadlines = [
             (demand.objective_ms - demand.waiting_ms, name not in loading, name)
--- a/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
@@ -77,21 +77,21 @@
     asked = []
     for model in {*state.unreported_demand, *state.waiting, *unmet}:
         one = state.unreported_demand.get(model, NO_DEMAND)
-        lacking = unmet.get(model, NO_UNMET)
+        unmet_report = unmet.get(model, NO_UNMET)
         # Without new requests, those that wait tell their objective again: the coordinator may be
         # another one.
-        objective_ms = one.objective_ms if one.tokens else lacking.objective_ms
+        objective_ms = one.objective_ms if one.tokens else unmet_report.objective_ms
         priorities = [one.priority] if one.tokens else []
-        priorities += [lacking.priority] if model in unmet else []
+        priorities += [unmet_report.priority] if model in unmet else []
         asked.append(
             ModelDemandUpdate(
                 model,
                 one.tokens,
                 state.waiting.get(model, 0),
                 objective_ms,
-                lacking.urgent_waiting,
+                unmet_report.urgent_waiting,
                 min(priorities, default=0),
-                lacking.rejected,
+                unmet_report.rejected,
             )
         )
     state.unreported_demand.clear()
