--- a/packages/coordination/src/mimosaspur_coordination/enginespeed/estimate.py
+++ b/packages/coordination/src/mimosaspur_coordination/enginespeed/estimate.py
@@ -5,9 +5,8 @@
 
 # The weight of the assumption that an engine is as fast as the others, in measurements.
 PRIOR_MEASUREMENTS = 1.5
-# Caps the number of measurements, so that later ones keep some weight. With 200, medians of
-# measured / predicted time were further from 1 in virtual time: early measurements, of models that
-# are not known yet, were kept for too long.
+# Caps the number of measurements, so that later ones keep some weight: early ones may be of models
+# whose cost isn't known yet.
 MAX_MEASUREMENTS = 40.0
 # Bounds of a factor: a value beyond them is not an engine's speed but a wrong measurement.
 MIN_FACTOR = 0.1
--- a/packages/coordination/src/mimosaspur_coordination/streampauses.py
+++ b/packages/coordination/src/mimosaspur_coordination/streampauses.py
@@ -15,8 +15,9 @@
     from mimosaspur_coordination.fleetview import Prompt
     from mimosaspur_coordination.fleetview import TargetView
 
-# How engines of the usual speed run: the shortest step, the most prompt tokens in one step, and the
-# tokens of a stream in one event, each of which takes a step.
+# How engines are assumed to run until pauses are measured, which correct the predictions: the
+# shortest step, the most prompt tokens in one step, and the tokens of a stream in one event, each of
+# which takes a step.
 STEP_MS = 8.2
 CHUNK_TOKENS = 2_048
 EVENT_TOKENS = 3
@@ -37,8 +38,8 @@
 # The share of the time to the objective that a predicted first event may take up for a longer wait
 # to be accepted: single predictions are wrong by up to a factor of two.
 IN_TIME_SHARE = 0.5
-# Weight of the delay that reading a prompt causes to the other requests of the engine. At simulated
-# load, 0.03 and 0.1 left more long streams late, 1 and 3 as many.
+# Weight of the delay that reading a prompt causes to the other requests of the engine: at most some
+# of them are long streams, and these may have time to spare.
 OTHERS_SHARE = 0.3
 # Slots beyond this share are left to long streams: they hold a slot for some seconds.
 SCARCE_SLOTS_SHARE = 0.5
