Test that a lost coordinator's forecasts end, and who waits for whom

Two changes of the code were seen by no scenario: forecasts that outlive their coordinator, and a request that waits for less urgent ones which are held back for it. Each fails a scenario now.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -79,6 +79,13 @@
     And another stream of the model is requested, and an engine holds it after 900 ms
     Then both are served
 
+  Scenario: A request that comes after the loss of the coordinator waits as before
+    Given an entry of a site without the model, whose loads take 1 s
+    And its coordinator forecasts that it won't be loaded
+    When the coordinator is lost
+    And a stream of the model is requested, and an engine holds it after 1200 ms
+    Then it is served
+
   # Guards against requests that can wait but take an engine from urgent ones, and against requests
   # that are held for nothing.
   Scenario Outline: A request that can wait is sent unless it delays more urgent ones, <engine>, <seen>
@@ -117,6 +124,14 @@
     When a request of rank 2 with an objective of 8000 ms comes, and has been held for 7200 ms
     Then it may be sent to either
 
+  # Guards against a request that is held back for those which are held back for it.
+  Scenario: A request doesn't wait for a less urgent kind that is due sooner
+    Given an engine with 64 slots that runs 20 and reads 2000 tokens
+    And a request of rank 2 with an objective of 500 ms and 2000 prompt tokens has come for its other model
+    And a request of rank 2 with an objective of 8000 ms is held that is due in 1000 ms
+    When a request of rank 2 with an objective of 1500 ms comes
+    Then it is sent
+
   Scenario: Requests that are held go in the order of priority, time left and share
     Given an engine with 64 slots that runs 56 and reads 0 tokens
     And a request of rank 2 with an objective of 500 ms and 2000 prompt tokens has come for its other model
--- a/features/steps/scheduling_deferral_steps.py
+++ b/features/steps/scheduling_deferral_steps.py
@@ -132,6 +132,17 @@
     assert context.chosen == ["other"], context.chosen
 
 
+@given(
+    "a request of rank {rank:d} with an objective of {objective:d} ms is held that is due in {ms:d}"
+    " ms"
+)
+def hold_request(context: Context, rank: int, objective: int, ms: int) -> None:
+    held = _queued(context, rank, objective, due_ms=ms)
+    _narrow(context, held)
+    held.order = context.scheduler.order(held)
+    context.scheduler.held.add(held)
+
+
 @given('workspace "{first}" was recently served {many:d} tokens, and "{second}" {few:d}')
 def set_served(context: Context, first: str, many: int, second: str, few: int) -> None:
     for workspace, tokens in ((first, many), (second, few)):
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -154,6 +154,11 @@
     run(context, ask())
 
 
+@when("the coordinator is lost")
+def lose_coordinator(context: Context) -> None:
+    context.entry.state.on_coordinator_lost()
+
+
 async def _hold_after(context: Context, ms: int) -> None:
     await asyncio.sleep(ms / 1000)
     state = context.entry.state
