Let a play's last fault end before its entries are asked

direct_crashing_parts.feature, "... the one that had it starts again after each crash" failed with an answer of status 0, "can't connect", where a rejection within 200 ms was due (2 of 3 runs, load average 14 on 7 cores).

Cause: a test's fault, not an entry's. Faults are played one after another and lag behind the crashes: a trace of seven plays shows restarts of 0.6 to 2.6 s each, the last of them up to the last 0.1 s of the play. The play cancelled the task of faults as the last answer had come, also in the middle of a restart: the process was started, so that the step took it as one that runs, but didn't listen yet. Likewise a cut of two entries stayed for good.

The play now lets the fault under way end, and begins no further one. The steps are unchanged: each entry that runs must reject within 200 ms, the one just started included.

--- a/features/harness/crash_site.py
+++ b/features/harness/crash_site.py
@@ -107,6 +107,8 @@
         self.workload = Workload()
         self.crashing: list[Answer] = []
         self.sound: list[Answer] = []
+        # Whether the play has ended, so that no further fault is injected.
+        self.ended = False
 
     async def start(self) -> None:
         """Start the store, the engines and the entries."""
@@ -128,7 +130,8 @@
     ) -> None:
         """Send requests that crash engines while sound requests are served.
 
-        `after_crash` is called with the number of each crash.
+        `after_crash` is called with the number of each crash. One that is under way as the last
+        request has its answer goes on to its end: an entry that starts accepts no connections yet.
         """
         self.fleet.crashes_on = self.workload.crashes
         sound = asyncio.create_task(self._send_sound_requests())
@@ -140,8 +143,9 @@
             await asyncio.sleep(interval_s)
         await asyncio.gather(*calls)
         sound.cancel()
+        self.ended = True
         if faults:
-            faults.cancel()
+            await faults
 
     def third_crash_s(self) -> float:
         """Return when the third engine crashed under a request that crashes engines."""
@@ -184,7 +188,7 @@
 
     async def _inject_faults(self, after_crash: Callable[[int], Awaitable[None]]) -> None:
         seen = 0
-        while True:
+        while not self.ended:
             if len(self.fleet.crashes) > seen:
                 seen += 1
                 await asyncio.sleep(REPORT_S)
