Cut off responses that never end and are no answer

A target could send bytes without end that are no answer. Cause, by part of the response:

- Interim responses were read for as long as they came; a head that trickled was bounded in bytes only.
- Silence was looked for only while nothing came: a stream that got bytes, but no event, had no backup.
- An event without end was kept whole, and searched from its start with each piece.
Comments counted as events: they ended backups and silences.
- Each chunk was decoded and handed on by itself, up to 64 KiB of them before other tasks had a turn; chunk headers and extensions had no bound.
- A rejection whose body had no end was read to 8 MB, and then counted as a run.
- The object API's client kept a body of any size.

HttpChannel now bounds heads with their interim responses, chunk headers and responses to other requests (EndlessResponse); EventBuffer bounds what comes in place of a new event; Attempt breaks the run off, so that the request goes on elsewhere or ends with 3001 or 3003, counts the target as failing and logs `endless` by part. Data that has been decoded is handed on together, 400 chunks at a time.

--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -11,6 +11,7 @@
 from mimosaspur_coordination.fleetports import StopUnconfirmed
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.quarantine.crashledger import Stage
+from mimosaspur_daemon.direct.attemptlog import log_endless
 from mimosaspur_daemon.direct.entrystate import LATE_RANK
 from mimosaspur_daemon.direct.evacuation import MovedRun
 from mimosaspur_daemon.direct.targetheaders import target_headers
@@ -18,11 +19,13 @@
 from mimosaspur_protocol.completeness import stream_completeness
 from mimosaspur_protocol.eventbuffer import EventBuffer
 from mimosaspur_protocol.eventbuffer import EventMissing
+from mimosaspur_protocol.eventbuffer import EventTooLong
 from mimosaspur_state.routes import RouteKind
 from mimosaspur_transport.dialect import RETRY_AFTER
 from mimosaspur_transport.dialect import end_to_end_headers
 from mimosaspur_transport.dialect import header
 from mimosaspur_transport.httpchannel import ChannelBroken
+from mimosaspur_transport.httpchannel import EndlessResponse
 from mimosaspur_transport.httpchannel import HttpChannel
 from mimosaspur_transport.httpchannel import ResponseHead
 
@@ -33,6 +36,11 @@
 
 # Limit on the response of a plain service, which is buffered before it is forwarded.
 MAX_RESPONSE_BYTES = 8_000_000
+# Limit on the body of a rejection, and on the time for it. Its head says all that is needed.
+MAX_REJECTION_BYTES = 65_536
+REJECTION_BODY_S = 0.2
+# Limit on the responses to other requests that precede the response to this one.
+MAX_FOREIGN_RESPONSES = 8
 EVENT_STREAM_TYPE = b"text/event-stream"
 # A repeatable request gets a backup when its first event takes this many times its predicted time.
 SILENCE_TIMEOUT_FACTOR = 3.0
@@ -47,6 +55,10 @@
 PROBE_AFTER_MS = 600
 # Interval between checks of a run whose target is silent.
 SILENCE_CHECK_S = 0.1
+# A target that has sent something within this time is still sending.
+STILL_SENDING_S = 0.1
+# It sends no answer if its last event, or the request, is older than that data by this time.
+MIN_SENDING_MS = 150
 # A run that crashes its target ends as it begins to write; one that has written for so long counts
 # as if it had not begun.
 LONG_WRITTEN_MS = 500
@@ -98,6 +110,7 @@
         "last_event_s",
         "limit_version",
         "may_be_stopped",
+        "next_check_s",
         "offer",
         "pending_move",
         "predicted_ms",
@@ -141,6 +154,8 @@
         self.first_token = False
         self.first_token_s = 0.0
         self.last_event_s = 0.0
+        # When data without an event leads to the next check for silence.
+        self.next_check_s = 0.0
         # Whether the target began to write an answer, and not only an error.
         self.was_served = False
 
@@ -218,17 +233,24 @@
             self.status = head.status
             self.says = self._notices(head)
             if self._is_not_run(head):
-                await self._read_first(self._read_body())
+                await self._discard_rejection()
                 return AttemptResult.NOT_RUN
             if handler.route.kind is RouteKind.STREAM and _is_event_stream(head):
                 return await self._forward_stream(head)
             return await self._forward_whole(head)
+        except asyncio.CancelledError:
+            self._on_deadline()
+            raise
         except ChannelBroken as error:
             self.channel.close()
             if await self._was_moved():
                 return AttemptResult.MOVED
             self.offer.cause = str(error)
             self.view.health.record_failure()
+            if isinstance(error, EndlessResponse):
+                # The entry closed the connection, so its end is no evidence of a crash.
+                log_endless(self, part=error.part, cause=str(error))
+                return AttemptResult.BROKEN
             begins = self.head_received and self.written_ms() < LONG_WRITTEN_MS
             stage = Stage.RUNNING if begins else Stage.QUEUED
             quarantine = handler.state.quarantine
@@ -261,17 +283,57 @@
         ):
             self.handler.runs.on_silence(self)
 
+    def _check_silence_again(self) -> None:
+        """Check for silence unless that was done a moment ago."""
+        now_s = asyncio.get_running_loop().time()
+        if now_s >= self.next_check_s:
+            self.next_check_s = now_s + SILENCE_CHECK_S
+            self._check_silence()
+
+    def _on_deadline(self) -> None:
+        """Count a target as failing that still sends as the request's time has passed."""
+        if asyncio.get_running_loop().time() < self.handler.deadline_s or not self._is_sending():
+            return
+        if self.first_token and not self.events.held():
+            # Its events may only be more than fit into the time.
+            return
+        self.view.health.record_failure()
+        part = "body" if self.head_received else "head"
+        log_endless(self, part=part, cause="it doesn't end within the request's time")
+
+    def _is_sending(self) -> bool:
+        """Return whether data of the response still comes, but no event."""
+        channel = self.channel
+        idle_s = asyncio.get_running_loop().time() - channel.last_read_s
+        return (
+            channel.received_bytes > 0
+            and idle_s < STILL_SENDING_S
+            and self.silent_ms() > idle_s * 1000 + MIN_SENDING_MS
+        )
+
     def _is_out_of_reach(self) -> bool:
         return self.handler.state.reachability.is_out_of_reach(self.view.record)
 
     async def _read_body(self) -> bytes:
         return await self.channel.read_body(MAX_RESPONSE_BYTES)
 
+    async def _discard_rejection(self) -> None:
+        """Read the body of a rejection; give its connection up if it has no end."""
+        try:
+            async with asyncio.timeout(REJECTION_BODY_S):
+                await self.channel.read_body(MAX_REJECTION_BYTES)
+        except (EndlessResponse, TimeoutError) as error:
+            self.channel.close()
+            self.offer.cause = "the body of the rejection doesn't end"
+            if isinstance(error, EndlessResponse) or self._is_sending():
+                self.view.health.record_failure()
+                log_endless(self, part="rejection", cause=self.offer.cause)
+
     async def _read_own_head(self) -> ResponseHead:
         """Return the head of this request's response; skip responses to other requests."""
         name = self.handler.state.dependencies.dialect.request_id
         mine = header(self.handler.request.headers, name)
-        while True:
+        for _ in range(MAX_FOREIGN_RESPONSES + 1):
             head = await self.channel.read_head()
             theirs = header(head.headers, name)
             own = theirs is None or mine is None or theirs == mine
@@ -279,6 +341,7 @@
             if own:
                 return head
             await self.channel.skip_response()
+        raise EndlessResponse("foreign", "responses to other requests don't end")
 
     def _apply_notices(self, head: ResponseHead, *, proves_end: bool) -> None:
         self.handler.state.notices.on_head(
@@ -338,7 +401,10 @@
         try:
             while (chunk := await self._read_chunk()) is not None:
                 events = self.events.feed(chunk)
-                if events:
+                if not events:
+                    # A target that writes, but no event, is as late as one that writes nothing.
+                    self._check_silence_again()
+                else:
                     handler.runs.claim(self)
                     self._record_first_token()
                     self.view.on_heard()
@@ -348,6 +414,8 @@
                     await self._send(events)
         except EventMissing as error:
             raise ChannelBroken(str(error)) from error
+        except EventTooLong as error:
+            raise EndlessResponse("event", str(error)) from error
         if await self._was_moved():
             # A response without a length ends with its connection, even if its run was stopped.
             self.channel.close()
@@ -376,8 +444,8 @@
             return AttemptResult.BROKEN
         handler.runs.claim(self)
         await self._start_response(head)
-        if self.events.incomplete:
-            await handler.caller.send_chunk(self.events.incomplete)
+        if held := self.events.held():
+            await handler.caller.send_chunk(held)
         await handler.caller.end_response()
         self.view.health.record_success()
         lasted_ms = (asyncio.get_running_loop().time() - self.first_token_s) * 1000
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
@@ -73,6 +73,7 @@
         backup=backup.record.identity if backup else None,
         reason=reason,
         silent_ms=attempt.silent_ms(),
+        received_bytes=attempt.channel.received_bytes,
         head=attempt.head_received,
         last_event=handler.cutter.last_id,
         written_ms=attempt.written_ms(),
@@ -82,3 +83,24 @@
         least_silent_ms=min((each.silent_ms() for each in here), default=None),
         failing=round(view.health.failure_share(), 2),
     )
+
+
+def log_endless(attempt: "Attempt", *, part: str, cause: str) -> None:
+    """Log that a target sends bytes that are no answer, without end, and was cut off."""
+    handler, view = attempt.handler, attempt.view
+    handler.state.log.write(
+        "endless",
+        what=part,
+        request=handler.request_id(),
+        route=handler.route.name,
+        model=handler.prompt.model,
+        target=view.record.identity,
+        cause=cause,
+        head=attempt.head_received,
+        status=attempt.status,
+        received_bytes=attempt.channel.received_bytes,
+        last_event=handler.cutter.last_id,
+        lasted_ms=round((asyncio.get_running_loop().time() - attempt.sent_s) * 1000),
+        left_ms=round(handler.target_selector.remaining_s() * 1000),
+        failing=round(view.health.failure_share(), 2),
+    )
--- a/packages/daemon/src/mimosaspur_daemon/direct/offer.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/offer.py
@@ -5,6 +5,7 @@
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_daemon.direct.attempt import Attempt
 from mimosaspur_daemon.direct.attempt import AttemptResult
+from mimosaspur_daemon.direct.attemptlog import log_endless
 from mimosaspur_daemon.direct.evacuation import MovedRun
 from mimosaspur_transport.channelpool import NON_REPEATABLE_MAX_IDLE_MS
 from mimosaspur_transport.httpchannel import ChannelBroken
@@ -78,7 +79,7 @@
 
     async def run(self) -> AttemptResult:
         """Send the request, if the target takes it, and forward the response."""
-        handler, state = self.handler, self.handler.state
+        handler, view, state = self.handler, self.view, self.handler.state
         channel = await self._open_channel()
         if channel is None:
             return AttemptResult.NOT_RUN
@@ -97,6 +98,9 @@
             # A connection with an unread response must not be reused, and closing it makes the
             # target stop the run.
             pool = self.pool
+            if finished and result is AttemptResult.DONE and channel.has_unexpected_bytes():
+                view.health.record_failure()
+                log_endless(attempt, part="trailing", cause="bytes follow a complete response")
             if finished and channel.is_fully_sent():
                 pool.release(channel)
             else:
--- a/packages/transport/src/mimosaspur_transport/httpchannel.py
+++ b/packages/transport/src/mimosaspur_transport/httpchannel.py
@@ -13,8 +13,22 @@
 from mimosaspur_transport.dialect import Headers
 
 READ_BYTES = 65_536
-# A response with a larger head is invalid.
+# A response with a larger head, its interim responses included, is invalid.
 MAX_HEAD_BYTES = 65_536
+# A head arrives in one or two reads. One that takes more reads and longer than this has no end; a
+# peer that pauses inside its head for longer, but sends the rest at once, is only silent.
+MAX_HEAD_READS = 16
+MAX_HEAD_S = 1.0
+# Bytes of chunk headers and ends that a body may have beside its data, at all and for each byte of
+# data. Chunks of 3 bytes and more keep to it; smaller ones take longer to decode than to send.
+MAX_FRAMING_BYTES = 65_536
+MAX_FRAMING_RATIO = 2
+# Chunks that are decoded, at some 25 us each, before other tasks have a turn.
+MAX_CHUNKS_AT_ONCE = 400
+# Limit on the body of a response to another request, which is discarded.
+MAX_SKIPPED_BYTES = 1_048_576
+# The codec's hint for an event that exceeds its limit.
+OVERSIZED_STATUS = 431
 BODILESS_STATUSES = frozenset({204, 304})
 CONNECT_TIMEOUT_MS = 700
 # The connection fails when sent data stays unacknowledged for this long.
@@ -31,6 +45,17 @@
     """Signal that the connection failed, ended early or carried an invalid response."""
 
 
+class EndlessResponse(ChannelBroken):
+    """Signal that a peer sends bytes that are no answer, more or for longer than is allowed.
+
+    `part` names the part of the response that has no end.
+    """
+
+    def __init__(self, part: str, detail: str) -> None:
+        super().__init__(detail)
+        self.part = part
+
+
 class ConnectionRefused(ChannelBroken):
     """Signal that nothing listens at the address."""
 
@@ -79,13 +104,19 @@
     """Send one request at a time; unusable after the first error."""
 
     __slots__ = (
+        "after_data",
+        "body_bytes",
         "codec",
         "connection_end",
+        "data_bytes",
         "framing",
         "idle_since_ms",
         "keep_alive_ms",
+        "last_read_s",
         "reader",
+        "received_bytes",
         "request",
+        "rests",
         "waits_for_room",
         "writer",
     )
@@ -98,6 +129,16 @@
         # Of the last response; None before its head has been read.
         self.framing: Framing | None = None
         self.connection_end = ConnectionEnd.NONE
+        # Of the body that is being read: bytes of data so far, and all bytes read since its head.
+        self.data_bytes = 0
+        self.body_bytes = 0
+        # What follows the data that was returned last, if it isn't data.
+        self.after_data: object = None
+        # Whether other tasks have a turn before more is decoded.
+        self.rests = False
+        # Of the response: bytes read so far, and when, on the event loop's clock.
+        self.received_bytes = 0
+        self.last_read_s = 0.0
         self.idle_since_ms = 0
         # The peer's keep-alive timeout, 0 if it sent none.
         self.keep_alive_ms = 0
@@ -127,6 +168,7 @@
             self.codec.start_next_cycle()
         framing = [(b"Content-Length", b"%d" % len(body))] if _has_body(method, body) else []
         self.framing = None
+        self.received_bytes = 0
         self.request = h11.Request(method=method, target=target, headers=headers + framing)
         data = self._encode_request(self.request, body)
         self._set_waits_for_room(len(data) > LONG_REQUEST_BYTES)
@@ -138,16 +180,31 @@
 
     async def read_head(self) -> ResponseHead:
         """Return the head of the next response; raise ChannelBroken."""
+        interim_bytes = 0
+        reads = 0
+        first_read_s = 0.0
         while True:
-            event = await self._next_event()
+            while (event := self._decode()) is h11.NEED_DATA:
+                await self._receive()
+                now_s = asyncio.get_running_loop().time()
+                reads += 1
+                first_read_s = first_read_s or now_s
+                if reads > MAX_HEAD_READS and now_s - first_read_s > MAX_HEAD_S:
+                    raise EndlessResponse("head", "the head of the response doesn't end")
             if isinstance(event, h11.Response):
                 headers = list(event.headers.raw_items())
                 self._record_keep_alive(headers)
                 self.framing = _framing(event, cast(h11.Request, self.request).method)
+                self.data_bytes = 0
+                self.body_bytes = len(self.codec.trailing_data[0])
+                self.after_data = None
                 self._set_waits_for_room(not self.is_fully_sent())
                 return ResponseHead(event.status_code, headers, event.reason)
             if not isinstance(event, h11.InformationalResponse):
                 raise ChannelBroken("the connection ended before a response")
+            interim_bytes += _head_bytes(event)
+            if interim_bytes > MAX_HEAD_BYTES:
+                raise EndlessResponse("head", "the interim responses exceed the size limit")
 
     def marks_end(self) -> bool:
         """Return whether the framing of the response marks its end.
@@ -158,10 +215,13 @@
 
     async def read_chunk(self) -> bytes | None:
         """Return the next part of the body, or None at its end; raise ChannelBroken."""
-        event = await self._next_event()
-        if isinstance(event, h11.Data):
-            return bytes(event.data)
-        if isinstance(event, h11.EndOfMessage):
+        # A cancelled read must not have consumed anything, so that nothing is awaited after data.
+        if self.after_data is None and (data := await self._read_data()):
+            return data
+        following, self.after_data = self.after_data, None
+        if isinstance(following, ChannelBroken):
+            raise following
+        if isinstance(following, h11.EndOfMessage):
             return None
         raise ChannelBroken("the response ended early")
 
@@ -171,13 +231,14 @@
         while (chunk := await self.read_chunk()) is not None:
             body += chunk
             if len(body) > limit:
-                raise ChannelBroken("the response exceeds the size limit")
+                raise EndlessResponse("body", "the response exceeds the size limit")
         return bytes(body)
 
     async def skip_response(self) -> None:
         """Discard a response to an earlier request, and prepare to read the next one."""
         while await self.read_chunk() is not None:
-            pass
+            if self.data_bytes > MAX_SKIPPED_BYTES:
+                raise EndlessResponse("foreign", "a response to another request is too large")
         leftover, closed = self.codec.trailing_data
         request = cast(h11.Request, self.request)
         self.codec = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
@@ -193,9 +254,12 @@
         if self.writer.is_closing() or self.reader.at_eof() or self.reader.exception():
             return False
         # Unexpected bytes belong to no request, so the connection can't be trusted.
-        unexpected = self.codec.trailing_data[0] or bool(getattr(self.reader, "_buffer", b""))
         states = {self.codec.our_state, self.codec.their_state}
-        return states in ({h11.IDLE}, {h11.DONE}) and not unexpected
+        return states in ({h11.IDLE}, {h11.DONE}) and not self.has_unexpected_bytes()
+
+    def has_unexpected_bytes(self) -> bool:
+        """Return whether bytes have come that belong to no request, if the response has ended."""
+        return bool(self.codec.trailing_data[0] or getattr(self.reader, "_buffer", b""))
 
     def is_fully_sent(self) -> bool:
         """Return whether the whole request has been written to the socket."""
@@ -255,13 +319,64 @@
             data += self.codec.send(h11.Data(data=body)) or b""
         return data + (self.codec.send(h11.EndOfMessage()) or b"")
 
-    async def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+    async def _read_data(self) -> bytes:
+        """Return the data that is there, or comes next; none at the end of the body.
+
+        What follows it is kept, an error too: the data before it is valid.
+        """
+        if self.rests:
+            self.rests = False
+            await asyncio.sleep(0)
+        data = bytearray()
+        chunks = 0
+        while chunks < MAX_CHUNKS_AT_ONCE:
+            try:
+                event = self._decode()
+                if event is h11.NEED_DATA:
+                    self._check_framing()
+            except ChannelBroken as error:
+                self.after_data = error
+                return bytes(data)
+            if event is h11.NEED_DATA:
+                if data:
+                    return bytes(data)
+                self.body_bytes += await self._receive()
+            elif isinstance(event, h11.Data):
+                data += event.data
+                self.data_bytes += len(event.data)
+                chunks += 1
+            else:
+                self.after_data = event
+                return bytes(data)
+        self.rests = True
+        return bytes(data)
+
+    def _check_framing(self) -> None:
+        """Raise EndlessResponse if the body consists of little but chunk headers."""
+        framing_bytes = self.body_bytes - self.data_bytes - len(self.codec.trailing_data[0])
+        if framing_bytes > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self.data_bytes:
+            raise EndlessResponse("framing", "the chunk headers exceed the size limit")
+
+    def _decode(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """Return the next event of what has been read; raise ChannelBroken."""
+        try:
+            return self.codec.next_event()
+        except h11.RemoteProtocolError as error:
+            if error.error_status_hint == OVERSIZED_STATUS:
+                part = "head" if self.framing is None else "framing"
+                raise EndlessResponse(part, "a head, chunk header or trailer has no end") from error
+            raise ChannelBroken(f"broken: {error!r}") from error
+        except h11.ProtocolError as error:
+            raise ChannelBroken(f"broken: {error!r}") from error
+
+    async def _receive(self) -> int:
+        """Read what there is for the codec, and return its size; raise ChannelBroken."""
         try:
-            while (event := self.codec.next_event()) is h11.NEED_DATA:
-                self.codec.receive_data(await self._read())
-        except (OSError, h11.ProtocolError) as error:
+            data = await self._read()
+        except OSError as error:
             raise ChannelBroken(f"broken: {error!r}") from error
-        return event
+        self.codec.receive_data(data)
+        return len(data)
 
     async def _read(self) -> bytes:
         try:
@@ -271,6 +386,8 @@
             raise
         if not data:
             self.connection_end = ConnectionEnd.CLOSED
+        self.received_bytes += len(data)
+        self.last_read_s = asyncio.get_running_loop().time()
         return data
 
     def _record_keep_alive(self, headers: Headers) -> None:
@@ -298,6 +415,11 @@
     return Framing.LENGTH if b"content-length" in names else Framing.CONNECTION
 
 
+def _head_bytes(head: h11.InformationalResponse) -> int:
+    """Return about as many bytes as a head has on the connection."""
+    return 16 + sum(len(name) + len(value) + 4 for name, value in head.headers)
+
+
 def _content_length(request: h11.Request) -> int:
     for name, value in request.headers:
         if name == b"content-length":
--- a/packages/transport/src/mimosaspur_transport/jsonhttp.py
+++ b/packages/transport/src/mimosaspur_transport/jsonhttp.py
@@ -16,6 +16,8 @@
 TOO_MANY_REQUESTS = 429
 MIN_SERVER_ERROR_STATUS = 500
 READ_BYTES = 65_536
+# The largest answers are pages of 200 objects.
+MAX_RESPONSE_BYTES = 16_000_000
 MAX_IDLE_CONNECTIONS = 8
 MS_PER_SECOND = 1000
 
@@ -98,11 +100,15 @@
 
 def _read_all(response: urllib3.BaseHTTPResponse, deadline: Deadline) -> bytes:
     parts: list[bytes] = []
+    size = 0
     whole = False
     try:
         # The socket's timeout covers one read only; a slow response must time out too.
         while part := response.read1(READ_BYTES):
             parts.append(part)
+            size += len(part)
+            if size > MAX_RESPONSE_BYTES:
+                raise ValueError("the response exceeds the size limit")
             if deadline.has_passed():
                 raise TimeoutError("the response did not end in time")
         whole = True
