--- a/features/engine_speed.feature
+++ b/features/engine_speed.feature
@@ -28,7 +28,7 @@
   Scenario: The coordinator is lost halfway
     Given 6 entries and 3 engines of speeds 0.7, 0.7 and 1.7, of which 40 in 100 is used
     When they serve requests for 20 s with the seed 1
-    And the coordinator is lost
+    And the coordinator of the speeds is lost
     Then no factor has changed at any entry
     When they go on for 5 s
     And another coordinator has all entries' first reports
--- a/features/steps/engine_speed_steps.py
+++ b/features/steps/engine_speed_steps.py
@@ -140,7 +140,7 @@
     assert "engine-0" not in {each.target for each in play.shared.all()}
 
 
-@when("the coordinator is lost")
+@when("the coordinator of the speeds is lost")
 def lose_coordinator(context: Context) -> None:
     context.before = context.play.factors()
     context.told = {each.target for each in context.play.shared.all()}
--- a/packages/coordination/src/mimosaspur_coordination/scheduling/loadoutlook.py
+++ b/packages/coordination/src/mimosaspur_coordination/scheduling/loadoutlook.py
@@ -11,6 +11,7 @@
 
 from mimosaspur_coordination.loadforecast import LEFT_MS
 from mimosaspur_coordination.loadforecast import NEVER_MS
+from mimosaspur_coordination.loadforecast import SENT_CHANGE_SHARE
 from mimosaspur_state.clock import Clock
 from mimosaspur_state.routes import EngineSpec
 
@@ -18,8 +19,6 @@
 MAX_HOLD_SHARE = 1 / 8
 # A new coordinator gives its first orders this long after its handover time, at the latest.
 SETTLE_MS = 1_500
-# The coordinator sends a forecast again once it has changed by more than this share.
-SENT_CHANGE_SHARE = 0.2
 # Forecasts are made every 250 ms, and sent with the next report.
 FORECAST_LAG_MS = 300
 # After an unloaded model was not loaded on request, places count as scarce for this long.
--- a/packages/coordination/src/mimosaspur_coordination/streampauses.py
+++ b/packages/coordination/src/mimosaspur_coordination/streampauses.py
@@ -15,9 +15,8 @@
     from mimosaspur_coordination.fleetview import Prompt
     from mimosaspur_coordination.fleetview import TargetView
 
-# How engines are assumed to run until pauses are measured, which correct the predictions: the
-# shortest step, the most prompt tokens in one step, and the tokens of a stream in one event, each of
-# which takes a step.
+# How engines are assumed to run until measured pauses correct the predictions: the shortest step,
+# the most prompt tokens in one step, and the tokens of a stream in one event, one for each step.
 STEP_MS = 8.2
 CHUNK_TOKENS = 2_048
 EVENT_TOKENS = 3
