--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -166,8 +166,9 @@
             queued += sum(n for other, n in work.prefill_tokens.items() if other <= rank)
         own_ms = prefill_ms(self.prefill_tokens(prompt))
         read_ms = (own_ms + self.speed.queue_ms(queued)) * self.slowness * self.prefill_factor
-        slow_ms = self.momentary.added_ms(read_ms, now_ms=self.health.clock.now_ms())
-        return self.speed.base_ms.value + read_ms + slow_ms
+        if self.momentary.ratio > 1.0:
+            read_ms += self.momentary.added_ms(read_ms, now_ms=self.health.clock.now_ms())
+        return self.speed.base_ms.value + read_ms
 
     def on_sent(self, prompt: Prompt, *, rank: int) -> float:
         """Count a prompt that is sent; return its prefill work."""
