Draw targets in proportion to their room, by the age of what is known

Change: from eight entries on an entry draws among the targets within half of the highest age of its information above the cheapest (even-load). Also from the review: a request whose model an engine holds waits for it although a replica is loading elsewhere; holds of the scheduler don't count as a wait for a model; a refused request keeps its urgency; waiters notice that loads have ended.

--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/evenload.py
@@ -0,0 +1,83 @@
+"""Draw a target in proportion to the room that is left, where what is known of the load is old.
+
+Addresses many entries that choose at the same moment: between two reports all of them would send to
+the target that was the emptiest in the last one, while others idle.
+"""
+
+import random
+from collections.abc import Sequence
+from typing import TypeVar
+
+from mimosaspur_state.clock import Clock
+
+T = TypeVar("T")
+
+# Added to a cost at random where nothing is spread, so that entries with the same data do not all
+# choose the same target.
+JITTER_MS = 4.0
+# With fewer entries, what all send between two reports is small against a target's queue.
+MIN_ENTRIES = 8
+# Entries report this often, so that the totals of a new update are already that old.
+REPORT_AGE_MS = 100
+# Older information says nothing about the load now: it is spread as if it had this age.
+MAX_AGE_MS = 1_000
+# The part of the highest age that is spread over: on average, work is sent in the middle between
+# two updates.
+SPREAD_AGE_SHARE = 1 / 2
+# The part of the time to the objective that a longer wait than at the cheapest target may take.
+SPREAD_SPARE_SHARE = 1 / 4
+
+
+class LoadAge:
+    """Track the age of what is known of the other entries' work."""
+
+    __slots__ = ("clock", "interval_ms", "updated_ms")
+
+    def __init__(self, *, clock: Clock) -> None:
+        self.clock = clock
+        self.updated_ms = clock.now_ms()
+        # The time between the last two updates.
+        self.interval_ms = 0
+
+    def on_update(self) -> None:
+        """Record an update of the other entries' work."""
+        self.interval_ms = self._since_update_ms()
+        self.updated_ms = self.clock.now_ms()
+
+    def age_ms(self) -> int:
+        """Return the age of what is known now."""
+        return min(MAX_AGE_MS, self._since_update_ms() + REPORT_AGE_MS)
+
+    def highest_age_ms(self) -> int:
+        """Return the age that it will have at the next update: until then all entries follow it."""
+        return min(MAX_AGE_MS, max(self.interval_ms, self._since_update_ms()) + REPORT_AGE_MS)
+
+    def _since_update_ms(self) -> int:
+        # Clocks may jump.
+        return max(0, self.clock.now_ms() - self.updated_ms)
+
+
+def spread_ms(*, entries: int, age_ms: int, spare_ms: float) -> float:
+    """Return by how much a target may cost more than the cheapest to be drawn too; 0 for none.
+
+    `age_ms` is the highest age of what is known, `spare_ms` the time left to the request's
+    objective.
+    """
+    if entries < MIN_ENTRIES or spare_ms <= 0:
+        return 0.0
+    return min(age_ms * SPREAD_AGE_SHARE, spare_ms * SPREAD_SPARE_SHARE)
+
+
+def draw(candidates: Sequence[tuple[float, float, T]], *, spread: float) -> T | None:
+    """Draw among (cost, speed, target); return None without candidates.
+
+    The weight is the room that a target has below the cheapest cost plus the spread, by its speed.
+    """
+    if not candidates:
+        return None
+    if spread <= JITTER_MS:
+        return min(candidates, key=lambda each: each[0] + random.random() * JITTER_MS)[2]
+    limit = min(cost for cost, _, _ in candidates) + spread
+    near = [each for each in candidates if each[0] < limit]
+    weights = [(limit - cost) * speed for cost, speed, _ in near]
+    return random.choices(near, weights)[0][2]
--- a/packages/coordination/src/mimosaspur_coordination/targetchoice.py
+++ b/packages/coordination/src/mimosaspur_coordination/targetchoice.py
@@ -1,10 +1,11 @@
 """Choose the target for a request."""
 
 import math
-import random
 from collections.abc import Callable
 from collections.abc import Sequence
 
+from mimosaspur_coordination.evenload import JITTER_MS
+from mimosaspur_coordination.evenload import draw
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.streampauses import IN_TIME_SHARE
@@ -41,8 +42,9 @@
     kv_tokens: int,
     gap_objective_ms: float = 0.0,
     spare_ms: float = 0.0,
+    spread_ms: float = 0.0,
 ) -> TargetView | None:
-    """Return the engine with the lowest predicted time to first token.
+    """Return the engine with the lowest predicted time to first token, or one within the spread.
 
     If streams have paused for longer than the limit, those pauses are weighed too, among the
     engines whose first event is expected well within the time left to the objective.
@@ -67,11 +69,12 @@
             )
 
         in_time = _cheapest_with_penalty(
-            preferred, cost, penalty, limit_ms=IN_TIME_SHARE * spare_ms
+            preferred, cost, penalty, limit_ms=IN_TIME_SHARE * spare_ms, spread_ms=spread_ms
         )
         if in_time is not None:
             return in_time
-    return _cheapest(preferred, cost)
+    costs = [(cost(view), view) for view in preferred]
+    return _draw_engine(costs, prompt, spread_ms=spread_ms)
 
 
 def choose_emptiest(views: Sequence[TargetView]) -> TargetView | None:
@@ -83,15 +86,18 @@
     return min(preferred_targets(views), key=key, default=None)
 
 
-def choose_plain_target(views: Sequence[TargetView], *, domain: str) -> TargetView | None:
-    """Return the plain target with the fewest requests per slot."""
+def choose_plain_target(
+    views: Sequence[TargetView], *, domain: str, spread_ms: float = 0.0
+) -> TargetView | None:
+    """Return the plain target with the fewest requests per slot, or one up to a spread above."""
 
     def cost(view: TargetView) -> float:
         busy = view.own_work.requests + view.others_work.requests
         slots = max(1, view.record.slots)
         return busy * PLAIN_SERVICE_TIME_MS / slots + _common_cost(view, domain)
 
-    return _cheapest(preferred_targets(views), cost)
+    candidates = [(cost(view), 1.0, view) for view in preferred_targets(views)]
+    return draw(candidates, spread=spread_ms)
 
 
 def _common_cost(view: TargetView, domain: str) -> float:
@@ -99,13 +105,18 @@
     return domain_penalty + view.health.failure_share() * FAILURE_PENALTY_MS
 
 
-def _cheapest(
-    views: Sequence[TargetView], cost: Callable[[TargetView], float]
+def _draw_engine(
+    costs: Sequence[tuple[float, TargetView]], prompt: Prompt, *, spread_ms: float
 ) -> TargetView | None:
-    if not views:
+    """Draw an engine, among those that have as much of the prompt cached as the cheapest."""
+    if not costs:
         return None
-    # Jitter, so that entries with the same data do not all choose the same target.
-    return min(views, key=lambda view: cost(view) + random.random() * 4.0)
+    if spread_ms:
+        # A prompt part that another engine has to read again costs more than an even load gains.
+        cached = min(costs, key=lambda each: each[0])[1].cached_tokens(prompt)
+        costs = [each for each in costs if each[1].cached_tokens(prompt) >= cached]
+    candidates = [(cost_ms, 1.0 / max(0.1, view.prefill_factor), view) for cost_ms, view in costs]
+    return draw(candidates, spread=spread_ms)
 
 
 def _cheapest_with_penalty(
@@ -114,15 +125,17 @@
     penalty: Callable[[TargetView], float],
     *,
     limit_ms: float,
+    spread_ms: float,
 ) -> TargetView | None:
-    """Return the target of the lowest cost and penalty among those whose cost is in the limit."""
-    costs = [(cost(view) + random.random() * 4.0, index) for index, view in enumerate(views)]
-    best, best_ms = None, math.inf
+    """Return a target of the lowest cost and penalty among those whose cost is in the limit."""
+    costs = [(cost(view), index) for index, view in enumerate(views)]
+    best_ms, candidates = math.inf, []
     # A penalty isn't negative, so targets whose cost alone is higher are not looked at.
     for cost_ms, index in sorted(costs):
-        if cost_ms > limit_ms or cost_ms >= best_ms:
+        if cost_ms > limit_ms or cost_ms >= best_ms + max(spread_ms, JITTER_MS):
             break
-        total_ms = cost_ms + penalty(views[index])
-        if total_ms < best_ms:
-            best, best_ms = views[index], total_ms
-    return best
+        view = views[index]
+        total_ms = cost_ms + penalty(view)
+        best_ms = min(best_ms, total_ms)
+        candidates.append((total_ms, 1.0 / max(0.1, view.prefill_factor), view))
+    return draw(candidates, spread=spread_ms)
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
@@ -18,6 +18,7 @@
     if handler.first_ms:
         log.counters.observe("first_event_ms", handler.first_ms)
     log.counters.observe("waited_ms", handler.waited_ms)
+    log.counters.observe("load_age_ms", handler.target_selector.load_age_ms)
     if handler.longest_pause_ms:
         log.counters.observe("longest_pause_ms", handler.longest_pause_ms)
         if limit_ms := handler.route.gap_objective_ms:
@@ -55,6 +56,7 @@
         first_ms=handler.first_ms,
         written_ms=attempt.written_ms() if attempt else 0,
         objective_ms=handler.route.objective_ms,
+        load_age_ms=handler.target_selector.load_age_ms,
         predicted_pause_ms=_predicted_pause_ms(attempt),
         longest_pause_ms=handler.longest_pause_ms,
         lasted_ms=round((asyncio.get_running_loop().time() - handler.request.arrived_s) * 1000),
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -9,6 +9,7 @@
 from typing import TypeVar
 
 from mimosaspur_coordination.durations import DurationEstimator
+from mimosaspur_coordination.evenload import LoadAge
 from mimosaspur_coordination.fleetports import EnginePort
 from mimosaspur_coordination.fleetports import FleetStore
 from mimosaspur_coordination.fleetview import FleetView
@@ -147,6 +148,7 @@
         self.reported_work = ReportedWork()
         self.quarantine = Quarantine(self)
         self.outstanding_loads = OutstandingLoads(clock=self.clock)
+        self.load_age = LoadAge(clock=self.clock)
         # Entries that are not leaving, as the coordinator last reported; 0 if unknown.
         self.staying_entries = 0
         self.stream_versions = StreamVersions(
@@ -280,7 +282,9 @@
         models = spec.engine.models if spec and spec.engine else {}
         return unmet_request(route, workspace, models.get(model))
 
-    def count_refused(self, model: str, adapter: str, *, returns_s: float) -> None:
+    def count_refused(
+        self, model: str, adapter: str, request: UnmetRequest, *, returns_s: float
+    ) -> None:
         """Count a request refused early as waiting until its caller returns, if need be.
 
         A coordinator without forecasts knows of waiting requests only.
@@ -288,7 +292,7 @@
         if self.load_outlook.gives_forecasts:
             return
         with contextlib.ExitStack() as stack:
-            stack.enter_context(self.waiting_for(model, adapter))
+            stack.enter_context(self.waiting_for(model, adapter, request))
             asyncio.get_running_loop().call_later(returns_s, stack.pop_all().close)
 
     def on_targets_changed(self, ended: Collection[str]) -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -92,6 +92,8 @@
     )
     if report.store:
         apply_store_changes(state, report.store)
+    if report.work:
+        state.load_age.on_update()
     for target, others in state.reported_work.apply_totals(report.work).items():
         view = state.fleet.targets.get(target)
         if view:
@@ -105,5 +107,5 @@
         state.log.counters.count("engine_speed_ignored", "coordinator")
     loading = None if report.ready_times_hold else report.model_ready_in_ms
     state.load_outlook.on_update(loading, report.load_forecast)
-    if report.work or report.residents or loading or report.load_forecast:
+    if report.work or report.residents or loading is not None or report.load_forecast:
         state.changes.notify()
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 
+from mimosaspur_coordination.evenload import spread_ms
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.scheduling.callertimes import event_timeout_s
@@ -55,6 +56,7 @@
         "event_deadline_s",
         "has_events",
         "isolated",
+        "load_age_ms",
         "on_time_deadline_s",
         "patience_s",
         "permits",
@@ -68,6 +70,7 @@
         "silent",
         "spec",
         "state",
+        "waiting_since_s",
         "workspace",
     )
 
@@ -102,6 +105,8 @@
         self.patience_s = event_timeout_s(route)
         # Until when it waits for the next one.
         self.event_deadline_s = min(deadline_s, arrived_s + self.patience_s)
+        # Since when it waits for its model, which the scheduler's own holds don't count towards.
+        self.waiting_since_s = arrived_s
         # Whether it got an event of this response.
         self.has_events = False
         self.on_time_deadline_s = arrived_s + route.objective_ms / 1000
@@ -119,6 +124,8 @@
         # Whether the request was sent to a target before.
         self.retried = False
         self.permits = PermitChoice(state.notices, request=request, rank=self._permit_rank)
+        # The age of what was known of the other entries' work at the last choice.
+        self.load_age_ms = 0
         # Whether the request may crash its target, so that it should run beside few others.
         self.isolated = False
         # A target that the request is at, which isn't chosen again.
@@ -200,6 +207,7 @@
         if view is not None:
             return view
         state = self.state
+        self.waiting_since_s = _now_s()
         with self._waiting():
             while True:
                 self._check_version()
@@ -287,16 +295,18 @@
     def _model_wait_s(self) -> float:
         """Return the least time until an engine holds the model, 0 if unknown, inf if none will."""
         outlook, model = self.state.load_outlook, self.prompt.model
-        # What waits for an adapter, or continues a stream, is never refused early.
+        # What waits for an adapter or a busy holder, or continues a stream, isn't refused early.
         is_held = any(
             model in view.residents and model not in view.unloading
             for view in self._allowed_by_version()
         )
-        if is_held or self.retried or self.resumed or not self.state.uses(Mechanism.DEFERRAL):
+        if is_held:
+            return 0.0
+        if self.retried or self.resumed or not self.state.uses(Mechanism.DEFERRAL):
             return (outlook.loading_ms(model) or 0) / 1000
         wait_ms = outlook.wait_ms(
             model,
-            held_ms=(_now_s() - self.arrived_s) * 1000,
+            held_ms=(_now_s() - self.waiting_since_s) * 1000,
             objective_ms=self.route.objective_ms,
             engine=self._engine(),
             returned=self.state.refused.has_returned(self.digest),
@@ -310,9 +320,11 @@
         failure = self.refusal(ResultCode.NO_READY_TARGET, wanted_s=expected_s or 1.0)
         if is_early and self.state.uses(Mechanism.DEFERRAL):
             self.state.refused.add(self.digest, left_s=self.remaining_s())
+            model = self.prompt.model
             self.state.count_refused(
-                self.prompt.model,
+                model,
                 self.prompt.adapter,
+                self.state.unmet_request(self.route, self.workspace, self.service, model),
                 returns_s=failure.retry_after_s or 0.0,
             )
             self.state.log.counters.count("requests_rejected_early")
@@ -364,6 +376,7 @@
         ranks = (RESUMED_RANK,) if self.resumed else (self._rank(), self._late_rank())
         over_s = 0.0
         for index, rank in enumerate(ranks):
+            may_be_late = self.resumed or index > 0
             view = (
                 choose_emptiest(holders)
                 if self.isolated
@@ -375,11 +388,11 @@
                     kv_tokens=engine.kv_cache_tokens if engine else 0,
                     gap_objective_ms=self._gap_objective_ms(),
                     spare_ms=(self.on_time_deadline_s - _now_s()) * 1000,
+                    spread_ms=0.0 if may_be_late else self._spread_ms(),
                 )
             )
             if view is None:
                 return None
-            may_be_late = self.resumed or index > 0
             limit_s = self.event_deadline_s if may_be_late else self.on_time_deadline_s
             over_s = _now_s() + view.first_token_ms(self.prompt, rank=rank) / 1000 - limit_s
             if over_s <= 0:
@@ -405,7 +418,23 @@
         available = self.permits.preferred(available) or available
         if self.isolated:
             return choose_emptiest(available)
-        return choose_plain_target(available, domain=self.state.settings.failure_domain)
+        return choose_plain_target(
+            available,
+            domain=self.state.settings.failure_domain,
+            spread_ms=self._spread_ms(),
+        )
+
+    def _spread_ms(self) -> float:
+        """Return by how much a target may cost more than the cheapest, 0 for no spread."""
+        state = self.state
+        self.load_age_ms = state.load_age.age_ms()
+        if not state.uses(Mechanism.EVEN_LOAD):
+            return 0.0
+        return spread_ms(
+            entries=state.staying_entries,
+            age_ms=state.load_age.highest_age_ms(),
+            spare_ms=(self.on_time_deadline_s - _now_s()) * 1000,
+        )
 
     def _late_rank(self) -> int:
         return LATE_RANK if self.state.uses(Mechanism.DEMOTE_LATE) else self._rank()
--- a/packages/state/src/mimosaspur_state/policy.py
+++ b/packages/state/src/mimosaspur_state/policy.py
@@ -41,6 +41,8 @@
     DEFERRAL = "deferral"
     # Share the measured speeds of engines among all entries.
     ENGINE_SPEED = "engine-speed"
+    # Draw targets in proportion to their room, by the age of what is known of their load.
+    EVEN_LOAD = "even-load"
 
 
 @dataclass(slots=True, frozen=True)
