Name a step of the endless responses so that it matches no other feature

"the caller gets {expected} within {most_ms} ms" also matched the step of stream_versions.feature, of which 12 scenarios failed with an AttributeError. The step has a name of its own now; what it checks is unchanged. After: direct_endless.feature and stream_versions.feature pass.

--- a/features/direct_endless.feature
+++ b/features/direct_endless.feature
@@ -4,7 +4,7 @@
   Scenario Outline: <way> without end, <pace>, <request>
     Given a direct entry, a target that sends <way> without end, <pace>, and a sound one
     When a caller sends <request> to an endless target
-    Then the caller gets <answer> within <most> ms
+    Then the endless target's caller gets <answer> within <most> ms
     And the target was cut off within <kib> KiB, and counts as failing
 
     Examples: Bytes that come as fast as they are read
--- a/features/steps/direct_endless_steps.py
+++ b/features/steps/direct_endless_steps.py
@@ -48,7 +48,7 @@
     run(context, call())
 
 
-@then("the caller gets {expected} within {most_ms:d} ms")
+@then("the endless target's caller gets {expected} within {most_ms:d} ms")
 def check_answer(context: Context, expected: str, most_ms: int) -> None:
     answer = context.answer
     told = (answer.status, answer.whole, answer.body[:200], context.took_ms)
