Place by urgency only where some requests can wait for a load

Change: a service counts as having callers of different urgency only if one route's objective exceeds a model's load and another's doesn't; elsewhere nothing is forecast, refused requests don't count as demand and engines count as equal, as before. The row of model_urgency.feature on priorities says no now.

--- a/features/model_urgency.feature
+++ b/features/model_urgency.feature
@@ -144,7 +144,7 @@
       | none can wait for a load        | 500, 2500   | 0, 0       | no     |
       | all can wait for a load         | 9500, 12000 | 0, 0       | no     |
       | one can wait, another can't     | 500, 12000  | 0, 0       | yes    |
-      | priorities                      | 500, 500    | 0, 1       | yes    |
+      | priorities                      | 500, 500    | 0, 1       | no     |
 
   Scenario: Refused requests count until their callers no longer return
     Given an entry that refused a request for "g" with a time limit of 12000 ms
--- a/packages/coordination/src/mimosaspur_coordination/urgency.py
+++ b/packages/coordination/src/mimosaspur_coordination/urgency.py
@@ -3,7 +3,6 @@
 Without the distinction a burst of patient requests takes engines and loads from urgent ones.
 """
 
-from mimosaspur_coordination.workspaces.ranks import priority_of
 from mimosaspur_state.routes import Configuration
 from mimosaspur_state.routes import ModelSpec
 from mimosaspur_state.routes import ServiceSpec
@@ -23,7 +22,10 @@
 
 
 def urgency_differs(configuration: Configuration, service: ServiceSpec) -> bool:
-    """Return whether requests to a service's engines differ in urgency or priority."""
+    """Return whether some requests to a service's engines can wait for a load and others can't.
+
+    Priorities alone are no cause: where all requests are urgent, none makes room for the others.
+    """
     routes = [
         route
         for route in configuration.routes
@@ -31,10 +33,6 @@
     ]
     if service.engine is None or not routes:
         return False
-    workspaces = configuration.workspaces or (None,)
-    priorities = {priority_of(route, each)[0] for route in routes for each in workspaces}
-    if len(priorities) > 1:
-        return True
     shortest_ms = min(route.objective_ms for route in routes)
     longest_ms = max(route.objective_ms for route in routes)
     models = service.engine.models.values()
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -207,7 +207,7 @@
                 objective_ms=asked.objective_ms,
                 priority=asked.priority,
             )
-        if not self.state.uses(Mechanism.MODEL_URGENCY):
+        if not any(self._urgency_differs(service) for service, _ in self.engines.services()):
             return
         if asked.objective_ms and not asked.tokens:
             self.demand.learn_unmet(
@@ -286,7 +286,8 @@
         self.forecast_ms, self.forecast_models = self.clock.now_ms(), waiting
         forecast: dict[str, int] = {}
         for service, spec in self.engines.services():
-            forecast |= forecast_loads(self._problem(service, spec))
+            if self._urgency_differs(service):
+                forecast |= forecast_loads(self._problem(service, spec))
         self.members.forecast = forecast
 
     def _knows_earlier_loads(self) -> bool:
@@ -336,7 +337,7 @@
     def _problem(self, service: str, spec: EngineSpec) -> PlacementProblem:
         by_urgency = self._urgency_differs(service)
         engines = self.engines.snapshots(service)
-        if not self.state.uses(Mechanism.MODEL_URGENCY):
+        if not by_urgency:
             engines = [replace(engine, prefill_factor=1.0) for engine in engines]
         return PlacementProblem(
             spec,
