Give a model a further engine at once where its engines can't read its demand

The gain of an extra replica was the demand that it takes over, and the victims' models, asked for now and then, weighed five times theirs. Change: where requests of a service differ in urgency, demand beyond what a model's engines read weighs as much as that for a sole replica.

--- a/packages/coordination/src/mimosaspur_coordination/modelplacement.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelplacement.py
@@ -10,6 +10,7 @@
 from mimosaspur_coordination.engineheadroom import EngineHeadroom
 from mimosaspur_coordination.engineheadroom import FleetHeadroom
 from mimosaspur_coordination.modeldemand import Demand
+from mimosaspur_coordination.placementcost import SOLE_REPLICA_WEIGHT
 from mimosaspur_coordination.placementcost import EvictionRule
 from mimosaspur_coordination.placementcost import expected_unload_ms
 from mimosaspur_coordination.placementproblem import CROWDED_REPLICA_TOKENS_PER_S
@@ -22,6 +23,8 @@
 # Demand above which a replica is expected to refuse requests. Token costs are normalized to an
 # engine that reads 20,000 a second, which also decodes and serves other models.
 REPLICA_CAPACITY_TOKENS_PER_S = 8_000.0
+# What an engine of the usual speed reads if it does nothing else.
+ENGINE_TOKENS_PER_S = 20_000.0
 # Excess demand over this time is compared with the waiting requests of other models. It is about
 # the duration of a load.
 OVERFLOW_WINDOW_S = 3.0
@@ -218,7 +221,10 @@
         problem = self.problem
         rule = self._rule(name, urgent_rule=EvictionRule.BY_LOSS)
         tokens = problem.demand_of(name).fast_tokens
-        gain = _gain(tokens, problem.speeds[name], self._headroom(rule).max_speed)
+        max_speed = self._headroom(rule).max_speed
+        gain = _gain(tokens, problem.speeds[name], max_speed)
+        if problem.by_urgency:
+            gain += _overload_gain(tokens, problem.speeds[name], max_speed)
         terms = _CostTerms(
             EXTRA_REPLICA_COST_PER_S,
             SHARED_ENGINE_WEIGHT,
@@ -366,6 +372,15 @@
     return tokens * speed / (speeds + speed)
 
 
+def _overload_gain(tokens: float, speeds: float, speed: float) -> float:
+    """Return the gain of serving demand that a model's engines can't read in time.
+
+    Its requests are as late as those whose model has to be loaded first, so they weigh the same.
+    """
+    excess = tokens - speeds * ENGINE_TOKENS_PER_S
+    return SOLE_REPLICA_WEIGHT * min(max(0.0, excess), speed * ENGINE_TOKENS_PER_S)
+
+
 def _can_load(problem: PlacementProblem, headroom: EngineHeadroom, model: ModelSpec) -> bool:
     engine = headroom.engine
     held = model.name in engine.residents or engine.loading == model.name
