Give no order after a step-down has announced the last one

Cause: step_down() announced the age of the last order, but the lease still permitted orders until _hold_lease looked again, 0.1 s later and more while the lease was being read. A swap in progress, or the next one, was ordered in that time.

Change: the lease permits no order once it was stopped, and a link that is opened after that gets the time of the last order at once.

Found beside it: the time that one coordinator had announced shortened the wait after a later coordinator that the entry couldn't reach. It now counts only for the lease under which it was announced.

Measured: the two new scenarios failed in 3 of 3 runs on the code before, with three orders after the announcement, and with a successor that might order at once; all passed in 4 of 4 runs after it. The files direct_orders, direct_leadership and direct_restored: 96 passed.

--- a/features/direct_orders.feature
+++ b/features/direct_orders.feature
@@ -170,12 +170,28 @@
       | another entry reads it, asked at 11500 ms            | 13400 | may     |
       | another entry finds another holder, asked at 11500 ms | 12000 | may not |
       | the lease is read at 11000 ms and another holds it   | 11001 | may not |
+      | it announces its last order at 11000 ms              | 11000 | may not |
+      | it reads the lease after it announced its last order | 11000 | may not |
 
   Scenario: Two instances hand the duty over while one of them is told to leave
     Given two instances with one store and an engine
     When the coordinator is told to leave
     Then the other one coordinates, and no order came within the handover of the first one's last
 
+  # Guards against two coordinators that order at once: a swap in progress sent its next order after
+  # the last one had been announced.
+  Scenario: A coordinator that has announced its last order gives no more
+    Given two instances with one store and an engine
+    When the coordinator is told to leave between the two orders of a swap, while it reads the lease
+    Then it has given no order since, and the other one keeps to the handover
+
+  # Guards against a successor that orders while the last holder may: it took an earlier holder's
+  # last order for the last holder's.
+  Scenario: What a coordinator announced as its last order doesn't count for a later coordinator
+    Given an entry that follows a coordinator, which steps down
+    When a third instance takes the lease, and the entry can't reach it
+    Then the entry takes the lease over and waits until the third instance's proof has run out
+
   Scenario: A coordinator that is only restarted takes its duty back before anybody else could order
     Given two instances with one store and an engine, and a handover of 3000 ms
     When the coordinator ends and starts again after 500 ms
--- a/features/harness/direct_fleet.py
+++ b/features/harness/direct_fleet.py
@@ -18,6 +18,7 @@
 from mimosaspur_state.errors import StoreUnavailable
 from mimosaspur_state.errors import VersionConflict
 from mimosaspur_state.fleet import EngineOrder
+from mimosaspur_state.fleet import OrderKind
 from mimosaspur_state.fleet import OrderOutcome
 from mimosaspur_state.fleet import TargetRecord
 
@@ -25,6 +26,10 @@
 MODELS = ("a", "b", "c", "d", "e", "f")
 WAIT_TIMEOUT_S = 12.0
 REQUEST_INTERVAL_S = 0.05
+# Reads of the lease take this long where they are slow, which is less than the coordinator's
+# time-out. A swap's second order follows its first one within the shorter time.
+SLOW_READ_S = 0.36
+SWAP_ORDERS_S = 0.15
 # In this time the step-down is announced and the coordinator has stopped.
 STEP_DOWN_S = 0.25
 
@@ -50,11 +55,17 @@
     def __init__(self) -> None:
         self.record: LeaseRecord | None = None
         self.away = False
+        # How long a read takes, and when the last one began, on the event loop's clock.
+        self.read_s = 0.0
+        self.read_began_s = 0.0
 
     async def read_lease(self) -> LeaseRecord | None:
         """Return the lease."""
         if self.away:
             raise StoreUnavailable("away")
+        if self.read_s:
+            self.read_began_s = asyncio.get_running_loop().time()
+            await asyncio.sleep(self.read_s)
         return self.record
 
     async def write_lease(self, record: LeaseRecord) -> LeaseRecord:
@@ -87,6 +98,7 @@
     def __init__(self) -> None:
         self.handover_ms = HANDOVER_MS
         self.orders_before_restart = 0
+        self.orders_before_step_down = 0
         self.orders: list[tuple[str, float]] = []
         self.store = LeaseStore()
         self.engine = RecordingEngine(self.orders)
@@ -108,6 +120,23 @@
         self.elections[0].step_down()
         await self._until(lambda: self.orders[-1][0] == "entry-1")
 
+    async def hand_over_in_swap(self) -> None:
+        """Make the first instance leave after an unload, while it reads the lease."""
+        self.store.read_s = SLOW_READ_S
+        await self._until(self._in_swap_and_read)
+        self.orders_before_step_down = len(self.orders)
+        await self.hand_over()
+
+    def _in_swap_and_read(self) -> bool:
+        """Return whether a swap's second order would come before the read has ended."""
+        began_s = self.store.read_began_s
+        now_s = asyncio.get_running_loop().time()
+        return (
+            bool(began_s)
+            and now_s < began_s + SLOW_READ_S - SWAP_ORDERS_S
+            and self.engine.received[-1].kind is OrderKind.UNLOAD
+        )
+
     async def restart_first(self, pause_s: float) -> None:
         """Stop the first instance and start it again; wait for its orders."""
         self.elections[0].step_down()
--- a/features/steps/direct_orders_steps.py
+++ b/features/steps/direct_orders_steps.py
@@ -12,21 +12,30 @@
 from harness.direct_engine import REPORT_LAG_S
 from harness.direct_engine import SimulatedEngine
 from harness.direct_engine import random_unanswered
+from harness.direct_entry import entry_dependencies
 from harness.direct_entry import null_log
+from harness.direct_entry import settings_for
+from harness.direct_fleet import LeaseStore
 from harness.direct_fleet import ManualClock
 from harness.direct_fleet import TwoInstances
 from harness.direct_store import StoreStandIn
+from harness.failing_store import UNREACHABLE
 from harness.loop import run
 from mimosaspur_coordination.fleetports import LeaseRecord
 from mimosaspur_coordination.orderlease import CONFIRMATION_VALIDITY_MS
 from mimosaspur_coordination.orderlease import OrderLease
 from mimosaspur_coordination.outstandingloads import OutstandingLoads
+from mimosaspur_daemon.direct.election import CoordinatorElection
 from mimosaspur_daemon.direct.enginecontroller import EngineController
+from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_platform.engines import PlatformEngines
+from mimosaspur_protocol.peermessages import FleetReport
+from mimosaspur_protocol.peermessages import StepDown
 from mimosaspur_state.clock import SystemClock
 from mimosaspur_state.fleet import EngineOrder
 from mimosaspur_state.fleet import OrderKind
 from mimosaspur_state.fleet import TargetRecord
+from mimosaspur_transport.peerlink import PeerLink
 
 ADDRESS = ("127.0.0.1", 1)
 RECORD = TargetRecord("engine-0", "service", ADDRESS, "here")
@@ -36,6 +45,9 @@
 SETTLE_S = 2.2
 POLL_S = 0.02
 OBSERVATION_S = 1.5
+TIMEOUT_S = 8.0
+# Longer than any handover.
+LONG_AGO_MS = 60_000
 NEVER_MS = 60_000
 
 
@@ -447,6 +459,18 @@
     context.lease.confirm_from_peer(holder="other", token=3, asked_ms=at_ms)
 
 
+@when("it announces its last order at {at_ms:d} ms")
+def announce_last_order(context: Context, at_ms: int) -> None:
+    context.clock.ms = at_ms
+    context.lease.stop_orders()
+
+
+@when("it reads the lease after it announced its last order")
+def read_after_announcement(context: Context) -> None:
+    context.lease.stop_orders()
+    read_lease(context, 10_900)
+
+
 @then("at {at_ms:d} ms it {may} order")
 def check_may_order(context: Context, at_ms: int, may: str) -> None:
     context.clock.ms = at_ms
@@ -483,6 +507,67 @@
     run(context, two.stop())
 
 
+@when("the coordinator is told to leave between the two orders of a swap, while it reads the lease")
+def leave_in_swap(context: Context) -> None:
+    run(context, context.two.hand_over_in_swap())
+
+
+@then("it has given no order since, and the other one keeps to the handover")
+def check_no_order_since(context: Context) -> None:
+    two = context.two
+    since = [holder for holder, _ in two.orders[two.orders_before_step_down :]]
+    assert "entry-0" not in since, since
+    check_handover(context)
+
+
+@given("an entry that follows a coordinator, which steps down")
+def follow_until_step_down(context: Context) -> None:
+    context.store = LeaseStore()
+    ports = entry_dependencies("entry-1", store=context.store)
+    context.election = CoordinatorElection(EntryState(settings_for("entry-1"), ports))
+    context.tasks = [run(context, _follow_until_step_down(context.store, context.election))]
+
+
+async def _follow_until_step_down(
+    store: LeaseStore, election: CoordinatorElection
+) -> asyncio.Task[None]:
+    async def step_down(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        link = PeerLink(reader, writer)
+        link.send(FleetReport(1, True, 2, [], [], {}))
+        link.send(StepDown(LONG_AGO_MS))
+        await link.finish_sending()
+
+    server = await asyncio.start_server(step_down, "127.0.0.1", 0)
+    store.record = LeaseRecord("entry-0", server.sockets[0].getsockname(), 1, 1)
+    task = asyncio.create_task(election.run())
+    async with asyncio.timeout(TIMEOUT_S):
+        while election.predecessor_last_order_ms is None:
+            await asyncio.sleep(POLL_S)
+    server.close()
+    return task
+
+
+@when("a third instance takes the lease, and the entry can't reach it")
+def take_by_third(context: Context) -> None:
+    context.store.record = LeaseRecord("entry-2", UNREACHABLE, 2, 2)
+
+
+@then("the entry takes the lease over and waits until the third instance's proof has run out")
+def check_waits_for_third(context: Context) -> None:
+    async def take_over() -> None:
+        async with asyncio.timeout(TIMEOUT_S):
+            while not context.election.coordinator:
+                await asyncio.sleep(POLL_S)
+
+    run(context, take_over())
+    lease = context.election.lease
+    assert context.store.record.holder == "entry-1", context.store.record
+    wait_ms = lease.first_order_ms - lease.clock.now_ms()
+    assert wait_ms > CONFIRMATION_VALIDITY_MS, wait_ms
+    for task in context.tasks:
+        task.cancel()
+
+
 @when("the coordinator ends and starts again after {pause_ms:d} ms")
 def restart_coordinator(context: Context, pause_ms: int) -> None:
     run(context, context.two.restart_first(pause_ms / 1000))
--- a/packages/coordination/src/mimosaspur_coordination/orderlease.py
+++ b/packages/coordination/src/mimosaspur_coordination/orderlease.py
@@ -34,6 +34,7 @@
         "last_order_ms",
         "record",
         "record_lost",
+        "stopped",
     )
 
     def __init__(self, instance: str, *, handover_ms: int, clock: Clock) -> None:
@@ -47,6 +48,8 @@
         self.confirmed_ms = 0
         self.first_order_ms = 0
         self.last_order_ms = 0
+        # Whether this instance has announced its last order, for as long as the process runs.
+        self.stopped = False
 
     def update_from_store(self, record: LeaseRecord | None, *, asked_ms: int) -> None:
         """Apply the store's lease record, read by a call sent at a time of this clock."""
@@ -108,10 +111,10 @@
         return record is not None and record.holder == self.instance and not record.restored
 
     def is_confirmed(self) -> bool:
-        """Return whether this instance holds the lease and its confirmation is still valid."""
-        return (
-            self.is_holder() and self.clock.now_ms() - self.confirmed_ms < CONFIRMATION_VALIDITY_MS
-        )
+        """Return whether this instance coordinates, and the lease's confirmation is still valid."""
+        if self.stopped or not self.is_holder():
+            return False
+        return self.clock.now_ms() - self.confirmed_ms < CONFIRMATION_VALIDITY_MS
 
     def renewal_due(self) -> bool:
         """Return whether the lease should be confirmed again."""
@@ -121,6 +124,13 @@
         """Return whether an order may be sent now."""
         return self.is_confirmed() and self.clock.now_ms() >= self.first_order_ms
 
+    def stop_orders(self) -> None:
+        """Permit no more orders, so that the time of the last one can be announced.
+
+        The lease itself is kept.
+        """
+        self.stopped = True
+
     def record_order(self) -> None:
         """Record that an order is sent now."""
         self.last_order_ms = self.clock.now_ms()
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -230,6 +230,8 @@
 
     def step_down(self) -> None:
         """Announce to all entries that this instance gives no more orders."""
+        # A swap in progress would otherwise send its next order after the announcement.
+        self.lease.stop_orders()
         self.members.sharers.stop()
         self.permits.stop()
         age_ms = self.lease.clock.now_ms() - self.lease.last_order_ms
--- a/packages/daemon/src/mimosaspur_daemon/direct/election.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/election.py
@@ -71,10 +71,10 @@
         self.renewal_backoff = Backoff(initial_delay_ms=RENEWAL_RETRY_MS)
         # Consecutive reads of the lease that the store has refused.
         self.refused_renewals = 0
-        # Whether this instance has stepped down, for as long as the process runs.
-        self.has_stepped_down = False
-        # Time of the last coordinator's last order, if it reported it as it stepped down.
+        # Time of the last coordinator's last order, if it reported it as it stepped down, and the
+        # token of the lease under which it was followed.
         self.predecessor_last_order_ms: int | None = None
+        self.predecessor_token = 0
         # Whether it stepped down while this instance followed it.
         self.predecessor_stepped_down = False
 
@@ -115,16 +115,16 @@
         """
         if self.coordinator:
             self.coordinator.step_down()
-            self.has_stepped_down = True
 
     async def _take_over(self) -> None:
-        if self.state.leaving or self.has_stepped_down:
+        if self.state.leaving or self.lease.stopped:
             # The lease may still name this instance: its successor takes it over.
             await asyncio.sleep(LEAVING_POLL_S)
             return
         if self.lease.record is None and not await self._lease_still_free():
             return
         predecessor = self.lease.record.holder if self.lease.record else ""
+        last_order_ms = self._last_order_of(self.lease.record)
         asked_ms = self.lease.clock.now_ms()
         record = await self.state.dependencies.store.write_lease(
             self.lease.next_record(self.address)
@@ -132,13 +132,22 @@
         self.backoff.record_success()
         forgotten = self.lease.record_lost
         self.lease.acquire(record, asked_ms=asked_ms, predecessor=predecessor)
-        if self.predecessor_last_order_ms is not None and not forgotten:
-            self.lease.on_predecessor_release(last_order_ms=self.predecessor_last_order_ms)
-            self.predecessor_last_order_ms = None
+        if last_order_ms is not None and not forgotten:
+            self.lease.on_predecessor_release(last_order_ms=last_order_ms)
+        self.predecessor_last_order_ms = None
         self.state.log.always("coordinating", token=record.token, predecessor=predecessor)
         await self._coordinate()
         self.state.log.always("coordinated", token=record.token)
 
+    def _last_order_of(self, record: LeaseRecord | None) -> int | None:
+        """Return the time of the last order of a lease's holder, None if it isn't known.
+
+        What an earlier holder reported says nothing of the orders of a later one.
+        """
+        if record is None or record.token != self.predecessor_token:
+            return None
+        return self.predecessor_last_order_ms
+
     async def _lease_still_free(self) -> bool:
         """Leave a lease that nobody ever held to larger instances; return whether it is free."""
         stand_back_s = coordinatorcapacity.candidacy_delay_s(self.state.settings)
@@ -171,7 +180,7 @@
 
     async def _hold_lease(self, tasks: list[asyncio.Task[None]]) -> None:
         """Renew the proof of the lease until it is lost or this instance steps down."""
-        while self.lease.is_holder() and not self.has_stepped_down:
+        while self.lease.is_holder() and not self.lease.stopped:
             for task in tasks:
                 if task.done():
                     # These tasks never return: raise the error that ended one.
@@ -248,6 +257,7 @@
                     self.predecessor_last_order_ms = (
                         self.lease.clock.now_ms() - message.last_order_age_ms
                     )
+                    self.predecessor_token = self.lease.record.token if self.lease.record else 0
                     self.predecessor_stepped_down = followed
                     return False
                 self._apply_answer(message)
@@ -316,10 +326,11 @@
 
     def _contend_delay_s(self) -> float:
         """Return how long to wait for the last holder to come back before contending."""
-        if self.predecessor_last_order_ms is None or not self.predecessor_stepped_down:
+        last_order_ms = self._last_order_of(self.lease.record)
+        if last_order_ms is None or not self.predecessor_stepped_down:
             return CONTEND_DELAY_S
         # A successor may not order sooner, so that this wait delays no orders.
-        first_ms = self.lease.first_order_after(self.predecessor_last_order_ms)
+        first_ms = self.lease.first_order_after(last_order_ms)
         return max(0.0, (first_ms - self.lease.clock.now_ms()) / 1000 - CONTEND_JITTER_S)
 
     async def _report_to(self, link: PeerLink) -> None:
@@ -341,7 +352,7 @@
 
     async def _serve_link(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         link = PeerLink(reader, writer)
-        if self.coordinator is None:
+        if self.coordinator is None or self.lease.stopped:
             await self._send_last_order(link)
             return
         await self.coordinator.serve_member(link)
