Share the engines' speeds in the simulation of pauses as entries do

Change: the simulation learns speeds from nothing and shares them through SharedEngineSpeeds each second, reading and writing.

--- a/features/harness/pause_simulation.py
+++ b/features/harness/pause_simulation.py
@@ -6,6 +6,8 @@
 from dataclasses import field
 
 from harness.direct_fleet import ManualClock
+from mimosaspur_coordination.enginespeed.decodepace import StreamGaps
+from mimosaspur_coordination.enginespeed.shared import SharedEngineSpeeds
 from mimosaspur_coordination.fleetview import FleetView
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
@@ -26,8 +28,11 @@
 SLOW_TIMES = 2.5
 SLOW_MS = 500.0
 USUAL_MS = 3_000.0
-# How often entries hear of one another's work.
+# How often entries hear of one another's work, and after how many reports of the speeds measured.
 REPORT_MS = 200.0
+SPEED_REPORTS = 5
+# The start of the engines' lifetimes, in which speeds are shared.
+STARTED_MS = 1
 
 
 @dataclass(slots=True, frozen=True)
@@ -61,6 +66,7 @@
     pauses: StreamPauses
     left_to_read: float
     engine: "Engine"
+    gaps: StreamGaps = field(default_factory=StreamGaps)
     written: int = 0
     first_ms: float = 0.0
 
@@ -139,8 +145,8 @@
         }
         for fleet in self.fleets:
             fleet.update([self._record(name) for name in names], ())
-            for view in fleet.targets.values():
-                self._share_speed(view)
+        self.shared_speeds = SharedEngineSpeeds(lambda _: STARTED_MS)
+        self.report_count = 0
         self.streams: list[Stream] = []
         # Time, number and what happens.
         self.events: list[tuple[float, int, str, object]] = []
@@ -158,6 +164,7 @@
             "here",
             slots=SLOTS,
             residents=residents,
+            started_ms=STARTED_MS,
         )
 
     def _plan(self, in_ms: float, what: str, whom: object) -> None:
@@ -232,6 +239,7 @@
     def _on_event(self, stream: Stream) -> None:
         stream.pauses.on_event(self.now_ms)
         view = stream.view
+        stream.gaps.on_events(1, now_ms=self.now_ms, is_reading=view.reads_prompts())
         if not stream.first_ms:
             stream.first_ms = self.now_ms - stream.arrived_ms
             view.on_prefill_end(unread=stream.unread, rank=RANK)
@@ -241,19 +249,25 @@
                 predicted_ms=stream.predicted_ms,
                 took_ms=stream.first_ms,
             )
-            self._share_speed(view)
         if stream.written == stream.kind.events * EVENT_TOKENS:
             stream.engine.writing.remove(stream)
             stream.pauses.on_end()
+            view.record_gaps(stream.gaps)
             view.on_end(stream.prompt)
 
-    def _share_speed(self, view: TargetView) -> None:
-        """Set the factor that entries learn together in the long run."""
-        speeds = [engine.speed for engine in self.engines.values()]
-        mean = sum(speeds) / len(speeds)
-        view.slowness = mean / self.engines[view.record.identity].speed
+    def _share_speeds(self) -> None:
+        """Combine what the entries have measured of the engines, as a coordinator does."""
+        for number, fleet in enumerate(self.fleets):
+            speeds = fleet.take_speeds()
+            self.shared_speeds.add_report(str(number), self.report_count, speeds)
+        changes = self.shared_speeds.take_changes()
+        for fleet in self.fleets:
+            fleet.apply_speeds(changes)
 
     def _report(self) -> None:
+        self.report_count += 1
+        if self.report_count % SPEED_REPORTS == 0:
+            self._share_speeds()
         for fleet in self.fleets:
             for name, view in fleet.targets.items():
                 others = [each.targets[name].own_work for each in self.fleets if each is not fleet]
