Keep suspects of one crash from beginning beside one of two

Cause: a request that was at one crash could begin beside the isolated request that was at two, and be lost with it.

Change: for 500 ms, no turn with isolation is given beside other turns that have begun, nor the other way round. Requests that were at one crash go first, and don't wait for one another.

--- a/packages/coordination/src/mimosaspur_coordination/quarantine/turnissuer.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/turnissuer.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from collections.abc import Sequence
+from collections.abc import Set
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -18,9 +19,14 @@
 START_GRACE_MS = 500
 # A turn is used within this time of the report that asked for it, as counted by the entry.
 TURN_VALIDITY_MS = 500
+# While a turn with ISOLATION is under way, none is given without it for so long after it was given,
+# nor the other way round. A run that crashes its target mostly ends sooner, and a request waits for
+# its turn for longer.
+APART_MS = 500
 
 Traits = tuple[bytes, ...]
-# Stands for an engine of its own: with it in their turns, requests don't run beside one another.
+# Stands for an engine of its own: with it in their turns, requests don't run beside one another,
+# nor begin beside other suspected ones.
 ISOLATION = b"isolation"
 
 
@@ -63,7 +69,7 @@
 class TurnIssuer:
     """Give turns to entries in the order in which they asked."""
 
-    __slots__ = ("clock", "entries", "lost", "queue", "started_ms")
+    __slots__ = ("clock", "entries", "given_ms", "lost", "queue", "started_ms")
 
     def __init__(self, *, clock: Clock, first: bool) -> None:
         self.clock = clock
@@ -72,6 +78,8 @@
         self.queue: dict[tuple[str, Traits], None] = {}
         # Traits that lost entries had under way, until when they count.
         self.lost: dict[bytes, int] = {}
+        # When a turn was last given for each trait, no longer ago than APART_MS.
+        self.given_ms: dict[bytes, int] = {}
         # Nothing is under way before the first coordinator.
         self.started_ms = clock.now_ms() - (START_GRACE_MS if first else 0)
 
@@ -116,12 +124,21 @@
         busy = set(self.lost)
         for entry in self.entries.values():
             busy.update(entry.busy())
+        self.given_ms = {
+            trait: at_ms for trait, at_ms in self.given_ms.items() if now_ms - at_ms < APART_MS
+        }
+        begun = busy & self.given_ms.keys()
         free: dict[str, list[Traits]] = {}
-        # What waits at few entries is likely sound, and rules itself out as it is served.
+        # What waits at few entries is likely sound, and rules itself out as it is served. Requests
+        # that were at one crash go first, as they needn't wait for one another.
         entries = Counter(traits for _, traits in self.queue)
-        for instance, traits in sorted(self.queue, key=lambda key: entries[key[1]]):
-            if busy.isdisjoint(traits):
+        for instance, traits in sorted(
+            self.queue, key=lambda key: (entries[key[1]], ISOLATION in key[1])
+        ):
+            if busy.isdisjoint(traits) and _may_begin_beside(traits, begun):
                 busy.update(traits)
+                begun.update(traits)
+                self.given_ms.update(dict.fromkeys(traits, now_ms))
                 del self.queue[instance, traits]
                 free.setdefault(instance, []).append(traits)
         return {instance: self._issue(instance, traits) for instance, traits in free.items()}
@@ -131,3 +148,12 @@
         entry.number += 1
         entry.issued.update(dict.fromkeys(free, entry.number))
         return Turns(entry.number, entry.asked_ms, free)
+
+
+def _may_begin_beside(traits: Traits, begun: Set[bytes]) -> bool:
+    """Return whether a turn may be given beside those that have just begun.
+
+    A request that was at one crash, and is lost at the next one beside a request that was at two,
+    leaves that without a verdict at three.
+    """
+    return not begun if ISOLATION in traits else ISOLATION not in begun
