--- /dev/null
+++ b/packages/coordination/src/mimosaspur_coordination/shares/__init__.py
@@ -0,0 +1,1 @@
+"""Divide the room of a service among workspaces while there isn't enough for all."""
