Read the weight of a workspace from the configuration

Cause: shares of room need weights.

Change: the optional field `weight` of a workspace, 1 if absent. Code 2020 is for requests refused because of a share.

--- a/packages/daemon/src/mimosaspur_daemon/direct/configurationexchange.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/configurationexchange.py
@@ -10,6 +10,7 @@
 from mimosaspur_protocol.peermessages import EncodedConfiguration
 from mimosaspur_protocol.peermessages import PeerMessage
 from mimosaspur_protocol.peermessages import PeerProtocolError
+from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.policy import Mechanism
 from mimosaspur_transport.peerlink import PeerLink
 from mimosaspur_transport.peerlink import PeerLost
@@ -67,7 +68,10 @@
             configuration = decode_configuration(message)
         except PeerProtocolError as error:
             self.state.log.always(
-                "configuration_unreadable", version=message.version, error=str(error)
+                "configuration_unreadable",
+                code=int(ResultCode.BAD_CONFIGURATION),
+                version=message.version,
+                error=str(error),
             )
             return
         self.state.apply_configuration(configuration, source="peer")
--- a/packages/state/src/mimosaspur_state/codes.py
+++ b/packages/state/src/mimosaspur_state/codes.py
@@ -45,6 +45,7 @@
     STREAM_VERSION_GONE = 2017
     TARGET_RESTING = 2018
     SUSPECT_WAITING = 2019
+    SHARE_EXCEEDED = 2020
 
     OUTCOME_UNKNOWN = 3001
     ANSWER_CUT = 3002
@@ -69,6 +70,7 @@
     STORE_ERA_WRONG = 4012
     BAD_TARGET_LIMIT = 4013
     BAD_TARGET_REST = 4014
+    BAD_CONFIGURATION = 4015
 
 
 @dataclass(slots=True, frozen=True)
@@ -153,6 +155,11 @@
         "Targets have crashed under requests like it, of which one is sent at a time. Not run.",
         _TRY_LATER,
     ),
+    ResultCode.SHARE_EXCEEDED: CodeInfo(
+        429,
+        "There isn't room for all, and the workspace's share of it is used up for now. Not run.",
+        _TRY_LATER,
+    ),
     ResultCode.TARGET_LIMITED: CodeInfo(
         503,
         "The targets that could run it limit the requests that they take. Not run.",
--- a/packages/state/src/mimosaspur_state/workspaces.py
+++ b/packages/state/src/mimosaspur_state/workspaces.py
@@ -32,3 +32,5 @@
     priority: int | None = None
     # None is unlimited.
     quota: Quota | None = None
+    # Relative to the other workspaces', where there isn't room for all; above 0.
+    weight: float = 1.0
