Test the shortage that an entry observes, leases and plain targets

Cause: no scenario covered what counts as a shortage, the lease while an entry is cut off, and the room that is left at plain targets.

Change: scenarios for them. A stream that its caller resumes isn't put behind others, as it has run before.

--- a/features/fair_shares.feature
+++ b/features/fair_shares.feature
@@ -42,8 +42,23 @@
       | 2     | north is limited below its share     | 1    | no    |
       | 1     | north is limited                     | 1    | no    |
       | 2     | north is limited, without the switch | 1    | no    |
+      | 2     | north was limited 2800 ms ago        | 9    | one   |
       | 2     | north was limited 3100 ms ago        | 1    | no    |
 
+  # Guards against a shortage that is taken from requests which would be late at an idle engine too.
+  Scenario Outline: An entry with <count> workspaces observes <times> shortage, <queued> ms of prompts wait
+    Given an entry with <count> workspaces before an engine, south is limited
+    And the engine has <queued> ms of prompts of other workspaces to read at rank 1
+    When north sends a stream of <tokens> prompt tokens
+    Then <times> shortage is observed
+
+    Examples:
+      | count | queued | tokens | times |
+      | 2     | 1000   | 50     | one   |
+      | 2     | 100    | 50     | no    |
+      | 2     | 1000   | 12000  | no    |
+      | 1     | 1000   | 50     | no    |
+
   # Guards against a Retry-After at which the share is still used up.
   Scenario: A request that can't be in time behind the others is refused until its share covers it
     Given an entry with 2 workspaces before an engine, north is limited
@@ -52,6 +67,18 @@
     Then it is refused with 429 and code 2020, to return when its share covers it
     And south's stream is sent at rank 1
 
+  Scenario Outline: A plain target's last room is left to the workspaces within their shares, <key>
+    Given an entry with 2 workspaces before an engine, north is limited
+    And the target runs <count> plain requests of 4
+    When a plain request with the key <key> is sent
+    Then it is answered after <least> to <most> ms
+
+    Examples:
+      | key | count | least | most |
+      | n-1 | 4     | 225   | 400  |
+      | n-1 | 3     | 0     | 200  |
+      | s-1 | 4     | 0     | 200  |
+
   Scenario: A shortage at one entry limits a workspace at all entries
     Given a coordinator with an entry that serves two workspaces
     When the entry observes a shortage while north asks for 9 times what is served to south
--- a/features/steps/fair_shares_steps.py
+++ b/features/steps/fair_shares_steps.py
@@ -1,5 +1,6 @@
 """Steps for the shares of workspaces while there isn't room for all."""
 
+import time
 from dataclasses import replace
 
 from behave import given
@@ -19,6 +20,7 @@
 from harness.loop import run
 from harness.recorded_log import RecordedLog
 from harness.report_simulation import CoordinatorWithMembers
+from mimosaspur_coordination.prefillspeed import PREFILL_TOKENS_PER_MS
 from mimosaspur_coordination.shares.division import Share
 from mimosaspur_coordination.shares.division import Use
 from mimosaspur_coordination.shares.division import divide_room
@@ -107,19 +109,32 @@
     name = "south" if "south" in state else "north"
     entry.shares.apply_shares({"service": {name: SHARE}}, entries=1)
     entry.shares.take("service", name, -500 if "below" in state else 500)
-    if "was limited" in state:
-        entry.shares.renewed_ms -= 3_100
+    if "ms ago" in state:
+        entry.shares.renewed_ms -= int(state.split()[3])
 
 
-@given("the engine has 5000 ms of prompts of other workspaces to read at rank 9")
-def fill_engine(context: Context) -> None:
+@given("the engine has {ms:d} ms of prompts of other workspaces to read at rank {rank:d}")
+def fill_engine(context: Context, ms: int, rank: int) -> None:
     view = context.entry.state.fleet.targets["first"]
-    view.others_work = OutstandingWork(8, {9: 100_000.0})
+    view.others_work = OutstandingWork(8, {rank: ms * PREFILL_TOKENS_PER_MS})
+
+
+@then("{times} shortage is observed")
+def check_shortage(context: Context, times: str) -> None:
+    entry, expected = context.entry.state, int(times == "one")
+    assert entry.log.counters.counts.get(("share_shortage", ""), 0) == expected
+    assert len(entry.shares.observed.short_services()) == expected
+
+
+@when("north sends a stream of {tokens:d} prompt tokens")
+def send_long_stream(context: Context, tokens: int) -> None:
+    send_stream(context, tokens=tokens)
 
 
 @when("north sends a stream")
-def send_stream(context: Context, key: str = "n-1") -> None:
-    headers = {"X-Model": MODEL, "X-Token-Counts": "50,7", "Authorization": f"Bearer {key}"}
+def send_stream(context: Context, key: str = "n-1", tokens: int = 50) -> None:
+    counts = {"X-Model": MODEL, "X-Token-Counts": f"{tokens},7"}
+    headers = counts | {"Authorization": f"Bearer {key}"}
     context.answer = run(context, context.entry.call("stream", headers=headers))
 
 
@@ -148,6 +163,25 @@
     assert [each.headers["x-priority"] for each in context.target.seen] == ["1"]
 
 
+@given("the target runs {count:d} plain requests of 4")
+def fill_target(context: Context, count: int) -> None:
+    context.entry.state.fleet.targets["first"].others_work = OutstandingWork(count)
+
+
+@when("a plain request with the key {key} is sent")
+def send_plain(context: Context, key: str) -> None:
+    headers = {"Authorization": f"Bearer {key}"}
+    began_s = time.monotonic()
+    context.answer = run(context, context.entry.call("safe", headers=headers))
+    context.took_ms = (time.monotonic() - began_s) * 1000
+
+
+@then("it is answered after {least:d} to {most:d} ms")
+def check_plain(context: Context, least: int, most: int) -> None:
+    assert context.answer.status == 200, context.answer
+    assert least <= context.took_ms <= most, context.took_ms
+
+
 @given("a coordinator with an entry that serves two workspaces")
 def start_coordinator(context: Context) -> None:
     context.followed = CoordinatorWithMembers(1)
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -376,7 +376,9 @@
         overload the engines would otherwise serve every request late.
         """
         sendable = self.permits.sendable(self._holders())
-        if sendable and not self.resumed and self.share.check():
+        # A stream that a caller resumes has run before, so that it isn't put behind others.
+        is_resumption = self.continuation is not None and self.continuation.is_resumption
+        if sendable and not (self.resumed or is_resumption) and self.share.check():
             self.queued.set_rank(self._rank())
         holders = self._with_room(sendable)
         permitted = self.permits.preferred(holders)
