Split the choice of a target from the wait for one

No behaviour changes. The policy test of a leaving entry makes a whole chooser instead of half a request handler, and checks the same.

--- a/features/steps/direct_policy_steps.py
+++ b/features/steps/direct_policy_steps.py
@@ -15,13 +15,13 @@
 from harness.loop import run
 from mimosaspur_coordination.enginespeed.estimate import SpeedUpdate
 from mimosaspur_coordination.fleetview import Prompt
-from mimosaspur_daemon.direct.callers import CallerServer
+from mimosaspur_daemon.direct.admission import ends_in_time
 from mimosaspur_daemon.direct.entryreport import build_entry_report
 from mimosaspur_daemon.direct.entrystate import EntryState
-from mimosaspur_daemon.direct.requesthandler import RequestHandler
 from mimosaspur_daemon.direct.storechanges import CONFIGURATION
 from mimosaspur_daemon.direct.storechanges import TARGETS
 from mimosaspur_daemon.direct.storechanges import StoreChanges
+from mimosaspur_daemon.direct.targetchooser import TargetChooser
 from mimosaspur_daemon.direct.targetselector import TargetSelector
 from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.errors import MimosaspurError
@@ -119,10 +119,18 @@
     route = state.configuration.routes[0]
 
     async def taken() -> bool:
-        callers = CallerServer(state)
-        journey = RequestHandler.__new__(RequestHandler)
-        journey.state, journey.route = callers.state, route
-        return journey.ends_in_time()
+        chooser = TargetChooser(
+            state,
+            route,
+            "service",
+            state.configuration.services["service"],
+            PROMPT,
+            request="r-1",
+            workspace=None,
+            arrived_s=0.0,
+            deadline_s=1e9,
+        )
+        return ends_in_time(chooser)
 
     assert not run(context, taken())
 
--- a/packages/coordination/src/mimosaspur_coordination/evenload.py
+++ b/packages/coordination/src/mimosaspur_coordination/evenload.py
@@ -12,6 +12,9 @@
 
 T = TypeVar("T")
 
+# Cost, speed and target.
+Candidate = tuple[float, float, T]
+
 # Added to a cost at random where nothing is spread, so that entries with the same data do not all
 # choose the same target.
 JITTER_MS = 4.0
@@ -68,7 +71,7 @@
     return min(age_ms * SPREAD_AGE_SHARE, spare_ms * SPREAD_SPARE_SHARE)
 
 
-def draw(candidates: Sequence[tuple[float, float, T]], *, spread: float) -> T | None:
+def draw(candidates: Sequence[Candidate[T]], *, spread: float) -> T | None:
     """Draw among (cost, speed, target); return None without candidates.
 
     The weight is the room that a target has below the cheapest cost plus the spread, by its speed.
--- a/packages/coordination/src/mimosaspur_coordination/targetchoice.py
+++ b/packages/coordination/src/mimosaspur_coordination/targetchoice.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 from mimosaspur_coordination.evenload import JITTER_MS
+from mimosaspur_coordination.evenload import Candidate
 from mimosaspur_coordination.evenload import draw
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
@@ -44,21 +45,40 @@
     spare_ms: float = 0.0,
     spread_ms: float = 0.0,
 ) -> TargetView | None:
-    """Return the engine with the lowest predicted time to first token, or one within the spread.
+    """Return the engine with the lowest predicted time to first token, or one within the spread."""
+    candidates = engine_candidates(
+        views,
+        prompt,
+        rank=rank,
+        domain=domain,
+        kv_tokens=kv_tokens,
+        gap_objective_ms=gap_objective_ms,
+        spare_ms=spare_ms,
+        spread_ms=spread_ms,
+    )
+    return draw(candidates, spread=spread_ms)
+
+
+def engine_candidates(
+    views: Sequence[TargetView],
+    prompt: Prompt,
+    *,
+    rank: int,
+    domain: str,
+    kv_tokens: int,
+    gap_objective_ms: float = 0.0,
+    spare_ms: float = 0.0,
+    spread_ms: float = 0.0,
+) -> list[Candidate[TargetView]]:
+    """Return the engines to draw from, with their costs.
 
     If streams have paused for longer than the limit, those pauses are weighed too, among the
     engines whose first event is expected well within the time left to the objective.
     """
 
     def cost(view: TargetView) -> float:
-        held = view.own_work.held_tokens + view.others_work.held_tokens
-        needed = held + prompt.prompt_tokens + prompt.output_tokens
-        memory_penalty = (
-            FULL_KV_CACHE_PENALTY_MS
-            if kv_tokens and needed > MAX_KV_CACHE_SHARE * kv_tokens
-            else 0.0
-        )
-        return view.first_token_ms(prompt, rank=rank) + memory_penalty + _common_cost(view, domain)
+        memory_ms = memory_penalty_ms(view, prompt, kv_tokens=kv_tokens)
+        return view.first_token_ms(prompt, rank=rank) + memory_ms + _common_cost(view, domain)
 
     preferred = preferred_targets(views)
     if gap_objective_ms and preferred and pauses_too_long(preferred[0]):
@@ -71,10 +91,18 @@
         in_time = _cheapest_with_penalty(
             preferred, cost, penalty, limit_ms=IN_TIME_SHARE * spare_ms, spread_ms=spread_ms
         )
-        if in_time is not None:
+        if in_time:
             return in_time
     costs = [(cost(view), view) for view in preferred]
-    return _draw_engine(costs, prompt, spread_ms=spread_ms)
+    return _with_as_much_cached(costs, prompt, spread_ms=spread_ms)
+
+
+def memory_penalty_ms(view: TargetView, prompt: Prompt, *, kv_tokens: int) -> float:
+    """Return the cost of a wait for memory, if the engine's KV cache would be nearly full."""
+    held = view.own_work.held_tokens + view.others_work.held_tokens
+    needed = held + prompt.prompt_tokens + prompt.output_tokens
+    is_full = kv_tokens and needed > MAX_KV_CACHE_SHARE * kv_tokens
+    return FULL_KV_CACHE_PENALTY_MS if is_full else 0.0
 
 
 def choose_emptiest(views: Sequence[TargetView]) -> TargetView | None:
@@ -86,37 +114,42 @@
     return min(preferred_targets(views), key=key, default=None)
 
 
-def choose_plain_target(
-    views: Sequence[TargetView], *, domain: str, spread_ms: float = 0.0
-) -> TargetView | None:
-    """Return the plain target with the fewest requests per slot, or one up to a spread above."""
+def plain_candidates(views: Sequence[TargetView], *, domain: str) -> list[Candidate[TargetView]]:
+    """Return the plain targets to draw from, with their costs."""
+    return [
+        (slots_ms(view) + _common_cost(view, domain), 1.0, view)
+        for view in preferred_targets(views)
+    ]
 
-    def cost(view: TargetView) -> float:
-        busy = view.own_work.requests + view.others_work.requests
-        slots = max(1, view.record.slots)
-        return busy * PLAIN_SERVICE_TIME_MS / slots + _common_cost(view, domain)
 
-    candidates = [(cost(view), 1.0, view) for view in preferred_targets(views)]
-    return draw(candidates, spread=spread_ms)
+def slots_ms(view: TargetView) -> float:
+    """Return the cost of the requests at a plain target, by its slots."""
+    return view.request_count() * PLAIN_SERVICE_TIME_MS / max(1, view.record.slots)
+
+
+def domain_penalty_ms(view: TargetView, domain: str) -> float:
+    """Return the cost of traffic to another failure domain."""
+    return CROSS_DOMAIN_PENALTY_MS if view.record.failure_domain != domain else 0.0
+
+
+def failure_penalty_ms(view: TargetView) -> float:
+    """Return the cost of the target's recent failures."""
+    return view.health.failure_share() * FAILURE_PENALTY_MS
 
 
 def _common_cost(view: TargetView, domain: str) -> float:
-    domain_penalty = CROSS_DOMAIN_PENALTY_MS if view.record.failure_domain != domain else 0.0
-    return domain_penalty + view.health.failure_share() * FAILURE_PENALTY_MS
+    return domain_penalty_ms(view, domain) + failure_penalty_ms(view)
 
 
-def _draw_engine(
+def _with_as_much_cached(
     costs: Sequence[tuple[float, TargetView]], prompt: Prompt, *, spread_ms: float
-) -> TargetView | None:
-    """Draw an engine, among those that have as much of the prompt cached as the cheapest."""
-    if not costs:
-        return None
-    if spread_ms:
+) -> list[Candidate[TargetView]]:
+    """Return the engines that have as much of the prompt cached as the cheapest, if drawn."""
+    if costs and spread_ms:
         # A prompt part that another engine has to read again costs more than an even load gains.
         cached = min(costs, key=lambda each: each[0])[1].cached_tokens(prompt)
         costs = [each for each in costs if each[1].cached_tokens(prompt) >= cached]
-    candidates = [(cost_ms, 1.0 / max(0.1, view.prefill_factor), view) for cost_ms, view in costs]
-    return draw(candidates, spread=spread_ms)
+    return [(cost_ms, 1.0 / max(0.1, view.prefill_factor), view) for cost_ms, view in costs]
 
 
 def _cheapest_with_penalty(
@@ -126,10 +159,11 @@
     *,
     limit_ms: float,
     spread_ms: float,
-) -> TargetView | None:
-    """Return a target of the lowest cost and penalty among those whose cost is in the limit."""
+) -> list[Candidate[TargetView]]:
+    """Return the targets of the lowest cost and penalty among those whose cost is in the limit."""
     costs = [(cost(view), index) for index, view in enumerate(views)]
-    best_ms, candidates = math.inf, []
+    best_ms = math.inf
+    candidates: list[Candidate[TargetView]] = []
     # A penalty isn't negative, so targets whose cost alone is higher are not looked at.
     for cost_ms, index in sorted(costs):
         if cost_ms > limit_ms or cost_ms >= best_ms + max(spread_ms, JITTER_MS):
@@ -138,4 +172,4 @@
         total_ms = cost_ms + penalty(view)
         best_ms = min(best_ms, total_ms)
         candidates.append((total_ms, 1.0 / max(0.1, view.prefill_factor), view))
-    return draw(candidates, spread=spread_ms)
+    return candidates
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -1,8 +1,10 @@
 """Serve callers' connections, one task each."""
 
 import asyncio
-import random
 
+from mimosaspur_daemon.direct.admission import check_leaving
+from mimosaspur_daemon.direct.admission import find_route
+from mimosaspur_daemon.direct.admission import pick_service
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.refusal import RequestFailed
 from mimosaspur_daemon.direct.refusal import internal_failure
@@ -14,7 +16,6 @@
 from mimosaspur_state.codes import CODE_TABLE
 from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.routes import CallerLimits
-from mimosaspur_state.routes import Route
 from mimosaspur_transport.callerconnection import BadRequest
 from mimosaspur_transport.callerconnection import CallerConnection
 from mimosaspur_transport.callerconnection import CallerDisconnected
@@ -24,12 +25,6 @@
 from mimosaspur_transport.dialect import header
 
 LISTEN_BACKLOG = 512
-# Retry-After while this entry has no configuration or no targets yet.
-NOT_READY_RETRY_S = 0.3
-# Retry-After of a leaving entry whose callers another entry can take.
-LEAVING_RETRY_S = 0.05
-# Time from exit until the restarted process has loaded the targets.
-RESTART_DURATION_S = 1.0
 # A connection without input for this long has no request under way: callers send a request within
 # some ms.
 MIN_IDLE_S = 0.3
@@ -135,14 +130,12 @@
         """Answer a request; return whether the response was sent in full."""
         handler: RequestHandler | None = None
         try:
-            route = self._route(request)
+            route = find_route(self.state, request)
             workspace = authenticate(self.state, route, request)
             await wait_for_first_quotas(self.state, workspace)
-            service = _pick_service(route)
+            service = pick_service(route)
             handler = RequestHandler(self.state, route, service, request, connection, workspace)
-            late = request.arrived_s > self.state.balancer_noticed_s and not handler.ends_in_time()
-            if late or self.state.shutting_down:
-                raise self._draining_refusal(handler)
+            check_leaving(handler.target_selector)
             self.state.quarantine.check(handler.traits)
             charge_quota(handler)
             await self._run(handler)
@@ -181,27 +174,6 @@
         await self._refuse(connection, request, failure, handler)
         return True
 
-    def _route(self, request: CallerRequest) -> Route:
-        configuration = self.state.configuration
-        if configuration is None or not self.state.targets_known:
-            raise RequestFailed(ResultCode.NO_BUNDLE, retry_after_s=NOT_READY_RETRY_S)
-        route = configuration.find_route(request.host, request.path)
-        if route is None:
-            raise RequestFailed(ResultCode.NOT_FOUND)
-        return route
-
-    def _draining_refusal(self, handler: RequestHandler) -> RequestFailed:
-        """Return the error for a request that might not finish before this process exits."""
-        wanted_s = LEAVING_RETRY_S
-        if self.state.is_last_entry():
-            # No other entry is available: ask for a retry after this process has restarted.
-            wanted_s = (
-                self.state.shutdown_deadline_s
-                - asyncio.get_running_loop().time()
-                + RESTART_DURATION_S
-            )
-        return handler.target_selector.refusal(ResultCode.DRAINING, wanted_s=wanted_s)
-
     async def _refuse(
         self,
         connection: CallerConnection,
@@ -280,11 +252,3 @@
 
 def _cancel(task: "asyncio.Task[bool]") -> None:
     task.cancel()
-
-
-def _pick_service(route: Route) -> str:
-    names = [name for name, _ in route.services]
-    weights = [max(0.0, weight) for _, weight in route.services]
-    if len(names) == 1 or not sum(weights):
-        return names[0]
-    return random.choices(names, weights)[0]
--- a/packages/daemon/src/mimosaspur_daemon/direct/prompts.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/prompts.py
@@ -1,6 +1,9 @@
-"""Parse the headers that describe a request's model and prompt."""
+"""Parse the headers that describe a request's model, prompt and time limit."""
 
 from mimosaspur_coordination.fleetview import Prompt
+from mimosaspur_protocol.numbers import parse_number
+from mimosaspur_state.routes import Route
+from mimosaspur_transport.callerconnection import CallerRequest
 from mimosaspur_transport.dialect import Dialect
 from mimosaspur_transport.dialect import Headers
 from mimosaspur_transport.dialect import header
@@ -38,3 +41,9 @@
     text = text.strip()
     is_count = text.isascii() and text.isdigit() and len(text) <= MAX_COUNT_DIGITS
     return int(text) if is_count else 0
+
+
+def time_limit_ms(request: CallerRequest, route: Route, dialect: Dialect) -> int:
+    """Return the time limit of a request in ms: its own, up to its route's."""
+    limit_ms = parse_number(header(request.headers, dialect.deadline_ms) or b"")
+    return route.timeout_ms if limit_ms is None else min(limit_ms, route.timeout_ms)
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -12,6 +12,7 @@
 from mimosaspur_daemon.direct.offer import Offer
 from mimosaspur_daemon.direct.parallelruns import ParallelRuns
 from mimosaspur_daemon.direct.prompts import read_prompt
+from mimosaspur_daemon.direct.prompts import time_limit_ms
 from mimosaspur_daemon.direct.refusal import RequestFailed
 from mimosaspur_daemon.direct.requestdigest import request_traits
 from mimosaspur_daemon.direct.requestretries import RequestRetries
@@ -22,9 +23,7 @@
 from mimosaspur_protocol.eventbuffer import EventBuffer
 from mimosaspur_protocol.numbers import parse_number
 from mimosaspur_state.codes import ResultCode
-from mimosaspur_state.policy import Mechanism
 from mimosaspur_state.routes import Route
-from mimosaspur_state.routes import RouteKind
 from mimosaspur_state.workspaces import Workspace
 from mimosaspur_transport.callerconnection import CallerConnection
 from mimosaspur_transport.callerconnection import CallerRequest
@@ -41,9 +40,6 @@
 # Cooldowns grow with each refusal, so that the offers outlast a model load that is slower than
 # predicted.
 COOLDOWN_GROWTH_FACTOR = 1.7
-# A process that exits cuts off unfinished requests, so a leaving entry accepts only those that
-# would finish in time if they took this many times the longest expected duration.
-DURATION_SAFETY_FACTOR = 3.0
 
 
 class RequestHandler:
@@ -105,7 +101,7 @@
         dialect = state.dependencies.dialect
         self.prompt = read_prompt(request.headers, dialect)
         self.traits = request_traits(request, workspace, self.prompt)
-        self.deadline_s = request.arrived_s + self._time_limit_ms() / 1000
+        self.deadline_s = request.arrived_s + time_limit_ms(request, route, dialect) / 1000
         configuration = state.configuration
         # Whether callers' keys are credentials here, which must not be forwarded.
         self.strips_credential = bool(configuration and configuration.workspaces is not None)
@@ -211,21 +207,6 @@
         """Return whether a target may have run the request or is running it."""
         return self.started or self.outcome_unknown or self.failure is not None
 
-    def ends_in_time(self) -> bool:
-        """Return whether the request is expected to finish before the process exits."""
-        if not self.state.uses(Mechanism.ACCEPT_WHILE_LEAVING):
-            return False
-        if self.route.kind is RouteKind.STREAM and not self.state.is_last_entry():
-            return False
-        left_ms = (self.state.shutdown_deadline_s - asyncio.get_running_loop().time()) * 1000
-        longest_ms = self.state.durations.upper_bound_ms(
-            self.route.name, tokens=self.prompt.output_tokens
-        )
-        lasts_ms = float(self.route.timeout_ms)
-        if longest_ms is not None:
-            lasts_ms = min(lasts_ms, DURATION_SAFETY_FACTOR * longest_ms)
-        return lasts_ms + self.target_selector.predicted_first_event_ms() <= left_ms
-
     def record_duration(self, began_s: float) -> None:
         """Record the request's duration since an engine's first event, or since it was sent."""
         lasted_ms = (asyncio.get_running_loop().time() - began_s) * 1000
@@ -411,8 +392,3 @@
 
     def _pace(self) -> float:
         return self.state.fleet.paces.token_cost(self.prompt.model)
-
-    def _time_limit_ms(self) -> int:
-        value = header(self.request.headers, self.state.dependencies.dialect.deadline_ms) or b""
-        limit_ms = parse_number(value)
-        return self.route.timeout_ms if limit_ms is None else min(limit_ms, self.route.timeout_ms)
