Explain where an entry would send a request now

Operators could read only afterwards, from log lines, why a target was chosen or a request refused.

Change: mimosaspur explain asks an entry on its control address (POST /explain). The entry runs the chooser that serves requests, and the admission before it; a quota is asked on a copy of its account. The answer has route and rank, each target's cost with parts and probability or the numbered reason why it may not run the request, the next target, the refusal, or what the request would wait for. New code: 4015.

--- /dev/null
+++ b/features/explain.feature
@@ -0,0 +1,71 @@
+Feature: An entry explains where it would send a request, and why
+  Guards against an explanation that isn't what the entry does, and against one that changes what
+  the entry does next.
+
+  Scenario: An explanation and the request that follows agree
+    When 50 requests are explained and then sent, each to an entry in a random state
+    Then each got what its explanation told, and the states led to targets, waits and refusals
+
+  Scenario: Explanations change nothing
+    Given an entry with engines, a request limit with permits, and a quota
+    When 100 explanations are asked for, of requests that are sent, wait or are refused
+    Then no counter, permit, demand or quota at the entry has changed
+
+  Scenario Outline: A refusal and its explanation name the same code: <case>
+    Given an entry that is to be asked, <case>
+    When a request is explained and sent there
+    Then both name <code>, and the explanation tells what would change it
+
+    Examples:
+      | case                                         | code |
+      | with no route for the path                   | 1007 |
+      | with a stream that names two last events     | 1004 |
+      | with workspaces, and no key                  | 1009 |
+      | with workspaces, out of touch with the store | 2013 |
+      | with so much work that all would be late     | 2002 |
+      | with targets that all leave                  | 2003 |
+      | that is about to exit                        | 2004 |
+      | without a configuration                      | 2005 |
+      | with a quota that is used up                 | 2012 |
+      | with a quota that nobody has told of         | 2014 |
+      | with targets that limit requests             | 2015 |
+      | with targets that rest                       | 2018 |
+      | with the request in quarantine               | 3007 |
+
+  Scenario: The parts of each cost add up to it, and the probabilities to one
+    Given an entry with engines, a request limit with permits, and a quota
+    When a request for model a is explained there
+    Then the parts of each cost add up to it, and the probabilities to one
+    And targets that may not run it have a numbered reason
+
+  Scenario Outline: A wrong question is answered with a numbered error that names the field
+    Given an entry with a control address
+    When an operator asks it for an explanation with <options>
+    Then the command exits <exit> and names <text>
+
+    Examples:
+      | options                                                  | exit | text                  |
+      | --host site.example --path safe/x                        | 2    | 1006 path             |
+      | --path /safe/x                                           | 2    | 1006 host             |
+      | --host site.example --path /safe/x --prompt-tokens=-1    | 2    | 1006 prompt_tokens    |
+      | --host site.example --path /safe/x --part p              | 2    | 1006 parts            |
+      | --host site.example --path /safe/x --workspace nobody    | 2    | 1006 workspace        |
+      | --host site.example --path /safe/x --time-limit-ms=-1    | 2    | 1006 time_limit_ms    |
+      | --host site.example --path /safe/x --headers /dev/absent | 2    | 1006 headers          |
+      | --host site.example --path /safe/x                       | 0    | chosen: first         |
+      | --host site.example --path /safe/x --json                | 0    | "chosen":"first"      |
+      | --host other.example --path /safe/x                      | 0    | refused: 1007         |
+
+  Scenario: A file of headers describes a request, and options take precedence
+    Given an entry with engines, a request limit with permits, and a quota
+    And it has a control address
+    When an operator asks with a file of headers that names host, key and model c
+    Then the command exits 0 and names workspace north, rank
+    And the command exits 0 and names an engine that holds c
+    When an operator asks with the same file, and names model b
+    Then the command exits 0 and names chosen: t-2
+
+  Scenario: Only the control address explains
+    Given an entry with a control address
+    When the entry's other addresses are asked for an explanation
+    Then they don't explain, and an operator who asks there is told 4015
--- /dev/null
+++ b/features/steps/explain_steps.py
@@ -0,0 +1,359 @@
+"""Steps of explanations of an entry's choices."""
+
+import asyncio
+import itertools
+import sys
+import tempfile
+from dataclasses import replace
+from pathlib import Path
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+
+from harness.direct_entry import HOST
+from harness.direct_entry import DirectEntry
+from harness.direct_target import ScriptedTarget
+from harness.direct_workspaces import KEYS
+from harness.direct_workspaces import with_workspaces
+from harness.explained_entry import LONG_REST
+from harness.explained_entry import ExplainedEntry
+from harness.explained_entry import explain_and_send
+from harness.explained_entry import snapshot
+from harness.loop import run
+from mimosaspur_coordination.quarantine.blame import QUARANTINE_THRESHOLD
+from mimosaspur_coordination.quarantine.crashledger import Stage
+from mimosaspur_daemon.direct.explain.explanation import explain
+from mimosaspur_daemon.direct.explain.question import as_request
+from mimosaspur_daemon.direct.requestdigest import request_digest
+from mimosaspur_daemon.direct.statusserver import StatusServer
+from mimosaspur_protocol.explanations import ExplainRequest
+from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.fleet import OutstandingWork
+from mimosaspur_state.workspaces import Quota
+from mimosaspur_state.workspaces import QuotaUnit
+
+COMMAND = Path(sys.executable).parent / "mimosaspur"
+QUESTION = ExplainRequest(HOST, "/stream/x", model="a", prompt_tokens=10)
+LONG_AGO_MS = 60_000
+# A permit lapses this long after it was asked for: the test's outlast it.
+PERMITS_ASKED_MS = 600_000
+# Longer than any caller waits.
+ENDLESS_TOKENS = 40_000_000
+# Longer than evidence of crashes takes to settle.
+SETTLED_MS = 2_000
+ROUNDING_MS = 0.5
+ROUNDING = 0.01
+HEADER_LIMIT = b"x-request-limit"
+
+
+@when("{count:d} requests are explained and then sent, each to an entry in a random state")
+def explain_at_random(context: Context, count: int) -> None:
+    context.pairs = [run(context, explain_and_send(seed)) for seed in range(count)]
+
+
+@then("each got what its explanation told, and the states led to targets, waits and refusals")
+def check_agreement(context: Context) -> None:
+    kinds = set()
+    for seed, (explanation, sent) in enumerate(context.pairs):
+        told = (explanation.chosen or "", explanation.refusal.code if explanation.refusal else 0)
+        if explanation.waits_for:
+            told = ("", 0)
+        assert told == (sent.target, sent.code), (seed, explanation, sent)
+        kinds.add("wait" if explanation.waits_for else "target" if sent.target else "refusal")
+    assert kinds == {"wait", "target", "refusal"}, kinds
+
+
+@given("an entry with engines, a request limit with permits, and a quota")
+def start_with_all(context: Context) -> None:
+    async def start() -> None:
+        played = context.played = ExplainedEntry()
+        await played.start()
+        state = played.state
+        current = with_workspaces(KEYS, version=2)
+        assert state.configuration
+        quota = Quota(QuotaUnit.REQUESTS, 1.0, 3.0)
+        limited = tuple(replace(each, quota=quota) for each in current.workspaces or ())
+        current = replace(current, services=state.configuration.services, workspaces=limited)
+        state.apply_configuration(current, source="test")
+        state.quotas.apply_update([], entries=1)
+        views = list(state.fleet.targets.values())
+        state.notices.on_head(views[0].record, 200, [(HEADER_LIMIT, b"2")])
+        holder = state.notices.holder
+        asked_ms = holder.clock.now_ms() + PERMITS_ASKED_MS
+        holder.apply_permits(1, asked_ms, {views[0].record.incarnation: 3})
+        state.notices.on_head(views[1].record, 503, [(b"Retry-After", LONG_REST)])
+        views[2].residents = {"b": frozenset()}
+
+    run(context, start())
+
+
+def _state_of(context: Context) -> dict[str, object]:
+    state = context.played.state
+    return {
+        "counters": state.log.counters.render(),
+        "demand": snapshot(state.unreported_demand),
+        "adapters": snapshot(state.unreported_adapter_requests),
+        "waiting": snapshot([state.waiting, state.waiting_adapters]),
+        "unmet": snapshot(state.unmet),
+        "refused": snapshot(state.refused),
+        "served": snapshot(state.scheduler.served),
+        "kinds": snapshot(state.scheduler.kinds),
+        "held": len(state.scheduler.held),
+        "permits": snapshot([state.notices.holder.permits, state.notices.holder.chances_ms]),
+        "waiters": len(state.notices.holder.waiters),
+        "sent": snapshot(state.notices.history),
+        "quotas": snapshot(state.quotas.accounts),
+        "retries": snapshot(state.retry_windows),
+        "at_targets": snapshot(state.quarantine.at_targets),
+        "work": [snapshot(each.own_work) for each in state.fleet.targets.values()],
+        "reports": state.report_requested.is_set(),
+    }
+
+
+@when("{count:d} explanations are asked for, of requests that are sent, wait or are refused")
+def explain_often(context: Context, count: int) -> None:
+    context.before = _state_of(context)
+    limits_ms = (0, 50)
+    questions = [
+        ExplainRequest(
+            HOST, "/stream/x", model=model, prompt_tokens=10, workspace=name, time_limit_ms=limit_ms
+        )
+        for model, name, limit_ms in itertools.product(
+            ("a", "b", "c", "a/y", ""), ("north", ""), limits_ms
+        )
+    ]
+
+    async def ask() -> None:
+        context.outcomes = set()
+        for question in itertools.islice(itertools.cycle(questions), count):
+            found = explain(context.played.state, question)
+            context.outcomes.add(
+                "refused" if found.refusal else "waits" if found.waits_for else "sent"
+            )
+
+    run(context, ask())
+
+
+@then("no counter, permit, demand or quota at the entry has changed")
+def check_unchanged(context: Context) -> None:
+    assert context.outcomes == {"refused", "waits", "sent"}, context.outcomes
+    after = _state_of(context)
+    changed = {name for name in after if after[name] != context.before[name]}
+    assert not changed, {name: (context.before[name], after[name]) for name in changed}
+
+
+@given("an entry that is to be asked, {case}")
+def start_in_case(context: Context, case: str) -> None:
+    async def start() -> None:
+        context.played = ExplainedEntry()
+        await context.played.start()
+        context.question = _prepare(context.played, case)
+
+    run(context, start())
+
+
+def _prepare(played: ExplainedEntry, case: str) -> ExplainRequest:
+    """Put the entry in a state in which it refuses the question's request."""
+    state = played.state
+    if "no route" in case:
+        return ExplainRequest(HOST, "/nowhere", model="a")
+    if "two last events" in case:
+        twice = [("Last-Event-Id", "1"), ("Last-Event-Id", "2")]
+        return ExplainRequest(HOST, "/stream/x", model="a", headers=twice)
+    if "workspaces" in case or "quota" in case:
+        return _prepare_workspaces(played, case)
+    if "quarantine" in case:
+        _quarantine(played, QUESTION)
+    state.shutting_down = "exit" in case
+    if "without a configuration" in case:
+        state.configuration = None
+    if "targets" in case or "work" in case:
+        _prepare_targets(played, case)
+    return QUESTION
+
+
+def _prepare_targets(played: ExplainedEntry, case: str) -> None:
+    state = played.state
+    for view in list(state.fleet.targets.values()):
+        if "late" in case:
+            view.others_work = OutstandingWork(1, {0: ENDLESS_TOKENS})
+        if "all leave" in case:
+            state.fleet.update([replace(view.record, leaving=True)], [])
+        if "limit requests" in case:
+            state.notices.on_head(view.record, 200, [(HEADER_LIMIT, b"0.001")])
+        if "rest" in case:
+            state.notices.on_head(view.record, 503, [(b"Retry-After", LONG_REST)])
+
+
+def _quarantine(played: ExplainedEntry, question: ExplainRequest) -> None:
+    """Blame the question's request for crashes, as if they were known for some time."""
+    request = as_request(question, played.state.dependencies.dialect, arrived_s=0.0)
+    ledger = played.state.quarantine.ledger
+    ledger.set_covered(LONG_AGO_MS)
+    for number in range(QUARANTINE_THRESHOLD):
+        traits = {request_digest(request, None): Stage.RUNNING}
+        ledger.record(f"crashed-{number}", traits, age_ms=SETTLED_MS)
+    ledger.assign_blame()
+
+
+def _prepare_workspaces(played: ExplainedEntry, case: str) -> ExplainRequest:
+    state = played.state
+    current = with_workspaces(KEYS, version=2)
+    assert state.configuration
+    current = replace(current, services=state.configuration.services)
+    quota = Quota(QuotaUnit.REQUESTS, 0.01, 1.0)
+    if "quota" in case:
+        limited = tuple(replace(each, quota=quota) for each in current.workspaces or ())
+        current = replace(current, workspaces=limited)
+    state.apply_configuration(current, source="test")
+    age_ms = LONG_AGO_MS if "out of touch" in case else 0
+    state.freshness.confirm("configuration", asked_ms=state.clock.now_ms() - age_ms)
+    if "used up" in case:
+        state.quotas.apply_update([], entries=1)
+        while not state.quotas.admit("north", 1.0):
+            pass
+    key = "n-1" if "quota" in case else "never" if "out of touch" in case else ""
+    headers = [("Authorization", f"Bearer {key}")] if key else []
+    return ExplainRequest(HOST, "/stream/x", model="a", prompt_tokens=10, headers=headers)
+
+
+@when("a request is explained and sent there")
+def explain_then_send(context: Context) -> None:
+    async def ask() -> None:
+        context.explanation = explain(context.played.state, context.question)
+        context.sent = await context.played.send(context.question)
+
+    run(context, ask())
+
+
+@then("both name {code:d}, and the explanation tells what would change it")
+def check_refusal(context: Context, code: int) -> None:
+    refusal = context.explanation.refusal
+    assert refusal, context.explanation
+    assert (refusal.code, context.sent.code) == (code, code), (refusal, context.sent)
+    assert refusal.name == ResultCode(code).name
+    assert refusal.would_change
+    assert context.explanation.chosen is None
+
+
+@when("a request for model a is explained there")
+def explain_one(context: Context) -> None:
+    async def ask() -> None:
+        question = ExplainRequest(HOST, "/stream/x", model="a", prompt_tokens=10, workspace="north")
+        context.explanation = explain(context.played.state, question)
+
+    run(context, ask())
+
+
+@then("the parts of each cost add up to it, and the probabilities to one")
+def check_sums(context: Context) -> None:
+    targets = context.explanation.targets
+    weighed = [each for each in targets if each.cost_ms is not None]
+    assert weighed, targets
+    for each in weighed:
+        assert abs(sum(each.cost_parts_ms.values()) - each.cost_ms) < ROUNDING_MS, each
+    assert abs(sum(each.probability for each in targets) - 1.0) < ROUNDING, targets
+
+
+@then("targets that may not run it have a numbered reason")
+def check_reasons(context: Context) -> None:
+    reasons = {each.target: each.code for each in context.explanation.targets if not each.may_run}
+    expected = {"t-1": ResultCode.TARGET_RESTING, "t-2": ResultCode.NOT_READY_HERE}
+    assert reasons == expected, context.explanation.targets
+
+
+@given("an entry with a control address")
+def start_with_control(context: Context) -> None:
+    async def start() -> None:
+        context.entry = DirectEntry()
+        await context.entry.start(ScriptedTarget("first"))
+
+    run(context, start())
+    open_control(context, context.entry)
+
+
+@given("it has a control address")
+def open_control_there(context: Context) -> None:
+    open_control(context, context.played.entry)
+
+
+def open_control(context: Context, entry: DirectEntry) -> None:
+    """Serve the entry's status on a free port."""
+
+    async def start() -> None:
+        context.status = StatusServer(entry.state)
+        server = await asyncio.start_server(lambda _, __: None, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        entry.state.settings = replace(entry.state.settings, metrics_port=port)
+        await context.status.listen()
+        context.control = f"127.0.0.1:{port}"
+
+    run(context, start())
+
+
+async def _run_command(*arguments: str) -> tuple[int, str]:
+    process = await asyncio.create_subprocess_exec(
+        COMMAND,
+        "explain",
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    output, errors = await process.communicate()
+    assert process.returncode is not None
+    return process.returncode, (output + errors).decode()
+
+
+@when("an operator asks it for an explanation with {options}")
+def ask_by_command(context: Context, options: str) -> None:
+    arguments = ["--entry", context.control, *options.split()]
+    context.result = run(context, _run_command(*arguments))
+
+
+@when("an operator asks with a file of headers that names host, key and model c")
+def ask_by_file(context: Context) -> None:
+    with tempfile.NamedTemporaryFile("w", suffix=".headers", delete=False) as file:
+        file.write(f"Host: {HOST}\nAuthorization: Bearer n-1\nX-Model: c\n\n")
+    context.add_cleanup(Path(file.name).unlink)
+    context.file_options = ["--entry", context.control, "--headers", file.name]
+    context.played.entry.state.freshness.confirm(
+        "configuration", asked_ms=context.played.state.clock.now_ms()
+    )
+    context.result = run(context, _run_command(*context.file_options, "--path", "/stream/x"))
+
+
+@when("an operator asks with the same file, and names model b")
+def ask_by_file_and_option(context: Context) -> None:
+    options = [*context.file_options, "--path", "/stream/x", "--model", "b"]
+    context.result = run(context, _run_command(*options))
+
+
+@then("the command exits {code:d} and names {text}")
+def check_command(context: Context, code: int, text: str) -> None:
+    status, output = context.result
+    assert status == code, context.result
+    for word in text.split() if code else [text]:
+        assert word in output, context.result
+
+
+@when("the entry's other addresses are asked for an explanation")
+def ask_others(context: Context) -> None:
+    async def ask() -> None:
+        ready = context.status.servers[0].sockets[0].getsockname()[1]
+        addresses = [f"127.0.0.1:{port}" for port in (ready, context.entry.port)]
+        options = ("--host", HOST, "--path", "/safe/x")
+        context.results = [
+            await _run_command("--entry", address, *options) for address in addresses
+        ]
+
+    run(context, ask())
+
+
+@then("they don't explain, and an operator who asks there is told {code:d}")
+def check_others(context: Context, code: int) -> None:
+    for status, output in context.results:
+        assert status not in (0, None), context.results
+        assert str(code) in output, context.results
--- a/packages/cli/src/mimosaspur_cli/exitcodes.py
+++ b/packages/cli/src/mimosaspur_cli/exitcodes.py
@@ -18,9 +18,11 @@
 FIRST_OPERATOR_CODE = 4000
 EXIT_CODES: dict[ResultCode, ExitCode] = {
     ResultCode.BAD_BUNDLE: ExitCode.BAD_INPUT,
+    ResultCode.BAD_REQUEST: ExitCode.BAD_INPUT,
     ResultCode.BAD_SETTINGS: ExitCode.BAD_INPUT,
     ResultCode.OUTCOME_UNSETTLED: ExitCode.UNAVAILABLE,
     ResultCode.PLATFORM_DOWN: ExitCode.UNAVAILABLE,
+    ResultCode.ENTRY_UNAVAILABLE: ExitCode.UNAVAILABLE,
 }
 
 
--- a/packages/cli/src/mimosaspur_cli/main.py
+++ b/packages/cli/src/mimosaspur_cli/main.py
@@ -9,6 +9,7 @@
 import typer
 
 from mimosaspur_cli import bundlecommands
+from mimosaspur_cli import explaincommand
 from mimosaspur_cli import instancecommands
 from mimosaspur_cli import placementcommands
 from mimosaspur_cli.exitcodes import ExitCode
@@ -39,6 +40,7 @@
 app.add_typer(instancecommands.app, name="instance")
 app.add_typer(placementcommands.app, name="placement")
 app.add_typer(settings_app, name="settings")
+app.command()(explaincommand.explain)
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/coordination/src/mimosaspur_coordination/evenload.py
+++ b/packages/coordination/src/mimosaspur_coordination/evenload.py
@@ -4,6 +4,7 @@
 the target that was the emptiest in the last one, while others idle.
 """
 
+import math
 import random
 from collections.abc import Sequence
 from typing import TypeVar
@@ -18,6 +19,8 @@
 # Added to a cost at random where nothing is spread, so that entries with the same data do not all
 # choose the same target.
 JITTER_MS = 4.0
+# Parts of the jitter in which its probabilities are integrated, to about 1 in 1,000.
+JITTER_STEPS = 100
 # With fewer entries, what all send between two reports is small against a target's queue.
 MIN_ENTRIES = 8
 # Entries report this often, so that the totals of a new update are already that old.
@@ -80,7 +83,37 @@
         return None
     if spread <= JITTER_MS:
         return min(candidates, key=lambda each: each[0] + random.random() * JITTER_MS)[2]
+    return random.choices(candidates, _weights(candidates, spread))[0][2]
+
+
+def chances(candidates: Sequence[Candidate[T]], *, spread: float) -> list[float]:
+    """Return the probability of each candidate to be drawn."""
+    if spread <= JITTER_MS:
+        return _jitter_chances([cost for cost, _, _ in candidates])
+    weights = _weights(candidates, spread)
+    total = sum(weights)
+    return [weight / total for weight in weights]
+
+
+def _weights(candidates: Sequence[Candidate[T]], spread: float) -> list[float]:
     limit = min(cost for cost, _, _ in candidates) + spread
-    near = [each for each in candidates if each[0] < limit]
-    weights = [(limit - cost) * speed for cost, speed, _ in near]
-    return random.choices(near, weights)[0][2]
+    return [max(0.0, limit - cost) * speed for cost, speed, _ in candidates]
+
+
+def _jitter_chances(costs: Sequence[float]) -> list[float]:
+    """Return the probability of each cost to be the lowest with its jitter.
+
+    Integrates, over the jitter of one cost, the probability that all others are higher.
+    """
+    least = min(costs, default=0.0)
+    near = [cost - least for cost in costs if cost < least + JITTER_MS]
+    found = []
+    for cost in costs:
+        total = 0.0
+        for step in range(JITTER_STEPS if cost < least + JITTER_MS else 0):
+            at = cost - least + (step + 0.5) * JITTER_MS / JITTER_STEPS
+            higher = [min(1.0, max(0.0, (other + JITTER_MS - at) / JITTER_MS)) for other in near]
+            own = min(1.0, max(0.0, (cost - least + JITTER_MS - at) / JITTER_MS))
+            total += math.prod(higher) / own
+        found.append(total / JITTER_STEPS)
+    return found
--- a/packages/coordination/src/mimosaspur_coordination/quota/limiter.py
+++ b/packages/coordination/src/mimosaspur_coordination/quota/limiter.py
@@ -1,5 +1,6 @@
 """Admit requests within their workspace's quota at one of many entries."""
 
+import copy
 import random
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -124,6 +125,14 @@
         account.refused += cost
         return self._schedule_retry(account, cost, now_ms)
 
+    def rehearse(self, workspace: str, cost: float) -> int:
+        """Return what admit would return now, without effects; raise QuotaUnknown."""
+        trial = copy.copy(self)
+        trial.accounts = {}
+        if workspace in self.accounts:
+            trial.accounts[workspace] = copy.deepcopy(self.accounts[workspace])
+        return trial.admit(workspace, cost)
+
     def refund(self, workspace: str, cost: float) -> None:
         """Return the cost of a request that has definitely not run."""
         account = self.accounts.get(workspace)
--- a/packages/daemon/src/mimosaspur_daemon/direct/statusserver.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/statusserver.py
@@ -1,4 +1,4 @@
-"""Serve the readiness check and the metrics."""
+"""Serve the readiness check, the metrics and what operators ask."""
 
 import asyncio
 from functools import partial
@@ -7,6 +7,8 @@
 
 from mimosaspur_coordination.quarantine.traits import parse_trait
 from mimosaspur_daemon.direct.entrystate import EntryState
+from mimosaspur_daemon.direct.explain.answer import answer_question
+from mimosaspur_protocol.explanations import EXPLAIN_PATH
 from mimosaspur_state.routes import CallerLimits
 from mimosaspur_transport.callerconnection import BadRequest
 from mimosaspur_transport.callerconnection import CallerConnection
@@ -71,6 +73,8 @@
             return 200, msgspec.json.encode(self.state.notices.listing())
         if for_operators and request.path == VERSIONS_PATH:
             return 200, msgspec.json.encode(self.state.stream_versions.listing())
+        if for_operators and request.path == EXPLAIN_PATH:
+            return answer_question(self.state, request)
         if request.path == METRICS_PATH:
             return 200, self.state.log.counters.render().encode()
         if request.path != self.state.dependencies.dialect.ready_path.decode():
--- a/packages/daemon/src/mimosaspur_daemon/direct/workspacequota.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/workspacequota.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.quota.limiter import QuotaUnknown
@@ -11,6 +12,7 @@
 from mimosaspur_daemon.direct.refusal import RequestFailed
 from mimosaspur_daemon.direct.requesthandler import RequestHandler
 from mimosaspur_daemon.direct.storechanges import CONFIGURATION
+from mimosaspur_daemon.direct.targetchooser import TargetChooser
 from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.routes import Route
 from mimosaspur_state.workspaces import Quota
@@ -58,13 +60,8 @@
     workspace = handler.workspace
     if workspace is None or workspace.quota is None:
         return
-    cost = _cost(workspace.quota, handler.prompt)
-    try:
-        wait_ms = handler.state.quotas.admit(workspace.name, cost)
-    except QuotaUnknown:
-        raise handler.target_selector.refusal(
-            ResultCode.QUOTA_UNKNOWN, wanted_s=OTHER_ENTRY_RETRY_S
-        ) from None
+    chooser, cost = handler.target_selector, _cost(workspace.quota, handler.prompt)
+    wait_ms = _wait_ms(chooser, handler.state.quotas.admit, workspace, cost)
     if wait_ms:
         handler.state.log.write(
             "over_quota",
@@ -74,10 +71,31 @@
             wait_ms=wait_ms,
             quota=handler.state.quotas.state(workspace.name),
         )
-        raise handler.target_selector.refusal(ResultCode.QUOTA_EXCEEDED, wanted_s=wait_ms / 1000)
+        raise chooser.refusal(ResultCode.QUOTA_EXCEEDED, wanted_s=wait_ms / 1000)
     handler.quota_charged = cost
 
 
+def check_quota(chooser: TargetChooser) -> None:
+    """Raise RequestFailed if a workspace's quota wouldn't admit a request now; charge nothing."""
+    workspace = chooser.workspace
+    if workspace is None or workspace.quota is None:
+        return
+    cost = _cost(workspace.quota, chooser.prompt)
+    wait_ms = _wait_ms(chooser, chooser.state.quotas.rehearse, workspace, cost)
+    if wait_ms:
+        raise chooser.refusal(ResultCode.QUOTA_EXCEEDED, wanted_s=wait_ms / 1000)
+
+
+def _wait_ms(
+    chooser: TargetChooser, admit: Callable[[str, float], int], workspace: Workspace, cost: float
+) -> int:
+    """Return the time until a quota covers a cost, 0 for now; raise RequestFailed if unknown."""
+    try:
+        return admit(workspace.name, cost)
+    except QuotaUnknown:
+        raise chooser.refusal(ResultCode.QUOTA_UNKNOWN, wanted_s=OTHER_ENTRY_RETRY_S) from None
+
+
 def refund_unless_run(handler: RequestHandler) -> None:
     """Refund the cost of a request that cannot have run."""
     if handler.quota_charged and handler.workspace and not handler.may_have_run():
--- a/packages/state/src/mimosaspur_state/codes.py
+++ b/packages/state/src/mimosaspur_state/codes.py
@@ -69,6 +69,7 @@
     STORE_ERA_WRONG = 4012
     BAD_TARGET_LIMIT = 4013
     BAD_TARGET_REST = 4014
+    ENTRY_UNAVAILABLE = 4015
 
 
 @dataclass(slots=True, frozen=True)
@@ -239,6 +240,11 @@
         "A target turns requests away with a Retry-After that is no number of seconds.",
         "Correct what the target sends.",
     ),
+    ResultCode.ENTRY_UNAVAILABLE: CodeInfo(
+        503,
+        "The entry gives no explanation.",
+        "Check the address: its ip and its metrics_port.",
+    ),
     ResultCode.BAD_TARGET_LIMIT: CodeInfo(
         503,
         "A target names a request limit that is no number. The last good one is kept.",
