Compare the entry's state before the outcomes of explanations

A trial in which an explanation charged the quota failed for the missing kind of outcome and didn't show what had changed; now it names the quotas.

--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -138,10 +138,10 @@
 
 @then("no counter, permit, demand or quota at the entry has changed")
 def check_unchanged(context: Context) -> None:
-    assert context.outcomes == {"refused", "waits", "sent"}, context.outcomes
     after = _state_of(context)
     changed = {name for name in after if after[name] != context.before[name]}
     assert not changed, {name: (context.before[name], after[name]) for name in changed}
+    assert context.outcomes == {"refused", "waits", "sent"}, context.outcomes
 
 
 @given("an entry that is to be asked, {case}")
