--- a/packages/coordination/src/mimosaspur_coordination/shares/holder.py
+++ b/packages/coordination/src/mimosaspur_coordination/shares/holder.py
@@ -129,7 +129,7 @@
         if allowance:
             allowance.bucket.take(tokens, self.clock.now_ms())
 
-    def promise(self, service: str, workspace: str, tokens: float) -> float:
+    def wait_ms(self, service: str, workspace: str) -> float:
         """Return in how many ms the share covers a refused request, after those refused before."""
         allowance = self.allowances.get((service, workspace))
         if allowance is None or not allowance.bucket.per_s:
@@ -139,9 +139,13 @@
         while promised and promised[0][0] <= now_ms:
             promised.popleft()
         ahead = sum(each for _, each in promised)
-        wait_ms = allowance.bucket.wait_ms(0.0, now_ms) + ahead * 1000 / allowance.bucket.per_s
-        promised.append((now_ms + wait_ms, tokens))
-        return wait_ms
+        return allowance.bucket.wait_ms(0.0, now_ms) + ahead * 1000 / allowance.bucket.per_s
+
+    def promise(self, service: str, workspace: str, tokens: float, *, wait_ms: float) -> None:
+        """Count a refused request that was told to return after this time."""
+        allowance = self.allowances.get((service, workspace))
+        if allowance is not None and allowance.bucket.per_s:
+            allowance.promised.append((self.clock.now_ms() + wait_ms, tokens))
 
     def take_report(self) -> dict[str, ServiceUse] | None:
         """Return the use of services that are short here or elsewhere; None if the last one holds.
--- a/packages/daemon/src/mimosaspur_daemon/direct/sharechoice.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/sharechoice.py
@@ -18,9 +18,13 @@
 
 
 class ShareChoice:
-    """Tell whether one request exceeds the share of its workspace, and count it."""
+    """Tell whether one request exceeds the share of its workspace, and count it.
+
+    Without `counts` the request isn't counted, logged or told when to return: it is only explained.
+    """
 
     __slots__ = (
+        "counts",
         "exceeded",
         "is_asked",
         "is_sent",
@@ -41,8 +45,10 @@
         *,
         workspace: Workspace | None,
         request: str,
+        counts: bool = True,
     ) -> None:
         self.state = state
+        self.counts = counts
         self.service = service
         self.workspace = workspace.name if workspace else ""
         # The request's ID, for the log.
@@ -62,7 +68,7 @@
         shares, before = self.state.shares, self.exceeded
         if not shares.weights:
             return False
-        if not self.is_asked:
+        if self.counts and not self.is_asked:
             self.is_asked = True
             shares.on_asked(self.service, self.workspace, self.tokens)
         if not self.is_sent:
@@ -94,7 +100,7 @@
 
     def on_wait(self) -> None:
         """Record that the request waits for room at its service."""
-        if self.state.shares.on_shortage(self.service):
+        if self.counts and self.state.shares.on_shortage(self.service):
             self.state.log.write("shortage", service=self.service, request=self.request)
             self.state.log.counters.count("share_shortage")
             self.state.report_requested.set()
@@ -118,8 +124,11 @@
 
     def refusal(self) -> RequestFailed:
         """Return the refusal of a request that can't be in time behind the others."""
-        self._record("refused")
-        wait_ms = self.state.shares.promise(self.service, self.workspace, self.tokens)
+        shares = self.state.shares
+        wait_ms = shares.wait_ms(self.service, self.workspace)
+        if self.counts:
+            self._record("refused")
+            shares.promise(self.service, self.workspace, self.tokens, wait_ms=wait_ms)
         retry_s = retry_after_s(wait_ms / 1000, left_s=math.inf, spread=True)
         return RequestFailed(ResultCode.SHARE_EXCEEDED, retry_after_s=retry_s)
 
--- a/packages/state/src/mimosaspur_state/codes.py
+++ b/packages/state/src/mimosaspur_state/codes.py
@@ -71,6 +71,7 @@
     BAD_TARGET_LIMIT = 4013
     BAD_TARGET_REST = 4014
     BAD_CONFIGURATION = 4015
+    ENTRY_UNAVAILABLE = 4016
 
 
 @dataclass(slots=True, frozen=True)
@@ -251,6 +252,11 @@
         "A configuration has a bad value; the last good one stays in force.",
         "Correct the field that the error names, and write it again.",
     ),
+    ResultCode.ENTRY_UNAVAILABLE: CodeInfo(
+        503,
+        "The entry gives no explanation.",
+        "Check the address: its ip and its metrics_port.",
+    ),
     ResultCode.BAD_TARGET_LIMIT: CodeInfo(
         503,
         "A target names a request limit that is no number. The last good one is kept.",
