--- a/packages/coordination/src/mimosaspur_coordination/evenload.py
+++ b/packages/coordination/src/mimosaspur_coordination/evenload.py
@@ -75,9 +75,9 @@
     """
     if not candidates:
         return None
-    if spread <= JITTER_MS:
-        return min(candidates, key=lambda each: each[0] + random.random() * JITTER_MS)[2]
-    limit = min(cost for cost, _, _ in candidates) + spread
+    limit = min(cost for cost, _, _ in candidates) + max(spread, JITTER_MS)
     near = [each for each in candidates if each[0] < limit]
+    if spread <= JITTER_MS:
+        return min(near, key=lambda each: each[0] + random.random() * JITTER_MS)[2]
     weights = [(limit - cost) * speed for cost, speed, _ in near]
     return random.choices(near, weights)[0][2]
--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -17,6 +17,7 @@
 from mimosaspur_coordination.modelpace import LEARNING_RATE
 from mimosaspur_coordination.modelpace import MAX_CHANGE_RATIO
 from mimosaspur_coordination.modelpace import ModelPace
+from mimosaspur_coordination.prefillspeed import PREFILL_TOKENS_PER_MS
 from mimosaspur_coordination.prefillspeed import PrefillSpeed
 from mimosaspur_coordination.prefillspeed import prefill_ms
 from mimosaspur_coordination.streampauses import EnginePauses
@@ -46,6 +47,9 @@
 # Speeds change slowly once they are known.
 SPEEDS_INTERVAL_MS = 1_000
 
+# The model, adapter and identity of a part of a prompt, and its tokens.
+SharedPart = tuple[tuple[str, str, str], int]
+
 
 @dataclass(slots=True, frozen=True)
 class Prompt:
@@ -58,6 +62,12 @@
     # Identity and token count of the prompt's parts in order; the last is unique to the request.
     parts: tuple[tuple[str, int], ...] = ()
 
+    def shared_parts(self) -> list[SharedPart]:
+        """Return the parts that other prompts for the same model and adapter may begin with."""
+        return [
+            ((self.model, self.adapter, identity), tokens) for identity, tokens in self.parts[:-1]
+        ]
+
 
 @dataclass(slots=True)
 class TargetView:
@@ -97,23 +107,21 @@
 
     def can_run(self, prompt: Prompt) -> bool:
         """Return whether the target holds the prompt's model and adapter."""
-        adapters = self.residents.get(prompt.model)
-        if adapters is None or prompt.model in self.unloading:
-            return False
-        return not prompt.adapter or prompt.adapter in adapters
+        return bool(targets_holding((self,), prompt))
 
-    def cached_tokens(self, prompt: Prompt) -> int:
-        """Estimate how many of the prompt's tokens the target has cached from earlier requests."""
+    def cached_tokens(self, shared: Iterable[SharedPart]) -> int:
+        """Estimate how many tokens of a prompt's shared parts the target has cached."""
         cached = 0
-        for identity, tokens in prompt.parts[:-1]:
-            if (prompt.model, prompt.adapter, identity) not in self.prompt_parts:
+        prompt_parts = self.prompt_parts
+        for key, tokens in shared:
+            if key not in prompt_parts:
                 break
             cached += tokens
         return cached
 
     def prefill_tokens(self, prompt: Prompt) -> float:
         """Estimate the prefill work of a prompt in reference tokens."""
-        unread = max(1, prompt.prompt_tokens - self.cached_tokens(prompt))
+        unread = max(1, prompt.prompt_tokens - self.cached_tokens(prompt.shared_parts()))
         return unread * self.paces.token_cost(prompt.model)
 
     def is_silent(self) -> bool:
@@ -162,17 +170,31 @@
         estimate = self.speed.stream_ms
         estimate.update(max(1.0, stream_ms) / estimate.value)
 
+    def queued_tokens(self, rank: int) -> float:
+        """Return the prefill work of what is read before or beside a request with a rank."""
+        own = others = 0.0
+        # Less urgent requests are processed later.
+        for other_rank, tokens in self.own_work.prefill_tokens.items():
+            if other_rank <= rank:
+                own += tokens
+        for other_rank, tokens in self.others_work.prefill_tokens.items():
+            if other_rank <= rank:
+                others += tokens
+        return own + others
+
     def first_token_ms(self, prompt: Prompt, *, rank: int) -> float:
         """Predict the time to first token if the prompt were sent now with a rank."""
-        queued = 0.0
-        for work in (self.own_work, self.others_work):
-            # Less urgent requests are processed later.
-            queued += sum(n for other, n in work.prefill_tokens.items() if other <= rank)
-        own_ms = prefill_ms(self.prefill_tokens(prompt))
-        read_ms = (own_ms + self.speed.queue_ms(queued)) * self.slowness * self.prefill_factor
+        return self.work_ms(self.prefill_tokens(prompt), queued=self.queued_tokens(rank))
+
+    def work_ms(self, unread: float, *, queued: float) -> float:
+        """Predict the time to first token from the prefill work of a prompt, and that queued."""
+        speed = self.speed
+        own_ms = unread / PREFILL_TOKENS_PER_MS
+        queue_ms = queued / PREFILL_TOKENS_PER_MS * speed.queue_ratio.value
+        read_ms = (own_ms + queue_ms) * self.slowness * self.prefill_factor
         if self.momentary.ratio > 1.0:
             read_ms += self.momentary.added_ms(read_ms, now_ms=self.health.clock.now_ms())
-        return self.speed.base_ms.value + read_ms
+        return speed.base_ms.value + read_ms
 
     def on_sent(self, prompt: Prompt, *, rank: int) -> float:
         """Count a prompt that is sent; return its prefill work."""
@@ -189,8 +211,7 @@
         self, prompt: Prompt, *, unread: float, predicted_ms: float, took_ms: float
     ) -> None:
         """Track the prompt's parts as cached and update the estimates with the measured time."""
-        for identity, tokens in prompt.parts[:-1]:
-            key = (prompt.model, prompt.adapter, identity)
+        for key, tokens in prompt.shared_parts():
             self.prompt_parts[key] = tokens
             self.prompt_parts.move_to_end(key)
         while len(self.prompt_parts) > MAX_PROMPT_PARTS:
@@ -239,6 +260,18 @@
             self.own_work.by_model.pop(prompt.model, None)
 
 
+def targets_holding(views: Iterable[TargetView], prompt: Prompt) -> list[TargetView]:
+    """Return the targets that hold a prompt's model and adapter."""
+    model, adapter = prompt.model, prompt.adapter
+    return [
+        view
+        for view in views
+        if (adapters := view.residents.get(model)) is not None
+        and (not adapter or adapter in adapters)
+        and not (view.unloading and model in view.unloading)
+    ]
+
+
 class FleetView:
     """Hold the targets by service; the coordinator's updates take precedence over registrations."""
 
--- a/packages/coordination/src/mimosaspur_coordination/modelpace.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelpace.py
@@ -48,7 +48,7 @@
 
     def token_cost(self, model: str) -> float:
         """Return the cost of a model's token in reference tokens."""
-        return self.factor(ALL_ENGINES) * self.factor(model)
+        return self.factors.get(ALL_ENGINES, 1.0) * self.factors.get(model, 1.0)
 
     def factor(self, name: str) -> float:
         """Return the factor of a model or of all engines, 1 until measured."""
--- a/packages/coordination/src/mimosaspur_coordination/prefillspeed.py
+++ b/packages/coordination/src/mimosaspur_coordination/prefillspeed.py
@@ -64,10 +64,6 @@
             INITIAL_QUEUE_RATIO, minimum=MIN_QUEUE_RATIO, maximum=MAX_QUEUE_RATIO
         )
 
-    def queue_ms(self, tokens: float) -> float:
-        """Return the time that a request waits for queued tokens."""
-        return prefill_ms(tokens) * self.queue_ratio.value
-
     def record_first_token(self, *, own_ms: float, queue_ms: float, took_ms: float) -> None:
         """Update the estimates with a time to first token and the predictions for its two parts."""
         if not self.adaptive:
--- a/packages/coordination/src/mimosaspur_coordination/scheduling/scheduler.py
+++ b/packages/coordination/src/mimosaspur_coordination/scheduling/scheduler.py
@@ -7,11 +7,13 @@
 import contextlib
 from collections.abc import Container
 from collections.abc import Iterator
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.quota.decayingrate import DecayingRate
+from mimosaspur_coordination.scheduling.recentkinds import Kind
 from mimosaspur_coordination.scheduling.recentkinds import RecentKinds
 from mimosaspur_coordination.scheduling.recentkinds import Urgency
 from mimosaspur_state.clock import Clock
@@ -134,13 +136,16 @@
         If there are none, the request is to be held back for `queued.reason`, and all engines are
         returned.
         """
-        queued.engines = frozenset(view.record.identity for view in views)
         queued.reason = ""
-        if not self.kinds.any_more_urgent(queued.urgency):
+        urgent = self.kinds.any_more_urgent(queued.urgency)
+        if urgent or queued in self.held:
+            queued.engines = frozenset(view.record.identity for view in views)
+        if not urgent:
             return views
         queued.order = self.order(queued)
         taken = self._taken_engines(queued)
-        reasons = [self._reason(view, queued, slots, taken) for view in views]
+        kinds = self._more_urgent(queued)
+        reasons = [self._reason(view, queued, kinds, slots, taken) for view in views]
         if not any(reasons):
             return views
         roomy = [view for view, reason in zip(views, reasons, strict=True) if not reason]
@@ -171,18 +176,30 @@
         }
         self.released_ms = recent | {view.record.identity: now_ms}
 
+    def _more_urgent(self, queued: QueuedRequest) -> dict[str, list[tuple[Kind, Prompt]]]:
+        """Return the more urgent kinds that have recently come, by model."""
+        found: dict[str, list[tuple[Kind, Prompt]]] = {}
+        for kind in self.kinds.more_urgent(self.kinds.by_model, queued.urgency):
+            prompt = Prompt(kind.model, prompt_tokens=round(kind.prompt_tokens))
+            found.setdefault(kind.model, []).append((kind, prompt))
+        return found
+
     def _reason(
-        self, view: TargetView, queued: QueuedRequest, slots: int, taken: Container[str]
+        self,
+        view: TargetView,
+        queued: QueuedRequest,
+        urgent: Mapping[str, Sequence[tuple[Kind, Prompt]]],
+        slots: int,
+        taken: Container[str],
     ) -> str:
         """Return why a request shouldn't be sent to an engine now, or an empty string."""
-        kinds = list(self.kinds.more_urgent(view.residents, queued.urgency))
+        kinds = [kind for model in view.residents for kind in urgent.get(model, ())]
         # Nothing is gained by a wait for an idle engine.
         if not kinds or not view.request_count():
             return ""
         if slots and view.request_count() >= slots * (1 - RESERVED_SLOTS_SHARE):
             return "slots"
-        for kind in kinds:
-            prompt = Prompt(kind.model, prompt_tokens=round(kind.prompt_tokens))
+        for kind, prompt in kinds:
             if view.first_token_ms(prompt, rank=kind.rank) <= kind.objective_ms:
                 continue
             # A kind that is late at an idle engine too isn't helped by a wait.
--- a/packages/daemon/src/mimosaspur_daemon/direct/permitchoice.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/permitchoice.py
@@ -48,6 +48,8 @@
         An unused permit is lost, and only a response tells that the limit has ended.
         """
         held = self.held(views)
+        if not held:
+            return []
         least = min((view.request_count() for view in views if view not in held), default=0)
         return [view for view in held if view.request_count() <= least]
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -9,6 +9,7 @@
 from mimosaspur_coordination.evenload import spread_ms
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.fleetview import targets_holding
 from mimosaspur_coordination.scheduling.callertimes import event_timeout_s
 from mimosaspur_coordination.scheduling.callertimes import retry_after_s
 from mimosaspur_coordination.scheduling.cooldowns import Cooldowns
@@ -142,7 +143,8 @@
         """Return the next target; raise RequestFailed if none will be available in time."""
         self.resumed = resumed
         self._check_version()
-        self.permits.record_chance(self._holders() if self.prompt.model else self._available())
+        if self.state.notices.any_held():
+            self.permits.record_chance(self._holders() if self.prompt.model else self._available())
         if not self._needs_engine():
             return await self._next_plain()
         view = await self._next_engine()
@@ -417,8 +419,12 @@
     def _holders(self) -> list[TargetView]:
         """Return the engines that could run the request."""
         # If a model's only engine is unreachable, the model is soon loaded on another one.
-        available = [view for view in self._available() if not view.health.is_cooling_down()]
-        return [view for view in available if view.can_run(self.prompt)]
+        now_ms = self.state.clock.now_ms()
+        return [
+            view
+            for view in targets_holding(self._available(), self.prompt)
+            if view.health.cooldown_until_ms <= now_ms
+        ]
 
     def _choose_plain(self) -> TargetView | None:
         available = self.permits.sendable(self._available())
@@ -450,10 +456,13 @@
         return self.state.rank_of(self.route, self.workspace)
 
     def _available(self) -> list[TargetView]:
+        allowed = self._allowed_by_version()
+        if not self.cooldowns.ends_s and self.silent is None:
+            return allowed
         now_s = _now_s()
         return [
             view
-            for view in self._allowed_by_version()
+            for view in allowed
             if self.cooldowns.is_over(view.record.identity, now_s) and view is not self.silent
         ]
 
