--- a/packages/coordination/src/mimosaspur_coordination/evenload.py
+++ b/packages/coordination/src/mimosaspur_coordination/evenload.py
@@ -81,9 +81,11 @@
     """
     if not candidates:
         return None
+    limit = min(cost for cost, _, _ in candidates) + max(spread, JITTER_MS)
+    near = [each for each in candidates if each[0] < limit]
     if spread <= JITTER_MS:
-        return min(candidates, key=lambda each: each[0] + random.random() * JITTER_MS)[2]
-    return random.choices(candidates, _weights(candidates, spread))[0][2]
+        return min(near, key=lambda each: each[0] + random.random() * JITTER_MS)[2]
+    return random.choices(near, _weights(near, spread))[0][2]
 
 
 def chances(candidates: Sequence[Candidate[T]], *, spread: float) -> list[float]:
--- a/packages/daemon/src/mimosaspur_daemon/direct/explain/targets.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/explain/targets.py
@@ -4,12 +4,13 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
+from mimosaspur_coordination.enginecosts import domain_penalty_ms
+from mimosaspur_coordination.enginecosts import failure_penalty_ms
+from mimosaspur_coordination.enginecosts import memory_penalty_ms
+from mimosaspur_coordination.enginecosts import most_held_tokens
 from mimosaspur_coordination.evenload import chances
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.streampauses import predicted_pause_ms
-from mimosaspur_coordination.targetchoice import domain_penalty_ms
-from mimosaspur_coordination.targetchoice import failure_penalty_ms
-from mimosaspur_coordination.targetchoice import memory_penalty_ms
 from mimosaspur_coordination.targetchoice import slots_ms
 from mimosaspur_daemon.direct.targetchooser import TargetChooser
 from mimosaspur_protocol.explanations import ExplainedTarget
@@ -85,9 +86,9 @@
     if chooser.needs_engine():
         engine = chooser.spec.engine if chooser.spec else None
         parts["first_event"] = view.first_token_ms(chooser.prompt, rank=chooser.rank)
-        parts["memory"] = memory_penalty_ms(
-            view, chooser.prompt, kv_tokens=engine.kv_cache_tokens if engine else 0
-        )
+        kv_tokens = engine.kv_cache_tokens if engine else 0
+        most_held = most_held_tokens(chooser.prompt, kv_tokens=kv_tokens)
+        parts["memory"] = memory_penalty_ms(view, most_held=most_held)
         parts["pauses"] = cost - sum(parts.values())
     else:
         parts["requests"] = slots_ms(view)
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetchooser.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetchooser.py
@@ -10,6 +10,7 @@
 from mimosaspur_coordination.evenload import spread_ms
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.fleetview import targets_holding
 from mimosaspur_coordination.scheduling.callertimes import event_timeout_s
 from mimosaspur_coordination.scheduling.callertimes import retry_after_s
 from mimosaspur_coordination.scheduling.cooldowns import Cooldowns
@@ -96,8 +97,9 @@
         "workspace",
     )
 
-    # Whether the request counts towards its workspace's share.
-    counts_shares = False
+    # Whether a choice counts towards the workspace's share. Without effects, as in an explanation,
+    # the costs of engines that can't be drawn are of interest too.
+    has_effects = False
 
     def __init__(
         self,
@@ -124,7 +126,7 @@
             prompt,
             workspace=workspace,
             request=request,
-            counts=self.counts_shares,
+            counts=self.has_effects,
         )
         self.spec = spec
         self.prompt = prompt
@@ -345,6 +347,7 @@
                     gap_objective_ms=self._gap_objective_ms(),
                     spare_ms=(self.on_time_deadline_s - now_s()) * 1000,
                     spread_ms=spread_ms,
+                    reach_ms=None if self.has_effects else math.inf,
                 )
                 view = self._draw(candidates, spread_ms)
             if view is None:
@@ -372,8 +375,12 @@
     def holders(self) -> list[TargetView]:
         """Return the engines that could run the request."""
         # If a model's only engine is unreachable, the model is soon loaded on another one.
-        available = [view for view in self.available() if not view.health.is_cooling_down()]
-        return [view for view in available if view.can_run(self.prompt)]
+        now_ms = self.state.clock.now_ms()
+        return [
+            view
+            for view in targets_holding(self.available(), self.prompt)
+            if view.health.cooldown_until_ms <= now_ms
+        ]
 
     def _choose_plain(self) -> TargetView | None:
         available = self.permits.sendable(self.available())
@@ -414,10 +421,13 @@
 
     def available(self) -> list[TargetView]:
         """Return the serving targets that haven't just refused or failed the request."""
+        allowed = self.allowed_by_version()
+        if not self.cooldowns.ends_s and self.silent is None:
+            return allowed
         at_s = now_s()
         return [
             view
-            for view in self.allowed_by_version()
+            for view in allowed
             if self.cooldowns.is_over(view.record.identity, at_s) and view is not self.silent
         ]
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -25,13 +25,14 @@
 
     __slots__ = ()
 
-    counts_shares = True
+    has_effects = True
 
     async def next_target(self, *, resumed: bool = False) -> TargetView:
         """Return the next target; raise RequestFailed if none will be available in time."""
         self.resumed = resumed
         self.check_version()
-        self.permits.record_chance(self.holders() if self.prompt.model else self.available())
+        if self.state.notices.any_held():
+            self.permits.record_chance(self.holders() if self.prompt.model else self.available())
         if not self.needs_engine():
             view = await self._next_plain()
             self.share.on_sent()
