Divide room among workspaces only where the configuration names a weight

Cause: with equal weights for all by default, shares took effect on deployments whose configuration doesn't ask for them. What a workspace sent above its share went behind others at engines that nobody else waited for. Change: room is divided once some workspace has a weight; those without one have 1.

--- a/features/fair_shares.feature
+++ b/features/fair_shares.feature
@@ -38,6 +38,7 @@
       | 2     | south is limited                     | 1    | no    |
       | 2     | north is limited below its share     | 1    | no    |
       | 1     | north is limited                     | 1    | no    |
+      | 2     | north is limited, no weight is named | 1    | no    |
       | 2     | north is limited, without the switch | 1    | no    |
       | 2     | north was limited 2800 ms ago        | 9    | one   |
       | 2     | north was limited 3100 ms ago        | 1    | no    |
--- a/features/steps/fair_shares_steps.py
+++ b/features/steps/fair_shares_steps.py
@@ -35,6 +35,7 @@
 from mimosaspur_state.clock import SystemClock
 from mimosaspur_state.fleet import OutstandingWork
 from mimosaspur_state.policy import policy_without
+from mimosaspur_state.routes import Configuration
 
 MODEL = "notes"
 SHARE = Share(1_000.0, 9_000.0)
@@ -89,6 +90,12 @@
     assert not shared.was_issued and shared.on_time == context.usual.on_time
 
 
+def _with_weights(current: Configuration) -> Configuration:
+    """Return a configuration that names a weight for one of its workspaces."""
+    first, *others = current.workspaces or ()
+    return replace(current, workspaces=(replace(first, weight=1.0), *others))
+
+
 @given("an entry with {count:d} workspaces before an engine, {state}")
 def start_entry(context: Context, count: int, state: str) -> None:
     context.log = RecordedLog("entry-0")
@@ -98,6 +105,8 @@
         entry.settings = replace(entry.settings, policy=policy_without("fair-shares"))
     keys = dict(list(KEYS.items())[:count])
     current = with_workspaces(keys, version=2)
+    if "no weight" not in state:
+        current = _with_weights(current)
     services = entry.configuration.services
     entry.apply_configuration(replace(current, services=services), source="test")
     entry.freshness.confirm("configuration", asked_ms=entry.clock.now_ms())
@@ -184,7 +193,8 @@
 def start_coordinator(context: Context) -> None:
     context.followed = CoordinatorWithMembers(1)
     context.state = context.followed.state
-    context.state.apply_configuration(with_workspaces(KEYS, version=2), source="test")
+    current = _with_weights(with_workspaces(KEYS, version=2))
+    context.state.apply_configuration(current, source="test")
 
 
 @when("the entry observes a shortage while north asks for 9 times what is served to south")
--- a/packages/coordination/src/mimosaspur_coordination/shares/holder.py
+++ b/packages/coordination/src/mimosaspur_coordination/shares/holder.py
@@ -6,6 +6,7 @@
 from mimosaspur_coordination.limits.sharelease import LEASE_MS
 from mimosaspur_coordination.quota.account import demand_share
 from mimosaspur_coordination.quota.quotabucket import QuotaBucket
+from mimosaspur_coordination.shares.division import DEFAULT_WEIGHT
 from mimosaspur_coordination.shares.division import ServiceUse
 from mimosaspur_coordination.shares.division import Share
 from mimosaspur_coordination.shares.division import Shares
@@ -218,5 +219,8 @@
 
 
 def weights_of(workspaces: Iterable[Workspace]) -> dict[str, float]:
-    """Return the weights of workspaces by name."""
-    return {each.name: each.weight for each in workspaces}
+    """Return the weights of workspaces by name; none if none has one."""
+    workspaces = list(workspaces)
+    if all(each.weight is None for each in workspaces):
+        return {}
+    return {each.name: each.weight or DEFAULT_WEIGHT for each in workspaces}
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetchooser.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetchooser.py
@@ -154,7 +154,7 @@
             objective_ms=route.objective_ms,
             due_ms=state.clock.now_ms() + (self.on_time_deadline_s - now_s()) * 1000,
             workspace=workspace.name if workspace else "",
-            weight=workspace.weight if workspace and state.uses(Mechanism.FAIR_SHARES) else 1.0,
+            weight=state.shares.weights.get(workspace.name, 1.0) if workspace else 1.0,
         )
         self.resumed = False
         # Whether the request was sent to a target before.
--- a/packages/state/src/mimosaspur_state/workspaces.py
+++ b/packages/state/src/mimosaspur_state/workspaces.py
@@ -32,5 +32,6 @@
     priority: int | None = None
     # None is unlimited.
     quota: Quota | None = None
-    # Relative to the other workspaces', where there isn't room for all; above 0.
-    weight: float = 1.0
+    # Relative to the other workspaces', where there isn't room for all; above 0. None if the
+    # configuration names none: room is divided only where it names one for some workspace.
+    weight: float | None = None
