--- a/packages/coordination/src/mimosaspur_coordination/placementproblem.py
+++ b/packages/coordination/src/mimosaspur_coordination/placementproblem.py
@@ -52,8 +52,12 @@
 
     @property
     def speed(self) -> float:
-        """Return the engine's speed of reading prompts relative to the service's other engines."""
-        return 1.0 / self.prefill_factor if self.prefill_factor > 0 else 1.0
+        """Return the engine's speed of reading prompts relative to the others, 1 at most.
+
+        Factors between 0.4 and 1.4 were measured at engines of one speed. A capacity that is taken
+        for too high leaves a busy model with too few replicas.
+        """
+        return 1.0 / max(1.0, self.prefill_factor)
 
 
 @dataclass(slots=True, frozen=True)
