Give turns only once all entries have told what is under way

Cause: an entry whose copy is at a target learns last that it is suspected, and reported it with its next periodic report, up to 100 ms later. Meanwhile the coordinator gave the turn to another copy.

Change: an entry reports at once when an update with crashes arrives, and names its number (`crashes_number`, last field of both reports). A turn waits for this answer of all entries, 250 ms at most: a frozen entry, or one of an earlier version, answers late or never.

Measured: the new scenarios fail without the gate and the prompt report, and pass with them.

--- a/features/direct_turns.feature
+++ b/features/direct_turns.feature
@@ -35,3 +35,25 @@
     Given a coordinator that gives turns to 2 entries
     When both ask for the turns of 20 requests that were at one crash
     Then all of them get their turns at once
+
+  # Guards against a turn that is given while a copy is under way whose entry doesn't know yet of the
+  # crash that makes it suspected: of copies at three entries, four engines ended.
+  Scenario: No turn is given before all entries have told what is under way
+    Given a coordinator that gives turns to 3 entries
+    And it has sent an update with a crash
+    When an entry that knows of the crash asks for the turn of a request that was there
+    Then none is given while another entry hasn't answered the update
+    And none is given once that has answered with a copy that is under way
+    And it is given once that copy has ended
+
+  Scenario: An entry that doesn't answer an update with a crash holds up turns for a short time
+    Given a coordinator that gives turns to 3 entries
+    And it has sent an update with a crash
+    When an entry that knows of the crash asks for the turn of a request that was there
+    Then it is given 250 ms later if another entry never answers
+
+  # Guards against a report about a suspected copy that comes only when the next one is due.
+  Scenario: An entry answers an update with a crash at once
+    Given an entry with a request at a target that says nothing
+    When its coordinator tells of a crash of another target with the same request
+    Then it is to report at once that the request is under way, and the number of the update
--- a/features/steps/direct_turns_order_steps.py
+++ b/features/steps/direct_turns_order_steps.py
@@ -8,14 +8,22 @@
 from behave.runner import Context
 
 from harness.direct_fleet import ManualClock
+from harness.loop import run
+from mimosaspur_coordination.quarantine.crashledger import Stage
 from mimosaspur_coordination.quarantine.turnissuer import ISOLATION
 from mimosaspur_coordination.quarantine.turnissuer import Traits
 from mimosaspur_coordination.quarantine.turnissuer import TurnDemand
 from mimosaspur_coordination.quarantine.turnissuer import TurnIssuer
+from mimosaspur_daemon.direct.entryreport import build_entry_report
+from mimosaspur_daemon.direct.fleetreport import apply_report
+from mimosaspur_protocol.peermessages import CrashReport
+from mimosaspur_protocol.peermessages import FleetReport
 
+STEP_MS = 10
 ROUND_MS = 20
 START_MS = 10_000
 LONGEST_MS = 2_000
+COPIED = (b"copied",)
 
 
 class TurnCoordinator:
@@ -26,6 +34,9 @@
         self.issuer = TurnIssuer(clock=self.clock, first=True)
         # By entry, the turns that it has.
         self.taken: dict[str, set[Traits]] = {f"entry-{number}": set() for number in range(count)}
+        # The number of the last update with crashes, and by entry the last one that it answered.
+        self.sent_number = 0
+        self.answered: dict[str, int] = dict.fromkeys(self.taken, 0)
         for name in self.taken:
             self.issuer.on_connect(name)
 
@@ -34,11 +45,17 @@
         sent = frozenset(trait for traits in self.taken[name] for trait in traits)
         number = self.issuer.entries[name].number
         demand = TurnDemand(list(waiting), sent)
-        self.issuer.apply_demand(name, demand, asked_ms=self.clock.now_ms(), received_number=number)
+        self.issuer.apply_demand(
+            name,
+            demand,
+            asked_ms=self.clock.now_ms(),
+            received_number=number,
+            crashes_number=self.answered[name],
+        )
 
     def issue(self) -> None:
         """Give the turns that are free."""
-        for name, turns in self.issuer.issue().items():
+        for name, turns in self.issuer.issue(self.sent_number).items():
             self.taken[name].update(turns.traits)
             self.report(name)
 
@@ -69,19 +86,18 @@
     coordinator = context.turn_coordinator
     coordinator.clock.ms = START_MS + ms
     coordinator.report("entry-1", [_traits(b"second", crashes)])
+    coordinator.issue()
 
 
 @then("it gets its turn {ms:d} ms after the first one got it")
 def check_second_turn(context: Context, ms: int) -> None:
     coordinator = context.turn_coordinator
-    while coordinator.clock.ms <= START_MS + LONGEST_MS:
+    while not coordinator.taken["entry-1"] and coordinator.clock.ms <= START_MS + LONGEST_MS:
+        coordinator.clock.ms += ROUND_MS
         if coordinator.clock.ms >= context.first_ends_ms and coordinator.taken["entry-0"]:
             coordinator.taken["entry-0"].clear()
             coordinator.report("entry-0")
         coordinator.issue()
-        if coordinator.taken["entry-1"]:
-            break
-        coordinator.clock.ms += ROUND_MS
     assert coordinator.clock.ms - START_MS == ms, (coordinator.clock.ms, coordinator.taken)
 
 
@@ -99,3 +115,86 @@
 def check_many(context: Context) -> None:
     taken = context.turn_coordinator.taken
     assert [len(each) for each in taken.values()] == [context.asked_count] * len(taken), taken
+
+
+@given("it has sent an update with a crash")
+def send_crash(context: Context) -> None:
+    context.turn_coordinator.sent_number += 1
+
+
+@when("an entry that knows of the crash asks for the turn of a request that was there")
+def ask_after_crash(context: Context) -> None:
+    coordinator = context.turn_coordinator
+    for name in ("entry-0", "entry-2"):
+        coordinator.answered[name] = coordinator.sent_number
+        coordinator.report(name, [COPIED] if name == "entry-0" else [])
+    coordinator.issue()
+
+
+@then("none is given while another entry hasn't answered the update")
+def check_not_given(context: Context) -> None:
+    coordinator = context.turn_coordinator
+    coordinator.clock.ms += ROUND_MS
+    coordinator.issue()
+    assert not any(coordinator.taken.values()), coordinator.taken
+
+
+@then("none is given once that has answered with a copy that is under way")
+def check_under_way(context: Context) -> None:
+    coordinator = context.turn_coordinator
+    coordinator.answered["entry-1"] = coordinator.sent_number
+    coordinator.taken["entry-1"].add(COPIED)
+    coordinator.report("entry-1")
+    coordinator.issue()
+    assert not coordinator.taken["entry-0"], coordinator.taken
+
+
+@then("it is given once that copy has ended")
+def check_given(context: Context) -> None:
+    coordinator = context.turn_coordinator
+    coordinator.taken["entry-1"].clear()
+    coordinator.report("entry-1")
+    coordinator.issue()
+    assert coordinator.taken["entry-0"] == {COPIED}, coordinator.taken
+
+
+@then("it is given {ms:d} ms later if another entry never answers")
+def check_overdue(context: Context, ms: int) -> None:
+    coordinator = context.turn_coordinator
+    while not coordinator.taken["entry-0"] and coordinator.clock.ms <= START_MS + LONGEST_MS:
+        coordinator.clock.ms += STEP_MS
+        coordinator.issue()
+    assert coordinator.clock.ms - START_MS == ms, (coordinator.clock.ms, coordinator.taken)
+
+
+@when("its coordinator tells of a crash of another target with the same request")
+def tell_of_crash(context: Context) -> None:
+    state = context.entry.state
+    (digest,) = state.quarantine.at_targets
+    state.report_requested.clear()
+    report = FleetReport(
+        token=1,
+        can_issue_orders=True,
+        entry_count=2,
+        work=[],
+        residents=[],
+        model_ready_in_ms={},
+        crashes=[CrashReport("i-0", 0, [(digest, Stage.RUNNING)])],
+        gives_turns=True,
+        crashes_number=1,
+    )
+
+    async def tell() -> None:
+        apply_report(state, report)
+
+    run(context, tell())
+    context.suspected = digest
+
+
+@then("it is to report at once that the request is under way, and the number of the update")
+def check_answers_update(context: Context) -> None:
+    state = context.entry.state
+    assert state.report_requested.is_set()
+    report = build_entry_report(state)
+    assert report.suspects_sent == [context.suspected], report
+    assert report.crashes_number == 1, report
--- a/packages/coordination/src/mimosaspur_coordination/quarantine/turnissuer.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/turnissuer.py
@@ -23,6 +23,9 @@
 # nor the other way round. A run that crashes its target mostly ends sooner, and a request waits for
 # its turn for longer.
 APART_MS = 500
+# An entry that has not told by then what it has under way, since it was told of a crash, is likely
+# frozen, or of an earlier version. Requests wait for their turns for longer.
+ACKNOWLEDGED_WITHIN_MS = 250
 
 Traits = tuple[bytes, ...]
 # Stands for an engine of its own: with it in their turns, requests don't run beside one another,
@@ -58,6 +61,8 @@
     asked_ms: int = 0
     # The number of the last message with turns.
     number: int = 0
+    # The number of the last update of crashes that it knew of as it reported what is under way.
+    crashes_number: int = 0
 
     def busy(self) -> Iterable[bytes]:
         """Return the traits of its requests that are, or may be, under way."""
@@ -66,6 +71,14 @@
             yield from traits
 
 
+@dataclass(slots=True, frozen=True)
+class _Asked:
+    """Hold when a turn was asked for, and the number of the last update of crashes by then."""
+
+    at_ms: int
+    crashes_number: int
+
+
 class TurnIssuer:
     """Give turns to entries in the order in which they asked."""
 
@@ -75,7 +88,7 @@
         self.clock = clock
         self.entries: dict[str, _Entry] = {}
         # What waits, with the entry where it does, the oldest first.
-        self.queue: dict[tuple[str, Traits], None] = {}
+        self.queue: dict[tuple[str, Traits], _Asked | None] = {}
         # Traits that lost entries had under way, until when they count.
         self.lost: dict[bytes, int] = {}
         # When a turn was last given for each trait, no longer ago than APART_MS.
@@ -95,14 +108,21 @@
             return
         ends_ms = self.clock.now_ms() + LOST_TURN_MS
         self.lost.update(dict.fromkeys(entry.busy(), ends_ms))
-        self.queue = {key: None for key in self.queue if key[0] != instance}
+        self.queue = {key: asked for key, asked in self.queue.items() if key[0] != instance}
 
     def apply_demand(
-        self, instance: str, demand: TurnDemand, *, asked_ms: int, received_number: int
+        self,
+        instance: str,
+        demand: TurnDemand,
+        *,
+        asked_ms: int,
+        received_number: int,
+        crashes_number: int = 0,
     ) -> None:
         """Apply an entry's report."""
         entry = self.entries[instance]
         entry.asked_ms = asked_ms
+        entry.crashes_number = crashes_number
         entry.sent = demand.sent
         entry.issued = {
             traits: number for traits, number in entry.issued.items() if number > received_number
@@ -115,10 +135,13 @@
             if traits not in entry.issued:
                 self.queue.setdefault((instance, traits))
 
-    def issue(self) -> dict[str, Turns]:
-        """Return the turns that are free now, by entry."""
+    def issue(self, crashes_number: int = 0) -> dict[str, Turns]:
+        """Return the turns that are free now, by entry.
+
+        `crashes_number` is that of the last update of crashes that entries were sent.
+        """
         now_ms = self.clock.now_ms()
-        if now_ms - self.started_ms < START_GRACE_MS:
+        if not self.queue or now_ms - self.started_ms < START_GRACE_MS:
             return {}
         self.lost = {trait: ends_ms for trait, ends_ms in self.lost.items() if ends_ms > now_ms}
         busy = set(self.lost)
@@ -127,6 +150,8 @@
         self.given_ms = {
             trait: at_ms for trait, at_ms in self.given_ms.items() if now_ms - at_ms < APART_MS
         }
+        # All entries have told what they had under way when they knew of this update.
+        acknowledged = min(entry.crashes_number for entry in self.entries.values())
         begun = busy & self.given_ms.keys()
         free: dict[str, list[Traits]] = {}
         # What waits at few entries is likely sound, and rules itself out as it is served. Requests
@@ -135,6 +160,12 @@
         for instance, traits in sorted(
             self.queue, key=lambda key: (entries[key[1]], ISOLATION in key[1])
         ):
+            asked = self.queue[instance, traits] or _Asked(now_ms, crashes_number)
+            self.queue[instance, traits] = asked
+            overdue = now_ms - asked.at_ms >= ACKNOWLEDGED_WITHIN_MS
+            if not overdue and acknowledged < asked.crashes_number:
+                # A request that was sent before its entry knew of the crash would be overlooked.
+                continue
             if busy.isdisjoint(traits) and _may_begin_beside(traits, begun):
                 busy.update(traits)
                 begun.update(traits)
--- a/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
@@ -72,6 +72,7 @@
         state.quarantine.turns.received_number,
         state.settings.failure_domain,
         speed_messages(state.fleet.take_speeds()),
+        state.quarantine.turns.crashes_number,
     )
 
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -81,6 +81,7 @@
         evidence_age_ms=report.evidence_age_ms, gives_turns=report.gives_turns
     )
     state.quarantine.apply_reports(report.crashes, relay=False)
+    state.quarantine.turns.on_crashes_number(report.crashes_number)
     state.notices.apply_updates(report.limits, relay=False)
     state.notices.apply_leaving(report.leaving_targets, relay=False)
     apply_load_messages(state, report.loads, relay=False)
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -104,6 +104,8 @@
             clock=state.clock,
         )
         self.turns = TurnIssuer(clock=sharers.clock, first=not state.staying_entries)
+        # How often changes of crash records were sent.
+        self.crashes_number = 0
         # The addresses of entries as last sent.
         self.sent_addresses: dict[str, EntryAddress] = {}
         self.last_sent_ms = 0
@@ -148,12 +150,13 @@
             TurnDemand(report.suspects_waiting, frozenset(report.suspects_sent)),
             asked_ms=report.asked_ms,
             received_number=report.turns_number,
+            crashes_number=report.crashes_number,
         )
         return bool(self.turns.queue)
 
     def send_turns(self) -> None:
         """Send the turns for suspected requests that are free now."""
-        for instance, turns in self.turns.issue().items():
+        for instance, turns in self.turns.issue(self.crashes_number).items():
             names = [[trait_name(trait) for trait in traits] for traits in turns.traits]
             self.state.log.write("turns_issued", to=instance, traits=names)
             message = IssuedTurns(turns.number, turns.asked_ms, list(turns.traits))
@@ -268,6 +271,7 @@
         paces = self._due_paces(now_ms)
         quotas = self.quotas.changed_remaining(len(self.members))
         crashes = self.state.quarantine.take_reports()
+        self.crashes_number += bool(crashes)
         limits = self.state.notices.take_updates()
         loads = load_messages(self.state.outstanding_loads.take_unreported())
         leaving = self.state.notices.leaving.take_unreported()
@@ -373,6 +377,7 @@
             limits=limits,
             permit_queues=self.permits.queues,
             failure_domain=self.state.settings.failure_domain,
+            crashes_number=self.crashes_number,
         )
 
     def _crashes_for_new_members(self) -> list[CrashReport]:
--- a/packages/daemon/src/mimosaspur_daemon/direct/suspectturns.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/suspectturns.py
@@ -69,6 +69,8 @@
         self.assigned: dict[RequestHandler, tuple[Traits, int]] = {}
         # The number of the last message with turns on the present link.
         self.received_number = 0
+        # The number of the coordinator's last message with crashes on the present link.
+        self.crashes_number = 0
         # Whether a coordinator gives turns, and when the last one was lost; None if there was none.
         self.coordinated = False
         self.lost_ms: int | None = None
@@ -128,12 +130,19 @@
         self.request_report()
         self.changes.notify()
 
+    def on_crashes_number(self, number: int) -> None:
+        """Tell the coordinator what is under way of all that its last update made suspected."""
+        if number != self.crashes_number:
+            self.crashes_number = number
+            self.request_report()
+
     def on_coordinator_lost(self) -> None:
         """Drop the turns that no request has taken yet."""
         if self.coordinated:
             self.lost_ms = self.clock.now_ms()
         self.coordinated = False
         self.received_number = 0
+        self.crashes_number = 0
         self.assigned.clear()
 
     def is_isolated(self, traits: Iterable[bytes]) -> bool:
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -169,6 +169,8 @@
     failure_domain: str = ""
     # Measured since the last report; in the first one on a link, what earlier coordinators sent.
     speeds: list[EngineSpeedUpdate] = msgspec.field(default_factory=list)
+    # The `crashes_number` of the last fleet report that arrived on this link.
+    crashes_number: int = 0
 
 
 class EngineResidents(msgspec.Struct, array_like=True, frozen=True):
@@ -282,6 +284,8 @@
     ready_times_hold: bool = False
     # Changes since the last report; all that is known in the first one on a link.
     speeds: list[EngineSpeedUpdate] = msgspec.field(default_factory=list)
+    # How often this coordinator has sent changes in `crashes`, this report included.
+    crashes_number: int = 0
 
 
 class IssuedPermits(msgspec.Struct, array_like=True, tag="permits"):
