Count a broken run as under way until its target has been probed

Cause: a request without a turn left the traits that are under way as its connection broke, a round trip before the crash was recorded.

Measured: the new scenario fails before and passes after.

--- a/features/direct_turns.feature
+++ b/features/direct_turns.feature
@@ -52,6 +52,12 @@
     When an entry that knows of the crash asks for the turn of a request that was there
     Then it is given 250 ms later if another entry never answers
 
+  # Guards against a report that frees a trait before it bears the crash that the run has ended with.
+  Scenario: A request is under way until it is known whether its target has crashed
+    Given an entry with a request at a target that says nothing
+    When that target crashes
+    Then the request counts as under way until the crash is known, and no longer
+
   # Guards against a report about a suspected copy that comes only when the next one is due.
   Scenario: An entry answers an update with a crash at once
     Given an entry with a request at a target that says nothing
--- a/features/steps/direct_turns_order_steps.py
+++ b/features/steps/direct_turns_order_steps.py
@@ -1,5 +1,6 @@
 """Steps for the order in which a coordinator gives turns."""
 
+import asyncio
 from collections.abc import Iterable
 
 from behave import given
@@ -20,6 +21,7 @@
 from mimosaspur_protocol.peermessages import FleetReport
 
 STEP_MS = 10
+CRASH_NOTICE_S = 1.0
 ROUND_MS = 20
 START_MS = 10_000
 LONGEST_MS = 2_000
@@ -198,3 +200,23 @@
     report = build_entry_report(state)
     assert report.suspects_sent == [context.suspected], report
     assert report.crashes_number == 1, report
+
+
+@when("that target crashes")
+def crash_target(context: Context) -> None:
+    async def crash() -> None:
+        quarantine = context.entry.state.quarantine
+        context.first.server.close()
+        context.first.stop_streams()
+        context.missed = False
+        async with asyncio.timeout(CRASH_NOTICE_S):
+            while quarantine.at_targets or not quarantine.ledger.crashes:
+                context.missed |= not quarantine.at_targets
+                await asyncio.sleep(0)
+
+    run(context, crash())
+
+
+@then("the request counts as under way until the crash is known, and no longer")
+def check_under_way_until_known(context: Context) -> None:
+    assert not context.missed
--- a/packages/daemon/src/mimosaspur_daemon/direct/offer.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/offer.py
@@ -92,6 +92,9 @@
             with state.quarantine.at_target(handler.traits):
                 self.in_flight = True
                 result = await attempt.run()
+                if result is AttemptResult.BROKEN:
+                    # The report that tells of its end is to bear the crash as well.
+                    await state.quarantine.detector.wait_for_first_probe(view)
             finished = True
             self.in_flight = False
         finally:
