--- a/packages/coordination/src/mimosaspur_coordination/quarantine/turnissuer.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/turnissuer.py
@@ -152,6 +152,7 @@
         }
         # All entries have told what they had under way when they knew of this update.
         acknowledged = min(entry.crashes_number for entry in self.entries.values())
+        asked_now = _Asked(now_ms, crashes_number)
         begun = busy & self.given_ms.keys()
         free: dict[str, list[Traits]] = {}
         # What waits at few entries is likely sound, and rules itself out as it is served. Requests
@@ -160,8 +161,9 @@
         for instance, traits in sorted(
             self.queue, key=lambda key: (entries[key[1]], ISOLATION in key[1])
         ):
-            asked = self.queue[instance, traits] or _Asked(now_ms, crashes_number)
-            self.queue[instance, traits] = asked
+            asked = self.queue[instance, traits]
+            if asked is None:
+                asked = self.queue[instance, traits] = asked_now
             overdue = now_ms - asked.at_ms >= ACKNOWLEDGED_WITHIN_MS
             if not overdue and acknowledged < asked.crashes_number:
                 # A request that was sent before its entry knew of the crash would be overlooked.
@@ -169,7 +171,8 @@
             if busy.isdisjoint(traits) and _may_begin_beside(traits, begun):
                 busy.update(traits)
                 begun.update(traits)
-                self.given_ms.update(dict.fromkeys(traits, now_ms))
+                for trait in traits:
+                    self.given_ms[trait] = now_ms
                 del self.queue[instance, traits]
                 free.setdefault(instance, []).append(traits)
         return {instance: self._issue(instance, traits) for instance, traits in free.items()}
