--- a/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
@@ -74,6 +74,7 @@
         state.settings.failure_domain,
         speed_messages(state.fleet.take_speeds()),
         use_messages(state.shares.take_report()),
+        state.quarantine.turns.crashes_number,
     )
 
 
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -188,6 +188,8 @@
     speeds: list[EngineSpeedUpdate] = msgspec.field(default_factory=list)
     # Services that are short of room at any entry; None if the last report's still hold.
     uses: list[ServiceUseReport] | None = None
+    # The `crashes_number` of the last fleet report that arrived on this link.
+    crashes_number: int = 0
 
 
 class EngineResidents(msgspec.Struct, array_like=True, frozen=True):
@@ -304,6 +306,8 @@
     # All services that are short of room; None if those sent last still hold, as in each report of
     # earlier versions.
     shares: list[ServiceShares] | None = None
+    # How often this coordinator has sent changes in `crashes`, this report included.
+    crashes_number: int = 0
 
 
 class IssuedPermits(msgspec.Struct, array_like=True, tag="permits"):
