--- a/packages/coordination/src/mimosaspur_coordination/loadforecast.py
+++ b/packages/coordination/src/mimosaspur_coordination/loadforecast.py
@@ -40,7 +40,7 @@
 def forecast_loads(problem: PlacementProblem) -> dict[str, int]:
     """Return the time in ms until each requested model without a replica would be ready.
 
-    For a model that no request waits for now, it is the time if one came and went before no other.
+    For a model that no request waits for, it is the time if one came now, after those that wait.
     """
     wanted = _wanted(problem)
     if not wanted or not _engines_known(problem):
@@ -92,15 +92,12 @@
     problem: PlacementProblem, names: Sequence[str]
 ) -> Iterator[tuple[list[str], list[str]]]:
     """Yield the models that requests wait for, and the others: urgent ones, then the rest."""
-    groups = {True: names} if not problem.by_urgency else {}
-    for urgent in (True, False) if problem.by_urgency else ():
-        groups[urgent] = [name for name in names if problem.is_urgent(name) == urgent]
-    for group in groups.values():
-        unmet = [bool(problem.demand_of(name).unmet) for name in group]
-        yield (
-            [name for name, waits in zip(group, unmet, strict=True) if waits],
-            [name for name, waits in zip(group, unmet, strict=True) if not waits],
-        )
+    for urgent in (True, False):
+        group = [
+            name for name in names if (not problem.by_urgency or problem.is_urgent(name)) == urgent
+        ]
+        waiting = [name for name in group if problem.demand_of(name).unmet]
+        yield waiting, [name for name in group if name not in waiting]
 
 
 def _known(problem: PlacementProblem, name: str) -> bool:
@@ -112,8 +109,7 @@
     """Assign loads to engines one after another, in virtual time."""
 
     def __init__(self, problem: PlacementProblem) -> None:
-        # When each engine is free. For the choice of an engine, `free_in_ms` includes the time for
-        # which a loaded model stays.
+        # When each engine is free.
         self.free_ms: dict[str, int] = {}
         # When each model that is loaded in the simulation, or before, may be unloaded again.
         self.settled_ms: dict[tuple[str, str], int] = {}
