Send rates of shares in thousandths of a token per second

Cause: messages held whole tokens per second. A plain request counts as one token, so that an entry with less than one request in two seconds of a workspace reported 0, and a share under 0.5 was issued as 0, which never refills: a limited workspace exceeded it with each request, and its refusals told to return at once. Change: reports of use and shares hold thousandths; log lines hold tokens per second with three decimals.

--- a/features/fair_shares.feature
+++ b/features/fair_shares.feature
@@ -82,6 +82,16 @@
     When the entry observes a shortage while north asks for 9 times what is served to south
     Then all entries are told north's share, also one that joins later, and keep it under a coordinator of an earlier version
 
+  # Guards against rates that messages round to 0: a plain request counts as one token.
+  Scenario Outline: Each of <entries> entries gets few plain requests of a workspace
+    When <entries> entries report that south asks for <south> and north for <north> plain requests a second, half are served
+    Then north's share is <share> plain requests a second at the entries
+
+    Examples:
+      | entries | south | north | share |
+      | 24      | 0.4   | 4     | 32.64 |
+      | 2       | 0.1   | 0.4   | 0.2   |
+
   # Guards against a configuration that is applied in part, or whose fault isn't named.
   Scenario Outline: A weight that can't be
     When a configuration with the weight <weight> is read from the store
--- a/features/steps/fair_shares_steps.py
+++ b/features/steps/fair_shares_steps.py
@@ -21,11 +21,16 @@
 from harness.recorded_log import RecordedLog
 from harness.report_simulation import CoordinatorWithMembers
 from mimosaspur_coordination.prefillspeed import PREFILL_TOKENS_PER_MS
+from mimosaspur_coordination.shares.division import ServiceUse
 from mimosaspur_coordination.shares.division import Share
 from mimosaspur_coordination.shares.division import Use
 from mimosaspur_coordination.shares.division import divide_room
+from mimosaspur_coordination.shares.issuer import ShareIssuer
 from mimosaspur_daemon.direct.entryreport import build_entry_report
 from mimosaspur_daemon.direct.sharemessages import share_messages
+from mimosaspur_daemon.direct.sharemessages import shares_of
+from mimosaspur_daemon.direct.sharemessages import use_messages
+from mimosaspur_daemon.direct.sharemessages import uses_of
 from mimosaspur_platform.store import PlatformStore
 from mimosaspur_platform.wire import Metadata
 from mimosaspur_platform.wire import StoredObject
@@ -233,6 +238,26 @@
     assert not shares.follows and shares.share("service", "north")
 
 
+@when(
+    "{entries:d} entries report that south asks for {south:g} and north for {north:g} plain"
+    " requests a second, half are served"
+)
+def report_plain_requests(context: Context, entries: int, south: float, north: float) -> None:
+    uses = {"south": Use(south, south / 2), "north": Use(north, north / 2)}
+    issuer = ShareIssuer(clock=SystemClock())
+    for entry in range(entries):
+        message = use_messages({"service": ServiceUse(short=True, by_workspace=uses)})
+        issuer.apply_use(f"entry-{entry}", uses_of(message or ()))
+    issuer.take_changes({"north": 1.0, "south": 1.0})
+    context.shares = shares_of(share_messages(issuer.issued))
+
+
+@then("north's share is {per_s:g} plain requests a second at the entries")
+def check_plain_share(context: Context, per_s: float) -> None:
+    assert context.shares["service"].keys() == {"north"}, context.shares
+    assert abs(context.shares["service"]["north"].per_s - per_s) < 0.01, context.shares
+
+
 @when("a configuration with the weight {weight} is read from the store")
 def read_weight(context: Context, weight: str) -> None:
     context.log = RecordedLog("entry-0")
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -436,11 +436,15 @@
         changed = self.shares.take_changes(self.state.shares.weights)
         if changed is None:
             return None
-        messages = share_messages(changed)
-        self.state.log.write(
-            "shares", services={each.service: each.by_workspace for each in messages}
-        )
-        return messages
+        services = {
+            service: {
+                name: (round(each.per_s, 3), round(each.asked_per_s, 3))
+                for name, each in shared.items()
+            }
+            for service, shared in changed.items()
+        }
+        self.state.log.write("shares", services=services)
+        return share_messages(changed)
 
     def _speeds_for_new_members(self) -> list[EngineSpeedUpdate]:
         if all(member.sent_state.fleet_sent for member in self.members.values()):
--- a/packages/daemon/src/mimosaspur_daemon/direct/sharechoice.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/sharechoice.py
@@ -141,6 +141,6 @@
             outcome=outcome,
             service=self.service,
             workspace=self.workspace,
-            per_s=round(share.per_s) if share else None,
-            asked_per_s=round(share.asked_per_s) if share else None,
+            per_s=round(share.per_s, 3) if share else None,
+            asked_per_s=round(share.asked_per_s, 3) if share else None,
         )
--- a/packages/daemon/src/mimosaspur_daemon/direct/sharemessages.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/sharemessages.py
@@ -10,6 +10,10 @@
 from mimosaspur_protocol.peermessages import ServiceShares
 from mimosaspur_protocol.peermessages import ServiceUseReport
 
+# Messages hold rates in thousandths of a token per second: a plain request counts as one token, and
+# most entries get less than one a second of a workspace.
+PARTS_PER_TOKEN = 1_000
+
 
 def use_messages(uses: Mapping[str, ServiceUse] | None) -> list[ServiceUseReport] | None:
     """Return the use of services as messages, None if there is nothing new."""
@@ -20,7 +24,7 @@
             service,
             use.short,
             {
-                workspace: (round(each.asked_per_s), round(each.served_per_s))
+                workspace: (_parts(each.asked_per_s), _parts(each.served_per_s))
                 for workspace, each in use.by_workspace.items()
             },
         )
@@ -34,7 +38,7 @@
         message.service: ServiceUse(
             message.short,
             {
-                workspace: Use(max(0, asked), max(0, served))
+                workspace: Use(_tokens(asked), _tokens(served))
                 for workspace, (asked, served) in message.by_workspace.items()
             },
         )
@@ -47,7 +51,7 @@
     return [
         ServiceShares(
             service,
-            {name: (round(each.per_s), round(each.asked_per_s)) for name, each in shared.items()},
+            {name: (_parts(each.per_s), _parts(each.asked_per_s)) for name, each in shared.items()},
         )
         for service, shared in shares.items()
     ]
@@ -59,8 +63,16 @@
         return None
     return {
         message.service: {
-            name: Share(max(0, per_s), max(0, asked_per_s))
+            name: Share(_tokens(per_s), _tokens(asked_per_s))
             for name, (per_s, asked_per_s) in message.by_workspace.items()
         }
         for message in messages
     }
+
+
+def _parts(per_s: float) -> int:
+    return round(per_s * PARTS_PER_TOKEN)
+
+
+def _tokens(parts: int) -> float:
+    return max(0, parts) / PARTS_PER_TOKEN
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -79,7 +79,7 @@
 
     service: str
     short: bool
-    # By workspace: tokens per second asked and served.
+    # By workspace: thousandths of a token per second asked and served.
     by_workspace: dict[str, tuple[int, int]]
 
 
@@ -87,7 +87,8 @@
     """Issue the shares of a service's room to all entries, while it is short of it."""
 
     service: str
-    # By limited workspace, over all entries: its share and what it asks for, in tokens per second.
+    # By limited workspace, over all entries: its share and what it asks for, in thousandths of a
+    # token per second.
     by_workspace: dict[str, tuple[int, int]]
 
 
