Hold a plain request above its share for a part of its own time limit at most

Cause: a request that exceeds its workspace's share leaves the last room of a plain target to others for three quarters of its route's objective, also if the caller's time limit is shorter. It was then refused with 2003 as its time limit passed, although the target would have taken it.

--- a/features/fair_shares.feature
+++ b/features/fair_shares.feature
@@ -77,6 +77,13 @@
       | n-1 | 3     | 0     | 200  |
       | s-1 | 4     | 0     | 200  |
 
+  # Guards against a request that is held for room until its own time limit ends.
+  Scenario: A plain request with a short time limit waits for a part of it for the last room
+    Given an entry with 2 workspaces before an engine, north is limited
+    And the target runs 4 plain requests of 4
+    When a plain request with the key n-1 and a time limit of 160 ms is sent
+    Then it is answered after 120 to 160 ms
+
   Scenario: A shortage at one entry limits a workspace at all entries
     Given a coordinator with an entry that serves two workspaces
     When the entry observes a shortage while north asks for 9 times what is served to south
--- a/features/steps/fair_shares_steps.py
+++ b/features/steps/fair_shares_steps.py
@@ -180,9 +180,14 @@
     context.entry.state.fleet.targets["first"].others_work = OutstandingWork(count)
 
 
+@when("a plain request with the key {key} and a time limit of {limit_ms:d} ms is sent")
+def send_limited_plain(context: Context, key: str, limit_ms: int) -> None:
+    send_plain(context, key, {"X-Deadline-Ms": str(limit_ms)})
+
+
 @when("a plain request with the key {key} is sent")
-def send_plain(context: Context, key: str) -> None:
-    headers = {"Authorization": f"Bearer {key}"}
+def send_plain(context: Context, key: str, more: dict[str, str] | None = None) -> None:
+    headers = {"Authorization": f"Bearer {key}"} | (more or {})
     began_s = time.monotonic()
     context.answer = run(context, context.entry.call("safe", headers=headers))
     context.took_ms = (time.monotonic() - began_s) * 1000
--- a/packages/daemon/src/mimosaspur_daemon/direct/sharechoice.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/sharechoice.py
@@ -6,7 +6,6 @@
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.scheduling.callertimes import retry_after_s
 from mimosaspur_coordination.scheduling.scheduler import BEFORE_ALL_RANKS
-from mimosaspur_coordination.scheduling.scheduler import MAX_HELD_SHARE
 from mimosaspur_coordination.scheduling.scheduler import RESERVED_SLOTS_SHARE
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.refusal import RequestFailed
@@ -113,14 +112,17 @@
         if 0 < over_ms <= predicted_ms - alone_ms:
             self.on_wait()
 
-    def must_wait(self, view: TargetView, *, held_ms: float, objective_ms: float) -> bool:
-        """Return whether the request leaves the last room of a plain target to others for now."""
+    def must_wait(self, view: TargetView, *, held_ms: float, most_ms: float) -> bool:
+        """Return whether the request leaves the last room of a plain target to others for now.
+
+        It does for at most `most_ms` since its arrival.
+        """
         slots = view.record.slots
         if slots and view.request_count() >= slots:
             self.on_wait()
         self.check()
         is_full = slots and view.request_count() >= slots * (1 - RESERVED_SLOTS_SHARE)
-        return bool(is_full and self.exceeded and held_ms < MAX_HELD_SHARE * objective_ms)
+        return bool(is_full and self.exceeded and held_ms < most_ms)
 
     def refusal(self) -> RequestFailed:
         """Return the refusal of a request that can't be in time behind the others."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -6,6 +6,7 @@
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.scheduling.loadoutlook import MAX_HOLD_SHARE
 from mimosaspur_coordination.scheduling.scheduler import HELD_RECHECK_S
+from mimosaspur_coordination.scheduling.scheduler import MAX_HELD_SHARE
 from mimosaspur_daemon.direct.refusal import RequestFailed
 from mimosaspur_daemon.direct.targetchooser import RECHECK_INTERVAL_S
 from mimosaspur_daemon.direct.targetchooser import TargetChooser
@@ -105,7 +106,8 @@
             return view
         with self.permits.waiting():
             while view is None or self._leaves_room(view):
-                delay_s = HELD_RECHECK_S
+                left_s = self.arrived_s + self._longest_hold_s() - now_s()
+                delay_s = max(0.001, min(HELD_RECHECK_S, left_s))
                 if view is None:
                     wait = self.plain_wait()
                     if wait.held:
@@ -122,7 +124,13 @@
         if self.retried or self.resumed or self.isolated or self.state.leaving:
             return False
         held_ms = (now_s() - self.arrived_s) * 1000
-        return self.share.must_wait(view, held_ms=held_ms, objective_ms=self.route.objective_ms)
+        return self.share.must_wait(view, held_ms=held_ms, most_ms=self._longest_hold_s() * 1000)
+
+    def _longest_hold_s(self) -> float:
+        """Return for how long after its arrival a plain request leaves the last room to others."""
+        # A caller's own time limit may be shorter than the route's objective.
+        limit_s = self.deadline_s - self.arrived_s
+        return MAX_HELD_SHARE * min(self.route.objective_ms / 1000, limit_s)
 
     def _refuse_in_vain(self, wait: Wait) -> RequestFailed:
         """Count and log a request that is refused, and return its refusal."""
