Let refused requests whose callers won't return delay no others

Cause: each refusal with 2020 counted its tokens as promised to its caller, and the next one was told to return after all of them. Callers honour Retry-After up to a third of the time left, so that most never returned, while the list and the times grew as long as the shortage lasted. Change: a request counts as promised only if its caller will return by then. Retry-After still isn't shortened.

--- a/features/fair_shares.feature
+++ b/features/fair_shares.feature
@@ -65,6 +65,13 @@
     Then it is refused with 429 and code 2020, to return when its share covers it
     And south's stream is sent at rank 1
 
+  # Guards against a Retry-After, and a list of refused requests, that grow as long as a shortage lasts.
+  Scenario: Requests whose callers won't return delay no others
+    Given an entry with 2 workspaces before an engine, north is limited
+    And the engine has 5000 ms of prompts of other workspaces to read at rank 9
+    When north sends a stream 20 times
+    Then it is refused with 429 and code 2020, to return when its share covers it
+
   Scenario Outline: A plain target's last room is left to the workspaces within their shares, <key>
     Given an entry with 2 workspaces before an engine, north is limited
     And the target runs <count> plain requests of 4
--- a/features/steps/fair_shares_steps.py
+++ b/features/steps/fair_shares_steps.py
@@ -150,6 +150,12 @@
     context.answer = run(context, context.entry.call("stream", headers=headers))
 
 
+@when("north sends a stream {times:d} times")
+def send_streams(context: Context, times: int) -> None:
+    for _ in range(times):
+        send_stream(context)
+
+
 @then("the engine gets it at rank {rank}, and {lines} line tells that it exceeds a share")
 def check_rank(context: Context, rank: str, lines: str) -> None:
     assert context.answer.status == 200 and context.answer.whole, context.answer
--- a/packages/daemon/src/mimosaspur_daemon/direct/sharechoice.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/sharechoice.py
@@ -4,6 +4,7 @@
 
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.scheduling.callertimes import MAX_RETRY_AFTER_SHARE
 from mimosaspur_coordination.scheduling.callertimes import retry_after_s
 from mimosaspur_coordination.scheduling.scheduler import BEFORE_ALL_RANKS
 from mimosaspur_coordination.scheduling.scheduler import RESERVED_SLOTS_SHARE
@@ -124,12 +125,17 @@
         is_full = slots and view.request_count() >= slots * (1 - RESERVED_SLOTS_SHARE)
         return bool(is_full and self.exceeded and held_ms < most_ms)
 
-    def refusal(self) -> RequestFailed:
-        """Return the refusal of a request that can't be in time behind the others."""
+    def refusal(self, *, left_s: float) -> RequestFailed:
+        """Return the refusal of a request that can't be in time behind the others.
+
+        Its caller has `left_s` left, and returns only if it is told to within a part of that time.
+        Others that were refused don't have to wait for one that doesn't return.
+        """
         shares = self.state.shares
         wait_ms = shares.wait_ms(self.service, self.workspace)
         if self.counts:
             self._record("refused")
+        if self.counts and wait_ms <= MAX_RETRY_AFTER_SHARE * left_s * 1000:
             shares.promise(self.service, self.workspace, self.tokens, wait_ms=wait_ms)
         retry_s = retry_after_s(wait_ms / 1000, left_s=math.inf, spread=True)
         return RequestFailed(ResultCode.SHARE_EXCEEDED, retry_after_s=retry_s)
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetchooser.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetchooser.py
@@ -364,7 +364,7 @@
             if on_time_only:
                 return None
         if self.share.exceeded and not self.retried:
-            raise self.share.refusal()
+            raise self.share.refusal(left_s=self.remaining_s())
         raise self.refusal(ResultCode.DEADLINE_UNREACHABLE, wanted_s=over_s + DEFAULT_RETRY_S)
 
     def _gap_objective_ms(self) -> int:
