Explain what a request above its share waits for, and costs at the rank of the last choice

Cause: for a request that is refused with 2002 or 2020, the parts of costs were computed at the request's first rank, and the choice at its late one; the difference was told as the cost of pauses. A plain request that leaves the last room of a target to other workspaces was told as sent. What would change 2020 was the text for callers. Change: the chooser keeps the rank of its last choice, for refusals too; the rule for the last room is in the chooser, which the explanation asks.

--- a/features/fair_shares.feature
+++ b/features/fair_shares.feature
@@ -63,6 +63,7 @@
     And the engine has 5000 ms of prompts of other workspaces to read at rank 9
     When north sends a stream
     Then it is refused with 429 and code 2020, to return when its share covers it
+    And an explanation names 2020 and rank 9, the parts of its costs are first_event alone, and changes no share
     And south's stream is sent at rank 1
 
   # Guards against a Retry-After, and a list of refused requests, that grow as long as a shortage lasts.
@@ -84,6 +85,12 @@
       | n-1 | 3     | 0     | 200  |
       | s-1 | 4     | 0     | 200  |
 
+  # Guards against an explanation that tells nothing of the wait for the last room.
+  Scenario: The wait for a plain target's last room is explained
+    Given an entry with 2 workspaces before an engine, north is limited
+    And the target runs 4 plain requests of 4
+    Then an explanation tells that north's plain request waits for room for at most 225 ms, and south's doesn't
+
   # Guards against a request that is held for room until its own time limit ends.
   Scenario: A plain request with a short time limit waits for a part of it for the last room
     Given an entry with 2 workspaces before an engine, north is limited
--- a/features/steps/fair_shares_steps.py
+++ b/features/steps/fair_shares_steps.py
@@ -8,12 +8,14 @@
 from behave import when
 from behave.runner import Context
 
+from harness.direct_entry import HOST
 from harness.direct_entry import DirectEntry
 from harness.direct_entry import engine_spec
 from harness.direct_entry import model_spec
 from harness.direct_target import ScriptedTarget
 from harness.direct_workspaces import KEYS
 from harness.direct_workspaces import with_workspaces
+from harness.explained_entry import snapshot
 from harness.fair_share_play import BURST_MS
 from harness.fair_share_play import END_MS
 from harness.fair_share_play import FairSharePlay
@@ -27,6 +29,7 @@
 from mimosaspur_coordination.shares.division import divide_room
 from mimosaspur_coordination.shares.issuer import ShareIssuer
 from mimosaspur_daemon.direct.entryreport import build_entry_report
+from mimosaspur_daemon.direct.explain.explanation import explain
 from mimosaspur_daemon.direct.sharemessages import share_messages
 from mimosaspur_daemon.direct.sharemessages import shares_of
 from mimosaspur_daemon.direct.sharemessages import use_messages
@@ -34,6 +37,8 @@
 from mimosaspur_platform.store import PlatformStore
 from mimosaspur_platform.wire import Metadata
 from mimosaspur_platform.wire import StoredObject
+from mimosaspur_protocol.explanations import ExplainRequest
+from mimosaspur_protocol.explanations import Explanation
 from mimosaspur_protocol.peermessages import FleetReport
 from mimosaspur_protocol.peermessages import decode_peer
 from mimosaspur_protocol.peermessages import encode_peer
@@ -175,6 +180,39 @@
     assert not context.target.seen
 
 
+@then(
+    "an explanation names 2020 and rank 9, the parts of its costs are first_event alone, and"
+    " changes no share"
+)
+def check_refusal_explained(context: Context) -> None:
+    question = ExplainRequest(
+        HOST, "/stream/x", model=MODEL, prompt_tokens=50, output_tokens=7, workspace="north"
+    )
+    before = snapshot(context.entry.state.shares)
+    explanation = run(context, _explain(context, question))
+    refusal = explanation.refusal
+    assert refusal and refusal.code == 2020 and explanation.rank == 9, explanation
+    assert "weight" in refusal.would_change, refusal
+    assert [set(each.cost_parts_ms) for each in explanation.targets] == [{"first_event"}]
+    assert snapshot(context.entry.state.shares) == before
+
+
+@then(
+    "an explanation tells that north's plain request waits for room for at most {ms:d} ms, and"
+    " south's doesn't"
+)
+def check_wait_explained(context: Context, ms: int) -> None:
+    waits = [
+        run(context, _explain(context, ExplainRequest(HOST, "/safe/x", workspace=name))).waits_for
+        for name in ("north", "south")
+    ]
+    assert waits[0] and waits[0].at_most_ms == ms and not waits[1], waits
+
+
+async def _explain(context: Context, question: ExplainRequest) -> Explanation:
+    return explain(context.entry.state, question)
+
+
 @then("south's stream is sent at rank 1")
 def check_south(context: Context) -> None:
     send_stream(context, "s-1")
--- a/packages/daemon/src/mimosaspur_daemon/direct/explain/explanation.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/explain/explanation.py
@@ -53,9 +53,11 @@
             explanation.waits_for = explanation.waits_for or _wait(chooser)
         elif chooser.queued.reason:
             explanation.waits_for = explanation.waits_for or _hold(chooser)
+        elif not chooser.needs_engine() and chooser.leaves_room(view):
+            explanation.waits_for = explanation.waits_for or _room(chooser)
     except RequestFailed as failure:
         explanation.refusal = explain_refusal(failure, chooser)
-    explanation.rank = chooser.rank
+    explanation.rank = chooser.weighed_rank
     explanation.load_age_ms = chooser.load_age_ms
     explanation.spread_ms = round(chooser.weighed[1], 1)
     explanation.targets = explain_targets(chooser, chosen=view is not None)
@@ -135,6 +137,12 @@
     return ExplainedWait(what, at_most_ms=at_most_ms)
 
 
+def _room(chooser: TargetChooser) -> ExplainedWait:
+    """Return what a plain request waits for that exceeds its workspace's share."""
+    at_most_ms = round(chooser.longest_hold_s() * 1000)
+    return ExplainedWait("room that other workspaces leave", at_most_ms=at_most_ms)
+
+
 def _next(chooser: TargetChooser, view: TargetView) -> str | None:
     """Return the target that is chosen if the first one refuses the request, None without."""
     chooser.cool_down(view, NEXT_COOLDOWN_S)
--- a/packages/daemon/src/mimosaspur_daemon/direct/explain/refusals.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/explain/refusals.py
@@ -18,6 +18,8 @@
     ResultCode.TARGET_LIMITED: "A permit in time: more targets, or a higher limit of these.",
     ResultCode.TARGET_RESTING: "The end of the targets' rests, or more targets.",
     ResultCode.STREAM_VERSION_GONE: "A target of the version that began the stream.",
+    ResultCode.SHARE_EXCEEDED: "Less demand of this workspace, a higher weight of it, or more"
+    " room at the service.",
     ResultCode.QUOTA_EXCEEDED: "Time in which the quota refills, or a higher quota.",
     ResultCode.QUOTA_UNKNOWN: "An update from a coordinator: see coordinator_lost.",
     ResultCode.REQUEST_QUARANTINED: "DELETE /quarantine/TRAIT, if the verdict is wrong.",
--- a/packages/daemon/src/mimosaspur_daemon/direct/explain/targets.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/explain/targets.py
@@ -68,7 +68,7 @@
         requests=view.request_count(),
     )
     if chooser.needs_engine():
-        predicted_ms = view.first_token_ms(chooser.prompt, rank=chooser.rank)
+        predicted_ms = view.first_token_ms(chooser.prompt, rank=chooser.weighed_rank)
         explained.first_event_ms = round(predicted_ms, 1)
         explained.longest_pause_ms = round(predicted_pause_ms(view, chooser.prompt), 1)
     if cost is not None:
@@ -85,7 +85,7 @@
     parts = {"domain": domain_penalty_ms(view, domain), "failures": failure_penalty_ms(view)}
     if chooser.needs_engine():
         engine = chooser.spec.engine if chooser.spec else None
-        parts["first_event"] = view.first_token_ms(chooser.prompt, rank=chooser.rank)
+        parts["first_event"] = view.first_token_ms(chooser.prompt, rank=chooser.weighed_rank)
         kv_tokens = engine.kv_cache_tokens if engine else 0
         most_held = most_held_tokens(chooser.prompt, kv_tokens=kv_tokens)
         parts["memory"] = memory_penalty_ms(view, most_held=most_held)
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetchooser.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetchooser.py
@@ -16,6 +16,7 @@
 from mimosaspur_coordination.scheduling.cooldowns import Cooldowns
 from mimosaspur_coordination.scheduling.loadoutlook import LEAST_FORECAST_SHARE
 from mimosaspur_coordination.scheduling.loadoutlook import shortest_load_ms
+from mimosaspur_coordination.scheduling.scheduler import MAX_HELD_SHARE
 from mimosaspur_coordination.scheduling.scheduler import QueuedRequest
 from mimosaspur_coordination.targetchoice import choose_emptiest
 from mimosaspur_coordination.targetchoice import engine_candidates
@@ -94,6 +95,7 @@
         "state",
         "waiting_since_s",
         "weighed",
+        "weighed_rank",
         "workspace",
     )
 
@@ -170,6 +172,8 @@
         self.cooldowns = Cooldowns()
         # The targets among which the last choice was made, and the spread of that choice.
         self.weighed: tuple[Sequence[Candidate[TargetView]], float] = ((), 0.0)
+        # The rank that the last choice was made for, also if it ended in a refusal.
+        self.weighed_rank = self.rank
 
     def cool_down(self, view: TargetView, seconds: float) -> None:
         """Exclude a target from selection for a while."""
@@ -334,6 +338,7 @@
         over_s = 0.0
         for index, rank in enumerate(ranks):
             may_be_late = self.resumed or index > 0
+            self.weighed_rank = rank
             if self.isolated:
                 view = self._choose_emptiest(holders)
             else:
@@ -372,6 +377,19 @@
         weighed = self.state.uses(Mechanism.STREAM_PAUSES) and not self.resumed
         return self.route.gap_objective_ms if weighed else 0
 
+    def leaves_room(self, view: TargetView) -> bool:
+        """Return whether the request, as it exceeds its workspace's share, waits for now."""
+        if self.retried or self.resumed or self.isolated or self.state.leaving:
+            return False
+        held_ms = (now_s() - self.arrived_s) * 1000
+        return self.share.must_wait(view, held_ms=held_ms, most_ms=self.longest_hold_s() * 1000)
+
+    def longest_hold_s(self) -> float:
+        """Return for how long after its arrival a plain request leaves the last room to others."""
+        # A caller's own time limit may be shorter than the route's objective.
+        limit_s = self.deadline_s - self.arrived_s
+        return MAX_HELD_SHARE * min(self.route.objective_ms / 1000, limit_s)
+
     def holders(self) -> list[TargetView]:
         """Return the engines that could run the request."""
         # If a model's only engine is unreachable, the model is soon loaded on another one.
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -6,7 +6,6 @@
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.scheduling.loadoutlook import MAX_HOLD_SHARE
 from mimosaspur_coordination.scheduling.scheduler import HELD_RECHECK_S
-from mimosaspur_coordination.scheduling.scheduler import MAX_HELD_SHARE
 from mimosaspur_daemon.direct.refusal import RequestFailed
 from mimosaspur_daemon.direct.targetchooser import RECHECK_INTERVAL_S
 from mimosaspur_daemon.direct.targetchooser import TargetChooser
@@ -102,11 +101,11 @@
 
     async def _next_plain(self) -> TargetView:
         view = self._choose_plain()
-        if view is not None and not self._leaves_room(view):
+        if view is not None and not self.leaves_room(view):
             return view
         with self.permits.waiting():
-            while view is None or self._leaves_room(view):
-                left_s = self.arrived_s + self._longest_hold_s() - now_s()
+            while view is None or self.leaves_room(view):
+                left_s = self.arrived_s + self.longest_hold_s() - now_s()
                 delay_s = max(0.001, min(HELD_RECHECK_S, left_s))
                 if view is None:
                     wait = self.plain_wait()
@@ -119,19 +118,6 @@
                 view = self._choose_plain()
         return view
 
-    def _leaves_room(self, view: TargetView) -> bool:
-        """Return whether the request, as it exceeds its workspace's share, waits for now."""
-        if self.retried or self.resumed or self.isolated or self.state.leaving:
-            return False
-        held_ms = (now_s() - self.arrived_s) * 1000
-        return self.share.must_wait(view, held_ms=held_ms, most_ms=self._longest_hold_s() * 1000)
-
-    def _longest_hold_s(self) -> float:
-        """Return for how long after its arrival a plain request leaves the last room to others."""
-        # A caller's own time limit may be shorter than the route's objective.
-        limit_s = self.deadline_s - self.arrived_s
-        return MAX_HELD_SHARE * min(self.route.objective_ms / 1000, limit_s)
-
     def _refuse_in_vain(self, wait: Wait) -> RequestFailed:
         """Count and log a request that is refused, and return its refusal."""
         failure = self.refusal_in_vain(wait)
