Keep shares that come before the configuration that names a weight

Cause: an entry without weights dropped the coordinator's shares. The coordinator sends them again only when they change by a tenth, and messages without shares didn't renew the lease of dropped ones, so that an entry which read the weights later divided its own room although it followed a coordinator. Change: issued shares are kept, and put in force once there are weights.

--- a/features/fair_shares.feature
+++ b/features/fair_shares.feature
@@ -103,6 +103,12 @@
     When the entry observes a shortage while north asks for 9 times what is served to south
     Then all entries are told north's share, also one that joins later, and keep it under a coordinator of an earlier version
 
+  # Guards against shares that an entry doesn't apply until they change, as it reads the weights later.
+  Scenario: An entry gets shares before the configuration that names a weight
+    Given an entry with 2 workspaces before an engine, no weight is named yet
+    When it is told that north is limited, and then reads a weight
+    Then north is limited there, also after the lease, which the coordinator's messages renew
+
   # Guards against rates that messages round to 0: a plain request counts as one token.
   Scenario Outline: Each of <entries> entries gets few plain requests of a workspace
     When <entries> entries report that south asks for <south> and north for <north> plain requests a second, half are served
--- a/features/steps/fair_shares_steps.py
+++ b/features/steps/fair_shares_steps.py
@@ -22,6 +22,7 @@
 from harness.loop import run
 from harness.recorded_log import RecordedLog
 from harness.report_simulation import CoordinatorWithMembers
+from mimosaspur_coordination.limits.sharelease import LEASE_MS
 from mimosaspur_coordination.prefillspeed import PREFILL_TOKENS_PER_MS
 from mimosaspur_coordination.shares.division import ServiceUse
 from mimosaspur_coordination.shares.division import Share
@@ -307,6 +308,24 @@
     assert abs(context.shares["service"]["north"].per_s - per_s) < 0.01, context.shares
 
 
+@when("it is told that north is limited, and then reads a weight")
+def read_weight_later(context: Context) -> None:
+    entry = context.entry.state
+    entry.shares.apply_shares({"service": {"north": SHARE}}, entries=1)
+    assert entry.shares.share("service", "north") is None
+    current = _with_weights(with_workspaces(KEYS, version=3))
+    assert entry.apply_configuration(current, source="test")
+
+
+@then("north is limited there, also after the lease, which the coordinator's messages renew")
+def check_limited(context: Context) -> None:
+    shares = context.entry.state.shares
+    assert shares.share("service", "north") == SHARE
+    shares.renewed_ms -= LEASE_MS + 1
+    shares.apply_shares(None, entries=1)
+    assert shares.share("service", "north") == SHARE
+
+
 @when("a configuration with the weight {weight} is read from the store")
 def read_weight(context: Context, weight: str) -> None:
     context.log = RecordedLog("entry-0")
--- a/packages/coordination/src/mimosaspur_coordination/shares/holder.py
+++ b/packages/coordination/src/mimosaspur_coordination/shares/holder.py
@@ -93,8 +93,12 @@
         # Callers of public routes without a credential are one more workspace without a name.
         self.observed.retain({"", *self.weights})
         if not self.weights:
-            self.issued, self.shares = {}, {}
+            # Issued ones are kept: the coordinator may have read another configuration, and sends
+            # them again only when they change.
+            self.shares = {}
             self.allowances.clear()
+        elif self.follows:
+            self._set_shares(self.issued, is_own=False)
 
     def on_asked(self, service: str, workspace: str, tokens: float) -> None:
         """Count a request that a target of the service could run."""
@@ -175,8 +179,9 @@
         if shares is None and not self.follows:
             return
         self.renewed_ms, self.entries = self.clock.now_ms(), max(1, entries)
-        if shares is not None and self.weights:
+        if shares is not None:
             self.follows, self.issued = True, shares
+        if shares is not None and self.weights:
             self._set_shares(shares, is_own=False)
 
     def on_coordinator_lost(self) -> None:
