--- a/features/fair_shares.feature
+++ b/features/fair_shares.feature
@@ -63,8 +63,16 @@
     And the engine has 5000 ms of prompts of other workspaces to read at rank 9
     When north sends a stream
     Then it is refused with 429 and code 2020, to return when its share covers it
+    And an explanation names 2020 and rank 9, the parts of its costs are first_event alone, and changes no share
     And south's stream is sent at rank 1
 
+  # Guards against a Retry-After, and a list of refused requests, that grow as long as a shortage lasts.
+  Scenario: Requests whose callers won't return delay no others
+    Given an entry with 2 workspaces before an engine, north is limited
+    And the engine has 5000 ms of prompts of other workspaces to read at rank 9
+    When north sends a stream 20 times
+    Then it is refused with 429 and code 2020, to return when its share covers it
+
   Scenario Outline: A plain target's last room is left to the workspaces within their shares, <key>
     Given an entry with 2 workspaces before an engine, north is limited
     And the target runs <count> plain requests of 4
@@ -77,11 +85,40 @@
       | n-1 | 3     | 0     | 200  |
       | s-1 | 4     | 0     | 200  |
 
+  # Guards against an explanation that tells nothing of the wait for the last room.
+  Scenario: The wait for a plain target's last room is explained
+    Given an entry with 2 workspaces before an engine, north is limited
+    And the target runs 4 plain requests of 4
+    Then an explanation tells that north's plain request waits for room for at most 225 ms, and south's doesn't
+
+  # Guards against a request that is held for room until its own time limit ends.
+  Scenario: A plain request with a short time limit waits for a part of it for the last room
+    Given an entry with 2 workspaces before an engine, north is limited
+    And the target runs 4 plain requests of 4
+    When a plain request with the key n-1 and a time limit of 160 ms is sent
+    Then it is answered after 120 to 160 ms
+
   Scenario: A shortage at one entry limits a workspace at all entries
     Given a coordinator with an entry that serves two workspaces
     When the entry observes a shortage while north asks for 9 times what is served to south
     Then all entries are told north's share, also one that joins later, and keep it under a coordinator of an earlier version
 
+  # Guards against shares that an entry doesn't apply until they change, as it reads the weights later.
+  Scenario: An entry gets shares before the configuration that names a weight
+    Given an entry with 2 workspaces before an engine, no weight is named yet
+    When it is told that north is limited, and then reads a weight
+    Then north is limited there, also after the lease, which the coordinator's messages renew
+
+  # Guards against rates that messages round to 0: a plain request counts as one token.
+  Scenario Outline: Each of <entries> entries gets few plain requests of a workspace
+    When <entries> entries report that south asks for <south> and north for <north> plain requests a second, half are served
+    Then north's share is <share> plain requests a second at the entries
+
+    Examples:
+      | entries | south | north | share |
+      | 24      | 0.4   | 4     | 32.64 |
+      | 2       | 0.1   | 0.4   | 0.2   |
+
   # Guards against a configuration that is applied in part, or whose fault isn't named.
   Scenario Outline: A weight that can't be
     When a configuration with the weight <weight> is read from the store
--- a/features/steps/fair_shares_steps.py
+++ b/features/steps/fair_shares_steps.py
@@ -8,27 +8,38 @@
 from behave import when
 from behave.runner import Context
 
+from harness.direct_entry import HOST
 from harness.direct_entry import DirectEntry
 from harness.direct_entry import engine_spec
 from harness.direct_entry import model_spec
 from harness.direct_target import ScriptedTarget
 from harness.direct_workspaces import KEYS
 from harness.direct_workspaces import with_workspaces
+from harness.explained_entry import snapshot
 from harness.fair_share_play import BURST_MS
 from harness.fair_share_play import END_MS
 from harness.fair_share_play import FairSharePlay
 from harness.loop import run
 from harness.recorded_log import RecordedLog
 from harness.report_simulation import CoordinatorWithMembers
+from mimosaspur_coordination.limits.sharelease import LEASE_MS
 from mimosaspur_coordination.prefillspeed import PREFILL_TOKENS_PER_MS
+from mimosaspur_coordination.shares.division import ServiceUse
 from mimosaspur_coordination.shares.division import Share
 from mimosaspur_coordination.shares.division import Use
 from mimosaspur_coordination.shares.division import divide_room
+from mimosaspur_coordination.shares.issuer import ShareIssuer
 from mimosaspur_daemon.direct.entryreport import build_entry_report
+from mimosaspur_daemon.direct.explain.explanation import explain
 from mimosaspur_daemon.direct.sharemessages import share_messages
+from mimosaspur_daemon.direct.sharemessages import shares_of
+from mimosaspur_daemon.direct.sharemessages import use_messages
+from mimosaspur_daemon.direct.sharemessages import uses_of
 from mimosaspur_platform.store import PlatformStore
 from mimosaspur_platform.wire import Metadata
 from mimosaspur_platform.wire import StoredObject
+from mimosaspur_protocol.explanations import ExplainRequest
+from mimosaspur_protocol.explanations import Explanation
 from mimosaspur_protocol.peermessages import FleetReport
 from mimosaspur_protocol.peermessages import decode_peer
 from mimosaspur_protocol.peermessages import encode_peer
@@ -145,6 +156,12 @@
     context.answer = run(context, context.entry.call("stream", headers=headers))
 
 
+@when("north sends a stream {times:d} times")
+def send_streams(context: Context, times: int) -> None:
+    for _ in range(times):
+        send_stream(context)
+
+
 @then("the engine gets it at rank {rank}, and {lines} line tells that it exceeds a share")
 def check_rank(context: Context, rank: str, lines: str) -> None:
     assert context.answer.status == 200 and context.answer.whole, context.answer
@@ -164,6 +181,39 @@
     assert not context.target.seen
 
 
+@then(
+    "an explanation names 2020 and rank 9, the parts of its costs are first_event alone, and"
+    " changes no share"
+)
+def check_refusal_explained(context: Context) -> None:
+    question = ExplainRequest(
+        HOST, "/stream/x", model=MODEL, prompt_tokens=50, output_tokens=7, workspace="north"
+    )
+    before = snapshot(context.entry.state.shares)
+    explanation = run(context, _explain(context, question))
+    refusal = explanation.refusal
+    assert refusal and refusal.code == 2020 and explanation.rank == 9, explanation
+    assert "weight" in refusal.would_change, refusal
+    assert [set(each.cost_parts_ms) for each in explanation.targets] == [{"first_event"}]
+    assert snapshot(context.entry.state.shares) == before
+
+
+@then(
+    "an explanation tells that north's plain request waits for room for at most {ms:d} ms, and"
+    " south's doesn't"
+)
+def check_wait_explained(context: Context, ms: int) -> None:
+    waits = [
+        run(context, _explain(context, ExplainRequest(HOST, "/safe/x", workspace=name))).waits_for
+        for name in ("north", "south")
+    ]
+    assert waits[0] and waits[0].at_most_ms == ms and not waits[1], waits
+
+
+async def _explain(context: Context, question: ExplainRequest) -> Explanation:
+    return explain(context.entry.state, question)
+
+
 @then("south's stream is sent at rank 1")
 def check_south(context: Context) -> None:
     send_stream(context, "s-1")
@@ -175,9 +225,14 @@
     context.entry.state.fleet.targets["first"].others_work = OutstandingWork(count)
 
 
+@when("a plain request with the key {key} and a time limit of {limit_ms:d} ms is sent")
+def send_limited_plain(context: Context, key: str, limit_ms: int) -> None:
+    send_plain(context, key, {"X-Deadline-Ms": str(limit_ms)})
+
+
 @when("a plain request with the key {key} is sent")
-def send_plain(context: Context, key: str) -> None:
-    headers = {"Authorization": f"Bearer {key}"}
+def send_plain(context: Context, key: str, more: dict[str, str] | None = None) -> None:
+    headers = {"Authorization": f"Bearer {key}"} | (more or {})
     began_s = time.monotonic()
     context.answer = run(context, context.entry.call("safe", headers=headers))
     context.took_ms = (time.monotonic() - began_s) * 1000
@@ -233,6 +288,44 @@
     assert not shares.follows and shares.share("service", "north")
 
 
+@when(
+    "{entries:d} entries report that south asks for {south:g} and north for {north:g} plain"
+    " requests a second, half are served"
+)
+def report_plain_requests(context: Context, entries: int, south: float, north: float) -> None:
+    uses = {"south": Use(south, south / 2), "north": Use(north, north / 2)}
+    issuer = ShareIssuer(clock=SystemClock())
+    for entry in range(entries):
+        message = use_messages({"service": ServiceUse(short=True, by_workspace=uses)})
+        issuer.apply_use(f"entry-{entry}", uses_of(message or ()))
+    issuer.take_changes({"north": 1.0, "south": 1.0})
+    context.shares = shares_of(share_messages(issuer.issued))
+
+
+@then("north's share is {per_s:g} plain requests a second at the entries")
+def check_plain_share(context: Context, per_s: float) -> None:
+    assert context.shares["service"].keys() == {"north"}, context.shares
+    assert abs(context.shares["service"]["north"].per_s - per_s) < 0.01, context.shares
+
+
+@when("it is told that north is limited, and then reads a weight")
+def read_weight_later(context: Context) -> None:
+    entry = context.entry.state
+    entry.shares.apply_shares({"service": {"north": SHARE}}, entries=1)
+    assert entry.shares.share("service", "north") is None
+    current = _with_weights(with_workspaces(KEYS, version=3))
+    assert entry.apply_configuration(current, source="test")
+
+
+@then("north is limited there, also after the lease, which the coordinator's messages renew")
+def check_limited(context: Context) -> None:
+    shares = context.entry.state.shares
+    assert shares.share("service", "north") == SHARE
+    shares.renewed_ms -= LEASE_MS + 1
+    shares.apply_shares(None, entries=1)
+    assert shares.share("service", "north") == SHARE
+
+
 @when("a configuration with the weight {weight} is read from the store")
 def read_weight(context: Context, weight: str) -> None:
     context.log = RecordedLog("entry-0")
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetselector.py
@@ -101,11 +101,12 @@
 
     async def _next_plain(self) -> TargetView:
         view = self._choose_plain()
-        if view is not None and not self._leaves_room(view):
+        if view is not None and not self.leaves_room(view):
             return view
         with self.permits.waiting():
-            while view is None or self._leaves_room(view):
-                delay_s = HELD_RECHECK_S
+            while view is None or self.leaves_room(view):
+                left_s = self.arrived_s + self.longest_hold_s() - now_s()
+                delay_s = max(0.001, min(HELD_RECHECK_S, left_s))
                 if view is None:
                     wait = self.plain_wait()
                     if wait.held:
@@ -117,13 +118,6 @@
                 view = self._choose_plain()
         return view
 
-    def _leaves_room(self, view: TargetView) -> bool:
-        """Return whether the request, as it exceeds its workspace's share, waits for now."""
-        if self.retried or self.resumed or self.isolated or self.state.leaving:
-            return False
-        held_ms = (now_s() - self.arrived_s) * 1000
-        return self.share.must_wait(view, held_ms=held_ms, objective_ms=self.route.objective_ms)
-
     def _refuse_in_vain(self, wait: Wait) -> RequestFailed:
         """Count and log a request that is refused, and return its refusal."""
         failure = self.refusal_in_vain(wait)
