Don't begin to coordinate after a step-down

Cause: a step-down ended orders only where the instance already coordinated. One that was writing the lease at that time began to coordinate once the write was answered, as it exited, and announced no last order. Change: a step-down permits no more orders in any case.

--- a/features/direct_orders.feature
+++ b/features/direct_orders.feature
@@ -185,6 +185,12 @@
     When the coordinator is told to leave between the two orders of a swap, while it reads the lease
     Then it has given no order since, and the other one keeps to the handover
 
+  # Guards against an instance that begins to coordinate as it exits.
+  Scenario: An instance that is told to leave while it writes the lease gives no order
+    Given an instance that takes the lease over, whose write is answered late
+    When it steps down before the answer
+    Then it gives no order in the next second
+
   # Guards against a successor that orders while the last holder may: it took an earlier holder's
   # last order for the last holder's.
   Scenario: What a coordinator announced as its last order doesn't count for a later coordinator
--- a/features/steps/direct_orders_steps.py
+++ b/features/steps/direct_orders_steps.py
@@ -520,6 +520,39 @@
     check_handover(context)
 
 
+@given("an instance that takes the lease over, whose write is answered late")
+def start_writing(context: Context) -> None:
+    context.two = two = TwoInstances()
+    write, context.answered, written = two.store.write_lease, asyncio.Event(), asyncio.Event()
+
+    async def write_slowly(record: LeaseRecord) -> LeaseRecord:
+        stored = await write(record)
+        written.set()
+        await context.answered.wait()
+        return stored
+
+    async def start() -> None:
+        await two._start_one("entry-0")
+        async with asyncio.timeout(TIMEOUT_S):
+            await written.wait()
+
+    two.store.write_lease = write_slowly  # type: ignore[method-assign]
+    run(context, start())
+
+
+@when("it steps down before the answer")
+def step_down_in_write(context: Context) -> None:
+    context.two.states[0].leaving = True
+    context.two.elections[0].step_down()
+    context.answered.set()
+
+
+@then("it gives no order in the next second")
+def check_no_order(context: Context) -> None:
+    assert not run(context, context.two.orders_within(1.0))
+    run(context, context.two.stop())
+
+
 @given("an entry that follows a coordinator, which steps down")
 def follow_until_step_down(context: Context) -> None:
     context.store = LeaseStore()
--- a/packages/daemon/src/mimosaspur_daemon/direct/election.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/election.py
@@ -113,6 +113,8 @@
         kept until the process ends, a process that is only restarted takes it back without that
         wait.
         """
+        # It may be taking the lease over, and would coordinate once that is written.
+        self.lease.stop_orders()
         if self.coordinator:
             self.coordinator.step_down()
 
