Move the outcomes of attempts and the reading of heads out of direct.attempt

Change: AttemptResult and TargetResponse move to attemptresult, the functions on a response head to responseheads.

--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -2,8 +2,6 @@
 
 import asyncio
 from collections.abc import Coroutine
-from dataclasses import dataclass
-from enum import Enum
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
@@ -15,8 +13,14 @@
 from mimosaspur_coordination.streampauses import StreamPauses
 from mimosaspur_daemon.direct.attemptlog import log_endless
 from mimosaspur_daemon.direct.attemptlog import log_pausing_engine
+from mimosaspur_daemon.direct.attemptresult import AttemptResult
+from mimosaspur_daemon.direct.attemptresult import TargetResponse
 from mimosaspur_daemon.direct.entrystate import LATE_RANK
 from mimosaspur_daemon.direct.evacuation import MovedRun
+from mimosaspur_daemon.direct.responseheads import is_authentic
+from mimosaspur_daemon.direct.responseheads import is_event_stream
+from mimosaspur_daemon.direct.responseheads import is_not_run
+from mimosaspur_daemon.direct.responseheads import target_notices
 from mimosaspur_daemon.direct.targetheaders import target_headers
 from mimosaspur_protocol.completeness import Completeness
 from mimosaspur_protocol.completeness import stream_completeness
@@ -24,7 +28,6 @@
 from mimosaspur_protocol.eventbuffer import EventMissing
 from mimosaspur_protocol.eventbuffer import EventTooLong
 from mimosaspur_state.routes import RouteKind
-from mimosaspur_transport.dialect import RETRY_AFTER
 from mimosaspur_transport.dialect import end_to_end_headers
 from mimosaspur_transport.dialect import header
 from mimosaspur_transport.httpchannel import ChannelBroken
@@ -44,7 +47,6 @@
 REJECTION_BODY_S = 0.2
 # Limit on the responses to other requests that precede the response to this one.
 MAX_FOREIGN_RESPONSES = 8
-EVENT_STREAM_TYPE = b"text/event-stream"
 EVENT_END = b"\n\n"
 # A caller that takes this long to accept an event delays the reading of the next one.
 SLOW_SEND_S = 0.005
@@ -72,36 +74,6 @@
 MOVE_RETRY_COUNT = 2
 
 
-class AttemptResult(Enum):
-    """List the outcomes of an attempt."""
-
-    DONE = "done"
-    # The target did not run the request.
-    NOT_RUN = "not_run"
-    # The request may have run; a resumable stream can be continued elsewhere.
-    BROKEN = "broken"
-    # The run was stopped and continues at another target from its memory.
-    MOVED = "moved"
-    # The target responded with an error, which may be forwarded.
-    FAILED = "failed"
-    # Another run of the request answered first.
-    LEFT = "left"
-
-
-@dataclass(slots=True, frozen=True)
-class TargetResponse:
-    """Hold a target's response, and whether its framing marked its end."""
-
-    head: ResponseHead
-    body: bytes
-    marked: bool
-
-
-def _is_event_stream(head: ResponseHead) -> bool:
-    content_type = header(head.headers, b"content-type") or EVENT_STREAM_TYPE
-    return 200 <= head.status < 300 and content_type.lower().startswith(EVENT_STREAM_TYPE)
-
-
 class Attempt:
     """Run a request once at one target."""
 
@@ -244,11 +216,11 @@
             self.view.on_heard()
             self.head_received = True
             self.status = head.status
-            self.says = self._notices(head)
-            if self._is_not_run(head):
+            self.says = target_notices(head, handler.state.dependencies.dialect)
+            if is_not_run(head, handler.state.dependencies.dialect):
                 await self._discard_rejection()
                 return AttemptResult.NOT_RUN
-            if handler.route.kind is RouteKind.STREAM and _is_event_stream(head):
+            if handler.route.kind is RouteKind.STREAM and is_event_stream(head):
                 return await self._forward_stream(head)
             return await self._forward_whole(head)
         except asyncio.CancelledError:
@@ -347,13 +319,14 @@
 
     async def _read_own_head(self) -> ResponseHead:
         """Return the head of this request's response; skip responses to other requests."""
-        name = self.handler.state.dependencies.dialect.request_id
+        dialect = self.handler.state.dependencies.dialect
+        name = dialect.request_id
         mine = header(self.handler.request.headers, name)
         for _ in range(MAX_FOREIGN_RESPONSES + 1):
             head = await self.channel.read_head()
             theirs = header(head.headers, name)
             own = theirs is None or mine is None or theirs == mine
-            self._apply_notices(head, proves_end=own and not self._is_not_run(head))
+            self._apply_notices(head, proves_end=own and not is_not_run(head, dialect))
             if own:
                 return head
             await self.channel.skip_response()
@@ -368,30 +341,10 @@
             proves_end=proves_end,
         )
 
-    def _notices(self, head: ResponseHead) -> dict[str, str]:
-        """Return the headers by which the target tells of itself, for the log."""
-        dialect = self.handler.state.dependencies.dialect
-        names = (dialect.request_limit, dialect.leaving, RETRY_AFTER)
-        return {
-            name.decode(): value.decode("latin-1")
-            for name in names
-            if (value := header(head.headers, name)) is not None
-        }
-
-    def _is_not_run(self, head: ResponseHead) -> bool:
-        dialect = self.handler.state.dependencies.dialect
-        return head.status == 421 or header(head.headers, dialect.not_run) is not None
-
-    def _is_authentic(self, head: ResponseHead) -> bool:
-        """Return whether a successful response comes from the target itself."""
-        proof = self.handler.state.dependencies.dialect.proof
-        encoded = header(head.headers, b"content-encoding")
-        return not encoded and (not proof or header(head.headers, proof) is not None)
-
     async def _forward_whole(self, head: ResponseHead) -> AttemptResult:
         handler = self.handler
         body = await self._read_first(self._read_body())
-        if head.status < 400 and not self._is_authentic(head):
+        if head.status < 400 and not is_authentic(head, handler.state.dependencies.dialect):
             raise ChannelBroken("response is encoded or lacks the target's proof header")
         response = TargetResponse(head, body, marked=self.channel.marks_end())
         # A backup's error doesn't replace what the first run may still answer.
@@ -414,7 +367,7 @@
 
     async def _forward_stream(self, head: ResponseHead) -> AttemptResult:
         handler = self.handler
-        if not self._is_authentic(head):
+        if not is_authentic(head, handler.state.dependencies.dialect):
             raise ChannelBroken("response is encoded or lacks the target's proof header")
         try:
             while (chunk := await self._read_chunk()) is not None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
@@ -7,7 +7,7 @@
 
 if TYPE_CHECKING:
     from mimosaspur_daemon.direct.attempt import Attempt
-    from mimosaspur_daemon.direct.attempt import AttemptResult
+    from mimosaspur_daemon.direct.attemptresult import AttemptResult
     from mimosaspur_daemon.direct.offer import Offer
 
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/offer.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/offer.py
@@ -4,8 +4,8 @@
 
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_daemon.direct.attempt import Attempt
-from mimosaspur_daemon.direct.attempt import AttemptResult
 from mimosaspur_daemon.direct.attemptlog import log_endless
+from mimosaspur_daemon.direct.attemptresult import AttemptResult
 from mimosaspur_daemon.direct.evacuation import MovedRun
 from mimosaspur_state.domaintraffic import TrafficPurpose
 from mimosaspur_transport.channelpool import NON_REPEATABLE_MAX_IDLE_MS
--- a/packages/daemon/src/mimosaspur_daemon/direct/parallelruns.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/parallelruns.py
@@ -3,9 +3,9 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from mimosaspur_daemon.direct.attempt import AttemptResult
 from mimosaspur_daemon.direct.attemptlog import log_attempt
 from mimosaspur_daemon.direct.attemptlog import log_silence
+from mimosaspur_daemon.direct.attemptresult import AttemptResult
 from mimosaspur_daemon.direct.offer import Offer
 
 if TYPE_CHECKING:
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -4,9 +4,9 @@
 
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.workspaces.ranks import priority_of
-from mimosaspur_daemon.direct.attempt import AttemptResult
-from mimosaspur_daemon.direct.attempt import TargetResponse
 from mimosaspur_daemon.direct.attemptlog import log_attempt
+from mimosaspur_daemon.direct.attemptresult import AttemptResult
+from mimosaspur_daemon.direct.attemptresult import TargetResponse
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.evacuation import MovedRun
 from mimosaspur_daemon.direct.offer import Offer
