Split direct.attempt into the run's state and the modules that run it

Cause: direct/attempt.py held the state of a run, the checks for silence, the forwarding of streams and the sending. Change: Attempt keeps the state and the move to another target. AttemptRun (attemptrun) sends the request and forwards whole responses, StreamForwarding (streamforwarding) forwards streams, and SilenceCheck (silencecheck) reads while it checks for silence. Methods move; those used by another module lose the underscore. The new modules import Attempt, and Attempt imports none of them.

--- a/packages/daemon/src/mimosaspur_daemon/direct/offer.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/offer.py
@@ -6,6 +6,7 @@
 from mimosaspur_daemon.direct.attempt import Attempt
 from mimosaspur_daemon.direct.attemptlog import log_endless
 from mimosaspur_daemon.direct.attemptresult import AttemptResult
+from mimosaspur_daemon.direct.attemptrun import AttemptRun
 from mimosaspur_daemon.direct.evacuation import MovedRun
 from mimosaspur_state.domaintraffic import TrafficPurpose
 from mimosaspur_transport.channelpool import NON_REPEATABLE_MAX_IDLE_MS
@@ -91,7 +92,7 @@
         try:
             with state.quarantine.at_target(handler.traits):
                 self.in_flight = True
-                result = await attempt.run()
+                result = await AttemptRun(attempt).run()
                 if result is AttemptResult.BROKEN:
                     # The report that tells of its end is to bear the crash as well.
                     await state.quarantine.detector.wait_for_first_probe(view)
