Split what members are sent from direct.members

Cause: direct/members.py tracked the entries that follow the coordinator and also computed and sent their updates. Change: MemberUpdates (memberupdates) sends updates, permits and turns, and holds what was sent; Members keeps who follows and what they report. Methods and attributes move without a change; the coordinator and the harness use coordinator.updates for them. The steps of engine_speed and fair_shares call the moved methods; no check changes.

--- a/features/harness/direct_site.py
+++ b/features/harness/direct_site.py
@@ -173,7 +173,7 @@
         elif fault.endswith("falls silent"):
             coordinator = first.election.coordinator
             assert coordinator
-            coordinator.members.send_updates = lambda *_: None  # type: ignore[method-assign]
+            coordinator.updates.send_updates = lambda *_: None  # type: ignore[method-assign]
         else:
             first.kill()
 
--- a/features/harness/report_simulation.py
+++ b/features/harness/report_simulation.py
@@ -13,6 +13,7 @@
 from mimosaspur_daemon.direct.fleetreport import total_work
 from mimosaspur_daemon.direct.members import Member
 from mimosaspur_daemon.direct.members import Members
+from mimosaspur_daemon.direct.memberupdates import MemberUpdates
 from mimosaspur_daemon.direct.permitgrants import PermitGrants
 from mimosaspur_daemon.direct.reportedwork import ReportedWork
 from mimosaspur_protocol.peermessages import EntryReport
@@ -96,6 +97,7 @@
         self.lease = OrderLease("coordinator", handover_ms=0, clock=clock)
         permits = PermitGrants(self.state.notices, may_issue=self.lease.may_order, clock=clock)
         self.members = Members(self.state, sharers, permits)
+        self.updates = MemberUpdates(self.members)
         self.links: dict[str, CountingLink] = {}
         self.encoded = 0
         for _ in range(entries):
@@ -116,9 +118,9 @@
         for link in self.links.values():
             link.frames = 0
         # Skips the pause after the previous update.
-        self.members.work_due_ms = 0
+        self.updates.work_due_ms = 0
         with mock.patch(ENCODER, side_effect=encode_peer) as encode:
-            self.members.send_updates([], self.lease)
+            self.updates.send_updates([], self.lease)
         self.encoded = encode.call_count
 
     def frame_counts(self) -> dict[str, int]:
--- a/features/steps/engine_speed_steps.py
+++ b/features/steps/engine_speed_steps.py
@@ -335,19 +335,19 @@
     followed: CoordinatorWithMembers = context.followed
     followed.state.fleet.update([_record("x")], ())
     followed.send_updates(work_at=0)
-    followed.members.speeds_sent_ms = -10_000
+    followed.updates.speeds_sent_ms = -10_000
     update = EngineSpeedUpdate("x", STARTED_MS, 2.0, 20.0, 1.5, 20.0)
     report = EntryReport("entry-0", 2, [], [], [], [], speeds=[update])
     followed.members.apply_report(report, followed.members.members["entry-0"])
     context.frames = {}
     for name, link in followed.links.items():
         link.send_encoded = lambda frames, name=name: context.frames.update({name: frames})  # type: ignore[method-assign,misc]
-    followed.members.send_updates([], followed.lease)
+    followed.updates.send_updates([], followed.lease)
     context.changes = dict(context.frames)
     followed.add_entry()
     newest = list(followed.links)[-1]
     followed.links[newest].send_encoded = lambda frames: context.frames.update({newest: frames})  # type: ignore[method-assign]
-    followed.members.send_updates([], followed.lease)
+    followed.updates.send_updates([], followed.lease)
     context.newest = context.frames[newest]
 
 
--- a/features/steps/fair_shares_steps.py
+++ b/features/steps/fair_shares_steps.py
@@ -262,7 +262,7 @@
     assert shares.on_shortage("service")
     report = decode_peer(encode_peer(build_entry_report(context.state))[4:])
     members.apply_report(report, members.local_member("coordinator"))
-    members.send_updates([], context.followed.lease)
+    context.followed.updates.send_updates([], context.followed.lease)
 
 
 @then(
@@ -277,7 +277,7 @@
     frames: list[bytes] = []
     context.followed.add_entry()
     context.followed.links["entry-1"].send_encoded = frames.append
-    context.followed.members.send_updates([], context.followed.lease)
+    context.followed.updates.send_updates([], context.followed.lease)
     # The acknowledgement comes first.
     report = decode_peer(frames[0][8 + int.from_bytes(frames[0][:4], "big") :])
     assert isinstance(report, FleetReport)
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -23,6 +23,7 @@
 from mimosaspur_daemon.direct.loadmessages import apply_load_messages
 from mimosaspur_daemon.direct.members import Member
 from mimosaspur_daemon.direct.members import Members
+from mimosaspur_daemon.direct.memberupdates import MemberUpdates
 from mimosaspur_daemon.direct.permitgrants import PermitGrants
 from mimosaspur_protocol.peermessages import EntryReport
 from mimosaspur_protocol.peermessages import LeaseReadReply
@@ -76,6 +77,7 @@
         self.clock = state.clock
         self.permits = PermitGrants(state.notices, may_issue=lease.may_order, clock=lease.clock)
         self.members = Members(state, self._create_sharer_count(), self.permits)
+        self.updates = MemberUpdates(self.members)
         self.started_ms = self.clock.now_ms()
         # Models that were loaded to get a copy of their weights.
         self.loaded_for_copy: set[str] = set()
@@ -120,10 +122,10 @@
             while True:
                 began_s = asyncio.get_running_loop().time()
                 self._run_round()
-                self.members.send_permits()
-                self.members.send_updates(self.engines.controllers.values(), self.lease)
+                self.updates.send_permits()
+                self.updates.send_updates(self.engines.controllers.values(), self.lease)
                 # Entries know of a crash before one of them gets the next turn.
-                self.members.send_turns()
+                self.updates.send_turns()
                 # Each report of an entry may wake the next round: longer rounds must be fewer.
                 took_s = asyncio.get_running_loop().time() - began_s
                 self.state.log.counters.observe("turn_ms", took_s * 1000)
@@ -187,8 +189,8 @@
             self.changed.set()
         self.permits.apply_report(report)
         if report.permits:
-            self.members.send_permits()
-            self.members.send_expected_waits(report.instance)
+            self.updates.send_permits()
+            self.updates.send_expected_waits(report.instance)
         turns_wait = self.members.apply_suspects(report)
         news = limits_changed or turns_wait or quarantine.ledger.unreported
         rejected = any(asked.rejected for asked in report.model_demand)
@@ -271,7 +273,7 @@
         self.engines.update()
         self._request_due_reports()
         if not self.lease.may_order() or not self._knows_earlier_loads():
-            self.members.forecast = self.last_forecast = {}
+            self.updates.forecast = self.last_forecast = {}
             return
         self.engines.running = self.members.running()
         self.demand.update_waiting(self.members.waiting(), self.members.urgent_waiting())
@@ -293,7 +295,7 @@
         for service, spec in self.engines.services():
             if self._urgency_differs(service):
                 forecast |= forecast_loads(self._problem(service, spec))
-        self.members.forecast = confirmed(self.last_forecast, forecast)
+        self.updates.forecast = confirmed(self.last_forecast, forecast)
         self.last_forecast = forecast
 
     def _knows_earlier_loads(self) -> bool:
