Keep crashes complete on which all entries have reported

Cause: a crash counted as complete 0.5 s after it became known, if no entry was missing by then. A coordinator that was killed sooner and came back as a new process made all crashes so far incomplete for good. It also took the evidence of the crash along that its own request, or one lost within milliseconds of its end, caused. Of five crashes four were known and at most two complete, where three complete ones or five are needed, so that a sixth engine ended once the hold of 2 s had passed without a verdict.

Change: entries answer updates with crashes once they have reported all that they had there (evidence_number). Once all have, the coordinator marks the record as acknowledged, and the mark is shared and survives it.

--- a/features/direct_turns.feature
+++ b/features/direct_turns.feature
@@ -58,6 +58,15 @@
     When that target crashes
     Then the request counts as under way until the crash is known, and no longer
 
+  # Guards against evidence that counts as complete before an entry has noticed that its own request
+  # ended there, and would be lost with that entry.
+  Scenario: An entry says that it has reported on a crash only once it has
+    Given an entry with a request at a target that says nothing
+    When its coordinator tells of the crash of that target
+    Then it doesn't say yet that it has reported on the crash
+    When that target crashes
+    Then the report in which it says so, or one before, lists its request
+
   # Guards against a report about a suspected copy that comes only when the next one is due.
   Scenario: An entry answers an update with a crash at once
     Given an entry with a request at a target that says nothing
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -41,6 +41,18 @@
     Given the crashes A, A, A
     Then nobody is blamed 499 ms after the last one became known, and A 501 ms after
 
+  # Guards against a sixth crash: the end of a coordinator with the evidence of the third one made
+  # the two before it count as incomplete too, so that five known ones brought no verdict.
+  Scenario Outline: Crashes on which <who> reported, and then the coordinator's end
+    Given the crashes A, A, on which <who> reported
+    When the coordinator ends with the evidence of a crash, and A comes after its return
+    Then <blamed> is blamed for them
+
+    Examples:
+      | who                       | blamed |
+      | all entries have          | A      |
+      | all entries but one have  | nobody |
+
   Scenario Outline: A verdict <outcome>
     Given the crashes A, A, A, and a verdict
     When <what>
--- a/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
@@ -66,6 +66,8 @@
     served: set[bytes] = field(default_factory=set)
     # Whether all entries have reported what they had there.
     complete: bool = False
+    # Whether all have told the coordinator so: the end of an entry loses no evidence then.
+    acknowledged: bool = False
     # Derived from all else; None after a change.
     cached_evidence: Evidence | None = None
 
@@ -152,6 +154,7 @@
         parts: Mapping[bytes, Sequence[bytes]] | None = None,
         served: Iterable[bytes] = (),
         age_ms: int = 0,
+        acknowledged: bool = False,
         report: bool = True,
     ) -> bool:
         """Merge what is known of a crash; return whether it adds anything.
@@ -178,8 +181,28 @@
             news = changed | own if report else own
             if news:
                 self.unreported.setdefault(target, set()).update(news)
+        newly_acknowledged = acknowledged and not crash.acknowledged
+        if newly_acknowledged:
+            crash.acknowledged = crash.complete = True
+            crash.cached_evidence = None
+            if report:
+                self.unreported.setdefault(target, set())
         self._drop_excess()
-        return bool(changed)
+        return bool(changed) or newly_acknowledged
+
+    def unacknowledged(self) -> list[str]:
+        """Return the crashes on which some entry may still have to report."""
+        return [target for target, crash in self.crashes.items() if not crash.acknowledged]
+
+    def acknowledge(self, target: str, *, covered_ms: int) -> None:
+        """Record that all entries have reported on a crash, unless it was before all followed.
+
+        `covered_ms` is the age of the oldest crash with the evidence of all entries, negative if
+        one is missing.
+        """
+        crash = self.crashes.get(target)
+        if crash and covered_ms >= self.clock.now_ms() - crash.known_since_ms:
+            self.record(target, {}, acknowledged=True)
 
     def on_served(self, parts: Sequence[bytes]) -> bool:
         """Record that a target has served a request with these parts; return as `clear` does."""
@@ -298,6 +321,7 @@
             {trait: crash.traits[trait] for trait in traits},
             {digest: crash.parts[digest] for digest in traits & crash.parts.keys()},
             traits & crash.served,
+            acknowledged=crash.acknowledged,
         )
 
     def _merge(self, crash: Crash, traits: Mapping[bytes, Stage]) -> set[bytes]:
--- a/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
@@ -75,6 +75,7 @@
         speed_messages(state.fleet.take_speeds()),
         use_messages(state.shares.take_report()),
         state.quarantine.turns.crashes_number,
+        state.quarantine.answer_number(),
     )
 
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -16,6 +16,7 @@
 from mimosaspur_coordination.modelpace import Pace
 from mimosaspur_coordination.modelpace import SharedPaces
 from mimosaspur_coordination.orderlease import OrderLease
+from mimosaspur_coordination.quarantine.evidenceacks import EvidenceAcks
 from mimosaspur_coordination.quarantine.traits import trait_name
 from mimosaspur_coordination.quarantine.turnissuer import TurnDemand
 from mimosaspur_coordination.quarantine.turnissuer import TurnIssuer
@@ -77,6 +78,8 @@
     urgent_waiting: dict[str, int] = field(default_factory=dict)
     waiting_adapters: list[tuple[str, str]] = field(default_factory=list)
     last_report_ms: int = 0
+    # The number of the last update on whose crashes it has reported all that it had there.
+    evidence_number: int = 0
     leaving: bool = False
     # Where it takes datagrams about streams; None if unknown.
     stream_address: tuple[str, int] | None = None
@@ -111,6 +114,7 @@
         self.turns = TurnIssuer(clock=sharers.clock, first=not state.staying_entries)
         # How often changes of crash records were sent.
         self.crashes_number = 0
+        self.evidence_acks = EvidenceAcks()
         # The addresses of entries as last sent.
         self.sent_addresses: dict[str, EntryAddress] = {}
         self.last_sent_ms = 0
@@ -134,6 +138,7 @@
             if asked.urgent_waiting
         }
         member.waiting_adapters = [(model, adapter) for model, adapter in report.waiting_adapters]
+        member.evidence_number = report.evidence_number
         member.leaving = report.leaving
         member.stream_address = report.stream_address
         self.quotas.apply_report(report, first=first)
@@ -279,8 +284,7 @@
         changed = self.fleet_changes.update(totals, controllers, now_ms=now_ms)
         paces = self._due_paces(now_ms)
         quotas = self.quotas.changed_remaining(len(self.members))
-        crashes = self.state.quarantine.take_reports()
-        self.crashes_number += bool(crashes)
+        crashes = self._take_crashes()
         limits = self.state.notices.take_updates()
         loads = load_messages(self.state.outstanding_loads.take_unreported())
         leaving = self.state.notices.leaving.take_unreported()
@@ -346,6 +350,19 @@
             )
             self.work_due_ms = now_ms + round(pause_s * 1000)
 
+    def _take_crashes(self) -> list[CrashReport]:
+        """Return the changes of crash records, and number the update that tells of them."""
+        ledger = self.state.quarantine.ledger
+        covered_ms = self.missing.covered_ms(reporting=len(self.members))
+        answers = [member.evidence_number for member in self.members.values()]
+        for target in self.evidence_acks.acknowledged(answers):
+            ledger.acknowledge(target, covered_ms=covered_ms)
+        crashes = self.state.quarantine.take_reports()
+        # The first update of a coordinator that knows of crashes tells of them.
+        self.crashes_number += bool(crashes or (ledger.crashes and not self.crashes_number))
+        self.evidence_acks.on_update(self.crashes_number, ledger.unacknowledged())
+        return crashes
+
     def _take_entry_changes(self) -> tuple[list[EntryAddress], list[str]]:
         """Return the entries that have joined, or moved, and left since the last call."""
         addresses = {
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -63,6 +63,8 @@
         # The next review of the evidence, and whether another one must follow it.
         self.review: asyncio.TimerHandle | None = None
         self.review_again = False
+        # What this entry last answered the coordinator on the present link.
+        self.evidence_number = 0
 
     @contextlib.contextmanager
     def handling(self, handler: "RequestHandler") -> Iterator[None]:
@@ -172,6 +174,7 @@
         """Rely on what this entry sees itself."""
         self.set_coverage(MISSING)
         self.turns.on_coordinator_lost()
+        self.evidence_number = 0
 
     def on_coordinator_report(self, *, evidence_age_ms: int, gives_turns: bool) -> None:
         """Apply what a coordinator tells of the evidence of all entries, and of itself."""
@@ -193,11 +196,30 @@
                 parts=each.parts,
                 served=each.served,
                 age_ms=each.age_ms,
+                acknowledged=each.acknowledged,
                 report=relay,
             )
         if changed:
             self._on_change()
 
+    def answer_number(self) -> int:
+        """Return the number of the last update on whose crashes this entry has no more to tell.
+
+        It is sent with, or after, the report of what this entry had there.
+        """
+        if not self._awaited_evidence():
+            self.evidence_number = self.turns.crashes_number
+        return self.evidence_number
+
+    def _awaited_evidence(self) -> bool:
+        """Return whether a request is at a target that others saw crash, or that is probed."""
+        targets = set(self.ledger.unacknowledged())
+        if not targets:
+            return False
+        offers = (each for handler in self.handlers for each in handler.runs.active.values())
+        at_targets = {each.view.record.incarnation for each in offers if each.in_flight}
+        return not targets.isdisjoint(at_targets | self.detector.probes.keys())
+
     def take_reports(self) -> list[CrashReport]:
         """Return what has changed since the last call."""
         return self._messages(self.ledger.take_unreported())
@@ -313,6 +335,7 @@
                 list(each.traits.items()),
                 {digest: list(parts) for digest, parts in each.parts.items()},
                 list(each.served),
+                each.acknowledged,
             )
             for each in crashes
         ]
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -105,6 +105,8 @@
     parts: dict[bytes, list[bytes]] = msgspec.field(default_factory=dict)
     # Parts that targets had served before.
     served: list[bytes] = msgspec.field(default_factory=list)
+    # Whether all entries have reported what they had there.
+    acknowledged: bool = False
 
 
 class LimitUpdate(msgspec.Struct, array_like=True, frozen=True):
@@ -191,6 +193,8 @@
     uses: list[ServiceUseReport] | None = None
     # The `crashes_number` of the last fleet report that arrived on this link.
     crashes_number: int = 0
+    # The same of the last one on whose crashes the entry has reported all that it had there.
+    evidence_number: int = 0
 
 
 class EngineResidents(msgspec.Struct, array_like=True, frozen=True):
