--- a/packages/daemon/src/mimosaspur_daemon/direct/members.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/members.py
@@ -41,6 +41,8 @@
     urgent_waiting: dict[str, int] = field(default_factory=dict)
     waiting_adapters: list[tuple[str, str]] = field(default_factory=list)
     last_report_ms: int = 0
+    # The number of the last update on whose crashes it has reported all that it had there.
+    evidence_number: int = 0
     leaving: bool = False
     # Where it takes datagrams about streams; None if unknown.
     stream_address: tuple[str, int] | None = None
@@ -84,6 +86,7 @@
             if asked.urgent_waiting
         }
         member.waiting_adapters = [(model, adapter) for model, adapter in report.waiting_adapters]
+        member.evidence_number = report.evidence_number
         member.leaving = report.leaving
         member.stream_address = report.stream_address
         self.quotas.apply_report(report, first=first)
--- a/packages/daemon/src/mimosaspur_daemon/direct/memberupdates.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/memberupdates.py
@@ -8,6 +8,7 @@
 from mimosaspur_coordination.coordinatorcapacity import update_pause_s
 from mimosaspur_coordination.loadforecast import SharedForecast
 from mimosaspur_coordination.orderlease import OrderLease
+from mimosaspur_coordination.quarantine.evidenceacks import EvidenceAcks
 from mimosaspur_coordination.quarantine.traits import trait_name
 from mimosaspur_daemon.direct.enginecontroller import EngineController
 from mimosaspur_daemon.direct.fleetchanges import FleetChanges
@@ -60,6 +61,7 @@
         self.shared_forecast = SharedForecast()
         # How often changes of crash records were sent.
         self.crashes_number = 0
+        self.evidence_acks = EvidenceAcks()
         # The addresses of entries as last sent.
         self.sent_addresses: dict[str, EntryAddress] = {}
         self.last_sent_ms = 0
@@ -74,8 +76,7 @@
         changed = self.fleet_changes.update(totals, controllers, now_ms=now_ms)
         paces = self._due_paces(now_ms)
         quotas = self.members.quotas.changed_remaining(len(self.members.members))
-        crashes = self.state.quarantine.take_reports()
-        self.crashes_number += bool(crashes)
+        crashes = self._take_crashes()
         limits = self.state.notices.take_updates()
         loads = load_messages(self.state.outstanding_loads.take_unreported())
         leaving = self.state.notices.leaving.take_unreported()
@@ -177,6 +178,19 @@
         with contextlib.suppress(PeerLost):
             link.send(permits)
 
+    def _take_crashes(self) -> list[CrashReport]:
+        """Return the changes of crash records, and number the update that tells of them."""
+        ledger = self.state.quarantine.ledger
+        members = self.members.members.values()
+        covered_ms = self.members.missing.covered_ms(reporting=len(members))
+        for target in self.evidence_acks.acknowledged([each.evidence_number for each in members]):
+            ledger.acknowledge(target, covered_ms=covered_ms)
+        crashes = self.state.quarantine.take_reports()
+        # The first update of a coordinator that knows of crashes tells of them.
+        self.crashes_number += bool(crashes or (ledger.crashes and not self.crashes_number))
+        self.evidence_acks.on_update(self.crashes_number, ledger.unacknowledged())
+        return crashes
+
     def _take_entry_changes(self) -> tuple[list[EntryAddress], list[str]]:
         """Return the entries that have joined, or moved, and left since the last call."""
         addresses = {
