Hold requests of a new process until it is told of crashes

Cause: an entry that starts again accepts callers before it is told what the others know of crashes: by its first update if it follows (some milliseconds), by their first reports if it took its lease back (0.2 s).

Change: a new process holds requests until the first report of another entry, 0.5 s at most. The first coordinator of all holds none.

--- a/features/direct_crashes.feature
+++ b/features/direct_crashes.feature
@@ -51,6 +51,18 @@
 
   # Guards against one count for all crashes of a target that keeps its identity, and against a crash
   # that is seen where only a connection broke.
+  # Guards against a request that is sent in the moment before the others' verdict on it arrives: an
+  # entry that came back crashed a sixth engine with a request that all others rejected.
+  Scenario: An entry that has just started sends nothing before it is told of crashes
+    Given an entry that has just started, before a target
+    When a request comes
+    Then it isn't sent within 200 ms, and is rejected once another entry tells of its verdict
+
+  Scenario: An entry that has just started waits for a limited time to be told of crashes
+    Given an entry that has just started, before a target
+    When a request comes
+    Then it is served within 1000 ms if nobody tells of crashes
+
   Scenario: Crashes of a target that starts again under its identity are told apart
     Given an entry before a target that crashes, and starts again under its identity
     When it breaks off a request and goes on, and crashes under another one
--- a/packages/daemon/src/mimosaspur_daemon/direct/application.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/application.py
@@ -51,6 +51,7 @@
         log = self.state.log
         log.always("start", pid=os.getpid(), domain=self.state.settings.failure_domain)
         self._handle_signals()
+        self.state.quarantine.on_started()
         try:
             await self.callers.listen()
             await self.status.listen()
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -159,6 +159,7 @@
                     self.state.outstanding_loads.complete = True
                     self.changed.set()
                 self.apply_report(message, member)
+                self.state.quarantine.on_told()
                 self._count_traffic(link, message.failure_domain)
                 self.configuration_exchange.on_version(message.configuration_version, link)
         except PeerLost:
--- a/packages/daemon/src/mimosaspur_daemon/direct/election.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/election.py
@@ -126,6 +126,9 @@
         if self.lease.record is None and not await self._lease_still_free():
             return
         predecessor = self.lease.record.holder if self.lease.record else ""
+        if not predecessor:
+            # No entry can know of crashes before the first coordinator.
+            self.state.quarantine.on_told()
         last_order_ms = self._last_order_of(self.lease.record)
         asked_ms = self.lease.clock.now_ms()
         record = await self.state.dependencies.store.write_lease(
@@ -269,6 +272,7 @@
                     self.backoff.record_success()
                     self.predecessor_last_order_ms = None
                     apply_report(self.state, message)
+                    self.state.quarantine.on_told()
                     self._count_traffic(link, message.failure_domain)
                     self.state.outstanding_loads.complete = True
                     self.configuration_exchange.on_version(message.configuration_version, link)
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -33,6 +33,9 @@
 
 # A run that has written for so long shows that its prompt doesn't crash its target.
 WRITTEN_PROOF_MS = 1_000
+# A process that has just started is told of crashes within this time by the entry that it follows,
+# or by those that follow it.
+TOLD_WITHIN_MS = 500
 # Timers may fire slightly early.
 TIMER_MARGIN_MS = 5
 
@@ -63,6 +66,8 @@
         # The next review of the evidence, and whether another one must follow it.
         self.review: asyncio.TimerHandle | None = None
         self.review_again = False
+        # Until when requests wait to be told of earlier crashes; 0 if they don't.
+        self.told_by_ms = 0
         # What this entry last answered the coordinator on the present link.
         self.evidence_number = 0
 
@@ -95,6 +100,16 @@
                 self.state.report_requested.set()
                 self.changes.notify()
 
+    def on_started(self) -> None:
+        """Hold requests until another entry has told of crashes, for a limited time."""
+        self.told_by_ms = self.state.clock.now_ms() + TOLD_WITHIN_MS
+
+    def on_told(self) -> None:
+        """Hold requests no longer for what others know of crashes."""
+        if self.told_by_ms:
+            self.told_by_ms = 0
+            self.changes.notify()
+
     def check(self, traits: RequestTraits) -> None:
         """Raise RequestFailed if a request is quarantined."""
         if any(map(self.ledger.is_quarantined, traits.all())):
@@ -102,6 +117,8 @@
 
     async def wait_for_verdict(self, handler: "RequestHandler") -> None:
         """Wait for a verdict on a request that is due; raise RequestFailed if it is to wait on."""
+        while (untold_ms := self.told_by_ms - self.state.clock.now_ms()) > 0:
+            await self.changes.wait(untold_ms / 1000)
         while True:
             self.check(handler.traits)
             traits = self.ledger.holding(handler.traits)
