Give isolated turns beside a steady flow of others

Cause: turns of requests that were at two crashes come last, and none is given within 500 ms of one without isolation that is still under way. A request at one crash every 100 ms that runs for 300 ms kept them from a turn until they were refused with 2019.

Change: an isolated turn that has waited for 250 ms comes first, unless another one was given within 500 ms, so that neither kind starves.

--- a/features/direct_turns.feature
+++ b/features/direct_turns.feature
@@ -30,6 +30,14 @@
       | one crash   | two crashes | 1000  | 500 |
       | two crashes | one crash   | 1000  | 500 |
 
+  # Guards against a request that was at two crashes, and is refused as others that were at one go
+  # first for as long as they come.
+  Scenario: A request that was at two crashes gets its turn beside a steady flow of others
+    Given a coordinator that gives turns to 2 entries
+    When an entry has a request that was at one crash every 100 ms, each at a target for 300 ms
+    And another one asks for the turn of a request that was at two crashes
+    Then it gets its turn within 800 ms, and the others go on to get theirs
+
   # Guards against requests that wait for one another although each was lost at one crash only.
   Scenario: Requests that were at one crash get their turns at once
     Given a coordinator that gives turns to 2 entries
--- a/features/steps/direct_turns_order_steps.py
+++ b/features/steps/direct_turns_order_steps.py
@@ -103,6 +103,61 @@
     assert coordinator.clock.ms - START_MS == ms, (coordinator.clock.ms, coordinator.taken)
 
 
+@when(
+    "an entry has a request that was at one crash every {ms:d} ms, each at a target for"
+    " {lasts:d} ms"
+)
+def start_flow(context: Context, ms: int, lasts: int) -> None:
+    context.flow_interval_ms = ms
+    context.flow_lasts_ms = lasts
+    # By turn, when it ends.
+    context.flow_ends_ms = {}
+    context.flow_waits = []
+    context.flow_given = 0
+    _play_flow(context, lasts)
+
+
+def _play_flow(context: Context, duration_ms: int) -> None:
+    """Let the requests of the first entry come, get their turns and end."""
+    coordinator = context.turn_coordinator
+    taken = coordinator.taken["entry-0"]
+    end_ms = coordinator.clock.ms + duration_ms
+    while coordinator.clock.ms < end_ms:
+        now_ms = coordinator.clock.ms = coordinator.clock.ms + STEP_MS
+        if now_ms % context.flow_interval_ms == 0:
+            context.flow_waits.append(_traits(b"flow %d" % now_ms, "one crash"))
+        ended = {traits for traits in taken if context.flow_ends_ms[traits] <= now_ms}
+        taken -= ended
+        coordinator.report("entry-0", context.flow_waits)
+        coordinator.issue()
+        for traits in taken - context.flow_ends_ms.keys():
+            context.flow_waits.remove(traits)
+            context.flow_ends_ms[traits] = now_ms + context.flow_lasts_ms
+            context.flow_given += 1
+        if coordinator.taken["entry-1"]:
+            return
+
+
+@when("another one asks for the turn of a request that was at {crashes}")
+def ask_beside_flow(context: Context, crashes: str) -> None:
+    context.turn_coordinator.report("entry-1", [_traits(b"other", crashes)])
+
+
+@then("it gets its turn within {ms:d} ms, and the others go on to get theirs")
+def check_flow(context: Context, ms: int) -> None:
+    coordinator = context.turn_coordinator
+    began_ms = coordinator.clock.ms
+    _play_flow(context, ms)
+    assert coordinator.taken["entry-1"], coordinator.taken
+    print(f"MEASURED its turn came after {coordinator.clock.ms - began_ms} ms")
+    coordinator.taken["entry-1"].clear()
+    # Another request of the kind waits all the time.
+    coordinator.report("entry-1", [_traits(b"other", "two crashes")])
+    given = context.flow_given
+    _play_flow(context, ms)
+    assert context.flow_given > given, coordinator.taken
+
+
 @when("both ask for the turns of {count:d} requests that were at one crash")
 def ask_for_many(context: Context, count: int) -> None:
     coordinator = context.turn_coordinator
--- a/packages/coordination/src/mimosaspur_coordination/quarantine/turnissuer.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/turnissuer.py
@@ -23,6 +23,9 @@
 # nor the other way round. A run that crashes its target mostly ends sooner, and a request waits for
 # its turn for longer.
 APART_MS = 500
+# A turn with ISOLATION that has waited for so long comes before those without it, unless one was
+# given within APART_MS: both together take less time than a request waits for its turn.
+ISOLATION_DUE_MS = 250
 # An entry that has not told by then what it has under way, since it was told of a crash, is likely
 # frozen, or of an earlier version. Requests wait for their turns for longer.
 ACKNOWLEDGED_WITHIN_MS = 250
@@ -154,6 +157,7 @@
         acknowledged = min(entry.crashes_number for entry in self.entries.values())
         asked_now = _Asked(now_ms, crashes_number)
         begun = busy & self.given_ms.keys()
+        isolation_due = self._is_isolation_due(busy)
         free: dict[str, list[Traits]] = {}
         # What waits at few entries is likely sound, and rules itself out as it is served. Requests
         # that were at one crash go first, as they needn't wait for one another.
@@ -168,6 +172,8 @@
             if not overdue and acknowledged < asked.crashes_number:
                 # A request that was sent before its entry knew of the crash would be overlooked.
                 continue
+            if isolation_due and ISOLATION not in traits:
+                continue
             if busy.isdisjoint(traits) and _may_begin_beside(traits, begun):
                 busy.update(traits)
                 begun.update(traits)
@@ -177,6 +183,16 @@
                 free.setdefault(instance, []).append(traits)
         return {instance: self._issue(instance, traits) for instance, traits in free.items()}
 
+    def _is_isolation_due(self, busy: Set[bytes]) -> bool:
+        """Return whether a turn with ISOLATION has waited for too long behind those without it."""
+        if ISOLATION in self.given_ms:
+            return False
+        due_ms = self.clock.now_ms() - ISOLATION_DUE_MS
+        return any(
+            ISOLATION in traits and asked and asked.at_ms <= due_ms and busy.isdisjoint(traits)
+            for (_, traits), asked in self.queue.items()
+        )
+
     def _issue(self, instance: str, free: Sequence[Traits]) -> Turns:
         entry = self.entries[instance]
         entry.number += 1
