Don't choose crashed targets for isolated requests

Cause: a target that has crashed stays registered for up to 3.6 s and looks empty, so that a request of two crashes was sent there by each entry in turn. It was refused, or answered 421 by the engine that had come back at the address.

Change: the emptiest target is chosen among those that no entry saw crash, or among all if there are no others.

Measured: the new scenario in features/direct_crashes.feature fails without the change and passes with it.

--- a/features/direct_crashes.feature
+++ b/features/direct_crashes.feature
@@ -38,6 +38,13 @@
     When 6 copies of it come at once
     Then no two of them were at targets at the same time, and all are served
 
+  # Guards against a request that is sent to a target which other entries saw crash: it looks empty, and
+  # stays registered for some seconds.
+  Scenario: A request that was at two crashes goes to no target that is known to have crashed
+    Given an entry with a request that was at two crashes, before two targets
+    When another entry tells of a crash of the first target, and the request comes
+    Then it was sent to the second target only
+
   # Guards against waiters that wake each other without end: the entry did nothing else for a second.
   Scenario: Copies of a suspected request wait without keeping the entry busy
     Given an entry with a request that was at three crashes beside another one, before a silent target
--- a/features/steps/direct_crashes_steps.py
+++ b/features/steps/direct_crashes_steps.py
@@ -452,6 +452,24 @@
     assert all(answer.status == 200 and answer.whole for answer in context.answers)
 
 
+@when("another entry tells of a crash of the first target, and the request comes")
+def send_after_crash(context: Context) -> None:
+    async def send() -> None:
+        state = context.entry.state
+        record = state.fleet.targets["first"].record
+        report = CrashReport(record.incarnation, 0, [(b"other", Stage.RUNNING)])
+        state.quarantine.apply_reports([report], relay=False)
+        await context.entry.call("resumable-stream")
+
+    run(context, send())
+
+
+@then("it was sent to the second target only")
+def check_sent_to_second(context: Context) -> None:
+    first, second = context.targets
+    assert (len(first.seen), len(second.seen)) == (0, 1), (first.seen, second.seen)
+
+
 class CountingLedger(CrashLedger):
     """Count the reviews of the evidence."""
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetchooser.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetchooser.py
@@ -409,7 +409,10 @@
         return self._draw(plain_candidates(available, domain=domain), self._spread_ms())
 
     def _choose_emptiest(self, views: Sequence[TargetView]) -> TargetView | None:
-        view = choose_emptiest(views)
+        # Crashed targets look empty, and stay registered for some seconds.
+        crashes = self.state.quarantine.ledger.crashes
+        running = [view for view in views if view.record.incarnation not in crashes]
+        view = choose_emptiest(running or views)
         self.weighed = ([(0.0, 1.0, view)] if view else [], 0.0)
         return view
 
