Hold requests whose model's only holder is out of reach

An engine that gets no connection for a moment counts as lost after its second report without an answer, or its first one if an entry can't reach it either. Its models then left the entries' view, and requests that waited for them were refused with 2003 as for a model that no engine holds: after an eighth of their objective, or at once if a load elsewhere would take too long. Traced in the scenario "Targets accept no connections while they are silent": all that was wrong in the three traced runs that failed were such refusals, 0.9 to 1.9 s after the request came, at holders that were silent for 1.5 or 2 s and whose callers wait for 3.2 s.

A report that gets no answer in time now raises EngineOutOfReach, unless the connection shows the machine to be there. For 4 s, as long as a silent engine keeps its models, the coordinator tells entries which models such an engine held (EngineResidents.out_of_reach), and requests for them wait as long as their callers do. A refused connection still counts as the end of the engine. Loads elsewhere begin as before.

StillTarget._speak becomes return_now, as a step calls it.

--- a/features/direct_silence_connections.feature
+++ b/features/direct_silence_connections.feature
@@ -13,6 +13,19 @@
       | 2     |
       | 6     |
 
+  # Guards against refusals of requests whose model's only holder is out of reach for a moment, and against requests that
+  # wait for an engine that has ended.
+  Scenario Outline: A request for a model waits while its only holder may return, <holder>
+    Given an entry whose coordinator finds the model's only holder <holder>
+    When a stream of the model comes, and the holder is there again after 1 s
+    Then it is answered <status>
+
+    Examples:
+      | holder                 | status |
+      | to accept nothing      | 200    |
+      | to accept nothing, 4 s | 503    |
+      | to have ended          | 503    |
+
   # Guards against targets that are taken as gone since they accept no connections for a second.
   Scenario: Targets accept no connections while they are silent
     Given sites at once whose silent targets accept no connections
--- a/features/harness/still_target.py
+++ b/features/harness/still_target.py
@@ -49,9 +49,10 @@
                 filler.connect(self.address)
             self.fillers.append(filler)
         if for_s is not None:
-            asyncio.get_running_loop().call_later(for_s, self._speak)
+            asyncio.get_running_loop().call_later(for_s, self.return_now)
 
-    def _speak(self) -> None:
+    def return_now(self) -> None:
+        """End a silence."""
         self._drop_fillers()
         self.listener.listen(BACKLOG)
         self.speaks.set()
--- a/packages/coordination/src/mimosaspur_coordination/fleetports.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetports.py
@@ -97,6 +97,10 @@
     """Raised when an engine's machine is there, but the engine sends no report in time."""
 
 
+class EngineOutOfReach(Exception):
+    """Raised when nothing is heard of an engine's machine in time, and no connection is refused."""
+
+
 class StopUnconfirmed(Exception):
     """Raised when an engine may have stopped a run, but sent no valid answer."""
 
@@ -113,7 +117,10 @@
         ...
 
     async def report(self, target: TargetRecord) -> EngineReport | None:
-        """Return the engine's report, None if there is no valid answer; raise EngineSilent."""
+        """Return the engine's report, None if there is no valid answer.
+
+        Raise EngineSilent or EngineOutOfReach if nothing comes in time.
+        """
         ...
 
     async def order(self, target: TargetRecord, order: EngineOrder) -> OrderOutcome:
--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -85,6 +85,8 @@
     residents: Mapping[str, frozenset[str]] = field(default_factory=dict)
     # Models that are about to be unloaded; they take no new requests.
     unloading: frozenset[str] = frozenset()
+    # Models that it held when it went out of reach, while it may still return with them.
+    out_of_reach: frozenset[str] = frozenset()
     # This entry's own estimate, used while the speeds of engines aren't shared.
     slowness: float = 1.0
     # Time to read prompts and to write tokens, relative to the engines of the service; above 1 is
@@ -386,7 +388,12 @@
         return True
 
     def set_residents(
-        self, identity: str, residents: Mapping[str, frozenset[str]], closing: frozenset[str]
+        self,
+        identity: str,
+        residents: Mapping[str, frozenset[str]],
+        closing: frozenset[str],
+        *,
+        out_of_reach: frozenset[str] = frozenset(),
     ) -> None:
         """Apply the coordinator's update of a target's residents."""
         view = self.targets.get(identity)
@@ -394,6 +401,7 @@
             self.coordinator_targets.add(identity)
             view.residents = residents
             view.unloading = closing
+            view.out_of_reach = out_of_reach
 
     def _start_speed(self, view: TargetView) -> None:
         """Begin to learn the speed of an engine, from what the coordinator has told of it."""
@@ -454,7 +462,7 @@
         for view in self.targets.values():
             if view.record.residents is not None:
                 view.residents = view.record.residents
-            view.unloading = frozenset()
+            view.unloading = view.out_of_reach = frozenset()
             view.others_work = OutstandingWork()
 
     def prefill_speed(self, service: str) -> PrefillSpeed:
--- a/packages/daemon/src/mimosaspur_daemon/direct/evacuation.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/evacuation.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from mimosaspur_coordination.fleetports import CallDeferred
+from mimosaspur_coordination.fleetports import EngineOutOfReach
 from mimosaspur_coordination.fleetports import EngineSilent
 from mimosaspur_coordination.fleetview import TargetView
 from mimosaspur_coordination.targetchoice import choose_engine
@@ -102,7 +103,7 @@
                 # Its streams can be moved once it goes on.
                 await asyncio.sleep(REPORT_RETRY_DELAY_S)
                 continue
-            except CallDeferred:
+            except (CallDeferred, EngineOutOfReach):
                 pass
             requests += 1
             if report and report.terminates_in_ms is not None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -55,7 +55,8 @@
 def residents_of(controller: EngineController) -> EngineResidents:
     """Return what an engine holds, as a message to entries."""
     if controller.lost():
-        return EngineResidents(controller.record.identity, {}, [])
+        kept = sorted(controller.residents) if controller.may_return() else []
+        return EngineResidents(controller.record.identity, {}, [], kept)
     models = {model: sorted(adapters) for model, adapters in controller.residents.items()}
     return EngineResidents(controller.record.identity, models, sorted(controller.unloading))
 
@@ -103,7 +104,12 @@
             view.others_work = others
     for each in report.residents:
         models = {model: frozenset(adapters) for model, adapters in each.models.items()}
-        state.fleet.set_residents(each.target, models, frozenset(each.unloading))
+        state.fleet.set_residents(
+            each.target,
+            models,
+            frozenset(each.unloading),
+            out_of_reach=frozenset(each.out_of_reach),
+        )
     for message in report.paces:
         state.fleet.paces.apply_shared(message.model, Pace(message.factor, message.measurements))
     for _ in range(state.fleet.apply_speeds(speeds_of(report.speeds))):
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetchooser.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetchooser.py
@@ -265,9 +265,10 @@
     def _model_wait_s(self) -> float:
         """Return the least time until an engine holds the model, 0 if unknown, inf if none will."""
         outlook, model = self.state.load_outlook, self.prompt.model
-        # What waits for an adapter or a busy holder, or continues a stream, isn't refused early.
+        # What waits for an adapter, a busy holder or one that may return, or continues a stream,
+        # isn't refused early.
         is_held = any(
-            model in view.residents and model not in view.unloading
+            (model in view.residents and model not in view.unloading) or model in view.out_of_reach
             for view in self.allowed_by_version()
         )
         if is_held:
--- a/packages/daemon/src/mimosaspur_daemon/direct/trackedengine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/trackedengine.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from mimosaspur_coordination.fleetports import CallDeferred
+from mimosaspur_coordination.fleetports import EngineOutOfReach
 from mimosaspur_coordination.fleetports import EnginePort
 from mimosaspur_coordination.fleetports import EngineSilent
 from mimosaspur_coordination.orderlease import OrderLease
@@ -92,6 +93,8 @@
         # to be there.
         self.failing_since_ms = 0
         self.silent = False
+        # Whether nothing came in time to the last one, so that it may have kept its models.
+        self.out_of_reach = False
         # Whether an entry couldn't reach the engine.
         self.suspected = False
         # Whether it limits the requests that it takes, orders and reports among them.
@@ -115,6 +118,15 @@
         failed = self.failed_reports >= MAX_FAILED_REPORTS
         return self.replaced or failed or (self.suspected and self.failed_reports > 0)
 
+    def may_return(self) -> bool:
+        """Return whether a lost engine may soon be there again with its models.
+
+        An engine whose machine is out of reach may go on as one that is silent. One that refuses
+        connections has ended.
+        """
+        failing_ms = self.clock.now_ms() - self.failing_since_ms
+        return self.out_of_reach and not self.replaced and 0 <= failing_ms < MAX_SILENCE_MS
+
     def recently_unanswered(self) -> bool:
         """Return whether an order was unanswered recently, as the next one may be too."""
         since_ms = self.unanswered_ms
@@ -130,12 +142,14 @@
     async def _request_report(self) -> bool:
         requested_ms = self.report_requested_ms = self.clock.now_ms()
         report: EngineReport | None = None
-        silent = False
+        silent = out_of_reach = False
         try:
             report = await self.port.report(self.record)
         except EngineSilent:
             silent = True
-        self.silent = silent
+        except EngineOutOfReach:
+            out_of_reach = True
+        self.silent, self.out_of_reach = silent, out_of_reach
         if report is None:
             if not self.failed_reports:
                 self.failing_since_ms = requested_ms
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -199,6 +199,8 @@
     target: str
     models: dict[str, list[str]]
     unloading: list[str]
+    # Models that it held when it went out of reach, while it may still return with them.
+    out_of_reach: list[str] = []
 
 
 class TargetRegistration(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/transport/src/mimosaspur_transport/httpclient.py
+++ b/packages/transport/src/mimosaspur_transport/httpclient.py
@@ -12,7 +12,11 @@
 MAX_RESPONSE_BYTES = 8_000_000
 
 
-class ResponseTimeout(ChannelBroken):
+class CallTimeout(ChannelBroken):
+    """Signal that a peer has sent no response in time, and may not be there."""
+
+
+class ResponseTimeout(CallTimeout):
     """Signal that a peer has taken a new connection, but sent no response in time."""
 
 
@@ -64,7 +68,7 @@
                 opened = not reused
                 return await self._exchange(channel, method, path.encode(), all_headers, body)
         except TimeoutError as error:
-            kind = ResponseTimeout if opened else ChannelBroken
+            kind = ResponseTimeout if opened else CallTimeout
             raise kind(f"no response within {timeout_ms} ms") from error
 
     async def _exchange(
