Explain 2016, 2017, 2019 and the turns of suspected requests

An explanation named a target, or a wait, where a caller got 2016, 2017 or 2019, since it looked up neither the version of a resumed stream nor the requests that wait for a verdict. A suspected request, which waits for its turn, was explained as sent at once.

An explanation now uses what its entry knows of a stream's version without asking other entries. The wait for their answers precedes the wait for a verdict, as it does for a request.

Measured: of the five new scenarios (three codes, a turn, a resumed stream whose version is known) five failed before the change and none after it, in one run each; the 32 others of explain.feature passed.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -31,6 +31,21 @@
       | with targets that limit requests             | 2015 |
       | with targets that rest                       | 2018 |
       | with the request in quarantine               | 3007 |
+      | with a resumed stream that nobody remembers  | 2016 |
+      | with a resumed stream of a version long gone | 2017 |
+      | with a copy of it that awaits a verdict      | 2019 |
+
+  # Guards against an explanation that names a target for a request that isn't sent until it is refused.
+  Scenario: A suspected request waits for its turn as its explanation tells
+    Given an entry that is to be asked, with a copy of it at a target that may have crashed another
+    When a request is explained and sent there
+    Then the explanation names its turn, and the request was refused with 2019 after 1000 ms
+
+  # Guards against a wait for the version of a stream that the entry knows itself.
+  Scenario: A resumed stream whose version the entry knows is explained without a wait
+    Given an entry that is to be asked, with a resumed stream of the version that serves
+    When a request is explained and sent there
+    Then the explanation names the target that got it, and no wait
 
   Scenario: The parts of each cost add up to it, and the probabilities to one
     Given an entry with engines, a request limit with permits, and a quota
--- a/features/harness/explained_entry.py
+++ b/features/harness/explained_entry.py
@@ -26,6 +26,7 @@
 QUEUED_TOKENS = (0, 0, 0, 200, 4_000, 400_000)
 # A request that waits isn't answered in this time; its caller waits for 2 s or more.
 WAIT_S = 0.08
+POLL_S = 0.005
 # Longer than a caller waits.
 LONG_REST = b"60"
 
@@ -45,6 +46,8 @@
         self.entry = DirectEntry(engine=engine_spec([model_spec(name) for name in MODELS]))
         self.state = self.entry.state
         self.targets = [ScriptedTarget(name) for name in TARGET_NAMES]
+        # A request that was sent before the one that is explained.
+        self.copy: asyncio.Task[Sent] | None = None
 
     async def start(self) -> None:
         """Start the targets and the entry."""
@@ -73,6 +76,16 @@
         model = random.choice(("a", "a", "b", "c", "a/x", ""))
         return ExplainRequest(HOST, "/stream/x", model=model, prompt_tokens=tokens)
 
+    def start_copy(self, question: ExplainRequest) -> None:
+        """Begin to send the request that a question describes."""
+        self.copy = asyncio.get_running_loop().create_task(self.send(question))
+
+    async def copy_waits(self) -> None:
+        """Wait until the copy, if there is one, waits at the entry for a verdict."""
+        while self.copy and not self.state.quarantine.next_probes:
+            assert not self.copy.done(), self.copy
+            await asyncio.sleep(POLL_S)
+
     async def send(self, question: ExplainRequest) -> Sent:
         """Send the request that a question describes."""
         reader, writer = await self.entry.connect()
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -26,6 +26,8 @@
 from mimosaspur_coordination.evenload import chances
 from mimosaspur_coordination.quarantine.blame import QUARANTINE_THRESHOLD
 from mimosaspur_coordination.quarantine.crashledger import Stage
+from mimosaspur_coordination.streams.streamrecords import StreamRecord
+from mimosaspur_coordination.streams.streamrecords import stream_key
 from mimosaspur_daemon.direct.explain.explanation import explain
 from mimosaspur_daemon.direct.explain.question import as_request
 from mimosaspur_daemon.direct.requestdigest import request_digest
@@ -45,6 +47,9 @@
 ENDLESS_TOKENS = 40_000_000
 # Longer than evidence of crashes takes to settle.
 SETTLED_MS = 2_000
+# Late enough for a verdict on a request, and too early for one without its rivals.
+UNDECIDED_MS = 700
+RESUMPTION = [("Last-Event-Id", "3"), ("X-Resumes", "r-0")]
 ROUNDING_MS = 0.5
 ROUNDING = 0.01
 HEADER_LIMIT = b"x-request-limit"
@@ -164,6 +169,10 @@
     if "two last events" in case:
         twice = [("Last-Event-Id", "1"), ("Last-Event-Id", "2")]
         return ExplainRequest(HOST, "/stream/x", model="a", headers=twice)
+    if "resumed" in case:
+        return _prepare_resumption(played, case)
+    if "copy" in case:
+        return _prepare_copy(played, case)
     if "workspaces" in case or "quota" in case:
         return _prepare_workspaces(played, case)
     if "quarantine" in case:
@@ -176,6 +185,36 @@
     return QUESTION
 
 
+def _prepare_resumption(played: ExplainedEntry, case: str) -> ExplainRequest:
+    state = played.state
+    if "nobody" not in case:
+        version = (
+            "gone" if "gone" in case else next(iter(state.fleet.targets.values())).record.version
+        )
+        key = stream_key("service", "r-0")
+        state.stream_versions.records.note(key, StreamRecord(version, 0))
+    return ExplainRequest(HOST, "/resumable-stream/x", model="a", headers=RESUMPTION)
+
+
+def _prepare_copy(played: ExplainedEntry, case: str) -> ExplainRequest:
+    """Let a copy of the question's request wait for a verdict, or be at a target."""
+    quarantine = played.state.quarantine
+    request = as_request(QUESTION, played.state.dependencies.dialect, arrived_s=0.0)
+    digest = request_digest(request, None)
+    awaits_verdict = "verdict" in case
+    if awaits_verdict:
+        quarantine.ledger.set_covered(LONG_AGO_MS)
+    for number in range(QUARANTINE_THRESHOLD if awaits_verdict else 1):
+        # Without a rival the request would be blamed at once.
+        traits = {digest: Stage.RUNNING, b"rival": Stage.RUNNING}
+        quarantine.ledger.record(f"crashed-{number}", traits, age_ms=UNDECIDED_MS)
+    if awaits_verdict:
+        played.start_copy(QUESTION)
+    else:
+        quarantine.at_targets[digest] = 1
+    return QUESTION
+
+
 def _prepare_targets(played: ExplainedEntry, case: str) -> None:
     state = played.state
     for view in list(state.fleet.targets.values()):
@@ -224,8 +263,11 @@
 @when("a request is explained and sent there")
 def explain_then_send(context: Context) -> None:
     async def ask() -> None:
+        await context.played.copy_waits()
         context.explanation = explain(context.played.state, context.question)
+        began_s = time.monotonic()
         context.sent = await context.played.send(context.question)
+        context.took_ms = (time.monotonic() - began_s) * 1000
 
     run(context, ask())
 
@@ -240,6 +282,23 @@
     assert context.explanation.chosen is None
 
 
+@then(
+    "the explanation names its turn, and the request was refused with {code:d} after {most_ms:d} ms"
+)
+def check_turn(context: Context, code: int, most_ms: int) -> None:
+    wait = context.explanation.waits_for
+    assert wait and "turn" in wait.what and wait.at_most_ms == most_ms, context.explanation
+    assert context.sent.code == code, context.sent
+    assert context.took_ms >= most_ms, context.took_ms
+
+
+@then("the explanation names the target that got it, and no wait")
+def check_sent_at_once(context: Context) -> None:
+    explanation = context.explanation
+    assert explanation.chosen and explanation.waits_for is None, explanation
+    assert explanation.chosen == context.sent.target, (explanation, context.sent)
+
+
 @when("a request for model a is explained there")
 def explain_one(context: Context) -> None:
     async def ask() -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/explain/explanation.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/explain/explanation.py
@@ -4,6 +4,7 @@
 import math
 
 from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.quarantine.traits import RequestTraits
 from mimosaspur_coordination.scheduling.scheduler import MAX_HELD_SHARE
 from mimosaspur_daemon.direct.admission import check_leaving
 from mimosaspur_daemon.direct.admission import find_route
@@ -17,12 +18,16 @@
 from mimosaspur_daemon.direct.prompts import time_limit_ms
 from mimosaspur_daemon.direct.refusal import RequestFailed
 from mimosaspur_daemon.direct.requestdigest import request_traits
+from mimosaspur_daemon.direct.requesthandler import OTHER_ENTRY_RETRY_S
 from mimosaspur_daemon.direct.streamcontinuation import StreamContinuation
+from mimosaspur_daemon.direct.streamversions import ANSWER_TIMEOUT_S
+from mimosaspur_daemon.direct.suspectturns import MAX_TURN_WAIT_MS
 from mimosaspur_daemon.direct.targetchooser import TargetChooser
 from mimosaspur_daemon.direct.workspacequota import check_quota
 from mimosaspur_protocol.explanations import ExplainedWait
 from mimosaspur_protocol.explanations import ExplainRequest
 from mimosaspur_protocol.explanations import Explanation
+from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.routes import Route
 from mimosaspur_transport.callerconnection import CallerRequest
 
@@ -47,7 +52,8 @@
     explanation.workspace = chooser.workspace.name if chooser.workspace else ""
     view: TargetView | None = None
     try:
-        _check_admission(chooser, request, explanation)
+        traits = request_traits(request, chooser.workspace, chooser.prompt)
+        _check_admission(chooser, traits, explanation)
         view = chooser.target_now()
         if view is None:
             explanation.waits_for = explanation.waits_for or _wait(chooser)
@@ -55,6 +61,8 @@
             explanation.waits_for = explanation.waits_for or _hold(chooser)
         elif not chooser.needs_engine() and chooser.leaves_room(view):
             explanation.waits_for = explanation.waits_for or _room(chooser)
+        elif state.quarantine.is_suspected(traits):
+            explanation.waits_for = explanation.waits_for or _turn()
     except RequestFailed as failure:
         explanation.refusal = explain_refusal(failure, chooser)
     explanation.rank = chooser.weighed_rank
@@ -95,24 +103,41 @@
 
 
 def _check_admission(
-    chooser: TargetChooser, request: CallerRequest, explanation: Explanation
+    chooser: TargetChooser, traits: RequestTraits, explanation: Explanation
 ) -> None:
     """Check what precedes the choice, in the order of a request; raise RequestFailed."""
     quarantine = chooser.state.quarantine
-    traits = request_traits(request, chooser.workspace, chooser.prompt)
     check_leaving(chooser)
     quarantine.check(traits)
     check_quota(chooser)
+    explanation.waits_for = _version_wait(chooser)
+    if wait_ms := quarantine.refused_wait_ms(traits):
+        raise chooser.refusal(ResultCode.SUSPECT_WAITING, wanted_s=wait_ms / 1000)
     if quarantine.is_held(traits):
         held_ms = max(map(quarantine.ledger.held_ms, quarantine.ledger.holding(traits)))
         what = "a verdict on crashes of targets that requests like it may have caused"
-        explanation.waits_for = ExplainedWait(what, at_most_ms=held_ms)
-    elif chooser.continuation and chooser.continuation.is_resumption:
-        # Other entries aren't asked for it.
-        explanation.waits_for = ExplainedWait("the software version that began the stream")
+        explanation.waits_for = explanation.waits_for or ExplainedWait(what, at_most_ms=held_ms)
     chooser.isolated = quarantine.is_isolated(traits)
 
 
+def _version_wait(chooser: TargetChooser) -> ExplainedWait | None:
+    """Return the wait for other entries to tell a resumed stream's version, None without it.
+
+    Raise RequestFailed if the version is unknown and there is no other entry to ask.
+    """
+    continuation = chooser.continuation
+    if continuation is None or not continuation.is_resumption:
+        return None
+    if continuation.asks_others():
+        # An explanation doesn't ask them.
+        at_most_ms = round(ANSWER_TIMEOUT_S * 1000)
+        what = "the software version that began the stream"
+        return ExplainedWait(what, at_most_ms=at_most_ms)
+    if continuation.resolve_here() is None:
+        raise chooser.refusal(ResultCode.STREAM_VERSION_UNKNOWN, wanted_s=OTHER_ENTRY_RETRY_S)
+    return None
+
+
 def _wait(chooser: TargetChooser) -> ExplainedWait:
     """Return what a request that no target takes now waits for; raise RequestFailed."""
     wait = chooser.engine_wait() if chooser.needs_engine() else chooser.plain_wait()
@@ -143,6 +168,12 @@
     return ExplainedWait("room that other workspaces leave", at_most_ms=at_most_ms)
 
 
+def _turn() -> ExplainedWait:
+    """Return what a suspected request waits for once there is a target for it."""
+    what = "its turn among the requests that may have crashed a target"
+    return ExplainedWait(what, at_most_ms=MAX_TURN_WAIT_MS)
+
+
 def _next(chooser: TargetChooser, view: TargetView) -> str | None:
     """Return the target that is chosen if the first one refuses the request, None without."""
     chooser.cool_down(view, NEXT_COOLDOWN_S)
--- a/packages/daemon/src/mimosaspur_daemon/direct/explain/refusals.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/explain/refusals.py
@@ -17,7 +17,11 @@
     " them, or a longer time limit.",
     ResultCode.TARGET_LIMITED: "A permit in time: more targets, or a higher limit of these.",
     ResultCode.TARGET_RESTING: "The end of the targets' rests, or more targets.",
+    ResultCode.STREAM_VERSION_UNKNOWN: "An entry that remembers the stream's version, or the end of"
+    " all versions but one.",
     ResultCode.STREAM_VERSION_GONE: "A target of the version that began the stream.",
+    ResultCode.SUSPECT_WAITING: "The end of the request like it that waits or runs, or a verdict on"
+    " the crashes: see the log lines crash and quarantined.",
     ResultCode.SHARE_EXCEEDED: "Less demand of this workspace, a higher weight of it, or more"
     " room at the service.",
     ResultCode.QUOTA_EXCEEDED: "Time in which the quota refills, or a higher quota.",
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -121,6 +121,18 @@
                     )
             await self.changes.wait(wait_ms / 1000)
 
+    def refused_wait_ms(self, traits: RequestTraits) -> int:
+        """Return for how long another request waits in place of one that comes now, 0 if none does.
+
+        The one that comes is refused, as `wait_for_verdict` does once no verdict is due.
+        """
+        holding = self.ledger.holding(traits)
+        if self.next_probes.keys().isdisjoint(holding):
+            return 0
+        if max(map(self.ledger.settles_in_ms, holding)):
+            return 0
+        return max(map(self.ledger.held_ms, holding))
+
     def may_send(self, handler: "RequestHandler") -> bool:
         """Return whether a request may be sent now."""
         return not self.is_held(handler.traits) and self.turns.may_send(handler)
--- a/packages/daemon/src/mimosaspur_daemon/direct/streamcontinuation.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamcontinuation.py
@@ -58,8 +58,17 @@
 
     async def resolve(self) -> VersionSource | None:
         """Find a resumed stream's version and return how it is known, None if it is unknown."""
-        key = self.key or b""
-        found = await self.versions.find(key, service=self.service)
+        return self._apply(await self.versions.find(self.key or b"", service=self.service))
+
+    def asks_others(self) -> bool:
+        """Return whether other entries are asked for a resumed stream's version."""
+        return self.versions.asks_others(self.key or b"", service=self.service)
+
+    def resolve_here(self) -> VersionSource | None:
+        """Do what `resolve` does without asking other entries."""
+        return self._apply(self.versions.find_here(self.key or b"", service=self.service))
+
+    def _apply(self, found: tuple[str, VersionSource] | None) -> VersionSource | None:
         if found is None:
             return None
         self.version, source = found
--- a/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
@@ -134,13 +134,10 @@
 
     async def find(self, key: bytes, *, service: str) -> tuple[str, VersionSource] | None:
         """Return the version that began a stream and how it is known, None if it is unknown."""
-        record = self.records.find(key)
-        if record:
-            return record.version, VersionSource.RECORD
-        sole = self.history.sole_version(service)
-        if sole is not None:
-            return sole, VersionSource.ONLY_VERSION
-        asked = choose_witnesses(key, self.entries, count=ASKED_COUNT)
+        known = self.find_here(key, service=service)
+        if known is not None:
+            return known
+        asked = self._asked(key)
         versions = self.history.recent(service)
         lookup = VersionLookup(asked, versions=versions)
         if not lookup.is_decided():
@@ -150,6 +147,27 @@
             return None
         return result
 
+    def find_here(self, key: bytes, *, service: str) -> tuple[str, VersionSource] | None:
+        """Return what `find` does without asking other entries, None if it is unknown here."""
+        record = self.records.find(key)
+        if record:
+            return record.version, VersionSource.RECORD
+        sole = self.history.sole_version(service)
+        if sole is not None:
+            return sole, VersionSource.ONLY_VERSION
+        if self._asked(key):
+            return None
+        result = VersionLookup((), versions=self.history.recent(service)).result()
+        return result if self._may_conclude(()) else None
+
+    def asks_others(self, key: bytes, *, service: str) -> bool:
+        """Return whether `find` asks other entries for a stream's version."""
+        return self.find_here(key, service=service) is None and bool(self._asked(key))
+
+    def _asked(self, key: bytes) -> Collection[str]:
+        """Return the entries to ask for a stream's version."""
+        return choose_witnesses(key, self.entries, count=ASKED_COUNT)
+
     def listing(self) -> dict[str, object]:
         """Return the versions that serve, and what is remembered, for operators."""
         history = self.history
