Compare the shares in the scenario of 100 explanations

The scenario that guards against explanations with effects left out the shares of workspaces. It now compares them at an entry at which north's share is used up, a refused request was told when to return and a shortage was observed, and requires that some of the requests asked about exceed a share.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -8,8 +8,9 @@
 
   Scenario: Explanations change nothing
     Given an entry with engines, a request limit with permits, and a quota
+    And the share of north is used up there
     When 100 explanations are asked for, of requests that are sent, wait or are refused
-    Then no counter, permit, demand or quota at the entry has changed
+    Then no counter, permit, demand, quota or share at the entry has changed
 
   Scenario Outline: A refusal and its explanation name the same code: <case>
     Given an entry that is to be asked, <case>
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -26,8 +26,10 @@
 from mimosaspur_coordination.evenload import chances
 from mimosaspur_coordination.quarantine.blame import QUARANTINE_THRESHOLD
 from mimosaspur_coordination.quarantine.crashledger import Stage
+from mimosaspur_coordination.shares.division import Share
 from mimosaspur_coordination.streams.streamrecords import StreamRecord
 from mimosaspur_coordination.streams.streamrecords import stream_key
+from mimosaspur_daemon.direct.entrystate import LATE_RANK
 from mimosaspur_daemon.direct.explain.explanation import explain
 from mimosaspur_daemon.direct.explain.question import as_request
 from mimosaspur_daemon.direct.requestdigest import request_digest
@@ -49,6 +51,9 @@
 SETTLED_MS = 2_000
 # Late enough for a verdict on a request, and too early for one without its rivals.
 UNDECIDED_MS = 700
+# North's share, and tokens that exceed it for the time of a scenario.
+SHARE = Share(1.0, 2.0)
+USED_UP_TOKENS = 1_000.0
 RESUMPTION = [("Last-Event-Id", "3"), ("X-Resumes", "r-0")]
 ROUNDING_MS = 0.5
 ROUNDING = 0.01
@@ -96,6 +101,19 @@
     run(context, start())
 
 
+@given("the share of {name} is used up there")
+def use_share(context: Context, name: str) -> None:
+    state = context.played.state
+    current = state.configuration
+    weighted = tuple(replace(each, weight=1.0) for each in current.workspaces)
+    state.apply_configuration(replace(current, version=3, workspaces=weighted), source="test")
+    state.shares.apply_shares({"service": {name: SHARE}}, entries=1)
+    state.shares.take("service", name, USED_UP_TOKENS)
+    # A refused request that was told when to return, and a shortage that the entry observed.
+    state.shares.promise("service", name, USED_UP_TOKENS, wait_ms=PERMITS_ASKED_MS)
+    state.shares.on_shortage("service")
+
+
 def _state_of(context: Context) -> dict[str, object]:
     state = context.played.state
     return {
@@ -112,6 +130,7 @@
         "waiters": len(state.notices.holder.waiters),
         "sent": snapshot(state.notices.history),
         "quotas": snapshot(state.quotas.accounts),
+        "shares": snapshot(state.shares),
         "retries": snapshot(state.retry_windows),
         "at_targets": snapshot(state.quarantine.at_targets),
         "work": [snapshot(each.own_work) for each in state.fleet.targets.values()],
@@ -133,22 +152,25 @@
     ]
 
     async def ask() -> None:
-        context.outcomes = set()
+        context.outcomes, context.ranks = set(), set()
         for question in itertools.islice(itertools.cycle(questions), count):
             found = explain(context.played.state, question)
             context.outcomes.add(
                 "refused" if found.refusal else "waits" if found.waits_for else "sent"
             )
+            context.ranks.add(found.rank)
 
     run(context, ask())
 
 
-@then("no counter, permit, demand or quota at the entry has changed")
+@then("no counter, permit, demand, quota or share at the entry has changed")
 def check_unchanged(context: Context) -> None:
     after = _state_of(context)
     changed = {name for name in after if after[name] != context.before[name]}
     assert not changed, {name: (context.before[name], after[name]) for name in changed}
     assert context.outcomes == {"refused", "waits", "sent"}, context.outcomes
+    # Some of the requests exceed a share, and some don't.
+    assert context.ranks > {LATE_RANK}, context.ranks
 
 
 @given("an entry that is to be asked, {case}")
