Count what waits in the forecast for a patient model's next caller

Cause: the number of engines that may load for patient demand at once follows from the models that requests wait for. A model without a request was forecast in the simulation after all of these had been loaded, so that only its own demand counted, and it waited for a load that it would run beside. Entries refuse requests by such forecasts. Change: the limit is computed from the state at the start, with that model as if a request waited for it.

--- a/features/model_urgency.feature
+++ b/features/model_urgency.feature
@@ -145,6 +145,8 @@
       | x: a b c disk g; y: d e f disk h   | g patient waits 1 for 500 ms; h patient waits 1             | g 2090, h 4180  |
       | x: a b c disk g                    | a b urgent 300; g patient rejected 1                        | g 2090          |
       | x: a b loads e disk g h free in 1000 ms; y: a c d disk g h; z: a b f; u: a b f; v: a b f; w: a b f | a b f urgent 30000; e patient waits 1 for 5000 ms; g patient waits 9; h patient waits 5 | g 2090, h 3790 |
+      | x: a b c disk g; y: a b d disk h; z: a b f; u: a b f; v: a b f; w: a b f | a b f urgent 30000; g patient waits 1; h patient waits 1 | g 2090, h 2090 |
+      | x: a b c disk g; y: a b d disk h; z: a b f; u: a b f; v: a b f; w: a b f | a b f urgent 30000; g patient waits 1; h patient 300 | g 2090, h 2090 |
 
   Scenario: The search that leaves engines out decides like the full one
     Then in 300 random states a pruned search by urgency decides like a full one
--- a/packages/coordination/src/mimosaspur_coordination/loadforecast.py
+++ b/packages/coordination/src/mimosaspur_coordination/loadforecast.py
@@ -109,6 +109,7 @@
     """Assign loads to engines one after another, in virtual time."""
 
     def __init__(self, problem: PlacementProblem) -> None:
+        self.initial = problem
         # When each engine is free.
         self.free_ms: dict[str, int] = {}
         # When each model that is loaded in the simulation, or before, may be unloaded again.
@@ -202,8 +203,8 @@
         swap = self.search.first_replica(name)
         if swap is None:
             return NEVER_MS
-        max_patient_loads = self.problem.max_patient_loads(also=name)
-        start_ms = self._start_ms(swap, max(max_patient_loads, self.max_patient_loads))
+        # The limit follows from all that waits: in the simulation nothing waits any more.
+        start_ms = self._start_ms(swap, self.initial.max_patient_loads(also=name))
         return max(1, start_ms + _duration_ms(swap))
 
     def _start_ms(self, swap: Swap, max_patient_loads: int) -> int:
