Don't refuse what waits for a load while the coordinator can't issue orders

Cause: while the lease isn't confirmed, the coordinator withdraws its forecasts and begins no loads. Other entries stop following it, but its own entry took the missing load as a decision, and refused requests once they had waited for an eighth of their objective. Change: an update that says that no orders can be issued ends the time since which a coordinator is followed, so that requests wait as without one; after it the coordinator has the same time to begin again.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -86,6 +86,13 @@
     And a stream of the model is requested, and an engine holds it after 1200 ms
     Then it is served
 
+  # Guards against refusals at the coordinator's own entry, which goes on while the store is slow.
+  Scenario: The coordinator may give no orders for a moment while a request waits
+    Given an entry of a site without the model, whose loads take 1 s
+    And its coordinator forecasts that it is ready in 1200 ms
+    When a stream of the model is requested while its coordinator may give no orders, and an engine holds it after 1200 ms
+    Then it is served
+
   # Guards against requests that can wait but take an engine from urgent ones, and against requests
   # that are held for nothing.
   Scenario Outline: A request that can wait is sent unless it delays more urgent ones, <engine>, <seen>
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -127,16 +127,19 @@
 
 @given("its coordinator forecasts that it is ready in {ms:d} ms")
 def forecast(context: Context, ms: int | None) -> None:
-    report = FleetReport(
+    apply_report(context.entry.state, _fleet_report({} if ms is None else {MODEL: ms}))
+
+
+def _fleet_report(forecast_ms: dict[str, int], *, can_issue_orders: bool = True) -> FleetReport:
+    return FleetReport(
         token=1,
-        can_issue_orders=True,
+        can_issue_orders=can_issue_orders,
         entry_count=1,
         work=[],
         residents=[],
         model_ready_in_ms={},
-        load_forecast={} if ms is None else {MODEL: ms},
+        load_forecast=forecast_ms,
     )
-    apply_report(context.entry.state, report)
 
 
 async def _ask(context: Context) -> tuple[ReceivedResponse, float]:
@@ -175,6 +178,27 @@
     run(context, ask())
 
 
+@when(
+    "a stream of the model is requested while its coordinator may give no orders, and an engine"
+    " holds it after {ms:d} ms"
+)
+def request_without_orders(context: Context, ms: int) -> None:
+    state = context.entry.state
+    # The coordinator has had time to give orders.
+    state.load_outlook.followed_since_ms -= 60_000
+
+    async def suspend() -> None:
+        await asyncio.sleep(0.05)
+        state.load_outlook.on_answered(build_entry_report(state).number)
+        apply_report(state, _fleet_report({MODEL: LEFT_MS}, can_issue_orders=False))
+
+    async def ask() -> None:
+        (answer, _), *_ = await asyncio.gather(_ask(context), suspend(), _hold_after(context, ms))
+        context.answers = [answer]
+
+    run(context, ask())
+
+
 @when("a stream of the model is requested, and the coordinator is lost after {ms:d} ms")
 def request_and_lose(context: Context, ms: int) -> None:
     async def ask() -> None:
--- a/packages/coordination/src/mimosaspur_coordination/scheduling/loadoutlook.py
+++ b/packages/coordination/src/mimosaspur_coordination/scheduling/loadoutlook.py
@@ -62,7 +62,7 @@
     def __init__(self, *, handover_ms: int, clock: Clock) -> None:
         self.clock = clock
         self.handover_ms = handover_ms
-        # None without a coordinator.
+        # None without a coordinator that can issue orders.
         self.followed_since_ms: int | None = None
         # Time until each model that is being loaded is ready, as of the last update.
         self.loading: Mapping[str, int] = {}
@@ -83,10 +83,21 @@
         """Record that the next update takes the reports up to a number into account."""
         self.answered_number = number
 
-    def on_update(self, loading: Mapping[str, int] | None, forecasts: Mapping[str, int]) -> None:
-        """Apply the coordinator's update: all loads, None if they hold, and changed forecasts."""
+    def on_update(
+        self,
+        loading: Mapping[str, int] | None,
+        forecasts: Mapping[str, int],
+        *,
+        can_issue_orders: bool = True,
+    ) -> None:
+        """Apply the coordinator's update: all loads, None if they hold, and changed forecasts.
+
+        A coordinator that can't issue orders counts as none: that it begins no load says nothing.
+        """
         now_ms = self.clock.now_ms()
-        if self.followed_since_ms is None:
+        if not can_issue_orders:
+            self.followed_since_ms = None
+        elif self.followed_since_ms is None:
             self.followed_since_ms = now_ms
         if loading is not None:
             self.loading, self.updated_ms = loading, now_ms
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -109,6 +109,8 @@
     for _ in range(state.fleet.apply_speeds(speeds_of(report.speeds))):
         state.log.counters.count("engine_speed_ignored", "coordinator")
     loading = None if report.ready_times_hold else report.model_ready_in_ms
-    state.load_outlook.on_update(loading, report.load_forecast)
+    state.load_outlook.on_update(
+        loading, report.load_forecast, can_issue_orders=report.can_issue_orders
+    )
     if report.work or report.residents or loading is not None or report.load_forecast:
         state.changes.notify()
