Forecast the models beyond the limit on a forecast's cost

Cause: with 365 engines, loads of five models are tried, and the others got no forecast. Entries took that as a decision not to load them and refused requests that had waited for an eighth of their objective. Change: those models get the time of the last one tried, which they wait for at least.

--- a/features/model_urgency.feature
+++ b/features/model_urgency.feature
@@ -32,6 +32,14 @@
     When loads are forecast, the store is free
     Then the forecast is h 2090, g 4180
 
+  # Guards against refusals of requests for models that the limit on a forecast's cost leaves out: with
+  # 365 engines, those were all but five.
+  Scenario: Models beyond the limit on the loads tried wait for those before
+    Given the engines x: a b c disk g h
+    And the demand g waits 5, h waits 1
+    When one model at most is tried as loads are forecast
+    Then the forecast is g 2090, h 2090
+
   # Guards against refusals by forecasts that are longer than what then happens.
   Scenario: Forecasts are not much longer than the loads that are then decided
     Given 22 engines, 24 models that requests wait for, and demand that stays as it is
--- a/features/steps/model_urgency_steps.py
+++ b/features/steps/model_urgency_steps.py
@@ -63,6 +63,12 @@
     context.forecast = forecast_loads(problem)
 
 
+@when("one model at most is tried as loads are forecast")
+def forecast_one(context: Context) -> None:
+    with mock.patch("mimosaspur_coordination.loadforecast.MAX_TRIED_LOADS", 1):
+        forecast(context, "the store is free")
+
+
 @then("the forecast is {values}")
 def check_forecast(context: Context, values: str) -> None:
     assert context.forecast == _values(values), context.forecast
--- a/packages/coordination/src/mimosaspur_coordination/loadforecast.py
+++ b/packages/coordination/src/mimosaspur_coordination/loadforecast.py
@@ -33,7 +33,7 @@
 UNLOAD_MS = 90
 # A model that was loaded recently stays for this long.
 RESIDENCE_MS = 700
-# Limit on the loads tried, which bounds a forecast to some 20 ms. Models beyond it get no forecast.
+# Limit on the loads tried, which bounds a forecast to some 20 ms.
 MAX_TRIED_LOADS = 2_000
 
 
@@ -41,6 +41,7 @@
     """Return the time in ms until each requested model without a replica would be ready.
 
     For a model that no request waits for, it is the time if one came now, after those that wait.
+    For those beyond MAX_TRIED_LOADS it is the least time.
     """
     wanted = _wanted(problem)
     if not wanted or not _engines_known(problem):
@@ -54,6 +55,11 @@
             forecast[name] = simulation.load(name)
         # None of these is loaded unless it is requested: they don't wait for one another.
         forecast |= {name: simulation.ready_ms(name) for name in others}
+    # The models beyond the limit wait for these. Without a forecast entries would take it that they
+    # won't be loaded, and refuse their requests.
+    last_ms = max(forecast.values())
+    if last_ms > NEVER_MS:
+        forecast |= dict.fromkeys(wanted[count:], last_ms)
     return forecast
 
 
