Keep the shares of a coordinator under its successor until it divides room

The first report of a new coordinator, which has divided nothing yet, carries an empty list of shares. Entries took it for a division without limited workspaces and dropped the shares of the predecessor in the middle of a shortage.

An entry now keeps them until the successor issues shares, or until the lease ends that the predecessor's last message renewed. An empty list from a coordinator that is followed already still ends its shares. No message changes.

Tested by five rows of features/fair_shares.feature, without a network: two failed before (no share in force after 0 and 2900 ms), all pass now.

--- a/features/fair_shares.feature
+++ b/features/fair_shares.feature
@@ -103,6 +103,21 @@
     When the entry observes a shortage while north asks for 9 times what is served to south
     Then all entries are told north's share, also one that joins later, and keep it under a coordinator of an earlier version
 
+  # Guards against a shortage in which nobody is limited while one coordinator follows another.
+  Scenario Outline: Shares stay in force under a new coordinator until it divides room or they expire, <ms> ms
+    Given a coordinator with an entry that serves two workspaces
+    When the entry observes a shortage while north asks for 9 times what is served to south
+    And another coordinator follows and <divides> for <ms> ms
+    Then the share in force for north is <share>
+
+    Examples:
+      | divides           | ms   | share            |
+      | issues no shares  | 0    | the predecessor's |
+      | issues no shares  | 2900 | the predecessor's |
+      | issues no shares  | 3100 | none             |
+      | limits north anew | 0    | its own          |
+      | limits north anew | 3100 | its own          |
+
   # Guards against shares that an entry doesn't apply until they change, as it reads the weights later.
   Scenario: An entry gets shares before the configuration that names a weight
     Given an entry with 2 workspaces before an engine, no weight is named yet
--- a/packages/coordination/src/mimosaspur_coordination/shares/holder.py
+++ b/packages/coordination/src/mimosaspur_coordination/shares/holder.py
@@ -54,6 +54,7 @@
         "divided_ms",
         "entries",
         "follows",
+        "inherited_ms",
         "issued",
         "observed",
         "renewed_ms",
@@ -72,6 +73,9 @@
         # As issued by the coordinator, and when their lease was last renewed.
         self.issued: Shares = {}
         self.renewed_ms = DISTANT_PAST_MS
+        # When the lease of those of an earlier coordinator was last renewed, which hold until its
+        # successor issues some; None if none do.
+        self.inherited_ms: int | None = None
         # Those in force: issued, or divided here.
         self.shares: Shares = {}
         # Whether the coordinator that is followed now has issued shares.
@@ -116,6 +120,7 @@
 
     def share(self, service: str, workspace: str) -> Share | None:
         """Return the share of a workspace over all entries, None if it isn't limited now."""
+        self._end_inherited()
         self._divide_own()
         return self.shares.get(service, {}).get(workspace)
 
@@ -160,6 +165,7 @@
         now_ms = self.clock.now_ms()
         if not self.weights or 0 <= now_ms - self.reported_ms < REPORT_INTERVAL_MS:
             return None
+        self._end_inherited()
         services = {*self.observed.short_services(), *(self.issued if self.follows else ())}
         if not services and not self.reports_use:
             return None
@@ -175,13 +181,25 @@
         return uses
 
     def apply_shares(self, shares: Shares | None, *, entries: int) -> None:
-        """Apply the coordinator's message: all shares, or None if those issued last still hold."""
+        """Apply the coordinator's message: all shares, or None if those issued last still hold.
+
+        A new coordinator that hasn't divided room yet begins with no shares. Those of its
+        predecessor then hold for the rest of their lease.
+        """
         if shares is None and not self.follows:
             return
-        self.renewed_ms, self.entries = self.clock.now_ms(), max(1, entries)
-        if shares is not None:
-            self.follows, self.issued = True, shares
-        if shares is not None and self.weights:
+        now_ms = self.clock.now_ms()
+        leased_ms = self.renewed_ms if self.inherited_ms is None else self.inherited_ms
+        inherits = not self.follows and bool(self.issued) and _is_leased(leased_ms, now_ms)
+        self.renewed_ms, self.entries = now_ms, max(1, entries)
+        if shares is None:
+            return
+        self.follows = True
+        if not shares and inherits:
+            self.inherited_ms = leased_ms
+            return
+        self.inherited_ms, self.issued = None, shares
+        if self.weights:
             self._set_shares(shares, is_own=False)
 
     def on_coordinator_lost(self) -> None:
@@ -189,10 +207,17 @@
         self.follows = False
         self.reported_ms = DISTANT_PAST_MS
 
+    def _end_inherited(self) -> None:
+        """Drop the shares of an earlier coordinator once their lease has ended."""
+        if self.inherited_ms is None or _is_leased(self.inherited_ms, self.clock.now_ms()):
+            return
+        self.inherited_ms, self.issued = None, {}
+        self._set_shares({}, is_own=False)
+
     def _divide_own(self) -> None:
         """Divide the entry's own room once the issued shares are no longer leased."""
         now_ms = self.clock.now_ms()
-        if not self.weights or 0 <= now_ms - self.renewed_ms <= LEASE_MS:
+        if not self.weights or _is_leased(self.renewed_ms, now_ms):
             return
         if 0 <= now_ms - self.divided_ms < OWN_DIVISION_MS:
             return
@@ -223,6 +248,11 @@
         return demand_share(asked, share.asked_per_s, self.entries)
 
 
+def _is_leased(renewed_ms: int, now_ms: int) -> bool:
+    """Return whether shares hold by a lease that was last renewed at a time."""
+    return 0 <= now_ms - renewed_ms <= LEASE_MS
+
+
 def weights_of(workspaces: Iterable[Workspace]) -> dict[str, float]:
     """Return the weights of workspaces by name; none if none has one."""
     workspaces = list(workspaces)
