Count an answer from a target as service, whatever its status

Only whole answers below 300 and first events counted as served. Requests that a target answered with an error counted as asked, so that many of them made the demand exceed the room and limited workspaces without a shortage.

Each whole answer now counts, and a stream that is complete without an event. A rejection that says that the request has not run doesn't, as before.

--- a/features/fair_shares.feature
+++ b/features/fair_shares.feature
@@ -118,6 +118,19 @@
       | limits north anew | 0    | its own          |
       | limits north anew | 3100 | its own          |
 
+  # Guards against a shortage that is only requests whose answers don't count.
+  Scenario Outline: An answer with status <status> counts as service
+    Given an entry with 2 workspaces before an engine, south is limited
+    And the target answers its first request with <status>
+    When north sends a plain request that runs at most once
+    Then it is answered with <status>, and counts as asked and as served
+
+    Examples:
+      | status |
+      | 200    |
+      | 404    |
+      | 500    |
+
   # Guards against shares that an entry doesn't apply until they change, as it reads the weights later.
   Scenario: An entry gets shares before the configuration that names a weight
     Given an entry with 2 workspaces before an engine, no weight is named yet
--- a/features/harness/direct_target.py
+++ b/features/harness/direct_target.py
@@ -128,6 +128,9 @@
             "encodes the answer": self._answer_encoded,
             "cuts the answer": self._truncate_response,
         }
+        if fault.startswith("answers with "):
+            await self._send_response(int(fault.split()[-1]), PLAIN_BODY, PROOF)
+            return
         await plays.get(fault, lambda: self._answer_normally(fault=fault))()
 
     async def stream_unframed(self) -> None:
--- a/features/steps/fair_shares_steps.py
+++ b/features/steps/fair_shares_steps.py
@@ -308,6 +308,24 @@
     assert abs(context.shares["service"]["north"].per_s - per_s) < 0.01, context.shares
 
 
+@given("the target answers its first request with {status:d}")
+def set_status(context: Context, status: int) -> None:
+    context.target.fault = f"answers with {status}"
+
+
+@when("north sends a plain request that runs at most once")
+def send_once(context: Context) -> None:
+    headers = {"Authorization": "Bearer n-1"}
+    context.answer = run(context, context.entry.call("once", headers=headers))
+
+
+@then("it is answered with {status:d}, and counts as asked and as served")
+def check_counted_as_served(context: Context, status: int) -> None:
+    assert context.answer.status == status, context.answer
+    use = context.entry.state.shares.observed.use("service").by_workspace["north"]
+    assert use.asked_per_s > 0 and use.served_per_s > 0.9 * use.asked_per_s, use
+
+
 @when("it is told that north is limited, and then reads a weight")
 def read_weight_later(context: Context) -> None:
     entry = context.entry.state
--- a/packages/coordination/src/mimosaspur_coordination/shares/holder.py
+++ b/packages/coordination/src/mimosaspur_coordination/shares/holder.py
@@ -110,7 +110,7 @@
             self.observed.on_asked(service, workspace, tokens)
 
     def on_served(self, service: str, workspace: str, tokens: float) -> None:
-        """Count a request whose response has begun."""
+        """Count a request that a target has begun to answer, whatever the status."""
         if self.weights:
             self.observed.on_served(service, workspace, tokens)
 
--- a/packages/coordination/src/mimosaspur_coordination/shares/observed.py
+++ b/packages/coordination/src/mimosaspur_coordination/shares/observed.py
@@ -46,7 +46,7 @@
         self._rates(service, workspace).asked.add(tokens, self.clock.now_ms())
 
     def on_served(self, service: str, workspace: str, tokens: float) -> None:
-        """Count a request whose response has begun."""
+        """Count a request that a target has begun to answer, whatever the status."""
         self._rates(service, workspace).served.add(tokens, self.clock.now_ms())
 
     def on_shortage(self, service: str) -> bool:
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -393,6 +393,8 @@
         body = await self._read_first(self._read_body())
         if head.status < 400 and not self._is_authentic(head):
             raise ChannelBroken("response is encoded or lacks the target's proof header")
+        # An error took room as well: otherwise callers' mistakes would look like a shortage.
+        handler.target_selector.share.on_served()
         response = TargetResponse(head, body, marked=self.channel.marks_end())
         # A backup's error doesn't replace what the first run may still answer.
         is_spare = self.offer.is_backup and len(handler.runs.active) > 1
@@ -403,8 +405,6 @@
             return AttemptResult.FAILED
         self.view.health.record_success()
         self.was_served = head.status < 300
-        if self.was_served:
-            handler.target_selector.share.on_served()
         if handler.started:
             raise ChannelBroken("target answered a resumed stream with a whole response")
         handler.runs.claim(self)
@@ -470,6 +470,8 @@
             await handler.caller.send_chunk(held)
         await handler.caller.end_response()
         self.view.health.record_success()
+        # A stream may be complete without an event.
+        handler.target_selector.share.on_served()
         lasted_ms = (asyncio.get_running_loop().time() - self.first_token_s) * 1000
         if self.first_token:
             self.view.record_stream(lasted_ms)
