Take missing weights from another copy of the same configuration version

While a new version is rolled out, an entry of the earlier version passes a configuration on without the weights of workspaces. An entry that got it so ignored the store's copy, since its version wasn't newer, and encoded the copy without weights for its own peers: the shares stayed wrong until the next version of the configuration.

A copy of the version in force now adds the weights that are missing here. It removes none, and changes nothing else. What is passed on is encoded again.

Tested without a network by features/fair_shares.feature, "An entry of an earlier version passes a configuration on without weights": the row of a peer before the store failed before (no weight), both rows pass now.

--- a/features/fair_shares.feature
+++ b/features/fair_shares.feature
@@ -159,3 +159,14 @@
       | -1     | unreadable |
       | "two"  | unreadable |
       | 1e400  | unreadable |
+
+  # Guards against shares that change while entries of two versions exchange the configuration.
+  Scenario Outline: An entry of an earlier version passes a configuration on without weights, <order>
+    Given an entry with 2 workspaces before an engine, no weight is named yet
+    When it gets version 3 with a weight of 2.5 from <order>
+    Then north has that weight in version 3, also as the entry passes it on
+
+    Examples:
+      | order                                      |
+      | the store, and then without it from a peer |
+      | a peer without it, and then the store      |
--- a/packages/daemon/src/mimosaspur_daemon/direct/configurationexchange.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/configurationexchange.py
@@ -12,6 +12,7 @@
 from mimosaspur_protocol.peermessages import PeerProtocolError
 from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.policy import Mechanism
+from mimosaspur_state.routes import Configuration
 from mimosaspur_transport.peerlink import PeerLink
 from mimosaspur_transport.peerlink import PeerLost
 
@@ -26,13 +27,14 @@
     Only whole configurations are sent, so that no receiver has to assemble one from parts.
     """
 
-    __slots__ = ("encoded", "requested_ms", "state")
+    __slots__ = ("encoded", "encoded_from", "requested_ms", "state")
 
     def __init__(self, state: EntryState) -> None:
         self.state = state
         self.requested_ms = NO_REQUEST_MS
-        # The configuration in force, encoded for peers.
+        # A configuration encoded for peers, and that configuration.
         self.encoded: EncodedConfiguration | None = None
+        self.encoded_from: Configuration | None = None
 
     def on_version(self, version: int, link: PeerLink) -> None:
         """Request a peer's configuration if its version is newer than the one in force."""
@@ -55,8 +57,10 @@
         configuration = self.state.configuration
         if configuration is None or configuration.version <= message.known_version:
             return
-        if self.encoded is None or self.encoded.version != configuration.version:
+        # The same version may have got weights since, see EntryState.apply_configuration.
+        if self.encoded is None or self.encoded_from is not configuration:
             self.encoded = encode_configuration(configuration)
+            self.encoded_from = configuration
         with contextlib.suppress(PeerLost):
             link.send(self.encoded)
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection
 from collections.abc import Iterator
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TypeVar
 
 from mimosaspur_coordination.durations import DurationEstimator
@@ -45,6 +46,7 @@
 from mimosaspur_state.routes import Configuration
 from mimosaspur_state.routes import Route
 from mimosaspur_state.workspaces import Workspace
+from mimosaspur_state.workspaces import with_weights_of
 from mimosaspur_transport.channelpool import ChannelPool
 from mimosaspur_transport.dialect import Dialect
 from mimosaspur_transport.httpchannel import HttpChannel
@@ -184,9 +186,13 @@
         return self.settings.policy.uses(mechanism)
 
     def apply_configuration(self, newest: Configuration, *, source: str) -> bool:
-        """Apply a configuration if it is newer; return whether it is."""
+        """Apply a configuration if it is newer, or names weights that are missing; return that."""
         current = self.configuration
-        if current and newest.version <= current.version:
+        if current and newest.version == current.version:
+            newest = _with_weights_of(current, newest)
+            if newest == current:
+                return False
+        elif current and newest.version < current.version:
             return False
         self.configuration = newest
         self.quotas.configure(newest.workspaces or ())
@@ -353,6 +359,14 @@
                 _decrement(self.waiting_adapters, (model, adapter))
 
 
+def _with_weights_of(current: Configuration, other: Configuration) -> Configuration:
+    """Return a configuration with the weights that only another one of its version has."""
+    workspaces = current.workspaces
+    if workspaces is not None:
+        workspaces = with_weights_of(workspaces, other.workspaces or ())
+    return replace(current, workspaces=workspaces)
+
+
 def _decrement(counts: dict[K, int], key: K) -> None:
     counts[key] -= 1
     if not counts[key]:
--- a/packages/state/src/mimosaspur_state/workspaces.py
+++ b/packages/state/src/mimosaspur_state/workspaces.py
@@ -1,6 +1,8 @@
 """Define workspaces, their credentials and their quotas."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
+from dataclasses import replace
 from enum import Enum
 
 
@@ -35,3 +37,17 @@
     # Relative to the other workspaces', where there isn't room for all; above 0. None if the
     # configuration names none: room is divided only where it names one for some workspace.
     weight: float | None = None
+
+
+def with_weights_of(
+    workspaces: Iterable[Workspace], others: Iterable[Workspace]
+) -> tuple[Workspace, ...]:
+    """Return workspaces, with the weights that only the others of the same version have.
+
+    An entry of an earlier version passes a configuration on without them.
+    """
+    weights = {each.name: each.weight for each in others}
+    return tuple(
+        replace(each, weight=weights.get(each.name)) if each.weight is None else each
+        for each in workspaces
+    )
