Write Retry-After as a decimal number whatever its size

The header was formatted with six significant digits. The wait for a share isn't cut to the caller's time limit, so that large values got an exponent (6.01134e+07), which isn't a number that callers read, and others lost digits.

It now has up to three decimal places and no exponent, as in the table of mimosaspur explain.

Tested by features/fair_shares.feature, "A long wait for a share is told as a decimal number": failed before with that value, passes now.

--- a/features/fair_shares.feature
+++ b/features/fair_shares.feature
@@ -170,3 +170,11 @@
       | order                                      |
       | the store, and then without it from a peer |
       | a peer without it, and then the store      |
+
+  # Guards against a header that callers don't take for a number.
+  Scenario: A long wait for a share is told as a decimal number
+    Given an entry with 2 workspaces before an engine, north is limited
+    And the engine has 5000 ms of prompts of other workspaces to read at rank 9
+    When north's share becomes 0.0001 tokens a second
+    And north sends a stream
+    Then it is refused with 429 and code 2020, to return after over 1000000 s, as a decimal number
--- a/features/steps/fair_shares_steps.py
+++ b/features/steps/fair_shares_steps.py
@@ -1,5 +1,6 @@
 """Steps for the shares of workspaces while there isn't room for all."""
 
+import re
 import time
 from dataclasses import replace
 
@@ -214,6 +215,22 @@
     return explain(context.entry.state, question)
 
 
+@when("north's share becomes {per_s:g} tokens a second")
+def set_share(context: Context, per_s: float) -> None:
+    shares = context.entry.state.shares
+    shares.apply_shares({"service": {"north": Share(per_s, 9_000.0)}}, entries=1)
+
+
+@then(
+    "it is refused with 429 and code 2020, to return after over {least_s:d} s, as a decimal number"
+)
+def check_decimal(context: Context, least_s: int) -> None:
+    answer = context.answer
+    assert answer.status == 429 and answer.body.startswith(b"2020"), answer
+    told = answer.headers["retry-after"]
+    assert re.fullmatch(r"\d+(\.\d{1,3})?", told) and float(told) > least_s, told
+
+
 @then("south's stream is sent at rank 1")
 def check_south(context: Context) -> None:
     send_stream(context, "s-1")
--- a/packages/cli/src/mimosaspur_cli/explaintable.py
+++ b/packages/cli/src/mimosaspur_cli/explaintable.py
@@ -1,6 +1,7 @@
 """Format an explanation for people."""
 
 from mimosaspur_cli.output import format_table
+from mimosaspur_protocol.callerapi import decimal_s
 from mimosaspur_protocol.explanations import ExplainedTarget
 from mimosaspur_protocol.explanations import Explanation
 
@@ -18,7 +19,8 @@
     ]
     if value.refusal:
         refusal = value.refusal
-        retry = "" if refusal.retry_after_s is None else f", Retry-After {refusal.retry_after_s:g}"
+        retry_s = refusal.retry_after_s
+        retry = "" if retry_s is None else f", Retry-After {decimal_s(retry_s)}"
         lines.append(f"refused: {refusal.code} {refusal.name} (status {refusal.status}{retry})")
         lines += [f"  {refusal.meaning}", f"  what would change it: {refusal.would_change}"]
     if value.waits_for:
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -13,6 +13,7 @@
 from mimosaspur_daemon.direct.workspacequota import charge_quota
 from mimosaspur_daemon.direct.workspacequota import refund_unless_run
 from mimosaspur_daemon.direct.workspacequota import wait_for_first_quotas
+from mimosaspur_protocol.callerapi import decimal_s
 from mimosaspur_state.codes import CODE_TABLE
 from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.routes import CallerLimits
@@ -188,7 +189,7 @@
         if identity is not None:
             headers.append((name, identity))
         if failure.retry_after_s is not None:
-            headers.append((b"Retry-After", b"%g" % failure.retry_after_s))
+            headers.append((b"Retry-After", decimal_s(failure.retry_after_s).encode()))
         body = _error_text(failure.code).encode()
         await connection.send_response(failure.status, headers, body, close=self.state.leaving)
 
--- a/packages/protocol/src/mimosaspur_protocol/callerapi.py
+++ b/packages/protocol/src/mimosaspur_protocol/callerapi.py
@@ -103,6 +103,11 @@
     return None
 
 
+def decimal_s(seconds: float) -> str:
+    """Return a time as a decimal number with up to three decimal places, without an exponent."""
+    return f"{seconds:.3f}".rstrip("0").rstrip(".")
+
+
 def retry_after_s(error: MimosaspurError) -> int | None:
     """Return retry_after_ms in whole seconds, rounded up, at least 1."""
     retry_ms = retry_after_ms(error)
