Hold requests back for a part of the caller's time limit, if that is shorter

Deferral held a request for up to three quarters of its route's objective. A caller whose own time limit is shorter got no answer in time.

The shorter of the two now decides for how long a request is held, whether another engine has it on time, and its place among those that are held. The kinds of requests go by the objective alone, as each limit would be a kind of its own. mimosaspur explain states the same bound.

Tested by features/scheduling.feature: a request with a limit of 4000 or 1000 ms was held for 6000 ms before, and is for 3000 and 750 ms at most now.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -162,6 +162,25 @@
       | 1500      | 0      | 1125 |
       | 800       | 0      | 0    |
 
+  # Guards against requests that are held until their callers' own time limit, rather than sent.
+  Scenario Outline: A request with an objective of 8000 ms is held for a part of its time limit of <limit> ms
+    Given an engine with 64 slots that runs 60 and reads <tokens> tokens
+    And a request of rank 2 with an objective of 500 ms and 2000 prompt tokens has come for its other model
+    When a request of rank 3 with a time limit of <limit> ms comes and the engine stays full
+    Then it is sent after <most> ms at the latest, and on time if it takes twice as long as predicted
+
+    Examples:
+      | limit | tokens | most |
+      | 9000  | 12000  | 6000 |
+      | 4000  | 12000  | 3000 |
+      | 1000  | 2000   | 750  |
+
+  Scenario: A stream with a short time limit is held at an entry for a part of it
+    Given an entry before an engine that is full by other entries' work
+    And an urgent stream of its model has been served
+    When a patient stream with a time limit of 1000 ms is requested, and the engine stays full
+    Then it is served after 300 to 850 ms
+
   Scenario: A request that can wait is held at an entry until there is room
     Given an entry before an engine that is full by other entries' work
     And an urgent stream of its model has been served
--- a/features/steps/scheduling_deferral_steps.py
+++ b/features/steps/scheduling_deferral_steps.py
@@ -1,6 +1,7 @@
 """Steps for requests that are held back while they would delay more urgent ones."""
 
 import asyncio
+import math
 import time
 from dataclasses import replace
 
@@ -74,11 +75,21 @@
 
 
 def _queued(
-    context: Context, rank: int, objective: float, due_ms: float = 0, workspace: str = ""
+    context: Context,
+    rank: int,
+    objective: float,
+    due_ms: float = 0,
+    workspace: str = "",
+    limit_ms: float = math.inf,
 ) -> QueuedRequest:
     due_ms = context.clock.ms + (due_ms or objective)
     return QueuedRequest(
-        PROMPT, rank=rank, objective_ms=objective, due_ms=due_ms, workspace=workspace
+        PROMPT,
+        rank=rank,
+        objective_ms=objective,
+        due_ms=due_ms,
+        workspace=workspace,
+        limit_ms=limit_ms,
     )
 
 
@@ -193,9 +204,15 @@
         context.scheduler.held.add(rival)
 
 
+@when("a request of rank 3 with a time limit of {limit:d} ms comes and the engine stays full")
+def hold_limited_to_end(context: Context, limit: int) -> None:
+    hold_to_end(context, 8_000, limit)
+    context.objective = min(8_000, limit)
+
+
 @when("a request of rank 3 with an objective of {objective:d} ms comes and the engine stays full")
-def hold_to_end(context: Context, objective: int) -> None:
-    queued = _queued(context, 3, objective)
+def hold_to_end(context: Context, objective: int, limit: float = math.inf) -> None:
+    queued = _queued(context, 3, objective, limit_ms=limit)
     context.held_ms, context.objective = 0, objective
     with context.scheduler.holding(queued):
         while _narrow(context, queued, context.held_ms) and queued.reason:
@@ -240,7 +257,9 @@
     assert answer.status == 200, answer
 
 
-async def _request_patient(context: Context, after_ms: int, *, lost: bool) -> None:
+async def _request_patient(
+    context: Context, after_ms: int, *, lost: bool, limit_ms: int = 0
+) -> None:
     loop = asyncio.get_running_loop()
     state = context.entry.state
 
@@ -252,8 +271,9 @@
 
     began_s = loop.time()
     loop.call_later(after_ms / 1000, change)
-    context.answer = await context.entry.call("resumable-stream", headers=HEADERS)
-    context.took_ms = (context.answer.pieces_s[0] - began_s) * 1000
+    headers = HEADERS | ({"X-Deadline-Ms": str(limit_ms)} if limit_ms else {})
+    context.answer = await context.entry.call("resumable-stream", headers=headers)
+    context.took_ms = ([*context.answer.pieces_s, loop.time()][0] - began_s) * 1000
 
 
 @when("a patient stream is requested, and the engine has room after {ms:d} ms")
@@ -266,6 +286,13 @@
     run(context, _request_patient(context, ms, lost=True))
 
 
+@when(
+    "a patient stream with a time limit of {limit_ms:d} ms is requested, and the engine stays full"
+)
+def request_limited(context: Context, limit_ms: int) -> None:
+    run(context, _request_patient(context, 60_000, lost=False, limit_ms=limit_ms))
+
+
 @then("it is served after {least:d} to {most:d} ms")
 def check_served_after(context: Context, least: int, most: int) -> None:
     assert context.answer.status == 200 and context.answer.whole, context.answer
--- a/packages/coordination/src/mimosaspur_coordination/scheduling/scheduler.py
+++ b/packages/coordination/src/mimosaspur_coordination/scheduling/scheduler.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import math
 from collections.abc import Container
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -19,7 +20,7 @@
 from mimosaspur_state.clock import Clock
 from mimosaspur_state.routes import ServiceSpec
 
-# A request is held for at most this share of its objective, so that none is starved.
+# A request is held for at most this share of its objective or time limit, so that none is starved.
 MAX_HELD_SHARE = 3 / 4
 # The first event at a slow engine takes up to about twice the predicted time.
 PREDICTION_RESERVE = 2.0
@@ -47,6 +48,7 @@
         "due_ms",
         "engines",
         "objective_ms",
+        "on_time_ms",
         "order",
         "prompt",
         "rank",
@@ -65,11 +67,15 @@
         due_ms: float,
         workspace: str,
         weight: float = 1.0,
+        limit_ms: float = math.inf,
     ) -> None:
         self.prompt = prompt
         self.objective_ms = objective_ms
+        # The caller's own time limit may be shorter than the objective. It isn't part of the
+        # urgency: each limit would be a kind of requests of its own.
+        self.on_time_ms = min(objective_ms, limit_ms)
         self.set_rank(rank)
-        # When its objective ends, on the scheduler's clock.
+        # When its objective, or its time limit, ends, on the scheduler's clock.
         self.due_ms = due_ms
         self.workspace = workspace
         # Of its workspace, for its share.
@@ -87,10 +93,10 @@
         self.urgency: Urgency = rank, self.objective_ms
 
 
-def longest_hold_ms(objective_ms: float, predicted_ms: float) -> float:
+def longest_hold_ms(on_time_ms: float, predicted_ms: float) -> float:
     """Return for how long after its arrival a request may be held and is still on time."""
-    latest_ms = objective_ms - PREDICTION_RESERVE * predicted_ms
-    return min(MAX_HELD_SHARE * objective_ms, latest_ms)
+    latest_ms = on_time_ms - PREDICTION_RESERVE * predicted_ms
+    return min(MAX_HELD_SHARE * on_time_ms, latest_ms)
 
 
 def _predicted_ms(views: Sequence[TargetView], queued: QueuedRequest) -> float:
@@ -164,10 +170,10 @@
             return views
         roomy = [view for view, reason in zip(views, reasons, strict=True) if not reason]
         if roomy:
-            is_on_time = _predicted_ms(roomy, queued) <= queued.objective_ms - held_ms
+            is_on_time = _predicted_ms(roomy, queued) <= queued.on_time_ms - held_ms
             return roomy if is_on_time else views
         predicted_ms = _predicted_ms(views, queued)
-        if held_ms < longest_hold_ms(queued.objective_ms, predicted_ms):
+        if held_ms < longest_hold_ms(queued.on_time_ms, predicted_ms):
             queued.reason = reasons[0]
         return views
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/explain/explanation.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/explain/explanation.py
@@ -4,7 +4,6 @@
 import math
 
 from mimosaspur_coordination.fleetview import TargetView
-from mimosaspur_coordination.scheduling.scheduler import MAX_HELD_SHARE
 from mimosaspur_daemon.direct.admission import check_leaving
 from mimosaspur_daemon.direct.admission import find_route
 from mimosaspur_daemon.direct.admission import pick_service
@@ -132,7 +131,7 @@
 
 def _hold(chooser: TargetChooser) -> ExplainedWait:
     """Return what a request waits for that is held back for more urgent ones."""
-    at_most_ms = round(MAX_HELD_SHARE * chooser.route.objective_ms)
+    at_most_ms = round(chooser.longest_hold_s() * 1000)
     what = f"more urgent requests ({chooser.queued.reason})"
     return ExplainedWait(what, at_most_ms=at_most_ms)
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetchooser.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetchooser.py
@@ -154,9 +154,11 @@
             prompt,
             rank=self.rank,
             objective_ms=route.objective_ms,
-            due_ms=state.clock.now_ms() + (self.on_time_deadline_s - now_s()) * 1000,
+            due_ms=state.clock.now_ms()
+            + (min(self.on_time_deadline_s, deadline_s) - now_s()) * 1000,
             workspace=workspace.name if workspace else "",
             weight=state.shares.weights.get(workspace.name, 1.0) if workspace else 1.0,
+            limit_ms=(deadline_s - arrived_s) * 1000,
         )
         self.resumed = False
         # Whether the request was sent to a target before.
@@ -385,7 +387,7 @@
         return self.share.must_wait(view, held_ms=held_ms, most_ms=self.longest_hold_s() * 1000)
 
     def longest_hold_s(self) -> float:
-        """Return for how long after its arrival a plain request leaves the last room to others."""
+        """Return for how long after its arrival a request is held for others at most."""
         # A caller's own time limit may be shorter than the route's objective.
         limit_s = self.deadline_s - self.arrived_s
         return MAX_HELD_SHARE * min(self.route.objective_ms / 1000, limit_s)
