--- a/features/fair_shares.feature
+++ b/features/fair_shares.feature
@@ -103,6 +103,34 @@
     When the entry observes a shortage while north asks for 9 times what is served to south
     Then all entries are told north's share, also one that joins later, and keep it under a coordinator of an earlier version
 
+  # Guards against a shortage in which nobody is limited while one coordinator follows another.
+  Scenario Outline: Shares stay in force under a new coordinator until it divides room or they expire, <ms> ms
+    Given a coordinator with an entry that serves two workspaces
+    When the entry observes a shortage while north asks for 9 times what is served to south
+    And another coordinator follows and <divides> for <ms> ms
+    Then the share in force for north is <share>
+
+    Examples:
+      | divides           | ms   | share            |
+      | issues no shares  | 0    | the predecessor's |
+      | issues no shares  | 2900 | the predecessor's |
+      | issues no shares  | 3100 | none             |
+      | limits north anew | 0    | its own          |
+      | limits north anew | 3100 | its own          |
+
+  # Guards against a shortage that is only requests whose answers don't count.
+  Scenario Outline: An answer with status <status> counts as service
+    Given an entry with 2 workspaces before an engine, south is limited
+    And the target answers its first request with <status>
+    When north sends a plain request that runs at most once
+    Then it is answered with <status>, and counts as asked and as served
+
+    Examples:
+      | status |
+      | 200    |
+      | 404    |
+      | 500    |
+
   # Guards against shares that an entry doesn't apply until they change, as it reads the weights later.
   Scenario: An entry gets shares before the configuration that names a weight
     Given an entry with 2 workspaces before an engine, no weight is named yet
@@ -131,3 +159,22 @@
       | -1     | unreadable |
       | "two"  | unreadable |
       | 1e400  | unreadable |
+
+  # Guards against shares that change while entries of two versions exchange the configuration.
+  Scenario Outline: An entry of an earlier version passes a configuration on without weights, <order>
+    Given an entry with 2 workspaces before an engine, no weight is named yet
+    When it gets version 3 with a weight of 2.5 from <order>
+    Then north has that weight in version 3, also as the entry passes it on
+
+    Examples:
+      | order                                      |
+      | the store, and then without it from a peer |
+      | a peer without it, and then the store      |
+
+  # Guards against a header that callers don't take for a number.
+  Scenario: A long wait for a share is told as a decimal number
+    Given an entry with 2 workspaces before an engine, north is limited
+    And the engine has 5000 ms of prompts of other workspaces to read at rank 9
+    When north's share becomes 0.0001 tokens a second
+    And north sends a stream
+    Then it is refused with 429 and code 2020, to return after over 1000000 s, as a decimal number
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptrun.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptrun.py
@@ -126,6 +126,8 @@
         body = await self.silence.read_first(self.attempt.channel.read_body(MAX_RESPONSE_BYTES))
         if head.status < 400 and not is_authentic(head, handler.state.dependencies.dialect):
             raise ChannelBroken("response is encoded or lacks the target's proof header")
+        # An error took room as well: otherwise callers' mistakes would look like a shortage.
+        handler.target_selector.share.on_served()
         response = TargetResponse(head, body, marked=self.attempt.channel.marks_end())
         # A backup's error doesn't replace what the first run may still answer.
         is_spare = self.attempt.offer.is_backup and len(handler.runs.active) > 1
@@ -136,8 +138,6 @@
             return AttemptResult.FAILED
         self.view.health.record_success()
         self.attempt.was_served = head.status < 300
-        if self.attempt.was_served:
-            handler.target_selector.share.on_served()
         if handler.started:
             raise ChannelBroken("target answered a resumed stream with a whole response")
         handler.runs.claim(self.attempt)
--- a/packages/daemon/src/mimosaspur_daemon/direct/streamforwarding.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamforwarding.py
@@ -92,6 +92,8 @@
             await handler.caller.send_chunk(held)
         await handler.caller.end_response()
         self.view.health.record_success()
+        # A stream may be complete without an event.
+        handler.target_selector.share.on_served()
         lasted_ms = (asyncio.get_running_loop().time() - attempt.first_token_s) * 1000
         if attempt.first_token:
             self.view.record_stream(lasted_ms)
