Explain random states with permits, quotas, shares and deferral

The states in which an explanation and the request that follows agree had neither limits of targets, workspaces nor more urgent requests. They now have them at random. For a request that is told to be held back, the reason and the time of its line `deferred` are compared with what was told; for one that is told to wait for permits, the targets that it asks for. Each of a used-up quota, a limit, a permit to wait for, an exceeded share and a held request must occur among the 50 states.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -4,7 +4,7 @@
 
   Scenario: An explanation and the request that follows agree
     When 50 requests are explained and then sent, each to an entry in a random state
-    Then each got what its explanation told, and the states led to targets, waits and refusals
+    Then each got what its explanation told, and the states led to targets, waits, holds and refusals
 
   Scenario: Explanations change nothing
     Given an entry with engines, a request limit with permits, and a quota
--- a/features/harness/explained_entry.py
+++ b/features/harness/explained_entry.py
@@ -15,10 +15,17 @@
 from harness.direct_entry import model_spec
 from harness.direct_entry import read_response
 from harness.direct_target import ScriptedTarget
+from harness.direct_workspaces import KEYS
+from harness.direct_workspaces import with_workspaces
+from harness.recorded_log import RecordedLog
+from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.shares.division import Share
 from mimosaspur_daemon.direct.explain.explanation import explain
 from mimosaspur_protocol.explanations import ExplainRequest
 from mimosaspur_protocol.explanations import Explanation
 from mimosaspur_state.fleet import OutstandingWork
+from mimosaspur_state.workspaces import Quota
+from mimosaspur_state.workspaces import QuotaUnit
 
 MODELS = ("a", "b", "c")
 TARGET_NAMES = ("t-0", "t-1", "t-2", "t-3")
@@ -29,6 +36,15 @@
 POLL_S = 0.005
 # Longer than a caller waits.
 LONG_REST = b"60"
+# A permit lapses this long after it was asked for: the test's outlast it.
+PERMITS_ASKED_MS = 600_000
+HEADER_LIMIT = b"x-request-limit"
+# More urgent than the route's, and longer than an idle engine takes.
+URGENT_OBJECTIVE_MS = 60.0
+# Of 64 slots, seven eighths are for requests that can wait.
+FULL_SLOTS = 60
+
+Headers = list[tuple[str, str]]
 
 
 @dataclass(slots=True)
@@ -37,13 +53,20 @@
 
     target: str = ""
     code: int = 0
+    # Why it was held back for more urgent requests, and for how long.
+    reason: str = ""
+    held_ms: float = 0.0
+    # The targets of which it waits for a permit or the end of a rest, while it isn't answered.
+    permits_of: frozenset[str] = frozenset()
 
 
 class ExplainedEntry:
     """An entry with four scripted engines."""
 
     def __init__(self) -> None:
-        self.entry = DirectEntry(engine=engine_spec([model_spec(name) for name in MODELS]))
+        self.log = RecordedLog("entry-0")
+        engine = engine_spec([model_spec(name) for name in MODELS])
+        self.entry = DirectEntry(engine=engine, log=self.log)
         self.state = self.entry.state
         self.targets = [ScriptedTarget(name) for name in TARGET_NAMES]
         # A request that was sent before the one that is explained.
@@ -70,11 +93,61 @@
                 view.health.record_unreachable()
             if random.random() < 0.1:
                 state.notices.on_head(view.record, 503, [(b"Retry-After", LONG_REST)])
+            if random.random() < 0.4:
+                self._limit(view)
             if random.random() < 0.1:
                 state.fleet.update([replace(view.record, leaving=True)], [])
+        if random.random() < 0.3:
+            self._add_urgent_kind()
         tokens = random.choice((10, 3_000))
         model = random.choice(("a", "a", "b", "c", "a/x", ""))
-        return ExplainRequest(HOST, "/stream/x", model=model, prompt_tokens=tokens)
+        headers = self._add_workspaces() if random.random() < 0.5 else []
+        return ExplainRequest(HOST, "/stream/x", model=model, prompt_tokens=tokens, headers=headers)
+
+    def _limit(self, view: TargetView) -> None:
+        """Let a target limit its requests, with permits at hand or none."""
+        notices = self.state.notices
+        per_s = random.choice((b"0.001", b"20"))
+        notices.on_head(view.record, 200, [(HEADER_LIMIT, per_s)])
+        holder = notices.holder
+        if random.random() < 0.6:
+            # A coordinator issues permits, and nobody else waits for them.
+            holder.apply_queues({})
+        if permits := random.choice((0, 0, 2)):
+            asked_ms = holder.clock.now_ms() + PERMITS_ASKED_MS
+            holder.apply_permits(1, asked_ms, {view.record.incarnation: permits})
+
+    def _add_urgent_kind(self) -> None:
+        """Let more urgent requests have come for all models, and some engines be nearly full."""
+        for model in MODELS:
+            urgency = 0, URGENT_OBJECTIVE_MS
+            self.state.scheduler.kinds.record(model, urgency, prompt_tokens=10)
+        for view in self.state.fleet.targets.values():
+            if random.random() < 0.7:
+                view.others_work = OutstandingWork(random.choice((8, FULL_SLOTS)), {0: 1_000})
+
+    def _add_workspaces(self) -> Headers:
+        """Add workspaces with quotas, shares or both, and return the headers of one's caller."""
+        state = self.state
+        current = with_workspaces(KEYS, version=2)
+        assert state.configuration
+        quota = random.choice((None, Quota(QuotaUnit.REQUESTS, 0.01, 1.0)))
+        weight = random.choice((None, 1.0))
+        workspaces = tuple(
+            replace(each, quota=quota, weight=weight) for each in current.workspaces or ()
+        )
+        services = state.configuration.services
+        current = replace(current, services=services, workspaces=workspaces)
+        state.apply_configuration(current, source="test")
+        state.freshness.confirm("configuration", asked_ms=state.clock.now_ms())
+        if quota and random.random() < 0.9:
+            state.quotas.apply_update([], entries=1)
+            while random.random() < 0.4 and not state.quotas.admit("north", 1.0):
+                pass
+        if weight:
+            state.shares.apply_shares({"service": {"north": Share(1_000.0, 9_000.0)}}, entries=1)
+            state.shares.take("service", "north", random.choice((-500.0, 500.0)))
+        return [("Authorization", f"Bearer {random.choice(('n-1', 's-1'))}")]
 
     def start_copy(self, question: ExplainRequest) -> None:
         """Begin to send the request that a question describes."""
@@ -99,7 +172,10 @@
         answer = await read_response(reader)
         writer.close()
         target = next((each.name for each in self.targets if each.seen), "")
-        return Sent(target, 0 if target else int(answer.body.split()[0]))
+        sent = Sent(target, 0 if target else int(answer.body.split()[0]))
+        for line in self.log.of_kind("deferred"):
+            sent.reason, sent.held_ms = str(line["reason"]), float(str(line["held_ms"]))
+        return sent
 
 
 async def explain_and_send(seed: int) -> tuple[Explanation, Sent]:
@@ -113,12 +189,21 @@
     random.seed(seed)
     sent = Sent()
     with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(WAIT_S if explanation.waits_for else 5.0):
+        waits = explanation.waits_for and not is_held_back(explanation)
+        async with asyncio.timeout(WAIT_S if waits else 5.0):
             sent = await played.send(question)
+    waiters = played.state.notices.holder.waiters
+    sent.permits_of = frozenset(target for each in waiters for target in each.targets)
     played.entry.callers.stop_accepting()
     return explanation, sent
 
 
+def is_held_back(explanation: Explanation) -> bool:
+    """Return whether a request is told to be held back for more urgent ones, and then sent."""
+    wait = explanation.waits_for
+    return bool(explanation.chosen and wait and wait.what.startswith("more urgent requests"))
+
+
 def snapshot(value: object) -> object:
     """Return plain data that tells whether an object has changed."""
     if value is None or isinstance(value, bool | int | float | str | bytes | Enum):
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -18,9 +18,13 @@
 from harness.direct_target import ScriptedTarget
 from harness.direct_workspaces import KEYS
 from harness.direct_workspaces import with_workspaces
+from harness.explained_entry import HEADER_LIMIT
 from harness.explained_entry import LONG_REST
+from harness.explained_entry import PERMITS_ASKED_MS
 from harness.explained_entry import ExplainedEntry
+from harness.explained_entry import Sent
 from harness.explained_entry import explain_and_send
+from harness.explained_entry import is_held_back
 from harness.explained_entry import snapshot
 from harness.loop import run
 from mimosaspur_coordination.evenload import chances
@@ -34,6 +38,7 @@
 from mimosaspur_daemon.direct.explain.question import as_request
 from mimosaspur_daemon.direct.requestdigest import request_digest
 from mimosaspur_daemon.direct.statusserver import StatusServer
+from mimosaspur_protocol.explanations import ExplainedWait
 from mimosaspur_protocol.explanations import ExplainRequest
 from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.fleet import OutstandingWork
@@ -43,8 +48,6 @@
 COMMAND = Path(sys.executable).parent / "mimosaspur"
 QUESTION = ExplainRequest(HOST, "/stream/x", model="a", prompt_tokens=10)
 LONG_AGO_MS = 60_000
-# A permit lapses this long after it was asked for: the test's outlast it.
-PERMITS_ASKED_MS = 600_000
 # Longer than any caller waits.
 ENDLESS_TOKENS = 40_000_000
 # Longer than evidence of crashes takes to settle.
@@ -55,9 +58,10 @@
 SHARE = Share(1.0, 2.0)
 USED_UP_TOKENS = 1_000.0
 RESUMPTION = [("Last-Event-Id", "3"), ("X-Resumes", "r-0")]
+# A held request looks again by then on a busy machine.
+LATE_WAKE_MS = 150
 ROUNDING_MS = 0.5
 ROUNDING = 0.01
-HEADER_LIMIT = b"x-request-limit"
 
 
 @when("{count:d} requests are explained and then sent, each to an entry in a random state")
@@ -65,16 +69,39 @@
     context.pairs = [run(context, explain_and_send(seed)) for seed in range(count)]
 
 
-@then("each got what its explanation told, and the states led to targets, waits and refusals")
+@then(
+    "each got what its explanation told, and the states led to targets, waits, holds and refusals"
+)
 def check_agreement(context: Context) -> None:
-    kinds = set()
+    kinds, codes, waits, ranks = set(), set(), set(), set()
     for seed, (explanation, sent) in enumerate(context.pairs):
         told = (explanation.chosen or "", explanation.refusal.code if explanation.refusal else 0)
-        if explanation.waits_for:
+        wait = explanation.waits_for
+        if wait and is_held_back(explanation):
+            _check_held(wait, sent)
+            kinds.add("held")
+            continue
+        if wait:
             told = ("", 0)
+            waits.add(wait.what.split(",")[0])
+            named = wait.what.partition(" rest, of ")[2]
+            assert sent.permits_of == set(filter(None, named.split(", "))), (seed, wait, sent)
         assert told == (sent.target, sent.code), (seed, explanation, sent)
-        kinds.add("wait" if explanation.waits_for else "target" if sent.target else "refusal")
-    assert kinds == {"wait", "target", "refusal"}, kinds
+        assert not sent.reason, (seed, explanation, sent)
+        kinds.add("wait" if wait else "target" if sent.target else "refusal")
+        codes.add(sent.code)
+        ranks.add(explanation.rank)
+    assert kinds == {"wait", "target", "refusal", "held"}, kinds
+    # A quota that is used up, a limit without permits, a permit to wait for, and an exceeded share.
+    assert codes >= {ResultCode.QUOTA_EXCEEDED, ResultCode.TARGET_LIMITED}, codes
+    assert "a permit" in waits, waits
+    assert LATE_RANK in ranks, ranks
+
+
+def _check_held(wait: ExplainedWait, sent: Sent) -> None:
+    """Check that a request was held back for what its explanation told, and sent in time."""
+    assert sent.target and sent.reason and f"({sent.reason})" in wait.what, (wait, sent)
+    assert wait.at_most_ms and 0 < sent.held_ms <= wait.at_most_ms + LATE_WAKE_MS, (wait, sent)
 
 
 @given("an entry with engines, a request limit with permits, and a quota")
