Count requests that are refused after they were held for long

Requests that no target takes are to be refused as soon as that is known, at the latest after an eighth of their objective where a forecast tells it. Nothing told operators how many are refused later.

The counter requests_rejected_late counts refusals with 2002 or 2003 after over an eighth of the route's objective, with the code as its result. Refusals themselves are unchanged.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -50,6 +50,21 @@
       | that it won't be loaded    | 0     | 150  | 1000 | 1250 |
       | that it is ready in 9000 ms | 0     | 150  | 1283 | 1334 |
 
+  # Guards against callers that wait in vain without a sign of it for operators.
+  Scenario Outline: A refusal after over an eighth of the objective of <objective> ms is counted, <what>
+    Given an entry of a site without the model, whose loads take 1 s, without "<without>"
+    And its coordinator forecasts <told>
+    And its routes have an objective of <objective> ms
+    When a stream of the model is requested, and an engine that is full for long holds it after <after> ms
+    Then it is refused with <code>, and counted as rejected late <times> with that code
+
+    Examples:
+      | what              | without   | told                    | objective | after | code | times |
+      | its model is late | deferral  | that it won't be loaded | 300       | 1000  | 2002 | once  |
+      | held in vain      | deferral  | that it won't be loaded | 300       | 2500  | 2003 | once  |
+      | held for less     | deferral  | that it won't be loaded | 9600      | 1000  | 2002 | never |
+      | refused early     | even-load | that it won't be loaded | 8000      | 1000  | 2003 | never |
+
   # Guards against models that are never loaded since all their requests are refused.
   Scenario: A refused request counts as waiting for a coordinator that sends no forecasts
     Given an entry of a site without the model, whose loads take 3 s
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -24,6 +24,7 @@
 from mimosaspur_daemon.direct.entryreport import build_entry_report
 from mimosaspur_daemon.direct.fleetreport import apply_report
 from mimosaspur_protocol.peermessages import FleetReport
+from mimosaspur_state.fleet import OutstandingWork
 from mimosaspur_state.policy import policy_without
 
 START_MS = 100_000
@@ -157,6 +158,33 @@
     run(context, ask())
 
 
+@given("its routes have an objective of {ms:d} ms")
+def set_objective(context: Context, ms: int) -> None:
+    current = context.entry.state.configuration
+    routes = tuple(replace(route, objective_ms=ms) for route in current.routes)
+    context.entry.state.configuration = replace(current, routes=routes)
+
+
+@when(
+    "a stream of the model is requested, and an engine that is full for long holds it after"
+    " {ms:d} ms"
+)
+def request_and_hold_full(context: Context, ms: int) -> None:
+    view = context.entry.state.fleet.targets["first"]
+    view.others_work = OutstandingWork(64, {0: 10_000_000.0})
+    request_and_hold(context, ms)
+
+
+@then("it is refused with {code}, and counted as rejected late {times} with that code")
+def check_counted_late(context: Context, code: str, times: str) -> None:
+    (answer,) = context.answers
+    assert answer.status == 503 and answer.body.startswith(code.encode()), answer
+    counts = context.entry.state.log.counters.counts
+    late = {key: count for key, count in counts.items() if key[0] == "requests_rejected_late"}
+    expected = {("requests_rejected_late", code): 1} if times == "once" else {}
+    assert late == expected, late
+
+
 @when("the coordinator is lost")
 def lose_coordinator(context: Context) -> None:
     context.entry.state.on_coordinator_lost()
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -2,12 +2,14 @@
 
 import asyncio
 
+from mimosaspur_coordination.scheduling.loadoutlook import MAX_HOLD_SHARE
 from mimosaspur_daemon.direct.admission import check_leaving
 from mimosaspur_daemon.direct.admission import find_route
 from mimosaspur_daemon.direct.admission import pick_service
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.refusal import RequestFailed
 from mimosaspur_daemon.direct.refusal import internal_failure
+from mimosaspur_daemon.direct.requesthandler import UNSERVED_CODES
 from mimosaspur_daemon.direct.requesthandler import RequestHandler
 from mimosaspur_daemon.direct.workspacequota import authenticate
 from mimosaspur_daemon.direct.workspacequota import charge_quota
@@ -183,6 +185,8 @@
         handler: RequestHandler | None,
     ) -> None:
         self._log(request, failure, handler)
+        if handler:
+            self._count_late_rejection(handler, failure.code)
         headers: Headers = [(b"Content-Type", b"text/plain")]
         name = self.state.dependencies.dialect.request_id
         identity = header(request.headers, name)
@@ -193,6 +197,12 @@
         body = _error_text(failure.code).encode()
         await connection.send_response(failure.status, headers, body, close=self.state.leaving)
 
+    def _count_late_rejection(self, handler: RequestHandler, code: ResultCode) -> None:
+        """Count a request that no target takes if it was held for long before it was refused."""
+        held_ms = (asyncio.get_running_loop().time() - handler.request.arrived_s) * 1000
+        if code in UNSERVED_CODES and held_ms > MAX_HOLD_SHARE * handler.route.objective_ms:
+            self.state.log.counters.count("requests_rejected_late", str(code.value))
+
     async def _refuse_malformed(self, connection: CallerConnection, error: BadRequest) -> None:
         self.state.log.write("bad_request", status=error.status, detail=error.detail)
         await self._send_last(connection, error.status, f"{error.detail}\n")
