--- a/features/steps/fair_shares_changes_steps.py
+++ b/features/steps/fair_shares_changes_steps.py
@@ -41,8 +41,9 @@
 
 def _send(context: Context) -> None:
     # The next report is sent whether or not anything has changed.
-    context.followed.members.last_sent_ms = 0
-    context.followed.members.send_updates([], context.followed.lease)
+    updates = context.followed.updates
+    updates.last_sent_ms = 0
+    updates.send_updates([], context.followed.lease)
 
 
 @then("the share in force for north is {share}")
