Explain the wait of an entry that has just started

A new process holds all requests until another entry has told of crashes, for 0.5 s at most. Its explanations named a target only. They now name this wait and its longest time.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -42,6 +42,12 @@
     When a request is explained and sent there
     Then the explanation names its turn, and the request was refused with 2019 after 1000 ms
 
+  # Guards against an explanation that names no wait while a new process holds all requests.
+  Scenario: A request to an entry that has just started waits as its explanation tells
+    Given an entry that is to be asked, in a new process that nobody has told of crashes
+    When a request is explained and sent there
+    Then the explanation names a wait for other entries, and the request was sent after at least 300 ms
+
   # Guards against a wait for the version of a stream that the entry knows itself.
   Scenario: A resumed stream whose version the entry knows is explained without a wait
     Given an entry that is to be asked, with a resumed stream of the version that serves
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -226,6 +226,8 @@
         return _prepare_workspaces(played, case)
     if "quarantine" in case:
         _quarantine(played, QUESTION)
+    if "new process" in case:
+        state.quarantine.on_started()
     state.shutting_down = "exit" in case
     if "without a configuration" in case:
         state.configuration = None
@@ -341,6 +343,16 @@
     assert context.took_ms >= most_ms, context.took_ms
 
 
+@then(
+    "the explanation names a wait for other entries, and the request was sent after at least"
+    " {least_ms:d} ms"
+)
+def check_new_process(context: Context, least_ms: int) -> None:
+    wait = context.explanation.waits_for
+    assert wait and "other entries know" in wait.what and wait.at_most_ms, context.explanation
+    assert context.sent.target and context.took_ms >= least_ms, (context.sent, context.took_ms)
+
+
 @then("the explanation names the target that got it, and no wait")
 def check_sent_at_once(context: Context) -> None:
     explanation = context.explanation
--- a/packages/daemon/src/mimosaspur_daemon/direct/explain/explanation.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/explain/explanation.py
@@ -111,6 +111,10 @@
     quarantine.check(traits)
     check_quota(chooser)
     explanation.waits_for = _version_wait(chooser)
+    untold_ms = quarantine.told_by_ms - chooser.state.clock.now_ms()
+    if untold_ms > 0:
+        what = "what other entries know of crashes, as this one has just started"
+        explanation.waits_for = explanation.waits_for or ExplainedWait(what, at_most_ms=untold_ms)
     if wait_ms := quarantine.refused_wait_ms(traits):
         raise chooser.refusal(ResultCode.SUSPECT_WAITING, wanted_s=wait_ms / 1000)
     if quarantine.is_held(traits):
