--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,71 @@
+"""The write that takes the orders lease over gets no answer while the former holder lives."""
+
+import asyncio
+import random
+import signal
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
+import small_site
+from small_site import TROUBLE
+
+# Shorter than the time after which the entries contend for the lease of a silent holder.
+FREEZE_S = 1.35
+
+
+async def ask(site, number):
+    """Ask for one model after another, so that the coordinator has to move models."""
+    while True:
+        model = random.choice(site.models)
+        headers = [("X-Model", model), ("X-Token-Counts", "200,20")]
+        headers.append(("X-Prompt-Prefix", f"{random.randrange(16**8):x}:200"))
+        entries = [each for each in site.entries if each is not site.frozen]
+        await small_site.send(
+            site, random.choice(entries), "/chat/1", headers=headers, timeout_s=4.0
+        )
+        await asyncio.sleep(0.05)
+
+
+async def play(site):
+    site.frozen = None
+    await site.start(entries=3, model_servers=4)
+    site.tasks += [asyncio.create_task(ask(site, number)) for number in range(16)]
+    await asyncio.sleep(8)
+    former = site.holder()
+    lost = []
+
+    def lose_takeover(caller, call):
+        writes = call.method == "PUT" and "/mimosaspur-leases" in call.target
+        if writes and caller != former.name and not lost:
+            lost.append(caller)
+            return "reset"
+        return ""
+
+    if TROUBLE:
+        site.store.fault = lose_takeover
+        site.frozen = former
+        former.signal(signal.SIGSTOP)
+        await asyncio.sleep(FREEZE_S)
+        former.signal(signal.SIGCONT)
+        site.frozen = None
+    await asyncio.sleep(12)
+    return judge(site)
+
+
+def judge(site):
+    """Return the first order with a lower generation number after a higher one, at one server."""
+    thaws = [entry["t"] for entry in site.record.of("signal") if entry["signal"] == "SIGCONT"]
+    newest = {}
+    for order in site.record.of("order"):
+        if any(0 <= order["t"] - thaw <= small_site.THAW_MS / 1000 for thaw in thaws):
+            continue
+        last = newest.get(order["server"])
+        if last and order["fencing_token"] < last["fencing_token"]:
+            return f"ONE: after {last} came {order}"
+        newest[order["server"]] = order
+    return ""
+
+
+if __name__ == "__main__":
+    sys.exit(small_site.run_case(play, models=10, load_s=0.15))
