--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,8 @@
-"""The write that takes the orders lease over gets no answer while the former holder lives."""
+"""The write that takes the orders lease over gets no answer while the former holder lives.
+
+Each round freezes the holder for a moment, so that others contend for its lease. The store carries
+out the first of their writes and loses its answer.
+"""
 
 import asyncio
 import random
@@ -10,11 +14,15 @@
 import small_site
 from small_site import TROUBLE
 
+ENTRIES = 7
+CONSUMERS = 42
 # Shorter than the time after which the entries contend for the lease of a silent holder.
-FREEZE_S = 1.35
+FREEZE_S = 1.47
+ROUNDS = 9
+ROUND_S = 8.5
 
 
-async def ask(site, number):
+async def ask(site):
     """Ask for one model after another, so that the coordinator has to move models."""
     while True:
         model = random.choice(site.models)
@@ -27,11 +35,8 @@
         await asyncio.sleep(0.05)
 
 
-async def play(site):
-    site.frozen = None
-    await site.start(entries=3, model_servers=4)
-    site.tasks += [asyncio.create_task(ask(site, number)) for number in range(16)]
-    await asyncio.sleep(8)
+async def freeze_holder(site):
+    """Freeze the holder for a moment; the first takeover of its lease gets no answer."""
     former = site.holder()
     lost = []
 
@@ -39,17 +44,31 @@
         writes = call.method == "PUT" and "/mimosaspur-leases" in call.target
         if writes and caller != former.name and not lost:
             lost.append(caller)
-            return "reset"
+            return "mute"
         return ""
 
-    if TROUBLE:
-        site.store.fault = lose_takeover
-        site.frozen = former
-        former.signal(signal.SIGSTOP)
-        await asyncio.sleep(FREEZE_S)
-        former.signal(signal.SIGCONT)
-        site.frozen = None
-    await asyncio.sleep(12)
+    if not TROUBLE:
+        return
+    site.store.fault = lose_takeover
+    site.frozen = former
+    former.signal(signal.SIGSTOP)
+    await asyncio.sleep(FREEZE_S)
+    former.signal(signal.SIGCONT)
+    site.frozen = None
+
+
+async def play(site):
+    site.frozen = None
+    await site.start(entries=ENTRIES, model_servers=2)
+    site.tasks += [asyncio.create_task(ask(site)) for _ in range(CONSUMERS)]
+    await asyncio.sleep(6)
+    for _ in range(ROUNDS):
+        await freeze_holder(site)
+        await asyncio.sleep(ROUND_S)
+        if broken := judge(site):
+            break
+    writes, lost = site.record.of("store_write"), site.record.of("store_answer_lost")
+    site.record.write("store_writes", all=len(writes), answers_lost=len(lost))
     return judge(site)
 
 
@@ -68,4 +87,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(small_site.run_case(play, models=10, load_s=0.15))
+    sys.exit(small_site.run_case(play, models=12, load_s=0.1))
--- a/review/lib/small_site.py
+++ b/review/lib/small_site.py
@@ -260,6 +260,7 @@
 
     def register(self):
         self.site.store.put("servers", self.name, self.registration())
+        self.record.write("store_write", caller=self.name, kind="servers")
 
     def registration(self):
         return {
