--- a/review/lib/small_site.py
+++ b/review/lib/small_site.py
@@ -771,7 +771,7 @@
         value = {"version": self.version, "routes": routes, "services": services, "limits": limits}
         self.store.put("config", "main", value)
 
-    async def start(self, *, entries=3, model_servers=3, plain_servers=2):
+    async def start(self, *, entries=3, model_servers=3, plain_servers=2, wait=True):
         self.configure()
         names = itertools.cycle(self.models)
         for number in range(model_servers):
@@ -787,7 +787,11 @@
             await entry.prepare()
             self.entries.append(entry)
             await entry.start()
-        async with asyncio.timeout(20):
+        if wait:
+            await self.wait_until_ready()
+
+    async def wait_until_ready(self, timeout_s=20.0):
+        async with asyncio.timeout(timeout_s):
             for entry in self.entries:
                 while not await entry.is_ready():
                     await asyncio.sleep(0.1)
