--- a/review/lib/small_site.py
+++ b/review/lib/small_site.py
@@ -258,6 +258,21 @@
         self.server, self.port = await listen(self._serve, self.host, self.port)
         self.register()
 
+    async def crash(self):
+        """End as a crashed process does: its channels are reset, and its port refuses others."""
+        self.record.write("server_crashes", server=self.name, running=self.running)
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def restart(self):
+        """Start again, as a new lifetime with a new id at the same address."""
+        with contextlib.suppress(KeyError):
+            self.site.store.delete("servers", self.name)
+        self.name = f"{self.name.split('~')[0]}~{new_id()}"
+        await self.start()
+        self.record.write("server_starts", server=self.name)
+
     def register(self):
         self.site.store.put("servers", self.name, self.registration())
         self.record.write("store_write", caller=self.name, kind="servers")
@@ -712,6 +727,8 @@
         self.version = 0
         self.stream_route = {}
         self.plain_routes = {}
+        # Routes that are not in the first configuration.
+        self.later_routes = []
         self.tasks = []
 
     def configure(self):
@@ -742,6 +759,7 @@
         routes = [{**base, **stream, **self.stream_route}]
         for route in (book, look):
             routes.append({**base, **route, **self.plain_routes})
+        routes += self.later_routes
         engine = {
             "slots": 64,
             "kv_cache_tokens": 100_000,
