--- a/review/lib/small_site.py
+++ b/review/lib/small_site.py
@@ -13,6 +13,7 @@
 import shutil
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -98,6 +99,14 @@
     return head_bytes(status, [*headers, ("Content-Length", len(body))]) + body
 
 
+def reset(writer):
+    """End a channel by a reset, whatever is still in its buffers."""
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 async def listen(handler, host="127.0.0.1", port=0):
     """Listen; return the server and its port. Errors of ended connections are dropped."""
 
@@ -175,7 +184,7 @@
             if fault:
                 self.record.write("store_answer_lost", caller=caller, how=fault, status=status)
             if fault == "reset":
-                writer.transport.abort()
+                reset(writer)
                 return
             if fault == "mute":
                 await asyncio.sleep(60)
@@ -263,7 +272,7 @@
         self.record.write("server_crashes", server=self.name, running=self.running)
         self.server.close()
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def restart(self):
         """Start again, as a new lifetime with a new id at the same address."""
@@ -715,13 +724,14 @@
 
     host = "small.example"
 
-    def __init__(self, folder, *, models=8, models_per_server=2, load_s=0.3):
+    def __init__(self, folder, *, models=8, models_per_server=2, load_s=0.3, loads_per_s=20.0):
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.record = Record(folder)
         self.store = Store(self.record)
         self.models = [f"model{number}" for number in range(models)]
         self.models_per_server = models_per_server
         self.load_s = load_s
+        self.loads_per_s = loads_per_s
         self.servers = []
         self.entries = []
         self.version = 0
@@ -765,7 +775,7 @@
             "kv_cache_tokens": 100_000,
             "weights_mb": 100.0 * self.models_per_server,
             "adapter_slots": 4,
-            "loads_per_s": 20.0,
+            "loads_per_s": self.loads_per_s,
             "models": [
                 {"name": name, "weights_mb": 95.0, "load_s": self.load_s, "adapters": 0}
                 for name in self.models
