--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,12 +1,7 @@
-"""The write that takes the orders lease over gets no answer while the former holder lives.
-
-Each round freezes the holder for a moment, so that others contend for its lease. The store carries
-out the first of their writes and loses its answer.
-"""
+"""Another writer's entry in the list of servers changes its service, and is removed."""
 
 import asyncio
-import random
-import signal
+import collections
 import sys
 from pathlib import Path
 
@@ -14,77 +9,69 @@
 import small_site
 from small_site import TROUBLE
 
-ENTRIES = 7
-CONSUMERS = 42
-# Shorter than the time after which the entries contend for the lease of a silent holder.
-FREEZE_S = 1.47
-ROUNDS = 9
-ROUND_S = 8.5
-
-
-async def ask(site):
-    """Ask for one model after another, so that the coordinator has to move models."""
+ROUNDS = 4
+# Time between two changes of the entry, so that they are not read together.
+STEP_S = 2.5
+# An entry that has failed drains for up to bounds.grace_s before its process ends.
+END_S = 10.0
+# Ends of processes by themselves that the rule allows on a machine, and on how many machines more
+# are allowed.
+ALLOWED_ENDS = 2
+ALLOWED_MACHINES = 1
+
+
+def foreign_entry(service):
+    """Return a well-formed entry of a service that the configuration doesn't name."""
+    return {
+        "service": service,
+        "address": "127.0.0.1:9",
+        "zone": "zone-1",
+        "version": "v1",
+        "state": "ready",
+        "slots": 4,
+        "cold_remaining_ms": 0,
+        "sequence": 1,
+    }
+
+
+async def restart(site, entry):
+    """Start an entry again whenever it has ended, as the platform does; this script ends none."""
     while True:
-        model = random.choice(site.models)
-        headers = [("X-Model", model), ("X-Token-Counts", "200,20")]
-        headers.append(("X-Prompt-Prefix", f"{random.randrange(16**8):x}:200"))
-        entries = [each for each in site.entries if each is not site.frozen]
-        await small_site.send(
-            site, random.choice(entries), "/chat/1", headers=headers, timeout_s=4.0
-        )
-        await asyncio.sleep(0.05)
-
-
-async def freeze_holder(site):
-    """Freeze the holder for a moment; the first takeover of its lease gets no answer."""
-    former = site.holder()
-    lost = []
-
-    def lose_takeover(caller, call):
-        writes = call.method == "PUT" and "/mimosaspur-leases" in call.target
-        if writes and caller != former.name and not lost:
-            lost.append(caller)
-            return "mute"
-        return ""
-
-    if not TROUBLE:
-        return
-    site.store.fault = lose_takeover
-    site.frozen = former
-    former.signal(signal.SIGSTOP)
-    await asyncio.sleep(FREEZE_S)
-    former.signal(signal.SIGCONT)
-    site.frozen = None
+        code = await entry.process.wait()
+        site.record.write("ended_by_itself", entry=entry.name, code=code)
+        await asyncio.sleep(0.5)
+        await entry.start()
 
 
 async def play(site):
-    site.frozen = None
-    await site.start(entries=ENTRIES, model_servers=2)
-    site.tasks += [asyncio.create_task(ask(site)) for _ in range(CONSUMERS)]
-    await asyncio.sleep(6)
+    await site.start(entries=3, model_servers=2, plain_servers=3)
+    for entry in site.entries:
+        site.tasks.append(asyncio.create_task(restart(site, entry)))
+        channel = small_site.KeptChannel(site, entry)
+        site.tasks.append(asyncio.create_task(channel.run("/book/1", pause_s=0.2)))
+    await asyncio.sleep(4)
     for _ in range(ROUNDS):
-        await freeze_holder(site)
-        await asyncio.sleep(ROUND_S)
-        if broken := judge(site):
-            break
-    writes, lost = site.record.of("store_write"), site.record.of("store_answer_lost")
-    site.record.write("store_writes", all=len(writes), answers_lost=len(lost))
+        for service in ("reports", "reports-2", None):
+            if TROUBLE and service:
+                site.store.put("servers", "other-writer", foreign_entry(service))
+                site.record.write("foreign_entry", service=service)
+            elif TROUBLE:
+                site.store.delete("servers", "other-writer")
+                site.record.write("foreign_entry_removed")
+            await asyncio.sleep(STEP_S)
+        await asyncio.sleep(END_S)
     return judge(site)
 
 
 def judge(site):
-    """Return the first order with a lower generation number after a higher one, at one server."""
-    thaws = [entry["t"] for entry in site.record.of("signal") if entry["signal"] == "SIGCONT"]
-    newest = {}
-    for order in site.record.of("order"):
-        if any(0 <= order["t"] - thaw <= small_site.THAW_MS / 1000 for thaw in thaws):
-            continue
-        last = newest.get(order["server"])
-        if last and order["fencing_token"] < last["fencing_token"]:
-            return f"ONE: after {last} came {order}"
-        newest[order["server"]] = order
+    """Return the machines on which processes ended by themselves more often than allowed."""
+    ends = collections.Counter(entry["entry"] for entry in site.record.of("ended_by_itself"))
+    site.record.write("counts", ended_by_themselves=ends)
+    over = {entry: count for entry, count in ends.items() if count > ALLOWED_ENDS}
+    if len(over) > ALLOWED_MACHINES:
+        return f"Fault: processes ended by themselves: {over}"
     return ""
 
 
 if __name__ == "__main__":
-    sys.exit(small_site.run_case(play, models=12, load_s=0.1))
+    sys.exit(small_site.run_case(play))
--- a/review/lib/small_site.py
+++ b/review/lib/small_site.py
@@ -847,11 +847,15 @@
     """Play a case: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
 
     async def main():
+        # A script that is stopped ends its processes too.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         site = Site(Path(sys.argv[0]).resolve().parent, **site_options)
         try:
             async with asyncio.timeout(110):
                 broken = await play(site)
-        except Exception as error:  # any error of the case itself
+        except (Exception, asyncio.CancelledError) as error:  # any error of the case itself
             site.record.write("could_not_run", error=repr(error))
             print(f"could not run: {error!r}")
             return 2
