--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,7 +9,9 @@
 import small_site
 from small_site import TROUBLE
 
-DOWN_S = 2.0
+DOWN_S = 4.0
+# A request that began so shortly before is still being run.
+BEGUN_S = 0.04
 # After the servers are back, until requests are counted: more than stability_window_ms.
 SETTLE_S = 6.0
 COUNTED_S = 20.0
@@ -35,22 +37,39 @@
         await asyncio.sleep(pause_s)
 
 
+async def run_page(server, call, reader, writer):
+    """Run a request as usual, and note when the last one for the page began."""
+    if call.target == "/news/today":
+        server.page_began_s = server.record.now_s()
+    return None
+
+
+async def all_run_page(site, desks):
+    """Wait until each server has just begun to run a request for the page."""
+    async with asyncio.timeout(20):
+        while any(site.record.now_s() - each.page_began_s > BEGUN_S for each in desks):
+            await asyncio.sleep(0.002)
+
+
 async def play(site):
     await site.start(entries=3, model_servers=2, plain_servers=3)
     desks = [server for server in site.servers if server.kind == "plain"]
     for server in desks:
         server.work_s = 0.09
+        server.page_began_s = 0.0
+        server.hook = run_page
     await asyncio.sleep(2)
     site.later_routes.append(LATER_ROUTE)
     site.configure()
     await asyncio.sleep(3)
     for entry in site.entries:
-        for _ in range(4):
+        for _ in range(6):
             site.tasks.append(asyncio.create_task(ask(site, entry, "/news/today", "GET", 0.05)))
         site.tasks.append(asyncio.create_task(ask(site, entry, "/look/{}", "GET", 0.1)))
         site.tasks.append(asyncio.create_task(ask(site, entry, "/book/{}", "POST", 0.1)))
     await asyncio.sleep(5)
     if TROUBLE:
+        await all_run_page(site, desks)
         for server in desks:
             await server.crash()
         await asyncio.sleep(DOWN_S)
