Add a review case: streams go on at another version once all entries were killed

All entries are killed at once while the only server of a software version leaves. Streams of that version that consumers take up go on at the other version and end as whole.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,95 +1,190 @@
-"""One part of a prompt crashes each server that begins to write an answer on it."""
+"""All entries are killed at once while the last server of a software version leaves."""
 
 import asyncio
 import random
+import signal
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 import small_site
 from small_site import TROUBLE
 
-# Parts of a prompt but the last, which is the request's own, and the place of the guilty one.
-PARTS = 11
-PLACE = 10
-GUILTY = "bad0bad0"
-TOKENS = 50
-BACK_S = 2.0
-PLAY_S = 45.0
-STABILITY_S = 3.0
-CRASHES = 5
-# Requests with the part that may still reach servers.
-ALLOWED = 3
-
-
-def prompt(*, guilty):
-    """Return a prompt's parts: those that all requests share, and the request's own."""
-    parts = [f"5a{number:06x}" for number in range(PARTS)]
-    if guilty:
-        parts[PLACE - 1] = GUILTY
-    return ",".join(f"{part}:{TOKENS}" for part in [*parts, f"{random.randrange(16**8):08x}"])
-
-
-async def end_on_guilty(server, call, reader, writer):
-    """Crash as the server begins to write an answer on the guilty part; it is back soon."""
-    parts = [part.partition(":")[0] for part in (call.header("x-prompt-prefix") or "").split(",")]
-    if not TROUBLE or GUILTY not in parts[:-1] or call.header("x-model") not in server.models:
-        return None
-    server.ran(call)
-    server.record.write("guilty_arrived", server=server.name, id=call.header("x-attempt-id"))
-    await asyncio.sleep(0.03)
-    if server.server.is_serving():
-        await server.crash()
-        server.site.tasks.append(asyncio.create_task(come_back(server)))
-    return False
-
-
-async def come_back(server):
-    await asyncio.sleep(BACK_S)
-    await server.restart()
-
-
-async def ask(site, entry, *, guilty, pause_s):
+ENTRIES = 4
+# Consumers, each with one stream after another.
+CONSUMERS = 60
+EVENTS = 86
+EVENT_S = 0.07
+TIME_LIMIT_S = 15.0
+# After a server's registration is removed it serves for drain_ms and a little longer.
+SERVES_ON_S = 4.0
+KILLED_AFTER_S = 1.0
+DOWN_S = 1.1
+# How often the platform asks whether an entry is ready.
+READINESS_S = 1.0
+# The only server of version v1.1.
+LEAVING = "i-model3"
+# Streams that may hold events of two versions.
+ALLOWED = 2
+
+
+class VersionedServer(small_site.ModelServer):
+    """Stand in for a model server of some software version."""
+
+    def __init__(self, site, name, *arguments):
+        super().__init__(site, name, *arguments)
+        self.version = "v1.1" if name == LEAVING else "v1"
+
+    def registration(self):
+        return {**super().registration(), "version": self.version}
+
+    async def answer_stream(self, call, writer, events, first=1, chunked=True):
+        headers = [
+            ("Content-Type", "text/event-stream"),
+            ("X-Weight-Versions", "1"),
+            ("Transfer-Encoding", "chunked"),
+        ]
+        writer.write(small_site.head_bytes(200, self.signed(call, headers)))
+        for number in range(first, events + 1):
+            await asyncio.sleep(self.event_s)
+            if writer.is_closing():
+                return
+            event = f"id: {number}\ndata: {self.version} {self.name}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+
+class Stream:
+    """Hold what a consumer got of one stream over its tries."""
+
+    def __init__(self, root):
+        self.root = root
+        # The ids of events, and the versions of the servers that wrote them.
+        self.ids = []
+        self.versions = []
+
+    def add(self, body):
+        for event in body.decode().split("\n\n")[:-1]:
+            number, data = event.split("\n")
+            self.ids.append(int(number.removeprefix("id: ")))
+            self.versions.append(data.removeprefix("data: ").split(" ")[0])
+
+
+async def watch_readiness(site):
+    """Ask each entry once a second; the consumers go to those that are in."""
     while True:
-        headers = [("X-Model", site.models[0]), ("X-Token-Counts", f"{TOKENS * (PARTS + 1)},20")]
-        headers.append(("X-Prompt-Prefix", prompt(guilty=guilty)))
-        path = "/chat/guilty" if guilty else "/chat/sound"
-        body = str(random.random()).encode()
-        await small_site.send(site, entry, path, headers=headers, body=body, timeout_s=5.0)
-        await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
+        states = await asyncio.gather(*(entry.is_ready() for entry in site.entries))
+        site.ready = [entry for entry, ready in zip(site.entries, states, strict=True) if ready]
+        await asyncio.sleep(READINESS_S)
 
 
-async def play(site):
-    await site.start(entries=3, model_servers=4, plain_servers=1)
-    for server in site.servers:
-        if server.kind == "model":
-            server.hook = end_on_guilty
+async def consume(site):
+    """Begin streams; take each one up once at another channel if its channel breaks."""
+    while True:
+        await stream_once(site)
+        await asyncio.sleep(random.uniform(0.05, 0.3))
+
+
+async def stream_once(site):
+    begun_s = time.monotonic()
+    if not site.ready:
+        await asyncio.sleep(0.1)
+        return
+    headers = [("X-Model", site.models[0]), ("X-Token-Counts", f"100,{EVENTS}")]
+    headers.append(("X-Prompt-Prefix", f"{random.randrange(16**8):08x}:100"))
+    root, answer = await small_site.send(
+        site, random.choice(site.ready), "/chat/1", headers=headers, timeout_s=TIME_LIMIT_S
+    )
+    stream = Stream(root)
+    stream.add(answer.body)
+    if answer.complete or not stream.ids:
+        return
+    site.broken.append(stream)
+    broken_s = time.monotonic()
+    while site.entries_down or not site.ready:
+        await asyncio.sleep(0.02)
+    left_s = TIME_LIMIT_S - (time.monotonic() - begun_s)
+    if left_s < 0.5:
+        return
+    headers += [("Last-Event-Id", stream.ids[-1]), ("Resumes", root)]
+    after_s = time.monotonic() - broken_s
+    identity, answer = await small_site.send(
+        site, random.choice(site.ready), "/chat/1", headers=headers, timeout_s=left_s
+    )
+    begun_at = stream.versions[0]
+    stream.add(answer.body)
+    site.record.write(
+        "taken_up",
+        root=root,
+        id=identity,
+        status=answer.status,
+        began_at=begun_at,
+        versions=sorted(set(stream.versions)),
+        events=[stream.ids[0], headers[-2][1], stream.ids[-1]],
+        whole=stream.ids == list(range(1, EVENTS + 1)),
+        after_s=round(after_s, 2),
+    )
+
+
+async def leave(site, server):
+    """Leave as planned without a word of draining: the registration goes, the server serves on."""
+    site.store.delete("servers", server.name)
+    site.record.write("registration_removed", server=server.name)
+    await asyncio.sleep(SERVES_ON_S)
+    server.server.close()
+    site.record.write("server_left", server=server.name, running=sum(server.runs.values()))
+
+
+async def kill_all(site):
+    site.entries_down = True
     for entry in site.entries:
-        for _ in range(3):
-            site.tasks.append(asyncio.create_task(ask(site, entry, guilty=False, pause_s=0.3)))
-    await asyncio.sleep(6)
+        entry.signal(signal.SIGKILL)
+    site.ready = []
+    await asyncio.gather(*(entry.process.wait() for entry in site.entries))
+    await asyncio.sleep(DOWN_S)
     for entry in site.entries:
-        site.tasks.append(asyncio.create_task(ask(site, entry, guilty=True, pause_s=1.0)))
-    await asyncio.sleep(PLAY_S)
+        await entry.start()
+    site.entries_down = False
+
+
+async def play(site):
+    site.stream_route = {"resumable": True, "timeout_ms": 15_000, "target_latency_ms": 600}
+    site.ready, site.broken, site.entries_down = [], [], False
+    small_site.ModelServer = VersionedServer
+    await site.start(entries=ENTRIES, model_servers=4, plain_servers=1)
+    servers = [server for server in site.servers if server.kind == "model"]
+    for server in servers:
+        server.events, server.event_s = EVENTS, EVENT_S
+    leaving = next(server for server in servers if server.name == LEAVING)
+    site.tasks.append(asyncio.create_task(watch_readiness(site)))
+    for _ in range(CONSUMERS):
+        site.tasks.append(asyncio.create_task(consume(site)))
+    await asyncio.sleep(10)
+    site.tasks.append(asyncio.create_task(leave(site, leaving)))
+    await asyncio.sleep(KILLED_AFTER_S)
+    if TROUBLE:
+        await kill_all(site)
+    await asyncio.sleep(20)
     return judge(site)
 
 
 def judge(site):
-    """Return how many requests with the part reached servers after it had crashed enough."""
-    crashes = [entry["t"] for entry in site.record.of("server_crashes")]
-    arrived = [entry["t"] for entry in site.record.of("guilty_arrived")]
-    late = []
-    if len(crashes) >= CRASHES:
-        late = [t for t in arrived if t > crashes[CRASHES - 1] + STABILITY_S]
-    sound = [sent["id"] for sent in site.record.of("sent") if sent["path"] == "/chat/sound"]
-    answers = {answer["id"]: answer for answer in site.record.of("answered")}
-    served = sum(answers[id]["status"] == 200 and answers[id]["complete"] for id in sound if id in answers)
+    """Return how many streams hold events of two versions."""
+    taken_up = site.record.of("taken_up")
+    mixed = [each for each in taken_up if len(each["versions"]) > 1]
     site.record.write(
-        "counts", crashes=len(crashes), late=len(late), sound=len(sound), sound_served=served
+        "counts",
+        broken=len(site.broken),
+        taken_up=len(taken_up),
+        began_at_leaving=sum(each["began_at"] == "v1.1" for each in taken_up),
+        rejected=sum(each["status"] != 200 for each in taken_up),
+        mixed=len(mixed),
     )
-    if len(late) > ALLOWED:
-        return f"BUDGET: {len(late)} requests with the part reached servers later than " \
-            f"{STABILITY_S} s after the fifth crash; {len(crashes)} crashes in all"
+    if len(mixed) > ALLOWED:
+        return f"ORDER: {len(mixed)} streams hold events of servers of two versions"
     return ""
 
 
