--- a/packages/daemon/src/mimosaspur_daemon/direct/application.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/application.py
@@ -30,6 +30,9 @@
 # Settings may change without a signal.
 SETTINGS_POLL_INTERVAL_S = 2.0
 PRUNE_INTERVAL_S = 1.0
+# The event loop is checked this often, and is late when it runs a timer this long after its time.
+LATENESS_INTERVAL_S = 0.1
+MIN_LATENESS_S = 0.03
 
 
 class EntryApplication:
@@ -69,6 +72,7 @@
             self._spawn(self.evacuation.run())
         self._spawn(self._prune_pools())
         self._spawn(self._poll_settings())
+        self._spawn(self._watch_lateness())
         await self.stop_requested.wait()
         await self._stop()
         peer_server.close()
@@ -152,6 +156,17 @@
             if self.state.dependencies.changed():
                 self._reload()
 
+    async def _watch_lateness(self) -> None:
+        """Log when this process did not run in time, as timers and data then come due together."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due_s = loop.time() + LATENESS_INTERVAL_S
+            await asyncio.sleep(LATENESS_INTERVAL_S)
+            late_ms = round((loop.time() - due_s) * 1000)
+            if late_ms >= MIN_LATENESS_S * 1000:
+                self.state.log.write("late", late_ms=late_ms)
+                self.state.log.counters.observe("loop_late_ms", late_ms)
+
     async def _prune_pools(self) -> None:
         while True:
             await asyncio.sleep(PRUNE_INTERVAL_S)
--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -6,6 +6,8 @@
 from mimosaspur_coordination.enginespeed.decodepace import StreamGaps
 from mimosaspur_coordination.fleetports import StopUnconfirmed
 from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.requestoutcome import RunEnd
+from mimosaspur_coordination.requestoutcome import SentRun
 from mimosaspur_coordination.streampauses import StreamPauses
 from mimosaspur_daemon.direct.evacuation import MovedRun
 from mimosaspur_protocol.eventbuffer import EventBuffer
@@ -40,6 +42,7 @@
         "predicted_ms",
         "rank",
         "says",
+        "sent",
         "sent_s",
         "status",
         "unread",
@@ -71,6 +74,8 @@
         self.unread = view.on_sent(handler.prompt, rank=self.rank)
         self.sent_s = asyncio.get_running_loop().time()
         handler.waited_ms = round((self.sent_s - handler.request.arrived_s) * 1000)
+        # What is known of this run; None until the request is sent.
+        self.sent: SentRun | None = None
         # What was known of the target's limit when the request was sent.
         self.limit_version = handler.state.notices.version(view.record)
         # Whether the target began to respond, its status, and the headers by which it tells of
@@ -85,6 +90,19 @@
         # Whether the target began to write an answer, and not only an error.
         self.was_served = False
 
+    def record_sent(self) -> None:
+        """Record that the request is about to be sent here."""
+        self.sent = self.handler.outcome.on_sent(
+            self.view.record.identity,
+            connection=self.channel.local_port(),
+            continues=self.offer.continued is not None,
+        )
+
+    def record_end(self, end: RunEnd) -> None:
+        """Record what tells how the run has ended."""
+        if self.sent:
+            self.sent.end = end
+
     def end(self) -> None:
         """Remove the request from the target's work."""
         if self.first_token:
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptlog.py
@@ -46,6 +46,7 @@
         status=attempt.status if attempt else None,
         says=attempt.says if attempt else {},
         framing=offer.framing.value if offer.framing else None,
+        port=attempt.channel.local_port() if attempt else 0,
         connection=offer.connection_end.value,
         unfinished_bytes=len(attempt.events.incomplete) if attempt else 0,
         started=handler.started,
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptrun.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptrun.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from mimosaspur_coordination.quarantine.crashledger import Stage
+from mimosaspur_coordination.requestoutcome import RunEnd
 from mimosaspur_daemon.direct.attempt import Attempt
 from mimosaspur_daemon.direct.attemptlog import log_endless
 from mimosaspur_daemon.direct.attemptresult import AttemptResult
@@ -47,6 +48,7 @@
         """Send the request and forward the response."""
         handler = self.handler
         request = handler.request
+        self.attempt.record_sent()
         try:
             await self.attempt.channel.send(
                 request.method, request.target, target_headers(self.attempt), request.body
@@ -57,6 +59,7 @@
             self.attempt.status = head.status
             self.attempt.says = target_notices(head, handler.state.dependencies.dialect)
             if is_not_run(head, handler.state.dependencies.dialect):
+                self.attempt.record_end(RunEnd.NOT_RUN)
                 await self._discard_rejection()
                 return AttemptResult.NOT_RUN
             if handler.route.kind is RouteKind.STREAM and is_event_stream(head):
@@ -66,8 +69,10 @@
             self.silence.on_deadline()
             raise
         except ChannelBroken as error:
+            self.attempt.record_end(RunEnd.BROKEN)
             self.attempt.channel.close()
             if await self.attempt.was_moved():
+                self.attempt.record_end(RunEnd.MOVED)
                 return AttemptResult.MOVED
             self.attempt.offer.cause = str(error)
             self.view.health.record_failure()
@@ -126,6 +131,7 @@
         body = await self.silence.read_first(self.attempt.channel.read_body(MAX_RESPONSE_BYTES))
         if head.status < 400 and not is_authentic(head, handler.state.dependencies.dialect):
             raise ChannelBroken("response is encoded or lacks the target's proof header")
+        self.attempt.record_end(RunEnd.ANSWERED)
         # An error took room as well: otherwise callers' mistakes would look like a shortage.
         handler.target_selector.share.on_served()
         response = TargetResponse(head, body, marked=self.attempt.channel.marks_end())
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -242,6 +242,7 @@
             held_ms=round(elapsed_s * 1000),
             retry_after_s=failure.retry_after_s,
             started=bool(handler and handler.started),
+            sent=handler.outcome.listing() if handler else [],
             version=self.state.configuration.version if self.state.configuration else None,
         )
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from mimosaspur_coordination.fleetview import TargetView
+from mimosaspur_coordination.requestoutcome import RequestOutcome
 from mimosaspur_coordination.workspaces.ranks import priority_of
 from mimosaspur_daemon.direct.attemptlog import log_attempt
 from mimosaspur_daemon.direct.attemptresult import AttemptResult
@@ -59,6 +60,7 @@
         "last_event_s",
         "moved",
         "offers",
+        "outcome",
         "outcome_unknown",
         "possible_runs",
         "prompt",
@@ -135,6 +137,7 @@
             state.retry_window(service), state.log, service=service, request=self.request_id()
         )
         self.timeout: asyncio.Timeout | None = None
+        self.outcome = RequestOutcome()
         self.runs = ParallelRuns(self)
         # Number of offers to targets so far.
         self.offers = 0
--- a/packages/daemon/src/mimosaspur_daemon/direct/streamforwarding.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamforwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from mimosaspur_coordination.requestoutcome import RunEnd
 from mimosaspur_daemon.direct.attempt import Attempt
 from mimosaspur_daemon.direct.attemptlog import log_pausing_engine
 from mimosaspur_daemon.direct.attemptresult import AttemptResult
@@ -58,6 +59,7 @@
             raise EndlessResponse("event", str(error)) from error
         if await self.attempt.was_moved():
             # A response without a length ends with its connection, even if its run was stopped.
+            self.attempt.record_end(RunEnd.MOVED)
             self.attempt.channel.close()
             return AttemptResult.MOVED
         return await self._end_stream(head)
@@ -86,6 +88,7 @@
         if completeness is Completeness.UNKNOWN and needs_mark:
             attempt.offer.cause = "nothing proves that the stream is complete"
             return AttemptResult.BROKEN
+        attempt.record_end(RunEnd.ANSWERED)
         handler.runs.claim(attempt)
         await self._start_response(head)
         if held := attempt.events.held():
--- a/packages/transport/src/mimosaspur_transport/httpchannel.py
+++ b/packages/transport/src/mimosaspur_transport/httpchannel.py
@@ -216,6 +216,11 @@
         self.exchanged_bytes = [0, 0]
         return sent, received
 
+    def local_port(self) -> int:
+        """Return the port of this end, 0 once the connection has ended."""
+        address = self.writer.get_extra_info("sockname")
+        return int(address[1]) if address else 0
+
     def marks_end(self) -> bool:
         """Return whether the framing of the response marks its end.
 
