--- a/features/harness/promise_play.py
+++ b/features/harness/promise_play.py
@@ -87,7 +87,8 @@
         if end != "refused":
             self.calls[identity].ran_at.append(self.name)
         limit_s = int(fields["x-deadline-ms"]) / 1000
-        shift_s = self.random.uniform(-AROUND_LIMIT_S, AROUND_LIMIT_S)
+        # The answer takes a millisecond, and the entry some passes of its loop.
+        shift_s = self.random.uniform(-3 * AROUND_LIMIT_S, AROUND_LIMIT_S)
         await asyncio.sleep(max(0.0, limit_s + shift_s))
         name = (b"X-Request-Id", identity.encode())
         if end.isdigit():
--- a/packages/coordination/src/mimosaspur_coordination/requestoutcome.py
+++ b/packages/coordination/src/mimosaspur_coordination/requestoutcome.py
@@ -50,6 +50,17 @@
         self.runs.append(run)
         return run
 
+    def may_have_run(self) -> bool:
+        """Return whether a target may have run the request, or may still run it.
+
+        Only a target's proof takes a send back, and only that one send.
+        """
+        return any(run.end is not RunEnd.NOT_RUN for run in self.runs)
+
+    def run_count(self) -> int:
+        """Return how often the request may have run, a run that was moved counted once."""
+        return sum(run.end is not RunEnd.NOT_RUN and not run.continues for run in self.runs)
+
     def listing(self) -> list[dict[str, object]]:
         """Return the runs for the log."""
         return [
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptrun.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptrun.py
@@ -59,7 +59,6 @@
             self.attempt.status = head.status
             self.attempt.says = target_notices(head, handler.state.dependencies.dialect)
             if is_not_run(head, handler.state.dependencies.dialect):
-                self.attempt.record_end(RunEnd.NOT_RUN)
                 await self._discard_rejection()
                 return AttemptResult.NOT_RUN
             if handler.route.kind is RouteKind.STREAM and is_event_stream(head):
@@ -111,8 +110,11 @@
             head = await self.attempt.channel.read_head()
             theirs = header(head.headers, name)
             own = theirs is None or mine is None or theirs == mine
-            self._apply_notices(head, proves_end=own and not is_not_run(head, dialect))
+            not_run = is_not_run(head, dialect)
+            self._apply_notices(head, proves_end=own and not not_run)
             if own:
+                if not_run:
+                    self.attempt.record_end(RunEnd.NOT_RUN)
                 return head
             await self.attempt.channel.skip_response()
         raise EndlessResponse("foreign", "responses to other requests don't end")
--- a/packages/daemon/src/mimosaspur_daemon/direct/parallelruns.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/parallelruns.py
@@ -50,10 +50,6 @@
         """Return the oldest attempt, None while nothing has been sent."""
         return next((offer.attempt for offer in self.active.values() if offer.attempt), None)
 
-    def in_flight(self) -> bool:
-        """Return whether the request is at a target now."""
-        return any(offer.in_flight for offer in self.active.values())
-
     def start(self, offer: Offer) -> None:
         """Start a run."""
         task = asyncio.get_running_loop().create_task(offer.run())
@@ -71,9 +67,7 @@
                 offer = self.active.pop(task)
                 offer.cause = repr(error)
                 return offer, AttemptResult.BROKEN
-            # A run that raised stays active: its request may have been at a target.
-            result = task.result()
-            return self.active.pop(task), result
+            return self.active.pop(task), task.result()
 
     def claim(self, attempt: "Attempt") -> None:
         """Let one run go on with the response, and end the others."""
@@ -116,7 +110,7 @@
         handler = self.handler
         if not handler.route.repeatable or not handler.cutter.can_resume:
             return "runs once"
-        if handler.possible_runs + 1 >= handler.route.max_attempts:
+        if handler.outcome.run_count() >= handler.route.max_attempts:
             return "route's attempts"
         if self.backups >= MAX_BACKUPS:
             return "backups"
--- a/packages/daemon/src/mimosaspur_daemon/direct/refusal.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/refusal.py
@@ -6,6 +6,8 @@
 from mimosaspur_state.codes import CODE_TABLE
 from mimosaspur_state.codes import ResultCode
 
+# Statuses that promise callers that a request has not run and never will.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # An exception's text may quote a caller's headers.
 MAX_ERROR_CHARACTERS = 300
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -14,6 +14,7 @@
 from mimosaspur_daemon.direct.parallelruns import ParallelRuns
 from mimosaspur_daemon.direct.prompts import read_prompt
 from mimosaspur_daemon.direct.prompts import time_limit_ms
+from mimosaspur_daemon.direct.refusal import NOT_RUN_STATUSES
 from mimosaspur_daemon.direct.refusal import RequestFailed
 from mimosaspur_daemon.direct.requestdigest import request_traits
 from mimosaspur_daemon.direct.requestretries import RequestRetries
@@ -61,8 +62,6 @@
         "moved",
         "offers",
         "outcome",
-        "outcome_unknown",
-        "possible_runs",
         "prompt",
         "refusal",
         "quota_charged",
@@ -149,9 +148,6 @@
         self.ended_by_shutdown = False
         # Whether the request was ended because it crashes targets.
         self.ended_by_quarantine = False
-        # Number of attempts in which the request may have run.
-        self.possible_runs = 0
-        self.outcome_unknown = False
         # Why no other target takes it, if it ends because none does.
         self.refusal: ResultCode | None = None
         # For the log: times from the caller's request to its last send, and to the first event.
@@ -185,7 +181,9 @@
         except TimeoutError:
             raise self._timeout_failure() from None
         except RequestFailed as error:
-            if self.prompt.model and error.code in UNSERVED_CODES and not self.may_have_run():
+            if self.may_have_run():
+                raise self._without_promise(error) from error
+            if self.prompt.model and error.code in UNSERVED_CODES:
                 self.state.record_rejection(
                     self.route, self.workspace, self.service, self.prompt.model
                 )
@@ -210,7 +208,7 @@
 
     def may_have_run(self) -> bool:
         """Return whether a target may have run the request or is running it."""
-        return self.started or self.outcome_unknown or self.failure is not None
+        return self.outcome.may_have_run()
 
     def record_duration(self, began_s: float) -> None:
         """Record the request's duration since an engine's first event, or since it was sent."""
@@ -237,7 +235,7 @@
     def _timeout_failure(self) -> RequestFailed:
         if self.ended_by_quarantine:
             return RequestFailed(ResultCode.REQUEST_QUARANTINED)
-        if self.outcome_unknown:
+        if self.may_have_run():
             code = (
                 ResultCode.OUTCOME_UNKNOWN if self.ended_by_shutdown else ResultCode.DEADLINE_PASSED
             )
@@ -245,6 +243,13 @@
         code = ResultCode.DRAINING if self.ended_by_shutdown else ResultCode.NO_READY_TARGET
         return self.target_selector.refusal(code)
 
+    def _without_promise(self, failure: RequestFailed) -> RequestFailed:
+        """Return the failure of a request that may have run, without a status that denies it."""
+        if failure.status not in NOT_RUN_STATUSES:
+            return failure
+        self.refusal = failure.code
+        return RequestFailed(ResultCode.OUTCOME_UNKNOWN, detail=failure.detail)
+
     async def _find_stream_version(self) -> None:
         """Find the version at which a caller's resumption has to go on; raise RequestFailed."""
         continuation = self.continuation
@@ -274,7 +279,7 @@
                     view = continued.view if continued else await self._next_target()
                 except RequestFailed as error:
                     quarantined = error.code is ResultCode.REQUEST_QUARANTINED
-                    if not quarantined and (self.outcome_unknown or self.failure):
+                    if not quarantined and self.may_have_run():
                         self.refusal = error.code
                         break
                     raise
@@ -282,10 +287,9 @@
                 self.runs.start(Offer(self, view, number=number, continued=continued))
                 if await self._is_answered():
                     return
-                if self.possible_runs and not self.moved and not self._may_run_again():
+                if self.may_have_run() and not self.moved and not self._may_run_again():
                     break
         finally:
-            self.outcome_unknown |= self.runs.in_flight()
             await self.runs.close()
         await self._finish()
 
@@ -295,8 +299,7 @@
         return self.offers - 1
 
     def on_left(self, offer: Offer) -> None:
-        """Record that a run was ended because another one answered first."""
-        self.possible_runs += 1
+        """Leave out the target of a run that was ended because another one answered first."""
         self.target_selector.cool_down(offer.view, FAILED_COOLDOWN_S)
 
     async def _is_answered(self) -> bool:
@@ -304,8 +307,6 @@
         while self.runs.active:
             offer, result = await self.runs.next_ended()
             log_attempt(offer, result)
-            # The time limit, or the end of the process, may come while the turn ends.
-            self.outcome_unknown |= result in (AttemptResult.BROKEN, AttemptResult.FAILED)
             await self.state.quarantine.end_turn(self, offer.view)
             if result in (AttemptResult.DONE, AttemptResult.FAILED):
                 self._on_run_ended(offer)
@@ -325,14 +326,12 @@
                 view, NOT_RUN_COOLDOWN_S * COOLDOWN_GROWTH_FACTOR**offer.number
             )
             return
-        self.possible_runs += 1
-        self.outcome_unknown = True
         self.target_selector.cool_down(view, FAILED_COOLDOWN_S)
         if self._may_run_again() and not self.runs.active:
             await self.state.quarantine.detector.wait_for_first_probe(view)
 
     def _may_run_again(self) -> bool:
-        if self.possible_runs >= self.route.max_attempts:
+        if self.outcome.run_count() >= self.route.max_attempts:
             return False
         return self.route.repeatable and self.cutter.can_resume
 
@@ -380,7 +379,7 @@
         if self.failure and not self.started:
             await self.forward_response(self.failure)
             return
-        if self.outcome_unknown:
+        if self.may_have_run():
             raise RequestFailed(ResultCode.OUTCOME_UNKNOWN)
         raise self.target_selector.refusal(ResultCode.RETRIES_EXHAUSTED)
 
