--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -339,7 +339,8 @@
     def update(self, changed: Iterable[TargetRecord], removed: Iterable[str]) -> list[str]:
         """Apply changed and removed targets; return the identities of those that ended.
 
-        A restarted target counts as ended, because its previous state is lost.
+        A restarted target counts as ended, because its previous state is lost. So does one that
+        another target has taken the identity of.
         """
         ended = [identity for identity in removed if self._remove(identity)]
         for each in changed:
@@ -348,7 +349,7 @@
             if view and record.started_ms < view.record.started_ms:
                 # The registration of a previous process.
                 continue
-            if view and record.started_ms > view.record.started_ms:
+            if view and not view.record.is_same_lifetime(record):
                 self._remove(record.identity)
                 ended.append(record.identity)
                 view = None
--- a/packages/daemon/src/mimosaspur_daemon/direct/storechanges.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/storechanges.py
@@ -27,7 +27,7 @@
     def update(self) -> None:
         """Compute what has changed since the last update."""
         views = self.state.fleet.targets
-        targets = {identity: _to_message(view.record) for identity, view in views.items()}
+        targets = {identity: target_message(view.record) for identity, view in views.items()}
         changed = [each for name, each in targets.items() if self.targets.get(name) != each]
         removed = [name for name in self.targets if name not in targets]
         if changed or removed:
@@ -67,7 +67,8 @@
     state.stream_versions.history.confirm(age_ms=changes.age_ms)
 
 
-def _to_message(record: TargetRecord) -> TargetRegistration:
+def target_message(record: TargetRecord) -> TargetRegistration:
+    """Return the message that tells other entries of a registration."""
     return TargetRegistration(
         record.identity,
         record.service,
--- a/packages/state/src/mimosaspur_state/fleet.py
+++ b/packages/state/src/mimosaspur_state/fleet.py
@@ -23,6 +23,15 @@
     # Version of the target's software; streams of two versions can't be joined.
     version: str = ""
 
+    def is_same_lifetime(self, other: "TargetRecord") -> bool:
+        """Return whether another registration under this identity is of the same lifetime."""
+        return (
+            self.started_ms == other.started_ms
+            and self.service == other.service
+            and self.address == other.address
+            and self.version == other.version
+        )
+
     @property
     def incarnation(self) -> str:
         """Return a name of this lifetime of the target, the same at all entries."""
