--- a/packages/coordination/src/mimosaspur_coordination/weightcopies.py
+++ b/packages/coordination/src/mimosaspur_coordination/weightcopies.py
@@ -64,7 +64,9 @@
     """Return the size of a model's weights."""
     model = spec.models.get(name)
     # Assumes the largest size for a model that is no longer configured.
-    return model.weights_mb if model else max(each.weights_mb for each in spec.models.values())
+    if model:
+        return model.weights_mb
+    return max((each.weights_mb for each in spec.models.values()), default=0.0)
 
 
 def _memory_copies_after(
--- a/packages/state/src/mimosaspur_state/codes.py
+++ b/packages/state/src/mimosaspur_state/codes.py
@@ -72,6 +72,7 @@
     BAD_TARGET_REST = 4014
     BAD_CONFIGURATION = 4015
     ENTRY_UNAVAILABLE = 4016
+    BAD_REGISTRATION = 4017
 
 
 @dataclass(slots=True, frozen=True)
@@ -252,6 +253,12 @@
         "A configuration has a bad value; the last good one stays in force.",
         "Correct the field that the error names, and write it again.",
     ),
+    ResultCode.BAD_REGISTRATION: CodeInfo(
+        503,
+        "A registration in the store can't be read, or a field of it is out of range. It names no"
+        " target.",
+        "Look at who wrote it; the error names the field.",
+    ),
     ResultCode.ENTRY_UNAVAILABLE: CodeInfo(
         503,
         "The entry gives no explanation.",
