--- a/features/direct_orders.feature
+++ b/features/direct_orders.feature
@@ -152,6 +152,7 @@
       | predecessor  | knowledge                                | first |
       | nobody       | knowing nothing                          | 10000 |
       | itself       | knowing nothing                          | 10000 |
+      | itself, unsettled, | knowing nothing                    | 15000 |
       | another      | knowing nothing                          | 15000 |
       | another      | told that the last order was at 9500 ms  | 12600 |
       | another      | told that the last order was at 1000 ms  | 10000 |
--- a/features/harness/direct_fleet.py
+++ b/features/harness/direct_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 from harness.direct_engine import LOAD_S
 from harness.direct_engine import SimulatedEngine
@@ -75,7 +76,7 @@
         revision = self.record.revision if self.record else 0
         if record.revision != revision:
             raise VersionConflict("orders", revision)
-        self.record = LeaseRecord(record.holder, record.address, record.token, revision + 1)
+        self.record = replace(record, revision=revision + 1)
         return self.record
 
 
--- a/features/steps/direct_orders_handover_steps.py
+++ b/features/steps/direct_orders_handover_steps.py
@@ -117,7 +117,7 @@
     async def step_down(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         link = PeerLink(reader, writer)
         link.send(FleetReport(1, True, 2, [], [], {}))
-        link.send(StepDown(LONG_AGO_MS))
+        link.send(StepDown(LONG_AGO_MS, 1))
         await link.finish_sending()
 
     server = await asyncio.start_server(step_down, "127.0.0.1", 0)
--- a/features/steps/direct_orders_lease_steps.py
+++ b/features/steps/direct_orders_lease_steps.py
@@ -15,15 +15,18 @@
 def make_lease(context: Context, handover_ms: int, predecessor: str) -> None:
     context.clock = ManualClock(10_000)
     context.lease = OrderLease("me", handover_ms=handover_ms, clock=context.clock)
-    names = {"nobody": "", "itself": "me", "another": "other"}
+    names = {"nobody": "", "itself": "me", "itself, unsettled,": "me", "another": "other"}
     context.predecessor = names[predecessor]
+    context.settled = predecessor == "itself"
 
 
 @when("this instance takes it over at {at_ms:d} ms {knowledge}")
 def take_over(context: Context, at_ms: int, knowledge: str) -> None:
     context.clock.ms = at_ms
     record = LeaseRecord("me", ADDRESS, 2, 7)
-    context.lease.acquire(record, asked_ms=at_ms, predecessor=context.predecessor)
+    context.lease.acquire(
+        record, asked_ms=at_ms, predecessor=context.predecessor, settled=context.settled
+    )
     if knowledge.startswith("told"):
         last_ms = int("".join(filter(str.isdigit, knowledge)))
         context.lease.on_predecessor_release(last_order_ms=last_ms)
--- a/packages/coordination/src/mimosaspur_coordination/fleetports.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetports.py
@@ -50,6 +50,9 @@
     # Whether the store was restored from an older copy after the record was written: others may
     # have held the lease since.
     restored: bool = False
+    # Whether the holder has waited until no earlier one could order: an earlier process of the
+    # same instance has nothing left to wait for.
+    settled: bool = False
 
 
 class FleetStore(Protocol):
--- a/packages/coordination/src/mimosaspur_coordination/orderlease.py
+++ b/packages/coordination/src/mimosaspur_coordination/orderlease.py
@@ -9,8 +9,15 @@
 was last reached still does, and none of them reaches the store. Losing such an entry ends the
 extension, since that entry might reach the store and contend; it waits longer than a confirmation
 is valid. Not covered: a new entry that reaches the store but not the holder.
+
+A write of the record may take effect without an answer, so the record may name an instance that has
+never taken the lease up. Such an instance knows nothing of the orders of the holder before. Only an
+instance that has taken up the record's token may announce the last order, its predecessors'
+included; and only a record that is settled spares its own instance the wait.
 """
 
+from dataclasses import replace
+
 from mimosaspur_coordination.fleetports import LeaseRecord
 from mimosaspur_state.clock import Clock
 
@@ -35,6 +42,7 @@
         "record",
         "record_lost",
         "stopped",
+        "taken_up_token",
     )
 
     def __init__(self, instance: str, *, handover_ms: int, clock: Clock) -> None:
@@ -48,6 +56,8 @@
         self.confirmed_ms = 0
         self.first_order_ms = 0
         self.last_order_ms = 0
+        # The token of the record that this process took up last, 0 for none.
+        self.taken_up_token = 0
         # Whether this instance has announced its last order, for as long as the process runs.
         self.stopped = False
 
@@ -76,13 +86,20 @@
         if self.is_holder():
             self.confirmed_ms = max(self.confirmed_ms, asked_ms)
 
-    def acquire(self, record: LeaseRecord, *, asked_ms: int, predecessor: str) -> None:
-        """Apply a takeover from another instance, or from an earlier process of this one."""
+    def acquire(
+        self, record: LeaseRecord, *, asked_ms: int, predecessor: str, settled: bool = False
+    ) -> None:
+        """Apply a takeover from the holder that the record named before, empty if there was none.
+
+        `settled` tells whether that record was settled.
+        """
         now_ms = self.clock.now_ms()
         self.record = record
         self.confirmed_ms = asked_ms
+        self.taken_up_token = record.token
         self.first_order_ms = now_ms
-        if self.record_lost or (predecessor and predecessor != self.instance):
+        waited = not predecessor or (predecessor == self.instance and settled)
+        if self.record_lost or not waited:
             self.first_order_ms = now_ms + CONFIRMATION_VALIDITY_MS + self.handover_ms
         self.record_lost = False
 
@@ -93,6 +110,7 @@
         waits until it has expired before its first order.
         """
         self.record = record
+        self.taken_up_token = record.token
         self.record_lost = False
         self.confirmed_ms = asked_ms
 
@@ -131,6 +149,21 @@
         """
         self.stopped = True
 
+    def last_possible_order_ms(self) -> int:
+        """Return when this process, or a holder before it, can have sent the last order."""
+        return max(self.last_order_ms, self.first_order_ms - self.handover_ms)
+
+    def settling_due(self) -> bool:
+        """Return whether the record should tell that this holder has waited long enough."""
+        record = self.record
+        if record is None or record.settled or record.token != self.taken_up_token:
+            return False
+        return self.may_order()
+
+    def settled_record(self) -> LeaseRecord | None:
+        """Return the record to write when that is due."""
+        return replace(self.record, settled=True) if self.record else None
+
     def record_order(self) -> None:
         """Record that an order is sent now."""
         self.last_order_ms = self.clock.now_ms()
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -240,8 +240,8 @@
         self.lease.stop_orders()
         self.members.sharers.stop()
         self.permits.stop()
-        age_ms = self.lease.clock.now_ms() - self.lease.last_order_ms
-        self.members.send(StepDown(max(0, age_ms)))
+        age_ms = self.lease.clock.now_ms() - self.lease.last_possible_order_ms()
+        self.members.send(StepDown(age_ms, self.lease.taken_up_token))
 
     def on_lease_read(self) -> None:
         """Reset the entries required for a proof, since this instance has read the lease."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/election.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/election.py
@@ -126,6 +126,7 @@
         if self.lease.record is None and not await self._lease_still_free():
             return
         predecessor = self.lease.record.holder if self.lease.record else ""
+        settled = bool(self.lease.record and self.lease.record.settled)
         if not predecessor:
             # No entry can know of crashes before the first coordinator.
             self.state.quarantine.on_told()
@@ -136,7 +137,7 @@
         )
         self.backoff.record_success()
         forgotten = self.lease.record_lost
-        self.lease.acquire(record, asked_ms=asked_ms, predecessor=predecessor)
+        self.lease.acquire(record, asked_ms=asked_ms, predecessor=predecessor, settled=settled)
         if last_order_ms is not None and not forgotten:
             self.lease.on_predecessor_release(last_order_ms=last_order_ms)
         self.predecessor_last_order_ms = None
@@ -195,6 +196,8 @@
             else:
                 self.refused_renewals = 0
                 self.renewal_backoff.record_success()
+                if self.lease.settling_due():
+                    await self._settle()
             # Back off while renewals fail: each makes other entries call the store.
             await asyncio.sleep(max(LEASE_CHECK_INTERVAL_S, self.renewal_backoff.delay_s()))
 
@@ -220,6 +223,17 @@
         if self.coordinator:
             self.coordinator.on_lease_read()
 
+    async def _settle(self) -> None:
+        """Write that no earlier holder can order any more; a lost answer is read later."""
+        record = self.lease.settled_record()
+        if record is None:
+            return
+        asked_ms = self.lease.clock.now_ms()
+        with contextlib.suppress(StoreUnavailable, VersionConflict, TimeoutError):
+            async with asyncio.timeout(RENEWAL_TIMEOUT_S):
+                written = await self.state.dependencies.store.write_lease(record)
+            self.lease.update_from_store(written, asked_ms=asked_ms)
+
     async def _reclaim(self) -> None:
         """Write the lease again that the store has lost, unless another instance did."""
         asked_ms = self.lease.clock.now_ms()
@@ -262,7 +276,7 @@
                     self.predecessor_last_order_ms = (
                         self.lease.clock.now_ms() - message.last_order_age_ms
                     )
-                    self.predecessor_token = self.lease.record.token if self.lease.record else 0
+                    self.predecessor_token = message.token
                     self.predecessor_stepped_down = followed
                     return False
                 self._apply_answer(message)
@@ -365,8 +379,9 @@
 
     async def _send_last_order(self, link: PeerLink) -> None:
         """Send the age of the last order to an entry that expects a coordinator here."""
-        age_ms = self.lease.clock.now_ms() - max(self.started_ms, self.lease.last_order_ms)
+        last_ms = max(self.started_ms, self.lease.last_possible_order_ms())
+        age_ms = self.lease.clock.now_ms() - last_ms
         with contextlib.suppress(PeerLost):
-            link.send(StepDown(age_ms))
+            link.send(StepDown(age_ms, self.lease.taken_up_token))
             await link.finish_sending()
         link.close()
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -338,9 +338,14 @@
 
 
 class StepDown(msgspec.Struct, array_like=True, tag="leaving"):
-    """Announce that the coordinator issues no more orders, with the age of its last one."""
+    """Announce that a holder of the lease issues no more orders, with the age of the last one.
+
+    That may be an earlier holder's, and in the future. It holds for one token of the lease, 0 if
+    the sender has taken up none.
+    """
 
     last_order_age_ms: int
+    token: int = 0
 
 
 class LeaseReadRequest(msgspec.Struct, array_like=True, tag="prove"):
