--- a/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attempt.py
@@ -149,10 +149,9 @@
             if stopped:
                 view = to if stopped.copied else self.view
                 self.moved = MovedRun(view, self.view, stopped.handle)
+                handler.keep_copy(self.moved)
         finally:
             self.move_ended.set()
-        if self.moved and handler.done:
-            await engines.drop_copy(self.view.record, self.moved.handle)
         return self.moved is not None
 
     def is_moving(self) -> bool:
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptrun.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptrun.py
@@ -61,6 +61,8 @@
             if is_not_run(head, handler.state.dependencies.dialect):
                 await self._discard_rejection()
                 return AttemptResult.NOT_RUN
+            if continued := self.attempt.offer.continued:
+                handler.copies.pop(continued.handle, None)
             if handler.route.kind is RouteKind.STREAM and is_event_stream(head):
                 return await StreamForwarding(self.attempt, self.silence).run(head)
             return await self._forward_whole(head)
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -25,6 +25,7 @@
 from mimosaspur_protocol.eventbuffer import EventBuffer
 from mimosaspur_protocol.numbers import parse_number
 from mimosaspur_state.codes import ResultCode
+from mimosaspur_state.fleet import TargetRecord
 from mimosaspur_state.routes import Route
 from mimosaspur_state.workspaces import Workspace
 from mimosaspur_transport.callerconnection import CallerConnection
@@ -50,6 +51,7 @@
     __slots__ = (
         "caller",
         "continuation",
+        "copies",
         "cutter",
         "deadline_s",
         "done",
@@ -142,6 +144,8 @@
         self.offers = 0
         # The stopped run to continue next.
         self.moved: MovedRun | None = None
+        # By handle, the targets with memory of stopped runs that no run is known to go on from.
+        self.copies: dict[str, TargetRecord] = {}
         # Whether the request has ended.
         self.done = False
         # Whether the request was ended because the process exits.
@@ -193,8 +197,18 @@
             self.retries.refund_unused()
             if not self.may_have_run():
                 self.target_selector.share.put_back()
-            if self.moved:
-                self.state.drop_copy(self.moved.source.record, self.moved.handle)
+            self._drop_copies()
+
+    def keep_copy(self, moved: MovedRun) -> None:
+        """Keep the memory of a stopped run until a run goes on from it, or the request ends."""
+        self.copies[moved.handle] = moved.source.record
+        if self.done:
+            self._drop_copies()
+
+    def _drop_copies(self) -> None:
+        while self.copies:
+            handle, source = self.copies.popitem()
+            self.state.drop_copy(source, handle)
 
     def request_id(self) -> str:
         """Return the request ID set by the caller."""
@@ -370,7 +384,7 @@
             return False
         refused = offer.attempt is not None
         if continued.view is continued.source and refused:
-            self.state.drop_copy(continued.source.record, continued.handle)
+            self._drop_copies()
             return False
         self.moved = MovedRun(continued.source, continued.source, continued.handle)
         return True
