--- /dev/null
+++ b/features/connection_ends.feature
@@ -0,0 +1,24 @@
+Feature: How a connection ends says what has become of its request
+
+  # Guards against a target that runs a request which was given up: it takes an ordinary end for the end of the request.
+  Scenario Outline: A run is given up by a reset, <why>
+    Given a direct entry, and first a target whose process is stalled
+    When a caller sends <request> with a body of <bytes> bytes, and <why>
+    And the target goes on after <stall> ms
+    Then the target sees that the request was reset
+
+    Examples:
+      | request                     | bytes   | why                       | stall |
+      | a request that may run once | 2       | its time limit passes     | 50    |
+      | a request that may run once | 2       | the caller leaves         | 50    |
+      | a stream                    | 2       | the caller leaves         | 500   |
+      | a request that may run once | 2       | the entry ends            | 500   |
+      | an idempotent request       | 2       | another target answers    | 50    |
+      | a request that may run once | 4000000 | its time limit passes     | 500   |
+      | a request that may run once | 4000000 | the caller leaves         | 50    |
+
+  # Guards against a reset of connections that carry no request, which a target may take for an entry's failure.
+  Scenario: A connection without a request is closed in order
+    Given a direct entry, and first a target whose process is stalled
+    When the entry opens a connection to it and closes it unused
+    Then the target sees the connection's end
--- a/packages/transport/src/mimosaspur_transport/httpchannel.py
+++ b/packages/transport/src/mimosaspur_transport/httpchannel.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from dataclasses import dataclass
 from enum import Enum
 from typing import cast
@@ -29,6 +30,10 @@
 MAX_SKIPPED_BYTES = 1_048_576
 # The codec's hint for an event that exceeds its limit.
 OVERSIZED_STATUS = 431
+# States of a codec's sides while no request is under way.
+SETTLED_STATES = frozenset((h11.IDLE, h11.DONE, h11.MUST_CLOSE, h11.CLOSED))
+# The value of SO_LINGER with which a close resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 BODILESS_STATUSES = frozenset({204, 304})
 CONNECT_TIMEOUT_MS = 700
 # The connection fails when sent data stays unacknowledged for this long.
@@ -284,9 +289,24 @@
         return self.writer.transport.get_write_buffer_size()
 
     def close(self) -> None:
-        """Reset the connection; the target cancels the request in flight."""
+        """Close the connection, with a reset if it carries a request, which the peer cancels.
+
+        After an ordinary end the peer's kernel would still pass on the rest of the request, and a
+        peer may answer after it.
+        """
+        if not self._is_between_requests():
+            # The connection may have ended already.
+            with contextlib.suppress(OSError):
+                self.writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
         self.writer.transport.abort()
 
+    def _is_between_requests(self) -> bool:
+        """Return whether the last request was sent, and its response read, in full."""
+        states = {self.codec.our_state, self.codec.their_state}
+        return states <= SETTLED_STATES and self.is_fully_sent()
+
     def _set_waits_for_room(self, waits: bool) -> None:
         """Set whether to wait longer, since the peer may have no room for the whole request."""
         if waits == self.waits_for_room:
