--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -22,3 +22,10 @@
     Given a direct entry, and first a target whose process is stalled
     When the entry opens a connection to it and closes it unused
     Then the target sees the connection's end
+
+  # Guards against an answer whose last bytes are still in the process as it ends.
+  Scenario: A connection counts as open until the last byte of its answer has been sent
+    Given a direct entry that is leaving, and a target with an answer of 7 MB
+    When a caller reads the answer until the entry has written its end, and then no more
+    Then the entry still counts its connection as open
+    And it is closed once the caller has read the rest, which is whole
--- a/features/steps/connection_ends_steps.py
+++ b/features/steps/connection_ends_steps.py
@@ -1,6 +1,8 @@
 """Steps for what the peers of an entry see as a connection ends."""
 
 import asyncio
+import contextlib
+import socket
 
 from behave import given
 from behave import then
@@ -12,6 +14,8 @@
 from harness.direct_entry import read_response
 from harness.direct_entry import request_bytes
 from harness.direct_target import ScriptedTarget
+from harness.long_target import LONG_ANSWER
+from harness.long_target import LongTarget
 from harness.loop import run
 from harness.stalled_target import StalledTarget
 
@@ -19,6 +23,8 @@
 # Time until a request has reached its target.
 SETTLE_S = 0.15
 ANSWERS_S = 10.0
+CALLER_BUFFER_BYTES = 16_384
+ENTRY_BUFFER_BYTES = 4_096
 
 
 @given("a direct entry, and first a target whose process is stalled")
@@ -89,3 +95,58 @@
 @then("the target sees the connection's end")
 def check_closed(context: Context) -> None:
     assert [each.was_reset for each in context.read] == [False], context.read
+
+
+@given("a direct entry that is leaving, and a target with an answer of 7 MB")
+def start_long(context: Context) -> None:
+    context.entry = DirectEntry()
+    context.entry.state.leaving = True
+    run(context, context.entry.start(LongTarget("first")))
+
+
+@when("a caller reads the answer until the entry has written its end, and then no more")
+def read_until_written(context: Context) -> None:
+    async def read() -> None:
+        loop = asyncio.get_running_loop()
+        context.caller = socket.socket()
+        context.add_cleanup(context.caller.close)
+        context.caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, CALLER_BUFFER_BYTES)
+        context.caller.setblocking(False)
+        await loop.sock_connect(context.caller, ("127.0.0.1", context.entry.port))
+        while not context.entry.callers.connections:
+            await asyncio.sleep(0)
+        (connection,) = context.entry.callers.connections
+        accepted = connection.writer.get_extra_info("socket")
+        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, ENTRY_BUFFER_BYTES)
+        await loop.sock_sendall(context.caller, request_bytes("once"))
+        transport = connection.writer.transport
+        # The entry goes on once its buffer holds no more than this.
+        low_bytes, _ = transport.get_write_buffer_limits()
+        context.received = b""
+        while context.entry.callers.connections:
+            if not context.received or transport.get_write_buffer_size() > low_bytes:
+                with contextlib.suppress(BlockingIOError):
+                    context.received += context.caller.recv(ENTRY_BUFFER_BYTES)
+            await asyncio.sleep(0)
+
+    run(context, read())
+
+
+@then("the entry still counts its connection as open")
+def check_open(context: Context) -> None:
+    assert not context.received.endswith(LONG_ANSWER)
+    assert len(context.entry.callers.tasks) == 1, context.entry.callers.tasks
+
+
+@then("it is closed once the caller has read the rest, which is whole")
+def check_rest(context: Context) -> None:
+    async def read_rest() -> None:
+        loop = asyncio.get_running_loop()
+        while data := await loop.sock_recv(context.caller, CALLER_BUFFER_BYTES):
+            context.received += data
+        async with asyncio.timeout(SETTLE_S):
+            while context.entry.callers.tasks:
+                await asyncio.sleep(0)
+
+    run(context, read_rest())
+    assert context.received.endswith(b"\r\n\r\n" + LONG_ANSWER), len(context.received)
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -39,6 +39,7 @@
     def __init__(self, state: EntryState) -> None:
         self.state = state
         self.connections: set[CallerConnection] = set()
+        # One for each connection, until the last of what was written has been sent.
         self.tasks: set[asyncio.Task[None]] = set()
         self.handlers: set[RequestHandler] = set()
         self.server: asyncio.Server | None = None
@@ -98,6 +99,7 @@
         finally:
             self.connections.discard(connection)
             connection.close()
+            await connection.wait_closed()
 
     async def _serve_requests(self, connection: CallerConnection) -> None:
         while True:
--- a/packages/transport/src/mimosaspur_transport/callerconnection.py
+++ b/packages/transport/src/mimosaspur_transport/callerconnection.py
@@ -188,9 +188,25 @@
 
     def is_idle(self) -> bool:
         """Return whether the connection carries no request, not even a partial one."""
-        if self.answer_pending or self.codec.their_state is not h11.IDLE:
+        if self.answer_pending or self.is_inside_request():
             return False
-        return not self.codec.trailing_data[0] and not self._has_unread_input()
+        return not self.has_unread_input()
+
+    def is_inside_request(self) -> bool:
+        """Return whether a part of the next request has been read, but not all of it."""
+        if self.answer_pending:
+            return False
+        return self.codec.their_state is not h11.IDLE or bool(self.codec.trailing_data[0])
+
+    def has_unread_input(self) -> bool:
+        """Return whether input waits in the reader's buffer or in the socket's."""
+        if getattr(self.reader, "_buffer", b""):
+            return True
+        descriptor = self.writer.get_extra_info("socket").fileno()
+        if descriptor < 0:
+            return False
+        waiting = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(INT_BYTES))
+        return bool(int.from_bytes(waiting, sys.byteorder))
 
     def idle_duration_s(self) -> float:
         """Return how long the connection has been idle, 0 if it is in use."""
@@ -205,9 +221,16 @@
         self.writer.close()
 
     def abort(self) -> None:
-        """Reset the connection, so that a partial response can't look complete."""
+        """Close the connection at once; a partial response doesn't look complete."""
         self.writer.transport.abort()
 
+    async def wait_closed(self) -> None:
+        """Wait until buffered data has been sent and the connection is closed, or can't be."""
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(WRITE_TIMEOUT_MS / 1000):
+                await self.writer.wait_closed()
+        self.abort()
+
     def _reset_until_end(self) -> None:
         """Make any end of the connection before the response's end a reset.
 
@@ -270,7 +293,7 @@
             async with asyncio.timeout_at(since_s + timeout_ms / 1000):
                 return await self.reader.read(READ_BYTES)
         except TimeoutError:
-            if not self._has_unread_input():
+            if not self.has_unread_input():
                 return b""
         except OSError as error:
             raise CallerDisconnected from error
@@ -284,16 +307,6 @@
         except OSError as error:
             raise CallerDisconnected from error
 
-    def _has_unread_input(self) -> bool:
-        """Return whether input waits in the reader's buffer or in the socket's."""
-        if getattr(self.reader, "_buffer", b""):
-            return True
-        descriptor = self.writer.get_extra_info("socket").fileno()
-        if descriptor < 0:
-            return False
-        waiting = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(INT_BYTES))
-        return bool(int.from_bytes(waiting, sys.byteorder))
-
     def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         try:
             return self.codec.next_event()
