--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -29,3 +29,16 @@
     When a caller reads the answer until the entry has written its end, and then no more
     Then the entry still counts its connection as open
     And it is closed once the caller has read the rest, which is whole
+
+  # Guards against requests that an ending process has read and leaves unanswered, and against a reset for what has run.
+  Scenario Outline: A process ends beside callers that use their connections until it is gone, <stalls> stalls, seed <seed>
+    Given an entry process that has 2 s to end, before targets of a plain service
+    When it is stopped 3 times beside 50 callers, and stalled <stalls> times about its end, with seed <seed>
+    Then each request that it has read was answered
+    And no request that its caller may send again has run
+
+    Examples:
+      | stalls | seed |
+      | 0      | 1    |
+      | 3      | 2    |
+      | 6      | 3    |
--- a/features/harness/entry_processes.py
+++ b/features/harness/entry_processes.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import tempfile
+from collections.abc import Mapping
 from pathlib import Path
 from subprocess import Popen
 
@@ -24,14 +25,20 @@
     """Run one entry; its log is kept in a file."""
 
     def __init__(
-        self, processes: Processes, folder: Path, number: int, store: tuple[str, int]
+        self,
+        processes: Processes,
+        folder: Path,
+        number: int,
+        store: tuple[str, int],
+        fields: Mapping[str, str],
     ) -> None:
         self.processes = processes
         self.name = f"entry-{number}"
         self.ip = _loopback_address(number)
         self.settings = folder / f"{self.name}.conf"
         self.log = folder / f"{self.name}.log"
-        self.settings.write_text(_settings_text(self.name, self.ip, store), encoding="utf-8")
+        text = _settings_text(self.name, self.ip, store, fields)
+        self.settings.write_text(text, encoding="utf-8")
         self.started: Started | None = None
 
     @property
@@ -90,8 +97,17 @@
 class EntryProcesses:
     """Run the entries of a site; sites beside each other differ in their first number."""
 
-    def __init__(self, processes: Processes, count: int, *, first: int = 0) -> None:
+    def __init__(
+        self,
+        processes: Processes,
+        count: int,
+        *,
+        first: int = 0,
+        fields: Mapping[str, str] | None = None,
+    ) -> None:
         self.processes = processes
+        # Settings that differ from the usual ones.
+        self.fields = fields or {}
         self.count = count
         self.first = first
         self.folder = tempfile.TemporaryDirectory(prefix="entries-")
@@ -101,7 +117,7 @@
         """Start all entries before a store that runs; wait until they are ready."""
         folder = Path(self.folder.name)
         self.entries = [
-            EntryProcess(self.processes, folder, self.first + number, address)
+            EntryProcess(self.processes, folder, self.first + number, address, self.fields)
             for number in range(self.count)
         ]
         for entry in self.entries:
@@ -133,7 +149,7 @@
     return f"127.{100 + pid // 250 % 100}.{pid % 250}.{number + 1}"
 
 
-def _settings_text(name: str, ip: str, store: tuple[str, int]) -> str:
+def _settings_text(name: str, ip: str, store: tuple[str, int], others: Mapping[str, str]) -> str:
     fields = {
         "node_name": name,
         "ip": ip,
@@ -148,4 +164,4 @@
         "bounds.budget_slack": "54",
         "heartbeat_ms": "1200",
     }
-    return "".join(f"{key}={value}\n" for key, value in fields.items())
+    return "".join(f"{key}={value}\n" for key, value in (fields | dict(others)).items())
--- a/features/steps/connection_ends_steps.py
+++ b/features/steps/connection_ends_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+from collections import Counter
 
 from behave import given
 from behave import then
@@ -13,7 +14,14 @@
 from harness.direct_entry import DirectEntry
 from harness.direct_entry import read_response
 from harness.direct_entry import request_bytes
+from harness.direct_store import StoreStandIn
 from harness.direct_target import ScriptedTarget
+from harness.ending_play import NOT_RUN_STATUSES
+from harness.ending_play import EndingPlay
+from harness.ending_play import Outcome
+from harness.ending_play import Sent
+from harness.entry_processes import EntryProcesses
+from harness.framed_site import FramedSite
 from harness.long_target import LONG_ANSWER
 from harness.long_target import LongTarget
 from harness.loop import run
@@ -25,6 +33,9 @@
 ANSWERS_S = 10.0
 CALLER_BUFFER_BYTES = 16_384
 ENTRY_BUFFER_BYTES = 4_096
+# Answers of one play of the ends of processes, at least.
+MIN_ANSWERED = 500
+SHOWN = 5
 
 
 @given("a direct entry, and first a target whose process is stalled")
@@ -150,3 +161,47 @@
 
     run(context, read_rest())
     assert context.received.endswith(b"\r\n\r\n" + LONG_ANSWER), len(context.received)
+
+
+@given("an entry process that has {grace_s:d} s to end, before targets of a plain service")
+def start_process(context: Context, grace_s: int) -> None:
+    context.grace_s = grace_s
+    entries = EntryProcesses(context.processes, 1, fields={"bounds.grace_s": str(grace_s)})
+    context.site = FramedSite(entries, store=StoreStandIn())
+    context.add_cleanup(context.site.stop)
+    run(context, context.site.start())
+
+
+@when(
+    "it is stopped {count:d} times beside {callers:d} callers, and stalled {stalls:d} times about"
+    " its end, with seed {seed:d}"
+)
+def play_ends(context: Context, count: int, callers: int, stalls: int, seed: int) -> None:
+    context.play = EndingPlay(context.site, seed)
+    for _ in range(count):
+        work = context.play.play(callers=callers, stalls=stalls, grace_s=context.grace_s)
+        run(context, work)
+
+
+@then("each request that it has read was answered")
+def check_answered(context: Context) -> None:
+    play = context.play
+    counts = Counter(each.outcome for each in play.sent)
+    cut = [each for each in play.sent if each.outcome in (Outcome.CLOSED, Outcome.PARTIAL)]
+    assert counts[Outcome.ANSWERED] > MIN_ANSWERED, counts
+    assert not cut, (counts, cut[:SHOWN])
+
+
+@then("no request that its caller may send again has run")
+def check_promises(context: Context) -> None:
+    runs = context.site.runs
+    wrong = [
+        (each, runs.get(each.identity, 0))
+        for each in context.play.sent
+        if runs.get(each.identity, 0) > (0 if _may_come_again(each) else 1)
+    ]
+    assert not wrong, wrong[:SHOWN]
+
+
+def _may_come_again(sent: Sent) -> bool:
+    return sent.outcome is Outcome.UNREAD or sent.status in NOT_RUN_STATUSES
--- a/packages/daemon/src/mimosaspur_daemon/direct/application.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/application.py
@@ -22,9 +22,12 @@
 BALANCER_NOTICE_S = 3.0
 # Time left before the shutdown deadline when unfinished requests are ended.
 SHUTDOWN_RESERVE_S = 0.6
-# Minimum wait for the final responses to be written, then the interval between checks.
-FINAL_RESPONSE_DELAY_S = 0.1
+# Interval between the checks whether the final responses are written. Connections stay open for so
+# many of them, and there are at least so many, whatever the time: a process that stood still hasn't
+# looked at what arrived meanwhile.
 FINAL_POLL_INTERVAL_S = 0.02
+OPEN_CHECKS = 10
+MIN_FINAL_CHECKS = 15
 # Reserved for the process to exit on a slow machine.
 EXIT_RESERVE_S = 0.3
 # Settings may change without a signal.
@@ -77,7 +80,12 @@
         await self._stop()
         peer_server.close()
         self.state.stream_versions.close()
-        log.always("stop", failure=repr(self.failure) if self.failure else "")
+        log.always(
+            "stop",
+            failure=repr(self.failure) if self.failure else "",
+            unanswered=self.callers.in_flight(),
+            open=len(self.callers.tasks),
+        )
         return ExitCode.INTERNAL if self.failure else ExitCode.OK
 
     async def _stop(self) -> None:
@@ -95,17 +103,26 @@
         self.callers.stop_accepting()
         self.callers.end_requests()
         self.coordination.step_down()
-        await self._wait_for_final_responses()
+        await self._write_final_responses(end_s + SHUTDOWN_RESERVE_S - EXIT_RESERVE_S)
         for task in self.tasks:
             task.cancel()
 
-    async def _wait_for_final_responses(self) -> None:
-        """Wait until the final responses are written, including those to late requests."""
+    async def _write_final_responses(self, end_s: float) -> None:
+        """Answer what was read, and what arrives on open connections, and close these.
+
+        A leaving entry closes each connection after its next response, so this ends. What isn't
+        read at all is reset by the kernel, and its caller may send it again.
+        """
         loop = asyncio.get_running_loop()
-        await asyncio.sleep(FINAL_RESPONSE_DELAY_S)
-        end_s = loop.time() + SHUTDOWN_RESERVE_S - FINAL_RESPONSE_DELAY_S - EXIT_RESERVE_S
-        while loop.time() < end_s and self.callers.in_flight():
+        checks = 0
+        while self.callers.tasks and (checks < MIN_FINAL_CHECKS or loop.time() < end_s):
             await asyncio.sleep(FINAL_POLL_INTERVAL_S)
+            checks += 1
+            if checks >= OPEN_CHECKS:
+                self.callers.close_idle(min_idle_s=0.0)
+                self.callers.reset_partial()
+        # Connections that have just been closed.
+        await asyncio.sleep(FINAL_POLL_INTERVAL_S)
 
     def _may_stop(self) -> bool:
         """Return whether the entry is idle and another one can take its callers.
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -61,12 +61,18 @@
         """Return the number of requests in progress."""
         return sum(connection.answer_pending for connection in self.connections)
 
-    def close_idle(self) -> None:
-        """Close connections that have no request in progress."""
+    def close_idle(self, *, min_idle_s: float = MIN_IDLE_S) -> None:
+        """Close connections that have had no request in progress, nor a part of one, for a time."""
         for connection in self.connections:
-            if connection.idle_duration_s() >= MIN_IDLE_S:
+            if connection.is_idle() and connection.idle_duration_s() >= min_idle_s:
                 connection.close()
 
+    def reset_partial(self) -> None:
+        """Reset connections that have carried a part of a request, and no more at present."""
+        for connection in self.connections:
+            if connection.is_inside_request() and not connection.has_unread_input():
+                connection.reset_unread()
+
     def end_requests(self) -> None:
         """End unfinished requests, with an error response if none has started."""
         for handler in list(self.handlers):
--- a/packages/transport/src/mimosaspur_transport/callerconnection.py
+++ b/packages/transport/src/mimosaspur_transport/callerconnection.py
@@ -231,6 +231,12 @@
                 await self.writer.wait_closed()
         self.abort()
 
+    def reset_unread(self) -> None:
+        """Reset the connection, so that the caller knows that its request wasn't read."""
+        with contextlib.suppress(CallerDisconnected):
+            self._set_linger(reset=True)
+        self.abort()
+
     def _reset_until_end(self) -> None:
         """Make any end of the connection before the response's end a reset.
 
