--- a/packages/coordination/src/mimosaspur_coordination/streams/versionhistory.py
+++ b/packages/coordination/src/mimosaspur_coordination/streams/versionhistory.py
@@ -87,6 +87,15 @@
         now_ms = self.clock.now_ms()
         return now_ms >= self.distrusted_until_ms and now_ms - self.confirmed_ms < self.lag_ms
 
+    def list_state(self) -> dict[str, int | None]:
+        """Return what tells whether the list of targets is current, for logs."""
+        now_ms = self.clock.now_ms()
+        was_confirmed = self.confirmed_ms != DISTANT_PAST_MS
+        return {
+            "list_age_ms": now_ms - self.confirmed_ms if was_confirmed else None,
+            "list_distrusted_ms": max(0, self.distrusted_until_ms - now_ms),
+        }
+
     def recent(self, service: str) -> set[str]:
         """Return the versions that may have begun a stream that may still be resumed."""
         known = self.services.get(service)
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -256,6 +256,7 @@
             request=self.request_id(),
             resumes=self.resumes(),
             resumed_after=self.resumed_after,
+            key=(continuation.key or b"").hex(),
             version=continuation.version,
             result=source.value if source else "unknown",
         )
--- a/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
@@ -6,6 +6,8 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
 
 from mimosaspur_coordination.streams.lookup import VersionLookup
 from mimosaspur_coordination.streams.lookup import VersionSource
@@ -44,6 +46,20 @@
 TICK_INTERVAL_S = 0.1
 
 
+@dataclass(slots=True)
+class Question:
+    """Hold what is asked of other entries about one stream."""
+
+    lookup: VersionLookup
+    asked_ms: int
+    decided: asyncio.Event = field(default_factory=asyncio.Event)
+    # By entry, the time until its answer was read here.
+    answered_ms: dict[str, int] = field(default_factory=dict)
+    rounds: int = 0
+    # The longest time by which this process was late meanwhile.
+    late_ms: int = 0
+
+
 class StreamVersions:
     """Know the version that began each stream that may be resumed here."""
 
@@ -64,7 +80,8 @@
         self.numbers = itertools.count(1)
         # By the number of a datagram with records, set once it is acknowledged.
         self.deliveries: dict[int, asyncio.Event] = {}
-        self.lookups: dict[int, tuple[VersionLookup, asyncio.Event]] = {}
+        # By the number of its datagrams.
+        self.questions: dict[int, Question] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def listen(self, address: Address) -> None:
@@ -128,9 +145,23 @@
             return True
         witnesses = choose_witnesses(key, self.entries, count=WITNESS_COUNT)
         deliveries = [self._deliver(name, {key: record}) for name in witnesses]
-        if is_change:
-            await asyncio.gather(*(self._wait(each) for each in deliveries))
-        return not is_change or all(each.is_set() for each in deliveries)
+        if not is_change:
+            return True
+        asked_ms = self.clock.now_ms()
+        await asyncio.gather(*(self._wait(each) for each in deliveries))
+        pending = [
+            name for name, each in zip(witnesses, deliveries, strict=True) if not each.is_set()
+        ]
+        self.log.write(
+            "version_change",
+            service=service,
+            key=key.hex(),
+            version=record.version,
+            witnesses=witnesses,
+            silent=pending,
+            took_ms=self.clock.now_ms() - asked_ms,
+        )
+        return not pending
 
     async def find(self, key: bytes, *, service: str) -> tuple[str, VersionSource] | None:
         """Return the version that began a stream and how it is known, None if it is unknown."""
@@ -184,21 +215,42 @@
 
     async def _ask(self, lookup: VersionLookup, service: str, key: bytes) -> None:
         number = next(self.numbers)
-        decided = asyncio.Event()
-        self.lookups[number] = lookup, decided
+        question = self.questions[number] = Question(lookup, self.clock.now_ms())
         data = encode_stream_message(StreamQuestion(self.instance, number, service, key))
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                while not decided.is_set():
+                while not question.decided.is_set():
                     for name in lookup.unanswered:
                         self._send(name, data)
+                    question.rounds += 1
+                    due_s = loop.time() + SEND_INTERVAL_S
                     with contextlib.suppress(TimeoutError):
-                        async with asyncio.timeout(SEND_INTERVAL_S):
-                            await decided.wait()
+                        async with asyncio.timeout_at(due_s):
+                            await question.decided.wait()
+                    late_ms = round((loop.time() - due_s) * 1000)
+                    question.late_ms = max(question.late_ms, late_ms)
         except TimeoutError:
             pass
         finally:
-            del self.lookups[number]
+            del self.questions[number]
+            self._log_question(question, service, key)
+
+    def _log_question(self, question: Question, service: str, key: bytes) -> None:
+        lookup = question.lookup
+        self.log.write(
+            "version_asked",
+            service=service,
+            key=key.hex(),
+            asked=len(question.answered_ms) + len(lookup.unanswered),
+            answered_ms=question.answered_ms,
+            silent=sorted(lookup.unanswered),
+            rounds=question.rounds,
+            took_ms=self.clock.now_ms() - question.asked_ms,
+            late_ms=question.late_ms,
+            versions=sorted(lookup.versions),
+            **self.history.list_state(),
+        )
 
     async def _wait(self, event: asyncio.Event) -> None:
         with contextlib.suppress(TimeoutError):
@@ -277,14 +329,16 @@
         return None
 
     def _on_answer(self, answer: StreamAnswer) -> None:
-        lookup, decided = self.lookups.get(answer.number, (None, None))
-        if lookup is None or decided is None:
+        question = self.questions.get(answer.number)
+        if question is None:
             return
+        waited_ms = self.clock.now_ms() - question.asked_ms
+        question.answered_ms.setdefault(answer.sender, waited_ms)
         record = answer.record
-        lookup.add_answer(
+        question.lookup.add_answer(
             answer.sender,
             StreamRecord(record.version, record.change) if record else None,
             versions=answer.versions,
         )
-        if lookup.is_decided():
-            decided.set()
+        if question.lookup.is_decided():
+            question.decided.set()
