--- /dev/null
+++ b/features/resumptions_stalls.feature
@@ -0,0 +1,23 @@
+Feature: Entries find the version that began a stream, although they stand still and datagrams are lost
+
+  # Guards against resumptions that are rejected because an entry that was asked, or this one, was late.
+  Scenario Outline: Streams are taken up, <versions>, processes stand still for <ms> ms, <lost> lost
+    When streams at <versions> are begun and taken up in 10 plays, with stalls of <ms> ms and <lost> of the datagrams lost
+    Then at least 0.9 of the streams that were taken up were found in time
+    And each was found at the version that began it
+
+    Examples:
+      | versions | ms   | lost |
+      | v1       | 0    | 0    |
+      | v1       | 20   | 0    |
+      | v1       | 50   | 0    |
+      | v1       | 100  | 0    |
+      | v1       | 400  | 0    |
+      | v1       | 1000 | 0    |
+      | v1       | 0    | 0.3  |
+      | v1       | 20   | 0.3  |
+      | v1       | 50   | 0.3  |
+      | v1       | 100  | 0.3  |
+      | v1       | 400  | 0.3  |
+      | v1 v2    | 100  | 0.3  |
+      | v1 v2    | 400  | 0.3  |
--- a/features/steps/direct_versions_steps.py
+++ b/features/steps/direct_versions_steps.py
@@ -1,9 +1,11 @@
 """Steps for streams while targets of several software versions serve."""
 
 import asyncio
+import random
 import signal
 from collections.abc import Callable
 from collections.abc import Coroutine
+from functools import partial
 from typing import Any
 
 from behave import given
@@ -12,6 +14,7 @@
 from behave.runner import Context
 
 from harness.direct_store import StoreStandIn
+from harness.entry_processes import EntryProcess
 from harness.entry_processes import EntryProcesses
 from harness.local_entries import LocalEntries
 from harness.loop import run
@@ -28,6 +31,10 @@
 CUT_ENTRIES = (1,)
 CUT_S = 5.0
 BECOMES_KNOWN_S = 0.5
+# How long entries stand still by turns, and for which share of that time each of them does.
+STALLS_MS = (20, 50, 100, 400)
+STALLS_S = 6.0
+STALLED_SHARE = 0.2
 
 
 @given("{entries:d} entry processes before targets of versions {versions}")
@@ -160,6 +167,25 @@
         await entry.wait_until_ready()
 
 
+async def _stall(site: VersionSite, *, stall_s: float) -> None:
+    """Let each entry stand still for a share of the time, by a seed."""
+    await asyncio.gather(
+        *(_stall_entry(entry, stall_s) for entry in _processes(site).entries),
+    )
+
+
+async def _stall_entry(entry: EntryProcess, stall_s: float) -> None:
+    chooser = random.Random(entry.name)
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + STALLS_S
+    while loop.time() < end_s:
+        running_s = stall_s * (1 - STALLED_SHARE) / STALLED_SHARE
+        await asyncio.sleep(chooser.expovariate(1 / running_s))
+        entry.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(stall_s)
+        entry.process.send_signal(signal.SIGCONT)
+
+
 EVENTS: dict[str, Callable[[VersionSite], Coroutine[Any, Any, None]]] = {
     "nothing else happens": _nothing,
     "an entry is killed, and another 4 s later": _kill_two,
@@ -174,6 +200,8 @@
     "an entry is cut off while v1.1 comes": _cut_off_while_version_comes,
     "all entries are killed at once": _kill_all,
 }
+for _ms in STALLS_MS:
+    EVENTS[f"entries stand still for {_ms} ms by turns"] = partial(_stall, stall_s=_ms / 1000)
 
 
 @then("no stream holds events of two versions")
