--- a/features/harness/resumption_play.py
+++ b/features/harness/resumption_play.py
@@ -32,6 +32,8 @@
 class Try:
     """Record what an entry found of a stream that a caller takes up."""
 
+    began_s: float
+    # The version that began it; None if no entry knows the stream.
     began_at: str | None
     found: str | None = None
     # None while the entry has not answered, on any clock.
@@ -83,6 +85,29 @@
 
     def play(self) -> list[Try]:
         """Play all streams; return what became of those that callers took up."""
+        self._start()
+        world = self.world
+        if self.stall_s:
+            world.stall_at_random(
+                stall_s=self.stall_s, share=STALLED_SHARE, until_s=world.now_s + PLAY_S
+            )
+        for number in range(STREAM_COUNT):
+            begins_s = world.now_s + PLAY_S * (number + self.random.random()) / STREAM_COUNT
+            world.at(begins_s, lambda number=number: self._begin(number))  # type: ignore[misc]
+        return self._end()
+
+    def play_unknown(self, *, gone: int) -> list[Try]:
+        """Let a caller take up streams that no entry knows, while some entries have gone."""
+        self._start()
+        for entry in self.entries[ENTRY_COUNT - gone :]:
+            entry.close()
+        for number in range(STREAM_COUNT):
+            key = stream_key(SERVICE, str(number))
+            at_s = self.world.now_s + PLAY_S * number / STREAM_COUNT
+            self.world.at(at_s, lambda key=key: self._take_up(0, key, None))  # type: ignore[misc]
+        return self._end()
+
+    def _start(self) -> None:
         world = self.world
         for process, entry in zip(world.processes, self.entries, strict=True):
             process.spawn(entry.listen(("127.0.0.1", 0)))
@@ -93,15 +118,10 @@
             entry.update_entries(addresses, [], complete=True)
             process.spawn(entry.run())
             process.spawn(self._read_lists(entry))
-        if self.stall_s:
-            world.stall_at_random(
-                stall_s=self.stall_s, share=STALLED_SHARE, until_s=world.now_s + PLAY_S
-            )
-        for number in range(STREAM_COUNT):
-            begins_s = world.now_s + PLAY_S * (number + self.random.random()) / STREAM_COUNT
-            world.at(begins_s, lambda number=number: self._begin(number))  # type: ignore[misc]
-        world.run_until(world.now_s + PLAY_S + SETTLE_S)
-        world.close()
+
+    def _end(self) -> list[Try]:
+        self.world.run_until(self.world.now_s + PLAY_S + SETTLE_S)
+        self.world.close()
         os.close(self.fd)
         return self.tries
 
@@ -129,13 +149,12 @@
         self.world.processes[first].spawn(begin())
 
     def _take_up(self, entry: int, key: bytes, version: str | None) -> None:
-        taken = Try(version)
+        taken = Try(self.world.now_s, version)
         self.tries.append(taken)
-        began_s = self.world.now_s
 
         async def take_up() -> None:
             found = await self.entries[entry].find(key, service=SERVICE)
             taken.found = found[0] if found else None
-            taken.took_s = self.world.now_s - began_s
+            taken.took_s = self.world.now_s - taken.began_s
 
         self.world.processes[entry].spawn(take_up())
--- a/features/steps/resumption_play_steps.py
+++ b/features/steps/resumption_play_steps.py
@@ -4,6 +4,7 @@
 from behave import when
 from behave.runner import Context
 
+from harness.resumption_play import PATIENCE_S
 from harness.resumption_play import ResumptionPlay
 from harness.resumption_play import Try
 
@@ -37,3 +38,22 @@
 def check_versions(context: Context) -> None:
     wrong = [each for each in context.tries if each.found not in (None, each.began_at)]
     assert not wrong, wrong[:SHOWN]
+
+
+@when("streams that no entry knows are taken up, and {gone:d} of the entries have gone")
+def play_unknown(context: Context, gone: int) -> None:
+    context.tries = ResumptionPlay(1, versions=("v1", "v2"), stall_ms=0).play_unknown(gone=gone)
+
+
+@then(
+    "each was rejected within {first_ms:d} ms, and within {later_ms:d} ms so long after the first"
+)
+def check_rejected(context: Context, first_ms: int, later_ms: int) -> None:
+    tries: list[Try] = context.tries
+    assert tries and not any(each.found for each in tries), tries[:SHOWN]
+    lasted_s = [PATIENCE_S if each.took_s is None else each.took_s for each in tries]
+    known_from_s = tries[0].began_s + first_ms / 1000
+    longest_s = max(lasted_s)
+    later_s = max(s for s, each in zip(lasted_s, tries, strict=True) if each.began_s > known_from_s)
+    print(f"MEASURED {longest_s * 1000:.0f} ms, {later_s * 1000:.0f} ms later")
+    assert longest_s * 1000 <= first_ms and later_s * 1000 <= later_ms, (longest_s, later_s)
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -36,6 +36,8 @@
 MAX_OFFERS = 6
 # Another entry may know what this one doesn't.
 OTHER_ENTRY_RETRY_S = 0.05
+# The share of the time left in which other entries may answer; the rest is for the run.
+LOOKUP_TIME_SHARE = 0.5
 # Refusals of requests that no target was found for in time.
 UNSERVED_CODES = frozenset((ResultCode.NO_READY_TARGET, ResultCode.DEADLINE_UNREACHABLE))
 # Cooldowns grow with each refusal, so that the offers outlast a model load that is slower than
@@ -250,7 +252,9 @@
         continuation = self.continuation
         if not continuation.is_resumption:
             return
-        source = await continuation.resolve()
+        now_s = asyncio.get_running_loop().time()
+        until_s = now_s + (self.deadline_s - now_s) * LOOKUP_TIME_SHARE
+        source = await continuation.resolve(until_s=until_s)
         self.state.log.write(
             "resumption",
             request=self.request_id(),
--- a/packages/daemon/src/mimosaspur_daemon/direct/streamcontinuation.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamcontinuation.py
@@ -56,9 +56,13 @@
         # What was last announced.
         self.announced: StreamRecord | None = None
 
-    async def resolve(self) -> VersionSource | None:
-        """Find a resumed stream's version and return how it is known, None if it is unknown."""
-        return self._apply(await self.versions.find(self.key or b"", service=self.service))
+    async def resolve(self, *, until_s: float) -> VersionSource | None:
+        """Find a resumed stream's version and return how it is known, None if it is unknown.
+
+        Other entries are asked until `until_s` of the event loop at most.
+        """
+        key = self.key or b""
+        return self._apply(await self.versions.find(key, service=self.service, until_s=until_s))
 
     def asks_others(self) -> bool:
         """Return whether other entries are asked for a resumed stream's version."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import math
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -34,11 +35,15 @@
 WITNESS_COUNT = 2
 # Entries that are asked: those whose list of entries differs have chosen other witnesses.
 ASKED_COUNT = 8
-# A datagram without an answer is sent again this often, at this interval.
-SEND_COUNT = 4
-SEND_INTERVAL_S = 0.015
-# Limit on the wait for answers: a round trip takes a few milliseconds.
-ANSWER_TIMEOUT_S = 0.06
+# A datagram is sent again after each of these times without an answer. The process may stand still
+# meanwhile: what it has waited too long in one of them is not taken from the next.
+SEND_INTERVALS_S = (0.015, 0.03, 0.06, *(0.12,) * 9)
+# Limit on the wait for answers, while this process doesn't stand still.
+ANSWER_TIMEOUT_S = sum(SEND_INTERVALS_S)
+# The same where only entries are asked that haven't answered for so long before.
+SILENT_SENDS = 3
+# A change of version is given up earlier: the first version may still serve.
+CHANGE_SENDS = 5
 # Entries that a new coordinator doesn't know yet are still asked for this long.
 ENTRY_GRACE_MS = 5_000
 # For a configuration without streams.
@@ -46,6 +51,14 @@
 TICK_INTERVAL_S = 0.1
 
 
+@dataclass(slots=True)
+class Delivery:
+    """Hold records that are sent to one entry until it acknowledges them."""
+
+    entry: str
+    noted: asyncio.Event = field(default_factory=asyncio.Event)
+
+
 @dataclass(slots=True)
 class Question:
     """Hold what is asked of other entries about one stream."""
@@ -78,8 +91,10 @@
         # Whether a coordinator has told which entries there are.
         self.entries_known = False
         self.numbers = itertools.count(1)
-        # By the number of a datagram with records, set once it is acknowledged.
-        self.deliveries: dict[int, asyncio.Event] = {}
+        # By the number of a datagram with records.
+        self.deliveries: dict[int, Delivery] = {}
+        # Entries that have answered nothing for the whole of ANSWER_TIMEOUT_S.
+        self.silent: set[str] = set()
         # By the number of its datagrams.
         self.questions: dict[int, Question] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -127,10 +142,12 @@
             if name != self.instance:
                 self.entries[name] = address
                 self.kept_until_ms.pop(name, None)
+                self.silent.discard(name)
         for name, until_ms in list(self.kept_until_ms.items()):
             if name not in self.entries or now_ms >= until_ms:
                 self.entries.pop(name, None)
                 del self.kept_until_ms[name]
+        self.silent &= self.entries.keys()
 
     async def announce(
         self, key: bytes, record: StreamRecord, *, service: str, is_change: bool
@@ -149,9 +166,7 @@
             return True
         asked_ms = self.clock.now_ms()
         await asyncio.gather(*(self._wait(each) for each in deliveries))
-        pending = [
-            name for name, each in zip(witnesses, deliveries, strict=True) if not each.is_set()
-        ]
+        pending = [each.entry for each in deliveries if not each.noted.is_set()]
         self.log.write(
             "version_change",
             service=service,
@@ -163,8 +178,13 @@
         )
         return not pending
 
-    async def find(self, key: bytes, *, service: str) -> tuple[str, VersionSource] | None:
-        """Return the version that began a stream and how it is known, None if it is unknown."""
+    async def find(
+        self, key: bytes, *, service: str, until_s: float = math.inf
+    ) -> tuple[str, VersionSource] | None:
+        """Return the version that began a stream and how it is known, None if it is unknown.
+
+        Other entries are asked until `until_s` of the event loop at most.
+        """
         known = self.find_here(key, service=service)
         if known is not None:
             return known
@@ -172,7 +192,7 @@
         versions = self.history.recent(service)
         lookup = VersionLookup(asked, versions=versions)
         if not lookup.is_decided():
-            await self._ask(lookup, service, key)
+            await self._ask(lookup, service, key, until_s)
         result = lookup.result()
         if result and result[1] is VersionSource.ONLY_VERSION and not self._may_conclude(asked):
             return None
@@ -213,29 +233,36 @@
         """Return whether the entries asked, or there being none, show what versions there are."""
         return bool(asked) or not self.entries_known or self.history.is_current()
 
-    async def _ask(self, lookup: VersionLookup, service: str, key: bytes) -> None:
+    async def _ask(self, lookup: VersionLookup, service: str, key: bytes, until_s: float) -> None:
         number = next(self.numbers)
         question = self.questions[number] = Question(lookup, self.clock.now_ms())
         data = encode_stream_message(StreamQuestion(self.instance, number, service, key))
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                while not question.decided.is_set():
-                    for name in lookup.unanswered:
-                        self._send(name, data)
-                    question.rounds += 1
-                    due_s = loop.time() + SEND_INTERVAL_S
-                    with contextlib.suppress(TimeoutError):
-                        async with asyncio.timeout_at(due_s):
-                            await question.decided.wait()
-                    late_ms = round((loop.time() - due_s) * 1000)
-                    question.late_ms = max(question.late_ms, late_ms)
-        except TimeoutError:
-            pass
+            for interval_s in SEND_INTERVALS_S:
+                for name in lookup.unanswered:
+                    self._send(name, data)
+                question.rounds += 1
+                due_s = loop.time() + interval_s
+                decided = await _is_set_by(question.decided, due_s)
+                late_s = loop.time() - due_s
+                question.late_ms = max(question.late_ms, round(late_s * 1000))
+                # After a stall what has arrived meanwhile is read first.
+                if loop.time() >= until_s and late_s < interval_s:
+                    break
+                if decided or self._is_hopeless(lookup.unanswered, sends=question.rounds):
+                    break
+            else:
+                self.silent.update(lookup.unanswered)
         finally:
             del self.questions[number]
             self._log_question(question, service, key)
 
+    def _is_hopeless(self, entries: Collection[str], *, sends: int) -> bool:
+        """Return whether none of the entries can be expected to answer."""
+        left = self.entries.keys() & entries
+        return not left or (sends >= SILENT_SENDS and left <= self.silent)
+
     def _log_question(self, question: Question, service: str, key: bytes) -> None:
         lookup = question.lookup
         self.log.write(
@@ -252,10 +279,13 @@
             **self.history.list_state(),
         )
 
-    async def _wait(self, event: asyncio.Event) -> None:
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                await event.wait()
+    async def _wait(self, delivery: Delivery) -> None:
+        for number, interval_s in enumerate(SEND_INTERVALS_S[:CHANGE_SENDS], start=1):
+            due_s = asyncio.get_running_loop().time() + interval_s
+            if await _is_set_by(delivery.noted, due_s):
+                return
+            if self._is_hopeless((delivery.entry,), sends=number):
+                return
 
     def _send_all_records(self) -> None:
         """Tell the witnesses of all streams that began while nobody else had to know them."""
@@ -268,30 +298,30 @@
             for start in range(0, len(items), MAX_RECORDS_PER_DATAGRAM):
                 self._deliver(name, dict(items[start : start + MAX_RECORDS_PER_DATAGRAM]))
 
-    def _deliver(self, name: str, records: Mapping[bytes, StreamRecord]) -> asyncio.Event:
-        """Send records to one entry until it acknowledges them, which sets the event."""
+    def _deliver(self, name: str, records: Mapping[bytes, StreamRecord]) -> Delivery:
+        """Send records to one entry until it acknowledges them."""
         number = next(self.numbers)
-        delivery = self.deliveries[number] = asyncio.Event()
+        delivery = self.deliveries[number] = Delivery(name)
         messages = [
             RecordMessage(key, record.version, record.change) for key, record in records.items()
         ]
         data = encode_stream_message(StreamsBegun(self.instance, number, messages))
         self._send(name, data)
-        task = asyncio.get_running_loop().create_task(self._repeat(number, name, data))
+        task = asyncio.get_running_loop().create_task(self._repeat(number, delivery, data))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return delivery
 
-    async def _repeat(self, number: int, name: str, data: bytes) -> None:
-        delivery = self.deliveries[number]
+    async def _repeat(self, number: int, delivery: Delivery, data: bytes) -> None:
+        loop = asyncio.get_running_loop()
         try:
-            for _ in range(SEND_COUNT - 1):
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(SEND_INTERVAL_S):
-                        await delivery.wait()
-                        return
-                self._send(name, data)
-            await self._wait(delivery)
+            for sends, interval_s in enumerate(SEND_INTERVALS_S, start=1):
+                if await _is_set_by(delivery.noted, loop.time() + interval_s):
+                    return
+                if self._is_hopeless((delivery.entry,), sends=sends):
+                    return
+                self._send(delivery.entry, data)
+            self.silent.add(delivery.entry)
         finally:
             del self.deliveries[number]
 
@@ -306,6 +336,7 @@
         except StreamMessageInvalid as error:
             self.log.write("bad_stream_message", error=str(error))
             return
+        self.silent.discard(message.sender)
         reply = self._answer(message)
         if reply:
             self.endpoint.send(encode_stream_message(reply), address)
@@ -323,7 +354,7 @@
         if isinstance(message, StreamsNoted):
             delivery = self.deliveries.get(message.number)
             if delivery:
-                delivery.set()
+                delivery.noted.set()
         else:
             self._on_answer(message)
         return None
@@ -342,3 +373,11 @@
         )
         if question.lookup.is_decided():
             question.decided.set()
+
+
+async def _is_set_by(event: asyncio.Event, due_s: float) -> bool:
+    """Wait for an event until a time of the event loop; return whether it is set."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout_at(due_s):
+            await event.wait()
+    return event.is_set()
