--- /dev/null
+++ b/features/steps/resumption_play_steps.py
@@ -0,0 +1,59 @@
+"""Steps for streams that are taken up at entries that stand still, in virtual time."""
+
+from behave import then
+from behave import when
+from behave.runner import Context
+
+from harness.resumption_play import PATIENCE_S
+from harness.resumption_play import ResumptionPlay
+from harness.resumption_play import Try
+
+SHOWN = 5
+
+
+@when(
+    "streams at {versions} are begun and taken up in {plays:d} plays, "
+    "with stalls of {ms:d} ms and {lost:g} of the datagrams lost"
+)
+def play_resumptions(context: Context, versions: str, plays: int, ms: int, lost: float) -> None:
+    context.tries = [
+        each
+        for seed in range(1, plays + 1)
+        for each in ResumptionPlay(
+            seed, versions=tuple(versions.split()), stall_ms=ms, lost_share=lost
+        ).play()
+    ]
+
+
+@then("at least {share:g} of the streams that were taken up were found in time")
+def check_found(context: Context, share: float) -> None:
+    tries: list[Try] = context.tries
+    gone_on = sum(each.went_on() for each in tries)
+    print(f"MEASURED {gone_on} of {len(tries)} found")
+    lost = [each for each in tries if not each.went_on()]
+    assert tries and gone_on >= share * len(tries), (gone_on, len(tries), lost[:SHOWN])
+
+
+@then("each was found at the version that began it")
+def check_versions(context: Context) -> None:
+    wrong = [each for each in context.tries if each.found not in (None, each.began_at)]
+    assert not wrong, wrong[:SHOWN]
+
+
+@when("streams that no entry knows are taken up, and {gone:d} of the entries have gone")
+def play_unknown(context: Context, gone: int) -> None:
+    context.tries = ResumptionPlay(1, versions=("v1", "v2"), stall_ms=0).play_unknown(gone=gone)
+
+
+@then(
+    "each was rejected within {first_ms:d} ms, and within {later_ms:d} ms so long after the first"
+)
+def check_rejected(context: Context, first_ms: int, later_ms: int) -> None:
+    tries: list[Try] = context.tries
+    assert tries and not any(each.found for each in tries), tries[:SHOWN]
+    lasted_s = [PATIENCE_S if each.took_s is None else each.took_s for each in tries]
+    known_from_s = tries[0].began_s + first_ms / 1000
+    longest_s = max(lasted_s)
+    later_s = max(s for s, each in zip(lasted_s, tries, strict=True) if each.began_s > known_from_s)
+    print(f"MEASURED {longest_s * 1000:.0f} ms, {later_s * 1000:.0f} ms later")
+    assert longest_s * 1000 <= first_ms and later_s * 1000 <= later_ms, (longest_s, later_s)
