--- a/features/application.feature
+++ b/features/application.feature
@@ -22,6 +22,12 @@
       | 30 ms after that   |
       | 80 ms after that   |
 
+  # Guards against an error in what all entries read, which then ends all of them at once.
+  Scenario: A background task that fails is started again, and callers are served meanwhile
+    Given an entry's application whose store's answers raise an error that nothing foresees, 3 times
+    When it runs until it has read the store
+    Then it has logged 3 failed tasks and still serves
+
   # Guards against a wait that outlasts the process, so that its request ends without an answer.
   Scenario: A request that waits for the first quotas is refused when its entry ends
     Given an entry's application before a target that takes 10 ms
--- a/features/steps/application_steps.py
+++ b/features/steps/application_steps.py
@@ -13,6 +13,7 @@
 from behave import when
 from behave.runner import Context
 
+from harness.direct_entry import UnavailableStore
 from harness.direct_entry import configuration
 from harness.direct_entry import entry_dependencies
 from harness.direct_entry import read_response
@@ -21,6 +22,8 @@
 from harness.direct_target import ScriptedTarget
 from harness.direct_workspaces import workspace
 from harness.loop import run
+from harness.recorded_log import RecordedLog
+from mimosaspur_coordination.fleetports import TargetListing
 from mimosaspur_daemon.application import Application
 from mimosaspur_daemon.direct.application import EntryApplication
 from mimosaspur_state.clock import SystemClock
@@ -103,6 +106,53 @@
     assert context.serving
 
 
+class FaultyStore(UnavailableStore):
+    """Raise an error that isn't foreseen, some times, then list no targets."""
+
+    def __init__(self, faults: int) -> None:
+        self.faults = faults
+        self.listed = asyncio.Event()
+
+    async def list_targets(self) -> TargetListing:
+        """Return no targets."""
+        if self.faults:
+            self.faults -= 1
+            raise KeyError("service")
+        self.listed.set()
+        return TargetListing({}, 1)
+
+
+@given(
+    "an entry's application whose store's answers raise an error that nothing foresees,"
+    " {count:d} times"
+)
+def make_faulty_application(context: Context, count: int) -> None:
+    context.log = RecordedLog("entry-0")
+    context.store = FaultyStore(count)
+    dependencies = entry_dependencies("entry-0", log=context.log, store=context.store)
+    context.entry = EntryApplication(settings_for("entry-0"), dependencies)
+
+
+@when("it runs until it has read the store")
+def run_until_read(context: Context) -> None:
+    async def read() -> None:
+        serving = asyncio.create_task(context.entry.run())
+        async with asyncio.timeout(RUN_TIMEOUT_S):
+            await context.store.listed.wait()
+        context.serving = not serving.done() and not context.entry.state.leaving
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+
+    run(context, read())
+
+
+@then("it has logged {count:d} failed tasks and still serves")
+def check_failed_tasks(context: Context, count: int) -> None:
+    failed = [line for line in context.log.of_kind("task_failed") if "KeyError" in str(line)]
+    assert len(failed) == count, context.log.lines
+    assert context.serving
+
+
 @given("an entry's application before a target that takes {took_ms:d} ms")
 def make_application_before_target(context: Context, took_ms: int) -> None:
     async def make() -> None:
--- a/packages/daemon/src/mimosaspur_daemon/direct/application.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/application.py
@@ -3,13 +3,16 @@
 import asyncio
 import os
 import signal
+from collections.abc import Callable
 from collections.abc import Coroutine
 
+from mimosaspur_coordination.backoff import Backoff
 from mimosaspur_daemon.direct.callers import CallerServer
 from mimosaspur_daemon.direct.election import CoordinatorElection
 from mimosaspur_daemon.direct.entrystate import EntryDependencies
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.evacuation import Evacuation
+from mimosaspur_daemon.direct.refusal import internal_failure
 from mimosaspur_daemon.direct.statusserver import StatusServer
 from mimosaspur_daemon.direct.storewatch import StoreWatch
 from mimosaspur_daemon.direct.taskstacks import task_stacks
@@ -33,6 +36,8 @@
 # Settings may change without a signal.
 SETTINGS_POLL_INTERVAL_S = 2.0
 PRUNE_INTERVAL_S = 1.0
+# Shortest pause before a task that has failed is started again.
+TASK_RESTART_MS = 100
 # The event loop is checked this often, and is late when it runs a timer this long after its time.
 LATENESS_INTERVAL_S = 0.1
 MIN_LATENESS_S = 0.03
@@ -50,7 +55,6 @@
         self.evacuation = Evacuation(self.state, self.callers.handlers)
         self.tasks: list[asyncio.Task[None]] = []
         self.stop_requested = asyncio.Event()
-        self.failure: BaseException | None = None
 
     async def run(self) -> int:
         """Serve until asked to stop; return the exit code."""
@@ -67,26 +71,25 @@
         except OSError as error:
             log.always("address_taken", error=str(error))
             return ExitCode.ADDRESS_TAKEN
-        self._spawn(self.store_watch.follow_configuration())
-        self._spawn(self.store_watch.follow_targets())
-        self._spawn(self.coordination.run())
-        self._spawn(self.state.stream_versions.run())
+        self._spawn(self.store_watch.follow_configuration)
+        self._spawn(self.store_watch.follow_targets)
+        self._spawn(self.coordination.run)
+        self._spawn(self.state.stream_versions.run)
         if self.state.uses(Mechanism.EVACUATION):
-            self._spawn(self.evacuation.run())
-        self._spawn(self._prune_pools())
-        self._spawn(self._poll_settings())
-        self._spawn(self._watch_lateness())
+            self._spawn(self.evacuation.run)
+        self._spawn(self._prune_pools)
+        self._spawn(self._poll_settings)
+        self._spawn(self._watch_lateness)
         await self.stop_requested.wait()
         await self._stop()
         peer_server.close()
         self.state.stream_versions.close()
         log.always(
             "stop",
-            failure=repr(self.failure) if self.failure else "",
             unanswered=self.callers.in_flight(),
             open=len(self.callers.tasks),
         )
-        return ExitCode.INTERNAL if self.failure else ExitCode.OK
+        return ExitCode.OK
 
     async def _stop(self) -> None:
         loop = asyncio.get_running_loop()
@@ -134,18 +137,26 @@
         self.callers.close_idle()
         return not self.callers.in_flight() and not self.state.is_last_entry()
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
-        self.tasks.append(task)
-        task.add_done_callback(self._on_task_done)
+    def _spawn(self, work: Callable[[], Coroutine[None, None, None]]) -> None:
+        self.tasks.append(asyncio.create_task(self._keep_running(work)))
 
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled() or self.state.leaving:
-            return
-        # These tasks run for the life of the process, so an end is an internal error.
-        self.failure = task.exception()
-        self.state.log.always("task_failed", error=repr(self.failure))
-        self.stop_requested.set()
+    async def _keep_running(self, work: Callable[[], Coroutine[None, None, None]]) -> None:
+        """Run a task for the life of the process, again after a pause if it fails.
+
+        What fails here may come from the store, or from another entry, to all entries at once. So
+        the process doesn't end: it serves its callers with what it knows, as while it is cut off.
+        """
+        backoff = Backoff(initial_delay_ms=TASK_RESTART_MS, undelayed_failures=0)
+        while True:
+            try:
+                await work()
+            except Exception as error:  # noqa: BLE001 - any error must leave the process running
+                failure = internal_failure(error)
+                name = getattr(work, "__qualname__", repr(work))
+                self.state.log.always("task_failed", task=name, error=failure.detail)
+                self.state.log.counters.count("task_failed", name)
+            backoff.record_failure()
+            await asyncio.sleep(backoff.delay_s())
 
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
