--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 TYPED := $(shell for folder in $(CODE); do find $$folder -name '*.py' | grep -q . && echo $$folder; done)
 
 .DEFAULT_GOAL := test
-.PHONY: venv lint journal test scenarios demo measure reference format clean
+.PHONY: venv lint journal test scenarios soak demo measure reference format clean
 
 venv: $(STAMP)
 
@@ -53,6 +53,10 @@
 scenarios: venv
 	@$(BIN)/python tools/scenarios.py --jobs $(JOBS) $(ARGS)
 
+# Real entries under seeded faults; see docs/how-to/soak.md.
+soak: venv
+	@PYTHONPATH=features $(BIN)/python -m soak $(ARGS)
+
 demo: venv
 	PATH="$(CURDIR)/$(BIN):$$PATH" bash demo/run.sh
 
--- /dev/null
+++ b/features/soak/run.py
@@ -0,0 +1,102 @@
+"""Play one seed and judge it."""
+
+import asyncio
+import contextlib
+import random
+import shutil
+import tempfile
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+
+from mimosaspur_load.processes import Processes
+from soak.callers import Callers
+from soak.checks import judge
+from soak.faults import play
+from soak.record import Record
+from soak.schedule import Schedule
+from soak.site import SoakSite
+
+PROCESSES_AT_MOST = 200
+# How long answers and recoveries may take after the last request.
+FINISH_S = 12.0
+SHOWN = 20
+
+
+@dataclass(slots=True, frozen=True)
+class Result:
+    """Hold what one seed has shown."""
+
+    schedule: Schedule
+    cases: list[str]
+    # Where the record and the logs of a failed seed are.
+    folder: Path | None
+    requests: int
+    statuses: Counter[int]
+
+
+def run_seed(schedule: Schedule) -> Result:
+    """Play a schedule with processes of its own; keep the logs if a rule was broken."""
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-seed-{schedule.seed}-"))
+    processes = Processes(at_most=PROCESSES_AT_MOST)
+    try:
+        record = asyncio.run(_soak(schedule, processes, folder))
+    finally:
+        processes.close()
+    cases = judge(record)
+    statuses = Counter(attempt.status for attempt in record.attempts)
+    if cases:
+        record.save(folder / "record.jsonl")
+        (folder / "cases.txt").write_text("".join(f"{case}\n" for case in cases))
+        (folder / "schedule.txt").write_text("".join(f"{step}\n" for step in schedule.steps))
+    else:
+        shutil.rmtree(folder)
+    return Result(schedule, cases, folder if cases else None, len(record.attempts), statuses)
+
+
+def describe(result: Result) -> str:
+    """Return the lines about a seed, one for each broken case."""
+    schedule = result.schedule
+    statuses = ", ".join(f"{status}: {count}" for status, count in sorted(result.statuses.items()))
+    lines = [
+        f"seed {schedule.seed}: {schedule.entries} entries, {len(schedule.steps)} faults, "
+        f"{result.requests} requests ({statuses}), {len(result.cases)} broken cases"
+    ]
+    rules = Counter(case.partition(":")[0] for case in result.cases)
+    lines += [f"  {rule}: {count}" for rule, count in rules.items()]
+    lines += [f"  {case}" for case in result.cases[:SHOWN]]
+    if result.folder:
+        lines.append(f"  record and logs: {result.folder}")
+    return "\n".join(lines)
+
+
+async def _soak(schedule: Schedule, processes: Processes, folder: Path) -> Record:
+    site = SoakSite(schedule, processes, folder)
+    try:
+        await site.start()
+        await _play(site)
+    finally:
+        site.stop()
+    return site.record
+
+
+async def _play(site: SoakSite) -> None:
+    watching = [
+        asyncio.create_task(task)
+        for entry in site.entries
+        for task in (entry.supervise(), entry.ask())
+    ]
+    began_s = site.now_s
+    callers = Callers(site.entries, site.record, random.Random(site.schedule.seed + 1))
+    calling = asyncio.create_task(callers.run(site.schedule.callers))
+    await play(site)
+    await asyncio.sleep(max(0.0, began_s + site.schedule.seconds - site.now_s))
+    callers.stopping = True
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(FINISH_S):
+            await calling
+    for task in watching:
+        # An error in a watching task must fail the soak.
+        if task.done():
+            task.result()
+        task.cancel()
--- /dev/null
+++ b/features/soak/site.py
@@ -0,0 +1,179 @@
+"""Run what a soak needs: the store, targets, entries and their configuration."""
+
+import asyncio
+import itertools
+import random
+from pathlib import Path
+from typing import Any
+
+from harness.entry_processes import POLL_S
+from harness.entry_processes import READY_TIMEOUT_S
+from harness.entry_site import HOST
+from mimosaspur_load.processes import Processes
+from soak.fleetrules import MAX_ATTEMPTS
+from soak.processes import SoakEntry
+from soak.record import STORE
+from soak.record import Disturbance
+from soak.record import Kind
+from soak.record import Record
+from soak.record import TargetLife
+from soak.schedule import Schedule
+from soak.store import SoakStore
+from soak.targets import CALM
+from soak.targets import EDGE
+from soak.targets import STREAMS
+from soak.targets import SoakTarget
+
+SERVERS = "servers"
+FIRST_TARGETS = ((CALM, 3), (EDGE, 3), (STREAMS, 3))
+FIRST_VERSION = 1
+TIMEOUT_MS = 10_000
+SETTLE_S = 2.0
+END_S = 3.0
+# What a configuration changes.
+IDLE_TIMEOUTS_MS = (15_000, 8_000)
+OBJECTIVES_MS = (800, 600, 1_000)
+
+
+class SoakSite:
+    """Own the parts of one soak, and end them."""
+
+    def __init__(self, schedule: Schedule, processes: Processes, folder: Path) -> None:
+        self.schedule = schedule
+        self.processes = processes
+        self.folder = folder
+        self.chance = random.Random(schedule.seed)
+        self.record = Record()
+        self.store = SoakStore(era="1")
+        self.entries: list[SoakEntry] = []
+        self.targets: list[SoakTarget] = []
+        self.numbers = itertools.count(1)
+        self.configurations = itertools.count(1)
+        self.software = FIRST_VERSION
+        self.configuration: dict[str, Any] = {}
+
+    @property
+    def now_s(self) -> float:
+        """Return the time of the record, which is also that of the entries' logs."""
+        return asyncio.get_running_loop().time()
+
+    async def start(self) -> None:
+        """Start everything; wait until the entries serve and one coordinates."""
+        address = await self.store.start()
+        self.configure()
+        for service, count in FIRST_TARGETS:
+            for _ in range(count):
+                await self.add_target(service, self.software)
+        for number in range(self.schedule.entries):
+            chance = random.Random(f"{self.schedule.seed} {number}")
+            entry = SoakEntry(self.processes, self.folder, number, address, self.record, chance)
+            entry.start()
+            self.entries.append(entry)
+        for entry in self.entries:
+            await entry.wait_until_ready()
+            entry.ready = True
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not any(entry.coordinates() for entry in self.entries):
+                await asyncio.sleep(POLL_S)
+        await asyncio.sleep(SETTLE_S)
+
+    def stop(self) -> None:
+        """End the targets; the processes end with their owner."""
+        for entry in self.entries:
+            entry.stopping = True
+        for target in self.targets:
+            target.stop()
+        if self.store.server:
+            self.store.server.close()
+
+    def configure(self) -> None:
+        """Write the next configuration."""
+        number = next(self.configurations)
+        self.configuration = _configuration(number)
+        self.store.put("config", "main", self.configuration)
+        self.record.configured_s.append(self.now_s)
+
+    async def add_target(self, service: str, software: int) -> SoakTarget:
+        """Start and register a target."""
+        name = f"{service}-{next(self.numbers)}"
+        version = f"v{software}"
+        chance = random.Random(f"{self.schedule.seed} {name}")
+        target = SoakTarget(name, service, version, self.record, chance)
+        await target.start()
+        target.life = TargetLife(name, service, version, self.now_s)
+        self.record.targets.append(target.life)
+        self.targets.append(target)
+        self.store.put(SERVERS, name, target.registration())
+        return target
+
+    async def drain_target(self, target: SoakTarget, seconds: float) -> None:
+        """Let a target drain, end it when its requests have ended, and remove it."""
+        if target not in self.targets:
+            return
+        self.targets.remove(target)
+        self.store.put(SERVERS, target.identity, target.registration("draining"))
+        assert target.life
+        target.life.draining_s = self.now_s
+        await asyncio.sleep(seconds)
+        self.store.delete(SERVERS, target.identity)
+        async with asyncio.timeout(END_S):
+            while target.running:
+                await asyncio.sleep(POLL_S)
+        self.end_target(target)
+
+    def end_target(self, target: SoakTarget) -> None:
+        """End a target at once; its requests break off."""
+        assert target.life
+        target.life.end_s = self.now_s
+        target.crash()
+
+    def write_again(self) -> None:
+        """Write what operator and targets had written, as after a restore of the store."""
+        self.store.put("config", "main", self.configuration)
+        known = set(self.store.objects.get(SERVERS, {}))
+        for name in known - {target.identity for target in self.targets}:
+            self.store.delete(SERVERS, name)
+        for target in self.targets:
+            self.store.put(SERVERS, target.identity, target.registration())
+
+    def disturb_store(self, kind: str) -> Disturbance:
+        """Record a fault of the store, open until its end is set."""
+        disturbance = Disturbance(kind, STORE, self.now_s)
+        self.record.disturbances.append(disturbance)
+        return disturbance
+
+
+def _configuration(number: int) -> dict[str, Any]:
+    services = {
+        CALM: (Kind.SAFE, Kind.UNSAFE),
+        EDGE: (Kind.SAFE, Kind.UNSAFE),
+        STREAMS: (Kind.STREAM, Kind.RESUMABLE),
+    }
+    routes = [
+        _route(kind, service, number) for service, kinds in services.items() for kind in kinds
+    ]
+    idle_ms = IDLE_TIMEOUTS_MS[number % len(IDLE_TIMEOUTS_MS)]
+    return {
+        "version": number * 3,
+        "routes": routes,
+        "services": [
+            {"name": name, "connection_limit": 900, "health_check_path": "/health"}
+            for name in services
+        ],
+        "limits": {"idle_timeout_ms": idle_ms, "header_timeout_ms": 3_000},
+    }
+
+
+def _route(kind: Kind, service: str, number: int) -> dict[str, Any]:
+    return {
+        "name": f"{kind.value}-{service}",
+        "hostname": HOST,
+        "path_prefix": f"/{kind.value}-{service}/",
+        "route_kind": "streaming" if kind.is_stream else kind.value,
+        "timeout_ms": TIMEOUT_MS,
+        "target_latency_ms": OBJECTIVES_MS[number % len(OBJECTIVES_MS)],
+        "gap_aim_ms": 400,
+        "resumable": kind is Kind.RESUMABLE,
+        "service": service,
+        "max_attempts": MAX_ATTEMPTS,
+    }
--- a/packages/load/src/mimosaspur_load/processes.py
+++ b/packages/load/src/mimosaspur_load/processes.py
@@ -49,8 +49,9 @@
 class Processes:
     """Own processes; close ends all of them, and only them."""
 
-    def __init__(self, *, announce_s: float = ANNOUNCE_S) -> None:
+    def __init__(self, *, announce_s: float = ANNOUNCE_S, at_most: int = PROCESSES_AT_MOST) -> None:
         self.announce_s = announce_s
+        self.at_most = at_most
         self.started: list[Started] = []
 
     def start(self, command: Sequence[str]) -> Started:
@@ -63,8 +64,8 @@
         self, command: Sequence[str], *, environment: Mapping[str, str] | None = None
     ) -> Started:
         """Start a command that announces nothing; raise RuntimeError when too many run."""
-        if len(self.running()) >= PROCESSES_AT_MOST:
-            raise RuntimeError(f"{PROCESSES_AT_MOST} processes run; measure a smaller site.")
+        if len(self.running()) >= self.at_most:
+            raise RuntimeError(f"{self.at_most} processes run; measure a smaller site.")
         # Closed with its owner, since the process writes to it until then.
         errors = tempfile.TemporaryFile()  # noqa: SIM115
         process = subprocess.Popen(
