--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -11,23 +11,32 @@
 from soak.channel import Ended
 from soak.channel import connect
 from soak.channel import read_answer
+from soak.engines import MODELS
 from soak.processes import SoakEntry
 from soak.record import PROMISES
 from soak.record import Attempt
 from soak.record import Kind
 from soak.record import Record
+from soak.targets import CALM
+from soak.targets import EDGE
+from soak.targets import ENGINES
 from soak.targets import EVENT_COUNT
+from soak.targets import STREAMS
 
 MAX_TRIES = 5
-# Kind, service and bounds of the time limit of a request, by weight.
+# Kind, service, attempts of the route and bounds of the time limit of a request, by weight.
+# Streams of the route with one attempt have to be taken up by their callers.
 REQUESTS = (
-    (30, Kind.UNSAFE, "edge", 0.15, 0.25),
-    (8, Kind.SAFE, "edge", 0.15, 0.4),
-    (12, Kind.UNSAFE, "calm", 0.5, 4.0),
-    (12, Kind.SAFE, "calm", 0.5, 4.0),
-    (12, Kind.RESUMABLE, "streams", 4.0, 8.0),
-    (8, Kind.STREAM, "streams", 4.0, 8.0),
+    (28, Kind.UNSAFE, EDGE, 3, 0.15, 0.25),
+    (8, Kind.SAFE, EDGE, 3, 0.15, 0.4),
+    (10, Kind.UNSAFE, CALM, 3, 0.5, 4.0),
+    (10, Kind.SAFE, CALM, 3, 0.5, 4.0),
+    (10, Kind.RESUMABLE, STREAMS, 3, 4.0, 8.0),
+    (14, Kind.RESUMABLE, STREAMS, 1, 4.0, 8.0),
+    (8, Kind.STREAM, STREAMS, 3, 4.0, 8.0),
+    (8, Kind.RESUMABLE, ENGINES, 3, 4.0, 8.0),
 )
+ROUTES = tuple((kind, service, attempts) for _, kind, service, attempts, _, _ in REQUESTS)
 # Beyond the limit; what comes later is not read.
 PATIENCE_S = 1.0
 # Without an event a caller leaves the stream.
@@ -38,6 +47,11 @@
 NO_ENTRY_S = 0.1
 
 
+def route_prefix(kind: Kind, service: str, max_attempts: int) -> str:
+    """Return the path prefix of a route."""
+    return f"/{kind.value}-{max_attempts}-{service}/"
+
+
 @dataclass(slots=True)
 class Request:
     """Hold one request over all tries of its caller."""
@@ -45,6 +59,7 @@
     name: str
     kind: Kind
     service: str
+    max_attempts: int
     limit_s: float
     end_s: float
     tries: int = 0
@@ -55,7 +70,7 @@
     @property
     def path(self) -> str:
         """Return the path, which names route and service."""
-        return f"/{self.kind.value}-{self.service}/x"
+        return f"{route_prefix(self.kind, self.service, self.max_attempts)}x"
 
 
 @dataclass(slots=True)
@@ -98,10 +113,10 @@
 
     def _draw(self) -> Request:
         weights = [each[0] for each in REQUESTS]
-        _, kind, service, shortest, longest = self.chance.choices(REQUESTS, weights)[0]
+        _, kind, service, attempts, shortest, longest = self.chance.choices(REQUESTS, weights)[0]
         limit_s = self.chance.uniform(shortest, longest)
         end_s = asyncio.get_running_loop().time() + limit_s
-        return Request(f"q{next(self.numbers)}", kind, service, limit_s, end_s)
+        return Request(f"q{next(self.numbers)}", kind, service, attempts, limit_s, end_s)
 
     async def _connect(self) -> tuple[SoakEntry, Channel] | None:
         in_rotation = [each for each in self.entries if each.in_rotation]
@@ -119,6 +134,7 @@
             f"{request.name}-{request.tries}", request.name, request.kind, entry.name,
             request.path, loop.time(), left_s,
         )  # fmt: skip
+        attempt.max_attempts = request.max_attempts
         attempt.kept = channel.used
         attempt.stray = channel.buffer.decode("latin-1")
         attempt.last_event = request.last_event
@@ -171,6 +187,10 @@
         "X-Deadline-Ms": f"{attempt.limit_s * 1000:.0f}",
         "Content-Length": str(len(body)),
     }
+    if "-engines/" in attempt.path:
+        # The same at each try.
+        model = MODELS[int(attempt.request[1:]) % len(MODELS)]
+        headers |= {"X-Model": model, "X-Token-Counts": "100,12"}
     if attempt.resumes:
         headers |= {"Last-Event-Id": str(attempt.last_event), "Resumes": attempt.resumes}
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -21,6 +21,8 @@
 BUSY_PROCESSES = 2
 VERSIONS_OVERLAP_S = 3.0
 DRAINING_S = 2.5
+# At most, after the old version has left.
+KILL_LATER_S = 1.0
 LIMIT_PER_S = 5
 
 
@@ -135,7 +137,7 @@
     site.targets.remove(target)
     site.end_target(target)
     await asyncio.sleep(step.length_s)
-    site.store.delete("servers", target.identity)
+    site.unregister(target)
     await site.add_target(target.service, int(target.version[1:]))
 
 
@@ -184,6 +186,14 @@
     await asyncio.gather(*(site.drain_target(each, DRAINING_S) for each in old))
 
 
+async def _version_change_and_kill(site: SoakSite, step: Step) -> None:
+    """Kill all entries while targets of two versions serve, or the old ones have just left."""
+    changing = asyncio.create_task(_version_change(site, step))
+    await asyncio.sleep(step.pick * (VERSIONS_OVERLAP_S + DRAINING_S + KILL_LATER_S))
+    await _kill_all(site, step)
+    await changing
+
+
 async def _busy(site: SoakSite, step: Step) -> None:
     command = [sys.executable, "-c", BUSY_LOOP]
     busy = [site.processes.spawn(command) for _ in range(BUSY_PROCESSES)]
@@ -214,5 +224,6 @@
     "target limited": _target_limited,
     "target rests": _target_rests,
     "version change": _version_change,
+    "version change, kill all": _version_change_and_kill,
     "busy": _busy,
 }
--- a/features/soak/fleetrules.py
+++ b/features/soak/fleetrules.py
@@ -18,7 +18,6 @@
 from soak.record import Record
 from soak.rules import describe
 
-MAX_ATTEMPTS = 3
 OVER_ATTEMPTS_AT_MOST = 3
 DEADLINE_SLACK_S = 0.5
 OVER_DEADLINE_AT_MOST = 20
@@ -170,7 +169,7 @@
     cases = []
     for attempt in record.attempts:
         ran = {each.target for each in arrivals[attempt.identity] if each.ran} - gone
-        if len(ran) > MAX_ATTEMPTS:
+        if len(ran) > attempt.max_attempts:
             cases.append(f"{describe(attempt)} ran at {', '.join(sorted(ran))}")
     return cases if len(cases) > OVER_ATTEMPTS_AT_MOST else []
 
--- a/features/soak/record.py
+++ b/features/soak/record.py
@@ -71,6 +71,8 @@
     path: str
     sent_s: float
     limit_s: float
+    # Of its route.
+    max_attempts: int = 3
     # Whether the connection had carried a request before.
     kept: bool = False
     last_event: int = 0
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -33,6 +33,10 @@
     folder: Path | None
     requests: int
     statuses: Counter[int]
+    # Tries to take a stream up, and those that went on.
+    resumed: int
+    went_on: int
+    orders: int
 
 
 def run_seed(schedule: Schedule) -> Result:
@@ -51,7 +55,17 @@
         (folder / "schedule.txt").write_text("".join(f"{step}\n" for step in schedule.steps))
     else:
         shutil.rmtree(folder)
-    return Result(schedule, cases, folder if cases else None, len(record.attempts), statuses)
+    resumed = [attempt for attempt in record.attempts if attempt.last_event]
+    return Result(
+        schedule,
+        cases,
+        folder if cases else None,
+        len(record.attempts),
+        statuses,
+        len(resumed),
+        sum(bool(attempt.pieces) for attempt in resumed),
+        len(record.orders),
+    )
 
 
 def describe(result: Result) -> str:
@@ -60,7 +74,8 @@
     statuses = ", ".join(f"{status}: {count}" for status, count in sorted(result.statuses.items()))
     lines = [
         f"seed {schedule.seed}: {schedule.entries} entries, {len(schedule.steps)} faults, "
-        f"{result.requests} requests ({statuses}), {len(result.cases)} broken cases"
+        f"{result.requests} requests ({statuses}), {result.went_on} of {result.resumed} streams "
+        f"taken up, {result.orders} orders, {len(result.cases)} broken cases"
     ]
     rules = Counter(case.partition(":")[0] for case in result.cases)
     lines += [f"  {rule}: {count}" for rule, count in rules.items()]
--- a/features/soak/schedule.py
+++ b/features/soak/schedule.py
@@ -30,6 +30,7 @@
     "target limited": (2, 3.0, 8.0),
     "target rests": (2, 0.5, 4.0),
     "version change": (2, 0.0, 0.0),
+    "version change, kill all": (2, 0.0, 0.0),
     "busy": (1, 2.0, 8.0),
 }
 MAX_ENTRIES = 6
--- a/features/soak/site.py
+++ b/features/soak/site.py
@@ -1,6 +1,7 @@
 """Run what a soak needs: the store, targets, entries and their configuration."""
 
 import asyncio
+import contextlib
 import itertools
 import random
 from pathlib import Path
@@ -10,7 +11,11 @@
 from harness.entry_processes import READY_TIMEOUT_S
 from harness.entry_site import HOST
 from mimosaspur_load.processes import Processes
-from soak.fleetrules import MAX_ATTEMPTS
+from soak.callers import ROUTES
+from soak.callers import route_prefix
+from soak.engines import MODELS
+from soak.engines import SoakEngine
+from soak.engines import engine_specification
 from soak.processes import SoakEntry
 from soak.record import STORE
 from soak.record import Disturbance
@@ -21,11 +26,12 @@
 from soak.store import SoakStore
 from soak.targets import CALM
 from soak.targets import EDGE
+from soak.targets import ENGINES
 from soak.targets import STREAMS
 from soak.targets import SoakTarget
 
 SERVERS = "servers"
-FIRST_TARGETS = ((CALM, 3), (EDGE, 3), (STREAMS, 3))
+FIRST_TARGETS = ((CALM, 3), (EDGE, 3), (STREAMS, 3), (ENGINES, 2))
 FIRST_VERSION = 1
 TIMEOUT_MS = 10_000
 SETTLE_S = 2.0
@@ -47,6 +53,8 @@
         self.store = SoakStore(era="1")
         self.entries: list[SoakEntry] = []
         self.targets: list[SoakTarget] = []
+        # Those that drain, which the faults leave alone.
+        self.draining: list[SoakTarget] = []
         self.numbers = itertools.count(1)
         self.configurations = itertools.count(1)
         self.software = FIRST_VERSION
@@ -98,7 +106,11 @@
         name = f"{service}-{next(self.numbers)}"
         version = f"v{software}"
         chance = random.Random(f"{self.schedule.seed} {name}")
-        target = SoakTarget(name, service, version, self.record, chance)
+        simulate = SoakEngine if service == ENGINES else SoakTarget
+        target = simulate(name, service, version, self.record, chance)
+        if isinstance(target, SoakEngine):
+            # What is missing has to be ordered.
+            target.models = list(MODELS[: 1 + len(self.targets) % 2])
         await target.start()
         target.life = TargetLife(name, service, version, self.now_s)
         self.record.targets.append(target.life)
@@ -111,16 +123,24 @@
         if target not in self.targets:
             return
         self.targets.remove(target)
+        self.draining.append(target)
         self.store.put(SERVERS, target.identity, target.registration("draining"))
         assert target.life
         target.life.draining_s = self.now_s
         await asyncio.sleep(seconds)
-        self.store.delete(SERVERS, target.identity)
-        async with asyncio.timeout(END_S):
-            while target.running:
-                await asyncio.sleep(POLL_S)
+        self.draining.remove(target)
+        self.unregister(target)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(END_S):
+                while target.running:
+                    await asyncio.sleep(POLL_S)
         self.end_target(target)
 
+    def unregister(self, target: SoakTarget) -> None:
+        """Remove a target from the store, if a restore hasn't."""
+        if target.identity in self.store.objects[SERVERS]:
+            self.store.delete(SERVERS, target.identity)
+
     def end_target(self, target: SoakTarget) -> None:
         """End a target at once; its requests break off."""
         assert target.life
@@ -130,11 +150,13 @@
     def write_again(self) -> None:
         """Write what operator and targets had written, as after a restore of the store."""
         self.store.put("config", "main", self.configuration)
-        known = set(self.store.objects.get(SERVERS, {}))
-        for name in known - {target.identity for target in self.targets}:
+        states = {"ready": self.targets, "draining": self.draining}
+        known = {target.identity for targets in states.values() for target in targets}
+        for name in set(self.store.objects[SERVERS]) - known:
             self.store.delete(SERVERS, name)
-        for target in self.targets:
-            self.store.put(SERVERS, target.identity, target.registration())
+        for state, targets in states.items():
+            for target in targets:
+                self.store.put(SERVERS, target.identity, target.registration(state))
 
     def disturb_store(self, kind: str) -> Disturbance:
         """Record a fault of the store, open until its end is set."""
@@ -144,36 +166,33 @@
 
 
 def _configuration(number: int) -> dict[str, Any]:
-    services = {
-        CALM: (Kind.SAFE, Kind.UNSAFE),
-        EDGE: (Kind.SAFE, Kind.UNSAFE),
-        STREAMS: (Kind.STREAM, Kind.RESUMABLE),
-    }
-    routes = [
-        _route(kind, service, number) for service, kinds in services.items() for kind in kinds
-    ]
+    services = dict.fromkeys(service for _, service, _ in ROUTES)
+    routes = [_route(kind, service, attempts, number) for kind, service, attempts in ROUTES]
     idle_ms = IDLE_TIMEOUTS_MS[number % len(IDLE_TIMEOUTS_MS)]
     return {
         "version": number * 3,
         "routes": routes,
-        "services": [
-            {"name": name, "connection_limit": 900, "health_check_path": "/health"}
-            for name in services
-        ],
+        "services": [_service(name) for name in services],
         "limits": {"idle_timeout_ms": idle_ms, "header_timeout_ms": 3_000},
     }
 
 
-def _route(kind: Kind, service: str, number: int) -> dict[str, Any]:
+def _service(name: str) -> dict[str, Any]:
+    service = {"name": name, "connection_limit": 900, "health_check_path": "/health"}
+    return service | ({"engine": engine_specification()} if name == ENGINES else {})
+
+
+def _route(kind: Kind, service: str, max_attempts: int, number: int) -> dict[str, Any]:
+    prefix = route_prefix(kind, service, max_attempts)
     return {
-        "name": f"{kind.value}-{service}",
+        "name": prefix.strip("/"),
         "hostname": HOST,
-        "path_prefix": f"/{kind.value}-{service}/",
+        "path_prefix": prefix,
         "route_kind": "streaming" if kind.is_stream else kind.value,
         "timeout_ms": TIMEOUT_MS,
         "target_latency_ms": OBJECTIVES_MS[number % len(OBJECTIVES_MS)],
         "gap_aim_ms": 400,
         "resumable": kind is Kind.RESUMABLE,
         "service": service,
-        "max_attempts": MAX_ATTEMPTS,
+        "max_attempts": max_attempts,
     }
--- a/features/soak/targets.py
+++ b/features/soak/targets.py
@@ -15,10 +15,11 @@
 from soak.record import Record
 from soak.record import TargetLife
 
-# A plain service, one whose targets answer at the time limit, and one that streams.
+# A plain service, one whose targets answer at the time limit, and two that stream.
 CALM = "calm"
 EDGE = "edge"
 STREAMS = "streams"
+ENGINES = "engines"
 EVENT_COUNT = 8
 EVENT_S = 0.04
 SLOTS = 64
@@ -42,6 +43,7 @@
         "silent": 1,
     },
     EDGE: {"answer": 20, "504": 45, "reset": 20, "late": 10, "reject": 3, "silent": 2},
+    ENGINES: {"answer": 92, "broken": 8},
     STREAMS: {"answer": 80, "broken": 12, "reject": 2, "cut": 2, "pause": 3, "silent": 1},
 }
 
@@ -95,7 +97,7 @@
         self.writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
-                await self._answer(request, _Peer(reader, writer))
+                await self._answer(request, Peer(reader, writer))
                 if writer.is_closing():
                     return
         except (OSError, asyncio.CancelledError):
@@ -105,7 +107,7 @@
             self.writers.discard(writer)
             writer.close()
 
-    async def _answer(self, request: Request, peer: "_Peer") -> None:
+    async def _answer(self, request: Request, peer: "Peer") -> None:
         now_s = asyncio.get_running_loop().time()
         if request.path == "/health":
             peer.send_whole(200, f"X-Instance-Id: {self.identity}\r\n", "")
@@ -130,11 +132,15 @@
         arrival.deadline_ms = float(limit) if limit else None
         arrival.last_event = int(headers.get("last-event-id", "0"))
         arrival.signature = f"{self.identity}.{next(self.numbers)}.{identity}"
-        if headers.get("x-expected-instance") != self.identity:
+        if not self.accepts(request):
             arrival.status = 421
         return arrival
 
-    async def _handle(self, arrival: Arrival, peer: "_Peer") -> None:
+    def accepts(self, request: Request) -> bool:
+        """Return whether the request is meant for this target."""
+        return request.headers.get("x-expected-instance") == self.identity
+
+    async def _handle(self, arrival: Arrival, peer: "Peer") -> None:
         if arrival.status == 421:
             self._reject(arrival, peer, 421)
             return
@@ -151,12 +157,12 @@
             self._reject(arrival, peer, 503)
             return
         arrival.ran = True
-        if self.service == STREAMS:
+        if self.service in (STREAMS, ENGINES):
             await self._stream(arrival, peer, manner)
         else:
             await _PLAIN[manner](self, arrival, peer)
 
-    def _reject(self, arrival: Arrival, peer: "_Peer", status: int, more: str = "") -> None:
+    def _reject(self, arrival: Arrival, peer: "Peer", status: int, more: str = "") -> None:
         arrival.status = status
         headers = f"X-Attempt-Id: {arrival.identity}\r\n{NOT_RUN}{more}"
         peer.send_whole(status, headers + self._own_headers(), "no")
@@ -170,24 +176,24 @@
         proof = f"X-Response-Signature: {arrival.signature}\r\n"
         return f"X-Attempt-Id: {arrival.identity}\r\n{proof}{self._own_headers()}"
 
-    def finish(self, arrival: Arrival, peer: "_Peer", status: int) -> None:
+    def finish(self, arrival: Arrival, peer: "Peer", status: int) -> None:
         """Send the whole answer of a run."""
         arrival.status = status
         arrival.text = f"{arrival.signature} answers {status}"
         peer.send_whole(status, self.signed(arrival), arrival.text)
 
-    async def work(self, peer: "_Peer") -> bool:
+    async def work(self, peer: "Peer") -> bool:
         """Work for a usual time; return whether the connection is still there."""
         return await peer.stays(self.chance.uniform(0.01, 0.08))
 
-    async def work_to_limit(self, arrival: Arrival, peer: "_Peer", more_s: float) -> bool:
+    async def work_to_limit(self, arrival: Arrival, peer: "Peer", more_s: float) -> bool:
         """Work until about the limit; return whether the connection is still there."""
         limit_s = (arrival.deadline_ms or 1000.0) / 1000
         jitter_s = self.chance.uniform(-JITTER_S, JITTER_S)
         left_s = arrival.at_s + limit_s + more_s + jitter_s - asyncio.get_running_loop().time()
         return await peer.stays(min(left_s, GIVEN_UP_S))
 
-    async def _stream(self, arrival: Arrival, peer: "_Peer", manner: str) -> None:
+    async def _stream(self, arrival: Arrival, peer: "Peer", manner: str) -> None:
         arrival.status = 200
         chunked = self.chance.random() < 0.7
         first = arrival.last_event + 1
@@ -215,7 +221,7 @@
             peer.close()
 
 
-class _Peer:
+class Peer:
     """Write to one connection and watch whether it ends."""
 
     __slots__ = ("reader", "writer")
@@ -235,16 +241,20 @@
         return True
 
     def write(self, data: bytes) -> None:
+        """Send bytes."""
         self.writer.write(data)
 
     def send_whole(self, status: int, headers: str, body: str) -> None:
+        """Send a whole answer."""
         head = f"HTTP/1.1 {status} X\r\n{headers}Content-Length: {len(body)}\r\n\r\n"
         self.write((head + body).encode())
 
     def reset(self) -> None:
+        """End the connection with a reset."""
         reset(self.writer)
 
     def close(self) -> None:
+        """End the connection in order."""
         self.writer.close()
 
 
@@ -267,33 +277,33 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-async def _plain_answer(target: SoakTarget, arrival: Arrival, peer: _Peer) -> None:
+async def _plain_answer(target: SoakTarget, arrival: Arrival, peer: Peer) -> None:
     if await target.work(peer):
         target.finish(arrival, peer, 200)
 
 
-async def _plain_fail(target: SoakTarget, arrival: Arrival, peer: _Peer) -> None:
+async def _plain_fail(target: SoakTarget, arrival: Arrival, peer: Peer) -> None:
     if await target.work(peer):
         target.finish(arrival, peer, 500)
 
 
-async def _answer_504_at_limit(target: SoakTarget, arrival: Arrival, peer: _Peer) -> None:
+async def _answer_504_at_limit(target: SoakTarget, arrival: Arrival, peer: Peer) -> None:
     if await target.work_to_limit(arrival, peer, 0.0):
         target.finish(arrival, peer, 504)
 
 
-async def _answer_late(target: SoakTarget, arrival: Arrival, peer: _Peer) -> None:
+async def _answer_late(target: SoakTarget, arrival: Arrival, peer: Peer) -> None:
     if await target.work_to_limit(arrival, peer, target.chance.uniform(-LATE_S, LATE_S)):
         target.finish(arrival, peer, 200)
 
 
-async def _reset_at_limit(target: SoakTarget, arrival: Arrival, peer: _Peer) -> None:
+async def _reset_at_limit(target: SoakTarget, arrival: Arrival, peer: Peer) -> None:
     await target.work_to_limit(arrival, peer, 0.001)
     arrival.broke = True
     peer.reset()
 
 
-async def _break_off(target: SoakTarget, arrival: Arrival, peer: _Peer) -> None:
+async def _break_off(target: SoakTarget, arrival: Arrival, peer: Peer) -> None:
     await target.work(peer)
     arrival.broke = True
     arrival.status = 200
@@ -303,26 +313,26 @@
     peer.reset()
 
 
-async def _answer_twice(target: SoakTarget, arrival: Arrival, peer: _Peer) -> None:
+async def _answer_twice(target: SoakTarget, arrival: Arrival, peer: Peer) -> None:
     if await target.work(peer):
         target.finish(arrival, peer, 200)
         await peer.stays(target.chance.uniform(0.0, 0.05))
         target.finish(arrival, peer, 200)
 
 
-async def _write_garbage(target: SoakTarget, arrival: Arrival, peer: _Peer) -> None:
+async def _write_garbage(target: SoakTarget, arrival: Arrival, peer: Peer) -> None:
     await target.work(peer)
     arrival.broke = True
     peer.write(b"\x00\xff no answer at all \r\n\r\n")
     peer.close()
 
 
-async def _fall_silent(target: SoakTarget, arrival: Arrival, peer: _Peer) -> None:
+async def _fall_silent(target: SoakTarget, arrival: Arrival, peer: Peer) -> None:
     if await peer.stays(SILENCE_S):
         target.finish(arrival, peer, 200)
 
 
-_PLAIN: dict[str, Callable[[SoakTarget, Arrival, _Peer], Awaitable[None]]] = {
+_PLAIN: dict[str, Callable[[SoakTarget, Arrival, Peer], Awaitable[None]]] = {
     "answer": _plain_answer,
     "fail": _plain_fail,
     "504": _answer_504_at_limit,
--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,39 @@
+"""Steps for the soak of real entries, and for its checks."""
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+
+from harness.soak_records import build
+from soak.checks import CHECKS
+from soak.run import describe
+from soak.run import run_seed
+from soak.schedule import draw_schedule
+
+
+@given("a record of {example}")
+def make_record(context: Context, example: str) -> None:
+    context.record = build(example)
+
+
+@then("{rule} is broken, and no other rule")
+def check_broken(context: Context, rule: str) -> None:
+    broken = [name for name, check in CHECKS.items() if check(context.record)]
+    assert broken == [rule], broken
+
+
+@then("no rule is broken")
+def check_kept(context: Context) -> None:
+    broken = {name: cases for name, check in CHECKS.items() if (cases := check(context.record))}
+    assert not broken, broken
+
+
+@when("seed {seed:d} is played on {entries:d} entries for {seconds:d} s")
+def play_seed(context: Context, seed: int, entries: int, seconds: int) -> None:
+    context.result = run_seed(draw_schedule(seed, seconds, entries=entries))
+
+
+@then("each rule was kept")
+def check_result(context: Context) -> None:
+    assert not context.result.cases, describe(context.result)
