--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -7,6 +7,8 @@
 
 from soak.run import describe
 from soak.run import run_seed
+from soak.schedule import FAULTS
+from soak.schedule import MEAN_GAP_S
 from soak.schedule import draw_schedule
 
 DEFAULT_SECONDS = 40.0
@@ -27,11 +29,22 @@
     parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS, help="of each seed")
     parser.add_argument("--entries", type=int, default=0, help="drawn by the seed by default")
     parser.add_argument("--callers", type=int, default=90, help="callers at a time")
+    parser.add_argument(
+        "--only", nargs="+", default=list(FAULTS), choices=FAULTS, help="the faults to play"
+    )
+    parser.add_argument(
+        "--gap", type=float, default=MEAN_GAP_S, help="mean seconds between two faults"
+    )
     options = parser.parse_args(arguments)
     failed = []
     for seed in range(options.first, options.first + options.seeds):
         schedule = draw_schedule(
-            seed, options.seconds, entries=options.entries, callers=options.callers
+            seed,
+            options.seconds,
+            entries=options.entries,
+            callers=options.callers,
+            only=options.only,
+            gap_s=options.gap,
         )
         result = run_seed(schedule)
         print(describe(result), flush=True)
--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -73,6 +73,9 @@
         return f"{route_prefix(self.kind, self.service, self.max_attempts)}x"
 
 
+Kept = tuple[SoakEntry, Channel]
+
+
 @dataclass(slots=True)
 class Callers:
     """Run callers until they are told to stop."""
@@ -89,27 +92,27 @@
 
     async def _call(self) -> None:
         """Send requests one after another over a connection that is kept."""
-        kept: tuple[SoakEntry, Channel] | None = None
+        kept: Kept | None = None
         while not self.stopping:
             await asyncio.sleep(self.chance.expovariate(1 / IDLE_S))
-            request = self._draw()
-            while True:
-                if kept is None or kept[1].end:
-                    kept = await self._connect()
-                    if kept is None:
-                        await asyncio.sleep(NO_ENTRY_S)
-                        break
-                attempt, reusable = await self._try(request, *kept)
-                if not reusable:
-                    kept[1].close()
-                    kept = None
-                if not self._goes_on(request, attempt):
-                    break
-                # Each further try uses a new connection, to another entry where there is one.
-                if kept:
-                    kept[1].close()
-                kept = None
-                await asyncio.sleep(_wait_s(request, attempt))
+            kept = await self._send(self._draw(), kept)
+
+    async def _send(self, request: Request, kept: Kept | None) -> Kept | None:
+        """Send one request until it is served or given up; return the connection to keep."""
+        while True:
+            if kept is None or kept[1].end:
+                kept = await self._connect(request)
+            if kept is None:
+                return None
+            attempt, reusable = await self._try(request, *kept)
+            if reusable and not self._goes_on(request, attempt):
+                return kept
+            # Each further try uses a new connection, to another entry where there is one.
+            kept[1].close()
+            kept = None
+            if not self._goes_on(request, attempt):
+                return None
+            await asyncio.sleep(_wait_s(request, attempt))
 
     def _draw(self) -> Request:
         weights = [each[0] for each in REQUESTS]
@@ -118,11 +121,16 @@
         end_s = asyncio.get_running_loop().time() + limit_s
         return Request(f"q{next(self.numbers)}", kind, service, attempts, limit_s, end_s)
 
-    async def _connect(self) -> tuple[SoakEntry, Channel] | None:
-        in_rotation = [each for each in self.entries if each.in_rotation]
-        entry = self.chance.choice(in_rotation or self.entries)
-        channel = await connect(entry.callers_address)
-        return (entry, channel) if channel else None
+    async def _connect(self, request: Request) -> Kept | None:
+        """Return a new connection, None if no entry accepts one in the request's time."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < request.end_s:
+            in_rotation = [each for each in self.entries if each.in_rotation]
+            entry = self.chance.choice(in_rotation or self.entries)
+            if channel := await connect(entry.callers_address):
+                return entry, channel
+            await asyncio.sleep(NO_ENTRY_S)
+        return None
 
     async def _try(
         self, request: Request, entry: SoakEntry, channel: Channel
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -20,9 +20,8 @@
 BUSY_LOOP = "while True: pass"
 BUSY_PROCESSES = 2
 VERSIONS_OVERLAP_S = 3.0
+TARGETS_OF_VERSION = 3
 DRAINING_S = 2.5
-# At most, after the old version has left.
-KILL_LATER_S = 1.0
 LIMIT_PER_S = 5
 
 
@@ -178,7 +177,7 @@
     old = [each for each in site.targets if each.service == STREAMS]
     site.software += 1
     software = site.software
-    for _ in old:
+    for _ in range(TARGETS_OF_VERSION):
         await site.add_target(STREAMS, software)
     await asyncio.sleep(step.pick * VERSIONS_OVERLAP_S)
     for target in old:
@@ -189,7 +188,7 @@
 async def _version_change_and_kill(site: SoakSite, step: Step) -> None:
     """Kill all entries while targets of two versions serve, or the old ones have just left."""
     changing = asyncio.create_task(_version_change(site, step))
-    await asyncio.sleep(step.pick * (VERSIONS_OVERLAP_S + DRAINING_S + KILL_LATER_S))
+    await asyncio.sleep(step.pick * VERSIONS_OVERLAP_S + step.length_s)
     await _kill_all(site, step)
     await changing
 
--- a/features/soak/processes.py
+++ b/features/soak/processes.py
@@ -67,7 +67,9 @@
             self.process.send_signal(number)
 
     def kill_now(self) -> None:
-        """Kill the process without waiting for its end."""
+        """Kill the process, if it runs, without waiting for its end."""
+        if not self.runs():
+            return
         self.ended_by = KILL
         self.disturb(KILL, seconds=None)
         self.send(signal.SIGKILL)
--- a/features/soak/schedule.py
+++ b/features/soak/schedule.py
@@ -1,6 +1,7 @@
 """Draw the faults of a soak from its seed."""
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 # Until then entries and connections settle, and after the last fault service comes back.
@@ -30,7 +31,7 @@
     "target limited": (2, 3.0, 8.0),
     "target rests": (2, 0.5, 4.0),
     "version change": (2, 0.0, 0.0),
-    "version change, kill all": (2, 0.0, 0.0),
+    "version change, kill all": (2, 0.0, 3.5),
     "busy": (1, 2.0, 8.0),
 }
 MAX_ENTRIES = 6
@@ -58,21 +59,28 @@
     steps: tuple[Step, ...]
 
 
-def draw_schedule(seed: int, seconds: float, *, entries: int = 0, callers: int = 90) -> Schedule:
+def draw_schedule(
+    seed: int,
+    seconds: float,
+    *,
+    entries: int = 0,
+    callers: int = 90,
+    only: Sequence[str] = tuple(FAULTS),
+    gap_s: float = MEAN_GAP_S,
+) -> Schedule:
     """Return the schedule of a seed; without a number of entries the seed draws it."""
     chance = random.Random(seed)
     drawn = chance.randint(MIN_ENTRIES, MAX_ENTRIES)
     steps = []
     at_s = FIRST_FAULT_S
     while at_s < seconds - QUIET_END_S:
-        steps.append(_draw_step(chance, at_s))
-        at_s += chance.expovariate(1 / MEAN_GAP_S)
+        steps.append(_draw_step(chance, at_s, only))
+        at_s += chance.expovariate(1 / gap_s)
     return Schedule(seed, seconds, entries or drawn, callers, tuple(steps))
 
 
-def _draw_step(chance: random.Random, at_s: float) -> Step:
-    weights = [weight for weight, _, _ in FAULTS.values()]
-    fault = chance.choices(list(FAULTS), weights)[0]
+def _draw_step(chance: random.Random, at_s: float, only: Sequence[str]) -> Step:
+    fault = chance.choices(only, [FAULTS[each][0] for each in only])[0]
     _, shortest, longest = FAULTS[fault]
     # Most lengths are short, in the order of the entries' own timers.
     length_s = shortest + (longest - shortest) * chance.random() ** 2
--- a/features/soak/targets.py
+++ b/features/soak/targets.py
@@ -20,8 +20,8 @@
 EDGE = "edge"
 STREAMS = "streams"
 ENGINES = "engines"
-EVENT_COUNT = 8
-EVENT_S = 0.04
+EVENT_COUNT = 14
+EVENT_S = 0.05
 SLOTS = 64
 # How often a running request looks whether its connection has ended.
 WATCH_S = 0.01
