--- a/features/harness/entry_processes.py
+++ b/features/harness/entry_processes.py
@@ -30,14 +30,14 @@
         folder: Path,
         number: int,
         store: tuple[str, int],
-        fields: Mapping[str, str],
+        fields: Mapping[str, str] | None = None,
     ) -> None:
         self.processes = processes
         self.name = f"entry-{number}"
         self.ip = _loopback_address(number)
         self.settings = folder / f"{self.name}.conf"
         self.log = folder / f"{self.name}.log"
-        text = _settings_text(self.name, self.ip, store, fields)
+        text = _settings_text(self.name, self.ip, store, fields or {})
         self.settings.write_text(text, encoding="utf-8")
         self.started: Started | None = None
 
