--- a/features/harness/promise_play.py
+++ b/features/harness/promise_play.py
@@ -3,9 +3,11 @@
 import asyncio
 import os
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+from types import MappingProxyType
 from unittest.mock import patch
 
 import h11
@@ -126,6 +128,10 @@
 class PromisePlay:
     """Run an entry before two targets, by a seed."""
 
+    target_class = TimedTarget
+    # Of each request.
+    headers: Mapping[str, str] = MappingProxyType({})
+
     def __init__(self, seed: int) -> None:
         self.random = random.Random(seed)
         self.loop = StallingLoop(seed)
@@ -150,7 +156,7 @@
 
     async def _play(self) -> None:
         for name in ("t-0", "t-1"):
-            target = TimedTarget(name, self.calls, self.random)
+            target = self.target_class(name, self.calls, self.random)
             self.entry.add(name, await target.start())
         await self.entry.callers.listen()
         assert self.entry.callers.server
@@ -171,7 +177,7 @@
         self.calls[identity] = call
         await asyncio.sleep(self.random.uniform(0, 0.2))
         reader, writer = await self.entry.connect()
-        headers = {"X-Request-Id": identity, "X-Deadline-Ms": str(limit_ms)}
+        headers = {**self.headers, "X-Request-Id": identity, "X-Deadline-Ms": str(limit_ms)}
         writer.write(request_bytes(REQUEST_KINDS[kind][0], headers))
         answer = asyncio.create_task(read_response(reader))
         shift_s = self.random.uniform(-AROUND_LIMIT_S, AROUND_LIMIT_S)
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetnotices.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetnotices.py
@@ -49,6 +49,8 @@
     target: str
     # On the permits' clock; None if the target named no limit when this was taken.
     lapses_ms: int | None
+    # The version of the limit that it was issued under.
+    version: int
     # Whether the request continues a run that the target itself has stopped.
     returns: bool = False
 
@@ -214,19 +216,20 @@
         """
         if (target.incarnation in self.leaving and not returns) or self.rest_ms(target):
             return None
-        if self.limit_per_s(target) is None:
-            return SendPermit(target.incarnation, None, returns)
-        lapses_ms = self.holder.take(target.incarnation)
-        return None if lapses_ms is None else SendPermit(target.incarnation, lapses_ms, returns)
+        key, limit = target.incarnation, self.ledger.get(target.incarnation)
+        lapses_ms = None
+        if limit.per_s is not None:
+            lapses_ms = self.holder.take(key)
+            if lapses_ms is None:
+                return None
+        return SendPermit(key, lapses_ms, limit.version, returns)
 
     def begin_send(self, permit: SendPermit) -> bool:
         """Return whether a request may be sent at once, and count it."""
         if permit.target in self.leaving and not permit.returns:
             return False
-        if permit.lapses_ms is not None:
-            allowed = self.holder.is_valid(permit.lapses_ms)
-        else:
-            allowed = self.ledger.get(permit.target).per_s is None
+        # The limit may have changed since, which drops its permits.
+        allowed = self.ledger.get(permit.target).per_s is None or self._is_in_force(permit)
         if not allowed or not self.rests.begin_send(permit.target):
             return False
         self.history.record(permit.target)
@@ -234,9 +237,15 @@
 
     def put_back(self, permit: SendPermit) -> None:
         """Return a permit that was not used."""
-        if permit.lapses_ms is not None and self.holder.is_valid(permit.lapses_ms):
+        if permit.lapses_ms is not None and self._is_in_force(permit):
             self.holder.put_back(permit.target, permit.lapses_ms)
 
+    def _is_in_force(self, permit: SendPermit) -> bool:
+        """Return whether a permit is one of the present limit and hasn't lapsed."""
+        if permit.version != self.ledger.get(permit.target).version:
+            return False
+        return permit.lapses_ms is None or self.holder.is_valid(permit.lapses_ms)
+
     def permits_call(self, target: TargetRecord) -> bool:
         """Return whether a call that is no caller's request may be sent, and count it."""
         if self.rest_ms(target):
