--- a/features/harness/move_play.py
+++ b/features/harness/move_play.py
@@ -1,6 +1,7 @@
 """Play streams that are moved as their callers leave or their time limits pass."""
 
 import asyncio
+import itertools
 import os
 import random
 from dataclasses import dataclass
@@ -46,6 +47,7 @@
 # Delays before an engine stops a run, and before it says so.
 MAX_STOP_S = 0.01
 REFUSAL_SHARE = 0.2
+LOST_SHARE = 0.1
 SETTLE_S = 5.0
 HEADERS = {"X-Model": "notes", "X-Token-Counts": "10,60"}
 
@@ -54,6 +56,7 @@
 class MovedStream:
     """Record a caller's stream: whether it was to end, and did."""
 
+    identity: str
     kind: str
     limit_ms: int
     leaves_at_s: float | None
@@ -70,6 +73,19 @@
     used: list[str] = field(default_factory=list)
     dropped: list[str] = field(default_factory=list)
     errors: list[str] = field(default_factory=list)
+    # By request, when its runs at engines began and ended, on the event loop's clock.
+    runs: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+
+    def longest_overlap_s(self) -> float:
+        """Return the longest time for which a request was at two engines."""
+        return max(
+            (
+                earlier[1] - later[0]
+                for runs in self.runs.values()
+                for earlier, later in itertools.pairwise(sorted(runs))
+            ),
+            default=0.0,
+        )
 
     def kept(self) -> set[str]:
         """Return the copies that were neither used nor dropped, and hold memory."""
@@ -118,6 +134,22 @@
             return True
         if handle:
             self.played.used.append(handle)
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        try:
+            return await self._stream(fields, headers, writer, codec)
+        finally:
+            self.played.runs.setdefault(identity, []).append((began_s, loop.time()))
+
+    async def _stream(
+        self,
+        fields: dict[str, str],
+        headers: list[tuple[bytes, bytes]],
+        writer: asyncio.StreamWriter,
+        codec: h11.Connection,
+    ) -> bool:
+        """Send events until the last one, or until the run is stopped or given up."""
+        identity = fields["x-request-id"]
         self.running[identity] = writer
         writer.write(codec.send(h11.Response(status_code=200, headers=headers)) or b"")
         for number in range(int(fields.get("last-event-id", "0")) + 1, EVENT_COUNT + 1):
@@ -151,6 +183,8 @@
     ) -> StoppedRun | None:
         """Stop a run if it is there; answer before or after its connection's end is seen."""
         await asyncio.sleep(self.random.uniform(0, MAX_STOP_S))
+        if self.random.random() < LOST_SHARE:
+            raise StopUnconfirmed("the call was lost")
         writer = self.engines[source.identity].running.pop(request.decode(), None)
         if writer is None:
             return None
@@ -237,10 +271,10 @@
         limit_ms = self.random.choice((self.random.randint(*LIMITS_MS), LONG_LIMIT_MS))
         leaves = self.random.random() < LEAVING_SHARE
         leaves_at_s = self.random.uniform(*LIMITS_MS) / 1000 if leaves else None
-        stream = MovedStream(kind, limit_ms, leaves_at_s)
+        stream = MovedStream(f"r-{number}", kind, limit_ms, leaves_at_s)
         self.played.streams.append(stream)
         reader, writer = await self.entry.connect()
-        headers = HEADERS | {"X-Request-Id": f"r-{number}", "X-Deadline-Ms": str(limit_ms)}
+        headers = HEADERS | {"X-Request-Id": stream.identity, "X-Deadline-Ms": str(limit_ms)}
         writer.write(request_bytes(REQUEST_KINDS[kind][0], headers))
         answer = asyncio.create_task(read_response(reader))
         if leaves_at_s is not None:
--- a/features/moves_stalls.feature
+++ b/features/moves_stalls.feature
@@ -5,4 +5,5 @@
     When 100 plays of streams that are moved as callers leave and time limits pass are played from seed 1 on
     Then no evacuation has failed
     And no copy of memory is left at an engine, and none is used twice
+    And no stream that was answered as not run has run, and none is at two engines for long
     And each resumable stream with time for it ends whole
--- a/features/steps/move_play_steps.py
+++ b/features/steps/move_play_steps.py
@@ -6,6 +6,10 @@
 
 from harness.move_play import LONG_LIMIT_MS
 from harness.move_play import MovePlay
+from mimosaspur_daemon.direct.refusal import NOT_RUN_STATUSES
+
+# For so long the server before may still work on a request that goes on elsewhere.
+MAX_OVERLAP_S = 0.4
 
 
 @when(
@@ -32,6 +36,20 @@
     assert not failed, f"{len(failed)} of {len(context.moves)}: {failed}"
 
 
+@then("no stream that was answered as not run has run, and none is at two engines for long")
+def check_runs(context: Context) -> None:
+    broken = [
+        (seed, stream)
+        for seed, moves in context.moves.items()
+        for stream in moves.streams
+        if stream.status in NOT_RUN_STATUSES and stream.identity in moves.runs
+    ]
+    assert not broken, broken[:8]
+    overlaps_s = {seed: moves.longest_overlap_s() for seed, moves in context.moves.items()}
+    longest = max(overlaps_s, key=overlaps_s.__getitem__)
+    assert overlaps_s[longest] <= MAX_OVERLAP_S, (longest, overlaps_s[longest])
+
+
 @then("each resumable stream with time for it ends whole")
 def check_streams(context: Context) -> None:
     staying = [
