--- a/packages/transport/src/mimosaspur_transport/targetlink.py
+++ b/packages/transport/src/mimosaspur_transport/targetlink.py
@@ -208,10 +208,20 @@
         self.on_residents()
         self._compare_generation(wire, welcome.generation)
         for attempt in pending:
-            wire.send(attempt.resume_message(self.clock.now_ms()))
+            self._resume(attempt, wire)
         for message in others:
             self._handle(message, wire)
 
+    def _resume(self, attempt: Attempt, wire: Wire) -> None:
+        """Resume an attempt on a new connection."""
+        key = (attempt.submit.work.request_id, attempt.submit.attempt)
+        wire.send(attempt.resume_message(self.clock.now_ms()))
+        with self.lock:
+            finished = key not in self.attempts
+        if finished:
+            # Its Cancel may have been sent first, and a target starts what it doesn't know.
+            wire.send(Cancel(*key))
+
     def _receive_loop(self, wire: Wire) -> None:
         wire.sock.settimeout(self.settings.heartbeat_ms / 1000)
         self.ping_pending_since_ms = None
