--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -42,3 +42,10 @@
       | 0      | 1    |
       | 3      | 2    |
       | 6      | 3    |
+
+  # Guards against an idle connection that is closed in order after its next request was read, or reset after that ran.
+  Scenario: Requests are sent just as their idle connections are closed
+    Given an entry process that closes connections after 400 ms without a request, before targets of a plain service
+    When 50 callers send requests about 400 ms after their last ones for 8 s, and it is stalled 8 times, with seed 4
+    Then each request that it has read was answered
+    And no request that its caller may send again has run
--- a/features/harness/ending_play.py
+++ b/features/harness/ending_play.py
@@ -28,6 +28,8 @@
 # Time within which a reset follows an ordinary end of a connection with unread input.
 RESET_S = 0.1
 STALLS_S = (0.02, 0.5)
+# How far a request is sent from the end of an idle timeout.
+IDLE_SPREAD_S = 0.002
 RUN_BEFORE_S = 0.4
 GONE_S = 15.0
 
@@ -97,6 +99,37 @@
         self.entry.start()
         await self.entry.wait_until_ready()
 
+    async def play_idle(self, *, callers: int, stalls: int, idle_s: float, lasts_s: float) -> None:
+        """Send requests just as the entry closes their connections, and stall it at times."""
+        loop = asyncio.get_running_loop()
+        self.asked_s = loop.time()
+        until_s = loop.time() + lasts_s
+        tasks = [
+            loop.create_task(
+                self._idle_caller(random.Random(self.random.random()), idle_s, until_s)
+            )
+            for _ in range(callers)
+        ]
+        moments = sorted(self.random.uniform(0, lasts_s) for _ in range(stalls))
+        for moment_s in moments:
+            await asyncio.sleep(self.asked_s + moment_s - loop.time())
+            await self._stall(self.random.uniform(*STALLS_S))
+        await asyncio.gather(*tasks)
+
+    async def _idle_caller(self, chooser: random.Random, idle_s: float, until_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() < until_s:
+            connection = await self._connect()
+            if connection is None:
+                continue
+            with connection:
+                kept = False
+                while loop.time() < until_s:
+                    await asyncio.sleep(chooser.gauss(idle_s, IDLE_SPREAD_S))
+                    if not await self._send(connection, chooser, kept=kept):
+                        break
+                    kept = True
+
     async def _stall(self, stall_s: float) -> None:
         process = self.entry.process
         process.send_signal(signal.SIGSTOP)
--- a/features/harness/framed_site.py
+++ b/features/harness/framed_site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import replace
 
@@ -89,9 +90,18 @@
 class FramedSite(EntrySite):
     """Run a store, two targets of one service and entries."""
 
-    def __init__(self, entries: EntryProcesses, *, store: StoreStandIn) -> None:
+    def __init__(
+        self,
+        entries: EntryProcesses,
+        *,
+        store: StoreStandIn,
+        limits: Mapping[str, int] | None = None,
+    ) -> None:
         super().__init__(entries, store=store)
-        self.store.put("config", "main", _configuration())
+        configuration = _configuration()
+        if limits:
+            configuration["limits"] = dict(limits)
+        self.store.put("config", "main", configuration)
         played: set[str] = set()
         # How often each request ran.
         self.runs: dict[str, int] = {}
--- a/features/steps/connection_ends_steps.py
+++ b/features/steps/connection_ends_steps.py
@@ -31,6 +31,7 @@
 # Time until a request has reached its target.
 SETTLE_S = 0.15
 ANSWERS_S = 10.0
+HEADER_MS = 1_000
 CALLER_BUFFER_BYTES = 16_384
 ENTRY_BUFFER_BYTES = 4_096
 # Answers of one play of the ends of processes, at least.
@@ -183,6 +184,31 @@
         run(context, work)
 
 
+@given(
+    "an entry process that closes connections after {idle_ms:d} ms without a request, before"
+    " targets of a plain service"
+)
+def start_closing_process(context: Context, idle_ms: int) -> None:
+    entries = EntryProcesses(context.processes, 1)
+    limits = {"idle_timeout_ms": idle_ms, "header_timeout_ms": HEADER_MS}
+    context.site = FramedSite(entries, store=StoreStandIn(), limits=limits)
+    context.add_cleanup(context.site.stop)
+    run(context, context.site.start())
+
+
+@when(
+    "{callers:d} callers send requests about {idle_ms:d} ms after their last ones for {lasts_s:d}"
+    " s, and it is stalled {stalls:d} times, with seed {seed:d}"
+)
+def play_idle(
+    context: Context, callers: int, idle_ms: int, lasts_s: int, stalls: int, seed: int
+) -> None:
+    play = context.play = EndingPlay(context.site, seed)
+    idle_s = idle_ms / 1000
+    work = play.play_idle(callers=callers, stalls=stalls, idle_s=idle_s, lasts_s=lasts_s)
+    run(context, work)
+
+
 @then("each request that it has read was answered")
 def check_answered(context: Context) -> None:
     play = context.play
