--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -7,6 +7,7 @@
 
 from soak.run import describe
 from soak.run import run_seed
+from soak.schedule import CALLERS
 from soak.schedule import FAULTS
 from soak.schedule import MEAN_GAP_S
 from soak.schedule import draw_schedule
@@ -28,7 +29,7 @@
     parser.add_argument("--from", type=int, default=1, dest="first", help="the first seed")
     parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS, help="of each seed")
     parser.add_argument("--entries", type=int, default=0, help="drawn by the seed by default")
-    parser.add_argument("--callers", type=int, default=90, help="callers at a time")
+    parser.add_argument("--callers", type=int, default=CALLERS, help="callers at a time")
     parser.add_argument(
         "--only", nargs="+", default=list(FAULTS), choices=FAULTS, help="the faults to play"
     )
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -182,7 +182,9 @@
     await asyncio.sleep(step.pick * VERSIONS_OVERLAP_S)
     for target in old:
         target.leaving = True
-    await asyncio.gather(*(site.drain_target(each, DRAINING_S) for each in old))
+    # Half of the changes, by the second digit of the number.
+    reports = step.pick * 10 % 1 < 0.5
+    await asyncio.gather(*(site.drain_target(each, DRAINING_S, reports=reports) for each in old))
 
 
 async def _version_change_and_kill(site: SoakSite, step: Step) -> None:
--- a/features/soak/schedule.py
+++ b/features/soak/schedule.py
@@ -8,6 +8,7 @@
 FIRST_FAULT_S = 3.0
 QUIET_END_S = 5.0
 MEAN_GAP_S = 1.1
+CALLERS = 120
 # Each fault with its weight and the bounds of its length in seconds.
 FAULTS: dict[str, tuple[float, float, float]] = {
     "term one": (3, 0.0, 0.0),
@@ -64,7 +65,7 @@
     seconds: float,
     *,
     entries: int = 0,
-    callers: int = 90,
+    callers: int = CALLERS,
     only: Sequence[str] = tuple(FAULTS),
     gap_s: float = MEAN_GAP_S,
 ) -> Schedule:
--- a/features/soak/site.py
+++ b/features/soak/site.py
@@ -118,18 +118,27 @@
         self.store.put(SERVERS, name, target.registration())
         return target
 
-    async def drain_target(self, target: SoakTarget, seconds: float) -> None:
-        """Let a target drain, end it when its requests have ended, and remove it."""
+    async def drain_target(
+        self, target: SoakTarget, seconds: float, *, reports: bool = True
+    ) -> None:
+        """Let a target drain, end it when its requests have ended, and remove it.
+
+        One that doesn't report it leaves the store at once, and serves on for that time.
+        """
         if target not in self.targets:
             return
         self.targets.remove(target)
-        self.draining.append(target)
-        self.store.put(SERVERS, target.identity, target.registration("draining"))
+        if reports:
+            self.draining.append(target)
+            self.store.put(SERVERS, target.identity, target.registration("draining"))
+        else:
+            self.unregister(target)
         assert target.life
         target.life.draining_s = self.now_s
         await asyncio.sleep(seconds)
-        self.draining.remove(target)
-        self.unregister(target)
+        if reports:
+            self.draining.remove(target)
+            self.unregister(target)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(END_S):
                 while target.running:
--- a/features/soak/targets.py
+++ b/features/soak/targets.py
@@ -21,7 +21,7 @@
 STREAMS = "streams"
 ENGINES = "engines"
 EVENT_COUNT = 14
-EVENT_S = 0.05
+EVENT_S = 0.1
 SLOTS = 64
 # How often a running request looks whether its connection has ended.
 WATCH_S = 0.01
