--- a/features/soak/processes.py
+++ b/features/soak/processes.py
@@ -8,11 +8,16 @@
 from harness.entry_processes import POLL_S
 from harness.entry_processes import EntryProcess
 from mimosaspur_load.processes import Processes
+from soak.record import CONFIGURATION_S
+from soak.record import DRAIN_S
 from soak.record import GRACE_S
 from soak.record import KILL
+from soak.record import LOSS_SLACK_S
 from soak.record import RELOAD
+from soak.record import STABILITY_S
 from soak.record import STALL
 from soak.record import STOP
+from soak.record import THAW_S
 from soak.record import Disturbance
 from soak.record import Readiness
 from soak.record import Record
@@ -20,6 +25,14 @@
 QUESTION_S = 1.0
 MISSES = 2
 RESTART_S = (0.1, 1.5)
+BOUNDS = {
+    "bounds.grace_s": f"{GRACE_S:g}",
+    "bounds.drain_ms": f"{DRAIN_S * 1000:g}",
+    "bounds.config_apply_ms": f"{CONFIGURATION_S * 1000:g}",
+    "bounds.stability_window_ms": f"{STABILITY_S * 1000:g}",
+    "bounds.loss_slack_ms": f"{LOSS_SLACK_S * 1000:g}",
+    "bounds.thaw_ms": f"{THAW_S * 1000:g}",
+}
 
 
 class SoakEntry(EntryProcess):
@@ -34,7 +47,7 @@
         record: Record,
         chance: random.Random,
     ) -> None:
-        super().__init__(processes, folder, number, store)
+        super().__init__(processes, folder, number, store, BOUNDS)
         self.record = record
         self.chance = chance
         self.misses = 0
