--- a/features/harness/resumption_play.py
+++ b/features/harness/resumption_play.py
@@ -22,6 +22,7 @@
 # How long a read of the list of targets takes, and the pause between two.
 READ_S = 0.002
 READ_INTERVAL_S = 0.4
+SAMPLE_S = 0.05
 # The share of the time for which each process stands still.
 STALLED_SHARE = 0.2
 # What a caller waits for a stream's next event, at most.
@@ -107,6 +108,23 @@
             self.world.at(at_s, lambda key=key: self._take_up(0, key, None))  # type: ignore[misc]
         return self._end()
 
+    def play_lists(self) -> list[bool]:
+        """Return at which moments an entry that runs takes its list of targets for current."""
+        self._start()
+        seen: list[bool] = []
+        self.world.stall_at_random(
+            stall_s=self.stall_s, share=STALLED_SHARE, until_s=self.world.now_s + PLAY_S
+        )
+        for process, entry in zip(self.world.processes, self.entries, strict=True):
+            process.spawn(self._sample_list(entry, seen))
+        self._end()
+        return seen
+
+    async def _sample_list(self, entry: StreamVersions, seen: list[bool]) -> None:
+        while True:
+            seen.append(entry.history.is_current())
+            await asyncio.sleep(SAMPLE_S)
+
     def _start(self) -> None:
         world = self.world
         for process, entry in zip(world.processes, self.entries, strict=True):
--- a/features/resumptions_stalls.feature
+++ b/features/resumptions_stalls.feature
@@ -32,3 +32,8 @@
       | 0    | 20       | 20       |
       | 1    | 1300     | 150      |
       | 6    | 1300     | 150      |
+
+  # Guards against a list of targets that is not relied on because the process was late, however new the list is.
+  Scenario: A list of targets that is read again and again stays current on a process that stands still
+    When entries stand still for 400 ms by turns in 5 plays, and read the list of targets every 0.4 s
+    Then they take it for current at 0.99 of the moments at which they run
--- a/features/steps/resumption_play_steps.py
+++ b/features/steps/resumption_play_steps.py
@@ -57,3 +57,22 @@
     later_s = max(s for s, each in zip(lasted_s, tries, strict=True) if each.began_s > known_from_s)
     print(f"MEASURED {longest_s * 1000:.0f} ms, {later_s * 1000:.0f} ms later")
     assert longest_s * 1000 <= first_ms and later_s * 1000 <= later_ms, (longest_s, later_s)
+
+
+@when(
+    "entries stand still for {ms:d} ms by turns in {plays:d} plays, "
+    "and read the list of targets every 0.4 s"
+)
+def play_lists(context: Context, ms: int, plays: int) -> None:
+    context.seen = [
+        each
+        for seed in range(1, plays + 1)
+        for each in ResumptionPlay(seed, versions=("v1",), stall_ms=ms).play_lists()
+    ]
+
+
+@then("they take it for current at {share:g} of the moments at which they run")
+def check_lists(context: Context, share: float) -> None:
+    seen: list[bool] = context.seen
+    print(f"MEASURED {sum(seen)} of {len(seen)}")
+    assert seen and sum(seen) >= share * len(seen), (sum(seen), len(seen))
--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -10,6 +10,7 @@
 from behave import then
 from behave import when
 from behave.runner import Context
+from hypothesis import example
 from hypothesis import given as given_any
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -65,6 +66,20 @@
 )
 
 
+# What happens next in the play of processes that stand still: an entry reads the list, or asks for
+# it and stands still, is answered, or runs again and reads, before or after it has noticed.
+STALL_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(("list", "ask", "answer", "thaw", "notice", "begin", "begin", "come")),
+        st.integers(0, ENTRIES - 1),
+        st.sampled_from(VERSIONS),
+        st.sampled_from((0, 10, 100, 190, 400, 1_900, 2_100, 3_000)),
+    ),
+    min_size=6,
+    max_size=20,
+)
+
+
 class _Model:
     """Play entries that read a list of versions, and hold all streams that were begun."""
 
@@ -115,24 +130,96 @@
         return is_present and history.may_begin(SERVICE, version)
 
 
+class _StallingModel(_Model):
+    """Play entries that stand still while what they have asked for is answered."""
+
+    def __init__(self) -> None:
+        self.frozen = [False] * ENTRIES
+        # By entry, when it asked, and the answer that it has not read.
+        self.asked_ms: list[int | None] = [None] * ENTRIES
+        self.unread: list[set[str] | None] = [None] * ENTRIES
+        super().__init__()
+
+    def step(self, kind: str, number: int, version: str) -> None:
+        """Play one step."""
+        if kind == "answer" and self.asked_ms[number] is not None:
+            self.unread[number] = self.unread[number] or set(self.present)
+        elif kind in ("thaw", "notice"):
+            self.frozen[number] = False
+            if kind == "notice":
+                self.entries[number].tick()
+            self._read_answer(number)
+        elif self.frozen[number] and kind != "come":
+            pass
+        elif kind == "ask":
+            self.frozen[number] = True
+            self.asked_ms[number] = self.clock.ms
+        else:
+            super().step(kind, number, version)
+
+    def advance(self, ms: int) -> None:
+        """Let time pass; processes that don't stand still notice it."""
+        self.clock.ms += ms
+        for number, history in enumerate(self.entries):
+            if not self.frozen[number]:
+                history.ticked_ms = self.clock.ms
+
+    def _read_answer(self, number: int) -> None:
+        asked_ms, unread = self.asked_ms[number], self.unread[number]
+        if asked_ms is None or unread is None:
+            return
+        self.unread[number] = None
+        history = self.entries[number]
+        history.update({SERVICE: unread})
+        history.confirm(age_ms=history.read_age_ms(asked_ms))
+
+
+def _old_list(runs_again: str, *, stalled_ms: int, then_ms: int) -> list[tuple[str, int, str, int]]:
+    """Return steps in which a list waits for its reader while another entry learns of a version."""
+    return [
+        ("ask", 0, "v1", 0),
+        ("answer", 0, "v1", 0),
+        ("come", 0, "v2", 0),
+        ("list", 1, "v1", stalled_ms),
+        (runs_again, 0, "v1", then_ms),
+        ("begin", 1, "v2", 0),
+    ]
+
+
+@then("no entry that reads late what it asked for takes the wrong version for the only one")
+def check_stalled_lists(context: Context) -> None:
+    @settings(max_examples=3_000, deadline=None, derandomize=True, database=None)
+    @given_any(STALL_STEPS)
+    @example(_old_list("thaw", stalled_ms=1_900, then_ms=400))
+    @example(_old_list("notice", stalled_ms=1_900, then_ms=400))
+    @example(_old_list("thaw", stalled_ms=190, then_ms=1_900))
+    def check(steps: list[tuple[str, int, str, int]]) -> None:
+        _check_sole_versions(_StallingModel(), steps)
+
+    check()
+
+
 @then("in any history of versions and lists, no entry takes the wrong version for the only one")
 def check_sole_version(context: Context) -> None:
     @settings(max_examples=3_000, deadline=None, derandomize=True, database=None)
     @given_any(STEPS)
     def check(steps: list[tuple[str, int, str, int]]) -> None:
-        model = _Model()
-        for kind, number, version, ms in steps:
-            model.step(kind, number, version)
-            model.advance(ms)
-            oldest_ms = model.clock.ms - LIFETIME_MS
-            begun = {each for at_ms, each in model.begun if at_ms > oldest_ms}
-            for history in model.entries:
-                sole = history.sole_version(SERVICE)
-                assert sole is None or begun <= {sole}, (sole, model.begun, model.clock.ms)
+        _check_sole_versions(_Model(), steps)
 
     check()
 
 
+def _check_sole_versions(model: _Model, steps: list[tuple[str, int, str, int]]) -> None:
+    for kind, number, version, ms in steps:
+        model.step(kind, number, version)
+        model.advance(ms)
+        oldest_ms = model.clock.ms - LIFETIME_MS
+        begun = {each for at_ms, each in model.begun if at_ms > oldest_ms}
+        for history in model.entries:
+            sole = history.sole_version(SERVICE)
+            assert sole is None or begun <= {sole}, (sole, model.begun, model.clock.ms)
+
+
 @then("in any order of records and times, an entry finds the latest that is recent enough")
 def check_records(context: Context) -> None:
     notes = st.lists(st.tuples(st.integers(0, 3), st.integers(0, 3), st.integers(0, 9_000)))
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -4,6 +4,10 @@
   Scenario: A version is the only one known only if no other can have begun a stream
     Then in any history of versions and lists, no entry takes the wrong version for the only one
 
+  # Guards against a process that stood still for seconds and takes what waited for it for new.
+  Scenario: A list that waited while its reader stood still is as old as the question for it
+    Then no entry that reads late what it asked for takes the wrong version for the only one
+
   # Guards against a record that outlives its use, or is overtaken by an earlier one.
   Scenario: Records are kept as long as a stream may be resumed, in any order of arrival
     Then in any order of records and times, an entry finds the latest that is recent enough
--- a/packages/coordination/src/mimosaspur_coordination/streams/versionhistory.py
+++ b/packages/coordination/src/mimosaspur_coordination/streams/versionhistory.py
@@ -8,10 +8,8 @@
 from mimosaspur_state.clock import Clock
 
 DISTANT_PAST_MS = -1_000_000_000
-# A process that hasn't run for this long was suspended: what it reads next may be as old.
-MAX_TICK_GAP_MS = 400
-# By then a process that ran again has read what was sent while it was suspended.
-RESUMED_DISTRUST_MS = 1_000
+# A process that hasn't run for this long stood still: what it reads next may be as old.
+MAX_TICK_GAP_MS = 200
 
 
 @dataclass(slots=True)
@@ -27,18 +25,22 @@
 class VersionHistory:
     """Track versions by service, for as long as a stream that a version began may be resumed.
 
-    An entry uses a version for new streams only `lag_ms` after it has first seen it, and takes a
-    list of targets for current only for less than `lag_ms`. So no stream was begun anywhere by a
-    version that is missing in a current list.
+    An entry uses a version for new streams only `lag_ms` and MAX_TICK_GAP_MS after it has first
+    seen it, and takes a list of targets for current only for less than `lag_ms`. So no stream was
+    begun anywhere by a version that is missing in a current list.
+
+    This needs ages that are too low by MAX_TICK_GAP_MS at most, also on a process that stood still
+    while what it reads had arrived: an age counts from when the read was begun, unless the process
+    ran all the while.
     """
 
     __slots__ = (
         "clock",
         "confirmed_ms",
         "continuous_since_ms",
-        "distrusted_until_ms",
         "lag_ms",
         "lifetime_ms",
+        "resumed_ms",
         "services",
         "ticked_ms",
     )
@@ -53,21 +55,27 @@
         self.confirmed_ms = DISTANT_PAST_MS
         self.continuous_since_ms = clock.now_ms()
         self.ticked_ms = clock.now_ms()
-        self.distrusted_until_ms = DISTANT_PAST_MS
+        # When the process last ran again after it stood still.
+        self.resumed_ms = DISTANT_PAST_MS
 
     def tick(self) -> None:
         """Record that the process runs."""
         now_ms = self.clock.now_ms()
         if now_ms - self.ticked_ms > MAX_TICK_GAP_MS:
-            self.distrusted_until_ms = now_ms + RESUMED_DISTRUST_MS
+            self.resumed_ms = now_ms
         self.ticked_ms = now_ms
 
-    def confirm(self, *, age_ms: int) -> None:
-        """Record that the list of targets was current age_ms ago."""
+    def read_age_ms(self, asked_ms: int) -> int:
+        """Return for how long the answer that is read now to what was asked then may have waited.
+
+        That is for no time, unless the process stood still since.
+        """
         self.tick()
+        return self.clock.now_ms() - asked_ms if asked_ms <= self.resumed_ms else 0
+
+    def confirm(self, *, age_ms: int) -> None:
+        """Record that the list of targets was current age_ms ago, or later."""
         now_ms = self.clock.now_ms()
-        if now_ms < self.distrusted_until_ms:
-            return
         if now_ms - self.confirmed_ms >= self.lag_ms:
             self.continuous_since_ms = now_ms
         self.confirmed_ms = max(self.confirmed_ms, now_ms - age_ms)
@@ -83,9 +91,7 @@
 
     def is_current(self) -> bool:
         """Return whether the list of targets is recent enough to rely on."""
-        self.tick()
-        now_ms = self.clock.now_ms()
-        return now_ms >= self.distrusted_until_ms and now_ms - self.confirmed_ms < self.lag_ms
+        return self.clock.now_ms() - self.confirmed_ms < self.lag_ms
 
     def list_state(self) -> dict[str, int | None]:
         """Return what tells whether the list of targets is current, for logs."""
@@ -93,7 +99,7 @@
         was_confirmed = self.confirmed_ms != DISTANT_PAST_MS
         return {
             "list_age_ms": now_ms - self.confirmed_ms if was_confirmed else None,
-            "list_distrusted_ms": max(0, self.distrusted_until_ms - now_ms),
+            "list_complete_ms": now_ms - self.continuous_since_ms,
         }
 
     def recent(self, service: str) -> set[str]:
@@ -123,7 +129,7 @@
         if known is None or known.present == {version}:
             return True
         first_seen_ms = known.first_seen_ms.get(version, DISTANT_PAST_MS)
-        return self.clock.now_ms() - first_seen_ms >= self.lag_ms
+        return self.clock.now_ms() - first_seen_ms >= self.lag_ms + MAX_TICK_GAP_MS
 
     def _update_service(self, known: ServiceVersions, present: frozenset[str]) -> bool:
         now_ms = self.clock.now_ms()
--- a/packages/daemon/src/mimosaspur_daemon/direct/election.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/election.py
@@ -300,6 +300,7 @@
             self.state.reported_work.set_included(message.work_report_number)
             self.state.quotas.acknowledge(message.quota_report_number)
             self.state.load_outlook.on_answered(message.quota_report_number)
+            self.state.report_times.on_answered(message.quota_report_number)
         elif isinstance(message, IssuedPermits):
             self.state.notices.apply_permits(message)
         elif isinstance(message, IssuedTurns):
--- a/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entryreport.py
@@ -44,6 +44,7 @@
     state.unreported_adapter_requests.clear()
     waiting = list(state.waiting_adapters)
     number = state.reported_work.add_report(work)
+    state.report_times.on_sent(number)
     state.load_outlook.on_reported(number, state.waiting)
     spendings = state.quotas.take_report(number)
     suspects = state.quarantine.turns.demand()
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -18,6 +18,7 @@
 from mimosaspur_coordination.limits.sharelease import ShareLease
 from mimosaspur_coordination.outstandingloads import OutstandingLoads
 from mimosaspur_coordination.quota.limiter import QuotaLimiter
+from mimosaspur_coordination.reporttimes import ReportTimes
 from mimosaspur_coordination.scheduling.loadoutlook import LoadOutlook
 from mimosaspur_coordination.scheduling.refusedrequests import RefusedRequests
 from mimosaspur_coordination.scheduling.scheduler import RequestScheduler
@@ -161,6 +162,7 @@
             clock=BoottimeClock(),
             log=self.log,
         )
+        self.report_times = ReportTimes(clock=BoottimeClock())
         self.targets_known = False
         self.freshness = StoreFreshness(bound_ms=settings.drain_ms, clock=self.clock)
         self.leaving = False
--- a/packages/daemon/src/mimosaspur_daemon/direct/storechanges.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/storechanges.py
@@ -64,7 +64,10 @@
         state.on_targets_changed(state.fleet.replace(records))
     elif records or changes.removed:
         state.on_targets_changed(state.fleet.update(records.values(), changes.removed))
-    state.stream_versions.history.confirm(age_ms=changes.age_ms)
+    # The update itself may have been on its way, or have waited here, for this long.
+    waited_ms = state.report_times.age_ms()
+    if waited_ms is not None:
+        state.stream_versions.history.confirm(age_ms=changes.age_ms + waited_ms)
 
 
 def _to_message(record: TargetRecord) -> TargetRegistration:
--- a/packages/daemon/src/mimosaspur_daemon/direct/storewatch.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/storewatch.py
@@ -209,6 +209,8 @@
         return listing.revision
 
     async def _watch_targets(self, revision: int) -> int:
+        history = self.state.stream_versions.history
+        asked_ms = history.clock.now_ms()
         changes = await self.store.watch_targets(
             revision, wait_ms=self._wait_ms(TARGETS_WATCH_SHARE)
         )
@@ -219,8 +221,9 @@
         self.state.fleet.revision = max(self.state.fleet.revision, changes.revision)
         if not lapsing:
             # Removals are held back here meanwhile: other entries must not rely on this data.
-            self.state.freshness.confirm(TARGETS, asked_ms=self.state.clock.now_ms())
-            self.state.stream_versions.history.confirm(age_ms=0)
+            age_ms = history.read_age_ms(asked_ms)
+            self.state.freshness.confirm(TARGETS, asked_ms=self.state.clock.now_ms() - age_ms)
+            history.confirm(age_ms=age_ms)
         return changes.revision
 
     def _configuration_changed(self, change: ConfigurationChange) -> None:
