--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -48,6 +48,20 @@
       | nothing is lost                          | is sent, and all others know v2     |
       | the others can't be reached by the retry | is not sent, and all others know v1 |
 
+  # Guards against an attempt at another version that a witness of the stream has not learnt of.
+  Scenario Outline: An attempt at another version is sent once all witnesses know, <versions>, cut off at <cut>
+    Given 3 entries that tell one another of streams, and nothing is lost
+    When the first is to send a stream's attempts at <versions>, and can't reach the others at <cut>
+    Then it sends: <sent>
+
+    Examples:
+      | versions    | cut   | sent          |
+      | v1 v2 v2    | none  | yes yes yes   |
+      | v1 v2 v2    | 2     | yes no yes    |
+      | v1 v2 v2 v2 | 2 3   | yes no no yes |
+      | v1 v2 v1    | 2 3   | yes no no     |
+      | v1 v2 v1 v1 | 2     | yes no yes yes |
+
   Scenario: Datagrams that are lost are sent again
     Given 3 entries that tell one another of streams, and three in ten datagrams are lost
     When the first tells of 200 streams
--- a/packages/daemon/src/mimosaspur_daemon/direct/streamcontinuation.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamcontinuation.py
@@ -22,6 +22,7 @@
 
     __slots__ = (
         "announced",
+        "is_agreed",
         "is_resumption",
         "key",
         "resumable",
@@ -55,6 +56,8 @@
         self.version: str | None = None
         # What was last announced.
         self.announced: StreamRecord | None = None
+        # Whether no entry can know an earlier version than that.
+        self.is_agreed = True
 
     async def resolve(self, *, until_s: float) -> VersionSource | None:
         """Find a resumed stream's version and return how it is known, None if it is unknown.
@@ -97,9 +100,13 @@
         changed = self.announced is not None and self.announced.version != version
         number = (self.announced.change if self.announced else 0) + changed
         self.announced = StreamRecord(version, number)
-        return await self.versions.announce(
-            self.key, self.announced, service=self.service, is_change=changed
+        # Until the witnesses know of a change, each further attempt at that version waits for them.
+        is_change = changed or not self.is_agreed
+        self.is_agreed = not is_change
+        self.is_agreed = await self.versions.announce(
+            self.key, self.announced, service=self.service, is_change=is_change
         )
+        return self.is_agreed
 
     def on_event(self, version: str) -> None:
         """Record that an event of a version was passed on."""
