--- a/features/harness/version_site.py
+++ b/features/harness/version_site.py
@@ -72,11 +72,16 @@
         self.store.put("config", "main", _configuration())
         self.broken: set[bytes] = set()
         self.targets: list[VersionedTarget] = []
+        # Targets that serve without a registration.
+        self.leaving: list[VersionedTarget] = []
         self.first_versions = versions
         self.target_numbers = itertools.count(1)
         self.streams: list[Stream] = []
         # Entries that callers are not sent to.
         self.avoided: set[int] = set()
+        # While cleared, callers don't take up the streams that broke.
+        self.may_take_up = asyncio.Event()
+        self.may_take_up.set()
 
     async def start(self) -> None:
         """Start the store, the targets and the entries."""
@@ -86,7 +91,7 @@
 
     def stop(self) -> None:
         """Stop the targets and remove the entries' files."""
-        for target in self.targets:
+        for target in [*self.targets, *self.leaving]:
             target.stop()
         self.entries.stop()
 
@@ -107,6 +112,12 @@
         target.stop()
         self.store.delete(SERVERS, target.identity)
 
+    def deregister(self, target: VersionedTarget) -> None:
+        """Remove a target's registration; the target serves on."""
+        self.targets.remove(target)
+        self.leaving.append(target)
+        self.store.delete(SERVERS, target.identity)
+
     def versions(self) -> set[str]:
         """Return the versions that serve."""
         return {target.version for target in self.targets}
@@ -137,6 +148,7 @@
             headers = {}
             if stream.versions:
                 headers = {"Last-Event-Id": str(max(stream.versions)), "Resumes": root}
+                await self.may_take_up.wait()
             there = set(stream.versions.values()) <= self.versions()
             got = len(stream.versions)
             answer = await self.call(
--- a/features/steps/direct_versions_steps.py
+++ b/features/steps/direct_versions_steps.py
@@ -4,6 +4,7 @@
 import signal
 from collections.abc import Callable
 from collections.abc import Coroutine
+from functools import partial
 from typing import Any
 
 from behave import given
@@ -12,6 +13,7 @@
 from behave.runner import Context
 
 from harness.direct_store import StoreStandIn
+from harness.entry_processes import EntryProcess
 from harness.entry_processes import EntryProcesses
 from harness.local_entries import LocalEntries
 from harness.loop import run
@@ -28,6 +30,11 @@
 CUT_ENTRIES = (1,)
 CUT_S = 5.0
 BECOMES_KNOWN_S = 0.5
+# How long streams that broke are held before all entries are killed, and these are down.
+HELD_S = 1.5
+DOWN_S = 1.1
+# When an entry learns of a change in the store.
+LEARNT_S = 0.1
 
 
 @given("{entries:d} entry processes before targets of versions {versions}")
@@ -50,6 +57,11 @@
     run(context, context.site.start())
 
 
+@given("these have served for {seconds:d} s")
+def serve(context: Context, seconds: int) -> None:
+    run(context, asyncio.sleep(seconds))
+
+
 @when("{per_s:d} streams a second are broken off for {seconds:d} s, and {what}")
 def send_streams(context: Context, per_s: int, seconds: int, what: str) -> None:
     site: VersionSite = context.site
@@ -151,15 +163,56 @@
 
 async def _kill_all(site: VersionSite) -> None:
     await asyncio.sleep(EVENT_AT_S)
-    entries = _processes(site).entries
+    await _restart(_processes(site).entries)
+
+
+async def _restart(entries: list[EntryProcess], *, down_s: float = 0.0) -> None:
     for entry in entries:
         entry.kill()
+    await asyncio.sleep(down_s)
     for entry in entries:
         entry.start()
     for entry in entries:
         await entry.wait_until_ready()
 
 
+async def _kill_all_while_version_leaves(
+    site: VersionSite, *, gone_s: float = 0.0, halves: int = 1, store_away_s: float = 0.0
+) -> None:
+    """Kill all entries some time after the only target of the last version has left."""
+    await asyncio.sleep(EVENT_AT_S)
+    site.may_take_up.clear()
+    await asyncio.sleep(HELD_S)
+    entries = _processes(site).entries
+    site.deregister(site.targets[-1])
+    await asyncio.sleep(gone_s)
+    if store_away_s:
+        site.store.status = UNAVAILABLE_STATUS
+        asyncio.get_running_loop().call_later(store_away_s, setattr, site.store, "status", 0)
+    for half in range(halves):
+        await _restart(entries[half::halves], down_s=DOWN_S)
+    site.may_take_up.set()
+
+
+async def _kill_all_at_one_version(site: VersionSite) -> None:
+    await asyncio.sleep(EVENT_AT_S)
+    site.may_take_up.clear()
+    await asyncio.sleep(HELD_S)
+    await _restart(_processes(site).entries, down_s=DOWN_S)
+    site.may_take_up.set()
+
+
+async def _lose_coordinator_before_write(site: VersionSite) -> None:
+    """Kill the coordinator as it learns of a version, and all entries as that version leaves."""
+    await asyncio.sleep(EVENT_AT_S)
+    coordinator = _processes(site).coordinator()
+    await site.add_target("v1.1")
+    await asyncio.sleep(LEARNT_S)
+    await _restart([coordinator])
+    await asyncio.sleep(SERVED_S)
+    await _kill_all_while_version_leaves(site, gone_s=1.0)
+
+
 EVENTS: dict[str, Callable[[VersionSite], Coroutine[Any, Any, None]]] = {
     "nothing else happens": _nothing,
     "an entry is killed, and another 4 s later": _kill_two,
@@ -173,6 +226,14 @@
     "an entry is cut off for 5 s": _cut_off,
     "an entry is cut off while v1.1 comes": _cut_off_while_version_comes,
     "all entries are killed at once": _kill_all,
+    "all are killed as v1.1 leaves": _kill_all_while_version_leaves,
+    "all are killed 1 s after v1.1 left": partial(_kill_all_while_version_leaves, gone_s=1.0),
+    "all are killed in two halves": partial(_kill_all_while_version_leaves, gone_s=1.0, halves=2),
+    "all are killed, and the store is away for 3 s": partial(
+        _kill_all_while_version_leaves, gone_s=1.0, store_away_s=3.0
+    ),
+    "the coordinator dies as v1.1 comes, all as it leaves": _lose_coordinator_before_write,
+    "all are killed at their only version": _kill_all_at_one_version,
 }
 
 
