--- a/features/harness/direct_entry.py
+++ b/features/harness/direct_entry.py
@@ -17,6 +17,7 @@
 from mimosaspur_coordination.fleetports import StoppedRun
 from mimosaspur_coordination.fleetports import TargetChanges
 from mimosaspur_coordination.fleetports import TargetListing
+from mimosaspur_coordination.fleetports import VersionRecord
 from mimosaspur_daemon.direct.callers import CallerServer
 from mimosaspur_daemon.direct.entrystate import EntryDependencies
 from mimosaspur_daemon.direct.entrystate import EntryState
@@ -80,6 +81,14 @@
         """Fail."""
         raise StoreUnavailable("none")
 
+    async def read_versions(self) -> VersionRecord | None:
+        """Fail."""
+        raise StoreUnavailable("none")
+
+    async def write_versions(self, record: VersionRecord) -> VersionRecord:
+        """Fail."""
+        raise StoreUnavailable("none")
+
 
 class UnresponsiveEngines:
     """Simulate engines that do not respond."""
--- a/features/harness/direct_site.py
+++ b/features/harness/direct_site.py
@@ -14,6 +14,7 @@
 from mimosaspur_daemon.direct.election import CoordinatorElection
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.storewatch import StoreWatch
+from mimosaspur_daemon.direct.versionrecord import VersionRecordKeeper
 from mimosaspur_platform.store import PlatformStore
 from mimosaspur_state.clock import SystemClock
 from mimosaspur_state.directsettings import RetryBounds
@@ -101,6 +102,7 @@
         watch = StoreWatch(self.state)
         work = [watch.follow_targets(), watch.follow_configuration(), self.election.run()]
         work.append(self.state.stream_versions.run())
+        work.append(VersionRecordKeeper(self.state).run())
         self.tasks = [asyncio.create_task(each) for each in work]
 
     def kill(self) -> None:
--- a/features/harness/failing_store.py
+++ b/features/harness/failing_store.py
@@ -7,6 +7,7 @@
 from mimosaspur_coordination.fleetports import LeaseRecord
 from mimosaspur_coordination.fleetports import TargetChanges
 from mimosaspur_coordination.fleetports import TargetListing
+from mimosaspur_coordination.fleetports import VersionRecord
 from mimosaspur_state.errors import RevisionTooOld
 from mimosaspur_state.errors import StoreUnavailable
 from mimosaspur_state.errors import VersionConflict
@@ -89,6 +90,16 @@
         self.lease = record
         return record
 
+    async def read_versions(self) -> VersionRecord | None:
+        """Return no record of versions."""
+        await self._call("reads of versions")
+        return None
+
+    async def write_versions(self, record: VersionRecord) -> VersionRecord:
+        """Write the record of versions."""
+        await self._call("writes of versions")
+        return VersionRecord(record.services, record.revision + 1)
+
     async def _watch(self, kind: str, wait_ms: int) -> None:
         self.calls += 1
         if self._fails(kind) and self.behaviour == "return at once":
--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -20,6 +20,16 @@
 from harness.direct_target import EVENT_NUMBERS
 from harness.direct_target import ScriptedTarget
 from harness.loop import run
+from harness.record_model import ENTRIES
+from harness.record_model import LAG_MS
+from harness.record_model import LIFETIME_MS
+from harness.record_model import RECORD_STEPS
+from harness.record_model import SERVICE
+from harness.record_model import RecordModel
+from harness.record_model import Step
+from mimosaspur_coordination.fleetports import VersionRecord
+from mimosaspur_coordination.streams.lookup import VersionLookup
+from mimosaspur_coordination.streams.lookup import VersionSource
 from mimosaspur_coordination.streams.streamrecords import StreamRecord
 from mimosaspur_coordination.streams.streamrecords import StreamRecords
 from mimosaspur_coordination.streams.streamrecords import stream_key
@@ -33,13 +43,9 @@
 from mimosaspur_state.clock import SystemClock
 from mimosaspur_transport.datagrams import Address
 
-SERVICE = "service"
 ROUTE = "resumable-stream"
 ROOT = "r-0"
-LAG_MS = 2_000
-LIFETIME_MS = 15_000
 VERSIONS = ("v1", "v2")
-ENTRIES = 2
 # The target size.
 ALL_ENTRIES = [f"entry-{number}" for number in range(360)]
 STREAMS_PER_S = 2_900
@@ -133,6 +139,76 @@
     check()
 
 
+@then("in any history of versions, kills and records, no entry takes a wrong version for the only")
+def check_after_kills(context: Context) -> None:
+    @settings(max_examples=2_000, deadline=None, derandomize=True, database=None)
+    @given_any(RECORD_STEPS)
+    def check(steps: list[Step]) -> None:
+        model = RecordModel()
+        for step in steps:
+            model.step(step)
+            model.advance(step.ms)
+            assert not model.wrong(), (model.wrong(), model.begun, model.clock.ms, model.record)
+
+    check()
+
+
+@then("after a kill of all entries their only version is known once they have read the record")
+def check_known_after_kill(context: Context) -> None:
+    model = RecordModel()
+    model.change("kill all")
+    assert model.soles() == {None}, model.soles()
+    model.advance(10)
+    for entry in model.entries:
+        model.read(entry)
+    assert model.soles() == {"v1"}, model.soles()
+
+
+@then("after a kill of all entries a version that has left is forgotten {seconds:d} s later")
+def check_forgotten(context: Context, seconds: int) -> None:
+    model = RecordModel()
+    model.change("come", "v2")
+    model.change("live")
+    model.change("go", "v2")
+    model.change("kill all")
+    for elapsed_s in range(seconds + 1):
+        for entry in model.entries:
+            model.list(entry)
+            model.read(entry)
+        assert model.soles() == ({"v1"} if elapsed_s == seconds else {None}), elapsed_s
+        model.advance(1_000)
+
+
+@then("after a kill of all entries without a record nothing is concluded for {seconds:d} s")
+def check_without_record(context: Context, seconds: int) -> None:
+    model = RecordModel()
+    model.record = None
+    model.change("kill all")
+    for elapsed_s in range(seconds + 1):
+        for entry in model.entries:
+            model.list(entry)
+            model.read(entry)
+            model.write(entry)
+        assert model.soles() == ({"v1"} if elapsed_s == seconds else {None}), elapsed_s
+        model.advance(1_000)
+
+
+@then("answers that name one version decide only if one of them is complete")
+def check_answers(context: Context) -> None:
+    young = VersionLookup(["a", "b"], versions={"v1"})
+    young.add_answer("a", None, versions=["v1"], complete=False)
+    young.add_answer("b", None, versions=["v1"], complete=False)
+    assert young.is_decided() and young.result() is None, young.result()
+    lived = VersionLookup(["a", "b"], versions={"v1"})
+    lived.add_answer("a", None, versions=["v1"], complete=True)
+    assert lived.result() is None, lived.result()
+    lived.add_answer("b", None, versions=["v1"], complete=False)
+    assert lived.result() == ("v1", VersionSource.ONLY_VERSION), lived.result()
+    two = VersionLookup(["a"], versions={"v1"})
+    two.add_answer("a", None, versions=["v2"], complete=True)
+    assert two.result() is None, two.result()
+
+
 @then("in any order of records and times, an entry finds the latest that is recent enough")
 def check_records(context: Context) -> None:
     notes = st.lists(st.tuples(st.integers(0, 3), st.integers(0, 3), st.integers(0, 9_000)))
@@ -207,6 +283,16 @@
     run(context, start())
 
 
+@given("a record in the store that names {recorded}")
+def apply_record(context: Context, recorded: str) -> None:
+    versions = [] if recorded == "nothing" else recorded.split()
+    services = {SERVICE: dict.fromkeys(versions, True)} if versions else {}
+    context.entry.state.stream_versions.apply_record(
+        VersionRecord(services, revision=1),
+        asked_ms=context.entry.state.stream_versions.clock.now_ms(),
+    )
+
+
 @when("a caller resumes a stream that began at {began}, and {what}")
 def resume(context: Context, began: str, what: str) -> None:
     if began != "unknown":
--- a/packages/coordination/src/mimosaspur_coordination/fleetports.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetports.py
@@ -1,6 +1,7 @@
 """Define the interfaces to the platform's store and to engines, for any platform."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -52,6 +53,19 @@
     restored: bool = False
 
 
+@dataclass(slots=True, frozen=True)
+class VersionRecord:
+    """Hold the software versions that may have begun streams that may still be resumed."""
+
+    # By service and version, whether it is in use; one that has left is dropped later.
+    services: Mapping[str, Mapping[str, bool]]
+    # The store's revision of the record, for a conditional update; 0 if there is none.
+    revision: int = 0
+    # Whether the store was restored from an older copy after the record was written: versions
+    # that were recorded since may be missing.
+    restored: bool = False
+
+
 class FleetStore(Protocol):
     """Access the platform's store; calls raise StoreUnavailable without a complete answer."""
 
@@ -79,6 +93,14 @@
         """Create or update the lease at the record's revision; raise VersionConflict if stale."""
         ...
 
+    async def read_versions(self) -> VersionRecord | None:
+        """Return the record of software versions, None if there is none."""
+        ...
+
+    async def write_versions(self, record: VersionRecord) -> VersionRecord:
+        """Create or update the record at its revision; raise VersionConflict if stale."""
+        ...
+
 
 @dataclass(slots=True, frozen=True)
 class StoppedRun:
--- a/packages/coordination/src/mimosaspur_coordination/streams/versionhistory.py
+++ b/packages/coordination/src/mimosaspur_coordination/streams/versionhistory.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from mimosaspur_coordination.fleetports import VersionRecord
 from mimosaspur_state.clock import Clock
 
 DISTANT_PAST_MS = -1_000_000_000
@@ -22,6 +23,15 @@
     first_seen_ms: dict[str, int] = field(default_factory=dict)
     # When the last target of a version went.
     gone_ms: dict[str, int] = field(default_factory=dict)
+    # Versions in use that the store's record named, and those that were registered ever since.
+    named: frozenset[str] = frozenset()
+    recorded: frozenset[str] = frozenset()
+    # Since when the record and the lists together name all versions that could begin a stream.
+    covered_since_ms: int = DISTANT_PAST_MS
+
+    def seen_since_ms(self, version: str) -> int:
+        """Return when a version was first seen."""
+        return self.first_seen_ms.get(version, DISTANT_PAST_MS)
 
 
 class VersionHistory:
@@ -30,6 +40,9 @@
     An entry uses a version for new streams only `lag_ms` after it has first seen it, and takes a
     list of targets for current only for less than `lag_ms`. So no stream was begun anywhere by a
     version that is missing in a current list.
+
+    What an entry hasn't seen itself, since it has just started, it learns from the store's record
+    of versions. A version that was never seen with a lifetime of lists is recorded before its use.
     """
 
     __slots__ = (
@@ -39,6 +52,7 @@
         "distrusted_until_ms",
         "lag_ms",
         "lifetime_ms",
+        "record_read_ms",
         "services",
         "ticked_ms",
     )
@@ -54,6 +68,8 @@
         self.continuous_since_ms = clock.now_ms()
         self.ticked_ms = clock.now_ms()
         self.distrusted_until_ms = DISTANT_PAST_MS
+        # When the store was last asked for its record of versions.
+        self.record_read_ms = DISTANT_PAST_MS
 
     def tick(self) -> None:
         """Record that the process runs."""
@@ -96,38 +112,103 @@
         gone = {version for version, at_ms in known.gone_ms.items() if at_ms > oldest_ms}
         return gone | known.present
 
+    def is_complete(self, service: str) -> bool:
+        """Return whether no version is missing that may have begun a stream."""
+        known = self.services.get(service)
+        lived = self.clock.now_ms() - self.continuous_since_ms >= self.lifetime_ms
+        covered = known is not None and known.covered_since_ms >= self.continuous_since_ms
+        return (lived or covered) and self.is_current()
+
     def sole_version(self, service: str) -> str | None:
         """Return the only version that can have begun a stream, None if that isn't sure."""
-        complete = self.clock.now_ms() - self.continuous_since_ms >= self.lifetime_ms
         recent = self.recent(service)
-        if len(recent) != 1 or not complete or not self.is_current():
+        if len(recent) != 1 or not self.is_complete(service):
             return None
         return next(iter(recent))
 
     def may_have_several(self, service: str) -> bool:
         """Return whether other entries may know a further version than this one."""
-        return len(self.recent(service)) > 1 or not self.is_current()
+        return len(self.recent(service)) > 1 or not self.is_complete(service)
 
     def may_begin(self, service: str, version: str) -> bool:
-        """Return whether a new stream may go to a version: all entries know it by now."""
+        """Return whether a new stream may go to a version: all entries know it by now.
+
+        Those that start later know it from the record.
+        """
         known = self.services.get(service)
-        if known is None or known.present == {version}:
+        if known is None or version in known.recorded:
             return True
-        first_seen_ms = known.first_seen_ms.get(version, DISTANT_PAST_MS)
-        return self.clock.now_ms() - first_seen_ms >= self.lag_ms
+        if known.present == {version} and not self._has_just_gone(known):
+            return True
+        if (
+            known.named & known.present
+            or DISTANT_PAST_MS < self.record_read_ms < known.seen_since_ms(version)
+        ):
+            return False
+        return self.is_known_to_all(service, version)
+
+    def is_known_to_all(self, service: str, version: str) -> bool:
+        """Return whether each list that counts as current holds a version."""
+        known = self.services[service]
+        return self.clock.now_ms() - known.seen_since_ms(version) >= self.lag_ms
+
+    def apply_record(self, record: VersionRecord | None, *, asked_ms: int) -> set[str]:
+        """Apply the store's record as of asked_ms; return the services with a further version."""
+        now_ms = self.clock.now_ms()
+        before = {service: self.recent(service) for service in self.services}
+        self.record_read_ms = asked_ms
+        for service in {*self.services, *(record.services if record else ())}:
+            known = self.services.setdefault(service, ServiceVersions())
+            versions = record.services.get(service) if record and not record.restored else None
+            in_use = {version for version, used in (versions or {}).items() if used}
+            known.named = frozenset(in_use)
+            known.recorded = known.present & known.named
+            # Lists that were read before the record miss what has gone before them.
+            if versions is None or asked_ms < self.continuous_since_ms or not self.is_current():
+                continue
+            if known.covered_since_ms < self.continuous_since_ms:
+                known.covered_since_ms = asked_ms
+                # A version that isn't registered may have begun streams until just now.
+                known.gone_ms |= dict.fromkeys(versions.keys() - known.present, now_ms)
+                for version in known.present - in_use:
+                    known.first_seen_ms[version] = asked_ms
+            for version in versions.keys() - known.present:
+                known.gone_ms.setdefault(version, now_ms)
+        return {service for service, known in before.items() if self.recent(service) - known}
+
+    def is_record_due(self) -> bool:
+        """Return whether the record must be read to rely on the lists, or to use a version."""
+        if not self.is_current():
+            return False
+        return self.record_read_ms < self.continuous_since_ms or any(
+            self._lacks_record(service, known, version)
+            for service, known in self.services.items()
+            for version in known.present - known.recorded
+        )
+
+    def _lacks_record(self, service: str, known: ServiceVersions, version: str) -> bool:
+        if version in known.named:
+            # It was gone for a moment.
+            return True
+        was_read = self.record_read_ms >= known.seen_since_ms(version)
+        is_missed = bool(known.named & known.present) or not was_read
+        return is_missed and self.is_known_to_all(service, version)
+
+    def _has_just_gone(self, known: ServiceVersions) -> bool:
+        """Return whether a version has gone that others may still have in a current list."""
+        oldest_ms = self.clock.now_ms() - self.lag_ms
+        return any(at_ms > oldest_ms for at_ms in known.gone_ms.values())
 
     def _update_service(self, known: ServiceVersions, present: frozenset[str]) -> bool:
         now_ms = self.clock.now_ms()
         was_first = not known.first_seen_ms
         for version in present - known.present:
-            gone_ms = known.gone_ms.pop(version, DISTANT_PAST_MS)
-            if was_first:
-                # The versions of the first list are not new to the others.
-                known.first_seen_ms[version] = DISTANT_PAST_MS
-            elif now_ms - gone_ms >= self.lifetime_ms - self.lag_ms:
-                known.first_seen_ms[version] = now_ms
+            # Entries that started while it was gone don't know a version that comes back.
+            known.gone_ms.pop(version, None)
+            known.first_seen_ms[version] = now_ms
         for version in known.present - present:
             known.gone_ms[version] = now_ms
         grown = not was_first and bool(present - known.present)
         known.present = present
+        known.recorded &= present
         return grown
--- a/packages/daemon/src/mimosaspur_daemon/direct/application.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/application.py
@@ -13,6 +13,7 @@
 from mimosaspur_daemon.direct.statusserver import StatusServer
 from mimosaspur_daemon.direct.storewatch import StoreWatch
 from mimosaspur_daemon.direct.taskstacks import task_stacks
+from mimosaspur_daemon.direct.versionrecord import VersionRecordKeeper
 from mimosaspur_daemon.exitcodes import ExitCode
 from mimosaspur_state.directsettings import DirectSettings
 from mimosaspur_state.errors import MimosaspurError
@@ -44,6 +45,7 @@
         self.status = StatusServer(self.state)
         self.coordination = CoordinatorElection(self.state)
         self.store_watch = StoreWatch(self.state)
+        self.version_record = VersionRecordKeeper(self.state)
         self.evacuation = Evacuation(self.state, self.callers.handlers)
         self.tasks: list[asyncio.Task[None]] = []
         self.stop_requested = asyncio.Event()
@@ -68,6 +70,7 @@
         self._spawn(self.store_watch.follow_targets())
         self._spawn(self.coordination.run())
         self._spawn(self.state.stream_versions.run())
+        self._spawn(self.version_record.run())
         if self.state.uses(Mechanism.EVACUATION):
             self._spawn(self.evacuation.run())
         self._spawn(self._prune_pools())
--- a/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from mimosaspur_coordination.fleetports import VersionRecord
 from mimosaspur_coordination.streams.lookup import VersionLookup
 from mimosaspur_coordination.streams.lookup import VersionSource
 from mimosaspur_coordination.streams.streamrecords import StreamRecord
@@ -59,8 +60,6 @@
         # The other entries, and until when those are kept that a new coordinator doesn't know.
         self.entries: dict[str, Address] = {}
         self.kept_until_ms: dict[str, int] = {}
-        # Whether a coordinator has told which entries there are.
-        self.entries_known = False
         self.numbers = itertools.count(1)
         # By the number of a datagram with records, set once it is acknowledged.
         self.deliveries: dict[int, asyncio.Event] = {}
@@ -89,10 +88,18 @@
 
     def update_targets(self, versions: Mapping[str, Collection[str]]) -> None:
         """Apply the versions of all registered targets by service."""
-        if grown := self.history.update(versions):
-            for service in sorted(grown):
-                known = sorted(self.history.recent(service))
-                self.log.always("versions", service=service, versions=known)
+        self._on_grown(self.history.update(versions))
+
+    def apply_record(self, record: VersionRecord | None, *, asked_ms: int) -> None:
+        """Apply the store's record of versions as of asked_ms."""
+        self._on_grown(self.history.apply_record(record, asked_ms=asked_ms))
+
+    def _on_grown(self, services: Collection[str]) -> None:
+        """Tell of all streams as soon as a service may have a further version."""
+        for service in sorted(services):
+            known = sorted(self.history.recent(service))
+            self.log.always("versions", service=service, versions=known)
+        if services:
             self._send_all_records()
 
     def update_entries(
@@ -101,7 +108,6 @@
         """Apply which entries there are: changes, or all of them."""
         now_ms = self.clock.now_ms()
         if complete:
-            self.entries_known = True
             for name in self.entries:
                 self.kept_until_ms.setdefault(name, now_ms + ENTRY_GRACE_MS)
         for name in left:
@@ -142,10 +148,7 @@
         lookup = VersionLookup(asked, versions=versions)
         if not lookup.is_decided():
             await self._ask(lookup, service, key)
-        result = lookup.result()
-        if result and result[1] is VersionSource.ONLY_VERSION and not self._may_conclude(asked):
-            return None
-        return result
+        return lookup.result()
 
     def find_here(self, key: bytes, *, service: str) -> tuple[str, VersionSource] | None:
         """Return what `find` does without asking other entries, None if it is unknown here."""
@@ -153,12 +156,7 @@
         if record:
             return record.version, VersionSource.RECORD
         sole = self.history.sole_version(service)
-        if sole is not None:
-            return sole, VersionSource.ONLY_VERSION
-        if self._asked(key):
-            return None
-        result = VersionLookup((), versions=self.history.recent(service)).result()
-        return result if self._may_conclude(()) else None
+        return (sole, VersionSource.ONLY_VERSION) if sole is not None else None
 
     def asks_others(self, key: bytes, *, service: str) -> bool:
         """Return whether `find` asks other entries for a stream's version."""
@@ -173,15 +171,12 @@
         history = self.history
         return {
             "services": {service: sorted(history.recent(service)) for service in history.services},
+            "complete": sorted(each for each in history.services if history.is_complete(each)),
             "list_is_current": history.is_current(),
             "records": len(self.records.recent()),
             "entries": sorted(self.entries),
         }
 
-    def _may_conclude(self, asked: Collection[str]) -> bool:
-        """Return whether the entries asked, or there being none, show what versions there are."""
-        return bool(asked) or not self.entries_known or self.history.is_current()
-
     async def _ask(self, lookup: VersionLookup, service: str, key: bytes) -> None:
         number = next(self.numbers)
         decided = asyncio.Event()
@@ -267,7 +262,8 @@
             record = self.records.find(message.key)
             known = RecordMessage(message.key, record.version, record.change) if record else None
             versions = sorted(self.history.recent(message.service))
-            return StreamAnswer(self.instance, message.number, known, versions)
+            complete = self.history.is_complete(message.service)
+            return StreamAnswer(self.instance, message.number, known, versions, complete)
         if isinstance(message, StreamsNoted):
             delivery = self.deliveries.get(message.number)
             if delivery:
@@ -285,6 +281,7 @@
             answer.sender,
             StreamRecord(record.version, record.change) if record else None,
             versions=answer.versions,
+            complete=answer.complete,
         )
         if lookup.is_decided():
             decided.set()
--- a/packages/protocol/src/mimosaspur_protocol/streammessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/streammessages.py
@@ -45,6 +45,8 @@
     number: int
     record: RecordMessage | None
     versions: list[str]
+    # Whether no other version can have begun a stream; earlier builds don't tell.
+    complete: bool = False
 
 
 StreamMessage = StreamsBegun | StreamsNoted | StreamQuestion | StreamAnswer
