--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -49,3 +49,22 @@
     When 50 callers send requests about 400 ms after their last ones for 8 s, and it is stalled 8 times, with seed 4
     Then each request that it has read was answered
     And no request that its caller may send again has run
+
+  # Guards against a response of no request, or of an earlier one, that is taken for the proof that a request has not run.
+  Scenario Outline: An extra response lies on a kept connection, <status> with <identity>, <moment>
+    Given a direct entry, and a target that sends an extra "<status>" with "<identity>" <moment>
+    When two requests that may run once are sent one after the other
+    Then neither got an answer of another request, nor a promise that it has not run although it ran
+
+    Examples:
+      | status      | identity            | moment                       |
+      | 503 not run | the earlier ID      | before the second is sent    |
+      | 503 not run | no ID               | before the second is sent    |
+      | 421         | no ID               | before the second is sent    |
+      | 200         | no ID               | before the second is sent    |
+      | 200         | the earlier ID      | before the second is sent    |
+      | 503 not run | the earlier ID      | before the second one's      |
+      | 503 not run | no ID               | before the second one's      |
+      | 421         | no ID               | before the second one's      |
+      | 200         | no ID               | before the second one's      |
+      | 200         | the earlier ID      | before the second one's      |
--- a/features/steps/connection_ends_steps.py
+++ b/features/steps/connection_ends_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 from collections import Counter
 
 from behave import given
@@ -21,6 +22,8 @@
 from harness.ending_play import Outcome
 from harness.ending_play import Sent
 from harness.entry_processes import EntryProcesses
+from harness.extra_target import ExtraTarget
+from harness.extra_target import response
 from harness.framed_site import FramedSite
 from harness.long_target import LONG_ANSWER
 from harness.long_target import LongTarget
@@ -32,6 +35,7 @@
 SETTLE_S = 0.15
 ANSWERS_S = 10.0
 HEADER_MS = 1_000
+ARRIVE_S = 0.02
 CALLER_BUFFER_BYTES = 16_384
 ENTRY_BUFFER_BYTES = 4_096
 # Answers of one play of the ends of processes, at least.
@@ -231,3 +235,46 @@
 
 def _may_come_again(sent: Sent) -> bool:
     return sent.outcome is Outcome.UNREAD or sent.status in NOT_RUN_STATUSES
+
+
+@given('a direct entry, and a target that sends an extra "{status}" with "{identity}" {moment}')
+def start_extra(context: Context, status: str, identity: str, moment: str) -> None:
+    named = "r-first" if identity == "the earlier ID" else None
+    body = b"of another request" if status == "200" else b""
+    extra = response(int(status[:3]), named, body=body, not_run="not run" in status)
+    context.entry = DirectEntry()
+    before_second = moment == "before the second is sent"
+    context.target = ExtraTarget("first", extra=extra, before_second=before_second)
+    context.add_cleanup(context.target.listening.close)
+    run(context, context.entry.start(context.target))
+
+
+@when("two requests that may run once are sent one after the other")
+def send_two(context: Context) -> None:
+    async def send() -> None:
+        first = await context.entry.call("once", headers={"X-Request-Id": "r-first"})
+        assert first.body == b"r-first", first
+        reader, writer = await context.entry.connect()
+        await asyncio.sleep(SETTLE_S)
+        if context.target.before_second:
+            writer.write(request_bytes("once", {"X-Request-Id": "r-second"}))
+            context.target.may_send.set()
+            # The entry's event loop stands still until both are there.
+            assert context.target.has_sent.wait(ANSWERS_S)
+            time.sleep(ARRIVE_S)
+        else:
+            writer.write(request_bytes("once", {"X-Request-Id": "r-second"}))
+        context.answer = await read_response(reader)
+        writer.close()
+
+    run(context, send())
+
+
+@then("neither got an answer of another request, nor a promise that it has not run although it ran")
+def check_own_answer(context: Context) -> None:
+    answer, runs = context.answer, context.target.ran.count("r-second")
+    assert context.target.has_sent.is_set()
+    assert answer.status, answer
+    assert answer.status != 200 or answer.body == b"r-second", answer
+    assert answer.status not in NOT_RUN_STATUSES or not runs, (answer, runs)
+    assert runs <= 1, runs
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptrun.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptrun.py
@@ -104,13 +104,20 @@
                 log_endless(self.attempt, part="rejection", cause=self.attempt.offer.cause)
 
     async def _read_own_head(self) -> ResponseHead:
-        """Return the head of this request's response; skip responses to other requests."""
+        """Return the head of this request's response; skip responses to other requests.
+
+        Targets echo the ID. One that doesn't can only be trusted on a connection that has carried
+        no other request.
+        """
         dialect = self.handler.state.dependencies.dialect
         name = dialect.request_id
         mine = header(self.handler.request.headers, name)
         for _ in range(MAX_FOREIGN_RESPONSES + 1):
             head = await self.attempt.channel.read_head()
             theirs = header(head.headers, name)
+            if theirs is None and mine is not None and self.attempt.channel.requests > 1:
+                # It may be a late one of an earlier request, so it proves nothing of this one.
+                raise ChannelBroken("a response without an ID on a connection used before")
             own = theirs is None or mine is None or theirs == mine
             not_run = is_not_run(head, dialect)
             self._apply_notices(head, proves_end=own and not not_run)
--- a/packages/transport/src/mimosaspur_transport/httpchannel.py
+++ b/packages/transport/src/mimosaspur_transport/httpchannel.py
@@ -122,6 +122,7 @@
         "reader",
         "received_bytes",
         "request",
+        "requests",
         "rests",
         "waits_for_room",
         "writer",
@@ -132,6 +133,8 @@
         self.writer = writer
         self.codec = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.request: h11.Request | None = None
+        # Number of requests sent so far.
+        self.requests = 0
         # Of the last response; None before its head has been read.
         self.framing: Framing | None = None
         self.connection_end = ConnectionEnd.NONE
@@ -177,6 +180,7 @@
         framing = [(b"Content-Length", b"%d" % len(body))] if _has_body(method, body) else []
         self.framing = None
         self.received_bytes = 0
+        self.requests += 1
         self.request = h11.Request(method=method, target=target, headers=headers + framing)
         data = self._encode_request(self.request, body)
         self._set_waits_for_room(len(data) > LONG_REQUEST_BYTES)
