--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -68,3 +68,16 @@
       | 421         | no ID               | before the second one's      |
       | 200         | no ID               | before the second one's      |
       | 200         | the earlier ID      | before the second one's      |
+
+  # Guards against a request that is sent, and then may have run, on a connection that its target has ended.
+  Scenario Outline: A target uses its kept connection while the entry is stalled: it <does>
+    Given a kept connection of an entry to a target
+    When the target <does> and a request comes before the entry's event loop has run
+    Then the request is sent on <which> connection
+
+    Examples:
+      | does                    | which    |
+      | closes it               | another  |
+      | resets it               | another  |
+      | sends an extra response | another  |
+      | does nothing            | the same |
--- a/features/steps/connection_ends_steps.py
+++ b/features/steps/connection_ends_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 import time
 from collections import Counter
 
@@ -29,6 +30,8 @@
 from harness.long_target import LongTarget
 from harness.loop import run
 from harness.stalled_target import StalledTarget
+from mimosaspur_state.clock import SystemClock
+from mimosaspur_transport.channelpool import ChannelPool
 
 LIMIT_MS = 250
 # Time until a request has reached its target.
@@ -278,3 +281,39 @@
     assert answer.status != 200 or answer.body == b"r-second", answer
     assert answer.status not in NOT_RUN_STATUSES or not runs, (answer, runs)
     assert runs <= 1, runs
+
+
+@given("a kept connection of an entry to a target")
+def keep_connection(context: Context) -> None:
+    async def keep() -> None:
+        listening = socket.create_server(("127.0.0.1", 0))
+        context.add_cleanup(listening.close)
+        context.pool = ChannelPool(listening.getsockname(), clock=SystemClock())
+        context.kept, _ = await context.pool.acquire()
+        context.accepted, _ = listening.accept()
+        context.add_cleanup(context.accepted.close)
+        context.pool.release(context.kept)
+
+    run(context, keep())
+
+
+@when("the target {does} and a request comes before the entry's event loop has run")
+def use_kept(context: Context, does: str) -> None:
+    async def use() -> None:
+        if does == "sends an extra response":
+            context.accepted.sendall(response(503, None, not_run=True))
+        elif does != "does nothing":
+            linger = struct.pack("ii", int(does == "resets it"), 0)
+            context.accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            context.accepted.close()
+        time.sleep(ARRIVE_S)
+        channel, _ = await context.pool.acquire()
+        context.is_same = channel is context.kept
+        context.pool.discard(channel)
+
+    run(context, use())
+
+
+@then("the request is sent on {which} connection")
+def check_connection(context: Context, which: str) -> None:
+    assert context.is_same == (which == "the same")
--- a/packages/transport/src/mimosaspur_transport/channelpool.py
+++ b/packages/transport/src/mimosaspur_transport/channelpool.py
@@ -30,7 +30,8 @@
         """Return a connection and whether it is reused; raise ChannelBroken."""
         while self.idle:
             channel = self.idle.pop()
-            if self._is_usable(channel, max_idle_ms):
+            # An event loop that is late hasn't looked at what the peer has done meanwhile.
+            if self._is_usable(channel, max_idle_ms) and not channel.has_unseen_input():
                 return channel, True
             self.discard(channel)
         channel = await HttpChannel.open(self.address)
--- a/packages/transport/src/mimosaspur_transport/httpchannel.py
+++ b/packages/transport/src/mimosaspur_transport/httpchannel.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import struct
 from dataclasses import dataclass
@@ -285,6 +286,15 @@
         """Return whether bytes have come that belong to no request, if the response has ended."""
         return bool(self.codec.trailing_data[0] or getattr(self.reader, "_buffer", b""))
 
+    def has_unseen_input(self) -> bool:
+        """Return whether input, or the peer's end, waits in the socket for the event loop."""
+        descriptor = self.writer.get_extra_info("socket").fileno()
+        if descriptor < 0:
+            return False
+        poll = select.poll()
+        poll.register(descriptor, select.POLLIN)
+        return bool(poll.poll(0))
+
     def is_fully_sent(self) -> bool:
         """Return whether the whole request has been written to the socket."""
         return self._unsent_bytes() == 0
