--- a/features/steps/connection_ends_steps.py
+++ b/features/steps/connection_ends_steps.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import socket
+import struct
+import time
 from collections import Counter
 
 from behave import given
@@ -21,17 +23,22 @@
 from harness.ending_play import Outcome
 from harness.ending_play import Sent
 from harness.entry_processes import EntryProcesses
+from harness.extra_target import ExtraTarget
+from harness.extra_target import response
 from harness.framed_site import FramedSite
 from harness.long_target import LONG_ANSWER
 from harness.long_target import LongTarget
 from harness.loop import run
 from harness.stalled_target import StalledTarget
+from mimosaspur_state.clock import SystemClock
+from mimosaspur_transport.channelpool import ChannelPool
 
 LIMIT_MS = 250
 # Time until a request has reached its target.
 SETTLE_S = 0.15
 ANSWERS_S = 10.0
 HEADER_MS = 1_000
+ARRIVE_S = 0.02
 CALLER_BUFFER_BYTES = 16_384
 ENTRY_BUFFER_BYTES = 4_096
 # Answers of one play of the ends of processes, at least.
@@ -231,3 +238,82 @@
 
 def _may_come_again(sent: Sent) -> bool:
     return sent.outcome is Outcome.UNREAD or sent.status in NOT_RUN_STATUSES
+
+
+@given('a direct entry, and a target that sends an extra "{status}" with "{identity}" {moment}')
+def start_extra(context: Context, status: str, identity: str, moment: str) -> None:
+    named = "r-first" if identity == "the earlier ID" else None
+    body = b"of another request" if status == "200" else b""
+    extra = response(int(status[:3]), named, body=body, not_run="not run" in status)
+    context.entry = DirectEntry()
+    before_second = moment == "before the second is sent"
+    context.target = ExtraTarget("first", extra=extra, before_second=before_second)
+    context.add_cleanup(context.target.listening.close)
+    run(context, context.entry.start(context.target))
+
+
+@when("two requests that may run once are sent one after the other")
+def send_two(context: Context) -> None:
+    async def send() -> None:
+        first = await context.entry.call("once", headers={"X-Request-Id": "r-first"})
+        assert first.body == b"r-first", first
+        reader, writer = await context.entry.connect()
+        await asyncio.sleep(SETTLE_S)
+        if context.target.before_second:
+            writer.write(request_bytes("once", {"X-Request-Id": "r-second"}))
+            context.target.may_send.set()
+            # The entry's event loop stands still until both are there.
+            assert context.target.has_sent.wait(ANSWERS_S)
+            time.sleep(ARRIVE_S)
+        else:
+            writer.write(request_bytes("once", {"X-Request-Id": "r-second"}))
+        context.answer = await read_response(reader)
+        writer.close()
+
+    run(context, send())
+
+
+@then("neither got an answer of another request, nor a promise that it has not run although it ran")
+def check_own_answer(context: Context) -> None:
+    answer, runs = context.answer, context.target.ran.count("r-second")
+    assert context.target.has_sent.is_set()
+    assert answer.status, answer
+    assert answer.status != 200 or answer.body == b"r-second", answer
+    assert answer.status not in NOT_RUN_STATUSES or not runs, (answer, runs)
+    assert runs <= 1, runs
+
+
+@given("a kept connection of an entry to a target")
+def keep_connection(context: Context) -> None:
+    async def keep() -> None:
+        listening = socket.create_server(("127.0.0.1", 0))
+        context.add_cleanup(listening.close)
+        context.pool = ChannelPool(listening.getsockname(), clock=SystemClock())
+        context.kept, _ = await context.pool.acquire()
+        context.accepted, _ = listening.accept()
+        context.add_cleanup(context.accepted.close)
+        context.pool.release(context.kept)
+
+    run(context, keep())
+
+
+@when("the target {does} and a request comes before the entry's event loop has run")
+def use_kept(context: Context, does: str) -> None:
+    async def use() -> None:
+        if does == "sends an extra response":
+            context.accepted.sendall(response(503, None, not_run=True))
+        elif does != "does nothing":
+            linger = struct.pack("ii", int(does == "resets it"), 0)
+            context.accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            context.accepted.close()
+        time.sleep(ARRIVE_S)
+        channel, _ = await context.pool.acquire()
+        context.is_same = channel is context.kept
+        context.pool.discard(channel)
+
+    run(context, use())
+
+
+@then("the request is sent on {which} connection")
+def check_connection(context: Context, which: str) -> None:
+    assert context.is_same == (which == "the same")
