--- a/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
@@ -41,6 +41,8 @@
 # The same while a caller waits, who is to be rejected at once if nobody can answer.
 ANSWER_INTERVALS_S = (0.015, 0.03, 0.045, 0.06)
 ANSWER_TIMEOUT_S = sum(ANSWER_INTERVALS_S)
+# An entry that nobody has answered by then is out of touch itself: another one may know.
+OUT_OF_TOUCH_SENDS = 3
 # Entries that a new coordinator doesn't know yet are still asked for this long.
 ENTRY_GRACE_MS = 5_000
 # For a configuration without streams.
@@ -245,6 +247,8 @@
                     break
                 if decided or self.entries.keys().isdisjoint(lookup.unanswered):
                     break
+                if question.rounds >= OUT_OF_TOUCH_SENDS and not question.answered_ms:
+                    break
         finally:
             del self.questions[number]
             self._log_question(question, service, key)
