--- a/features/soak.feature
+++ b/features/soak.feature
@@ -5,6 +5,11 @@
     When seed 1 is played on 3 entries for 40 s
     Then each rule was kept
 
+  # Guards against streams joined of two software versions by entries that know nothing of before their start.
+  Scenario: All entries are killed again and again while a software version leaves
+    When seed 2 of "version change, kill all" is played on 3 entries for 20 s
+    Then each rule was kept
+
   # Guards against a check of the soak that can't fail.
   Scenario Outline: <rule> is broken by <example>
     Given a record of <example>
--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -84,12 +84,17 @@
     record: Record
     chance: random.Random
     stopping: bool = False
+    channels: list[Kept] = field(default_factory=list)
     numbers: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
 
     async def run(self, count: int) -> None:
         """Run a number of callers."""
         await asyncio.gather(*(self._call() for _ in range(count)))
 
+    def channels_to(self, entry: SoakEntry) -> list[Channel]:
+        """Return the open connections to an entry."""
+        return [channel for to, channel in self.channels if to is entry and not channel.end]
+
     async def _call(self) -> None:
         """Send requests one after another over a connection that is kept."""
         kept: Kept | None = None
@@ -128,6 +133,8 @@
             in_rotation = [each for each in self.entries if each.in_rotation]
             entry = self.chance.choice(in_rotation or self.entries)
             if channel := await connect(entry.callers_address):
+                self.channels = [each for each in self.channels if not each[1].end]
+                self.channels.append((entry, channel))
                 return entry, channel
             await asyncio.sleep(NO_ENTRY_S)
         return None
--- a/features/soak/channel.py
+++ b/features/soak/channel.py
@@ -1,6 +1,8 @@
 """Send requests over a caller's connection and read their answers."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 
 from soak.record import Attempt
@@ -21,6 +23,8 @@
         self.buffer = bytearray()
         self.end = ""
         self.used = False
+        # What waits to be sent while the link holds requests back, None while it doesn't.
+        self.held: bytearray | None = None
         self.changed = asyncio.Event()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -45,14 +49,45 @@
 
     def close(self) -> None:
         """Close the connection at once."""
+        self.end = self.end or "left"
         if self.transport:
             self.transport.abort()
 
     def write(self, data: bytes) -> None:
         """Send bytes."""
         assert self.transport
-        self.transport.write(data)
         self.used = True
+        if self.held is None:
+            self.transport.write(data)
+        else:
+            self.held += data
+
+    def reset(self) -> None:
+        """End the connection as a link that resets it does, for both sides."""
+        assert self.transport
+        self.end = self.end or "link reset"
+        linger = struct.pack("ii", 1, 0)
+        self.transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, linger
+        )
+        self.transport.abort()
+        self.changed.set()
+
+    def cut(self, *, requests: bool) -> None:
+        """Hold back all requests, or else all answers."""
+        assert self.transport
+        if requests:
+            self.held = self.held or bytearray()
+        else:
+            self.transport.pause_reading()
+
+    def heal(self) -> None:
+        """Send and read what was held back."""
+        assert self.transport
+        held, self.held = self.held, None
+        if not self.transport.is_closing():
+            self.transport.write(bytes(held or b""))
+            self.transport.resume_reading()
 
     async def more(self) -> None:
         """Wait for bytes; raise Ended if none can come."""
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -95,6 +95,33 @@
     await asyncio.gather(*(entry.stall(step.length_s) for entry in site.entries))
 
 
+async def _links_reset(site: SoakSite, step: Step) -> None:
+    entry = _entry(site, step)
+    entry.disturb("links reset")
+    for channel in site.callers.channels_to(entry):
+        channel.reset()
+
+
+async def _requests_cut_off(site: SoakSite, step: Step) -> None:
+    await _cut_off(site, step, requests=True)
+
+
+async def _answers_cut_off(site: SoakSite, step: Step) -> None:
+    await _cut_off(site, step, requests=False)
+
+
+async def _cut_off(site: SoakSite, step: Step, *, requests: bool) -> None:
+    """Hold back one way what callers' connections to an entry carry, for a time."""
+    entry = _entry(site, step)
+    entry.disturb("links cut", seconds=step.length_s)
+    channels = site.callers.channels_to(entry)
+    for channel in channels:
+        channel.cut(requests=requests)
+    await asyncio.sleep(step.length_s)
+    for channel in channels:
+        channel.heal()
+
+
 async def _store_down(site: SoakSite, step: Step) -> None:
     disturbance = site.disturb_store("down")
     site.store.status, site.store.accepts = UNAVAILABLE_STATUS, False
@@ -214,6 +241,9 @@
     "kill all": _kill_all,
     "stall one": _stall_one,
     "stall all": _stall_all,
+    "links reset": _links_reset,
+    "requests cut off": _requests_cut_off,
+    "answers cut off": _answers_cut_off,
     "store down": _store_down,
     "store slow": _store_slow,
     "store silent": _store_silent,
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import random
 import shutil
 import tempfile
 from collections import Counter
@@ -10,7 +9,6 @@
 from pathlib import Path
 
 from mimosaspur_load.processes import Processes
-from soak.callers import Callers
 from soak.checks import judge
 from soak.faults import play
 from soak.record import Record
@@ -102,11 +100,10 @@
         for task in (entry.supervise(), entry.ask())
     ]
     began_s = site.now_s
-    callers = Callers(site.entries, site.record, random.Random(site.schedule.seed + 1))
-    calling = asyncio.create_task(callers.run(site.schedule.callers))
+    calling = asyncio.create_task(site.callers.run(site.schedule.callers))
     await play(site)
     await asyncio.sleep(max(0.0, began_s + site.schedule.seconds - site.now_s))
-    callers.stopping = True
+    site.callers.stopping = True
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(FINISH_S):
             await calling
--- a/features/soak/site.py
+++ b/features/soak/site.py
@@ -12,6 +12,7 @@
 from harness.entry_site import HOST
 from mimosaspur_load.processes import Processes
 from soak.callers import ROUTES
+from soak.callers import Callers
 from soak.callers import route_prefix
 from soak.engines import MODELS
 from soak.engines import SoakEngine
@@ -52,6 +53,7 @@
         self.record = Record()
         self.store = SoakStore(era="1")
         self.entries: list[SoakEntry] = []
+        self.callers = Callers(self.entries, self.record, random.Random(schedule.seed + 1))
         self.targets: list[SoakTarget] = []
         # Those that drain, which the faults leave alone.
         self.draining: list[SoakTarget] = []
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -11,6 +11,9 @@
 from soak.run import run_seed
 from soak.schedule import draw_schedule
 
+# A version change is over before the next one.
+REDUCED_GAP_S = 9.0
+
 
 @given("a record of {example}")
 def make_record(context: Context, example: str) -> None:
@@ -34,6 +37,12 @@
     context.result = run_seed(draw_schedule(seed, seconds, entries=entries))
 
 
+@when('seed {seed:d} of "{fault}" is played on {entries:d} entries for {seconds:d} s')
+def play_fault(context: Context, seed: int, fault: str, entries: int, seconds: int) -> None:
+    schedule = draw_schedule(seed, seconds, entries=entries, only=[fault], gap_s=REDUCED_GAP_S)
+    context.result = run_seed(schedule)
+
+
 @then("each rule was kept")
 def check_result(context: Context) -> None:
     assert not context.result.cases, describe(context.result)
