--- a/features/harness/soak_records.py
+++ b/features/harness/soak_records.py
@@ -371,6 +371,16 @@
 _examples(_handed, more_time_than_is_left_21_times=21, more_time_than_is_left_20_times=20)
 
 
+def _handed_again(builder: RecordBuilder, count: int) -> None:
+    for _ in range(count):
+        attempt = builder.served(Kind.SAFE)
+        builder.run(attempt, target="calm-2", at_s=SENT_S + 0.6, deadline_ms=4_000.0)
+
+
+_examples(_handed_again, the_same_time_600_ms_later_21_times=21)
+_examples(_handed_again, the_same_time_600_ms_later_20_times=20)
+
+
 def _repeats(builder: RecordBuilder, count: int) -> None:
     for _ in range(10):
         builder.served(Kind.SAFE)
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -47,6 +47,7 @@
       | DRAIN   | two of four ready after SIGTERM                  |
       | BUDGET  | four requests at four targets                    |
       | BUDGET  | more time than is left 21 times                  |
+      | BUDGET  | the same time 600 ms later 21 times              |
       | BUDGET  | repeats 57 for 10 requests                       |
       | BUDGET  | three requests in a rest                         |
       | ENDED   | an entry that ended by itself                    |
@@ -83,6 +84,7 @@
       | one of four ready after SIGTERM                  |
       | three requests at four targets                   |
       | more time than is left 20 times                  |
+      | the same time 600 ms later 20 times              |
       | repeats 56 for 10 requests                       |
       | two requests in a rest                           |
       | entries that ran on                              |
--- a/features/soak/fleetrules.py
+++ b/features/soak/fleetrules.py
@@ -185,7 +185,7 @@
             if not record.is_in_touch(attempt.entry, attempt.sent_s, arrival.at_s):
                 continue
             counted += 1
-            if _has_more_time(attempt, arrival):
+            if _has_more_time(attempt, arrival, arrivals[attempt.identity][0]):
                 cases.append(
                     f"{describe(attempt)} was handed {arrival.deadline_ms} ms at {arrival.target}"
                 )
@@ -193,10 +193,15 @@
     return cases if over else []
 
 
-def _has_more_time(attempt: Attempt, arrival: Arrival) -> bool:
-    if arrival.deadline_ms is None:
+def _has_more_time(attempt: Attempt, arrival: Arrival, first: Arrival) -> bool:
+    """Return whether a target may work for longer than the caller or the first target."""
+    if arrival.deadline_ms is None or first.deadline_ms is None:
         return True
-    return arrival.deadline_ms / 1000 > attempt.limit_s + DEADLINE_SLACK_S
+    if arrival.deadline_ms / 1000 > attempt.limit_s + DEADLINE_SLACK_S:
+        return True
+    ends_s = max(attempt.sent_s + attempt.limit_s, first.at_s + first.deadline_ms / 1000)
+    later = arrival.at_s > first.at_s + DEADLINE_SLACK_S
+    return later and arrival.at_s + arrival.deadline_ms / 1000 > ends_s + DEADLINE_SLACK_S
 
 
 def _over_retry_budget(record: Record) -> list[str]:
--- a/features/soak/processes.py
+++ b/features/soak/processes.py
@@ -25,6 +25,8 @@
 QUESTION_S = 1.0
 MISSES = 2
 RESTART_S = (0.1, 1.5)
+# Ended by the platform, once its grace was over.
+OVERDUE = "overdue"
 BOUNDS = {
     "bounds.grace_s": f"{GRACE_S:g}",
     "bounds.drain_ms": f"{DRAIN_S * 1000:g}",
@@ -122,7 +124,10 @@
                 grace_end_s = loop.time() + GRACE_S
             if self.runs() and loop.time() >= grace_end_s:
                 self.record.ended.append(f"{self.name} was still there after its grace")
-                self.kill_now()
+                # No fault, but what the platform does in a roll.
+                self.send(signal.SIGKILL)
+                grace_end_s = float("inf")
+                self.ended_by = OVERDUE
             if not self.runs():
                 await self._start_again()
                 grace_end_s = float("inf")
--- a/features/soak/record.py
+++ b/features/soak/record.py
@@ -185,6 +185,8 @@
     readiness: list[Readiness] = field(default_factory=list)
     # When a configuration was written.
     configured_s: list[float] = field(default_factory=list)
+    # The longest time by which the soak's own event loop was late; times of arrival may be too.
+    latest_s: float = 0.0
     # Entries that ended without a signal, with their last words.
     ended: list[str] = field(default_factory=list)
 
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -19,6 +19,7 @@
 # How long answers and recoveries may take after the last request.
 FINISH_S = 12.0
 SHOWN = 20
+TICK_S = 0.02
 
 
 @dataclass(slots=True, frozen=True)
@@ -35,6 +36,7 @@
     resumed: int
     went_on: int
     orders: int
+    latest_s: float
 
 
 def run_seed(schedule: Schedule) -> Result:
@@ -63,6 +65,7 @@
         len(resumed),
         sum(bool(attempt.pieces) for attempt in resumed),
         len(record.orders),
+        record.latest_s,
     )
 
 
@@ -70,10 +73,12 @@
     """Return the lines about a seed, one for each broken case."""
     schedule = result.schedule
     statuses = ", ".join(f"{status}: {count}" for status, count in sorted(result.statuses.items()))
+    late_ms = round(result.latest_s * 1000)
     lines = [
         f"seed {schedule.seed}: {schedule.entries} entries, {len(schedule.steps)} faults, "
         f"{result.requests} requests ({statuses}), {result.went_on} of {result.resumed} streams "
-        f"taken up, {result.orders} orders, {len(result.cases)} broken cases"
+        f"taken up, {result.orders} orders, {len(result.cases)} broken cases; the soak itself "
+        f"was late by {late_ms} ms at most"
     ]
     rules = Counter(case.partition(":")[0] for case in result.cases)
     lines += [f"  {rule}: {count}" for rule, count in rules.items()]
@@ -93,12 +98,20 @@
     return site.record
 
 
+async def _watch_lateness(site: SoakSite) -> None:
+    while True:
+        due_s = site.now_s + TICK_S
+        await asyncio.sleep(TICK_S)
+        site.record.latest_s = max(site.record.latest_s, site.now_s - due_s)
+
+
 async def _play(site: SoakSite) -> None:
     watching = [
         asyncio.create_task(task)
         for entry in site.entries
         for task in (entry.supervise(), entry.ask())
     ]
+    watching.append(asyncio.create_task(_watch_lateness(site)))
     began_s = site.now_s
     calling = asyncio.create_task(site.callers.run(site.schedule.callers))
     await play(site)
