--- a/features/soak.feature
+++ b/features/soak.feature
@@ -51,6 +51,7 @@
       | BUDGET  | repeats 57 for 10 requests                       |
       | BUDGET  | three requests in a rest                         |
       | ENDED   | an entry that ended by itself                    |
+      | ENDED   | an entry that outlived its grace                 |
 
   # Guards against a check of the soak that fails where the pages excuse what was seen.
   Scenario Outline: No rule is broken by <example>
@@ -87,4 +88,4 @@
       | the same time 600 ms later 20 times              |
       | repeats 56 for 10 requests                       |
       | two requests in a rest                           |
-      | entries that ran on                              |
+      | an entry that ended while it started             |
--- a/features/soak/fleetrules.py
+++ b/features/soak/fleetrules.py
@@ -8,7 +8,9 @@
 from soak.record import BUDGET_WINDOW_S
 from soak.record import DRAIN_S
 from soak.record import LEASE_S
+from soak.record import OWN_END
 from soak.record import PLANNED
+from soak.record import RELOAD
 from soak.record import STALL
 from soak.record import STOP
 from soak.record import THAW_S
@@ -27,6 +29,9 @@
 STILL_READY_S = 4.0
 STILL_READY_AT_LEAST = 2
 STILL_READY_SHARE = 0.25
+# An end within this time of a fault counts as its effect.
+END_SLACK_S = 1.0
+OWN_ENDS = (RELOAD, OWN_END)
 # Signals this close belong to one roll.
 ROLL_S = 4.0
 
@@ -265,4 +270,9 @@
 
 def check_ended(record: Record) -> list[str]:
     """Return the entries that ended by themselves, or did not end when they were told to."""
-    return record.ended
+    return [
+        f"{each.entry} {each.words} at {each.at_s:.3f}"
+        for each in record.ended
+        if each.overdue
+        or not record.is_disturbed(each.entry, each.at_s - END_SLACK_S, each.at_s, but=OWN_ENDS)
+    ]
--- a/features/soak/processes.py
+++ b/features/soak/processes.py
@@ -13,12 +13,14 @@
 from soak.record import GRACE_S
 from soak.record import KILL
 from soak.record import LOSS_SLACK_S
+from soak.record import OWN_END
 from soak.record import RELOAD
 from soak.record import STABILITY_S
 from soak.record import STALL
 from soak.record import STOP
 from soak.record import THAW_S
 from soak.record import Disturbance
+from soak.record import Ending
 from soak.record import Readiness
 from soak.record import Record
 
@@ -55,6 +57,7 @@
         self.misses = 0
         self.ready = False
         self.stopping = False
+        self.starting = False
         # Signals to this lifetime that end it.
         self.ended_by = ""
         self.disturbances: list[Disturbance] = []
@@ -107,8 +110,8 @@
             process.send_signal(signal.SIGCONT)
 
     def reload(self, more: str) -> None:
-        """Write other settings and tell the process of them."""
-        if self.ended_by or not self.runs() or not self.ready:
+        """Write other settings and tell the process of them, unless it is starting or stopping."""
+        if self.ended_by or self.starting or not self.runs():
             return
         self.settings.write_text(self.original_settings + more, encoding="utf-8")
         self.disturb(RELOAD)
@@ -123,7 +126,7 @@
             if self.ended_by == STOP and grace_end_s == float("inf"):
                 grace_end_s = loop.time() + GRACE_S
             if self.runs() and loop.time() >= grace_end_s:
-                self.record.ended.append(f"{self.name} was still there after its grace")
+                self._record_end("was still there after its grace", overdue=True)
                 # No fault, but what the platform does in a roll.
                 self.send(signal.SIGKILL)
                 grace_end_s = float("inf")
@@ -136,19 +139,25 @@
         if not self.ended_by:
             assert self.started
             words = self.started.error_text()[-400:]
-            self.record.ended.append(f"{self.name} ended with {self.process.poll()}: {words}")
-            self.disturb("end", seconds=None)
+            self._record_end(f"ended with {self.process.poll()}: {words}")
+            self.disturb(OWN_END, seconds=None)
         ending = self.disturbances
         self.disturbances = []
         await asyncio.sleep(self.chance.uniform(*RESTART_S))
         if self.stopping:
             return
         self.ended_by = ""
+        self.starting = True
         self.start()
         await self._until_ready()
+        self.starting = False
         for each in ending:
             each.end_s = asyncio.get_running_loop().time()
 
+    def _record_end(self, words: str, *, overdue: bool = False) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.record.ended.append(Ending(now_s, self.name, words, overdue))
+
     async def _until_ready(self) -> None:
         while not self.stopping and self.runs() and not await self._answers_ready():
             await asyncio.sleep(POLL_S)
--- a/features/soak/record.py
+++ b/features/soak/record.py
@@ -28,6 +28,8 @@
 RELOAD = "hup"
 KILL = "kill"
 STALL = "stall"
+OWN_END = "end"
+SAVED = ("disturbances", "targets", "attempts", "arrivals", "orders", "readiness", "ended")
 PLANNED = (STOP, RELOAD)
 
 
@@ -173,6 +175,16 @@
     ready: bool
 
 
+@dataclass(slots=True)
+class Ending:
+    """Record that an entry ended without a signal, or didn't end when it was told to."""
+
+    at_s: float
+    entry: str
+    words: str
+    overdue: bool = False
+
+
 @dataclass(slots=True)
 class Record:
     """Hold all that was seen in one soak."""
@@ -187,8 +199,7 @@
     configured_s: list[float] = field(default_factory=list)
     # The longest time by which the soak's own event loop was late; times of arrival may be too.
     latest_s: float = 0.0
-    # Entries that ended without a signal, with their last words.
-    ended: list[str] = field(default_factory=list)
+    ended: list[Ending] = field(default_factory=list)
 
     def arrivals_by_identity(self) -> dict[str, list[Arrival]]:
         """Return the arrivals of each try."""
@@ -223,6 +234,14 @@
         """Write one line of JSON for each part."""
         encode = msgspec.json.encode
         with path.open("wb") as file:
-            for name in ("disturbances", "targets", "attempts", "arrivals", "orders", "readiness"):
+            for name in (
+                "disturbances",
+                "targets",
+                "attempts",
+                "arrivals",
+                "orders",
+                "readiness",
+                "ended",
+            ):
                 for part in getattr(self, name):
                     file.write(encode({"what": name, "seen": part}) + b"\n")
