--- a/features/soak.feature
+++ b/features/soak.feature
@@ -5,6 +5,11 @@
     When seed 1 is played on 3 entries for 40 s
     Then each rule was kept
 
+  # Guards against streams joined of two software versions by entries that know nothing of before their start.
+  Scenario: All entries are killed again and again while a software version leaves
+    When seed 2 of "version change, kill all" is played on 3 entries for 20 s
+    Then each rule was kept
+
   # Guards against a check of the soak that can't fail.
   Scenario Outline: <rule> is broken by <example>
     Given a record of <example>
@@ -42,9 +47,11 @@
       | DRAIN   | two of four ready after SIGTERM                  |
       | BUDGET  | four requests at four targets                    |
       | BUDGET  | more time than is left 21 times                  |
+      | BUDGET  | the same time 600 ms later 21 times              |
       | BUDGET  | repeats 57 for 10 requests                       |
       | BUDGET  | three requests in a rest                         |
       | ENDED   | an entry that ended by itself                    |
+      | ENDED   | an entry that outlived its grace                 |
 
   # Guards against a check of the soak that fails where the pages excuse what was seen.
   Scenario Outline: No rule is broken by <example>
@@ -78,6 +85,7 @@
       | one of four ready after SIGTERM                  |
       | three requests at four targets                   |
       | more time than is left 20 times                  |
+      | the same time 600 ms later 20 times              |
       | repeats 56 for 10 requests                       |
       | two requests in a rest                           |
-      | entries that ran on                              |
+      | an entry that ended while it started             |
--- a/features/soak/fleetrules.py
+++ b/features/soak/fleetrules.py
@@ -8,7 +8,9 @@
 from soak.record import BUDGET_WINDOW_S
 from soak.record import DRAIN_S
 from soak.record import LEASE_S
+from soak.record import OWN_END
 from soak.record import PLANNED
+from soak.record import RELOAD
 from soak.record import STALL
 from soak.record import STOP
 from soak.record import THAW_S
@@ -27,6 +29,9 @@
 STILL_READY_S = 4.0
 STILL_READY_AT_LEAST = 2
 STILL_READY_SHARE = 0.25
+# An end within this time of a fault counts as its effect.
+END_SLACK_S = 1.0
+OWN_ENDS = (RELOAD, OWN_END)
 # Signals this close belong to one roll.
 ROLL_S = 4.0
 
@@ -185,7 +190,7 @@
             if not record.is_in_touch(attempt.entry, attempt.sent_s, arrival.at_s):
                 continue
             counted += 1
-            if _has_more_time(attempt, arrival):
+            if _has_more_time(attempt, arrival, arrivals[attempt.identity][0]):
                 cases.append(
                     f"{describe(attempt)} was handed {arrival.deadline_ms} ms at {arrival.target}"
                 )
@@ -193,10 +198,15 @@
     return cases if over else []
 
 
-def _has_more_time(attempt: Attempt, arrival: Arrival) -> bool:
-    if arrival.deadline_ms is None:
+def _has_more_time(attempt: Attempt, arrival: Arrival, first: Arrival) -> bool:
+    """Return whether a target may work for longer than the caller or the first target."""
+    if arrival.deadline_ms is None or first.deadline_ms is None:
         return True
-    return arrival.deadline_ms / 1000 > attempt.limit_s + DEADLINE_SLACK_S
+    if arrival.deadline_ms / 1000 > attempt.limit_s + DEADLINE_SLACK_S:
+        return True
+    ends_s = max(attempt.sent_s + attempt.limit_s, first.at_s + first.deadline_ms / 1000)
+    later = arrival.at_s > first.at_s + DEADLINE_SLACK_S
+    return later and arrival.at_s + arrival.deadline_ms / 1000 > ends_s + DEADLINE_SLACK_S
 
 
 def _over_retry_budget(record: Record) -> list[str]:
@@ -260,4 +270,9 @@
 
 def check_ended(record: Record) -> list[str]:
     """Return the entries that ended by themselves, or did not end when they were told to."""
-    return record.ended
+    return [
+        f"{each.entry} {each.words} at {each.at_s:.3f}"
+        for each in record.ended
+        if each.overdue
+        or not record.is_disturbed(each.entry, each.at_s - END_SLACK_S, each.at_s, but=OWN_ENDS)
+    ]
