--- a/features/promises_strays.feature
+++ b/features/promises_strays.feature
@@ -21,3 +21,17 @@
       | request                     |
       | a request that may run once |
       | a stream                    |
+
+  # Guards against a promise that no target gave: callers send the request again, and it runs twice.
+  Scenario Outline: A target answers <status> without stating that it has not run <request>
+    Given a direct entry before a target that answers with <status> and has run the request
+    When the target gets <request> from a caller
+    Then its caller is answered <answer>
+
+    Examples:
+      | status | request                     | answer |
+      | 503    | a request that may run once | 502    |
+      | 429    | a request that may run once | 502    |
+      | 408    | a stream                    | 502    |
+      | 429    | an idempotent request       | 429    |
+      | 404    | a request that may run once | 404    |
--- a/features/steps/direct_suspects_steps.py
+++ b/features/steps/direct_suspects_steps.py
@@ -168,10 +168,12 @@
         super().__init__(address, clock=clock)
         self.on_acquire = on_acquire
 
-    async def acquire(self, *, max_idle_ms: int | None = None) -> tuple[HttpChannel, bool]:
+    async def acquire(
+        self, *, max_idle_ms: int | None = None, request: bytes | None = None
+    ) -> tuple[HttpChannel, bool]:
         """Return a connection, as the pool does."""
         self.on_acquire()
-        return await super().acquire(max_idle_ms=max_idle_ms)
+        return await super().acquire(max_idle_ms=max_idle_ms, request=request)
 
 
 @given("an entry before a target, and a request that crashes others meanwhile")
--- a/features/steps/promises_strays_steps.py
+++ b/features/steps/promises_strays_steps.py
@@ -9,6 +9,7 @@
 
 from harness.direct_entry import REQUEST_KINDS
 from harness.direct_entry import DirectEntry
+from harness.direct_target import ScriptedTarget
 from harness.loop import run
 from harness.promise_play import NOT_RUN_STATUSES
 from harness.stray_target import StrayTarget
@@ -33,7 +34,18 @@
     _start(context, StrayTarget(rejects_first=False))
 
 
-def _start(context: Context, target: StrayTarget) -> None:
+@given("a direct entry before a target that answers with {status:d} and has run the request")
+def start_unproven(context: Context, status: int) -> None:
+    _start(context, ScriptedTarget("t-0", f"answers with {status}"))
+
+
+@then("its caller is answered {status:d}")
+def check_status(context: Context, status: int) -> None:
+    assert context.answer.status == status, context.answer
+    assert context.target.runs() == 1, context.target.seen
+
+
+def _start(context: Context, target: StrayTarget | ScriptedTarget) -> None:
     async def start() -> None:
         context.target = target
         context.entry = DirectEntry()
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptrun.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptrun.py
@@ -115,15 +115,19 @@
         for _ in range(MAX_FOREIGN_RESPONSES + 1):
             head = await self.attempt.channel.read_head()
             theirs = header(head.headers, name)
-            if theirs is None and mine is not None and self.attempt.channel.requests > 1:
+            not_run = is_not_run(head, dialect)
+            if theirs is None and mine is not None:
                 # It may be a late one of an earlier request, so it proves nothing of this one.
-                raise ChannelBroken("a response without an ID on a connection used before")
+                if self.attempt.channel.requests > 1:
+                    raise ChannelBroken("a response without an ID on a connection used before")
+                if not_run:
+                    raise ChannelBroken("a rejection without the request's ID")
             own = theirs is None or mine is None or theirs == mine
-            not_run = is_not_run(head, dialect)
             self._apply_notices(head, proves_end=own and not not_run)
             if own:
                 if not_run:
                     self.attempt.record_end(RunEnd.NOT_RUN)
+                    self.attempt.channel.rejected.add(mine)
                 return head
             await self.attempt.channel.skip_response()
         raise EndlessResponse("foreign", "responses to other requests don't end")
--- a/packages/daemon/src/mimosaspur_daemon/direct/offer.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/offer.py
@@ -134,7 +134,8 @@
         max_idle_ms = None if handler.route.repeatable else NON_REPEATABLE_MAX_IDLE_MS
         used = False
         try:
-            channel, _ = await pool.acquire(max_idle_ms=max_idle_ms)
+            request = handler.request_id().encode("latin-1") or None
+            channel, _ = await pool.acquire(max_idle_ms=max_idle_ms, request=request)
             if continued is None and not handler.state.quarantine.may_send(handler):
                 self.cause = SUSPECTED
             elif notices.begin_send(permit):
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -403,7 +403,13 @@
         raise self.target_selector.refusal(ResultCode.RETRIES_EXHAUSTED)
 
     async def forward_response(self, response: TargetResponse) -> None:
-        """Send a target's whole response to the caller."""
+        """Send a target's whole response to the caller.
+
+        Raise RequestFailed for a status that promises what the target hasn't stated: that a request
+        which may run once has not run.
+        """
+        if not self.route.repeatable and response.head.status in NOT_RUN_STATUSES:
+            raise RequestFailed(ResultCode.OUTCOME_UNKNOWN, detail="a rejection without a proof")
         self.started = True
         await self.caller.send_response(
             response.head.status,
--- a/packages/transport/src/mimosaspur_transport/channelpool.py
+++ b/packages/transport/src/mimosaspur_transport/channelpool.py
@@ -26,10 +26,18 @@
         # Whether the target is gone, so that connections in use are closed when they come back.
         self.closed = False
 
-    async def acquire(self, *, max_idle_ms: int | None = None) -> tuple[HttpChannel, bool]:
-        """Return a connection and whether it is reused; raise ChannelBroken."""
+    async def acquire(
+        self, *, max_idle_ms: int | None = None, request: bytes | None = None
+    ) -> tuple[HttpChannel, bool]:
+        """Return a connection and whether it is reused; raise ChannelBroken.
+
+        It is not one on which the named request was rejected.
+        """
         while self.idle:
             channel = self.idle.pop()
+            if request is not None and request in channel.rejected:
+                self.discard(channel)
+                continue
             # An event loop that is late hasn't looked at what the peer has done meanwhile.
             if self._is_usable(channel, max_idle_ms) and not channel.has_unseen_input():
                 return channel, True
--- a/packages/transport/src/mimosaspur_transport/httpchannel.py
+++ b/packages/transport/src/mimosaspur_transport/httpchannel.py
@@ -29,6 +29,8 @@
 MAX_CHUNKS_AT_ONCE = 400
 # Limit on the body of a response to another request, which is discarded.
 MAX_SKIPPED_BYTES = 1_048_576
+# A connection with more rejected requests is not used again, so that their IDs are bounded.
+MAX_REJECTED = 64
 # The codec's hint for an event that exceeds its limit.
 OVERSIZED_STATUS = 431
 # States of a codec's sides while no request is under way.
@@ -122,6 +124,7 @@
         "last_read_s",
         "reader",
         "received_bytes",
+        "rejected",
         "request",
         "requests",
         "rests",
@@ -134,6 +137,9 @@
         self.writer = writer
         self.codec = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.request: h11.Request | None = None
+        # IDs of the requests that were rejected here: a copy of a rejection may still come, and
+        # would be taken for one of the same request, sent again.
+        self.rejected: set[bytes | None] = set()
         # Number of requests sent so far.
         self.requests = 0
         # Of the last response; None before its head has been read.
@@ -278,6 +284,8 @@
         """Return whether another request may be sent."""
         if self.writer.is_closing() or self.reader.at_eof() or self.reader.exception():
             return False
+        if len(self.rejected) > MAX_REJECTED:
+            return False
         # Unexpected bytes belong to no request, so the connection can't be trusted.
         states = {self.codec.our_state, self.codec.their_state}
         return states in ({h11.IDLE}, {h11.DONE}) and not self.has_unexpected_bytes()
