--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -81,3 +81,9 @@
       | resets it               | another  |
       | sends an extra response | another  |
       | does nothing            | the same |
+
+  # Guards against a process that outlasts its grace time, as a caller reads nothing of what it asked for.
+  Scenario: A caller that doesn't read holds up no end of a process
+    Given a direct entry and a caller that sends requests and reads no answer
+    When the tasks of its callers are cancelled, as at the end of a process
+    Then they end within 1 s
--- a/features/steps/connection_ends_steps.py
+++ b/features/steps/connection_ends_steps.py
@@ -43,6 +43,12 @@
 ENTRY_BUFFER_BYTES = 4_096
 # Answers of one play of the ends of processes, at least.
 MIN_ANSWERED = 500
+SMALL_BUFFER_BYTES = 4_096
+# More than this in a transport's buffer holds up what writes to it.
+UNREAD_BYTES = 64 * 1_024
+REQUESTS_AT_ONCE = 50
+POLL_S = 0.01
+END_TIMEOUT_S = 1.0
 SHOWN = 5
 
 
@@ -317,3 +323,42 @@
 @then("the request is sent on {which} connection")
 def check_connection(context: Context, which: str) -> None:
     assert context.is_same == (which == "the same")
+
+
+@given("a direct entry and a caller that sends requests and reads no answer")
+def start_unread(context: Context) -> None:
+    async def start() -> None:
+        context.entry = DirectEntry()
+        await context.entry.start()
+        caller = socket.socket()
+        context.add_cleanup(caller.close)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        caller.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(caller, ("127.0.0.1", context.entry.port))
+        while not context.entry.callers.connections:
+            await asyncio.sleep(POLL_S)
+        (connection,) = context.entry.callers.connections
+        accepted = connection.writer.get_extra_info("socket")
+        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+        while connection.writer.transport.get_write_buffer_size() < UNREAD_BYTES:
+            with contextlib.suppress(BlockingIOError):
+                caller.send(request_bytes("nothing") * REQUESTS_AT_ONCE)
+            await asyncio.sleep(POLL_S)
+
+    run(context, start())
+
+
+@when("the tasks of its callers are cancelled, as at the end of a process")
+def cancel_callers(context: Context) -> None:
+    async def cancel() -> None:
+        tasks = set(context.entry.callers.tasks)
+        for task in tasks:
+            task.cancel()
+        _, context.pending = await asyncio.wait(tasks, timeout=END_TIMEOUT_S)
+
+    run(context, cancel())
+
+
+@then("they end within 1 s")
+def check_ended(context: Context) -> None:
+    assert not context.pending, context.pending
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -100,6 +100,10 @@
             await self._refuse_malformed(connection, error)
         except CallerDisconnected:
             connection.abort()
+        except asyncio.CancelledError:
+            # The process ends, and waits for nothing any more.
+            connection.abort()
+            raise
         except Exception as error:  # noqa: BLE001 - any error must reach the caller
             await self._fail_connection(connection, internal_failure(error))
         finally:
