--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -344,6 +344,8 @@
         """
         ended = [identity for identity in removed if self._remove(identity)]
         for each in changed:
+            if not each.can_be_named():
+                continue
             record = self._with_leaving(each)
             view = self.targets.get(record.identity)
             if view and record.started_ms < view.record.started_ms:
--- a/packages/state/src/mimosaspur_state/fleet.py
+++ b/packages/state/src/mimosaspur_state/fleet.py
@@ -23,6 +23,11 @@
     # Version of the target's software; streams of two versions can't be joined.
     version: str = ""
 
+    def can_be_named(self) -> bool:
+        """Return whether the identity can be sent in a header, as each request names it."""
+        name = self.identity
+        return bool(name) and name.isascii() and name.isprintable() and " " not in name
+
     def is_same_lifetime(self, other: "TargetRecord") -> bool:
         """Return whether another registration under this identity is of the same lifetime."""
         return (
