--- a/packages/daemon/src/mimosaspur_daemon/direct/application.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/application.py
@@ -153,7 +153,10 @@
         while True:
             try:
                 await work()
-            except Exception as error:  # noqa: BLE001 - any error must leave the process running
+            except (Exception, asyncio.CancelledError) as error:
+                current = asyncio.current_task()
+                if current and current.cancelling():
+                    raise
                 failure = internal_failure(error)
                 name = getattr(work, "__qualname__", repr(work))
                 self.state.log.always("task_failed", task=name, error=failure.detail)
--- a/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
@@ -194,7 +194,8 @@
         lookup = VersionLookup(asked, versions=versions)
         if not lookup.is_decided():
             await self._ask(lookup, service, key, until_s)
-        return lookup.result()
+        # What came meanwhile without being asked for counts as well.
+        return self.find_here(key, service=service) or lookup.result()
 
     def find_here(self, key: bytes, *, service: str) -> tuple[str, VersionSource] | None:
         """Return what `find` does without asking other entries, None if it is unknown here."""
