--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -36,6 +36,7 @@
     parser.add_argument(
         "--gap", type=float, default=MEAN_GAP_S, help="mean seconds between two faults"
     )
+    parser.add_argument("--keep", action="store_true", help="keep the logs of all seeds")
     options = parser.parse_args(arguments)
     failed = []
     for seed in range(options.first, options.first + options.seeds):
@@ -47,7 +48,7 @@
             only=options.only,
             gap_s=options.gap,
         )
-        result = run_seed(schedule)
+        result = run_seed(schedule, keep=options.keep)
         print(describe(result), flush=True)
         failed += [str(seed)] if result.cases else []
     print(f"soak: {options.seeds - len(failed)} seeds kept the rules, {len(failed)} did not")
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -39,8 +39,8 @@
     latest_s: float
 
 
-def run_seed(schedule: Schedule) -> Result:
-    """Play a schedule with processes of its own; keep the logs if a rule was broken."""
+def run_seed(schedule: Schedule, *, keep: bool = False) -> Result:
+    """Play a schedule with processes of its own; keep the logs if asked or a rule was broken."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-seed-{schedule.seed}-"))
     processes = Processes(at_most=PROCESSES_AT_MOST)
     try:
@@ -48,8 +48,9 @@
     finally:
         processes.close()
     cases = judge(record)
+    keep = keep or bool(cases)
     statuses = Counter(attempt.status for attempt in record.attempts)
-    if cases:
+    if keep:
         record.save(folder / "record.jsonl")
         (folder / "cases.txt").write_text("".join(f"{case}\n" for case in cases))
         (folder / "schedule.txt").write_text("".join(f"{step}\n" for step in schedule.steps))
@@ -59,7 +60,7 @@
     return Result(
         schedule,
         cases,
-        folder if cases else None,
+        folder if keep else None,
         len(record.attempts),
         statuses,
         len(resumed),
