--- a/packages/transport/src/mimosaspur_transport/httpchannel.py
+++ b/packages/transport/src/mimosaspur_transport/httpchannel.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import struct
 from dataclasses import dataclass
@@ -122,6 +123,7 @@
         "reader",
         "received_bytes",
         "request",
+        "requests",
         "rests",
         "waits_for_room",
         "writer",
@@ -132,6 +134,8 @@
         self.writer = writer
         self.codec = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.request: h11.Request | None = None
+        # Number of requests sent so far.
+        self.requests = 0
         # Of the last response; None before its head has been read.
         self.framing: Framing | None = None
         self.connection_end = ConnectionEnd.NONE
@@ -177,6 +181,7 @@
         framing = [(b"Content-Length", b"%d" % len(body))] if _has_body(method, body) else []
         self.framing = None
         self.received_bytes = 0
+        self.requests += 1
         self.request = h11.Request(method=method, target=target, headers=headers + framing)
         data = self._encode_request(self.request, body)
         self._set_waits_for_room(len(data) > LONG_REQUEST_BYTES)
@@ -281,6 +286,15 @@
         """Return whether bytes have come that belong to no request, if the response has ended."""
         return bool(self.codec.trailing_data[0] or getattr(self.reader, "_buffer", b""))
 
+    def has_unseen_input(self) -> bool:
+        """Return whether input, or the peer's end, waits in the socket for the event loop."""
+        descriptor = self.writer.get_extra_info("socket").fileno()
+        if descriptor < 0:
+            return False
+        poll = select.poll()
+        poll.register(descriptor, select.POLLIN)
+        return bool(poll.poll(0))
+
     def is_fully_sent(self) -> bool:
         """Return whether the whole request has been written to the socket."""
         return self._unsent_bytes() == 0
