--- a/features/application.feature
+++ b/features/application.feature
@@ -22,6 +22,12 @@
       | 30 ms after that   |
       | 80 ms after that   |
 
+  # Guards against a process that counts its grace time from when it runs again, and is killed with its answers.
+  Scenario: The signal to stop comes while the process stands still
+    Given an entry's application with a grace time of 3000 ms, and a request that doesn't end
+    When it gets the signal to stop as it begins to stand still for 1500 ms
+    Then it has ended within 3000 ms of the signal, and the request was answered
+
   # Guards against an error in what all entries read, which then ends all of them at once.
   Scenario: A background task that fails is started again, and callers are served meanwhile
     Given an entry's application whose store's answers raise an error that nothing foresees, 3 times
--- a/features/steps/application_steps.py
+++ b/features/steps/application_steps.py
@@ -106,6 +106,50 @@
     assert context.serving
 
 
+@given(
+    "an entry's application with a grace time of {grace_ms:d} ms, and a request that doesn't end"
+)
+def make_application_with_request(context: Context, grace_ms: int) -> None:
+    async def make() -> None:
+        settings = replace(settings_for("entry-0"), shutdown_ms=grace_ms)
+        context.entry = EntryApplication(settings, entry_dependencies("entry-0"))
+        context.target = ScriptedTarget("target", "says nothing")
+        state = context.entry.state
+        state.configuration = configuration()
+        state.targets_known = True
+        address = await context.target.start()
+        state.fleet.update([TargetRecord("target", "service", address, "here", slots=4)], [])
+
+    run(context, make())
+
+
+@when("it gets the signal to stop as it begins to stand still for {still_ms:d} ms")
+def stop_while_still(context: Context, still_ms: int) -> None:
+    async def stop() -> None:
+        running = asyncio.create_task(context.entry.run())
+        while not context.entry.callers.server:
+            await asyncio.sleep(0.01)
+        port = context.entry.callers.server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(request_bytes("once"))
+        await asyncio.sleep(SIGNAL_DELAY_S)
+        began_s = time.monotonic()
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(still_ms / 1000)
+        context.answer = await read_response(reader)
+        await running
+        writer.close()
+        context.ended_ms = (time.monotonic() - began_s) * 1000
+
+    run(context, stop())
+
+
+@then("it has ended within {most_ms:d} ms of the signal, and the request was answered")
+def check_ended(context: Context, most_ms: int) -> None:
+    assert context.ended_ms < most_ms, context.ended_ms
+    assert context.answer.whole, context.answer
+
+
 class FaultyStore(UnavailableStore):
     """Raise an error that isn't foreseen, some times, then list no targets."""
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/application.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/application.py
@@ -57,6 +57,10 @@
         self.evacuation = Evacuation(self.state, self.callers.handlers)
         self.tasks: list[asyncio.Task[None]] = []
         self.stop_requested = asyncio.Event()
+        # On the event loop's clock: when the process was last known to run, and the beginning and
+        # the end of its last time of standing still.
+        self.ran_s = float("inf")
+        self.stood_still_s = (float("-inf"), float("-inf"))
 
     async def run(self) -> int:
         """Serve until asked to stop; return the exit code."""
@@ -96,7 +100,7 @@
 
     async def _stop(self) -> None:
         loop = asyncio.get_running_loop()
-        start_s = loop.time()
+        start_s = self._first_possible_signal_s()
         end_s = start_s + self.state.settings.shutdown_ms / 1000 - SHUTDOWN_RESERVE_S
         self.state.leaving = True
         self.state.log.always("leaving", in_flight=self.callers.in_flight())
@@ -113,6 +117,12 @@
         for task in self.tasks:
             task.cancel()
 
+    def _first_possible_signal_s(self) -> float:
+        """Return when the signal to stop can have come: the process may have stood still since."""
+        began_s, ended_s = self.stood_still_s
+        now_s = asyncio.get_running_loop().time()
+        return began_s if now_s - ended_s < LATENESS_INTERVAL_S else min(now_s, self.ran_s)
+
     async def _write_final_responses(self, end_s: float) -> None:
         """Answer what was read, and what arrives on open connections, and close these.
 
@@ -194,10 +204,12 @@
         """Log when this process did not run in time, as timers and data then come due together."""
         loop = asyncio.get_running_loop()
         while True:
-            due_s = loop.time() + LATENESS_INTERVAL_S
+            self.ran_s = loop.time()
+            due_s = self.ran_s + LATENESS_INTERVAL_S
             await asyncio.sleep(LATENESS_INTERVAL_S)
             late_ms = round((loop.time() - due_s) * 1000)
             if late_ms >= MIN_LATENESS_S * 1000:
+                self.stood_still_s = (self.ran_s, loop.time())
                 self.state.log.write("late", late_ms=late_ms)
                 self.state.log.counters.observe("loop_late_ms", late_ms)
 
