--- a/features/soak/processes.py
+++ b/features/soak/processes.py
@@ -27,6 +27,8 @@
 QUESTION_S = 1.0
 MISSES = 2
 RESTART_S = (0.1, 1.5)
+# By then a process that was stopped runs again.
+RESUME_S = 0.3
 # Ended by the platform, once its grace was over.
 OVERDUE = "overdue"
 BOUNDS = {
@@ -57,6 +59,8 @@
         self.misses = 0
         self.ready = False
         self.stopping = False
+        # When the process goes on that was stopped last: it can't end meanwhile.
+        self.stopped_until_s = 0.0
         self.starting = False
         # Signals to this lifetime that end it.
         self.ended_by = ""
@@ -103,6 +107,7 @@
     async def stall(self, seconds: float) -> None:
         """Stop the process for a time."""
         self.disturb(STALL, seconds=seconds)
+        self.stopped_until_s = asyncio.get_running_loop().time() + seconds
         process = self.process
         self.send(signal.SIGSTOP)
         await asyncio.sleep(seconds)
@@ -126,7 +131,8 @@
             if self.ended_by == STOP and grace_end_s == float("inf"):
                 grace_end_s = loop.time() + GRACE_S
             if self.runs() and loop.time() >= grace_end_s:
-                self._record_end("was still there after its grace", overdue=True)
+                if loop.time() > self.stopped_until_s + RESUME_S:
+                    self._record_end("was still there after its grace", overdue=True)
                 # No fault, but what the platform does in a roll.
                 self.send(signal.SIGKILL)
                 grace_end_s = float("inf")
