--- a/packages/daemon/src/mimosaspur_daemon/direct/application.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/application.py
@@ -42,6 +42,8 @@
 # The event loop is checked this often, and is late when it runs a timer this long after its time.
 LATENESS_INTERVAL_S = 0.1
 MIN_LATENESS_S = 0.03
+# A signal is handled within this time after the process runs again, beside what has waited too.
+SIGNAL_WAIT_S = 1.0
 
 
 class EntryApplication:
@@ -121,7 +123,7 @@
         """Return when the signal to stop can have come: the process may have stood still since."""
         began_s, ended_s = self.stood_still_s
         now_s = asyncio.get_running_loop().time()
-        return began_s if now_s - ended_s < LATENESS_INTERVAL_S else min(now_s, self.ran_s)
+        return began_s if now_s - ended_s < SIGNAL_WAIT_S else min(now_s, self.ran_s)
 
     async def _write_final_responses(self, end_s: float) -> None:
         """Answer what was read, and what arrives on open connections, and close these.
