Suspect all parts of a prompt, and review groups of parts that are alike

Cause: a request's traits held the first eight parts only. The guilty one was in no record, so that the last sound one explained the crashes best and was blamed. Change: all parts count, up to what a head holds. The limit couldn't just be raised: a review compared each part with each other one, 10.7 s for 255 shared parts of 32 requests at five crashes. It compares groups of parts now that differ in their positions at most, 0.05 s. Records are bounded by the number of parts, what may be guilty first; what was served is remembered for 16,384 parts.

--- a/features/harness/crash_site.py
+++ b/features/harness/crash_site.py
@@ -95,6 +95,34 @@
         return EngineRequest(b"sound %d" % number, (FIRST_PART, SHARED_PART, subject, f"d{number}"))
 
 
+class LongPromptWorkload(PartWorkload):
+    """Make requests with long prompts that share all parts but the one that crashes engines."""
+
+    def __init__(self, *, parts: int, place: int | None, shuffles: bool) -> None:
+        self.shared = [f"5a{number:06x}" for number in range(parts - 2)]
+        # The place of the part that crashes engines, from 1; None for any.
+        self.place = place
+        # Whether the order of the shared parts differs from one request to the next.
+        self.shuffles = shuffles
+        self.chooser = random.Random(1)
+
+    def crashing(self, number: int) -> EngineRequest:
+        """Return a request that crashes engines, and shares its other parts with sound ones."""
+        parts = self._shared()
+        place = self.place or self.chooser.randint(1, len(parts) + 1)
+        parts.insert(place - 1, CRASHING_PART)
+        return EngineRequest(b"crashing %d" % number, (*parts, f"c{number}"))
+
+    def sound(self, number: int) -> EngineRequest:
+        """Return a request that doesn't."""
+        return EngineRequest(b"sound %d" % number, (*self._shared(), f"d{number}"))
+
+    def _shared(self) -> list[str]:
+        if self.shuffles:
+            self.chooser.shuffle(self.shared)
+        return self.shared.copy()
+
+
 class CrashSite(EntrySite):
     """Run a store, engines and entries, with sound requests and some that crash engines."""
 
--- a/features/steps/direct_crashes_steps.py
+++ b/features/steps/direct_crashes_steps.py
@@ -12,6 +12,7 @@
 from behave.runner import Context
 
 from harness.crash_site import CrashSite
+from harness.crash_site import LongPromptWorkload
 from harness.crash_site import PartWorkload
 from harness.crash_site import PopularWorkload
 from harness.crash_site import TwoBodiesWorkload
@@ -120,6 +121,20 @@
     send_crashing(context, count, seconds, where)
 
 
+@when(
+    "requests that share a part at place {place} of {parts:d} come {count:d} times in"
+    " {seconds:d} s, {where}"
+)
+def send_long_prompts(
+    context: Context, place: str, parts: int, count: int, seconds: int, where: str
+) -> None:
+    where, shuffles, _ = where.partition(", and sound requests hold the others in another order")
+    context.crash_site.workload = LongPromptWorkload(
+        parts=parts, place=None if place == "any" else int(place), shuffles=bool(shuffles)
+    )
+    send_crashing(context, count, seconds, where)
+
+
 def _fault(context: Context, fault: str) -> AfterCrash:
     """Return what happens after the crash of a number."""
     site: CrashSite = context.crash_site
--- a/features/steps/quarantine_parts_steps.py
+++ b/features/steps/quarantine_parts_steps.py
@@ -1,5 +1,10 @@
 """Steps for the blame that parts of prompts get for crashes."""
 
+import itertools
+import random
+import time
+
+import msgspec
 from behave import given
 from behave import then
 from behave import when
@@ -12,6 +17,8 @@
 from mimosaspur_coordination.quarantine.crashledger import CrashLedger
 from mimosaspur_coordination.quarantine.crashledger import Stage
 from mimosaspur_coordination.quarantine.traits import PART_PREFIX
+from mimosaspur_protocol.peermessages import MAX_MESSAGE_BYTES
+from mimosaspur_protocol.peermessages import CrashReport
 
 CRASH_INTERVAL_MS = 100
 
@@ -97,6 +104,56 @@
     check_blamed_traits(context, blamed)
 
 
+@when("{crashes:d} targets crash under {requests:d} requests of {parts:d} parts, {what}")
+def crash_under_long_prompts(
+    context: Context, crashes: int, requests: int, parts: int, what: str
+) -> None:
+    chooser = random.Random(1)
+    numbers = itertools.count()
+    shared = [_part(f"{next(numbers):08x}") for _ in range(parts - 1)]
+    began_s = time.process_time()
+    for crash in range(crashes):
+        context.clock.ms += CRASH_INTERVAL_MS
+        prompts = {}
+        for number in range(requests):
+            if what == "all parts but one different":
+                own = [_part(f"{next(numbers):08x}") for _ in range(parts - 1)]
+            else:
+                own = shared.copy()
+                chooser.shuffle(own)
+            own.insert(chooser.randrange(parts), _part("guilty"))
+            prompts[b"%d-%d" % (crash, number)] = own
+        if what == "all parts but one shared by sound ones":
+            context.ledger.on_served(shared)
+        stages = dict.fromkeys(prompts, Stage.RUNNING)
+        context.ledger.record(f"i-{next(context.numbers)}", stages, parts=prompts)
+    context.recorded_ms = (time.process_time() - began_s) * 1000
+
+
+@then("a part that all of them hold is blamed after at most {ms:d} ms of processor time")
+def check_review_time(context: Context, ms: int) -> None:
+    context.clock.ms += SETTLE_MS
+    began_s = time.process_time()
+    context.ledger.assign_blame()
+    (blamed,) = context.ledger.quarantined()
+    took_ms = (time.process_time() - began_s) * 1000
+    print(f"MEASURED {took_ms:.1f} ms for the review, {context.recorded_ms:.1f} ms to record")
+    holders = [set(crash.parts.values()) for crash in context.ledger.crashes.values()]
+    assert all(blamed in own for prompts in holders for own in prompts), blamed
+    assert took_ms <= ms, took_ms
+
+
+@then("what is known of the crashes fits into one message between entries")
+def check_report_size(context: Context) -> None:
+    reports = [
+        CrashReport(crash.target, 0, list(crash.traits.items()), crash.parts, list(crash.served))
+        for crash in context.ledger.crashes.values()
+    ]
+    size = len(msgspec.msgpack.encode(reports))
+    print(f"MEASURED {size} bytes for {len(reports)} crashes")
+    assert size < MAX_MESSAGE_BYTES, size
+
+
 @then(
     "in any play of {entries:d} entries with one part that crashes targets no sound part is"
     " rejected"
--- a/packages/coordination/src/mimosaspur_coordination/quarantine/blame.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/blame.py
@@ -1,5 +1,6 @@
 """Decide which trait of requests has crashed several targets, among all that were there."""
 
+from collections.abc import Hashable
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -39,19 +40,23 @@
     served: Set[bytes] = frozenset()
     # Traits that are blamed for it already.
     blamed: Set[bytes] = frozenset()
-    # Derived from `parts`: the digests of the requests that hold each part; None until needed.
-    part_holders: dict[bytes, set[bytes]] | None = None
+    # Derived from `parts`; None until needed.
+    cached_holdings: "PartHoldings | None" = None
 
-    def holders(self, trait: bytes) -> Set[bytes]:
+    def holders(self, trait: bytes) -> frozenset[bytes]:
         """Return the digests of the requests that hold a trait."""
-        if not is_part(trait):
-            return {trait}
-        if self.part_holders is None:
-            self.part_holders = {}
-            for digest, parts in self.parts.items():
-                for part in parts:
-                    self.part_holders.setdefault(part, set()).add(digest)
-        return self.part_holders.get(trait, frozenset())
+        return self.holdings().holders(trait) if is_part(trait) else frozenset((trait,))
+
+    def holdings(self) -> "PartHoldings":
+        """Return which requests hold each part, and where."""
+        if self.cached_holdings is None:
+            self.cached_holdings = PartHoldings(self.parts)
+        return self.cached_holdings
+
+    def likeness(self, trait: bytes) -> Hashable:
+        """Return a value that is equal for traits that differ in their positions at most."""
+        holders = self.holders(trait)
+        return self.suspects.get(trait), holders, trait in self.served, trait in self.blamed
 
     def may_blame(self, trait: bytes) -> bool:
         """Return whether a trait may be behind the crash, whatever else is blamed for it.
@@ -66,6 +71,36 @@
         return all(other == trait or is_narrower(other, trait, [self]) for other in self.blamed)
 
 
+class PartHoldings:
+    """Tell which requests hold each part of their prompts, and where."""
+
+    __slots__ = ("known_holders", "parts", "positions", "sets")
+
+    def __init__(self, parts: Mapping[bytes, Sequence[bytes]]) -> None:
+        self.parts = dict(parts)
+        self.sets = {digest: frozenset(own) for digest, own in parts.items()}
+        # Derived, for the parts that were asked for: most are at one crash only.
+        self.known_holders: dict[bytes, frozenset[bytes]] = {}
+        # Derived: the last position of each part in a prompt; None until needed.
+        self.positions: dict[bytes, int] | None = None
+
+    def holders(self, part: bytes) -> frozenset[bytes]:
+        """Return the digests of the requests that hold a part."""
+        if part not in self.known_holders:
+            found = frozenset(digest for digest, own in self.sets.items() if part in own)
+            self.known_holders[part] = found
+        return self.known_holders[part]
+
+    def position(self, part: bytes) -> int:
+        """Return the last position of a part in the prompts that hold it, -1 if none does."""
+        if self.positions is None:
+            self.positions = {}
+            for own in self.parts.values():
+                for position, each in enumerate(own):
+                    self.positions[each] = max(position, self.positions.get(each, 0))
+        return self.positions.get(part, -1)
+
+
 def is_narrower(trait: bytes, other: bytes, crashes: Iterable[Evidence]) -> bool:
     """Return whether all requests with a trait hold the other one, as far as is known.
 
@@ -90,8 +125,7 @@
     """Return a trait's place among those that the same requests hold, the broadest one first."""
     if not is_part(trait):
         return True, True, 0, trait
-    position = max(list(crash.parts[each]).index(trait) for each in crash.holders(trait))
-    return False, trait not in crash.served, position, trait
+    return False, trait not in crash.served, crash.holdings().position(trait), trait
 
 
 def find_culprit(crashes: Sequence[Evidence]) -> bytes | None:
@@ -102,7 +136,7 @@
 class _Review:
     """Judge the traits that were at some crashes."""
 
-    __slots__ = ("crashes", "present", "served")
+    __slots__ = ("crashes", "groups", "present", "served")
 
     def __init__(self, crashes: Sequence[Evidence]) -> None:
         self.crashes = crashes
@@ -116,14 +150,29 @@
         self.served = {
             trait for trait in self.present if any(trait in crash.served for crash in crashes)
         }
+        # Traits that differ in their positions at most: most parts of long prompts are alike.
+        groups: dict[Hashable, list[bytes]] = {}
+        for trait in self.present:
+            likeness = tuple(crash.likeness(trait) for crash in crashes)
+            groups.setdefault(likeness, []).append(trait)
+        self.groups = list(groups.values())
 
     def culprit(self) -> bytes | None:
         """Return the trait that is to be blamed next, if any."""
-        often = [
-            key for key, bits in self.present.items() if bits.bit_count() >= QUARANTINE_THRESHOLD
-        ]
+        often = {
+            trait
+            for group in self.groups
+            if self.present[group[0]].bit_count() >= QUARANTINE_THRESHOLD
+            for trait in self._narrowest(group)
+        }
         return next(filter(self._is_culprit, sorted(often, key=self._rank)), None)
 
+    def _narrowest(self, group: Sequence[bytes]) -> Iterator[bytes]:
+        """Yield the traits of a group that no other one of it stands in the way of everywhere."""
+        for index in _indices(self.present[group[0]]):
+            crash = self.crashes[index]
+            yield max(group, key=lambda trait: _order(trait, crash))
+
     def _rank(self, trait: bytes) -> tuple[bool, int, bytes]:
         return trait in self.served, -self.present[trait].bit_count(), trait
 
@@ -150,10 +199,10 @@
         own_bits = sum(1 << index for index in indices)
         least = len(own) - MIN_UNSHARED_CRASHES + 1
         return not any(
-            other != trait
-            and (bits & own_bits).bit_count() >= least
-            and self._may_explain(other, trait, own)
-            for other, bits in self.present.items()
+            other != trait and self._may_explain(other, trait, own)
+            for group in self.groups
+            if (self.present[group[0]] & own_bits).bit_count() >= least
+            for other in _rivals(group, trait, own)
         )
 
     def _may_explain(self, other: bytes, trait: bytes, own: Sequence[Evidence]) -> bool:
@@ -174,6 +223,17 @@
         return unshared_count < MIN_UNSHARED_CRASHES
 
 
+def _rivals(group: Sequence[bytes], trait: bytes, own: Sequence[Evidence]) -> Sequence[bytes]:
+    """Return those of a group that may differ in whether they explain the crashes of a suspect."""
+    if all(crash.holders(group[0]) == crash.holders(trait) for crash in own):
+        return group
+    # Positions matter only among traits that the same requests hold.
+    shared = [crash for crash in own if group[0] in crash.suspects]
+    if all(crash.holders(group[0]) == crash.holders(trait) for crash in shared):
+        return group
+    return group[:1]
+
+
 def _indices(bits: int) -> Iterator[int]:
     """Return the positions of the bits that are set."""
     while bits:
--- a/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/crashledger.py
@@ -14,9 +14,9 @@
 
 from mimosaspur_coordination.quarantine.blame import QUARANTINE_THRESHOLD
 from mimosaspur_coordination.quarantine.blame import Evidence
+from mimosaspur_coordination.quarantine.blame import PartHoldings
 from mimosaspur_coordination.quarantine.blame import find_culprit
 from mimosaspur_coordination.quarantine.servedparts import ServedParts
-from mimosaspur_coordination.quarantine.traits import MAX_PARTS
 from mimosaspur_coordination.quarantine.traits import RequestTraits
 from mimosaspur_coordination.quarantine.traits import is_part
 from mimosaspur_state.clock import Clock
@@ -34,7 +34,10 @@
 RECENTLY_SERVED_MS = 1_000
 MAX_CRASHES = 100
 MAX_REQUESTS_PER_CRASH = 64
-MAX_TRAITS_PER_CRASH = MAX_REQUESTS_PER_CRASH * (1 + MAX_PARTS)
+# Parts of prompts that are recorded with their requests, each as often as requests hold it: of one
+# crash, and of all. The latter fit into one message between entries.
+MAX_HELD_PARTS_PER_CRASH = 8_192
+MAX_HELD_PARTS = 40_960
 # Requests with a part that may have caused this many crashes are held back.
 MIN_PART_CRASHES = 2
 
@@ -68,6 +71,10 @@
     complete: bool = False
     # Whether all have told the coordinator so: the end of an entry loses no evidence then.
     acknowledged: bool = False
+    # The number of `parts`, each as often as requests hold it.
+    held_parts: int = 0
+    # Derived from `parts`; None after a change of them.
+    cached_holdings: PartHoldings | None = None
     # Derived from all else; None after a change.
     cached_evidence: Evidence | None = None
 
@@ -91,6 +98,8 @@
         return self.cached_evidence
 
     def _evidence(self) -> Evidence:
+        if self.cached_holdings is None:
+            self.cached_holdings = PartHoldings(self.parts)
         uncleared = {key: stage for key, stage in self.traits.items() if stage < Stage.CLEARED}
         return Evidence(
             suspects=uncleared,
@@ -99,12 +108,13 @@
             parts=self.parts,
             served=self.served,
             blamed={key for key, stage in uncleared.items() if stage is Stage.BLAMED},
+            cached_holdings=self.cached_holdings,
         )
 
     def has_room_for(self, trait: bytes) -> bool:
         """Return whether another trait may be recorded."""
         if is_part(trait):
-            return len(self.traits) < MAX_TRAITS_PER_CRASH
+            return len(self.traits) < MAX_REQUESTS_PER_CRASH + MAX_HELD_PARTS_PER_CRASH
         return self.request_count() < MAX_REQUESTS_PER_CRASH
 
     def request_count(self) -> int:
@@ -117,6 +127,7 @@
 
     __slots__ = (
         "_by_trait",
+        "_oldest_ms",
         "_reviewed",
         "_version",
         "clock",
@@ -142,6 +153,8 @@
         self.covered = False
         # Derived from `crashes`: those that each trait is a suspect of; None after a change.
         self._by_trait: dict[bytes, list[Crash]] | None = None
+        # When the oldest of them became known.
+        self._oldest_ms = 0
         # The number of changes so far, and what the last review has seen of the crashes.
         self._version = 0
         self._reviewed: tuple[int, int, int] | None = None
@@ -161,15 +174,18 @@
 
         `parts` tells the parts of requests by digest; they are recorded as traits too.
         """
-        parts = parts or {}
         crash = self.crashes.get(target)
         if crash is None:
             if not traits or age_ms >= RETENTION_MS:
                 return False
             crash = self.crashes[target] = Crash(target, self.clock.now_ms() - age_ms)
+        parts = self._fitting(crash, traits, parts or {})
         changed = self._merge(crash, _with_parts(traits, parts))
         described = parts.keys() & crash.traits.keys() - crash.parts.keys()
-        crash.parts.update((digest, tuple(parts[digest])) for digest in described)
+        if described:
+            crash.parts.update((digest, tuple(parts[digest])) for digest in described)
+            crash.held_parts += sum(len(parts[digest]) for digest in described)
+            crash.cached_holdings = None
         changed |= described
         newly_served = crash.traits.keys() & set(served) - crash.served
         crash.served |= newly_served
@@ -207,17 +223,22 @@
     def on_served(self, parts: Sequence[bytes]) -> bool:
         """Record that a target has served a request with these parts; return as `clear` does."""
         self.served.record(parts)
-        cleared = [part for part in parts if self.clear(part)]
-        return bool(cleared)
+        return self._clear(parts)
 
     def clear(self, trait: bytes) -> bool:
         """Record that a trait doesn't crash targets; return whether it was suspected."""
-        found = [
-            each.target
+        return self._clear((trait,))
+
+    def _clear(self, traits: Sequence[bytes]) -> bool:
+        found = {
+            each.target: suspects
             for each in self.crashes.values()
-            if each.traits.get(trait, Stage.CLEARED) < Stage.CLEARED
+            if (suspects := [key for key in traits if _is_suspect(each, key)])
+        }
+        cleared = [
+            self.record(target, dict.fromkeys(suspects, Stage.CLEARED))
+            for target, suspects in found.items()
         ]
-        cleared = [self.record(target, {trait: Stage.CLEARED}) for target in found]
         return any(cleared)
 
     def crash_count(self, trait: bytes) -> int:
@@ -228,6 +249,13 @@
         """Return whether a trait is blamed for as many crashes as are enough."""
         return self._is_enough(trait, self._crashes_of(trait))
 
+    def has_quarantined(self, traits: Iterable[bytes]) -> bool:
+        """Return whether one of some traits is quarantined."""
+        if not self.crashes:
+            return False
+        index = self._index()
+        return any(self._is_enough(trait, index[trait]) for trait in traits if trait in index)
+
     def quarantined(self) -> dict[bytes, list[Crash]]:
         """Return the quarantined traits with the crashes that they are blamed for."""
         index = self._index()
@@ -238,11 +266,14 @@
 
         A part that was served before holds none back: most of those with it are sound.
         """
-        return [trait for trait in traits.all() if self._holds(trait)] if self.crashes else []
+        return self.suspected(traits.all())
 
     def suspected(self, traits: Iterable[bytes]) -> list[bytes]:
         """Return those of some traits for which requests have to wait for one another."""
-        return [trait for trait in self._index().keys() & set(traits) if self._holds(trait)]
+        if not self.crashes:
+            return []
+        index = self._index()
+        return [trait for trait in traits if trait in index and self._holds(trait)]
 
     def _holds(self, trait: bytes) -> bool:
         crashes = self._crashes_of(trait)
@@ -324,6 +355,28 @@
             acknowledged=crash.acknowledged,
         )
 
+    def _fitting(
+        self, crash: Crash, traits: Mapping[bytes, Stage], parts: Mapping[bytes, Sequence[bytes]]
+    ) -> dict[bytes, Sequence[bytes]]:
+        """Return the prompts for which a record has room; the likeliest culprits go first.
+
+        These are the requests that ran, and of them those with a part that wasn't served here.
+        """
+        left = MAX_HELD_PARTS_PER_CRASH - crash.held_parts
+        if left >= sum(map(len, parts.values())):
+            return dict(parts)
+
+        def rank(digest: bytes) -> tuple[bool, bool, bytes]:
+            is_proved = all(self.served.last_ms(part) is not None for part in parts[digest])
+            return traits.get(digest, Stage.QUEUED) < Stage.RUNNING, is_proved, digest
+
+        fitting = {digest: parts[digest] for digest in parts.keys() & crash.parts.keys()}
+        for digest in sorted(parts.keys() - crash.parts.keys(), key=rank):
+            if len(parts[digest]) <= left:
+                fitting[digest] = parts[digest]
+                left -= len(parts[digest])
+        return fitting
+
     def _merge(self, crash: Crash, traits: Mapping[bytes, Stage]) -> set[bytes]:
         """Raise stages in a record; return the traits that were added or changed."""
         changed = set()
@@ -401,6 +454,8 @@
         self._expire()
         if self._by_trait is None:
             self._by_trait = {}
+            known = (each.known_since_ms for each in self.crashes.values())
+            self._oldest_ms = min(known, default=self.clock.now_ms())
             for crash in self.crashes.values():
                 for trait in crash.suspects():
                     self._by_trait.setdefault(trait, []).append(crash)
@@ -418,15 +473,25 @@
 
     def _expire(self) -> None:
         oldest_ms = self.clock.now_ms() - RETENTION_MS
+        if self._by_trait is not None and oldest_ms <= self._oldest_ms:
+            return
         self._remove([key for key, each in self.crashes.items() if each.known_since_ms < oldest_ms])
 
     def _drop_excess(self) -> None:
         """Keep the number of records bounded; those behind a verdict go last."""
         excess = len(self.crashes) - MAX_CRASHES
-        if excess > 0:
-            unexplained = [key for key, each in self.crashes.items() if not each.is_explained()]
-            explained = [key for key, each in self.crashes.items() if each.is_explained()]
-            self._remove([*unexplained, *explained][:excess])
+        excess_parts = sum(each.held_parts for each in self.crashes.values()) - MAX_HELD_PARTS
+        if excess <= 0 and excess_parts <= 0:
+            return
+        unexplained = [key for key, each in self.crashes.items() if not each.is_explained()]
+        explained = [key for key, each in self.crashes.items() if each.is_explained()]
+        removed: list[str] = []
+        for target in [*unexplained, *explained]:
+            if len(removed) >= excess and excess_parts <= 0:
+                break
+            removed.append(target)
+            excess_parts -= self.crashes[target].held_parts
+        self._remove(removed)
 
     def _remove(self, targets: Sequence[str]) -> None:
         for target in targets:
@@ -434,6 +499,10 @@
             self.unreported.pop(target, None)
 
 
+def _is_suspect(crash: Crash, trait: bytes) -> bool:
+    return crash.traits.get(trait, Stage.CLEARED) < Stage.CLEARED
+
+
 def _with_parts(
     traits: Mapping[bytes, Stage], parts: Mapping[bytes, Sequence[bytes]]
 ) -> dict[bytes, Stage]:
--- a/packages/coordination/src/mimosaspur_coordination/quarantine/servedparts.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/servedparts.py
@@ -5,7 +5,7 @@
 
 from mimosaspur_state.clock import Clock
 
-MAX_PARTS = 4_096
+MAX_SERVED_PARTS = 16_384
 
 
 class ServedParts:
@@ -24,7 +24,7 @@
         for part in parts:
             self.served_ms[part] = now_ms
             self.served_ms.move_to_end(part)
-        while len(self.served_ms) > MAX_PARTS:
+        while len(self.served_ms) > MAX_SERVED_PARTS:
             self.served_ms.popitem(last=False)
 
     def last_ms(self, part: bytes) -> int | None:
--- a/packages/coordination/src/mimosaspur_coordination/quarantine/traits.py
+++ b/packages/coordination/src/mimosaspur_coordination/quarantine/traits.py
@@ -7,8 +7,9 @@
 PART_PREFIX = b"part:"
 # Longer identities of parts are replaced by a hash.
 MAX_IDENTITY_BYTES = 32
-# Further parts of a prompt are not suspected.
-MAX_PARTS = 8
+# Further parts of a prompt are not suspected: the head of a request, 16 KiB by default, has no room
+# for more.
+MAX_PARTS = 4_096
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/quarantine.py
@@ -112,7 +112,7 @@
 
     def check(self, traits: RequestTraits) -> None:
         """Raise RequestFailed if a request is quarantined."""
-        if any(map(self.ledger.is_quarantined, traits.all())):
+        if self.ledger.has_quarantined(traits.all()):
             raise RequestFailed(ResultCode.REQUEST_QUARANTINED)
 
     async def wait_for_verdict(self, handler: "RequestHandler") -> None:
@@ -164,7 +164,7 @@
 
     def is_held(self, traits: RequestTraits) -> bool:
         """Return whether a request must not be sent now: it is quarantined, or a verdict is due."""
-        if any(map(self.ledger.is_quarantined, traits.all())):
+        if self.ledger.has_quarantined(traits.all()):
             return True
         return any(map(self.ledger.held_ms, self.ledger.holding(traits)))
 
