Take a response that ends inside its head for a lost connection

An engine's 404 that was cut promised that nothing had run, and the object API's made an object absent. Cause: the standard library reads the end of a connection inside a head as the head's end. Change: one reader of heads for all calls of that path and the load tool; a head without its end, or with a line that is no header, is a lost connection, which each caller of the reader already handles. An engine's error whose body is cut counts as a broken stream.

--- /dev/null
+++ b/features/cut_heads.feature
@@ -0,0 +1,41 @@
+Feature: A response whose head is cut is no response
+
+  # Guards against the end of a connection inside a head that is taken for the end of the head: a success with an
+  # empty body, framed as whole.
+  Scenario Outline: No caller gets an answer of a target whose response ended in its head, <path>, <targets> targets
+    Given 2 entry processes before <targets> targets whose responses' heads are cut
+    When the first responses to requests of <path> are cut anywhere in their heads
+    Then no caller got as complete what wasn't, or content of another answer
+    And no request that may run once ran twice
+    And no request that ran was answered as one that hasn't, or with a success of no target's
+    And those that may run again got whole answers, and the others an error
+
+    Examples:
+      | path   | targets |
+      | stream | 2       |
+      | single | 2       |
+      | safe   | 2       |
+      | once   | 2       |
+      | stream | 1       |
+      | single | 1       |
+      | safe   | 1       |
+      | once   | 1       |
+
+  # Guards against the same in the calls of the product's own path.
+  Scenario Outline: No <callee> is taken to have answered if its response ended in its head
+    Given a <callee> whose response can be cut anywhere
+    Then no call to it whose response is cut is answered, only one whose response is whole
+
+    Examples:
+      | callee                       |
+      | plain service                |
+      | model engine that streams    |
+      | model engine without a model |
+      | model engine that takes orders |
+      | object API                   |
+      | object API without an object |
+      | stand-in that is asked by the load tool |
+
+  Scenario: A head with a line that is no header is no head
+    Given a plain service whose response's head has an invalid line before its length
+    Then the call to it fails
--- a/features/harness/framed_site.py
+++ b/features/harness/framed_site.py
@@ -96,6 +96,7 @@
         *,
         store: StoreStandIn,
         limits: Mapping[str, int] | None = None,
+        targets: int = 2,
     ) -> None:
         super().__init__(entries, store=store)
         configuration = _configuration()
@@ -105,7 +106,9 @@
         played: set[str] = set()
         # How often each request ran.
         self.runs: dict[str, int] = {}
-        self.targets = [FramedTarget(f"i-{number}", played, self.runs) for number in (1, 2)]
+        self.targets = [
+            FramedTarget(f"i-{number}", played, self.runs) for number in range(1, targets + 1)
+        ]
         self.plays = itertools.count(1)
         self.results: list[Result] = []
 
@@ -166,6 +169,20 @@
     return plays
 
 
+def every_cut_head(path: str) -> list[Play]:
+    """Return responses whose heads are cut anywhere, in every framing with a head of its own."""
+    stream = path in STREAM_PATHS
+    return [
+        Play(framing=framing, sent=0, end=end, stream=stream, head_bytes=head_bytes)
+        for framing, end, head_bytes in itertools.product(
+            ("length", "chunks", "connection"), ("close", "reset"), _HEAD_CUTS
+        )
+    ]
+
+
+# Inside the version, the status, the reason and the end of their line, names and values, and just
+# before the end of the blank line.
+_HEAD_CUTS = (0, 4, 11, 12, 16, 20, 21, 30, 50, 70, 95, 110, 1_000)
 # Parts that are sent in full, bytes of the next one, and how the response ends.
 _ENDS = (
     (EVENT_COUNT, 0, "framing"),
--- a/features/harness/framed_target.py
+++ b/features/harness/framed_target.py
@@ -52,6 +52,8 @@
     later: str = "chunks"
     # Pause after each part.
     part_s: float = EVENT_S
+    # Bytes of the head that are sent before the response ends; None for the whole head.
+    head_bytes: int | None = None
 
     @property
     def content(self) -> bytes:
@@ -61,12 +63,16 @@
     @property
     def sent_content(self) -> bytes:
         """Return what is sent of it."""
+        if self.head_bytes is not None:
+            return b""
         sent = sum(map(len, self.parts(1)[: self.sent]))
         return self.content[: sent + self.extra_bytes]
 
     @property
     def completeness(self) -> Completeness:
         """Return what the response itself tells."""
+        if self.head_bytes is not None:
+            return Completeness.BROKEN
         inside_event = self.stream and self.extra_bytes > 0
         if self.framing in ("length", "chunks"):
             complete = self.end == "framing" and not inside_event
@@ -138,7 +144,11 @@
         sent = parts[: play.sent]
         if play.extra_bytes and len(parts) > play.sent:
             sent.append(parts[play.sent][: play.extra_bytes])
-        writer.write(_head(play, request, self.identity, sent, parts))
+        head = _head(play, request, self.identity, sent, parts)
+        if play.head_bytes is not None:
+            # A head that is shorter than that lacks its end all the same.
+            head, sent = head[: min(play.head_bytes, len(head) - 1)], []
+        writer.write(head)
         for part in sent:
             writer.write(b"%x\r\n%b\r\n" % (len(part), part) if play.framing == "chunks" else part)
             await writer.drain()
--- a/features/steps/direct_broken_steps.py
+++ b/features/steps/direct_broken_steps.py
@@ -21,8 +21,10 @@
 from harness.entry_processes import EntryProcesses
 from harness.entry_site import Answer
 from harness.framed_site import MARKS
+from harness.framed_site import REPEATABLE_PATHS
 from harness.framed_site import FramedSite
 from harness.framed_site import Result
+from harness.framed_site import every_cut_head
 from harness.framed_site import every_play
 from harness.framed_target import Completeness
 from harness.framed_target import Play
@@ -35,6 +37,8 @@
 from mimosaspur_state.fleet import TargetRecord
 
 SHOWN = 6
+# Each promises that the request has not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 LEASE = {"holder": "entry-1", "ip": "127.0.0.1", "port": 1, "token": 3}
 # Sound requests that allow two repeats within the retry budget.
 SOUND_FOR_TWO_REPEATS = 24
@@ -57,6 +61,45 @@
     run(context, context.site.start())
 
 
+@given("{entries:d} entry processes before {targets:d} targets whose responses' heads are cut")
+def start_before_cut_heads(context: Context, entries: int, targets: int) -> None:
+    processes = EntryProcesses(context.processes, entries)
+    context.site = FramedSite(processes, store=StoreStandIn(), targets=targets)
+    context.add_cleanup(context.site.stop)
+    run(context, context.site.start())
+
+
+@when("the first responses to requests of {path} are cut anywhere in their heads")
+def play_cut_heads(context: Context, path: str) -> None:
+    run(context, context.site.play_all([(path, play) for play in every_cut_head(path)]))
+
+
+@then("no request that ran was answered as one that hasn't, or with a success of no target's")
+def check_statuses(context: Context) -> None:
+    _check_none(
+        context,
+        lambda each: each.runs > 0
+        and each.path in ("single", "once")
+        and each.answer.status in NOT_RUN_STATUSES,
+    )
+    _check_none(context, lambda each: each.answer.status < 300 and not each.is_served)
+    _check_none(context, lambda each: each.runs == 0)
+
+
+@then("those that may run again got whole answers, and the others an error")
+def check_cut_answers(context: Context) -> None:
+    _check_none(
+        context,
+        lambda each: each.path in REPEATABLE_PATHS
+        and not (each.is_marked and each.content == each.play.content),
+    )
+    _check_none(
+        context,
+        lambda each: each.path not in REPEATABLE_PATHS
+        and (each.answer.status != 502 or each.runs != 1),
+    )
+
+
 @when("the requests of {path} are answered in every way")
 def play_all(context: Context, path: str) -> None:
     run(context, context.site.play_all([(path, play) for play in every_play(path)]))
@@ -266,7 +309,7 @@
 
 
 @then("no list, watch, lease or report that is cut short is read")
-def check_cut_answers(context: Context) -> None:
+def check_cut_heads(context: Context) -> None:
     clock = SystemClock()
     store = PlatformStore(context.cut_address, clock=clock, log=null_log("entry"))
     engines = PlatformEngines(clock=clock)
--- a/packages/load/src/mimosaspur_load/callers.py
+++ b/packages/load/src/mimosaspur_load/callers.py
@@ -11,6 +11,7 @@
 from mimosaspur_load.arrivals import Kind
 from mimosaspur_load.outcomes import OK
 from mimosaspur_load.outcomes import Seen
+from mimosaspur_transport.headcheck import HttpConnection
 
 THREADS = 400
 CALL_S = 60.0
@@ -49,7 +50,7 @@
         for step in range(len(self.entries)):
             address = self.entries[(arrival.entry + step) % len(self.entries)]
             host, _, port = address.rpartition(":")
-            connection = http.client.HTTPConnection(host, int(port), timeout=CALL_S)
+            connection = HttpConnection(host, int(port), timeout=CALL_S)
             try:
                 connection.connect()
             except OSError as error:
@@ -60,9 +61,7 @@
         seen.end_ms = self._now_ms() - arrival.at_ms
         return seen
 
-    def _exchange(
-        self, connection: http.client.HTTPConnection, arrival: Arrival, seen: Seen
-    ) -> None:
+    def _exchange(self, connection: HttpConnection, arrival: Arrival, seen: Seen) -> None:
         try:
             method, path, body, headers = request_of(arrival)
             connection.request(method, path, body, headers)
--- a/packages/load/src/mimosaspur_load/control.py
+++ b/packages/load/src/mimosaspur_load/control.py
@@ -1,11 +1,12 @@
 """Ask stand-ins over HTTP and wait on conditions."""
 
-import http.client
 import json
 import time
 from collections.abc import Callable
 from typing import Any
 
+from mimosaspur_transport.headcheck import HttpConnection
+
 CALL_S = 30.0
 POLL_S = 0.1
 
@@ -15,7 +16,7 @@
 ) -> Any:
     """Ask a stand-in and return its JSON."""
     host, _, port = address.rpartition(":")
-    connection = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
+    connection = HttpConnection(host, int(port), timeout=timeout_s)
     try:
         body = None if value is None else json.dumps(value)
         connection.request(method, path, body, {"Content-Type": "application/json"})
@@ -27,7 +28,7 @@
 def status_of(address: str, path: str) -> int:
     """Return the HTTP status of a GET, 0 when there is no answer."""
     host, _, port = address.rpartition(":")
-    connection = http.client.HTTPConnection(host, int(port), timeout=CALL_S)
+    connection = HttpConnection(host, int(port), timeout=CALL_S)
     try:
         connection.request("GET", path)
         return connection.getresponse().status
--- a/packages/load/src/mimosaspur_load/timing.py
+++ b/packages/load/src/mimosaspur_load/timing.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from mimosaspur_load.callers import chat_body
+from mimosaspur_transport.headcheck import HttpConnection
 
 MS_PER_SECOND = 1000
 CALL_S = 120.0
@@ -35,7 +36,7 @@
 def time_stream(address: str, model: str, tokens: int) -> Timed:
     """Ask for a stream and time its tokens; raise RuntimeError unless all come."""
     host, _, port = address.rpartition(":")
-    connection = http.client.HTTPConnection(host, int(port), timeout=CALL_S)
+    connection = HttpConnection(host, int(port), timeout=CALL_S)
     body = chat_body(model, uuid.uuid4().hex, tokens, stream=True)
     headers = {"Content-Type": "application/json", "X-Request-Id": uuid.uuid4().hex}
     try:
--- a/packages/transport/src/mimosaspur_transport/chat.py
+++ b/packages/transport/src/mimosaspur_transport/chat.py
@@ -14,6 +14,7 @@
 from mimosaspur_state.errors import MimosaspurError
 from mimosaspur_state.requests import Work
 from mimosaspur_state.settings import split_address
+from mimosaspur_transport.headcheck import HttpPool
 
 MAX_RESUMES = 3
 CONNECT_TIMEOUT_S = 1.0
@@ -135,9 +136,7 @@
         headers: dict[str, str] | None = None,
         body: bytes | None = None,
     ) -> urllib3.BaseHTTPResponse:
-        pool = urllib3.HTTPConnectionPool(
-            self.host, self.port, timeout=self.timeout, maxsize=1, retries=False
-        )
+        pool = HttpPool(self.host, self.port, timeout=self.timeout, maxsize=1, retries=False)
         all_headers = {**(headers or {}), "Connection": "close"}
         return pool.request(method, path, body=body, headers=all_headers, preload_content=False)
 
@@ -156,7 +155,10 @@
 
 
 def _raise_for_status(response: urllib3.BaseHTTPResponse, resident: str) -> None:
-    body = response.data
+    try:
+        body = response.data
+    except urllib3.exceptions.HTTPError as error:
+        raise _StreamBroken from error
     if response.status == NOT_FOUND:
         raise MimosaspurError(ResultCode.NOT_READY_HERE, f"The engine has not loaded {resident}.")
     if response.status in CLIENT_ERRORS:
--- a/packages/transport/src/mimosaspur_transport/engine.py
+++ b/packages/transport/src/mimosaspur_transport/engine.py
@@ -15,6 +15,7 @@
 from mimosaspur_state.engine import OrderRefused
 from mimosaspur_state.engine import OrderState
 from mimosaspur_state.settings import split_address
+from mimosaspur_transport.headcheck import HttpPool
 
 MS_PER_SECOND = 1000
 
@@ -35,9 +36,7 @@
     def __init__(self, address: str, timeout_ms: int) -> None:
         host, port = split_address(address)
         timeout = urllib3.Timeout(total=timeout_ms / MS_PER_SECOND)
-        self.pool = urllib3.HTTPConnectionPool(
-            host, port, maxsize=1, timeout=timeout, retries=False
-        )
+        self.pool = HttpPool(host, port, maxsize=1, timeout=timeout, retries=False)
 
     def close(self) -> None:
         """Close the idle connection."""
--- a/packages/transport/src/mimosaspur_transport/jsonhttp.py
+++ b/packages/transport/src/mimosaspur_transport/jsonhttp.py
@@ -11,6 +11,7 @@
 from mimosaspur_state.clock import Deadline
 from mimosaspur_state.errors import StoreUnavailable
 from mimosaspur_state.settings import split_address
+from mimosaspur_transport.headcheck import HttpPool
 
 CALLER_HEADER = "X-Caller"
 TOO_MANY_REQUESTS = 429
@@ -69,7 +70,7 @@
 
     def _exchange(
         self,
-        pool: urllib3.HTTPConnectionPool,
+        pool: HttpPool,
         deadline: Deadline,
         method: str,
         path: str,
@@ -93,9 +94,9 @@
         data = _read_all(response, deadline)
         return JsonResponse(response.status, _decode_json(response.status, data), len(data))
 
-    def _new_pool(self) -> urllib3.HTTPConnectionPool:
+    def _new_pool(self) -> HttpPool:
         host, port = split_address(self.address)
-        return urllib3.HTTPConnectionPool(host, port, maxsize=MAX_IDLE_CONNECTIONS, block=False)
+        return HttpPool(host, port, maxsize=MAX_IDLE_CONNECTIONS, block=False)
 
 
 def _read_all(response: urllib3.BaseHTTPResponse, deadline: Deadline) -> bytes:
--- a/packages/transport/src/mimosaspur_transport/plainservice.py
+++ b/packages/transport/src/mimosaspur_transport/plainservice.py
@@ -9,6 +9,7 @@
 from mimosaspur_state.errors import MimosaspurError
 from mimosaspur_state.requests import Work
 from mimosaspur_state.settings import split_address
+from mimosaspur_transport.headcheck import HttpPool
 
 CONNECT_TIMEOUT_S = 1.0
 
@@ -40,7 +41,7 @@
         if work.content_type:
             headers["Content-Type"] = work.content_type
         # Not shared, since a shared pool may reuse connections that the service is closing.
-        pool = urllib3.HTTPConnectionPool(self.host, self.port, retries=False, timeout=timeout)
+        pool = HttpPool(self.host, self.port, retries=False, timeout=timeout)
         try:
             response = pool.request(
                 work.method, work.path, body=work.body or None, headers=headers, redirect=False
