--- a/features/soak/targets.py
+++ b/features/soak/targets.py
@@ -40,11 +40,20 @@
         "broken": 2,
         "twice": 2,
         "garbage": 1,
+        "head": 2,
         "silent": 1,
     },
     EDGE: {"answer": 20, "504": 45, "reset": 20, "late": 10, "reject": 3, "silent": 2},
-    ENGINES: {"answer": 92, "broken": 8},
-    STREAMS: {"answer": 80, "broken": 12, "reject": 2, "cut": 2, "pause": 3, "silent": 1},
+    ENGINES: {"answer": 92, "broken": 8, "head": 2},
+    STREAMS: {
+        "answer": 80,
+        "broken": 12,
+        "reject": 2,
+        "cut": 2,
+        "head": 2,
+        "pause": 3,
+        "silent": 1,
+    },
 }
 
 
@@ -182,6 +191,16 @@
         arrival.text = f"{arrival.signature} answers {status}"
         peer.send_whole(status, self.signed(arrival), arrival.text)
 
+    async def cut_head(self, arrival: Arrival, peer: "Peer", head: str) -> None:
+        """Send a part of a head, and end the connection in order or with a reset."""
+        arrival.broke = True
+        peer.write(head[: self.chance.randrange(len(head))].encode())
+        await peer.stays(WATCH_S)
+        if self.chance.random() < 0.5:
+            peer.reset()
+        else:
+            peer.close()
+
     async def work(self, peer: "Peer") -> bool:
         """Work for a usual time; return whether the connection is still there."""
         return await peer.stays(self.chance.uniform(0.01, 0.08))
@@ -202,6 +221,9 @@
         head = f"{self.signed(arrival)}Content-Type: text/event-stream\r\n{framing}"
         if manner == "silent" and not await peer.stays(SILENCE_S):
             return
+        if manner == "head":
+            await self.cut_head(arrival, peer, f"HTTP/1.1 200 OK\r\n{head}\r\n")
+            return
         peer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
         for number in range(first, EVENT_COUNT + 1):
             if not await peer.stays(EVENT_S):
@@ -313,6 +335,13 @@
     peer.reset()
 
 
+async def _cut_head(target: SoakTarget, arrival: Arrival, peer: Peer) -> None:
+    await target.work(peer)
+    arrival.status = 200
+    head = f"HTTP/1.1 200 X\r\n{target.signed(arrival)}Content-Length: 500\r\n\r\n"
+    await target.cut_head(arrival, peer, head)
+
+
 async def _answer_twice(target: SoakTarget, arrival: Arrival, peer: Peer) -> None:
     if await target.work(peer):
         target.finish(arrival, peer, 200)
@@ -339,6 +368,7 @@
     "late": _answer_late,
     "reset": _reset_at_limit,
     "broken": _break_off,
+    "head": _cut_head,
     "twice": _answer_twice,
     "garbage": _write_garbage,
     "silent": _fall_silent,
