--- a/features/cut_heads.feature
+++ b/features/cut_heads.feature
@@ -21,6 +21,14 @@
       | safe   | 1       |
       | once   | 1       |
 
+  Scenario: A stream that is broken off isn't ended by a response that ends in its head
+    Given 2 entry processes before 2 targets whose responses' heads are cut
+    When streams that are broken off are taken up by responses that are cut anywhere in their heads
+    Then no caller got as complete what wasn't, or content of another answer
+    And nothing that isn't known to be complete was marked as complete
+    And whole answers reached their callers, marked if the target that began them marks its end
+    And streams that may be resumed were completed where their targets were known to break off
+
   # Guards against the same in the calls of the product's own path.
   Scenario Outline: No <callee> is taken to have answered if its response ended in its head
     Given a <callee> whose response can be cut anywhere
--- a/features/harness/framed_site.py
+++ b/features/harness/framed_site.py
@@ -180,6 +180,16 @@
     ]
 
 
+def every_cut_resumption() -> list[Play]:
+    """Return streams that are broken off and taken up by a response whose head is cut anywhere."""
+    return [
+        Play(framing=framing, sent=2, end=end, later_head_bytes=head_bytes)
+        for framing, end, head_bytes in itertools.product(
+            ("length", "chunks", "connection"), ("close", "reset"), _HEAD_CUTS
+        )
+    ]
+
+
 # Inside the version, the status, the reason and the end of their line, names and values, and just
 # before the end of the blank line.
 _HEAD_CUTS = (0, 4, 11, 12, 16, 20, 21, 30, 50, 70, 95, 110, 1_000)
--- a/features/harness/framed_target.py
+++ b/features/harness/framed_target.py
@@ -21,6 +21,7 @@
 EVENT_S = 0.004
 WHOLE_BODY = b"the whole answer of a plain service"
 SLOTS = 32
+SECOND_RUN = 2
 
 
 class Completeness(Enum):
@@ -54,6 +55,8 @@
     part_s: float = EVENT_S
     # Bytes of the head that are sent before the response ends; None for the whole head.
     head_bytes: int | None = None
+    # The same for the second response.
+    later_head_bytes: int | None = None
 
     @property
     def content(self) -> bytes:
@@ -138,6 +141,8 @@
                 framing=play.later,
                 event_end=play.event_end,
                 stream=play.stream,
+                head_bytes=play.later_head_bytes if self.runs[request] == SECOND_RUN else None,
+                end="framing" if self.runs[request] != SECOND_RUN else play.end,
             )
         self.played.add(request)
         parts = play.parts(int(headers.get("last-event-id", "0")) + 1)
--- a/features/steps/direct_broken_steps.py
+++ b/features/steps/direct_broken_steps.py
@@ -25,6 +25,7 @@
 from harness.framed_site import FramedSite
 from harness.framed_site import Result
 from harness.framed_site import every_cut_head
+from harness.framed_site import every_cut_resumption
 from harness.framed_site import every_play
 from harness.framed_target import Completeness
 from harness.framed_target import Play
@@ -74,6 +75,12 @@
     run(context, context.site.play_all([(path, play) for play in every_cut_head(path)]))
 
 
+@when("streams that are broken off are taken up by responses that are cut anywhere in their heads")
+def play_cut_resumptions(context: Context) -> None:
+    plays = [("stream", play) for play in every_cut_resumption()]
+    run(context, context.site.play_all(plays, sound=SOUND_FOR_TWO_REPEATS))
+
+
 @then("no request that ran was answered as one that hasn't, or with a success of no target's")
 def check_statuses(context: Context) -> None:
     _check_none(
