--- a/features/harness/framed_target.py
+++ b/features/harness/framed_target.py
@@ -1,6 +1,7 @@
 """Simulate targets whose responses are framed and broken off in every way."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 from dataclasses import dataclass
@@ -168,7 +169,9 @@
 def reset(writer: asyncio.StreamWriter) -> None:
     """End a connection by a reset."""
     sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    # The connection may have ended already.
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
 
