End a second response as its framing says, and cut heads in shorter steps

Change: only a second response whose head is cut ends as the first one. The same responses are cut, and the same is required.

--- a/features/harness/framed_site.py
+++ b/features/harness/framed_site.py
@@ -169,24 +169,20 @@
     return plays
 
 
-def every_cut_head(path: str) -> list[Play]:
-    """Return responses whose heads are cut anywhere, in every framing with a head of its own."""
+def every_cut_head(path: str, framing: str) -> list[Play]:
+    """Return responses whose heads are cut anywhere."""
     stream = path in STREAM_PATHS
     return [
         Play(framing=framing, sent=0, end=end, stream=stream, head_bytes=head_bytes)
-        for framing, end, head_bytes in itertools.product(
-            ("length", "chunks", "connection"), ("close", "reset"), _HEAD_CUTS
-        )
+        for end, head_bytes in itertools.product(("close", "reset"), _HEAD_CUTS)
     ]
 
 
-def every_cut_resumption() -> list[Play]:
+def every_cut_resumption(framing: str) -> list[Play]:
     """Return streams that are broken off and taken up by a response whose head is cut anywhere."""
     return [
         Play(framing=framing, sent=2, end=end, later_head_bytes=head_bytes)
-        for framing, end, head_bytes in itertools.product(
-            ("length", "chunks", "connection"), ("close", "reset"), _HEAD_CUTS
-        )
+        for end, head_bytes in itertools.product(("close", "reset"), _HEAD_CUTS)
     ]
 
 
--- a/features/harness/framed_target.py
+++ b/features/harness/framed_target.py
@@ -6,6 +6,7 @@
 import struct
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from enum import Enum
 from typing import Any
 
@@ -137,14 +138,15 @@
             return True
         self.runs[request] = self.runs.get(request, 0) + 1
         if request in self.played:
+            again, end = play.later_head_bytes, play.end
             play = Play(
                 number=play.number,
                 framing=play.later,
                 event_end=play.event_end,
                 stream=play.stream,
-                head_bytes=play.later_head_bytes if self.runs[request] == SECOND_RUN else None,
-                end="framing" if self.runs[request] != SECOND_RUN else play.end,
             )
+            if again is not None and self.runs[request] == SECOND_RUN:
+                play = replace(play, head_bytes=again, end=end)
         self.played.add(request)
         parts = play.parts(int(headers.get("last-event-id", "0")) + 1)
         sent = parts[: play.sent]
--- a/features/steps/direct_broken_steps.py
+++ b/features/steps/direct_broken_steps.py
@@ -70,14 +70,14 @@
     run(context, context.site.start())
 
 
-@when("the first responses to requests of {path} are cut anywhere in their heads")
-def play_cut_heads(context: Context, path: str) -> None:
-    run(context, context.site.play_all([(path, play) for play in every_cut_head(path)]))
+@when("the first responses to requests of {path}, framed by {framing}, are cut in their heads")
+def play_cut_heads(context: Context, path: str, framing: str) -> None:
+    run(context, context.site.play_all([(path, play) for play in every_cut_head(path, framing)]))
 
 
-@when("streams that are broken off are taken up by responses that are cut anywhere in their heads")
-def play_cut_resumptions(context: Context) -> None:
-    plays = [("stream", play) for play in every_cut_resumption()]
+@when("streams framed by {framing} are broken off, and taken up by responses cut in their heads")
+def play_cut_resumptions(context: Context, framing: str) -> None:
+    plays = [("stream", play) for play in every_cut_resumption(framing)]
     run(context, context.site.play_all(plays, sound=SOUND_FOR_TWO_REPEATS))
 
 
