Count the age of a watch's answer from when it was asked for, or its wait had ended

Cause: an entry relies on its list of targets for drain_ms after the store has confirmed it. The answer to a watch counted as new as it arrived, unless this process had stood still. The network may hold it for as long as the client waits, 0.9 s at a coordinator and 2.5 s at others; drain_ms and 0.2 s after it first saw a version, another entry begins streams there. The class of fault: the age of news is measured by its reader, rather than from what its source can have known.

Change: an answer with changes counts from when it was asked for, one without from the end of the wait, for targets and for the configuration. The noticing of stalls in VersionHistory goes: a process that stands still is one case of the rule. So that ages stay as they were, the next watch begins earlier by the age of the last answer.

The stalls in stream_versions.feature are played by the new rule, with an answer that the network holds as a further step. Its step for a process that notices a stall has gone with the code that it called; its example is kept, as an answer that came after the wait. Late answers are taken for old in each of them.

--- a/features/harness/direct_site.py
+++ b/features/harness/direct_site.py
@@ -101,7 +101,6 @@
         await self.state.stream_versions.listen(("127.0.0.1", 0))
         watch = StoreWatch(self.state)
         work = [watch.follow_targets(), watch.follow_configuration(), self.election.run()]
-        work.append(self.state.stream_versions.run())
         work.append(VersionRecordKeeper(self.state).run())
         self.tasks = [asyncio.create_task(each) for each in work]
 
--- a/features/harness/held_answers_play.py
+++ b/features/harness/held_answers_play.py
@@ -111,7 +111,8 @@
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self.common.changed.wait(), wait_ms / 1000)
             changes = self.common.changes
-            return TargetChanges(changes[revision:], [], len(changes))
+            timed_out = len(changes) == revision
+            return TargetChanges(changes[revision:], [], len(changes), timed_out=timed_out)
 
         return await self._call(wait, wait_ms / 1000 + WATCH_MARGIN_S)
 
@@ -233,7 +234,6 @@
     def start(self) -> list["asyncio.Task[None]"]:
         """Start to follow the store."""
         return [
-            asyncio.create_task(self.state.stream_versions.run()),
             asyncio.create_task(StoreWatch(self.state).follow_targets()),
             asyncio.create_task(VersionRecordKeeper(self.state).run()),
         ]
--- a/features/harness/record_model.py
+++ b/features/harness/record_model.py
@@ -119,10 +119,8 @@
             self.advance(1_000)
 
     def advance(self, ms: int) -> None:
-        """Let time pass while all processes run."""
+        """Let time pass."""
         self.clock.ms += ms
-        for entry in self.entries:
-            entry.history.ticked_ms = self.clock.ms
 
     def soles(self) -> set[str | None]:
         """Return what entries take for the only version."""
--- a/features/harness/resumption_play.py
+++ b/features/harness/resumption_play.py
@@ -134,7 +134,6 @@
         for process, entry in zip(world.processes, self.entries, strict=True):
             entry.update_targets({SERVICE: self.versions})
             entry.update_entries(addresses, [], complete=True)
-            process.spawn(entry.run())
             process.spawn(self._read_lists(entry))
 
     def _end(self) -> list[Try]:
--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -29,6 +29,7 @@
 from harness.record_model import RecordModel
 from harness.record_model import Step
 from mimosaspur_coordination.fleetports import VersionRecord
+from mimosaspur_coordination.storefreshness import answer_age_ms
 from mimosaspur_coordination.streams.lookup import VersionLookup
 from mimosaspur_coordination.streams.lookup import VersionSource
 from mimosaspur_coordination.streams.streamrecords import StreamRecord
@@ -53,6 +54,8 @@
 STREAM_LIFETIME_S = 20
 DATAGRAM_OVERHEAD_BYTES = 28
 RESUMED_AFTER = 2
+# For how long the store waits for a change before it answers.
+WAIT_MS = 400
 LOST_SHARE = 0.3
 # By then a datagram has arrived; by then none is sent again.
 ARRIVED_S = 0.05
@@ -72,11 +75,11 @@
 )
 
 
-# What happens next in the play of processes that stand still: an entry reads the list, or asks for
-# it and stands still, is answered, or runs again and reads, before or after it has noticed.
+# What happens next in the play of answers that are late: an entry reads the list, or asks for
+# changes and stands still or not, is answered, or gets the answer and runs again.
 STALL_STEPS = st.lists(
     st.tuples(
-        st.sampled_from(("list", "ask", "answer", "thaw", "notice", "begin", "begin", "come")),
+        st.sampled_from(("list", "ask", "watch", "answer", "arrive", "begin", "begin", "come")),
         st.integers(0, ENTRIES - 1),
         st.sampled_from(VERSIONS),
         st.sampled_from((0, 10, 100, 190, 400, 1_900, 2_100, 3_000)),
@@ -126,81 +129,87 @@
             self.begun.append((self.clock.ms, version))
 
     def advance(self, ms: int) -> None:
-        """Let time pass while all processes run."""
+        """Let time pass."""
         self.clock.ms += ms
-        for history in self.entries:
-            history.ticked_ms = self.clock.ms
 
     def _may_begin(self, history: VersionHistory, version: str) -> bool:
         is_present = version in history.services[SERVICE].present
         return is_present and history.may_begin(SERVICE, version)
 
 
-class _StallingModel(_Model):
-    """Play entries that stand still while what they have asked for is answered."""
+class _LateModel(_Model):
+    """Play entries that stand still, or before which the network does, while they are answered."""
 
     def __init__(self) -> None:
         self.frozen = [False] * ENTRIES
-        # By entry, when it asked, and the answer that it has not read.
+        # By entry, when it asked, and the answer that it has not read: the list, and whether
+        # nothing had changed at the end of the wait.
         self.asked_ms: list[int | None] = [None] * ENTRIES
-        self.unread: list[set[str] | None] = [None] * ENTRIES
+        self.unread: list[tuple[set[str], bool] | None] = [None] * ENTRIES
         super().__init__()
 
     def step(self, kind: str, number: int, version: str) -> None:
         """Play one step."""
-        if kind == "answer" and self.asked_ms[number] is not None:
-            self.unread[number] = self.unread[number] or set(self.present)
-        elif kind in ("thaw", "notice"):
+        if kind == "answer":
+            self.unread[number] = self.unread[number] or self._answer(number)
+        elif kind == "arrive":
             self.frozen[number] = False
-            if kind == "notice":
-                self.entries[number].tick()
             self._read_answer(number)
         elif self.frozen[number] and kind != "come":
             pass
-        elif kind == "ask":
-            self.frozen[number] = True
-            self.asked_ms[number] = self.clock.ms
+        elif kind in ("ask", "watch"):
+            self.frozen[number] = kind == "ask"
+            self.asked_ms[number], self.unread[number] = self.clock.ms, None
         else:
             super().step(kind, number, version)
 
-    def advance(self, ms: int) -> None:
-        """Let time pass; processes that don't stand still notice it."""
-        self.clock.ms += ms
-        for number, history in enumerate(self.entries):
-            if not self.frozen[number]:
-                history.ticked_ms = self.clock.ms
+    def _answer(self, number: int) -> tuple[set[str], bool] | None:
+        """Return what the store answers now."""
+        asked_ms = self.asked_ms[number]
+        if asked_ms is None:
+            return None
+        is_unchanged = self.entries[number].services[SERVICE].present == self.present
+        return set(self.present), is_unchanged and self.clock.ms - asked_ms >= WAIT_MS
 
     def _read_answer(self, number: int) -> None:
         asked_ms, unread = self.asked_ms[number], self.unread[number]
         if asked_ms is None or unread is None:
             return
-        self.unread[number] = None
+        self.asked_ms[number] = self.unread[number] = None
         history = self.entries[number]
-        history.update({SERVICE: unread})
-        history.confirm(age_ms=history.read_age_ms(asked_ms))
-
-
-def _old_list(runs_again: str, *, stalled_ms: int, then_ms: int) -> list[tuple[str, int, str, int]]:
-    """Return steps in which a list waits for its reader while another entry learns of a version."""
+        versions, timed_out = unread
+        history.update({SERVICE: versions})
+        age_ms = answer_age_ms(
+            asked_ms=asked_ms, wait_ms=WAIT_MS, timed_out=timed_out, now_ms=self.clock.ms
+        )
+        history.confirm(age_ms=age_ms)
+
+
+def _old_list(
+    asks: str, *, waited_ms: int = 0, stalled_ms: int, then_ms: int
+) -> list[tuple[str, int, str, int]]:
+    """Return steps in which a list is late while another entry learns of a version."""
     return [
-        ("ask", 0, "v1", 0),
+        (asks, 0, "v1", waited_ms),
         ("answer", 0, "v1", 0),
         ("come", 0, "v2", 0),
         ("list", 1, "v1", stalled_ms),
-        (runs_again, 0, "v1", then_ms),
+        ("arrive", 0, "v1", then_ms),
         ("begin", 1, "v2", 0),
     ]
 
 
-@then("no entry that reads late what it asked for takes the wrong version for the only one")
+@then("no entry that gets late what it asked for takes the wrong version for the only one")
 def check_stalled_lists(context: Context) -> None:
     @settings(max_examples=3_000, deadline=None, derandomize=True, database=None)
     @given_any(STALL_STEPS)
-    @example(_old_list("thaw", stalled_ms=1_900, then_ms=400))
-    @example(_old_list("notice", stalled_ms=1_900, then_ms=400))
-    @example(_old_list("thaw", stalled_ms=190, then_ms=1_900))
+    @example(_old_list("ask", stalled_ms=1_900, then_ms=400))
+    @example(_old_list("watch", stalled_ms=1_900, then_ms=400))
+    @example(_old_list("watch", waited_ms=400, stalled_ms=1_900, then_ms=400))
+    @example(_old_list("watch", stalled_ms=190, then_ms=1_900))
+    @example(_old_list("watch", stalled_ms=400, then_ms=1_900))
     def check(steps: list[tuple[str, int, str, int]]) -> None:
-        _check_sole_versions(_StallingModel(), steps)
+        _check_sole_versions(_LateModel(), steps)
 
     check()
 
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -4,9 +4,11 @@
   Scenario: A version is the only one known only if no other can have begun a stream
     Then in any history of versions and lists, no entry takes the wrong version for the only one
 
-  # Guards against a process that stood still for seconds and takes what waited for it for new.
-  Scenario: A list that waited while its reader stood still is as old as the question for it
-    Then no entry that reads late what it asked for takes the wrong version for the only one
+  # Guards against a process that takes what waited for it, as it stood still, or what the network has
+  # held for new.
+  Scenario: A list that its reader gets late is as old as the question for it
+    Then no entry that gets late what it asked for takes the wrong version for the only one
+
   # Guards against a version that entries forgot as they were killed, and the store's record lacks.
   Scenario: A version is the only one known only if no other can have begun a stream before a kill
     Then in any history of versions, kills and records, no entry takes a wrong version for the only
--- a/packages/coordination/src/mimosaspur_coordination/fleetports.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetports.py
@@ -28,6 +28,8 @@
     changed: Sequence[TargetRecord]
     removed: Sequence[str]
     revision: int
+    # Whether nothing changed until the end of the wait.
+    timed_out: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -36,6 +38,8 @@
 
     configuration: Configuration | None
     revision: int
+    # Whether nothing changed until the end of the wait.
+    timed_out: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/coordination/src/mimosaspur_coordination/storefreshness.py
+++ b/packages/coordination/src/mimosaspur_coordination/storefreshness.py
@@ -13,6 +13,16 @@
 DISTANT_PAST_MS = -1_000_000_000
 
 
+def answer_age_ms(*, asked_ms: int, wait_ms: int, timed_out: bool, now_ms: int) -> int:
+    """Return the age that the answer to a watch may have.
+
+    The network may have held it, or this process may have stood still, since the store sent it:
+    as soon as there was a change, or at the end of the wait.
+    """
+    sent_ms = asked_ms + wait_ms
+    return now_ms - (sent_ms if timed_out and sent_ms <= now_ms else asked_ms)
+
+
 class StoreFreshness:
     """Track when the store last confirmed the data, to this process or to the coordinator."""
 
--- a/packages/coordination/src/mimosaspur_coordination/streams/versionhistory.py
+++ b/packages/coordination/src/mimosaspur_coordination/streams/versionhistory.py
@@ -9,8 +9,8 @@
 from mimosaspur_state.clock import Clock
 
 DISTANT_PAST_MS = -1_000_000_000
-# A process that hasn't run for this long stood still: what it reads next may be as old.
-MAX_TICK_GAP_MS = 200
+# The difference that is allowed for between the clocks of two machines over lag_ms.
+CLOCK_MARGIN_MS = 200
 
 
 @dataclass(slots=True)
@@ -35,13 +35,12 @@
 class VersionHistory:
     """Track versions by service, for as long as a stream that a version began may be resumed.
 
-    An entry uses a version for new streams only `lag_ms` and MAX_TICK_GAP_MS after it has first
+    An entry uses a version for new streams only `lag_ms` and CLOCK_MARGIN_MS after it has first
     seen it, and takes a list of targets for current only for less than `lag_ms`. So no stream was
     begun anywhere by a version that is missing in a current list.
 
-    This needs ages that are too low by MAX_TICK_GAP_MS at most, also on a process that stood still
-    while what it reads had arrived: an age counts from when the read was begun, unless the process
-    ran all the while.
+    This needs ages that are never too low, however long an answer was on its way or waited for
+    this process: see `answer_age_ms`.
 
     What an entry hasn't seen itself, since it has just started, it learns from the store's record
     of versions. A version that was never seen with a lifetime of lists is recorded before its use.
@@ -54,9 +53,7 @@
         "lag_ms",
         "lifetime_ms",
         "record_read_ms",
-        "resumed_ms",
         "services",
-        "ticked_ms",
     )
 
     def __init__(self, *, clock: Clock, lag_ms: int, lifetime_ms: int) -> None:
@@ -68,27 +65,9 @@
         # The age of the list of targets, and since when it was never too old.
         self.confirmed_ms = DISTANT_PAST_MS
         self.continuous_since_ms = clock.now_ms()
-        self.ticked_ms = clock.now_ms()
-        # When the process last ran again after it stood still.
-        self.resumed_ms = DISTANT_PAST_MS
         # When the store was last asked for its record of versions.
         self.record_read_ms = DISTANT_PAST_MS
 
-    def tick(self) -> None:
-        """Record that the process runs."""
-        now_ms = self.clock.now_ms()
-        if now_ms - self.ticked_ms > MAX_TICK_GAP_MS:
-            self.resumed_ms = now_ms
-        self.ticked_ms = now_ms
-
-    def read_age_ms(self, asked_ms: int) -> int:
-        """Return for how long the answer that is read now to what was asked then may have waited.
-
-        That is for no time, unless the process stood still since.
-        """
-        self.tick()
-        return self.clock.now_ms() - asked_ms if asked_ms <= self.resumed_ms else 0
-
     def confirm(self, *, age_ms: int) -> None:
         """Record that the list of targets was current age_ms ago, or later."""
         now_ms = self.clock.now_ms()
@@ -167,7 +146,7 @@
         """Return whether each list that counts as current holds a version."""
         known = self.services[service]
         seen_ms = self.clock.now_ms() - known.seen_since_ms(version)
-        return seen_ms >= self.lag_ms + MAX_TICK_GAP_MS
+        return seen_ms >= self.lag_ms + CLOCK_MARGIN_MS
 
     def apply_record(self, record: VersionRecord | None, *, asked_ms: int) -> set[str]:
         """Apply the store's record as of asked_ms; return the services with a further version."""
@@ -213,7 +192,7 @@
 
     def _has_just_gone(self, known: ServiceVersions) -> bool:
         """Return whether a version has gone that others may still have in a current list."""
-        oldest_ms = self.clock.now_ms() - self.lag_ms - MAX_TICK_GAP_MS
+        oldest_ms = self.clock.now_ms() - self.lag_ms - CLOCK_MARGIN_MS
         return any(at_ms > oldest_ms for at_ms in known.gone_ms.values())
 
     def _update_service(self, known: ServiceVersions, present: frozenset[str]) -> bool:
--- a/packages/daemon/src/mimosaspur_daemon/direct/application.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/application.py
@@ -82,7 +82,6 @@
         self._spawn(self.store_watch.follow_configuration)
         self._spawn(self.store_watch.follow_targets)
         self._spawn(self.coordination.run)
-        self._spawn(self.state.stream_versions.run)
         self._spawn(self.version_record.run)
         if self.state.uses(Mechanism.EVACUATION):
             self._spawn(self.evacuation.run)
--- a/packages/daemon/src/mimosaspur_daemon/direct/storewatch.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/storewatch.py
@@ -7,6 +7,7 @@
 from mimosaspur_coordination.storefreshness import CONFIGURATION_WATCH_SHARE
 from mimosaspur_coordination.storefreshness import TARGETS_PAUSE_SHARE
 from mimosaspur_coordination.storefreshness import TARGETS_WATCH_SHARE
+from mimosaspur_coordination.storefreshness import answer_age_ms
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.storechanges import CONFIGURATION
 from mimosaspur_daemon.direct.storechanges import TARGETS
@@ -103,6 +104,11 @@
         self.grace_until_ms = 0
         # Whether the store may have been unreachable, so that registrations may have expired.
         self.may_have_been_away = False
+        # Must count time in suspend, as an answer may have waited for this process meanwhile.
+        self.wait_clock = state.stream_versions.clock
+        # The ages of the last answers as they were read. The next ones are waited for the shorter.
+        self.targets_age_ms = 0
+        self.configuration_age_ms = 0
 
     async def follow_targets(self) -> None:
         """Follow the targets for as long as the process runs."""
@@ -144,20 +150,21 @@
 
     async def _next_configuration(self, revision: int) -> int:
         """Read the configuration, or wait for a newer one; return its revision."""
-        begun_ms = asked_ms = self.state.clock.now_ms()
+        asked_ms = self.wait_clock.now_ms()
+        wait_ms = 0
         if revision == UNKNOWN_REVISION:
             change = await self.store.read_configuration()
             self.configuration_status.list_succeeded()
         else:
-            change = await self.store.watch_configuration(
-                revision, wait_ms=self._wait_ms(CONFIGURATION_WATCH_SHARE)
-            )
-            asked_ms = self.state.clock.now_ms()
+            wait_ms = self._wait_ms(CONFIGURATION_WATCH_SHARE) - self.configuration_age_ms
+            wait_ms = max(0, wait_ms)
+            change = await self.store.watch_configuration(revision, wait_ms=wait_ms)
             self.configuration_status.watch_succeeded()
-        self.state.freshness.confirm(CONFIGURATION, asked_ms=asked_ms)
+        self.configuration_age_ms = self._age_ms(asked_ms, wait_ms, timed_out=change.timed_out)
+        self._confirm(CONFIGURATION, age_ms=self.configuration_age_ms)
         self._configuration_changed(change)
         if revision != UNKNOWN_REVISION:
-            took_s = (self.state.clock.now_ms() - begun_ms) / 1000
+            took_s = (self.wait_clock.now_ms() - asked_ms) / 1000
             await asyncio.sleep(max(0.0, MIN_CONFIGURATION_INTERVAL_S - took_s))
         return change.revision
 
@@ -177,7 +184,7 @@
 
     def _pause_s(self) -> float:
         part = TARGETS_PAUSE_SHARE if self.state.coordinating else WATCH_PAUSE_SHARE
-        return self.state.settings.drain_ms * part / 1000
+        return max(0.0, self.state.settings.drain_ms * part - self.targets_age_ms) / 1000
 
     def _wait_ms(self, part: float) -> int:
         if not self.state.coordinating:
@@ -192,7 +199,7 @@
         return True
 
     async def _list_targets(self) -> int:
-        asked_ms = self.state.clock.now_ms()
+        asked_ms = self.wait_clock.now_ms()
         listing = await self.store.list_targets()
         self.target_status.list_succeeded()
         now_ms = self.state.clock.now_ms()
@@ -203,29 +210,38 @@
         keep = self.state.fleet.targets if now_ms < self.grace_until_ms else ()
         self.state.on_targets_changed(self.state.fleet.replace(listing.targets, keep=keep))
         self.state.fleet.revision = max(self.state.fleet.revision, listing.revision)
+        self.targets_age_ms = self._age_ms(asked_ms)
         if not keep:
-            self.state.freshness.confirm(TARGETS, asked_ms=asked_ms)
-            self.state.stream_versions.history.confirm(age_ms=self.state.clock.now_ms() - asked_ms)
+            self._confirm_targets()
         return listing.revision
 
     async def _watch_targets(self, revision: int) -> int:
-        history = self.state.stream_versions.history
-        asked_ms = history.clock.now_ms()
-        changes = await self.store.watch_targets(
-            revision, wait_ms=self._wait_ms(TARGETS_WATCH_SHARE)
-        )
+        asked_ms = self.wait_clock.now_ms()
+        wait_ms = self._wait_ms(TARGETS_WATCH_SHARE)
+        changes = await self.store.watch_targets(revision, wait_ms=wait_ms)
         self.target_status.watch_succeeded()
         lapsing = self.state.clock.now_ms() < self.grace_until_ms
         removed = [] if lapsing else list(changes.removed)
         self.state.on_targets_changed(self.state.fleet.update(changes.changed, removed))
         self.state.fleet.revision = max(self.state.fleet.revision, changes.revision)
+        self.targets_age_ms = self._age_ms(asked_ms, wait_ms, timed_out=changes.timed_out)
         if not lapsing:
             # Removals are held back here meanwhile: other entries must not rely on this data.
-            age_ms = history.read_age_ms(asked_ms)
-            self.state.freshness.confirm(TARGETS, asked_ms=self.state.clock.now_ms() - age_ms)
-            history.confirm(age_ms=age_ms)
+            self._confirm_targets()
         return changes.revision
 
+    def _age_ms(self, asked_ms: int, wait_ms: int = 0, *, timed_out: bool = False) -> int:
+        """Return the age of the answer to a list or a watch that is read now."""
+        now_ms = self.wait_clock.now_ms()
+        return answer_age_ms(asked_ms=asked_ms, wait_ms=wait_ms, timed_out=timed_out, now_ms=now_ms)
+
+    def _confirm_targets(self) -> None:
+        self._confirm(TARGETS, age_ms=self.targets_age_ms)
+        self.state.stream_versions.history.confirm(age_ms=self.targets_age_ms)
+
+    def _confirm(self, kind: str, *, age_ms: int) -> None:
+        self.state.freshness.confirm(kind, asked_ms=self.state.clock.now_ms() - age_ms)
+
     def _configuration_changed(self, change: ConfigurationChange) -> None:
         if change.configuration:
             self.state.apply_configuration(change.configuration, source="store")
--- a/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
@@ -48,7 +48,6 @@
 ENTRY_GRACE_MS = 5_000
 # For a configuration without streams.
 MIN_LIFETIME_MS = 15_000
-TICK_INTERVAL_S = 0.1
 
 
 @dataclass(slots=True)
@@ -99,12 +98,6 @@
         """Accept datagrams of other entries; raise OSError."""
         self.address = await self.endpoint.listen(address)
 
-    async def run(self) -> None:
-        """Notice whenever this process was suspended."""
-        while True:
-            self.history.tick()
-            await asyncio.sleep(TICK_INTERVAL_S)
-
     def close(self) -> None:
         """Stop sending and receiving."""
         self.endpoint.close()
