Number the datagrams about streams from a random number on in each process

Seen by callers: none so far; found by reading, and shown with two processes of one instance in turn. A stream could go on at another version's target.

Cause: each process numbered its questions and records from 1. A reply to an earlier process of the instance (from an entry that stood still, or over a slow link) had the number of a question of the new one about another stream, and its version was taken for that stream's. An acknowledgement likewise let a retry at another version be sent before the witnesses knew of it.

Change: the first number of a process is random, of 62 bits. Nothing changes in the messages, so earlier builds serve beside this one. The check of an entry's traffic counts with the longer number.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -346,7 +346,7 @@
 def check_size(context: Context, entries: int, records: int, limit: int) -> None:
     begun_per_s = STREAMS_PER_S / entries
     kept = begun_per_s * STREAM_LIFETIME_S * (1 + WITNESS_COUNT)
-    message = StreamsBegun("entry-360", 1_000_000, [RecordMessage(b"8 bytes.", "v1.10", 0)])
+    message = StreamsBegun("entry-360", 2**62, [RecordMessage(b"8 bytes.", "v1.10", 0)])
     datagram = len(encode_stream_message(message)) + DATAGRAM_OVERHEAD_BYTES
     # Each datagram has an acknowledgement of about half its size.
     sent = begun_per_s * WITNESS_COUNT * 1.5 * datagram
--- /dev/null
+++ b/features/stream_versions_restarted.feature
@@ -0,0 +1,18 @@
+Feature: An entry that starts again takes nothing for its own that was sent to the process before it
+
+  # Guards against an answer about another stream that reaches an entry after it was started again.
+  Scenario Outline: An answer that is late by a restart of its reader counts for no other question
+    Given an entry that is started again while <late> is under way to it
+    When <count> streams of <version> are looked up at once after the restart, and then it arrives
+    Then no stream is taken for one of another version
+
+    Examples:
+      | late                     | count | version |
+      | an answer that names v1  | 1     | v2      |
+      | answers that name v1     | 40    | v2      |
+
+  # Guards against a stream begun at a second version while a witness still knows the first one.
+  Scenario: An acknowledgement that is late by a restart of its reader counts for no other record
+    Given an entry that is started again while an acknowledgement is under way to it
+    When a stream is retried at v2 out of reach of its witnesses, and then it arrives
+    Then the retry is held back
--- a/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import math
+import secrets
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -49,6 +50,7 @@
 # For a configuration without streams.
 MIN_LIFETIME_MS = 15_000
 TICK_INTERVAL_S = 0.1
+FIRST_NUMBER_BITS = 62
 
 
 @dataclass(slots=True)
@@ -88,7 +90,8 @@
         # The other entries, and until when those are kept that a new coordinator doesn't know.
         self.entries: dict[str, Address] = {}
         self.kept_until_ms: dict[str, int] = {}
-        self.numbers = itertools.count(1)
+        # Random, since replies to an earlier process of this instance may arrive late.
+        self.numbers = itertools.count(secrets.randbits(FIRST_NUMBER_BITS))
         # By the number of a datagram with records.
         self.deliveries: dict[int, Delivery] = {}
         # By the number of its datagrams.
