Keep what a coordinator sends of the targets, used or not, as the next updates are relative to it

Callers may see streams of two versions joined, or requests sent to targets that have gone: an entry whose own reading of the store is newer than an update of its coordinator dropped the update, while the coordinator counted it as sent. The next difference was applied on top of the entry's own list. What came or went in between, or came back, was then missing or too much in that list, which counted as confirmed, until the entry read the store again. The same after a change of coordinator: one that has never had a target sent an empty difference, and the entry's list of before counted as confirmed.

Evidence: a seeded model over the real StoreChanges, ReportBuilder, messages, FleetView and StoreWatch, with changes of coordinator and restores.

Change: an entry applies each part to a list of its own per link, whether it uses it or not. An update that is not older than the entry's list takes effect as a whole unless the list in force is that one but for the update's changes.

--- /dev/null
+++ b/features/followed_list.feature
@@ -0,0 +1,8 @@
+Feature: An entry that follows a coordinator has the list of targets of a revision of the store
+
+  # Guards against a list that lacks a target, or holds one that has gone, and counts as confirmed: an
+  # update that the entry hadn't used, since its own reading was newer, was missing in the next ones.
+  Scenario: Updates and the entry's own readings come in any order
+    When 200 plays of an entry that also reads the store itself are played
+    Then its list is always the store's at the revision that it claims
+    And it is confirmed only while it is current
--- a/packages/coordination/src/mimosaspur_coordination/fleetview.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetview.py
@@ -286,6 +286,7 @@
         "early_speeds",
         "engine_speeds",
         "leaving",
+        "list_number",
         "paces",
         "pauses",
         "revision",
@@ -328,6 +329,8 @@
         self.coordinator_targets: set[str] = set()
         # The store's revision that this view reflects.
         self.revision = 0
+        # Increases with each change of the list of targets.
+        self.list_number = 0
 
     def replace(
         self, records: Mapping[str, TargetRecord], *, keep: Collection[str] = ()
@@ -342,6 +345,7 @@
         A restarted target counts as ended, because its previous state is lost. So does one that
         another target has taken the identity of.
         """
+        self.list_number += 1
         ended = [identity for identity in removed if self._remove(identity)]
         for each in changed:
             if not each.can_be_named():
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -14,6 +14,7 @@
 from mimosaspur_coordination.fleetports import EnginePort
 from mimosaspur_coordination.fleetports import FleetStore
 from mimosaspur_coordination.fleetview import FleetView
+from mimosaspur_coordination.followedtargets import FollowedTargets
 from mimosaspur_coordination.limits.retrywindow import RetryWindow
 from mimosaspur_coordination.limits.sharelease import ShareLease
 from mimosaspur_coordination.outstandingloads import OutstandingLoads
@@ -163,6 +164,7 @@
             log=self.log,
         )
         self.report_times = ReportTimes(clock=BoottimeClock())
+        self.followed_targets = FollowedTargets()
         self.targets_known = False
         self.freshness = StoreFreshness(bound_ms=settings.drain_ms, clock=self.clock)
         self.leaving = False
@@ -325,6 +327,7 @@
 
     def on_coordinator_lost(self) -> None:
         """Fall back to what this entry has observed itself."""
+        self.followed_targets.reset()
         self.reported_work.reset()
         self.quotas.on_coordinator_lost()
         self.shares.on_coordinator_lost()
--- a/packages/daemon/src/mimosaspur_daemon/direct/storechanges.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/storechanges.py
@@ -54,16 +54,20 @@
 
 def apply_store_changes(state: EntryState, changes: StoreUpdate) -> None:
     """Apply the coordinator's store data unless this entry has a newer revision."""
+    followed = state.followed_targets
+    records = [_to_record(message) for message in changes.targets]
+    followed.update(records, changes.removed, is_complete=changes.is_complete)
     if changes.revision < state.fleet.revision:
+        followed.applied_number = None
         return
     state.log.counters.observe("store_news_age_ms", changes.age_ms)
     state.freshness.confirm_by_coordinator(age_ms=changes.age_ms)
     state.fleet.revision = changes.revision
-    records = {message.identity: _to_record(message) for message in changes.targets}
-    if changes.is_complete:
-        state.on_targets_changed(state.fleet.replace(records))
+    if not followed.is_in_force(state.fleet.list_number):
+        state.on_targets_changed(state.fleet.replace(followed.targets))
     elif records or changes.removed:
-        state.on_targets_changed(state.fleet.update(records.values(), changes.removed))
+        state.on_targets_changed(state.fleet.update(records, changes.removed))
+    followed.applied_number = state.fleet.list_number
     # The update itself may have been on its way, or have waited here, for this long.
     waited_ms = state.report_times.age_ms()
     if waited_ms is not None:
