--- a/features/harness/entry_processes.py
+++ b/features/harness/entry_processes.py
@@ -34,7 +34,7 @@
     ) -> None:
         self.processes = processes
         self.name = f"entry-{number}"
-        self.ip = _loopback_address(number)
+        self.ip = loopback_address(number)
         self.settings = folder / f"{self.name}.conf"
         self.log = folder / f"{self.name}.log"
         text = _settings_text(self.name, self.ip, store, fields or {})
@@ -143,7 +143,7 @@
         self.folder.cleanup()
 
 
-def _loopback_address(number: int) -> str:
+def loopback_address(number: int) -> str:
     """Return an address that no other scenario uses at the same time."""
     pid = os.getpid()
     return f"127.{100 + pid // 250 % 100}.{pid % 250}.{number + 1}"
--- a/features/harness/soak_records.py
+++ b/features/harness/soak_records.py
@@ -4,6 +4,7 @@
 from functools import partial
 from typing import Any
 
+from soak.record import CUT_OFF
 from soak.record import KILL
 from soak.record import RELOAD
 from soak.record import STALL
@@ -261,6 +262,16 @@
 _examples(_taken_up, five_of_twelve_streams_go_on=5, six_of_twelve_streams_go_on=6)
 
 
+def _moved(builder: RecordBuilder, going_on: int) -> None:
+    _taken_up(builder, going_on)
+    for attempt in builder.record.attempts:
+        if attempt.last_event and attempt.pieces:
+            attempt.gave_up = attempt.moves = True
+
+
+_examples(_moved, five_of_twelve_streams_that_move_go_on=5, six_of_twelve_streams_that_move_go_on=6)
+
+
 def _served_with(builder: RecordBuilder, changes: dict[str, Any]) -> None:
     attempt = builder.served(Kind.SAFE)
     for field, value in changes.items():
@@ -342,6 +353,21 @@
 _examples(_after_draining, a_request_1900_ms_after_the_leaving=1.9)
 
 
+@_example("a request 2100 ms after the leaving, cut off")
+def _cut_off_at_leaving(builder: RecordBuilder) -> None:
+    _after_draining(builder, 2.1)
+    builder.disturb(CUT_OFF, SENT_S - 3, SENT_S - 1)
+
+
+def _late_at_leaving(builder: RecordBuilder, late_s: float) -> None:
+    _after_draining(builder, 2.1)
+    builder.record.note_lateness(SENT_S - 2, SENT_S - 2 + late_s)
+
+
+_examples(_late_at_leaving, a_request_2100_ms_after_the_leaving_and_a_store_500_ms_late=0.5)
+_examples(_late_at_leaving, a_request_2100_ms_after_the_leaving_and_a_store_400_ms_late=0.4)
+
+
 def _ready_after_stop(builder: RecordBuilder, count: int) -> None:
     for number in range(4):
         name = f"entry-{number}"
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -10,6 +10,30 @@
     When seed 2 of "version change, kill all" is played on 3 entries for 20 s
     Then each rule was kept
 
+  # Guards against an entry that is cut off and takes a stream of the new version for one of the only version.
+  Scenario: An entry is cut off while a software version joins
+    When seed 2 of "cut off long, version change" is played on 3 entries for 14 s
+    Then each rule was kept
+
+  # Guards against faults of links that do nothing.
+  Scenario Outline: An entry that is cut off from <what> sends <kind>, which is <fate>
+    When an entry that is cut off from <what> sends <kind>, and what is held back is <fate>
+    Then it arrives <when>
+
+    Examples:
+      | what       | kind                | fate      | when    |
+      | the store  | a call of the store | kept      | late    |
+      | the store  | a call of the store | lost      | never   |
+      | the store  | a message on a link | kept      | at once |
+      | the store  | a datagram          | kept      | at once |
+      | the others | a call of the store | kept      | at once |
+      | the others | a message on a link | kept      | late    |
+      | the others | a message on a link | lost      | never   |
+      | the others | a datagram          | kept      | late    |
+      | the others | a datagram          | lost      | never   |
+      | both       | a call of the store | kept      | late    |
+      | both       | a datagram          | lost      | never   |
+
   # Guards against a check of the soak that can't fail.
   Scenario Outline: <rule> is broken by <example>
     Given a record of <example>
@@ -31,6 +55,7 @@
       | LOST    | an answer cut beside a configuration             |
       | LOST    | four answers lost on kept connections            |
       | LOST    | five of twelve streams go on                     |
+      | LOST    | five of twelve streams that move go on           |
       | MIXED   | a success without proof                          |
       | MIXED   | a success with another body                      |
       | MIXED   | a success where the target had answered otherwise|
@@ -44,6 +69,7 @@
       | ONE     | holders that take turns                          |
       | DRAIN   | a request 2100 ms after a notice                 |
       | DRAIN   | a request 2100 ms after the leaving              |
+      | DRAIN   | a request 2100 ms after the leaving and a store 400 ms late |
       | DRAIN   | two of four ready after SIGTERM                  |
       | BUDGET  | four requests at four targets                    |
       | BUDGET  | more time than is left 21 times                  |
@@ -74,6 +100,7 @@
       | answers cut as often at other times              |
       | three answers lost on kept connections           |
       | six of twelve streams go on                      |
+      | six of twelve streams that move go on            |
       | a success with the whole body                    |
       | a success with half the body that was broken off |
       | a run as it was sent                             |
@@ -82,6 +109,8 @@
       | a request 1900 ms after a notice                 |
       | a request 2100 ms after a notice and a stall     |
       | a request 1900 ms after the leaving              |
+      | a request 2100 ms after the leaving, cut off     |
+      | a request 2100 ms after the leaving and a store 500 ms late |
       | one of four ready after SIGTERM                  |
       | three requests at four targets                   |
       | more time than is left 20 times                  |
--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -45,6 +45,9 @@
 LEAVES_SHARE = 0.02
 IDLE_S = 0.25
 NO_ENTRY_S = 0.1
+PREFERRED_SHARE = 0.5
+# How long a caller stays that moves.
+MOVES_S = (0.3, 0.8)
 
 
 def route_prefix(kind: Kind, service: str, max_attempts: int) -> str:
@@ -84,6 +87,10 @@
     record: Record
     chance: random.Random
     stopping: bool = False
+    # While it isn't 0, callers leave their streams and take them up elsewhere.
+    moving: int = 0
+    # Taken for half of the connections while it is ready.
+    preferred: SoakEntry | None = None
     channels: list[Kept] = field(default_factory=list)
     numbers: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
 
@@ -132,6 +139,8 @@
         while loop.time() < request.end_s:
             in_rotation = [each for each in self.entries if each.in_rotation]
             entry = self.chance.choice(in_rotation or self.entries)
+            if self.preferred in in_rotation and self.chance.random() < PREFERRED_SHARE:
+                entry = self.preferred
             if channel := await connect(entry.callers_address):
                 self.channels = [each for each in self.channels if not each[1].end]
                 self.channels.append((entry, channel))
@@ -166,6 +175,9 @@
     async def _read(self, channel: Channel, attempt: Attempt) -> bool:
         leaves = attempt.kind.is_stream and self.chance.random() < LEAVES_SHARE
         patience_s = self.chance.uniform(0.0, 0.3) if leaves else attempt.limit_s + PATIENCE_S
+        if self.moving and attempt.kind is Kind.RESUMABLE:
+            attempt.moves = True
+            patience_s = self.chance.uniform(*MOVES_S)
         try:
             async with asyncio.timeout(patience_s):
                 return await read_answer(channel, attempt)
@@ -180,7 +192,9 @@
     def _goes_on(self, request: Request, attempt: Attempt) -> bool:
         """Return whether the caller tries again."""
         now_s = asyncio.get_running_loop().time()
-        if request.tries >= MAX_TRIES or now_s >= request.end_s or attempt.gave_up:
+        if request.tries >= MAX_TRIES or now_s >= request.end_s:
+            return False
+        if attempt.gave_up and not attempt.moves:
             return False
         if attempt.succeeded and attempt.complete:
             return False
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -1,12 +1,16 @@
 """Inject the faults of a schedule from outside the entries; they overlap."""
 
 import asyncio
+import contextlib
+import random
 import sys
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Iterator
 from typing import Any
 
 from soak.processes import SoakEntry
+from soak.record import CUT_OFF
 from soak.schedule import Step
 from soak.site import SoakSite
 from soak.store import UNAVAILABLE_STATUS
@@ -23,6 +27,14 @@
 TARGETS_OF_VERSION = 3
 DRAINING_S = 2.5
 LIMIT_PER_S = 5
+RELEASES = 3
+# Callers move their streams until so long after an entry is back in step.
+MOVE_AFTER_S = 2.0
+# Of the time that an entry is out of step, until the version joins.
+JOINS_SHARE = 0.15
+FREEZES_AT_MOST = 4
+# An entry that is frozen in series runs for so long between.
+RUNS_S = (0.02, 0.4)
 
 
 async def play(site: SoakSite) -> None:
@@ -199,14 +211,14 @@
     target.rest_s = 0.0
 
 
-async def _version_change(site: SoakSite, step: Step) -> None:
-    """Let targets of the next version come, and those before leave one after another."""
+async def _version_change(site: SoakSite, step: Step, *, more_s: float = 0.0) -> None:
+    """Let targets of the next version come, and all those before leave."""
     old = [each for each in site.targets if each.service == STREAMS]
     site.software += 1
     software = site.software
     for _ in range(TARGETS_OF_VERSION):
         await site.add_target(STREAMS, software)
-    await asyncio.sleep(step.pick * VERSIONS_OVERLAP_S)
+    await asyncio.sleep(step.pick * VERSIONS_OVERLAP_S + more_s)
     for target in old:
         target.leaving = True
     # Half of the changes, by the second digit of the number.
@@ -222,6 +234,83 @@
     await changing
 
 
+async def _releases_and_kills(site: SoakSite, step: Step) -> None:
+    """Release one version after another, with a kill of all entries after each."""
+    changing = []
+    with _streams_move(site):
+        for _ in range(RELEASES):
+            changing.append(asyncio.create_task(_version_change(site, step)))
+            await asyncio.sleep(step.pick * VERSIONS_OVERLAP_S + step.length_s)
+            await _kill_all(site, step)
+            await asyncio.sleep(step.length_s)
+        await asyncio.gather(*changing)
+
+
+async def _cut_off_and_version_change(site: SoakSite, step: Step) -> None:
+    """Cut an entry off from the store, the others or both while a version joins.
+
+    What was held back is lost or delivered late.
+    """
+    entry = _entry(site, step)
+    await _change_version_beside(site, step, entry, _cut_entry_off(site, step, entry))
+
+
+async def _cut_entry_off(site: SoakSite, step: Step, entry: SoakEntry) -> None:
+    # From further digits of the number: half of the entries are cut off from both.
+    which = int(step.pick * 100 % 1 * 4)
+    entry.disturb(CUT_OFF, seconds=step.length_s)
+    site.network.cut(entry.ip, store=which != 0, entries=which != 1)
+    await asyncio.sleep(step.length_s)
+    site.network.heal(entry.ip, lost=step.pick * 1_000 % 1 < 0.5)
+
+
+async def _frozen_and_version_change(site: SoakSite, step: Step) -> None:
+    """Freeze an entry in series while a version joins."""
+    entry = _entry(site, step)
+    await _change_version_beside(site, step, entry, _freeze_in_series(site, step, entry))
+
+
+async def _freeze_in_series(site: SoakSite, step: Step, entry: SoakEntry) -> None:
+    chance = random.Random(step.pick)
+    count = chance.randint(1, FREEZES_AT_MOST)
+    for _ in range(count):
+        await entry.stall(step.length_s / count)
+        await asyncio.sleep(chance.uniform(*RUNS_S))
+
+
+async def _change_version_beside(
+    site: SoakSite, step: Step, entry: SoakEntry, fault: Coroutine[Any, Any, None]
+) -> None:
+    """Let a version join while an entry is out of step, to which callers take streams."""
+    site.callers.preferred = entry
+    with _streams_move(site):
+        out_of_step = asyncio.create_task(fault)
+        # Streams have to begin at the new version while the entry is out of step.
+        await asyncio.sleep(step.pick * 10 % 1 * JOINS_SHARE * step.length_s)
+        changing = asyncio.create_task(_version_change(site, step, more_s=step.length_s))
+        await out_of_step
+        await asyncio.sleep(MOVE_AFTER_S)
+    site.callers.preferred = None
+    await changing
+
+
+@contextlib.contextmanager
+def _streams_move(site: SoakSite) -> Iterator[None]:
+    """Let callers leave their streams and take them up elsewhere."""
+    site.callers.moving += 1
+    try:
+        yield
+    finally:
+        site.callers.moving -= 1
+
+
+async def _odd_registration(site: SoakSite, step: Step) -> None:
+    """Let an unusable entry stand among the registrations while targets come and leave."""
+    standing = asyncio.create_task(site.put_odd(step.pick, step.length_s))
+    await _target_drains(site, step)
+    await standing
+
+
 async def _busy(site: SoakSite, step: Step) -> None:
     command = [sys.executable, "-c", BUSY_LOOP]
     busy = [site.processes.spawn(command) for _ in range(BUSY_PROCESSES)]
@@ -256,5 +345,10 @@
     "target rests": _target_rests,
     "version change": _version_change,
     "version change, kill all": _version_change_and_kill,
+    "releases, kill all": _releases_and_kills,
+    "cut off, version change": _cut_off_and_version_change,
+    "cut off long, version change": _cut_off_and_version_change,
+    "frozen, version change": _frozen_and_version_change,
+    "odd registration": _odd_registration,
     "busy": _busy,
 }
--- a/features/soak/lossrules.py
+++ b/features/soak/lossrules.py
@@ -153,7 +153,8 @@
 
 def _counts_as_taken_up(record: Record, attempt: Attempt, version: str) -> bool:
     end_s = attempt.end_s or attempt.sent_s
-    if not record.is_in_touch(attempt.entry, attempt.sent_s, end_s) or attempt.gave_up:
+    left = attempt.gave_up and not (attempt.moves and attempt.pieces)
+    if left or not record.is_in_touch(attempt.entry, attempt.sent_s, end_s):
         return False
     if not attempt.last_event:
         return True
--- a/features/soak/record.py
+++ b/features/soak/record.py
@@ -23,11 +23,15 @@
 # Statuses that promise that a request has not run and never will.
 PROMISES = (408, 421, 429, 503)
 STORE = "store"
+# A store whose process stands still for so long is slow.
+STORE_LATE_S = 0.5
 # Kinds of disturbances.
 STOP = "term"
 RELOAD = "hup"
 KILL = "kill"
 STALL = "stall"
+CUT_OFF = "cut off"
+LATE = "late"
 OWN_END = "end"
 SAVED = ("disturbances", "targets", "attempts", "arrivals", "orders", "readiness", "ended")
 PLANNED = (STOP, RELOAD)
@@ -91,6 +95,8 @@
     error: str = ""
     # Whether the caller closed the connection.
     gave_up: bool = False
+    # Whether it closes the connection to take its stream up elsewhere.
+    moves: bool = False
     # Bytes that lay on the connection before the request was sent.
     stray: str = ""
     text: str = ""
@@ -201,6 +207,12 @@
     latest_s: float = 0.0
     ended: list[Ending] = field(default_factory=list)
 
+    def note_lateness(self, due_s: float, now_s: float) -> None:
+        """Record that the soak's own event loop, which runs the store, was late."""
+        self.latest_s = max(self.latest_s, now_s - due_s)
+        if now_s - due_s >= STORE_LATE_S:
+            self.disturbances.append(Disturbance(LATE, STORE, due_s, now_s))
+
     def arrivals_by_identity(self) -> dict[str, list[Arrival]]:
         """Return the arrivals of each try."""
         found: dict[str, list[Arrival]] = defaultdict(list)
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -103,7 +103,7 @@
     while True:
         due_s = site.now_s + TICK_S
         await asyncio.sleep(TICK_S)
-        site.record.latest_s = max(site.record.latest_s, site.now_s - due_s)
+        site.record.note_lateness(due_s, site.now_s)
 
 
 async def _play(site: SoakSite) -> None:
--- a/features/soak/schedule.py
+++ b/features/soak/schedule.py
@@ -36,6 +36,11 @@
     "target rests": (2, 0.5, 4.0),
     "version change": (2, 0.0, 0.0),
     "version change, kill all": (2, 0.0, 3.5),
+    "releases, kill all": (1, 0.3, 2.5),
+    "cut off, version change": (2, 0.2, 4.5),
+    "cut off long, version change": (3, 4.5, 6.0),
+    "frozen, version change": (2, 0.2, 6.0),
+    "odd registration": (2, 1.0, 6.0),
     "busy": (1, 2.0, 8.0),
 }
 MAX_ENTRIES = 6
--- a/features/soak/site.py
+++ b/features/soak/site.py
@@ -9,6 +9,7 @@
 
 from harness.entry_processes import POLL_S
 from harness.entry_processes import READY_TIMEOUT_S
+from harness.entry_processes import loopback_address
 from harness.entry_site import HOST
 from mimosaspur_load.processes import Processes
 from soak.callers import ROUTES
@@ -17,6 +18,8 @@
 from soak.engines import MODELS
 from soak.engines import SoakEngine
 from soak.engines import engine_specification
+from soak.network import RelayProcess
+from soak.odd import odd_registration
 from soak.processes import SoakEntry
 from soak.record import STORE
 from soak.record import Disturbance
@@ -52,6 +55,7 @@
         self.chance = random.Random(schedule.seed)
         self.record = Record()
         self.store = SoakStore(era="1")
+        self.network = RelayProcess()
         self.entries: list[SoakEntry] = []
         self.callers = Callers(self.entries, self.record, random.Random(schedule.seed + 1))
         self.targets: list[SoakTarget] = []
@@ -69,13 +73,14 @@
 
     async def start(self) -> None:
         """Start everything; wait until the entries serve and one coordinates."""
-        address = await self.store.start()
+        await self.network.start(await self.store.start())
         self.configure()
         for service, count in FIRST_TARGETS:
             for _ in range(count):
                 await self.add_target(service, self.software)
         for number in range(self.schedule.entries):
             chance = random.Random(f"{self.schedule.seed} {number}")
+            address = await self.network.add(f"entry-{number}", loopback_address(number))
             entry = SoakEntry(self.processes, self.folder, number, address, self.record, chance)
             entry.start()
             self.entries.append(entry)
@@ -93,6 +98,7 @@
             entry.stopping = True
         for target in self.targets:
             target.stop()
+        self.network.stop()
         if self.store.server:
             self.store.server.close()
 
@@ -152,6 +158,15 @@
         if target.identity in self.store.objects[SERVERS]:
             self.store.delete(SERVERS, target.identity)
 
+    async def put_odd(self, pick: float, seconds: float) -> None:
+        """Let another writer's entry stand among the registrations for a time."""
+        name = f"odd-{next(self.numbers)}"
+        self.store.put(SERVERS, name, odd_registration(pick, f"v{self.software}"))
+        await asyncio.sleep(seconds)
+        # A restore of the store has removed it.
+        if name in self.store.objects[SERVERS]:
+            self.store.delete(SERVERS, name)
+
     def end_target(self, target: SoakTarget) -> None:
         """End a target at once; its requests break off."""
         assert target.life
--- a/features/soak/store.py
+++ b/features/soak/store.py
@@ -3,8 +3,10 @@
 import asyncio
 import contextlib
 from dataclasses import dataclass
+from typing import Any
 
 from harness.direct_store import StoreStandIn
+from soak.links import relay_ip
 
 UNAVAILABLE_STATUS = 503
 
@@ -27,3 +29,9 @@
     async def _answer(self, method: str, target: str, body: bytes) -> tuple[int, object]:
         await asyncio.sleep(self.delay_s)
         return await StoreStandIn._answer(self, method, target, body)
+
+    def _write(self, kind: str, name: str, call: dict[str, Any]) -> tuple[int, object]:
+        # Entries reach the holder of the lease through the relays.
+        if "ip" in call["specification"]:
+            call["specification"]["ip"] = relay_ip(call["specification"]["ip"])
+        return StoreStandIn._write(self, kind, name, call)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,10 +1,13 @@
-"""Steps for the soak of real entries, and for its checks."""
+"""Steps for the soak of real entries, for its checks and its relays."""
+
+import asyncio
 
 from behave import given
 from behave import then
 from behave import when
 from behave.runner import Context
 
+from harness.soak_links import send_while_cut_off
 from harness.soak_records import build
 from soak.checks import CHECKS
 from soak.run import describe
@@ -46,3 +49,15 @@
 @then("each rule was kept")
 def check_result(context: Context) -> None:
     assert not context.result.cases, describe(context.result)
+
+
+@when("an entry that is cut off from {what} sends {kind}, and what is held back is {fate}")
+def send_cut_off(context: Context, what: str, kind: str, fate: str) -> None:
+    store, entries = what in ("the store", "both"), what in ("the others", "both")
+    sending = send_while_cut_off(kind, store=store, entries=entries, lost=fate == "lost")
+    context.arrives = asyncio.run(sending)
+
+
+@then("it arrives {when}")
+def check_arrival(context: Context, when: str) -> None:
+    assert context.arrives == when, context.arrives
