--- a/features/harness/release_play.py
+++ b/features/harness/release_play.py
@@ -145,7 +145,7 @@
         await asyncio.sleep(STORE_S / 2)
         written = [each for each in changes if isinstance(each, TargetRecord)]
         removed = [each for each in changes if isinstance(each, str)]
-        return TargetChanges(written, removed, last)
+        return TargetChanges(written, removed, last, timed_out=not changes)
 
     async def read_versions(self) -> VersionRecord | None:
         """Return the record of versions."""
@@ -194,7 +194,6 @@
         )
         self.versions.update_entries(play.addresses, [], complete=True)
         self.tasks = [
-            asyncio.create_task(self.versions.run()),
             asyncio.create_task(StoreWatch(self.state).follow_targets()),
             asyncio.create_task(VersionRecordKeeper(self.state).run()),
         ]
