--- a/features/foreign_registrations.feature
+++ b/features/foreign_registrations.feature
@@ -15,3 +15,15 @@
   Scenario: A change that can't be read comes between sound ones
     When 400 generated lists of changes, sound and foreign ones, are read from the store
     Then each list names the sound targets, unchanged, and no foreign one
+
+  # Guards against a log that grows at each reading of the same unreadable registrations.
+  Scenario Outline: Unreadable registrations are read again and again, each with <what>
+    Given a store with 2000 registrations that each have <what>, and one sound one
+    When the registrations are read from it 3 times, one changes in between
+    Then each unreadable one is logged once for each change, in lines of at most 1200 bytes
+    And the sound one is read each time
+
+    Examples:
+      | what                 |
+      | a field out of range |
+      | a long name          |
