Play entries that are out of step while versions join, go and come back

A coordinator and two followers in virtual time, with their links, their readings of the store and its record of versions. One or two of them are cut off, stand still (their callbacks are held back, while links and the store go on) or get all late, for 0.2 to 6 s at offsets of 0.1 s, again and again. None may take a version for the only one while streams of another one may be resumed.

In the network in memory what arrives is handled in the context of the receiving process.

--- a/features/harness/followed_list_play.py
+++ b/features/harness/followed_list_play.py
@@ -70,7 +70,7 @@
             targets[identity] = TargetRecord(
                 identity, "s", address, "north", started_ms=self.starts, version=version
             )
-        self._write(targets, self.revision + 1, now_ms)
+        self.write(targets, self.revision + 1, now_ms)
 
     def restore(self, now_ms: int) -> None:
         """Go back to an earlier revision, without targets that have started since."""
@@ -82,7 +82,7 @@
             if name in now and record.is_same_lifetime(now[name])
         }
         self.era += 1
-        self._write(kept, self.era * REVISIONS_PER_ERA + self.chooser.randrange(1, 9), now_ms)
+        self.write(kept, self.era * REVISIONS_PER_ERA + self.chooser.randrange(1, 9), now_ms)
 
     def was_current(self, targets: Registrations, since_ms: int) -> bool:
         """Return whether these were the registrations at some time since then."""
@@ -93,7 +93,8 @@
                 return False
         return False
 
-    def _write(self, targets: Registrations, revision: int, now_ms: int) -> None:
+    def write(self, targets: Registrations, revision: int, now_ms: int) -> None:
+        """Replace the registrations."""
         self.revision = revision
         self.states[revision] = targets
         self.since_ms[revision] = now_ms
--- a/features/harness/memory_network.py
+++ b/features/harness/memory_network.py
@@ -1,6 +1,7 @@
 """Connect the streams of one event loop in memory, in virtual time."""
 
 import asyncio
+import contextvars
 import itertools
 import socket
 import struct
@@ -51,6 +52,8 @@
         self.loop = loop
         self.protocol: Any = protocol
         self.socket = MemorySocket(address)
+        # What arrives is handled in the context of the process that this end belongs to.
+        self.context = contextvars.copy_context()
         self.peer = self
         # What is on its way here, in order.
         self.inbox: deque[Callable[[], None]] = deque()
@@ -125,7 +128,11 @@
     def arrives(self, action: Callable[[], None]) -> None:
         """Let something arrive here after the latency, in order."""
         self.inbox.append(action)
-        self.loop.call_later(LATENCY_S, lambda: self.inbox.popleft()())
+        self.loop.call_later(
+            self.loop.latency_s(self.context),
+            lambda: self.inbox.popleft()(),
+            context=self.context,
+        )
 
     def receive(self, data: bytes) -> None:
         """Take data of the other end; reset it if this end is closed."""
@@ -165,6 +172,7 @@
         self.loop = loop
         self.factory = factory
         self.sockets = [MemorySocket(address)]
+        self.context = contextvars.copy_context()
         loop.servers[address] = self
 
     def close(self) -> None:
@@ -182,6 +190,10 @@
         # The ends that have opened connections.
         self.clients: list[MemoryTransport] = []
 
+    def latency_s(self, receiver: contextvars.Context) -> float:
+        """Return how long it takes until what is sent now arrives."""
+        return LATENCY_S
+
     async def create_server(  # type: ignore[override]
         self, protocol_factory: ProtocolFactory, host: Any = None, port: Any = None, **options: Any
     ) -> MemoryServer:
@@ -197,9 +209,11 @@
         if server is None:
             raise ConnectionRefusedError("refused")
         client = MemoryTransport(self, protocol_factory(), (host, port))
-        accepted = MemoryTransport(self, server.factory(), (host, port))
+        accepted = server.context.copy().run(
+            lambda: MemoryTransport(self, server.factory(), (host, port))
+        )
         client.peer, accepted.peer = accepted, client
         self.clients.append(client)
         client.protocol.connection_made(client)
-        accepted.protocol.connection_made(accepted)
+        accepted.context.run(accepted.protocol.connection_made, accepted)
         return client, client.protocol
