Count the coordinator's news of the store from when it can have been sent

What callers may see: a configuration or a list that is up to a second older than it is taken for, before an entry reads the store itself. The freshness of the configuration and the targets counted an update from when it was read, however long it had waited in a socket; only the history of versions counted from the report that the update answers.

Measured with three entries in virtual time, nothing late: an update is read up to 112 ms after the report that it answers, and the news is up to 1,124 ms old before the next one; counted from the report up to 1,225 ms, over the 1,200 ms after which entries read the store themselves. So 200 ms of that time are not counted.

A play without faults shows that followers never take the news for too old; it fails if the 200 ms are counted.

--- a/packages/daemon/src/mimosaspur_daemon/direct/storechanges.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/storechanges.py
@@ -9,6 +9,8 @@
 # Kinds of store data that an entry needs to serve callers.
 TARGETS = "targets"
 CONFIGURATION = "configuration"
+# From a report of an entry to the update that answers it, while nothing is late.
+USUAL_WAIT_MS = 200
 
 
 class StoreChanges:
@@ -60,16 +62,17 @@
     if changes.revision < state.fleet.revision:
         followed.applied_number = None
         return
-    state.log.counters.observe("store_news_age_ms", changes.age_ms)
-    state.freshness.confirm_by_coordinator(age_ms=changes.age_ms)
+    # The update itself may have been on its way, or have waited here, for this long.
+    waited_ms = state.report_times.age_ms()
+    late_ms = max(0, (waited_ms or 0) - USUAL_WAIT_MS)
+    state.log.counters.observe("store_news_age_ms", changes.age_ms + late_ms)
+    state.freshness.confirm_by_coordinator(age_ms=changes.age_ms + late_ms)
     state.fleet.revision = changes.revision
     if not followed.is_in_force(state.fleet.list_number):
         state.on_targets_changed(state.fleet.replace(followed.targets))
     elif records or changes.removed:
         state.on_targets_changed(state.fleet.update(records, changes.removed))
     followed.applied_number = state.fleet.list_number
-    # The update itself may have been on its way, or have waited here, for this long.
-    waited_ms = state.report_times.age_ms()
     if waited_ms is not None:
         state.stream_versions.history.confirm(age_ms=changes.age_ms + waited_ms)
 
