--- a/features/harness/out_of_step_play.py
+++ b/features/harness/out_of_step_play.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Awaitable
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TypeVar
 from unittest.mock import patch
 
@@ -89,7 +90,8 @@
         async def wait() -> TargetChanges:
             if self.common.targets.revision == revision:
                 await self._wait(wait_ms)
-            return await self.common.targets.watch_targets(revision, wait_ms=wait_ms)
+            changes = await self.common.targets.watch_targets(revision, wait_ms=wait_ms)
+            return replace(changes, timed_out=changes.revision == revision)
 
         return await self._call(wait, wait_ms / 1000 + WATCH_MARGIN_S)
 
@@ -111,7 +113,7 @@
 
         async def wait() -> ConfigurationChange:
             await asyncio.sleep(wait_ms / 1000)
-            return ConfigurationChange(None, revision)
+            return ConfigurationChange(None, revision, timed_out=True)
 
         return await self._call(wait, wait_ms / 1000 + WATCH_MARGIN_S)
 
@@ -183,7 +185,6 @@
         self.election.address = server.sockets[0].getsockname()
         watch = StoreWatch(self.state)
         async with asyncio.TaskGroup() as group:
-            group.create_task(self.state.stream_versions.run())
             group.create_task(watch.follow_targets())
             group.create_task(watch.follow_configuration())
             group.create_task(VersionRecordKeeper(self.state).run())
