Keep the newer list of targets when the coordinator's updates overtake an answer of the store

What callers may see: requests fail or wait since targets that have just come are missing, for up to the next update of the coordinator. An entry that reads the store itself goes on applying updates of its coordinator. An answer that was under way meanwhile replaced the newer list, while the entry kept the newer revision and the newer confirmation. History remembers versions that such a list lacks, so that no stream is joined by this alone.

Evidence: the model of followed_list.feature with answers that take up to 0.5 s.

Change: an answer older than a list that was applied since it was asked for is dropped, and the store listed again. One that is older than the list of before the question still counts, as after a restore of a store that doesn't name its era.

--- a/features/followed_list.feature
+++ b/features/followed_list.feature
@@ -6,3 +6,10 @@
     When 200 plays of an entry that also reads the store itself are played
     Then its list is always the store's at the revision that it claims
     And it is confirmed only while it is current
+
+  # Guards against a list that goes back to what it was: an answer of the store that was overtaken by
+  # the coordinator's updates replaced the newer list, which kept the newer revision.
+  Scenario: Updates come while the entry waits for the store
+    When 200 plays of an entry that also reads the store itself are played, which takes up to 0.5 s
+    Then its list is always the store's at the revision that it claims
+    And it is confirmed only while it is current
--- a/packages/daemon/src/mimosaspur_daemon/direct/storewatch.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/storewatch.py
@@ -198,10 +198,17 @@
         self.grace_until_ms = 0
         return True
 
+    def _is_overtaken(self, known: int, answered: int) -> bool:
+        """Return whether the coordinator has sent a newer list than the answer that was awaited."""
+        return known < self.state.fleet.revision > answered
+
     async def _list_targets(self) -> int:
         asked_ms = self.wait_clock.now_ms()
+        known = self.state.fleet.revision
         listing = await self.store.list_targets()
         self.target_status.list_succeeded()
+        if self._is_overtaken(known, listing.revision):
+            return UNKNOWN_REVISION
         now_ms = self.state.clock.now_ms()
         if self.may_have_been_away:
             self.may_have_been_away = False
@@ -217,9 +224,12 @@
 
     async def _watch_targets(self, revision: int) -> int:
         asked_ms = self.wait_clock.now_ms()
+        known = self.state.fleet.revision
         wait_ms = self._wait_ms(TARGETS_WATCH_SHARE)
         changes = await self.store.watch_targets(revision, wait_ms=wait_ms)
         self.target_status.watch_succeeded()
+        if self._is_overtaken(known, changes.revision):
+            return UNKNOWN_REVISION
         lapsing = self.state.clock.now_ms() < self.grace_until_ms
         removed = [] if lapsing else list(changes.removed)
         self.state.on_targets_changed(self.state.fleet.update(changes.changed, removed))
