--- a/features/foreign_names.feature
+++ b/features/foreign_names.feature
@@ -22,3 +22,9 @@
       | name      |
       | a b       |
       | a&watch=1 |
+
+  # Guards against calls without end of a store whose list doesn't go on after a name.
+  Scenario: A list comes back to its first page
+    Given a store that answers each list with its first page
+    When the registrations are read from it
+    Then the list ends with an error that names the store
--- a/features/steps/foreign_names_steps.py
+++ b/features/steps/foreign_names_steps.py
@@ -69,14 +69,21 @@
             writer.close()
 
     def _answer(self, target: str) -> tuple[int, bytes]:
-        query = parse_qs(urlsplit(target).query)
+        query = parse_qs(urlsplit(target).query, errors="surrogatepass")
         if not query:
             return 200, b'{"items":[%s],"at":7,"has_more":true}' % b",".join(self.first)
-        if set(query) == {"after"} and (not self.after or query["after"] == [self.after]):
+        if query == {"after": [self.after]}:
             return 200, b'{"items":[%s],"at":7}' % _stored("i-2")
         return 400, b"{}"
 
 
+class RepeatingStore(PagedStore):
+    """Answer each list with the first page."""
+
+    def _answer(self, target: str) -> tuple[int, bytes]:
+        return super()._answer(urlsplit(target).path)
+
+
 @given('a direct entry before a sound target that is registered once more as "{name}"')
 def register_odd(context: Context, name: str) -> None:
     async def start() -> None:
@@ -108,7 +115,7 @@
 
 @given("a store whose first page of registrations holds only objects without a readable name")
 def make_unreadable_page(context: Context) -> None:
-    context.store = PagedStore([UNREADABLE], after="")
+    context.store = PagedStore([UNREADABLE], after="\ud800")
 
 
 @given('a store whose first page of registrations ends with the name "{name}"')
@@ -116,6 +123,16 @@
     context.store = PagedStore([_stored("i-1"), _stored(name)], after=name)
 
 
+@given("a store that answers each list with its first page")
+def make_repeating(context: Context) -> None:
+    context.store = RepeatingStore([_stored("i-1")], after="")
+
+
+@then("the list ends with an error that names the store")
+def check_error(context: Context) -> None:
+    assert "StoreUnavailable" in context.listed, context.listed
+
+
 @when("the registrations are read from it")
 def read_registrations(context: Context) -> None:
     async def read() -> None:
