Let resumptions wait for a started entry's first read of the versions

Cause: an entry is ready with its first list of targets, and reads the store's record of versions up to 0.05 s later. Streams taken up in between were rejected at once, as the other fresh entries knew as little.

Change: a resumption that nothing else answers waits for the first read, for 90 ms at most, as when no entry answers; the first read follows within 0.01 s.

--- a/features/steps/stream_versions_restarted_steps.py
+++ b/features/steps/stream_versions_restarted_steps.py
@@ -1,6 +1,7 @@
-"""Steps for datagrams that are under way while their reader is started again."""
+"""Steps for what an entry that has just been started knows of streams."""
 
 import asyncio
+from functools import partial
 
 from behave import given
 from behave import then
@@ -9,6 +10,7 @@
 
 from harness.direct_entry import null_log
 from harness.loop import run
+from mimosaspur_coordination.fleetports import VersionRecord
 from mimosaspur_coordination.streams.streamrecords import StreamRecord
 from mimosaspur_coordination.streams.streamrecords import stream_key
 from mimosaspur_daemon.direct.streamversions import StreamVersions
@@ -22,6 +24,7 @@
 # Questions or records before the restart.
 EARLIER_COUNT = 40
 POLL_S = 0.001
+READ_AFTER_S = 0.05
 
 
 class HeldDatagrams:
@@ -51,10 +54,12 @@
         self.held.clear()
 
 
-async def _start(name: str, address: Address = ("127.0.0.1", 0)) -> StreamVersions:
+async def _start(
+    name: str, address: Address = ("127.0.0.1", 0), *, versions: str = "v1 v2"
+) -> StreamVersions:
     entry = StreamVersions(instance=name, lag_ms=LAG_MS, clock=SystemClock(), log=null_log("entry"))
     await entry.listen(address)
-    entry.update_targets({SERVICE: {"v1", "v2"}})
+    entry.update_targets({SERVICE: versions.split()})
     return entry
 
 
@@ -142,3 +147,44 @@
 @then("the retry is held back")
 def check_retry(context: Context) -> None:
     assert context.is_sent is False
+
+
+@given("{count:d} entries that have just been started and know {version} from their lists")
+def start_entries(context: Context, count: int, version: str) -> None:
+    async def start() -> None:
+        context.entries = [await _start(f"{number}", versions=version) for number in range(count)]
+        for entry in context.entries:
+            context.add_cleanup(entry.close)
+            entry.history.confirm(age_ms=0)
+            addresses = [(each.instance, each.address) for each in context.entries]
+            entry.update_entries(addresses, [], complete=True)
+
+    run(context, start())
+
+
+@when("a stream is looked up at each, and the record is {what}")
+def look_up_before_read(context: Context, what: str) -> None:
+    services = {SERVICE: {"v1": True}} if what.endswith("names v1") else {}
+    record = VersionRecord(services, 1)
+    context.lookups = []
+
+    async def look_up(entry: StreamVersions) -> None:
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        if what.startswith("read"):
+            asked_ms = entry.history.clock.now_ms()
+            loop.call_later(READ_AFTER_S, partial(entry.apply_record, record, asked_ms=asked_ms))
+        found = await entry.find(stream_key(SERVICE, "stream"), service=SERVICE)
+        lasted_ms = (loop.time() - began_s) * 1000
+        context.lookups.append((found[0] if found else "nothing", lasted_ms))
+
+    async def look_up_at_each() -> None:
+        await asyncio.gather(*map(look_up, context.entries))
+
+    run(context, look_up_at_each())
+
+
+@then("each answers {version} within {ms:d} ms")
+def check_lookups(context: Context, version: str, ms: int) -> None:
+    assert len(context.lookups) == len(context.entries)
+    assert all(found == version and took <= ms for found, took in context.lookups), context.lookups
--- a/features/stream_versions_restarted.feature
+++ b/features/stream_versions_restarted.feature
@@ -1,4 +1,4 @@
-Feature: An entry that starts again takes nothing for its own that was sent to the process before it
+Feature: An entry that has just been started knows what it can rely on
 
   # Guards against an answer about another stream that reaches an entry after it was started again.
   Scenario Outline: An answer that is late by a restart of its reader counts for no other question
@@ -16,3 +16,16 @@
     Given an entry that is started again while an acknowledgement is under way to it
     When a stream is retried at v2 out of reach of its witnesses, and then it arrives
     Then the retry is held back
+
+  # Guards against streams that are rejected at once by entries that have just been started and are
+  # about to read the versions of each service.
+  Scenario Outline: A resumption waits for an entry's first read of the record, <record>
+    Given 3 entries that have just been started and know v1 from their lists
+    When a stream is looked up at each, and the record is <record>
+    Then each answers <version> within <ms> ms
+
+    Examples:
+      | record                          | version | ms  |
+      | read 50 ms later and names v1   | v1      | 120 |
+      | read 50 ms later and names none | nothing | 120 |
+      | not read                        | nothing | 300 |
--- a/packages/coordination/src/mimosaspur_coordination/streams/versionhistory.py
+++ b/packages/coordination/src/mimosaspur_coordination/streams/versionhistory.py
@@ -193,11 +193,15 @@
                 known.gone_ms.setdefault(version, now_ms)
         return {service for service, known in before.items() if self.recent(service) - known}
 
+    def has_read_record(self) -> bool:
+        """Return whether the record was read since the lists were last too old."""
+        return self.record_read_ms >= self.continuous_since_ms
+
     def is_record_due(self) -> bool:
         """Return whether the record must be read to rely on the lists, or to use a version."""
         if not self.is_current():
             return False
-        return self.record_read_ms < self.continuous_since_ms or any(
+        return not self.has_read_record() or any(
             self._lacks_record(service, known, version)
             for service, known in self.services.items()
             for version in known.present - known.recorded
--- a/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
@@ -18,6 +18,7 @@
 from mimosaspur_coordination.streams.streamrecords import StreamRecords
 from mimosaspur_coordination.streams.versionhistory import VersionHistory
 from mimosaspur_coordination.streams.witnesses import choose_witnesses
+from mimosaspur_daemon.direct.changenotifier import ChangeNotifier
 from mimosaspur_protocol.streammessages import MAX_RECORDS_PER_DATAGRAM
 from mimosaspur_protocol.streammessages import RecordMessage
 from mimosaspur_protocol.streammessages import StreamAnswer
@@ -45,6 +46,8 @@
 ANSWER_TIMEOUT_S = sum(ANSWER_INTERVALS_S)
 # An entry that nobody has answered by then is out of touch itself: another one may know.
 OUT_OF_TOUCH_SENDS = 3
+# How long a resumption waits for the first read of the record.
+RECORD_TIMEOUT_S = sum(ANSWER_INTERVALS_S[:OUT_OF_TOUCH_SENDS])
 # Entries that a new coordinator doesn't know yet are still asked for this long.
 ENTRY_GRACE_MS = 5_000
 # For a configuration without streams.
@@ -96,6 +99,7 @@
         self.deliveries: dict[int, Delivery] = {}
         # By the number of its datagrams.
         self.questions: dict[int, Question] = {}
+        self.record_reads = ChangeNotifier()
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def listen(self, address: Address) -> None:
@@ -125,6 +129,7 @@
     def apply_record(self, record: VersionRecord | None, *, asked_ms: int) -> None:
         """Apply the store's record of versions as of asked_ms."""
         self._on_grown(self.history.apply_record(record, asked_ms=asked_ms))
+        self.record_reads.notify()
 
     def _on_grown(self, services: Collection[str]) -> None:
         """Tell of all streams as soon as a service may have a further version."""
@@ -187,19 +192,29 @@
     ) -> tuple[str, VersionSource] | None:
         """Return the version that began a stream and how it is known, None if it is unknown.
 
-        Other entries are asked until `until_s` of the event loop at most.
+        Other entries are asked, and the first read of the record is waited for, until `until_s` of
+        the event loop at most.
         """
         known = self.find_here(key, service=service)
         if known is not None:
             return known
+        due_s = min(until_s, asyncio.get_running_loop().time() + RECORD_TIMEOUT_S)
         asked = self._asked(key)
         versions = self.history.recent(service)
         lookup = VersionLookup(asked, versions=versions)
         if not lookup.is_decided():
             await self._ask(lookup, service, key, until_s)
+        if lookup.result() is None:
+            await self._wait_for_record(due_s)
         # What came meanwhile without being asked for counts as well.
         return self.find_here(key, service=service) or lookup.result()
 
+    async def _wait_for_record(self, due_s: float) -> None:
+        """Wait for the first read of the record, until a time of the event loop."""
+        loop = asyncio.get_running_loop()
+        while not self.history.has_read_record() and (left_s := due_s - loop.time()) > 0:
+            await self.record_reads.wait(left_s)
+
     def find_here(self, key: bytes, *, service: str) -> tuple[str, VersionSource] | None:
         """Return what `find` does without asking other entries, None if it is unknown here."""
         record = self.records.find(key)
--- a/packages/daemon/src/mimosaspur_daemon/direct/versionrecord.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/versionrecord.py
@@ -11,6 +11,8 @@
 from mimosaspur_state.errors import VersionConflict
 
 POLL_S = 0.05
+# Resumptions wait for the first read.
+FIRST_POLL_S = 0.01
 # Time for the coordinator to record a new version before the other entries read it, with jitter so
 # that they don't all call at once. Both together are less than the time until they may use it.
 READ_DELAY_S = 0.3
@@ -37,7 +39,8 @@
     async def run(self) -> None:
         """Read and write the record for as long as the process runs."""
         while True:
-            await asyncio.sleep(POLL_S)
+            was_read = self.versions.history.has_read_record()
+            await asyncio.sleep(POLL_S if was_read else FIRST_POLL_S)
             try:
                 if self._is_read_due():
                     await self._read()
@@ -63,7 +66,7 @@
 
     async def _read(self) -> None:
         history = self.versions.history
-        first = history.record_read_ms < history.continuous_since_ms
+        first = not history.has_read_record()
         waits = not self.state.coordinating or self.lacking_since_ms is not None
         if waits and not first:
             await asyncio.sleep(READ_DELAY_S + random.random() * READ_JITTER_S)
@@ -83,7 +86,7 @@
 
     async def _write(self) -> None:
         history = self.versions.history
-        if self.is_unsure or history.record_read_ms < history.continuous_since_ms:
+        if self.is_unsure or not history.has_read_record():
             return
         record = self.recorder.next_record()
         if record is None:
