Tell all entries that are asked of a retry at another version

Seen by callers: none so far; found by reading, and shown with five entries. A stream could go on at another version than the one that began it.

Cause: the record of a retry before the first event went to the two witnesses of the present list of entries. An entry that was a witness before others joined (as when entries start one after another) kept the first attempt's record, is among the eight that are asked, and the first answer decides.

Change: a change of the version goes to all eight that are asked, and the retry is sent only once all of them have acknowledged it. One of them that is silent holds such a retry back, where before only two could.

--- a/features/steps/stream_versions_restarted_steps.py
+++ b/features/steps/stream_versions_restarted_steps.py
@@ -1,6 +1,7 @@
 """Steps for what an entry that has just been started knows of streams."""
 
 import asyncio
+import collections
 from functools import partial
 
 from behave import given
@@ -25,6 +26,7 @@
 EARLIER_COUNT = 40
 POLL_S = 0.001
 READ_AFTER_S = 0.05
+JOINED_COUNT = 5
 
 
 class HeldDatagrams:
@@ -188,3 +190,56 @@
 def check_lookups(context: Context, version: str, ms: int) -> None:
     assert len(context.lookups) == len(context.entries)
     assert all(found == version and took <= ms for found, took in context.lookups), context.lookups
+
+
+@given("an entry that tells two others of {count:d} streams at v1, before two more entries join")
+def tell_before_join(context: Context, count: int) -> None:
+    async def tell() -> None:
+        context.entries = [await _start(f"{number}") for number in range(JOINED_COUNT)]
+        for entry in context.entries:
+            context.add_cleanup(entry.close)
+        _list_entries(context.entries[:-2])
+        context.keys = [stream_key(SERVICE, str(number)) for number in range(count)]
+        for key in context.keys:
+            await context.entries[0].announce(
+                key, StreamRecord("v1"), service=SERVICE, is_change=False
+            )
+        await asyncio.sleep(READ_AFTER_S)
+        _list_entries(context.entries)
+
+    run(context, tell())
+
+
+def _list_entries(entries: list[StreamVersions]) -> None:
+    addresses = [(each.instance, each.address) for each in entries if each.address]
+    for entry in entries:
+        entry.update_entries(addresses, [], complete=True)
+
+
+@when("it tells of their retries at v2")
+def tell_of_retries(context: Context) -> None:
+    async def tell() -> None:
+        record = StreamRecord("v2", change=1)
+        told = [
+            context.entries[0].announce(key, record, service=SERVICE, is_change=True)
+            for key in context.keys
+        ]
+        context.sent = dict(zip(context.keys, await asyncio.gather(*told), strict=True))
+
+    run(context, tell())
+
+
+@then("no entry finds v1 for a stream whose retry was sent")
+def check_retries(context: Context) -> None:
+    async def find(entry: StreamVersions, key: bytes) -> str:
+        found = await entry.find(key, service=SERVICE)
+        return found[0] if found else "nothing"
+
+    async def find_all() -> dict[str, int]:
+        sent = [key for key, is_sent in context.sent.items() if is_sent]
+        assert len(sent) > len(context.keys) / 2, len(sent)
+        lookups = [find(entry, key) for entry in context.entries for key in sent]
+        return collections.Counter(await asyncio.gather(*lookups))
+
+    found = run(context, find_all())
+    assert found["v2"] and not found["v1"], found
--- a/features/stream_versions_restarted.feature
+++ b/features/stream_versions_restarted.feature
@@ -29,3 +29,9 @@
       | read 50 ms later and names v1   | v1      | 120 |
       | read 50 ms later and names none | nothing | 120 |
       | not read                        | nothing | 300 |
+
+  # Guards against an earlier version that an entry still knows which is no longer a witness.
+  Scenario: A retry at another version is known to all entries that are asked, after entries joined
+    Given an entry that tells two others of 40 streams at v1, before two more entries join
+    When it tells of their retries at v2
+    Then no entry finds v1 for a stream whose retry was sent
--- a/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
@@ -163,13 +163,15 @@
     ) -> bool:
         """Remember a stream here and at its witnesses.
 
-        Return whether no entry can know an earlier version of it. Only for a change of the
-        version this waits for the witnesses.
+        Return whether no entry that is asked can know an earlier version of it. Only for a change
+        of the version this tells all that are asked, and waits for them.
         """
         self.records.note(key, record)
         if not is_change and not self.history.may_have_several(service):
             return True
-        witnesses = choose_witnesses(key, self.entries, count=WITNESS_COUNT)
+        # After entries have joined, one that isn't a witness any more knows the earlier version.
+        count = ASKED_COUNT if is_change else WITNESS_COUNT
+        witnesses = choose_witnesses(key, self.entries, count=count)
         deliveries = [self._deliver(name, {key: record}) for name in witnesses]
         if not is_change:
             return True
