--- a/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
@@ -18,6 +18,7 @@
 from mimosaspur_coordination.streams.streamrecords import StreamRecords
 from mimosaspur_coordination.streams.versionhistory import VersionHistory
 from mimosaspur_coordination.streams.witnesses import choose_witnesses
+from mimosaspur_daemon.direct.changenotifier import ChangeNotifier
 from mimosaspur_protocol.streammessages import MAX_RECORDS_PER_DATAGRAM
 from mimosaspur_protocol.streammessages import RecordMessage
 from mimosaspur_protocol.streammessages import StreamAnswer
@@ -45,6 +46,8 @@
 ANSWER_TIMEOUT_S = sum(ANSWER_INTERVALS_S)
 # An entry that nobody has answered by then is out of touch itself: another one may know.
 OUT_OF_TOUCH_SENDS = 3
+# How long a resumption waits for the first read of the record.
+RECORD_TIMEOUT_S = sum(ANSWER_INTERVALS_S[:OUT_OF_TOUCH_SENDS])
 # Entries that a new coordinator doesn't know yet are still asked for this long.
 ENTRY_GRACE_MS = 5_000
 # For a configuration without streams.
@@ -95,6 +98,7 @@
         self.deliveries: dict[int, Delivery] = {}
         # By the number of its datagrams.
         self.questions: dict[int, Question] = {}
+        self.record_reads = ChangeNotifier()
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def listen(self, address: Address) -> None:
@@ -118,6 +122,7 @@
     def apply_record(self, record: VersionRecord | None, *, asked_ms: int) -> None:
         """Apply the store's record of versions as of asked_ms."""
         self._on_grown(self.history.apply_record(record, asked_ms=asked_ms))
+        self.record_reads.notify()
 
     def _on_grown(self, services: Collection[str]) -> None:
         """Tell of all streams as soon as a service may have a further version."""
@@ -151,13 +156,15 @@
     ) -> bool:
         """Remember a stream here and at its witnesses.
 
-        Return whether no entry can know an earlier version of it. Only for a change of the
-        version this waits for the witnesses.
+        Return whether no entry that is asked can know an earlier version of it. Only for a change
+        of the version this tells all that are asked, and waits for them.
         """
         self.records.note(key, record)
         if not is_change and not self.history.may_have_several(service):
             return True
-        witnesses = choose_witnesses(key, self.entries, count=WITNESS_COUNT)
+        # After entries have joined, one that isn't a witness any more knows the earlier version.
+        count = ASKED_COUNT if is_change else WITNESS_COUNT
+        witnesses = choose_witnesses(key, self.entries, count=count)
         deliveries = [self._deliver(name, {key: record}) for name in witnesses]
         if not is_change:
             return True
@@ -180,19 +187,29 @@
     ) -> tuple[str, VersionSource] | None:
         """Return the version that began a stream and how it is known, None if it is unknown.
 
-        Other entries are asked until `until_s` of the event loop at most.
+        Other entries are asked, and the first read of the record is waited for, until `until_s` of
+        the event loop at most.
         """
         known = self.find_here(key, service=service)
         if known is not None:
             return known
+        due_s = min(until_s, asyncio.get_running_loop().time() + RECORD_TIMEOUT_S)
         asked = self._asked(key)
         versions = self.history.recent(service)
         lookup = VersionLookup(asked, versions=versions)
         if not lookup.is_decided():
             await self._ask(lookup, service, key, until_s)
+        if lookup.result() is None:
+            await self._wait_for_record(due_s)
         # What came meanwhile without being asked for counts as well.
         return self.find_here(key, service=service) or lookup.result()
 
+    async def _wait_for_record(self, due_s: float) -> None:
+        """Wait for the first read of the record, until a time of the event loop."""
+        loop = asyncio.get_running_loop()
+        while not self.history.has_read_record() and (left_s := due_s - loop.time()) > 0:
+            await self.record_reads.wait(left_s)
+
     def find_here(self, key: bytes, *, service: str) -> tuple[str, VersionSource] | None:
         """Return what `find` does without asking other entries, None if it is unknown here."""
         record = self.records.find(key)
