--- a/features/soak/odd.py
+++ b/features/soak/odd.py
@@ -1,4 +1,4 @@
-"""Make registrations as another writer leaves them, which no entry can use."""
+"""Make registrations as another writer leaves them."""
 
 import msgspec
 
@@ -12,7 +12,7 @@
 
 
 def odd_registration(pick: float, version: str) -> msgspec.Raw:
-    """Return a sound registration of a stream but for one field; `pick` chooses it."""
+    """Return a registration, sound but for one field, that `pick` chooses; nobody listens there."""
     base = target_registration(STREAMS, NOBODY, version=version, slots=1)
     texts = {name: msgspec.json.encode(value) for name, value in base.items()}
     changes = _changes()
