Count a model's copies by version while a service runs several

What callers saw: during a release, streams that were broken off were rejected with 2017 while targets of their version served. The planner counted a model's copies whatever their version: it loaded the next one at the new version, and unloaded the last one at the old version.

The coordinator keeps, of services whose engines have several versions, how many requests ran lately by model and version, from the entries' reports as they are. The number decays and lives as long as stream records. A last copy at a version counts as a sole copy, by its streams; the next copy costs more where they can't go on; a model whose streams lack a copy at a version that stays is loaded there, urgent models first, then by streams, if that is worth what it unloads. A service with one version has no such numbers.

--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -108,6 +108,7 @@
         context.demand,
         store_load_allowed=store_free,
         stream_ms=getattr(context, "stream_ms", 0.0),
+        streams=getattr(context, "streams", {}),
     )
     context.swap = next_swap(problem)
 
--- a/features/steps/direct_release_placement_steps.py
+++ b/features/steps/direct_release_placement_steps.py
@@ -1,5 +1,6 @@
 """Steps for model placement during a release."""
 
+from behave import given
 from behave import then
 from behave import when
 from behave.runner import Context
@@ -27,3 +28,13 @@
     )
     assert play.broken and play.went_on * 100 >= share * play.broken, seen
     assert play.began * 100 >= begun * play.asked, seen
+
+
+@given("engine x runs v1 and engine z v2, and streams of {text} may be taken up")
+def set_streams(context: Context, text: str) -> None:
+    for engine in context.engines:
+        engine.version = {"x": "v1", "z": "v2"}[engine.identity]
+    context.streams = {
+        (model, version): float(count)
+        for model, version, count in (part.split() for part in text.split(", "))
+    }
--- a/packages/coordination/src/mimosaspur_coordination/loadforecast.py
+++ b/packages/coordination/src/mimosaspur_coordination/loadforecast.py
@@ -132,6 +132,8 @@
             replicas={},
             speeds={},
             copies={},
+            version_replicas={},
+            lost_streams={},
             reserved_engines=set(),
         )
         self.problem.long_loads = self.problem.patient_long_loads = 0
--- a/packages/coordination/src/mimosaspur_coordination/modelplacement.py
+++ b/packages/coordination/src/mimosaspur_coordination/modelplacement.py
@@ -10,6 +10,7 @@
 from mimosaspur_coordination.engineheadroom import EngineHeadroom
 from mimosaspur_coordination.engineheadroom import FleetHeadroom
 from mimosaspur_coordination.modeldemand import Demand
+from mimosaspur_coordination.placementcost import LOST_STREAM_LOSS
 from mimosaspur_coordination.placementcost import SOLE_REPLICA_WEIGHT
 from mimosaspur_coordination.placementcost import EvictionRule
 from mimosaspur_coordination.placementcost import expected_unload_ms
@@ -54,6 +55,9 @@
 # Cost of each second until the copy is there, so that a free engine wins among equal losses.
 COPY_COST_PER_S = 1.0
 
+# How much a model needs a load, the model, and the version that it needs it at; None for any.
+_Need = tuple[tuple[int, float], str, str | None]
+
 
 def waiting_score(demand: Demand) -> float:
     """Return by how much a model's waiting requests need it: more, the longer they wait."""
@@ -140,23 +144,18 @@
         return self.patient_load_allowed or self.problem.is_urgent(name)
 
     def _for_unmet_demand(self) -> Swap | None:
-        """Return the load that most requests need: a first replica, or one for excess demand."""
+        """Return the load that most requests need: a first replica, or one for excess demand.
+
+        Streams that no replica of their version lets go on need a replica as well.
+        """
         problem = self.problem
-        needs = []
-        for name, demand in problem.demand.items():
-            if name not in problem.spec.models:
-                continue
-            replicas = problem.replicas.get(name, 0)
-            if replicas:
-                capacity = problem.speeds[name] * REPLICA_CAPACITY_TOKENS_PER_S
-                if demand.fast_tokens > capacity:
-                    needs.append((self._excess_need(name, demand.fast_tokens - capacity), name))
-            elif demand.unmet:
-                needs.append((first_replica_need(problem, name), name))
-        for _, name in sorted(needs, reverse=True):
+        needs = [*self._needs(), *self._stream_needs()]
+        for _, name, version in sorted(needs, key=lambda each: each[:2], reverse=True):
             if not self._may_load(name):
                 continue
-            if problem.replicas.get(name):
+            if version is not None:
+                swap = self._version_replica(name, version)
+            elif problem.replicas.get(name):
                 swap = self._extra_replica(name)
             else:
                 swap = self._best_swap(
@@ -166,6 +165,47 @@
                 return swap
         return None
 
+    def _needs(self) -> list[_Need]:
+        """Return the models that lack a replica, or room for their demand."""
+        problem = self.problem
+        needs: list[_Need] = []
+        for name, demand in problem.demand.items():
+            if name not in problem.spec.models:
+                continue
+            replicas = problem.replicas.get(name, 0)
+            if replicas:
+                capacity = problem.speeds[name] * REPLICA_CAPACITY_TOKENS_PER_S
+                if demand.fast_tokens > capacity:
+                    needs.append(
+                        (self._excess_need(name, demand.fast_tokens - capacity), name, None)
+                    )
+            elif demand.unmet:
+                needs.append((first_replica_need(problem, name), name, None))
+        return needs
+
+    def _stream_needs(self) -> list[_Need]:
+        """Return the models whose streams lack a replica at their version."""
+        return [
+            (self._stream_need(name, streams), name, version)
+            for name, lost in self.problem.lost_streams.items()
+            for version, streams in lost.items()
+        ]
+
+    def _stream_need(self, name: str, streams: float) -> tuple[int, float]:
+        """Return the sort key of a model whose streams can't go on at their version."""
+        urgent = not self.problem.by_urgency or self.problem.is_urgent(name)
+        return URGENT_NEED if urgent else PATIENT_NEED, streams
+
+    def _version_replica(self, name: str, version: str) -> Swap | None:
+        """Return the load that lets a version's streams go on, None if it isn't worth it."""
+        terms = _CostTerms(
+            EXTRA_REPLICA_COST_PER_S,
+            max_cost=self.problem.streams[name, version] * LOST_STREAM_LOSS,
+            rule=self._rule(name, urgent_rule=EvictionRule.BY_LOSS),
+            version=version,
+        )
+        return self._best_swap(self.problem.spec.models[name], terms)
+
     def _excess_need(self, name: str, excess_tokens: float) -> tuple[int, float]:
         """Return the sort key of a model whose demand exceeds its replicas' capacity."""
         requests = excess_tokens / TOKENS_PER_REQUEST * OVERFLOW_WINDOW_S
@@ -293,6 +333,8 @@
         problem = self.problem
         if not _can_load(problem, headroom, model):
             return None
+        if terms.version not in (None, headroom.engine.version):
+            return None
         victims, loss = headroom.victims(problem, model)
         if loss is None or (victims and not terms.allow_victims):
             return None
@@ -304,6 +346,8 @@
         cost = loss + (seconds + wait_ms / 1000) * terms.cost_per_s
         if terms.extra_tokens:
             cost += self._slowness_cost(headroom, model, terms)
+        if problem.lost_streams and not problem.replicas.get(model.name):
+            cost += problem.missed_streams(headroom.engine, model.name) * LOST_STREAM_LOSS
         if terms.shared_weight:
             cost += terms.shared_weight * headroom.demand_tokens(problem)
         if from_store and cost <= limit:
@@ -350,6 +394,8 @@
     rule: EvictionRule = EvictionRule.BY_LOSS
     # Demand for a model that gets an extra replica, 0 for a first one.
     extra_tokens: float = 0.0
+    # The version of the engines that may load it; None for any.
+    version: str | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/coordination/src/mimosaspur_coordination/placementcost.py
+++ b/packages/coordination/src/mimosaspur_coordination/placementcost.py
@@ -22,6 +22,8 @@
 MIN_SOLE_REPLICA_LOSS = 1_500.0
 # Loss per running request, which delays the unload.
 RUNNING_REQUEST_LOSS = 1_500.0
+# Loss per stream that may be taken up and can't go on.
+LOST_STREAM_LOSS = 4_000.0
 # Cost of each second by which a later load is slower after the last copy is lost.
 LAST_COPY_COST_PER_S = 2_000.0
 # Period over which the probability of another request is estimated.
@@ -116,7 +118,7 @@
     loss = unload_loss(problem, engine, name)
     if rule is EvictionRule.BY_LOSS:
         return loss
-    spare = problem.has_spare_replica(name)
+    spare = problem.has_spare_replica(name) and not problem.sole_streams(engine, name)
     urgent = problem.is_urgent(name) and not spare
     if rule is EvictionRule.URGENT_LAST:
         return loss + URGENT_VICTIM_LOSS if urgent else loss
@@ -131,6 +133,9 @@
     demand = problem.demand_of(name)
     replicas = problem.replicas.get(name, 1)
     loss = engine.residents.get(name, 0) * RUNNING_REQUEST_LOSS
+    streams = problem.sole_streams(engine, name)
+    if streams:
+        loss += MIN_SOLE_REPLICA_LOSS + streams * LOST_STREAM_LOSS
     if problem.idle and len(engine.residents) > 1:
         return loss
     if replicas > 1:
--- a/packages/coordination/src/mimosaspur_coordination/placementproblem.py
+++ b/packages/coordination/src/mimosaspur_coordination/placementproblem.py
@@ -49,6 +49,8 @@
     reserved_models: tuple[str, ...] = ()
     # Time to read prompts relative to the service's other engines; above 1 is slower.
     prefill_factor: float = 1.0
+    # Version of its software: streams go on only at the one that began them.
+    version: str = ""
 
     @property
     def speed(self) -> float:
@@ -120,6 +122,12 @@
     next_by_deadline: str = ""
     # Whether each model's demand is urgent, as far as it was asked for.
     urgent_models: dict[str, bool] = field(default_factory=dict)
+    # Streams that may be taken up, by model and version; empty while all engines have one version.
+    streams: Mapping[tuple[str, str], float] = field(default_factory=dict)
+    # By model and version, the replicas that streams may go on at.
+    version_replicas: dict[tuple[str, str], int] = field(default_factory=dict)
+    # By model and version, the streams that no replica lets go on, though an engine could hold one.
+    lost_streams: dict[str, dict[str, float]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         staying = [engine for engine in self.engines if not engine.leaving]
@@ -130,6 +138,9 @@
             for model in (*engine.residents, *filter(None, (engine.loading,))):
                 self.replicas[model] = self.replicas.get(model, 0) + 1
                 self.speeds[model] = self.speeds.get(model, 0.0) + engine.speed
+        if self.streams:
+            self.version_replicas = _count_by_version(staying)
+            self.lost_streams = self._lost_streams()
         self.long_loads = sum(engine.free_in_ms >= LONG_LOAD_MS / 2 for engine in self.engines)
         if self.by_urgency:
             patient = [
@@ -193,6 +204,27 @@
         tokens = self.demand_of(model).fast_tokens
         return others > 0 and tokens <= others * CROWDED_REPLICA_TOKENS_PER_S
 
+    def sole_streams(self, engine: EngineSnapshot, model: str) -> float:
+        """Return the streams that only an engine's replica of a model lets go on."""
+        if not self.streams:
+            return 0.0
+        key = (model, engine.version)
+        return self.streams.get(key, 0.0) if self.version_replicas.get(key, 0) <= 1 else 0.0
+
+    def missed_streams(self, engine: EngineSnapshot, model: str) -> float:
+        """Return a model's streams without a replica that a load on an engine won't let go on."""
+        lost = self.lost_streams.get(model)
+        return sum(lost.values()) - lost.get(engine.version, 0.0) if lost else 0.0
+
+    def _lost_streams(self) -> dict[str, dict[str, float]]:
+        versions = {engine.version for engine in self.engines if engine.usable}
+        lost: dict[str, dict[str, float]] = {}
+        for (model, version), streams in self.streams.items():
+            held = self.version_replicas.get((model, version))
+            if not held and version in versions and model in self.spec.models:
+                lost.setdefault(model, {})[version] = streams
+        return lost
+
     def max_patient_loads(self, *, also: str = "") -> int:
         """Return how many engines may load models for patient demand at once.
 
@@ -216,3 +248,14 @@
     def demand_of(self, model: str) -> Demand:
         """Return a model's demand."""
         return self.demand.get(model, NO_DEMAND)
+
+
+def _count_by_version(engines: Sequence[EngineSnapshot]) -> dict[tuple[str, str], int]:
+    counts: dict[tuple[str, str], int] = {}
+    for engine in engines:
+        if engine.limited:
+            continue
+        for model in (*engine.residents, *filter(None, (engine.loading,))):
+            key = (model, engine.version)
+            counts[key] = counts.get(key, 0) + 1
+    return counts
--- a/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/coordinator.py
@@ -12,6 +12,7 @@
 from mimosaspur_coordination.orderlease import OrderLease
 from mimosaspur_coordination.placementproblem import PlacementProblem
 from mimosaspur_coordination.placementproblem import Swap
+from mimosaspur_coordination.runsbyversion import RunsByVersion
 from mimosaspur_coordination.unmetdemand import RETURN_SHARE
 from mimosaspur_coordination.urgency import urgency_differs
 from mimosaspur_coordination.weightloadlimiter import WeightLoadLimiter
@@ -82,6 +83,8 @@
         # Models that were loaded to get a copy of their weights.
         self.loaded_for_copy: set[str] = set()
         self.demand = ModelDemand(clock=self.clock)
+        # By service, which streams may be taken up at which version.
+        self.runs: dict[str, RunsByVersion] = {}
         bounds = state.settings.orders
         self.load_rate = WeightLoadLimiter(bounds.load_window_ms, clock=self.clock)
         self.load_rate.record(ASSUMED_RECENT_LOADS)
@@ -279,9 +282,18 @@
         self.engines.running = self.members.running()
         self.demand.update_waiting(self.members.waiting(), self.members.urgent_waiting())
         for service, spec in self.engines.services():
+            self._update_runs(service)
             self._place(service, spec)
         self._forecast_loads()
 
+    def _update_runs(self, service: str) -> None:
+        runs = self.runs.setdefault(service, RunsByVersion(clock=self.clock))
+        runs.update(
+            self.engines.versions(service),
+            self.engines.running,
+            lifetime_ms=self.state.stream_versions.records.max_age_ms,
+        )
+
     def _forecast_loads(self) -> None:
         """Forecast when models that no engine holds would be loaded, if a new forecast is due."""
         waiting = self.demand.waiting_models
@@ -362,6 +374,7 @@
                 spec.loads_per_s * PATIENT_STORE_SHARE
             ),
             held_demand_known=self.clock.now_ms() - self.started_ms >= IDLE_GRACE_MS,
+            streams=self._streams(service),
         )
 
     def _urgency_differs(self, service: str) -> bool:
@@ -378,6 +391,10 @@
             )
         return service in self.uneven_services
 
+    def _streams(self, service: str) -> dict[tuple[str, str], float]:
+        runs = self.runs.get(service)
+        return runs.streams() if runs else {}
+
     def _stream_ms(self, service: str) -> float:
         if not self.state.uses(Mechanism.UNLOAD_WAIT_ESTIMATE):
             return 0.0
--- a/packages/daemon/src/mimosaspur_daemon/direct/engineregistry.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/engineregistry.py
@@ -61,6 +61,10 @@
                 controller.report_requested_ms = 0
             controller.limited = limited
 
+    def versions(self, service: str) -> dict[str, str]:
+        """Return the software versions of a service's engines, by identity."""
+        return {each.record.identity: each.record.version for each in self.of_service(service)}
+
     def snapshots(self, service: str) -> list[EngineSnapshot]:
         """Return snapshots of a service's engines, without lost ones."""
         controllers = [
@@ -84,6 +88,7 @@
             on_disk=controller.on_disk,
             reserved_models=controller.reserved_models(),
             prefill_factor=self._prefill_factor(controller.record),
+            version=controller.record.version,
         )
 
     def _prefill_factor(self, record: TargetRecord) -> float:
