Count and log how the streams that callers take up end

Operators couldn't tell why a stream that was taken up couldn't go on. The counter `stream_taken_up` has the outcome: went on, a code, and for 2017 whether no target of the version serves or none holds the model. The scenario of answers to resumptions checks the counter for each of them.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -421,6 +421,28 @@
     assert [name for name, count in seen.items() if count] == [version], seen
 
 
+@then("a counter tells how the take-up ended, if the request is valid")
+def check_outcome(context: Context) -> None:
+    log = context.entry.state.log
+    code = context.answer.body[:4].decode() if context.answer.status != 200 else "went_on"
+    outcome = "2017_no_target" if code == "2017" else code
+
+    async def find() -> dict[str, int]:
+        async with asyncio.timeout(1.0):
+            while True:
+                counted = {
+                    label: count
+                    for (event, label), count in log.counters.counts.items()
+                    if event == "stream_taken_up"
+                }
+                if counted or code == "1004":
+                    return counted
+                await asyncio.sleep(0.01)
+
+    counted = run(context, find())
+    assert counted == ({} if code == "1004" else {outcome: 1}), counted
+
+
 @given("3 entries that tell one another of streams, and {network}")
 def start_stream_entries(context: Context, network: str) -> None:
     async def start() -> None:
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -35,6 +35,7 @@
     And a record in the store that names <recorded>
     When a caller resumes a stream that began at <began>, and <what>
     Then the caller gets <answer> within 200 ms
+    And a counter tells how the take-up ended, if the request is valid
 
     Examples:
       | versions | recorded | began   | what                           | answer           |
--- a/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/requesthandler.py
@@ -19,6 +19,7 @@
 from mimosaspur_daemon.direct.requestdigest import request_traits
 from mimosaspur_daemon.direct.requestretries import RequestRetries
 from mimosaspur_daemon.direct.streamcontinuation import StreamContinuation
+from mimosaspur_daemon.direct.takeups import record_take_up
 from mimosaspur_daemon.direct.targetselector import FAILED_COOLDOWN_S
 from mimosaspur_daemon.direct.targetselector import NOT_RUN_COOLDOWN_S
 from mimosaspur_daemon.direct.targetselector import TargetSelector
@@ -184,9 +185,13 @@
                 with self.state.quarantine.handling(self):
                     await self._find_stream_version()
                     await self._run_attempts()
+            record_take_up(self, None)
         except TimeoutError:
-            raise self._timeout_failure() from None
+            failure = self._timeout_failure()
+            record_take_up(self, failure.code)
+            raise failure from None
         except RequestFailed as error:
+            record_take_up(self, error.code)
             if self.may_have_run():
                 raise self._without_promise(error) from error
             if self.prompt.model and error.code in UNSERVED_CODES:
