Let streams wait for a load at their version, or tell when it ends

What callers saw: a stream was rejected with 2017 and told to return after 0.5 s while a copy at its version was being loaded for two seconds and more: its caller had used up its retries by then. A version's target that held the model, but not yet the adapter, counted as none.

The coordinator tells entries when loads end by model and version, in an optional field, only of services with several versions. A stream waits for a load that ends while its caller waits for an event, and otherwise is rejected with 2017 until it ends. Entries and coordinators of earlier versions leave the field out or ignore it.

Evidence: new scenario in features/direct_release_placement.feature.

--- a/features/direct_release_placement.feature
+++ b/features/direct_release_placement.feature
@@ -33,3 +33,16 @@
       | the most streams go first            | x: b c; z: e f                  | a v1 2, d v1 5 | nothing      | d on x   |
       | nothing at v1 stays                  | x: a b c leaving; z: d e        | a v1 3       | nothing        | none     |
       | the model's requests go elsewhere    | x: a b c leaving; z: d e        | a v1 3       | a waits 1      | a on z   |
+
+  # Guards against callers that use up their retries while the copy that they need is being loaded.
+  Scenario Outline: A stream waits for a load at its version, or its caller is told when that ends, <load>
+    Given an entry that knows engines of v1 and v2, where only v2 holds the model, and of <load>
+    When a stream that began at v1 is taken up there
+    Then it <outcome>
+
+    Examples:
+      | load                         | outcome                                  |
+      | a load at v1 for 500 ms      | waits for 500 ms                         |
+      | a load at v1 for 3000 ms     | is rejected for 3000 to 3750 ms          |
+      | a load at v2 for 3000 ms     | is rejected for 500 to 625 ms            |
+      | a load at v1 that ended      | waits for 0 ms                           |
--- a/features/harness/release_play.py
+++ b/features/harness/release_play.py
@@ -22,6 +22,8 @@
 from mimosaspur_daemon.direct.coordinator import Coordinator
 from mimosaspur_daemon.direct.entryreport import build_entry_report
 from mimosaspur_daemon.direct.entrystate import EntryState
+from mimosaspur_daemon.direct.streamcontinuation import StreamContinuation
+from mimosaspur_daemon.direct.targetchooser import TargetChooser
 from mimosaspur_state.fleet import EngineOrder
 from mimosaspur_state.fleet import EngineReport
 from mimosaspur_state.fleet import OrderOutcome
@@ -202,3 +204,41 @@
                 self.went_on += 1
                 return
             await asyncio.sleep(RETRY_S)
+
+
+def stream_chooser(loop: VirtualTimeLoop, *, version: str, load_ms: int) -> TargetChooser:
+    """Return the chooser for a stream of the old version, whose model only a new engine holds.
+
+    The coordinator has told of a load at a version, or that it has just ended.
+    """
+    ports = entry_dependencies("entry", clock=VirtualClock(loop))
+    state = EntryState(settings_for("entry"), ports)
+    spec = engine_spec([model_spec("m")])
+    state.configuration = configuration(spec)
+    records = [
+        TargetRecord(name, "service", ("127.0.0.1", 1), "here", slots=64, version=name)
+        for name in (OLD, NEW)
+    ]
+    state.fleet.update(records, [])
+    state.fleet.set_residents(NEW, {"m": frozenset()}, frozenset())
+    if not load_ms:
+        state.fleet.set_residents(version, {"m": frozenset()}, frozenset())
+    by_version = {"m": {version: load_ms}} if load_ms else {}
+    state.load_outlook.on_update({"m": load_ms}, {}, by_version=by_version)
+    route = next(each for each in state.configuration.routes if each.resumable)
+    continuation = StreamContinuation(
+        state.stream_versions, [], ports.dialect, route=route, service="service"
+    )
+    continuation.version = OLD
+    return TargetChooser(
+        state,
+        route,
+        "service",
+        state.configuration.services["service"],
+        Prompt("m"),
+        continuation=continuation,
+        request="r",
+        workspace=None,
+        arrived_s=loop.time(),
+        deadline_s=loop.time() + TIMEOUT_MS / 1000,
+    )
--- a/features/steps/domain_traffic_steps.py
+++ b/features/steps/domain_traffic_steps.py
@@ -16,6 +16,7 @@
 from mimosaspur_state.counters import Counters
 from mimosaspur_state.domaintraffic import DomainTraffic
 from mimosaspur_state.domaintraffic import TrafficPurpose
+from mimosaspur_state.fleet import TargetRecord
 
 
 @given("an entry in domain a")
@@ -45,6 +46,9 @@
     ], lines
 
 
+RECORD = TargetRecord("engine", "service", ("127.0.0.1", 1), "here")
+
+
 @dataclass(slots=True)
 class LoadingEngine:
     """Stand in for the controller of an engine that loads a model."""
@@ -53,6 +57,7 @@
     now_ms: int = 0
     loading: str = "notes"
     sequence: int | None = None
+    record: TargetRecord = RECORD
 
     def expected_in_ms(self) -> int:
         """Return the time until the load ends."""
--- a/packages/coordination/src/mimosaspur_coordination/scheduling/loadoutlook.py
+++ b/packages/coordination/src/mimosaspur_coordination/scheduling/loadoutlook.py
@@ -55,6 +55,7 @@
         "gives_forecasts",
         "handover_ms",
         "loading",
+        "loading_by_version",
         "reported",
         "updated_ms",
     )
@@ -66,6 +67,8 @@
         self.followed_since_ms: int | None = None
         # Time until each model that is being loaded is ready, as of the last update.
         self.loading: Mapping[str, int] = {}
+        # The same by model and version, of services that run several versions.
+        self.loading_by_version: Mapping[str, Mapping[str, int]] = {}
         self.updated_ms = 0
         self.forecasts: dict[str, LoadForecast] = {}
         # Whether the coordinator has sent a forecast, as earlier versions don't.
@@ -88,6 +91,7 @@
         loading: Mapping[str, int] | None,
         forecasts: Mapping[str, int],
         *,
+        by_version: Mapping[str, Mapping[str, int]] | None = None,
         can_issue_orders: bool = True,
     ) -> None:
         """Apply the coordinator's update: all loads, None if they hold, and changed forecasts.
@@ -101,6 +105,7 @@
             self.followed_since_ms = now_ms
         if loading is not None:
             self.loading, self.updated_ms = loading, now_ms
+            self.loading_by_version = by_version or {}
         self.gives_forecasts |= bool(forecasts)
         for model, ready_in_ms in forecasts.items():
             if ready_in_ms == LEFT_MS:
@@ -112,6 +117,7 @@
         """Drop what only a coordinator knows."""
         self.followed_since_ms = None
         self.loading = {}
+        self.loading_by_version = {}
         self.forecasts.clear()
         self.gives_forecasts = False
         self.reported = {}
@@ -122,6 +128,11 @@
         ready_in_ms = self.loading.get(model)
         return None if ready_in_ms is None else max(0, ready_in_ms - self._age_ms(self.updated_ms))
 
+    def version_loading_ms(self, model: str, version: str) -> float | None:
+        """Return the time until a load at a software version ends, None if none is known."""
+        ready_in_ms = self.loading_by_version.get(model, {}).get(version)
+        return None if ready_in_ms is None else max(0, ready_in_ms - self._age_ms(self.updated_ms))
+
     def wait_ms(
         self,
         model: str,
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
@@ -44,6 +44,7 @@
     __slots__ = (
         "changed_residents",
         "changed_work",
+        "expected_by_version_ms",
         "expected_ms",
         "ready_at_ms",
         "ready_times_changed",
@@ -56,6 +57,8 @@
         self.residents: Mapping[str, EngineResidents] = {}
         # Time until each model that is being loaded is expected.
         self.expected_ms: dict[str, int] = {}
+        # The same by model and version, of services with several versions.
+        self.expected_by_version_ms: dict[str, dict[str, int]] = {}
         # The same as points in time, as last sent, and whether they differ now.
         self.ready_at_ms: dict[str, int] = {}
         self.ready_times_changed = False
@@ -83,12 +86,16 @@
                 # Requests can be served once the first of several loads of a model has ended.
                 in_ms = controller.expected_in_ms()
                 expected[model] = min(in_ms, expected.get(model, in_ms))
+        by_version = _expected_by_version(controllers)
         self.changed_work = [each for key, each in totals.items() if self.work.get(key) != each]
         self.changed_residents = [
             each for key, each in residents.items() if self.residents.get(key) != each
         ]
         self.work, self.residents, self.expected_ms = totals, residents, expected
         self._update_ready_times(now_ms)
+        sent = self.expected_by_version_ms
+        self.ready_times_changed |= _versions(by_version) != _versions(sent)
+        self.expected_by_version_ms = by_version
         return bool(self.changed_work or self.changed_residents or self.ready_times_changed)
 
     def _update_ready_times(self, now_ms: int) -> None:
@@ -160,6 +167,7 @@
             load_forecast=forecast,
             model_ready_in_ms={} if ready_times_hold else fleet.expected_ms,
             ready_times_hold=ready_times_hold,
+            version_ready_in_ms={} if ready_times_hold else fleet.expected_by_version_ms,
             speeds=speeds,
             shares=shares,
         )
@@ -177,3 +185,24 @@
         return SentState(
             True, self.store_changes.change_number if self.store_changes else sent.store_number
         )
+
+
+def _expected_by_version(
+    controllers: Collection[EngineController],
+) -> dict[str, dict[str, int]]:
+    """Return the time until loads end by model and version, of services with several versions."""
+    versions: dict[str, set[str]] = {}
+    for controller in controllers:
+        versions.setdefault(controller.record.service, set()).add(controller.record.version)
+    expected: dict[str, dict[str, int]] = {}
+    for controller in controllers:
+        record, model = controller.record, controller.loading
+        if model and len(versions[record.service]) > 1:
+            in_ms = controller.expected_in_ms()
+            times_ms = expected.setdefault(model, {})
+            times_ms[record.version] = min(in_ms, times_ms.get(record.version, in_ms))
+    return expected
+
+
+def _versions(expected: Mapping[str, Mapping[str, int]]) -> set[tuple[str, str]]:
+    return {(model, version) for model, times_ms in expected.items() for version in times_ms}
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -116,7 +116,10 @@
         state.log.counters.count("engine_speed_ignored", "coordinator")
     loading = None if report.ready_times_hold else report.model_ready_in_ms
     state.load_outlook.on_update(
-        loading, report.load_forecast, can_issue_orders=report.can_issue_orders
+        loading,
+        report.load_forecast,
+        by_version=report.version_ready_in_ms,
+        can_issue_orders=report.can_issue_orders,
     )
     if report.work or report.residents or loading is not None or report.load_forecast:
         state.changes.notify()
--- a/packages/daemon/src/mimosaspur_daemon/direct/takeups.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/takeups.py
@@ -33,7 +33,9 @@
         model=handler.prompt.model,
         reason=reason,
         holders=holders_by_version(handler.target_selector),
-        loading_ms=handler.state.load_outlook.loading_ms(handler.prompt.model),
+        loading_ms=handler.state.load_outlook.version_loading_ms(
+            handler.prompt.model, handler.continuation.version or ""
+        ),
     )
 
 
--- a/packages/daemon/src/mimosaspur_daemon/direct/targetchooser.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/targetchooser.py
@@ -275,6 +275,9 @@
         )
         if is_held:
             return 0.0
+        version_s = self._version_wait_s()
+        if version_s is not None:
+            return version_s
         if self.retried or self.resumed or not self.state.uses(Mechanism.DEFERRAL):
             return (outlook.loading_ms(model) or 0) / 1000
         wait_ms = outlook.wait_ms(
@@ -472,6 +475,25 @@
         else:
             # A model that no target holds is loaded again, at this version if there is no other.
             is_only = len(views) == len(self.state.fleet.serving_targets(self.service))
-            can_go_on = any(view.can_run(self.prompt) or is_only for view in views)
-        if not can_go_on:
+            can_go_on = any(self._holds_model(view) or is_only for view in views)
+        if can_go_on:
+            return
+        loading_s = self._version_wait_s()
+        if loading_s is None:
             raise self.refusal(ResultCode.STREAM_VERSION_GONE)
+        if now_s() + loading_s + MIN_FIRST_TOKEN_S >= self.event_deadline_s:
+            raise self.refusal(ResultCode.STREAM_VERSION_GONE, wanted_s=loading_s)
+
+    def _holds_model(self, view: TargetView) -> bool:
+        """Return whether a target holds the request's model; a missing adapter is soon there."""
+        model = self.prompt.model
+        return model in view.residents and model not in view.unloading
+
+    def _version_wait_s(self) -> float | None:
+        """Return the time until a load at the stream's version ends, None if there is none."""
+        if self.continuation is None or self.continuation.version is None:
+            return None
+        loading_ms = self.state.load_outlook.version_loading_ms(
+            self.prompt.model, self.continuation.version
+        )
+        return None if loading_ms is None else loading_ms / 1000
--- a/packages/protocol/src/mimosaspur_protocol/peermessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/peermessages.py
@@ -315,6 +315,8 @@
     shares: list[ServiceShares] | None = None
     # How often this coordinator has sent changes in `crashes`, this report included.
     crashes_number: int = 0
+    # As `model_ready_in_ms`, by model and version, of services that run several versions.
+    version_ready_in_ms: dict[str, dict[str, int]] = msgspec.field(default_factory=dict)
 
 
 class IssuedPermits(msgspec.Struct, array_like=True, tag="permits"):
