--- a/features/harness/followed_list_play.py
+++ b/features/harness/followed_list_play.py
@@ -142,7 +142,7 @@
         return answer
 
 
-class _Entry:
+class Entry:
     """Read the store for one entry."""
 
     def __init__(
@@ -171,7 +171,7 @@
         self.state.freshness.confirm(CONFIGURATION, asked_ms=self.state.clock.now_ms())
 
 
-class _Coordinator(_Entry):
+class Coordinator(Entry):
     """Compute the updates of a coordinator for one follower."""
 
     def __init__(self, instance: str, store: RevisedStore, clock: VirtualClock) -> None:
@@ -190,6 +190,14 @@
         return frame
 
 
+def apply_frame(state: EntryState, frame: bytes) -> None:
+    """Apply what an update of a coordinator says of the store."""
+    message = decode_peer(frame[LENGTH_BYTES:])
+    assert isinstance(message, FleetReport)
+    if message.store:
+        apply_store_changes(state, message.store)
+
+
 class FollowedListPlay:
     """Play one entry, two coordinators and their store, and judge the entry's list."""
 
@@ -215,8 +223,8 @@
 
     async def _play(self, clock: VirtualClock) -> None:
         self.clock = clock
-        self.entry = _Entry("entry", self.store, clock, longest_answer_s=self.longest_answer_s)
-        self.coordinators = [_Coordinator(name, self.store, clock) for name in ("one", "two")]
+        self.entry = Entry("entry", self.store, clock, longest_answer_s=self.longest_answer_s)
+        self.coordinators = [Coordinator(name, self.store, clock) for name in ("one", "two")]
         self.linked = self.coordinators[0]
         for each in (self.entry, *self.coordinators):
             await each.read(watched=False)
@@ -281,10 +289,7 @@
             return
         number, frame = self.frames.pop(0)
         self.entry.state.report_times.on_answered(number)
-        message = decode_peer(frame[LENGTH_BYTES:])
-        assert isinstance(message, FleetReport)
-        if message.store:
-            apply_store_changes(self.entry.state, message.store)
+        apply_frame(self.entry.state, frame)
 
     async def _change_link(self) -> None:
         self.frames.clear()
