Add a failing scenario: the coordinator's age of the store's data leaves out time in suspend

An entry may take the version it knows for the only one by a list that is seconds old: the age in the coordinator's updates is on a clock that stands still while its machine is suspended, and the report that the first update answers may be new.

Evidence: a list that is 5 s old counts as current; the example without a suspension passes. No product code changed.

--- a/features/steps/store_news_age_steps.py
+++ b/features/steps/store_news_age_steps.py
@@ -1,5 +1,6 @@
 """Steps for the age of the coordinator's news of the store."""
 
+import random
 from unittest.mock import patch
 
 from behave import then
@@ -9,9 +10,14 @@
 from harness.direct_entry import entry_dependencies
 from harness.direct_entry import null_log
 from harness.direct_entry import settings_for
+from harness.followed_list_play import Coordinator
+from harness.followed_list_play import Entry
+from harness.followed_list_play import RevisedStore
+from harness.followed_list_play import apply_frame
 from harness.out_of_step_play import OutOfStepPlay
 from harness.virtual_time import VirtualClock
 from harness.virtual_time import VirtualTimeLoop
+from harness.virtual_time import run_in_virtual_time
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.storechanges import CONFIGURATION
 from mimosaspur_daemon.direct.storechanges import apply_store_changes
@@ -54,3 +60,30 @@
 def check_fresh(context: Context) -> None:
     reads = [each.followers_reads for each in context.plays]
     assert not any(reads), f"samples by play: {reads}"
+
+
+@when("a coordinator sends its list as its machine runs again after {suspended_ms:d} ms in suspend")
+def send_after_suspend(context: Context, suspended_ms: int) -> None:
+    loop = VirtualTimeLoop()
+    clock = VirtualClock(loop)
+    suspended = [0]
+
+    async def play() -> None:
+        store = RevisedStore(random.Random(0))
+        coordinator = Coordinator("one", store, clock)
+        await coordinator.read(watched=False)
+        suspended[0] = suspended_ms
+        entry = Entry("entry", store, clock)
+        entry.state.report_times.on_sent(1)
+        frame = coordinator.next_frame()
+        entry.state.report_times.on_answered(1)
+        apply_frame(entry.state, frame)
+        context.is_current = entry.state.stream_versions.history.is_current()
+
+    with patch.object(BoottimeClock, "now_ms", lambda _: clock.now_ms() + suspended[0]):
+        run_in_virtual_time(play(), loop)
+
+
+@then("the entry's list is {state}")
+def check_current(context: Context, state: str) -> None:
+    assert context.is_current == (state == "current"), context.is_current
--- a/features/store_news_age.feature
+++ b/features/store_news_age.feature
@@ -17,3 +17,14 @@
   Scenario: Nothing is late
     When 5 plays of entries that follow a coordinator are played without a disturbance
     Then no follower takes the coordinator's news for too old
+
+  # Guards against an entry that takes the version it knows for the only one by the list of a coordinator
+  # whose machine was suspended, as the age that it sends leaves out that time.
+  Scenario Outline: The coordinator's machine was suspended for <suspended> ms
+    When a coordinator sends its list as its machine runs again after <suspended> ms in suspend
+    Then the entry's list is <state>
+
+    Examples:
+      | suspended | state       |
+      | 0         | current     |
+      | 5000      | not current |
