Take versions for new ones after an absence in which others may have forgotten them

What callers would see: a stream goes on at another version (ORDER). An entry that was out of touch for as long as a stream may last kept the time when it had first seen a version, and what the record said of it. If the version went and came back meanwhile it began streams there at once, while another entry, for which it was gone for a lifetime, had a current list without it.

--- a/features/stream_versions_returned.feature
+++ b/features/stream_versions_returned.feature
@@ -10,4 +10,6 @@
     Examples:
       | away  |
       | 5000  |
+      | 13000 |
+      | 15000 |
       | 20000 |
--- a/packages/coordination/src/mimosaspur_coordination/streams/versionhistory.py
+++ b/packages/coordination/src/mimosaspur_coordination/streams/versionhistory.py
@@ -71,8 +71,11 @@
     def confirm(self, *, age_ms: int) -> None:
         """Record that the list of targets was current age_ms ago, or later."""
         now_ms = self.clock.now_ms()
-        if now_ms - self.confirmed_ms >= self.lag_ms:
+        gap_ms = now_ms - self.confirmed_ms
+        if gap_ms >= self.lag_ms:
             self.continuous_since_ms = now_ms
+        if gap_ms >= self.lifetime_ms - self.lag_ms:
+            self._forget_first_seen()
         self.confirmed_ms = max(self.confirmed_ms, now_ms - age_ms)
 
     def update(self, versions: Mapping[str, Collection[str]]) -> set[str]:
@@ -199,6 +202,16 @@
         oldest_ms = self.clock.now_ms() - self.lag_ms - CLOCK_MARGIN_MS
         return any(at_ms > oldest_ms for at_ms in known.gone_ms.values())
 
+    def _forget_first_seen(self) -> None:
+        """Take all versions for new ones.
+
+        One may have been away for so long that other entries have forgotten it.
+        """
+        now_ms = self.clock.now_ms()
+        for known in self.services.values():
+            known.first_seen_ms = dict.fromkeys(known.first_seen_ms, now_ms)
+            known.recorded = frozenset()
+
     def _update_service(self, known: ServiceVersions, present: frozenset[str]) -> bool:
         now_ms = self.clock.now_ms()
         was_first = not known.first_seen_ms
