Confirm no list while registrations that lapsed may return

What callers would see: 503 after the store's return, as targets that live were dropped. A coordinator that had started while the store was away keeps no lapsed registrations itself; it took its short list for confirmed and shared it, and its followers, which held theirs, replaced them.

--- a/packages/daemon/src/mimosaspur_daemon/direct/storewatch.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/storewatch.py
@@ -218,7 +218,8 @@
         self.state.on_targets_changed(self.state.fleet.replace(listing.targets, keep=keep))
         self.state.fleet.revision = max(self.state.fleet.revision, listing.revision)
         self.targets_age_ms = self._age_ms(asked_ms)
-        if not keep:
+        # Until then registrations may be missing whose targets live, also ones never seen here.
+        if now_ms >= self.grace_until_ms:
             self._confirm_targets()
         return listing.revision
 
