--- a/features/harness/resumption_play.py
+++ b/features/harness/resumption_play.py
@@ -143,11 +143,13 @@
         return self.tries
 
     async def _read_lists(self, entry: StreamVersions) -> None:
-        """Read the list of targets again and again."""
+        """Read the list of targets again and again, and the record of versions, if it is due."""
         while True:
             asked_ms = entry.clock.now_ms()
             await asyncio.sleep(READ_S)
             entry.history.confirm(age_ms=entry.clock.now_ms() - asked_ms)
+            if not entry.history.has_read_record():
+                entry.apply_record(None, asked_ms=entry.clock.now_ms())
             await asyncio.sleep(READ_INTERVAL_S)
 
     def _begin(self, number: int) -> None:
