Count the targets of a stream's own service in the soak's check of take-ups

Cause: the check counted a take-up while two targets of any service had the stream's version. The soak names versions v1, v2 in each service, so that two targets of calm or engines at v1 counted as able to run a stream of the service streams after all its v1 targets had said that they drain. The rule speaks of servers of the stream's software version, which are those of its service.

Change: the targets of the service that began the stream are counted. Two records guard it: the same take-ups fail while the service's targets stay for a minute, and don't once they have left.

--- a/features/harness/soak_records.py
+++ b/features/harness/soak_records.py
@@ -262,6 +262,21 @@
 _examples(_taken_up, five_of_twelve_streams_go_on=5, six_of_twelve_streams_go_on=6)
 
 
+def _taken_up_beside_others(builder: RecordBuilder, leaving_s: float) -> None:
+    """Let five of twelve streams go on, while another service has targets of their version."""
+    _taken_up(builder, 5)
+    for target in builder.record.targets:
+        target.draining_s = leaving_s
+    builder.record.targets += [TargetLife(f"calm-{n}", "calm", "v1", 0.0) for n in (1, 2)]
+
+
+_examples(
+    _taken_up_beside_others,
+    five_of_twelve_streams_go_on_whose_targets_have_left=SENT_S - 1,
+    five_of_twelve_streams_go_on_whose_targets_leave_a_minute_later=SENT_S + 60,
+)
+
+
 def _moved(builder: RecordBuilder, going_on: int) -> None:
     _taken_up(builder, going_on)
     for attempt in builder.record.attempts:
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -55,6 +55,7 @@
       | LOST    | an answer cut beside a configuration             |
       | LOST    | four answers lost on kept connections            |
       | LOST    | five of twelve streams go on                     |
+      | LOST    | five of twelve streams go on whose targets leave a minute later |
       | LOST    | five of twelve streams that move go on           |
       | MIXED   | a success without proof                          |
       | MIXED   | a success with another body                      |
@@ -100,6 +101,7 @@
       | answers cut as often at other times              |
       | three answers lost on kept connections           |
       | six of twelve streams go on                      |
+      | five of twelve streams go on whose targets have left |
       | six of twelve streams that move go on            |
       | a success with the whole body                    |
       | a success with half the body that was broken off |
--- a/features/soak/lossrules.py
+++ b/features/soak/lossrules.py
@@ -1,7 +1,6 @@
 """Check LOST: answers cut off around planned work, on kept connections, and streams taken up."""
 
 from collections import Counter
-from collections import defaultdict
 from collections.abc import Iterable
 
 from soak.record import CONFIGURATION_S
@@ -129,16 +128,16 @@
 def _not_taken_up(record: Record) -> list[str]:
     """Return the share of streams that went on where it is under half of those that begin."""
     signed = record.runs_by_signature()
-    versions: dict[str, str] = defaultdict(str)
+    runs: dict[str, Arrival] = {}
     counts: Counter[tuple[bool, bool]] = Counter()
     for attempt in record.attempts:
         if attempt.kind is not Kind.RESUMABLE:
             continue
-        if _counts_as_taken_up(record, attempt, versions[attempt.request]):
+        if _counts_as_taken_up(record, attempt, runs.get(attempt.request)):
             counts[bool(attempt.last_event), bool(attempt.pieces)] += 1
         for piece in attempt.pieces[:1]:
             if piece.run in signed:
-                versions[attempt.request] = signed[piece.run].version
+                runs[attempt.request] = signed[piece.run]
     resumed = counts[True, True] + counts[True, False]
     new = counts[False, True] + counts[False, False]
     if resumed < RESUMED_AT_LEAST or not new:
@@ -151,17 +150,21 @@
     ]
 
 
-def _counts_as_taken_up(record: Record, attempt: Attempt, version: str) -> bool:
+def _counts_as_taken_up(record: Record, attempt: Attempt, begun: Arrival | None) -> bool:
     end_s = attempt.end_s or attempt.sent_s
     left = attempt.gave_up and not (attempt.moves and attempt.pieces)
     if left or not record.is_in_touch(attempt.entry, attempt.sent_s, end_s):
         return False
     if not attempt.last_event:
         return True
+    if begun is None:
+        return False
+    # Services name their versions independently of one another.
     serving = [
         each
         for each in record.targets
-        if each.version == version
+        if each.service == begun.service
+        and each.version == begun.version
         and each.start_s <= attempt.sent_s
         and (each.draining_s or float("inf")) > end_s
         and (each.end_s or float("inf")) > end_s
