Count time in suspend in the age of the store's data

What callers could see: after the coordinator's machine was suspended, entries took its list of targets for current, so that a stream of another version could go on at the only version that the list held (ORDER), and a configuration counted as newer than it was.

Cause: StoreFreshness ran on a clock that stops in suspend, and the age that a coordinator sends comes from it; the history of versions that relies on this age counts suspended time.

Evidence: features/store_news_age.feature, suspended for 5000 ms, was listed as always red.

Change: StoreFreshness runs on the clock of leases, and takes the age of a response rather than a time of some clock, so that no caller can mix the two.

--- a/features/harness/direct_workspaces.py
+++ b/features/harness/direct_workspaces.py
@@ -49,7 +49,7 @@
 
     def confirm(self, *, age_ms: int) -> None:
         """Set the age of the configuration's last confirmation."""
-        self.state.freshness.confirm("configuration", asked_ms=self.state.clock.now_ms() - age_ms)
+        self.state.freshness.confirm("configuration", age_ms=age_ms)
 
     async def begin(self) -> None:
         """Start the target and the entry."""
--- a/features/harness/explained_entry.py
+++ b/features/harness/explained_entry.py
@@ -139,7 +139,7 @@
         services = state.configuration.services
         current = replace(current, services=services, workspaces=workspaces)
         state.apply_configuration(current, source="test")
-        state.freshness.confirm("configuration", asked_ms=state.clock.now_ms())
+        state.freshness.confirm("configuration", age_ms=0)
         if quota and random.random() < 0.9:
             state.quotas.apply_update([], entries=1)
             while random.random() < 0.4 and not state.quotas.admit("north", 1.0):
--- a/features/harness/followed_list_play.py
+++ b/features/harness/followed_list_play.py
@@ -168,7 +168,7 @@
             self.revision = await self.watch._watch_targets(self.revision)
         else:
             self.revision = await self.watch._list_targets()
-        self.state.freshness.confirm(CONFIGURATION, asked_ms=self.state.clock.now_ms())
+        self.state.freshness.confirm(CONFIGURATION, age_ms=0)
 
 
 class Coordinator(Entry):
--- a/features/harness/grant_play.py
+++ b/features/harness/grant_play.py
@@ -174,7 +174,7 @@
             workspace("south", ("s-1",), quota=quota, weight=1.0),
         )
         state.apply_configuration(replace(held, version=2, workspaces=workspaces), source="test")
-        state.freshness.confirm("configuration", asked_ms=state.clock.now_ms())
+        state.freshness.confirm("configuration", age_ms=0)
         state.quotas.apply_update([], entries=1)
         issuing = asyncio.create_task(self._issue())
         await super()._play()
--- a/features/steps/application_steps.py
+++ b/features/steps/application_steps.py
@@ -26,7 +26,6 @@
 from mimosaspur_coordination.fleetports import TargetListing
 from mimosaspur_daemon.application import Application
 from mimosaspur_daemon.direct.application import EntryApplication
-from mimosaspur_state.clock import SystemClock
 from mimosaspur_state.eventlog import EventLog
 from mimosaspur_state.fleet import TargetRecord
 from mimosaspur_state.workspaces import Quota
@@ -239,7 +238,7 @@
     quota = Quota(unit=QuotaUnit.REQUESTS, per_s=10.0, burst=10.0)
     north = workspace("north", ("n-1",), quota=quota)
     context.entry.state.configuration = replace(configuration(), workspaces=(north,))
-    context.entry.state.freshness.confirm("configuration", asked_ms=SystemClock().now_ms())
+    context.entry.state.freshness.confirm("configuration", age_ms=0)
 
 
 @when("it ends since nobody needs it, while a request waits for the first quotas")
--- a/features/steps/direct_policy_steps.py
+++ b/features/steps/direct_policy_steps.py
@@ -107,9 +107,8 @@
 
 @then("the coordinator tells nothing of the store")
 def check_tells_nothing(context: Context) -> None:
-    now_ms = context.state.clock.now_ms()
     for what in (TARGETS, CONFIGURATION):
-        context.state.freshness.confirm(what, asked_ms=now_ms)
+        context.state.freshness.confirm(what, age_ms=0)
     assert not StoreChanges(context.state).shareable()
 
 
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -301,7 +301,7 @@
         current = replace(current, workspaces=limited)
     state.apply_configuration(current, source="test")
     age_ms = LONG_AGO_MS if "out of touch" in case else 0
-    state.freshness.confirm("configuration", asked_ms=state.clock.now_ms() - age_ms)
+    state.freshness.confirm("configuration", age_ms=age_ms)
     if "used up" in case:
         state.quotas.apply_update([], entries=1)
         while not state.quotas.admit("north", 1.0):
@@ -457,9 +457,7 @@
         file.write(f"Host: {HOST}\nAuthorization: Bearer n-1\nX-Model: c\n\n")
     context.add_cleanup(Path(file.name).unlink)
     context.file_options = ["--entry", context.control, "--headers", file.name]
-    context.played.entry.state.freshness.confirm(
-        "configuration", asked_ms=context.played.state.clock.now_ms()
-    )
+    context.played.entry.state.freshness.confirm("configuration", age_ms=0)
     context.result = run(context, _run_command(*context.file_options, "--path", "/stream/x"))
 
 
--- a/features/steps/fair_shares_steps.py
+++ b/features/steps/fair_shares_steps.py
@@ -121,7 +121,7 @@
         current = _with_weights(current)
     services = entry.configuration.services
     entry.apply_configuration(replace(current, services=services), source="test")
-    entry.freshness.confirm("configuration", asked_ms=entry.clock.now_ms())
+    entry.freshness.confirm("configuration", age_ms=0)
     context.target = ScriptedTarget("first")
     run(context, context.entry.start(context.target))
     entry.fleet.targets["first"].residents = {MODEL: frozenset()}
--- a/packages/coordination/src/mimosaspur_coordination/storefreshness.py
+++ b/packages/coordination/src/mimosaspur_coordination/storefreshness.py
@@ -36,6 +36,7 @@
     )
 
     def __init__(self, *, bound_ms: int, clock: Clock) -> None:
+        # Must count time in suspend: other entries take its ages for those of their own lists.
         self.clock = clock
         self.max_age_ms = round(bound_ms * MAX_AGE_SHARE)
         # When this process last got a response, by kind of data.
@@ -45,9 +46,9 @@
         self.coordinator_version = 0
         self.version_seen_ms = DISTANT_PAST_MS
 
-    def confirm(self, kind: str, *, asked_ms: int) -> None:
-        """Record a response to a read that was sent at asked_ms."""
-        self.confirmed_ms[kind] = asked_ms
+    def confirm(self, kind: str, *, age_ms: int) -> None:
+        """Record a response to a read, and the age of its data."""
+        self.confirmed_ms[kind] = self.clock.now_ms() - age_ms
 
     def may_share(self, kinds: tuple[str, ...]) -> bool:
         """Return whether this process' own reads are recent enough to share with other entries."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -166,7 +166,7 @@
         self.report_times = ReportTimes(clock=BoottimeClock())
         self.followed_targets = FollowedTargets()
         self.targets_known = False
-        self.freshness = StoreFreshness(bound_ms=settings.drain_ms, clock=self.clock)
+        self.freshness = StoreFreshness(bound_ms=settings.drain_ms, clock=BoottimeClock())
         self.leaving = False
         # Whether this entry is the coordinator.
         self.coordinating = False
--- a/packages/daemon/src/mimosaspur_daemon/direct/storewatch.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/storewatch.py
@@ -251,7 +251,7 @@
         self.state.stream_versions.history.confirm(age_ms=self.targets_age_ms)
 
     def _confirm(self, kind: str, *, age_ms: int) -> None:
-        self.state.freshness.confirm(kind, asked_ms=self.state.clock.now_ms() - age_ms)
+        self.state.freshness.confirm(kind, age_ms=age_ms)
 
     def _configuration_changed(self, change: ConfigurationChange) -> None:
         if change.configuration:
