Explain why a stream that is taken up can't go on at its version

What operators saw: mimosaspur explain named 2017 for such a stream, and of each target of another version only that version; not the version that began the stream, nor who holds its model at which version, nor whether a load is planned.

Measured: features/explain.feature and reference.feature, 54 of 54 scenarios passed, six of them new; the six failed before, as the field is new.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -102,3 +102,20 @@
     Given an entry with a control address
     When the entry's other addresses are asked for an explanation
     Then they don't explain, and an operator who asks there is told 4016
+
+  # Guards against an explanation that leaves open why a stream can't go on at its version.
+  Scenario Outline: A stream that began at <version> is explained while its model is held at <held>
+    Given an entry with engines 1 and 2 at v1, 3 and 4 at v2, and the model held at <held>
+    And a stream that began at <version>, and a load at v1 that ends in <loading> ms
+    When the resumption is explained
+    Then its version is <known>, it could run at <holders>, and is loaded there in <ready> ms
+    And its code is <code>, and the command's lines name the same
+
+    Examples:
+      | version | held    | loading | known | holders         | ready | code |
+      | v1      | 1       | no      | v1    | v1: t-1; v2: -  | no    | 0    |
+      | v1      | 3       | no      | v1    | v1: -; v2: t-3  | no    | 2017 |
+      | v1      | 3       | 60000   | v1    | v1: -; v2: t-3  | 60000 | 2017 |
+      | v2      | 3       | 60000   | v2    | v1: -; v2: t-3  | no    | 0    |
+      | v0      | 3       | no      | v0    | v1: -; v2: t-3  | no    | 2017 |
+      | unknown | 3       | no      | -     | v1: -; v2: t-3  | no    | 2016 |
--- a/packages/cli/src/mimosaspur_cli/explaintable.py
+++ b/packages/cli/src/mimosaspur_cli/explaintable.py
@@ -2,6 +2,7 @@
 
 from mimosaspur_cli.output import format_table
 from mimosaspur_protocol.callerapi import decimal_s
+from mimosaspur_protocol.explanations import ExplainedStream
 from mimosaspur_protocol.explanations import ExplainedTarget
 from mimosaspur_protocol.explanations import Explanation
 
@@ -28,6 +29,8 @@
         expected = "" if wait.expected_ms is None else f", expected {wait.expected_ms} ms"
         most = "" if wait.at_most_ms is None else f", at most {wait.at_most_ms} ms"
         lines.append(f"waits for: {wait.what}{expected}{most}")
+    if value.stream:
+        lines += _stream_lines(value.stream)
     if value.chosen:
         spread = f", drawn within {value.spread_ms:g} ms" if value.spread_ms else ""
         lines.append(f"chosen: {value.chosen}, next: {value.next or NONE}{spread}")
@@ -37,6 +40,21 @@
     return lines
 
 
+def _stream_lines(stream: ExplainedStream) -> list[str]:
+    known = f"{stream.version} (known by {stream.known_by})" if stream.version else "not known here"
+    holders = [
+        f"{version}: {', '.join(names) or NONE}"
+        for version, names in sorted(stream.holders.items())
+    ]
+    lines = [
+        f"stream: software version {known}",
+        f"  targets that can run it: {'; '.join(holders) or NONE}",
+    ]
+    if stream.ready_in_ms is not None:
+        lines.append(f"  its model is loaded at {stream.version} in {stream.ready_in_ms} ms")
+    return lines
+
+
 def _table(value: Explanation, *, colour: bool) -> list[str]:
     header = ["target", "domain", "probability", "cost ms", "first event ms", "pause ms"]
     rows = [[*header, "requests", "why"], *map(_row, value.targets)]
--- a/packages/daemon/src/mimosaspur_daemon/direct/explain/explanation.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/explain/explanation.py
@@ -12,6 +12,7 @@
 from mimosaspur_daemon.direct.explain.question import as_request
 from mimosaspur_daemon.direct.explain.question import workspace_of
 from mimosaspur_daemon.direct.explain.refusals import explain_refusal
+from mimosaspur_daemon.direct.explain.streams import explain_stream
 from mimosaspur_daemon.direct.explain.targets import explain_targets
 from mimosaspur_daemon.direct.prompts import read_prompt
 from mimosaspur_daemon.direct.prompts import time_limit_ms
@@ -109,7 +110,7 @@
     check_leaving(chooser)
     quarantine.check(traits)
     check_quota(chooser)
-    explanation.waits_for = _version_wait(chooser)
+    explanation.waits_for = _version_wait(chooser, explanation)
     untold_ms = quarantine.told_by_ms - chooser.state.clock.now_ms()
     if untold_ms > 0:
         what = "what other entries know of crashes, as this one has just started"
@@ -123,7 +124,7 @@
     chooser.isolated = quarantine.is_isolated(traits)
 
 
-def _version_wait(chooser: TargetChooser) -> ExplainedWait | None:
+def _version_wait(chooser: TargetChooser, explanation: Explanation) -> ExplainedWait | None:
     """Return the wait for other entries to tell a resumed stream's version, None without it.
 
     Raise RequestFailed if the version is unknown and there is no other entry to ask.
@@ -131,12 +132,15 @@
     continuation = chooser.continuation
     if continuation is None or not continuation.is_resumption:
         return None
-    if continuation.asks_others():
+    asks_others = continuation.asks_others()
+    source = None if asks_others else continuation.resolve_here()
+    explanation.stream = explain_stream(chooser, continuation.version, source)
+    if asks_others:
         # An explanation doesn't ask them.
         at_most_ms = round(ANSWER_TIMEOUT_S * 1000)
         what = "the software version that began the stream"
         return ExplainedWait(what, at_most_ms=at_most_ms)
-    if continuation.resolve_here() is None:
+    if source is None:
         raise chooser.refusal(ResultCode.STREAM_VERSION_UNKNOWN, wanted_s=OTHER_ENTRY_RETRY_S)
     return None
 
--- a/packages/protocol/src/mimosaspur_protocol/explanations.py
+++ b/packages/protocol/src/mimosaspur_protocol/explanations.py
@@ -69,6 +69,18 @@
     at_most_ms: int | None = None
 
 
+class ExplainedStream(msgspec.Struct):
+    """Tell where a stream that is taken up may go on."""
+
+    # The software version that began it, empty if the entry doesn't know it, and how it does.
+    version: str = ""
+    known_by: str = ""
+    # Some of the targets that can run it, for each version that serves.
+    holders: dict[str, list[str]] = {}
+    # The time until a load of its model at its version ends; None if none is planned.
+    ready_in_ms: int | None = None
+
+
 class Explanation(msgspec.Struct):
     """Tell where an entry would send a request now, and why."""
 
@@ -88,6 +100,8 @@
     spread_ms: float = 0.0
     refusal: ExplainedRefusal | None = None
     waits_for: ExplainedWait | None = None
+    # None unless the request takes a stream up.
+    stream: ExplainedStream | None = None
     targets: list[ExplainedTarget] = []
 
 
