Share the engine ports and the record of versions between the plays

Change: EnginePorts is in direct_engine, StoredVersions in a module of its own. The record that out_of_step_play stored dropped the restored flag of what was written; it is kept now, as in the other plays.

--- a/features/harness/direct_engine.py
+++ b/features/harness/direct_engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -169,3 +170,30 @@
     """Return a random third of the first order numbers, chosen by a seed."""
     chooser = random.Random(seed)
     return frozenset(number for number in range(1, most) if chooser.random() < 1 / 3)
+
+
+class EnginePorts:
+    """Pass on calls to the simulated engine of a record."""
+
+    def __init__(self, engines: Mapping[str, SimulatedEngine]) -> None:
+        self.engines = engines
+
+    def set_head_handler(self, handler: HeadHandler) -> None:
+        """Ignore the handler, as calls have no heads here."""
+
+    async def report(self, target: TargetRecord) -> EngineReport | None:
+        """Return the engine's report."""
+        return await self.engines[target.identity].report(target)
+
+    async def order(self, target: TargetRecord, order: EngineOrder) -> OrderOutcome:
+        """Send an order to the engine."""
+        return await self.engines[target.identity].order(target, order)
+
+    async def stop_and_copy(
+        self, source: TargetRecord, request: bytes, to: TargetRecord
+    ) -> StoppedRun | None:
+        """Stop and copy nothing."""
+        return None
+
+    async def drop_copy(self, source: TargetRecord, handle: str) -> None:
+        """Do nothing, as there are no copies."""
--- a/features/harness/held_answers_play.py
+++ b/features/harness/held_answers_play.py
@@ -6,7 +6,6 @@
 import random
 from collections.abc import Awaitable
 from collections.abc import Callable
-from dataclasses import replace
 from typing import TypeVar
 from unittest.mock import patch
 
@@ -14,6 +13,7 @@
 from harness.direct_entry import entry_dependencies
 from harness.direct_entry import null_log
 from harness.direct_entry import settings_for
+from harness.stored_versions import StoredVersions
 from harness.virtual_time import VirtualClock
 from harness.virtual_time import VirtualTimeLoop
 from harness.virtual_time import run_in_virtual_time
@@ -26,7 +26,6 @@
 from mimosaspur_daemon.direct.versionrecord import VersionRecordKeeper
 from mimosaspur_state.clock import BoottimeClock
 from mimosaspur_state.errors import StoreUnavailable
-from mimosaspur_state.errors import VersionConflict
 from mimosaspur_state.fleet import TargetRecord
 
 T = TypeVar("T")
@@ -60,7 +59,7 @@
     def __init__(self) -> None:
         self.targets = {"i-0": _target("i-0", SERVICE, OLD)}
         self.changes: list[TargetRecord] = list(self.targets.values())
-        self.record: VersionRecord | None = None
+        self.versions = StoredVersions()
         self.changed = asyncio.Event()
 
     def put(self, record: TargetRecord) -> None:
@@ -117,24 +116,12 @@
         return await self._call(wait, wait_ms / 1000 + WATCH_MARGIN_S)
 
     async def read_versions(self) -> VersionRecord | None:
-        """Return the record."""
-
-        async def read() -> VersionRecord | None:
-            return self.common.record
-
-        return await self._call(read, CALL_TIMEOUT_S)
+        """Return the record of versions."""
+        return await self._call(self.common.versions.read, CALL_TIMEOUT_S)
 
     async def write_versions(self, record: VersionRecord) -> VersionRecord:
         """Write the record if its revision is still the store's."""
-
-        async def write() -> VersionRecord:
-            known = self.common.record.revision if self.common.record else 0
-            if record.revision != known:
-                raise VersionConflict("versions", known)
-            self.common.record = replace(record, revision=known + 1)
-            return self.common.record
-
-        return await self._call(write, CALL_TIMEOUT_S)
+        return await self._call(lambda: self.common.versions.write(record), CALL_TIMEOUT_S)
 
     async def _call(self, answer: Callable[[], Awaitable[T]], timeout_s: float) -> T:
         try:
--- a/features/harness/late_order_play.py
+++ b/features/harness/late_order_play.py
@@ -12,6 +12,7 @@
 from enum import Enum
 
 from harness.direct_engine import LOAD_S
+from harness.direct_engine import EnginePorts
 from harness.direct_engine import SimulatedEngine
 from harness.direct_entry import configuration
 from harness.direct_entry import engine_spec
@@ -20,9 +21,7 @@
 from harness.direct_entry import settings_for
 from harness.virtual_time import VirtualClock
 from harness.virtual_time import VirtualTimeLoop
-from mimosaspur_coordination.fleetports import HeadHandler
 from mimosaspur_coordination.fleetports import LeaseRecord
-from mimosaspur_coordination.fleetports import StoppedRun
 from mimosaspur_coordination.orderlease import OrderLease
 from mimosaspur_daemon.direct.configurationexchange import ConfigurationExchange
 from mimosaspur_daemon.direct.coordinator import Coordinator
@@ -35,7 +34,6 @@
 from mimosaspur_protocol.peermessages import decode_peer
 from mimosaspur_protocol.peermessages import encode_peer
 from mimosaspur_state.fleet import EngineOrder
-from mimosaspur_state.fleet import EngineReport
 from mimosaspur_state.fleet import OrderKind
 from mimosaspur_state.fleet import OrderOutcome
 from mimosaspur_state.fleet import TargetRecord
@@ -177,33 +175,6 @@
         return SimulatedEngine._execute(self, order)
 
 
-class EnginePorts:
-    """Send reports and orders to the simulated engine of a record."""
-
-    def __init__(self, engines: dict[str, LateEngine]) -> None:
-        self.engines = engines
-
-    def set_head_handler(self, handler: HeadHandler) -> None:
-        """Ignore the handler, as calls have no heads here."""
-
-    async def report(self, target: TargetRecord) -> EngineReport | None:
-        """Return the engine's report."""
-        return await self.engines[target.identity].report(target)
-
-    async def order(self, target: TargetRecord, order: EngineOrder) -> OrderOutcome:
-        """Send an order to the engine."""
-        return await self.engines[target.identity].order(target, order)
-
-    async def stop_and_copy(
-        self, source: TargetRecord, request: bytes, to: TargetRecord
-    ) -> StoppedRun | None:
-        """Stop and copy nothing."""
-        return None
-
-    async def drop_copy(self, source: TargetRecord, handle: str) -> None:
-        """Do nothing, as there are no copies."""
-
-
 class MemoryLink(PeerLink):
     """Exchange messages between two entries of this process."""
 
--- a/features/harness/out_of_step_play.py
+++ b/features/harness/out_of_step_play.py
@@ -17,6 +17,7 @@
 from harness.followed_list_play import RevisedStore
 from harness.process_loop import PROCESS
 from harness.process_loop import ProcessLoop
+from harness.stored_versions import StoredVersions
 from harness.virtual_time import VirtualClock
 from harness.virtual_time import run_in_virtual_time
 from mimosaspur_coordination.fleetports import ConfigurationChange
@@ -30,7 +31,6 @@
 from mimosaspur_daemon.direct.versionrecord import VersionRecordKeeper
 from mimosaspur_state.clock import BoottimeClock
 from mimosaspur_state.errors import StoreUnavailable
-from mimosaspur_state.errors import VersionConflict
 from mimosaspur_state.fleet import TargetRecord
 
 T = TypeVar("T")
@@ -62,7 +62,7 @@
     def __init__(self) -> None:
         self.targets = RevisedStore(random.Random(0))
         self.lease = LeaseStore()
-        self.record: VersionRecord | None = None
+        self.versions = StoredVersions()
         self.changed = asyncio.Event()
 
     def put(self, targets: dict[str, TargetRecord], now_ms: int) -> None:
@@ -127,23 +127,11 @@
 
     async def read_versions(self) -> VersionRecord | None:
         """Return the record of versions."""
-
-        async def read() -> VersionRecord | None:
-            return self.common.record
-
-        return await self._call(read, CALL_TIMEOUT_S)
+        return await self._call(self.common.versions.read, CALL_TIMEOUT_S)
 
     async def write_versions(self, record: VersionRecord) -> VersionRecord:
         """Write the record if its revision is still the store's."""
-
-        async def write() -> VersionRecord:
-            known = self.common.record.revision if self.common.record else 0
-            if record.revision != known:
-                raise VersionConflict("versions", known)
-            self.common.record = VersionRecord(record.services, known + 1)
-            return self.common.record
-
-        return await self._call(write, CALL_TIMEOUT_S)
+        return await self._call(lambda: self.common.versions.write(record), CALL_TIMEOUT_S)
 
     async def _call(self, answer: Callable[[], Awaitable[T]], timeout_s: float) -> T:
         async def travel() -> T:
--- a/features/harness/release_placement_play.py
+++ b/features/harness/release_placement_play.py
@@ -4,6 +4,7 @@
 import contextlib
 from dataclasses import replace
 
+from harness.direct_engine import EnginePorts
 from harness.direct_engine import SimulatedEngine
 from harness.direct_entry import configuration
 from harness.direct_entry import engine_spec
@@ -13,9 +14,7 @@
 from harness.recorded_log import RecordedLog
 from harness.virtual_time import VirtualClock
 from harness.virtual_time import VirtualTimeLoop
-from mimosaspur_coordination.fleetports import HeadHandler
 from mimosaspur_coordination.fleetports import LeaseRecord
-from mimosaspur_coordination.fleetports import StoppedRun
 from mimosaspur_coordination.fleetview import Prompt
 from mimosaspur_coordination.orderlease import OrderLease
 from mimosaspur_daemon.direct.configurationexchange import ConfigurationExchange
@@ -24,9 +23,6 @@
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.streamcontinuation import StreamContinuation
 from mimosaspur_daemon.direct.targetchooser import TargetChooser
-from mimosaspur_state.fleet import EngineOrder
-from mimosaspur_state.fleet import EngineReport
-from mimosaspur_state.fleet import OrderOutcome
 from mimosaspur_state.fleet import TargetRecord
 
 OLD, NEW = "v1", "v2"
@@ -47,39 +43,12 @@
 BEGIN_LIMIT_S = 2.0
 
 
-class EngineGroup:
-    """Pass orders on to the simulated engine that they are for."""
-
-    def __init__(self) -> None:
-        self.engines: dict[str, SimulatedEngine] = {}
-
-    def set_head_handler(self, handler: HeadHandler) -> None:
-        """Ignore the handler, as calls have no heads here."""
-
-    async def report(self, target: TargetRecord) -> EngineReport | None:
-        """Return an engine's report."""
-        return await self.engines[target.identity].report(target)
-
-    async def order(self, target: TargetRecord, order: EngineOrder) -> OrderOutcome:
-        """Have an engine carry out an order."""
-        return await self.engines[target.identity].order(target, order)
-
-    async def stop_and_copy(
-        self, source: TargetRecord, request: bytes, to: TargetRecord
-    ) -> StoppedRun | None:
-        """Stop and copy nothing."""
-        return None
-
-    async def drop_copy(self, source: TargetRecord, handle: str) -> None:
-        """Do nothing, as there are no copies."""
-
-
 class ReleasePlay:
     """Release engines beside requests for all models, and count the streams that go on."""
 
     def __init__(self, loop: VirtualTimeLoop, *, engines: int, released: int) -> None:
         self.clock = VirtualClock(loop)
-        self.group = EngineGroup()
+        self.engines: dict[str, SimulatedEngine] = {}
         self.log = RecordedLog("entry")
         count = engines * PLACES
         self.names = [f"m{number}" for number in range(count)]
@@ -90,7 +59,9 @@
         for number in range(engines):
             held = self.names[number::engines]
             self._add(f"old-{number}", OLD, held)
-        ports = entry_dependencies("entry", clock=self.clock, engines=self.group, log=self.log)
+        ports = entry_dependencies(
+            "entry", clock=self.clock, engines=EnginePorts(self.engines), log=self.log
+        )
         self.state = EntryState(settings_for("entry"), ports)
         seconds = {"load_s": LOAD_S, "disk_load_s": LOAD_S, "memory_load_s": LOAD_S}
         models = [model_spec(name, **seconds) for name in self.names]
@@ -131,7 +102,7 @@
 
     def _add(self, identity: str, version: str, models: list[str]) -> None:
         residents: dict[str, set[str]] = {name: set() for name in models}
-        self.group.engines[identity] = SimulatedEngine(residents=residents, load_s=LOAD_S)
+        self.engines[identity] = SimulatedEngine(residents=residents, load_s=LOAD_S)
         self.records[identity] = TargetRecord(
             identity, "service", ("127.0.0.1", 1), "here", slots=64, version=version
         )
@@ -177,7 +148,7 @@
             for identity, record in self.records.items()
             if not record.leaving
             and version in ("", record.version)
-            and name in self.group.engines[identity].residents
+            and name in self.engines[identity].residents
             and not (identity in controllers and name in controllers[identity].unloading)
         ]
 
--- a/features/harness/release_play.py
+++ b/features/harness/release_play.py
@@ -7,13 +7,13 @@
 import random
 from collections.abc import Iterator
 from dataclasses import dataclass
-from dataclasses import replace
 from functools import partial
 from unittest.mock import patch
 
 from harness.direct_entry import UnavailableStore
 from harness.direct_entry import entry_dependencies
 from harness.direct_entry import settings_for
+from harness.stored_versions import StoredVersions
 from harness.virtual_time import VirtualClock
 from harness.virtual_time import VirtualTimeLoop
 from harness.virtual_time import run_in_virtual_time
@@ -94,7 +94,7 @@
         self.targets: dict[str, TargetRecord] = {}
         # Registrations that were written, and the names of those that were removed.
         self.changes: list[TargetRecord | str] = []
-        self.record: VersionRecord | None = None
+        self.versions = StoredVersions()
         self.changed = asyncio.Event()
 
     def put(self, record: TargetRecord) -> None:
@@ -112,14 +112,6 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def write(self, record: VersionRecord) -> VersionRecord:
-        """Write the record of versions; raise VersionConflict."""
-        known = self.record.revision if self.record else 0
-        if record.revision != known:
-            raise VersionConflict("versions", known)
-        self.record = replace(record, revision=known + 1)
-        return self.record
-
 
 class EntryStore(UnavailableStore):
     """Give one entry access to the store, with faults of its writes."""
@@ -150,7 +142,7 @@
     async def read_versions(self) -> VersionRecord | None:
         """Return the record of versions."""
         await asyncio.sleep(STORE_S / 2)
-        record = self.common.record
+        record = self.common.versions.record
         await asyncio.sleep(STORE_S / 2)
         return record
 
@@ -166,7 +158,7 @@
         if fault in ("late", "lost"):
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise StoreUnavailable("no answer")
-        written = self.common.write(record)
+        written = self.common.versions.write_now(record)
         if fault == "answer lost":
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise StoreUnavailable("no answer")
@@ -175,7 +167,7 @@
 
     def _write_late(self, record: VersionRecord) -> None:
         with contextlib.suppress(VersionConflict):
-            self.common.write(record)
+            self.common.versions.write_now(record)
 
 
 class PlayedEntry:
