Send the records of streams again once their witnesses are in touch

Callers saw: streams that began at an entry while it was cut off from the others for some seconds were rejected with 2016 wherever they were taken up at a site of many entries, also after the cut had healed, for the rest of their lives.

Cause: a record is sent again for about a second, and then given up. Elsewhere eight entries are asked, and the entry at which the stream began usually isn't one of them.

Change: what a witness hasn't acknowledged is kept while it is the latest record of its stream and the witness is listed. It is sent again at growing intervals, at once as the witness, or after a silence any entry, is heard of, paced at 4,000 bytes a second; one datagram in 0.5 s while nothing is heard. StreamsBegun has a mark for late records, which replace no other record. Changes of the version that weren't acknowledged are not kept, as their attempts weren't sent.

--- a/features/harness/stalling_processes.py
+++ b/features/harness/stalling_processes.py
@@ -48,7 +48,7 @@
         """Send a datagram, which may be lost."""
         world = self.process.world
         world.sent += 1
-        if world.random.random() >= world.lost_share:
+        if world.random.random() >= world.lost_share and not self.process.is_cut():
             arrives_s = world.now_s + world.random.uniform(0, LATENCY_S)
             world.on_its_way(arrives_s, addr, bytes(data), self.address)
 
@@ -91,6 +91,16 @@
         # Datagrams that have arrived and wait to be read.
         self.inbox: deque[Callable[[], None]] = deque()
         self.runs_again_s = 0.0
+        # Until when all datagrams to it and from it are lost.
+        self.cut_until_s = 0.0
+
+    def cut(self, seconds: float) -> None:
+        """Cut the process off from all others from now on."""
+        self.cut_until_s = self.world.now_s + seconds
+
+    def is_cut(self) -> bool:
+        """Return whether the process is cut off."""
+        return self.world.now_s < self.cut_until_s
 
     def runnable_s(self) -> float:
         """Return when the process has something to run and doesn't stand still."""
@@ -138,7 +148,7 @@
 
         def arrive() -> None:
             process, protocol = self.ports.get(to, (None, None))
-            if process and protocol:
+            if process and protocol and not process.is_cut():
                 process.inbox.append(lambda: protocol.datagram_received(data, sender))
 
         self.at(arrives_s, arrive)
--- a/features/steps/resumption_play_steps.py
+++ b/features/steps/resumption_play_steps.py
@@ -40,6 +40,33 @@
     assert not wrong, wrong[:SHOWN]
 
 
+@when(
+    "streams begin at one of {count:d} entries in {plays:d} plays, cut off from the others while "
+    "a version joins, and it {then} after that"
+)
+def play_cut(context: Context, count: int, plays: int, then: str) -> None:
+    context.plays = [
+        ResumptionPlay(seed, versions=("v1",), stall_ms=0, count=count)
+        for seed in range(1, plays + 1)
+    ]
+    stops = {"stays": False, "stops": True}[then]
+    context.tries = [each for play in context.plays for each in play.play_cut(stops=stops)]
+
+
+@then("no entry sends over {limit:d} bytes again in a second, and none has any left at the end")
+def check_sent(context: Context, limit: int) -> None:
+    most = max(max(play.late_bytes.values()) for play in context.plays)
+    print(f"MEASURED {most} bytes in a second")
+    assert 0 < most <= limit, most
+    left = [
+        (entry.instance, entry.unnoted.entries)
+        for play in context.plays
+        for entry in play.entries
+        if entry.unnoted.entries
+    ]
+    assert not left, left[:SHOWN]
+
+
 @when("streams that no entry knows are taken up, and {gone:d} of the entries have gone")
 def play_unknown(context: Context, gone: int) -> None:
     context.tries = ResumptionPlay(1, versions=("v1", "v2"), stall_ms=0).play_unknown(gone=gone)
--- a/packages/coordination/src/mimosaspur_coordination/streams/streamrecords.py
+++ b/packages/coordination/src/mimosaspur_coordination/streams/streamrecords.py
@@ -37,10 +37,13 @@
         # By key, with the time of the last note, the oldest first.
         self.records: OrderedDict[bytes, tuple[StreamRecord, int]] = OrderedDict()
 
-    def note(self, key: bytes, record: StreamRecord) -> None:
-        """Remember a record, unless a later one of the same stream is known."""
+    def note(self, key: bytes, record: StreamRecord, *, late: bool = False) -> None:
+        """Remember a record, unless a later one of the same stream is known.
+
+        One that comes late never replaces another, which may be of a newer attempt.
+        """
         known = self.find(key)
-        if known and known.change > record.change:
+        if known and (late or known.change > record.change):
             return
         self.records[key] = record, self.clock.now_ms()
         self.records.move_to_end(key)
--- a/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/streamversions.py
@@ -6,6 +6,7 @@
 import math
 import secrets
 from collections.abc import Collection
+from collections.abc import Coroutine
 from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -16,6 +17,7 @@
 from mimosaspur_coordination.streams.lookup import VersionSource
 from mimosaspur_coordination.streams.streamrecords import StreamRecord
 from mimosaspur_coordination.streams.streamrecords import StreamRecords
+from mimosaspur_coordination.streams.unnotedrecords import UnnotedRecords
 from mimosaspur_coordination.streams.versionhistory import VersionHistory
 from mimosaspur_coordination.streams.witnesses import choose_witnesses
 from mimosaspur_daemon.direct.changenotifier import ChangeNotifier
@@ -41,6 +43,11 @@
 # A datagram is sent again after each of these times without an answer. The process may stand still
 # meanwhile: what it has waited too long in one of them is not taken from the next.
 SEND_INTERVALS_S = (0.015, 0.03, 0.06, 0.12, 0.24, 0.48)
+# What wasn't acknowledged by then is sent again at this pace, to all entries together.
+SENT_AGAIN_BYTES_PER_S = 4_000
+OVERHEAD_BYTES = 28
+# While nothing is heard of any entry one datagram is sent in this time.
+SILENT_INTERVAL_S = 0.5
 # The same while a caller waits, who is to be rejected at once if nobody can answer.
 ANSWER_INTERVALS_S = (0.015, 0.03, 0.045, 0.06)
 ANSWER_TIMEOUT_S = sum(ANSWER_INTERVALS_S)
@@ -60,6 +67,7 @@
     """Hold records that are sent to one entry until it acknowledges them."""
 
     entry: str
+    records: Mapping[bytes, StreamRecord]
     noted: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -86,6 +94,10 @@
         self.log = log
         self.history = VersionHistory(clock=clock, lag_ms=lag_ms, lifetime_ms=MIN_LIFETIME_MS)
         self.records = StreamRecords(clock=clock, max_age_ms=MIN_LIFETIME_MS)
+        self.unnoted = UnnotedRecords(self.records)
+        # Set when an entry may have become due, while the task that sends records again waits.
+        self.unnoted_changed = asyncio.Event()
+        self.is_sending_again = False
         self.endpoint = DatagramEndpoint(self._on_datagram)
         # Where other entries reach this one; None while it doesn't listen.
         self.address: Address | None = None
@@ -150,6 +162,8 @@
             if name not in self.entries or now_ms >= until_ms:
                 self.entries.pop(name, None)
                 del self.kept_until_ms[name]
+        for name in self.unnoted.entries.keys() - self.entries.keys():
+            self.unnoted.drop(name)
 
     async def announce(
         self, key: bytes, record: StreamRecord, *, service: str, is_change: bool
@@ -165,7 +179,10 @@
         # After entries have joined, one that isn't a witness any more knows the earlier version.
         count = ASKED_COUNT if is_change else WITNESS_COUNT
         witnesses = choose_witnesses(key, self.entries, count=count)
-        deliveries = [self._deliver(name, {key: record}) for name in witnesses]
+        # A change that isn't acknowledged at once isn't carried out.
+        deliveries = [
+            self._deliver(name, {key: record}, is_kept=not is_change) for name in witnesses
+        ]
         if not is_change:
             return True
         asked_ms = self.clock.now_ms()
@@ -293,32 +310,79 @@
         for name, records in batches.items():
             items = list(records.items())
             for start in range(0, len(items), MAX_RECORDS_PER_DATAGRAM):
-                self._deliver(name, dict(items[start : start + MAX_RECORDS_PER_DATAGRAM]))
+                batch = dict(items[start : start + MAX_RECORDS_PER_DATAGRAM])
+                self._deliver(name, batch, is_kept=True)
+
+    def _deliver(
+        self, name: str, records: Mapping[bytes, StreamRecord], *, is_kept: bool
+    ) -> Delivery:
+        """Send records to one entry until it acknowledges them.
 
-    def _deliver(self, name: str, records: Mapping[bytes, StreamRecord]) -> Delivery:
-        """Send records to one entry until it acknowledges them."""
+        What it doesn't acknowledge for long is kept for when it is in touch again, or given up.
+        """
         number = next(self.numbers)
-        delivery = self.deliveries[number] = Delivery(name)
+        delivery = self.deliveries[number] = Delivery(name, records)
+        data = self._encode(number, records, late=False)
+        self._send(name, data)
+        self._spawn(self._repeat(number, delivery, data, is_kept=is_kept))
+        return delivery
+
+    def _encode(self, number: int, records: Mapping[bytes, StreamRecord], *, late: bool) -> bytes:
         messages = [
             RecordMessage(key, record.version, record.change) for key, record in records.items()
         ]
-        data = encode_stream_message(StreamsBegun(self.instance, number, messages))
-        self._send(name, data)
-        task = asyncio.get_running_loop().create_task(self._repeat(number, delivery, data))
+        return encode_stream_message(StreamsBegun(self.instance, number, messages, late))
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
-        return delivery
 
-    async def _repeat(self, number: int, delivery: Delivery, data: bytes) -> None:
+    async def _repeat(self, number: int, delivery: Delivery, data: bytes, *, is_kept: bool) -> None:
         loop = asyncio.get_running_loop()
         try:
             for interval_s in SEND_INTERVALS_S:
                 if await _is_set_by(delivery.noted, loop.time() + interval_s):
                     return
                 self._send(delivery.entry, data)
+            if is_kept and delivery.entry in self.entries:
+                self.unnoted.add(delivery.entry, delivery.records)
+                self._start_sending_again()
         finally:
             del self.deliveries[number]
 
+    def _start_sending_again(self) -> None:
+        if not self.is_sending_again:
+            self.is_sending_again = True
+            self._spawn(self._send_again())
+
+    async def _send_again(self) -> None:
+        """Send what wasn't acknowledged, at a bounded pace, until nothing is left."""
+        # By entry, the number of its last datagram.
+        numbers: dict[str, int] = {}
+        loop = asyncio.get_running_loop()
+        try:
+            while (due_ms := self.unnoted.next_due_ms()) is not None:
+                taken = self.unnoted.take_due(MAX_RECORDS_PER_DATAGRAM)
+                self.unnoted_changed.clear()
+                if taken is None:
+                    wait_s = max(0, due_ms - self.clock.now_ms()) / 1000
+                    await _is_set_by(self.unnoted_changed, loop.time() + wait_s)
+                    continue
+                name, records = taken
+                self.deliveries.pop(numbers.get(name, -1), None)
+                number = numbers[name] = next(self.numbers)
+                self.deliveries[number] = Delivery(name, records)
+                data = self._encode(number, records, late=True)
+                self._send(name, data)
+                await asyncio.sleep((len(data) + OVERHEAD_BYTES) / SENT_AGAIN_BYTES_PER_S)
+                if self.unnoted.is_silent():
+                    await _is_set_by(self.unnoted_changed, loop.time() + SILENT_INTERVAL_S)
+        finally:
+            self.is_sending_again = False
+            for number in numbers.values():
+                self.deliveries.pop(number, None)
+
     def _send(self, name: str, data: bytes) -> None:
         address = self.entries.get(name)
         if address:
@@ -330,6 +394,8 @@
         except StreamMessageInvalid as error:
             self.log.write("bad_stream_message", error=str(error))
             return
+        self.unnoted.on_heard(message.sender)
+        self.unnoted_changed.set()
         reply = self._answer(message)
         if reply:
             self.endpoint.send(encode_stream_message(reply), address)
@@ -337,7 +403,8 @@
     def _answer(self, message: StreamMessage) -> StreamMessage | None:
         if isinstance(message, StreamsBegun):
             for each in message.records:
-                self.records.note(each.key, StreamRecord(each.version, each.change))
+                begun = StreamRecord(each.version, each.change)
+                self.records.note(each.key, begun, late=message.late)
             return StreamsNoted(self.instance, message.number)
         if isinstance(message, StreamQuestion):
             record = self.records.find(message.key)
@@ -349,6 +416,7 @@
             delivery = self.deliveries.get(message.number)
             if delivery:
                 delivery.noted.set()
+                self.unnoted.on_noted(delivery.entry, delivery.records)
         else:
             self._on_answer(message)
         return None
--- a/packages/protocol/src/mimosaspur_protocol/streammessages.py
+++ b/packages/protocol/src/mimosaspur_protocol/streammessages.py
@@ -20,6 +20,8 @@
     sender: str
     number: int
     records: list[RecordMessage]
+    # Whether they were sent in vain before, so that later ones may have arrived meanwhile.
+    late: bool = False
 
 
 class StreamsNoted(msgspec.Struct, array_like=True, tag="noted", frozen=True):
