Leave a list of targets to the store that is too long for a message

Operators saw, with a list of targets of over 4 MB (another writer's registrations, each valid), that entries lost their coordinator again and again: the list came in one message, at which the receiver ended the link; it came again with the next link, and the next coordinator's too.

Cause: a StoreUpdate holds the complete list, or the last change, whatever its size.

Change: an update leaves the store's part out if it has over 3 MB, as it does while the coordinator's own data is old. The member counts as not told; its data grows old, and it reads the store itself. Once the list fits, it is sent complete. Nothing is cut, so no part can count as confirmed.

The stand-in of the store can have pages of another size than two.

--- a/features/harness/direct_store.py
+++ b/features/harness/direct_store.py
@@ -38,6 +38,7 @@
     server: asyncio.Server | None = None
     # Sent in a header of all answers unless None.
     era: str | None = None
+    page_size: int = PAGE_SIZE
 
     def copy(self) -> StoreCopy:
         """Return a copy of the contents for a restore."""
@@ -133,8 +134,8 @@
 
     def _list(self, kind: str, after: str) -> dict[str, Any]:
         names = sorted(name for name in self.objects.get(kind, {}) if name > after)
-        items = [self.objects[kind][name] for name in names[:PAGE_SIZE]]
-        return {"items": items, "has_more": len(names) > PAGE_SIZE, "at": self.revision}
+        items = [self.objects[kind][name] for name in names[: self.page_size]]
+        return {"items": items, "has_more": len(names) > self.page_size, "at": self.revision}
 
     async def _watch(self, kind: str, since: int, wait_ms: int) -> tuple[int, object]:
         loop = asyncio.get_running_loop()
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetchanges.py
@@ -151,7 +151,8 @@
             forecast = self.full_forecast
             speeds, shares = self.all_speeds, self.all_shares
         ready_times_hold = sent.fleet_sent and not fleet.ready_times_changed
-        store = self.store_changes.changes_since(sent.store_number) if self.store_changes else None
+        changes = self.store_changes_for(sent)
+        store = changes.changes_since(sent.store_number) if changes else None
         return msgspec.structs.replace(
             self.base,
             work=work,
@@ -182,9 +183,13 @@
 
     def state_after(self, sent: SentState) -> SentState:
         """Return a member's state once it has received the report."""
-        return SentState(
-            True, self.store_changes.change_number if self.store_changes else sent.store_number
-        )
+        changes = self.store_changes_for(sent)
+        return SentState(True, changes.change_number if changes else sent.store_number)
+
+    def store_changes_for(self, sent: SentState) -> StoreChanges | None:
+        """Return the changes of the store, None if a member has to read the store itself."""
+        changes = self.store_changes
+        return changes if changes and changes.fits(sent.store_number) else None
 
 
 def _expected_by_version(
--- a/packages/daemon/src/mimosaspur_daemon/direct/memberupdates.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/memberupdates.py
@@ -256,10 +256,9 @@
         """Return whether a member lacks something that the others were sent before."""
         if not member.sent_state.fleet_sent:
             return True
+        changes = reports.store_changes_for(member.sent_state)
         return bool(
-            member.link
-            and reports.store_changes
-            and member.sent_state.store_number != reports.store_changes.change_number
+            member.link and changes and member.sent_state.store_number != changes.change_number
         )
 
     def _due_paces(self, now_ms: int) -> list[ModelPaceUpdate]:
--- a/packages/daemon/src/mimosaspur_daemon/direct/storechanges.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/storechanges.py
@@ -1,6 +1,11 @@
 """Compute the changes of the store for entries that don't read it, and apply them there."""
 
+from collections.abc import Sequence
+
+import msgspec
+
 from mimosaspur_daemon.direct.entrystate import EntryState
+from mimosaspur_protocol.peermessages import MAX_MESSAGE_BYTES
 from mimosaspur_protocol.peermessages import StoreUpdate
 from mimosaspur_protocol.peermessages import TargetRegistration
 from mimosaspur_state.fleet import TargetRecord
@@ -11,12 +16,23 @@
 CONFIGURATION = "configuration"
 # From a report of an entry to the update that answers it, while nothing is late.
 USUAL_WAIT_MS = 200
+# Entries read longer lists from the store themselves, as a link ends at a message that is too long.
+# The rest is left for the other parts of a report.
+MAX_LIST_BYTES = MAX_MESSAGE_BYTES * 3 // 4
 
 
 class StoreChanges:
     """Keep the targets as last sent, and compute what has changed since."""
 
-    __slots__ = ("change_number", "changed", "removed", "state", "targets")
+    __slots__ = (
+        "change_fits",
+        "change_number",
+        "changed",
+        "removed",
+        "state",
+        "targets",
+        "whole_fits",
+    )
 
     def __init__(self, state: EntryState) -> None:
         self.state = state
@@ -25,6 +41,9 @@
         self.change_number = 0
         self.changed: list[TargetRegistration] = []
         self.removed: list[str] = []
+        # Whether the last change, and all targets, fit into a message.
+        self.change_fits = True
+        self.whole_fits = True
 
     def update(self) -> None:
         """Compute what has changed since the last update."""
@@ -35,15 +54,23 @@
         if changed or removed:
             self.targets, self.changed, self.removed = targets, changed, removed
             self.change_number += 1
+            self.change_fits = _fits(changed, removed)
+            self.whole_fits = _fits(list(targets.values()), [])
 
     def shareable(self) -> bool:
         """Return whether other entries may rely on this instance's store data."""
         on = self.state.uses(Mechanism.STORE_READER)
         return on and self.state.freshness.may_share((TARGETS, CONFIGURATION))
 
+    def fits(self, number: int) -> bool:
+        """Return whether the changes since a change number fit into a message."""
+        if number == self.change_number:
+            return True
+        return self.whole_fits if self._needs_all(number) else self.change_fits
+
     def changes_since(self, number: int) -> StoreUpdate:
         """Return the changes since a change number, all targets if more than one is missing."""
-        whole = number < self.change_number - 1
+        whole = self._needs_all(number)
         current = number == self.change_number
         return StoreUpdate(
             age_ms=self.state.freshness.age_ms((TARGETS, CONFIGURATION)),
@@ -53,6 +80,9 @@
             removed=[] if whole or current else self.removed,
         )
 
+    def _needs_all(self, number: int) -> bool:
+        return number < self.change_number - 1
+
 
 def apply_store_changes(state: EntryState, changes: StoreUpdate) -> None:
     """Apply the coordinator's store data unless this entry has a newer revision."""
@@ -91,6 +121,10 @@
     )
 
 
+def _fits(targets: Sequence[TargetRegistration], removed: Sequence[str]) -> bool:
+    return len(msgspec.msgpack.encode((targets, removed))) <= MAX_LIST_BYTES
+
+
 def _to_record(message: TargetRegistration) -> TargetRecord:
     return TargetRecord(
         identity=message.identity,
