Take over a lease that another writer has made unreadable

What callers saw: with an unreadable object in place of the coordinator's lease no entry coordinated again, whether the entries ran, had all been killed, or the coordinator had been. A port out of range raised OverflowError, which ended the election in an entry. A sound lease of another writer with a low token let a token be given out again in era 1.

Cause: an unreadable lease was an error at each reading; the next token came from the object alone.

Change: an unreadable lease, and one with a holder, address, port or token out of bounds, counts like one that a restore has hidden: it is taken over at its revision, and who takes it waits for the confirmation of any earlier holder; a holder whose proof is valid takes it back. Each take-over's token exceeds the store's revision of the object that it replaces. A lease's token within its era never exceeds its revision, as each write of it raises the revision by one or more and the token by one or to one above the revision before; so the token is above all before, whatever the object hides. The tokens of an era become 2^34, so that those of the next era exceed revisions. An address that can't be used is a lost peer.

--- a/packages/coordination/src/mimosaspur_coordination/fleetports.py
+++ b/packages/coordination/src/mimosaspur_coordination/fleetports.py
@@ -52,8 +52,10 @@
     token: int
     # The store's revision of the record, for a conditional update.
     revision: int = 0
-    # Whether the store was restored from an older copy after the record was written: others may
-    # have held the lease since.
+    # No earlier token is higher, whatever another writer has put in place of the record.
+    token_bound: int = 0
+    # Whether the store was restored from an older copy after the record was written, or the record
+    # can't be read: others may have held the lease since.
     restored: bool = False
     # Whether the holder has waited until no earlier one could order: an earlier process of the
     # same instance has nothing left to wait for.
--- a/packages/coordination/src/mimosaspur_coordination/orderlease.py
+++ b/packages/coordination/src/mimosaspur_coordination/orderlease.py
@@ -172,5 +172,6 @@
         """Return the record to write for taking the lease over."""
         token, revision = 0, 0
         if self.record:
-            token, revision = self.record.token, self.record.revision
+            token = max(self.record.token, self.record.token_bound)
+            revision = self.record.revision
         return LeaseRecord(self.instance, address, token + 1, revision)
--- a/packages/coordination/src/mimosaspur_coordination/storeera.py
+++ b/packages/coordination/src/mimosaspur_coordination/storeera.py
@@ -12,9 +12,14 @@
 from mimosaspur_state.eventlog import EventLog
 
 REVISIONS_PER_ERA = 1 << 44
-TOKENS_PER_ERA = 1_000_000
-# Keeps encoded revisions within the 64-bit integers of messages between entries.
+# Exceeds the revisions of an era, as a token may be taken from one.
+TOKENS_PER_ERA = 1 << 34
+# Leaves room for tokens above the last one that is taken from a revision.
+MAX_BOUND_REVISION = TOKENS_PER_ERA // 2
+# Keeps encoded revisions within the 64-bit integers of messages between entries, and tokens within
+# the integers that JSON carries exactly.
 MAX_ERA = 1 << 18
+MAX_TOKEN = (MAX_ERA + 1) * TOKENS_PER_ERA
 
 
 class StoreEra:
@@ -77,3 +82,11 @@
     def token_floor(self) -> int:
         """Return a number below all fencing tokens of the present era."""
         return self.era * TOKENS_PER_ERA
+
+    def token_bound(self, revision: int) -> int:
+        """Return a number that no token of an object exceeds that has a revision, or had before.
+
+        That holds up to MAX_BOUND_REVISION.
+        """
+        # Each change of the lease raises its revision, and its token by one or to one above this.
+        return self.token_floor() + min(revision, MAX_BOUND_REVISION)
--- a/packages/daemon/src/mimosaspur_daemon/direct/election.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/election.py
@@ -127,7 +127,7 @@
             return
         predecessor = self.lease.record.holder if self.lease.record else ""
         settled = bool(self.lease.record and self.lease.record.settled)
-        if not predecessor:
+        if self.lease.record is None:
             # No entry can know of crashes before the first coordinator.
             self.state.quarantine.on_told()
         last_order_ms = self._last_order_of(self.lease.record)
--- a/packages/transport/src/mimosaspur_transport/peerlink.py
+++ b/packages/transport/src/mimosaspur_transport/peerlink.py
@@ -38,7 +38,8 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
                 reader, writer = await asyncio.open_connection(*address)
-        except (OSError, TimeoutError) as error:
+        # The address may be another writer's, and none at all.
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise PeerLost(f"can't connect: {error!r}") from error
         return cls(reader, writer)
 
