Test that an unreadable record of versions is written anew

The record is written again when a software version joins, and, if all entries have started again beside the unreadable record, once they have lived for a lifetime (15 s here).

--- a/features/odd_leases.feature
+++ b/features/odd_leases.feature
@@ -1,4 +1,4 @@
-Feature: Another writer's object in place of the coordinator's lease leaves no site without one
+Feature: Another writer's object in place of the coordinator's lease or the record of versions is replaced
 
   # Guards against a lease that can't be read, after which no entry coordinates and an entry ends.
   Scenario Outline: The lease is <odd>, <trouble>
@@ -7,7 +7,7 @@
     Then within 8000 ms an entry coordinates under a token above all before
     And no token was held by two instances
     And no lower token came after a higher one
-    And no task of an entry has ended, and each logged the lease as unreadable at most once
+    And no task of an entry has ended, and each logged what is unreadable at most once
 
     Examples:
       | era | odd                     | trouble                       |
@@ -42,3 +42,26 @@
     Then within 8000 ms an entry coordinates under a token above all before
     And no token was held by two instances
     And no lower token came after a higher one
+
+  # Guards against a record of versions that stays unreadable.
+  Scenario Outline: The record of versions is <odd>, and a software version joins
+    Given a site of 3 entries that follow a store of era 1
+    And the store holds a record of versions when all entries start again
+    When the record is replaced by <odd>, and a software version joins
+    Then within 15 s the record names both versions
+    And no task of an entry has ended, and each logged what is unreadable at most once
+
+    Examples:
+      | odd                      |
+      | a text                   |
+      | an empty object          |
+      | a deeply nested value    |
+      | fields of other types    |
+
+  # Guards against a record of versions that stays unreadable after no entry is left that knows the versions.
+  Scenario: The record of versions is a text when all entries start again
+    Given a site of 3 entries that follow a store of era 1
+    And the store holds a record of versions when all entries start again
+    When the record is replaced by a text, and all entries are killed
+    Then within 15 s the record names the version that serves
+    And no task of an entry has ended, and each logged what is unreadable at most once
