Count the lease of a retry share from the report that a message answers

What callers could see: more retries of a service in a window than the bound allows (BUDGET), after an entry had stood still, or its machine was suspended, and it was then cut off.

Cause: an entry used its share of the constant for 3 s after it had read the coordinator's message, however long that had waited in its socket. The coordinator counts the entry's share for the lease and a window from when the link ended, which may be before the message is read, and then gives the share to others.

Change: the lease counts from when the entry sent the last report that has an answer, which is before any end of the link that the coordinator sees, on a clock that counts suspended time; a message of unknown age renews nothing. A coordinator's own entry notes the answers to its reports too. The model of shares keeps the messages that reach a frozen entry until it runs again.

--- a/features/direct_repeats.feature
+++ b/features/direct_repeats.feature
@@ -26,6 +26,24 @@
     When all of them repeat as often as they may, and nothing happens
     Then 2000 ms have at least 20 repeats
 
+  # Guards against a part spent twice by an entry that stood still, reads messages that waited for it, and
+  # is cut off.
+  Scenario: The constant is not spent twice as an entry reads messages that waited
+    Then at most 40 of 40 repeats are spent in any window as one of 4 entries reads messages that waited
+
+  # Guards against an entry that uses its part after the coordinator has given it to others, as a message
+  # that waited while the machine was suspended counted from when it was read.
+  Scenario Outline: The lease of a part counts from the report that a message answers, also in suspend
+    When the machine is suspended for <suspended> ms before the entry reads its part, and runs for <later> ms
+    Then the entry's part of the constant is <part>
+
+    Examples:
+      | suspended | later | part |
+      | 0         | 2900  | 0.25 |
+      | 0         | 3100  | 0    |
+      | 2000      | 900   | 0.25 |
+      | 2000      | 1100  | 0    |
+
   Scenario Outline: A part is not used <when>
     Given an entry that was told of its part for 30 s
     When <what>
@@ -39,4 +57,7 @@
       | after its lease                      | it is told nothing for 3100 ms                    | 0    |
       | after the machine was suspended      | the machine is suspended for 3100 ms              | 0    |
       | by an entry that is told anew        | it is told nothing for 3100 ms, and then again    | 0    |
+      | by a message that was read late      | it reads a message 2000 ms late, and is told nothing for 1100 ms | 0 |
+      | longer than its age allows           | it reads a message 2000 ms late, and is told nothing for 900 ms | 0.25 |
+      | by a message of unknown age          | it reads a message of unknown age after 3100 ms   | 0    |
       | once a coordinator knows nobody yet  | a new coordinator tells of no part                | 0    |
--- a/features/harness/share_leases.py
+++ b/features/harness/share_leases.py
@@ -7,7 +7,7 @@
 
 def settle_lease(lease: ShareLease, *, sharers: int) -> None:
     """Renew a lease as if it had been held past its activation delay."""
-    lease.renew(sharers)
+    lease.renew(sharers, age_ms=0)
     lease.held_since_ms -= lease.activation_delay_ms
 
 
--- a/features/harness/share_simulation.py
+++ b/features/harness/share_simulation.py
@@ -38,6 +38,9 @@
     window: RetryWindow
     cut: bool = False
     frozen: bool = False
+    # The last message that waits for the frozen entry: the sharers, and when the report was sent
+    # that it answers.
+    held: tuple[int, int] | None = None
     # By the id() of the coordinator's term.
     last_report_ms: dict[int, int] = field(default_factory=dict)
 
@@ -71,6 +74,10 @@
             entry.cut = event is Event.CUT
         elif event in (Event.FREEZE, Event.THAW):
             entry.frozen = event is Event.FREEZE
+            if entry.held and not entry.frozen:
+                sharers, reported_ms = entry.held
+                entry.held = None
+                entry.lease.renew(sharers, age_ms=self.clock.ms - reported_ms)
         elif event is Event.TAKE_LEASE and not entry.frozen:
             self._take_lease(number)
         self.clock.ms += STEP_MS
@@ -125,8 +132,12 @@
         for number in term.members:
             entry = self.entries[number]
             reached = number == term.holder or not (entry.cut or self.entries[term.holder].cut)
-            if reached and not entry.frozen and (not ended or number == term.holder):
-                entry.lease.renew(sharers)
+            if not reached or (ended and number != term.holder):
+                continue
+            if entry.frozen:
+                entry.held = sharers, entry.last_report_ms[id(term)]
+            else:
+                entry.lease.renew(sharers, age_ms=0)
 
     def _is_silent(self, entry: _Entry, term: _Term) -> bool:
         return self.clock.ms - entry.last_report_ms.get(id(term), 0) > SILENCE_TIMEOUT_MS
--- a/features/steps/direct_repeats_steps.py
+++ b/features/steps/direct_repeats_steps.py
@@ -1,6 +1,7 @@
 """Steps for entries that share the limit on repeats."""
 
 import asyncio
+from unittest.mock import patch
 
 from behave import given
 from behave import then
@@ -10,12 +11,20 @@
 from hypothesis import settings
 from hypothesis import strategies
 
+from harness.direct_entry import entry_dependencies
+from harness.direct_entry import null_log
+from harness.direct_entry import settings_for
 from harness.direct_fleet import ManualClock
 from harness.direct_site import Site
 from harness.loop import run
+from harness.share_leases import settle_lease
 from harness.share_simulation import Event
 from harness.share_simulation import ShareSimulation
 from mimosaspur_coordination.limits.sharelease import ShareLease
+from mimosaspur_daemon.direct.entrystate import EntryState
+from mimosaspur_daemon.direct.fleetreport import apply_report
+from mimosaspur_protocol.peermessages import FleetReport
+from mimosaspur_state.clock import BoottimeClock
 from mimosaspur_state.directsettings import RetryBounds
 
 SERVICE = "service"
@@ -27,6 +36,13 @@
 WINDOW_MS = 10_000
 RENEW_INTERVAL_MS = 100
 SHARERS = 4
+# Each event with the idle steps after it: the freeze ends just before the lease does.
+WAITING_MESSAGES = (
+    (Event.NOTHING, 60),
+    (Event.FREEZE, 9),
+    (Event.CUT, 0),
+    (Event.THAW, 40),
+)
 
 
 class _RetrySpender:
@@ -127,6 +143,21 @@
     assert max(spent) > most, "no play spent anything"
 
 
+@then(
+    "at most {most:d} of {slack:d} repeats are spent in any window as one of {count:d} entries"
+    " reads messages that waited"
+)
+def check_waiting_messages(context: Context, most: int, slack: int, count: int) -> None:
+    simulation = ShareSimulation(count, slack)
+    simulation.step(0, Event.TAKE_LEASE)
+    for event, steps in WAITING_MESSAGES:
+        simulation.step(1, event)
+        for _ in range(steps):
+            simulation.step(1, Event.NOTHING)
+    assert len(simulation.spent) > most, "the play spent nothing"
+    assert simulation.max_in_window() <= most, simulation.max_in_window()
+
+
 @given("an entry that was told of its part for {seconds:d} s")
 def hold_share(context: Context, seconds: int) -> None:
     context.clock = ManualClock(1_000)
@@ -136,9 +167,9 @@
 
 def _renew(context: Context, ms: int) -> None:
     for _ in range(0, ms, RENEW_INTERVAL_MS):
-        context.lease.renew(SHARERS)
+        context.lease.renew(SHARERS, age_ms=0)
         context.clock.ms += RENEW_INTERVAL_MS
-    context.lease.renew(SHARERS)
+    context.lease.renew(SHARERS, age_ms=0)
 
 
 @when("its process starts again and is told for {ms:d} ms")
@@ -156,14 +187,58 @@
 @when("it is told nothing for {ms:d} ms, and then again")
 def renew_after_pause(context: Context, ms: int) -> None:
     context.clock.ms += ms
-    context.lease.renew(SHARERS)
+    context.lease.renew(SHARERS, age_ms=0)
+
+
+@when("it reads a message {late_ms:d} ms late, and is told nothing for {ms:d} ms")
+def renew_late(context: Context, late_ms: int, ms: int) -> None:
+    context.clock.ms += late_ms
+    context.lease.renew(SHARERS, age_ms=late_ms)
+    context.clock.ms += ms
+
+
+@when("it reads a message of unknown age after {ms:d} ms")
+def renew_by_unknown(context: Context, ms: int) -> None:
+    context.clock.ms += ms
+    context.lease.renew(SHARERS, age_ms=None)
+
+
+@when(
+    "the machine is suspended for {suspended_ms:d} ms before the entry reads its part, and runs for"
+    " {later_ms:d} ms"
+)
+def read_part_after_suspend(context: Context, suspended_ms: int, later_ms: int) -> None:
+    clock = ManualClock(1_000)
+    # Only this one counts time in suspend.
+    boot_clock = ManualClock(1_000)
+    report = FleetReport(1, True, SHARERS, [], [], {}, sharer_count=SHARERS)
+
+    async def play() -> None:
+        ports = entry_dependencies("a", clock=clock, log=null_log("a"))
+        state = EntryState(settings_for("a"), ports)
+        settle_lease(state.retry_share, sharers=SHARERS)
+        state.report_times.on_sent(1)
+        boot_clock.ms += suspended_ms
+        state.report_times.on_answered(1)
+        apply_report(state, report)
+        boot_clock.ms += later_ms
+        clock.ms += later_ms
+        context.part = state.retry_share.share()
+
+    with patch.object(BoottimeClock, "now_ms", lambda _: boot_clock.ms):
+        run(context, play())
 
 
 @when("a new coordinator tells of no part")
 def renew_without_share(context: Context) -> None:
-    context.lease.renew(0)
+    context.lease.renew(0, age_ms=0)
 
 
 @then("its part of the constant is {part:g}")
 def check_share(context: Context, part: float) -> None:
     assert context.lease.share() == part, context.lease.share()
+
+
+@then("the entry's part of the constant is {part:g}")
+def check_part(context: Context, part: float) -> None:
+    assert context.part == part, context.part
--- a/packages/coordination/src/mimosaspur_coordination/limits/sharelease.py
+++ b/packages/coordination/src/mimosaspur_coordination/limits/sharelease.py
@@ -1,8 +1,9 @@
 """Lease each entry a share of a limit that applies to all entries in a sliding window.
 
 The coordinator sends the number of entries that divide the limit. An entry may use its share
-until its lease expires, and what it used counts for a window after that. So a share is reused
-only after a lease plus a window:
+until its lease expires, and what it used counts for a window after that. The lease counts from the
+entry's last report that the coordinator has answered, however late the answer is read. So a share
+is reused only after a lease plus a window:
 
 - an entry that starts, or whose lease expired, waits that long before it uses a share,
 - the coordinator counts a disconnected entry for that long,
@@ -11,7 +12,7 @@
 
 from mimosaspur_state.clock import Clock
 
-# An entry may use its share for this long after the coordinator's last update.
+# An entry may use its share for this long after it sent the last report that has an answer.
 LEASE_MS = 3_000
 DISTANT_PAST_MS = -1_000_000_000
 
@@ -36,12 +37,13 @@
         # Since when the lease has been held without expiring.
         self.held_since_ms = DISTANT_PAST_MS
 
-    def renew(self, sharers: int) -> None:
-        """Renew the lease on a message from the coordinator."""
+    def renew(self, sharers: int, *, age_ms: int | None) -> None:
+        """Renew the lease on a message of at most this age, None if its age isn't known."""
         now_ms = self.clock.now_ms()
         if now_ms - self.renewed_ms > LEASE_MS:
             self.held_since_ms = now_ms
-        self.renewed_ms = now_ms
+        if age_ms is not None:
+            self.renewed_ms = max(self.renewed_ms, now_ms - age_ms)
         self.sharers = sharers
 
     def share(self) -> float:
--- a/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/fleetreport.py
@@ -70,7 +70,7 @@
     """Apply the coordinator's report to an entry's state of the fleet."""
     if report.sharer_count != state.retry_share.sharers:
         state.log.write("sharers", sharers=report.sharer_count, token=report.token)
-    state.retry_share.renew(report.sharer_count)
+    state.retry_share.renew(report.sharer_count, age_ms=state.report_times.age_ms())
     state.staying_entries = report.staying_count
     state.freshness.record_version(report.configuration_version)
     remaining = [
--- a/packages/daemon/src/mimosaspur_daemon/direct/memberupdates.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/memberupdates.py
@@ -308,6 +308,7 @@
             self.state.reported_work.set_included(member.summed_number)
             self.state.quotas.acknowledge(member.report_number)
             self.state.load_outlook.on_answered(member.report_number)
+            self.state.report_times.on_answered(member.report_number)
             apply_report(self.state, replace(reports.report(member.sent_state), store=None))
             member.sent_state = reports.state_after(member.sent_state)
             return 0
