Count time in suspend in the window of the retry budget

What callers could see: as a machine runs again after suspend, an entry could send many retries at once, for requests that it had counted before, more than the bound allows in that window (BUDGET).

Cause: the window ran on a clock that stops in suspend, beside a lease whose clock doesn't.

Change: the window runs on the clock of its lease. No time of it is compared with another clock's: retries are taken and returned by the window's own.

--- a/features/direct_repeats.feature
+++ b/features/direct_repeats.feature
@@ -44,6 +44,17 @@
       | 2000      | 900   | 0.25 |
       | 2000      | 1100  | 0    |
 
+  # Guards against many retries at once as a machine runs again, for requests whose window has passed in
+  # suspend.
+  Scenario Outline: What requests allow in repeats lapses in suspend
+    When an entry counts 100 requests, and its machine is suspended for <suspended> of a window
+    Then it <may> repeat a request
+
+    Examples:
+      | suspended | may     |
+      | 0.9       | may     |
+      | 1.1       | may not |
+
   Scenario Outline: A part is not used <when>
     Given an entry that was told of its part for 30 s
     When <what>
--- a/features/steps/direct_repeats_steps.py
+++ b/features/steps/direct_repeats_steps.py
@@ -229,6 +229,30 @@
         run(context, play())
 
 
+@when(
+    "an entry counts {count:d} requests, and its machine is suspended for {windows:g} of a window"
+)
+def count_before_suspend(context: Context, count: int, windows: float) -> None:
+    boot_clock = ManualClock(1_000)
+
+    async def play() -> None:
+        ports = entry_dependencies("a", clock=ManualClock(1_000), log=null_log("a"))
+        state = EntryState(settings_for("a"), ports)
+        window = state.retry_window(SERVICE)
+        for _ in range(count):
+            window.count_request()
+        boot_clock.ms += round(windows * window.bounds.window_ms)
+        context.may_repeat = window.allows()
+
+    with patch.object(BoottimeClock, "now_ms", lambda _: boot_clock.ms):
+        run(context, play())
+
+
+@then("it {may} repeat a request")
+def check_may_repeat(context: Context, may: str) -> None:
+    assert context.may_repeat == (may == "may"), context.may_repeat
+
+
 @when("a new coordinator tells of no part")
 def renew_without_share(context: Context) -> None:
     context.lease.renew(0, age_ms=0)
--- a/packages/coordination/src/mimosaspur_coordination/limits/retrywindow.py
+++ b/packages/coordination/src/mimosaspur_coordination/limits/retrywindow.py
@@ -32,6 +32,7 @@
     def __init__(self, bounds: RetryBounds, *, lease: ShareLease, clock: Clock) -> None:
         self.bounds = bounds
         self.lease = lease
+        # Must count time in suspend.
         self.clock = clock
         self.requests: deque[int] = deque()
         self.repeats: deque[int] = deque()
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -257,7 +257,8 @@
         """Return the retry budget of a service."""
         window = self.retry_windows.get(service)
         if window is None:
-            window = RetryWindow(self.settings.retries, lease=self.retry_share, clock=self.clock)
+            lease = self.retry_share
+            window = RetryWindow(self.settings.retries, lease=lease, clock=lease.clock)
             self.retry_windows[service] = window
         return window
 
