--- a/features/harness/framed_site.py
+++ b/features/harness/framed_site.py
@@ -99,7 +99,7 @@
         targets: int = 2,
     ) -> None:
         super().__init__(entries, store=store)
-        configuration = _configuration()
+        configuration = framed_configuration()
         if limits:
             configuration["limits"] = dict(limits)
         self.store.put("config", "main", configuration)
@@ -204,7 +204,8 @@
 )
 
 
-def _configuration() -> dict[str, object]:
+def framed_configuration() -> dict[str, object]:
+    """Return a configuration with a route of each kind to one plain service."""
     routes = [
         {
             "name": name,
--- a/tools/scenarios.py
+++ b/tools/scenarios.py
@@ -22,6 +22,8 @@
 FEATURES = Path("features")
 KNOWN_RED = Path("KNOWN-RED.txt")
 INDENT = "    "
+# On the first line of a feature file: its bounds hold for a process that nothing else disturbs.
+ALONE_TAG = "@alone"
 
 
 class ExitCode(IntEnum):
@@ -80,19 +82,32 @@
 
 
 def run_all(features: Sequence[str], *, jobs: int, name: str | None) -> list[Outcome]:
-    """Run each feature file, at most `jobs` at once; raise UsageError if nothing matched."""
-    with ThreadPoolExecutor(max_workers=jobs) as pool:
-        try:
-            batches = list(pool.map(lambda path: run_feature(path, name=name), features))
-        except KeyboardInterrupt:
-            stop_running()
-            raise
+    """Run each feature file, at most `jobs` at once; raise UsageError if nothing matched.
+
+    Files with the tag ALONE_TAG run after the others, one at a time.
+    """
+    alone = [path for path in features if runs_alone(path)]
+    beside = [path for path in features if path not in alone]
+    batches: list[list[Outcome]] = []
+    for paths, count in ((beside, jobs), (alone, 1)):
+        with ThreadPoolExecutor(max_workers=count) as pool:
+            try:
+                batches += pool.map(lambda path: run_feature(path, name=name), paths)
+            except KeyboardInterrupt:
+                stop_running()
+                raise
     outcomes = [outcome for batch in batches for outcome in batch]
     if not outcomes:
         raise UsageError(f"no scenario's name matches {name!r}: check --name")
     return outcomes
 
 
+def runs_alone(path: str) -> bool:
+    """Return whether a feature file asks to run beside no other one."""
+    first_line = Path(path).read_text(encoding="utf-8").partition("\n")[0]
+    return ALONE_TAG in first_line.split()
+
+
 def report(
     outcomes: Sequence[Outcome], *, known: Sequence[KnownRed], complete: Sequence[str]
 ) -> ExitCode:
