Bound the memory that callers' bodies take, and refuse what finds no room

What callers saw: the entry's process grew with every body that was under way, whole or not, until it ended; a body that stopped short was kept for as long as its caller sent a byte now and then.

Cause: `body_bytes` bounds each body, nothing bounded all of them. A body was there up to four times: as an array, as its copy, in the encoded request and in the buffer of the target's connection. It was read before anything was decided about its request, and no time ended its reading.

Change: MemoryBudget grants memory up to 0.4 of `limits.memory_mb`. An announced body takes its share before it is read, one in chunks as it comes. Where there is none, holdings whose callers have kept them waiting for a second give way, the longest wait first; otherwise the request is refused at once with 503 and code 2021, and a Retry-After. A quarter is left to small bodies. A request that is known to be refused (route, key) is refused before its body is read; a body that hasn't come in the request's time is refused with 408 and code 2022. All of these are promises, as nothing was sent. The rest of a refused body is read and discarded for up to 2 s, so that its caller reads the refusal rather than a reset. The kernel's buffer of a caller's connection is small but for a body that is accounted for. A long body goes to its target in pieces of 64 KiB.

--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -2,11 +2,14 @@
 
 import asyncio
 
+from mimosaspur_coordination.limits.memorybudget import MIN_STALL_MS
+from mimosaspur_coordination.scheduling.callertimes import retry_after_s
 from mimosaspur_coordination.scheduling.loadoutlook import MAX_HOLD_SHARE
 from mimosaspur_daemon.direct.admission import check_leaving
 from mimosaspur_daemon.direct.admission import find_route
 from mimosaspur_daemon.direct.admission import pick_service
 from mimosaspur_daemon.direct.entrystate import EntryState
+from mimosaspur_daemon.direct.prompts import time_limit_ms
 from mimosaspur_daemon.direct.refusal import RequestFailed
 from mimosaspur_daemon.direct.refusal import internal_failure
 from mimosaspur_daemon.direct.requesthandler import UNSERVED_CODES
@@ -20,10 +23,12 @@
 from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.routes import CallerLimits
 from mimosaspur_transport.callerconnection import BadRequest
+from mimosaspur_transport.callerconnection import BodyLate
 from mimosaspur_transport.callerconnection import CallerConnection
 from mimosaspur_transport.callerconnection import CallerDisconnected
 from mimosaspur_transport.callerconnection import CallerRequest
 from mimosaspur_transport.callerconnection import EofNotifyingReader
+from mimosaspur_transport.callerconnection import MemoryShort
 from mimosaspur_transport.dialect import Headers
 from mimosaspur_transport.dialect import header
 
@@ -92,7 +97,9 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         assert isinstance(reader, EofNotifyingReader)
-        connection = CallerConnection(reader, writer, limits=self._limits())
+        connection = CallerConnection(
+            reader, writer, limits=self._limits(), budget=self.state.memory
+        )
         self.connections.add(connection)
         try:
             await self._serve_requests(connection)
@@ -108,13 +115,17 @@
             await self._fail_connection(connection, internal_failure(error))
         finally:
             self.connections.discard(connection)
+            connection.memory.close()
             connection.close()
             await connection.wait_closed()
 
     async def _serve_requests(self, connection: CallerConnection) -> None:
         while True:
             connection.limits = self._limits()
-            request = await connection.next_request()
+            head = await connection.read_head()
+            if head is None:
+                return
+            request = await self._read_body(connection, head)
             if request is None:
                 return
             if not await self._answer_until_disconnect(connection, request):
@@ -123,6 +134,38 @@
             if not connection.start_next_cycle():
                 return
 
+    async def _read_body(
+        self, connection: CallerConnection, head: CallerRequest
+    ) -> CallerRequest | None:
+        """Return the request with its body; None if it was refused before its body had come."""
+        try:
+            return await connection.read_body(head, time_limit_s=self._body_limit_s)
+        except RequestFailed as error:
+            failure = error
+        except BodyLate:
+            failure = RequestFailed(ResultCode.BODY_LATE)
+        except MemoryShort:
+            failure = RequestFailed(
+                ResultCode.MEMORY_SHORT, retry_after_s=self._memory_retry_s(head)
+            )
+        await self._refuse(connection, head, failure, None, close=True)
+        await connection.linger()
+        return None
+
+    def _body_limit_s(self, head: CallerRequest) -> float:
+        """Return when a request's body is late, on the event loop's clock; raise RequestFailed.
+
+        What is known to be refused is refused before its body is read.
+        """
+        route = find_route(self.state, head)
+        authenticate(self.state, route, head)
+        return head.arrived_s + time_limit_ms(head, route, self.state.dependencies.dialect) / 1000
+
+    def _memory_retry_s(self, head: CallerRequest) -> float:
+        """Return when memory may be free again: what stalls now has given way by then."""
+        left_s = self._body_limit_s(head) - asyncio.get_running_loop().time()
+        return retry_after_s(MIN_STALL_MS / 1000, left_s=left_s, spread=True)
+
     async def _answer_until_disconnect(
         self, connection: CallerConnection, request: CallerRequest
     ) -> bool:
@@ -195,6 +238,8 @@
         request: CallerRequest,
         failure: RequestFailed,
         handler: RequestHandler | None,
+        *,
+        close: bool = False,
     ) -> None:
         self._log(request, failure, handler)
         if handler:
@@ -207,7 +252,9 @@
         if failure.retry_after_s is not None:
             headers.append((b"Retry-After", decimal_s(failure.retry_after_s).encode()))
         body = _error_text(failure.code).encode()
-        await connection.send_response(failure.status, headers, body, close=self.state.leaving)
+        await connection.send_response(
+            failure.status, headers, body, close=close or self.state.leaving
+        )
 
     def _count_late_rejection(self, handler: RequestHandler, code: ResultCode) -> None:
         """Count a request that no target takes if it was held for long before it was refused."""
@@ -218,6 +265,7 @@
     async def _refuse_malformed(self, connection: CallerConnection, error: BadRequest) -> None:
         self.state.log.write("bad_request", status=error.status, detail=error.detail)
         await self._send_last(connection, error.status, f"{error.detail}\n")
+        await connection.linger()
 
     async def _fail_connection(self, connection: CallerConnection, failure: RequestFailed) -> None:
         """Answer an error outside of a request that was read, unless a response has begun."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/entrystate.py
@@ -15,6 +15,7 @@
 from mimosaspur_coordination.fleetports import FleetStore
 from mimosaspur_coordination.fleetview import FleetView
 from mimosaspur_coordination.followedtargets import FollowedTargets
+from mimosaspur_coordination.limits.memorybudget import process_budget
 from mimosaspur_coordination.limits.retrywindow import RetryWindow
 from mimosaspur_coordination.limits.sharelease import ShareLease
 from mimosaspur_coordination.outstandingloads import OutstandingLoads
@@ -99,6 +100,8 @@
         self.clock = dependencies.clock
         self.log = dependencies.log
         self.traffic = DomainTraffic(settings.failure_domain, self.log.counters)
+        # For what callers send and are sent.
+        self.memory = process_budget(settings.memory_mb, clock=self.clock)
         self.configuration: Configuration | None = None
         self.changes = ChangeNotifier()
         # Set to send the coordinator a report before the next periodic one.
--- a/packages/state/src/mimosaspur_state/codes.py
+++ b/packages/state/src/mimosaspur_state/codes.py
@@ -46,6 +46,8 @@
     TARGET_RESTING = 2018
     SUSPECT_WAITING = 2019
     SHARE_EXCEEDED = 2020
+    MEMORY_SHORT = 2021
+    BODY_LATE = 2022
 
     OUTCOME_UNKNOWN = 3001
     ANSWER_CUT = 3002
@@ -162,6 +164,14 @@
         "There isn't room for all, and the workspace's share of it is used up for now. Not run.",
         _TRY_LATER,
     ),
+    ResultCode.MEMORY_SHORT: CodeInfo(
+        503, "The entry has no memory free for the request's body. Not run.", _TRY_LATER
+    ),
+    ResultCode.BODY_LATE: CodeInfo(
+        408,
+        "The request's body did not arrive in the request's time. Not run.",
+        "Send the body faster, or give a longer deadline.",
+    ),
     ResultCode.TARGET_LIMITED: CodeInfo(
         503,
         "The targets that could run it limit the requests that they take. Not run.",
--- a/packages/transport/src/mimosaspur_transport/callerconnection.py
+++ b/packages/transport/src/mimosaspur_transport/callerconnection.py
@@ -9,9 +9,13 @@
 import termios
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
 
 import h11
 
+from mimosaspur_coordination.limits.memorybudget import MemoryBudget
+from mimosaspur_coordination.limits.memorybudget import MemoryHolding
+from mimosaspur_state.clock import SystemClock
 from mimosaspur_state.routes import CallerLimits
 from mimosaspur_transport.dialect import Headers
 from mimosaspur_transport.dialect import header
@@ -19,9 +23,20 @@
 READ_BYTES = 65_536
 # Limit of buffered input; TCP flow control holds back the rest.
 READ_BUFFER_BYTES = 65_536
+# Size of the kernel's buffer for what a caller sends. It counts as the process's memory, so it is
+# large only while the body that it is for is accounted for.
+RECEIVE_BUFFER_BYTES = 32_768
+BODY_RECEIVE_BUFFER_BYTES = 131_072
 # How long a write waits for a caller that doesn't read.
 WRITE_TIMEOUT_MS = 15_000
 HTTP_1_0 = b"1.0"
+# Memory is taken in such steps while a body of unknown length comes.
+BODY_STEP_BYTES = 65_536
+# How long, and for how many bodies of the largest size, a caller is read that was refused while it
+# still sent: closing a connection with unread input resets it, and the reset may overtake the
+# refusal.
+LINGER_MS = 2_000
+LINGER_BODIES = 4
 # Size of the integer that the FIONREAD request of ioctl sets.
 INT_BYTES = struct.calcsize("i")
 
@@ -39,9 +54,17 @@
         self.detail = detail
 
 
+class BodyLate(Exception):
+    """Signal that a request's body hasn't arrived in the request's time."""
+
+
+class MemoryShort(Exception):
+    """Signal that the process has no memory for a request's body, or needed it for others."""
+
+
 @dataclass(slots=True, frozen=True)
 class CallerRequest:
-    """Hold a complete request."""
+    """Hold a complete request, or its head only."""
 
     method: bytes
     target: bytes
@@ -91,18 +114,32 @@
         "codec",
         "ends_with_connection",
         "is_bodiless",
+        "is_wide",
         "limits",
+        "memory",
         "reader",
+        "wait",
         "waiting_since_s",
         "writer",
     )
 
     def __init__(
-        self, reader: EofNotifyingReader, writer: asyncio.StreamWriter, *, limits: CallerLimits
+        self,
+        reader: EofNotifyingReader,
+        writer: asyncio.StreamWriter,
+        *,
+        limits: CallerLimits,
+        budget: MemoryBudget | None = None,
     ) -> None:
+        budget = budget or MemoryBudget(float("inf"), clock=SystemClock())
+        # Of the current request and its response.
+        self.memory: MemoryHolding = budget.open(self._give_way)
+        # The timeout of the wait for the caller that is under way.
+        self.wait: asyncio.Timeout | None = None
         self.reader = reader
         self.writer = writer
         self.limits = limits
+        self._set_receive_buffer(RECEIVE_BUFFER_BYTES)
         self.codec = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
         # Whether a request was read and its response is not complete.
         self.answer_pending = False
@@ -110,25 +147,47 @@
         self.ends_with_connection = False
         # Whether the current request takes a response without a body.
         self.is_bodiless = False
+        # Whether the kernel's buffer is large, for a long body.
+        self.is_wide = False
         # When the wait for the next request began, on the event loop's clock.
         self.waiting_since_s = asyncio.get_running_loop().time()
 
     async def next_request(self) -> CallerRequest | None:
         """Return the next request, or None when the caller closes or times out."""
+        head = await self.read_head()
+        return head and await self.read_body(head, time_limit_s=lambda _: float("inf"))
+
+    async def read_head(self) -> CallerRequest | None:
+        """Return the next request without its body, or None when the caller closes or times out."""
         head = await self._read_head()
         if head is None:
             return None
         arrived_s = asyncio.get_running_loop().time()
         self.is_bodiless = head.method == b"HEAD"
         headers = list(head.headers.raw_items())
-        length = header(headers, b"content-length")
-        if length and int(length) > self.limits.body_bytes:
-            raise BadRequest(413, "the body exceeds the size limit")
-        if self.codec.they_are_waiting_for_100_continue:
-            self._write(h11.InformationalResponse(status_code=100, headers=[]))
-        body = await self._read_body()
+        return CallerRequest(head.method, head.target, headers, b"", arrived_s)
+
+    async def read_body(
+        self, request: CallerRequest, *, time_limit_s: Callable[[CallerRequest], float]
+    ) -> CallerRequest:
+        """Return the request with its body; raise BadRequest, BodyLate or MemoryShort.
+
+        While the body has not arrived, `time_limit_s` tells when it is late, on the event loop's
+        clock, or raises what refuses the request.
+        """
+        body = bytearray()
+        try:
+            await self._read_body(request, body, time_limit_s)
+        except BaseException:
+            # The error's traceback would keep it while the caller is told.
+            body.clear()
+            raise
+        if self.is_wide:
+            self.is_wide = False
+            self.memory.put_back(BODY_RECEIVE_BUFFER_BYTES)
+            self._set_receive_buffer(RECEIVE_BUFFER_BYTES)
         self.answer_pending = True
-        return CallerRequest(head.method, head.target, headers, body, arrived_s)
+        return replace(request, body=bytes(body))
 
     async def send_response(
         self, status: int, headers: Headers, body: bytes, *, close: bool, mark_end: bool = True
@@ -174,6 +233,7 @@
             self._set_linger(reset=False)
             self.ends_with_connection = False
         self.answer_pending = False
+        self.memory.release()
 
     def has_begun_response(self) -> bool:
         """Return whether a part of the current response may have been sent."""
@@ -212,6 +272,15 @@
         """Return how long the connection has been idle, 0 if it is in use."""
         return asyncio.get_running_loop().time() - self.waiting_since_s if self.is_idle() else 0.0
 
+    async def linger(self) -> None:
+        """Discard what a caller still sends that was refused, so that it reads the refusal."""
+        left_bytes = LINGER_BODIES * self.limits.body_bytes
+        with contextlib.suppress(OSError, TimeoutError):
+            self.writer.write_eof()
+            async with asyncio.timeout(LINGER_MS / 1000):
+                while left_bytes > 0 and (data := await self.reader.read(READ_BYTES)):
+                    left_bytes -= len(data)
+
     def close(self) -> None:
         """Close the connection after sending buffered data."""
         if not self.answer_pending:
@@ -266,7 +335,7 @@
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            data = await self._read(timeout_ms, waiting_s)
+            data = await self._read(waiting_s + timeout_ms / 1000)
             if not data:
                 return None
             if timeout_ms == self.limits.idle_timeout_ms:
@@ -275,28 +344,93 @@
                 waiting_s = asyncio.get_running_loop().time()
             self.codec.receive_data(data)
 
-    async def _read_body(self) -> bytes:
-        body = bytearray()
+    async def _read_body(
+        self,
+        request: CallerRequest,
+        body: bytearray,
+        time_limit_s: Callable[[CallerRequest], float],
+    ) -> None:
+        length = int(header(request.headers, b"content-length") or 0)
+        if length > self.limits.body_bytes:
+            raise BadRequest(413, "the body exceeds the size limit")
+        if self._read_arrived_body(body):
+            return
+        until_s = time_limit_s(request)
+        self._take_memory(max(0, length - self.memory.held_bytes))
+        if length > BODY_STEP_BYTES:
+            self._widen_for_body()
+        if self.codec.they_are_waiting_for_100_continue:
+            self._write(h11.InformationalResponse(status_code=100, headers=[]))
+        await self._read_rest(body, until_s)
+
+    def _read_arrived_body(self, body: bytearray) -> bool:
+        """Add the part of the body that has been read; return whether it is the whole body."""
         while True:
             event = self._next_event()
-            if isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self.limits.body_bytes:
-                    raise BadRequest(413, "the body exceeds the size limit")
-            elif isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            elif event is h11.NEED_DATA:
-                now_s = asyncio.get_running_loop().time()
-                data = await self._read(self.limits.idle_timeout_ms, now_s)
-                if not data:
-                    raise CallerDisconnected
-                self.codec.receive_data(data)
-            else:
+            if isinstance(event, h11.EndOfMessage):
+                return True
+            if event is h11.NEED_DATA:
+                return False
+            if not isinstance(event, h11.Data):
                 raise CallerDisconnected
-
-    async def _read(self, timeout_ms: int, since_s: float) -> bytes:
+            body += event.data
+            if len(body) > self.limits.body_bytes:
+                raise BadRequest(413, "the body exceeds the size limit")
+            if len(body) > self.memory.held_bytes:
+                self._take_memory(BODY_STEP_BYTES)
+                self._widen_for_body()
+
+    async def _read_rest(self, body: bytearray, until_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        idle_timeout_s = self.limits.idle_timeout_ms / 1000
+        while True:
+            end_s = min(loop.time() + idle_timeout_s, until_s)
+            data = await self._read_waiting(end_s)
+            if not data:
+                if loop.time() >= until_s:
+                    raise BodyLate
+                raise CallerDisconnected
+            self.codec.receive_data(data)
+            if self._read_arrived_body(body):
+                return
+
+    def _widen_for_body(self) -> None:
+        """Let more of a long body be on its way, within the memory of the process."""
+        if not self.is_wide:
+            self._take_memory(BODY_RECEIVE_BUFFER_BYTES)
+            self.is_wide = True
+            self._set_receive_buffer(BODY_RECEIVE_BUFFER_BYTES)
+
+    def _set_receive_buffer(self, size: int) -> None:
+        # The connection may have ended already.
+        with contextlib.suppress(OSError):
+            sock = self.writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+    def _take_memory(self, count: int) -> None:
+        if not self.memory.add(count):
+            raise MemoryShort
+
+    def _give_way(self) -> None:
+        """End the wait for the caller, whose memory others need."""
+        if self.wait and not self.wait.expired():
+            self.wait.reschedule(asyncio.get_running_loop().time())
+
+    async def _read_waiting(self, end_s: float) -> bytes:
+        """Read, or raise MemoryShort if the memory is needed for other callers meanwhile."""
+        self.memory.wait_for_caller()
+        try:
+            data = await self._read(end_s)
+        finally:
+            self.memory.stop_waiting()
+        if not data and asyncio.get_running_loop().time() < end_s and not self.reader.at_eof():
+            raise MemoryShort
+        return data
+
+    async def _read(self, end_s: float) -> bytes:
+        """Read until a time on the event loop's clock; return nothing at the end or after it."""
         try:
-            async with asyncio.timeout_at(since_s + timeout_ms / 1000):
+            async with asyncio.timeout_at(end_s) as self.wait:
                 return await self.reader.read(READ_BYTES)
         except TimeoutError:
             if not self.has_unread_input():
@@ -340,6 +474,7 @@
     400: b"Bad Request",
     401: b"Unauthorized",
     404: b"Not Found",
+    408: b"Request Timeout",
     413: b"Content Too Large",
     421: b"Misdirected Request",
     429: b"Too Many Requests",
--- a/packages/transport/src/mimosaspur_transport/httpchannel.py
+++ b/packages/transport/src/mimosaspur_transport/httpchannel.py
@@ -15,6 +15,8 @@
 from mimosaspur_transport.dialect import Headers
 
 READ_BYTES = 65_536
+# A request's body goes to the connection's buffer in such pieces, so that it isn't there as a copy.
+SEND_BYTES = 65_536
 # A response with a larger head, its interim responses included, is invalid.
 MAX_HEAD_BYTES = 65_536
 # A head arrives in one or two reads. One that takes more reads and longer than this has no end; a
@@ -128,6 +130,8 @@
         "request",
         "requests",
         "rests",
+        "sending",
+        "unsent_body",
         "waits_for_room",
         "writer",
     )
@@ -159,6 +163,9 @@
         # The peer's keep-alive timeout, 0 if it sent none.
         self.keep_alive_ms = 0
         self.waits_for_room = False
+        # The rest of the request's body, and the task that sends it; None for a short body.
+        self.unsent_body = memoryview(b"")
+        self.sending: asyncio.Task[None] | None = None
         # Sent and received since the last call of take_byte_counts.
         self.exchanged_bytes = [0, 0]
 
@@ -189,10 +196,15 @@
         self.received_bytes = 0
         self.requests += 1
         self.request = h11.Request(method=method, target=target, headers=headers + framing)
-        data = self._encode_request(self.request, body)
-        self._set_waits_for_room(len(data) > LONG_REQUEST_BYTES)
-        self.exchanged_bytes[0] += len(data)
-        self.writer.write(data)
+        head = self._encode_request(self.request, body)
+        size = len(head) + len(body)
+        self._set_waits_for_room(size > LONG_REQUEST_BYTES)
+        self.exchanged_bytes[0] += size
+        self.writer.write(head + body[:SEND_BYTES])
+        self.unsent_body = memoryview(body)[SEND_BYTES:]
+        self.sending = None
+        if self.unsent_body:
+            self.sending = asyncio.get_running_loop().create_task(self._send_rest())
         try:
             await self._drain()
         except OSError as error:
@@ -308,7 +320,16 @@
         return self._unsent_bytes() == 0
 
     def _unsent_bytes(self) -> int:
-        return self.writer.transport.get_write_buffer_size()
+        return self.writer.transport.get_write_buffer_size() + len(self.unsent_body)
+
+    async def _send_rest(self) -> None:
+        """Send the rest of the body as the peer takes it; reading finds the connection's errors."""
+        with contextlib.suppress(OSError):
+            await self.writer.drain()
+            while self.unsent_body:
+                self.writer.write(self.unsent_body[:SEND_BYTES])
+                self.unsent_body = self.unsent_body[SEND_BYTES:]
+                await self.writer.drain()
 
     def close(self) -> None:
         """Close the connection, with a reset if it carries a request, which the peer cancels.
@@ -322,6 +343,8 @@
                 self.writer.get_extra_info("socket").setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
                 )
+        if self.sending:
+            self.sending.cancel()
         self.writer.transport.abort()
 
     def _is_between_requests(self) -> bool:
@@ -346,7 +369,7 @@
         if self.is_fully_sent():
             return
         loop = asyncio.get_running_loop()
-        draining = loop.create_task(self.writer.drain())
+        draining = loop.create_task(self._finish_sending())
         # A cancelled read has consumed nothing.
         reading = loop.create_task(self._read())
         try:
@@ -370,11 +393,19 @@
             reading.cancel()
             await asyncio.gather(draining, reading, return_exceptions=True)
 
+    async def _finish_sending(self) -> None:
+        if self.sending:
+            await asyncio.shield(self.sending)
+        await self.writer.drain()
+
     def _encode_request(self, request: h11.Request, body: bytes) -> bytes:
-        data = self.codec.send(request) or b""
+        """Put the codec into the state after the request; return the head, as encoded."""
+        head = self.codec.send(request) or b""
         if body:
-            data += self.codec.send(h11.Data(data=body)) or b""
-        return data + (self.codec.send(h11.EndOfMessage()) or b"")
+            # It has a length, so that the codec leaves it as it is.
+            self.codec.send(h11.Data(data=body))
+        self.codec.send(h11.EndOfMessage())
+        return head
 
     async def _read_data(self) -> bytes:
         """Return the data that is there, or comes next; none at the end of the body.
