Bound the memory that answers take until their callers have read them

What callers saw: callers that asked for long answers and read nothing, or little, ended the process.

Cause: whole answers were collected up to 8 MB each, whatever was collected elsewhere, and then written in one piece, which the connection's buffer copied. One read of the event loop could add 256 KiB to what a reader keeps, the kernel's buffers of targets' connections grew by themselves, and a stream whose caller doesn't read filled all of these.

Change: an answer takes its memory from the same budget before it is read, by its length or as it comes. Its request has run, so that it waits for memory rather than being refused, until the request's time has passed; callers that have not taken what was written for a second give way, the longest wait first, by a reset. Short answers don't wait. The body is written in pieces of 64 KiB, each once the caller has taken the last one. Reads and buffers of connections are bounded. The budget is a third of `limits.memory_mb` (was 0.4): the allocator keeps some of what was freed.

--- a/packages/coordination/src/mimosaspur_coordination/limits/memorybudget.py
+++ b/packages/coordination/src/mimosaspur_coordination/limits/memorybudget.py
@@ -5,7 +5,7 @@
 from mimosaspur_state.clock import Clock
 
 # The share of a machine's memory for what callers send and are sent; the rest is the process's own.
-MACHINE_SHARE = 0.4
+MACHINE_SHARE = 1 / 3
 # Holdings of up to SMALL_BYTES may use all of the budget, others leave a part of it to them.
 SMALL_BYTES = 65_536
 SMALL_SHARE = 0.25
--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptrun.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptrun.py
@@ -15,6 +15,7 @@
 from mimosaspur_daemon.direct.silencecheck import SilenceCheck
 from mimosaspur_daemon.direct.streamforwarding import StreamForwarding
 from mimosaspur_daemon.direct.targetheaders import target_headers
+from mimosaspur_protocol.numbers import parse_number
 from mimosaspur_state.routes import RouteKind
 from mimosaspur_transport.dialect import header
 from mimosaspur_transport.httpchannel import ChannelBroken
@@ -145,7 +146,16 @@
 
     async def _forward_whole(self, head: ResponseHead) -> AttemptResult:
         handler = self.handler
-        body = await self.silence.read_first(self.attempt.channel.read_body(MAX_RESPONSE_BYTES))
+        # Outside of the check for silence: a target isn't silent while its answer finds no memory.
+        length = min(
+            parse_number(header(head.headers, b"content-length") or b"") or 0, MAX_RESPONSE_BYTES
+        )
+        await handler.caller.hold_answer(length)
+        body = await self.silence.read_first(
+            self.attempt.channel.read_body(
+                MAX_RESPONSE_BYTES, held_bytes=length, hold=handler.caller.hold_answer
+            )
+        )
         if head.status < 400 and not is_authentic(head, handler.state.dependencies.dialect):
             raise ChannelBroken("response is encoded or lacks the target's proof header")
         self.attempt.record_end(RunEnd.ANSWERED)
--- a/packages/transport/src/mimosaspur_transport/callerconnection.py
+++ b/packages/transport/src/mimosaspur_transport/callerconnection.py
@@ -13,12 +13,14 @@
 
 import h11
 
+from mimosaspur_coordination.limits.memorybudget import SMALL_BYTES
 from mimosaspur_coordination.limits.memorybudget import MemoryBudget
 from mimosaspur_coordination.limits.memorybudget import MemoryHolding
 from mimosaspur_state.clock import SystemClock
 from mimosaspur_state.routes import CallerLimits
 from mimosaspur_transport.dialect import Headers
 from mimosaspur_transport.dialect import header
+from mimosaspur_transport.httpchannel import limit_reads
 
 READ_BYTES = 65_536
 # Limit of buffered input; TCP flow control holds back the rest.
@@ -30,6 +32,10 @@
 # How long a write waits for a caller that doesn't read.
 WRITE_TIMEOUT_MS = 15_000
 HTTP_1_0 = b"1.0"
+# A response's body goes to the connection's buffer in such pieces: it isn't there as a copy.
+SEND_BYTES = 65_536
+# How often memory is asked for again that an answer waits for.
+MEMORY_POLL_S = 0.05
 # Memory is taken in such steps while a body of unknown length comes.
 BODY_STEP_BYTES = 65_536
 # How long, and for how many bodies of the largest size, a caller is read that was refused while it
@@ -139,6 +145,7 @@
         self.reader = reader
         self.writer = writer
         self.limits = limits
+        limit_reads(writer.transport, READ_BYTES)
         self._set_receive_buffer(RECEIVE_BUFFER_BYTES)
         self.codec = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
         # Whether a request was read and its response is not complete.
@@ -195,10 +202,24 @@
         """Send a complete response, or without `mark_end` one of unknown completeness."""
         framing = [(b"Content-Length", b"%d" % len(body))] if mark_end else []
         await self.send_head(status, headers + framing, close=close, mark_end=mark_end)
-        if body and not self.is_bodiless:
-            await self.send_chunk(body)
+        if not self.is_bodiless:
+            view = memoryview(body)
+            for start in range(0, len(body), SEND_BYTES):
+                self._write(h11.Data(data=bytes(view[start : start + SEND_BYTES])))
+                await self._drain()
         await self.end_response()
 
+    async def hold_answer(self, count: int) -> None:
+        """Wait for memory for so many bytes of an answer.
+
+        Its request has run, so that it isn't refused. A short answer doesn't wait.
+        """
+        while not self.memory.add(count):
+            if count <= SMALL_BYTES and self.memory.held_bytes <= SMALL_BYTES:
+                self.memory.add_anyway(count)
+                return
+            await asyncio.sleep(MEMORY_POLL_S)
+
     async def send_head(
         self, status: int, headers: Headers, *, close: bool, mark_end: bool = True
     ) -> None:
@@ -458,11 +479,17 @@
             self.writer.write(data)
 
     async def _drain(self) -> None:
+        waits = self.writer.transport.get_write_buffer_size() > 0
+        if waits:
+            self.memory.wait_for_caller()
         try:
-            async with asyncio.timeout(WRITE_TIMEOUT_MS / 1000):
+            async with asyncio.timeout(WRITE_TIMEOUT_MS / 1000) as self.wait:
                 await self.writer.drain()
         except (OSError, TimeoutError) as error:
             raise CallerDisconnected from error
+        finally:
+            if waits:
+                self.memory.stop_waiting()
 
 
 def _reason_phrase(status: int) -> bytes:
--- a/packages/transport/src/mimosaspur_transport/httpchannel.py
+++ b/packages/transport/src/mimosaspur_transport/httpchannel.py
@@ -5,6 +5,8 @@
 import select
 import socket
 import struct
+from collections.abc import Awaitable
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import cast
@@ -17,6 +19,13 @@
 READ_BYTES = 65_536
 # A request's body goes to the connection's buffer in such pieces, so that it isn't there as a copy.
 SEND_BYTES = 65_536
+# Memory is taken in such steps while a response of unknown length comes.
+HOLD_BYTES = 65_536
+# Size of the kernel's buffer for what the peer sends. It counts as the process's memory; it is full
+# while a response is not read as its caller doesn't take it.
+RECEIVE_BUFFER_BYTES = 65_536
+# Limit of buffered input beside it.
+READ_BUFFER_BYTES = 16_384
 # A response with a larger head, its interim responses included, is invalid.
 MAX_HEAD_BYTES = 65_536
 # A head arrives in one or two reads. One that takes more reads and longer than this has no end; a
@@ -110,6 +119,14 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
+def limit_reads(transport: asyncio.WriteTransport, size: int) -> None:
+    """Set how much the event loop reads from a connection at once.
+
+    The loop's own limit would let one read exceed what a reader keeps by far.
+    """
+    setattr(transport, "max_size", size)  # noqa: B010
+
+
 class HttpChannel:
     """Send one request at a time; unusable after the first error."""
 
@@ -176,12 +193,15 @@
         """Open a connection; raise ChannelBroken."""
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                reader, writer = await asyncio.open_connection(*address)
+                reader, writer = await asyncio.open_connection(*address, limit=READ_BUFFER_BYTES)
         except ConnectionRefusedError as error:
             raise ConnectionRefused(f"can't connect: {error!r}") from error
         except (OSError, TimeoutError) as error:
             raise ChannelBroken(f"can't connect: {error!r}") from error
-        set_dead_peer_timeouts(writer.get_extra_info("socket"))
+        limit_reads(writer.transport, READ_BUFFER_BYTES)
+        sock = writer.get_extra_info("socket")
+        set_dead_peer_timeouts(sock)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         return cls(reader, writer)
 
     async def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
@@ -268,10 +288,23 @@
             return None
         raise ChannelBroken("the response ended early")
 
-    async def read_body(self, limit: int) -> bytes:
-        """Return the whole body; raise ChannelBroken, also when it exceeds the limit."""
+    async def read_body(
+        self,
+        limit: int,
+        *,
+        held_bytes: int = 0,
+        hold: Callable[[int], Awaitable[None]] | None = None,
+    ) -> bytes:
+        """Return the whole body; raise ChannelBroken, also when it exceeds the limit.
+
+        `hold` waits for memory for more than the `held_bytes`.
+        """
         body = bytearray()
         while (chunk := await self.read_chunk()) is not None:
+            if hold and len(body) + len(chunk) > held_bytes:
+                step = max(len(chunk), HOLD_BYTES)
+                await hold(step)
+                held_bytes += step
             body += chunk
             if len(body) > limit:
                 raise EndlessResponse("body", "the response exceeds the size limit")
