Bound the framing of callers' bodies, and give other requests a turn while chunks are decoded

What callers saw: while a crowd sent bodies of little but chunk headers, ordinary requests got no answer, beside it and after it; what the entry had not read filled its memory.

Cause: decoding a chunk takes some 25 us. All that had been read was decoded at once, 64 KiB and more for each caller, also for callers that had left. Chunk extensions had no bound in sum.

Change: chunk headers and ends of a body may have 64 KiB and six times its data; chunks of a byte without extensions keep to that, so that no sound client meets it; beyond it the answer is 400. After eight chunks other tasks have a turn, and a caller that has left is given up. A caller's reader keeps 16 KiB. Bodies that fit into it take no memory of the budget, as they are there anyway: small requests aren't refused beside a crowd.

--- a/features/harness/hostile_site.py
+++ b/features/harness/hostile_site.py
@@ -196,6 +196,13 @@
         await asyncio.sleep(SLOW_S)
 
 
+async def send_tiny_chunks(member: Member) -> None:
+    """Send a body in chunks of a byte."""
+    await member.send_head(transfer_encoding="chunked")
+    while True:
+        await member.send(chunk(b"x") * PIECE_BYTES)
+
+
 async def send_unannounced(member: Member) -> None:
     """Send a body far over the limit in chunks, whatever the entry answers."""
     await member.send_head(transfer_encoding="chunked")
@@ -251,6 +258,7 @@
     "send a whole body of 1 MB": send_whole,
     "send a body of 1 MB but its last byte": stop_short,
     "send a body of 1 MB in chunks, the end byte by byte": drip_chunks,
+    "send a body in chunks of a byte": send_tiny_chunks,
     "send a body of 8 MB in chunks, unannounced": send_unannounced,
     "announce a body of 1 TB and send it": announce_much,
     "send 8000 bytes of chunk extension for each byte": extend_chunks,
--- a/features/hostile_clients.feature
+++ b/features/hostile_clients.feature
@@ -21,6 +21,7 @@
       | 300   | 80     | 2000        | ask for a stream of 4 MB and read it slowly         |
       | 200   | 80     | 2000        | send requests without an end and read no answer     |
       | 600   | 80     | 400         | connect and send nothing                            |
+      | 120   | 80     | 2000        | send a body in chunks of a byte                     |
 
   # Guards against limits that refuse what the pages allow.
   Scenario: A single request of the largest legal size is served in calm
--- a/packages/transport/src/mimosaspur_transport/callerconnection.py
+++ b/packages/transport/src/mimosaspur_transport/callerconnection.py
@@ -22,9 +22,9 @@
 from mimosaspur_transport.dialect import header
 from mimosaspur_transport.httpchannel import limit_reads
 
-READ_BYTES = 65_536
+READ_BYTES = 16_384
 # Limit of buffered input; TCP flow control holds back the rest.
-READ_BUFFER_BYTES = 65_536
+READ_BUFFER_BYTES = 16_384
 # Size of the kernel's buffer for what a caller sends. It counts as the process's memory, so it is
 # large only while the body that it is for is accounted for.
 RECEIVE_BUFFER_BYTES = 32_768
@@ -38,6 +38,12 @@
 MEMORY_POLL_S = 0.05
 # Memory is taken in such steps while a body of unknown length comes.
 BODY_STEP_BYTES = 65_536
+# Bytes of chunk headers and ends that a body may have beside its data, at all and for each byte of
+# data. Chunks of any size keep to it unless they carry extensions.
+MAX_FRAMING_BYTES = 65_536
+MAX_FRAMING_RATIO = 6
+# Chunks that are decoded before other tasks have a turn.
+MAX_CHUNKS_AT_ONCE = 8
 # How long, and for how many bodies of the largest size, a caller is read that was refused while it
 # still sent: closing a connection with unread input resets it, and the reset may overtake the
 # refusal.
@@ -98,16 +104,20 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(limit=READ_BUFFER_BYTES, loop=loop)
         self.on_disconnect: Callable[[], None] | None = None
+        # Whether the peer has disconnected, though input that came before may be left.
+        self.has_ended = False
 
     def feed_eof(self) -> None:
         """Handle the end of the stream."""
         super().feed_eof()
+        self.has_ended = True
         if self.on_disconnect:
             self.on_disconnect()
 
     def set_exception(self, exc: Exception) -> None:
         """Handle a failure of the stream."""
         super().set_exception(exc)
+        self.has_ended = True
         if self.on_disconnect:
             self.on_disconnect()
 
@@ -374,19 +384,28 @@
         length = int(header(request.headers, b"content-length") or 0)
         if length > self.limits.body_bytes:
             raise BadRequest(413, "the body exceeds the size limit")
-        if self._read_arrived_body(body):
+        # A body that fits into the reader's buffer is in memory anyway.
+        if await self._read_arrived_body(body):
             return
         until_s = time_limit_s(request)
-        self._take_memory(max(0, length - self.memory.held_bytes))
+        if length > READ_BYTES:
+            self._take_memory(max(0, length - self.memory.held_bytes))
         if length > BODY_STEP_BYTES:
             self._widen_for_body()
         if self.codec.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
         await self._read_rest(body, until_s)
 
-    def _read_arrived_body(self, body: bytearray) -> bool:
+    async def _read_arrived_body(self, body: bytearray) -> bool:
         """Add the part of the body that has been read; return whether it is the whole body."""
+        number = 0
         while True:
+            number += 1
+            if number % MAX_CHUNKS_AT_ONCE == 0:
+                await asyncio.sleep(0)
+                if self.reader.has_ended:
+                    # Nobody waits for the answer any more.
+                    raise CallerDisconnected
             event = self._next_event()
             if isinstance(event, h11.EndOfMessage):
                 return True
@@ -397,13 +416,15 @@
             body += event.data
             if len(body) > self.limits.body_bytes:
                 raise BadRequest(413, "the body exceeds the size limit")
-            if len(body) > self.memory.held_bytes:
+            if len(body) > max(READ_BYTES, self.memory.held_bytes):
                 self._take_memory(BODY_STEP_BYTES)
-                self._widen_for_body()
+                if len(body) > BODY_STEP_BYTES:
+                    self._widen_for_body()
 
     async def _read_rest(self, body: bytearray, until_s: float) -> None:
         loop = asyncio.get_running_loop()
         idle_timeout_s = self.limits.idle_timeout_ms / 1000
+        received_bytes = len(body)
         while True:
             end_s = min(loop.time() + idle_timeout_s, until_s)
             data = await self._read_waiting(end_s)
@@ -412,8 +433,12 @@
                     raise BodyLate
                 raise CallerDisconnected
             self.codec.receive_data(data)
-            if self._read_arrived_body(body):
+            received_bytes += len(data)
+            if await self._read_arrived_body(body):
                 return
+            framing_bytes = received_bytes - len(body)
+            if framing_bytes > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * len(body):
+                raise BadRequest(400, "the chunk headers exceed the size limit")
 
     def _widen_for_body(self) -> None:
         """Let more of a long body be on its way, within the memory of the process."""
