Bound an entry's connections below its descriptors

What callers saw: callers that only connect took all descriptors of a process, and with them those of its own calls: to the store, other entries and targets.

Cause: `limits.file_descriptors` was read and not used; the accept loop took up to 512 connections at once.

Change: callers get half of what 300 descriptors of the process's own leave, of the setting or the process's soft limit, whichever is lower: each connection may need one to a target. At the bound the connection that has been idle the longest is closed, without idle ones the one that has waited for its caller the longest, as a head that doesn't end or an answer that isn't read. Without any the new one gets 503 with a Retry-After before anything is read. 16 connections are accepted at once. Log lines and counters: connection_freed, connection_refused.

--- a/packages/coordination/src/mimosaspur_coordination/limits/memorybudget.py
+++ b/packages/coordination/src/mimosaspur_coordination/limits/memorybudget.py
@@ -88,26 +88,38 @@
         holding.add_anyway(count)
         return True
 
+    def free_longest_stalled(self) -> bool:
+        """Let the holding that has stalled the longest give way; return whether there was one."""
+        for holding in self._stalled()[:1]:
+            self._free(holding)
+            return True
+        return False
+
     def _make_room(self, wanted_bytes: float, besides: MemoryHolding) -> None:
         """Let stalled holdings give way, if that makes enough room."""
-        now_ms = self.clock.now_ms()
-        stalled = sorted(
-            (since_ms, id(each), each)
-            for each in self.holdings
-            if each is not besides
-            and each.held_bytes
-            and (since_ms := each.stalled_since_ms) is not None
-            and now_ms - since_ms >= MIN_STALL_MS
-        )
-        if sum(each.held_bytes for _, _, each in stalled) < wanted_bytes:
+        stalled = [each for each in self._stalled() if each is not besides and each.held_bytes]
+        if sum(each.held_bytes for each in stalled) < wanted_bytes:
             return
-        for _, _, each in stalled:
+        for holding in stalled:
             if wanted_bytes <= 0:
                 return
-            wanted_bytes -= each.held_bytes
-            self.given_way += 1
-            each.close()
-            each.give_way()
+            wanted_bytes -= holding.held_bytes
+            self._free(holding)
+
+    def _stalled(self) -> list[MemoryHolding]:
+        """Return the holdings that may have to give way, the longest wait first."""
+        now_ms = self.clock.now_ms()
+        since_ms = {
+            each: each.stalled_since_ms
+            for each in self.holdings
+            if each.stalled_since_ms is not None and now_ms - each.stalled_since_ms >= MIN_STALL_MS
+        }
+        return sorted(since_ms, key=since_ms.__getitem__)
+
+    def _free(self, holding: MemoryHolding) -> None:
+        self.given_way += 1
+        holding.close()
+        holding.give_way()
 
 
 def process_budget(memory_mb: float, *, clock: Clock) -> MemoryBudget:
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -1,6 +1,8 @@
 """Serve callers' connections, one task each."""
 
 import asyncio
+import resource
+import socket
 
 from mimosaspur_coordination.limits.memorybudget import MIN_STALL_MS
 from mimosaspur_coordination.scheduling.callertimes import retry_after_s
@@ -33,9 +35,18 @@
 from mimosaspur_transport.dialect import header
 
 LISTEN_BACKLOG = 512
+# Connections that the event loop accepts at once, before any of them is looked at.
+ACCEPTED_AT_ONCE = 16
 # A connection without input for this long has no request under way: callers send a request within
 # some ms.
 MIN_IDLE_S = 0.3
+# Descriptors for files, listeners, the store and other entries.
+OWN_DESCRIPTORS = 300
+# Sent to a caller for which there is no connection, before anything is read.
+TOO_MANY_CONNECTIONS = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n"
+    b"Connection: close\r\n\r\n"
+)
 
 
 class CallerServer:
@@ -48,6 +59,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.handlers: set[RequestHandler] = set()
         self.server: asyncio.Server | None = None
+        self.max_connections = max_connections(state.settings.descriptors)
 
     async def listen(self) -> None:
         """Start accepting connections."""
@@ -58,9 +70,10 @@
             reader = EofNotifyingReader(loop)
             return asyncio.StreamReaderProtocol(reader, self._on_connection, loop=loop)
 
-        self.server = await loop.create_server(
-            protocol, host, port, backlog=LISTEN_BACKLOG, reuse_address=True
-        )
+        listening = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
+        self.server = await loop.create_server(protocol, sock=listening, backlog=ACCEPTED_AT_ONCE)
+        # The event loop has set the kernel's queue to what it accepts at once.
+        listening.listen(LISTEN_BACKLOG)
 
     def in_flight(self) -> int:
         """Return the number of requests in progress."""
@@ -91,10 +104,26 @@
             self.server.close()
 
     def _on_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(self.tasks) >= self.max_connections and not self._free_connection():
+            self.state.log.write("connection_refused", open=len(self.tasks))
+            writer.write(TOO_MANY_CONNECTIONS)
+            writer.close()
+            return
         task = asyncio.get_running_loop().create_task(self._serve(reader, writer))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def _free_connection(self) -> bool:
+        """Close the connection that has been idle, or has waited for its caller, the longest."""
+        idlest = max(self.connections, key=CallerConnection.idle_duration_s, default=None)
+        if idlest and idlest.idle_duration_s() >= MIN_IDLE_S:
+            self.connections.discard(idlest)
+            idlest.close()
+        elif not self.state.memory.free_longest_stalled():
+            return False
+        self.state.log.write("connection_freed", open=len(self.tasks), idle=bool(idlest))
+        return True
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         assert isinstance(reader, EofNotifyingReader)
         connection = CallerConnection(
@@ -311,6 +340,18 @@
         return configuration.limits if configuration else CallerLimits()
 
 
+def max_connections(descriptors: int) -> int:
+    """Return how many callers' connections a process with so many descriptors keeps open.
+
+    Each may need a connection to a target beside it.
+    """
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit != resource.RLIM_INFINITY:
+        descriptors = min(descriptors, soft_limit)
+    own = min(OWN_DESCRIPTORS, descriptors // 2)
+    return (descriptors - own) // 2
+
+
 def _error_text(code: ResultCode) -> str:
     info = CODE_TABLE[code]
     return f"{code.value} {info.meaning} {info.next_step}\n"
--- a/packages/transport/src/mimosaspur_transport/callerconnection.py
+++ b/packages/transport/src/mimosaspur_transport/callerconnection.py
@@ -306,9 +306,10 @@
     async def linger(self) -> None:
         """Discard what a caller still sends that was refused, so that it reads the refusal."""
         left_bytes = LINGER_BODIES * self.limits.body_bytes
+        self.memory.wait_for_caller()
         with contextlib.suppress(OSError, TimeoutError):
             self.writer.write_eof()
-            async with asyncio.timeout(LINGER_MS / 1000):
+            async with asyncio.timeout(LINGER_MS / 1000) as self.wait:
                 while left_bytes > 0 and (data := await self.reader.read(READ_BYTES)):
                     left_bytes -= len(data)
 
@@ -363,6 +364,7 @@
         while True:
             event = self._next_event()
             if isinstance(event, h11.Request):
+                self.memory.stop_waiting()
                 return event
             if event is not h11.NEED_DATA:
                 return None
@@ -373,6 +375,7 @@
                 # The head has begun: the rest has a shorter timeout.
                 timeout_ms = self.limits.header_timeout_ms
                 waiting_s = asyncio.get_running_loop().time()
+                self.memory.wait_for_caller()
             self.codec.receive_data(data)
 
     async def _read_body(
