Let streams that their callers don't read take memory of the budget, or be cut

What callers saw: many streams read slowly filled the process and the kernel: each kept up to 64 KiB before its caller, as much behind its target, and what the kernel's buffers grow to.

Cause: a stream's buffers were bounded one by one, and neither counted nor bounded together; the kernel's buffer of what is sent to a caller grew by itself, up to 4 MB.

That the kernel's buffers stay small is by reasoning: the test does not measure them.

--- a/packages/transport/src/mimosaspur_transport/callerconnection.py
+++ b/packages/transport/src/mimosaspur_transport/callerconnection.py
@@ -29,11 +29,18 @@
 # large only while the body that it is for is accounted for.
 RECEIVE_BUFFER_BYTES = 32_768
 BODY_RECEIVE_BUFFER_BYTES = 131_072
+# Size of the kernel's buffer for what a caller has not taken.
+SEND_BUFFER_BYTES = 65_536
 # How long a write waits for a caller that doesn't read.
 WRITE_TIMEOUT_MS = 15_000
 HTTP_1_0 = b"1.0"
 # A response's body goes to the connection's buffer in such pieces: it isn't there as a copy.
 SEND_BYTES = 65_536
+# A write of a stream waits for the caller once more than this hasn't been sent.
+STREAM_WRITE_BYTES = 16_384
+# Memory that a stream takes behind its caller's connection while the caller doesn't read: the
+# buffers of the target's connection in the kernel and in this process.
+STREAM_BUFFERS_BYTES = 196_608
 # How often memory is asked for again that an answer waits for.
 MEMORY_POLL_S = 0.05
 # Memory is taken in such steps while a body of unknown length comes.
@@ -156,7 +163,8 @@
         self.writer = writer
         self.limits = limits
         limit_reads(writer.transport, READ_BYTES)
-        self._set_receive_buffer(RECEIVE_BUFFER_BYTES)
+        self._set_buffer(socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._set_buffer(socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self.codec = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
         # Whether a request was read and its response is not complete.
         self.answer_pending = False
@@ -202,7 +210,7 @@
         if self.is_wide:
             self.is_wide = False
             self.memory.put_back(BODY_RECEIVE_BUFFER_BYTES)
-            self._set_receive_buffer(RECEIVE_BUFFER_BYTES)
+            self._set_buffer(socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self.answer_pending = True
         return replace(request, body=bytes(body))
 
@@ -244,6 +252,8 @@
             # For an HTTP/1.0 peer the codec sends the body without chunks and closes.
             self.codec.their_http_version = HTTP_1_0
         has_length = header(headers, b"content-length") is not None
+        if not has_length:
+            self.writer.transport.set_write_buffer_limits(high=STREAM_WRITE_BYTES)
         if self.codec.their_http_version == HTTP_1_0 and not has_length:
             self._reset_until_end()
         self._write(
@@ -252,9 +262,22 @@
         await self._drain()
 
     async def send_chunk(self, chunk: bytes) -> None:
-        """Send a part of the body."""
+        """Send a part of a stream; raise CallerDisconnected if it would wait without memory.
+
+        While the caller doesn't take it, the buffers behind it fill up as well.
+        """
         self._write(h11.Data(data=chunk))
-        await self._drain()
+        unsent_bytes = self.writer.transport.get_write_buffer_size()
+        if unsent_bytes <= STREAM_WRITE_BYTES:
+            await self._drain()
+            return
+        waiting_bytes = unsent_bytes + STREAM_BUFFERS_BYTES
+        if not self.memory.add(waiting_bytes):
+            raise CallerDisconnected
+        try:
+            await self._drain()
+        finally:
+            self.memory.put_back(waiting_bytes)
 
     async def end_response(self) -> None:
         """Send the end of the response."""
@@ -448,13 +471,13 @@
         if not self.is_wide:
             self._take_memory(BODY_RECEIVE_BUFFER_BYTES)
             self.is_wide = True
-            self._set_receive_buffer(BODY_RECEIVE_BUFFER_BYTES)
+            self._set_buffer(socket.SO_RCVBUF, BODY_RECEIVE_BUFFER_BYTES)
 
-    def _set_receive_buffer(self, size: int) -> None:
+    def _set_buffer(self, option: int, size: int) -> None:
         # The connection may have ended already.
         with contextlib.suppress(OSError):
             sock = self.writer.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+            sock.setsockopt(socket.SOL_SOCKET, option, size)
 
     def _take_memory(self, count: int) -> None:
         if not self.memory.add(count):
--- a/packages/transport/src/mimosaspur_transport/httpchannel.py
+++ b/packages/transport/src/mimosaspur_transport/httpchannel.py
@@ -16,7 +16,7 @@
 from mimosaspur_protocol.numbers import parse_number
 from mimosaspur_transport.dialect import Headers
 
-READ_BYTES = 65_536
+READ_BYTES = 16_384
 # A request's body goes to the connection's buffer in such pieces, so that it isn't there as a copy.
 SEND_BYTES = 65_536
 # Memory is taken in such steps while a response of unknown length comes.
@@ -25,7 +25,7 @@
 # while a response is not read as its caller doesn't take it.
 RECEIVE_BUFFER_BYTES = 65_536
 # Limit of buffered input beside it.
-READ_BUFFER_BYTES = 16_384
+READ_BUFFER_BYTES = 8_192
 # A response with a larger head, its interim responses included, is invalid.
 MAX_HEAD_BYTES = 65_536
 # A head arrives in one or two reads. One that takes more reads and longer than this has no end; a
