--- a/packages/daemon/src/mimosaspur_daemon/direct/statusserver.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/statusserver.py
@@ -9,6 +9,7 @@
 from mimosaspur_daemon.direct.entrystate import EntryState
 from mimosaspur_daemon.direct.explain.answer import answer_question
 from mimosaspur_protocol.explanations import EXPLAIN_PATH
+from mimosaspur_state.counters import PREFIX
 from mimosaspur_state.routes import CallerLimits
 from mimosaspur_transport.callerconnection import BadRequest
 from mimosaspur_transport.callerconnection import CallerConnection
@@ -17,6 +18,9 @@
 from mimosaspur_transport.callerconnection import EofNotifyingReader
 
 METRICS_PATH = "/metrics"
+# Limits on callers of these addresses, which send small requests and few of them.
+STATUS_LIMITS = CallerLimits(body_bytes=65_536)
+MAX_CONNECTIONS = 64
 # Lists what is quarantined; DELETE on a trait's name below it lifts its quarantine.
 QUARANTINE_PATH = "/quarantine"
 # Lists the targets that name a request limit.
@@ -31,6 +35,8 @@
     def __init__(self, state: EntryState) -> None:
         self.state = state
         self.servers: list[asyncio.Server] = []
+        # The oldest first.
+        self.connections: dict[CallerConnection, None] = {}
 
     async def listen(self) -> None:
         """Start accepting connections."""
@@ -52,7 +58,13 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, for_operators: bool
     ) -> None:
         assert isinstance(reader, EofNotifyingReader)
-        connection = CallerConnection(reader, writer, limits=CallerLimits())
+        connection = CallerConnection(reader, writer, limits=STATUS_LIMITS)
+        if len(self.connections) >= MAX_CONNECTIONS:
+            # The balancer opens a connection for each check.
+            oldest = next(iter(self.connections))
+            self.connections.pop(oldest)
+            oldest.abort()
+        self.connections[connection] = None
         try:
             while (request := await connection.next_request()) is not None:
                 status, body = self._answer(request, for_operators=for_operators)
@@ -64,6 +76,7 @@
         except CallerDisconnected:
             pass
         finally:
+            self.connections.pop(connection, None)
             connection.close()
 
     def _answer(self, request: CallerRequest, *, for_operators: bool) -> tuple[int, bytes]:
@@ -76,11 +89,20 @@
         if for_operators and request.path == EXPLAIN_PATH:
             return answer_question(self.state, request)
         if request.path == METRICS_PATH:
-            return 200, self.state.log.counters.render().encode()
+            return 200, (self.state.log.counters.render() + self._render_memory()).encode()
         if request.path != self.state.dependencies.dialect.ready_path.decode():
             return 404, b""
         return (200 if self.state.ready() else 503), b""
 
+    def _render_memory(self) -> str:
+        """Return the use of the memory budget in the Prometheus text format."""
+        budget = self.state.memory
+        return (
+            f"{PREFIX}callers_memory_bytes {budget.used_bytes}\n"
+            f"{PREFIX}callers_memory_limit_bytes {budget.limit_bytes:.0f}\n"
+            f"{PREFIX}callers_gave_way_total {budget.given_way}\n"
+        )
+
     def _answer_quarantine(self, request: CallerRequest) -> tuple[int, bytes]:
         """List what is quarantined, or lift the quarantine of the trait that is named."""
         quarantine = self.state.quarantine
