Keep the daemon's workers from callers whose heads don't end

What callers saw: while callers sent heads byte by byte, `GET /healthz` of mimosaspurd in the role entry stayed unanswered for over 8 s, and so did everything else.

Cause: a connection got a worker with its first byte, and each byte started the wait anew, so that as many callers as there are workers held all of them for as long as they liked.

Change: HeadWatcher looks at what a connection has received without reading it, and passes the connection on once the head is complete; after caller_timeout_ms it answers 408 and closes. A head behind another request on its connection is read by a worker, for as long at most.

--- a/packages/transport/src/mimosaspur_transport/gateway.py
+++ b/packages/transport/src/mimosaspur_transport/gateway.py
@@ -15,6 +15,7 @@
 from mimosaspur_state.codes import ResultCode
 from mimosaspur_state.errors import MimosaspurError
 from mimosaspur_state.log import log
+from mimosaspur_transport.headwatcher import HeadWatcher
 
 CALLER_KEY = "mimosaspur.caller"
 
@@ -143,6 +144,7 @@
         """Return the WSGI environment."""
         environ: dict[str, Any] = super().get_environ()  # type: ignore[no-untyped-call]
         environ[CALLER_KEY] = CallerConnection(self.req)
+        self.req.server.heads.end_reading(self.req.conn)
         return environ
 
 
@@ -160,6 +162,14 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, timeout_s)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
+    def communicate(self) -> Any:
+        """Read a request and respond; return whether the connection stays open."""
+        self.server.heads.begin_reading(self)
+        try:
+            return super().communicate()  # type: ignore[no-untyped-call]
+        finally:
+            self.server.heads.end_reading(self)
+
     def close(self) -> None:
         """Close the connection."""
         if self.unread:
@@ -211,6 +221,9 @@
         self.gateway = CallerGateway
         self.timeout = timeout_s
         self.workers = workers
+        self.heads = HeadWatcher(
+            self._queue, timeout_s=timeout_s, limit_bytes=self.max_request_header_size
+        )
         self.closing = False
         self.aborting = threading.Event()
 
@@ -225,10 +238,14 @@
             return
         if conn.last_used is None:
             self._watch(conn)
-        elif self.requests.qsize >= self.workers:
-            self._unservicable_conns.put(conn)
         else:
-            self.requests.put(conn)
+            self.heads.add(conn)
+
+    def serve(self) -> None:
+        """Serve until stopped."""
+        watching = threading.Thread(target=self.heads.run, name="heads", daemon=True)
+        watching.start()
+        super().serve()
 
     def stop_accepting(self) -> None:
         """Close the listening socket; open connections are still served."""
@@ -250,11 +267,19 @@
         self._connections._selector.register(waker.sock, selectors.EVENT_READ, data=waker)
         super().stop()
         waker.close()
+        self.heads.stop()
 
     def error_log(self, msg: str = "", level: int = 0, traceback: bool = False) -> None:
         """Forward cheroot's messages to the log."""
         log("ENTRY", "HTTP server reported.", report=str(msg), level=level)
 
+    def _queue(self, conn: Any) -> None:
+        """Queue a connection for a worker."""
+        if self.requests.qsize >= self.workers:
+            self._unservicable_conns.put(conn)
+        else:
+            self.requests.put(conn)
+
     def _watch(self, conn: Any) -> None:
         if super().can_add_keepalive_connection:
             self._connections.put(conn)
