Free the bodies of requests that were cut, and end a connection that gave way

The budget counted the memory of cut answers as free, but it wasn't.

Cause: an error's traceback holds the frames, these the task that ended with it, and the task the error: each cut answer stayed until the garbage collector found the cycle. Besides, a connection that gave way just as input came went on without being counted; the refusal of a body without memory could itself fail for an unknown route, as 500; and connection_freed named idle ones wrongly.

Change: tasks are let go where their errors are raised again, and the frames with a cut answer leave the traceback. A connection that gave way ends. The refusal of the route comes first.

--- a/packages/daemon/src/mimosaspur_daemon/direct/attemptrun.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/attemptrun.py
@@ -17,6 +17,7 @@
 from mimosaspur_daemon.direct.targetheaders import target_headers
 from mimosaspur_protocol.numbers import parse_number
 from mimosaspur_state.routes import RouteKind
+from mimosaspur_transport.callerconnection import CallerDisconnected
 from mimosaspur_transport.dialect import header
 from mimosaspur_transport.httpchannel import ChannelBroken
 from mimosaspur_transport.httpchannel import EndlessResponse
@@ -174,6 +175,12 @@
         if handler.started:
             raise ChannelBroken("target answered a resumed stream with a whole response")
         handler.runs.claim(self.attempt)
-        await handler.forward_response(response)
+        try:
+            await handler.forward_response(response)
+        except (CallerDisconnected, asyncio.CancelledError) as error:
+            # Tasks and errors hold each other, and tracebacks the frames: the body would stay until
+            # the garbage collector finds it.
+            del response, body
+            raise error.with_traceback(None) from None
         handler.record_duration(self.attempt.sent_s)
         return AttemptResult.DONE
--- a/packages/daemon/src/mimosaspur_daemon/direct/callers.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import resource
 import socket
+from functools import partial
 
 from mimosaspur_coordination.limits.memorybudget import MIN_STALL_MS
 from mimosaspur_coordination.scheduling.callertimes import retry_after_s
@@ -116,12 +117,13 @@
     def _free_connection(self) -> bool:
         """Close the connection that has been idle, or has waited for its caller, the longest."""
         idlest = max(self.connections, key=CallerConnection.idle_duration_s, default=None)
-        if idlest and idlest.idle_duration_s() >= MIN_IDLE_S:
+        is_idle = idlest is not None and idlest.idle_duration_s() >= MIN_IDLE_S
+        if idlest and is_idle:
             self.connections.discard(idlest)
             idlest.close()
         elif not self.state.memory.free_longest_stalled():
             return False
-        self.state.log.write("connection_freed", open=len(self.tasks), idle=bool(idlest))
+        self.state.log.write("connection_freed", open=len(self.tasks), idle=is_idle)
         return True
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -174,9 +176,7 @@
         except BodyLate:
             failure = RequestFailed(ResultCode.BODY_LATE)
         except MemoryShort:
-            failure = RequestFailed(
-                ResultCode.MEMORY_SHORT, retry_after_s=self._memory_retry_s(head)
-            )
+            failure = self._memory_failure(head)
         await self._refuse(connection, head, failure, None, close=True)
         await connection.linger()
         return None
@@ -190,17 +190,22 @@
         authenticate(self.state, route, head)
         return head.arrived_s + time_limit_ms(head, route, self.state.dependencies.dialect) / 1000
 
-    def _memory_retry_s(self, head: CallerRequest) -> float:
-        """Return when memory may be free again: what stalls now has given way by then."""
-        left_s = self._body_limit_s(head) - asyncio.get_running_loop().time()
-        return retry_after_s(MIN_STALL_MS / 1000, left_s=left_s, spread=True)
+    def _memory_failure(self, head: CallerRequest) -> RequestFailed:
+        """Return the refusal of a request whose body finds no memory."""
+        try:
+            left_s = self._body_limit_s(head) - asyncio.get_running_loop().time()
+        except RequestFailed as error:
+            return error
+        # What stalls now has given way by then.
+        retry_s = retry_after_s(MIN_STALL_MS / 1000, left_s=left_s, spread=True)
+        return RequestFailed(ResultCode.MEMORY_SHORT, retry_after_s=retry_s)
 
     async def _answer_until_disconnect(
         self, connection: CallerConnection, request: CallerRequest
     ) -> bool:
         """Answer a request unless the caller leaves; return whether it was answered in full."""
         task = asyncio.get_running_loop().create_task(self._answer(connection, request))
-        connection.reader.on_disconnect = lambda: _cancel(task)
+        connection.reader.on_disconnect = partial(_cancel, task)
         if connection.reader.at_eof() or connection.reader.exception():
             task.cancel()
         try:
@@ -212,6 +217,8 @@
             return False
         finally:
             connection.reader.on_disconnect = None
+            # No cycle of the task, its error and the error's traceback, as frames hold bodies.
+            del task
 
     async def _answer(self, connection: CallerConnection, request: CallerRequest) -> bool:
         """Answer a request; return whether the response was sent in full."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/parallelruns.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/parallelruns.py
@@ -67,7 +67,13 @@
                 offer = self.active.pop(task)
                 offer.cause = repr(error)
                 return offer, AttemptResult.BROKEN
-            return self.active.pop(task), task.result()
+            offer = self.active.pop(task)
+            try:
+                return offer, task.result()
+            finally:
+                # An error's traceback would hold the task, and the task the error: what the frames
+                # hold, bodies among it, would stay until the garbage collector finds the cycle.
+                del task
 
     def claim(self, attempt: "Attempt") -> None:
         """Let one run go on with the response, and end the others."""
--- a/packages/daemon/src/mimosaspur_daemon/direct/silencecheck.py
+++ b/packages/daemon/src/mimosaspur_daemon/direct/silencecheck.py
@@ -51,6 +51,8 @@
             return reading.result()
         finally:
             reading.cancel()
+            # No cycle of the task, its error and the error's traceback, as frames hold bodies.
+            del reading
 
     async def read_chunk(self) -> bytes | None:
         """Read the next data of a stream; ask for a backup while it is late."""
--- a/packages/state/src/mimosaspur_state/settingsdoc.py
+++ b/packages/state/src/mimosaspur_state/settingsdoc.py
@@ -50,7 +50,7 @@
     "entry.default_deadline_ms": KeyDoc("Deadline of a request without X-Deadline-Ms.", _MS),
     "entry.max_deadline_ms": KeyDoc("Maximum deadline that a caller may request.", _MS),
     "entry.caller_timeout_ms": KeyDoc(
-        "Timeout for a request's body and for an idle caller's connection.", _MS
+        "Timeout for a request's head, for its body and for an idle caller's connection.", _MS
     ),
     "entry.retry_ratio": KeyDoc(
         "Retries that each caller's request adds to the budget.", "tries/request"
--- a/packages/transport/src/mimosaspur_transport/callerconnection.py
+++ b/packages/transport/src/mimosaspur_transport/callerconnection.py
@@ -136,6 +136,7 @@
         "answer_pending",
         "codec",
         "ends_with_connection",
+        "gave_way",
         "is_bodiless",
         "is_wide",
         "limits",
@@ -157,6 +158,8 @@
         budget = budget or MemoryBudget(float("inf"), clock=SystemClock())
         # Of the current request and its response.
         self.memory: MemoryHolding = budget.open(self._give_way)
+        # Whether the memory was taken for other callers, which ends the connection.
+        self.gave_way = False
         # The timeout of the wait for the caller that is under way.
         self.wait: asyncio.Timeout | None = None
         self.reader = reader
@@ -485,8 +488,11 @@
 
     def _give_way(self) -> None:
         """End the wait for the caller, whose memory others need."""
-        if self.wait and not self.wait.expired():
-            self.wait.reschedule(asyncio.get_running_loop().time())
+        self.gave_way = True
+        # The wait may just have ended.
+        with contextlib.suppress(RuntimeError):
+            if self.wait and not self.wait.expired():
+                self.wait.reschedule(asyncio.get_running_loop().time())
 
     async def _read_waiting(self, end_s: float) -> bytes:
         """Read, or raise MemoryShort if the memory is needed for other callers meanwhile."""
@@ -495,7 +501,7 @@
             data = await self._read(end_s)
         finally:
             self.memory.stop_waiting()
-        if not data and asyncio.get_running_loop().time() < end_s and not self.reader.at_eof():
+        if self.gave_way:
             raise MemoryShort
         return data
 
