Count what the kernel takes of a long request at once as sent, and name the daemon's callers apart

Cause: a long body goes to the connection in pieces now, the first of which the kernel took after the entry had noted how much was unsent. It looked as if the target read, for one more period.

Change: the entry waits until the kernel has taken what it takes at once. Besides, a step of the daemon's callers had the same words as one of the entry's, so that a row of hostile_clients.feature ran the wrong step: it has words of its own, the crowd is unchanged.

--- a/features/steps/hostile_clients_daemon_steps.py
+++ b/features/steps/hostile_clients_daemon_steps.py
@@ -34,7 +34,7 @@
     )
 
 
-@when("{count:d} callers send a head byte by byte")
+@when("{count:d} of the daemon's callers send a head byte by byte")
 def send_heads(context: Context, count: int) -> None:
     connections = _connect(context, count)
     ended = Event()
@@ -43,7 +43,7 @@
     time.sleep(SETTLE_S)
 
 
-@when("{count:d} callers send a body of 1 MB but its last byte")
+@when("{count:d} of the daemon's callers send a body of 1 MB but its last byte")
 def send_bodies(context: Context, count: int) -> None:
     for connection in _connect(context, count):
         with contextlib.suppress(OSError):
--- a/packages/transport/src/mimosaspur_transport/httpchannel.py
+++ b/packages/transport/src/mimosaspur_transport/httpchannel.py
@@ -225,6 +225,8 @@
         self.sending = None
         if self.unsent_body:
             self.sending = asyncio.get_running_loop().create_task(self._send_rest())
+            # What the kernel takes at once is no sign that the peer reads.
+            await asyncio.sleep(0)
         try:
             await self._drain()
         except OSError as error:
