--- a/review/lib-2/engines.py
+++ b/review/lib-2/engines.py
@@ -26,7 +26,9 @@
         self.servers = []
 
     async def start(self):
-        server = await asyncio.start_server(self._serve, server_ip(10 + self.number), 0, limit=1 << 18)
+        server = await asyncio.start_server(
+            self._serve, server_ip(10 + self.number), 0, limit=1 << 18
+        )
         self.address = server.sockets[0].getsockname()[:2]
         self.servers.append(server)
         self.register()
@@ -89,7 +91,10 @@
         if holder is None or token is None or order["operation"] not in ("load", "unload"):
             return 400
         status = 202
-        if time.monotonic() < self.busy_until or order.get("expected", self.sequence) != self.sequence:
+        if (
+            time.monotonic() < self.busy_until
+            or order.get("expected", self.sequence) != self.sequence
+        ):
             status = 409
         elif (order["model"] in self.models) == (order["operation"] == "load"):
             status = 200
--- a/review/lib-2/small_site_2.py
+++ b/review/lib-2/small_site_2.py
@@ -447,12 +447,22 @@
     return fields | more
 
 
+def _stop(_number, _frame):
+    raise SystemExit(2)
+
+
 def run_case(play):
     """Run a case; exit with 0 if the rule held, 1 if it was broken, 2 if it couldn't run.
 
     `play` gets the folder of the case's settings and logs, and returns whether the rule held, None
     if the case couldn't run.
     """
+    # A script that is stopped ends its processes too.
+    signal.signal(signal.SIGTERM, _stop)
     with tempfile.TemporaryDirectory(prefix="review-2-") as folder:
-        held = asyncio.run(play(folder))
+        try:
+            held = asyncio.run(play(folder))
+        except Exception as error:  # noqa: BLE001
+            print(f"could not run: {error!r}")
+            held = None
     raise SystemExit({True: 0, False: 1, None: 2}[held])
