Keep review scripts that run at the same time on addresses of their own

Cause: a script draws one of 230 loopback nets at random; two that drew the same one shared addresses, and case 10 without its disruption then exited with 1, once.

--- a/review/lib-2/small_site_2.py
+++ b/review/lib-2/small_site_2.py
@@ -19,10 +19,24 @@
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parents[2]
-NET = random.SystemRandom().randrange(20, 250)
 FRONT, READY, CONTROL = 8149, 8141, 8144
 
 
+def _reserve_net():
+    """Return the second byte of loopback addresses that no other script uses, and what holds it."""
+    while True:
+        net = random.SystemRandom().randrange(20, 250)
+        holder = socket.socket()
+        try:
+            holder.bind((f"127.{net}.3.1", CONTROL))
+            return net, holder
+        except OSError:
+            holder.close()
+
+
+NET, NET_HOLDER = _reserve_net()
+
+
 class Closed(Exception):
     """Signal that the other end has closed or reset a connection."""
 
@@ -315,6 +329,8 @@
             self.process.wait()
 
     async def is_ready(self):
+        if not self.runs():
+            return False
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection(self.ip, READY), 1)
             writer.write(b"GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
